http: add the server and client shells on volo-http

Cause: daemons, command line and test doubles need the same limits, error kinds and the rule that a call is sent once.

--- /dev/null
+++ b/crates/azurelug-http/src/error.rs
@@ -0,0 +1,61 @@
+//! Errors of the HTTP shells.
+
+use std::net::SocketAddr;
+
+/// What went wrong, and what to do about it.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The listener could not be bound.
+    #[error(
+        "can't listen on {address}: {source}; choose a free address or stop the process that uses it"
+    )]
+    Bind {
+        /// The configured address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The server ended with an error.
+    #[error("HTTP server on {address} ended: {message}; restart the process")]
+    Serve {
+        /// The listener's address.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+    },
+    /// No connection could be opened, so that no byte of the request was sent.
+    #[error("can't connect to {address}: {message}; check that it runs and is reachable")]
+    NotSent {
+        /// The peer.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+    },
+    /// The request was sent at least in part, and no complete answer came back.
+    #[error("no complete answer from {address}: {message}; whether it ran is unknown")]
+    NoAnswer {
+        /// The peer.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+    },
+    /// The body is longer than the limit.
+    #[error("body of more than {limit} bytes; send a shorter one")]
+    TooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The request could not be built.
+    #[error("can't build the request: {message}; check path and headers")]
+    Build {
+        /// The cause.
+        message: String,
+    },
+}
+
+impl Error {
+    /// Whether the peer provably got no byte of the request.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent { .. } | Self::Build { .. })
+    }
+}
--- /dev/null
+++ b/crates/azurelug-http/src/server.rs
@@ -0,0 +1,59 @@
+//! An HTTP server: bind first, so that a used port is reported at once, then serve a router.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::net::TcpListener;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::server::route::Router;
+
+use crate::Error;
+
+/// A bound listener that serves nothing yet.
+pub struct Server {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+/// Runs when the process gets a termination signal, before the server stops accepting.
+pub type ShutdownHook = Box<dyn FnOnce() -> Pin<Box<dyn Future<Output = ()> + Send>> + Send>;
+
+impl Server {
+    /// Binds `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    /// `Bind` if the address is in use or not local.
+    pub async fn bind(address: SocketAddr) -> Result<Self, Error> {
+        let bound = TcpListener::bind(address)
+            .await
+            .and_then(|l| Ok((l.local_addr()?, l)));
+        let (address, listener) = bound.map_err(|source| Error::Bind { address, source })?;
+        Ok(Self { listener, address })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until the process gets SIGINT, SIGTERM or SIGHUP and the hook has ended. While the
+    /// hook runs, requests are still accepted; afterwards `volo-http` waits for open connections.
+    ///
+    /// # Errors
+    /// `Serve` if the listener fails.
+    pub async fn serve(self, router: Router, hook: Option<ShutdownHook>) -> Result<(), Error> {
+        let mut server = volo_http::server::Server::new(router);
+        if let Some(hook) = hook {
+            server = server.register_shutdown_hook(hook);
+        }
+        let address = self.address;
+        server
+            .run(DefaultIncoming::from(self.listener))
+            .await
+            .map_err(|error| Error::Serve {
+                address,
+                message: error.to_string(),
+            })
+    }
+}
