core: add patches, pipeline runs and token streams as state machines

Cause: the serving path needs one place that matches results by request, stage and attempt, and one that decides patches the same way on every replica. Change: azurelug_core::configuration (patch ids, conflicts, checks), pipeline, stream, outcome. The patch digest travels with the patch so that replicas of different releases can't disagree.

--- /dev/null
+++ b/crates/azurelug-core/src/configuration.rs
@@ -0,0 +1,146 @@
+//! The configuration as a deterministic state machine that committed patches drive.
+//!
+//! Owns the current version, the answers to past patches and the history. It must give the same
+//! answer on every replica and after every restart, so it reads no clock and no random numbers.
+
+pub mod check;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use azurelug_types::config::Config;
+use azurelug_types::id::Version;
+use azurelug_types::patch::{Answer, Patch};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Answers kept for resent patches, and history entries. A patch resent after that many further
+/// decisions gets a conflict, because its base version is no longer the current one.
+pub const KEPT: usize = 10_000;
+
+/// One accepted patch in the history.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// The version it created.
+    pub version: Version,
+    /// The patch's id.
+    pub patch_id: String,
+    /// Who sent it.
+    pub author: String,
+    /// Wall-clock time at the leader in milliseconds since 1970, for display only.
+    pub accepted_at_ms: u64,
+    /// How many changes it made.
+    pub changes: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Decision {
+    digest: [u8; 32],
+    answer: Answer,
+}
+
+/// The configuration, its history and the answers to past patches.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Store {
+    config: Arc<Config>,
+    decisions: BTreeMap<String, Decision>,
+    order: VecDeque<String>,
+    history: VecDeque<Event>,
+}
+
+impl Store {
+    /// The version in force.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The accepted patches that are still kept, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &Event> {
+        self.history.iter()
+    }
+
+    /// Decides a patch. A patch id that was decided before gets the same answer again.
+    ///
+    /// `digest` comes from [`digest`] on the daemon that received the patch. It travels with the
+    /// patch, because replicas of different releases must not compute it differently.
+    pub fn apply(&mut self, patch: &Patch, digest: [u8; 32], accepted_at_ms: u64) -> Answer {
+        if let Some(decision) = self.decisions.get(&patch.patch_id) {
+            if decision.digest == digest {
+                return decision.answer.clone();
+            }
+            return Answer::Invalid {
+                field: "patch_id".to_owned(),
+                help: "another patch has this id; send this one with a new id".to_owned(),
+            };
+        }
+        let answer = match self.evaluate(patch) {
+            Ok(config) => {
+                let version = config.version;
+                self.config = Arc::new(config);
+                self.remember_event(Event {
+                    version,
+                    patch_id: patch.patch_id.clone(),
+                    author: patch.author.clone(),
+                    accepted_at_ms,
+                    changes: patch.changes.len(),
+                });
+                Answer::Accepted { version }
+            }
+            Err(answer) => answer,
+        };
+        self.remember_decision(
+            &patch.patch_id,
+            Decision {
+                digest,
+                answer: answer.clone(),
+            },
+        );
+        answer
+    }
+
+    /// The configuration that a patch would create, without creating it.
+    ///
+    /// # Errors
+    /// The answer that the patch would get if it were sent now.
+    pub fn evaluate(&self, patch: &Patch) -> Result<Config, Answer> {
+        check::identity(patch)?;
+        if patch.base_version != self.config.version {
+            return Err(Answer::Conflict {
+                current: self.config.version,
+            });
+        }
+        let mut config = Config::clone(&self.config);
+        for (index, change) in patch.changes.iter().enumerate() {
+            check::apply(&mut config, change).map_err(|problem| problem.at_change(index))?;
+        }
+        check::whole(&config).map_err(check::Problem::into_answer)?;
+        config.version = self.config.version.next();
+        Ok(config)
+    }
+
+    fn remember_decision(&mut self, patch_id: &str, decision: Decision) {
+        self.decisions.insert(patch_id.to_owned(), decision);
+        self.order.push_back(patch_id.to_owned());
+        if self.order.len() > KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.decisions.remove(&oldest);
+        }
+    }
+
+    fn remember_event(&mut self, event: Event) {
+        self.history.push_back(event);
+        if self.history.len() > KEPT {
+            self.history.pop_front();
+        }
+    }
+}
+
+/// A digest of all fields, so that another patch under the same id is noticed.
+///
+/// # Panics
+/// Never: a patch is plain data, which serializes to JSON.
+pub fn digest(patch: &Patch) -> [u8; 32] {
+    let bytes = serde_json::to_vec(patch).expect("a patch is plain data");
+    Sha256::digest(&bytes).into()
+}
--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Decisions of the serving path without I/O.
+//!
+//! Each state machine takes an event and the present time and returns typed actions, so that it can
+//! be replayed from a trace and compared with a naive version.
+
+pub mod configuration;
+pub mod outcome;
+pub mod pipeline;
+pub mod stream;
--- /dev/null
+++ b/crates/azurelug-core/src/pipeline.rs
@@ -0,0 +1,338 @@
+//! The execution of one request through the stages of its pipeline.
+//!
+//! Owns the request's intermediate results and live attempts. Every result is matched by request,
+//! stage and attempt; the first complete result of a stage counts, all others are reported as waste.
+//! It never sends anything itself.
+
+use std::time::Duration;
+
+use azurelug_types::config::{Pipeline, StageKind};
+use azurelug_types::id::{Attempt, RequestId, StageIndex};
+use azurelug_types::outcome::Reason;
+use serde::{Deserialize, Serialize};
+
+use crate::stream::{Stream, Token};
+
+/// Attempts at one stage, the first one included.
+pub const MAX_ATTEMPTS: u16 = 4;
+
+/// Identifies one call to a target. Its text form travels as the engine's request id and comes back
+/// in the engine's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CallId {
+    /// The request.
+    pub request: RequestId,
+    /// The stage.
+    pub stage: StageIndex,
+    /// The attempt at the stage.
+    pub attempt: Attempt,
+}
+
+impl std::fmt::Display for CallId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{}/{}/{}",
+            self.request, self.stage.0, self.attempt.0
+        )
+    }
+}
+
+/// What the stages so far have produced.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Context {
+    /// The caller's input, or the text of the last generate stage.
+    pub query: String,
+    /// The embedding of the query.
+    pub embedding: Vec<f32>,
+    /// Documents, best first.
+    pub documents: Vec<String>,
+    /// The generated text of the last generate stage.
+    pub text: String,
+}
+
+/// The whole result of one stage that produces no token stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Output {
+    /// From an encode stage.
+    Embedding(Vec<f32>),
+    /// From a retrieve or rerank stage, best first.
+    Documents(Vec<String>),
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Event {
+    /// A whole result arrived.
+    Finished {
+        /// The call it answers, as echoed by the target.
+        call: CallId,
+        /// The result.
+        output: Output,
+    },
+    /// A token arrived.
+    Token {
+        /// The call it answers.
+        call: CallId,
+        /// Its position in the generation.
+        index: u32,
+        /// Its text.
+        text: String,
+        /// Whether the target says that it is the last one.
+        is_last: bool,
+    },
+    /// A call failed, or its stream ended before the last token.
+    Failed {
+        /// The call.
+        call: CallId,
+        /// Whether the retry budget allows another attempt.
+        may_retry: bool,
+        /// When another attempt makes sense if none is made now.
+        retry_after: Duration,
+    },
+    /// No target could be chosen for a call.
+    NoTarget {
+        /// The call.
+        call: CallId,
+        /// Why.
+        reason: Reason,
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+    /// The request's deadline has passed.
+    DeadlinePassed,
+}
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Choose a target and send this call.
+    Dispatch {
+        /// The call.
+        call: CallId,
+        /// The kind of its stage.
+        kind: StageKind,
+        /// For a generate stage, the first token that the caller still needs.
+        resume_from: u32,
+    },
+    /// Pass a token on to the caller.
+    Deliver(Token),
+    /// Stop a call whose result is no longer needed.
+    Cancel(CallId),
+    /// A result came too late, twice or for another call; count it as wasted work of this stage.
+    Waste(StageIndex),
+    /// The request is complete.
+    Complete,
+    /// The request has failed; answer the caller at once.
+    Fail {
+        /// Why.
+        reason: Reason,
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// The state machine of one request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    request: RequestId,
+    kinds: Vec<StageKind>,
+    stage: usize,
+    next_attempt: u16,
+    live: Vec<Attempt>,
+    stream: Stream,
+    context: Context,
+    is_over: bool,
+}
+
+impl Run {
+    /// Starts a request and returns the first dispatch.
+    pub fn start(request: RequestId, pipeline: &Pipeline, input: String) -> (Self, Vec<Action>) {
+        let mut run = Self {
+            request,
+            kinds: pipeline.stages.iter().map(|stage| stage.kind).collect(),
+            stage: 0,
+            next_attempt: 0,
+            live: Vec::new(),
+            stream: Stream::default(),
+            context: Context {
+                query: input,
+                ..Context::default()
+            },
+            is_over: false,
+        };
+        let actions = vec![run.dispatch()];
+        (run, actions)
+    }
+
+    /// The results so far, as input for the present stage.
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
+    /// The present stage.
+    pub fn stage(&self) -> StageIndex {
+        StageIndex(u8::try_from(self.stage).expect("a pipeline has at most 8 stages"))
+    }
+
+    /// Whether the request was completed or has failed.
+    pub fn is_over(&self) -> bool {
+        self.is_over
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, event: Event) -> Vec<Action> {
+        match event {
+            Event::DeadlinePassed if self.is_over => Vec::new(),
+            Event::DeadlinePassed => self.fail(Reason::DeadlineUnreachable, Duration::ZERO),
+            Event::Finished { call, output } => self.finished(&call, output),
+            Event::Token {
+                call,
+                index,
+                text,
+                is_last,
+            } => self.token(&call, index, text, is_last),
+            Event::Failed {
+                call,
+                may_retry,
+                retry_after,
+            } => self.failed(&call, may_retry, retry_after),
+            Event::NoTarget {
+                call,
+                reason,
+                retry_after,
+            } => {
+                if self.take_live(&call) && self.live.is_empty() {
+                    return self.fail(reason, retry_after);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn finished(&mut self, call: &CallId, output: Output) -> Vec<Action> {
+        if !self.is_live(call) {
+            return vec![Action::Waste(call.stage)];
+        }
+        match (self.kinds[self.stage], output) {
+            (StageKind::Encode, Output::Embedding(embedding)) => self.context.embedding = embedding,
+            (StageKind::Retrieve | StageKind::Rerank, Output::Documents(documents)) => {
+                self.context.documents = documents;
+            }
+            // A result of another kind is an engine fault; the attempt counts as failed.
+            _ => return self.failed(call, true, Duration::ZERO),
+        }
+        self.advance(call)
+    }
+
+    fn token(&mut self, call: &CallId, index: u32, text: String, is_last: bool) -> Vec<Action> {
+        if !self.is_live(call) {
+            return vec![Action::Waste(call.stage)];
+        }
+        let Ok(ready) = self.stream.push(index, text) else {
+            return self.failed(call, true, Duration::ZERO);
+        };
+        if is_last {
+            self.stream.finish_at(index + 1);
+        }
+        let is_answer = self.stage + 1 == self.kinds.len();
+        let mut actions = Vec::with_capacity(ready.len() + 1);
+        for token in ready {
+            self.context.text.push_str(&token.text);
+            if is_answer {
+                actions.push(Action::Deliver(token));
+            }
+        }
+        if self.stream.is_complete() {
+            actions.extend(self.advance(call));
+        }
+        actions
+    }
+
+    fn failed(&mut self, call: &CallId, may_retry: bool, retry_after: Duration) -> Vec<Action> {
+        if !self.take_live(call) {
+            return Vec::new();
+        }
+        if !self.live.is_empty() {
+            return Vec::new();
+        }
+        if may_retry && self.next_attempt < MAX_ATTEMPTS {
+            return vec![self.dispatch()];
+        }
+        self.fail(Reason::StageFailed, retry_after)
+    }
+
+    /// Moves on after the present stage is complete; `winner` is the call that completed it.
+    fn advance(&mut self, winner: &CallId) -> Vec<Action> {
+        let losers = std::mem::take(&mut self.live);
+        let mut actions: Vec<Action> = losers
+            .into_iter()
+            .filter(|attempt| *attempt != winner.attempt)
+            .map(|attempt| Action::Cancel(self.call(attempt)))
+            .collect();
+        if self.kinds[self.stage] == StageKind::Generate && self.stage + 1 < self.kinds.len() {
+            self.context.query = std::mem::take(&mut self.context.text);
+            self.stream = Stream::default();
+        }
+        self.stage += 1;
+        if self.stage == self.kinds.len() {
+            self.stage -= 1;
+            self.is_over = true;
+            actions.push(Action::Complete);
+        } else {
+            self.next_attempt = 0;
+            actions.push(self.dispatch());
+        }
+        actions
+    }
+
+    fn fail(&mut self, reason: Reason, retry_after: Duration) -> Vec<Action> {
+        self.is_over = true;
+        let live = std::mem::take(&mut self.live);
+        let cancels = live
+            .into_iter()
+            .map(|attempt| Action::Cancel(self.call(attempt)));
+        cancels
+            .chain([Action::Fail {
+                reason,
+                retry_after,
+            }])
+            .collect()
+    }
+
+    fn dispatch(&mut self) -> Action {
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt += 1;
+        self.live.push(attempt);
+        Action::Dispatch {
+            call: self.call(attempt),
+            kind: self.kinds[self.stage],
+            resume_from: self.stream.next_index(),
+        }
+    }
+
+    fn call(&self, attempt: Attempt) -> CallId {
+        CallId {
+            request: self.request.clone(),
+            stage: self.stage(),
+            attempt,
+        }
+    }
+
+    fn is_live(&self, call: &CallId) -> bool {
+        !self.is_over
+            && call.request == self.request
+            && call.stage == self.stage()
+            && self.live.contains(&call.attempt)
+    }
+
+    fn take_live(&mut self, call: &CallId) -> bool {
+        if !self.is_live(call) {
+            return false;
+        }
+        self.live.retain(|attempt| *attempt != call.attempt);
+        true
+    }
+}
--- a/crates/azurelug-types/src/outcome.rs
+++ b/crates/azurelug-types/src/outcome.rs
@@ -6,7 +6,7 @@
     /// Whether a request was run.
     #[serde(rename_all = "snake_case")]
     pub enum Execution {
-        /// No part that must not repeat was run, and none will be.
+        /// No byte of any call for the request was sent to a target, and none will be.
         NotRun,
         /// The request was run to its end.
         Done,
--- a/crates/azurelug-types/src/patch.rs
+++ b/crates/azurelug-types/src/patch.rs
@@ -100,7 +100,7 @@
     }
 
     /// The answer to a patch. A resent patch id gets the same answer again.
-    #[serde(rename_all = "snake_case", tag = "answer")]
+    #[serde(rename_all = "snake_case")]
     pub enum Answer {
         /// The patch created this version.
         Accepted {
