wire, settings: add authenticated h2 frames, YAML settings and log set-up

Cause: the daemons need connections that prove both ends, notice silence and bound memory before any decode. Measured: builds and lints only; tests come with the daemons.

--- /dev/null
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -0,0 +1,115 @@
+//! Sets up `log4rs` from the `log` section that all binaries share.
+
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+use serde::Deserialize;
+
+use crate::Error;
+
+/// One line for each event: time, level, text. The text starts with the part's prefix.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+/// The `log` section.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// `text` or `json`.
+    pub format: String,
+    /// A file to append to; standard error if absent.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+            format: "text".to_owned(),
+            file: None,
+        }
+    }
+}
+
+impl Log {
+    /// Starts the logger of this process.
+    ///
+    /// Appenders write in the caller's thread, so that code on the request path logs at `debug`,
+    /// which is off in production.
+    ///
+    /// # Errors
+    /// `Log` names the field that does not fit.
+    pub fn start(&self) -> Result<(), Error> {
+        let config = self.config()?;
+        log4rs::init_config(config)
+            .map(|_| ())
+            .map_err(|error| Error::Log {
+                field: "level",
+                message: error.to_string(),
+            })
+    }
+
+    /// Checks the section without starting a logger.
+    ///
+    /// # Errors
+    /// `Log` names the field that does not fit.
+    pub fn check(&self) -> Result<(), Error> {
+        self.level()?;
+        self.encoder().map(|_| ())
+    }
+
+    fn config(&self) -> Result<Config, Error> {
+        let level = self.level()?;
+        let appender: Box<dyn Append> = match &self.file {
+            None => Box::new(
+                ConsoleAppender::builder()
+                    .target(Target::Stderr)
+                    .encoder(self.encoder()?)
+                    .build(),
+            ),
+            Some(path) => {
+                let built = FileAppender::builder().encoder(self.encoder()?).build(path);
+                Box::new(built.map_err(|error| Error::Log {
+                    field: "file",
+                    message: format!("{}: {error}", path.display()),
+                })?)
+            }
+        };
+        Config::builder()
+            .appender(Appender::builder().build("main", appender))
+            .build(Root::builder().appender("main").build(level))
+            .map_err(|error| Error::Log {
+                field: "file",
+                message: error.to_string(),
+            })
+    }
+
+    fn level(&self) -> Result<LevelFilter, Error> {
+        self.level.parse().map_err(|_| Error::Log {
+            field: "level",
+            message: format!(
+                "'{}' is none of error, warn, info, debug, trace",
+                self.level
+            ),
+        })
+    }
+
+    fn encoder(&self) -> Result<Box<dyn Encode>, Error> {
+        match self.format.as_str() {
+            "text" => Ok(Box::new(PatternEncoder::new(PATTERN))),
+            "json" => Ok(Box::new(JsonEncoder::new())),
+            other => Err(Error::Log {
+                field: "format",
+                message: format!("'{other}' is neither text nor json"),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-settings/src/read.rs
@@ -0,0 +1,56 @@
+//! Reads a settings file.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Reads and parses one YAML file.
+///
+/// # Errors
+/// `Read` if the file can't be read, `Parse` with line and column if it does not fit the type.
+pub fn file<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let text = text(path)?;
+    serde_saphyr::from_str(&text).map_err(|error| {
+        let (line, column) = error
+            .location()
+            .map_or((0, 0), |place| (place.line(), place.column()));
+        let message = error.without_snippet().to_string();
+        let message = message.lines().next().unwrap_or_default().to_owned();
+        Error::Parse {
+            path: path.to_owned(),
+            line,
+            column,
+            message,
+        }
+    })
+}
+
+/// Reads a file that a setting names, such as the shared key, without surrounding white space.
+///
+/// # Errors
+/// `Read` if the file can't be read.
+pub fn text(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Reads the cluster's shared key.
+///
+/// # Errors
+/// `Read` if the file can't be read, `Value` if the key is shorter than 32 bytes.
+pub fn shared_key(path: &Path) -> Result<Vec<u8>, Error> {
+    let key = text(path)?.trim().as_bytes().to_vec();
+    if key.len() < 32 {
+        return Err(Error::Value {
+            path: path.to_owned(),
+            field: "shared key".to_owned(),
+            message: format!("{} bytes are too short", key.len()),
+            help: "write at least 32 random bytes as text, the same on every VM".to_owned(),
+        });
+    }
+    Ok(key)
+}
--- /dev/null
+++ b/crates/azurelug-wire/src/client.rs
@@ -0,0 +1,213 @@
+//! Opens authenticated connections and exchanges frames on them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_types::id::DaemonName;
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::{Method, Request, Version};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+
+use crate::codec::{self, Reader};
+use crate::handshake::Identity;
+use crate::{Error, Frame};
+
+/// Time for the TCP connection and the handshake together.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause between PINGs.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A connection without an answer to a PING for this long is closed. An open connection can go
+/// silent for good while new ones work, and TCP alone takes minutes to notice.
+const PING_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Frames that wait for a slow reader of a subscription.
+const SUBSCRIPTION_QUEUE: usize = 16;
+
+/// Frames that wait on an uplink. More are dropped: their protocol resends.
+const UPLINK_QUEUE: usize = 256;
+
+/// An authenticated connection. Clones share it.
+#[derive(Clone)]
+pub struct Connection {
+    sender: SendRequest<Bytes>,
+    peer: DaemonName,
+    closed: watch::Receiver<bool>,
+}
+
+impl Connection {
+    /// Connects and proves both sides.
+    ///
+    /// # Errors
+    /// `Connect`, `Handshake` or `Timeout`.
+    pub async fn open(address: SocketAddr, identity: Arc<Identity>) -> Result<Self, Error> {
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, open(address, &identity)).await;
+        opened.map_err(|_| Error::Timeout {
+            millis: OPEN_TIMEOUT.as_millis(),
+        })?
+    }
+
+    /// The daemon at the other end.
+    pub fn peer(&self) -> &DaemonName {
+        &self.peer
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    /// Returns when the connection has ended.
+    pub async fn wait_closed(&self) {
+        let mut closed = self.closed.clone();
+        // An error means that the task that owned the connection is gone.
+        let _ = closed.wait_for(|is_closed| *is_closed).await;
+    }
+
+    /// Sends one frame on a new stream and returns the answer.
+    ///
+    /// # Errors
+    /// `Timeout` or `Closed`, in which case the frame may have had its effect; `Refused` if the peer
+    /// said so.
+    pub async fn call(&self, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
+        let exchange = async {
+            let (mut sender, mut reader) = self.stream().await?;
+            codec::send(&mut sender, &frame, true).await?;
+            reader
+                .next()
+                .await?
+                .ok_or_else(|| Error::closed("the stream ended without an answer"))
+        };
+        let answered = tokio::time::timeout(timeout, exchange).await;
+        match answered.map_err(|_| Error::Timeout {
+            millis: timeout.as_millis(),
+        })?? {
+            Frame::Refused { message } => Err(Error::Refused { message }),
+            answer => Ok(answer),
+        }
+    }
+
+    /// Sends one frame and returns the frames that the peer sends from then on. The receiver ends
+    /// with the stream.
+    ///
+    /// # Errors
+    /// `Closed` if the stream can't be opened.
+    pub async fn subscribe(&self, frame: Frame) -> Result<mpsc::Receiver<Frame>, Error> {
+        let (mut sender, mut reader) = self.stream().await?;
+        codec::send(&mut sender, &frame, true).await?;
+        let (queue, receiver) = mpsc::channel(SUBSCRIPTION_QUEUE);
+        tokio::spawn(async move {
+            while let Ok(Some(frame)) = reader.next().await {
+                if queue.send(frame).await.is_err() {
+                    break;
+                }
+            }
+        });
+        Ok(receiver)
+    }
+
+    /// Opens a stream for frames that need no answer. Frames above the queue's limit are refused by
+    /// `try_send`.
+    ///
+    /// # Errors
+    /// `Closed` if the stream can't be opened.
+    pub async fn uplink(&self) -> Result<mpsc::Sender<Frame>, Error> {
+        let (mut sender, _reader) = self.stream().await?;
+        let (queue, mut frames) = mpsc::channel::<Frame>(UPLINK_QUEUE);
+        tokio::spawn(async move {
+            while let Some(frame) = frames.recv().await {
+                if codec::send(&mut sender, &frame, false).await.is_err() {
+                    break;
+                }
+            }
+        });
+        Ok(queue)
+    }
+
+    async fn stream(&self) -> Result<(h2::SendStream<Bytes>, Reader), Error> {
+        let mut ready = self.sender.clone().ready().await.map_err(Error::closed)?;
+        let (response, sender) = ready
+            .send_request(request(), false)
+            .map_err(Error::closed)?;
+        let response = response.await.map_err(Error::closed)?;
+        Ok((sender, Reader::new(response.into_body())))
+    }
+}
+
+fn request() -> Request<()> {
+    Request::builder()
+        .method(Method::POST)
+        .version(Version::HTTP_2)
+        .uri("http://azurelug/")
+        .body(())
+        .expect("the request is constant")
+}
+
+async fn open(address: SocketAddr, identity: &Identity) -> Result<Connection, Error> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| Error::Connect {
+            address,
+            message: error.to_string(),
+        })?;
+    stream.set_nodelay(true).map_err(Error::closed)?;
+    let (sender, mut connection) = h2::client::handshake(stream).await.map_err(Error::closed)?;
+    let pings = connection
+        .ping_pong()
+        .expect("the first call returns the handle");
+    let (closer, closed) = watch::channel(false);
+    tokio::spawn(async move {
+        let reason = tokio::select! {
+            result = connection => result.err().map(|error| error.to_string()),
+            () = watch_pings(pings) => Some("no answer to a PING".to_owned()),
+        };
+        if let Some(reason) = reason {
+            log::debug!("wire: connection to {address} closed: {reason}");
+        }
+        closer.send_replace(true);
+    });
+
+    let pending = Connection {
+        sender,
+        peer: DaemonName::from(""),
+        closed,
+    };
+    let (mut sender, mut reader) = pending.stream().await?;
+    let Some(Frame::Challenge { nonce: challenge }) = reader.next().await? else {
+        return Err(Error::Handshake {
+            message: "no Challenge frame".to_owned(),
+        });
+    };
+    let nonce: [u8; 16] = rand::random();
+    codec::send(
+        &mut sender,
+        &Frame::Hello(identity.hello(&challenge, nonce)),
+        true,
+    )
+    .await?;
+    match reader.next().await? {
+        Some(Frame::Welcome { sender: peer, mac }) => {
+            identity.check_welcome(&peer, &nonce, &mac)?;
+            Ok(Connection { peer, ..pending })
+        }
+        Some(Frame::Refused { message }) => Err(Error::Handshake { message }),
+        _ => Err(Error::Handshake {
+            message: "no Welcome frame".to_owned(),
+        }),
+    }
+}
+
+/// Returns when a PING stays without an answer for too long.
+async fn watch_pings(mut pings: h2::PingPong) {
+    loop {
+        tokio::time::sleep(PING_INTERVAL).await;
+        match tokio::time::timeout(PING_TIMEOUT, pings.ping(h2::Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-wire/src/frame.rs
@@ -0,0 +1,205 @@
+//! The messages between azurelug processes.
+
+use azurelug_types::config::Config;
+use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
+use azurelug_types::patch::{Answer, Patch};
+use serde::{Deserialize, Serialize};
+
+/// The protocol's version. Peers with another one are refused in the handshake.
+pub const PROTOCOL: u32 = 1;
+
+/// Identifies the sender of a connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The protocol's version.
+    pub protocol: u32,
+    /// The cluster's id, from the settings.
+    pub cluster: String,
+    /// The sender.
+    pub sender: DaemonName,
+    /// The sender's incarnation: a random number for each start of an entry daemon.
+    pub incarnation: u64,
+    /// The sender's availability zone.
+    pub zone: ZoneName,
+    /// A random number that the acceptor has to use in its own proof.
+    pub nonce: [u8; 16],
+    /// HMAC-SHA-256 under the shared key over the fields above and the acceptor's challenge.
+    pub mac: [u8; 32],
+}
+
+/// The state of a non-idempotent call's key, as control answers it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// The asker holds the claim and may send once.
+    Claimed {
+        /// The claim's number.
+        claim: u64,
+    },
+    /// Another claimant is at work.
+    InProgress {
+        /// When to ask again.
+        retry_after_ms: u64,
+    },
+    /// The call was run; this is its recorded answer.
+    Recorded {
+        /// The answer.
+        answer: Recorded,
+    },
+    /// The call was sent and its result is not known.
+    Unknown,
+    /// The key is older than the records that are kept.
+    Expired,
+    /// The key was used with another body.
+    Conflict,
+    /// The key's time lies too far in the future.
+    FromFuture,
+    /// The record table is full; the call was not run.
+    Full {
+        /// When to ask again.
+        retry_after_ms: u64,
+    },
+}
+
+/// A recorded answer of a non-idempotent call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Recorded {
+    /// The HTTP status of the service's answer.
+    pub status: u16,
+    /// The body, or its first part if it is longer than what is kept.
+    pub body: Vec<u8>,
+    /// Whether `body` is the whole body.
+    pub is_whole: bool,
+}
+
+/// A request for slots of one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareDemand {
+    /// The target.
+    pub target: TargetName,
+    /// Slots that the daemon could use.
+    pub wanted: u32,
+    /// Slots that it uses now.
+    pub in_flight: u32,
+}
+
+/// Slots of one target, granted for the lease's term.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareSlots {
+    /// The target.
+    pub target: TargetName,
+    /// The granted slots.
+    pub slots: u32,
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Acceptor to initiator: a random number to prove knowledge of the key with.
+    Challenge {
+        /// The random number.
+        nonce: [u8; 16],
+    },
+    /// Initiator to acceptor: identity and proof.
+    Hello(Hello),
+    /// Acceptor to initiator: the acceptor's proof over the initiator's nonce.
+    Welcome {
+        /// The acceptor.
+        sender: DaemonName,
+        /// HMAC-SHA-256 under the shared key over the sender and the initiator's nonce.
+        mac: [u8; 32],
+    },
+    /// The request can't be served.
+    Refused {
+        /// Why, and what to do.
+        message: String,
+    },
+    /// Done, with no further result.
+    Done,
+    /// Renews the configuration lease and acknowledges a version.
+    Renew {
+        /// The version in force at the daemon.
+        version: Version,
+        /// Requests in flight, for the operators' status.
+        in_flight: u32,
+    },
+    /// The lease was renewed.
+    Renewed {
+        /// The newest committed version.
+        latest_version: Version,
+        /// How long ago that was known to be the newest, in milliseconds.
+        freshness_age_ms: u64,
+    },
+    /// Asks for every version after this one, as a stream of `Configuration` frames.
+    Watch {
+        /// The version that the daemon has.
+        after_version: Version,
+    },
+    /// A complete configuration.
+    Configuration {
+        /// The configuration.
+        config: Box<Config>,
+    },
+    /// Claims a non-idempotent call.
+    Claim {
+        /// The client account.
+        account: AccountName,
+        /// The idempotency key.
+        key: String,
+        /// SHA-256 over service, operation and body.
+        fingerprint: [u8; 32],
+        /// Time until the call's deadline in milliseconds.
+        deadline_ms: u64,
+    },
+    /// The answer to `Claim`.
+    ClaimAnswer(ClaimAnswer),
+    /// Records the result of a claimed call.
+    Record {
+        /// The claim's number.
+        claim: u64,
+        /// The result.
+        answer: Recorded,
+    },
+    /// Gives a claim back; the claimant has sent no byte and will send none.
+    Release {
+        /// The claim's number.
+        claim: u64,
+    },
+    /// Asks for slots of targets.
+    ShareRequest {
+        /// Targets whose need or use has changed.
+        demands: Vec<ShareDemand>,
+    },
+    /// Grants slots of targets.
+    ShareGrant {
+        /// The grants.
+        slots: Vec<ShareSlots>,
+        /// The lease's term in milliseconds, counted from the moment the request was sent.
+        lease_ms: u64,
+    },
+    /// A message of the replicated log, encoded by its own module.
+    Raft {
+        /// The encoded message.
+        message: Vec<u8>,
+    },
+    /// Asks the leader whether it is still the leader.
+    Probe,
+    /// The leader's answer to `Probe`.
+    ProbeAnswer {
+        /// The index that was committed when the probe arrived.
+        committed: u64,
+    },
+    /// Passes a command for the replicated log to the leader, encoded by its own module.
+    Forward {
+        /// The encoded command.
+        command: Vec<u8>,
+    },
+    /// The encoded outcome of a forwarded command.
+    Forwarded {
+        /// The encoded outcome.
+        outcome: Vec<u8>,
+    },
+    /// Sends a patch on behalf of an operator.
+    Patch(Box<Patch>),
+    /// The answer to a patch.
+    PatchAnswer(Answer),
+}
