control: serve operators and daemons from one in-memory copy of the state

Cause: the thin path needs a process that decides patches and claims before the replicated log is ready. Change: azurelug_core::machine joins configuration and at-most-once records; azurelug-control serves it over h2 and HTTP. The replica task is the only place that commits, so that the replicated log can take its place. Measured: builds and lints only. Nothing is durable yet. Conclusion: the state has one writer.

--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Control daemon: holds the replicated state and serves it to entry daemons and operators.
+
+pub mod daemons;
+pub mod internal;
+pub mod operators;
+pub mod replica;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/crates/azurelug-control/src/operators.rs
@@ -0,0 +1,136 @@
+//! HTTP for operators: status, configuration, patches, history, state dump.
+
+use std::sync::Arc;
+
+use azurelug_core::configuration;
+use azurelug_core::machine::{Command, Outcome};
+use azurelug_http::answer::{self, BODY_LIMIT};
+use azurelug_types::id::{DaemonName, ZoneName};
+use azurelug_types::patch::{Answer, Patch};
+use serde::Serialize;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::{Router, get, post};
+
+use crate::daemons::{Registry, Row};
+use crate::internal::wall_clock_ms;
+use crate::replica::Replica;
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct Operators {
+    /// This daemon.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The replicated state.
+    pub replica: Replica,
+    /// The entry daemons seen here.
+    pub registry: Arc<Registry>,
+}
+
+#[derive(Serialize)]
+struct Problem {
+    error: String,
+}
+
+#[derive(Serialize)]
+struct Status {
+    daemon: DaemonName,
+    zone: ZoneName,
+    version: u64,
+    entry_daemons: Vec<Row>,
+}
+
+impl Operators {
+    /// The routes.
+    pub fn router(self) -> Router {
+        let (status, config, history, dump) =
+            (self.clone(), self.clone(), self.clone(), self.clone());
+        let patches = self;
+        Router::new()
+            .route("/healthz", get(|| async { "ok" }))
+            .route("/v1/status", get(move || async move { status.status() }))
+            .route("/v1/config", get(move || async move { config.config() }))
+            .route("/v1/history", get(move || async move { history.history() }))
+            .route("/debug/state", get(move || async move { dump.status() }))
+            .route(
+                "/v1/patches",
+                post(move |request: Request| {
+                    let operators = patches.clone();
+                    async move { operators.patch(request).await }
+                }),
+            )
+    }
+
+    fn status(&self) -> Response {
+        let status = Status {
+            daemon: self.name.clone(),
+            zone: self.zone.clone(),
+            version: self.replica.config().version.0,
+            entry_daemons: self.registry.rows(),
+        };
+        answer::json(200, &status)
+    }
+
+    fn config(&self) -> Response {
+        answer::json(200, &*self.replica.config())
+    }
+
+    fn history(&self) -> Response {
+        let state = self.replica.state();
+        let events: Vec<_> = state.store().history().collect();
+        answer::json(200, &events)
+    }
+
+    async fn patch(&self, request: Request) -> Response {
+        let is_dry_run = request.uri().query() == Some("dry_run=true");
+        let body = match answer::read_body(request.into_body(), BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(error) => return problem(413, error.to_string()),
+        };
+        let patch: Patch = match serde_json::from_slice(&body) {
+            Ok(patch) => patch,
+            Err(error) => {
+                return problem(400, format!("not a patch: {error}; see docs/operators.md"));
+            }
+        };
+        if is_dry_run {
+            return dry_run(&self.replica, &patch);
+        }
+        let digest = configuration::digest(&patch);
+        let at_ms = wall_clock_ms();
+        let command = Command::Patch {
+            patch: Box::new(patch),
+            digest,
+            at_ms,
+        };
+        match self.replica.propose(command).await {
+            Ok(Outcome::Patch(answer)) => patch_answer(&answer),
+            Ok(Outcome::Once(_)) => problem(500, "wrong outcome; report this".to_owned()),
+            Err(error) => problem(503, error.to_string()),
+        }
+    }
+}
+
+fn dry_run(replica: &Replica, patch: &Patch) -> Response {
+    match replica.state().store().evaluate(patch) {
+        Ok(config) => patch_answer(&Answer::Accepted {
+            version: config.version,
+        }),
+        Err(answer) => patch_answer(&answer),
+    }
+}
+
+fn patch_answer(patch_answer: &Answer) -> Response {
+    let status = match patch_answer {
+        Answer::Accepted { .. } => 200,
+        Answer::Conflict { .. } => 409,
+        Answer::Invalid { .. } => 422,
+    };
+    answer::json(status, patch_answer)
+}
+
+fn problem(status: u16, error: String) -> Response {
+    answer::json(status, &Problem { error })
+}
--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! be replayed from a trace and compared with a naive version.
 
 pub mod configuration;
+pub mod machine;
 pub mod outcome;
 pub mod pipeline;
 pub mod stream;
--- /dev/null
+++ b/crates/azurelug-core/src/machine.rs
@@ -0,0 +1,101 @@
+//! The replicated state: configuration and at-most-once records, driven by committed commands.
+//!
+//! Every control daemon applies the same commands in the same order and holds the same state. It
+//! reads no clock: the leader's clock reading travels in the command.
+
+use azurelug_coordination::once;
+use azurelug_types::patch::{Answer, Patch};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Store;
+
+/// A committed command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// An operator's patch.
+    Patch {
+        /// The patch.
+        patch: Box<Patch>,
+        /// See [`crate::configuration::digest`].
+        digest: [u8; 32],
+        /// The receiving daemon's wall clock in milliseconds since 1970.
+        at_ms: u64,
+    },
+    /// A command for the at-most-once records.
+    Once(once::Command),
+}
+
+/// The result of a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The answer to a patch.
+    Patch(Answer),
+    /// The outcome for the at-most-once records.
+    Once(once::Outcome),
+}
+
+/// The replicated state.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    store: Store,
+    once: once::Table,
+}
+
+/// The whole state in a form that serializes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    store: Store,
+    once: Vec<u8>,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            store: Store::default(),
+            once: once::Table::new(once::Limits::default()),
+        }
+    }
+}
+
+impl Machine {
+    /// Applies one committed command.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::Patch {
+                patch,
+                digest,
+                at_ms,
+            } => Outcome::Patch(self.store.apply(&patch, digest, at_ms)),
+            Command::Once(command) => Outcome::Once(self.once.apply(command)),
+        }
+    }
+
+    /// The configuration and its history.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// The at-most-once records.
+    pub fn once(&self) -> &once::Table {
+        &self.once
+    }
+
+    /// The whole state.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            store: self.store.clone(),
+            once: self.once.snapshot(),
+        }
+    }
+
+    /// The state that a snapshot was taken of.
+    ///
+    /// # Errors
+    /// If the at-most-once records in it do not decode.
+    pub fn restore(snapshot: Snapshot) -> Result<Self, once::RestoreError> {
+        Ok(Self {
+            store: snapshot.store,
+            once: once::Table::restore(&snapshot.once)?,
+        })
+    }
+}
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,8 +1,8 @@
 //! The messages between azurelug processes.
 
+use azurelug_coordination::once;
 use azurelug_types::config::Config;
-use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
-use azurelug_types::patch::{Answer, Patch};
+use azurelug_types::id::{DaemonName, TargetName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The protocol's version. Peers with another one are refused in the handshake.
@@ -27,50 +27,6 @@
     pub mac: [u8; 32],
 }
 
-/// The state of a non-idempotent call's key, as control answers it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ClaimAnswer {
-    /// The asker holds the claim and may send once.
-    Claimed {
-        /// The claim's number.
-        claim: u64,
-    },
-    /// Another claimant is at work.
-    InProgress {
-        /// When to ask again.
-        retry_after_ms: u64,
-    },
-    /// The call was run; this is its recorded answer.
-    Recorded {
-        /// The answer.
-        answer: Recorded,
-    },
-    /// The call was sent and its result is not known.
-    Unknown,
-    /// The key is older than the records that are kept.
-    Expired,
-    /// The key was used with another body.
-    Conflict,
-    /// The key's time lies too far in the future.
-    FromFuture,
-    /// The record table is full; the call was not run.
-    Full {
-        /// When to ask again.
-        retry_after_ms: u64,
-    },
-}
-
-/// A recorded answer of a non-idempotent call.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Recorded {
-    /// The HTTP status of the service's answer.
-    pub status: u16,
-    /// The body, or its first part if it is longer than what is kept.
-    pub body: Vec<u8>,
-    /// Whether `body` is the whole body.
-    pub is_whole: bool,
-}
-
 /// A request for slots of one target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShareDemand {
@@ -139,31 +95,10 @@
         /// The configuration.
         config: Box<Config>,
     },
-    /// Claims a non-idempotent call.
-    Claim {
-        /// The client account.
-        account: AccountName,
-        /// The idempotency key.
-        key: String,
-        /// SHA-256 over service, operation and body.
-        fingerprint: [u8; 32],
-        /// Time until the call's deadline in milliseconds.
-        deadline_ms: u64,
-    },
-    /// The answer to `Claim`.
-    ClaimAnswer(ClaimAnswer),
-    /// Records the result of a claimed call.
-    Record {
-        /// The claim's number.
-        claim: u64,
-        /// The result.
-        answer: Recorded,
-    },
-    /// Gives a claim back; the claimant has sent no byte and will send none.
-    Release {
-        /// The claim's number.
-        claim: u64,
-    },
+    /// A command for the at-most-once records. The receiver sets its clock reading.
+    Once(once::Command),
+    /// The outcome of `Once`.
+    OnceOutcome(once::Outcome),
     /// Asks for slots of targets.
     ShareRequest {
         /// Targets whose need or use has changed.
@@ -198,8 +133,4 @@
         /// The encoded outcome.
         outcome: Vec<u8>,
     },
-    /// Sends a patch on behalf of an operator.
-    Patch(Box<Patch>),
-    /// The answer to a patch.
-    PatchAnswer(Answer),
 }
