--- a/crates/azurelug-coordination/src/once/guard.rs
+++ b/crates/azurelug-coordination/src/once/guard.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Takes the send back when the transport proves that no byte left, for instance because no
+    /// connection could be opened. The claim may then be used for another send or be released.
+    pub fn not_sent(&mut self) {
+        if let State::Sent(claim) = self.state {
+            self.state = State::Ready(claim);
+        }
+    }
+
     /// The command that records the result, or `None` when nothing was sent.
     pub fn record(&self, answer: Answer) -> Option<Command> {
         match self.state {
--- /dev/null
+++ b/crates/azurelug-entry/src/admin.rs
@@ -0,0 +1,102 @@
+//! HTTP for the balancer, for metrics and for operators.
+
+use std::sync::Arc;
+
+use azurelug_core::lease_mode::Mode;
+use azurelug_core::routing::TargetState;
+use azurelug_http::answer;
+use azurelug_types::id::{DaemonName, Version, ZoneName};
+use serde::Serialize;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::{Router, get, post};
+
+use crate::gateway::Gateway;
+use crate::recent::Decision;
+
+/// The media type of OpenMetrics text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+#[derive(Serialize)]
+struct Dump {
+    daemon: DaemonName,
+    zone: ZoneName,
+    version: Version,
+    mode: Mode,
+    control: Option<String>,
+    stopping: bool,
+    in_flight: i64,
+    targets: Vec<TargetState>,
+    recent_decisions: Vec<Decision>,
+}
+
+/// The routes.
+pub fn router(gateway: &Arc<Gateway>) -> Router {
+    let (ready, metrics, dump, drain) = (
+        Arc::clone(gateway),
+        Arc::clone(gateway),
+        Arc::clone(gateway),
+        Arc::clone(gateway),
+    );
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(move || async move { readiness(&ready) }))
+        .route(
+            "/metrics",
+            get(move || async move { answer::text(200, OPEN_METRICS, metrics.metrics.text()) }),
+        )
+        .route(
+            "/debug/state",
+            get(move || async move { answer::json(200, &state(&dump)) }),
+        )
+        .route(
+            "/v1/local-drain",
+            post(move |request: Request| async move { local_drain(&drain, request).await }),
+        )
+}
+
+/// Ready while there is a configuration to serve from and no shutdown. A daemon without a valid
+/// lease stays ready, because its zone may have no other way to be served.
+fn readiness(gateway: &Gateway) -> Response {
+    let problem = if gateway.shutdown.is_stopping() {
+        "stopping"
+    } else if gateway.view().is_none() {
+        "no configuration yet"
+    } else if gateway.mode() == Mode::Refuse {
+        "no lease, and the zone's policy is to refuse"
+    } else {
+        return answer::text(200, "text/plain", "ready\n".to_owned());
+    };
+    answer::text(503, "text/plain", format!("not ready: {problem}\n"))
+}
+
+fn state(gateway: &Gateway) -> Dump {
+    Dump {
+        daemon: gateway.name.clone(),
+        zone: gateway.zone.clone(),
+        version: gateway.version(),
+        mode: gateway.mode(),
+        control: gateway.link.peer(),
+        stopping: gateway.shutdown.is_stopping(),
+        in_flight: gateway.metrics.in_flight.get(),
+        targets: gateway.with_router(|router, now| router.dump(now)),
+        recent_decisions: gateway.recent.all(),
+    }
+}
+
+/// Drains a zone on this daemon only, until a newer version arrives. It can only remove work.
+async fn local_drain(gateway: &Gateway, request: Request) -> Response {
+    let body = answer::read_body(request.into_body(), 1024)
+        .await
+        .unwrap_or_default();
+    let name = ZoneName(String::from_utf8_lossy(&body).trim().to_owned());
+    if gateway.with_router(|router, _| router.drain_locally(&name)) {
+        log::warn!("entry: zone {name} is drained on this daemon");
+        return answer::text(200, "text/plain", format!("zone {name} is drained here\n"));
+    }
+    answer::text(
+        404,
+        "text/plain",
+        format!("no zone is named '{name}'; send its name as the body\n"),
+    )
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/callers.rs
@@ -0,0 +1,407 @@
+//! HTTP for callers: pipeline calls and plain-service calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_coordination::once::Key;
+use azurelug_http::answer::{self, BODY_LIMIT};
+use azurelug_types::config::Account;
+use azurelug_types::id::{AccountName, OperationName, PipelineName, RequestId, ServiceName};
+use azurelug_types::outcome::{Execution, Reason, Refusal};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::param::PathParamsVec;
+use volo_http::server::route::{Router, post};
+
+use crate::drive::{self, StageReport};
+use crate::gateway::{AccountSlot, Gateway};
+use crate::metrics::End;
+use crate::plain;
+use crate::refuse;
+use crate::view::View;
+
+/// The longest deadline, and the default, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 12_000;
+
+/// Tokens of an answer if the caller states no number.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// The most tokens a caller may ask for: 12 s at 29 ms a token are 413.
+const MAX_TOKENS: u32 = 1024;
+
+/// Tokens that wait for a slow caller of a stream.
+const STREAM_QUEUE: usize = 64;
+
+/// When a daemon that has no configuration yet can expect one.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
+/// When an account at its limit may try again.
+const ACCOUNT_WAIT: Duration = Duration::from_millis(200);
+
+static REQUEST_ID: HeaderName = HeaderName::from_static("azurelug-request-id");
+static DEADLINE: HeaderName = HeaderName::from_static("azurelug-deadline-ms");
+static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+static REPLAYED: HeaderName = HeaderName::from_static("azurelug-replayed");
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PipelineBody {
+    input: String,
+    #[serde(default = "default_tokens")]
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+}
+
+fn default_tokens() -> u32 {
+    DEFAULT_TOKENS
+}
+
+#[derive(Serialize)]
+struct PipelineAnswer {
+    request_id: String,
+    execution: Execution,
+    output: Value,
+    stages: Vec<StageReport>,
+}
+
+#[derive(Serialize)]
+struct TokenEvent {
+    index: u32,
+    text: String,
+}
+
+/// The routes.
+pub fn router(gateway: &Arc<Gateway>) -> Router {
+    let (pipelines, services) = (Arc::clone(gateway), Arc::clone(gateway));
+    Router::new()
+        .route(
+            "/v1/pipelines/{pipeline}",
+            post(move |path: PathParamsVec, request: Request| {
+                let gateway = Arc::clone(&pipelines);
+                async move { handle(gateway, Route::Pipeline, path, request).await }
+            }),
+        )
+        .route(
+            "/v1/services/{service}/{operation}",
+            post(move |path: PathParamsVec, request: Request| {
+                let gateway = Arc::clone(&services);
+                async move { handle(gateway, Route::Service, path, request).await }
+            }),
+        )
+}
+
+#[derive(Clone, Copy)]
+enum Route {
+    Pipeline,
+    Service,
+}
+
+/// A request whose caller is known.
+struct Accepted {
+    id: RequestId,
+    view: Arc<View>,
+    account: AccountName,
+    deadline: Instant,
+    slot: AccountSlot,
+}
+
+/// Counts a request in flight until it is dropped.
+struct Running(Arc<Gateway>);
+
+impl Running {
+    fn start(gateway: &Arc<Gateway>) -> Self {
+        gateway.metrics.in_flight.inc();
+        Self(Arc::clone(gateway))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+async fn handle(
+    gateway: Arc<Gateway>,
+    route: Route,
+    path: PathParamsVec,
+    request: Request,
+) -> Response {
+    let id = RequestId(uuid::Uuid::now_v7().to_string());
+    let running = Running::start(&gateway);
+    let names: Vec<String> = path
+        .into_iter()
+        .map(|(_, value)| value.to_string())
+        .collect();
+    let answered = match accept(&gateway, &id, request.headers()) {
+        Ok(accepted) => match route {
+            Route::Pipeline => pipeline(gateway, accepted, running, &names, request).await,
+            Route::Service => service(gateway, accepted, running, &names, request).await,
+        },
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = answered.unwrap_or_else(|refusal| refuse::respond(&refusal));
+    if let Ok(id) = HeaderValue::from_str(&id.0) {
+        response.headers_mut().insert(REQUEST_ID.clone(), id);
+    }
+    response
+}
+
+/// Finds the account and the deadline.
+fn accept(
+    gateway: &Arc<Gateway>,
+    id: &RequestId,
+    headers: &HeaderMap,
+) -> Result<Accepted, Refusal> {
+    let not_run = |reason, wait| refuse::refusal(&id.0, reason, Execution::NotRun, wait);
+    let view = gateway.view();
+    let view = view.ok_or_else(|| not_run(Reason::NoConfiguration, Some(CONFIGURATION_WAIT)))?;
+    let (name, account) = account(&view, headers)
+        .map(|(name, account)| (name.clone(), account.clone()))
+        .ok_or_else(|| not_run(Reason::Unauthorized, None))?;
+    let millis = deadline_ms(headers).ok_or_else(|| not_run(Reason::DeadlinePassed, None))?;
+    let slot = gateway
+        .enter_account(&name, account.max_in_flight)
+        .ok_or_else(|| not_run(Reason::AccountLimit, Some(ACCOUNT_WAIT)))?;
+    Ok(Accepted {
+        id: id.clone(),
+        view,
+        account: name,
+        deadline: Instant::now() + Duration::from_millis(millis),
+        slot,
+    })
+}
+
+fn account<'a>(view: &'a View, headers: &HeaderMap) -> Option<(&'a AccountName, &'a Account)> {
+    let text = headers.get(http::header::AUTHORIZATION)?.to_str().ok()?;
+    view.account(text.strip_prefix("Bearer ")?)
+}
+
+fn deadline_ms(headers: &HeaderMap) -> Option<u64> {
+    let Some(value) = headers.get(&DEADLINE) else {
+        return Some(MAX_DEADLINE_MS);
+    };
+    let millis = value.to_str().ok()?.parse().ok()?;
+    (1..=MAX_DEADLINE_MS).contains(&millis).then_some(millis)
+}
+
+async fn read(id: &RequestId, request: Request) -> Result<Bytes, Refusal> {
+    answer::read_body(request.into_body(), BODY_LIMIT)
+        .await
+        .map_err(|error| {
+            let reason = match error {
+                azurelug_http::Error::TooLarge { .. } => Reason::TooLarge,
+                _ => Reason::BadRequest,
+            };
+            refuse::refusal(&id.0, reason, Execution::NotRun, None)
+        })
+}
+
+async fn pipeline(
+    gateway: Arc<Gateway>,
+    accepted: Accepted,
+    running: Running,
+    names: &[String],
+    request: Request,
+) -> Result<Response, Refusal> {
+    let Accepted {
+        id,
+        view,
+        deadline,
+        slot,
+        ..
+    } = accepted;
+    let not_run = |reason| refuse::refusal(&id.0, reason, Execution::NotRun, None);
+    let name = PipelineName(names.first().cloned().unwrap_or_default());
+    let Some(pipeline) = view.config.pipelines.get(&name).cloned() else {
+        return Err(not_run(Reason::UnknownPipeline));
+    };
+    let body = read(&id, request).await?;
+    let body: PipelineBody = serde_json::from_slice(&body).map_err(|error| {
+        let mut refusal = not_run(Reason::BadRequest);
+        refusal.help = format!("{error}; {}", refusal.help);
+        refusal
+    })?;
+    if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
+        let mut refusal = not_run(Reason::BadRequest);
+        refusal.help = format!("set max_tokens from 1 to {MAX_TOKENS}");
+        return Err(refusal);
+    }
+    let job = drive::Job {
+        id: id.clone(),
+        pipeline,
+        input: body.input,
+        max_tokens: body.max_tokens,
+        deadline,
+    };
+    let ending = Ending {
+        route: name.0,
+        started: Instant::now(),
+        deadline,
+    };
+    if body.stream {
+        return Ok(stream(gateway, job, ending, (running, slot)));
+    }
+    let result = drive::run(Arc::clone(&gateway), job, None).await;
+    ending.count(&gateway, result.is_ok());
+    drop((running, slot));
+    result.map(|done| answer::json(200, &pipeline_answer(&id, done)))
+}
+
+fn pipeline_answer(id: &RequestId, done: drive::Done) -> PipelineAnswer {
+    PipelineAnswer {
+        request_id: id.0.clone(),
+        execution: Execution::Done,
+        output: done.output,
+        stages: done.stages,
+    }
+}
+
+/// How a request's end is counted.
+struct Ending {
+    route: String,
+    started: Instant,
+    deadline: Instant,
+}
+
+impl Ending {
+    fn count(&self, gateway: &Gateway, is_answered: bool) {
+        let end = match is_answered {
+            true if Instant::now() <= self.deadline => End::InTime,
+            true => End::Late,
+            false => End::Refused,
+        };
+        gateway
+            .metrics
+            .ended(&self.route, end, self.started.elapsed());
+    }
+}
+
+/// Answers with server-sent events. The request ends when its caller goes away.
+fn stream(
+    gateway: Arc<Gateway>,
+    job: drive::Job,
+    ending: Ending,
+    held: (Running, AccountSlot),
+) -> Response {
+    let (events, body) = mpsc::channel::<Bytes>(STREAM_QUEUE);
+    let (sink, mut tokens) = mpsc::channel(STREAM_QUEUE);
+    tokio::spawn(async move {
+        let id = job.id.clone();
+        let run = drive::run(Arc::clone(&gateway), job, Some(sink));
+        let forward = async {
+            while let Some(token) = tokens.recv().await {
+                let event = TokenEvent {
+                    index: token.index,
+                    text: token.text,
+                };
+                if events.send(answer::event("token", &event)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let result = tokio::select! {
+            (result, ()) = async { tokio::join!(run, forward) } => result,
+            () = events.closed() => return,
+        };
+        ending.count(&gateway, result.is_ok());
+        let last = match result {
+            Ok(done) => answer::event("done", &pipeline_answer(&id, done)),
+            Err(refusal) => answer::event("error", &refusal),
+        };
+        // A caller that went away needs no last event.
+        let _ = events.send(last).await;
+        drop(held);
+    });
+    answer::events(body)
+}
+
+async fn service(
+    gateway: Arc<Gateway>,
+    accepted: Accepted,
+    running: Running,
+    names: &[String],
+    request: Request,
+) -> Result<Response, Refusal> {
+    let Accepted {
+        id,
+        view,
+        account,
+        deadline,
+        slot,
+    } = accepted;
+    let not_run = |reason| refuse::refusal(&id.0, reason, Execution::NotRun, None);
+    let service = ServiceName(names.first().cloned().unwrap_or_default());
+    let operation = OperationName(names.get(1).cloned().unwrap_or_default());
+    let declared = view.config.services.get(&service);
+    let Some(declared) = declared.and_then(|service| service.operations.get(&operation)) else {
+        return Err(not_run(Reason::UnknownService));
+    };
+    let key = idempotency_key(request.headers(), declared.idempotent).map_err(|help| {
+        let mut refusal = not_run(Reason::BadRequest);
+        refusal.help = help;
+        refusal
+    })?;
+    let body = read(&id, request).await?;
+    let ending = Ending {
+        route: service.0.clone(),
+        started: Instant::now(),
+        deadline,
+    };
+    let job = plain::Job {
+        id,
+        account,
+        service,
+        operation,
+        is_idempotent: declared.idempotent,
+        key,
+        body,
+        deadline,
+    };
+    // The call runs on its own task: a caller that goes away must not stop a call that was claimed
+    // between its claim and its record.
+    let task_gateway = Arc::clone(&gateway);
+    let run = tokio::spawn(async move {
+        let result = plain::run(task_gateway, job).await;
+        drop((running, slot));
+        result
+    });
+    let result = run.await.expect("a call's task does not panic");
+    ending.count(&gateway, result.is_ok());
+    result.map(service_answer)
+}
+
+fn service_answer(done: plain::Done) -> Response {
+    let body = volo_http::body::Body::from(done.body);
+    let mut response = answer::with_type(done.status, "application/json", body);
+    if done.is_replayed {
+        response
+            .headers_mut()
+            .insert(REPLAYED.clone(), HeaderValue::from_static("true"));
+    }
+    response
+}
+
+fn idempotency_key(headers: &HeaderMap, is_idempotent: bool) -> Result<Option<Key>, String> {
+    let Some(value) = headers.get(&IDEMPOTENCY_KEY) else {
+        if is_idempotent {
+            return Ok(None);
+        }
+        return Err(
+            "this operation must not repeat; send Idempotency-Key with a UUIDv7".to_owned(),
+        );
+    };
+    let text = value.to_str().map_err(|error| error.to_string())?;
+    // RFC 8941 strings come in quotes; the draft for this header uses them.
+    text.trim_matches('"')
+        .parse()
+        .map(Some)
+        .map_err(|error| format!("Idempotency-Key: {error}"))
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/engine.rs
@@ -0,0 +1,342 @@
+//! Calls to model engines: embeddings, search, rerank and completions over HTTP.
+//!
+//! Every call carries `request/stage/attempt` as its request id, and the engine echoes it. An answer
+//! with another id is a failure and never reaches the caller.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_core::pipeline::{CallId, Context, Output};
+use azurelug_http::client::{Call, Events};
+use azurelug_http::{Client, Error};
+use azurelug_types::config::{ModelRef, StageKind};
+use serde::{Deserialize, Serialize};
+
+/// The longest answer of an engine that is read whole, in bytes.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+
+/// Documents that a retrieve stage asks for.
+const TOP_K: u32 = 8;
+
+/// Why a call failed.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether the engine provably got no byte.
+    pub is_not_sent: bool,
+    /// For the log and the state dump.
+    pub message: String,
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        Self {
+            is_not_sent: error.is_not_sent(),
+            message: error.to_string(),
+        }
+    }
+}
+
+impl Failure {
+    fn after_sending(message: impl Into<String>) -> Self {
+        Self {
+            is_not_sent: false,
+            message: message.into(),
+        }
+    }
+}
+
+/// One call of a stage.
+pub struct Request<'a> {
+    /// The engine.
+    pub address: SocketAddr,
+    /// The call's id.
+    pub call: &'a CallId,
+    /// What the engine must have loaded.
+    pub model: &'a ModelRef,
+    /// The results so far.
+    pub context: &'a Context,
+    /// Lower runs first.
+    pub priority: u8,
+    /// Time until the head of the answer must have arrived.
+    pub timeout: Duration,
+}
+
+/// One token of a stream.
+#[derive(Debug)]
+pub struct Token {
+    /// Its position in the generation.
+    pub index: u32,
+    /// Its text.
+    pub text: String,
+    /// Whether it is the last one.
+    pub is_last: bool,
+}
+
+#[derive(Serialize)]
+struct EmbeddingsBody<'a> {
+    model: String,
+    input: &'a str,
+    request_id: String,
+    priority: u8,
+}
+
+#[derive(Serialize)]
+struct SearchBody<'a> {
+    model: String,
+    embedding: &'a [f32],
+    query: &'a str,
+    top_k: u32,
+    request_id: String,
+    priority: u8,
+}
+
+#[derive(Serialize)]
+struct RerankBody<'a> {
+    model: String,
+    query: &'a str,
+    documents: &'a [String],
+    top_n: usize,
+    request_id: String,
+    priority: u8,
+}
+
+#[derive(Serialize)]
+struct CompletionsBody {
+    model: String,
+    prompt: String,
+    max_tokens: u32,
+    stream: bool,
+    priority: u8,
+    request_id: String,
+    resume_from: u32,
+}
+
+#[derive(Deserialize)]
+struct Embeddings {
+    id: String,
+    data: Vec<EmbeddingData>,
+}
+
+#[derive(Deserialize)]
+struct EmbeddingData {
+    embedding: Vec<f32>,
+}
+
+#[derive(Deserialize)]
+struct Search {
+    id: String,
+    documents: Vec<Document>,
+}
+
+#[derive(Deserialize)]
+struct Document {
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct Rerank {
+    id: String,
+    results: Vec<RerankResult>,
+}
+
+#[derive(Deserialize)]
+struct RerankResult {
+    index: usize,
+    relevance_score: f64,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    id: String,
+    choices: Vec<ChunkChoice>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice {
+    text: String,
+    token_index: u32,
+    finish_reason: Option<String>,
+}
+
+/// The name under which engines serve a model: `model@version` or `model+adapter@version`.
+pub fn model_name(model: &ModelRef) -> String {
+    match &model.adapter {
+        Some(adapter) => format!("{}+{adapter}@{}", model.model, model.version),
+        None => format!("{}@{}", model.model, model.version),
+    }
+}
+
+/// The prompt of a generate stage: the query, then the documents, best first.
+pub fn prompt(context: &Context) -> String {
+    let mut prompt = context.query.clone();
+    for document in &context.documents {
+        prompt.push_str("\n\n");
+        prompt.push_str(document);
+    }
+    prompt
+}
+
+/// Runs an encode, retrieve or rerank stage.
+///
+/// # Errors
+/// Why the call failed, and whether it was sent.
+pub async fn whole(
+    client: &Client,
+    kind: StageKind,
+    request: &Request<'_>,
+) -> Result<Output, Failure> {
+    let model = model_name(request.model);
+    let request_id = request.call.to_string();
+    let (context, priority) = (request.context, request.priority);
+    match kind {
+        StageKind::Encode => {
+            let body = EmbeddingsBody {
+                model,
+                input: &context.query,
+                request_id,
+                priority,
+            };
+            let answer: Embeddings = exchange(client, request, "/v1/embeddings", &body).await?;
+            check_id(request.call, &answer.id)?;
+            let first = answer.data.into_iter().next();
+            let first =
+                first.ok_or_else(|| Failure::after_sending("no embedding in the answer"))?;
+            Ok(Output::Embedding(first.embedding))
+        }
+        StageKind::Retrieve => {
+            let embedding = &context.embedding;
+            let query = &context.query;
+            let body = SearchBody {
+                model,
+                embedding,
+                query,
+                top_k: TOP_K,
+                request_id,
+                priority,
+            };
+            let answer: Search = exchange(client, request, "/v1/search", &body).await?;
+            check_id(request.call, &answer.id)?;
+            Ok(Output::Documents(
+                answer
+                    .documents
+                    .into_iter()
+                    .map(|found| found.text)
+                    .collect(),
+            ))
+        }
+        StageKind::Rerank => {
+            let documents = &context.documents;
+            let (query, top_n) = (&context.query, documents.len());
+            let body = RerankBody {
+                model,
+                query,
+                documents,
+                top_n,
+                request_id,
+                priority,
+            };
+            let answer: Rerank = exchange(client, request, "/v1/rerank", &body).await?;
+            check_id(request.call, &answer.id)?;
+            reorder(documents, answer.results).map(Output::Documents)
+        }
+        StageKind::Generate => Err(Failure::after_sending("generate stages are streamed")),
+    }
+}
+
+/// Starts a generate stage at token `resume_from`.
+///
+/// # Errors
+/// Why the call failed, and whether it was sent.
+pub async fn generate(
+    client: &Client,
+    request: &Request<'_>,
+    max_tokens: u32,
+    resume_from: u32,
+) -> Result<Tokens, Failure> {
+    let body = CompletionsBody {
+        model: model_name(request.model),
+        prompt: prompt(request.context),
+        max_tokens,
+        stream: true,
+        priority: request.priority,
+        request_id: request.call.to_string(),
+        resume_from,
+    };
+    let call = Call::post_json(request.address, "/v1/completions", &body, request.timeout);
+    let response = client.send(call).await?;
+    if response.status() != http::StatusCode::OK {
+        return Err(Failure::after_sending(format!(
+            "status {}",
+            response.status().as_u16()
+        )));
+    }
+    Ok(Tokens {
+        events: Events::new(response, request.address),
+        call: request.call.clone(),
+    })
+}
+
+/// The tokens of one generate call.
+pub struct Tokens {
+    events: Events,
+    call: CallId,
+}
+
+impl Tokens {
+    /// The next token, or none at the end of the stream.
+    ///
+    /// # Errors
+    /// If the stream breaks off or carries another call's id.
+    pub async fn next(&mut self) -> Result<Option<Token>, Failure> {
+        let Some(event) = self.events.next().await? else {
+            return Ok(None);
+        };
+        if event.data == "[DONE]" {
+            return Ok(None);
+        }
+        let chunk: Chunk = serde_json::from_str(&event.data)
+            .map_err(|error| Failure::after_sending(format!("malformed chunk: {error}")))?;
+        check_id(&self.call, &chunk.id)?;
+        let choice = chunk.choices.into_iter().next();
+        let choice = choice.ok_or_else(|| Failure::after_sending("no choice in the chunk"))?;
+        Ok(Some(Token {
+            index: choice.token_index,
+            text: choice.text,
+            is_last: choice.finish_reason.is_some(),
+        }))
+    }
+}
+
+async fn exchange<B: Serialize, A: serde::de::DeserializeOwned>(
+    client: &Client,
+    request: &Request<'_>,
+    path: &str,
+    body: &B,
+) -> Result<A, Failure> {
+    let call = Call::post_json(request.address, path, body, request.timeout);
+    let (status, body) = client.send_whole(call, ANSWER_LIMIT).await?;
+    if status != 200 {
+        return Err(Failure::after_sending(format!("status {status}")));
+    }
+    serde_json::from_slice(&body)
+        .map_err(|error| Failure::after_sending(format!("malformed answer: {error}")))
+}
+
+fn check_id(call: &CallId, echoed: &str) -> Result<(), Failure> {
+    if echoed == call.to_string() {
+        return Ok(());
+    }
+    Err(Failure::after_sending(format!(
+        "the answer is for call {echoed}, not {call}"
+    )))
+}
+
+/// Puts documents into the order of their scores. An index out of range is an engine fault.
+fn reorder(documents: &[String], mut results: Vec<RerankResult>) -> Result<Vec<String>, Failure> {
+    results.sort_by(|left, right| right.relevance_score.total_cmp(&left.relevance_score));
+    results
+        .into_iter()
+        .map(|result| documents.get(result.index).cloned())
+        .collect::<Option<Vec<_>>>()
+        .ok_or_else(|| Failure::after_sending("a rerank index is out of range"))
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -0,0 +1,253 @@
+//! What all request handlers of the daemon share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+use azurelug_core::lease_mode::Mode;
+use azurelug_core::routing::{CallKey, Choice, Completion, NoTarget, Outcome, Query, Router};
+use azurelug_http::Client;
+use azurelug_types::config::Config;
+use azurelug_types::id::{AccountName, DaemonName, Version, ZoneName};
+use rand::SeedableRng;
+use tokio::time::Instant;
+
+use crate::link::Link;
+use crate::metrics::Metrics;
+use crate::recent::{Decision, Recent};
+use crate::shutdown::Shutdown;
+use crate::view::View;
+
+/// The shared state. It owns the router, the lease and the configuration in force.
+pub struct Gateway {
+    /// This daemon.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The connection to control.
+    pub link: Link,
+    /// For calls that may repeat.
+    pub pooled: Client,
+    /// For calls that must not repeat.
+    pub unpooled: Client,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The newest routing decisions.
+    pub recent: Recent,
+    /// The state of the shutdown.
+    pub shutdown: Shutdown,
+    started: Instant,
+    view: RwLock<Option<Arc<View>>>,
+    router: Mutex<Router>,
+    renewed: Mutex<Option<Duration>>,
+    accounts: Mutex<HashMap<AccountName, u32>>,
+}
+
+impl Gateway {
+    /// A gateway without a configuration; it refuses all work until one arrives.
+    ///
+    /// # Errors
+    /// If the HTTP clients can't be built.
+    pub fn new(name: DaemonName, zone: ZoneName, link: Link) -> Result<Self, azurelug_http::Error> {
+        let settings = azurelug_core::routing::Settings::new(zone.clone());
+        let random = rand_pcg::Pcg32::seed_from_u64(rand::random());
+        Ok(Self {
+            name,
+            zone,
+            link,
+            pooled: Client::pooled()?,
+            unpooled: Client::unpooled()?,
+            metrics: Metrics::new(),
+            recent: Recent::default(),
+            shutdown: Shutdown::default(),
+            started: Instant::now(),
+            view: RwLock::new(None),
+            router: Mutex::new(Router::new(settings, random)),
+            renewed: Mutex::new(None),
+            accounts: Mutex::new(HashMap::new()),
+        })
+    }
+
+    /// Time since the daemon started, by the monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn view(&self) -> Option<Arc<View>> {
+        self.view
+            .read()
+            .expect("no holder of the lock panics")
+            .clone()
+    }
+
+    /// The version in force, 0 before the first one.
+    pub fn version(&self) -> Version {
+        self.view().map_or(Version(0), |view| view.config.version)
+    }
+
+    /// Puts a newer version in force. An older one is ignored.
+    pub fn apply(&self, config: Config) {
+        let config = Arc::new(config);
+        let now = self.now();
+        let mut router = self.router.lock().expect("no holder of the lock panics");
+        if !router.apply(&config, now) {
+            return;
+        }
+        log::info!("entry: version {} is in force", config.version);
+        self.metrics
+            .version
+            .set(i64::try_from(config.version.0).unwrap_or(i64::MAX));
+        let view = Arc::new(View::new(config, &self.zone));
+        *self.view.write().expect("no holder of the lock panics") = Some(view);
+    }
+
+    /// Notes that the version in force was known to be the newest at `at`.
+    pub fn renewed(&self, at: Duration) {
+        let mut renewed = self.renewed.lock().expect("no holder of the lock panics");
+        *renewed = Some(renewed.map_or(at, |known| known.max(at)));
+    }
+
+    /// What the lease allows now.
+    pub fn mode(&self) -> Mode {
+        let renewed = *self.renewed.lock().expect("no holder of the lock panics");
+        let policy = self
+            .view()
+            .map(|view| view.on_partition)
+            .unwrap_or_default();
+        Mode::at(renewed, policy, self.now())
+    }
+
+    /// Chooses a target and takes a slot of it. `call` names the call in the state dump.
+    ///
+    /// # Errors
+    /// Why no target can be used now.
+    pub fn begin(self: &Arc<Self>, call: &str, query: &Query<'_>) -> Result<InFlight, NoTarget> {
+        let now = self.now();
+        let mode = self.mode();
+        let mut router = self.router.lock().expect("no holder of the lock panics");
+        router.set_mode(mode);
+        let chosen = router.choose(query, now).and_then(|choice| {
+            let key = router.begin(choice.target, now);
+            let busy = NoTarget::AllBusy {
+                members: 1,
+                retry_after: Duration::from_millis(100),
+            };
+            key.map(|key| (choice, key)).ok_or(busy)
+        });
+        let reason = match &chosen {
+            Ok((choice, _)) => choice.describe(router.table()),
+            Err(error) => error.to_string(),
+        };
+        let at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.recent.add(Decision {
+            call: call.to_owned(),
+            reason,
+            at_ms,
+        });
+        let (choice, key) = chosen?;
+        let entry = router
+            .table()
+            .target(choice.target)
+            .expect("a chosen target is in the table");
+        Ok(InFlight {
+            target: entry.name.to_string(),
+            address: entry.address,
+            choice,
+            began: now,
+            slot: Some(key),
+            gateway: Arc::clone(self),
+        })
+    }
+
+    /// Runs `read` on the router, for state dumps.
+    pub fn with_router<T>(&self, read: impl FnOnce(&mut Router, Duration) -> T) -> T {
+        let now = self.now();
+        read(
+            &mut self.router.lock().expect("no holder of the lock panics"),
+            now,
+        )
+    }
+
+    /// Counts a call of an account, unless the account has reached `limit`.
+    pub fn enter_account(self: &Arc<Self>, name: &AccountName, limit: u32) -> Option<AccountSlot> {
+        let mut accounts = self.accounts.lock().expect("no holder of the lock panics");
+        let count = accounts.entry(name.clone()).or_insert(0);
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(AccountSlot {
+            name: name.clone(),
+            gateway: Arc::clone(self),
+        })
+    }
+}
+
+/// A call's slot at a target. Dropping it gives the slot back as cancelled, so that a request that is
+/// given up at any point frees its slots.
+pub struct InFlight {
+    /// The target's name.
+    pub target: String,
+    /// The target's address.
+    pub address: std::net::SocketAddr,
+    /// Why it was chosen.
+    pub choice: Choice,
+    /// When the slot was taken.
+    pub began: Duration,
+    slot: Option<CallKey>,
+    gateway: Arc<Gateway>,
+}
+
+impl InFlight {
+    /// Gives the slot back with the call's outcome.
+    pub fn close(mut self, completion: Completion, first_token: Option<Duration>) {
+        self.finish(Outcome {
+            completion,
+            first_token,
+        });
+    }
+
+    /// Time since the slot was taken.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.began)
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        if let Some(slot) = self.slot.take() {
+            self.gateway
+                .with_router(|router, now| router.finish(slot, outcome, now));
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.finish(Outcome {
+            completion: Completion::Cancelled,
+            first_token: None,
+        });
+    }
+}
+
+/// A running call of an account. Dropping it ends the count.
+pub struct AccountSlot {
+    name: AccountName,
+    gateway: Arc<Gateway>,
+}
+
+impl Drop for AccountSlot {
+    fn drop(&mut self) {
+        let mut accounts = self
+            .gateway
+            .accounts
+            .lock()
+            .expect("no holder of the lock panics");
+        if let Some(count) = accounts.get_mut(&self.name) {
+            *count -= 1;
+            if *count == 0 {
+                accounts.remove(&self.name);
+            }
+        }
+    }
+}
--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Entry daemon: serves callers and routes stages to targets.
+
+pub mod admin;
+pub mod callers;
+pub mod drive;
+pub mod engine;
+pub mod gateway;
+pub mod link;
+pub mod metrics;
+pub mod plain;
+pub mod recent;
+pub mod refuse;
+pub mod run;
+pub mod settings;
+pub mod shutdown;
+pub mod view;
--- /dev/null
+++ b/crates/azurelug-entry/src/link.rs
@@ -0,0 +1,170 @@
+//! The connection to control: follows the configuration, renews the lease, carries claims.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use azurelug_types::id::Version;
+use azurelug_wire::handshake::Identity;
+use azurelug_wire::{Connection, Error, Frame};
+use tokio::time::{Instant, interval, sleep};
+
+use crate::gateway::Gateway;
+
+/// Pause between renewals: three can be lost before the lease of 2 s expires.
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A renewal without an answer for this long is given up.
+const RENEW_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Renewals that may fail in a row before another control daemon is tried.
+const RENEW_FAILURES: u32 = 2;
+
+/// Pause after all control daemons were tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The connection. Clones share it.
+#[derive(Clone)]
+pub struct Link {
+    addresses: Arc<[SocketAddr]>,
+    identity: Arc<Identity>,
+    current: Arc<Mutex<Option<Connection>>>,
+}
+
+impl Link {
+    /// A link that is not connected yet.
+    pub fn new(addresses: Vec<SocketAddr>, identity: Identity) -> Self {
+        Self {
+            addresses: addresses.into(),
+            identity: Arc::new(identity),
+            current: Arc::new(Mutex::new(None)),
+        }
+    }
+
+    /// Sends a frame to the present control daemon.
+    ///
+    /// # Errors
+    /// `Closed` if there is none; otherwise as [`Connection::call`].
+    pub async fn call(&self, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
+        let connection = self
+            .current
+            .lock()
+            .expect("no holder of the lock panics")
+            .clone();
+        match connection {
+            Some(connection) => connection.call(frame, timeout).await,
+            None => Err(Error::Closed {
+                message: "no control daemon is connected".to_owned(),
+            }),
+        }
+    }
+
+    /// The control daemon that is connected, if any.
+    pub fn peer(&self) -> Option<String> {
+        let current = self.current.lock().expect("no holder of the lock panics");
+        current
+            .as_ref()
+            .map(|connection| connection.peer().to_string())
+    }
+
+    /// Keeps a connection to one control daemon, the first address first, until the gateway is gone.
+    pub async fn run(self, gateway: Weak<Gateway>) {
+        loop {
+            for address in self.addresses.iter() {
+                if gateway.strong_count() == 0 {
+                    return;
+                }
+                match Connection::open(*address, Arc::clone(&self.identity)).await {
+                    Ok(connection) => {
+                        log::info!("entry: connected to control {}", connection.peer());
+                        self.set(Some(connection.clone()));
+                        let reason = follow(&connection, &gateway).await;
+                        self.set(None);
+                        log::warn!("entry: left control {}: {reason}", connection.peer());
+                    }
+                    Err(error) => log::debug!("entry: {error}"),
+                }
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn set(&self, connection: Option<Connection>) {
+        *self.current.lock().expect("no holder of the lock panics") = connection;
+    }
+}
+
+/// Follows the configuration and renews the lease until the connection fails; returns why.
+async fn follow(connection: &Connection, gateway: &Weak<Gateway>) -> String {
+    let Some(version) = gateway.upgrade().map(|gateway| gateway.version()) else {
+        return "the daemon stops".to_owned();
+    };
+    let mut versions = match connection
+        .subscribe(Frame::Watch {
+            after_version: version,
+        })
+        .await
+    {
+        Ok(versions) => versions,
+        Err(error) => return error.to_string(),
+    };
+    let mut ticks = interval(RENEW_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut failures = 0;
+    loop {
+        tokio::select! {
+            frame = versions.recv() => match (frame, gateway.upgrade()) {
+                (Some(Frame::Configuration { config }), Some(gateway)) => {
+                    gateway.apply(*config);
+                    // The acknowledgement shows operators at once where the version is in force.
+                    ticks.reset_immediately();
+                }
+                (Some(_), Some(_)) => return "unexpected frame".to_owned(),
+                (None, _) => return "the stream of versions ended".to_owned(),
+                (_, None) => return "the daemon stops".to_owned(),
+            },
+            _ = ticks.tick() => {
+                let Some(gateway) = gateway.upgrade() else { return "the daemon stops".to_owned() };
+                match renew(connection, &gateway).await {
+                    Ok(()) => failures = 0,
+                    Err(error) => {
+                        failures += 1;
+                        if failures >= RENEW_FAILURES || connection.is_closed() {
+                            return error.to_string();
+                        }
+                    }
+                }
+            }
+            () = connection.wait_closed() => return "the connection was lost".to_owned(),
+        }
+    }
+}
+
+/// Renews the lease once. The holder counts from the moment before it sent the renewal, less the
+/// time for which control itself was not sure to have the newest version.
+async fn renew(connection: &Connection, gateway: &Gateway) -> Result<(), Error> {
+    let sent = gateway.now();
+    let version = gateway.version();
+    let in_flight = u32::try_from(gateway.metrics.in_flight.get()).unwrap_or(0);
+    let started = Instant::now();
+    let answer = connection
+        .call(Frame::Renew { version, in_flight }, RENEW_TIMEOUT)
+        .await?;
+    let Frame::Renewed {
+        latest_version,
+        freshness_age_ms,
+    } = answer
+    else {
+        return Err(Error::Malformed {
+            message: "not a Renewed frame".to_owned(),
+        });
+    };
+    log::trace!("entry: renewed in {} ms", started.elapsed().as_millis());
+    if latest_version <= gateway.version() && latest_version > Version(0) {
+        let age = Duration::from_millis(freshness_age_ms);
+        if let Some(at) = sent.checked_sub(age) {
+            gateway.renewed(at);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/metrics.rs
@@ -0,0 +1,154 @@
+//! Metrics in OpenMetrics. Label values come from the configuration and from fixed lists, so that
+//! the number of series is bounded.
+
+use std::time::Duration;
+
+use azurelug_types::config::StageKind;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of latency buckets in seconds, up to the longest deadline.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 12.0,
+];
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum End {
+    /// Answered before its deadline.
+    InTime,
+    /// Answered after its deadline.
+    Late,
+    /// Refused or failed.
+    Refused,
+}
+
+/// Whether work led to an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Use {
+    /// The result counted.
+    Useful,
+    /// The result came too late, twice or not at all.
+    Wasted,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    route: String,
+    end: End,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+    used: Use,
+}
+
+/// All metrics of the daemon.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    stage_millis: Family<StageLabels, Counter>,
+    stage_tokens: Family<StageLabels, Counter>,
+    first_token: Histogram,
+    duration: Histogram,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// The configuration version in force.
+    pub version: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("azurelug_entry");
+        let requests = Family::<RequestLabels, Counter>::default();
+        let stage_millis = Family::<StageLabels, Counter>::default();
+        let stage_tokens = Family::<StageLabels, Counter>::default();
+        let first_token = Histogram::new(BUCKETS);
+        let duration = Histogram::new(BUCKETS);
+        let in_flight = Gauge::default();
+        let version = Gauge::default();
+        registry.register("requests", "Requests by route and end", requests.clone());
+        registry.register(
+            "stage_milliseconds",
+            "Time spent in calls, by stage",
+            stage_millis.clone(),
+        );
+        registry.register(
+            "stage_tokens",
+            "Tokens generated, by stage",
+            stage_tokens.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time to the first token",
+            first_token.clone(),
+        );
+        registry.register(
+            "duration_seconds",
+            "Time to the end of the answer",
+            duration.clone(),
+        );
+        registry.register("in_flight", "Requests in flight", in_flight.clone());
+        registry.register(
+            "config_version",
+            "Configuration version in force",
+            version.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            stage_millis,
+            stage_tokens,
+            first_token,
+            duration,
+            in_flight,
+            version,
+        }
+    }
+
+    /// Counts the end of a request. `route` must be a name from the configuration.
+    pub fn ended(&self, route: &str, end: End, duration: Duration) {
+        let labels = RequestLabels {
+            route: route.to_owned(),
+            end,
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.duration.observe(duration.as_secs_f64());
+    }
+
+    /// Counts the first token of a request.
+    pub fn first_token(&self, after: Duration) {
+        self.first_token.observe(after.as_secs_f64());
+    }
+
+    /// Counts the cost of one call of a stage.
+    pub fn call(&self, stage: StageKind, used: Use, duration: Duration, tokens: u64) {
+        let labels = StageLabels {
+            stage: stage.as_str(),
+            used,
+        };
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        self.stage_millis.get_or_create(&labels).inc_by(millis);
+        self.stage_tokens.get_or_create(&labels).inc_by(tokens);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/plain.rs
@@ -0,0 +1,398 @@
+//! Calls to plain services. A call that must not repeat is claimed by a quorum before it is sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_coordination::once::{self, Claim, Guard, Key};
+use azurelug_core::outcome::Ledger;
+use azurelug_core::routing::{Completion, Need, NoTarget, Query};
+use azurelug_http::client::Call;
+use azurelug_types::id::{AccountName, OperationName, RequestId, ServiceName, TargetKey};
+use azurelug_types::outcome::{Execution, Reason, Refusal};
+use azurelug_wire::Frame;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method};
+use sha2::{Digest, Sha256};
+use tokio::time::{Instant, sleep};
+
+use crate::gateway::{Gateway, InFlight};
+use crate::refuse;
+
+/// Attempts at a call that may repeat, the first one included.
+const MAX_ATTEMPTS: usize = 3;
+
+/// The longest answer of a service, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// Time for control to commit a command: an election takes up to 2 s.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause before a command is sent to control again.
+const COMMIT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Attempts to commit a result or a release after the caller has its answer.
+const COMMIT_ATTEMPTS: u32 = 25;
+
+/// When a retry makes sense without better knowledge.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One call.
+pub struct Job {
+    /// The request.
+    pub id: RequestId,
+    /// The account.
+    pub account: AccountName,
+    /// The service.
+    pub service: ServiceName,
+    /// The operation.
+    pub operation: OperationName,
+    /// Whether a repeated call has the same effect as one call.
+    pub is_idempotent: bool,
+    /// The caller's idempotency key, required if the call must not repeat.
+    pub key: Option<Key>,
+    /// The body, passed on as it is.
+    pub body: Bytes,
+    /// When the answer must be complete.
+    pub deadline: Instant,
+}
+
+/// A service's answer.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// The service's status.
+    pub status: u16,
+    /// The service's body.
+    pub body: Bytes,
+    /// Whether this is the recorded answer of an earlier call with the same key.
+    pub is_replayed: bool,
+}
+
+/// Runs the call.
+///
+/// # Errors
+/// The refusal for the caller.
+pub async fn run(gateway: Arc<Gateway>, job: Job) -> Result<Done, Refusal> {
+    match job.key {
+        None if job.is_idempotent => repeatable(&gateway, &job).await,
+        Some(key) if !job.is_idempotent => at_most_once(&gateway, &job, key).await,
+        // A key on a call that may repeat is passed on and otherwise ignored.
+        Some(_) => repeatable(&gateway, &job).await,
+        None => Err(refuse::refusal(
+            &job.id.0,
+            Reason::BadRequest,
+            Execution::NotRun,
+            None,
+        )),
+    }
+}
+
+async fn repeatable(gateway: &Arc<Gateway>, job: &Job) -> Result<Done, Refusal> {
+    let mut ledger = Ledger::default();
+    let mut tried: Vec<TargetKey> = Vec::new();
+    while tried.len() < MAX_ATTEMPTS {
+        let slot = match begin(gateway, job, &tried) {
+            Ok(slot) => slot,
+            Err(_) if !tried.is_empty() => break,
+            Err(error) => return Err(no_target(job, &error, ledger.execution())),
+        };
+        tried.push(slot.choice.target);
+        ledger.about_to_send();
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let sent = gateway
+            .pooled
+            .send_whole(call(job, &slot, left / 2), ANSWER_LIMIT)
+            .await;
+        match sent {
+            Ok((status, body)) if status < 500 => {
+                slot.close(Completion::Success, None);
+                return Ok(Done {
+                    status,
+                    body,
+                    is_replayed: false,
+                });
+            }
+            Ok(_) => slot.close(Completion::Failure, None),
+            Err(error) => {
+                if error.is_not_sent() {
+                    ledger.was_not_sent();
+                }
+                slot.close(Completion::Failure, None);
+            }
+        }
+    }
+    let execution = ledger.execution();
+    Err(refuse::refusal(
+        &job.id.0,
+        Reason::StageFailed,
+        execution,
+        Some(RETRY_AFTER),
+    ))
+}
+
+async fn at_most_once(gateway: &Arc<Gateway>, job: &Job, key: Key) -> Result<Done, Refusal> {
+    // A target is chosen first: without one there is no need to claim.
+    let slot =
+        begin(gateway, job, &[]).map_err(|error| no_target(job, &error, Execution::NotRun))?;
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let mut guard = Guard::new(gateway.now() + left);
+    match claim(gateway, job, key, left).await? {
+        Decision::Replay(done) => Ok(done),
+        Decision::Send(claim) => {
+            if let Some(late) = guard.grant(claim) {
+                commit_later(gateway, late);
+            }
+            send_once(gateway, job, &mut guard, slot).await
+        }
+    }
+}
+
+/// What control decided about a key.
+enum Decision {
+    /// The call may be sent, once.
+    Send(Claim),
+    /// The call was run before; this is its answer.
+    Replay(Done),
+}
+
+/// Sends under a granted claim, once.
+async fn send_once(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    guard: &mut Guard,
+    slot: InFlight,
+) -> Result<Done, Refusal> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    if guard.start_send(gateway.now()).is_err() {
+        slot.close(Completion::Cancelled, None);
+        release(gateway, guard);
+        let reason = Reason::DeadlineUnreachable;
+        return Err(refuse::refusal(
+            &job.id.0,
+            reason,
+            Execution::NotRun,
+            Some(RETRY_AFTER),
+        ));
+    }
+    match gateway
+        .unpooled
+        .send_whole(call(job, &slot, left), ANSWER_LIMIT)
+        .await
+    {
+        Ok((status, body)) => {
+            slot.close(Completion::Success, None);
+            if let Some(command) = guard.record(once::Answer::whole(status, body.to_vec())) {
+                commit_later(gateway, command);
+            }
+            Ok(Done {
+                status,
+                body,
+                is_replayed: false,
+            })
+        }
+        Err(error) => {
+            slot.close(Completion::Failure, None);
+            log::warn!("entry: request {}: {error}", job.id);
+            if !error.is_not_sent() {
+                let reason = Reason::UnknownOutcome;
+                return Err(refuse::refusal(&job.id.0, reason, Execution::Unknown, None));
+            }
+            guard.not_sent();
+            release(gateway, guard);
+            let reason = Reason::StageFailed;
+            Err(refuse::refusal(
+                &job.id.0,
+                reason,
+                Execution::NotRun,
+                Some(RETRY_AFTER),
+            ))
+        }
+    }
+}
+
+/// Asks control for the claim until it answers or the deadline has passed. The claimant number stays
+/// the same, so that a claim whose answer was lost is found again.
+async fn claim(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    key: Key,
+    left: Duration,
+) -> Result<Decision, Refusal> {
+    let command = once::Command::Claim {
+        account: account_number(&job.account),
+        key,
+        fingerprint: fingerprint(job),
+        claimant: rand::random(),
+        now_ms: 0,
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+    };
+    loop {
+        match commit(gateway, command.clone()).await {
+            Some(outcome) => return decide(job, outcome),
+            None if Instant::now() + COMMIT_PAUSE >= job.deadline => {
+                // The claim may still commit. Nothing was sent, and giving it back frees the key.
+                release_unanswered(gateway, command);
+                let reason = Reason::NoQuorum;
+                let refusal =
+                    refuse::refusal(&job.id.0, reason, Execution::NotRun, Some(RETRY_AFTER));
+                return Err(refusal);
+            }
+            None => sleep(COMMIT_PAUSE).await,
+        }
+    }
+}
+
+/// Turns control's answer into a permission to send or into the caller's answer.
+fn decide(job: &Job, outcome: once::Outcome) -> Result<Decision, Refusal> {
+    let refuse = |reason, execution, retry_after| {
+        Err(refuse::refusal(&job.id.0, reason, execution, retry_after))
+    };
+    match outcome {
+        once::Outcome::Claimed { claim } => Ok(Decision::Send(claim)),
+        once::Outcome::Recorded { answer } => Ok(Decision::Replay(replay(answer))),
+        once::Outcome::InProgress { retry_after_ms } => {
+            let retry_after = Duration::from_millis(retry_after_ms);
+            refuse(Reason::InProgress, Execution::Unknown, Some(retry_after))
+        }
+        once::Outcome::Unknown => refuse(Reason::UnknownOutcome, Execution::Unknown, None),
+        once::Outcome::Expired => refuse(Reason::KeyExpired, Execution::Unknown, None),
+        once::Outcome::Conflict => refuse(Reason::KeyConflict, Execution::NotRun, None),
+        once::Outcome::FromFuture => refuse(Reason::BadRequest, Execution::NotRun, None),
+        once::Outcome::Full => refuse(Reason::Overloaded, Execution::NotRun, Some(RETRY_AFTER)),
+        once::Outcome::Released | once::Outcome::Stale | once::Outcome::Advanced { .. } => {
+            refuse(Reason::UnknownOutcome, Execution::Unknown, None)
+        }
+    }
+}
+
+/// The recorded answer. Of a body that was too long to keep, only the status is left.
+fn replay(answer: once::Answer) -> Done {
+    let body = match answer.body {
+        once::Body::Whole(body) => Bytes::from(body),
+        _ => Bytes::from_static(b"{\"replayed\":true,\"body\":\"too long to keep\"}"),
+    };
+    Done {
+        status: answer.status,
+        body,
+        is_replayed: true,
+    }
+}
+
+fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<InFlight, NoTarget> {
+    let query = Query {
+        need: Need::Service(&job.service),
+        idempotent: job.is_idempotent,
+        prefix: &[],
+        exclude: tried,
+    };
+    gateway.begin(&job.id.0, &query)
+}
+
+fn no_target(job: &Job, error: &NoTarget, execution: Execution) -> Refusal {
+    let retry_after = match error {
+        NoTarget::AllBusy { retry_after, .. } => *retry_after,
+        _ => RETRY_AFTER,
+    };
+    refuse::refusal(&job.id.0, error.reason(), execution, Some(retry_after))
+}
+
+fn call(job: &Job, slot: &InFlight, timeout: Duration) -> Call {
+    let mut headers = vec![(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    )];
+    if let Ok(id) = HeaderValue::from_str(&job.id.0) {
+        headers.push((HeaderName::from_static("azurelug-request-id"), id));
+    }
+    if let Some(key) = job.key
+        && let Ok(key) = HeaderValue::from_str(&key.to_string())
+    {
+        headers.push((HeaderName::from_static("idempotency-key"), key));
+    }
+    Call {
+        method: Method::POST,
+        address: slot.address,
+        path: format!("/{}", job.operation),
+        headers,
+        body: job.body.clone(),
+        timeout,
+    }
+}
+
+/// One attempt to commit a command; none if its outcome is not known.
+async fn commit(gateway: &Gateway, command: once::Command) -> Option<once::Outcome> {
+    match gateway
+        .link
+        .call(Frame::Once(command), COMMIT_TIMEOUT)
+        .await
+    {
+        Ok(Frame::OnceOutcome(outcome)) => Some(outcome),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!("entry: command to control: {error}");
+            None
+        }
+    }
+}
+
+/// Commits a result or a release in the background, so that the caller's answer does not wait.
+fn commit_later(gateway: &Arc<Gateway>, command: once::Command) {
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        for _ in 0..COMMIT_ATTEMPTS {
+            if commit(&gateway, command.clone()).await.is_some() {
+                return;
+            }
+            sleep(COMMIT_PAUSE).await;
+        }
+        log::warn!("entry: a result could not be recorded; its key turns unknown");
+    });
+}
+
+fn release(gateway: &Arc<Gateway>, guard: &mut Guard) {
+    if let once::Release::Propose(command) = guard.release() {
+        commit_later(gateway, command);
+    }
+}
+
+/// Finds out whether an unanswered claim was granted, and gives it back if so.
+fn release_unanswered(gateway: &Arc<Gateway>, command: once::Command) {
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        for _ in 0..COMMIT_ATTEMPTS {
+            match commit(&gateway, command.clone()).await {
+                Some(once::Outcome::Claimed { claim }) => {
+                    commit_later(&gateway, once::Command::Release { claim });
+                    return;
+                }
+                Some(_) => return,
+                None => sleep(COMMIT_PAUSE).await,
+            }
+        }
+    });
+}
+
+/// The number that scopes an account's keys. The fingerprint covers the account's name as well, so
+/// that two accounts with the same number get a conflict and never each other's answer.
+fn account_number(account: &AccountName) -> u64 {
+    let digest = Sha256::digest(account.as_str().as_bytes());
+    u64::from_be_bytes(*digest.first_chunk().expect("a SHA-256 has 32 bytes"))
+}
+
+fn fingerprint(job: &Job) -> u128 {
+    let mut hasher = Sha256::new();
+    for text in [
+        job.account.as_str(),
+        job.service.as_str(),
+        job.operation.as_str(),
+    ] {
+        hasher.update(text.as_bytes());
+        hasher.update([0]);
+    }
+    hasher.update(&job.body);
+    u128::from_be_bytes(
+        *hasher
+            .finalize()
+            .first_chunk()
+            .expect("a SHA-256 has 32 bytes"),
+    )
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/run.rs
@@ -0,0 +1,87 @@
+//! Starts the entry daemon from its settings.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use azurelug_http::Server;
+use azurelug_http::server::ShutdownHook;
+use azurelug_settings::read;
+use azurelug_wire::handshake::Identity;
+
+use crate::gateway::Gateway;
+use crate::link::Link;
+use crate::settings::{Options, Settings};
+use crate::{admin, callers, shutdown};
+
+/// Why the daemon could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings do not fit.
+    #[error(transparent)]
+    Settings(#[from] azurelug_settings::Error),
+    /// A server failed.
+    #[error(transparent)]
+    Http(#[from] azurelug_http::Error),
+    /// The runtime could not be started.
+    #[error("can't start the runtime: {0}; check the limits on threads and memory")]
+    Runtime(#[from] std::io::Error),
+}
+
+/// Runs the daemon and turns an error into one line and an exit code.
+pub fn main(options: &Options) -> ExitCode {
+    match start(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("azurelug-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(options: &Options) -> Result<(), Error> {
+    let settings = Settings::load(&options.settings)?;
+    if options.check {
+        println!("{}: settings fit", options.settings.display());
+        return Ok(());
+    }
+    settings.log.start()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let identity = Identity {
+        cluster: settings.cluster,
+        daemon: settings.name.clone(),
+        zone: settings.zone.clone(),
+        incarnation: rand::random(),
+        key: read::shared_key(&settings.key_file)?,
+    };
+    let callers = Server::bind(settings.callers).await?;
+    let admin = Server::bind(settings.admin).await?;
+    let link = Link::new(settings.control, identity);
+    let gateway = Arc::new(Gateway::new(settings.name, settings.zone, link)?);
+    tokio::spawn(gateway.link.clone().run(Arc::downgrade(&gateway)));
+    log::info!(
+        "entry: {} serves callers on {} and operators on {}",
+        gateway.name,
+        callers.address(),
+        admin.address()
+    );
+    let (drain_wait, finish_wait) = (settings.drain_wait.0, settings.finish_wait.0);
+    let stopping = Arc::clone(&gateway);
+    let stop: ShutdownHook =
+        Box::new(move || Box::pin(shutdown::run(stopping, drain_wait, finish_wait)));
+    let waiting = Arc::clone(&gateway);
+    let wait: ShutdownHook =
+        Box::new(move || Box::pin(async move { waiting.shutdown.wait_done().await }));
+    let (callers, admin) = tokio::join!(
+        callers.serve(callers::router(&gateway), Some(stop)),
+        admin.serve(admin::router(&gateway), Some(wait)),
+    );
+    callers?;
+    admin?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/settings.rs
@@ -0,0 +1,83 @@
+//! Command line and settings of the entry daemon.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use azurelug_settings::log_setup::Log;
+use azurelug_settings::{Error, Span, read};
+use azurelug_types::id::{DaemonName, ZoneName};
+use bpaf::Bpaf;
+use serde::Deserialize;
+
+/// Entry daemon of azurelug: serves callers and routes stages to targets
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Settings file in YAML, for instance entry.yaml
+    #[bpaf(argument("FILE"))]
+    pub settings: PathBuf,
+    /// Check the settings and exit
+    #[bpaf(switch)]
+    pub check: bool,
+}
+
+/// The settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This daemon's name, unique in the cluster.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The cluster's id, the same in all settings files.
+    pub cluster: String,
+    /// File with the shared key, at least 32 bytes of text.
+    pub key_file: PathBuf,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for health checks, metrics and state dumps.
+    pub admin: SocketAddr,
+    /// Internal addresses of control daemons, the one of the own zone first.
+    pub control: Vec<SocketAddr>,
+    /// How long a stopping daemon still accepts requests after it reports not ready; longer than the
+    /// balancer takes to notice.
+    #[serde(default = "default_drain_wait")]
+    pub drain_wait: Span,
+    /// How long a stopping daemon then waits for running requests.
+    #[serde(default = "default_finish_wait")]
+    pub finish_wait: Span,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+fn default_drain_wait() -> Span {
+    Span(Duration::from_secs(10))
+}
+
+/// The longest deadline is 12 s.
+fn default_finish_wait() -> Span {
+    Span(Duration::from_secs(15))
+}
+
+impl Settings {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// The first problem, with its field and remedy.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let settings: Self = read::file(path)?;
+        if settings.control.is_empty() {
+            return Err(Error::Value {
+                path: path.to_owned(),
+                field: "control".to_owned(),
+                message: "empty".to_owned(),
+                help: "list the internal address of at least one control daemon".to_owned(),
+            });
+        }
+        settings.log.check()?;
+        read::shared_key(&settings.key_file)?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/shutdown.rs
@@ -0,0 +1,64 @@
+//! The order of a graceful shutdown: not ready, still accepting, then waiting for running requests.
+//!
+//! `volo-http` closes connections 2 s after a signal. Its hook runs before that, so this order takes
+//! place inside the hook, while requests are still accepted.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::gateway::Gateway;
+
+/// How often the number of running requests is looked at.
+const POLL: Duration = Duration::from_millis(50);
+
+/// The state of the shutdown.
+pub struct Shutdown {
+    stopping: AtomicBool,
+    done: watch::Sender<bool>,
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            stopping: AtomicBool::new(false),
+            done: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Shutdown {
+    /// Whether the daemon is stopping and must report not ready.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns when the callers' side has finished its order. The admin side stays up until then, so
+    /// that the balancer can read that the daemon is not ready.
+    pub async fn wait_done(&self) {
+        let mut done = self.done.subscribe();
+        // The sender lives as long as `self`.
+        let _ = done.wait_for(|is_done| *is_done).await;
+    }
+}
+
+/// Runs the order: reports not ready, accepts requests for `drain_wait`, then waits up to
+/// `finish_wait` for running requests.
+pub async fn run(gateway: Arc<Gateway>, drain_wait: Duration, finish_wait: Duration) {
+    gateway.shutdown.stopping.store(true, Ordering::Relaxed);
+    log::info!(
+        "entry: stopping, not ready; requests are accepted for {} ms",
+        drain_wait.as_millis()
+    );
+    sleep(drain_wait).await;
+    let limit = Instant::now() + finish_wait;
+    while gateway.metrics.in_flight.get() > 0 && Instant::now() < limit {
+        sleep(POLL).await;
+    }
+    let left = gateway.metrics.in_flight.get();
+    log::info!("entry: stopped with {left} requests in flight");
+    gateway.shutdown.done.send_replace(true);
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/view.rs
@@ -0,0 +1,50 @@
+//! One configuration version as request handling needs it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use azurelug_types::config::{Account, Config, OnPartition};
+use azurelug_types::id::{AccountName, ZoneName};
+use sha2::{Digest, Sha256};
+
+/// A version with its look-up tables.
+#[derive(Debug)]
+pub struct View {
+    /// The version.
+    pub config: Arc<Config>,
+    /// What this daemon does after its configuration lease has expired.
+    pub on_partition: OnPartition,
+    accounts: HashMap<String, AccountName>,
+}
+
+impl View {
+    /// Builds the tables for a daemon in `zone`.
+    pub fn new(config: Arc<Config>, zone: &ZoneName) -> Self {
+        let on_partition = config
+            .zones
+            .get(zone)
+            .map(|zone| zone.on_partition)
+            .unwrap_or_default();
+        let accounts = config
+            .accounts
+            .iter()
+            .map(|(name, account)| (account.key_digest.clone(), name.clone()))
+            .collect();
+        Self {
+            config,
+            on_partition,
+            accounts,
+        }
+    }
+
+    /// The account that a key belongs to.
+    pub fn account(&self, key: &str) -> Option<(&AccountName, &Account)> {
+        let name = self.accounts.get(&hex(&Sha256::digest(key.as_bytes())))?;
+        self.config.accounts.get_key_value(name)
+    }
+}
+
+/// Lowercase hexadecimal digits of `bytes`.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
