core: add routing with lease modes, slow start and outlier ejection

Cause: the entry daemon needs a target for each call whose cost does not grow with the number of targets. Scanning a candidate list for free slots was ruled out for that reason, and so was drawing at random until a free target is found, because it has no bound when nearly all targets are full. Keys of targets that stay are stable across versions. Conclusion: the routing interface can be integrated; its cost and its effect on deadline attainment are not measured yet. slow_start and outlier have no tests of their own yet.

--- /dev/null
+++ b/crates/azurelug-core/src/lease_mode.rs
@@ -0,0 +1,42 @@
+//! What a daemon may send, derived from the age of its configuration lease.
+//!
+//! Owns the rule of the partition policy. Never allows more than the last version allowed.
+
+use std::time::Duration;
+
+use azurelug_types::config::OnPartition;
+use azurelug_types::key;
+
+/// How long a configuration lease lasts, counted from the moment the renewal was sent.
+pub const LEASE: Duration = Duration::from_secs(2);
+
+key! {
+    /// The restriction in force.
+    #[derive(Default)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Mode {
+        /// The lease is valid: all work, all zones in service.
+        Normal,
+        /// The lease has expired: idempotent work on targets of the own zone only.
+        Degraded,
+        /// No work at all. A daemon without a configuration starts here.
+        #[default]
+        Refuse,
+    }
+}
+
+impl Mode {
+    /// The mode at `now`. `renewed` is the send time of the last renewal that was answered; none
+    /// before the first answer.
+    #[must_use]
+    pub fn at(renewed: Option<Duration>, policy: OnPartition, now: Duration) -> Self {
+        match renewed {
+            None => Self::Refuse,
+            Some(sent) if now.saturating_sub(sent) < LEASE => Self::Normal,
+            Some(_) => match policy {
+                OnPartition::ServeLocal => Self::Degraded,
+                OnPartition::Refuse => Self::Refuse,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/src/routing.rs
@@ -0,0 +1,462 @@
+//! Chooses a target for each call.
+//!
+//! Owns the compiled table, the load of each target as this daemon sees it, and the calls in
+//! flight. Never chooses or begins a call at a target or in a zone that is draining, and never
+//! exceeds the slots of a target.
+
+mod call;
+mod choice;
+mod load;
+mod observe;
+mod pool;
+mod prefix;
+mod table;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use azurelug_types::config::Config;
+use azurelug_types::id::{TargetKey, ZoneKey, ZoneName};
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+pub use crate::slow_start::LoadReport;
+pub use call::{CallKey, Completion, Finished, Outcome};
+pub use choice::{Candidate, Choice, NoTarget, Query, Step, TargetState, Unused};
+pub use prefix::{CacheChange, CacheEvent};
+pub use table::{Need, Table, TargetEntry, ZoneEntry};
+
+use crate::lease_mode::Mode;
+use crate::outlier::Record;
+use crate::slow_start::{Position, SlowStart};
+use call::{Call, Calls};
+use load::Load;
+use pool::Pool;
+use prefix::Index;
+
+/// Attempts whose targets are avoided.
+const MAX_EXCLUDED: usize = 4;
+/// Members drawn from a pool at most: two to compare, and one for each excluded target.
+const MAX_DRAWN: usize = MAX_EXCLUDED + 2;
+/// Load that a fully cached prefix outweighs, as a part of the limit.
+const PREFIX_BONUS: f32 = 0.25;
+/// A target of another zone must be better than the own zone's best by this much, because of the
+/// way between the zones and because it takes room from that zone's own callers.
+const SPILL_MARGIN: f32 = 0.1;
+/// Retry time when nothing tells when a target becomes available.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a router knows about itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    zone: ZoneName,
+    position: Position,
+    spill_threshold: f32,
+}
+
+/// Everything a daemon keeps about one target.
+#[derive(Clone, Debug)]
+struct Slot {
+    load: Load,
+    slow_start: SlowStart,
+    record: Record,
+    granted: Option<u32>,
+    leaving: bool,
+    /// The pools it is in, with its position in each.
+    places: Vec<(usize, usize)>,
+    available: bool,
+    /// When the next look at it is planned.
+    wake_at: Option<Duration>,
+}
+
+/// Chooses targets for one entry daemon.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: Settings,
+    random: Pcg32,
+    mode: Mode,
+    table: Table,
+    slots: Vec<Slot>,
+    pools: Vec<Pool>,
+    calls: Calls,
+    prefixes: Index,
+    locally_drained: Vec<ZoneKey>,
+    /// Times at which a target's availability must be looked at again.
+    due: BinaryHeap<Reverse<(Duration, TargetKey)>>,
+}
+
+impl Settings {
+    /// A daemon in `zone` that shares its targets with nobody.
+    #[must_use]
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            position: Position::ALONE,
+            spill_threshold: 0.8,
+        }
+    }
+
+    /// Sets the daemon's place among those that share the targets.
+    #[must_use]
+    pub fn with_position(mut self, position: Position) -> Self {
+        self.position = position;
+        self
+    }
+
+    /// Sets the score of the own zone above which other zones are compared; 1 is a full target.
+    #[must_use]
+    pub fn with_spill_threshold(mut self, threshold: f32) -> Self {
+        self.spill_threshold = threshold;
+        self
+    }
+}
+
+impl Slot {
+    fn new(limit: u32, cold_limit: u32) -> Self {
+        Self {
+            load: Load::default(),
+            slow_start: SlowStart::new(limit, cold_limit),
+            record: Record::default(),
+            granted: None,
+            leaving: false,
+            places: Vec::new(),
+            available: false,
+            wake_at: None,
+        }
+    }
+
+    /// Own calls that may be in flight.
+    fn allowance(&self, position: Position, target: TargetKey) -> u32 {
+        let part = self.slow_start.allowance(position, target.0);
+        self.granted.map_or(part, |granted| granted.min(part))
+    }
+
+    /// Whether the last report and the own calls together use up the limit in force.
+    fn is_full(&self, now: Duration) -> bool {
+        let others = self.load.others(now).unwrap_or(0);
+        self.load.own() + others >= self.slow_start.level()
+    }
+}
+
+impl Router {
+    /// A router without a configuration. It refuses all work until a configuration is applied and
+    /// a lease mode is set.
+    #[must_use]
+    pub fn new(settings: Settings, random: Pcg32) -> Self {
+        Self {
+            settings,
+            random,
+            mode: Mode::default(),
+            table: Table::default(),
+            slots: Vec::new(),
+            pools: Vec::new(),
+            calls: Calls::default(),
+            prefixes: Index::default(),
+            locally_drained: Vec::new(),
+            due: BinaryHeap::new(),
+        }
+    }
+
+    /// The compiled configuration in force.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Puts a newer configuration in force and keeps the state of targets that stay. Local drains
+    /// end. An older version or the one in force changes nothing; returns whether it was applied.
+    pub fn apply(&mut self, config: &Config, now: Duration) -> bool {
+        if config.version <= self.table.version() {
+            return false;
+        }
+        let busy = |key: TargetKey| self.slots[key.0 as usize].load.own() > 0;
+        let table = Table::compile(config, &self.table, busy);
+        self.prefixes.resize(table.slots());
+        for (key, entry) in table.targets() {
+            let known = self.table.kept(&entry.name, entry.address) == Some(key);
+            match self.slots.get_mut(key.0 as usize) {
+                Some(slot) if known => slot.slow_start.set_limits(entry.limit, entry.cold_limit),
+                Some(slot) => {
+                    *slot = Slot::new(entry.limit, entry.cold_limit);
+                    self.prefixes.reset(key);
+                }
+                None => self.slots.push(Slot::new(entry.limit, entry.cold_limit)),
+            }
+        }
+        self.table = table;
+        self.locally_drained.clear();
+        self.rebuild_pools(now);
+        true
+    }
+
+    /// Sets what the lease allows.
+    pub fn set_mode(&mut self, mode: Mode) {
+        self.mode = mode;
+    }
+
+    /// Changes this daemon's place among those that share the targets.
+    pub fn set_position(&mut self, position: Position, now: Duration) {
+        self.settings.position = position;
+        self.refresh_all(now);
+    }
+
+    /// Drains a zone on this daemon only, until a newer version arrives.
+    pub fn drain_locally(&mut self, zone: &ZoneName) -> bool {
+        let Some(key) = self.table.zone(zone) else {
+            return false;
+        };
+        if !self.locally_drained.contains(&key) {
+            self.locally_drained.push(key);
+        }
+        true
+    }
+
+    /// Chooses a target. The cost depends on the number of zones and not on that of targets.
+    pub fn choose(&mut self, query: &Query<'_>, now: Duration) -> Result<Choice, NoTarget> {
+        self.wake(now);
+        match self.mode {
+            Mode::Refuse => return Err(NoTarget::NoLease),
+            Mode::Degraded if !query.idempotent => return Err(NoTarget::NoQuorum),
+            _ => {}
+        }
+        let need = self.table.need(query.need).ok_or(NoTarget::NotConfigured)?;
+        let own = self.table.zone(&self.settings.zone);
+        let local = own.and_then(|zone| self.best(need, zone, query, now));
+        let own_zone_score = local.and_then(|compared| compared[0]).map(|it| it.score);
+        let spill = self.mode == Mode::Normal
+            && own_zone_score.is_none_or(|score| score > self.settings.spill_threshold);
+        let remote = if spill {
+            self.best_elsewhere(need, own, query, now)
+        } else {
+            None
+        };
+        let (compared, step) = match (local, remote) {
+            (Some(local), Some(remote)) if improves(&remote, &local) => (remote, Step::SpillBusy),
+            (Some(local), _) => (local, Step::OwnZone),
+            (None, Some(remote)) => (remote, Step::SpillEmpty),
+            (None, None) => return Err(self.no_target(need, own, now)),
+        };
+        let chosen = compared[0].ok_or(NoTarget::NotConfigured)?.target;
+        Ok(Choice {
+            target: chosen,
+            zone: self
+                .table
+                .target(chosen)
+                .ok_or(NoTarget::NotConfigured)?
+                .zone,
+            version: self.table.version(),
+            mode: self.mode,
+            step,
+            own_zone_score,
+            compared,
+        })
+    }
+
+    /// Takes a slot of the target, immediately before the call's first byte is sent. None if the
+    /// target may not get new work any more or has no slot left: choose again.
+    pub fn begin(&mut self, target: TargetKey, now: Duration) -> Option<CallKey> {
+        self.wake(now);
+        let slot = self.slots.get(target.0 as usize)?;
+        if !slot.available || !self.is_allowed(target) {
+            return None;
+        }
+        self.slots[target.0 as usize].load.sent(now);
+        self.refresh(target, now);
+        Some(self.calls.start(Call {
+            target,
+            started: now,
+        }))
+    }
+
+    /// Gives the slot back and learns from the outcome. A second outcome of a call is ignored.
+    pub fn finish(&mut self, call: CallKey, outcome: Outcome, now: Duration) -> Option<Finished> {
+        let call = self.calls.end(call)?;
+        let slot = &mut self.slots[call.target.0 as usize];
+        let latency = now.saturating_sub(call.started);
+        let sample = outcome.first_token.unwrap_or(latency).as_micros();
+        let sample = sample.min(u128::from(u32::MAX)) as u32;
+        let part = slot.allowance(self.settings.position, call.target);
+        let mut turned_cold = false;
+        match outcome.completion {
+            Completion::Success => {
+                let median = slot.record.median();
+                turned_cold = slot.slow_start.success(sample, median, part, now);
+                slot.record.success(sample);
+            }
+            Completion::Failure => {
+                slot.slow_start.failure();
+                slot.record.failure();
+            }
+            Completion::Cancelled => {}
+        }
+        slot.load.ended(now);
+        self.refresh(call.target, now);
+        Some(Finished {
+            target: call.target,
+            latency,
+            turned_cold,
+        })
+    }
+
+    /// Whether lease mode and local drains let the target get new work.
+    fn is_allowed(&self, target: TargetKey) -> bool {
+        let Some(zone) = self.table.target(target).map(|it| it.zone) else {
+            return false;
+        };
+        match self.mode {
+            Mode::Refuse => false,
+            Mode::Degraded if self.table.zone(&self.settings.zone) != Some(zone) => false,
+            _ => !self.locally_drained.contains(&zone),
+        }
+    }
+
+    /// The best of the other zones. Each zone costs one comparison.
+    fn best_elsewhere(
+        &mut self,
+        need: usize,
+        own: Option<ZoneKey>,
+        query: &Query<'_>,
+        now: Duration,
+    ) -> Option<[Option<Candidate>; 3]> {
+        let mut best: Option<[Option<Candidate>; 3]> = None;
+        for zone in (0..self.table.zones().len() as u16).map(ZoneKey) {
+            if Some(zone) == own {
+                continue;
+            }
+            let Some(compared) = self.best(need, zone, query, now) else {
+                continue;
+            };
+            if best.is_none_or(|best| lower(&compared, &best)) {
+                best = Some(compared);
+            }
+        }
+        best
+    }
+
+    /// Compares two random available targets of a zone, and a holder of the prefix if one is
+    /// known. The best comes first.
+    fn best(
+        &mut self,
+        need: usize,
+        zone: ZoneKey,
+        query: &Query<'_>,
+        now: Duration,
+    ) -> Option<[Option<Candidate>; 3]> {
+        if self.locally_drained.contains(&zone) {
+            return None;
+        }
+        let list = self.table.list(need, zone.0 as usize);
+        let exclude = &query.exclude[..query.exclude.len().min(MAX_EXCLUDED)];
+        let drawn = draw(
+            self.pools[list].available(),
+            &mut self.random,
+            2 + exclude.len(),
+        );
+        let cached = (!query.prefix.is_empty())
+            .then(|| {
+                self.prefixes
+                    .longest(query.prefix, self.random.random(), now)
+            })
+            .flatten()
+            .filter(|found| {
+                let slot = &self.slots[found.target.0 as usize];
+                slot.available
+                    && !exclude.contains(&found.target)
+                    && slot.places.iter().any(|(pool, _)| *pool == list)
+            });
+        let mut compared = [None; 3];
+        let drawn = drawn
+            .into_iter()
+            .flatten()
+            .filter(|target| !exclude.contains(target))
+            .take(2);
+        let candidates = drawn
+            .filter(|target| cached.is_none_or(|found| found.target != *target))
+            .map(|target| self.candidate(target, None, query, now))
+            .chain(cached.map(|found| self.candidate(found.target, Some(found), query, now)));
+        for (place, candidate) in compared.iter_mut().zip(candidates) {
+            *place = Some(candidate);
+        }
+        let best = (0..3)
+            .filter(|place| compared[*place].is_some())
+            .min_by(|left, right| score(&compared[*left]).total_cmp(&score(&compared[*right])))?;
+        compared.swap(0, best);
+        Some(compared)
+    }
+
+    fn candidate(
+        &self,
+        target: TargetKey,
+        found: Option<prefix::Match>,
+        query: &Query<'_>,
+        now: Duration,
+    ) -> Candidate {
+        let slot = &self.slots[target.0 as usize];
+        let others = slot.load.others(now);
+        let own = slot.load.own();
+        let limit = slot.slow_start.level();
+        let load = (own + others.unwrap_or(0)) as f32 / limit.max(1) as f32;
+        let bonus = found.map_or(0.0, |found| {
+            PREFIX_BONUS * found.confidence * found.blocks as f32 / query.prefix.len() as f32
+        });
+        Candidate {
+            target,
+            score: load - bonus,
+            own,
+            others,
+            limit,
+            prefix_blocks: found.map_or(0, |found| found.blocks as u32),
+        }
+    }
+
+    fn no_target(&self, need: usize, own: Option<ZoneKey>, now: Duration) -> NoTarget {
+        let members: usize = (0..self.table.zones().len())
+            .filter(|zone| self.mode == Mode::Normal || own == Some(ZoneKey(*zone as u16)))
+            .map(|zone| self.pools[self.table.list(need, zone)].members().len())
+            .sum();
+        if members == 0 {
+            return NoTarget::NotConfigured;
+        }
+        let next = self.due.peek().map(|Reverse((at, _))| *at);
+        NoTarget::AllBusy {
+            members: members as u32,
+            retry_after: next.map_or(RETRY_AFTER, |at| at.saturating_sub(now).min(RETRY_AFTER)),
+        }
+    }
+}
+
+/// Draws up to `count` different members at random.
+fn draw(
+    available: &[TargetKey],
+    random: &mut Pcg32,
+    count: usize,
+) -> [Option<TargetKey>; MAX_DRAWN] {
+    let mut drawn = [None; MAX_DRAWN];
+    let total = available.len();
+    let count = count.min(total).min(MAX_DRAWN);
+    // Floyd's sampling: each step adds a member that was not drawn before.
+    for step in 0..count {
+        let bound = total - count + step;
+        let pick = available[random.random_range(0..=bound)];
+        let fresh = if drawn[..step].contains(&Some(pick)) {
+            available[bound]
+        } else {
+            pick
+        };
+        drawn[step] = Some(fresh);
+    }
+    drawn
+}
+
+fn score(candidate: &Option<Candidate>) -> f32 {
+    candidate.map_or(f32::INFINITY, |candidate| candidate.score)
+}
+
+fn lower(left: &[Option<Candidate>; 3], right: &[Option<Candidate>; 3]) -> bool {
+    score(&left[0]) < score(&right[0])
+}
+
+fn improves(remote: &[Option<Candidate>; 3], local: &[Option<Candidate>; 3]) -> bool {
+    score(&remote[0]) + SPILL_MARGIN < score(&local[0])
+}
--- /dev/null
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -0,0 +1,282 @@
+//! Events that change which targets are available: reports, grants, departures, outliers.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use azurelug_types::config::State;
+use azurelug_types::id::TargetKey;
+
+use super::Router;
+use super::choice::{TargetState, Unused};
+use super::pool::Pool;
+use super::prefix::CacheEvent;
+use crate::lease_mode::Mode;
+use crate::outlier;
+use crate::slow_start::LoadReport;
+
+impl Router {
+    /// A load report. Reports that are older than the last one or than five seconds are ignored.
+    pub fn report(&mut self, target: TargetKey, report: LoadReport, now: Duration) {
+        let Some(slot) = self.slots.get_mut(target.0 as usize) else {
+            return;
+        };
+        if !slot.load.report(report.calls, report.taken_at, now) {
+            return;
+        }
+        let part = slot.slow_start.allowance(self.settings.position, target.0);
+        slot.slow_start.report(&report, part, now);
+        self.prefixes.engine(target, report.start_stamp);
+        self.refresh(target, now);
+    }
+
+    /// A cache event of a target.
+    pub fn cache_event(&mut self, target: TargetKey, event: &CacheEvent, now: Duration) {
+        if self.table.target(target).is_some() {
+            self.prefixes.event(target, event, now);
+        }
+    }
+
+    /// The complete list of a target's cached blocks as of `sequence`. Returns whether it was
+    /// recent enough to be used.
+    pub fn cache_resync(
+        &mut self,
+        target: TargetKey,
+        start_stamp: u64,
+        sequence: u64,
+        blocks: &[u64],
+        now: Duration,
+    ) -> bool {
+        self.table.target(target).is_some()
+            && self
+                .prefixes
+                .resync(target, start_stamp, sequence, blocks, now)
+    }
+
+    /// Targets whose cache events have a gap and that need a resync.
+    pub fn needs_resync(&self) -> impl Iterator<Item = TargetKey> {
+        self.table
+            .targets()
+            .map(|(key, _)| key)
+            .filter(|key| !self.prefixes.is_complete(*key))
+    }
+
+    /// Slots granted under a lease; none when shares are not used for the target. An expired grant
+    /// is replaced by the base share.
+    pub fn grant(&mut self, target: TargetKey, slots: Option<u32>, now: Duration) {
+        if let Some(slot) = self.slots.get_mut(target.0 as usize) {
+            slot.granted = slots;
+            self.refresh(target, now);
+        }
+    }
+
+    /// Whether the platform's list says that the target's VM is leaving.
+    pub fn set_leaving(&mut self, target: TargetKey, leaving: bool, now: Duration) {
+        if let Some(slot) = self.slots.get_mut(target.0 as usize) {
+            slot.leaving = leaving;
+            self.refresh(target, now);
+        }
+    }
+
+    /// Looks for outliers in each group of targets. To be called about once a second; this is the
+    /// only part whose cost grows with the number of targets.
+    pub fn tick(&mut self, now: Duration) {
+        self.wake(now);
+        let mut groups: Vec<Vec<TargetKey>> = vec![Vec::new(); self.table.groups()];
+        for (key, entry) in self.table.targets() {
+            if self.table.in_service(key) {
+                groups[entry.group as usize].push(key);
+            }
+        }
+        for group in groups {
+            let mut records: Vec<_> = group
+                .iter()
+                .map(|key| std::mem::take(&mut self.slots[key.0 as usize].record))
+                .collect();
+            let mut borrowed: Vec<_> = records.iter_mut().collect();
+            let ejected = outlier::judge(&mut borrowed, now);
+            for (key, record) in group.iter().zip(records) {
+                self.slots[key.0 as usize].record = record;
+            }
+            for (position, _) in ejected {
+                self.refresh(group[position], now);
+            }
+        }
+    }
+
+    /// Why a target gets no new work; empty if it does.
+    #[must_use]
+    pub fn why_unused(&self, target: TargetKey, now: Duration) -> Vec<Unused> {
+        let Some(entry) = self.table.target(target) else {
+            return vec![Unused::Unknown];
+        };
+        let slot = &self.slots[target.0 as usize];
+        let mut reasons = Vec::new();
+        if entry.state == State::Draining {
+            reasons.push(Unused::TargetDraining);
+        }
+        if self.table.zones()[entry.zone.0 as usize].state == State::Draining {
+            reasons.push(Unused::ZoneDraining);
+        }
+        if self.locally_drained.contains(&entry.zone) {
+            reasons.push(Unused::ZoneDrainedLocally);
+        }
+        match self.mode {
+            Mode::Refuse => reasons.push(Unused::NoLease),
+            Mode::Degraded if self.table.zone(&self.settings.zone) != Some(entry.zone) => {
+                reasons.push(Unused::OtherZoneWithoutLease);
+            }
+            _ => {}
+        }
+        if slot.leaving {
+            reasons.push(Unused::Leaving);
+        }
+        if let Some(until) = slot.record.ejected_until(now) {
+            reasons.push(Unused::Ejected {
+                until_ms: until.as_millis() as u64,
+            });
+        }
+        let slots = slot.allowance(self.settings.position, target);
+        if slot.load.own() >= slots {
+            reasons.push(Unused::NoSlots {
+                own: slot.load.own(),
+                slots,
+            });
+        }
+        if slot.is_full(now) {
+            reasons.push(Unused::Full {
+                own: slot.load.own(),
+                others: slot.load.others(now).unwrap_or(0),
+                limit: slot.slow_start.level(),
+            });
+        }
+        reasons
+    }
+
+    /// The state of every target.
+    #[must_use]
+    pub fn dump(&self, now: Duration) -> Vec<TargetState> {
+        self.table
+            .targets()
+            .map(|(key, entry)| {
+                let slot = &self.slots[key.0 as usize];
+                TargetState {
+                    name: entry.name.clone(),
+                    zone: self.table.zones()[entry.zone.0 as usize].name.clone(),
+                    own: slot.load.own(),
+                    others: slot.load.others(now),
+                    limit: slot.slow_start.level(),
+                    phase: slot.slow_start.phase(),
+                    granted: slot.granted,
+                    cache_complete: self.prefixes.is_complete(key),
+                    median_us: slot.record.median().map(|(median, _)| median),
+                    unused: self.why_unused(key, now),
+                }
+            })
+            .collect()
+    }
+
+    /// Own calls in flight at a target.
+    #[must_use]
+    pub fn in_flight(&self, target: TargetKey) -> u32 {
+        self.slots
+            .get(target.0 as usize)
+            .map_or(0, |slot| slot.load.own())
+    }
+
+    /// Slots that this daemon may use for a need, over all targets that may get new work. The cost
+    /// grows with the number of targets; meant for the admission's capacity, about once a second.
+    #[must_use]
+    pub fn slots(&self, need: super::Need<'_>, now: Duration) -> u32 {
+        let Some(need) = self.table.need(need) else {
+            return 0;
+        };
+        let zones = 0..self.table.zones().len();
+        zones
+            .flat_map(|zone| self.pools[self.table.list(need, zone)].members())
+            .filter(|key| self.is_allowed(**key))
+            .map(|key| (key, &self.slots[key.0 as usize]))
+            .filter(|(_, slot)| !slot.leaving && slot.record.ejected_until(now).is_none())
+            .map(|(key, slot)| slot.allowance(self.settings.position, *key))
+            .sum()
+    }
+
+    /// Looks again at targets whose ejection or report has expired.
+    pub(super) fn wake(&mut self, now: Duration) {
+        while let Some(Reverse((at, target))) = self.due.peek().copied()
+            && at <= now
+        {
+            self.due.pop();
+            if (target.0 as usize) < self.slots.len() {
+                self.refresh(target, now);
+            }
+        }
+    }
+
+    /// Moves a target between the available and the other members of its pools.
+    pub(super) fn refresh(&mut self, target: TargetKey, now: Duration) {
+        let index = target.0 as usize;
+        let slot = &self.slots[index];
+        let ejected = slot.record.ejected_until(now);
+        let full = slot.is_full(now);
+        let available = !slot.places.is_empty()
+            && !slot.leaving
+            && ejected.is_none()
+            && !full
+            && slot.load.own() < slot.allowance(self.settings.position, target);
+        let expiry = slot.load.report_expiry().filter(|_| full);
+        if let Some(due) = ejected.into_iter().chain(expiry).min() {
+            self.wake_at(target, due, now);
+        }
+        if available == self.slots[index].available {
+            return;
+        }
+        self.slots[index].available = available;
+        for place in 0..self.slots[index].places.len() {
+            let (pool, position) = self.slots[index].places[place];
+            let (moved_to, other) = self.pools[pool].place(position, available);
+            if other != target {
+                let places = &mut self.slots[other.0 as usize].places;
+                if let Some(entry) = places.iter_mut().find(|(it, _)| *it == pool) {
+                    entry.1 = position;
+                }
+            }
+            self.slots[index].places[place].1 = moved_to;
+        }
+    }
+
+    /// Makes sure that a target is looked at again no later than `due`. A later wake-up than one
+    /// that is already planned is planned when that one comes, so there is about one per target.
+    fn wake_at(&mut self, target: TargetKey, due: Duration, now: Duration) {
+        let planned = &mut self.slots[target.0 as usize].wake_at;
+        if planned.is_none_or(|at| at <= now || due < at) {
+            *planned = Some(due);
+            self.due.push(Reverse((due, target)));
+        }
+    }
+
+    pub(super) fn refresh_all(&mut self, now: Duration) {
+        for index in 0..self.slots.len() {
+            self.refresh(TargetKey(index as u32), now);
+        }
+    }
+
+    /// Builds the pools of a new table. Targets that are not in service are in none.
+    pub(super) fn rebuild_pools(&mut self, now: Duration) {
+        self.pools = vec![Pool::default(); self.table.lists()];
+        for (index, slot) in self.slots.iter_mut().enumerate() {
+            let key = TargetKey(index as u32);
+            slot.places.clear();
+            slot.available = false;
+            let Some(entry) = self.table.target(key) else {
+                continue;
+            };
+            if !self.table.in_service(key) {
+                continue;
+            }
+            for list in &entry.lists {
+                slot.places.push((*list, self.pools[*list].add(key)));
+            }
+        }
+        self.refresh_all(now);
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/src/routing/table.rs
@@ -0,0 +1,268 @@
+//! A configuration version compiled for routing.
+//!
+//! Owns the arena of targets and the candidate lists by zone and need. Targets that stay keep
+//! their keys across versions. Draining zones and targets are in no candidate list.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use azurelug_types::config::{Config, ModelRef, OnPartition, Role, StageKind, State, Target};
+use azurelug_types::id::{ServiceName, TargetKey, TargetName, Version, ZoneKey, ZoneName};
+
+/// What a call needs from a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need<'a> {
+    /// An engine that runs this kind of stage and has this model loaded.
+    Stage(StageKind, &'a ModelRef),
+    /// A replica of a plain service.
+    Service(&'a ServiceName),
+}
+
+/// A zone in the arena.
+#[derive(Clone, Debug)]
+pub struct ZoneEntry {
+    /// Its name.
+    pub name: ZoneName,
+    /// Whether it takes new work.
+    pub state: State,
+    /// What its entry daemons do without a lease.
+    pub on_partition: OnPartition,
+}
+
+/// A target in the arena.
+#[derive(Clone, Debug)]
+pub struct TargetEntry {
+    /// Its name.
+    pub name: TargetName,
+    /// Its address. A target that moves to another address counts as a new one.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneKey,
+    /// Calls it can handle when warm.
+    pub limit: u32,
+    /// Calls it can handle in cold start.
+    pub cold_limit: u32,
+    /// Its own state; its zone's state counts as well.
+    pub state: State,
+    /// Targets of the same group do the same work and are compared with each other.
+    pub group: u32,
+    /// The candidate lists it is in.
+    pub(super) lists: Vec<usize>,
+}
+
+/// Kind of stage or service, and loaded models.
+type Group<'a> = (
+    Option<StageKind>,
+    Option<&'a ServiceName>,
+    Vec<&'a ModelRef>,
+);
+
+/// One compiled version.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    version: Version,
+    zones: Vec<ZoneEntry>,
+    targets: Vec<Option<TargetEntry>>,
+    by_name: HashMap<TargetName, TargetKey>,
+    models: HashMap<StageKind, HashMap<ModelRef, usize>>,
+    services: HashMap<ServiceName, usize>,
+    needs: usize,
+    groups: u32,
+}
+
+impl Table {
+    /// Compiles a version. Targets with the same name and address keep the key they have in
+    /// `previous`; `busy` tells which old keys still have calls in flight and must not be reused.
+    #[must_use]
+    pub fn compile(config: &Config, previous: &Self, busy: impl Fn(TargetKey) -> bool) -> Self {
+        let mut table = Self {
+            version: config.version,
+            zones: zones(config, previous),
+            ..Self::default()
+        };
+        table.targets.resize_with(previous.targets.len(), || None);
+        let mut groups: HashMap<Group<'_>, u32> = HashMap::new();
+        let mut moved = Vec::new();
+        for (name, target) in &config.targets {
+            let Some(zone) = table.zone(&target.zone) else {
+                continue;
+            };
+            let next_group = groups.len() as u32;
+            let group = *groups.entry(group_of(target)).or_insert(next_group);
+            let entry = TargetEntry {
+                name: name.clone(),
+                address: target.address,
+                zone,
+                limit: target.limit,
+                cold_limit: target.cold_limit,
+                state: target.state,
+                group,
+                lists: table.lists_of(target, zone),
+            };
+            match previous.kept(name, target.address) {
+                Some(key) => table.put(key, entry),
+                None => moved.push(entry),
+            }
+        }
+        table.groups = groups.len() as u32;
+        let mut free: Vec<TargetKey> = (0..table.targets.len() as u32)
+            .rev()
+            .map(TargetKey)
+            .filter(|key| table.targets[key.0 as usize].is_none() && !busy(*key))
+            .collect();
+        for entry in moved {
+            let key = free.pop().unwrap_or_else(|| {
+                table.targets.push(None);
+                TargetKey(table.targets.len() as u32 - 1)
+            });
+            table.put(key, entry);
+        }
+        table
+    }
+
+    /// The compiled version's number.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The key of a target.
+    #[must_use]
+    pub fn key(&self, name: &TargetName) -> Option<TargetKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The entry of a target, unless it was removed.
+    #[must_use]
+    pub fn target(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key.0 as usize)?.as_ref()
+    }
+
+    /// All targets of this version with their keys.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        self.targets
+            .iter()
+            .enumerate()
+            .filter_map(|(index, entry)| Some((TargetKey(index as u32), entry.as_ref()?)))
+    }
+
+    /// The key of a zone.
+    #[must_use]
+    pub fn zone(&self, name: &ZoneName) -> Option<ZoneKey> {
+        let index = self.zones.iter().position(|zone| zone.name == *name)?;
+        Some(ZoneKey(index as u16))
+    }
+
+    /// The zones by key.
+    #[must_use]
+    pub fn zones(&self) -> &[ZoneEntry] {
+        &self.zones
+    }
+
+    /// Whether the configuration lets the target take new work.
+    #[must_use]
+    pub fn in_service(&self, key: TargetKey) -> bool {
+        self.target(key).is_some_and(|target| {
+            target.state == State::Active
+                && self.zones[target.zone.0 as usize].state == State::Active
+        })
+    }
+
+    /// Arena slots, including free ones.
+    pub(super) fn slots(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Groups of targets that do the same work.
+    pub(super) fn groups(&self) -> usize {
+        self.groups as usize
+    }
+
+    /// The number of candidate lists.
+    pub(super) fn lists(&self) -> usize {
+        self.needs * self.zones.len()
+    }
+
+    /// The index of a need; the list of a zone is at `need * zones + zone`.
+    pub(super) fn need(&self, need: Need<'_>) -> Option<usize> {
+        match need {
+            Need::Stage(kind, model) => self.models.get(&kind)?.get(model).copied(),
+            Need::Service(name) => self.services.get(name).copied(),
+        }
+    }
+
+    /// The candidate list of a need in a zone.
+    pub(super) fn list(&self, need: usize, zone: usize) -> usize {
+        need * self.zones.len() + zone
+    }
+
+    /// The key that the same target has in this table.
+    pub(super) fn kept(&self, name: &TargetName, address: SocketAddr) -> Option<TargetKey> {
+        let key = self.key(name)?;
+        (self.target(key)?.address == address).then_some(key)
+    }
+
+    fn put(&mut self, key: TargetKey, entry: TargetEntry) {
+        self.by_name.insert(entry.name.clone(), key);
+        self.targets[key.0 as usize] = Some(entry);
+    }
+
+    fn lists_of(&mut self, target: &Target, zone: ZoneKey) -> Vec<usize> {
+        let mut lists: Vec<usize> = match &target.role {
+            Role::Engine(kind) => target
+                .loaded
+                .iter()
+                .map(|model| {
+                    let next = self.needs;
+                    let known = self.models.entry(*kind).or_default();
+                    let need = *known.entry(model.clone()).or_insert(next);
+                    self.needs = self.needs.max(need + 1);
+                    need
+                })
+                .collect(),
+            Role::Service(name) => {
+                let next = self.needs;
+                let need = *self.services.entry(name.clone()).or_insert(next);
+                self.needs = self.needs.max(need + 1);
+                vec![need]
+            }
+        };
+        lists.sort_unstable();
+        lists.dedup();
+        lists
+            .into_iter()
+            .map(|need| self.list(need, zone.0 as usize))
+            .collect()
+    }
+}
+
+/// Zones keep their keys, so that local drains and old choices stay readable. A removed zone
+/// stays as draining.
+fn zones(config: &Config, previous: &Table) -> Vec<ZoneEntry> {
+    let mut zones = previous.zones.clone();
+    for zone in &mut zones {
+        zone.state = State::Draining;
+    }
+    for (name, zone) in &config.zones {
+        let entry = ZoneEntry {
+            name: name.clone(),
+            state: zone.state,
+            on_partition: zone.on_partition,
+        };
+        match zones.iter_mut().find(|known| known.name == *name) {
+            Some(known) => *known = entry,
+            None => zones.push(entry),
+        }
+    }
+    zones
+}
+
+/// Targets with the same role and the same loaded models are compared with each other.
+fn group_of(target: &Target) -> Group<'_> {
+    let mut loaded: Vec<&ModelRef> = target.loaded.iter().collect();
+    loaded.sort_unstable();
+    match &target.role {
+        Role::Engine(kind) => (Some(*kind), None, loaded),
+        Role::Service(name) => (None, Some(name), loaded),
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/prefix_locality.rs
@@ -0,0 +1,180 @@
+//! Attacks the prefix index: gaps, repeats, late resyncs, restarts, size.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use azurelug_core::routing::{CacheChange, CacheEvent, Router};
+use azurelug_core::slow_start::Position;
+use azurelug_types::id::{TargetKey, TargetName};
+use fleet::{SECOND, SUCCESS, fleet as zones, model, query, report, router, warm_router};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::BTreeSet;
+
+fn event(sequence: u64, change: CacheChange) -> CacheEvent {
+    CacheEvent {
+        start_stamp: 1,
+        sequence,
+        change,
+    }
+}
+
+/// The blocks that the router claims for the target it chose.
+fn claim(router: &mut Router, prefix: &[u64]) -> (TargetKey, u32) {
+    let model = model();
+    let choice = router
+        .choose(&query(&model, prefix), SECOND)
+        .expect("a target is free");
+    let claimed = choice.compared[0].expect("the chosen one").prefix_blocks;
+    (choice.target, claimed)
+}
+
+/// Guards against prefix locality that has no effect.
+#[test]
+fn a_holder_of_the_prefix_is_preferred_until_it_is_busy() {
+    let mut router = warm_router(&zones(1, 20), 4);
+    let holder = router.table().key(&TargetName::from("a13")).unwrap();
+    router.cache_event(
+        holder,
+        &event(0, CacheChange::Stored(vec![1, 2, 3, 4])),
+        SECOND,
+    );
+    assert_eq!(claim(&mut router, &[1, 2, 9, 9]), (holder, 2));
+    for _ in 0..2 {
+        assert_eq!(claim(&mut router, &[1, 2, 3, 4]), (holder, 4));
+        router.begin(holder, SECOND).unwrap();
+    }
+    for _ in 0..3 {
+        router.begin(holder, SECOND).unwrap();
+    }
+    assert_ne!(
+        claim(&mut router, &[1, 2, 3, 4]).0,
+        holder,
+        "5 of 10 calls outweigh it"
+    );
+}
+
+/// Guards against claims from entries that a lost event may have removed.
+#[test]
+fn after_a_gap_nothing_is_claimed_until_a_resync() {
+    let mut router = warm_router(&zones(1, 1), 4);
+    let key = TargetKey(0);
+    router.cache_event(key, &event(0, CacheChange::Stored(vec![1, 2])), SECOND);
+    assert_eq!(claim(&mut router, &[1, 2]).1, 2);
+    // Event 1 is lost. Event 2 arrives, and later events too.
+    router.cache_event(key, &event(2, CacheChange::Stored(vec![3])), SECOND);
+    assert_eq!(claim(&mut router, &[1, 2, 3]).1, 0);
+    router.cache_event(key, &event(3, CacheChange::Stored(vec![1, 2])), SECOND);
+    assert_eq!(claim(&mut router, &[1, 2]).1, 0);
+    assert_eq!(router.needs_resync().collect::<Vec<_>>(), vec![key]);
+    assert!(
+        !router.cache_resync(key, 1, 2, &[1, 2], SECOND),
+        "older than event 3"
+    );
+    assert_eq!(claim(&mut router, &[1, 2]).1, 0);
+    assert!(router.cache_resync(key, 1, 3, &[1], SECOND));
+    assert_eq!(claim(&mut router, &[1, 2]).1, 1);
+    // The late event 1 and a repeated event 3 change nothing.
+    router.cache_event(key, &event(1, CacheChange::Cleared), SECOND);
+    router.cache_event(key, &event(3, CacheChange::Cleared), SECOND);
+    assert_eq!(claim(&mut router, &[1, 2]).1, 1);
+}
+
+/// Guards against claims about the cache of an engine that has restarted since.
+#[test]
+fn a_restarted_engine_holds_nothing() {
+    let mut router = router(&zones(1, 1), 4, Position::ALONE);
+    let key = TargetKey(0);
+    report(&mut router, "a0", 0, true, 1, SECOND);
+    router.cache_event(key, &event(0, CacheChange::Stored(vec![1])), SECOND);
+    assert_eq!(claim(&mut router, &[1]).1, 1);
+    report(&mut router, "a0", 0, false, 2, SECOND);
+    assert_eq!(claim(&mut router, &[1]).1, 0);
+    router.cache_event(key, &event(1, CacheChange::Stored(vec![1])), SECOND);
+    assert_eq!(
+        claim(&mut router, &[1]).1,
+        0,
+        "a late event of the earlier run"
+    );
+    assert!(!router.cache_resync(key, 1, 9, &[1], SECOND));
+    let mut router = warm_router(&zones(1, 1), 4);
+    report(&mut router, "a0", 0, false, 2, SECOND);
+    router.cache_event(key, &event(0, CacheChange::Stored(vec![1])), SECOND);
+    assert_eq!(claim(&mut router, &[1]).1, 0);
+}
+
+/// Guards against any claim that the engine's own cache contradicts, under random loss,
+/// duplication and reordering of events, with late resyncs.
+#[test]
+fn no_claim_ever_contradicts_the_events_the_engine_has_sent() {
+    for seed in 0..200 {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let mut router = warm_router(&zones(1, 1), seed);
+        let key = TargetKey(0);
+        // The engine's cache after each event; a claim must match one state since the last
+        // event that was delivered, which the complete-prefix rule makes the delivered state.
+        let mut cache = BTreeSet::new();
+        let mut states = Vec::new();
+        let mut delivered = None;
+        let mut in_order = true;
+        for sequence in 0..40 {
+            let block = random.random_range(0..6);
+            let change = match random.random_range(0..8) {
+                0 => CacheChange::Cleared,
+                1..=3 => CacheChange::Removed(vec![block]),
+                _ => CacheChange::Stored(vec![block]),
+            };
+            match &change {
+                CacheChange::Cleared => cache.clear(),
+                CacheChange::Removed(_) => {
+                    cache.remove(&block);
+                }
+                CacheChange::Stored(_) => {
+                    cache.insert(block);
+                }
+            }
+            states.push(cache.clone());
+            let lost = random.random_range(0..6) == 0;
+            if !lost {
+                in_order &= delivered.map_or(0, |last: u64| last + 1) == sequence;
+                router.cache_event(key, &event(sequence, change.clone()), SECOND);
+                delivered = Some(sequence);
+                if random.random_range(0..4) == 0 {
+                    router.cache_event(key, &event(sequence, change), SECOND);
+                }
+            }
+            if random.random_range(0..6) == 0 {
+                let at = sequence - random.random_range(0..=sequence.min(3));
+                let blocks: Vec<u64> = states[at as usize].iter().copied().collect();
+                if router.cache_resync(key, 1, at, &blocks, SECOND) {
+                    delivered = Some(at);
+                    in_order = true;
+                }
+            }
+            for block in 0..6 {
+                let claimed = claim(&mut router, &[block]).1 == 1;
+                let held = delivered
+                    .is_some_and(|last| in_order && states[last as usize].contains(&block));
+                assert_eq!(
+                    claimed, held,
+                    "seed {seed}, event {sequence}, block {block}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against an index that grows with every block ever stored.
+#[test]
+fn the_oldest_blocks_give_way() {
+    let mut router = warm_router(&zones(1, 1), 4);
+    let key = TargetKey(0);
+    for sequence in 0..10_000 {
+        let change = CacheChange::Stored(vec![sequence + 1]);
+        router.cache_event(key, &event(sequence, change), SECOND);
+    }
+    assert_eq!(claim(&mut router, &[1]).1, 0);
+    assert_eq!(claim(&mut router, &[10_000]).1, 1);
+    let call = router.begin(key, SECOND).unwrap();
+    router.finish(call, SUCCESS, SECOND).unwrap();
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/routing.rs
@@ -0,0 +1,290 @@
+//! Attacks the routing decisions: drains, lease modes, lagging reports, key reuse, expiry.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use azurelug_core::lease_mode::Mode;
+use azurelug_core::routing::{Completion, NoTarget, Outcome, Query, Step, Unused};
+use azurelug_core::slow_start::Position;
+use azurelug_types::config::State;
+use azurelug_types::id::{TargetName, Version, ZoneName};
+use fleet::{SECOND, SUCCESS, fleet as zones, model, query, report, router, warm_router};
+
+const SEEDS: std::ops::Range<u64> = 0..20;
+
+/// Guards against new work in a drained zone, also for a call whose target was chosen before.
+#[test]
+fn a_drained_zone_gets_no_new_calls() {
+    let model = model();
+    for seed in SEEDS {
+        let mut config = zones(3, 4);
+        let mut router = warm_router(&config, seed);
+        let before = router.choose(&query(&model, &[]), SECOND).unwrap();
+        assert_eq!(
+            router.table().zones()[before.zone.0 as usize].name.as_str(),
+            "a"
+        );
+        config.version = Version(2);
+        config.zones.get_mut(&ZoneName::from("a")).unwrap().state = State::Draining;
+        assert!(router.apply(&config, SECOND));
+        assert!(router.begin(before.target, SECOND).is_none(), "seed {seed}");
+        let drained = router.table().zone(&ZoneName::from("a")).unwrap();
+        for _ in 0..80 {
+            let choice = router.choose(&query(&model, &[]), SECOND).unwrap();
+            assert_ne!(choice.zone, drained, "seed {seed}");
+            assert_eq!(choice.step, Step::SpillEmpty);
+            router.begin(choice.target, SECOND).unwrap();
+        }
+        let full = router.choose(&query(&model, &[]), SECOND);
+        assert!(matches!(full, Err(NoTarget::AllBusy { members: 8, .. })));
+        assert!(
+            router
+                .why_unused(before.target, SECOND)
+                .contains(&Unused::ZoneDraining)
+        );
+    }
+}
+
+/// Guards against an older configuration that brings a drained target back.
+#[test]
+fn an_older_version_does_not_bring_a_drained_target_back() {
+    let old = zones(1, 1);
+    let mut new = old.clone();
+    new.version = Version(2);
+    new.targets.get_mut(&TargetName::from("a0")).unwrap().state = State::Draining;
+    let mut router = warm_router(&old, 1);
+    router.apply(&new, SECOND);
+    assert!(!router.apply(&old, SECOND));
+    let result = router.choose(&query(&model(), &[]), SECOND);
+    assert_eq!(result, Err(NoTarget::NotConfigured));
+}
+
+/// Guards against herding: a target that looks empty in everybody's report draws everybody.
+#[test]
+fn routers_with_the_same_lagging_report_do_not_all_choose_one_target() {
+    let model = model();
+    for seed in SEEDS {
+        let config = zones(1, 12);
+        let mut chosen = [0u32; 12];
+        for rank in 0..24 {
+            let mut router = warm_router(&config, seed * 100 + rank);
+            for name in config.targets.keys().skip(1) {
+                report(&mut router, name.as_str(), 4, true, 1, SECOND);
+            }
+            for _ in 0..4 {
+                let choice = router.choose(&query(&model, &[]), 2 * SECOND).unwrap();
+                router.begin(choice.target, 2 * SECOND).unwrap();
+                chosen[choice.target.0 as usize] += 1;
+            }
+        }
+        // 96 calls; an even spread is 8 each, herding would put nearly all on the empty target.
+        assert!(
+            *chosen.iter().max().unwrap() <= 29,
+            "seed {seed}: {chosen:?}"
+        );
+    }
+}
+
+/// Guards against a report that hides the calls sent since it was taken.
+#[test]
+fn calls_sent_since_a_lagging_report_are_counted() {
+    let model = model();
+    let config = zones(1, 2);
+    let mut router = warm_router(&config, 7);
+    let first = router.table().key(&TargetName::from("a0")).unwrap();
+    for _ in 0..6 {
+        router.begin(first, 2 * SECOND).unwrap();
+    }
+    // Taken before the six calls were sent: one call of other daemons at a0, three at a1.
+    let taken = |calls| azurelug_core::routing::LoadReport {
+        calls,
+        taken_at: SECOND,
+        warm: true,
+        start_stamp: 1,
+    };
+    let second = router.table().key(&TargetName::from("a1")).unwrap();
+    router.report(first, taken(1), 2 * SECOND);
+    router.report(second, taken(3), 2 * SECOND);
+    let choice = router.choose(&query(&model, &[]), 2 * SECOND).unwrap();
+    let shown = choice.compared.iter().flatten();
+    let shown = shown.map(|it| (it.target, it.own, it.others));
+    let expected = [(second, 0, Some(3)), (first, 6, Some(1))];
+    assert_eq!(shown.collect::<Vec<_>>(), expected);
+    // A report that includes the six calls must not count them twice.
+    report(&mut router, "a0", 6, true, 1, 3 * SECOND);
+    let choice = router.choose(&query(&model, &[]), 3 * SECOND).unwrap();
+    let shown = choice
+        .compared
+        .iter()
+        .flatten()
+        .find(|it| it.target == first)
+        .unwrap();
+    assert_eq!((shown.own, shown.others), (6, Some(0)));
+}
+
+/// Guards against work that the partition policy forbids.
+#[test]
+fn a_daemon_without_a_lease_sends_only_idempotent_work_in_its_own_zone() {
+    let model = model();
+    let config = zones(2, 2);
+    let mut router = warm_router(&config, 3);
+    let other = router.table().key(&TargetName::from("b0")).unwrap();
+    router.set_mode(Mode::Degraded);
+    assert!(router.begin(other, SECOND).is_none());
+    let once = Query {
+        idempotent: false,
+        ..query(&model, &[])
+    };
+    assert_eq!(router.choose(&once, SECOND), Err(NoTarget::NoQuorum));
+    for _ in 0..20 {
+        let choice = router.choose(&query(&model, &[]), SECOND).unwrap();
+        assert_eq!(choice.step, Step::OwnZone);
+        router.begin(choice.target, SECOND).unwrap();
+    }
+    let full = router.choose(&query(&model, &[]), SECOND);
+    assert!(matches!(full, Err(NoTarget::AllBusy { members: 2, .. })));
+    router.set_mode(Mode::Refuse);
+    let refused = router.choose(&query(&model, &[]), SECOND);
+    assert_eq!(refused, Err(NoTarget::NoLease));
+}
+
+/// Guards against a busy own zone that is never relieved, and against needless hops.
+#[test]
+fn work_spills_over_only_when_the_own_zone_is_over_its_threshold() {
+    let model = model();
+    for seed in SEEDS {
+        let config = zones(2, 3);
+        let mut router = warm_router(&config, seed);
+        let mut own = 0;
+        loop {
+            let choice = router.choose(&query(&model, &[]), SECOND).unwrap();
+            if choice.step != Step::OwnZone {
+                assert_eq!(choice.step, Step::SpillBusy);
+                break;
+            }
+            router.begin(choice.target, SECOND).unwrap();
+            own += 1;
+        }
+        // 30 slots; every target is over 80% at the latest with 27 calls.
+        assert!((18..=27).contains(&own), "seed {seed}: {own}");
+    }
+}
+
+/// Guards against lost counts when a new version arrives while calls run.
+#[test]
+fn a_target_that_stays_keeps_its_calls_and_a_reused_key_does_not_inherit_them() {
+    let mut config = zones(1, 2);
+    let mut router = warm_router(&config, 5);
+    let stays = router.table().key(&TargetName::from("a1")).unwrap();
+    let leaves = router.table().key(&TargetName::from("a0")).unwrap();
+    let call = router.begin(stays, SECOND).unwrap();
+    let old_call = router.begin(leaves, SECOND).unwrap();
+    let gone = config.targets.remove(&TargetName::from("a0")).unwrap();
+    config.targets.insert(TargetName::from("a9"), gone);
+    config.version = Version(2);
+    router.apply(&config, SECOND);
+    let new = router.table().key(&TargetName::from("a9")).unwrap();
+    assert_eq!(router.table().key(&TargetName::from("a1")), Some(stays));
+    assert_eq!(router.in_flight(stays), 1);
+    assert_ne!(new, leaves, "the old target still has a call in flight");
+    assert!(router.finish(old_call, SUCCESS, SECOND).is_some());
+    assert!(router.finish(call, SUCCESS, SECOND).is_some());
+    assert!(
+        router.finish(call, SUCCESS, SECOND).is_none(),
+        "a second outcome counts twice"
+    );
+    assert_eq!((router.in_flight(stays), router.in_flight(new)), (0, 0));
+}
+
+/// Guards against a target that stays out of use for ever because it was full when its ejection
+/// began, or because the report that showed it full was the last one.
+#[test]
+fn a_target_returns_after_its_ejection_and_after_its_last_report_has_expired() {
+    let config = zones(1, 3);
+    let model = model();
+    let mut router = warm_router(&config, 11);
+    let bad = router.table().key(&TargetName::from("a0")).unwrap();
+    let failure = Outcome {
+        completion: Completion::Failure,
+        first_token: None,
+    };
+    for _ in 0..10 {
+        let call = router.begin(bad, SECOND).unwrap();
+        router.finish(call, failure, SECOND);
+    }
+    let calls: Vec<_> = (0..10)
+        .map(|_| router.begin(bad, SECOND).unwrap())
+        .collect();
+    router.tick(SECOND);
+    for call in calls {
+        router.finish(call, SUCCESS, SECOND);
+    }
+    assert!(router.begin(bad, 11 * SECOND / 2).is_none(), "ejected");
+    assert!(
+        router.begin(bad, 7 * SECOND).is_some(),
+        "the ejection lasts five seconds"
+    );
+    for name in ["a0", "a1", "a2"] {
+        report(&mut router, name, 10, true, 1, 8 * SECOND);
+    }
+    assert!(router.choose(&query(&model, &[]), 9 * SECOND).is_err());
+    assert!(router.choose(&query(&model, &[]), 14 * SECOND).is_ok());
+}
+
+/// Guards against a retry that goes to the target that has just failed.
+#[test]
+fn a_retry_goes_to_another_target() {
+    let model = model();
+    for seed in SEEDS {
+        let mut router = warm_router(&zones(1, 3), seed);
+        let first = router.choose(&query(&model, &[]), SECOND).unwrap().target;
+        let second = Query {
+            exclude: &[first],
+            ..query(&model, &[])
+        };
+        let second = router.choose(&second, SECOND).unwrap().target;
+        let third = Query {
+            exclude: &[first, second],
+            ..query(&model, &[])
+        };
+        let third = router.choose(&third, SECOND).unwrap().target;
+        assert!(
+            first != second && second != third && first != third,
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against work for a target that the platform says is leaving.
+#[test]
+fn a_leaving_target_gets_no_new_calls() {
+    let mut router = warm_router(&zones(1, 1), 1);
+    let key = router.table().key(&TargetName::from("a0")).unwrap();
+    router.set_leaving(key, true, SECOND);
+    assert!(router.choose(&query(&model(), &[]), SECOND).is_err());
+    assert!(router.begin(key, SECOND).is_none());
+    assert_eq!(router.why_unused(key, SECOND), vec![Unused::Leaving]);
+}
+
+/// Guards against decisions that an operator can't explain.
+#[test]
+fn a_choice_and_an_unused_target_name_their_reasons() {
+    let mut config = zones(2, 1);
+    config
+        .targets
+        .get_mut(&TargetName::from("b0"))
+        .unwrap()
+        .state = State::Draining;
+    let mut router = router(&config, 1, Position::ALONE);
+    report(&mut router, "a0", 3, true, 1, SECOND);
+    let choice = router.choose(&query(&model(), &[]), SECOND).unwrap();
+    assert_eq!(
+        choice.describe(router.table()),
+        "a0 in a (version 1, own zone, own zone 0.30): a0 0.30 (own 0, others 3, limit 10, prefix blocks 0)"
+    );
+    let dump = router.dump(Duration::from_secs(2));
+    assert_eq!(dump[0].unused, vec![]);
+    assert_eq!(dump[1].unused, vec![Unused::TargetDraining]);
+}
