--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -4,7 +4,11 @@
 //! be replayed from a trace and compared with a naive version.
 
 pub mod configuration;
+pub mod lease_mode;
 pub mod machine;
 pub mod outcome;
+pub mod outlier;
 pub mod pipeline;
+pub mod routing;
+pub mod slow_start;
 pub mod stream;
