http: report a connection that can't be opened as not sent

Cause: volo-http 0.5.7 reports a refused connection as `Request`, not `Connect`, with the I/O error as its direct source, so every such call came back as `NoAnswer`. Its transport builds other `Request` errors from hyper errors, so an I/O error as the direct source of one on an open connection is ruled out. Change: the client treats a `Request` error whose direct source is an I/O error as `NotSent`; `Server::serve_incoming` serves connections from a caller's source, for the test doubles. Conclusion: calls to a dead process may be repeated elsewhere; a connection closed after the request still has an unknown outcome.

--- a/crates/azurelug-http/src/client.rs
+++ b/crates/azurelug-http/src/client.rs
@@ -10,7 +10,7 @@
 use http::{HeaderName, HeaderValue, Method};
 use http_body_util::BodyExt;
 use volo_http::body::Body;
-use volo_http::error::client::ErrorKind;
+use volo_http::error::client::{ClientError, ErrorKind};
 use volo_http::response::Response;
 
 use crate::{Error, answer};
@@ -130,7 +130,7 @@
         let request = request.body(Body::from(call.body));
         match tokio::time::timeout(call.timeout, request.send::<Body>()).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if *error.kind() == ErrorKind::Connect => Err(Error::NotSent {
+            Ok(Err(error)) if failed_to_connect(&error) => Err(Error::NotSent {
                 address,
                 message: error.to_string(),
             }),
@@ -171,6 +171,17 @@
     }
 }
 
+/// `volo-http` 0.5.7 reports a connection that can't be opened as `Request` with the I/O error as its
+/// direct source; the source of an error on an open connection is one of `hyper`.
+fn failed_to_connect(error: &ClientError) -> bool {
+    let source = std::error::Error::source(error);
+    match error.kind() {
+        ErrorKind::Connect => true,
+        ErrorKind::Request => source.is_some_and(<dyn std::error::Error>::is::<std::io::Error>),
+        _ => false,
+    }
+}
+
 /// One server-sent event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
--- a/crates/azurelug-http/src/server.rs
+++ b/crates/azurelug-http/src/server.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 
 use tokio::net::TcpListener;
+use volo::net::MakeIncoming;
 use volo::net::incoming::DefaultIncoming;
 use volo_http::server::route::Router;
 
@@ -43,13 +44,28 @@
     /// # Errors
     /// `Serve` if the listener fails.
     pub async fn serve(self, router: Router, hook: Option<ShutdownHook>) -> Result<(), Error> {
+        self.serve_incoming(router, hook, DefaultIncoming::from)
+            .await
+    }
+
+    /// Serves as [`Server::serve`] does, on the connections that `make` takes from the bound
+    /// listener. The test doubles use it to close connections from outside.
+    ///
+    /// # Errors
+    /// `Serve` if the listener fails.
+    pub async fn serve_incoming<M: MakeIncoming>(
+        self,
+        router: Router,
+        hook: Option<ShutdownHook>,
+        make: impl FnOnce(TcpListener) -> M,
+    ) -> Result<(), Error> {
         let mut server = volo_http::server::Server::new(router);
         if let Some(hook) = hook {
             server = server.register_shutdown_hook(hook);
         }
         let address = self.address;
         server
-            .run(DefaultIncoming::from(self.listener))
+            .run(make(self.listener))
             .await
             .map_err(|error| Error::Serve {
                 address,
