testkit: add the engine and the plain service

Cause: the daemons need engines and services to run against before any of them can be tested. volo-http can't close a connection without an answer, and aborting its server leaves connections open; a copying front was ruled out because it adds a hop to every measurement. Change: engine and service doubles, in process and as subcommands; the host keeps a second handle to each socket, so that a double closes connections from outside; token, prefix hash and digest functions are public. Conclusion: usable by the daemons; queue, cold start and cache of the engine are not tested yet.

--- /dev/null
+++ b/crates/azurelug-testkit/src/command.rs
@@ -0,0 +1,54 @@
+//! The subcommands. Each one starts a double, prints its address and runs until a signal arrives.
+
+mod engine;
+mod service;
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// What ends a double with an error.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error(transparent)]
+    Http(#[from] azurelug_http::Error),
+    #[error("can't print the ready line or wait for signals: {0}; keep standard output open")]
+    Process(#[from] std::io::Error),
+}
+
+/// Test doubles for azurelug: each prints `ready ADDRESS` once it serves.
+#[derive(Bpaf)]
+#[bpaf(options)]
+pub(crate) enum Command {
+    /// A model engine
+    #[bpaf(command)]
+    Engine(#[bpaf(external(engine::arguments))] engine::Arguments),
+    /// A plain service that counts its executions
+    #[bpaf(command)]
+    Service(#[bpaf(external(service::arguments))] service::Arguments),
+}
+
+impl Command {
+    pub(crate) async fn run(self) -> Result<(), Error> {
+        match self {
+            Self::Engine(arguments) => engine::run(arguments).await,
+            Self::Service(arguments) => service::run(arguments).await,
+        }
+    }
+}
+
+/// Prints the ready line and waits for SIGINT or SIGTERM.
+async fn serve(address: SocketAddr) -> Result<(), Error> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut output = std::io::stdout();
+    writeln!(output, "ready {address}")?;
+    output.flush()?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/command/engine.rs
@@ -0,0 +1,92 @@
+//! `azurelug-testkit engine`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_testkit::Engine;
+use azurelug_testkit::engine::Settings;
+use bpaf::Bpaf;
+
+use super::Error;
+
+#[derive(Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// Address to listen on; port 0 lets the kernel choose
+    #[bpaf(argument("ADDRESS"))]
+    listen: SocketAddr,
+    /// Model string that is loaded from the start; may be repeated
+    #[bpaf(argument("MODEL"))]
+    model: Vec<String>,
+    /// Role from the start
+    #[bpaf(argument("ROLE"), fallback("generate".to_owned()))]
+    role: String,
+    /// Calls that run at once
+    #[bpaf(argument("CALLS"), fallback(8))]
+    limit: usize,
+    /// Calls that may wait for a free place
+    #[bpaf(argument("CALLS"), fallback(16))]
+    queue: usize,
+    /// Time of a prefill, and of every call that generates no text
+    #[bpaf(argument("MS"), fallback(5))]
+    prefill_ms: u64,
+    /// Time of each token
+    #[bpaf(argument("MS"), fallback(1))]
+    token_ms: u64,
+    /// Calls that may run at once during a cold start
+    #[bpaf(argument("CALLS"), fallback(2))]
+    cold_limit: usize,
+    /// Completed calls that end a cold start; 0 starts warm
+    #[bpaf(argument("CALLS"), fallback(0))]
+    warm_after: u64,
+    /// Factor on the prefill time during a cold start
+    #[bpaf(argument("FACTOR"), fallback(1))]
+    cold_factor: u32,
+    /// Age of the values in load reports
+    #[bpaf(argument("MS"), fallback(0))]
+    lag_ms: u64,
+    /// Delay of cache events
+    #[bpaf(argument("MS"), fallback(0))]
+    cache_lag_ms: u64,
+    /// Share of cache events, 0.0 to 1.0, that are never published
+    #[bpaf(argument("SHARE"), fallback(0.0))]
+    cache_gaps: f64,
+    /// Prefix blocks that the cache holds
+    #[bpaf(argument("BLOCKS"), fallback(256))]
+    cache_blocks: usize,
+    /// Time that loading a model takes
+    #[bpaf(argument("MS"), fallback(0))]
+    load_ms: u64,
+    /// Accept orders whatever their fencing number is
+    ignore_fencing: bool,
+    /// Seed of the random gaps
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+}
+
+pub(crate) async fn run(arguments: Arguments) -> Result<(), Error> {
+    let mut models = arguments.model;
+    if models.is_empty() {
+        models = Settings::default().models;
+    }
+    let settings = Settings {
+        models,
+        role: arguments.role,
+        limit: arguments.limit,
+        queue: arguments.queue,
+        prefill: Duration::from_millis(arguments.prefill_ms),
+        token: Duration::from_millis(arguments.token_ms),
+        cold_limit: arguments.cold_limit,
+        warm_after: arguments.warm_after,
+        cold_factor: arguments.cold_factor,
+        load_lag: Duration::from_millis(arguments.lag_ms),
+        cache_lag: Duration::from_millis(arguments.cache_lag_ms),
+        cache_gaps: arguments.cache_gaps,
+        cache_blocks: arguments.cache_blocks,
+        load_time: Duration::from_millis(arguments.load_ms),
+        ignores_fencing: arguments.ignore_fencing,
+        seed: arguments.seed,
+    };
+    let engine = Engine::start(arguments.listen, settings).await?;
+    super::serve(engine.address()).await
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/engine/api.rs
@@ -0,0 +1,273 @@
+//! The engine's HTTP interface, except text generation.
+//!
+//! Parses requests and writes answers. Holds no state.
+
+use std::sync::Arc;
+
+use azurelug_http::answer;
+use http::Method;
+use serde::Deserialize;
+use serde_json::json;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::orders::{Order, Rejection};
+use super::reports::{Load, millis};
+use super::schedule::{End, Ticket};
+use super::{Faults, Shared, completion};
+use crate::refusal::{Refusal, parse};
+use crate::text;
+
+/// The most documents that a search returns.
+const TOP_K: u64 = 1_000;
+
+#[derive(Deserialize)]
+struct Embedding {
+    model: String,
+    input: Inputs,
+    #[serde(default)]
+    request_id: String,
+    #[serde(default)]
+    priority: i64,
+}
+
+/// One text or several.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Inputs {
+    One(String),
+    Many(Vec<String>),
+}
+
+#[derive(Deserialize)]
+struct Search {
+    model: String,
+    #[serde(default)]
+    embedding: Vec<f32>,
+    query: String,
+    top_k: u64,
+    #[serde(default)]
+    request_id: String,
+    #[serde(default)]
+    priority: i64,
+}
+
+#[derive(Deserialize)]
+struct Rerank {
+    model: String,
+    query: String,
+    documents: Vec<String>,
+    top_n: usize,
+    #[serde(default)]
+    request_id: String,
+    #[serde(default)]
+    priority: i64,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    request_id: String,
+}
+
+/// Answers one request. An error is an answer too.
+pub(super) async fn handle(shared: Arc<Shared>, request: Request) -> Response {
+    let answered = dispatch(&shared, request).await;
+    answered.unwrap_or_else(Refusal::into_response)
+}
+
+async fn dispatch(shared: &Arc<Shared>, request: Request) -> Result<Response, Refusal> {
+    let path = request.uri().path().to_owned();
+    if request.method() == Method::GET {
+        return read(shared, &path, request.uri().query().unwrap_or_default());
+    }
+    match path.as_str() {
+        "/v1/embeddings" => embeddings(shared, parse(request).await?).await,
+        "/v1/search" => search(shared, parse(request).await?).await,
+        "/v1/rerank" => rerank(shared, parse(request).await?).await,
+        "/v1/completions" => completion::complete(shared, parse(request).await?).await,
+        "/v1/requests/cancel" => {
+            let Cancel { request_id } = parse(request).await?;
+            let cancelled = shared.change(|schedule| schedule.cancel(&request_id));
+            Ok(answer::json(200, &json!({ "cancelled": cancelled })))
+        }
+        "/v1/kv" => completion::import(shared, parse(request).await?),
+        "/v1/orders" => order(shared, parse(request).await?).await,
+        "/test/faults" => {
+            let faults: Faults = parse(request).await?;
+            shared.set_faults(faults.clone());
+            Ok(answer::json(200, &faults))
+        }
+        _ => Err(Refusal::new(404, "no such path")),
+    }
+}
+
+fn read(shared: &Arc<Shared>, path: &str, query: &str) -> Result<Response, Refusal> {
+    if let Some(request_id) = path.strip_prefix("/v1/kv/") {
+        return completion::export(shared, request_id);
+    }
+    match path {
+        "/v1/load" => Ok(answer::json(200, &load(shared))),
+        "/v1/state" => Ok(answer::json(200, &shared.lock().orders.state())),
+        "/v1/cache_events" => {
+            let after = query.strip_prefix("after=").unwrap_or("0").parse();
+            let after = after.map_err(|_| Refusal::new(400, "after is not a number"))?;
+            let events = shared.lock().cache.events(shared.now(), after);
+            Ok(answer::json(200, &events))
+        }
+        "/test/counts" => Ok(answer::json(200, &shared.lock().schedule.counts)),
+        _ => Err(Refusal::new(404, "no such path")),
+    }
+}
+
+fn load(shared: &Shared) -> Load {
+    let (at, sample) = shared.lock().reports.report(shared.now());
+    Load {
+        reported_at_ms: shared.started_at_ms + millis(at),
+        started_at_ms: shared.started_at_ms,
+        running: sample.running,
+        waiting: sample.waiting,
+        warm: sample.warm,
+        limit: shared.settings.limit,
+    }
+}
+
+async fn embeddings(shared: &Arc<Shared>, call: Embedding) -> Result<Response, Refusal> {
+    let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    work(shared, ticket).await?;
+    let inputs = match call.input {
+        Inputs::One(input) => vec![input],
+        Inputs::Many(inputs) => inputs,
+    };
+    let embed = |(index, input): (usize, &String)| {
+        let embedding = text::embedding(&call.model, input);
+        json!({ "index": index, "embedding": embedding })
+    };
+    let data: Vec<_> = inputs.iter().enumerate().map(embed).collect();
+    let prompt_tokens: usize = inputs.iter().map(|input| count_tokens(input)).sum();
+    let usage = json!({ "prompt_tokens": prompt_tokens });
+    Ok(answer::json(
+        200,
+        &json!({ "id": call.request_id, "model": call.model, "data": data, "usage": usage }),
+    ))
+}
+
+async fn search(shared: &Arc<Shared>, call: Search) -> Result<Response, Refusal> {
+    if !call.embedding.is_empty() && call.embedding.len() != text::EMBEDDING {
+        return Err(Refusal::new(400, "an embedding has 8 values"));
+    }
+    let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    work(shared, ticket).await?;
+    let find = |rank| {
+        let (id, text) = text::document(&call.model, &call.query, rank);
+        json!({ "id": id, "text": text })
+    };
+    let documents: Vec<_> = (0..call.top_k.min(TOP_K)).map(find).collect();
+    Ok(answer::json(
+        200,
+        &json!({ "id": call.request_id, "documents": documents }),
+    ))
+}
+
+async fn rerank(shared: &Arc<Shared>, call: Rerank) -> Result<Response, Refusal> {
+    let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    work(shared, ticket).await?;
+    let score = |document: &String| text::relevance(&call.model, &call.query, document);
+    let mut scored: Vec<_> = call.documents.iter().map(score).enumerate().collect();
+    scored.sort_by(|a, b| b.1.total_cmp(&a.1));
+    scored.truncate(call.top_n);
+    let result = |(index, score)| json!({ "index": index, "relevance_score": score });
+    let results: Vec<_> = scored.into_iter().map(result).collect();
+    Ok(answer::json(
+        200,
+        &json!({ "id": call.request_id, "results": results }),
+    ))
+}
+
+async fn order(shared: &Arc<Shared>, order: Order) -> Result<Response, Refusal> {
+    let accepted = shared.lock().orders.accept(&order, millis(shared.now()));
+    match accepted {
+        Err(Rejection::Fenced { current }) => {
+            let body = json!({ "current_fencing": current });
+            return Err(Refusal::with_body(409, body));
+        }
+        Err(Rejection::Malformed) => {
+            return Err(Refusal::new(
+                400,
+                "load and unload need a model, role needs a role",
+            ));
+        }
+        Ok(()) => {}
+    }
+    if let ("load", Some(model)) = (order.order.as_str(), &order.model) {
+        pause(shared.settings.load_time).await;
+        shared.lock().orders.loaded(model);
+    }
+    Ok(answer::json(200, &shared.lock().orders.state()))
+}
+
+/// Takes a call in and applies the faults that precede its work.
+pub(super) async fn admit(
+    shared: &Arc<Shared>,
+    model: &str,
+    request_id: &str,
+    priority: i64,
+) -> Result<Ticket, Refusal> {
+    if !shared.lock().orders.is_loaded(model) {
+        return Err(Refusal::new(404, "model is not loaded"));
+    }
+    let entered = Ticket::enter(shared, request_id, priority).await;
+    let mut ticket = match entered {
+        None => return Err(Refusal::new(503, "the queue is full").retry_after(1)),
+        Some(entered) => entered.map_err(ended)?,
+    };
+    let fail_every = shared.faults.borrow().fail_every;
+    if fail_every > 0 && (ticket.id() + 1).is_multiple_of(fail_every) {
+        ticket.fail();
+        return Err(Refusal::new(500, "fault: fail_every"));
+    }
+    let mut faults = shared.faults.subscribe();
+    let resumed = async {
+        // The sender lives as long as the engine, so this waits until the fault is cleared.
+        let _ = faults.wait_for(|faults| !faults.hang).await;
+    };
+    ticket.run(resumed).await.map_err(ended)?;
+    Ok(ticket)
+}
+
+/// The whole work of a call that generates no text.
+async fn work(shared: &Arc<Shared>, mut ticket: Ticket) -> Result<(), Refusal> {
+    let time = prefill_time(shared, 1.0);
+    ticket.run(pause(time)).await.map_err(ended)?;
+    ticket.finish();
+    Ok(())
+}
+
+/// Time of a prefill of which `part` is not cached.
+pub(super) fn prefill_time(shared: &Shared, part: f64) -> std::time::Duration {
+    let warm = shared.lock().schedule.is_warm();
+    let factor = if warm { 1 } else { shared.settings.cold_factor };
+    let delay = std::time::Duration::from_millis(shared.faults.borrow().delay_ms);
+    shared.settings.prefill.mul_f64(part) * factor + delay
+}
+
+/// Waits, or only lets other tasks run when the time is zero.
+pub(super) async fn pause(time: std::time::Duration) {
+    if time.is_zero() {
+        tokio::task::yield_now().await;
+    } else {
+        tokio::time::sleep(time).await;
+    }
+}
+
+/// The answer to a call that was ended from outside.
+pub(super) fn ended(end: End) -> Refusal {
+    match end {
+        End::Cancelled => Refusal::new(499, "cancelled"),
+        End::Failed => Refusal::new(500, "the batch failed"),
+    }
+}
+
+/// A prompt token stands for four bytes.
+pub(super) fn count_tokens(text: &str) -> usize {
+    text.len().div_ceil(4)
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/engine/cache.rs
@@ -0,0 +1,125 @@
+//! The prompt prefix cache and its events, which are published late and with gaps.
+//!
+//! Owns the stored blocks in order of use. It never holds more blocks than set.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+
+use super::Settings;
+
+/// Events that are kept for publication.
+const EVENTS: usize = 4_096;
+
+/// Published events.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// Sequence number of the oldest event that is still kept. A reader that asks for older ones
+    /// has missed some.
+    pub oldest: u64,
+    /// Events after the requested one.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Sequence number, from 1. A number that is missing belongs to an event that was lost.
+    pub seq: u64,
+    /// Hash of the prefix, see [`crate::text::prefix_hashes`].
+    pub prefix_hash: u32,
+    /// `stored` or `evicted`.
+    pub kind: String,
+}
+
+pub(super) struct Cache {
+    blocks: usize,
+    lag: Duration,
+    gaps: f64,
+    random: Pcg32,
+    /// Stored blocks and the time of their last use, as a count of uses.
+    stored: HashMap<u32, u64>,
+    uses: u64,
+    next: u64,
+    events: VecDeque<(Duration, CacheEvent)>,
+}
+
+impl Cache {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            blocks: settings.cache_blocks,
+            lag: settings.cache_lag,
+            gaps: settings.cache_gaps,
+            random: Pcg32::seed_from_u64(settings.seed),
+            stored: HashMap::new(),
+            uses: 0,
+            next: 1,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// How many leading blocks are stored.
+    pub(super) fn stored(&self, hashes: &[u32]) -> usize {
+        let stored = hashes
+            .iter()
+            .take_while(|hash| self.stored.contains_key(hash));
+        stored.count()
+    }
+
+    /// Stores the blocks of a prompt, or marks them as used.
+    pub(super) fn store(&mut self, now: Duration, hashes: &[u32]) {
+        for hash in hashes.iter().take(self.blocks) {
+            self.uses += 1;
+            if self.stored.insert(*hash, self.uses).is_none() {
+                self.publish(now, *hash, "stored");
+            }
+            if self.stored.len() > self.blocks {
+                self.evict(now);
+            }
+        }
+    }
+
+    /// Events after `after` that are published at `now`.
+    pub(super) fn events(&self, now: Duration, after: u64) -> CacheEvents {
+        let published = self.events.iter().filter(|(at, _)| *at + self.lag <= now);
+        CacheEvents {
+            oldest: self
+                .events
+                .front()
+                .map_or(self.next, |(_, event)| event.seq),
+            events: published
+                .filter(|(_, event)| event.seq > after)
+                .map(|(_, event)| event.clone())
+                .collect(),
+        }
+    }
+
+    fn evict(&mut self, now: Duration) {
+        let oldest = self.stored.iter().min_by_key(|(_, used)| **used);
+        if let Some(hash) = oldest.map(|(hash, _)| *hash) {
+            self.stored.remove(&hash);
+            self.publish(now, hash, "evicted");
+        }
+    }
+
+    fn publish(&mut self, now: Duration, prefix_hash: u32, kind: &str) {
+        let seq = self.next;
+        self.next += 1;
+        if self.random.random_range(0.0..1.0) < self.gaps {
+            return;
+        }
+        if self.events.len() == EVENTS {
+            self.events.pop_front();
+        }
+        let kind = kind.to_owned();
+        let event = CacheEvent {
+            seq,
+            prefix_hash,
+            kind,
+        };
+        self.events.push_back((now, event));
+    }
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/host.rs
@@ -0,0 +1,183 @@
+//! Serves a router on a bound listener and keeps a handle to every open connection.
+//!
+//! A double can thereby close one connection without an answer, and closing a double looks to its
+//! peers like the death of a process. It never interprets requests.
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use azurelug_http::{Error, Server};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use volo::net::MakeIncoming;
+use volo::net::conn::{Conn, ConnStream};
+use volo::net::incoming::Incoming;
+use volo_http::server::route::Router;
+
+/// Closed connections are looked for when this many handles, or twice as many as remained last
+/// time, are held: a handle keeps the file descriptor open.
+const FIRST_SWEEP: usize = 64;
+
+/// A running double. Dropping it closes the listener and all connections.
+pub struct Host {
+    address: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+/// The open connections of a double.
+pub struct Connections {
+    open: Mutex<Open>,
+    closed: watch::Sender<bool>,
+}
+
+struct Open {
+    streams: HashMap<SocketAddr, std::net::TcpStream>,
+    sweep_at: usize,
+}
+
+impl Host {
+    /// Binds `address` and serves the router that `make` builds.
+    ///
+    /// # Errors
+    /// `Bind` if the address is in use or not local.
+    pub async fn start(
+        address: SocketAddr,
+        make: impl FnOnce(Arc<Connections>) -> Router,
+    ) -> Result<Self, Error> {
+        let server = Server::bind(address).await?;
+        let address = server.address();
+        let connections = Arc::new(Connections {
+            open: Mutex::new(Open {
+                streams: HashMap::new(),
+                sweep_at: FIRST_SWEEP,
+            }),
+            closed: watch::Sender::new(false),
+        });
+        let router = make(connections.clone());
+        let source = connections.clone();
+        tokio::spawn(async move {
+            let served = server
+                .serve_incoming(router, None, |listener| Tracked {
+                    listener: Some(listener),
+                    connections: source,
+                })
+                .await;
+            if let Err(error) = served {
+                log::error!("testkit: {error}");
+            }
+        });
+        Ok(Self {
+            address,
+            connections,
+        })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections, as the death of the process would.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.connections.closed.send_replace(true);
+        for (_, stream) in self.connections.lock().streams.drain() {
+            close_stream(&stream);
+        }
+    }
+}
+
+impl Connections {
+    /// Closes the connection from `peer` in both directions.
+    pub fn close(&self, peer: SocketAddr) {
+        if let Some(stream) = self.lock().streams.remove(&peer) {
+            close_stream(&stream);
+        }
+    }
+
+    fn register(&self, peer: SocketAddr, stream: std::net::TcpStream) {
+        let mut open = self.lock();
+        if open.streams.len() >= open.sweep_at {
+            open.streams.retain(|_, stream| is_open(stream));
+            open.sweep_at = FIRST_SWEEP.max(open.streams.len() * 2);
+        }
+        open.streams.insert(peer, stream);
+        drop(open);
+        if *self.closed.borrow() {
+            self.close(peer);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Open> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn close_stream(stream: &std::net::TcpStream) {
+    // An error means that the peer has already closed the connection.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// The stream is non-blocking, so that a peek of an open connection returns at once.
+fn is_open(stream: &std::net::TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(count) => count > 0,
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+    }
+}
+
+struct Tracked {
+    listener: Option<TcpListener>,
+    connections: Arc<Connections>,
+}
+
+impl std::fmt::Debug for Tracked {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_tuple("Tracked")
+            .field(&self.listener)
+            .finish()
+    }
+}
+
+impl Tracked {
+    async fn next(listener: &TcpListener, connections: &Connections) -> io::Result<Conn> {
+        let (stream, peer) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let stream = stream.into_std()?;
+        connections.register(peer, stream.try_clone()?);
+        Ok(Conn::from(ConnStream::from(TcpStream::from_std(stream)?)))
+    }
+}
+
+impl Incoming for Tracked {
+    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+        let mut closed = self.connections.closed.subscribe();
+        if let Some(listener) = &self.listener {
+            tokio::select! {
+                biased;
+                _ = closed.wait_for(|closed| *closed) => {}
+                accepted = Self::next(listener, &self.connections) => return accepted.map(Some),
+            }
+        }
+        self.listener = None;
+        // `volo-http` calls again at once when it gets no connection, so this never returns.
+        pending().await
+    }
+}
+
+impl MakeIncoming for Tracked {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> io::Result<Self> {
+        Ok(self)
+    }
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/refusal.rs
@@ -0,0 +1,53 @@
+//! Refusals of the doubles: a status and a JSON body.
+
+use azurelug_http::answer;
+use http::{HeaderValue, header};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+/// A refusal.
+pub(crate) struct Refusal {
+    status: u16,
+    body: Value,
+    retry_after: Option<HeaderValue>,
+}
+
+impl Refusal {
+    /// A refusal with the body `{"error": error}`.
+    pub(crate) fn new(status: u16, error: &str) -> Self {
+        Self::with_body(status, json!({ "error": error }))
+    }
+
+    /// A refusal with a body of its own.
+    pub(crate) fn with_body(status: u16, body: Value) -> Self {
+        Self {
+            status,
+            body,
+            retry_after: None,
+        }
+    }
+
+    /// Adds `Retry-After` in seconds.
+    pub(crate) fn retry_after(mut self, seconds: u64) -> Self {
+        self.retry_after = Some(HeaderValue::from(seconds));
+        self
+    }
+
+    /// The answer.
+    pub(crate) fn into_response(self) -> Response {
+        let mut response = answer::json(self.status, &self.body);
+        if let Some(value) = self.retry_after {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        response
+    }
+}
+
+/// Reads a JSON body.
+pub(crate) async fn parse<T: DeserializeOwned>(request: Request) -> Result<T, Refusal> {
+    let body = answer::read_body(request.into_body(), answer::BODY_LIMIT).await;
+    let body = body.map_err(|error| Refusal::new(400, &error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| Refusal::new(400, &error.to_string()))
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/service.rs
@@ -0,0 +1,243 @@
+//! A plain service whose calls must not repeat: it executes once for each arrival and counts.
+//!
+//! It owns the counts and the faults. It never deduplicates, so that a call sent twice shows up.
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azurelug_http::{Error, answer};
+use http::Method;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use sha2::Digest;
+use volo::net::Address;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+use crate::host::{Connections, Host};
+use crate::refusal::{Refusal, parse};
+
+/// The most keys and body digests that are counted; later new ones are not.
+const COUNTED: usize = 1_000_000;
+
+/// Settings of a service.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Seed of the random faults.
+    pub seed: u64,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+/// Faults of a service. `POST /test/faults` replaces all of them.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Closes the connection after executing, without an answer, for this many coming calls.
+    pub lose_next: u64,
+    /// The share of calls, 0.0 to 1.0, that execute and lose their answer.
+    pub lose_share: f64,
+    /// Closes the connection before the body is read, without executing, for this many coming calls.
+    pub close_next: u64,
+    /// Milliseconds between execution and answer.
+    pub delay_ms: u64,
+    /// Executes and never answers, with the connection left open.
+    pub hang: bool,
+}
+
+/// What was executed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Executions {
+    /// Executions for each `Idempotency-Key`.
+    pub keys: BTreeMap<String, u64>,
+    /// Executions for each operation.
+    pub operations: BTreeMap<String, u64>,
+    /// Executions for each body digest, as [`digest`] gives it.
+    pub digests: BTreeMap<String, u64>,
+}
+
+/// The answer to an executed call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The operation from the path.
+    pub operation: String,
+    /// Number of this execution, from 1.
+    pub sequence: u64,
+    /// Digest of the body.
+    pub echo_digest: String,
+}
+
+/// A running service.
+pub struct Service {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    connections: Arc<Connections>,
+}
+
+struct State {
+    faults: Faults,
+    random: Pcg32,
+    sequence: u64,
+    executions: Executions,
+}
+
+/// SHA-256 of a body in hexadecimal.
+pub fn digest(body: &[u8]) -> String {
+    let bytes = sha2::Sha256::digest(body);
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Service {
+    /// Starts a service on `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    /// `Bind` if the address is in use or not local.
+    pub async fn start(address: SocketAddr, settings: Settings) -> Result<Self, Error> {
+        let state = Mutex::new(State {
+            faults: settings.faults,
+            random: Pcg32::seed_from_u64(settings.seed),
+            sequence: 0,
+            executions: Executions::default(),
+        });
+        let mut kept = None;
+        let host = Host::start(address, |connections| {
+            let shared = Arc::new(Shared { state, connections });
+            kept = Some(shared.clone());
+            Router::new().fallback(move |peer: Address, request: Request| {
+                let shared = shared.clone();
+                async move { shared.handle(&peer, request).await }
+            })
+        })
+        .await?;
+        let shared = kept.expect("the router is built before the host starts");
+        Ok(Self { host, shared })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// What was executed so far.
+    pub fn executions(&self) -> Executions {
+        self.shared.lock().executions.clone()
+    }
+
+    /// Closes the listener and all connections, as the death of the process would.
+    pub fn close(self) {
+        self.host.close();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, peer: &Address, request: Request) -> Response {
+        let path = request.uri().path().trim_start_matches('/').to_owned();
+        let method = request.method().clone();
+        if method == Method::GET && path == "test/executions" {
+            return answer::json(200, &self.lock().executions);
+        }
+        if method != Method::POST || path.is_empty() {
+            return Refusal::new(404, "POST an operation, such as /book").into_response();
+        }
+        if path == "test/faults" {
+            return self.replace_faults(request).await;
+        }
+        self.execute(path, peer, request).await
+    }
+
+    async fn replace_faults(&self, request: Request) -> Response {
+        match parse::<Faults>(request).await {
+            Ok(faults) => {
+                self.lock().faults = faults.clone();
+                answer::json(200, &faults)
+            }
+            Err(refusal) => refusal.into_response(),
+        }
+    }
+
+    async fn execute(&self, operation: String, peer: &Address, request: Request) -> Response {
+        let closes = take(&mut self.lock().faults.close_next);
+        if closes {
+            return self.hang_up(peer).await;
+        }
+        let key = request.headers().get("idempotency-key");
+        let key = key.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let body = match answer::read_body(request.into_body(), answer::BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(error) => return Refusal::new(400, &error.to_string()).into_response(),
+        };
+        let (answer, faults, loses) = self.lock().execute(operation, key, digest(&body));
+        if loses {
+            return self.hang_up(peer).await;
+        }
+        if faults.hang {
+            return pending().await;
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        answer::json(200, &answer)
+    }
+
+    /// Closes the connection. The server drops this future once it sees the end of the stream.
+    async fn hang_up(&self, peer: &Address) -> Response {
+        if let Address::Ip(peer) = peer {
+            self.connections.close(*peer);
+        }
+        pending().await
+    }
+}
+
+impl State {
+    fn execute(
+        &mut self,
+        operation: String,
+        key: Option<String>,
+        echo_digest: String,
+    ) -> (Answer, Faults, bool) {
+        self.sequence += 1;
+        count(&mut self.executions.operations, operation.clone());
+        count(&mut self.executions.digests, echo_digest.clone());
+        if let Some(key) = key {
+            count(&mut self.executions.keys, key);
+        }
+        let by_share = self.random.random_range(0.0..1.0) < self.faults.lose_share;
+        let loses = take(&mut self.faults.lose_next) || by_share;
+        let answer = Answer {
+            operation,
+            sequence: self.sequence,
+            echo_digest,
+        };
+        (answer, self.faults.clone(), loses)
+    }
+}
+
+fn take(left: &mut u64) -> bool {
+    let any = *left > 0;
+    *left = left.saturating_sub(1);
+    any
+}
+
+fn count(counts: &mut BTreeMap<String, u64>, key: String) {
+    if counts.len() < COUNTED || counts.contains_key(&key) {
+        *counts.entry(key).or_default() += 1;
+    }
+}
