quickstart: send checked requests through separate processes

Cause: a reader needs one command that shows the whole path working. One control daemon and no durable state yet.

--- /dev/null
+++ b/crates/azurelug-cli/src/control.rs
@@ -0,0 +1,156 @@
+//! Calls to control daemons over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_http::client::Call;
+use azurelug_types::config::Config;
+use azurelug_types::id::{DaemonName, Version, ZoneName};
+use azurelug_types::patch::{Answer, Patch};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::error::Error;
+
+/// A patch may have to wait for an election of up to 2 s.
+const TIMEOUT: Duration = Duration::from_secs(6);
+
+/// The longest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
+
+/// The control daemons of a cluster, tried in order.
+pub(crate) struct Control {
+    addresses: Vec<SocketAddr>,
+    client: Client,
+}
+
+/// The status of one control daemon and of the entry daemons that renew there.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Status {
+    pub(crate) daemon: DaemonName,
+    pub(crate) zone: ZoneName,
+    pub(crate) version: Version,
+    #[serde(flatten)]
+    pub(crate) more: serde_json::Map<String, serde_json::Value>,
+    pub(crate) entry_daemons: Vec<EntryDaemon>,
+}
+
+/// An entry daemon as a control daemon sees it.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct EntryDaemon {
+    pub(crate) name: DaemonName,
+    pub(crate) zone: ZoneName,
+    pub(crate) version: Version,
+    pub(crate) in_flight: u32,
+    pub(crate) state: String,
+    pub(crate) renewed_ms_ago: u64,
+}
+
+impl Control {
+    pub(crate) fn new(addresses: Vec<SocketAddr>) -> Result<Self, Error> {
+        let client = Client::pooled().map_err(|error| Error::Unreachable {
+            message: error.to_string(),
+        })?;
+        Ok(Self { addresses, client })
+    }
+
+    /// The configuration in force.
+    pub(crate) async fn config(&self) -> Result<Config, Error> {
+        self.first("/v1/config").await
+    }
+
+    /// Any JSON document of the first control daemon that answers.
+    pub(crate) async fn document(&self, path: &str) -> Result<serde_json::Value, Error> {
+        self.first(path).await
+    }
+
+    /// The status of every control daemon, with the error of those that don't answer.
+    pub(crate) async fn statuses(&self) -> Vec<(SocketAddr, Result<Status, Error>)> {
+        let mut statuses = Vec::new();
+        for address in &self.addresses {
+            statuses.push((*address, self.get(*address, "/v1/status").await));
+        }
+        statuses
+    }
+
+    /// Sends a patch. It is sent again to the next daemon if an answer is lost; the patch id makes
+    /// sure that it counts once.
+    pub(crate) async fn patch(&self, patch: &Patch, is_dry_run: bool) -> Result<Version, Error> {
+        let path = if is_dry_run {
+            "/v1/patches?dry_run=true"
+        } else {
+            "/v1/patches"
+        };
+        let mut message = "no address given".to_owned();
+        for address in &self.addresses {
+            let call = Call::post_json(*address, path, patch, TIMEOUT);
+            match self.client.send_whole(call, ANSWER_LIMIT).await {
+                Ok((200 | 409 | 422, body)) => return patch_answer(*address, &body),
+                Ok((503, body)) => message = String::from_utf8_lossy(&body).into_owned(),
+                Ok((status, body)) => {
+                    let message = String::from_utf8_lossy(&body).into_owned();
+                    return Err(Error::Refused {
+                        address: *address,
+                        status,
+                        message,
+                    });
+                }
+                Err(error) => message = error.to_string(),
+            }
+        }
+        Err(Error::Unreachable { message })
+    }
+
+    /// Any JSON document of one daemon.
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, Error> {
+        let sent = self
+            .client
+            .send_whole(Call::get(address, path, TIMEOUT), ANSWER_LIMIT)
+            .await;
+        let (status, body) = sent.map_err(|error| Error::Unreachable {
+            message: error.to_string(),
+        })?;
+        if status != 200 {
+            let message = String::from_utf8_lossy(&body).into_owned();
+            return Err(Error::Refused {
+                address,
+                status,
+                message,
+            });
+        }
+        serde_json::from_slice(&body).map_err(|error| Error::Malformed {
+            address,
+            message: error.to_string(),
+        })
+    }
+
+    async fn first<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let mut last = Error::Unreachable {
+            message: "no address given".to_owned(),
+        };
+        for address in &self.addresses {
+            match self.get(*address, path).await {
+                Err(error @ Error::Unreachable { .. }) => last = error,
+                result => return result,
+            }
+        }
+        Err(last)
+    }
+}
+
+fn patch_answer(address: SocketAddr, body: &[u8]) -> Result<Version, Error> {
+    let answer: Answer = serde_json::from_slice(body).map_err(|error| Error::Malformed {
+        address,
+        message: error.to_string(),
+    })?;
+    match answer {
+        Answer::Accepted { version } => Ok(version),
+        Answer::Conflict { current } => Err(Error::Conflict { current }),
+        Answer::Invalid { field, help } => Err(Error::Invalid { field, help }),
+    }
+}
--- /dev/null
+++ b/crates/azurelug-cli/src/error.rs
@@ -0,0 +1,53 @@
+//! All errors of the command line, with their exit codes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use azurelug_types::id::Version;
+
+/// What went wrong, and what to do about it.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error("can't start the runtime: {source}; check the limits on threads and memory")]
+    Runtime { source: std::io::Error },
+    #[error("{}: {message}; see docs/operators.md for the form of a patch", path.display())]
+    File { path: PathBuf, message: String },
+    #[error("no control daemon answers: {message}; check --control and the daemons")]
+    Unreachable { message: String },
+    #[error("{address} answered {status}: {message}")]
+    Refused {
+        address: SocketAddr,
+        status: u16,
+        message: String,
+    },
+    #[error("version {current} is in force now; look at `azurelug config`, then send a new patch")]
+    Conflict { current: Version },
+    #[error("{field}: {help}")]
+    Invalid { field: String, help: String },
+    #[error("{address} sent an answer that can't be read: {message}; check that releases fit")]
+    Malformed {
+        address: SocketAddr,
+        message: String,
+    },
+    #[error("version {version} is not in force everywhere after {seconds} s: {missing}")]
+    NotInForce {
+        version: Version,
+        seconds: u64,
+        missing: String,
+    },
+}
+
+impl Error {
+    /// 2: conflict; 3: invalid patch or file; 4: no control daemon answers; 5: not in force in
+    /// time; 1: everything else. bpaf exits with 1 for a wrong command line.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Conflict { .. } => 2,
+            Self::Invalid { .. } | Self::File { .. } => 3,
+            Self::Unreachable { .. } => 4,
+            Self::NotInForce { .. } => 5,
+            Self::Runtime { .. } | Self::Refused { .. } | Self::Malformed { .. } => 1,
+        })
+    }
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/caller.rs
@@ -0,0 +1,322 @@
+//! Callers that check every answer.
+//!
+//! Engines are deterministic, so the complete expected answer is computed here and compared. The
+//! caller never retries: what it reports is what one call got.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::client::{Call, Client, Events};
+use azurelug_types::config::StageKind;
+use http::{HeaderName, HeaderValue};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, interval};
+
+use crate::text;
+
+/// Documents that a retrieve stage returns.
+const TOP_K: u64 = 8;
+
+/// The longest answer, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// What to call.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Callers' addresses of entry daemons, used in turn.
+    pub entries: Vec<SocketAddr>,
+    /// The account's key.
+    pub key: String,
+    /// The pipeline.
+    pub pipeline: String,
+    /// Its stages in order, with the model string that engines serve.
+    pub stages: Vec<(StageKind, String)>,
+    /// How many calls.
+    pub requests: u64,
+    /// Pause between the starts of two calls.
+    pub pause: Duration,
+    /// Tokens to ask for.
+    pub max_tokens: u32,
+    /// The deadline of each call.
+    pub deadline: Duration,
+}
+
+/// One stage of an answer.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Stage {
+    /// The stage's kind.
+    pub stage: StageKind,
+    /// The target that completed it.
+    pub target: String,
+    /// The attempt that completed it.
+    pub attempt: u16,
+    /// Time of that attempt in milliseconds.
+    pub latency_ms: u64,
+    /// Tokens of that attempt.
+    pub tokens: u64,
+}
+
+/// How one call ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// A complete and correct answer.
+    Correct {
+        /// The stages that produced it.
+        stages: Vec<Stage>,
+        /// Time to the end of the answer.
+        duration: Duration,
+        /// Time to the first token, for streamed answers.
+        first_token: Option<Duration>,
+    },
+    /// A refusal with its reason and execution.
+    Refused {
+        /// The reason, as in the answer.
+        reason: String,
+    },
+    /// The answer is wrong, incomplete or malformed.
+    Wrong {
+        /// What was found.
+        message: String,
+    },
+}
+
+/// How all calls ended.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Ends in the order of completion, with the time since the first call started.
+    pub ends: Vec<(Duration, End)>,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    output: Value,
+    stages: Vec<Stage>,
+}
+
+impl Report {
+    /// Calls with a correct answer.
+    pub fn correct(&self) -> usize {
+        self.ends
+            .iter()
+            .filter(|(_, end)| matches!(end, End::Correct { .. }))
+            .count()
+    }
+
+    /// Refusals by reason.
+    pub fn refused(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for (_, end) in &self.ends {
+            if let End::Refused { reason } = end {
+                *counts.entry(reason.clone()).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    /// What was wrong with answers that are not correct.
+    pub fn wrong(&self) -> Vec<String> {
+        let message = |(_, end): &'_ (Duration, End)| match end {
+            End::Wrong { message } => Some(message.as_str().to_owned()),
+            _ => None,
+        };
+        self.ends.iter().filter_map(message).collect()
+    }
+
+    /// The stages of all correct answers.
+    pub fn stages(&self) -> impl Iterator<Item = &Stage> {
+        self.ends.iter().flat_map(|(_, end)| match end {
+            End::Correct { stages, .. } => stages.as_slice(),
+            _ => &[],
+        })
+    }
+}
+
+/// The output that a pipeline must produce.
+pub fn expected(stages: &[(StageKind, String)], input: &str, max_tokens: u32) -> Value {
+    let mut query = input.to_owned();
+    let mut documents: Vec<String> = Vec::new();
+    let mut output = Value::Null;
+    for (kind, model) in stages {
+        match kind {
+            StageKind::Encode => {
+                // Through text, as the answer travels: `json!` would widen the floats exactly.
+                let text = serde_json::to_string(&text::embedding(model, &query));
+                output = text
+                    .and_then(|text| serde_json::from_str(&text))
+                    .unwrap_or_default();
+            }
+            StageKind::Retrieve => {
+                documents = (0..TOP_K)
+                    .map(|rank| text::document(model, &query, rank).1)
+                    .collect();
+                output = json!(documents);
+            }
+            StageKind::Rerank => {
+                let score = |document: &String| text::relevance(model, &query, document);
+                documents.sort_by(|left, right| score(right).total_cmp(&score(left)));
+                output = json!(documents);
+            }
+            StageKind::Generate => {
+                let prompt = std::iter::once(query.as_str())
+                    .chain(documents.iter().map(String::as_str))
+                    .collect::<Vec<_>>()
+                    .join("\n\n");
+                query = text::tokens(model, &prompt, 0, u64::from(max_tokens));
+                output = json!(query);
+            }
+        }
+    }
+    output
+}
+
+/// Makes all calls and waits for their ends. Every second call asks for a streamed answer.
+///
+/// # Errors
+/// If the HTTP client can't be built.
+pub async fn run(settings: Settings) -> Result<Report, azurelug_http::Error> {
+    let client = Client::pooled()?;
+    let started = Instant::now();
+    let mut ticks = interval(settings.pause.max(Duration::from_millis(1)));
+    let mut calls = JoinSet::new();
+    for number in 0..settings.requests {
+        ticks.tick().await;
+        let (client, settings) = (client.clone(), settings.clone());
+        calls.spawn(async move {
+            let end = one(&client, &settings, number).await;
+            (started.elapsed(), end)
+        });
+    }
+    Ok(Report {
+        ends: calls.join_all().await,
+    })
+}
+
+/// Makes call `number`.
+pub async fn one(client: &Client, settings: &Settings, number: u64) -> End {
+    let input = format!("season summary {number} for cart {}", number * 7919 % 1000);
+    let is_stream = number % 2 == 1;
+    let entry = settings.entries[usize::try_from(number).unwrap_or(0) % settings.entries.len()];
+    let body = json!({"input": input, "max_tokens": settings.max_tokens, "stream": is_stream});
+    let path = format!("/v1/pipelines/{}", settings.pipeline);
+    let timeout = settings.deadline + Duration::from_secs(2);
+    let mut call = Call::post_json(entry, path, &body, timeout);
+    call.headers.extend(headers(settings));
+    let expected = expected(&settings.stages, &input, settings.max_tokens);
+    let started = Instant::now();
+    let response = match client.send(call).await {
+        Ok(response) => response,
+        Err(error) => {
+            return End::Wrong {
+                message: error.to_string(),
+            };
+        }
+    };
+    let is_events = response.status() == http::StatusCode::OK && is_stream;
+    if is_events {
+        return streamed(Events::new(response, entry), &expected, started).await;
+    }
+    let status = response.status().as_u16();
+    match azurelug_http::answer::read_body(response.into_body(), ANSWER_LIMIT).await {
+        Ok(body) if status == 200 => whole(&body, &expected, started),
+        Ok(body) => refused(&body),
+        Err(error) => End::Wrong {
+            message: error.to_string(),
+        },
+    }
+}
+
+fn headers(settings: &Settings) -> Vec<(HeaderName, HeaderValue)> {
+    let bearer = HeaderValue::from_str(&format!("Bearer {}", settings.key));
+    let deadline = HeaderValue::from(settings.deadline.as_millis() as u64);
+    let mut headers = vec![(HeaderName::from_static("azurelug-deadline-ms"), deadline)];
+    headers.extend(
+        bearer
+            .ok()
+            .map(|value| (http::header::AUTHORIZATION, value)),
+    );
+    headers
+}
+
+fn whole(body: &[u8], expected: &Value, started: Instant) -> End {
+    match serde_json::from_slice::<Answer>(body) {
+        Ok(answer) if answer.output == *expected => End::Correct {
+            stages: answer.stages,
+            duration: started.elapsed(),
+            first_token: None,
+        },
+        Ok(answer) => End::Wrong {
+            message: format!("expected {expected}, got {}", answer.output),
+        },
+        Err(error) => End::Wrong {
+            message: error.to_string(),
+        },
+    }
+}
+
+fn refused(body: &[u8]) -> End {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    match value["reason"].as_str() {
+        Some(reason) => End::Refused {
+            reason: reason.to_owned(),
+        },
+        None => End::Wrong {
+            message: String::from_utf8_lossy(body).into_owned(),
+        },
+    }
+}
+
+/// Checks that tokens come once, in order, and that together they are the answer.
+async fn streamed(mut events: Events, expected: &Value, started: Instant) -> End {
+    let mut text = String::new();
+    let mut next = 0;
+    let mut first_token = None;
+    loop {
+        let event = match events.next().await {
+            Ok(Some(event)) => event,
+            Ok(None) => {
+                return End::Wrong {
+                    message: "the stream has no last event".to_owned(),
+                };
+            }
+            Err(error) => {
+                return End::Wrong {
+                    message: error.to_string(),
+                };
+            }
+        };
+        let value: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        match event.name.as_str() {
+            "token" if value["index"] == json!(next) => {
+                first_token.get_or_insert_with(|| started.elapsed());
+                text.push_str(value["text"].as_str().unwrap_or_default());
+                next += 1;
+            }
+            "token" => {
+                return End::Wrong {
+                    message: format!("token {} instead of {next}", value["index"]),
+                };
+            }
+            "done" if json!(text) == *expected => {
+                return match whole(event.data.as_bytes(), expected, started) {
+                    End::Correct {
+                        stages, duration, ..
+                    } => End::Correct {
+                        stages,
+                        duration,
+                        first_token,
+                    },
+                    end => end,
+                };
+            }
+            "error" => return refused(event.data.as_bytes()),
+            _ => {
+                return End::Wrong {
+                    message: format!("got '{text}' and then {}", event.name),
+                };
+            }
+        }
+    }
+}
--- a/crates/azurelug-testkit/src/command.rs
+++ b/crates/azurelug-testkit/src/command.rs
@@ -1,6 +1,9 @@
 //! The subcommands. Each one starts a double, prints its address and runs until a signal arrives.
 
+mod booker;
+mod caller;
 mod engine;
+mod ports;
 mod service;
 
 use std::io::Write;
@@ -14,6 +17,8 @@
 pub(crate) enum Error {
     #[error(transparent)]
     Http(#[from] azurelug_http::Error),
+    #[error("answers did not pass: {0}; see the lines above")]
+    Answers(String),
     #[error("can't print the ready line or wait for signals: {0}; keep standard output open")]
     Process(#[from] std::io::Error),
 }
@@ -28,6 +33,15 @@
     /// A plain service that counts its executions
     #[bpaf(command)]
     Service(#[bpaf(external(service::arguments))] service::Arguments),
+    /// Callers that check every answer
+    #[bpaf(command)]
+    Caller(#[bpaf(external(caller::arguments))] caller::Arguments),
+    /// Bookings that are sent twice and must be executed once
+    #[bpaf(command)]
+    Booker(#[bpaf(external(booker::arguments))] booker::Arguments),
+    /// Print ports that are free now
+    #[bpaf(command)]
+    Ports(#[bpaf(external(ports::arguments))] ports::Arguments),
 }
 
 impl Command {
@@ -35,6 +49,9 @@
         match self {
             Self::Engine(arguments) => engine::run(arguments).await,
             Self::Service(arguments) => service::run(arguments).await,
+            Self::Caller(arguments) => caller::run(arguments).await,
+            Self::Booker(arguments) => booker::run(arguments).await,
+            Self::Ports(arguments) => ports::run(&arguments),
         }
     }
 }
--- /dev/null
+++ b/crates/azurelug-testkit/src/command/booker.rs
@@ -0,0 +1,142 @@
+//! `azurelug-testkit booker`: sends each booking twice through different entry daemons and checks
+//! that the service executed it once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_http::client::Call;
+use bpaf::Bpaf;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::Error;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(14);
+
+/// The longest answer, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+#[derive(Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// Callers' address of an entry daemon; may be repeated
+    #[bpaf(argument("ADDRESS"), some("name at least one entry daemon"))]
+    entry: Vec<SocketAddr>,
+    /// The account's key
+    #[bpaf(argument("KEY"))]
+    key: String,
+    /// The service
+    #[bpaf(argument("NAME"))]
+    service: String,
+    /// An operation that must not repeat
+    #[bpaf(argument("NAME"))]
+    operation: String,
+    /// How many bookings
+    #[bpaf(argument("CALLS"), fallback(20))]
+    requests: u64,
+    /// Address of a replica of the service, to count executions; may be repeated
+    #[bpaf(argument("ADDRESS"), some("name the replicas of the service"))]
+    replica: Vec<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Executions {
+    keys: BTreeMap<String, u64>,
+}
+
+pub(crate) async fn run(arguments: Arguments) -> Result<(), Error> {
+    let client = Client::pooled()?;
+    let mut booked = Vec::new();
+    for number in 0..arguments.requests {
+        let key = uuid::Uuid::now_v7().to_string();
+        let index = usize::try_from(number).unwrap_or(0);
+        let entries = &arguments.entry;
+        let first = book(
+            &client,
+            &arguments,
+            entries[index % entries.len()],
+            &key,
+            number,
+        )
+        .await?;
+        let again = book(
+            &client,
+            &arguments,
+            entries[(index + 1) % entries.len()],
+            &key,
+            number,
+        )
+        .await?;
+        if first != again {
+            let message = format!("booking {key} got {first:?} and then {again:?}");
+            return Err(Error::Answers(message));
+        }
+        booked.push(key);
+    }
+    let mut executions: BTreeMap<String, u64> = BTreeMap::new();
+    for replica in &arguments.replica {
+        let call = Call::get(*replica, "/test/executions", TIMEOUT);
+        let (_, body) = client.send_whole(call, ANSWER_LIMIT).await?;
+        let counted: Executions = serde_json::from_slice(&body)
+            .map_err(|error| Error::Answers(format!("executions of {replica}: {error}")))?;
+        for (key, count) in counted.keys {
+            *executions.entry(key).or_insert(0) += count;
+        }
+    }
+    for key in &booked {
+        match executions.get(key) {
+            Some(1) => {}
+            other => {
+                return Err(Error::Answers(format!(
+                    "booking {key} was executed {other:?} times"
+                )));
+            }
+        }
+    }
+    println!(
+        "{} bookings, each sent twice, each executed once",
+        booked.len()
+    );
+    Ok(())
+}
+
+async fn book(
+    client: &Client,
+    arguments: &Arguments,
+    entry: SocketAddr,
+    key: &str,
+    number: u64,
+) -> Result<Bytes, Error> {
+    let path = format!("/v1/services/{}/{}", arguments.service, arguments.operation);
+    // A result is recorded in the background, so that a resend may meet a call in progress.
+    for _ in 0..50 {
+        let body = json!({"sacks": number + 1});
+        let mut call = Call::post_json(entry, path.clone(), &body, TIMEOUT);
+        let texts = [
+            ("authorization", format!("Bearer {}", arguments.key)),
+            ("idempotency-key", key.to_owned()),
+        ];
+        for (name, text) in texts {
+            let value =
+                HeaderValue::from_str(&text).map_err(|error| Error::Answers(error.to_string()))?;
+            call.headers.push((HeaderName::from_static(name), value));
+        }
+        let (status, body) = client.send_whole(call, ANSWER_LIMIT).await?;
+        match status {
+            200 => return Ok(body),
+            409 => tokio::time::sleep(Duration::from_millis(20)).await,
+            _ => {
+                let text = String::from_utf8_lossy(&body);
+                return Err(Error::Answers(format!(
+                    "booking {key} got {status}: {text}"
+                )));
+            }
+        }
+    }
+    Err(Error::Answers(format!("booking {key} stayed in progress")))
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/command/ports.rs
@@ -0,0 +1,25 @@
+//! `azurelug-testkit ports`: prints ports of the loopback address that are free now.
+
+use std::net::{Ipv4Addr, TcpListener};
+
+use bpaf::Bpaf;
+
+use super::Error;
+
+#[derive(Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// How many
+    #[bpaf(positional("COUNT"))]
+    count: usize,
+}
+
+/// All listeners stay bound until every port was printed, so that no port is printed twice.
+pub(crate) fn run(arguments: &Arguments) -> Result<(), Error> {
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners: Vec<TcpListener> = (0..arguments.count).map(bind).collect::<Result<_, _>>()?;
+    for listener in &listeners {
+        println!("{}", listener.local_addr()?.port());
+    }
+    Ok(())
+}
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each double starts inside the calling process on a port chosen by the kernel, and also as a
 //! subcommand of the binary `azurelug-testkit`. The doubles contain no code of the product's core.
 
+pub mod caller;
 pub mod engine;
 pub mod host;
 mod refusal;
