--- /dev/null
+++ b/crates/azurelug-coordination/src/journal.rs
@@ -0,0 +1,106 @@
+//! Bytes of the durable log: records, segment headers, snapshots, the hard state, the recovery scan.
+//!
+//! Owns the file formats and the rules for telling a torn tail from corruption; it holds no state
+//! and never does I/O. The shell (`azurelug-storage`) reads and writes the files.
+//!
+//! # Formats
+//!
+//! Integers are little-endian. A record is `len u32 | crc32 u32 | generation u64 | index u64 |
+//! payload`, where `len` is the length of the payload and the checksum covers every other byte of
+//! the record. The payload starts with one byte for the [`Kind`]. A segment is a [`Header`]
+//! followed by records of the same generation. Header, hard state and snapshot share one block
+//! format, `magic [u8; 8] | crc32 u32 | version u32 | body`, whose checksum covers version and body.
+//!
+//! # What a scan can tell
+//!
+//! CRC-32 detects every change confined to 32 consecutive bits, so every single flipped byte. What
+//! remains is to tell a damaged record that was synced (corruption) from one that was being written
+//! when the machine stopped (torn tail):
+//! - A [`Kind::Mark`] record is appended after each successful sync and states its own offset. All
+//!   bytes before a valid mark were synced, so a bad record before any valid mark is corruption. A
+//!   later valid *entry* proves nothing, because the pages of an unsynced batch can reach the disk
+//!   in any order.
+//! - The hard-state file records a synced [`Position`]; a bad record or a missing byte before it is
+//!   corruption.
+//! - The header of each segment records the length of the segment before it, so a bad, missing or
+//!   surplus byte in an older segment is corruption.
+//! - Header, hard state and snapshot get their final name only after a sync, so a bad byte in them
+//!   is corruption, never a torn write.
+//!
+//! A mark itself is synced only with the next batch. After a power cut that also loses the last
+//! mark, a damaged byte in the last synced batch, or the loss of that whole batch, cannot be told
+//! from a torn tail unless the hard state was saved after that batch. A second sync for each batch
+//! would close this gap at twice the latency. A payload that holds a well-formed mark for the exact
+//! offset at which it is stored can make a torn tail look like corruption, never the reverse.
+
+mod block;
+mod fault;
+mod record;
+mod scan;
+mod span;
+
+pub use block::{
+    Header, decode_hard_state, decode_snapshot, encode_hard_state, encode_snapshot, snapshot_len,
+};
+pub use fault::Fault;
+pub use record::{Kind, Record, encode_entry, encode_mark, encode_truncation, entry_len};
+pub use scan::{Cut, Known, Scan, Segment, SegmentStart, scan};
+pub use span::Span;
+
+/// Version of all file formats of this module.
+pub const FORMAT_VERSION: u32 = 1;
+/// Length of a record before its payload, in bytes.
+pub const RECORD_HEADER_LEN: usize = 24;
+/// Length of a segment header, in bytes.
+pub const HEADER_LEN: usize = 72;
+/// Longest payload of an entry, in bytes. A wire frame holds at most 1 MiB, so an entry that has
+/// been replicated always fits.
+pub const MAX_ENTRY_LEN: usize = 4 << 20;
+/// Longest payload of a snapshot, in bytes.
+pub const MAX_SNAPSHOT_LEN: usize = 1 << 30;
+
+/// One entry of the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Entry {
+    /// Position in the log; the first entry has index 1.
+    pub index: u64,
+    /// Raft term in which the entry was proposed.
+    pub term: u64,
+    /// Opaque content, at most [`MAX_ENTRY_LEN`] bytes.
+    pub payload: Vec<u8>,
+}
+
+/// The part of a member's state that must be durable before it answers a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, bincode::Encode, bincode::Decode)]
+pub struct HardState {
+    /// Latest raft term seen.
+    pub term: u64,
+    /// Member voted for in `term`, as slot and incarnation.
+    pub vote: Option<(u32, u64)>,
+    /// This member's incarnation; 0 until it has one.
+    pub incarnation: u64,
+    /// Highest index known to be committed when the state was saved.
+    pub commit: u64,
+}
+
+/// State of the replicated state machine after applying all entries up to `index`.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Snapshot {
+    /// Index of the last entry that the snapshot contains.
+    pub index: u64,
+    /// Term of that entry.
+    pub term: u64,
+    /// Opaque content, at most [`MAX_SNAPSHOT_LEN`] bytes.
+    pub payload: Vec<u8>,
+}
+
+/// A byte position in the journal, ordered by generation, then offset.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, bincode::Encode, bincode::Decode,
+)]
+pub struct Position {
+    /// Generation of the segment; 0 before the first segment exists.
+    pub generation: u64,
+    /// Offset in that segment, in bytes.
+    pub offset: u64,
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/journal/block.rs
@@ -0,0 +1,209 @@
+//! Blocks `magic | crc32 | version | body`: segment header, hard state, snapshot.
+
+use bincode::config::{Configuration, Fixint, LittleEndian};
+use bincode::{Decode, Encode};
+
+use super::{FORMAT_VERSION, Fault, HEADER_LEN, HardState, Position, Snapshot};
+
+const SEGMENT_MAGIC: [u8; 8] = *b"azlugseg";
+const HARD_STATE_MAGIC: [u8; 8] = *b"azlughst";
+const SNAPSHOT_MAGIC: [u8; 8] = *b"azlugsnp";
+const PREFIX_LEN: usize = 16;
+
+/// Fixed-width integers keep the segment header at a fixed length.
+const CONFIG: Configuration<LittleEndian, Fixint> = bincode::config::standard()
+    .with_little_endian()
+    .with_fixed_int_encoding();
+
+/// First bytes of a segment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Encode, Decode)]
+pub struct Header {
+    /// Cluster to which the log belongs.
+    pub cluster: u128,
+    /// Generation of all records in the segment. Each writer start takes the next number.
+    pub generation: u64,
+    /// Generation of the segment before this one and its final length; 0 and 0 if there is none.
+    pub previous: Position,
+    /// Index of the last entry before this segment.
+    pub last_index: u64,
+    /// Term of that entry.
+    pub last_term: u64,
+}
+
+#[derive(Encode, Decode)]
+struct HardStateBody {
+    cluster: u128,
+    state: HardState,
+    synced: Position,
+}
+
+#[derive(Encode, Decode)]
+struct SnapshotHead {
+    cluster: u128,
+    index: u64,
+    term: u64,
+}
+
+/// Length of a [`SnapshotHead`]: cluster id, index, term.
+const SNAPSHOT_HEAD_LEN: usize = 32;
+
+impl Header {
+    /// The [`HEADER_LEN`] bytes of the header.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        seal(SEGMENT_MAGIC, &body(self), &[])
+    }
+
+    /// Reads the header at the start of a segment.
+    ///
+    /// # Errors
+    /// A damaged header, another format version or another cluster.
+    pub fn decode(file: &str, bytes: &[u8], cluster: u128) -> Result<Self, Fault> {
+        let bytes = bytes.get(..HEADER_LEN).ok_or_else(|| {
+            Fault::corrupt(file, bytes.len() as u64, "the segment header is incomplete")
+        })?;
+        let header: Self = parse(file, unseal(file, SEGMENT_MAGIC, bytes)?)?;
+        check_cluster(file, header.cluster, cluster)?;
+        Ok(header)
+    }
+}
+
+/// Bytes of the hard-state file. `synced` is a position up to which the journal was synced.
+#[must_use]
+pub fn encode_hard_state(cluster: u128, state: HardState, synced: Position) -> Vec<u8> {
+    seal(
+        HARD_STATE_MAGIC,
+        &body(&HardStateBody {
+            cluster,
+            state,
+            synced,
+        }),
+        &[],
+    )
+}
+
+/// Reads the hard-state file.
+///
+/// # Errors
+/// A damaged file, another format version or another cluster.
+pub fn decode_hard_state(
+    file: &str,
+    bytes: &[u8],
+    cluster: u128,
+) -> Result<(HardState, Position), Fault> {
+    let body: HardStateBody = parse(file, unseal(file, HARD_STATE_MAGIC, bytes)?)?;
+    check_cluster(file, body.cluster, cluster)?;
+    Ok((body.state, body.synced))
+}
+
+/// Bytes of a snapshot file.
+#[must_use]
+pub fn encode_snapshot(cluster: u128, snapshot: &Snapshot) -> Vec<u8> {
+    let head = SnapshotHead {
+        cluster,
+        index: snapshot.index,
+        term: snapshot.term,
+    };
+    seal(SNAPSHOT_MAGIC, &body(&head), &snapshot.payload)
+}
+
+/// Length of the file for a snapshot with a payload of this length, in bytes.
+#[must_use]
+pub fn snapshot_len(payload: usize) -> usize {
+    PREFIX_LEN + SNAPSHOT_HEAD_LEN + payload
+}
+
+/// Reads a snapshot file.
+///
+/// # Errors
+/// A damaged file, another format version or another cluster.
+pub fn decode_snapshot(file: &str, bytes: &[u8], cluster: u128) -> Result<Snapshot, Fault> {
+    let body = unseal(file, SNAPSHOT_MAGIC, bytes)?;
+    let Some((head, payload)) = body.split_at_checked(SNAPSHOT_HEAD_LEN) else {
+        return Err(Fault::corrupt(
+            file,
+            bytes.len() as u64,
+            "the snapshot is incomplete",
+        ));
+    };
+    let head: SnapshotHead = parse(file, head)?;
+    check_cluster(file, head.cluster, cluster)?;
+    Ok(Snapshot {
+        index: head.index,
+        term: head.term,
+        payload: payload.to_vec(),
+    })
+}
+
+fn body<T: Encode>(value: &T) -> Vec<u8> {
+    bincode::encode_to_vec(value, CONFIG).expect("encoding integers into a Vec cannot fail")
+}
+
+fn seal(magic: [u8; 8], head: &[u8], rest: &[u8]) -> Vec<u8> {
+    let version = FORMAT_VERSION.to_le_bytes();
+    let mut hasher = crc32fast::Hasher::new();
+    for part in [&version[..], head, rest] {
+        hasher.update(part);
+    }
+    let mut out = Vec::with_capacity(PREFIX_LEN + head.len() + rest.len());
+    for part in [
+        &magic[..],
+        &hasher.finalize().to_le_bytes(),
+        &version,
+        head,
+        rest,
+    ] {
+        out.extend_from_slice(part);
+    }
+    out
+}
+
+/// Checks magic, checksum and version, and returns the body. The checksum comes before the version,
+/// so that a damaged version is reported as damage; later versions must keep these first 16 bytes.
+fn unseal<'a>(file: &str, magic: [u8; 8], bytes: &'a [u8]) -> Result<&'a [u8], Fault> {
+    if bytes.len() < PREFIX_LEN {
+        return Err(Fault::corrupt(
+            file,
+            bytes.len() as u64,
+            "the file is incomplete",
+        ));
+    }
+    if bytes[..8] != magic {
+        return Err(Fault::corrupt(file, 0, "the magic bytes do not match"));
+    }
+    let field = |at: usize| [bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]];
+    if crc32fast::hash(&bytes[12..]) != u32::from_le_bytes(field(8)) {
+        return Err(Fault::corrupt(file, 8, "the checksum does not match"));
+    }
+    let found = u32::from_le_bytes(field(12));
+    if found != FORMAT_VERSION {
+        return Err(Fault::Version {
+            file: file.to_owned(),
+            found,
+            expected: FORMAT_VERSION,
+        });
+    }
+    Ok(&bytes[PREFIX_LEN..])
+}
+
+fn parse<T: Decode<()>>(file: &str, bytes: &[u8]) -> Result<T, Fault> {
+    match bincode::decode_from_slice(bytes, CONFIG) {
+        Ok((value, used)) if used == bytes.len() => Ok(value),
+        _ => Err(Fault::corrupt(
+            file,
+            PREFIX_LEN as u64,
+            "the content does not have its format",
+        )),
+    }
+}
+
+fn check_cluster(file: &str, found: u128, expected: u128) -> Result<(), Fault> {
+    if found == expected {
+        return Ok(());
+    }
+    Err(Fault::WrongCluster {
+        file: file.to_owned(),
+        found,
+        expected,
+    })
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/journal/fault.rs
@@ -0,0 +1,58 @@
+//! Faults found in the bytes of the journal's files.
+
+use thiserror::Error;
+
+const REMEDY: &str = "restore the file from a copy made while the daemon was stopped, or set the \
+data folder aside so that this member rejoins under a new incarnation";
+
+/// A fault found in a file. The message names the file, the offset and the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// Bytes that were synced are damaged or missing.
+    #[error("{file}: corrupt at byte {offset}: {reason}; {REMEDY}")]
+    Corrupt {
+        /// Name of the file.
+        file: String,
+        /// Offset of the damage in the file, in bytes.
+        offset: u64,
+        /// What is wrong there.
+        reason: String,
+    },
+    /// The file is intact and belongs to another cluster.
+    #[error(
+        "{file}: belongs to cluster {found:032x} (cluster id at byte 16), this daemon is set up \
+         for cluster {expected:032x}; correct the cluster id or the data folder in the settings"
+    )]
+    WrongCluster {
+        /// Name of the file.
+        file: String,
+        /// Cluster id in the file.
+        found: u128,
+        /// Cluster id in the settings.
+        expected: u128,
+    },
+    /// The file is intact and was written by a program with another format version.
+    #[error(
+        "{file}: format version {found} (at byte 12), this program reads version {expected}; start \
+         the program version that wrote the folder"
+    )]
+    Version {
+        /// Name of the file.
+        file: String,
+        /// Version in the file.
+        found: u32,
+        /// Version that this program reads.
+        expected: u32,
+    },
+}
+
+impl Fault {
+    /// Builds [`Fault::Corrupt`].
+    pub(crate) fn corrupt(file: &str, offset: u64, reason: impl Into<String>) -> Self {
+        Self::Corrupt {
+            file: file.to_owned(),
+            offset,
+            reason: reason.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/journal/scan.rs
@@ -0,0 +1,251 @@
+//! Recovery scan over the bytes of all segments.
+
+use super::record::{Kind, Record};
+use super::{Entry, Fault, HEADER_LEN, Header, Position, Span};
+
+/// One segment as read from the disk.
+#[derive(Debug, Clone)]
+pub struct Segment {
+    /// Name for messages.
+    pub file: String,
+    /// Generation according to the file name.
+    pub generation: u64,
+    /// Whole content.
+    pub bytes: Vec<u8>,
+}
+
+/// What the other files say about the journal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Known {
+    /// Cluster id that every header must carry.
+    pub cluster: u128,
+    /// Position from the hard state up to which the journal was synced.
+    pub synced: Position,
+    /// Index committed according to the hard state.
+    pub commit: u64,
+    /// Index and term of the newest snapshot.
+    pub snapshot: Option<(u64, u64)>,
+}
+
+/// A torn tail to cut from the newest segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cut {
+    /// Length to which the newest segment is shortened, in bytes.
+    pub offset: u64,
+    /// Bytes after that length.
+    pub bytes: u64,
+    /// What is wrong at `offset`.
+    pub reason: &'static str,
+}
+
+/// Where a segment starts in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SegmentStart {
+    /// Generation of the segment.
+    pub generation: u64,
+    /// Index of the last entry before the segment.
+    pub last_index: u64,
+}
+
+/// The recovered log.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Scan {
+    /// Entries after the snapshot, in order.
+    pub entries: Vec<Entry>,
+    /// Indices and terms of `entries`.
+    pub span: Span,
+    /// Torn tail of the newest segment, if there is one.
+    pub cut: Option<Cut>,
+    /// End of the last good record of the newest segment; generation 0 if there is no segment.
+    pub end: Position,
+    /// Segments that hold the log, oldest first.
+    pub segments: Vec<SegmentStart>,
+    /// Generations of older segments that the snapshot covers as a whole; they can be removed.
+    pub obsolete: Vec<u64>,
+}
+
+/// Recovers the log from its segments, which must be ordered by generation.
+///
+/// # Errors
+/// Damage to bytes that were synced, a missing segment, or a segment of another cluster.
+pub fn scan(segments: &[Segment], known: &Known) -> Result<Scan, Fault> {
+    let mut scan = Scan::default();
+    let (obsolete, segments) = segments.split_at(first_needed(segments, known)?);
+    scan.obsolete
+        .extend(obsolete.iter().map(|segment| segment.generation));
+    for (at, segment) in segments.iter().enumerate() {
+        let newest = at + 1 == segments.len();
+        scan.segment(segment, newest, known)?;
+    }
+    if scan.end.generation < known.synced.generation {
+        let file = segments.last().map_or("journal", |segment| &segment.file);
+        let reason = format!(
+            "the segment of generation {} is missing",
+            known.synced.generation
+        );
+        return Err(Fault::corrupt(file, scan.end.offset, reason));
+    }
+    scan.finish(segments, known)?;
+    Ok(scan)
+}
+
+/// Position of the newest segment whose start the snapshot covers. Older segments may be left from
+/// a crash during their removal, with gaps between them, and are not read.
+fn first_needed(segments: &[Segment], known: &Known) -> Result<usize, Fault> {
+    let (index, _) = known.snapshot.unwrap_or_default();
+    let mut start = 0;
+    for (at, segment) in segments.iter().enumerate().rev() {
+        start = Header::decode(&segment.file, &segment.bytes, known.cluster)?.last_index;
+        if start <= index {
+            return Ok(at);
+        }
+    }
+    let Some(oldest) = segments.first() else {
+        return Ok(0);
+    };
+    let reason =
+        format!("the log starts after entry {start}, but the snapshot ends at entry {index}");
+    Err(Fault::corrupt(&oldest.file, 0, reason))
+}
+
+impl Scan {
+    fn segment(&mut self, segment: &Segment, newest: bool, known: &Known) -> Result<(), Fault> {
+        let header = Header::decode(&segment.file, &segment.bytes, known.cluster)?;
+        if header.generation != segment.generation {
+            let reason = format!("the segment is of generation {}", header.generation);
+            return Err(Fault::corrupt(&segment.file, 0, reason));
+        }
+        self.start(&segment.file, &header)?;
+        let mut at = HEADER_LEN;
+        while at < segment.bytes.len() {
+            match Record::decode(&segment.bytes[at..]) {
+                Ok(record) => {
+                    self.apply(&record, at, header.generation)
+                        .map_err(|reason| Fault::corrupt(&segment.file, at as u64, reason))?;
+                    at += record.len;
+                }
+                Err(reason) => {
+                    if let Some(proof) = synced_proof(segment, at, newest, &header) {
+                        let reason = format!("{reason}, and {proof}");
+                        return Err(Fault::corrupt(&segment.file, at as u64, reason));
+                    }
+                    let bytes = (segment.bytes.len() - at) as u64;
+                    self.cut = Some(Cut {
+                        offset: at as u64,
+                        bytes,
+                        reason,
+                    });
+                    break;
+                }
+            }
+        }
+        self.end = Position {
+            generation: header.generation,
+            offset: at as u64,
+        };
+        if header.generation == known.synced.generation && self.end < known.synced {
+            let reason = self.cut.as_ref().map_or("the file ends", |cut| cut.reason);
+            let synced = known.synced.offset;
+            let reason =
+                format!("{reason}, but the hard state says that {synced} bytes were synced");
+            return Err(Fault::corrupt(&segment.file, at as u64, reason));
+        }
+        Ok(())
+    }
+
+    /// Checks that the segment follows the one before it and moves the log to its start.
+    fn start(&mut self, file: &str, header: &Header) -> Result<(), Fault> {
+        if !self.segments.is_empty() && self.end != header.previous {
+            let (is, was) = (self.end, header.previous);
+            let reason = format!(
+                "the segment before this one must be generation {} with {} bytes, but is \
+                 generation {} with {} bytes",
+                was.generation, was.offset, is.generation, is.offset
+            );
+            return Err(Fault::corrupt(file, 0, reason));
+        }
+        if self.span.term(header.last_index) == Some(header.last_term) {
+            self.keep_until(header.last_index);
+        } else {
+            self.span = Span::after(header.last_index, header.last_term);
+            self.entries.clear();
+        }
+        self.segments.push(SegmentStart {
+            generation: header.generation,
+            last_index: header.last_index,
+        });
+        Ok(())
+    }
+
+    /// A record with a valid checksum that does not fit was stored in the wrong place, which no
+    /// torn write explains.
+    fn apply(&mut self, record: &Record<'_>, at: usize, generation: u64) -> Result<(), String> {
+        if record.generation != generation {
+            return Err(format!("the record is of generation {}", record.generation));
+        }
+        let last = self.span.last_index();
+        match record.kind {
+            Kind::Entry { term, payload } if record.index == last + 1 => {
+                self.span.push(term);
+                let payload = payload.to_vec();
+                self.entries.push(Entry {
+                    index: record.index,
+                    term,
+                    payload,
+                });
+            }
+            Kind::Truncation if record.index > self.span.base_index() => {
+                self.keep_until(record.index - 1);
+            }
+            // Below the start of the oldest segment, which the snapshot covers: the removed entries
+            // were in segments that are gone, and entries up to the snapshot follow in this one.
+            // The unknown term is never compared, because the index is below the snapshot's.
+            Kind::Truncation if record.index > 0 => {
+                self.span = Span::after(record.index - 1, 0);
+                self.entries.clear();
+            }
+            Kind::Mark { offset } if offset == at as u64 && record.index == last => {}
+            _ => {
+                return Err(format!(
+                    "the record for index {} follows {last}",
+                    record.index
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn keep_until(&mut self, index: u64) {
+        self.span.keep_until(index);
+        let keep = (self.span.last_index() - self.span.base_index()) as usize;
+        self.entries.truncate(keep);
+    }
+
+    /// Joins the log with the snapshot and checks that no committed entry is missing.
+    fn finish(&mut self, segments: &[Segment], known: &Known) -> Result<(), Fault> {
+        let file = segments.last().map_or("journal", |segment| &segment.file);
+        let (index, term) = known.snapshot.unwrap_or_default();
+        match self.span.rebase(index, term) {
+            Some(removed) => drop(self.entries.drain(..removed)),
+            None => self.entries.clear(),
+        }
+        let last = self.span.last_index();
+        if last < known.commit {
+            let reason = format!(
+                "the log ends at entry {last}, but {} was committed",
+                known.commit
+            );
+            return Err(Fault::corrupt(file, self.end.offset, reason));
+        }
+        Ok(())
+    }
+}
+
+/// Says why the bytes at `at` must have been synced, or `None` if they may be a torn tail.
+fn synced_proof(segment: &Segment, at: usize, newest: bool, header: &Header) -> Option<String> {
+    if !newest {
+        return Some("a newer segment exists".to_owned());
+    }
+    Record::find_mark(&segment.bytes, at + 1, header.generation)
+        .map(|mark| format!("the mark at byte {mark} says that all bytes before it were synced"))
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/journal.rs
@@ -0,0 +1,427 @@
+//! Attacks on the journal's formats: damaged, cut and misplaced bytes in every position.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking")]
+
+use azurelug_coordination::journal::{
+    Entry, Fault, HEADER_LEN, HardState, Header, Kind, Known, Position, Record, Scan, Segment,
+    Snapshot, decode_hard_state, decode_snapshot, encode_entry, encode_hard_state, encode_mark,
+    encode_snapshot, encode_truncation, scan,
+};
+
+const CLUSTER: u128 = 0x1234_5678_9abc_def0_1122_3344_5566_7788;
+const FLIPS: [u8; 4] = [0x01, 0x10, 0x80, 0xff];
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: format!("payload of {index} in {term}").into_bytes(),
+    }
+}
+
+/// Builds the bytes of one segment.
+struct Writer {
+    header: Header,
+    bytes: Vec<u8>,
+}
+
+impl Writer {
+    fn new(generation: u64, previous: Position, last: (u64, u64)) -> Self {
+        let (last_index, last_term) = last;
+        let header = Header {
+            cluster: CLUSTER,
+            generation,
+            previous,
+            last_index,
+            last_term,
+        };
+        Self {
+            header,
+            bytes: header.encode(),
+        }
+    }
+
+    fn batch(mut self, entries: &[Entry]) -> Self {
+        for entry in entries {
+            encode_entry(&mut self.bytes, self.header.generation, entry);
+        }
+        self
+    }
+
+    fn mark(mut self, last: u64) -> Self {
+        let offset = self.bytes.len() as u64;
+        encode_mark(&mut self.bytes, self.header.generation, last, offset);
+        self
+    }
+
+    fn truncation(mut self, index: u64) -> Self {
+        encode_truncation(&mut self.bytes, self.header.generation, index);
+        self
+    }
+
+    fn end(&self) -> Position {
+        Position {
+            generation: self.header.generation,
+            offset: self.bytes.len() as u64,
+        }
+    }
+
+    fn segment(self) -> Segment {
+        let generation = self.header.generation;
+        Segment {
+            file: format!("journal-{generation}"),
+            generation,
+            bytes: self.bytes,
+        }
+    }
+}
+
+/// Two segments: entries 1 to 3, then entry 3 replaced and entries up to 6, all synced.
+fn two_segments() -> [Segment; 2] {
+    let first = Writer::new(1, Position::default(), (0, 0));
+    let first = first
+        .batch(&[entry(1, 1), entry(2, 1)])
+        .mark(2)
+        .batch(&[entry(3, 1)])
+        .mark(3);
+    let second = Writer::new(2, first.end(), (3, 1))
+        .truncation(3)
+        .batch(&[entry(3, 2)])
+        .mark(3);
+    let second = second
+        .batch(&[entry(4, 2), entry(5, 2), entry(6, 2)])
+        .mark(6);
+    [first.segment(), second.segment()]
+}
+
+fn known() -> Known {
+    Known {
+        cluster: CLUSTER,
+        ..Known::default()
+    }
+}
+
+fn recovered() -> Vec<Entry> {
+    vec![
+        entry(1, 1),
+        entry(2, 1),
+        entry(3, 2),
+        entry(4, 2),
+        entry(5, 2),
+        entry(6, 2),
+    ]
+}
+
+fn corrupt_at(result: Result<Scan, Fault>) -> u64 {
+    match result {
+        Err(Fault::Corrupt { offset, .. }) => offset,
+        other => panic!("expected corruption, got {other:?}"),
+    }
+}
+
+#[test]
+fn an_undamaged_log_is_recovered_whole() {
+    let scan = scan(&two_segments(), &known()).unwrap();
+    assert_eq!(scan.entries, recovered());
+    assert_eq!(scan.cut, None);
+}
+
+#[test]
+fn a_flipped_byte_in_a_synced_record_is_never_taken_for_a_torn_tail() {
+    for file in 0..2 {
+        let len = two_segments()[file].bytes.len();
+        let mark = len - 33;
+        for at in 0..len {
+            for flip in FLIPS {
+                let mut segments = two_segments();
+                segments[file].bytes[at] ^= flip;
+                match scan(&segments, &known()) {
+                    Err(fault) => {
+                        let text = fault.to_string();
+                        assert!(text.contains("journal-") && text.contains("byte"), "{text}");
+                    }
+                    Ok(scan) => {
+                        // Only the last mark, which carries no data, may be cut.
+                        assert!(
+                            file == 1 && at >= mark,
+                            "file {file} byte {at} flip {flip:#x}"
+                        );
+                        assert_eq!(scan.entries, recovered());
+                        assert_eq!(scan.cut.unwrap().offset, mark as u64);
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_flipped_byte_below_the_synced_position_is_corruption_even_without_a_later_mark() {
+    let [first, mut second] = two_segments();
+    let end = second.bytes.len() - 33;
+    second.bytes.truncate(end);
+    let known = Known {
+        synced: Position {
+            generation: 2,
+            offset: end as u64,
+        },
+        ..known()
+    };
+    for at in HEADER_LEN..end {
+        let mut second = second.clone();
+        second.bytes[at] ^= 0x40;
+        assert!(scan(&[first.clone(), second], &known).is_err(), "byte {at}");
+    }
+}
+
+#[test]
+fn a_log_cut_at_any_offset_keeps_every_whole_record_before_it() {
+    let [first, second] = two_segments();
+    let all = recovered();
+    for len in HEADER_LEN..second.bytes.len() {
+        let mut second = second.clone();
+        second.bytes.truncate(len);
+        let scan = scan(&[first.clone(), second], &known()).unwrap();
+        let kept = scan.entries.len();
+        assert_eq!(
+            scan.end.offset + scan.cut.map_or(0, |cut| cut.bytes),
+            len as u64
+        );
+        // Before the replacement of entry 3, the old entry 3 is still in force.
+        if kept == 3 && scan.entries[2] == entry(3, 1) {
+            assert!(len < HEADER_LEN + 25, "length {len}");
+        } else {
+            assert_eq!(scan.entries, all[..kept], "length {len}");
+        }
+    }
+}
+
+#[test]
+fn bytes_missing_below_the_synced_position_are_corruption() {
+    let [first, second] = two_segments();
+    let end = second.bytes.len() as u64;
+    let known = Known {
+        synced: Position {
+            generation: 2,
+            offset: end,
+        },
+        ..known()
+    };
+    for len in 0..second.bytes.len() {
+        let mut second = second.clone();
+        second.bytes.truncate(len);
+        assert!(
+            scan(&[first.clone(), second], &known).is_err(),
+            "length {len}"
+        );
+    }
+}
+
+#[test]
+fn an_older_segment_that_lost_or_gained_bytes_is_corruption() {
+    let [first, second] = two_segments();
+    for len in 0..first.bytes.len() {
+        let mut first = first.clone();
+        first.bytes.truncate(len);
+        assert!(
+            scan(&[first, second.clone()], &known()).is_err(),
+            "length {len}"
+        );
+    }
+    let mut longer = first;
+    longer.bytes.push(0);
+    corrupt_at(scan(&[longer, second], &known()));
+}
+
+#[test]
+fn a_missing_segment_is_corruption() {
+    let [first, second] = two_segments();
+    corrupt_at(scan(std::slice::from_ref(&second), &known()));
+    let synced = Position {
+        generation: 2,
+        offset: HEADER_LEN as u64,
+    };
+    corrupt_at(scan(
+        std::slice::from_ref(&first),
+        &Known { synced, ..known() },
+    ));
+    corrupt_at(scan(&[], &Known { synced, ..known() }));
+}
+
+#[test]
+fn unsynced_records_that_reached_the_disk_out_of_order_are_a_torn_tail() {
+    let writer = Writer::new(1, Position::default(), (0, 0))
+        .batch(&[entry(1, 1)])
+        .mark(1);
+    let synced = writer.bytes.len();
+    let mut segment = writer
+        .batch(&[entry(2, 1), entry(3, 1), entry(4, 1)])
+        .segment();
+    segment.bytes[synced..synced + 40].fill(0);
+    let scan = scan(&[segment], &known()).unwrap();
+    assert_eq!(scan.entries, [entry(1, 1)]);
+    assert_eq!(scan.cut.unwrap().offset, synced as u64);
+}
+
+#[test]
+fn a_log_that_ends_before_the_committed_index_is_corruption() {
+    let known = Known {
+        commit: 7,
+        ..known()
+    };
+    corrupt_at(scan(&two_segments(), &known));
+}
+
+#[test]
+fn a_valid_record_in_the_wrong_place_is_corruption() {
+    let base = || Writer::new(4, Position::default(), (0, 0)).batch(&[entry(1, 1)]);
+    let at = base().bytes.len() as u64;
+    let gap = base().batch(&[entry(3, 1)]).segment();
+    assert_eq!(corrupt_at(scan(&[gap], &known())), at);
+    let mut old = base();
+    encode_entry(&mut old.bytes, 3, &entry(2, 1));
+    assert_eq!(corrupt_at(scan(&[old.segment()], &known())), at);
+    let mut moved = base();
+    encode_mark(&mut moved.bytes, 4, 1, 5);
+    assert_eq!(corrupt_at(scan(&[moved.segment()], &known())), at);
+    let renamed = Segment {
+        generation: 9,
+        ..base().segment()
+    };
+    assert_eq!(corrupt_at(scan(&[renamed], &known())), 0);
+}
+
+#[test]
+fn a_huge_length_is_refused_before_any_allocation() {
+    let mut bytes = Vec::new();
+    encode_entry(&mut bytes, 1, &entry(1, 1));
+    bytes[..4].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(
+        Record::decode(&bytes),
+        Err("the record length is out of range")
+    );
+}
+
+#[test]
+fn a_snapshot_from_another_history_removes_the_log() {
+    let known = Known {
+        snapshot: Some((4, 3)),
+        ..known()
+    };
+    let scan = scan(&two_segments(), &known).unwrap();
+    assert_eq!(scan.entries, []);
+    assert_eq!((scan.span.last_index(), scan.span.last_term()), (4, 3));
+}
+
+#[test]
+fn a_snapshot_of_the_same_history_keeps_the_entries_after_it() {
+    let known = Known {
+        snapshot: Some((4, 2)),
+        ..known()
+    };
+    let scan = scan(&two_segments(), &known).unwrap();
+    assert_eq!(scan.entries, [entry(5, 2), entry(6, 2)]);
+    assert_eq!(scan.obsolete, [1]);
+}
+
+#[test]
+fn a_gap_between_snapshot_and_log_is_corruption() {
+    let later = Writer::new(5, Position::default(), (20, 3))
+        .batch(&[entry(21, 3)])
+        .segment();
+    let known = Known {
+        snapshot: Some((19, 3)),
+        ..known()
+    };
+    corrupt_at(scan(&[later], &known));
+}
+
+#[test]
+fn a_segment_of_another_cluster_is_refused() {
+    let known = Known {
+        cluster: 7,
+        ..known()
+    };
+    let fault = scan(&two_segments(), &known).unwrap_err();
+    assert!(matches!(
+        fault,
+        Fault::WrongCluster {
+            expected: 7,
+            found: CLUSTER,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn any_damage_to_a_snapshot_or_hard_state_is_found() {
+    let snapshot = Snapshot {
+        index: 9,
+        term: 4,
+        payload: b"state of the machine".to_vec(),
+    };
+    let state = HardState {
+        term: 4,
+        vote: Some((2, 17)),
+        incarnation: 3,
+        commit: 8,
+    };
+    let synced = Position {
+        generation: 6,
+        offset: 1234,
+    };
+    let files = [
+        encode_snapshot(CLUSTER, &snapshot),
+        encode_hard_state(CLUSTER, state, synced),
+    ];
+    let read = [
+        |bytes: &[u8]| decode_snapshot("snapshot", bytes, CLUSTER).map(drop),
+        |bytes: &[u8]| decode_hard_state("hard-state", bytes, CLUSTER).map(drop),
+    ];
+    assert_eq!(decode_snapshot("s", &files[0], CLUSTER).unwrap(), snapshot);
+    assert_eq!(
+        decode_hard_state("h", &files[1], CLUSTER).unwrap(),
+        (state, synced)
+    );
+    for (bytes, read) in files.iter().zip(read) {
+        for at in 0..bytes.len() {
+            for flip in FLIPS {
+                let mut bytes = bytes.clone();
+                bytes[at] ^= flip;
+                assert!(
+                    matches!(read(&bytes), Err(Fault::Corrupt { .. })),
+                    "byte {at}"
+                );
+            }
+            assert!(read(&bytes[..at]).is_err(), "length {at}");
+        }
+        let longer = [&bytes[..], &[0]].concat();
+        assert!(read(&longer).is_err());
+    }
+}
+
+#[test]
+fn records_keep_their_content() {
+    let mut bytes = Vec::new();
+    encode_entry(
+        &mut bytes,
+        5,
+        &Entry {
+            index: 8,
+            term: 2,
+            payload: Vec::new(),
+        },
+    );
+    let record = Record::decode(&bytes).unwrap();
+    assert_eq!(
+        (record.generation, record.index, record.len),
+        (5, 8, bytes.len())
+    );
+    assert_eq!(
+        record.kind,
+        Kind::Entry {
+            term: 2,
+            payload: &[]
+        }
+    );
+}
