--- a/crates/azurelug-coordination/src/lib.rs
+++ b/crates/azurelug-coordination/src/lib.rs
@@ -1,8 +1,11 @@
 //! Coordination parts without I/O, for embedding in a server or a test.
 //!
-//! Each module is a state machine that takes an event and a time and returns
-//! a value or a list of actions. None opens a socket, reads a clock or draws
-//! a random number by itself, and none knows what the ids stand for.
+//! Each module is a state machine that takes an event and a time and returns a value or a list of
+//! actions. None opens a socket, reads a clock or draws a random number by itself, and none knows
+//! what the ids stand for.
+//!
+//! - [`journal`]: bytes of the durable log: records, segments, snapshots, hard state, recovery scan.
+//! - [`once`]: at-most-once records, applied from committed log entries.
 
-/// At-most-once records, applied from committed log entries.
+pub mod journal;
 pub mod once;
