coordination: add the replicated log's public API and normal path

Cause: the control daemons need one agreed order of patches, records and membership changes (docs/design.md, section 10). Ruled out: a ready-made consensus crate (section 17), and a log that does its own I/O (section 5: every state machine takes an event and a time).

Change: add module raft with Node, Event, Action, Message, Settings, Recovered and State.

Before: no code.

Conclusion: the normal path works; behaviour under faults is not yet tested.

--- /dev/null
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -0,0 +1,359 @@
+//! Replicated log: a consensus state machine without I/O.
+//!
+//! Owns the term, the vote, the log and the membership of one member. The caller persists, then
+//! sends, then applies, in the order of the returned actions. The module never reads a clock, never
+//! waits, and never interprets a command.
+
+mod change;
+mod election;
+mod event;
+mod follower;
+mod leader;
+mod log;
+mod member;
+mod message;
+mod probe;
+mod progress;
+mod settings;
+mod snapshot;
+mod state;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+pub use event::{Action, Event, Fault, Refusal, Snapshot, VoteRecord, Write};
+pub use log::{Entry, Payload, Position};
+pub use member::{Change, Member, Membership, Seat, Standing};
+pub use message::{Body, Message, Outcome};
+pub use settings::{Recovered, Settings, Start, StartError};
+pub use state::{FollowerState, Role, State};
+
+use follower::Incoming;
+use leader::Leadership;
+use log::Log;
+use member::History;
+
+/// One member of a replicated log.
+///
+/// ```
+/// use std::time::Duration;
+/// use azurelug_coordination::raft::{Action, Event, Node, Recovered, Settings, Start};
+/// use rand::SeedableRng;
+///
+/// let start = Start {
+///     settings: Settings::default(),
+///     recovered: Recovered::initialize(7, 1, &[1], 42),
+///     random: rand_pcg::Pcg64::seed_from_u64(1),
+/// };
+/// let mut node = Node::new(start, Duration::ZERO)?;
+/// let elected = node.next_deadline();
+/// node.step(Event::Tick, elected);
+/// let actions = node.step(Event::Propose { token: 1, command: b"a".to_vec() }, elected);
+/// assert!(actions.iter().any(|action| matches!(action, Action::Apply(_))));
+/// # Ok::<(), azurelug_coordination::raft::StartError>(())
+/// ```
+#[derive(Debug)]
+pub struct Node {
+    settings: Settings,
+    random: Pcg64,
+    /// Identity, term and vote; written before any message that depends on it leaves.
+    record: VoteRecord,
+    record_changed: bool,
+    /// Tells the probes of this process run from those of earlier runs.
+    run: u64,
+    role: Role,
+    leader: Option<Member>,
+    leadership: Option<Leadership>,
+    /// Voters that granted the current election or pre-election.
+    granted: Vec<Member>,
+    log: Log,
+    history: History,
+    commit: u64,
+    snapshot: Snapshot,
+    /// Bytes applied since the last snapshot.
+    applied_bytes: usize,
+    /// Index at which a snapshot was last requested.
+    snapshot_requested: u64,
+    incoming: Option<Incoming>,
+    /// Until when this member helps no other candidate, because a leader may rely on its lease.
+    promise_until: Duration,
+    election_deadline: Duration,
+    probe_due: Duration,
+    join_due: Duration,
+    waiting_probes: VecDeque<(Duration, u64)>,
+    fresh_as_of: Option<Duration>,
+    now: Duration,
+    out: Outbox,
+}
+
+/// Actions of the current step, by the order in which the caller carries them out.
+#[derive(Debug, Default)]
+struct Outbox {
+    writes: Vec<Write>,
+    sends: Vec<Message>,
+    notices: Vec<Action>,
+    applies: Vec<Action>,
+    last: Vec<Action>,
+}
+
+impl Node {
+    /// Creates a node from the durable state. The caller has already restored its state machine
+    /// from the same snapshot; later entries are handed out again as they are found committed.
+    ///
+    /// # Errors
+    ///
+    /// The settings are out of range, or the data folder is incomplete or belongs elsewhere.
+    pub fn new(start: Start, now: Duration) -> Result<Self, StartError> {
+        let Start {
+            settings,
+            recovered,
+            mut random,
+        } = start;
+        settings.check()?;
+        let joining = recovered.vote.is_none();
+        let storage = random.random();
+        let (mut record, snapshot, log, history) = settings::recover(recovered, storage)?;
+        record.term = record.term.max(log.last().term);
+        // A restarted member does not know when it last heard from a leader, so it assumes now.
+        let promise_until = if record.term == 0 {
+            now
+        } else {
+            now + settings.election_timeout
+        };
+        let run = random.random();
+        let mut node = Self {
+            run,
+            record,
+            record_changed: false,
+            role: if joining {
+                Role::Joining
+            } else {
+                Role::Follower
+            },
+            leader: None,
+            leadership: None,
+            granted: Vec::new(),
+            commit: snapshot.position.index,
+            snapshot_requested: snapshot.position.index,
+            applied_bytes: 0,
+            snapshot,
+            log,
+            history,
+            incoming: None,
+            promise_until,
+            election_deadline: now,
+            probe_due: now,
+            join_due: now,
+            waiting_probes: VecDeque::new(),
+            fresh_as_of: None,
+            now,
+            out: Outbox::default(),
+            random,
+            settings,
+        };
+        node.reset_election_deadline(now);
+        Ok(node)
+    }
+
+    /// Handles one event. `now` is the time since process start on a monotonic clock, read just
+    /// before the call.
+    #[must_use = "the actions are to be carried out in order"]
+    pub fn step(&mut self, event: Event, now: Duration) -> Vec<Action> {
+        let now = now.max(self.now);
+        self.now = now;
+        let before = (self.role, self.record.term, self.leader);
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Receive(message) => self.receive(message, now),
+            Event::Propose { token, command } => self.on_propose(token, command, now),
+            Event::Change { token, change } => self.on_change(token, change, now),
+            Event::Transfer { token, to } => self.on_transfer(token, to, now),
+            Event::SnapshotTaken { index, data } => self.on_snapshot_taken(index, data),
+        }
+        if before != (self.role, self.record.term, self.leader) {
+            self.out.notices.push(Action::RoleChanged {
+                role: self.role,
+                term: self.record.term,
+                leader: self.leader,
+            });
+        }
+        self.drain()
+    }
+
+    /// Time of the next `Event::Tick`.
+    #[must_use]
+    pub fn next_deadline(&self) -> Duration {
+        match (&self.leadership, self.role) {
+            (_, Role::Joining) => self.join_due,
+            (Some(leadership), _) => leadership.heartbeat_due,
+            (None, _) if self.leader.is_some() => self.election_deadline.min(self.probe_due),
+            (None, _) => self.election_deadline,
+        }
+    }
+
+    /// Identity of this node; incarnation 0 while it has none.
+    #[must_use]
+    pub fn member(&self) -> Member {
+        self.record.member
+    }
+
+    /// Known leader of the current term.
+    #[must_use]
+    pub fn leader(&self) -> Option<Member> {
+        self.leader
+    }
+
+    /// State at this moment.
+    #[must_use]
+    pub fn state(&self) -> State {
+        let leadership = self.leadership.as_ref();
+        State {
+            member: self.record.member,
+            storage: self.record.storage,
+            role: self.role,
+            term: self.record.term,
+            vote: self.record.vote,
+            leader: self.leader,
+            last: self.log.last(),
+            commit: self.commit,
+            base: self.log.base(),
+            snapshot: self.snapshot.position,
+            log_bytes: self.log.bytes(),
+            membership: self.history.latest().clone(),
+            membership_index: self.history.latest_index(),
+            lease_until: self.lease_until(),
+            fresh_as_of: self.fresh_as_of,
+            transfer_to: leadership.and_then(Leadership::transfer_to),
+            followers: leadership.map(Leadership::dump).unwrap_or_default(),
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        match self.role {
+            Role::Joining => self.tick_joining(now),
+            Role::Leader => self.tick_leader(now),
+            Role::Follower | Role::PreCandidate | Role::Candidate => {
+                if now >= self.election_deadline {
+                    self.start_pre_vote(now);
+                }
+                self.tick_probe(now);
+            }
+        }
+    }
+
+    fn receive(&mut self, message: Message, now: Duration) {
+        let from = message.from;
+        if let Some(fault) = self.fault_in(&message) {
+            self.out.notices.push(Action::Rejected { from, fault });
+            return;
+        }
+        match message.body {
+            Body::Join => return self.on_join(from.slot, message.storage, now),
+            Body::Joined { member, storage } => return self.on_joined(member, storage, now),
+            _ if self.role == Role::Joining => return,
+            _ => {}
+        }
+        if !self.accept_term(&message, now) {
+            return;
+        }
+        match message.body {
+            Body::PreVote { next_term, last } => self.on_pre_vote(from, next_term, last, now),
+            Body::PreVoteAnswer { next_term, granted } => {
+                self.on_pre_vote_answer(from, next_term, granted, now);
+            }
+            Body::Vote { last, .. } => self.on_vote(from, last, now),
+            Body::VoteAnswer { granted } => self.on_vote_answer(from, granted, now),
+            Body::Append {
+                prev,
+                entries,
+                commit,
+                sent_at,
+            } => {
+                self.on_append(from, prev, entries, commit, sent_at, now);
+            }
+            Body::AppendAnswer { outcome, sent_at } => {
+                self.on_append_answer(from, message.storage, outcome, sent_at, now);
+            }
+            Body::Chunk {
+                position,
+                membership,
+                total,
+                offset,
+                data,
+                sent_at,
+            } => {
+                let part = follower::Part {
+                    position,
+                    membership,
+                    total,
+                    offset,
+                    data,
+                    sent_at,
+                };
+                self.on_chunk(from, part, now);
+            }
+            Body::ChunkAnswer {
+                position,
+                received,
+                sent_at,
+            } => {
+                self.on_chunk_answer(from, position, received, sent_at, now);
+            }
+            Body::Probe { run, stamp } => self.on_probe(from, run, stamp, now),
+            Body::ProbeAnswer { run, stamp, commit } => {
+                self.on_probe_answer(run, stamp, commit, now);
+            }
+            Body::TimeoutNow => self.on_timeout_now(from, now),
+            Body::Join | Body::Joined { .. } => {}
+        }
+    }
+
+    /// Why this node refuses `message` whatever its content, if it does.
+    fn fault_in(&self, message: &Message) -> Option<Fault> {
+        if message.cluster != self.record.cluster {
+            return Some(Fault::WrongCluster);
+        }
+        let own = self.record.member;
+        let joins = matches!(message.body, Body::Join);
+        let any_incarnation = joins && message.to.incarnation == 0;
+        if message.to != own && !(any_incarnation && message.to.slot == own.slot) {
+            return Some(Fault::WrongReceiver);
+        }
+        if !joins && message.from.incarnation == 0 {
+            return Some(Fault::Malformed);
+        }
+        let seat = self.history.latest().seat(message.from);
+        let bound = seat.and_then(|seat| seat.storage);
+        if bound.is_some_and(|storage| storage != message.storage) {
+            return Some(Fault::WrongStorage);
+        }
+        None
+    }
+
+    fn send(&mut self, to: Member, body: Body) {
+        self.out.sends.push(Message {
+            cluster: self.record.cluster,
+            from: self.record.member,
+            storage: self.record.storage,
+            to,
+            term: self.record.term,
+            body,
+        });
+    }
+
+    fn drain(&mut self) -> Vec<Action> {
+        let out = std::mem::take(&mut self.out);
+        let record = std::mem::take(&mut self.record_changed).then_some(Write::Vote(self.record));
+        let writes = record.into_iter().chain(out.writes).map(Action::Persist);
+        let sends = out.sends.into_iter().map(Action::Send);
+        writes
+            .chain(sends)
+            .chain(out.notices)
+            .chain(out.applies)
+            .chain(out.last)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/change.rs
@@ -0,0 +1,192 @@
+//! Membership changes, one at a time, and the replacement of members that lost their disk.
+
+use std::time::Duration;
+
+use super::log::Payload;
+use super::member::Standing;
+use super::{Action, Body, Change, Member, Membership, Node, Refusal, Role};
+
+impl Node {
+    /// Whether the previous change is committed and this leader has committed an own entry.
+    fn can_change(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| {
+            leadership.transfer.is_none()
+                && self.commit >= leadership.first
+                && self.history.latest_index() <= self.commit
+        })
+    }
+
+    pub(super) fn on_change(&mut self, token: u64, change: Change, now: Duration) {
+        let result = if self.role != Role::Leader {
+            Err(Refusal::NotLeader {
+                leader: self.leader,
+            })
+        } else if !self.can_change() {
+            Err(Refusal::ChangePending)
+        } else if let Change::Promote(member) = change
+            && !self.is_caught_up(member)
+        {
+            Err(Refusal::Impossible(
+                "the learner has not yet acknowledged a durable copy",
+            ))
+        } else {
+            let changed = self
+                .history
+                .latest()
+                .changed(change, self.settings.max_voters);
+            changed.map_err(Refusal::Impossible)
+        };
+        match result {
+            Ok(membership) => {
+                let position = self.append_own(Payload::Membership(membership), now);
+                self.out.notices.push(Action::Proposed { token, position });
+            }
+            Err(refusal) => self.out.notices.push(Action::Refused { token, refusal }),
+        }
+    }
+
+    /// Whether the member acknowledged every entry that existed when this leader first counted it.
+    fn is_caught_up(&mut self, member: Member) -> bool {
+        self.progress(member)
+            .is_some_and(|progress| progress.matched >= progress.goal)
+    }
+
+    /// Whether the member answered within the last election timeout.
+    fn is_responsive(&self, member: Member, now: Duration) -> bool {
+        let own = member == self.record.member;
+        let progress = self
+            .leadership
+            .as_ref()
+            .and_then(|leadership| leadership.followers.get(&member));
+        let answered = progress.and_then(|progress| progress.answered);
+        own || answered.is_some_and(|at| now < at + self.settings.election_timeout)
+    }
+
+    /// Takes the next step of a pending replacement, or records the data folders of initialized
+    /// members.
+    pub(super) fn maintain_membership(&mut self, now: Duration) {
+        if !self.can_change() {
+            return;
+        }
+        if let Some(next) = self
+            .bound_membership()
+            .or_else(|| self.next_replacement(now))
+        {
+            self.append_own(Payload::Membership(next), now);
+        }
+    }
+
+    fn bound_membership(&self) -> Option<Membership> {
+        let current = self.history.latest();
+        let mut next = current.clone();
+        for seat in current.seats.iter().filter(|seat| seat.storage.is_none()) {
+            let storage = if seat.member == self.record.member {
+                Some(self.record.storage)
+            } else {
+                let followers = &self.leadership.as_ref()?.followers;
+                followers
+                    .get(&seat.member)
+                    .and_then(|progress| progress.storage)
+            };
+            if let Some(storage) = storage {
+                next.bind(seat.member, storage);
+            }
+        }
+        (next != *current).then_some(next)
+    }
+
+    /// Removes the old voter of a slot once its successor holds a durable copy, and lets the
+    /// successor vote after that. In one step, two majorities might have no member in common.
+    fn next_replacement(&mut self, now: Duration) -> Option<Membership> {
+        let current = self.history.latest().clone();
+        let waiting = current
+            .seats
+            .iter()
+            .filter(|seat| seat.standing == (Standing::Learner { replaces: true }));
+        for successor in waiting.map(|seat| seat.member) {
+            if !self.is_caught_up(successor) || !self.is_responsive(successor, now) {
+                continue;
+            }
+            let change = match current.voter_of(successor.slot) {
+                Some(old) if self.is_responsive(old, now) => continue,
+                Some(old) => Change::Remove(old),
+                None => Change::Promote(successor),
+            };
+            if let Ok(next) = current.changed(change, self.settings.max_voters) {
+                return Some(next);
+            }
+        }
+        None
+    }
+
+    pub(super) fn tick_joining(&mut self, now: Duration) {
+        if now < self.join_due {
+            return;
+        }
+        self.join_due = now + self.settings.election_timeout;
+        let own = self.record.member.slot;
+        for slot in self
+            .settings
+            .peers
+            .clone()
+            .into_iter()
+            .filter(|&slot| slot != own)
+        {
+            self.send(
+                Member {
+                    slot,
+                    incarnation: 0,
+                },
+                Body::Join,
+            );
+        }
+    }
+
+    /// Gives an identity to the data folder `storage` of `slot`, through a committed entry.
+    pub(super) fn on_join(&mut self, slot: u16, storage: u64, now: Duration) {
+        if self.role != Role::Leader || slot == self.record.member.slot {
+            return;
+        }
+        let mine = |membership: &Membership| {
+            let mut seats = membership.seats.iter();
+            seats
+                .find(|seat| seat.member.slot == slot && seat.storage == Some(storage))
+                .copied()
+        };
+        if let Some(seat) = mine(self.history.at(self.commit)) {
+            let to = Member {
+                slot,
+                incarnation: 0,
+            };
+            self.send(
+                to,
+                Body::Joined {
+                    member: seat.member,
+                    storage,
+                },
+            );
+            return;
+        }
+        let current = self.history.latest();
+        let alive = current
+            .voter_of(slot)
+            .is_some_and(|voter| self.is_responsive(voter, now));
+        if alive || !self.can_change() {
+            return;
+        }
+        let (next, _) = current.admit(slot, storage);
+        if next.seats.len() <= self.settings.max_members {
+            self.append_own(Payload::Membership(next), now);
+        }
+    }
+
+    pub(super) fn on_joined(&mut self, member: Member, storage: u64, now: Duration) {
+        let own = self.record.member;
+        if self.role == Role::Joining && own.slot == member.slot && storage == self.record.storage {
+            self.record.member = member;
+            self.record_changed = true;
+            self.role = Role::Follower;
+            self.reset_election_deadline(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/election.rs
@@ -0,0 +1,209 @@
+//! Pre-votes, votes and the promise that keeps a leader's lease valid.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::log::Position;
+use super::{Body, Member, Message, Node, Outcome, Role};
+
+impl Node {
+    pub(super) fn reset_election_deadline(&mut self, now: Duration) {
+        let base = self.settings.election_timeout;
+        self.election_deadline = now + base + base.mul_f64(self.random.random_range(0.0..1.0));
+    }
+
+    /// Whether a leader may still rely on this member not to help another candidate.
+    fn promised(&self, now: Duration) -> bool {
+        self.role == Role::Leader || now < self.promise_until
+    }
+
+    /// Compares terms and adopts a higher one. Returns whether the message is to be handled.
+    pub(super) fn accept_term(&mut self, message: &Message, now: Duration) -> bool {
+        let from = message.from;
+        if message.term < self.record.term {
+            self.answer_old_term(message);
+            return false;
+        }
+        if message.term == self.record.term {
+            return true;
+        }
+        match message.body {
+            Body::Vote {
+                transfer: false, ..
+            } if self.promised(now) => return false,
+            Body::PreVote { next_term, .. } if self.promised(now) => {
+                self.send(
+                    from,
+                    Body::PreVoteAnswer {
+                        next_term,
+                        granted: false,
+                    },
+                );
+                return false;
+            }
+            // A member that has left cannot end the term of a leader that no longer counts it.
+            Body::AppendAnswer { .. } | Body::ChunkAnswer { .. } | Body::Probe { .. }
+                if self.role == Role::Leader && self.history.latest().seat(from).is_none() =>
+            {
+                return false;
+            }
+            _ => {}
+        }
+        let leads = matches!(message.body, Body::Append { .. } | Body::Chunk { .. });
+        self.become_follower(message.term, leads.then_some(from), now);
+        true
+    }
+
+    /// Tells the sender of an old term that a newer one exists.
+    fn answer_old_term(&mut self, message: &Message) {
+        let body = match message.body {
+            Body::PreVote { next_term, .. } => Body::PreVoteAnswer {
+                next_term,
+                granted: false,
+            },
+            Body::Vote { .. } => Body::VoteAnswer { granted: false },
+            Body::Append { prev, sent_at, .. } => Body::AppendAnswer {
+                outcome: Outcome::Missing {
+                    prev: prev.index,
+                    hint: self.log.last(),
+                },
+                sent_at,
+            },
+            Body::Chunk {
+                position, sent_at, ..
+            } => Body::ChunkAnswer {
+                position,
+                received: 0,
+                sent_at,
+            },
+            _ => return,
+        };
+        self.send(message.from, body);
+    }
+
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<Member>, now: Duration) {
+        if term > self.record.term {
+            self.record.term = term;
+            self.record.vote = None;
+            self.record_changed = true;
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.leadership = None;
+        self.granted.clear();
+        self.incoming = None;
+        self.reset_election_deadline(now);
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Duration) {
+        self.reset_election_deadline(now);
+        let own = self.record.member;
+        if !self.history.latest().is_voter(own) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.granted = vec![own];
+        if self.has_majority() {
+            self.campaign(false, now);
+            return;
+        }
+        let next_term = self.record.term + 1;
+        let last = self.log.last();
+        self.send_to_voters(&Body::PreVote { next_term, last });
+    }
+
+    fn campaign(&mut self, transfer: bool, now: Duration) {
+        let own = self.record.member;
+        self.reset_election_deadline(now);
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.record.term += 1;
+        self.record.vote = Some(own);
+        self.record_changed = true;
+        self.granted = vec![own];
+        if self.has_majority() {
+            self.become_leader(now);
+            return;
+        }
+        let last = self.log.last();
+        self.send_to_voters(&Body::Vote { last, transfer });
+    }
+
+    fn send_to_voters(&mut self, body: &Body) {
+        let own = self.record.member;
+        let voters: Vec<Member> = self.history.latest().voters().collect();
+        for voter in voters.into_iter().filter(|&voter| voter != own) {
+            self.send(voter, body.clone());
+        }
+    }
+
+    fn has_majority(&self) -> bool {
+        let membership = self.history.latest();
+        let granted = membership
+            .voters()
+            .filter(|voter| self.granted.contains(voter))
+            .count();
+        granted >= membership.majority()
+    }
+
+    fn grant(&mut self, from: Member) -> bool {
+        if !self.granted.contains(&from) && self.history.latest().is_voter(from) {
+            self.granted.push(from);
+        }
+        self.has_majority()
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: Member,
+        next_term: u64,
+        last: Position,
+        now: Duration,
+    ) {
+        let granted =
+            !self.promised(now) && next_term > self.record.term && last >= self.log.last();
+        self.send(from, Body::PreVoteAnswer { next_term, granted });
+    }
+
+    pub(super) fn on_pre_vote_answer(
+        &mut self,
+        from: Member,
+        next_term: u64,
+        granted: bool,
+        now: Duration,
+    ) {
+        let current = self.role == Role::PreCandidate && next_term == self.record.term + 1;
+        if current && granted && self.grant(from) {
+            self.campaign(false, now);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: Member, last: Position, now: Duration) {
+        let free = self.record.vote.is_none_or(|vote| vote == from);
+        let granted = free && last >= self.log.last();
+        if granted {
+            if self.record.vote.is_none() {
+                self.record.vote = Some(from);
+                self.record_changed = true;
+            }
+            self.reset_election_deadline(now);
+        }
+        self.send(from, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn on_vote_answer(&mut self, from: Member, granted: bool, now: Duration) {
+        if self.role == Role::Candidate && granted && self.grant(from) {
+            self.become_leader(now);
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: Member, now: Duration) {
+        let own = self.record.member;
+        let follows = self.role == Role::Follower && self.leader == Some(from);
+        if follows && self.history.latest().is_voter(own) {
+            self.campaign(true, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/event.rs
@@ -0,0 +1,202 @@
+//! What the caller tells a node, and what the node asks of the caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::log::{Entry, Position};
+use super::member::{Change, Member, Membership};
+use super::message::Message;
+use super::state::Role;
+
+/// Input of [`Node::step`](super::Node::step).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time has passed. Due at [`Node::next_deadline`](super::Node::next_deadline).
+    Tick,
+    /// A message arrived.
+    Receive(Message),
+    /// Appends a command to the log. Answered by `Action::Proposed` or `Action::Refused`.
+    Propose {
+        /// Chosen by the caller and returned in the answer.
+        token: u64,
+        /// Opaque command.
+        command: Vec<u8>,
+    },
+    /// Changes the membership by one step. Answered by `Action::Proposed` or `Action::Refused`.
+    Change {
+        /// Chosen by the caller and returned in the answer.
+        token: u64,
+        /// Wanted change.
+        change: Change,
+    },
+    /// Hands the leadership over, to the most advanced voter if `to` is `None`. Refused with token
+    /// `token`; success shows as `Action::RoleChanged`.
+    Transfer {
+        /// Chosen by the caller and returned in a refusal.
+        token: u64,
+        /// Wanted next leader.
+        to: Option<Member>,
+    },
+    /// The caller encoded its state machine as of the entry `index`, which it has applied.
+    SnapshotTaken {
+        /// Last entry included.
+        index: u64,
+        /// Encoded state.
+        data: Arc<[u8]>,
+    },
+}
+
+/// Output of [`Node::step`](super::Node::step), to be carried out in the order given: all
+/// `Persist` first, then all `Send`, then the rest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Write and sync before carrying out any later action. If a write or sync fails, the caller
+    /// carries out nothing further and discards the node.
+    Persist(Write),
+    /// Send, with no guarantee of delivery or order.
+    Send(Message),
+    /// A proposal was appended. It is decided when an entry at `position.index` is applied:
+    /// committed if its term equals `position.term`, lost otherwise.
+    Proposed {
+        /// From the event.
+        token: u64,
+        /// Place in the log.
+        position: Position,
+    },
+    /// A proposal, change or transfer had no effect.
+    Refused {
+        /// From the event.
+        token: u64,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// The role, the term or the known leader changed.
+    RoleChanged {
+        /// Own role.
+        role: Role,
+        /// Current term.
+        term: u64,
+        /// Leader of that term, if known.
+        leader: Option<Member>,
+    },
+    /// Apply a committed entry to the state machine. Entries without a command are included, so
+    /// that indexes are consecutive.
+    Apply(Entry),
+    /// Replace the state machine's content.
+    Restore(Snapshot),
+    /// Encode the state machine and answer with `Event::SnapshotTaken`.
+    TakeSnapshot {
+        /// Last entry applied.
+        index: u64,
+    },
+    /// The applied state includes every entry that was acknowledged before `as_of`.
+    Fresh {
+        /// Own clock when the probe was sent.
+        as_of: Duration,
+    },
+    /// A message was refused; a rate-limited log line is enough.
+    Rejected {
+        /// Sender.
+        from: Member,
+        /// Why.
+        fault: Fault,
+    },
+}
+
+/// Change of the durable state. After a crash, the writes of one step may be present up to any
+/// point, as long as their order is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Replaces the vote record.
+    Vote(VoteRecord),
+    /// Removes every entry at `from` and above.
+    Truncate {
+        /// First index removed.
+        from: u64,
+    },
+    /// Adds entries after the last one.
+    Append(Vec<Entry>),
+    /// Replaces the snapshot atomically. Entries at or below its position may be removed later.
+    Snapshot(Snapshot),
+}
+
+/// Identity, term and vote of one data folder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteRecord {
+    /// Cluster that the folder belongs to.
+    pub cluster: u128,
+    /// Identity.
+    pub member: Member,
+    /// Random id of the folder.
+    pub storage: u64,
+    /// Highest term seen.
+    pub term: u64,
+    /// Candidate voted for in that term.
+    pub vote: Option<Member>,
+}
+
+/// State of the state machine above, at one position of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Last entry covered.
+    pub position: Position,
+    /// Members at that entry.
+    pub membership: Membership,
+    /// Encoded by the caller.
+    pub data: Arc<[u8]>,
+}
+
+/// Why a proposal, change or transfer had no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Refusal {
+    /// This node does not lead.
+    #[error("this node is not the leader; send the request to the leader")]
+    NotLeader {
+        /// Leader, if known.
+        leader: Option<Member>,
+    },
+    /// A queue is full.
+    #[error("too many entries are waiting to be committed or compacted; retry later")]
+    Busy,
+    /// The command exceeds the size limit.
+    #[error("the command has {size} bytes, the limit is {limit}; split it")]
+    TooLarge {
+        /// Size in bytes.
+        size: usize,
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// The leader is handing over.
+    #[error("the leader is handing over; retry with the next leader")]
+    Transferring,
+    /// Another membership change is not yet committed, or the leader has committed nothing yet.
+    #[error("another membership change is in progress; retry later")]
+    ChangePending,
+    /// The change is not possible.
+    #[error("the membership cannot change: {0}")]
+    Impossible(#[serde(skip)] &'static str),
+}
+
+/// Why a message was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Fault {
+    /// Sent by a member of another cluster.
+    #[error("the sender belongs to another cluster; check its settings and data folder")]
+    WrongCluster,
+    /// Addressed to another member or another incarnation of this one.
+    #[error("the message is addressed to another member")]
+    WrongReceiver,
+    /// The sender uses an identity that belongs to another data folder.
+    #[error(
+        "the sender's data folder is not the one that its incarnation had; empty the folder so that it rejoins"
+    )]
+    WrongStorage,
+    /// A field exceeds a limit.
+    #[error(
+        "the message exceeds a limit or contradicts itself; check that all members run the same version"
+    )]
+    Malformed,
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/message.rs
@@ -0,0 +1,143 @@
+//! Messages between members. They hold no references, derive serde, and stay within the frame limit
+//! as long as [`Settings`](super::Settings) keeps its defaults.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::log::{Entry, Position};
+use super::member::{Member, Membership};
+
+/// One message and its address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Cluster of the sender. A receiver of another cluster refuses the message.
+    pub cluster: u128,
+    /// Sender; incarnation 0 while it has none.
+    pub from: Member,
+    /// Random id of the sender's data folder.
+    pub storage: u64,
+    /// Receiver; incarnation 0 addresses any incarnation of the slot.
+    pub to: Member,
+    /// Current term of the sender.
+    pub term: u64,
+    /// Content.
+    pub body: Body,
+}
+
+/// Content of a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks whether an election in `next_term` could succeed. Changes no state at the receiver.
+    PreVote {
+        /// Term that the sender would campaign in.
+        next_term: u64,
+        /// Last entry of the sender.
+        last: Position,
+    },
+    /// Answer to `PreVote`.
+    PreVoteAnswer {
+        /// Term that was asked for.
+        next_term: u64,
+        /// Whether the sender would vote for the asker.
+        granted: bool,
+    },
+    /// Asks for a vote in the message's term.
+    Vote {
+        /// Last entry of the sender.
+        last: Position,
+        /// The previous leader handed over and has given up its lease.
+        transfer: bool,
+    },
+    /// Answer to `Vote`.
+    VoteAnswer {
+        /// Whether the vote was given.
+        granted: bool,
+    },
+    /// Entries, or a heartbeat when there are none.
+    Append {
+        /// Position of the entry before the first one sent.
+        prev: Position,
+        /// Consecutive entries after `prev`.
+        entries: Vec<Entry>,
+        /// Commit index of the leader.
+        commit: u64,
+        /// Leader's clock when it sent this.
+        sent_at: Duration,
+    },
+    /// Answer to `Append`, sent after the entries are durable.
+    AppendAnswer {
+        /// Whether the receiver's log held `prev`.
+        outcome: Outcome,
+        /// Echo of the leader's clock.
+        sent_at: Duration,
+    },
+    /// Part of a snapshot.
+    Chunk {
+        /// Last entry that the snapshot covers.
+        position: Position,
+        /// Members at that entry.
+        membership: Membership,
+        /// Size of the whole snapshot in bytes.
+        total: u64,
+        /// Place of `data` in the snapshot in bytes.
+        offset: u64,
+        /// At most 256 KiB.
+        data: Vec<u8>,
+        /// Leader's clock when it sent this.
+        sent_at: Duration,
+    },
+    /// Answer to `Chunk`. A completed snapshot is answered with `AppendAnswer` instead.
+    ChunkAnswer {
+        /// Snapshot that the answer is about.
+        position: Position,
+        /// Number of bytes received in order so far.
+        received: u64,
+        /// Echo of the leader's clock.
+        sent_at: Duration,
+    },
+    /// A member without identity asks the leader for one.
+    Join,
+    /// The identity given to the data folder `storage` by a committed entry.
+    Joined {
+        /// New identity.
+        member: Member,
+        /// Data folder that it belongs to.
+        storage: u64,
+    },
+    /// Asks the leader whether the sender's state is current.
+    Probe {
+        /// Random id of the sender's process run.
+        run: u64,
+        /// Sender's clock.
+        stamp: Duration,
+    },
+    /// Answer to `Probe`, sent only under a valid leader lease.
+    ProbeAnswer {
+        /// Echo of the run id.
+        run: u64,
+        /// Echo of the asker's clock.
+        stamp: Duration,
+        /// Commit index of the leader when it answered.
+        commit: u64,
+    },
+    /// The leader hands over to the receiver, which campaigns at once.
+    TimeoutNow,
+}
+
+/// Result of an `Append`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The log matches the leader's log up to this index.
+    Matched {
+        /// Last index known to match.
+        index: u64,
+    },
+    /// The log does not hold the position before the entries.
+    Missing {
+        /// Index that was missing or had another term.
+        prev: u64,
+        /// Last position that may match.
+        hint: Position,
+    },
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -0,0 +1,272 @@
+//! Times and limits of a node.
+
+use std::time::Duration;
+
+use rand_pcg::Pcg64;
+use thiserror::Error;
+
+use super::event::{Snapshot, VoteRecord};
+use super::log::{Entry, Log, Payload, Position};
+use super::member::{History, Member, Membership};
+
+/// Times and limits. All members of a cluster use the same values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Shortest election timeout; the longest is twice this. A voter that has heard from a leader
+    /// helps no other candidate for this long.
+    pub election_timeout: Duration,
+    /// Interval of the leader's heartbeats; at most a quarter of `election_timeout`.
+    pub heartbeat: Duration,
+    /// Interval of the followers' freshness probes.
+    pub probe_interval: Duration,
+    /// Slots that a member without identity asks to join.
+    pub peers: Vec<u16>,
+    /// Largest number of voters.
+    pub max_voters: usize,
+    /// Largest number of voters and learners together.
+    pub max_members: usize,
+    /// Largest command in bytes.
+    pub max_command_bytes: usize,
+    /// Largest number of entries in one message.
+    pub max_batch_entries: usize,
+    /// Largest total size in bytes of the entries in one message with more than one entry.
+    pub max_batch_bytes: usize,
+    /// Largest number of unanswered batches for each member.
+    pub max_in_flight: usize,
+    /// Largest number of entries that wait for commitment.
+    pub max_uncommitted: u64,
+    /// Largest number of entries in the log. Proposals are refused beyond it.
+    pub max_log_entries: usize,
+    /// Largest size of the log in bytes. Proposals are refused beyond it.
+    pub max_log_bytes: usize,
+    /// Entries applied since the last snapshot at which the next one is requested.
+    pub snapshot_entries: u64,
+    /// Bytes applied since the last snapshot at which the next one is requested.
+    pub snapshot_bytes: usize,
+    /// Entries kept below a new snapshot, so that slow members need no snapshot.
+    pub kept_entries: u64,
+    /// Largest snapshot in bytes.
+    pub max_snapshot_bytes: usize,
+    /// Largest part of a snapshot in one message, in bytes; at most 256 KiB.
+    pub chunk_bytes: usize,
+    /// Largest number of probe answers that wait for entries to be applied.
+    pub max_waiting_probes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            election_timeout: Duration::from_millis(800),
+            heartbeat: Duration::from_millis(150),
+            probe_interval: Duration::from_millis(250),
+            peers: Vec::new(),
+            max_voters: 5,
+            max_members: 16,
+            max_command_bytes: 256 * 1024,
+            max_batch_entries: 64,
+            max_batch_bytes: 256 * 1024,
+            max_in_flight: 8,
+            max_uncommitted: 1024,
+            max_log_entries: 8192,
+            max_log_bytes: 64 * 1024 * 1024,
+            snapshot_entries: 512,
+            snapshot_bytes: 4 * 1024 * 1024,
+            kept_entries: 256,
+            max_snapshot_bytes: 64 * 1024 * 1024,
+            chunk_bytes: 256 * 1024,
+            max_waiting_probes: 8,
+        }
+    }
+}
+
+/// Part of the election timeout that absorbs timer granularity, as for every lease of the design.
+const LEASE_MARGIN: Duration = Duration::from_millis(50);
+
+impl Settings {
+    /// Time for which a leader may rely on an acknowledged message, counted from its sending.
+    /// Voters keep their promise for the election timeout on clocks that may run 1% faster.
+    #[must_use]
+    pub fn leader_lease(&self) -> Duration {
+        self.election_timeout.saturating_sub(LEASE_MARGIN) * 100 / 101
+    }
+
+    pub(super) fn check(&self) -> Result<(), StartError> {
+        let times = self.heartbeat * 4 <= self.election_timeout
+            && !self.heartbeat.is_zero()
+            && !self.probe_interval.is_zero()
+            && self.election_timeout > LEASE_MARGIN * 2;
+        let counts = [
+            self.max_voters,
+            self.max_batch_entries,
+            self.max_in_flight,
+            self.max_log_entries,
+            self.max_waiting_probes,
+            self.chunk_bytes,
+        ];
+        let sizes = self.chunk_bytes <= 256 * 1024 && self.max_members >= self.max_voters;
+        if times && sizes && counts.iter().all(|&count| count > 0) {
+            Ok(())
+        } else {
+            Err(StartError::Settings)
+        }
+    }
+}
+
+/// What the caller read from its data folder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recovered {
+    /// Cluster id from the settings; a different one on disk is an error.
+    pub cluster: u128,
+    /// Slot from the settings; a different one on disk is an error.
+    pub slot: u16,
+    /// Vote record, if the folder holds one.
+    pub vote: Option<VoteRecord>,
+    /// Latest snapshot, if the folder holds one.
+    pub snapshot: Option<Snapshot>,
+    /// Entries in order, up to the last good record.
+    pub entries: Vec<Entry>,
+}
+
+impl Recovered {
+    /// An empty data folder. The node asks for an identity and does not vote until it has one.
+    #[must_use]
+    pub fn empty(cluster: u128, slot: u16) -> Self {
+        Self {
+            cluster,
+            slot,
+            vote: None,
+            snapshot: None,
+            entries: Vec::new(),
+        }
+    }
+
+    /// First start of a new cluster whose voters are `slots`. The caller writes and syncs the vote
+    /// record and the snapshot before it creates the node, and does this at most once for each slot.
+    #[must_use]
+    pub fn initialize(cluster: u128, slot: u16, slots: &[u16], storage: u64) -> Self {
+        let member = Member {
+            slot,
+            incarnation: 1,
+        };
+        let snapshot = Snapshot {
+            position: Position::default(),
+            membership: Membership::initial(slots),
+            data: std::sync::Arc::from(Vec::new()),
+        };
+        Self {
+            cluster,
+            slot,
+            vote: Some(VoteRecord {
+                cluster,
+                member,
+                storage,
+                term: 0,
+                vote: None,
+            }),
+            snapshot: Some(snapshot),
+            entries: Vec::new(),
+        }
+    }
+}
+
+/// Everything that [`Node::new`](super::Node::new) needs.
+#[derive(Debug)]
+pub struct Start {
+    /// Times and limits.
+    pub settings: Settings,
+    /// Durable state.
+    pub recovered: Recovered,
+    /// Source of timeouts and ids. Each process run needs a different seed, because the ids tell
+    /// runs and data folders apart.
+    pub random: Pcg64,
+}
+
+/// Why a node cannot start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StartError {
+    /// A time or limit is out of range.
+    #[error("a raft time or limit is out of range; compare with the defaults")]
+    Settings,
+    /// The data folder belongs to another cluster or slot.
+    #[error(
+        "the data folder belongs to cluster {cluster:032x}, member {member}; use the folder of this slot"
+    )]
+    WrongFolder {
+        /// Cluster on disk.
+        cluster: u128,
+        /// Member on disk.
+        member: Member,
+    },
+    /// Entries are missing between the snapshot and the log, or within the log.
+    #[error(
+        "the log has a gap at index {index}; set the data folder aside so that the member rejoins"
+    )]
+    Gap {
+        /// First index that is missing.
+        index: u64,
+    },
+    /// The folder holds log entries or a snapshot but no vote record.
+    #[error(
+        "the data folder has a log but no vote record; set the folder aside so that the member rejoins"
+    )]
+    NoVoteRecord,
+}
+
+/// Checks what was read and builds the log from it.
+pub(super) fn recover(
+    recovered: Recovered,
+    new_storage: u64,
+) -> Result<(VoteRecord, Snapshot, Log, History), StartError> {
+    let Recovered {
+        cluster,
+        slot,
+        vote,
+        snapshot,
+        entries,
+    } = recovered;
+    if vote.is_none() && (snapshot.is_some() || !entries.is_empty()) {
+        return Err(StartError::NoVoteRecord);
+    }
+    let record = vote.unwrap_or(VoteRecord {
+        cluster,
+        member: Member {
+            slot,
+            incarnation: 0,
+        },
+        storage: new_storage,
+        term: 0,
+        vote: None,
+    });
+    if record.cluster != cluster || record.member.slot != slot {
+        return Err(StartError::WrongFolder {
+            cluster: record.cluster,
+            member: record.member,
+        });
+    }
+    let snapshot = snapshot.unwrap_or(Snapshot {
+        position: Position::default(),
+        membership: Membership::default(),
+        data: std::sync::Arc::from(Vec::new()),
+    });
+    let base = snapshot.position;
+    let mut log = Log::new(base);
+    let mut history = History::new(base.index, snapshot.membership.clone());
+    // A crash between the writes of an installed snapshot leaves entries of another history.
+    let conflict = entries
+        .iter()
+        .any(|entry| entry.position.index == base.index && entry.position.term != base.term);
+    for entry in entries
+        .into_iter()
+        .filter(|entry| entry.position.index > base.index && !conflict)
+    {
+        let expected = log.last().index + 1;
+        if entry.position.index != expected {
+            return Err(StartError::Gap { index: expected });
+        }
+        if let Payload::Membership(membership) = &entry.payload {
+            history.push(entry.position.index, membership.clone());
+        }
+        log.push(entry);
+    }
+    Ok((record, snapshot, log, history))
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/snapshot.rs
@@ -0,0 +1,106 @@
+//! Taking snapshots, compacting the log behind them, and sending them in chunks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::event::Snapshot;
+use super::log::Position;
+use super::progress::Mode;
+use super::{Action, Body, Member, Node, Write};
+
+impl Node {
+    /// Asks for a snapshot once enough has been applied since the last one.
+    pub(super) fn request_snapshot(&mut self) {
+        let entries = self.commit - self.snapshot.position.index;
+        let due = entries >= self.settings.snapshot_entries
+            || self.applied_bytes >= self.settings.snapshot_bytes;
+        let repeat = self.snapshot_requested <= self.snapshot.position.index
+            || self.commit - self.snapshot_requested >= self.settings.snapshot_entries;
+        if due && repeat {
+            self.snapshot_requested = self.commit;
+            self.out
+                .last
+                .push(Action::TakeSnapshot { index: self.commit });
+        }
+    }
+
+    pub(super) fn on_snapshot_taken(&mut self, index: u64, data: Arc<[u8]>) {
+        let newer = index > self.snapshot.position.index && index <= self.commit;
+        let term = self.log.term_at(index).filter(|_| newer);
+        let (Some(term), true) = (term, data.len() <= self.settings.max_snapshot_bytes) else {
+            self.reject(self.record.member);
+            return;
+        };
+        let membership = self.history.at(index).clone();
+        self.snapshot = Snapshot {
+            position: Position { term, index },
+            membership,
+            data,
+        };
+        self.out.writes.push(Write::Snapshot(self.snapshot.clone()));
+        self.applied_bytes = 0;
+        self.log
+            .compact(index.saturating_sub(self.settings.kept_entries));
+        self.history.compact(self.log.base().index);
+    }
+
+    pub(super) fn start_sending(&mut self, member: Member, now: Duration) {
+        let snapshot = self.snapshot.clone();
+        if let Some(progress) = self.progress(member) {
+            progress.in_flight.clear();
+            progress.mode = Mode::Sending {
+                snapshot,
+                received: 0,
+            };
+            self.send_chunk(member, now);
+        }
+    }
+
+    pub(super) fn send_chunk(&mut self, member: Member, now: Duration) {
+        let chunk_bytes = self.settings.chunk_bytes;
+        let Some(progress) = self.progress(member) else {
+            return;
+        };
+        let Mode::Sending { snapshot, received } = &progress.mode else {
+            return;
+        };
+        let start = usize::try_from(*received)
+            .unwrap_or(usize::MAX)
+            .min(snapshot.data.len());
+        let end = (start + chunk_bytes).min(snapshot.data.len());
+        let body = Body::Chunk {
+            position: snapshot.position,
+            membership: snapshot.membership.clone(),
+            total: snapshot.data.len() as u64,
+            offset: *received,
+            data: snapshot.data[start..end].to_vec(),
+            sent_at: now,
+        };
+        self.send(member, body);
+    }
+
+    pub(super) fn on_chunk_answer(
+        &mut self,
+        from: Member,
+        position: Position,
+        answered: u64,
+        sent_at: Duration,
+        now: Duration,
+    ) {
+        if !self.note_answer(from, sent_at, now) {
+            return;
+        }
+        let Some(progress) = self.progress(from) else {
+            return;
+        };
+        let Mode::Sending { snapshot, received } = &mut progress.mode else {
+            return;
+        };
+        let known = snapshot.position == position && answered <= snapshot.data.len() as u64;
+        // A repeated answer starts no second sequence of chunks; a heartbeat resends a lost one.
+        if known && *received != answered {
+            *received = answered;
+            self.send_chunk(from, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/raft/state.rs
@@ -0,0 +1,79 @@
+//! The dump of a node's state for operators.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::log::Position;
+use super::member::{Member, Membership};
+
+/// Role of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Has no identity yet and asks for one.
+    Joining,
+    /// Follows a leader or waits for one. Learners are followers.
+    Follower,
+    /// Asks whether an election could succeed.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// State of a node at one moment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Identity; incarnation 0 while it has none.
+    pub member: Member,
+    /// Random id of the data folder.
+    pub storage: u64,
+    /// Role.
+    pub role: Role,
+    /// Current term.
+    pub term: u64,
+    /// Vote in that term.
+    pub vote: Option<Member>,
+    /// Leader of that term, if known.
+    pub leader: Option<Member>,
+    /// Last position of the log.
+    pub last: Position,
+    /// Commit index; every entry up to it has been handed out for applying.
+    pub commit: u64,
+    /// Position before the first entry in memory.
+    pub base: Position,
+    /// Last entry that the snapshot covers.
+    pub snapshot: Position,
+    /// Bytes of log entries in memory.
+    pub log_bytes: usize,
+    /// Latest membership in the log.
+    pub membership: Membership,
+    /// Index of that membership's entry.
+    pub membership_index: u64,
+    /// Until when the leader lease holds; only for a leader.
+    pub lease_until: Option<Duration>,
+    /// Moment at which the applied state was known to be the latest.
+    pub fresh_as_of: Option<Duration>,
+    /// Next leader that the leadership is being handed to.
+    pub transfer_to: Option<Member>,
+    /// What a leader knows of each other member.
+    pub followers: Vec<FollowerState>,
+}
+
+/// What a leader knows of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowerState {
+    /// Identity.
+    pub member: Member,
+    /// Last index known to be durable there.
+    pub matched: u64,
+    /// Next index to send.
+    pub next: u64,
+    /// Unanswered batches.
+    pub in_flight: usize,
+    /// Bytes of a snapshot acknowledged so far, while one is being sent.
+    pub snapshot_sent: Option<u64>,
+    /// Sending time of the latest message that the member answered.
+    pub answered: Option<Duration>,
+}
