--- a/crates/azurelug-coordination/src/journal.rs
+++ b/crates/azurelug-coordination/src/journal.rs
@@ -77,8 +77,12 @@
     pub term: u64,
     /// Member voted for in `term`, as slot and incarnation.
     pub vote: Option<(u32, u64)>,
+    /// This member's position in the cluster.
+    pub slot: u32,
     /// This member's incarnation; 0 until it has one.
     pub incarnation: u64,
+    /// Random id of the data folder, by which peers notice a folder that was replaced.
+    pub storage: u64,
     /// Highest index known to be committed when the state was saved.
     pub commit: u64,
 }
--- a/crates/azurelug-coordination/src/lib.rs
+++ b/crates/azurelug-coordination/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! - [`journal`]: bytes of the durable log: records, segments, snapshots, hard state, recovery scan.
 //! - [`once`]: at-most-once records, applied from committed log entries.
+//! - [`raft`]: the replicated log.
 
 pub mod journal;
 pub mod once;
+pub mod raft;
