control: replicate the state over the log and keep it on disk

Cause: one copy in memory lost every patch on a restart. Change: the replica task steps the replicated log, writes a whole batch with one sync, then sends, then applies; commands travel to the leader and are tried again after a change of leadership, which is safe because every command is idempotent. Leases are renewed with the age at which the member's state was known to be the newest. The state machine is shared behind a lock, because a copy for each command would grow with the number of records.

--- /dev/null
+++ b/crates/azurelug-control/src/disk.rs
@@ -0,0 +1,188 @@
+//! Maps the replicated log's writes to the data folder.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use azurelug_coordination::journal;
+use azurelug_coordination::raft::{
+    Entry, Member, Membership, Payload, Position, Recovered, Snapshot, VoteRecord, Write,
+};
+use azurelug_storage::{Files, Store};
+use azurelug_wire::codec;
+use serde::{Deserialize, Serialize};
+
+/// Why the durable state can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The data folder failed or is damaged.
+    #[error(transparent)]
+    Storage(#[from] azurelug_storage::Error),
+    /// A record does not decode.
+    #[error(
+        "the data folder holds a record of another release: {0}; run the release that wrote it"
+    )]
+    Decode(#[from] azurelug_wire::Error),
+}
+
+/// A snapshot's content on disk.
+#[derive(Serialize, Deserialize)]
+struct Content {
+    membership: Membership,
+    data: Vec<u8>,
+}
+
+/// The open data folder of one member.
+pub struct Disk {
+    store: Store,
+    record: journal::HardState,
+}
+
+impl Disk {
+    /// Opens the folder and reads what the replicated log needs to start. An empty folder gives a
+    /// member without identity, or a founding member if `founders` is set.
+    ///
+    /// # Errors
+    /// The folder is in use, damaged, of another cluster, or not accessible.
+    pub fn open(
+        folder: &Path,
+        cluster: u128,
+        slot: u16,
+        founders: &[u16],
+        initialize: bool,
+        storage: u64,
+    ) -> Result<(Self, Recovered), Error> {
+        let (store, found) = Store::open(folder, cluster, Files::new())?;
+        let mut disk = Self {
+            store,
+            record: found.hard_state,
+        };
+        let mut recovered = Recovered::empty(cluster, slot);
+        if found.hard_state.incarnation == 0 {
+            if initialize {
+                recovered = Recovered::initialize(cluster, slot, founders, storage);
+                if let Some(vote) = recovered.vote {
+                    disk.save_vote(&vote)?;
+                }
+            }
+            return Ok((disk, recovered));
+        }
+        recovered.vote = Some(vote_record(cluster, &found.hard_state));
+        recovered.snapshot = match found.snapshot {
+            Some(snapshot) => Some(read_snapshot(&snapshot)?),
+            // Founders have no snapshot on disk until the first entry was applied.
+            None if found.hard_state.incarnation == 1 => {
+                Recovered::initialize(cluster, slot, founders, storage).snapshot
+            }
+            None => None,
+        };
+        recovered.entries = found
+            .entries
+            .iter()
+            .map(read_entry)
+            .collect::<Result<_, _>>()?;
+        Ok((disk, recovered))
+    }
+
+    /// Carries out writes in order and makes them durable with one sync.
+    ///
+    /// # Errors
+    /// A failed write or sync. Nothing that depends on the writes may be sent then.
+    pub fn write(&mut self, writes: Vec<Write>) -> Result<(), Error> {
+        for write in writes {
+            match write {
+                Write::Vote(record) => self.save_vote(&record)?,
+                Write::Truncate { from } => self.store.truncate_from(from)?,
+                Write::Append(entries) => {
+                    let entries: Vec<_> =
+                        entries.iter().map(write_entry).collect::<Result<_, _>>()?;
+                    self.store.append(&entries)?;
+                }
+                Write::Snapshot(snapshot) => {
+                    self.store.save_snapshot(&write_snapshot(&snapshot)?)?;
+                }
+            }
+        }
+        Ok(self.store.sync()?)
+    }
+
+    /// Sets the folder aside after a failure, so that the member rejoins with an empty one.
+    ///
+    /// # Errors
+    /// The folder can't be renamed.
+    pub fn set_aside(self) -> Result<std::path::PathBuf, Error> {
+        Ok(self.store.set_aside()?)
+    }
+
+    fn save_vote(&mut self, record: &VoteRecord) -> Result<(), Error> {
+        self.record = journal::HardState {
+            term: record.term,
+            vote: record
+                .vote
+                .map(|member| (u32::from(member.slot), member.incarnation)),
+            slot: u32::from(record.member.slot),
+            incarnation: record.member.incarnation,
+            storage: record.storage,
+            commit: self.record.commit,
+        };
+        Ok(self.store.save_hard_state(self.record)?)
+    }
+}
+
+fn vote_record(cluster: u128, state: &journal::HardState) -> VoteRecord {
+    let member = |slot: u32, incarnation| Member {
+        slot: u16::try_from(slot).unwrap_or(u16::MAX),
+        incarnation,
+    };
+    VoteRecord {
+        cluster,
+        member: member(state.slot, state.incarnation),
+        storage: state.storage,
+        term: state.term,
+        vote: state
+            .vote
+            .map(|(slot, incarnation)| member(slot, incarnation)),
+    }
+}
+
+fn read_entry(entry: &journal::Entry) -> Result<Entry, Error> {
+    let payload: Payload = codec::decode(&entry.payload)?;
+    Ok(Entry {
+        position: Position {
+            term: entry.term,
+            index: entry.index,
+        },
+        payload,
+    })
+}
+
+fn write_entry(entry: &Entry) -> Result<journal::Entry, Error> {
+    Ok(journal::Entry {
+        index: entry.position.index,
+        term: entry.position.term,
+        payload: codec::encode(&entry.payload)?,
+    })
+}
+
+fn read_snapshot(snapshot: &journal::Snapshot) -> Result<Snapshot, Error> {
+    let content: Content = codec::decode_unlimited(&snapshot.payload)?;
+    Ok(Snapshot {
+        position: Position {
+            term: snapshot.term,
+            index: snapshot.index,
+        },
+        membership: content.membership,
+        data: Arc::from(content.data),
+    })
+}
+
+fn write_snapshot(snapshot: &Snapshot) -> Result<journal::Snapshot, Error> {
+    let content = Content {
+        membership: snapshot.membership.clone(),
+        data: snapshot.data.to_vec(),
+    };
+    Ok(journal::Snapshot {
+        index: snapshot.position.index,
+        term: snapshot.position.term,
+        payload: codec::encode_unlimited(&content)?,
+    })
+}
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use azurelug_coordination::once;
+use azurelug_coordination::{once, raft};
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_types::id::Version;
-use azurelug_wire::Frame;
 use azurelug_wire::frame::Hello;
 use azurelug_wire::server::Reply;
+use azurelug_wire::{Frame, codec};
 use tokio::sync::mpsc;
 
 use crate::daemons::Registry;
 use crate::replica::Replica;
+use crate::settings::Member;
 
 /// Configurations that wait for a slow daemon. It gets the newest one in any case.
 const WATCH_QUEUE: usize = 2;
@@ -24,6 +25,8 @@
     pub replica: Replica,
     /// The entry daemons seen here.
     pub registry: Arc<Registry>,
+    /// The control daemons of the cluster.
+    pub members: Arc<[Member]>,
 }
 
 impl Internal {
@@ -33,20 +36,84 @@
             Frame::Renew { version, in_flight } => {
                 self.registry
                     .renewed(&peer.sender, &peer.zone, version, in_flight);
-                let latest_version = self.replica.config().version;
-                Reply::One(Frame::Renewed {
-                    latest_version,
-                    freshness_age_ms: 0,
-                })
+                Reply::One(self.renew())
             }
             Frame::Watch { after_version } => Reply::Stream(self.watch(after_version)),
             Frame::Once(command) => Reply::One(self.once(command).await),
+            Frame::Raft { message } => {
+                self.raft(&peer, &message);
+                Reply::None
+            }
+            Frame::Forward { command } => Reply::One(self.forward(&peer, command).await),
             _ => Reply::One(Frame::Refused {
                 message: "not a request".to_owned(),
             }),
         }
     }
 
+    /// Renews a lease, if it is known how old the state here can be at most.
+    fn renew(&self) -> Frame {
+        // The age is read before the version: a version that commits in between only makes the
+        // daemon wait for it.
+        let Some(age) = self.replica.freshness_age() else {
+            return Frame::Refused {
+                message: "this member has not met the leader yet".to_owned(),
+            };
+        };
+        let latest_version = self.replica.config().version;
+        let freshness_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        Frame::Renewed {
+            latest_version,
+            freshness_age_ms: freshness_age_ms.saturating_add(1),
+        }
+    }
+
+    /// Passes a message of the replicated log on if it comes from the member that it names.
+    fn raft(&self, peer: &Hello, message: &[u8]) {
+        match codec::decode::<raft::Message>(message) {
+            Ok(message) if self.is_member(peer, message.from.slot) => self.replica.receive(message),
+            Ok(message) => {
+                let slot = message.from.slot;
+                log::warn!(
+                    "control: {} sent a message as member {slot}; dropped",
+                    peer.sender
+                );
+            }
+            Err(error) => log::warn!("control: message of {}: {error}", peer.sender),
+        }
+    }
+
+    /// Commits a command of another member if this one leads. It is not forwarded again, so that two
+    /// members with old knowledge can't send it back and forth.
+    async fn forward(&self, peer: &Hello, command: Vec<u8>) -> Frame {
+        let is_known = self.members.iter().any(|member| member.name == peer.sender);
+        if !is_known {
+            return Frame::Refused {
+                message: "only control daemons forward commands".to_owned(),
+            };
+        }
+        match self
+            .replica
+            .propose_here(command)
+            .await
+            .map(|outcome| codec::encode(&outcome))
+        {
+            Ok(Ok(outcome)) => Frame::Forwarded { outcome },
+            Ok(Err(error)) => Frame::Refused {
+                message: error.to_string(),
+            },
+            Err(missed) => Frame::Refused {
+                message: format!("not committed here: {missed:?}"),
+            },
+        }
+    }
+
+    fn is_member(&self, peer: &Hello, slot: u16) -> bool {
+        self.members
+            .iter()
+            .any(|member| member.slot == slot && member.name == peer.sender)
+    }
+
     /// Sends the present configuration if it is newer, and then each newer one.
     fn watch(&self, after_version: Version) -> mpsc::Receiver<Frame> {
         let (sender, receiver) = mpsc::channel(WATCH_QUEUE);
@@ -54,7 +121,7 @@
         let mut known = after_version;
         tokio::spawn(async move {
             loop {
-                let config = Arc::clone(states.borrow_and_update().store().config());
+                let config = Arc::clone(&states.borrow_and_update());
                 if config.version > known {
                     known = config.version;
                     let frame = Frame::Configuration {
@@ -75,7 +142,7 @@
 
     async fn once(&self, mut command: once::Command) -> Frame {
         stamp(&mut command, wall_clock_ms());
-        match self.replica.propose(Command::Once(command)).await {
+        match self.replica.propose(&Command::Once(command)).await {
             Ok(Outcome::Once(outcome)) => Frame::OnceOutcome(outcome),
             Ok(Outcome::Patch(_)) => Frame::Refused {
                 message: "wrong outcome".to_owned(),
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -1,8 +1,10 @@
 //! Control daemon: holds the replicated state and serves it to entry daemons and operators.
 
 pub mod daemons;
+pub mod disk;
 pub mod internal;
 pub mod operators;
+pub mod peers;
 pub mod replica;
 pub mod run;
 pub mod settings;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use azurelug_coordination::raft::State;
 use azurelug_core::configuration;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_http::answer::{self, BODY_LIMIT};
@@ -39,9 +40,42 @@
     daemon: DaemonName,
     zone: ZoneName,
     version: u64,
+    role: String,
+    freshness_age_ms: Option<u128>,
     entry_daemons: Vec<Row>,
 }
 
+#[derive(Serialize)]
+struct Dump {
+    daemon: DaemonName,
+    zone: ZoneName,
+    version: u64,
+    freshness_age_ms: Option<u128>,
+    once: Once,
+    log: Option<State>,
+    entry_daemons: Vec<Row>,
+}
+
+/// The size of the at-most-once records.
+#[derive(Serialize)]
+struct Once {
+    records: usize,
+    bytes: u64,
+    watermark_ms: u64,
+}
+
+impl Once {
+    fn of(replica: &Replica) -> Self {
+        let machine = replica.machine();
+        let table = machine.once();
+        Self {
+            records: table.len(),
+            bytes: table.bytes(),
+            watermark_ms: table.watermark_ms(),
+        }
+    }
+}
+
 impl Operators {
     /// The routes.
     pub fn router(self) -> Router {
@@ -50,10 +84,16 @@
         let patches = self;
         Router::new()
             .route("/healthz", get(|| async { "ok" }))
-            .route("/v1/status", get(move || async move { status.status() }))
+            .route(
+                "/v1/status",
+                get(move || async move { status.status().await }),
+            )
             .route("/v1/config", get(move || async move { config.config() }))
             .route("/v1/history", get(move || async move { history.history() }))
-            .route("/debug/state", get(move || async move { dump.status() }))
+            .route(
+                "/debug/state",
+                get(move || async move { dump.dump().await }),
+            )
             .route(
                 "/v1/patches",
                 post(move |request: Request| {
@@ -63,23 +103,40 @@
             )
     }
 
-    fn status(&self) -> Response {
+    async fn status(&self) -> Response {
+        let state = self.replica.dump().await;
         let status = Status {
             daemon: self.name.clone(),
             zone: self.zone.clone(),
             version: self.replica.config().version.0,
+            role: state.map_or_else(|| "stopped".to_owned(), |state| format!("{:?}", state.role)),
+            freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
             entry_daemons: self.registry.rows(),
         };
         answer::json(200, &status)
     }
 
+    async fn dump(&self) -> Response {
+        let log = self.replica.dump().await;
+        let dump = Dump {
+            daemon: self.name.clone(),
+            zone: self.zone.clone(),
+            version: self.replica.config().version.0,
+            freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
+            once: Once::of(&self.replica),
+            log,
+            entry_daemons: self.registry.rows(),
+        };
+        answer::json(200, &dump)
+    }
+
     fn config(&self) -> Response {
         answer::json(200, &*self.replica.config())
     }
 
     fn history(&self) -> Response {
-        let state = self.replica.state();
-        let events: Vec<_> = state.store().history().collect();
+        let machine = self.replica.machine();
+        let events: Vec<_> = machine.store().history().collect();
         answer::json(200, &events)
     }
 
@@ -105,7 +162,7 @@
             digest,
             at_ms,
         };
-        match self.replica.propose(command).await {
+        match self.replica.propose(&command).await {
             Ok(Outcome::Patch(answer)) => patch_answer(&answer),
             Ok(Outcome::Once(_)) => problem(500, "wrong outcome; report this".to_owned()),
             Err(error) => problem(503, error.to_string()),
@@ -114,7 +171,7 @@
 }
 
 fn dry_run(replica: &Replica, patch: &Patch) -> Response {
-    match replica.state().store().evaluate(patch) {
+    match replica.machine().store().evaluate(patch) {
         Ok(config) => patch_answer(&Answer::Accepted {
             version: config.version,
         }),
--- /dev/null
+++ b/crates/azurelug-control/src/peers.rs
@@ -0,0 +1,129 @@
+//! Connections to the other control daemons: messages of the replicated log, and forwarded commands.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_wire::handshake::Identity;
+use azurelug_wire::{Connection, Error, Frame};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::settings::Member;
+
+/// Messages that wait for a connection. More are dropped: the log sends again.
+const QUEUE: usize = 256;
+
+/// Pause between two attempts to connect.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+struct Peer {
+    queue: mpsc::Sender<Frame>,
+    connection: Arc<Mutex<Option<Connection>>>,
+}
+
+/// The connections, by slot. Clones share them.
+#[derive(Clone)]
+pub struct Peers {
+    peers: Arc<HashMap<u16, Peer>>,
+}
+
+impl Peers {
+    /// Starts a task for each member but the own one.
+    pub fn start(members: &[Member], own_slot: u16, identity: &Arc<Identity>) -> Self {
+        let others = members.iter().filter(|member| member.slot != own_slot);
+        let peers = others.map(|member| {
+            let (queue, frames) = mpsc::channel(QUEUE);
+            let connection = Arc::new(Mutex::new(None));
+            let task = keep(
+                member.address,
+                Arc::clone(identity),
+                Arc::clone(&connection),
+                frames,
+            );
+            tokio::spawn(task);
+            (member.slot, Peer { queue, connection })
+        });
+        Self {
+            peers: Arc::new(peers.collect()),
+        }
+    }
+
+    /// Sends a frame that needs no answer, or drops it.
+    pub fn send(&self, slot: u16, frame: Frame) {
+        if let Some(peer) = self.peers.get(&slot) {
+            // A full queue means a slow or lost peer; the log sends what is missing again.
+            let _ = peer.queue.try_send(frame);
+        }
+    }
+
+    /// Sends a frame and waits for the answer.
+    ///
+    /// # Errors
+    /// `Closed` without a connection; otherwise as [`Connection::call`].
+    pub async fn call(&self, slot: u16, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
+        let connection = self.peers.get(&slot).and_then(|peer| {
+            peer.connection
+                .lock()
+                .expect("no holder of the lock panics")
+                .clone()
+        });
+        match connection {
+            Some(connection) => connection.call(frame, timeout).await,
+            None => Err(Error::Closed {
+                message: format!("member {slot} is not connected"),
+            }),
+        }
+    }
+}
+
+/// Keeps a connection to `address` and passes frames on to it.
+async fn keep(
+    address: SocketAddr,
+    identity: Arc<Identity>,
+    shared: Arc<Mutex<Option<Connection>>>,
+    mut frames: mpsc::Receiver<Frame>,
+) {
+    loop {
+        match Connection::open(address, Arc::clone(&identity)).await {
+            Ok(connection) => {
+                log::info!("control: connected to {}", connection.peer());
+                let set = |value| {
+                    *shared.lock().expect("no holder of the lock panics") = value;
+                };
+                set(Some(connection.clone()));
+                let is_ended = pass(&connection, &mut frames).await;
+                set(None);
+                log::warn!("control: lost the connection to {}", connection.peer());
+                if is_ended {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::debug!("control: {error}");
+                // What waited meanwhile is out of date.
+                while frames.try_recv().is_ok() {}
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Passes frames on until the connection is lost; returns whether there will be no more frames.
+async fn pass(connection: &Connection, frames: &mut mpsc::Receiver<Frame>) -> bool {
+    let Ok(uplink) = connection.uplink().await else {
+        return false;
+    };
+    loop {
+        tokio::select! {
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return true };
+                if let Err(mpsc::error::TrySendError::Closed(_)) = uplink.try_send(frame) {
+                    return false;
+                }
+            }
+            () = connection.wait_closed() => return false,
+        }
+    }
+}
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -1,85 +1,183 @@
-//! The task that owns the replicated state. All commands pass through it.
+//! A member of the replicated log: the only place that changes the replicated state.
+//!
+//! [`Replica`] is the handle for the rest of the daemon. The task behind it owns the log, the disk
+//! and the connections; see [`task`].
 
-use std::sync::Arc;
+pub mod task;
 
+use std::sync::{Arc, RwLock, RwLockReadGuard};
+use std::time::Duration;
+
+use azurelug_coordination::raft::{Message, State};
 use azurelug_core::machine::{Command, Machine, Outcome};
 use azurelug_types::config::Config;
+use azurelug_wire::{Frame, codec};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::peers::Peers;
+
+/// How long a command may wait for a leader. An election takes up to 2 s.
+const PROPOSE_LIMIT: Duration = Duration::from_secs(4);
 
-/// Commands that wait for the task. More are refused.
-const QUEUE: usize = 1024;
+/// Time for one attempt to commit a command.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Pause before a command is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a command got no outcome.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
-    /// The queue is full.
-    #[error("too many commands wait; retry in a second")]
-    Overloaded,
-    /// No majority of control daemons can be reached, or the leader has just changed.
-    #[error("no quorum: {message}; check `azurelug status`, then retry")]
+    /// The command is malformed.
+    #[error("the command can't be encoded: {message}; send a smaller one")]
+    Malformed {
+        /// The cause.
+        message: String,
+    },
+    /// No majority of control daemons can be reached.
+    #[error("no quorum: {message}; look at `azurelug status`, then send the same command again")]
     NoQuorum {
-        /// What is known.
+        /// What the last attempt met.
         message: String,
     },
 }
 
-struct Proposal {
-    command: Command,
-    reply: oneshot::Sender<Outcome>,
+/// What the task is asked to do.
+pub enum Request {
+    /// Commits a command if this member leads.
+    Propose {
+        /// The encoded command.
+        command: Vec<u8>,
+        /// Gets the outcome, or why there is none.
+        reply: oneshot::Sender<Result<Outcome, Missed>>,
+    },
+    /// A message of another member.
+    Receive(Message),
+    /// Asks for the log's state, for a dump.
+    Dump(oneshot::Sender<State>),
+    /// Hands the leadership over before a shutdown.
+    Transfer,
+}
+
+/// Why this member did not commit a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missed {
+    /// It does not lead; the leader's slot, if known.
+    NotLeader(Option<u16>),
+    /// The leadership changed first, so that the outcome is not known.
+    Lost,
+    /// A queue is full.
+    Busy,
 }
 
 /// A handle to the task. Clones share it.
 #[derive(Clone)]
 pub struct Replica {
-    proposals: mpsc::Sender<Proposal>,
-    state: watch::Receiver<Arc<Machine>>,
+    requests: mpsc::Sender<Request>,
+    machine: Arc<RwLock<Machine>>,
+    config: watch::Receiver<Arc<Config>>,
+    fresh_as_of: watch::Receiver<Option<Instant>>,
+    peers: Peers,
 }
 
 impl Replica {
-    /// Starts the task.
-    pub fn start() -> Self {
-        let (proposals, mut queue) = mpsc::channel::<Proposal>(QUEUE);
-        let (publish, state) = watch::channel(Arc::new(Machine::default()));
-        tokio::spawn(async move {
-            let mut machine = Machine::default();
-            while let Some(proposal) = queue.recv().await {
-                let outcome = machine.apply(proposal.command);
-                publish.send_replace(Arc::new(machine.clone()));
-                // The asker may have gone away; the command counts all the same.
-                let _ = proposal.reply.send(outcome);
+    /// Commits a command through the present leader and returns its outcome. A command is tried
+    /// again after a change of leadership, which is safe because every command is idempotent: a
+    /// patch by its id, a claim by its claimant, a record and a release by the claim's number.
+    ///
+    /// # Errors
+    /// `NoQuorum` if the outcome is not known within 4 s.
+    pub async fn propose(&self, command: &Command) -> Result<Outcome, Error> {
+        let malformed = |error: azurelug_wire::Error| Error::Malformed {
+            message: error.to_string(),
+        };
+        let command = codec::encode(command).map_err(malformed)?;
+        let limit = Instant::now() + PROPOSE_LIMIT;
+        loop {
+            let message = match self.propose_here(command.clone()).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(Missed::NotLeader(Some(slot))) => {
+                    match self.forward(slot, command.clone()).await {
+                        Ok(outcome) => return Ok(outcome),
+                        Err(error) => error.to_string(),
+                    }
+                }
+                Err(Missed::NotLeader(None)) => "no leader is known".to_owned(),
+                Err(Missed::Lost) => "the leadership changed".to_owned(),
+                Err(Missed::Busy) => "too many commands wait".to_owned(),
+            };
+            if Instant::now() + RETRY_PAUSE >= limit {
+                return Err(Error::NoQuorum { message });
             }
-        });
-        Self { proposals, state }
+            sleep(RETRY_PAUSE).await;
+        }
     }
 
-    /// Commits a command and returns its outcome.
+    /// Commits an encoded command if this member leads.
     ///
     /// # Errors
-    /// `Overloaded` if it was not taken; `NoQuorum` if its outcome is not known.
-    pub async fn propose(&self, command: Command) -> Result<Outcome, Error> {
+    /// Why it did not commit the command.
+    pub async fn propose_here(&self, command: Vec<u8>) -> Result<Outcome, Missed> {
         let (reply, outcome) = oneshot::channel();
-        let proposal = Proposal { command, reply };
-        self.proposals
-            .try_send(proposal)
-            .map_err(|_| Error::Overloaded)?;
-        let lost = |_| Error::NoQuorum {
-            message: "the command was dropped".to_owned(),
-        };
-        outcome.await.map_err(lost)
+        let request = Request::Propose { command, reply };
+        self.requests.try_send(request).map_err(|_| Missed::Busy)?;
+        match timeout(ATTEMPT_LIMIT, outcome).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(Missed::Lost),
+        }
+    }
+
+    async fn forward(&self, slot: u16, command: Vec<u8>) -> Result<Outcome, azurelug_wire::Error> {
+        let limit = ATTEMPT_LIMIT + RETRY_PAUSE;
+        match self
+            .peers
+            .call(slot, Frame::Forward { command }, limit)
+            .await?
+        {
+            Frame::Forwarded { outcome } => codec::decode(&outcome),
+            _ => Err(azurelug_wire::Error::Malformed {
+                message: "not an outcome".to_owned(),
+            }),
+        }
     }
 
-    /// The state after the newest applied command.
-    pub fn state(&self) -> Arc<Machine> {
-        Arc::clone(&self.state.borrow())
+    /// Passes a message of another member on. It is dropped if the task is too busy; the log sends
+    /// what is missing again.
+    pub fn receive(&self, message: Message) {
+        let _ = self.requests.try_send(Request::Receive(message));
+    }
+
+    /// The replicated state as applied here. Hold the guard only for a look-up.
+    pub fn machine(&self) -> RwLockReadGuard<'_, Machine> {
+        self.machine.read().expect("no holder of the lock panics")
     }
 
     /// The version in force here.
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(self.state.borrow().store().config())
+        Arc::clone(&self.config.borrow())
+    }
+
+    /// Follows the version in force here.
+    pub fn watch(&self) -> watch::Receiver<Arc<Config>> {
+        self.config.clone()
+    }
+
+    /// How long ago the state applied here was known to be the newest; none if it never was.
+    pub fn freshness_age(&self) -> Option<Duration> {
+        self.fresh_as_of.borrow().map(|as_of| as_of.elapsed())
+    }
+
+    /// The log's state.
+    pub async fn dump(&self) -> Option<State> {
+        let (reply, state) = oneshot::channel();
+        self.requests.send(Request::Dump(reply)).await.ok()?;
+        state.await.ok()
     }
 
-    /// Follows the state.
-    pub fn watch(&self) -> watch::Receiver<Arc<Machine>> {
-        self.state.clone()
+    /// Hands the leadership over, if this member has it.
+    pub async fn transfer(&self) {
+        // The task may have ended already.
+        let _ = self.requests.send(Request::Transfer).await;
     }
 }
--- /dev/null
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -0,0 +1,391 @@
+//! The task that owns one member of the replicated log.
+//!
+//! It takes all waiting requests, steps the log with each, and then carries out the actions of the
+//! whole batch in the order that the log demands: write and sync once, then send, then apply.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use azurelug_coordination::once;
+use azurelug_coordination::raft::{
+    Action, Entry, Event, Message, Node, Payload, Position, Refusal, Role, Snapshot, Start,
+    StartError, Write,
+};
+use azurelug_core::machine::{Command, Machine, Outcome};
+use azurelug_types::config::Config;
+use azurelug_wire::{Frame, codec};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::block_in_place;
+use tokio::time::{Instant, sleep_until};
+
+use super::{Missed, Replica, Request};
+use crate::disk::{self, Disk};
+use crate::internal::wall_clock_ms;
+use crate::peers::Peers;
+
+/// Requests that wait for the task.
+const QUEUE: usize = 4096;
+
+/// Requests taken at once, so that one sync serves many of them.
+const BATCH: usize = 128;
+
+/// How often a leader looks for claims that are overdue.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why the task ended.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The member can't start from what is on the disk.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// The disk failed.
+    #[error(transparent)]
+    Disk(#[from] disk::Error),
+    /// The state in a snapshot or entry does not decode.
+    #[error("the replicated state does not decode: {message}; run the release that wrote it")]
+    Decode {
+        /// The cause.
+        message: String,
+    },
+}
+
+type Reply = oneshot::Sender<Result<Outcome, Missed>>;
+
+/// The task's own state.
+pub struct Task {
+    node: Node,
+    disk: Disk,
+    peers: Peers,
+    started: Instant,
+    requests: mpsc::Receiver<Request>,
+    machine: Arc<RwLock<Machine>>,
+    config: watch::Sender<Arc<Config>>,
+    fresh_as_of: watch::Sender<Option<Instant>>,
+    next_token: u64,
+    /// Proposals that the log has not placed yet.
+    proposed: HashMap<u64, Reply>,
+    /// Proposals by their place in the log.
+    placed: BTreeMap<u64, (u64, Reply)>,
+    role: Role,
+    expire_due: Instant,
+    has_snapshot: bool,
+}
+
+/// Actions of one batch in the order in which they are carried out.
+#[derive(Default)]
+struct Batch {
+    writes: Vec<Write>,
+    sends: Vec<Message>,
+    rest: Vec<Action>,
+}
+
+impl Task {
+    /// Prepares the member; [`Task::run`] starts it.
+    ///
+    /// # Errors
+    /// The disk's content does not fit.
+    pub fn new(
+        settings: azurelug_coordination::raft::Settings,
+        disk: Disk,
+        recovered: azurelug_coordination::raft::Recovered,
+        peers: Peers,
+    ) -> Result<(Self, Replica), Error> {
+        let machine = match &recovered.snapshot {
+            Some(snapshot) => decode_machine(snapshot)?,
+            None => Machine::default(),
+        };
+        let has_snapshot = recovered
+            .snapshot
+            .as_ref()
+            .is_some_and(|it| it.position.index > 0);
+        let random = Pcg64::seed_from_u64(rand::random());
+        let node = Node::new(
+            Start {
+                settings,
+                recovered,
+                random,
+            },
+            Duration::ZERO,
+        )?;
+        let (sender, requests) = mpsc::channel(QUEUE);
+        let config = watch::Sender::new(Arc::clone(machine.store().config()));
+        let machine = Arc::new(RwLock::new(machine));
+        let fresh_as_of = watch::Sender::new(None);
+        let replica = Replica {
+            requests: sender,
+            machine: Arc::clone(&machine),
+            config: config.subscribe(),
+            fresh_as_of: fresh_as_of.subscribe(),
+            peers: peers.clone(),
+        };
+        let started = Instant::now();
+        let task = Self {
+            node,
+            disk,
+            peers,
+            started,
+            requests,
+            machine,
+            config,
+            fresh_as_of,
+            next_token: 0,
+            proposed: HashMap::new(),
+            placed: BTreeMap::new(),
+            role: Role::Follower,
+            expire_due: started,
+            has_snapshot,
+        };
+        Ok((task, replica))
+    }
+
+    /// Runs until every handle is gone or the disk fails. After a failure of the disk the data
+    /// folder is set aside, because it may show as written what the disk does not hold.
+    ///
+    /// # Errors
+    /// Why the member can't go on.
+    pub async fn run(mut self) -> Result<(), Error> {
+        let result = self.serve().await;
+        if let Err(Error::Disk(error)) = &result {
+            log::error!("control: {error}");
+            match self.disk.set_aside() {
+                Ok(folder) => log::error!(
+                    "control: the data folder was set aside as {}; restart to rejoin",
+                    folder.display()
+                ),
+                Err(error) => log::error!("control: {error}"),
+            }
+        }
+        result
+    }
+
+    async fn serve(&mut self) -> Result<(), Error> {
+        let mut taken = Vec::with_capacity(BATCH);
+        loop {
+            let tick = self.started + self.node.next_deadline();
+            let next = tick.min(self.expire_due);
+            let mut batch = Batch::default();
+            tokio::select! {
+                count = self.requests.recv_many(&mut taken, BATCH) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                }
+                () = sleep_until(next) => {}
+            }
+            for request in taken.drain(..) {
+                self.take(request, &mut batch);
+            }
+            let now = Instant::now();
+            if now >= tick {
+                self.step(Event::Tick, &mut batch);
+            }
+            if now >= self.expire_due {
+                self.expire_due = now + EXPIRE_INTERVAL;
+                self.expire(&mut batch);
+            }
+            while !batch.is_empty() {
+                batch = self.carry_out(batch)?;
+            }
+        }
+    }
+
+    fn take(&mut self, request: Request, batch: &mut Batch) {
+        match request {
+            Request::Propose { command, reply } => self.propose(command, reply, batch),
+            Request::Receive(message) => self.step(Event::Receive(message), batch),
+            Request::Dump(reply) => {
+                // The asker may have gone away.
+                let _ = reply.send(self.node.state());
+            }
+            Request::Transfer => self.step(Event::Transfer { token: 0, to: None }, batch),
+        }
+    }
+
+    fn propose(&mut self, command: Vec<u8>, reply: Reply, batch: &mut Batch) {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.proposed.insert(token, reply);
+        self.step(Event::Propose { token, command }, batch);
+    }
+
+    /// A leader turns overdue claims unknown.
+    fn expire(&mut self, batch: &mut Batch) {
+        let now_ms = wall_clock_ms();
+        let due = self
+            .machine
+            .read()
+            .expect("no holder of the lock panics")
+            .once()
+            .next_due_ms();
+        if self.role != Role::Leader || due.is_none_or(|due| due > now_ms) {
+            return;
+        }
+        let command = Command::Once(once::Command::Expire { now_ms });
+        if let Ok(command) = codec::encode(&command) {
+            let (reply, _) = oneshot::channel();
+            self.propose(command, reply, batch);
+        }
+    }
+
+    fn step(&mut self, event: Event, batch: &mut Batch) {
+        let now = self.started.elapsed();
+        for action in self.node.step(event, now) {
+            match action {
+                Action::Persist(write) => batch.writes.push(write),
+                Action::Send(message) => batch.sends.push(message),
+                other => batch.rest.push(other),
+            }
+        }
+    }
+
+    /// Carries out a batch; returns what follows from it.
+    fn carry_out(&mut self, batch: Batch) -> Result<Batch, Error> {
+        let mut following = Batch::default();
+        if !batch.writes.is_empty() {
+            block_in_place(|| self.disk.write(batch.writes))?;
+        }
+        for message in batch.sends {
+            let slot = message.to.slot;
+            match codec::encode(&message) {
+                Ok(message) => self.peers.send(slot, Frame::Raft { message }),
+                Err(error) => log::error!("control: message to member {slot}: {error}"),
+            }
+        }
+        for action in batch.rest {
+            self.act(action, &mut following)?;
+        }
+        Ok(following)
+    }
+
+    fn act(&mut self, action: Action, following: &mut Batch) -> Result<(), Error> {
+        match action {
+            Action::Persist(_) | Action::Send(_) => {}
+            Action::Proposed { token, position } => {
+                if let Some(reply) = self.proposed.remove(&token) {
+                    self.placed.insert(position.index, (position.term, reply));
+                }
+            }
+            Action::Refused { token, refusal } => {
+                if let Some(reply) = self.proposed.remove(&token) {
+                    // The asker may have given up.
+                    let _ = reply.send(Err(missed(refusal)));
+                }
+            }
+            Action::RoleChanged { role, term, leader } => self.role_changed(role, term, leader),
+            Action::Apply(entry) => self.apply(&entry, following)?,
+            Action::Restore(snapshot) => self.restore(&snapshot)?,
+            Action::TakeSnapshot { index } => self.take_snapshot(index, following)?,
+            Action::Fresh { as_of } => {
+                self.fresh_as_of.send_replace(Some(self.started + as_of));
+            }
+            Action::Rejected { from, fault } => {
+                log::warn!("control: message of member {from} refused: {fault}");
+            }
+        }
+        Ok(())
+    }
+
+    fn role_changed(
+        &mut self,
+        role: Role,
+        term: u64,
+        leader: Option<azurelug_coordination::raft::Member>,
+    ) {
+        self.role = role;
+        let leader = leader.map_or_else(|| "none".to_owned(), |leader| leader.to_string());
+        log::info!("control: {role:?} in term {term}, leader {leader}");
+        if role != Role::Leader {
+            for (_, (_, reply)) in std::mem::take(&mut self.placed) {
+                let _ = reply.send(Err(Missed::Lost));
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry, following: &mut Batch) -> Result<(), Error> {
+        let Position { term, index } = entry.position;
+        if let Payload::Command(command) = &entry.payload {
+            let command: Command = codec::decode(command).map_err(decode_error)?;
+            let outcome = {
+                let mut machine = self.machine.write().expect("no holder of the lock panics");
+                let outcome = machine.apply(command);
+                let config = machine.store().config();
+                if config.version > self.config.borrow().version {
+                    self.config.send_replace(Arc::clone(config));
+                }
+                outcome
+            };
+            if let Some((placed_term, reply)) = self.placed.remove(&index) {
+                let result = if placed_term == term {
+                    Ok(outcome)
+                } else {
+                    Err(Missed::Lost)
+                };
+                let _ = reply.send(result);
+            }
+        }
+        if !self.has_snapshot {
+            // Puts the founding members on the disk, which until now came from the settings.
+            self.take_snapshot(index, following)?;
+        }
+        Ok(())
+    }
+
+    fn take_snapshot(&mut self, index: u64, following: &mut Batch) -> Result<(), Error> {
+        let state = self
+            .machine
+            .read()
+            .expect("no holder of the lock panics")
+            .snapshot();
+        let data = codec::encode_unlimited(&state).map_err(decode_error)?;
+        self.has_snapshot = true;
+        self.step(
+            Event::SnapshotTaken {
+                index,
+                data: Arc::from(data),
+            },
+            following,
+        );
+        Ok(())
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let restored = decode_machine(snapshot)?;
+        let config = Arc::clone(restored.store().config());
+        *self.machine.write().expect("no holder of the lock panics") = restored;
+        self.has_snapshot = true;
+        if config.version > self.config.borrow().version {
+            self.config.send_replace(config);
+        }
+        Ok(())
+    }
+}
+
+impl Batch {
+    fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.sends.is_empty() && self.rest.is_empty()
+    }
+}
+
+fn missed(refusal: Refusal) -> Missed {
+    match refusal {
+        Refusal::NotLeader { leader } => Missed::NotLeader(leader.map(|leader| leader.slot)),
+        _ => Missed::Busy,
+    }
+}
+
+fn decode_machine(snapshot: &Snapshot) -> Result<Machine, Error> {
+    if snapshot.data.is_empty() {
+        return Ok(Machine::default());
+    }
+    let state = codec::decode_unlimited(&snapshot.data).map_err(decode_error)?;
+    Machine::restore(state).map_err(decode_error)
+}
+
+fn decode_error(error: impl std::fmt::Display) -> Error {
+    Error::Decode {
+        message: error.to_string(),
+    }
+}
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -3,15 +3,22 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use azurelug_coordination::raft;
 use azurelug_http::Server;
+use azurelug_http::server::ShutdownHook;
 use azurelug_settings::read;
 use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
 
+use sha2::{Digest, Sha256};
+
 use crate::daemons::Registry;
+use crate::disk::{self, Disk};
 use crate::internal::Internal;
 use crate::operators::Operators;
+use crate::peers::Peers;
 use crate::replica::Replica;
+use crate::replica::task::{self, Task};
 use crate::settings::{Options, Settings};
 
 /// Why the daemon could not start or go on.
@@ -26,6 +33,12 @@
     /// The internal listener failed.
     #[error(transparent)]
     Wire(#[from] azurelug_wire::Error),
+    /// The data folder can't be used.
+    #[error(transparent)]
+    Disk(#[from] disk::Error),
+    /// The member of the replicated log ended.
+    #[error(transparent)]
+    Replica(#[from] task::Error),
     /// The runtime could not be started.
     #[error("can't start the runtime: {0}; check the limits on threads and memory")]
     Runtime(#[from] std::io::Error),
@@ -53,10 +66,10 @@
         .worker_threads(2)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, options.initialize))
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, initialize: bool) -> Result<(), Error> {
     let identity = Arc::new(Identity {
         cluster: settings.cluster.clone(),
         daemon: settings.name.clone(),
@@ -64,18 +77,19 @@
         incarnation: rand::random(),
         key: read::shared_key(&settings.key_file)?,
     });
-    let listener = Listener::bind(settings.internal, identity).await?;
+    let listener = Listener::bind(settings.internal, Arc::clone(&identity)).await?;
     let server = Server::bind(settings.operators).await?;
-    let replica = Replica::start();
+    let (task, replica) = member(&settings, initialize, &identity)?;
     let registry = Arc::new(Registry::default());
     let internal = Internal {
         replica: replica.clone(),
         registry: Arc::clone(&registry),
+        members: settings.members.clone().into(),
     };
     let operators = Operators {
         name: settings.name.clone(),
         zone: settings.zone,
-        replica,
+        replica: replica.clone(),
         registry,
     };
     log::info!(
@@ -85,6 +99,43 @@
         listener.address()
     );
     tokio::spawn(listener.serve(move |peer, frame| internal.clone().handle(peer, frame)));
-    server.serve(operators.router(), None).await?;
+    let hand_over: ShutdownHook =
+        Box::new(move || Box::pin(async move { replica.transfer().await }));
+    tokio::select! {
+        result = task.run() => result?,
+        result = server.serve(operators.router(), Some(hand_over)) => result?,
+    }
     Ok(())
 }
+
+/// Opens the data folder and prepares the member of the replicated log.
+fn member(
+    settings: &Settings,
+    initialize: bool,
+    identity: &Arc<Identity>,
+) -> Result<(Task, Replica), Error> {
+    let own = settings.own().expect("the settings were checked");
+    let slots: Vec<u16> = settings.members.iter().map(|member| member.slot).collect();
+    let cluster = cluster_number(&settings.cluster);
+    let storage = rand::random();
+    let (disk, recovered) = Disk::open(
+        &settings.data,
+        cluster,
+        own.slot,
+        &slots,
+        initialize,
+        storage,
+    )?;
+    let peers = Peers::start(&settings.members, own.slot, identity);
+    let raft = raft::Settings {
+        peers: slots.into_iter().filter(|slot| *slot != own.slot).collect(),
+        ..raft::Settings::default()
+    };
+    Ok(Task::new(raft, disk, recovered, peers)?)
+}
+
+/// The number of a cluster in the log and on the disk: the first half of its id's SHA-256.
+fn cluster_number(id: &str) -> u128 {
+    let digest = Sha256::digest(id.as_bytes());
+    u128::from_be_bytes(*digest.first_chunk().expect("a SHA-256 has 32 bytes"))
+}
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -54,7 +54,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Member {
     /// Its position, from 1, never reused for another VM.
-    pub slot: u32,
+    pub slot: u16,
     /// Its name.
     pub name: DaemonName,
     /// Its address for internal connections.
--- a/crates/azurelug-coordination/tests/journal.rs
+++ b/crates/azurelug-coordination/tests/journal.rs
@@ -365,6 +365,8 @@
         vote: Some((2, 17)),
         incarnation: 3,
         commit: 8,
+        slot: 2,
+        storage: 11,
     };
     let synced = Position {
         generation: 6,
--- a/crates/azurelug-storage/tests/store.rs
+++ b/crates/azurelug-storage/tests/store.rs
@@ -68,6 +68,8 @@
         vote: Some((1, 5)),
         incarnation: 5,
         commit: 6,
+        slot: 2,
+        storage: 11,
     };
     store.save_hard_state(hard_state).unwrap();
     store.append(&entries(7..=9, 2)).unwrap();
--- a/crates/azurelug-wire/src/codec.rs
+++ b/crates/azurelug-wire/src/codec.rs
@@ -48,6 +48,30 @@
     Ok(value)
 }
 
+/// Encodes a value that does not travel in one frame, such as a snapshot.
+///
+/// # Errors
+/// `Malformed` if the type can't be encoded.
+pub fn encode_unlimited<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).map_err(|error| {
+        Error::Malformed {
+            message: error.to_string(),
+        }
+    })
+}
+
+/// Decodes a value of any length. Use it only for bytes whose checksum was verified.
+///
+/// # Errors
+/// `Malformed` if the bytes are not a value of this type.
+pub fn decode_unlimited<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(value, _)| value)
+        .map_err(|error| Error::Malformed {
+            message: error.to_string(),
+        })
+}
+
 /// Sends one frame and, if `end` is set, ends the stream.
 ///
 /// # Errors
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -53,8 +53,7 @@
 port() { echo "127.0.0.1:${ports[$1]}"; }
 head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/key"
 zones=(zone-a zone-b zone-c)
-# One control daemon until the log is replicated.
-controls=(0)
+controls=(0 1 2)
 members="members:"
 for i in "${controls[@]}"; do
   members+=$'\n'"  - { slot: $((i + 1)), name: control-${zones[$i]#zone-}, address: \"$(port "$i")\" }"
@@ -79,14 +78,14 @@
 key_file: $dir/key
 callers: "$(port $((6 + i)))"
 admin: "$(port $((9 + i)))"
-control: ["$(port 0)"]
+control: ["$(port "$i")", "$(port $(((i + 1) % 3)))", "$(port $(((i + 2) % 3)))"]
 drain_wait: 1s
 finish_wait: 12s
 Y
   "$bin/azurelug-entry" --settings "$dir/entry-${zones[$i]#zone-}.yaml" --check
 done
 
-echo "== Processes: 1 control daemon, 3 entry daemons, 12 engines, 3 service replicas"
+echo "== Processes: 3 control daemons, 3 entry daemons, 12 engines, 3 service replicas"
 for i in 0 1 2; do
   name=entry-${zones[$i]#zone-}
   start "$name" "$bin/azurelug-entry" --settings "$dir/$name.yaml"
@@ -106,7 +105,7 @@
   start "stock-${zones[$i]#zone-}" "$bin/azurelug-testkit" service --listen "$(port $((24 + i)))"
 done
 
-control=(--control "$(port 3)")
+control=(--control "$(port 3)" --control "$(port 4)" --control "$(port 5)")
 azurelug() { "$bin/azurelug" "${control[@]}" "$@"; }
 for i in "${controls[@]}"; do wait_for "control ${zones[$i]}" http_ok "$(port $((3 + i)))" /healthz; done
 
