cli: count each entry daemon once, by its newest renewal

Cause: scripts/quickstart.sh ended with 'version 2 is not in force everywhere after 7 s: entry-a (has 0)'. An entry daemon that moved to another control daemon stays listed by the earlier one for a minute with its old version. A version that really was missing was ruled out: the rows of the present control daemon had version 2. Change: the command line merges the rows by the newest renewal.

--- a/crates/azurelug-cli/src/command/status.rs
+++ b/crates/azurelug-cli/src/command/status.rs
@@ -1,6 +1,8 @@
 //! `azurelug status`.
 
-use crate::control::Control;
+use std::net::SocketAddr;
+
+use crate::control::{self, Control, EntryDaemon, Status};
 use crate::error::Error;
 use crate::output;
 
@@ -18,37 +20,43 @@
         output::json(&known);
         return Ok(());
     }
-    let mut rows = Vec::new();
-    for (address, status) in &statuses {
-        match status {
-            Err(error) => rows.push(vec![
-                address.to_string(),
-                "control".to_owned(),
-                "?".to_owned(),
-                "?".to_owned(),
-                error.to_string(),
-            ]),
-            Ok(status) => {
-                let role = status.more.get("role").and_then(|role| role.as_str());
-                rows.push(vec![
-                    status.daemon.to_string(),
-                    "control".to_owned(),
-                    status.zone.to_string(),
-                    status.version.to_string(),
-                    role.unwrap_or("serving").to_owned(),
-                ]);
-                rows.extend(status.entry_daemons.iter().map(|entry| {
-                    vec![
-                        entry.name.to_string(),
-                        "entry".to_owned(),
-                        entry.zone.to_string(),
-                        entry.version.to_string(),
-                        format!("{}, {} in flight", entry.state, entry.in_flight),
-                    ]
-                }));
-            }
-        }
-    }
+    let mut rows: Vec<Vec<String>> = statuses.iter().map(control_row).collect();
+    let known = statuses
+        .iter()
+        .filter_map(|(_, status)| status.as_ref().ok());
+    rows.extend(control::entry_daemons(known).into_values().map(entry_row));
     output::table(&["DAEMON", "KIND", "ZONE", "VERSION", "STATE"], &rows);
     Ok(())
 }
+
+fn control_row((address, status): &(SocketAddr, Result<Status, Error>)) -> Vec<String> {
+    let Ok(status) = status else {
+        let unknown = || "?".to_owned();
+        let state = "does not answer".to_owned();
+        return vec![
+            address.to_string(),
+            "control".to_owned(),
+            unknown(),
+            unknown(),
+            state,
+        ];
+    };
+    let role = status.more.get("role").and_then(|role| role.as_str());
+    vec![
+        status.daemon.to_string(),
+        "control".to_owned(),
+        status.zone.to_string(),
+        status.version.to_string(),
+        role.unwrap_or("unknown").to_lowercase(),
+    ]
+}
+
+fn entry_row(entry: &EntryDaemon) -> Vec<String> {
+    vec![
+        entry.name.to_string(),
+        "entry".to_owned(),
+        entry.zone.to_string(),
+        entry.version.to_string(),
+        format!("{}, {} in flight", entry.state, entry.in_flight),
+    ]
+}
--- a/crates/azurelug-cli/src/command/zone.rs
+++ b/crates/azurelug-cli/src/command/zone.rs
@@ -8,7 +8,7 @@
 use bpaf::Bpaf;
 use tokio::time::{Instant, sleep};
 
-use crate::control::Control;
+use crate::control::{self, Control};
 use crate::error::Error;
 
 /// How long a version may take to be in force everywhere.
@@ -97,21 +97,18 @@
 /// Daemons that have not acknowledged the version, and control daemons that don't answer.
 async fn missing(control: &Control, version: Version) -> Vec<String> {
     let mut missing = Vec::new();
+    let mut known = Vec::new();
     for (address, status) in control.statuses().await {
         match status {
             Err(_) => missing.push(address.to_string()),
-            Ok(status) => {
-                if status.version < version {
-                    missing.push(status.daemon.to_string());
-                }
-                let entries = status.entry_daemons.iter();
-                missing.extend(
-                    entries
-                        .filter(|entry| entry.version < version)
-                        .map(|entry| format!("{} (has {})", entry.name, entry.version)),
-                );
-            }
+            Ok(status) if status.version < version => missing.push(status.daemon.to_string()),
+            Ok(status) => known.push(status),
         }
     }
+    let behind = control::entry_daemons(known.iter())
+        .into_values()
+        .filter(|entry| entry.version < version)
+        .map(|entry| format!("{} (has {})", entry.name, entry.version));
+    missing.extend(behind);
     missing
 }
--- a/crates/azurelug-cli/src/control.rs
+++ b/crates/azurelug-cli/src/control.rs
@@ -1,5 +1,6 @@
 //! Calls to control daemons over HTTP.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -143,6 +144,21 @@
     }
 }
 
+/// Every entry daemon once. One that moved to another control daemon is still listed by the earlier
+/// one for a minute, so the newest renewal counts.
+pub(crate) fn entry_daemons<'a>(
+    statuses: impl Iterator<Item = &'a Status>,
+) -> BTreeMap<DaemonName, &'a EntryDaemon> {
+    let mut newest: BTreeMap<DaemonName, &EntryDaemon> = BTreeMap::new();
+    for entry in statuses.flat_map(|status| &status.entry_daemons) {
+        let known = newest.entry(entry.name.clone()).or_insert(entry);
+        if entry.renewed_ms_ago < known.renewed_ms_ago {
+            *known = entry;
+        }
+    }
+    newest
+}
+
 fn patch_answer(address: SocketAddr, body: &[u8]) -> Result<Version, Error> {
     let answer: Answer = serde_json::from_slice(body).map_err(|error| Error::Malformed {
         address,
