--- /dev/null
+++ b/crates/azurelug-core/src/admission.rs
@@ -0,0 +1,368 @@
+//! Decides whether a request starts, waits or is refused at once.
+//!
+//! Owns the bounded queues of all client accounts and the slots of running requests. Never lets a
+//! request wait that cannot meet its deadline any more, and never gives the slots reserved for
+//! short calls to long ones.
+
+mod lane;
+mod refusal;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use azurelug_types::config::Config;
+use azurelug_types::id::{AccountKey, AccountName, Version};
+use azurelug_types::key;
+use azurelug_types::outcome::Reason;
+
+pub use refusal::Refused;
+
+use crate::latency::{Class, Latencies};
+use crate::slab::{Handle, Slab};
+use lane::{Lane, QUANTUM, Ring};
+
+/// Long and short calls wait in separate lanes.
+const LANES: usize = 2;
+const LONG: usize = 0;
+const SHORT: usize = 1;
+/// Weight of one finished request in the moving average of the service time.
+const SMOOTHING: f64 = 0.05;
+
+/// Limits of one entry daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Requests that run at the same time; replaced by `set_capacity` once targets are known.
+    pub capacity: u32,
+    /// Part of the capacity that only short calls use, in percent.
+    pub reserved_short_percent: u32,
+    /// Requests that one account may have waiting.
+    pub queue_per_account: usize,
+    /// Requests that all accounts may have waiting.
+    pub queue_total: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            capacity: 64,
+            reserved_short_percent: 20,
+            queue_per_account: 64,
+            queue_total: 4096,
+        }
+    }
+}
+
+/// A request that wants to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Whose request it is.
+    pub account: AccountKey,
+    /// Whether it is a short call.
+    pub short: bool,
+    /// Expected work relative to other requests, such as its maximum of tokens.
+    pub cost: u32,
+    /// When its answer must be complete.
+    pub deadline: Duration,
+    /// The stages it will run.
+    pub stages: &'a [Class],
+}
+
+key! {
+    /// An admitted or waiting request.
+    pub struct Ticket(pub(crate) Handle);
+
+    /// The answer to a request that is not refused.
+    pub enum Entry {
+        /// It runs now.
+        Start(Ticket),
+        /// It waits; an action will follow.
+        Wait(Ticket),
+    }
+}
+
+/// What happens to a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// It runs now.
+    Start(Ticket),
+    /// It can no longer meet its deadline and is refused. The ticket is used up.
+    Refuse(Ticket, Refused),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    account: AccountKey,
+    lane: usize,
+    cost: u32,
+    /// The latest start that still meets the deadline.
+    latest_start: Duration,
+    started: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    weight: u32,
+    limit: u32,
+    in_flight: u32,
+    lanes: [Lane; LANES],
+}
+
+/// The admission of one entry daemon.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: Settings,
+    version: Version,
+    names: HashMap<AccountName, AccountKey>,
+    accounts: Vec<Account>,
+    requests: Slab<Request>,
+    rings: [Ring; LANES],
+    running: [u32; LANES],
+    /// Moving average of the time from start to finish, for each lane.
+    service: [Option<f64>; LANES],
+    /// Which lane has the next turn when both wait for the same slot.
+    turn: usize,
+}
+
+impl Admission {
+    /// An admission without accounts.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            version: Version::default(),
+            names: HashMap::new(),
+            accounts: Vec::new(),
+            requests: Slab::default(),
+            rings: [Ring::new(LONG), Ring::new(SHORT)],
+            running: [0; LANES],
+            service: [None; LANES],
+            turn: SHORT,
+        }
+    }
+
+    /// Takes over the accounts of a newer version. Known accounts keep their key, queue and calls;
+    /// a removed account finishes what it has and is unknown to `account`.
+    pub fn apply(&mut self, config: &Config) {
+        if config.version <= self.version {
+            return;
+        }
+        self.version = config.version;
+        self.names
+            .retain(|name, _| config.accounts.contains_key(name));
+        for (name, account) in &config.accounts {
+            let key = self.names.get(name).copied().unwrap_or_else(|| {
+                let key = AccountKey(self.accounts.len() as u32);
+                self.names.insert(name.clone(), key);
+                self.accounts.push(Account::new());
+                key
+            });
+            let known = &mut self.accounts[key.0 as usize];
+            known.weight = account.weight.max(1);
+            known.limit = account.max_in_flight;
+        }
+    }
+
+    /// The key of an account.
+    #[must_use]
+    pub fn account(&self, name: &AccountName) -> Option<AccountKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Sets how many requests may run at the same time.
+    pub fn set_capacity(&mut self, capacity: u32, now: Duration) -> Vec<Action> {
+        self.settings.capacity = capacity;
+        self.dispatch(now)
+    }
+
+    /// Requests running and waiting, for metrics.
+    #[must_use]
+    pub fn load(&self) -> (u32, usize) {
+        (self.running.iter().sum(), self.waiting())
+    }
+
+    /// Decides about a new request.
+    pub fn offer(
+        &mut self,
+        ask: &Ask<'_>,
+        latencies: &Latencies,
+        now: Duration,
+    ) -> Result<Entry, Refused> {
+        let lane = if ask.short { SHORT } else { LONG };
+        let needed: Duration = ask
+            .stages
+            .iter()
+            .map(|stage| latencies.quantiles(*stage).p90)
+            .sum();
+        let request = Request {
+            account: ask.account,
+            lane,
+            cost: ask.cost.clamp(1, QUANTUM),
+            latest_start: ask.deadline.saturating_sub(needed),
+            started: None,
+        };
+        if now > request.latest_start {
+            // The stages alone take longer than the deadline allows. The queue's drain time is the
+            // best guess of when they are faster.
+            let wait = self.expected_wait(ask.account, lane);
+            return Err(Refused::new(Reason::DeadlineUnreachable, wait));
+        }
+        let account = &self.accounts[ask.account.0 as usize];
+        let free = account.in_flight < account.limit;
+        if free && self.rings[lane].is_empty() && self.has_slot(lane) {
+            return Ok(Entry::Start(self.start_new(request, now)));
+        }
+        let wait = self.expected_wait(ask.account, lane);
+        if account.lanes[lane].len() >= self.settings.queue_per_account {
+            let reason = if free {
+                Reason::Overloaded
+            } else {
+                Reason::AccountLimit
+            };
+            return Err(Refused::new(reason, wait));
+        }
+        if self.waiting() >= self.settings.queue_total {
+            return Err(Refused::new(Reason::Overloaded, wait));
+        }
+        if now + wait > request.latest_start {
+            let late = now + wait - request.latest_start;
+            return Err(Refused::new(Reason::DeadlineUnreachable, late));
+        }
+        let handle = self.requests.insert(request);
+        self.rings[lane].push(&mut self.accounts, ask.account, handle, request.cost);
+        Ok(Entry::Wait(Ticket(handle)))
+    }
+
+    /// A running request has ended, or a waiting one was given up by its caller.
+    pub fn finish(&mut self, ticket: Ticket, now: Duration) -> Vec<Action> {
+        let Some(request) = self.requests.remove(ticket.0) else {
+            return Vec::new();
+        };
+        let Some(started) = request.started else {
+            let ring = &mut self.rings[request.lane];
+            ring.remove(&mut self.accounts, request.account, ticket.0);
+            return Vec::new();
+        };
+        let seconds = now.saturating_sub(started).as_secs_f64();
+        let average = &mut self.service[request.lane];
+        *average = Some(average.map_or(seconds, |old| old + SMOOTHING * (seconds - old)));
+        self.running[request.lane] -= 1;
+        self.accounts[request.account.0 as usize].in_flight -= 1;
+        for ring in &mut self.rings {
+            ring.list(&mut self.accounts, request.account);
+        }
+        self.dispatch(now)
+    }
+
+    /// Refuses waiting requests that have become hopeless; about every 100 ms.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.dispatch(now)
+    }
+
+    /// Starts waiting requests while there are slots.
+    fn dispatch(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(lane) = self.next_lane() {
+            let Some((account, handle)) = self.rings[lane].pop(&mut self.accounts) else {
+                continue;
+            };
+            let Some(request) = self.requests.get_mut(handle).copied() else {
+                continue;
+            };
+            if now > request.latest_start {
+                self.requests.remove(handle);
+                let wait = self.expected_wait(account, lane);
+                let refused = Refused::new(Reason::DeadlineUnreachable, wait);
+                actions.push(Action::Refuse(Ticket(handle), refused));
+            } else {
+                self.rings[lane].pay(&mut self.accounts, account, request.cost);
+                self.mark_started(handle, request, now);
+                actions.push(Action::Start(Ticket(handle)));
+                self.turn = 1 - lane;
+            }
+        }
+        actions
+    }
+
+    /// The lane whose request gets the next free slot. Short calls within their reserved slots
+    /// come first; beyond that, the lanes take turns.
+    fn next_lane(&self) -> Option<usize> {
+        let waits = |lane: usize| !self.rings[lane].is_empty() && self.has_slot(lane);
+        if waits(SHORT) && self.running[SHORT] < self.reserved() {
+            return Some(SHORT);
+        }
+        [self.turn, 1 - self.turn]
+            .into_iter()
+            .find(|lane| waits(*lane))
+    }
+
+    fn reserved(&self) -> u32 {
+        // At least one slot, so that a small daemon does not starve short calls either.
+        (self.settings.capacity * self.settings.reserved_short_percent / 100)
+            .max(u32::from(self.settings.capacity > 1))
+    }
+
+    fn has_slot(&self, lane: usize) -> bool {
+        let running: u32 = self.running.iter().sum();
+        running < self.settings.capacity
+            && (lane == SHORT || self.running[LONG] < self.settings.capacity - self.reserved())
+    }
+
+    fn start_new(&mut self, request: Request, now: Duration) -> Ticket {
+        let handle = self.requests.insert(request);
+        self.mark_started(handle, request, now);
+        Ticket(handle)
+    }
+
+    fn mark_started(&mut self, handle: Handle, request: Request, now: Duration) {
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.started = Some(now);
+        }
+        self.running[request.lane] += 1;
+        self.accounts[request.account.0 as usize].in_flight += 1;
+    }
+
+    fn waiting(&self) -> usize {
+        self.rings.iter().map(Ring::waiting).sum()
+    }
+
+    /// How long a new request of the account would wait: its account's queue at the account's
+    /// part of the drain rate, but no longer than all queues together take.
+    fn expected_wait(&self, account: AccountKey, lane: usize) -> Duration {
+        let slots = match lane {
+            SHORT => self.settings.capacity,
+            _ => self.settings.capacity - self.reserved(),
+        };
+        let service = self.service[lane].or(self.service[1 - lane]).unwrap_or(1.0);
+        let per_second = f64::from(slots.max(1)) / service.max(0.001);
+        let known = &self.accounts[account.0 as usize];
+        let own = known.lanes[lane].len() as f64 + 1.0;
+        let others = self.rings[lane].weight_without(known);
+        let part = f64::from(known.weight) / (f64::from(known.weight) + others as f64);
+        let all = self.rings[lane].waiting() as f64 + 1.0;
+        Duration::from_secs_f64((own / part).min(all) / per_second)
+    }
+}
+
+impl Account {
+    fn new() -> Self {
+        Self {
+            weight: 1,
+            limit: 0,
+            in_flight: 0,
+            lanes: Default::default(),
+        }
+    }
+}
+
+/// Requests that a pipeline can run at the same time: the least over its stages of the stage's
+/// slots, scaled by the part of a request's time that is spent in the stage.
+#[must_use]
+pub fn pipeline_capacity(stages: &[(u32, Duration)]) -> u32 {
+    let total: Duration = stages.iter().map(|(_, typical)| *typical).sum();
+    stages
+        .iter()
+        .filter(|(_, typical)| !typical.is_zero())
+        .map(|(slots, typical)| f64::from(*slots) * total.as_secs_f64() / typical.as_secs_f64())
+        .fold(f64::INFINITY, f64::min)
+        .min(f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/azurelug-core/src/latency.rs
@@ -0,0 +1,136 @@
+//! Measured latency distributions of stages, and the shares of a deadline that follow from them.
+//!
+//! Owns two histograms for each class of calls: the running window and the last full one. Reading
+//! a quantile costs one array access, because quantiles are computed once for each tick.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use azurelug_types::key;
+use hdrhistogram::Histogram;
+
+/// Length of a window. Short enough to follow a stage that slows down within two deadlines.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Longest latency that is told apart, in milliseconds; far above the longest deadline of 12 s.
+const MAX_MS: u64 = 120_000;
+/// Samples needed before measured quantiles replace the defaults.
+const MIN_SAMPLES: u64 = 10;
+
+key! {
+    /// Calls whose latencies are measured together.
+    pub struct Class(u16);
+
+    /// Quantiles of a class.
+    pub struct Quantiles {
+        /// Half of the calls are faster.
+        pub p50: Duration,
+        /// Nine in ten calls are faster.
+        pub p90: Duration,
+        /// Nineteen in twenty calls are faster.
+        pub p95: Duration,
+    }
+}
+
+/// Quantiles before anything is measured, as after a restart.
+pub const DEFAULT: Quantiles = Quantiles {
+    p50: Duration::from_millis(200),
+    p90: Duration::from_millis(500),
+    p95: Duration::from_millis(800),
+};
+
+#[derive(Clone, Debug)]
+struct Distribution {
+    running: Histogram<u32>,
+    last: Histogram<u32>,
+    quantiles: Quantiles,
+}
+
+/// The distributions of all classes.
+#[derive(Clone, Debug, Default)]
+pub struct Latencies {
+    names: HashMap<String, Class>,
+    classes: Vec<Distribution>,
+    window_start: Duration,
+}
+
+impl Distribution {
+    fn new() -> Self {
+        let histogram = Histogram::new_with_max(MAX_MS, 2).expect("the bounds are valid");
+        Self {
+            running: histogram.clone(),
+            last: histogram,
+            quantiles: DEFAULT,
+        }
+    }
+
+    fn compute(&mut self) {
+        let mut both = self.last.clone();
+        // Both histograms have the same bounds, so adding them cannot fail.
+        if both.add(&self.running).is_err() || both.len() < MIN_SAMPLES {
+            return;
+        }
+        let at = |quantile| Duration::from_millis(both.value_at_quantile(quantile).max(1));
+        self.quantiles = Quantiles {
+            p50: at(0.5),
+            p90: at(0.9),
+            p95: at(0.95),
+        };
+    }
+}
+
+impl Latencies {
+    /// The class of a name, such as `summary/generate`; a new one if the name is new. Names come
+    /// from the configuration, so their number is bounded.
+    pub fn class(&mut self, name: &str) -> Class {
+        if let Some(class) = self.names.get(name) {
+            return *class;
+        }
+        let class = Class(self.classes.len().min(usize::from(u16::MAX)) as u16);
+        if usize::from(class.0) == self.classes.len() {
+            self.classes.push(Distribution::new());
+        }
+        self.names.insert(name.to_owned(), class);
+        class
+    }
+
+    /// A successful call took `latency`. Failures are not recorded, because they would make a
+    /// failing stage look fast.
+    pub fn record(&mut self, class: Class, latency: Duration) {
+        let millis = (latency.as_millis() as u64).clamp(1, MAX_MS);
+        self.classes[usize::from(class.0)]
+            .running
+            .saturating_record(millis);
+    }
+
+    /// Computes the quantiles and begins a new window when it is time; about once a second.
+    pub fn tick(&mut self, now: Duration) {
+        for class in &mut self.classes {
+            class.compute();
+        }
+        if now.saturating_sub(self.window_start) < WINDOW {
+            return;
+        }
+        self.window_start = now;
+        for class in &mut self.classes {
+            std::mem::swap(&mut class.running, &mut class.last);
+            class.running.reset();
+        }
+    }
+
+    /// The quantiles as of the last tick.
+    #[must_use]
+    pub fn quantiles(&self, class: Class) -> Quantiles {
+        self.classes[usize::from(class.0)].quantiles
+    }
+
+    /// The share of the remaining deadline that the first of the remaining stages may use: its
+    /// part of the sum of their p90.
+    #[must_use]
+    pub fn share(&self, remaining: Duration, stages: &[Class]) -> Duration {
+        let Some(first) = stages.first() else {
+            return remaining;
+        };
+        let sum: Duration = stages.iter().map(|stage| self.quantiles(*stage).p90).sum();
+        remaining.mul_f64(self.quantiles(*first).p90.as_secs_f64() / sum.as_secs_f64())
+    }
+}
--- a/crates/azurelug-core/src/outlier.rs
+++ b/crates/azurelug-core/src/outlier.rs
@@ -118,7 +118,8 @@
         .map(|(median, _)| median)
         .collect();
     let usual = (medians.len() >= 3).then(|| {
-        let middle = medians.len() / 2;
+        // The lower middle, so that half a pool of bad targets does not hide itself.
+        let middle = (medians.len() - 1) / 2;
         *medians.select_nth_unstable(middle).1
     });
     let ejected = records
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -29,8 +29,9 @@
 
 use crate::lease_mode::Mode;
 use crate::outlier::Record;
+use crate::slab::Slab;
 use crate::slow_start::{Position, SlowStart};
-use call::{Call, Calls};
+use call::Call;
 use load::Load;
 use pool::Pool;
 use prefix::Index;
@@ -79,7 +80,8 @@
     table: Table,
     slots: Vec<Slot>,
     pools: Vec<Pool>,
-    calls: Calls,
+    /// The running calls. Bounded by the sum of the targets' limits, which `begin` enforces.
+    calls: Slab<Call>,
     prefixes: Index,
     locally_drained: Vec<ZoneKey>,
     /// Times at which a target's availability must be looked at again.
@@ -151,7 +153,7 @@
             table: Table::default(),
             slots: Vec::new(),
             pools: Vec::new(),
-            calls: Calls::default(),
+            calls: Slab::default(),
             prefixes: Index::default(),
             locally_drained: Vec::new(),
             due: BinaryHeap::new(),
@@ -263,15 +265,16 @@
         }
         self.slots[target.0 as usize].load.sent(now);
         self.refresh(target, now);
-        Some(self.calls.start(Call {
+        let call = Call {
             target,
             started: now,
-        }))
+        };
+        Some(CallKey(self.calls.insert(call)))
     }
 
     /// Gives the slot back and learns from the outcome. A second outcome of a call is ignored.
     pub fn finish(&mut self, call: CallKey, outcome: Outcome, now: Duration) -> Option<Finished> {
-        let call = self.calls.end(call)?;
+        let call = self.calls.remove(call.0)?;
         let slot = &mut self.slots[call.target.0 as usize];
         let latency = now.saturating_sub(call.started);
         let sample = outcome.first_token.unwrap_or(latency).as_micros();
--- a/crates/azurelug-core/src/routing/call.rs
+++ b/crates/azurelug-core/src/routing/call.rs
@@ -1,19 +1,15 @@
-//! Calls in flight, from their start to their outcome.
-//!
-//! Owns the slab of running calls. A key is used up by its first `finish`, so that a repeated
-//! outcome never changes a count twice.
+//! What is said about a call when it starts and ends.
 
 use std::time::Duration;
 
 use azurelug_types::id::TargetKey;
 use azurelug_types::key;
 
+use crate::slab::Handle;
+
 key! {
-    /// A running call.
-    pub struct CallKey {
-        index: u32,
-        generation: u32,
-    }
+    /// A running call. Its first outcome uses the key up.
+    pub struct CallKey(pub(crate) Handle);
 
     /// How a call ended, as far as its target is concerned.
     #[serde(rename_all = "snake_case")]
@@ -50,36 +46,3 @@
     pub(super) target: TargetKey,
     pub(super) started: Duration,
 }
-
-/// The running calls. Bounded by the sum of the targets' limits, which `begin` enforces.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Calls {
-    slots: Vec<(u32, Option<Call>)>,
-    free: Vec<u32>,
-}
-
-impl Calls {
-    pub(super) fn start(&mut self, call: Call) -> CallKey {
-        let index = self.free.pop().unwrap_or_else(|| {
-            self.slots.push((0, None));
-            self.slots.len() as u32 - 1
-        });
-        let slot = &mut self.slots[index as usize];
-        slot.1 = Some(call);
-        CallKey {
-            index,
-            generation: slot.0,
-        }
-    }
-
-    pub(super) fn end(&mut self, key: CallKey) -> Option<Call> {
-        let slot = self.slots.get_mut(key.index as usize)?;
-        if slot.0 != key.generation {
-            return None;
-        }
-        let call = slot.1.take()?;
-        slot.0 = slot.0.wrapping_add(1);
-        self.free.push(key.index);
-        Some(call)
-    }
-}
--- a/crates/azurelug-core/src/routing/table.rs
+++ b/crates/azurelug-core/src/routing/table.rs
@@ -178,13 +178,24 @@
         self.groups as usize
     }
 
+    /// The number of different needs.
+    pub(crate) fn needs(&self) -> usize {
+        self.needs
+    }
+
+    /// The needs that a target can serve.
+    pub(crate) fn needs_of(&self, entry: &TargetEntry) -> impl Iterator<Item = usize> {
+        let zones = self.zones.len();
+        entry.lists.iter().map(move |list| list / zones)
+    }
+
     /// The number of candidate lists.
     pub(super) fn lists(&self) -> usize {
         self.needs * self.zones.len()
     }
 
     /// The index of a need; the list of a zone is at `need * zones + zone`.
-    pub(super) fn need(&self, need: Need<'_>) -> Option<usize> {
+    pub(crate) fn need(&self, need: Need<'_>) -> Option<usize> {
         match need {
             Need::Stage(kind, model) => self.models.get(&kind)?.get(model).copied(),
             Need::Service(name) => self.services.get(name).copied(),
--- /dev/null
+++ b/crates/azurelug-core/src/slab.rs
@@ -0,0 +1,58 @@
+//! Values under small `Copy` keys that are used up by their removal.
+
+use azurelug_types::key;
+
+key! {
+    /// A slot and the number of its occupant.
+    pub(crate) struct Handle {
+        index: u32,
+        generation: u32,
+    }
+}
+
+/// Values by handle. A removed value's handle never finds a later occupant of its slot.
+#[derive(Clone, Debug)]
+pub(crate) struct Slab<T> {
+    slots: Vec<(u32, Option<T>)>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Slab<T> {
+    fn default() -> Self {
+        Self {
+            slots: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<T> Slab<T> {
+    pub(crate) fn insert(&mut self, value: T) -> Handle {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push((0, None));
+            self.slots.len() as u32 - 1
+        });
+        let slot = &mut self.slots[index as usize];
+        slot.1 = Some(value);
+        Handle {
+            index,
+            generation: slot.0,
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, handle: Handle) -> Option<&mut T> {
+        let slot = self.slots.get_mut(handle.index as usize)?;
+        slot.1.as_mut().filter(|_| slot.0 == handle.generation)
+    }
+
+    pub(crate) fn remove(&mut self, handle: Handle) -> Option<T> {
+        let slot = self.slots.get_mut(handle.index as usize)?;
+        if slot.0 != handle.generation {
+            return None;
+        }
+        let value = slot.1.take()?;
+        slot.0 = slot.0.wrapping_add(1);
+        self.free.push(handle.index);
+        Some(value)
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/admission.rs
@@ -0,0 +1,389 @@
+//! Attacks admission: large accounts, long calls, full queues, hopeless deadlines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurelug_core::admission::{
+    Action, Admission, Ask, Entry, Settings, Ticket, pipeline_capacity,
+};
+use azurelug_core::latency::{Class, Latencies};
+use azurelug_types::config::{Account, Config};
+use azurelug_types::id::{AccountKey, AccountName, Version};
+use azurelug_types::outcome::Reason;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+const SECOND: Duration = Duration::from_secs(1);
+const LARGE: AccountKey = AccountKey(0);
+const SMALL: AccountKey = AccountKey(1);
+
+fn admission(settings: Settings, accounts: &[(u32, u32)]) -> Admission {
+    let mut config = Config {
+        version: Version(1),
+        ..Config::default()
+    };
+    for (index, (weight, max_in_flight)) in accounts.iter().enumerate() {
+        let account = Account {
+            key_digest: String::new(),
+            weight: *weight,
+            max_in_flight: *max_in_flight,
+        };
+        config
+            .accounts
+            .insert(AccountName(format!("account{index}")), account);
+    }
+    let mut admission = Admission::new(settings);
+    admission.apply(&config);
+    admission
+}
+
+fn settings(capacity: u32, reserved_short_percent: u32) -> Settings {
+    Settings {
+        capacity,
+        reserved_short_percent,
+        queue_per_account: 20,
+        queue_total: 50,
+    }
+}
+
+fn long(account: AccountKey) -> Ask<'static> {
+    Ask {
+        account,
+        short: false,
+        cost: 1000,
+        deadline: 100_000 * SECOND,
+        stages: &[],
+    }
+}
+
+fn ticket(entry: Entry) -> Ticket {
+    match entry {
+        Entry::Start(ticket) | Entry::Wait(ticket) => ticket,
+    }
+}
+
+/// One stage that takes one second.
+fn one_second() -> (Latencies, Class) {
+    let mut latencies = Latencies::default();
+    let class = latencies.class("summary/generate");
+    (0..20).for_each(|_| latencies.record(class, SECOND));
+    latencies.tick(SECOND);
+    (latencies, class)
+}
+
+/// Guards against a large account whose queue delays everybody.
+#[test]
+fn a_large_account_does_not_push_out_a_small_one() {
+    let latencies = Latencies::default();
+    let mut admission = admission(settings(2, 0), &[(1, 64), (1, 64)]);
+    let first = ticket(admission.offer(&long(LARGE), &latencies, SECOND).unwrap());
+    for _ in 0..15 {
+        admission.offer(&long(LARGE), &latencies, SECOND).unwrap();
+    }
+    let small = ticket(admission.offer(&long(SMALL), &latencies, SECOND).unwrap());
+    let mut running = first;
+    for served in 1.. {
+        let actions = admission.finish(running, 2 * SECOND);
+        let [Action::Start(next)] = actions[..] else {
+            panic!("{actions:?}")
+        };
+        running = next;
+        if next == small {
+            assert!(
+                served <= 5,
+                "{served} calls of the large account came first"
+            );
+            break;
+        }
+    }
+    // The queue of the large account is full before the small one's.
+    while admission.offer(&long(LARGE), &latencies, SECOND).is_ok() {}
+    assert!(admission.offer(&long(SMALL), &latencies, SECOND).is_ok());
+}
+
+/// Guards against weights that have no effect, also when requests differ in cost.
+#[test]
+fn accounts_are_served_by_cost_in_proportion_to_their_weights() {
+    let latencies = Latencies::default();
+    let open = Settings {
+        queue_per_account: 4000,
+        queue_total: 8000,
+        ..settings(2, 0)
+    };
+    let mut admission = admission(open, &[(3, 64), (1, 64)]);
+    let mut owner = BTreeMap::new();
+    let mut running = None;
+    for _ in 0..2000 {
+        for (account, cost) in [(LARGE, 3000), (SMALL, 100)] {
+            let ask = Ask {
+                cost,
+                ..long(account)
+            };
+            match admission.offer(&ask, &latencies, SECOND).unwrap() {
+                Entry::Start(ticket) => running = Some(ticket),
+                Entry::Wait(ticket) => {
+                    owner.insert(ticket, (account, cost));
+                }
+            }
+        }
+    }
+    let mut served = [0; 2];
+    let mut running = running.unwrap();
+    for _ in 0..1000 {
+        let [Action::Start(next)] = admission.finish(running, SECOND)[..] else {
+            panic!()
+        };
+        running = next;
+        let (account, cost) = owner[&next];
+        served[account.0 as usize] += cost;
+    }
+    let ratio = f64::from(served[0]) / f64::from(served[1]);
+    assert!((2.7..3.3).contains(&ratio), "{served:?}");
+}
+
+/// Guards against look-ups that wait behind long generation.
+#[test]
+fn short_calls_are_not_starved_by_long_ones() {
+    let latencies = Latencies::default();
+    let mut admission = admission(settings(10, 20), &[(1, 64), (1, 64)]);
+    let mut long_calls = Vec::new();
+    for _ in 0..20 {
+        long_calls.push(admission.offer(&long(LARGE), &latencies, SECOND).unwrap());
+    }
+    let started = long_calls
+        .iter()
+        .filter(|it| matches!(it, Entry::Start(_)))
+        .count();
+    assert_eq!(started, 8);
+    let short = Ask {
+        short: true,
+        cost: 10,
+        ..long(SMALL)
+    };
+    for _ in 0..2 {
+        let entry = admission.offer(&short, &latencies, SECOND).unwrap();
+        assert!(matches!(entry, Entry::Start(_)));
+    }
+    let waiting = ticket(admission.offer(&short, &latencies, SECOND).unwrap());
+    // The lanes take turns for the slots that are not reserved.
+    let first = admission.finish(ticket(long_calls[0]), SECOND);
+    assert_eq!(first, vec![Action::Start(waiting)]);
+    let second = admission.finish(ticket(long_calls[1]), SECOND);
+    assert_eq!(second, vec![Action::Start(ticket(long_calls[8]))]);
+    for _ in 0..5 {
+        admission.offer(&short, &latencies, SECOND).unwrap();
+    }
+    let third = admission.finish(waiting, SECOND);
+    assert!(
+        matches!(third[..], [Action::Start(it)] if !long_calls.iter().any(|l| ticket(*l) == it))
+    );
+    let fourth = admission.finish(ticket(long_calls[2]), SECOND);
+    assert_eq!(fourth, vec![Action::Start(ticket(long_calls[9]))]);
+}
+
+/// Guards against callers who wait for an answer that can only come late, and against a retry
+/// time that has nothing to do with the queue.
+#[test]
+fn a_hopeless_request_is_refused_at_once_with_the_drain_time() {
+    let (latencies, class) = one_second();
+    let mut admission = admission(settings(3, 1), &[(1, 64), (1, 64)]);
+    let stages = [class];
+    let ask = Ask {
+        stages: &stages,
+        deadline: 10 * SECOND,
+        ..long(LARGE)
+    };
+    let late = Ask {
+        deadline: SECOND + SECOND / 2,
+        ..ask
+    };
+    let refused = admission.offer(&late, &latencies, SECOND).unwrap_err();
+    assert_eq!(refused.reason, Reason::DeadlineUnreachable);
+    // Two slots for long calls of one second each: the 7th waiting request would start at 4.5 s.
+    let mut entries = Vec::new();
+    for _ in 0..8 {
+        entries.push(admission.offer(
+            &Ask {
+                deadline: 100 * SECOND,
+                ..ask
+            },
+            &latencies,
+            SECOND,
+        ));
+    }
+    let tight = Ask {
+        deadline: 4 * SECOND,
+        ..ask
+    };
+    let refused = admission.offer(&tight, &latencies, SECOND).unwrap_err();
+    assert_eq!(refused.reason, Reason::DeadlineUnreachable);
+    let millis = refused.retry_after.as_millis();
+    assert!((1400..=1600).contains(&millis), "{millis} ms");
+}
+
+/// Guards against work on a request whose deadline has become unreachable while it waited.
+#[test]
+fn a_waiting_request_that_became_hopeless_is_refused_and_not_started() {
+    let (latencies, class) = one_second();
+    let mut admission = admission(settings(2, 0), &[(1, 64)]);
+    let stages = [class];
+    let ask = Ask {
+        stages: &stages,
+        deadline: 5 * SECOND,
+        ..long(LARGE)
+    };
+    let running = ticket(admission.offer(&ask, &latencies, SECOND).unwrap());
+    let waiting = ticket(admission.offer(&ask, &latencies, SECOND).unwrap());
+    let actions = admission.finish(running, 9 * SECOND / 2);
+    assert!(
+        matches!(actions[..], [Action::Refuse(it, _)] if it == waiting),
+        "{actions:?}"
+    );
+    assert_eq!(admission.load(), (0, 0));
+}
+
+/// Guards against queues without a limit, and against places that cancelled requests keep.
+#[test]
+fn queues_are_bounded_for_each_account_and_in_total() {
+    let latencies = Latencies::default();
+    let mut admission = admission(settings(2, 0), &[(1, 1), (1, 64), (1, 64), (1, 64)]);
+    let mut last = None;
+    for account in 0..4 {
+        for _ in 0..21 {
+            last = admission
+                .offer(&long(AccountKey(account)), &latencies, SECOND)
+                .ok()
+                .or(last);
+        }
+    }
+    assert_eq!(admission.load(), (1, 50));
+    let refused = |admission: &mut Admission, account| {
+        admission
+            .offer(&long(AccountKey(account)), &latencies, SECOND)
+            .map_err(|it| it.reason)
+    };
+    assert_eq!(refused(&mut admission, 0), Err(Reason::AccountLimit));
+    assert_eq!(refused(&mut admission, 3), Err(Reason::Overloaded));
+    assert_eq!(admission.finish(ticket(last.unwrap()), SECOND), vec![]);
+    assert_eq!(admission.load(), (1, 49));
+    assert!(refused(&mut admission, 3).is_ok());
+}
+
+/// Guards against lost or doubled requests, idle slots beside waiting requests, and more running
+/// requests than slots or an account's limit, under random events.
+#[test]
+fn every_request_gets_one_answer_and_no_slot_stays_idle() {
+    for seed in 0..100 {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let latencies = Latencies::default();
+        let limits = [(1, 2), (2, 3), (5, 50)];
+        let mut admission = admission(settings(6, 20), &limits);
+        let mut running: BTreeMap<Ticket, usize> = BTreeMap::new();
+        let mut waiting: BTreeMap<Ticket, usize> = BTreeMap::new();
+        let mut capacity = 6;
+        for step in 0..500 {
+            let now = step * SECOND / 50;
+            let actions = match random.random_range(0..5) {
+                0..=2 => {
+                    let account = random.random_range(0..3);
+                    let ask = Ask {
+                        short: random.random(),
+                        cost: random.random_range(0..9000),
+                        deadline: now + random.random_range(1..40) * SECOND / 10,
+                        ..long(AccountKey(account as u32))
+                    };
+                    match admission.offer(&ask, &latencies, now) {
+                        Ok(Entry::Start(ticket)) => {
+                            assert!(running.insert(ticket, account).is_none());
+                        }
+                        Ok(Entry::Wait(ticket)) => {
+                            assert!(waiting.insert(ticket, account).is_none());
+                        }
+                        Err(_) => {}
+                    }
+                    Vec::new()
+                }
+                3 => {
+                    let pool = if random.random() {
+                        &mut running
+                    } else {
+                        &mut waiting
+                    };
+                    let index = random.random_range(0..pool.len().max(1));
+                    match pool.keys().nth(index).copied() {
+                        Some(ticket) => {
+                            pool.remove(&ticket);
+                            admission.finish(ticket, now)
+                        }
+                        None => admission.tick(now),
+                    }
+                }
+                _ => {
+                    capacity = random.random_range(2..8);
+                    admission.set_capacity(capacity, now)
+                }
+            };
+            for action in actions {
+                let (Action::Start(ticket) | Action::Refuse(ticket, _)) = action;
+                let account = waiting.remove(&ticket).expect("it waits");
+                if matches!(action, Action::Start(_)) {
+                    running.insert(ticket, account);
+                    assert!(
+                        running.len() <= capacity as usize,
+                        "seed {seed}, step {step}"
+                    );
+                }
+            }
+            assert_eq!(
+                admission.load(),
+                (running.len() as u32, waiting.len()),
+                "seed {seed}"
+            );
+            let free = |account: usize| {
+                running.values().filter(|it| **it == account).count() < limits[account].1 as usize
+            };
+            // One slot is reserved for short calls, so one may be idle beside long ones.
+            let idle = running.len() + 1 < capacity as usize;
+            let stuck = idle && waiting.values().any(|account| free(*account));
+            assert!(!stuck, "seed {seed}, step {step}");
+            for (account, limit) in limits.iter().enumerate() {
+                let calls = running.values().filter(|it| **it == account).count();
+                assert!(calls <= limit.1 as usize, "seed {seed}, step {step}");
+            }
+        }
+    }
+}
+
+/// Guards against a stage that gets too little of the deadline because shares ignore how long
+/// stages take, and against estimates that never follow a change.
+#[test]
+fn stages_share_the_deadline_in_proportion_to_their_measured_p90() {
+    let mut latencies = Latencies::default();
+    let stages = [latencies.class("encode"), latencies.class("generate")];
+    for _ in 0..10_000 {
+        latencies.record(stages[0], Duration::from_millis(100));
+        latencies.record(stages[1], Duration::from_millis(1900));
+    }
+    latencies.tick(SECOND);
+    let share = latencies.share(10 * SECOND, &stages).as_millis();
+    assert!((480..=520).contains(&share), "{share} ms");
+    assert_eq!(latencies.share(9 * SECOND, &stages[1..]), 9 * SECOND);
+    for second in 2..40 {
+        (0..20).for_each(|_| latencies.record(stages[0], Duration::from_millis(1900)));
+        (0..20).for_each(|_| latencies.record(stages[1], Duration::from_millis(1900)));
+        latencies.tick(second * SECOND);
+    }
+    let share = latencies.share(10 * SECOND, &stages).as_millis();
+    assert!((4_900..=5_100).contains(&share), "{share} ms");
+}
+
+/// Guards against a capacity that ignores the slowest stage.
+#[test]
+fn the_capacity_follows_the_bottleneck_stage() {
+    let stages = [(100, SECOND / 10), (20, 9 * SECOND / 10)];
+    assert_eq!(pipeline_capacity(&stages), 22);
+    assert_eq!(
+        pipeline_capacity(&[(100, SECOND / 10), (20, SECOND), (5, SECOND)]),
+        10
+    );
+}
--- a/crates/azurelug-core/tests/prefix_locality.rs
+++ b/crates/azurelug-core/tests/prefix_locality.rs
@@ -2,11 +2,14 @@
 
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/query.rs"]
+mod query;
 
 use azurelug_core::routing::{CacheChange, CacheEvent, Router};
 use azurelug_core::slow_start::Position;
 use azurelug_types::id::{TargetKey, TargetName};
-use fleet::{SECOND, SUCCESS, fleet as zones, model, query, report, router, warm_router};
+use fleet::{SECOND, SUCCESS, fleet as zones, model, report, router, warm_router};
+use query::query;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeSet;
--- /dev/null
+++ b/crates/azurelug-core/tests/retry.rs
@@ -0,0 +1,97 @@
+//! Attacks the retry and hedging budgets.
+
+use std::time::Duration;
+
+use azurelug_core::retry::{Budget, Denied, Failure, Slow};
+
+const FAILURE: Failure = Failure {
+    idempotent: true,
+    attempts: 1,
+    remaining: Duration::from_secs(5),
+    needed: Duration::from_secs(1),
+};
+
+const SLOW: Slow = Slow {
+    idempotent: true,
+    has_tokens: false,
+    waited: Duration::from_secs(1),
+    p95: Duration::from_secs(1),
+};
+
+/// Guards against retries that multiply the load of a stage that has begun to fail.
+#[test]
+fn the_budget_bounds_the_load_of_a_failing_stage() {
+    let mut budget = Budget::default();
+    (0..10_000).for_each(|_| budget.success());
+    let retries = (0..1_000).filter(|_| budget.retry(FAILURE).is_ok()).count();
+    // Saved-up repetitions only, although 10% of the earlier successes would be 1,000.
+    assert_eq!(retries, 20);
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.success();
+        retries += (0..5).filter(|_| budget.retry(FAILURE).is_ok()).count();
+    }
+    assert_eq!(retries, 103);
+    assert_eq!(budget.granted(), (103, 0));
+}
+
+/// Guards against a second charge.
+#[test]
+fn a_call_that_must_not_repeat_is_never_repeated() {
+    let mut budget = Budget::default();
+    (0..1_000).for_each(|_| budget.success());
+    let once = Failure {
+        idempotent: false,
+        ..FAILURE
+    };
+    assert_eq!(budget.retry(once), Err(Denied::NotIdempotent));
+    let once = Slow {
+        idempotent: false,
+        ..SLOW
+    };
+    assert_eq!(budget.hedge(once), Err(Denied::NotIdempotent));
+}
+
+/// Guards against attempts that can only be wasted.
+#[test]
+fn a_hopeless_retry_is_denied_and_costs_no_budget() {
+    let mut budget = Budget::default();
+    let late = Failure {
+        remaining: Duration::from_millis(999),
+        ..FAILURE
+    };
+    let third = Failure {
+        attempts: 3,
+        ..FAILURE
+    };
+    for _ in 0..100 {
+        assert_eq!(budget.retry(late), Err(Denied::Deadline));
+        assert_eq!(budget.retry(third), Err(Denied::Attempts));
+    }
+    assert_eq!(budget.retry(FAILURE), Ok(()));
+}
+
+/// Guards against hedging that becomes a second load.
+#[test]
+fn hedges_stay_under_two_percent_and_spare_stages_with_tokens() {
+    let mut budget = Budget::default();
+    let mut hedges = 0;
+    for _ in 0..5_000 {
+        budget.success();
+        hedges += usize::from(budget.hedge(SLOW).is_ok());
+    }
+    assert_eq!(hedges, 100);
+    (0..50).for_each(|_| budget.success());
+    let tokens = Slow {
+        has_tokens: true,
+        ..SLOW
+    };
+    assert_eq!(budget.hedge(tokens), Err(Denied::HasTokens));
+    let early = Slow {
+        waited: Duration::from_millis(999),
+        ..SLOW
+    };
+    assert_eq!(budget.hedge(early), Err(Denied::TooEarly));
+    assert_eq!(budget.hedge(SLOW), Ok(()));
+}
--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/query.rs"]
+mod query;
 
 use std::time::Duration;
 
@@ -10,7 +12,8 @@
 use azurelug_core::slow_start::Position;
 use azurelug_types::config::State;
 use azurelug_types::id::{TargetName, Version, ZoneName};
-use fleet::{SECOND, SUCCESS, fleet as zones, model, query, report, router, warm_router};
+use fleet::{SECOND, SUCCESS, fleet as zones, model, report, router, warm_router};
+use query::query;
 
 const SEEDS: std::ops::Range<u64> = 0..20;
 
--- /dev/null
+++ b/crates/azurelug-core/tests/slow_start.rs
@@ -0,0 +1,185 @@
+//! Attacks the slow start: several daemons, unannounced cold turns, lagging reports, failures.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use azurelug_core::routing::{CallKey, Completion, Finished, LoadReport, Outcome, Router};
+use azurelug_core::slow_start::{Phase, Position};
+use azurelug_types::config::Config;
+use azurelug_types::id::{TargetKey, TargetName};
+use fleet::{SECOND, SUCCESS, fleet as zones, report, router, warm_router};
+
+const TARGET: TargetKey = TargetKey(0);
+
+fn one_target(limit: u32, cold_limit: u32) -> Config {
+    let mut config = zones(1, 1);
+    let target = config.targets.get_mut(&TargetName::from("a0"));
+    let target = target.expect("the fleet has this target");
+    (target.limit, target.cold_limit) = (limit, cold_limit);
+    config
+}
+
+/// Begins calls until the router has no slot left.
+fn fill(router: &mut Router, now: Duration) -> Vec<CallKey> {
+    std::iter::from_fn(|| router.begin(TARGET, now)).collect()
+}
+
+fn call(router: &mut Router, outcome: Outcome, now: Duration) -> Finished {
+    let call = router.begin(TARGET, now).expect("a slot is free");
+    router
+        .finish(call, outcome, now)
+        .expect("the first outcome")
+}
+
+fn first_token(millis: u64) -> Outcome {
+    Outcome {
+        completion: Completion::Success,
+        first_token: Some(Duration::from_millis(millis)),
+    }
+}
+
+/// Guards against a starting target that fails because all daemons send to it at once.
+#[test]
+fn all_daemons_together_never_exceed_the_cold_limit() {
+    for daemons in 1..=9 {
+        for cold_limit in 0..=7 {
+            let config = one_target(16, cold_limit);
+            let total: usize = (0..daemons)
+                .map(|rank| {
+                    let position = Position { rank, daemons };
+                    let mut router = router(&config, 1, position);
+                    let unknown = fill(&mut router, SECOND);
+                    report(&mut router, "a0", 0, false, 1, SECOND);
+                    unknown.len() + fill(&mut router, SECOND).len()
+                })
+                .sum();
+            assert_eq!(total, cold_limit as usize, "{daemons} daemons");
+        }
+    }
+}
+
+/// Guards against a jump to the full limit, and against a limit that rises while reports still
+/// say that the target is cold.
+#[test]
+fn the_limit_rises_by_steps_and_only_after_the_cold_start() {
+    let mut router = router(&one_target(16, 2), 1, Position::ALONE);
+    report(&mut router, "a0", 0, false, 1, SECOND);
+    for _ in 0..50 {
+        call(&mut router, SUCCESS, SECOND);
+    }
+    assert_eq!(router.dump(SECOND)[0].limit, 2);
+    report(&mut router, "a0", 0, true, 1, 2 * SECOND);
+    let mut levels = vec![router.dump(2 * SECOND)[0].limit];
+    while router.dump(2 * SECOND)[0].phase != Phase::Warm {
+        call(&mut router, SUCCESS, 2 * SECOND);
+        let level = router.dump(2 * SECOND)[0].limit;
+        if *levels.last().unwrap() != level {
+            levels.push(level);
+        }
+    }
+    assert_eq!(levels, [2, 3, 4, 6, 9, 13, 16]);
+}
+
+/// Guards against full load on a target that has turned cold without a word.
+#[test]
+fn slow_first_tokens_reveal_a_cold_turn() {
+    let mut router = warm_router(&one_target(16, 2), 1);
+    for _ in 0..20 {
+        call(&mut router, SUCCESS, SECOND);
+    }
+    assert!(!call(&mut router, first_token(500), SECOND).turned_cold);
+    assert!(
+        !call(&mut router, SUCCESS, SECOND).turned_cold,
+        "one long prompt is no sign"
+    );
+    assert!(!call(&mut router, first_token(500), SECOND).turned_cold);
+    assert!(call(&mut router, first_token(500), SECOND).turned_cold);
+    assert_eq!(fill(&mut router, SECOND).len(), 2);
+}
+
+/// Guards against a lagging report that lifts the cold limit although it is older than the sign.
+#[test]
+fn a_report_from_before_the_cold_turn_does_not_lift_the_limit() {
+    let mut router = warm_router(&one_target(16, 2), 1);
+    (0..20).for_each(|_| assert!(!call(&mut router, SUCCESS, SECOND).turned_cold));
+    call(&mut router, first_token(500), 4 * SECOND);
+    assert!(call(&mut router, first_token(500), 4 * SECOND).turned_cold);
+    let late = LoadReport {
+        calls: 0,
+        taken_at: 3 * SECOND,
+        warm: true,
+        start_stamp: 1,
+    };
+    router.report(TARGET, late, 5 * SECOND);
+    let state = &router.dump(5 * SECOND)[0];
+    assert_eq!((state.phase, state.limit), (Phase::Cold, 2));
+    let after = LoadReport {
+        taken_at: 5 * SECOND,
+        ..late
+    };
+    router.report(TARGET, after, 6 * SECOND);
+    assert_eq!(router.dump(6 * SECOND)[0].phase, Phase::Rising);
+}
+
+/// Guards against full load on an engine that was restarted between two reports.
+#[test]
+fn a_changed_start_stamp_is_a_cold_start_even_if_the_report_says_warm() {
+    let mut router = warm_router(&one_target(16, 2), 1);
+    report(&mut router, "a0", 0, true, 2, 3 * SECOND);
+    assert_eq!(fill(&mut router, 3 * SECOND).len(), 2);
+}
+
+/// Guards against a target that keeps a raised limit while it fails.
+#[test]
+fn a_failure_while_the_limit_rises_takes_it_back() {
+    let mut router = router(&one_target(16, 2), 1, Position::ALONE);
+    for _ in 0..8 {
+        call(&mut router, SUCCESS, SECOND);
+    }
+    assert_eq!(router.dump(SECOND)[0].limit, 4);
+    let failure = Outcome {
+        completion: Completion::Failure,
+        first_token: None,
+    };
+    call(&mut router, failure, SECOND);
+    assert_eq!(router.dump(SECOND)[0].limit, 2);
+}
+
+/// Guards against a daemon that never uses a warm target because its part of the cold limit was
+/// empty and it completed no calls.
+#[test]
+fn a_daemon_without_a_part_of_the_cold_limit_follows_the_reports() {
+    let position = Position {
+        rank: 4,
+        daemons: 9,
+    };
+    let mut router = router(&one_target(16, 2), 1, position);
+    report(&mut router, "a0", 0, false, 1, SECOND);
+    assert!(router.begin(TARGET, SECOND).is_none());
+    for second in 2..20 {
+        report(&mut router, "a0", 0, true, 1, second * SECOND);
+        let calls = fill(&mut router, second * SECOND);
+        for call in calls {
+            router.finish(call, SUCCESS, second * SECOND);
+        }
+    }
+    assert!(router.begin(TARGET, 20 * SECOND).is_some());
+}
+
+/// Guards against a granted share that overrides the daemon's own knowledge of a cold turn.
+#[test]
+fn a_grant_never_raises_the_cold_limit() {
+    let mut router = warm_router(&one_target(16, 2), 1);
+    router.grant(TARGET, Some(12), SECOND);
+    assert_eq!(fill(&mut router, SECOND).len(), 12);
+    let position = Position {
+        rank: 0,
+        daemons: 2,
+    };
+    let mut router = fleet::router(&one_target(16, 2), 1, position);
+    router.grant(TARGET, Some(12), SECOND);
+    report(&mut router, "a0", 0, false, 1, SECOND);
+    assert_eq!(fill(&mut router, SECOND).len(), 1);
+}
--- a/crates/azurelug-core/tests/support/fleet.rs
+++ b/crates/azurelug-core/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azurelug_core::lease_mode::Mode;
-use azurelug_core::routing::{Completion, LoadReport, Need, Outcome, Query, Router, Settings};
+use azurelug_core::routing::{Completion, LoadReport, Outcome, Router, Settings};
 use azurelug_core::slow_start::Position;
 use azurelug_types::config::{Config, ModelRef, OnPartition, Role, StageKind, State, Target, Zone};
 use azurelug_types::id::{ModelName, TargetName, Version, ZoneName};
@@ -98,12 +98,3 @@
     };
     router.report(key, report, now);
 }
-
-pub(crate) fn query<'a>(model: &'a ModelRef, prefix: &'a [u64]) -> Query<'a> {
-    Query {
-        need: Need::Stage(StageKind::Generate, model),
-        idempotent: true,
-        prefix,
-        exclude: &[],
-    }
-}
--- /dev/null
+++ b/crates/azurelug-core/tests/support/query.rs
@@ -0,0 +1,13 @@
+//! Queries for the engines of the test fleet.
+
+use azurelug_core::routing::{Need, Query};
+use azurelug_types::config::{ModelRef, StageKind};
+
+pub(crate) fn query<'a>(model: &'a ModelRef, prefix: &'a [u64]) -> Query<'a> {
+    Query {
+        need: Need::Stage(StageKind::Generate, model),
+        idempotent: true,
+        prefix,
+        exclude: &[],
+    }
+}
