testkit: add reporter, platform and proxy, and test the engine's schedule

Cause: lagging reports, the platform's list and half-open connections need stand-ins; queue, cold start and cache of the engine had no tests. Passing bytes again after a drop was ruled out: the receiver would see a stream with a hole, which TCP never delivers. Change: the three doubles with their subcommands, one history type for all lagging reports, and tests for each double and for the binary.

--- a/crates/azurelug-testkit/src/command.rs
+++ b/crates/azurelug-testkit/src/command.rs
@@ -1,10 +1,13 @@
 //! The subcommands. Each one starts a double, prints its address and runs until a signal arrives.
 
 mod engine;
+mod platform;
+mod proxy;
+mod reporter;
 mod service;
 
+use std::fmt::Display;
 use std::io::Write;
-use std::net::SocketAddr;
 
 use bpaf::Bpaf;
 use tokio::signal::unix::{SignalKind, signal};
@@ -28,6 +31,15 @@
     /// A plain service that counts its executions
     #[bpaf(command)]
     Service(#[bpaf(external(service::arguments))] service::Arguments),
+    /// A reporter of the loads of engines
+    #[bpaf(command)]
+    Reporter(#[bpaf(external(reporter::arguments))] reporter::Arguments),
+    /// The platform's list of VMs
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform::arguments))] platform::Arguments),
+    /// A TCP proxy with faults
+    #[bpaf(command)]
+    Proxy(#[bpaf(external(proxy::arguments))] proxy::Arguments),
 }
 
 impl Command {
@@ -35,12 +47,15 @@
         match self {
             Self::Engine(arguments) => engine::run(arguments).await,
             Self::Service(arguments) => service::run(arguments).await,
+            Self::Reporter(arguments) => reporter::run(arguments).await,
+            Self::Platform(arguments) => platform::run(arguments).await,
+            Self::Proxy(arguments) => proxy::run(arguments).await,
         }
     }
 }
 
 /// Prints the ready line and waits for SIGINT or SIGTERM.
-async fn serve(address: SocketAddr) -> Result<(), Error> {
+async fn serve(address: impl Display) -> Result<(), Error> {
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut output = std::io::stdout();
--- a/crates/azurelug-testkit/src/engine.rs
+++ b/crates/azurelug-testkit/src/engine.rs
@@ -20,6 +20,7 @@
 use volo_http::request::Request;
 use volo_http::server::route::Router;
 
+use crate::history::History;
 use crate::host::Host;
 
 pub use cache::{CacheEvent, CacheEvents};
@@ -123,7 +124,7 @@
     schedule: schedule::Schedule,
     cache: cache::Cache,
     orders: orders::Orders,
-    reports: reports::Reports,
+    load: History<reports::Sample>,
     kv: completion::KvStore,
 }
 
@@ -175,22 +176,21 @@
     fn new(settings: Settings) -> Self {
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let started_at_ms = now.map_or(0, reports::millis);
+        let schedule = schedule::Schedule::new(&settings);
         let inner = Inner {
-            schedule: schedule::Schedule::new(&settings),
+            load: History::new(settings.load_lag, schedule.sample()),
+            schedule,
             cache: cache::Cache::new(&settings),
             orders: orders::Orders::new(&settings),
-            reports: reports::Reports::new(settings.load_lag),
             kv: completion::KvStore::default(),
         };
-        let shared = Self {
+        Self {
             settings,
             origin: Instant::now(),
             started_at_ms,
             inner: Mutex::new(inner),
             faults: tokio::sync::watch::Sender::new(Faults::default()),
-        };
-        shared.change(|_| ());
-        shared
+        }
     }
 
     /// Time since the engine started.
@@ -208,7 +208,7 @@
         let mut inner = self.lock();
         let result = change(&mut inner.schedule);
         let sample = inner.schedule.sample();
-        inner.reports.record(now, sample);
+        inner.load.record(now, sample);
         result
     }
 
--- a/crates/azurelug-testkit/src/engine/api.rs
+++ b/crates/azurelug-testkit/src/engine/api.rs
@@ -120,7 +120,11 @@
 }
 
 fn load(shared: &Shared) -> Load {
-    let (at, sample) = shared.lock().reports.report(shared.now());
+    let (at, sample) = {
+        let mut inner = shared.lock();
+        let (at, sample) = inner.load.report(shared.now());
+        (at, *sample)
+    };
     Load {
         reported_at_ms: shared.started_at_ms + millis(at),
         started_at_ms: shared.started_at_ms,
--- a/crates/azurelug-testkit/src/engine/reports.rs
+++ b/crates/azurelug-testkit/src/engine/reports.rs
@@ -1,15 +1,10 @@
-//! Counts of calls, and load reports with the values of a while ago.
-//!
-//! Owns the recent history of the load. It never reports the present unless the lag is zero.
+//! Counts of calls and load reports.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-/// The most samples that are kept. Under more changes within one lag, reports are older than set.
-const SAMPLES: usize = 65_536;
-
 /// What has happened to the calls of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
@@ -56,44 +51,6 @@
     pub(super) warm: bool,
 }
 
-/// The load over the last lag.
-pub(super) struct Reports {
-    lag: Duration,
-    samples: VecDeque<(Duration, Sample)>,
-}
-
-impl Reports {
-    pub(super) fn new(lag: Duration) -> Self {
-        Self {
-            lag,
-            samples: VecDeque::new(),
-        }
-    }
-
-    pub(super) fn record(&mut self, now: Duration, sample: Sample) {
-        self.samples.push_back((now, sample));
-        self.forget(now);
-    }
-
-    /// The moment that a report made at `now` describes, and the load then.
-    pub(super) fn report(&mut self, now: Duration) -> (Duration, Sample) {
-        self.forget(now);
-        let (_, sample) = self
-            .samples
-            .front()
-            .expect("a sample is recorded at the start");
-        (now.saturating_sub(self.lag), *sample)
-    }
-
-    /// Removes samples older than the one that was true a lag ago.
-    fn forget(&mut self, now: Duration) {
-        let then = now.saturating_sub(self.lag);
-        while self.samples.len() > SAMPLES || self.samples.get(1).is_some_and(|s| s.0 <= then) {
-            self.samples.pop_front();
-        }
-    }
-}
-
 /// Whole milliseconds of a duration.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/azurelug-testkit/src/engine/schedule.rs
+++ b/crates/azurelug-testkit/src/engine/schedule.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Starts a cold start. An engine that starts warm gets one of its cold limit in calls.
+    /// Starts a cold start. One without `warm_after` lasts for as many calls as the cold limit.
     pub(super) fn go_cold(&mut self) {
         if self.warm_after == 0 {
             self.warm_after = self.cold_limit.max(1) as u64;
--- a/crates/azurelug-testkit/src/host.rs
+++ b/crates/azurelug-testkit/src/host.rs
@@ -22,13 +22,13 @@
 const FIRST_SWEEP: usize = 64;
 
 /// A running double. Dropping it closes the listener and all connections.
-pub struct Host {
+pub(crate) struct Host {
     address: SocketAddr,
     connections: Arc<Connections>,
 }
 
 /// The open connections of a double.
-pub struct Connections {
+pub(crate) struct Connections {
     open: Mutex<Open>,
     closed: watch::Sender<bool>,
 }
@@ -43,7 +43,7 @@
     ///
     /// # Errors
     /// `Bind` if the address is in use or not local.
-    pub async fn start(
+    pub(crate) async fn start(
         address: SocketAddr,
         make: impl FnOnce(Arc<Connections>) -> Router,
     ) -> Result<Self, Error> {
@@ -76,12 +76,12 @@
     }
 
     /// The bound address.
-    pub fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Closes the listener and all connections, as the death of the process would.
-    pub fn close(self) {
+    pub(crate) fn close(self) {
         drop(self);
     }
 }
@@ -97,7 +97,7 @@
 
 impl Connections {
     /// Closes the connection from `peer` in both directions.
-    pub fn close(&self, peer: SocketAddr) {
+    pub(crate) fn close(&self, peer: SocketAddr) {
         if let Some(stream) = self.lock().streams.remove(&peer) {
             close_stream(&stream);
         }
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -5,10 +5,17 @@
 //! subcommand of the binary `azurelug-testkit`. The doubles contain no code of the product's core.
 
 pub mod engine;
-pub mod host;
+mod history;
+mod host;
+pub mod platform;
+pub mod proxy;
 mod refusal;
+pub mod reporter;
 pub mod service;
 pub mod text;
 
 pub use engine::Engine;
+pub use platform::Platform;
+pub use proxy::Proxy;
+pub use reporter::Reporter;
 pub use service::Service;
--- /dev/null
+++ b/crates/azurelug-testkit/src/platform.rs
@@ -0,0 +1,124 @@
+//! The platform's list of VMs, which lags behind its changes.
+//!
+//! Owns the list and its recent past. It never checks whether a VM lives.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use azurelug_http::{Error, answer};
+use http::Method;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+use crate::history::History;
+use crate::host::Host;
+use crate::refusal::{Refusal, parse};
+
+/// Whether a VM stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It is about to be taken away.
+    Leaving,
+}
+
+/// A VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vm {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address of the process on it.
+    pub address: SocketAddr,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// Settings of the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// VMs from the start.
+    pub vms: Vec<Vm>,
+    /// Age of the list that is reported.
+    pub lag: Duration,
+}
+
+/// A running platform list.
+pub struct Platform {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    origin: Instant,
+    vms: Mutex<History<Vec<Vm>>>,
+}
+
+impl Platform {
+    /// Starts the list on `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    /// `Bind` if the address is in use or not local.
+    pub async fn start(address: SocketAddr, settings: Settings) -> Result<Self, Error> {
+        let shared = Arc::new(Shared {
+            origin: Instant::now(),
+            vms: Mutex::new(History::new(settings.lag, settings.vms)),
+        });
+        let kept = shared.clone();
+        let host = Host::start(address, |_| {
+            Router::new().fallback(move |request: Request| {
+                let shared = shared.clone();
+                async move { shared.handle(request).await }
+            })
+        })
+        .await?;
+        Ok(Self { host, shared: kept })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Replaces the list. Readers see it one lag later.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.shared.set(vms);
+    }
+
+    /// Closes the listener and all connections, as the death of the process would.
+    pub fn close(self) {
+        self.host.close();
+    }
+}
+
+impl Shared {
+    fn set(&self, vms: Vec<Vm>) {
+        let mut history = self.vms.lock().unwrap_or_else(PoisonError::into_inner);
+        history.record(self.origin.elapsed(), vms);
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/vms") => {
+                let mut history = self.vms.lock().unwrap_or_else(PoisonError::into_inner);
+                answer::json(200, history.report(self.origin.elapsed()).1)
+            }
+            (&Method::POST, "/test/vms") => match parse::<Vec<Vm>>(request).await {
+                Ok(vms) => {
+                    self.set(vms.clone());
+                    answer::json(200, &vms)
+                }
+                Err(refusal) => refusal.into_response(),
+            },
+            _ => Refusal::new(404, "GET /v1/vms or POST /test/vms").into_response(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/proxy.rs
@@ -0,0 +1,276 @@
+//! A TCP proxy that delays, swallows or cuts the bytes between two processes.
+//!
+//! Owns the rules of the link and the bytes in flight. It never looks at what it carries.
+
+mod pump;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use azurelug_http::{Error, answer};
+use http::Method;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+use crate::host::Host;
+use crate::refusal::{Refusal, parse};
+
+/// Connections that are open at once; more are closed when they arrive.
+const CONNECTIONS: u64 = 4_096;
+
+/// Pause after a failed accept, so that the loop does not spin while the failure lasts.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// They arrive.
+    #[default]
+    Pass,
+    /// They are swallowed, and so is the end of the stream. The connection stays open on both
+    /// sides and silent for good: a direction that has lost bytes never passes any again.
+    Drop,
+    /// Connections are closed on both sides.
+    Close,
+}
+
+/// What happens to connections that are opened after the latest change of the link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NewConnections {
+    /// The rules apply to them.
+    #[default]
+    Follow,
+    /// They work until the next change.
+    Pass,
+    /// They are closed when they arrive.
+    Close,
+}
+
+/// The rules. `POST /test/link` replaces all of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Link {
+    /// Bytes from the client to the target.
+    pub forward: Rule,
+    /// Bytes from the target to the client.
+    pub backward: Rule,
+    /// Milliseconds that passing bytes take in each direction.
+    pub delay_ms: u64,
+    /// Connections opened after this change.
+    pub new_connections: NewConnections,
+}
+
+/// What the proxy has done.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Connections that are open.
+    pub open: u64,
+    /// Connections that arrived.
+    pub accepted: u64,
+    /// Bytes swallowed from the client to the target.
+    pub dropped_forward: u64,
+    /// Bytes swallowed from the target to the client.
+    pub dropped_backward: u64,
+}
+
+/// Settings of a proxy.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where connections are forwarded to.
+    pub target: SocketAddr,
+    /// Address of the controls.
+    pub control: SocketAddr,
+    /// Rules from the start.
+    pub link: Link,
+}
+
+/// A running proxy. Dropping it closes the listener and all connections.
+pub struct Proxy {
+    address: SocketAddr,
+    control: Host,
+    shared: Arc<Shared>,
+}
+
+/// The rules with the number of their change.
+#[derive(Clone, Debug, Default)]
+struct Rules {
+    link: Link,
+    change: u64,
+    closed: bool,
+}
+
+struct Shared {
+    target: SocketAddr,
+    rules: watch::Sender<Rules>,
+    open: AtomicU64,
+    accepted: AtomicU64,
+    dropped: [AtomicU64; 2],
+}
+
+impl Proxy {
+    /// Starts a proxy on `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    /// `Bind` if an address is in use or not local.
+    pub async fn start(address: SocketAddr, settings: Settings) -> Result<Self, Error> {
+        let bind = |source| Error::Bind { address, source };
+        let listener = TcpListener::bind(address).await.map_err(bind)?;
+        let address = listener.local_addr().map_err(bind)?;
+        let shared = Arc::new(Shared {
+            target: settings.target,
+            rules: watch::Sender::new(Rules {
+                link: settings.link,
+                ..Rules::default()
+            }),
+            open: AtomicU64::new(0),
+            accepted: AtomicU64::new(0),
+            dropped: [AtomicU64::new(0), AtomicU64::new(0)],
+        });
+        let kept = shared.clone();
+        let control = Host::start(settings.control, |_| {
+            Router::new().fallback(move |request: Request| {
+                let shared = kept.clone();
+                async move { shared.handle(request).await }
+            })
+        })
+        .await?;
+        tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self {
+            address,
+            control,
+            shared,
+        })
+    }
+
+    /// The bound address of the proxy.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The bound address of the controls.
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Replaces the rules.
+    pub fn set_link(&self, link: Link) {
+        self.shared.set_link(link);
+    }
+
+    /// What the proxy has done so far.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.traffic()
+    }
+
+    /// Closes the listener and all connections.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.shared.rules.send_modify(|rules| rules.closed = true);
+    }
+}
+
+impl Rules {
+    /// The rules of a connection that arrived after `change`. They include the end of the proxy.
+    fn of(&self, change: u64) -> Link {
+        let is_new = change == self.change;
+        match self.link.new_connections {
+            _ if self.closed => Link {
+                forward: Rule::Close,
+                ..Link::default()
+            },
+            NewConnections::Pass if is_new => Link {
+                delay_ms: self.link.delay_ms,
+                ..Link::default()
+            },
+            NewConnections::Close if is_new => Link {
+                forward: Rule::Close,
+                ..Link::default()
+            },
+            _ => self.link.clone(),
+        }
+    }
+}
+
+impl Shared {
+    fn set_link(&self, link: Link) {
+        self.rules.send_modify(|rules| {
+            rules.link = link;
+            rules.change += 1;
+        });
+    }
+
+    fn traffic(&self) -> Traffic {
+        let [forward, backward] = &self.dropped;
+        Traffic {
+            open: self.open.load(Ordering::Relaxed),
+            accepted: self.accepted.load(Ordering::Relaxed),
+            dropped_forward: forward.load(Ordering::Relaxed),
+            dropped_backward: backward.load(Ordering::Relaxed),
+        }
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/test/link") => answer::json(200, &self.rules.borrow().link),
+            (&Method::GET, "/test/traffic") => answer::json(200, &self.traffic()),
+            (&Method::POST, "/test/link") => match parse::<Link>(request).await {
+                Ok(link) => {
+                    self.set_link(link.clone());
+                    answer::json(200, &link)
+                }
+                Err(refusal) => refusal.into_response(),
+            },
+            _ => Refusal::new(404, "/test/link or GET /test/traffic").into_response(),
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut rules = shared.rules.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            _ = rules.wait_for(|rules| rules.closed) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((client, _)) = accepted else {
+            // Accepting fails for lack of file descriptors, which closing connections frees.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        shared.accepted.fetch_add(1, Ordering::Relaxed);
+        if shared.open.load(Ordering::Relaxed) >= CONNECTIONS {
+            continue;
+        }
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(connection(client, shared.clone()));
+    }
+}
+
+async fn connection(client: TcpStream, shared: Arc<Shared>) {
+    let change = shared.rules.borrow().change;
+    let mut rules = shared.rules.subscribe();
+    let closing = rules.wait_for(|rules| {
+        let link = rules.of(change);
+        link.forward == Rule::Close || link.backward == Rule::Close
+    });
+    tokio::select! {
+        biased;
+        _ = closing => {}
+        () = pump::carry(client, &shared, change) => {}
+    }
+    shared.open.fetch_sub(1, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/azurelug-testkit/src/proxy/pump.rs
@@ -0,0 +1,121 @@
+//! Carries the bytes of one connection under the rules of the link.
+
+use std::io;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::{Link, Rule, Shared};
+
+/// Bytes that are read at once.
+const CHUNK: usize = 16 * 1024;
+
+/// Chunks that are under way in one direction of a connection.
+const CHUNKS: usize = 64;
+
+#[derive(Clone, Copy)]
+enum Direction {
+    Forward = 0,
+    Backward = 1,
+}
+
+impl Direction {
+    fn rule(self, link: &Link) -> Rule {
+        match self {
+            Self::Forward => link.forward,
+            Self::Backward => link.backward,
+        }
+    }
+}
+
+/// Carries a connection to its end. An error on one side closes both.
+pub(super) async fn carry(client: TcpStream, shared: &Shared, change: u64) {
+    let (from_client, to_client) = client.into_split();
+    if shared.rules.borrow().of(change).forward == Rule::Drop {
+        // The target learns nothing of a connection whose first bytes are lost.
+        swallow(from_client, shared, Direction::Forward).await;
+        return;
+    }
+    let Ok(target) = TcpStream::connect(shared.target).await else {
+        return;
+    };
+    let _ = target.set_nodelay(true);
+    let _ = to_client.as_ref().set_nodelay(true);
+    let (from_target, to_target) = target.into_split();
+    let forward = direction(from_client, to_target, shared, change, Direction::Forward);
+    let backward = direction(from_target, to_client, shared, change, Direction::Backward);
+    // An error means that one side is gone; dropping both halves closes the other one.
+    let _ = tokio::try_join!(forward, backward);
+}
+
+async fn direction(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    shared: &Shared,
+    change: u64,
+    direction: Direction,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS);
+    let read = read(from, sender, shared, change, direction);
+    tokio::try_join!(read, write(to, receiver)).map(|_| ())
+}
+
+/// Reads chunks and stamps each with the time at which it arrives on the other side.
+async fn read(
+    mut from: OwnedReadHalf,
+    sender: mpsc::Sender<(Instant, Bytes)>,
+    shared: &Shared,
+    change: u64,
+    direction: Direction,
+) -> io::Result<()> {
+    loop {
+        let mut chunk = BytesMut::with_capacity(CHUNK);
+        let result = from.read_buf(&mut chunk).await;
+        let link = shared.rules.borrow().of(change);
+        if direction.rule(&link) == Rule::Drop {
+            count(shared, direction, chunk.len());
+            swallow(from, shared, direction).await;
+            // The sender stays alive, so that the other side sees no end of the stream.
+            return std::future::pending().await;
+        }
+        if result? == 0 {
+            return Ok(());
+        }
+        let due = Instant::now() + Duration::from_millis(link.delay_ms);
+        if sender.send((due, chunk.freeze())).await.is_err() {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+    }
+}
+
+async fn write(
+    mut to: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+) -> io::Result<()> {
+    while let Some((due, chunk)) = receiver.recv().await {
+        if due > Instant::now() {
+            tokio::time::sleep_until(due).await;
+        }
+        to.write_all(&chunk).await?;
+    }
+    to.shutdown().await
+}
+
+/// Reads and drops bytes, and waits for good at the end of the stream.
+async fn swallow(mut from: OwnedReadHalf, shared: &Shared, direction: Direction) {
+    let mut chunk = vec![0; CHUNK];
+    while let Ok(length @ 1..) = from.read(&mut chunk).await {
+        count(shared, direction, length);
+    }
+    std::future::pending::<()>().await;
+}
+
+fn count(shared: &Shared, direction: Direction, length: usize) {
+    shared.dropped[direction as usize].fetch_add(length as u64, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/azurelug-testkit/tests/engine_reports.rs
@@ -0,0 +1,169 @@
+//! Load reports, cache events, KV transfer and orders of the engine.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_testkit::engine::{CacheEvents, Faults, Settings};
+use azurelug_testkit::{Engine, text};
+use common::{get, local, next_token, post, stream, until};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+/// A prefill long enough that a skipped one is told apart on a busy machine.
+const PREFILL: Duration = Duration::from_millis(600);
+
+/// Longer than the test run.
+const NEVER: Duration = Duration::from_secs(3600);
+
+fn prompt() -> String {
+    "a season summary of cart sales. ".repeat(8)
+}
+
+/// Time to the whole answer of one token.
+async fn time(client: &Client, address: SocketAddr, id: &str) -> Duration {
+    let call = json!({ "model": "m@1", "prompt": prompt(), "max_tokens": 1, "request_id": id });
+    let started = Instant::now();
+    let answer = post(client, address, "/v1/completions", &call).await;
+    assert_eq!(answer.expect("an answer").0, 200);
+    started.elapsed()
+}
+
+/// Guards against reports of the present, with which routing on late reports is never tested.
+#[tokio::test]
+async fn load_reports_are_a_lag_old() {
+    let client = Client::pooled().unwrap();
+    for (lag, running) in [(NEVER, 0), (Duration::ZERO, 1)] {
+        let settings = Settings {
+            load_lag: lag,
+            ..Settings::default()
+        };
+        let engine = Engine::start(local(), settings).await.unwrap();
+        engine.set_faults(Faults {
+            hang: true,
+            ..Faults::default()
+        });
+        let call = json!({ "model": "m@1", "prompt": "p", "max_tokens": 1, "stream": true });
+        let call = stream_later(&client, engine.address(), call);
+        until("the call runs", || engine.counts().started == 1).await;
+        let load = get(&client, engine.address(), "/v1/load").await;
+        assert_eq!(load["running"], running, "lag {lag:?}");
+        assert_eq!(load["limit"], 8);
+        assert!(load["reported_at_ms"].as_u64() >= load["started_at_ms"].as_u64());
+        call.abort();
+    }
+}
+
+fn stream_later(
+    client: &Client,
+    address: SocketAddr,
+    call: Value,
+) -> tokio::task::JoinHandle<Option<(u64, String)>> {
+    let client = client.clone();
+    tokio::spawn(async move { next_token(&mut stream(&client, address, &call).await).await })
+}
+
+/// Guards against a cache that changes nothing, and against hashes that routing cannot compute.
+#[tokio::test]
+async fn a_cached_prefix_shortens_the_prefill() {
+    let client = Client::pooled().unwrap();
+    let settings = Settings {
+        prefill: PREFILL,
+        ..Settings::default()
+    };
+    let engine = Engine::start(local(), settings).await.unwrap();
+    let address = engine.address();
+    assert!(time(&client, address, "a").await >= PREFILL);
+    let second = time(&client, address, "b").await;
+    assert!(second < PREFILL, "a cached prefill took {second:?}");
+    let events = get(&client, address, "/v1/cache_events?after=0").await;
+    let events: CacheEvents = serde_json::from_value(events).unwrap();
+    let hashes: Vec<u32> = events.events.iter().map(|e| e.prefix_hash).collect();
+    assert_eq!(hashes, text::prefix_hashes("m@1", &prompt()));
+    assert_eq!(events.oldest, 1);
+    let rest = get(&client, address, "/v1/cache_events?after=3").await;
+    assert_eq!(rest["events"][0]["seq"], 4);
+}
+
+/// Guards against a KV import that saves no work, which would hide whether it was used.
+#[tokio::test]
+async fn an_imported_kv_cache_saves_the_prefill() {
+    let client = Client::pooled().unwrap();
+    let settings = Settings {
+        prefill: PREFILL,
+        ..Settings::default()
+    };
+    let first = Engine::start(local(), settings.clone()).await.unwrap();
+    let second = Engine::start(local(), settings).await.unwrap();
+    time(&client, first.address(), "a").await;
+    let kv = get(&client, first.address(), "/v1/kv/a").await;
+    let (status, body) = post(&client, second.address(), "/v1/kv", &kv)
+        .await
+        .unwrap();
+    assert_eq!((status, body), (200, json!({ "tokens": 1 })));
+    let continued = time(&client, second.address(), "a").await;
+    assert!(continued < PREFILL, "a prefill took {continued:?}");
+}
+
+/// Guards against a cache without bound, and against events that are all published at once.
+#[tokio::test]
+async fn cache_events_have_evictions_gaps_and_a_lag() {
+    let client = Client::pooled().unwrap();
+    let variants = [
+        (Duration::ZERO, 0.0, 6),
+        (Duration::ZERO, 1.0, 0),
+        (NEVER, 0.0, 0),
+    ];
+    for (cache_lag, cache_gaps, published) in variants {
+        let settings = Settings {
+            cache_lag,
+            cache_gaps,
+            cache_blocks: 2,
+            ..Settings::default()
+        };
+        let engine = Engine::start(local(), settings).await.unwrap();
+        for letter in ["a", "b", "c", "d"] {
+            let call = json!({ "model": "m@1", "prompt": letter.repeat(64), "max_tokens": 1 });
+            let answer = post(&client, engine.address(), "/v1/completions", &call).await;
+            assert_eq!(answer.unwrap().0, 200);
+        }
+        let events = get(&client, engine.address(), "/v1/cache_events?after=0").await;
+        let events: CacheEvents = serde_json::from_value(events).unwrap();
+        assert_eq!(events.events.len(), published, "{cache_lag:?} {cache_gaps}");
+        let evicted = events.events.iter().filter(|e| e.kind == "evicted");
+        assert_eq!(evicted.count(), published / 3);
+    }
+}
+
+/// Guards against an engine that obeys an old leader although it checks fencing numbers, and
+/// against one that checks although it is set to ignore them.
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_unless_ignored() {
+    let client = Client::pooled().unwrap();
+    for ignores_fencing in [false, true] {
+        let settings = Settings {
+            ignores_fencing,
+            ..Settings::default()
+        };
+        let engine = Engine::start(local(), settings).await.unwrap();
+        let role =
+            |role: &str, fencing: u64| json!({ "order": "role", "role": role, "fencing": fencing });
+        let address = engine.address();
+        for (name, fencing) in [("prefill", 7), ("decode", 7)] {
+            let answer = post(&client, address, "/v1/orders", &role(name, fencing)).await;
+            assert_eq!(answer.unwrap().0, 200);
+        }
+        let old = post(&client, address, "/v1/orders", &role("old", 6)).await;
+        let (status, body) = old.unwrap();
+        if ignores_fencing {
+            assert_eq!((status, engine.state().role.as_str()), (200, "old"));
+            assert_eq!(engine.state().history.len(), 3);
+        } else {
+            assert_eq!((status, body), (409, json!({ "current_fencing": 7 })));
+            assert_eq!(engine.state().role, "decode");
+            assert_eq!(engine.state().history.len(), 2);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-testkit/tests/proxy.rs
@@ -0,0 +1,182 @@
+//! The fault proxy: swallowed bytes, half-open connections, cuts and new connections.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_testkit::Proxy;
+use azurelug_testkit::proxy::{Link, NewConnections, Rule, Settings};
+use common::{TIMEOUT, get, local, post, until};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout};
+
+struct Pair {
+    client: TcpStream,
+    target: TcpStream,
+}
+
+async fn start() -> (TcpListener, Proxy) {
+    let listener = TcpListener::bind(local()).await.expect("a free port");
+    let settings = Settings {
+        target: listener.local_addr().expect("a bound listener"),
+        control: local(),
+        link: Link::default(),
+    };
+    let proxy = Proxy::start(local(), settings).await.expect("a free port");
+    (listener, proxy)
+}
+
+/// Opens a connection through the proxy and checks that it works.
+async fn connect(listener: &TcpListener, address: SocketAddr) -> Pair {
+    let open = async {
+        let client = TcpStream::connect(address).await.expect("the proxy");
+        let (target, _) = listener.accept().await.expect("a connection");
+        let mut pair = Pair { client, target };
+        exchange(&mut pair).await;
+        pair
+    };
+    timeout(TIMEOUT, open).await.expect("a working connection")
+}
+
+async fn exchange(pair: &mut Pair) {
+    let mut bytes = [0; 4];
+    pair.client
+        .write_all(b"ping")
+        .await
+        .expect("a writable connection");
+    pair.target
+        .read_exact(&mut bytes)
+        .await
+        .expect("a passed request");
+    pair.target
+        .write_all(b"pong")
+        .await
+        .expect("a writable connection");
+    pair.client
+        .read_exact(&mut bytes)
+        .await
+        .expect("a passed answer");
+    assert_eq!(&bytes, b"pong");
+}
+
+/// Whether the stream is open and has nothing to read.
+fn is_silent(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0; 16]);
+    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Guards against a drop that closes the connection or lets bytes through: a half-open connection
+/// must look alive to both sides.
+#[tokio::test]
+async fn drop_swallows_bytes_and_keeps_the_connection_open() {
+    let (listener, proxy) = start().await;
+    let mut old = connect(&listener, proxy.address()).await;
+    proxy.set_link(Link {
+        forward: Rule::Drop,
+        backward: Rule::Drop,
+        new_connections: NewConnections::Pass,
+        ..Link::default()
+    });
+    old.client.write_all(b"lost").await.unwrap();
+    old.target.write_all(b"missing").await.unwrap();
+    until("both directions are swallowed", || {
+        let traffic = proxy.traffic();
+        (traffic.dropped_forward, traffic.dropped_backward) == (4, 7)
+    })
+    .await;
+    assert!(is_silent(&old.client) && is_silent(&old.target));
+
+    connect(&listener, proxy.address()).await;
+
+    // The link recovers, while the old connection has lost bytes and stays silent.
+    proxy.set_link(Link::default());
+    old.client.write_all(b"again").await.unwrap();
+    until("the old connection stays silent", || {
+        proxy.traffic().dropped_forward == 9
+    })
+    .await;
+    // The end of the stream is swallowed like the bytes before it, so the target sees no end.
+    old.client.shutdown().await.unwrap();
+    connect(&listener, proxy.address()).await;
+    assert!(is_silent(&old.client) && is_silent(&old.target));
+    assert_eq!(proxy.traffic().accepted, 3);
+}
+
+/// Guards against a one-way partition that also stops the other way.
+#[tokio::test]
+async fn one_direction_is_dropped_alone() {
+    let (listener, proxy) = start().await;
+    let mut pair = connect(&listener, proxy.address()).await;
+    proxy.set_link(Link {
+        backward: Rule::Drop,
+        ..Link::default()
+    });
+    let mut bytes = [0; 4];
+    pair.client.write_all(b"ping").await.unwrap();
+    let read = timeout(TIMEOUT, pair.target.read_exact(&mut bytes)).await;
+    assert_eq!(read.expect("a passed request").unwrap(), 4);
+    pair.target.write_all(b"pong").await.unwrap();
+    until("the answer is swallowed", || {
+        proxy.traffic().dropped_backward == 4
+    })
+    .await;
+    assert!(is_silent(&pair.client));
+}
+
+/// Guards against a cut that waits for the next byte, and against a closed proxy that keeps
+/// connections.
+#[tokio::test]
+async fn close_ends_idle_connections_on_both_sides() {
+    let (listener, proxy) = start().await;
+    let client = Client::pooled().unwrap();
+    let mut pair = connect(&listener, proxy.address()).await;
+    let link = json!({ "forward": "close", "new_connections": "pass" });
+    let (status, _) = post(&client, proxy.control(), "/test/link", &link)
+        .await
+        .unwrap();
+    assert_eq!(status, 200);
+    let ends = async {
+        assert_eq!(pair.client.read(&mut [0; 4]).await.unwrap(), 0);
+        assert_eq!(pair.target.read(&mut [0; 4]).await.unwrap(), 0);
+    };
+    timeout(TIMEOUT, ends).await.expect("both ends");
+    let mut new = connect(&listener, proxy.address()).await;
+    let traffic = get(&client, proxy.control(), "/test/traffic").await;
+    assert_eq!(traffic["accepted"], 2);
+    proxy.close();
+    let end = timeout(TIMEOUT, new.client.read(&mut [0; 4])).await;
+    assert_eq!(end.expect("an end").unwrap(), 0);
+}
+
+/// Guards against new connections that work although the setting closes them.
+#[tokio::test]
+async fn new_connections_can_be_closed_while_old_ones_work() {
+    let (listener, proxy) = start().await;
+    let mut old = connect(&listener, proxy.address()).await;
+    proxy.set_link(Link {
+        new_connections: NewConnections::Close,
+        ..Link::default()
+    });
+    let mut new = TcpStream::connect(proxy.address()).await.unwrap();
+    let end = timeout(TIMEOUT, new.read(&mut [0; 4])).await;
+    assert!(matches!(end.expect("an end"), Ok(0) | Err(_)));
+    exchange(&mut old).await;
+}
+
+/// Guards against a delay that is not applied, or applied once for each chunk in turn.
+#[tokio::test]
+async fn delay_applies_to_each_direction() {
+    let (listener, proxy) = start().await;
+    let mut pair = connect(&listener, proxy.address()).await;
+    proxy.set_link(Link {
+        delay_ms: 100,
+        ..Link::default()
+    });
+    let started = Instant::now();
+    timeout(TIMEOUT, exchange(&mut pair)).await.unwrap();
+    assert!(started.elapsed() >= Duration::from_millis(200));
+}
