--- a/crates/azurelug-testkit/src/command.rs
+++ b/crates/azurelug-testkit/src/command.rs
@@ -3,11 +3,14 @@
 mod booker;
 mod caller;
 mod engine;
+mod platform;
 mod ports;
+mod proxy;
+mod reporter;
 mod service;
 
+use std::fmt::Display;
 use std::io::Write;
-use std::net::SocketAddr;
 
 use bpaf::Bpaf;
 use tokio::signal::unix::{SignalKind, signal};
@@ -42,6 +45,15 @@
     /// Print ports that are free now
     #[bpaf(command)]
     Ports(#[bpaf(external(ports::arguments))] ports::Arguments),
+    /// A reporter of the loads of engines
+    #[bpaf(command)]
+    Reporter(#[bpaf(external(reporter::arguments))] reporter::Arguments),
+    /// The platform's list of VMs
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform::arguments))] platform::Arguments),
+    /// A TCP proxy with faults
+    #[bpaf(command)]
+    Proxy(#[bpaf(external(proxy::arguments))] proxy::Arguments),
 }
 
 impl Command {
@@ -52,12 +64,15 @@
             Self::Caller(arguments) => caller::run(arguments).await,
             Self::Booker(arguments) => booker::run(arguments).await,
             Self::Ports(arguments) => ports::run(&arguments),
+            Self::Reporter(arguments) => reporter::run(arguments).await,
+            Self::Platform(arguments) => platform::run(arguments).await,
+            Self::Proxy(arguments) => proxy::run(arguments).await,
         }
     }
 }
 
 /// Prints the ready line and waits for SIGINT or SIGTERM.
-async fn serve(address: SocketAddr) -> Result<(), Error> {
+async fn serve(address: impl Display) -> Result<(), Error> {
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut output = std::io::stdout();
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -6,10 +6,17 @@
 
 pub mod caller;
 pub mod engine;
-pub mod host;
+mod history;
+mod host;
+pub mod platform;
+pub mod proxy;
 mod refusal;
+pub mod reporter;
 pub mod service;
 pub mod text;
 
 pub use engine::Engine;
+pub use platform::Platform;
+pub use proxy::Proxy;
+pub use reporter::Reporter;
 pub use service::Service;
