system: test failures of control daemons against real processes

Cause: the state machines' own proofs do not cover sockets, disks and processes. Change: azurelug-system starts three zones of real daemons with doubles in the test, kills, freezes and restarts them, and empties data folders. Each system has a loopback address of its own, so that tests run side by side without sharing ports. Conclusion: these tests have not yet been shown to fail without their mechanisms; that follows.

--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod pipeline;
 pub mod retry;
 pub mod routing;
+mod slab;
 pub mod slow_start;
 pub mod stream;
--- /dev/null
+++ b/crates/azurelug-system/src/system.rs
@@ -0,0 +1,446 @@
+//! A system of three availability zones.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use azurelug_testkit::caller;
+use azurelug_testkit::{Engine, Service, engine, service};
+use azurelug_types::config::{
+    Account, Model, ModelRef, Operation, Pipeline, Role, Stage, StageKind, State, Target, Zone,
+};
+use azurelug_types::id::{
+    AccountName, ModelName, OperationName, PipelineName, ServiceName, TargetName, Version, ZoneName,
+};
+use azurelug_types::patch::Change;
+use sha2::{Digest, Sha256};
+
+use crate::operator::{Operator, patch};
+use crate::process::Process;
+
+/// The zones.
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// The key of the only account.
+pub const ACCOUNT_KEY: &str = "carts-key";
+
+/// The only pipeline.
+pub const PIPELINE: &str = "season-summary";
+
+/// How long anything may take to become ready on a busy machine.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// One zone's part of the system.
+pub struct ZoneParts {
+    /// The control daemon.
+    pub control: Process,
+    /// The entry daemon.
+    pub entry: Process,
+    /// Engines by the kind of stage they run.
+    pub engines: BTreeMap<StageKind, Engine>,
+    /// A replica of the service `stock`.
+    pub stock: Service,
+}
+
+/// The system. Dropping it ends its processes and removes its files.
+pub struct System {
+    /// The zones' parts, in the order of [`ZONES`].
+    pub zones: Vec<ZoneParts>,
+    folder: PathBuf,
+    address: Ipv4Addr,
+}
+
+impl System {
+    /// Starts the system, sends the first patch and waits until every entry daemon is ready.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start() -> Self {
+        let mut system = Self::prepare(engine::Settings::default()).await;
+        for zone in &mut system.zones {
+            zone.control.set_argument("--initialize", true);
+            zone.control.start();
+            zone.control.set_argument("--initialize", false);
+            zone.entry.start();
+        }
+        let operator = Operator::new();
+        let patch = patch(Version(0), system.first_changes());
+        let control = system.operators(0);
+        wait("the first patch", || async {
+            operator.patch(control, &patch).await.is_some()
+        })
+        .await;
+        system.wait_ready().await;
+        system
+    }
+
+    /// Makes settings files and doubles; no daemon runs yet.
+    ///
+    /// # Panics
+    /// If files can't be written or doubles can't be started.
+    pub async fn prepare(engines: engine::Settings) -> Self {
+        let address = own_address();
+        let folder = std::env::temp_dir().join(format!("azurelug-{address}"));
+        // An earlier run with the same process id may have been killed.
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("create the folder");
+        std::fs::write(folder.join("key"), "0123456789abcdef0123456789abcdef").expect("write");
+        let mut system = Self {
+            zones: Vec::new(),
+            folder,
+            address,
+        };
+        for index in 0..ZONES.len() {
+            let zone = system.prepare_zone(index, &engines).await;
+            system.zones.push(zone);
+        }
+        system
+    }
+
+    async fn prepare_zone(&self, index: usize, settings: &engine::Settings) -> ZoneParts {
+        let mut engines = BTreeMap::new();
+        for kind in StageKind::ALL {
+            let settings = engine::Settings {
+                models: vec![model_text(kind).to_owned()],
+                role: kind.as_str().to_owned(),
+                ..settings.clone()
+            };
+            let engine = Engine::start(loopback(), settings)
+                .await
+                .expect("start an engine");
+            engines.insert(kind, engine);
+        }
+        let stock = Service::start(loopback(), service::Settings::default())
+            .await
+            .expect("start stock");
+        let control = self.write_settings(&control_name(index), &self.control_settings(index));
+        let entry = self.write_settings(&entry_name(index), &self.entry_settings(index));
+        let arguments = |file: PathBuf| vec!["--settings".to_owned(), file.display().to_string()];
+        let log = |name: String| self.folder.join(name).with_extension("log");
+        ZoneParts {
+            control: Process::new(
+                "azurelug-control",
+                arguments(control),
+                log(control_name(index)),
+            ),
+            entry: Process::new("azurelug-entry", arguments(entry), log(entry_name(index))),
+            engines,
+            stock,
+        }
+    }
+
+    fn write_settings(&self, name: &str, text: &str) -> PathBuf {
+        let file = self.folder.join(name).with_extension("yaml");
+        std::fs::write(&file, text).expect("write a settings file");
+        file
+    }
+
+    fn control_settings(&self, index: usize) -> String {
+        use std::fmt::Write;
+        let mut members = String::new();
+        for other in 0..ZONES.len() {
+            let (slot, name, address) = (other + 1, control_name(other), self.internal(other));
+            let _ = writeln!(
+                members,
+                "  - {{ slot: {slot}, name: {name}, address: \"{address}\" }}"
+            );
+        }
+        let (name, zone) = (control_name(index), ZONES[index]);
+        let (internal, operators) = (self.internal(index), self.operators(index));
+        let folder = self.folder.display();
+        format!(
+            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+             internal: \"{internal}\"\noperators: \"{operators}\"\ndata: {folder}/{name}\n\
+             members:\n{members}"
+        )
+    }
+
+    fn entry_settings(&self, index: usize) -> String {
+        let controls: Vec<String> = (0..ZONES.len())
+            .map(|step| format!("\"{}\"", self.internal((index + step) % ZONES.len())))
+            .collect();
+        let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
+        format!(
+            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+             callers: \"{}\"\nadmin: \"{}\"\ncontrol: [{}]\ndrain_wait: 1s\nfinish_wait: 13s\n",
+            self.callers(index),
+            self.admin(index),
+            controls.join(", ")
+        )
+    }
+
+    /// A control daemon's address for daemons.
+    pub fn internal(&self, zone: usize) -> SocketAddr {
+        self.port(7000, zone)
+    }
+
+    /// A control daemon's address for operators.
+    pub fn operators(&self, zone: usize) -> SocketAddr {
+        self.port(7100, zone)
+    }
+
+    /// An entry daemon's address for callers.
+    pub fn callers(&self, zone: usize) -> SocketAddr {
+        self.port(7200, zone)
+    }
+
+    /// An entry daemon's address for operators.
+    pub fn admin(&self, zone: usize) -> SocketAddr {
+        self.port(7300, zone)
+    }
+
+    fn port(&self, base: u16, zone: usize) -> SocketAddr {
+        let zone = u16::try_from(zone).expect("there are three zones");
+        SocketAddr::from((self.address, base + zone))
+    }
+
+    /// The data folder of a control daemon.
+    pub fn data(&self, zone: usize) -> PathBuf {
+        self.folder.join(control_name(zone))
+    }
+
+    /// Waits until every entry daemon is ready and has a valid lease.
+    ///
+    /// # Panics
+    /// If one is not ready in time.
+    pub async fn wait_ready(&self) {
+        for zone in 0..ZONES.len() {
+            self.wait_state(zone, |state| state["mode"] == "normal")
+                .await;
+        }
+    }
+
+    /// Waits until an entry daemon's state dump passes `check`.
+    ///
+    /// # Panics
+    /// If it does not within the time that anything may take.
+    pub async fn wait_state(&self, zone: usize, check: impl Fn(&serde_json::Value) -> bool) {
+        let operator = Operator::new();
+        let admin = self.admin(zone);
+        wait(&entry_name(zone), || async {
+            let dump = operator.get(admin, "/debug/state").await;
+            dump.is_some_and(|(_, state)| check(&state))
+        })
+        .await;
+    }
+
+    /// Waits until some control daemon leads and returns its zone.
+    ///
+    /// # Panics
+    /// If none leads in time.
+    pub async fn leader(&self) -> usize {
+        let operator = Operator::new();
+        let found = std::sync::Mutex::new(0);
+        wait("a leader", || async {
+            for zone in 0..ZONES.len() {
+                let status = operator.get(self.operators(zone), "/v1/status").await;
+                if status.is_some_and(|(_, status)| status["role"] == "Leader") {
+                    *found.lock().expect("one thread") = zone;
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        found.into_inner().expect("one thread")
+    }
+
+    /// Calls to the pipeline through the entry daemons of `zones`.
+    pub fn calls(&self, zones: &[usize], requests: u64, pause: Duration) -> caller::Settings {
+        caller::Settings {
+            entries: zones.iter().map(|zone| self.callers(*zone)).collect(),
+            key: ACCOUNT_KEY.to_owned(),
+            pipeline: PIPELINE.to_owned(),
+            stages: StageKind::ALL
+                .map(|kind| (kind, model_text(kind).to_owned()))
+                .to_vec(),
+            requests,
+            pause,
+            max_tokens: 16,
+            deadline: Duration::from_secs(12),
+        }
+    }
+
+    /// How often a booking was executed, over all replicas of the service.
+    pub fn executions(&self, key: &str) -> u64 {
+        let count = |zone: &ZoneParts| zone.stock.executions().keys.get(key).copied().unwrap_or(0);
+        self.zones.iter().map(count).sum()
+    }
+
+    /// The changes that set up everything.
+    pub fn first_changes(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for zone in ZONES {
+            let zone_settings = Zone {
+                state: State::Active,
+                on_partition: Default::default(),
+            };
+            changes.push(Change::SetZone {
+                name: ZoneName::from(zone),
+                zone: zone_settings,
+            });
+        }
+        for kind in StageKind::ALL {
+            let model = model(kind);
+            let definition = Model {
+                versions: BTreeSet::from([model.version]),
+                adapters: BTreeSet::new(),
+            };
+            changes.push(Change::SetModel {
+                name: model.model,
+                model: definition,
+            });
+        }
+        let digest = Sha256::digest(ACCOUNT_KEY.as_bytes());
+        let key_digest = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        let account = Account {
+            key_digest,
+            weight: 1,
+            max_in_flight: 256,
+        };
+        changes.push(Change::SetAccount {
+            name: AccountName::from("carts"),
+            account,
+        });
+        let operations = [("book", false), ("look-up", true)]
+            .map(|(name, idempotent)| (OperationName::from(name), Operation { idempotent }));
+        let service = azurelug_types::config::Service {
+            operations: operations.into(),
+        };
+        changes.push(Change::SetService {
+            name: ServiceName::from("stock"),
+            service,
+        });
+        for (zone, parts) in ZONES.iter().zip(&self.zones) {
+            for (kind, engine) in &parts.engines {
+                let role = Role::Engine(*kind);
+                let loaded = vec![model(*kind)];
+                changes.push(target(
+                    &format!("{kind}-{zone}"),
+                    zone,
+                    engine.address(),
+                    role,
+                    loaded,
+                ));
+            }
+            let role = Role::Service(ServiceName::from("stock"));
+            let name = format!("stock-{zone}");
+            changes.push(target(&name, zone, parts.stock.address(), role, Vec::new()));
+        }
+        let stages = StageKind::ALL
+            .map(|kind| Stage {
+                kind,
+                model: model(kind),
+            })
+            .to_vec();
+        let pipeline = Pipeline { stages };
+        changes.push(Change::SetPipeline {
+            name: PipelineName::from(PIPELINE),
+            pipeline,
+        });
+        changes
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for zone in &self.zones {
+                eprintln!(
+                    "--- control\n{}\n--- entry\n{}",
+                    zone.control.log(),
+                    zone.entry.log()
+                );
+            }
+        }
+        self.zones.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `check` holds.
+///
+/// # Panics
+/// If it does not within 30 s.
+pub async fn wait<F: Future<Output = bool>>(what: &str, check: impl Fn() -> F) {
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < READY_LIMIT {
+        if check().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{what}: not ready within {} s", READY_LIMIT.as_secs());
+}
+
+/// An address of 127.0.0.0/8 for each system of each test process.
+fn own_address() -> Ipv4Addr {
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        high.wrapping_add(64),
+        low,
+        NEXT.fetch_add(1, Ordering::Relaxed),
+    )
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn control_name(zone: usize) -> String {
+    format!("control-{}", &ZONES[zone]["zone-".len()..])
+}
+
+fn entry_name(zone: usize) -> String {
+    format!("entry-{}", &ZONES[zone]["zone-".len()..])
+}
+
+fn model(kind: StageKind) -> ModelRef {
+    let (model, version) = model_text(kind)
+        .split_once('@')
+        .expect("model texts have a version");
+    ModelRef {
+        model: ModelName::from(model),
+        adapter: None,
+        version: version.to_owned(),
+    }
+}
+
+fn model_text(kind: StageKind) -> &'static str {
+    match kind {
+        StageKind::Encode => "embed@1",
+        StageKind::Retrieve => "search@1",
+        StageKind::Rerank => "rank@1",
+        StageKind::Generate => "writer@2",
+    }
+}
+
+fn target(
+    name: &str,
+    zone: &str,
+    address: SocketAddr,
+    role: Role,
+    loaded: Vec<ModelRef>,
+) -> Change {
+    let target = Target {
+        zone: ZoneName::from(zone),
+        address,
+        role,
+        loaded,
+        limit: 8,
+        cold_limit: 2,
+        state: State::Active,
+        checks_fencing: true,
+    };
+    Change::SetTarget {
+        name: TargetName::from(name),
+        target,
+    }
+}
--- /dev/null
+++ b/crates/azurelug-system/tests/control_failures.rs
@@ -0,0 +1,205 @@
+//! Failures of control daemons, against real processes.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use azurelug_system::operator::{Operator, patch, zone_state};
+use azurelug_system::system::{System, wait};
+use azurelug_types::config::State;
+use azurelug_types::patch::Answer;
+use nix::sys::signal::Signal;
+
+/// Guards against a patch that is lost, counted twice or reverted when the leader dies before, while
+/// or after it decides.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn patches_survive_the_death_of_the_leader() {
+    let mut system = System::start().await;
+    let operator = Operator::new();
+    for round in 0..3 {
+        let leader = system.leader().await;
+        let other = (leader + 1) % 3;
+        let base = operator
+            .config(system.operators(other))
+            .await
+            .unwrap()
+            .version;
+        let change = vec![zone_state("zone-a", State::Draining)];
+        let first = patch(base, change);
+        let sent = operator.patch(system.operators(other), &first);
+        let mut control = &mut system.zones[leader].control;
+        let killed = async {
+            tokio::time::sleep(Duration::from_millis(round)).await;
+            control.kill();
+        };
+        let (answer, ()) = tokio::join!(sent, killed);
+        // The operator resends the patch through the third daemon until there is an answer.
+        let third = (leader + 2) % 3;
+        let address = system.operators(third);
+        wait("an answer to the resent patch", || async {
+            operator.patch(address, &first).await.is_some()
+        })
+        .await;
+        let resent = operator.patch(address, &first).await.unwrap();
+        let Answer::Accepted { version } = resent else {
+            panic!("round {round}: {resent:?}")
+        };
+        assert_eq!(version, base.next(), "round {round}: counted twice");
+        if let Some(answer) = answer {
+            assert_eq!(
+                answer, resent,
+                "round {round}: a resent patch got another answer"
+            );
+        }
+        control = &mut system.zones[leader].control;
+        control.start();
+        let address = system.operators(leader);
+        wait("the restarted member", || async {
+            operator
+                .config(address)
+                .await
+                .is_some_and(|config| config.version >= version)
+        })
+        .await;
+    }
+}
+
+/// Guards against an accepted version that is lost when every process of the system dies at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accepted_versions_survive_the_restart_of_every_process() {
+    let mut system = System::start().await;
+    let operator = Operator::new();
+    let change = || vec![zone_state("zone-b", State::Draining)];
+    let version = operator.change(system.operators(0), change()).await;
+    for zone in &mut system.zones {
+        zone.control.kill();
+        zone.entry.kill();
+    }
+    for zone in &mut system.zones {
+        zone.control.start();
+        zone.entry.start();
+    }
+    system.wait_ready().await;
+    for zone in 0..3 {
+        let config = operator.config(system.operators(zone)).await.unwrap();
+        assert_eq!(config.version, version);
+        system
+            .wait_state(zone, |state| state["version"] == version.0)
+            .await;
+    }
+}
+
+/// Guards against a member that votes or counts for a quorum after its disk was replaced, and against
+/// a repair that is not durable: a second disk is lost right after the first was repaired.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_lost_disks_in_a_row_lose_nothing() {
+    let mut system = System::start().await;
+    let operator = Operator::new();
+    for lost in [0, 1] {
+        let version = operator
+            .change(
+                system.operators(2),
+                vec![zone_state("zone-c", State::Active)],
+            )
+            .await;
+        system.zones[lost].control.kill();
+        std::fs::remove_dir_all(system.data(lost)).unwrap();
+        system.zones[lost].control.start();
+        let address = system.operators(lost);
+        wait("the repair", || async {
+            let Some((_, state)) = operator.get(address, "/debug/state").await else {
+                return false;
+            };
+            let member = &state["log"]["member"];
+            let voters = state["log"]["membership"]["seats"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
+            let is_voter = voters.iter().any(|seat| {
+                seat["member"] == *member && seat["standing"].to_string().contains("Voter")
+            });
+            member["incarnation"].as_u64() > Some(1) && is_voter && state["version"] == version.0
+        })
+        .await;
+    }
+    let expected = operator.config(system.operators(2)).await.unwrap();
+    // Only the two repaired members are left.
+    system.zones[2].control.kill();
+    let change = vec![zone_state("zone-c", State::Draining)];
+    let address = system.operators(0);
+    wait("a leader among the repaired members", || async {
+        let first = patch(expected.version, change.clone());
+        matches!(
+            operator.patch(address, &first).await,
+            Some(Answer::Accepted { .. } | Answer::Conflict { .. })
+        )
+    })
+    .await;
+    let config = operator.config(address).await.unwrap();
+    assert_eq!(config.version, expected.version.next());
+    assert_eq!(config.targets, expected.targets);
+}
+
+/// Guards against a frozen leader that goes on as if it led: it must neither answer with an old
+/// version as the newest nor undo what was decided while it was frozen.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_leader_does_not_revert_what_was_decided_without_it() {
+    let system = System::start().await;
+    let operator = Operator::new();
+    let frozen = system.leader().await;
+    system.zones[frozen].control.signal(Signal::SIGSTOP);
+    let other = (frozen + 1) % 3;
+    let base = operator
+        .config(system.operators(other))
+        .await
+        .unwrap()
+        .version;
+    let first = patch(base, vec![zone_state("zone-a", State::Draining)]);
+    let address = system.operators(other);
+    wait("a patch without the frozen leader", || async {
+        matches!(
+            operator.patch(address, &first).await,
+            Some(Answer::Accepted { .. })
+        )
+    })
+    .await;
+    system.zones[frozen].control.signal(Signal::SIGCONT);
+    let address = system.operators(frozen);
+    wait("the thawed member", || async {
+        operator
+            .config(address)
+            .await
+            .is_some_and(|config| config.version == base.next())
+    })
+    .await;
+    for zone in 0..3 {
+        system
+            .wait_state(zone, |state| state["version"] == base.next().0)
+            .await;
+    }
+}
+
+/// Guards against two patches that both win against one version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_many_patches_against_one_version_one_wins() {
+    let system = System::start().await;
+    let operator = Operator::new();
+    let base = operator.config(system.operators(0)).await.unwrap().version;
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..12 {
+        let (operator, address) = (operator.clone(), system.operators(number % 3));
+        let state = if number % 2 == 0 {
+            State::Draining
+        } else {
+            State::Active
+        };
+        let patch = patch(base, vec![zone_state("zone-b", state)]);
+        tasks.spawn(async move { operator.patch(address, &patch).await });
+    }
+    let answers: Vec<Answer> = tasks.join_all().await.into_iter().flatten().collect();
+    let accepted = answers
+        .iter()
+        .filter(|it| matches!(it, Answer::Accepted { .. }))
+        .count();
+    assert_eq!(accepted, 1, "{answers:?}");
+    assert_eq!(answers.len(), 12, "{answers:?}");
+}
