coordination: add leases, limit shares, a shared rate and membership with random schedules

Cause: daemons share target limits and the weight store's rate without an external store, while messages are lost or late and processes freeze. Ruled out: one lease for each target (a renewal would carry every target), and retiring slots by time alone (they would return up to 15 s late even when reported).

--- /dev/null
+++ b/crates/azurelug-coordination/src/lease/grantor.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use super::{Fence, Grant, Identity, Request, Return, outwait};
+
+/// Gives one resource to one holder at a time.
+#[derive(Debug)]
+pub struct Grantor {
+    term: Duration,
+    fence: Fence,
+    closed_until: Duration,
+    lease: Option<Lease>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    holder: Identity,
+    /// The latest message of the holder. An older return is ignored, because
+    /// the holder has asked again since.
+    sequence: u64,
+    ends: Duration,
+}
+
+/// The answer to a [`Request`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// The requester holds the lease.
+    Granted(Grant),
+    /// Someone else may hold it.
+    Held {
+        /// Time after which it is free at the latest, unless it is renewed.
+        retry_after: Duration,
+    },
+}
+
+impl Grantor {
+    /// A grantor that has just started. It grants nothing until a lease of an
+    /// earlier start has ended. `epoch` must be higher than at each earlier
+    /// start.
+    pub fn new(now: Duration, epoch: u64, term: Duration) -> Self {
+        Self {
+            term,
+            fence: Fence { epoch, number: 0 },
+            closed_until: now + outwait(term),
+            lease: None,
+        }
+    }
+
+    /// Answers a request.
+    pub fn request(&mut self, now: Duration, request: Request) -> Reply {
+        if now < self.closed_until {
+            return Reply::Held {
+                retry_after: self.closed_until - now,
+            };
+        }
+        let ends = now + outwait(self.term);
+        match &mut self.lease {
+            Some(lease) if lease.holder == request.holder && now < lease.ends => {
+                lease.ends = ends;
+                lease.sequence = lease.sequence.max(request.sequence);
+            }
+            Some(lease) if now < lease.ends => {
+                return Reply::Held {
+                    retry_after: lease.ends - now,
+                };
+            }
+            _ => {
+                self.fence.number += 1;
+                let Request { holder, sequence } = request;
+                self.lease = Some(Lease {
+                    holder,
+                    sequence,
+                    ends,
+                });
+            }
+        }
+        Reply::Granted(Grant {
+            holder: request.holder,
+            sequence: request.sequence,
+            term: self.term,
+            fence: self.fence,
+        })
+    }
+
+    /// Frees the lease, unless the message is older than the holder's latest
+    /// request.
+    pub fn take_back(&mut self, message: Return) {
+        let current = self.lease.as_ref().is_some_and(|lease| {
+            lease.holder == message.holder && lease.sequence < message.sequence
+        });
+        if current {
+            self.lease = None;
+        }
+    }
+
+    /// The fencing number of the current or last holder.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/lease/holder.rs
@@ -0,0 +1,93 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{Fence, Grant, Identity, Request, Return};
+
+/// The holder's side of a lease.
+#[derive(Debug)]
+pub struct Holder {
+    identity: Identity,
+    sequence: u64,
+    /// Requests that may still be answered, with the time each was sent.
+    sent: VecDeque<(u64, Duration)>,
+    held: Option<Held>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    until: Duration,
+    fence: Fence,
+}
+
+impl Holder {
+    /// Requests remembered for their answers. An answer to an older request is
+    /// ignored, which can only shorten the lease.
+    const SENT_LIMIT: usize = 16;
+
+    /// A holder without a lease.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            sequence: 0,
+            sent: VecDeque::new(),
+            held: None,
+        }
+    }
+
+    /// The next request; send it at once.
+    pub fn request(&mut self, now: Duration) -> Request {
+        self.sequence += 1;
+        if self.sent.len() == Self::SENT_LIMIT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((self.sequence, now));
+        Request {
+            holder: self.identity,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Takes a grant. A grant for another incarnation, for a request from before
+    /// a return, or with an older fencing number is ignored.
+    pub fn grant(&mut self, grant: &Grant) {
+        if grant.holder != self.identity || self.held.is_some_and(|held| grant.fence < held.fence) {
+            return;
+        }
+        let Some(&(_, sent)) = self
+            .sent
+            .iter()
+            .find(|(number, _)| *number == grant.sequence)
+        else {
+            return;
+        };
+        let until = sent + grant.term;
+        match &mut self.held {
+            Some(held) if held.fence == grant.fence => held.until = held.until.max(until),
+            held => {
+                *held = Some(Held {
+                    until,
+                    fence: grant.fence,
+                });
+            }
+        }
+    }
+
+    /// The fencing number while the lease is valid. Ask immediately before each
+    /// use with a fresh clock reading: the process may have been frozen.
+    pub fn fence(&self, now: Duration) -> Option<Fence> {
+        self.held
+            .filter(|held| now < held.until)
+            .map(|held| held.fence)
+    }
+
+    /// Ends the lease. Answers to earlier requests cannot revive it.
+    pub fn give_back(&mut self) -> Return {
+        self.held = None;
+        self.sent.clear();
+        self.sequence += 1;
+        Return {
+            holder: self.identity,
+            sequence: self.sequence,
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/src/membership.rs
@@ -0,0 +1,285 @@
+//! Which daemons are alive, suspect or gone.
+//!
+//! [`Members`] owns the observer's view: round trips that each member has
+//! proved, and the platform's lagging list. It must never call a member gone
+//! while that member may still act under a lease from this observer.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::lease::{Identity, outwait};
+
+/// Times and bounds of the view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Length of the lease that an answer carries.
+    pub term: Duration,
+    /// Time between two renewals of a member.
+    pub interval: Duration,
+    /// Time without a renewal that proves a round trip until a member is
+    /// suspect. A renewal proves the answer before it, so the time counts from
+    /// one interval after that answer.
+    pub suspect_after: Duration,
+    /// Time without a proved round trip until a member is gone, whatever the
+    /// platform's list says.
+    pub gone_after: Duration,
+    /// Longest time between two events that counts as watching. A longer pause
+    /// of the observer is not held against the members.
+    pub longest_pause: Duration,
+    /// Most members.
+    pub members: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(2),
+            interval: Duration::from_millis(500),
+            suspect_after: Duration::from_millis(1_500),
+            gone_after: Duration::from_secs(60),
+            longest_pause: Duration::from_millis(500),
+            members: 1_024,
+        }
+    }
+}
+
+/// What the observer knows of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It completes round trips.
+    Alive,
+    /// It has joined without a round trip yet, or has missed several.
+    Suspect,
+    /// It holds no lease and is forgotten.
+    Gone,
+}
+
+/// A member's message, sent every 500 ms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The sender.
+    pub member: Identity,
+    /// Rises with each renewal.
+    pub sequence: u64,
+    /// Number of the latest answer that the member has received, or 0. It proves
+    /// that messages pass both ways.
+    pub heard: u64,
+}
+
+/// The observer's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The member that renewed.
+    pub member: Identity,
+    /// The renewal that is answered.
+    pub sequence: u64,
+    /// Rises with each answer of the observer.
+    pub number: u64,
+    /// Whether the answer renews the member's lease. It does not while the
+    /// member proves no round trip.
+    pub leased: bool,
+}
+
+/// A member whose state has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The member.
+    pub member: Identity,
+    /// Its new state.
+    pub state: State,
+}
+
+#[derive(Debug)]
+struct Member {
+    sequence: u64,
+    /// Answers that a renewal may still prove, with the time each was sent.
+    sent: VecDeque<(u64, Duration)>,
+    /// When the latest proved answer was sent, later by the observer's pauses.
+    proved_at: Duration,
+    /// Number of the last answer before this member was added.
+    added: u64,
+    leased_at: Duration,
+    state: State,
+}
+
+/// One observer's view.
+#[derive(Debug)]
+pub struct Members {
+    settings: Settings,
+    number: u64,
+    watched_at: Duration,
+    members: BTreeMap<Identity, Member>,
+    /// The platform's latest list: live ids, and whether each is leaving.
+    listed: Option<BTreeMap<u64, bool>>,
+}
+
+impl Members {
+    /// Answers remembered for their proofs; more than a suspect time's worth.
+    const SENT_LIMIT: usize = 8;
+
+    /// An empty view.
+    pub fn new(now: Duration, settings: Settings) -> Self {
+        Self {
+            settings,
+            number: 0,
+            watched_at: now,
+            members: BTreeMap::new(),
+            listed: None,
+        }
+    }
+
+    /// Takes a renewal. Returns no answer for one that came late or twice, or
+    /// when there are too many members.
+    pub fn renew(
+        &mut self,
+        now: Duration,
+        renewal: Renewal,
+        changes: &mut Vec<Change>,
+    ) -> Option<Answer> {
+        self.watch(now);
+        let Renewal {
+            member: id,
+            sequence,
+            heard,
+        } = renewal;
+        let settings = self.settings;
+        if !self.members.contains_key(&id) {
+            if self.members.len() >= settings.members {
+                return None;
+            }
+            changes.push(Change {
+                member: id,
+                state: State::Suspect,
+            });
+            let member = Member {
+                sequence: 0,
+                sent: VecDeque::new(),
+                proved_at: now,
+                added: self.number,
+                leased_at: now,
+                state: State::Suspect,
+            };
+            self.members.insert(id, member);
+        }
+        let member = self
+            .members
+            .get_mut(&id)
+            .expect("the member was just added");
+        if sequence <= member.sequence {
+            return None;
+        }
+        member.sequence = sequence;
+        // An answer counts from the moment it was sent: a renewal can arrive long
+        // after the round trip that it proves.
+        if let Some(&(_, sent)) = member.sent.iter().find(|(number, _)| *number == heard) {
+            member.sent.retain(|&(number, _)| number > heard);
+            member.proved_at = member.proved_at.max(sent);
+        }
+        let proved = now < member.proved_at + settings.interval + settings.suspect_after;
+        if proved && heard > member.added && member.state != State::Alive {
+            member.state = State::Alive;
+            changes.push(Change {
+                member: id,
+                state: State::Alive,
+            });
+        }
+        if proved {
+            member.leased_at = now;
+        }
+        self.number += 1;
+        if member.sent.len() == Self::SENT_LIMIT {
+            member.sent.pop_front();
+        }
+        member.sent.push_back((self.number, now));
+        Some(Answer {
+            member: id,
+            sequence,
+            number: self.number,
+            leased: proved,
+        })
+    }
+
+    /// Takes the platform's list of live ids, each with whether it is leaving.
+    pub fn list(&mut self, live: impl IntoIterator<Item = (u64, bool)>) {
+        self.listed = Some(live.into_iter().collect());
+    }
+
+    /// Lets time pass. Call it at least each [`Settings::longest_pause`], and
+    /// after the messages that are waiting.
+    pub fn tick(&mut self, now: Duration, changes: &mut Vec<Change>) {
+        self.watch(now);
+        let settings = self.settings;
+        let latest: BTreeMap<u64, u64> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.state == State::Alive)
+            .map(|(id, _)| (id.id, id.incarnation))
+            .collect();
+        let mut gone = BTreeSet::new();
+        for (&id, member) in &mut self.members {
+            if member.state == State::Alive
+                && now >= member.proved_at + settings.interval + settings.suspect_after
+            {
+                member.state = State::Suspect;
+                changes.push(Change {
+                    member: id,
+                    state: State::Suspect,
+                });
+            }
+            let is_lapsed = now >= member.leased_at + outwait(settings.term);
+            let is_unlisted = self
+                .listed
+                .as_ref()
+                .is_some_and(|listed| !listed.contains_key(&id.id));
+            let is_replaced = latest
+                .get(&id.id)
+                .is_some_and(|&latest| latest > id.incarnation);
+            let is_silent = now >= member.proved_at + settings.gone_after;
+            if member.state == State::Suspect
+                && is_lapsed
+                && (is_unlisted || is_replaced || is_silent)
+            {
+                gone.insert(id);
+                changes.push(Change {
+                    member: id,
+                    state: State::Gone,
+                });
+            }
+        }
+        self.members.retain(|id, _| !gone.contains(id));
+    }
+
+    /// A member's state. An unknown one counts as gone.
+    pub fn state(&self, member: Identity) -> State {
+        self.members
+            .get(&member)
+            .map_or(State::Gone, |member| member.state)
+    }
+
+    /// Whether the platform's list states that the member's VM is leaving.
+    pub fn is_leaving(&self, member: Identity) -> bool {
+        self.listed
+            .as_ref()
+            .and_then(|listed| listed.get(&member.id))
+            .is_some_and(|&leaving| leaving)
+    }
+
+    /// All known members and their states.
+    pub fn iter(&self) -> impl Iterator<Item = (Identity, State)> + '_ {
+        self.members.iter().map(|(&id, member)| (id, member.state))
+    }
+
+    /// Shifts the proofs by the time in which the observer was not watching.
+    fn watch(&mut self, now: Duration) {
+        let pause = now.saturating_sub(self.watched_at);
+        let missed = pause.saturating_sub(self.settings.longest_pause);
+        if !missed.is_zero() {
+            for member in self.members.values_mut() {
+                member.proved_at += missed;
+            }
+        }
+        self.watched_at = now;
+    }
+}
--- a/crates/azurelug-coordination/src/once.rs
+++ b/crates/azurelug-coordination/src/once.rs
@@ -99,7 +99,8 @@
     Conflict,
     /// The key's time is too far ahead of the table's time.
     FromFuture,
-    /// The table has no room for the claim. Nothing was claimed.
+    /// The table has no room for the claim. Nothing was claimed by this copy of
+    /// the command; [`Guard::release`] tells whether the call was not run.
     Full,
     /// The claim was given back; the answer to [`Command::Release`].
     Released,
--- a/crates/azurelug-coordination/src/once/guard.rs
+++ b/crates/azurelug-coordination/src/once/guard.rs
@@ -109,7 +109,10 @@
     }
 }
 
-/// The result of [`Guard::release`].
+/// The result of [`Guard::release`]. Tell the caller that the call was not run
+/// only when it is not [`Release::Refused`]: a refusal such as `Full` can answer
+/// an earlier copy of a claim that was granted to a later copy.
+#[must_use]
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Release {
     /// The call was not run; propose the command to free the key.
--- /dev/null
+++ b/crates/azurelug-coordination/src/rate.rs
@@ -0,0 +1,157 @@
+//! A token rate that several holders share under leases.
+//!
+//! [`Grantor`] runs on the leader and divides the rate; [`Holder`] spends
+//! tokens. Over any interval the holders together spend at most
+//! `per_second * (interval + window)` tokens, whichever messages are lost and
+//! whichever leader divides. A holder must never spend tokens that it saved up
+//! before its lease lapsed, because another may have got its share since.
+
+use std::time::Duration;
+
+use crate::lease::{DRIFT_PERCENT, Identity, outwait};
+use crate::share::{self, Answer, Capacity, Limits, Request, Timing};
+
+/// The only target of the underlying shares.
+const TARGET: u32 = 0;
+
+/// A limit on tokens, such as requests or kilobytes of a weight store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rate {
+    /// Tokens for each second.
+    pub per_second: u32,
+    /// A holder saves unused tokens for this long at most.
+    pub window: Duration,
+}
+
+/// Times that all grantors and holders of a rate must agree on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// Length of a holder's lease.
+    pub term: Duration,
+    /// Length of the lease under which a leader may act as leader.
+    pub leader_lease: Duration,
+}
+
+impl Terms {
+    fn timing(self) -> Timing {
+        Timing {
+            term: self.term,
+            longest_call: Duration::ZERO,
+        }
+    }
+}
+
+/// Divides the rate while its process leads.
+#[derive(Debug)]
+pub struct Grantor {
+    shares: share::Grantor,
+}
+
+impl Grantor {
+    /// A grantor for a leader that was just elected. It grants nothing until the
+    /// earlier leader can no longer answer and its last answers have ended.
+    /// `epoch` is the leader's term.
+    pub fn new(now: Duration, epoch: u64, rate: Rate, terms: Terms, limits: Limits) -> Self {
+        let mut shares = share::Grantor::new(now, epoch, terms.timing(), limits);
+        shares.open_after(now + outwait(terms.term + terms.leader_lease));
+        // A holder whose clock runs fast earns its tokens faster.
+        let limit = u64::from(rate.per_second) * 100 / (100 + u64::from(DRIFT_PERCENT));
+        let limit = u32::try_from(limit).expect("the divided rate is below the whole rate");
+        shares.set_capacity(
+            TARGET,
+            Capacity {
+                limit,
+                cold: 0,
+                base: 0,
+            },
+        );
+        Self { shares }
+    }
+
+    /// Takes a renewal. `leads_until` is the end of the leader lease on the
+    /// grantor's clock, counted from the moment the leader sent the messages
+    /// that a majority has acknowledged; after it nothing is answered.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        leads_until: Duration,
+        request: &Request,
+    ) -> Option<Answer> {
+        if now >= leads_until {
+            return None;
+        }
+        self.shares.request(now, request, &mut Vec::new())
+    }
+
+    /// Tokens per second that holders may be spending.
+    pub fn exposed(&self) -> u64 {
+        self.shares.exposed(TARGET)
+    }
+}
+
+/// One spender of the rate.
+#[derive(Debug)]
+pub struct Holder {
+    shares: share::Holder,
+    window: Duration,
+    /// Saved tokens, in billionths.
+    saved: u128,
+    saved_at: Duration,
+}
+
+const BILLION: u128 = 1_000_000_000;
+
+impl Holder {
+    /// A holder without tokens.
+    pub fn new(now: Duration, identity: Identity, rate: Rate, terms: Terms) -> Self {
+        Self {
+            shares: share::Holder::new(now, identity, terms.timing()),
+            window: rate.window,
+            saved: 0,
+            saved_at: now,
+        }
+    }
+
+    /// States how many tokens per second the holder could use.
+    pub fn want(&mut self, per_second: u32) {
+        self.shares.want(TARGET, per_second);
+    }
+
+    /// The next renewal; send it at once.
+    pub fn request(&mut self, now: Duration) -> Request {
+        self.shares.request(now)
+    }
+
+    /// Applies an answer.
+    pub fn answer(&mut self, now: Duration, answer: &Answer) {
+        self.save(now);
+        self.shares.answer(answer);
+        self.saved = self.saved.min(self.most(now));
+    }
+
+    /// Spends tokens if there are enough. Ask immediately before the use, with a
+    /// fresh clock reading.
+    #[must_use]
+    pub fn spend(&mut self, now: Duration, tokens: u32) -> bool {
+        self.save(now);
+        let cost = u128::from(tokens) * BILLION;
+        let is_enough = self.saved >= cost;
+        if is_enough {
+            self.saved -= cost;
+        }
+        is_enough
+    }
+
+    fn most(&self, now: Duration) -> u128 {
+        u128::from(self.shares.allowed(now, TARGET)) * self.window.as_nanos()
+    }
+
+    /// Adds the tokens earned since the last call, or drops all of them when the
+    /// lease has ended.
+    fn save(&mut self, now: Duration) {
+        let earned = u128::from(self.shares.allowed(now, TARGET))
+            * now.saturating_sub(self.saved_at).as_nanos();
+        self.saved = (self.saved + earned).min(self.most(now));
+        self.saved_at = now;
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/schedules.rs
@@ -0,0 +1,43 @@
+//! A short fixed set of the random schedules. The long run is
+//! `cargo run --release --example lease_schedules -- --seeds 0..10000`.
+
+#[path = "support/worlds.rs"]
+mod worlds;
+
+use worlds::{lease_world, membership_world, once_world, rate_world, share_world, sim};
+
+fn run_all(run: fn(u64) -> Result<sim::Report, String>, seeds: std::ops::Range<u64>) {
+    let mut report = sim::Report::default();
+    for seed in seeds {
+        match run(seed) {
+            Ok(one) => report.add(&one),
+            Err(fault) => panic!("{fault}"),
+        }
+    }
+    println!("{} steps, {:?}", report.steps, report.faults);
+}
+
+#[test]
+fn a_lease_is_never_held_by_two() {
+    run_all(lease_world::run, 0..40);
+}
+
+#[test]
+fn calls_in_flight_never_exceed_a_targets_limit() {
+    run_all(share_world::run, 0..16);
+}
+
+#[test]
+fn a_shared_rate_is_never_exceeded_across_leaders() {
+    run_all(rate_world::run, 0..40);
+}
+
+#[test]
+fn a_key_is_sent_at_most_once_and_not_run_is_true() {
+    run_all(once_world::run, 0..30);
+}
+
+#[test]
+fn a_member_with_a_lease_is_never_called_gone() {
+    run_all(membership_world::run, 0..40);
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/lease_world.rs
@@ -0,0 +1,122 @@
+//! One resource, one grantor that restarts, and several holders.
+
+use std::time::Duration;
+
+use azurelug_coordination::lease::{
+    Fence, Grant, Grantor, Holder, Identity, Reply, Request, Return,
+};
+
+use super::sim::{Dice, MILLI, Micros, Net, Process, Report, SECOND};
+
+const HOLDERS: usize = 3;
+const TERM: Duration = Duration::from_secs(2);
+
+#[derive(Clone)]
+enum Message {
+    Request(Request),
+    Return(Return),
+    Grant(Grant),
+}
+
+pub(crate) fn run(seed: u64) -> Result<Report, String> {
+    let dice = &mut Dice::new(seed);
+    let mut net = Net::new(dice);
+    let mut report = Report::default();
+    let mut keeper = Process::new(dice, 1);
+    let mut grantor = Grantor::new(keeper.clock(0), 1, TERM);
+    let mut processes: Vec<Process> = (0..HOLDERS).map(|_| Process::new(dice, 1)).collect();
+    let identity = |id: usize, incarnation| Identity {
+        id: id as u64,
+        incarnation,
+    };
+    let mut holders: Vec<Holder> = (0..HOLDERS)
+        .map(|id| Holder::new(identity(id, 1)))
+        .collect();
+    let mut highest = Fence {
+        epoch: 0,
+        number: 0,
+    };
+    let mut last_holder = None;
+    let mut now: Micros = 0;
+    while now < 40 * SECOND {
+        now += dice.between(MILLI, 40 * MILLI);
+        report.steps += 1;
+        while let Some((to, message)) = net.receive(now) {
+            let process = if to == HOLDERS {
+                &keeper
+            } else {
+                &processes[to]
+            };
+            if process.is_frozen(now) {
+                net.put(process.frozen_until + dice.below(MILLI), to, message);
+                continue;
+            }
+            match message {
+                Message::Request(request) => {
+                    if let Reply::Granted(grant) = grantor.request(keeper.clock(now), request) {
+                        let to = request.holder.id as usize;
+                        net.send(now, dice, HOLDERS, to, Message::Grant(grant));
+                    }
+                }
+                Message::Return(message) => grantor.take_back(message),
+                Message::Grant(grant) => holders[to].grant(&grant),
+            }
+        }
+        for id in 0..HOLDERS {
+            if processes[id].renews(now, dice) {
+                let request = holders[id].request(processes[id].clock(now));
+                net.send(now, dice, id, HOLDERS, Message::Request(request));
+            }
+            if dice.one_in(150) && !processes[id].is_frozen(now) {
+                net.count("lease returned");
+                let message = holders[id].give_back();
+                net.send(now, dice, id, HOLDERS, Message::Return(message));
+                // A holder that has work again asks at once.
+                processes[id].next_renewal = Duration::ZERO;
+            }
+            if dice.one_in(600) {
+                net.count("freeze");
+                processes[id].frozen_until = now + dice.between(500 * MILLI, 8 * SECOND);
+            }
+            if dice.one_in(800) {
+                net.count("holder restart");
+                processes[id] = Process::new(dice, processes[id].incarnation + 1);
+                holders[id] = Holder::new(identity(id, processes[id].incarnation));
+            }
+        }
+        if dice.one_in(600) {
+            net.count("freeze");
+            keeper.frozen_until = now + dice.between(500 * MILLI, 8 * SECOND);
+        }
+        if dice.one_in(800) {
+            net.count("grantor restart");
+            keeper = Process::new(dice, keeper.incarnation + 1);
+            grantor = Grantor::new(keeper.clock(now), keeper.incarnation, TERM);
+        }
+        if dice.one_in(100) {
+            net.partition(dice, HOLDERS + 1);
+        }
+        let held: Vec<(usize, Fence)> = (0..HOLDERS)
+            .filter_map(|id| Some((id, holders[id].fence(processes[id].clock(now))?)))
+            .collect();
+        if held.len() > 1 {
+            return Err(format!(
+                "seed {seed}: at {now} us the lease is held by {held:?}"
+            ));
+        }
+        if let Some(&(id, fence)) = held.first() {
+            let process = (id, processes[id].incarnation);
+            if fence < highest || (fence == highest && last_holder != Some(process)) {
+                return Err(format!(
+                    "seed {seed}: at {now} us {process:?} got the old {fence:?}"
+                ));
+            }
+            if last_holder != Some(process) {
+                net.count("lease moved");
+            }
+            (highest, last_holder) = (fence, Some(process));
+        }
+    }
+    report.faults = net.faults;
+    Ok(report)
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/rate_world.rs
@@ -0,0 +1,186 @@
+//! A shared rate, leaders that replace one another without knowing, and spenders.
+
+use std::time::Duration;
+
+use azurelug_coordination::lease::Identity;
+use azurelug_coordination::rate::{Grantor, Holder, Rate, Terms};
+use azurelug_coordination::share::{Answer, Limits, Request};
+
+use super::sim::{Dice, MILLI, Micros, Net, Process, Report, SECOND};
+
+const HOLDERS: usize = 4;
+/// The present leader and its predecessor, which may still believe in its lease.
+const LEADERS: usize = 2;
+const RATE: Rate = Rate {
+    per_second: 500,
+    window: Duration::from_secs(1),
+};
+const TERMS: Terms = Terms {
+    term: Duration::from_secs(2),
+    leader_lease: Duration::from_millis(1_000),
+};
+
+#[derive(Clone)]
+enum Message {
+    Request(Request),
+    Answer(Answer),
+}
+
+struct Leader {
+    process: Process,
+    grantor: Grantor,
+    leads_until: Duration,
+}
+
+impl Leader {
+    fn new(now: Micros, dice: &mut Dice, term: u64) -> Self {
+        let process = Process::new(dice, term);
+        let clock = process.clock(now);
+        let grantor = Grantor::new(clock, term, RATE, TERMS, Limits::default());
+        Self {
+            process,
+            grantor,
+            leads_until: clock + TERMS.leader_lease,
+        }
+    }
+}
+
+/// A single token bucket in real time, as the weight store would count.
+struct Model {
+    level: f64,
+    at: Micros,
+}
+
+impl Model {
+    fn spend(&mut self, now: Micros, tokens: u32) -> bool {
+        let rate = f64::from(RATE.per_second);
+        let earned = rate * (now - self.at) as f64 / SECOND as f64;
+        self.level = (self.level + earned).min(rate * RATE.window.as_secs_f64());
+        self.at = now;
+        self.level -= f64::from(tokens);
+        self.level > -1e-6
+    }
+}
+
+pub(crate) fn run(seed: u64) -> Result<Report, String> {
+    let dice = &mut Dice::new(seed);
+    let mut net = Net::new(dice);
+    let mut report = Report::default();
+    let mut leaders = vec![Leader::new(0, dice, 1), Leader::new(0, dice, 2)];
+    let mut processes: Vec<Process> = (0..HOLDERS).map(|_| Process::new(dice, 1)).collect();
+    let start = |now: Micros, id: usize, process: &Process| {
+        let identity = Identity {
+            id: id as u64,
+            incarnation: process.incarnation,
+        };
+        Holder::new(process.clock(now), identity, RATE, TERMS)
+    };
+    let mut holders: Vec<Holder> = (0..HOLDERS)
+        .map(|id| start(0, id, &processes[id]))
+        .collect();
+    let mut model = Model {
+        level: 500.0,
+        at: 0,
+    };
+    let mut spent_when_calm = [0u64; HOLDERS];
+    let mut now: Micros = 0;
+    while now < 60 * SECOND {
+        now += dice.between(MILLI, 30 * MILLI);
+        report.steps += 1;
+        let calm = now > 40 * SECOND;
+        if calm && !net.is_calm {
+            net.calm();
+            processes
+                .iter_mut()
+                .for_each(|process| process.frozen_until = 0);
+            leaders[LEADERS - 1].process.frozen_until = 0;
+        }
+        while let Some((to, message)) = net.receive(now) {
+            let process = if to < HOLDERS {
+                &processes[to]
+            } else {
+                &leaders[to - HOLDERS].process
+            };
+            if process.is_frozen(now) {
+                net.put(process.frozen_until + dice.below(MILLI), to, message);
+                continue;
+            }
+            let clock = process.clock(now);
+            match message {
+                Message::Request(request) => {
+                    let leader = &mut leaders[to - HOLDERS];
+                    if let Some(answer) =
+                        leader.grantor.request(clock, leader.leads_until, &request)
+                    {
+                        let holder = request.holder.id as usize;
+                        net.send(now, dice, to, holder, Message::Answer(answer));
+                    }
+                }
+                Message::Answer(answer) => holders[to].answer(clock, &answer),
+            }
+        }
+        for id in 0..HOLDERS {
+            if processes[id].renews(now, dice) {
+                holders[id].want([0, 50, 500, 2_000][dice.below(4) as usize].max(u32::from(calm)));
+                let request = holders[id].request(processes[id].clock(now));
+                // A holder that has not heard of a new leader asks the old one.
+                let leader = if calm || !dice.one_in(3) {
+                    LEADERS - 1
+                } else {
+                    0
+                };
+                net.send(now, dice, id, HOLDERS + leader, Message::Request(request));
+            }
+            if !processes[id].is_frozen(now) {
+                for _ in 0..dice.below(30) {
+                    let tokens = dice.between(1, 5) as u32;
+                    if !holders[id].spend(processes[id].clock(now), tokens) {
+                        break;
+                    }
+                    spent_when_calm[id] += u64::from(calm);
+                    if !model.spend(now, tokens) {
+                        return Err(format!(
+                            "seed {seed}: at {now} us holder {id} exceeded the rate by {}",
+                            -model.level
+                        ));
+                    }
+                }
+            }
+            if !calm && dice.one_in(600) {
+                net.count("freeze");
+                processes[id].frozen_until = now + dice.between(500 * MILLI, 8 * SECOND);
+            }
+            if !calm && dice.one_in(800) {
+                net.count("holder restart");
+                processes[id] = Process::new(dice, processes[id].incarnation + 1);
+                holders[id] = start(now, id, &processes[id]);
+            }
+        }
+        let newest = &mut leaders[LEADERS - 1];
+        if !newest.process.is_frozen(now) {
+            newest.leads_until = newest.process.clock(now) + TERMS.leader_lease;
+        }
+        if !calm && dice.one_in(500) {
+            net.count("freeze");
+            leaders[dice.below(2) as usize].process.frozen_until =
+                now + dice.between(500 * MILLI, 4 * SECOND);
+        }
+        if !calm && dice.one_in(250) {
+            // The predecessor keeps running, without renewals of its own lease.
+            net.count("leader change");
+            let term = leaders[LEADERS - 1].process.incarnation + 1;
+            leaders.remove(0);
+            leaders.push(Leader::new(now, dice, term));
+        }
+        if !calm && dice.one_in(150) {
+            net.partition(dice, HOLDERS + LEADERS);
+        }
+    }
+    if let Some(id) = spent_when_calm.iter().position(|&spent| spent == 0) {
+        return Err(format!(
+            "seed {seed}: holder {id} spent nothing after the faults had ended"
+        ));
+    }
+    report.faults = net.faults;
+    Ok(report)
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/share_world.rs
@@ -0,0 +1,470 @@
+//! Targets whose calls are counted in real time, one grantor, several daemons.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurelug_coordination::lease::Identity;
+use azurelug_coordination::share::{
+    Answer, Capacity, Grantor, Holder, Limits, Request, Slot, Timing, base_share,
+};
+
+use super::sim::{Dice, MILLI, Micros, Net, Process, Report, SECOND};
+
+pub(crate) const HOLDERS: usize = 4;
+const GRANTOR: usize = HOLDERS;
+const TARGETS: usize = 3;
+const CALM: Micros = 50 * SECOND;
+/// Long enough for each call and exposure of the faulty phase to end.
+const FAIR: Micros = CALM + 20 * SECOND;
+/// With one leased slot, each daemon in turn keeps it for a lease, the longest
+/// call and a renewal.
+const END: Micros = FAIR + HOLDERS as Micros * 15 * SECOND;
+
+#[derive(Clone)]
+enum Message {
+    Request(Request),
+    Answer(Answer),
+}
+
+struct Call {
+    holder: usize,
+    incarnation: u64,
+    ends: Micros,
+    /// Running when the limit fell, or started by a daemon that could not know.
+    excluded: bool,
+    slot: Option<Slot>,
+}
+
+struct Target {
+    limit: u32,
+    warm: u32,
+    cold: u32,
+    base: [u32; HOLDERS],
+    calls: Vec<Call>,
+    /// Whether each daemon knows that the limit fell, and when all must know.
+    aware: [bool; HOLDERS],
+    all_aware_at: Micros,
+    grantor_told: bool,
+    /// The answers from this epoch and number on know of the lower limit.
+    told_from: (u64, u64),
+    /// Highest limit of the last settling time, with the time it was lowered.
+    before: Vec<(Micros, u32)>,
+    started: [u64; HOLDERS],
+}
+
+/// A base slot on its way from one daemon to another.
+struct Move {
+    target: usize,
+    from: usize,
+    to: usize,
+    incarnation: u64,
+    /// Real time from which a dead holder's calls have ended.
+    dead_until: Option<Micros>,
+}
+
+pub(crate) struct World {
+    seed: u64,
+    dice: Dice,
+    now: Micros,
+    net: Net<Message>,
+    keeper: Process,
+    grantor: Grantor,
+    processes: Vec<Process>,
+    holders: Vec<Holder>,
+    targets: Vec<Target>,
+    moving: Option<Move>,
+    number: u64,
+}
+
+pub(crate) fn run(seed: u64) -> Result<Report, String> {
+    let mut world = World::new(seed);
+    let mut report = Report::default();
+    while world.now < END {
+        world.step()?;
+        report.steps += 1;
+    }
+    for (id, target) in world.targets.iter().enumerate() {
+        if let Some(holder) = target.started.iter().position(|&started| started == 0) {
+            return Err(format!(
+                "seed {seed}: daemon {holder} started no call at target {id} after the faults ended"
+            ));
+        }
+    }
+    report.faults = world.net.faults;
+    Ok(report)
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut dice = Dice::new(seed);
+        let net = Net::new(&mut dice);
+        let timing = Timing::default();
+        let keeper = Process::new(&mut dice, 1);
+        let grantor = Grantor::new(keeper.clock(0), 1, timing, Limits::default());
+        let processes: Vec<Process> = (0..HOLDERS).map(|_| Process::new(&mut dice, 1)).collect();
+        let holders = processes
+            .iter()
+            .enumerate()
+            .map(|(id, p)| new_holder(0, id, p))
+            .collect();
+        let targets = (0..TARGETS).map(|_| {
+            let cold = dice.between(1, 12) as u32;
+            let warm = cold + dice.between(0, 30) as u32;
+            let base = std::array::from_fn(|id| base_share(cold / 2, HOLDERS as u32, id as u32));
+            Target {
+                limit: warm,
+                warm,
+                cold,
+                base,
+                calls: Vec::new(),
+                aware: [true; HOLDERS],
+                all_aware_at: 0,
+                grantor_told: true,
+                told_from: (0, 0),
+                before: Vec::new(),
+                started: [0; HOLDERS],
+            }
+        });
+        let targets: Vec<Target> = targets.collect();
+        let mut world = Self {
+            seed,
+            dice,
+            now: 0,
+            net,
+            keeper,
+            grantor,
+            processes,
+            holders,
+            targets,
+            moving: None,
+            number: 0,
+        };
+        world.set_capacities();
+        (0..HOLDERS).for_each(|id| world.set_bases(id));
+        world
+    }
+
+    fn set_capacities(&mut self) {
+        for (id, target) in self.targets.iter().enumerate() {
+            let limit = if target.grantor_told {
+                target.limit
+            } else {
+                target.warm
+            };
+            self.grantor
+                .set_capacity(id as u32, Capacity::new(limit, target.cold));
+        }
+    }
+
+    fn set_bases(&mut self, holder: usize) {
+        for (id, target) in self.targets.iter().enumerate() {
+            self.holders[holder].set_base(id as u32, target.base[holder]);
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        self.now += self.dice.between(MILLI, 40 * MILLI);
+        if self.now > CALM && !self.net.is_calm {
+            self.net.calm();
+            self.keeper.frozen_until = 0;
+            self.processes
+                .iter_mut()
+                .for_each(|process| process.frozen_until = 0);
+            self.targets
+                .iter_mut()
+                .for_each(|target| target.limit = target.warm);
+            self.set_capacities();
+        }
+        self.end_calls();
+        self.deliver();
+        for id in 0..HOLDERS {
+            self.run_daemon(id);
+            self.check(&format!("after daemon {id}"))?;
+        }
+        if !self.net.is_calm {
+            self.fault();
+            self.change_limit();
+            self.move_base();
+        }
+        self.check("after the faults")
+    }
+
+    fn end_calls(&mut self) {
+        for id in 0..TARGETS {
+            let mut index = 0;
+            while index < self.targets[id].calls.len() {
+                if self.targets[id].calls[index].ends > self.now {
+                    index += 1;
+                    continue;
+                }
+                let call = self.targets[id].calls.swap_remove(index);
+                let process = &self.processes[call.holder];
+                // A frozen daemon or a broken connection loses the answer, and
+                // the slot comes back after the deadline.
+                let hears = call.incarnation == process.incarnation && !process.is_frozen(self.now);
+                if let Some(slot) = call.slot.filter(|_| hears) {
+                    self.holders[call.holder].end(slot);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((to, message)) = self.net.receive(self.now) {
+            let process = if to == GRANTOR {
+                &self.keeper
+            } else {
+                &self.processes[to]
+            };
+            if process.is_frozen(self.now) {
+                let at = process.frozen_until + self.dice.below(MILLI);
+                self.net.put(at, to, message);
+                continue;
+            }
+            let clock = process.clock(self.now);
+            match message {
+                Message::Request(request) => {
+                    let mut turned_cold = Vec::new();
+                    let answer = self.grantor.request(clock, &request, &mut turned_cold);
+                    for id in turned_cold {
+                        self.tell_grantor(id as usize);
+                    }
+                    if let Some(answer) = answer {
+                        self.number = answer.number;
+                        let to = request.holder.id as usize;
+                        let message = Message::Answer(answer);
+                        self.net
+                            .send(self.now, &mut self.dice, GRANTOR, to, message);
+                    }
+                }
+                Message::Answer(answer) => {
+                    let before = self.holders[to].valid_until();
+                    self.holders[to].answer(&answer);
+                    let applied = self.holders[to].valid_until() != before;
+                    for target in &mut self.targets {
+                        let knows = target.grantor_told
+                            && (answer.epoch, answer.number) >= target.told_from;
+                        target.aware[to] |= applied && knows;
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell_grantor(&mut self, id: usize) {
+        let target = &mut self.targets[id];
+        if !target.grantor_told {
+            target.grantor_told = true;
+            target.told_from = (self.keeper.incarnation, self.number + 1);
+            target.all_aware_at = self.now + 2_080 * MILLI;
+        }
+        // A late sign of the same cold start does not undo the slow start.
+        self.grantor
+            .set_capacity(id as u32, Capacity::new(target.limit, target.cold));
+    }
+
+    fn run_daemon(&mut self, id: usize) {
+        let now = self.now;
+        if self.processes[id].is_frozen(now) {
+            return;
+        }
+        let clock = self.processes[id].clock(now);
+        let calm = self.net.is_calm;
+        if self.processes[id].renews(now, &mut self.dice) {
+            for target in 0..TARGETS {
+                let wanted = if calm { 40 } else { self.dice.below(40) as u32 };
+                self.holders[id].want(target as u32, wanted);
+            }
+            let request = self.holders[id].request(clock);
+            let message = Message::Request(request);
+            self.net.send(now, &mut self.dice, id, GRANTOR, message);
+        }
+        for index in 0..TARGETS {
+            for _ in 0..self.dice.below(4) {
+                let time_left = self.dice.between(1_000, 12_000);
+                let time_left = Duration::from_millis(time_left);
+                let Ok(slot) = self.holders[id].start(clock, index as u32, time_left) else {
+                    break;
+                };
+                let longest = time_left.as_micros() as u64;
+                let shortest = if self.dice.one_in(4) {
+                    longest
+                } else {
+                    50 * MILLI
+                };
+                let target = &mut self.targets[index];
+                target.started[id] += u64::from(now > FAIR);
+                target.calls.push(Call {
+                    holder: id,
+                    incarnation: self.processes[id].incarnation,
+                    ends: now + self.dice.between(shortest, longest),
+                    excluded: !target.aware[id] && now < target.all_aware_at,
+                    slot: (!self.dice.one_in(10)).then_some(slot),
+                });
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let (now, dice) = (self.now, &mut self.dice);
+        if dice.one_in(250) {
+            self.net.count("freeze");
+            let until = now + dice.between(500 * MILLI, 20 * SECOND);
+            self.processes[dice.below(HOLDERS as u64) as usize].frozen_until = until;
+        }
+        if dice.one_in(1_000) {
+            self.net.count("freeze");
+            self.keeper.frozen_until = now + dice.between(500 * MILLI, 8 * SECOND);
+        }
+        if dice.one_in(300) {
+            self.net.count("daemon restart");
+            let id = dice.below(HOLDERS as u64) as usize;
+            self.processes[id] = Process::new(dice, self.processes[id].incarnation + 1);
+            self.holders[id] = new_holder(now, id, &self.processes[id]);
+            self.set_bases(id);
+            // The new process has seen no signs of its own.
+            self.targets
+                .iter_mut()
+                .for_each(|target| target.aware[id] &= target.grantor_told);
+        }
+        if self.dice.one_in(1_500) {
+            self.net.count("grantor restart");
+            self.keeper = Process::new(&mut self.dice, self.keeper.incarnation + 1);
+            let clock = self.keeper.clock(now);
+            let epoch = self.keeper.incarnation;
+            self.grantor = Grantor::new(clock, epoch, Timing::default(), Limits::default());
+            self.number = 0;
+            for target in &mut self.targets {
+                // The new grantor reads the load report before it grants.
+                if !target.grantor_told {
+                    target.all_aware_at = now + 2_080 * MILLI;
+                    target.told_from = (epoch, 0);
+                }
+                target.grantor_told = true;
+            }
+            self.set_capacities();
+        }
+        if self.dice.one_in(100) {
+            self.net.partition(&mut self.dice, HOLDERS + 1);
+        }
+    }
+
+    /// Turns targets cold, tells daemons and grantor later, and warms them.
+    fn change_limit(&mut self) {
+        for id in 0..TARGETS {
+            let target = &mut self.targets[id];
+            if target.limit == target.warm && target.warm > target.cold && self.dice.one_in(400) {
+                self.net.count("target turned cold");
+                target.before.push((self.now, target.limit));
+                target.limit = target.cold;
+                target.aware = [false; HOLDERS];
+                target.grantor_told = false;
+                target.all_aware_at = Micros::MAX;
+                target
+                    .calls
+                    .iter_mut()
+                    .for_each(|call| call.excluded = true);
+            } else if target.limit < target.warm && target.grantor_told && self.dice.one_in(150) {
+                target.limit = (target.limit * 2).min(target.warm);
+                let capacity = Capacity::new(target.limit, target.cold);
+                self.grantor.set_capacity(id as u32, capacity);
+            }
+            let target = &mut self.targets[id];
+            let holder = self.dice.below(HOLDERS as u64) as usize;
+            let is_awake = !self.processes[holder].is_frozen(self.now);
+            if !target.aware[holder] && is_awake && self.dice.one_in(60) {
+                target.aware[holder] = true;
+                self.holders[holder].turn_cold(id as u32);
+            }
+            if !self.targets[id].grantor_told && self.dice.one_in(60) {
+                self.tell_grantor(id);
+            }
+        }
+    }
+
+    /// Moves base slots as the configuration would: the receiver gets them once
+    /// the giver's calls have settled, or once the giver's calls have ended.
+    fn move_base(&mut self) {
+        let Some(moving) = &mut self.moving else {
+            if self.dice.one_in(100) {
+                let pick = |dice: &mut Dice| dice.below(HOLDERS as u64) as usize;
+                let (from, to) = (pick(&mut self.dice), pick(&mut self.dice));
+                let target = self.dice.below(TARGETS as u64) as usize;
+                let is_awake = !self.processes[from].is_frozen(self.now);
+                if from != to && self.targets[target].base[from] > 0 && is_awake {
+                    self.net.count("base share moved");
+                    self.targets[target].base[from] -= 1;
+                    self.set_bases(from);
+                    let incarnation = self.processes[from].incarnation;
+                    self.moving = Some(Move {
+                        target,
+                        from,
+                        to,
+                        incarnation,
+                        dead_until: None,
+                    });
+                }
+            }
+            return;
+        };
+        if moving.incarnation != self.processes[moving.from].incarnation {
+            moving.dead_until.get_or_insert(self.now + 15 * SECOND);
+        }
+        let is_awake = !self.processes[moving.from].is_frozen(self.now);
+        let settled = match moving.dead_until {
+            Some(until) => self.now >= until,
+            None => is_awake && self.holders[moving.from].is_base_settled(moving.target as u32),
+        };
+        if settled {
+            let to = moving.to;
+            self.targets[moving.target].base[to] += 1;
+            self.moving = None;
+            self.set_bases(to);
+        }
+    }
+
+    fn check(&mut self, moment: &str) -> Result<(), String> {
+        let (now, seed) = (self.now, self.seed);
+        for (id, target) in self.targets.iter_mut().enumerate() {
+            // What was allowed up to one settling time ago bounds all calls.
+            target.before.retain(|&(at, _)| now < at + 17 * SECOND);
+            let before = target
+                .before
+                .iter()
+                .map(|&(_, limit)| limit)
+                .max()
+                .unwrap_or(0);
+            let all = target.calls.len();
+            let counted = target.calls.iter().filter(|call| !call.excluded).count();
+            if counted > target.limit as usize || all > target.limit.max(before) as usize {
+                return Err(format!(
+                    "seed {seed}: {moment} at {now} us target {id} runs {all} calls, {counted} of \
+                     them counted, above its limit of {} (before: {before}); base {:?}, exposed {}, calls by daemon and \
+                     incarnation {:?}, allowed {:?}",
+                    target.limit,
+                    target.base,
+                    self.grantor.exposed(id as u32),
+                    target.calls.iter().fold(BTreeMap::new(), |mut sums, call| {
+                        *sums.entry((call.holder, call.incarnation)).or_insert(0) += 1;
+                        sums
+                    }),
+                    (0..HOLDERS)
+                        .map(|holder| {
+                            let clock = self.processes[holder].clock(now);
+                            self.holders[holder].allowed(clock, id as u32)
+                        })
+                        .collect::<Vec<_>>(),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn new_holder(now: Micros, id: usize, process: &Process) -> Holder {
+    let identity = Identity {
+        id: id as u64,
+        incarnation: process.incarnation,
+    };
+    Holder::new(process.clock(now), identity, Timing::default())
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/sim.rs
@@ -0,0 +1,191 @@
+//! Clocks, processes and a network with faults, for the schedules.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Real time in microseconds.
+pub(crate) type Micros = u64;
+
+pub(crate) const MILLI: Micros = 1_000;
+pub(crate) const SECOND: Micros = 1_000_000;
+
+/// How often each fault occurred.
+pub(crate) type Faults = BTreeMap<&'static str, u64>;
+
+/// Result of one schedule: steps, and how often each fault or event occurred.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) steps: u64,
+    pub(crate) faults: Faults,
+}
+
+impl Report {
+    pub(crate) fn add(&mut self, other: &Report) {
+        self.steps += other.steps;
+        for (name, count) in &other.faults {
+            *self.faults.entry(name).or_default() += count;
+        }
+    }
+}
+
+pub(crate) struct Dice(Pcg64);
+
+impl Dice {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(Pcg64::seed_from_u64(seed))
+    }
+
+    pub(crate) fn below(&mut self, end: u64) -> u64 {
+        self.0.random_range(0..end)
+    }
+
+    pub(crate) fn between(&mut self, low: u64, high: u64) -> u64 {
+        self.0.random_range(low..=high)
+    }
+
+    /// True once in `times` on average.
+    pub(crate) fn one_in(&mut self, times: u64) -> bool {
+        self.below(times) == 0
+    }
+}
+
+/// A process with its own monotonic clock, which may be frozen.
+pub(crate) struct Process {
+    offset: u64,
+    rate_ppm: u64,
+    pub(crate) incarnation: u64,
+    pub(crate) frozen_until: Micros,
+    pub(crate) next_renewal: Duration,
+}
+
+impl Process {
+    /// Any two rates differ by at most 1%.
+    pub(crate) fn new(dice: &mut Dice, incarnation: u64) -> Self {
+        let rate_ppm = match dice.below(3) {
+            0 => 1_000_000,
+            1 => 1_010_000,
+            _ => dice.between(1_000_000, 1_010_000),
+        };
+        Self {
+            offset: dice.below(1_000 * SECOND),
+            rate_ppm,
+            incarnation,
+            frozen_until: 0,
+            next_renewal: Duration::ZERO,
+        }
+    }
+
+    /// The process's clock at a real time.
+    pub(crate) fn clock(&self, now: Micros) -> Duration {
+        Duration::from_micros(self.offset + now * self.rate_ppm / 1_000_000)
+    }
+
+    pub(crate) fn is_frozen(&self, now: Micros) -> bool {
+        now < self.frozen_until
+    }
+
+    /// Whether a renewal is due; the next one follows after about 500 ms.
+    pub(crate) fn renews(&mut self, now: Micros, dice: &mut Dice) -> bool {
+        let clock = self.clock(now);
+        let due = !self.is_frozen(now) && clock >= self.next_renewal;
+        if due {
+            self.next_renewal = clock + Duration::from_millis(dice.between(400, 600));
+        }
+        due
+    }
+}
+
+/// Messages on their way. Addresses are small numbers.
+pub(crate) struct Net<M> {
+    queue: BTreeMap<(Micros, u64), (usize, M)>,
+    sent: u64,
+    blocked: BTreeSet<(usize, usize)>,
+    /// Percent of messages lost; 0 once the faults end.
+    pub(crate) loss: u64,
+    pub(crate) is_calm: bool,
+    pub(crate) faults: Faults,
+}
+
+impl<M: Clone> Net<M> {
+    pub(crate) fn new(dice: &mut Dice) -> Self {
+        Self {
+            queue: BTreeMap::new(),
+            sent: 0,
+            blocked: BTreeSet::new(),
+            loss: [0, 2, 10, 30][dice.below(4) as usize],
+            is_calm: false,
+            faults: Faults::new(),
+        }
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str) {
+        *self.faults.entry(name).or_default() += 1;
+    }
+
+    /// Cuts one direction of one link, or restores all links.
+    pub(crate) fn partition(&mut self, dice: &mut Dice, addresses: usize) {
+        if dice.one_in(3) {
+            self.blocked.clear();
+            return;
+        }
+        let from = dice.below(addresses as u64) as usize;
+        let to = dice.below(addresses as u64) as usize;
+        self.blocked.insert((from, to));
+        self.count("partition (one way)");
+        if dice.one_in(3) {
+            self.blocked.insert((to, from));
+        }
+    }
+
+    pub(crate) fn calm(&mut self) {
+        self.is_calm = true;
+        self.blocked.clear();
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        now: Micros,
+        dice: &mut Dice,
+        from: usize,
+        to: usize,
+        message: M,
+    ) {
+        if self.blocked.contains(&(from, to)) {
+            self.count("message blocked");
+            return;
+        }
+        if !self.is_calm && dice.below(100) < self.loss {
+            self.count("message lost");
+            return;
+        }
+        if !self.is_calm && dice.one_in(12) {
+            self.count("message duplicated");
+            let delay = dice.between(MILLI, 16 * SECOND);
+            self.put(now + delay, to, message.clone());
+        }
+        let delay = if !self.is_calm && dice.one_in(10) {
+            self.count("message delayed and reordered");
+            dice.between(100 * MILLI, 4 * SECOND)
+        } else {
+            dice.between(500, 4 * MILLI)
+        };
+        self.put(now + delay, to, message);
+    }
+
+    /// Puts a message back, for a receiver that is frozen.
+    pub(crate) fn put(&mut self, at: Micros, to: usize, message: M) {
+        self.sent += 1;
+        self.queue.insert((at, self.sent), (to, message));
+    }
+
+    pub(crate) fn receive(&mut self, now: Micros) -> Option<(usize, M)> {
+        let entry = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= now)?;
+        Some(entry.remove())
+    }
+}
