--- a/crates/azurelug-coordination/src/lib.rs
+++ b/crates/azurelug-coordination/src/lib.rs
@@ -5,9 +5,17 @@
 //! what the ids stand for.
 //!
 //! - [`journal`]: bytes of the durable log: records, segments, snapshots, hard state, recovery scan.
+//! - [`lease`]: leases with bounded clock drift, and fencing numbers.
+//! - [`membership`]: which daemons are alive, suspect or gone.
 //! - [`once`]: at-most-once records, applied from committed log entries.
 //! - [`raft`]: the replicated log.
+//! - [`rate`]: a token rate that several holders share under leases.
+//! - [`share`]: leased shares of a target's limit.
 
 pub mod journal;
+pub mod lease;
+pub mod membership;
 pub mod once;
 pub mod raft;
+pub mod rate;
+pub mod share;
