--- a/crates/azurelug-coordination/src/journal/scan.rs
+++ b/crates/azurelug-coordination/src/journal/scan.rs
@@ -153,9 +153,12 @@
         Ok(())
     }
 
-    /// Checks that the segment follows the one before it and moves the log to its start.
+    /// Checks that the segment starts where the one before it ended.
     fn start(&mut self, file: &str, header: &Header) -> Result<(), Fault> {
-        if !self.segments.is_empty() && self.end != header.previous {
+        let start = (header.last_index, header.last_term);
+        if self.segments.is_empty() {
+            self.span = Span::after(start.0, start.1);
+        } else if self.end != header.previous {
             let (is, was) = (self.end, header.previous);
             let reason = format!(
                 "the segment before this one must be generation {} with {} bytes, but is \
@@ -163,12 +166,13 @@
                 was.generation, was.offset, is.generation, is.offset
             );
             return Err(Fault::corrupt(file, 0, reason));
-        }
-        if self.span.term(header.last_index) == Some(header.last_term) {
-            self.keep_until(header.last_index);
-        } else {
-            self.span = Span::after(header.last_index, header.last_term);
-            self.entries.clear();
+        } else if start != (self.span.last_index(), self.span.last_term()) {
+            let reason = format!(
+                "the segment starts after entry {}, but the one before it ends at entry {}",
+                start.0,
+                self.span.last_index()
+            );
+            return Err(Fault::corrupt(file, 0, reason));
         }
         self.segments.push(SegmentStart {
             generation: header.generation,
--- a/crates/azurelug-coordination/tests/journal.rs
+++ b/crates/azurelug-coordination/tests/journal.rs
@@ -336,6 +336,19 @@
     corrupt_at(scan(&[later], &known));
 }
 
+#[test]
+fn a_segment_that_starts_elsewhere_than_the_last_one_ended_is_corruption() {
+    let [first, _] = two_segments();
+    let previous = Position {
+        generation: 1,
+        offset: first.bytes.len() as u64,
+    };
+    for last in [(2, 1), (3, 2), (4, 1)] {
+        let second = Writer::new(2, previous, last).segment();
+        corrupt_at(scan(&[first.clone(), second], &known()));
+    }
+}
+
 #[test]
 fn a_segment_of_another_cluster_is_refused() {
     let known = Known {
