--- a/crates/azurelug-storage/src/folder.rs
+++ b/crates/azurelug-storage/src/folder.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Folder {
     pub(crate) path: PathBuf,
     pub(crate) files: Files,
-    _lock: File,
+    _lock: Lock,
 }
 
 /// Numbers from the file names in the folder, ascending.
@@ -215,7 +215,18 @@
     .set_aside()
 }
 
-fn lock(folder: &Path) -> Result<File, Error> {
+/// The lock on a folder.
+struct Lock(File);
+
+impl Drop for Lock {
+    /// Closing the file is not enough: a process that is being forked at this moment holds a copy
+    /// of the descriptor until it starts its program, and the lock with it.
+    fn drop(&mut self) {
+        let _ = self.0.unlock();
+    }
+}
+
+fn lock(folder: &Path) -> Result<Lock, Error> {
     let path = folder.join(LOCK);
     let fail = |error| io_error("lock", &path, 0, error);
     let file = OpenOptions::new()
@@ -224,18 +235,18 @@
         .truncate(false)
         .open(&path);
     let file = file.map_err(fail)?;
-    match file.try_lock() {
-        Ok(()) => {}
+    let lock = match file.try_lock() {
+        Ok(()) => Lock(file),
         Err(TryLockError::WouldBlock) => {
             return Err(Error::Locked {
                 folder: folder.to_owned(),
             });
         }
         Err(TryLockError::Error(error)) => return Err(fail(error)),
-    }
+    };
     // Another process may have set the folder aside between the open and the lock.
     let (held, named) = (
-        file.metadata().map_err(fail)?,
+        lock.0.metadata().map_err(fail)?,
         fs::metadata(&path).map_err(fail)?,
     );
     if (held.dev(), held.ino()) != (named.dev(), named.ino()) {
@@ -243,7 +254,7 @@
             folder: folder.to_owned(),
         });
     }
-    Ok(file)
+    Ok(lock)
 }
 
 fn sync_parent(files: &mut Files, path: &Path) -> Result<(), Error> {
