storage: give the crash test's hard state its slot and folder id

Change: the test sets them. Measured: cargo test -p azurelug-storage passes. Conclusion: no behaviour changed.

--- a/crates/azurelug-storage/tests/crash.rs
+++ b/crates/azurelug-storage/tests/crash.rs
@@ -134,6 +134,8 @@
                 let commit = random.random_range(commit..=last.max(commit));
                 let vote = Some((random.random_range(0..5), term));
                 let state = HardState {
+                    slot: 2,
+                    storage: 11,
                     term,
                     vote,
                     incarnation: seed + 1,
