shares: no call starts without a leased slot or a base share of its target's limit

Cause: three entry daemons each allowed a target its whole limit, so that a cold target could get three times its cold limit. Change: the control daemon of a zone grants shares of its targets' limits and raises new or cold targets by steps; entry daemons renew them every 500 ms and take a slot before each call. A call whose end is not known keeps its slot until its deadline. The configuration numbers targets and lists entry daemons, whose base shares need no lease.

--- a/crates/azurelug-control/src/disk.rs
+++ b/crates/azurelug-control/src/disk.rs
@@ -11,6 +11,8 @@
 use azurelug_wire::codec;
 use serde::{Deserialize, Serialize};
 
+use crate::internal::wall_clock_ms;
+
 /// Why the durable state can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -31,8 +33,18 @@
     data: Vec<u8>,
 }
 
+/// The start of a process on one data folder.
+#[derive(Clone, Copy, Debug)]
+pub struct Generation {
+    /// Higher than at each earlier start of this slot, also on a disk that was replaced.
+    pub number: u64,
+    /// Whether a founding member starts for the first time, so that nothing can be left from earlier.
+    pub is_first: bool,
+}
+
 /// The open data folder of one member.
 pub struct Disk {
+    is_first: bool,
     store: Store,
     record: journal::HardState,
 }
@@ -53,6 +65,7 @@
     ) -> Result<(Self, Recovered), Error> {
         let (store, found) = Store::open(folder, cluster, Files::new())?;
         let mut disk = Self {
+            is_first: false,
             store,
             record: found.hard_state,
         };
@@ -62,6 +75,7 @@
                 recovered = Recovered::initialize(cluster, slot, founders, storage);
                 if let Some(vote) = recovered.vote {
                     disk.save_vote(&vote)?;
+                    disk.is_first = true;
                 }
             }
             return Ok((disk, recovered));
@@ -105,6 +119,16 @@
         Ok(self.store.sync()?)
     }
 
+    /// The start of this process, numbered by the wall clock, because a replaced disk would count
+    /// from 1 again. After a clock was set back, holders refuse this start's answers until the clock
+    /// has caught up; they never take them for newer than they are.
+    pub fn generation(&self) -> Generation {
+        Generation {
+            number: wall_clock_ms(),
+            is_first: self.is_first,
+        }
+    }
+
     /// Sets the folder aside after a failure, so that the member rejoins with an empty one.
     ///
     /// # Errors
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -14,6 +14,7 @@
 use crate::daemons::Registry;
 use crate::replica::Replica;
 use crate::settings::Member;
+use crate::shares::Shares;
 
 /// Configurations that wait for a slow daemon. It gets the newest one in any case.
 const WATCH_QUEUE: usize = 2;
@@ -25,6 +26,8 @@
     pub replica: Replica,
     /// The entry daemons seen here.
     pub registry: Arc<Registry>,
+    /// The shares of the own zone's targets.
+    pub shares: Shares,
     /// The control daemons of the cluster.
     pub members: Arc<[Member]>,
 }
@@ -40,6 +43,10 @@
             }
             Frame::Watch { after_version } => Reply::Stream(self.watch(after_version)),
             Frame::Once(command) => Reply::One(self.once(command).await),
+            Frame::Share(request) => Reply::One(match self.shares.request(&request) {
+                Some(answer) => Frame::ShareAnswer(answer),
+                None => Frame::Done,
+            }),
             Frame::Raft { message } => {
                 self.raft(&peer, &message);
                 Reply::None
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod replica;
 pub mod run;
 pub mod settings;
+pub mod shares;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -16,6 +16,7 @@
 use crate::daemons::{Registry, Row};
 use crate::internal::wall_clock_ms;
 use crate::replica::Replica;
+use crate::shares::{self, Shares};
 
 /// What the handlers share.
 #[derive(Clone)]
@@ -28,6 +29,8 @@
     pub replica: Replica,
     /// The entry daemons seen here.
     pub registry: Arc<Registry>,
+    /// The shares of the own zone's targets.
+    pub shares: Shares,
 }
 
 #[derive(Serialize)]
@@ -52,6 +55,7 @@
     version: u64,
     freshness_age_ms: Option<u128>,
     once: Once,
+    shares: Vec<shares::Row>,
     log: Option<State>,
     entry_daemons: Vec<Row>,
 }
@@ -124,6 +128,7 @@
             version: self.replica.config().version.0,
             freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
             once: Once::of(&self.replica),
+            shares: self.shares.rows(),
             log,
             entry_daemons: self.registry.rows(),
         };
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -13,13 +13,14 @@
 use sha2::{Digest, Sha256};
 
 use crate::daemons::Registry;
-use crate::disk::{self, Disk};
+use crate::disk::{self, Disk, Generation};
 use crate::internal::Internal;
 use crate::operators::Operators;
 use crate::peers::Peers;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
 use crate::settings::{Options, Settings};
+use crate::shares::Shares;
 
 /// Why the daemon could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -79,11 +80,18 @@
     });
     let listener = Listener::bind(settings.internal, Arc::clone(&identity)).await?;
     let server = Server::bind(settings.operators).await?;
-    let (task, replica) = member(&settings, initialize, &identity)?;
+    let (task, replica, generation) = member(&settings, initialize, &identity)?;
+    let shares = Shares::new(
+        settings.zone.clone(),
+        generation.number,
+        generation.is_first,
+    );
+    tokio::spawn(shares.clone().run(replica.watch()));
     let registry = Arc::new(Registry::default());
     let internal = Internal {
         replica: replica.clone(),
         registry: Arc::clone(&registry),
+        shares: shares.clone(),
         members: settings.members.clone().into(),
     };
     let operators = Operators {
@@ -91,6 +99,7 @@
         zone: settings.zone,
         replica: replica.clone(),
         registry,
+        shares,
     };
     log::info!(
         "control: {} serves operators on {} and daemons on {}",
@@ -113,7 +122,7 @@
     settings: &Settings,
     initialize: bool,
     identity: &Arc<Identity>,
-) -> Result<(Task, Replica), Error> {
+) -> Result<(Task, Replica, Generation), Error> {
     let own = settings.own().expect("the settings were checked");
     let slots: Vec<u16> = settings.members.iter().map(|member| member.slot).collect();
     let cluster = cluster_number(&settings.cluster);
@@ -126,12 +135,14 @@
         initialize,
         storage,
     )?;
+    let generation = disk.generation();
     let peers = Peers::start(&settings.members, own.slot, identity);
     let raft = raft::Settings {
         peers: slots.into_iter().filter(|slot| *slot != own.slot).collect(),
         ..raft::Settings::default()
     };
-    Ok(Task::new(raft, disk, recovered, peers)?)
+    let (task, replica) = Task::new(raft, disk, recovered, peers)?;
+    Ok((task, replica, generation))
 }
 
 /// The number of a cluster in the log and on the disk: the first half of its id's SHA-256.
--- /dev/null
+++ b/crates/azurelug-control/src/shares.rs
@@ -0,0 +1,189 @@
+//! Grants shares of the limits of the own zone's targets to entry daemons.
+//!
+//! Owns the grantor and the limit in force of each target. A target that is new, or that an entry
+//! daemon reports as cold, starts at its cold limit and is raised by steps.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_coordination::share::{Answer, Capacity, Grantor, Limits, Request, Timing};
+use azurelug_core::base_share;
+use azurelug_types::config::Config;
+use azurelug_types::id::ZoneName;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::time::{Instant, interval};
+
+/// How often limits are looked at.
+const TICK: Duration = Duration::from_millis(500);
+
+/// A limit is doubled after this long without a report of a cold start. Reports arrive every 500 ms.
+const RAISE_AFTER: Duration = Duration::from_secs(2);
+
+/// A target that was reported cold stays at its cold limit for this long.
+const COLD_FOR: Duration = Duration::from_secs(6);
+
+/// One target's limit in force.
+#[derive(Clone, Copy, Debug)]
+struct Level {
+    limit: u32,
+    cold: u32,
+    base: u32,
+    in_force: u32,
+    raise_at: Duration,
+}
+
+struct State {
+    grantor: Grantor,
+    levels: HashMap<u32, Level>,
+}
+
+/// The grantor of this zone. Clones share it.
+#[derive(Clone)]
+pub struct Shares {
+    zone: ZoneName,
+    started: Instant,
+    state: Arc<Mutex<State>>,
+}
+
+/// One target's limit, for a dump.
+#[derive(Debug, Serialize)]
+pub struct Row {
+    target: u32,
+    limit_in_force: u32,
+    limit: u32,
+    leased_in_use: u64,
+}
+
+impl Shares {
+    /// A grantor for `zone`. `epoch` is higher than at each earlier start; `is_first` tells that there
+    /// was none, so that no lease can be left from it.
+    pub fn new(zone: ZoneName, epoch: u64, is_first: bool) -> Self {
+        let make = if is_first {
+            Grantor::first
+        } else {
+            Grantor::new
+        };
+        let grantor = make(Duration::ZERO, epoch, Timing::default(), Limits::default());
+        let state = State {
+            grantor,
+            levels: HashMap::new(),
+        };
+        Self {
+            zone,
+            started: Instant::now(),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Follows the configuration and raises limits until the sender of versions is gone.
+    pub async fn run(self, mut configs: watch::Receiver<Arc<Config>>) {
+        let mut ticks = interval(TICK);
+        let first = Arc::clone(&configs.borrow_and_update());
+        self.apply(&first);
+        loop {
+            tokio::select! {
+                changed = configs.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let config = Arc::clone(&configs.borrow_and_update());
+                    self.apply(&config);
+                }
+                _ = ticks.tick() => self.raise(),
+            }
+        }
+    }
+
+    /// Answers a renewal; none for one that came late or twice.
+    pub fn request(&self, request: &Request) -> Option<Answer> {
+        let now = self.started.elapsed();
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let mut turned_cold = Vec::new();
+        let answer = state.grantor.request(now, request, &mut turned_cold);
+        for target in turned_cold {
+            log::warn!("shares: target {target} turned cold; its limit falls to the cold limit");
+            if let Some(level) = state.levels.get_mut(&target) {
+                level.in_force = level.cold;
+                level.raise_at = now + COLD_FOR;
+            }
+        }
+        answer
+    }
+
+    /// All targets, for a dump.
+    pub fn rows(&self) -> Vec<Row> {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        let row = |(target, level): (&u32, &Level)| Row {
+            target: *target,
+            limit_in_force: level.in_force,
+            limit: level.limit,
+            leased_in_use: state.grantor.exposed(*target),
+        };
+        let mut rows: Vec<Row> = state.levels.iter().map(row).collect();
+        rows.sort_by_key(|row| row.target);
+        rows
+    }
+
+    /// Takes over a version. Known targets keep their limit in force within the new bounds.
+    fn apply(&self, config: &Config) {
+        let now = self.started.elapsed();
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let state = &mut *state;
+        let mut levels = HashMap::new();
+        let own = config
+            .targets
+            .iter()
+            .filter(|(_, target)| target.zone == self.zone);
+        for (name, target) in own {
+            let Some(number) = config.target_numbers.get(name).copied() else {
+                continue;
+            };
+            let (limit, cold) = (target.limit, target.cold_limit);
+            let base = base_share::total(config, target);
+            let known = state.levels.remove(&number);
+            let in_force = known
+                .map_or(cold, |known| known.in_force)
+                .clamp(cold, limit);
+            let raise_at = known.map_or(now + RAISE_AFTER, |known| known.raise_at);
+            let level = Level {
+                limit,
+                cold,
+                base,
+                in_force,
+                raise_at,
+            };
+            state.grantor.set_capacity(number, level.capacity());
+            levels.insert(number, level);
+        }
+        for removed in state.levels.keys() {
+            state.grantor.remove_target(*removed);
+        }
+        state.levels = levels;
+    }
+
+    /// Doubles limits whose time has come.
+    fn raise(&self) {
+        let now = self.started.elapsed();
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let State { grantor, levels } = &mut *state;
+        for (number, level) in levels {
+            if level.in_force < level.limit && now >= level.raise_at {
+                level.in_force = (level.in_force * 2).min(level.limit);
+                level.raise_at = now + RAISE_AFTER;
+                grantor.set_capacity(*number, level.capacity());
+            }
+        }
+    }
+}
+
+impl Level {
+    fn capacity(&self) -> Capacity {
+        Capacity {
+            limit: self.in_force,
+            cold: self.cold,
+            base: self.base,
+        }
+    }
+}
--- a/crates/azurelug-coordination/src/share/grantor.rs
+++ b/crates/azurelug-coordination/src/share/grantor.rs
@@ -187,6 +187,14 @@
         }
     }
 
+    /// A grantor of a new system, before which there was none. It grants at once.
+    pub fn first(now: Duration, epoch: u64, timing: Timing, limits: Limits) -> Self {
+        Self {
+            opens_at: now,
+            ..Self::new(now, epoch, timing, limits)
+        }
+    }
+
     /// Grants nothing before `at`, when that is later than the settling time.
     pub(crate) fn open_after(&mut self, at: Duration) {
         self.opens_at = self.opens_at.max(at);
--- /dev/null
+++ b/crates/azurelug-core/src/base_share.rs
@@ -0,0 +1,41 @@
+//! Base shares of targets' limits: the slots that an entry daemon may use without a lease.
+//!
+//! They follow from the configuration alone, so that a zone goes on serving when its control daemon
+//! is lost. Their sum is at most half of the cold limit, which is safe at any time.
+
+use azurelug_coordination::share;
+use azurelug_types::config::{Config, Target};
+use azurelug_types::id::{DaemonName, TargetName};
+
+/// The sum of the base shares of a target: none while no entry daemon of its zone is registered.
+pub fn total(config: &Config, target: &Target) -> u32 {
+    let has_entries = config
+        .entries
+        .values()
+        .any(|entry| entry.zone == target.zone);
+    if has_entries {
+        share::Capacity::new(target.limit, target.cold_limit).base
+    } else {
+        0
+    }
+}
+
+/// The base share of one entry daemon. The first daemon differs from target to target, so that the
+/// remainders are spread.
+pub fn of(config: &Config, name: &TargetName, target: &Target, daemon: &DaemonName) -> u32 {
+    let mut daemons = config
+        .entries
+        .iter()
+        .filter(|(_, entry)| entry.zone == target.zone);
+    let Some(index) = daemons.clone().position(|(known, _)| known == daemon) else {
+        return 0;
+    };
+    let count = u32::try_from(daemons.by_ref().count()).unwrap_or(u32::MAX);
+    let number = config.target_numbers.get(name).copied().unwrap_or(0);
+    let index = u32::try_from(index).unwrap_or(u32::MAX);
+    share::base_share(
+        total(config, target),
+        count,
+        (index + number % count) % count,
+    )
+}
--- a/crates/azurelug-core/src/configuration/check.rs
+++ b/crates/azurelug-core/src/configuration/check.rs
@@ -80,6 +80,17 @@
                 .ok_or_else(|| unknown("set_zone_state.name", "zone", zone.as_str()))?
                 .state = *state;
         }
+        Change::SetEntry {
+            name: daemon,
+            entry,
+        } => {
+            name("set_entry.name", daemon.as_str())?;
+            config.entries.insert(daemon.clone(), entry.clone());
+        }
+        Change::RemoveEntry { name: daemon } => {
+            let found = config.entries.remove(daemon);
+            found.ok_or_else(|| unknown("remove_entry.name", "entry daemon", daemon.as_str()))?;
+        }
         Change::SetAccount {
             name: account,
             account: definition,
@@ -103,6 +114,13 @@
             target: definition,
         } => {
             name("set_target.name", target.as_str())?;
+            let known = config.targets.get(target);
+            if known.is_none_or(|known| known.address != definition.address) {
+                config.last_target_number += 1;
+                config
+                    .target_numbers
+                    .insert(target.clone(), config.last_target_number);
+            }
             config.targets.insert(target.clone(), definition.clone());
         }
         Change::SetTargetState {
@@ -115,6 +133,7 @@
                 .state = *state;
         }
         Change::RemoveTarget { name: target } => {
+            config.target_numbers.remove(target);
             let found = config.targets.remove(target);
             found.ok_or_else(|| unknown("remove_target.name", "target", target.as_str()))?;
         }
@@ -151,6 +170,12 @@
 /// # Errors
 /// The first field that does not fit.
 pub fn whole(config: &Config) -> Result<(), Problem> {
+    for (daemon, definition) in &config.entries {
+        if !config.zones.contains_key(&definition.zone) {
+            let field = format!("entries.{daemon}.zone");
+            return Err(unknown(&field, "zone", definition.zone.as_str()));
+        }
+    }
     targets(config)?;
     pipelines(config)?;
     accounts(config)?;
--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! be replayed from a trace and compared with a naive version.
 
 pub mod admission;
+pub mod base_share;
 pub mod configuration;
 pub mod latency;
 pub mod lease_mode;
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -257,9 +257,10 @@
             prefix: &[],
             exclude: &exclude,
         };
-        let slot = self.gateway.begin(&call.to_string(), &query)?;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let slot = self.gateway.begin(&call.to_string(), &query, left)?;
         self.ledger.about_to_send();
-        let (target, key) = (slot.target.clone(), slot.choice.target);
+        let (target, key) = (slot.target.to_string(), slot.choice.target);
         let attempt = CallTask {
             gateway: Arc::clone(&self.gateway),
             call: call.clone(),
@@ -363,7 +364,11 @@
                     slot.target,
                     failure.message
                 );
-                slot.close(Completion::Failure, None);
+                if failure.is_ended {
+                    slot.close(Completion::Failure, None);
+                } else {
+                    slot.abandon(Completion::Failure);
+                }
                 let call = self.call.clone();
                 let event = Event::Failed {
                     call,
@@ -405,11 +410,13 @@
             let next = timeout(limit, tokens.next()).await;
             let next = next.map_err(|_| Failure {
                 is_not_sent: false,
+                is_ended: false,
                 message: format!("no token within {} ms", limit.as_millis()),
             })??;
             let Some(token) = next else {
                 return Err(Failure {
                     is_not_sent: false,
+                    is_ended: false,
                     message: "the stream ended before its last token".to_owned(),
                 });
             };
--- a/crates/azurelug-entry/src/engine.rs
+++ b/crates/azurelug-entry/src/engine.rs
@@ -23,6 +23,8 @@
 pub struct Failure {
     /// Whether the engine provably got no byte.
     pub is_not_sent: bool,
+    /// Whether the engine provably does no more work for the call.
+    pub is_ended: bool,
     /// For the log and the state dump.
     pub message: String,
 }
@@ -31,15 +33,25 @@
     fn from(error: Error) -> Self {
         Self {
             is_not_sent: error.is_not_sent(),
+            is_ended: error.is_not_sent(),
             message: error.to_string(),
         }
     }
 }
 
 impl Failure {
+    /// A failure that the engine stated in a complete answer.
+    fn stated(message: impl Into<String>) -> Self {
+        Self {
+            is_ended: true,
+            ..Self::after_sending(message)
+        }
+    }
+
     fn after_sending(message: impl Into<String>) -> Self {
         Self {
             is_not_sent: false,
+            is_ended: false,
             message: message.into(),
         }
     }
@@ -265,7 +277,7 @@
     let call = Call::post_json(request.address, "/v1/completions", &body, request.timeout);
     let response = client.send(call).await?;
     if response.status() != http::StatusCode::OK {
-        return Err(Failure::after_sending(format!(
+        return Err(Failure::stated(format!(
             "status {}",
             response.status().as_u16()
         )));
@@ -316,7 +328,7 @@
     let call = Call::post_json(request.address, path, body, request.timeout);
     let (status, body) = client.send_whole(call, ANSWER_LIMIT).await?;
     if status != 200 {
-        return Err(Failure::after_sending(format!("status {status}")));
+        return Err(Failure::stated(format!("status {status}")));
     }
     serde_json::from_slice(&body)
         .map_err(|error| Failure::after_sending(format!("malformed answer: {error}")))
--- a/crates/azurelug-entry/src/gateway.rs
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -8,16 +8,23 @@
 use azurelug_core::routing::{CallKey, Choice, Completion, NoTarget, Outcome, Query, Router};
 use azurelug_http::Client;
 use azurelug_types::config::Config;
-use azurelug_types::id::{AccountName, DaemonName, Version, ZoneName};
+use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
 use rand::SeedableRng;
 use tokio::time::Instant;
 
 use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::recent::{Decision, Recent};
+use crate::shares::{Held, Shares};
 use crate::shutdown::Shutdown;
 use crate::view::View;
 
+/// Choices made for one call until a target has a slot.
+const MAX_CHOICES: u32 = 4;
+
+/// When a slot may be free after all targets were found busy.
+const RETRY_BUSY: Duration = Duration::from_millis(100);
+
 /// The shared state. It owns the router, the lease and the configuration in force.
 pub struct Gateway {
     /// This daemon.
@@ -26,6 +33,8 @@
     pub zone: ZoneName,
     /// The connection to control.
     pub link: Link,
+    /// Shares of the targets' limits.
+    pub shares: Shares,
     /// For calls that may repeat.
     pub pooled: Client,
     /// For calls that must not repeat.
@@ -48,13 +57,19 @@
     ///
     /// # Errors
     /// If the HTTP clients can't be built.
-    pub fn new(name: DaemonName, zone: ZoneName, link: Link) -> Result<Self, azurelug_http::Error> {
+    pub fn new(
+        name: DaemonName,
+        zone: ZoneName,
+        link: Link,
+        shares: Shares,
+    ) -> Result<Self, azurelug_http::Error> {
         let settings = azurelug_core::routing::Settings::new(zone.clone());
         let random = rand_pcg::Pcg32::seed_from_u64(rand::random());
         Ok(Self {
             name,
             zone,
             link,
+            shares,
             pooled: Client::pooled()?,
             unpooled: Client::unpooled()?,
             metrics: Metrics::new(),
@@ -94,12 +109,15 @@
         if !router.apply(&config, now) {
             return;
         }
+        self.shares.apply(&config, |name| router.table().key(name));
         log::info!("entry: version {} is in force", config.version);
         self.metrics
             .version
             .set(i64::try_from(config.version.0).unwrap_or(i64::MAX));
         let view = Arc::new(View::new(config, &self.zone));
         *self.view.write().expect("no holder of the lock panics") = Some(view);
+        drop(router);
+        self.refresh_grants();
     }
 
     /// Notes that the version in force was known to be the newest at `at`.
@@ -118,25 +136,24 @@
         Mode::at(renewed, policy, self.now())
     }
 
-    /// Chooses a target and takes a slot of it. `call` names the call in the state dump.
+    /// Chooses a target and takes a slot of it for a call that ends after `time_left` at the latest.
+    /// `call` names the call in the state dump.
     ///
     /// # Errors
     /// Why no target can be used now.
-    pub fn begin(self: &Arc<Self>, call: &str, query: &Query<'_>) -> Result<InFlight, NoTarget> {
+    pub fn begin(
+        self: &Arc<Self>,
+        call: &str,
+        query: &Query<'_>,
+        time_left: Duration,
+    ) -> Result<InFlight, NoTarget> {
         let now = self.now();
         let mode = self.mode();
         let mut router = self.router.lock().expect("no holder of the lock panics");
         router.set_mode(mode);
-        let chosen = router.choose(query, now).and_then(|choice| {
-            let key = router.begin(choice.target, now);
-            let busy = NoTarget::AllBusy {
-                members: 1,
-                retry_after: Duration::from_millis(100),
-            };
-            key.map(|key| (choice, key)).ok_or(busy)
-        });
+        let chosen = self.choose(&mut router, query, time_left, now);
         let reason = match &chosen {
-            Ok((choice, _)) => choice.describe(router.table()),
+            Ok(taken) => taken.choice.describe(router.table()),
             Err(error) => error.to_string(),
         };
         let at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
@@ -145,21 +162,77 @@
             reason,
             at_ms,
         });
-        let (choice, key) = chosen?;
+        let Taken { choice, key, held } = chosen?;
         let entry = router
             .table()
             .target(choice.target)
             .expect("a chosen target is in the table");
         Ok(InFlight {
-            target: entry.name.to_string(),
+            target: entry.name.clone(),
             address: entry.address,
             choice,
             began: now,
-            slot: Some(key),
+            key: Some(key),
+            held: Some(held),
             gateway: Arc::clone(self),
         })
     }
 
+    /// Chooses until a target has a slot in the shares as well. The router's view of the shares can
+    /// be older than the shares themselves, for instance when a lease has just expired.
+    fn choose(
+        &self,
+        router: &mut Router,
+        query: &Query<'_>,
+        time_left: Duration,
+        now: Duration,
+    ) -> Result<Taken, NoTarget> {
+        let mut refusal = NoTarget::AllBusy {
+            members: 1,
+            retry_after: RETRY_BUSY,
+        };
+        for _ in 0..MAX_CHOICES {
+            let choice = router.choose(query, now)?;
+            let Some(key) = router.begin(choice.target, now) else {
+                continue;
+            };
+            let name = router
+                .table()
+                .target(choice.target)
+                .map(|entry| entry.name.clone());
+            let name = name.ok_or(NoTarget::NotConfigured)?;
+            match self.shares.start(&name, time_left) {
+                Ok(held) => return Ok(Taken { choice, key, held }),
+                Err(_) => {
+                    let outcome = Outcome {
+                        completion: Completion::Cancelled,
+                        first_token: None,
+                    };
+                    router.finish(key, outcome, now);
+                    let own = router.in_flight(choice.target);
+                    router.grant(choice.target, Some(own), now);
+                    refusal = NoTarget::AllBusy {
+                        members: MAX_CHOICES,
+                        retry_after: RETRY_BUSY,
+                    };
+                }
+            }
+        }
+        Err(refusal)
+    }
+
+    /// Passes the slots that the shares allow now on to the router. Calls whose end is not known
+    /// still occupy their slots in the shares, but no longer count in the router.
+    pub fn refresh_grants(&self) {
+        let slots = self.shares.slots();
+        let now = self.now();
+        let mut router = self.router.lock().expect("no holder of the lock panics");
+        for (target, free) in slots {
+            let own = router.in_flight(target);
+            router.grant(target, Some(own + free), now);
+        }
+    }
+
     /// Runs `read` on the router, for state dumps.
     pub fn with_router<T>(&self, read: impl FnOnce(&mut Router, Duration) -> T) -> T {
         let now = self.now();
@@ -184,39 +257,62 @@
     }
 }
 
-/// A call's slot at a target. Dropping it gives the slot back as cancelled, so that a request that is
-/// given up at any point frees its slots.
+/// A chosen target with its slots.
+struct Taken {
+    choice: Choice,
+    key: CallKey,
+    held: Held,
+}
+
+/// A call's slot at a target. Dropping it counts the call as cancelled; whether it has ended at the
+/// target is not known then, so that its slot comes back only after the call's deadline.
 pub struct InFlight {
     /// The target's name.
-    pub target: String,
+    pub target: TargetName,
     /// The target's address.
     pub address: std::net::SocketAddr,
     /// Why it was chosen.
     pub choice: Choice,
     /// When the slot was taken.
     pub began: Duration,
-    slot: Option<CallKey>,
+    key: Option<CallKey>,
+    held: Option<Held>,
     gateway: Arc<Gateway>,
 }
 
 impl InFlight {
-    /// Gives the slot back with the call's outcome.
+    /// Gives the slot of a call back that has ended at the target.
     pub fn close(mut self, completion: Completion, first_token: Option<Duration>) {
+        if let Some(held) = self.held.take() {
+            self.gateway.shares.end(held);
+        }
         self.finish(Outcome {
             completion,
             first_token,
         });
     }
 
+    /// Counts a call whose end at the target is not known, for instance after a timeout.
+    pub fn abandon(mut self, completion: Completion) {
+        self.finish(Outcome {
+            completion,
+            first_token: None,
+        });
+    }
+
     /// Time since the slot was taken.
     pub fn elapsed(&self) -> Duration {
         self.gateway.now().saturating_sub(self.began)
     }
 
     fn finish(&mut self, outcome: Outcome) {
-        if let Some(slot) = self.slot.take() {
-            self.gateway
-                .with_router(|router, now| router.finish(slot, outcome, now));
+        let Some(key) = self.key.take() else { return };
+        let finished = self
+            .gateway
+            .with_router(|router, now| router.finish(key, outcome, now));
+        if finished.is_some_and(|finished| finished.turned_cold) {
+            log::warn!("entry: target {} turned cold", self.target);
+            self.gateway.shares.turned_cold(&self.target);
         }
     }
 }
--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod refuse;
 pub mod run;
 pub mod settings;
+pub mod shares;
 pub mod shutdown;
 pub mod view;
--- a/crates/azurelug-entry/src/link.rs
+++ b/crates/azurelug-entry/src/link.rs
@@ -33,10 +33,10 @@
 
 impl Link {
     /// A link that is not connected yet.
-    pub fn new(addresses: Vec<SocketAddr>, identity: Identity) -> Self {
+    pub fn new(addresses: Vec<SocketAddr>, identity: Arc<Identity>) -> Self {
         Self {
             addresses: addresses.into(),
-            identity: Arc::new(identity),
+            identity,
             current: Arc::new(Mutex::new(None)),
         }
     }
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -115,8 +115,10 @@
             Err(error) => {
                 if error.is_not_sent() {
                     ledger.was_not_sent();
+                    slot.close(Completion::Failure, None);
+                } else {
+                    slot.abandon(Completion::Failure);
                 }
-                slot.close(Completion::Failure, None);
             }
         }
     }
@@ -190,12 +192,13 @@
             })
         }
         Err(error) => {
-            slot.close(Completion::Failure, None);
             log::warn!("entry: request {}: {error}", job.id);
             if !error.is_not_sent() {
+                slot.abandon(Completion::Failure);
                 let reason = Reason::UnknownOutcome;
                 return Err(refuse::refusal(&job.id.0, reason, Execution::Unknown, None));
             }
+            slot.close(Completion::Failure, None);
             guard.not_sent();
             release(gateway, guard);
             let reason = Reason::StageFailed;
@@ -284,7 +287,8 @@
         prefix: &[],
         exclude: tried,
     };
-    gateway.begin(&job.id.0, &query)
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    gateway.begin(&job.id.0, &query, left)
 }
 
 fn no_target(job: &Job, error: &NoTarget, execution: Execution) -> Refusal {
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -11,6 +11,7 @@
 use crate::gateway::Gateway;
 use crate::link::Link;
 use crate::settings::{Options, Settings};
+use crate::shares::Shares;
 use crate::{admin, callers, shutdown};
 
 /// Why the daemon could not start or go on.
@@ -61,9 +62,26 @@
     };
     let callers = Server::bind(settings.callers).await?;
     let admin = Server::bind(settings.admin).await?;
-    let link = Link::new(settings.control, identity);
-    let gateway = Arc::new(Gateway::new(settings.name, settings.zone, link)?);
+    let identity = Arc::new(identity);
+    let addresses = settings
+        .control
+        .iter()
+        .map(|control| control.address)
+        .collect();
+    let link = Link::new(addresses, Arc::clone(&identity));
+    let controls = settings
+        .control
+        .into_iter()
+        .map(|control| (control.zone, control.address));
+    let shares = Shares::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        identity.incarnation,
+        controls.collect(),
+    );
+    let gateway = Arc::new(Gateway::new(settings.name, settings.zone, link, shares)?);
     tokio::spawn(gateway.link.clone().run(Arc::downgrade(&gateway)));
+    Shares::run(&gateway, &identity);
     log::info!(
         "entry: {} serves callers on {} and operators on {}",
         gateway.name,
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -38,8 +38,8 @@
     pub callers: SocketAddr,
     /// Address for health checks, metrics and state dumps.
     pub admin: SocketAddr,
-    /// Internal addresses of control daemons, the one of the own zone first.
-    pub control: Vec<SocketAddr>,
+    /// The control daemons, the one of the own zone first.
+    pub control: Vec<Control>,
     /// How long a stopping daemon still accepts requests after it reports not ready; longer than the
     /// balancer takes to notice.
     #[serde(default = "default_drain_wait")]
@@ -52,6 +52,16 @@
     pub log: Log,
 }
 
+/// A control daemon.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// Its availability zone, whose targets' shares it grants.
+    pub zone: ZoneName,
+    /// Its address for internal connections.
+    pub address: SocketAddr,
+}
+
 fn default_drain_wait() -> Span {
     Span(Duration::from_secs(10))
 }
@@ -73,7 +83,7 @@
                 path: path.to_owned(),
                 field: "control".to_owned(),
                 message: "empty".to_owned(),
-                help: "list the internal address of at least one control daemon".to_owned(),
+                help: "list zone and internal address of at least one control daemon".to_owned(),
             });
         }
         settings.log.check()?;
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -10,10 +10,12 @@
 use azurelug_testkit::caller;
 use azurelug_testkit::{Engine, Service, engine, service};
 use azurelug_types::config::{
-    Account, Model, ModelRef, Operation, Pipeline, Role, Stage, StageKind, State, Target, Zone,
+    Account, Entry, Model, ModelRef, Operation, Pipeline, Role, Stage, StageKind, State, Target,
+    Zone,
 };
 use azurelug_types::id::{
-    AccountName, ModelName, OperationName, PipelineName, ServiceName, TargetName, Version, ZoneName,
+    AccountName, DaemonName, ModelName, OperationName, PipelineName, ServiceName, TargetName,
+    Version, ZoneName,
 };
 use azurelug_types::patch::Change;
 use sha2::{Digest, Sha256};
@@ -162,7 +164,14 @@
 
     fn entry_settings(&self, index: usize) -> String {
         let controls: Vec<String> = (0..ZONES.len())
-            .map(|step| format!("\"{}\"", self.internal((index + step) % ZONES.len())))
+            .map(|step| (index + step) % ZONES.len())
+            .map(|zone| {
+                format!(
+                    "{{ zone: {}, address: \"{}\" }}",
+                    ZONES[zone],
+                    self.internal(zone)
+                )
+            })
             .collect();
         let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
         format!(
@@ -285,6 +294,13 @@
                 zone: zone_settings,
             });
         }
+        for (index, zone) in ZONES.iter().enumerate() {
+            let entry = Entry {
+                zone: ZoneName::from(*zone),
+            };
+            let name = DaemonName(entry_name(index));
+            changes.push(Change::SetEntry { name, entry });
+        }
         for kind in StageKind::ALL {
             let model = model(kind);
             let definition = Model {
--- a/crates/azurelug-types/src/config.rs
+++ b/crates/azurelug-types/src/config.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use crate::id::{
-    AccountName, ModelName, OperationName, PipelineName, ServiceName, TargetName, Version, ZoneName,
+    AccountName, DaemonName, ModelName, OperationName, PipelineName, ServiceName, TargetName,
+    Version, ZoneName,
 };
 use crate::{data, key};
 
@@ -17,6 +18,9 @@
         pub version: Version,
         /// Availability zones by name.
         pub zones: BTreeMap<ZoneName, Zone>,
+        /// Entry daemons by name. Those of a zone divide the base shares of its targets.
+        #[serde(default)]
+        pub entries: BTreeMap<DaemonName, Entry>,
         /// Client accounts by name.
         pub accounts: BTreeMap<AccountName, Account>,
         /// Models by name.
@@ -27,6 +31,20 @@
         pub pipelines: BTreeMap<PipelineName, Pipeline>,
         /// Plain services by name.
         pub services: BTreeMap<ServiceName, Service>,
+        /// Numbers by which shares of targets' limits are counted. The system assigns them; a target
+        /// that moves to another address gets a new one.
+        #[serde(default)]
+        pub target_numbers: BTreeMap<TargetName, u32>,
+        /// The highest target number that was ever assigned.
+        #[serde(default)]
+        pub last_target_number: u32,
+    }
+
+    /// An entry daemon.
+    #[serde(deny_unknown_fields)]
+    pub struct Entry {
+        /// Its availability zone.
+        pub zone: ZoneName,
     }
 
     /// An availability zone.
--- a/crates/azurelug-types/src/patch.rs
+++ b/crates/azurelug-types/src/patch.rs
@@ -1,8 +1,10 @@
 //! Patches: numbered, explicit changes of the configuration.
 
-use crate::config::{Account, Model, Pipeline, Service, State, Target, Zone};
+use crate::config::{Account, Entry, Model, Pipeline, Service, State, Target, Zone};
 use crate::data;
-use crate::id::{AccountName, ModelName, PipelineName, ServiceName, TargetName, Version, ZoneName};
+use crate::id::{
+    AccountName, DaemonName, ModelName, PipelineName, ServiceName, TargetName, Version, ZoneName,
+};
 
 data! {
     /// A set of changes that is accepted or refused as a whole.
@@ -35,6 +37,18 @@
             /// Its new state.
             state: State,
         },
+        /// Registers an entry daemon.
+        SetEntry {
+            /// The daemon's name.
+            name: DaemonName,
+            /// Its definition.
+            entry: Entry,
+        },
+        /// Removes an entry daemon.
+        RemoveEntry {
+            /// The daemon's name.
+            name: DaemonName,
+        },
         /// Creates or replaces a client account.
         SetAccount {
             /// The account's name.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,8 +1,8 @@
 //! The messages between azurelug processes.
 
-use azurelug_coordination::once;
+use azurelug_coordination::{once, share};
 use azurelug_types::config::Config;
-use azurelug_types::id::{DaemonName, TargetName, Version, ZoneName};
+use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The protocol's version. Peers with another one are refused in the handshake.
@@ -27,26 +27,6 @@
     pub mac: [u8; 32],
 }
 
-/// A request for slots of one target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShareDemand {
-    /// The target.
-    pub target: TargetName,
-    /// Slots that the daemon could use.
-    pub wanted: u32,
-    /// Slots that it uses now.
-    pub in_flight: u32,
-}
-
-/// Slots of one target, granted for the lease's term.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShareSlots {
-    /// The target.
-    pub target: TargetName,
-    /// The granted slots.
-    pub slots: u32,
-}
-
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -99,18 +79,10 @@
     Once(once::Command),
     /// The outcome of `Once`.
     OnceOutcome(once::Outcome),
-    /// Asks for slots of targets.
-    ShareRequest {
-        /// Targets whose need or use has changed.
-        demands: Vec<ShareDemand>,
-    },
-    /// Grants slots of targets.
-    ShareGrant {
-        /// The grants.
-        slots: Vec<ShareSlots>,
-        /// The lease's term in milliseconds, counted from the moment the request was sent.
-        lease_ms: u64,
-    },
+    /// Renews the shares of targets' limits.
+    Share(share::Request),
+    /// The answer to `Share`.
+    ShareAnswer(share::Answer),
     /// A message of the replicated log, encoded by its own module.
     Raft {
         /// The encoded message.
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -78,7 +78,8 @@
 key_file: $dir/key
 callers: "$(port $((6 + i)))"
 admin: "$(port $((9 + i)))"
-control: ["$(port "$i")", "$(port $(((i + 1) % 3)))", "$(port $(((i + 2) % 3)))"]
+control:
+$(for step in 0 1 2; do j=$(((i + step) % 3)); echo "  - { zone: ${zones[$j]}, address: \"$(port "$j")\" }"; done)
 drain_wait: 1s
 finish_wait: 12s
 Y
@@ -114,6 +115,7 @@
 {
   for zone in "${zones[@]}"; do
     echo "- set_zone: { name: $zone, zone: { state: active } }"
+    echo "- set_entry: { name: entry-${zone#zone-}, entry: { zone: $zone } }"
   done
   echo "- set_account: { name: carts, account: { key_digest: \"$(digest carts-key)\" } }"
   echo '- set_model: { name: embed, model: { versions: ["1"] } }'
@@ -139,6 +141,10 @@
 for i in 0 1 2; do wait_for "entry ${zones[$i]}" http_ok "$(port $((9 + i)))" /readyz; done
 azurelug status
 
+# New targets start at their cold limit; the limit rises by steps.
+is_warm() { ! azurelug dump "$(port 3)" | grep -q '"limit_in_force": [2-4],'; }
+wait_for "the targets' slow start" is_warm
+
 callers() { # requests, pause, allowed refusals
   "$bin/azurelug-testkit" caller --entry "$(port 6)" --entry "$(port 7)" --entry "$(port 8)" \
     --key carts-key --pipeline season-summary --stage encode=embed@1 --stage retrieve=search@1 \
