coordination: test the replicated log with seeded fault schedules

Cause: the normal path said nothing about kills, lost disks, torn writes, cuts, freezes and drift. A demoted earlier incarnation also stayed as a learner for good. Ruled out as faults of the log: a removal asked for while two of five disks were lost, which the runner now avoids, as a third loss is beyond any log.

--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -75,8 +75,8 @@
     snapshot: Snapshot,
     /// Bytes applied since the last snapshot.
     applied_bytes: usize,
-    /// Index at which a snapshot was last requested.
-    snapshot_requested: u64,
+    /// When the pending snapshot was requested.
+    snapshot_asked: Option<Duration>,
     incoming: Option<Incoming>,
     /// Until when this member helps no other candidate, because a leader may rely on its lease.
     promise_until: Duration,
@@ -97,11 +97,14 @@
     notices: Vec<Action>,
     applies: Vec<Action>,
     last: Vec<Action>,
+    /// A snapshot is wanted of the state after everything in `applies`.
+    snapshot: bool,
 }
 
 impl Node {
     /// Creates a node from the durable state. The caller has already restored its state machine
-    /// from the same snapshot; later entries are handed out again as they are found committed.
+    /// from the same snapshot; later entries are handed out again as they are found
+    /// committed. The first step may carry writes that complete the recovery.
     ///
     /// # Errors
     ///
@@ -115,7 +118,14 @@
         settings.check()?;
         let joining = recovered.vote.is_none();
         let storage = random.random();
-        let (mut record, snapshot, log, history) = settings::recover(recovered, storage)?;
+        let checked = settings::recover(recovered, storage)?;
+        let settings::Checked {
+            mut record,
+            snapshot,
+            log,
+            history,
+            repair,
+        } = checked;
         record.term = record.term.max(log.last().term);
         // A restarted member does not know when it last heard from a leader, so it assumes now.
         let promise_until = if record.term == 0 {
@@ -137,7 +147,7 @@
             leadership: None,
             granted: Vec::new(),
             commit: snapshot.position.index,
-            snapshot_requested: snapshot.position.index,
+            snapshot_asked: None,
             applied_bytes: 0,
             snapshot,
             log,
@@ -150,7 +160,10 @@
             waiting_probes: VecDeque::new(),
             fresh_as_of: None,
             now,
-            out: Outbox::default(),
+            out: Outbox {
+                writes: repair.into_iter().collect(),
+                ..Outbox::default()
+            },
             random,
             settings,
         };
@@ -349,11 +362,15 @@
         let record = std::mem::take(&mut self.record_changed).then_some(Write::Vote(self.record));
         let writes = record.into_iter().chain(out.writes).map(Action::Persist);
         let sends = out.sends.into_iter().map(Action::Send);
+        let snapshot = out
+            .snapshot
+            .then_some(Action::TakeSnapshot { index: self.commit });
         writes
             .chain(sends)
             .chain(out.notices)
             .chain(out.applies)
             .chain(out.last)
+            .chain(snapshot)
             .collect()
     }
 }
--- a/crates/azurelug-coordination/src/raft/election.rs
+++ b/crates/azurelug-coordination/src/raft/election.rs
@@ -99,7 +99,7 @@
     pub(super) fn start_pre_vote(&mut self, now: Duration) {
         self.reset_election_deadline(now);
         let own = self.record.member;
-        if !self.history.latest().is_voter(own) {
+        if !self.may_campaign() {
             return;
         }
         self.role = Role::PreCandidate;
@@ -114,6 +114,13 @@
         self.send_to_voters(&Body::PreVote { next_term, last });
     }
 
+    /// Whether this member may lead. A member whose own removal is not yet committed may be the
+    /// only one that holds it, so it still campaigns, without counting its own vote.
+    fn may_campaign(&self) -> bool {
+        let own = self.record.member;
+        self.history.latest().is_voter(own) || self.history.at(self.commit).is_voter(own)
+    }
+
     fn campaign(&mut self, transfer: bool, now: Duration) {
         let own = self.record.member;
         self.reset_election_deadline(now);
@@ -200,9 +207,8 @@
     }
 
     pub(super) fn on_timeout_now(&mut self, from: Member, now: Duration) {
-        let own = self.record.member;
         let follows = self.role == Role::Follower && self.leader == Some(from);
-        if follows && self.history.latest().is_voter(own) {
+        if follows && self.may_campaign() {
             self.campaign(true, now);
         }
     }
--- a/crates/azurelug-coordination/src/raft/event.rs
+++ b/crates/azurelug-coordination/src/raft/event.rs
@@ -119,7 +119,9 @@
     },
     /// Adds entries after the last one.
     Append(Vec<Entry>),
-    /// Replaces the snapshot atomically. Entries at or below its position may be removed later.
+    /// Replaces the snapshot atomically. Once all writes of the step are durable, entries below its
+    /// position may be removed. The entry at the position stays until a `Truncate` removes it,
+    /// because recovery compares its term to notice a crash between the two writes.
     Snapshot(Snapshot),
 }
 
--- a/crates/azurelug-coordination/src/raft/follower.rs
+++ b/crates/azurelug-coordination/src/raft/follower.rs
@@ -66,7 +66,7 @@
             return;
         }
         let outcome = self.accept(prev, entries);
-        if let Outcome::Matched { index } = outcome {
+        if let Outcome::Matched { index } | Outcome::Full { index } = outcome {
             self.commit_to(commit.min(index));
         }
         self.send(from, Body::AppendAnswer { outcome, sent_at });
@@ -104,6 +104,7 @@
         }
         let mut index = prev.index;
         let mut added = Vec::new();
+        let mut full = false;
         for entry in entries {
             if self.log.holds(entry.position) {
                 index = entry.position.index;
@@ -112,7 +113,8 @@
             if entry.position.index <= self.log.last().index {
                 self.remove_from(entry.position.index);
             }
-            if self.log.len() >= self.settings.max_log_entries {
+            if self.is_log_over_full() {
+                full = true;
                 break;
             }
             index = entry.position.index;
@@ -125,7 +127,11 @@
         if !added.is_empty() {
             self.out.writes.push(Write::Append(added));
         }
-        Outcome::Matched { index }
+        if full {
+            Outcome::Full { index }
+        } else {
+            Outcome::Matched { index }
+        }
     }
 
     fn remove_from(&mut self, from: u64) {
@@ -206,16 +212,16 @@
         // The snapshot is durable before the log shrinks, because earlier entries of the log may
         // have been counted towards a majority.
         self.out.writes.push(Write::Snapshot(snapshot.clone()));
-        if self.log.last().index > position.index {
+        if self.log.last().index >= position.index {
             self.out.writes.push(Write::Truncate {
-                from: position.index + 1,
+                from: position.index,
             });
         }
         self.log = Log::new(position);
         self.history = History::new(position.index, snapshot.membership.clone());
         self.commit = position.index;
         self.applied_bytes = 0;
-        self.snapshot_requested = position.index;
+        self.snapshot_asked = None;
         self.snapshot = snapshot.clone();
         self.out.applies.push(Action::Restore(snapshot));
         self.settle_probes();
--- a/crates/azurelug-coordination/src/raft/leader.rs
+++ b/crates/azurelug-coordination/src/raft/leader.rs
@@ -116,9 +116,8 @@
     }
 
     fn is_full(&self) -> bool {
-        self.log.last().index - self.commit >= self.settings.max_uncommitted
-            || self.log.len() >= self.settings.max_log_entries
-            || self.log.bytes() >= self.settings.max_log_bytes
+        let uncommitted = self.log.last().index - self.commit;
+        uncommitted >= self.settings.max_uncommitted || self.is_log_full()
     }
 
     pub(super) fn on_transfer(&mut self, token: u64, to: Option<Member>, now: Duration) {
@@ -202,6 +201,7 @@
             self.send_heartbeat(member, now);
         }
         self.continue_transfer();
+        self.request_snapshot();
         self.maintain_membership(now);
         self.tick_probe(now);
     }
@@ -322,9 +322,12 @@
         };
         progress.storage = Some(storage);
         match outcome {
-            Outcome::Matched { index } if index > last => return,
-            Outcome::Matched { index } => {
+            Outcome::Matched { index } | Outcome::Full { index } if index > last => return,
+            Outcome::Matched { index } | Outcome::Full { index } => {
                 progress.match_to(index);
+                if matches!(outcome, Outcome::Full { .. }) {
+                    progress.pause();
+                }
                 self.advance_commit(now);
                 self.continue_transfer();
             }
--- a/crates/azurelug-coordination/src/raft/member.rs
+++ b/crates/azurelug-coordination/src/raft/member.rs
@@ -181,6 +181,9 @@
                     return Err("the cluster has its full number of voters; demote one first");
                 }
                 next.seats[position].standing = Standing::Voter;
+                // A demoted earlier incarnation of the slot has lost its disk and never returns.
+                next.seats
+                    .retain(|seat| seat.member.slot != member.slot || seat.member == member);
             }
             Change::Demote(_) => {
                 next.seats[position].standing = Standing::Learner { replaces: false }
--- a/crates/azurelug-coordination/src/raft/message.rs
+++ b/crates/azurelug-coordination/src/raft/message.rs
@@ -133,6 +133,12 @@
         /// Last index known to match.
         index: u64,
     },
+    /// As `Matched`, but the receiver's log is full until it is compacted. The sender waits for the
+    /// next heartbeat, or both would exchange the same entries without pause.
+    Full {
+        /// Last index known to match.
+        index: u64,
+    },
     /// The log does not hold the position before the entries.
     Missing {
         /// Index that was missing or had another term.
--- a/crates/azurelug-coordination/src/raft/progress.rs
+++ b/crates/azurelug-coordination/src/raft/progress.rs
@@ -55,6 +55,14 @@
         self.in_flight.clear();
     }
 
+    /// Sends nothing before the next heartbeat.
+    pub(super) fn pause(&mut self) {
+        if !matches!(self.mode, Mode::Sending { .. }) {
+            self.probe_from(self.matched + 1);
+            self.mode = Mode::Probing { waiting: true };
+        }
+    }
+
     /// Records that the member's log matches up to `index`.
     pub(super) fn match_to(&mut self, index: u64) {
         self.matched = self.matched.max(index);
--- a/crates/azurelug-coordination/src/raft/settings.rs
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg64;
 use thiserror::Error;
 
-use super::event::{Snapshot, VoteRecord};
+use super::event::{Snapshot, VoteRecord, Write};
 use super::log::{Entry, Log, Payload, Position};
 use super::member::{History, Member, Membership};
 
@@ -35,9 +35,10 @@
     pub max_in_flight: usize,
     /// Largest number of entries that wait for commitment.
     pub max_uncommitted: u64,
-    /// Largest number of entries in the log. Proposals are refused beyond it.
+    /// Largest number of entries in the log. A leader refuses commands beyond it, a follower
+    /// refuses entries beyond twice this.
     pub max_log_entries: usize,
-    /// Largest size of the log in bytes. Proposals are refused beyond it.
+    /// Largest size of the log in bytes, applied in the same way.
     pub max_log_bytes: usize,
     /// Entries applied since the last snapshot at which the next one is requested.
     pub snapshot_entries: u64,
@@ -103,7 +104,11 @@
             self.max_waiting_probes,
             self.chunk_bytes,
         ];
-        let sizes = self.chunk_bytes <= 256 * 1024 && self.max_members >= self.max_voters;
+        // Compaction has to make room even when everything uncommitted is still in the log.
+        let retained = self.snapshot_entries + self.kept_entries + self.max_uncommitted;
+        let sizes = self.chunk_bytes <= 256 * 1024
+            && self.max_members >= self.max_voters
+            && self.max_log_entries as u64 >= retained;
         if times && sizes && counts.iter().all(|&count| count > 0) {
             Ok(())
         } else {
@@ -212,11 +217,18 @@
     NoVoteRecord,
 }
 
+/// Checked durable state.
+pub(super) struct Checked {
+    pub(super) record: VoteRecord,
+    pub(super) snapshot: Snapshot,
+    pub(super) log: Log,
+    pub(super) history: History,
+    /// Makes the disk agree with the log.
+    pub(super) repair: Option<Write>,
+}
+
 /// Checks what was read and builds the log from it.
-pub(super) fn recover(
-    recovered: Recovered,
-    new_storage: u64,
-) -> Result<(VoteRecord, Snapshot, Log, History), StartError> {
+pub(super) fn recover(recovered: Recovered, new_storage: u64) -> Result<Checked, StartError> {
     let Recovered {
         cluster,
         slot,
@@ -251,14 +263,16 @@
     let base = snapshot.position;
     let mut log = Log::new(base);
     let mut history = History::new(base.index, snapshot.membership.clone());
-    // A crash between the writes of an installed snapshot leaves entries of another history.
+    // A crash between the writes of an installed snapshot leaves entries of another history. They
+    // are removed from the disk too, or they would contradict the entries written next.
     let conflict = entries
         .iter()
         .any(|entry| entry.position.index == base.index && entry.position.term != base.term);
-    for entry in entries
+    let repair = conflict.then_some(Write::Truncate { from: base.index });
+    let above = entries
         .into_iter()
-        .filter(|entry| entry.position.index > base.index && !conflict)
-    {
+        .filter(|entry| entry.position.index > base.index && !conflict);
+    for entry in above {
         let expected = log.last().index + 1;
         if entry.position.index != expected {
             return Err(StartError::Gap { index: expected });
@@ -268,5 +282,11 @@
         }
         log.push(entry);
     }
-    Ok((record, snapshot, log, history))
+    Ok(Checked {
+        record,
+        snapshot,
+        log,
+        history,
+        repair,
+    })
 }
--- a/crates/azurelug-coordination/src/raft/snapshot.rs
+++ b/crates/azurelug-coordination/src/raft/snapshot.rs
@@ -6,24 +6,42 @@
 use super::event::Snapshot;
 use super::log::Position;
 use super::progress::Mode;
-use super::{Action, Body, Member, Node, Write};
+use super::{Body, Member, Node, Write};
+
+/// Interval at which an unanswered request for a snapshot is repeated. Without it, a full log on
+/// one member could keep a majority from forming for good.
+const REPEAT: Duration = Duration::from_secs(5);
 
 impl Node {
-    /// Asks for a snapshot once enough has been applied since the last one.
+    /// Asks for a snapshot once enough has been applied since the last one, or once the log is full.
     pub(super) fn request_snapshot(&mut self) {
         let entries = self.commit - self.snapshot.position.index;
         let due = entries >= self.settings.snapshot_entries
-            || self.applied_bytes >= self.settings.snapshot_bytes;
-        let repeat = self.snapshot_requested <= self.snapshot.position.index
-            || self.commit - self.snapshot_requested >= self.settings.snapshot_entries;
+            || self.applied_bytes >= self.settings.snapshot_bytes
+            || (entries > 0 && self.is_log_full());
+        let repeat = self
+            .snapshot_asked
+            .is_none_or(|asked| self.now >= asked + REPEAT);
         if due && repeat {
-            self.snapshot_requested = self.commit;
-            self.out
-                .last
-                .push(Action::TakeSnapshot { index: self.commit });
+            self.snapshot_asked = Some(self.now);
+            self.out.snapshot = true;
         }
     }
 
+    /// Whether a leader accepts no more commands until the log is compacted.
+    pub(super) fn is_log_full(&self) -> bool {
+        self.log.len() >= self.settings.max_log_entries
+            || self.log.bytes() >= self.settings.max_log_bytes
+    }
+
+    /// Whether a follower accepts no more entries until the log is compacted. The limit is twice a
+    /// leader's, because a restarted follower learns what is committed, and may be compacted, only
+    /// after it has accepted the first entry of a new leader.
+    pub(super) fn is_log_over_full(&self) -> bool {
+        self.log.len() >= 2 * self.settings.max_log_entries
+            || self.log.bytes() >= 2 * self.settings.max_log_bytes
+    }
+
     pub(super) fn on_snapshot_taken(&mut self, index: u64, data: Arc<[u8]>) {
         let newer = index > self.snapshot.position.index && index <= self.commit;
         let term = self.log.term_at(index).filter(|_| newer);
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/faults.rs
@@ -0,0 +1,237 @@
+//! The faults of a schedule, and the recovery expected after the last one.
+
+use azurelug_coordination::raft::{Change, Event, Member, Membership, Message, Standing};
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use super::disk::Disk;
+use super::{Item, MS, World};
+
+impl World {
+    pub(crate) fn transmit(&mut self, from: usize, message: &Message) {
+        let to = usize::from(message.to.slot);
+        let cut = self
+            .cuts
+            .get(&(from, to))
+            .is_some_and(|end| *end > self.time);
+        if cut || self.random.random_bool(self.loss) {
+            self.counts.dropped += 1;
+            return;
+        }
+        let copies = 1 + usize::from(self.random.random_bool(self.duplication));
+        self.counts.duplicated += copies as u64 - 1;
+        for _ in 0..copies {
+            let mut delay = self.random.random_range(200..2 * MS);
+            if self.random.random_bool(self.delay) {
+                self.counts.reordered += 1;
+                delay += self.random.random_range(0..1500 * MS);
+            }
+            self.messages.push(Some(message.clone()));
+            self.push(self.time + delay, Item::Deliver(self.messages.len() - 1));
+        }
+    }
+
+    pub(crate) fn fault(&mut self) -> Result<(), String> {
+        let any = self.random.random_range(0..self.hosts.len());
+        let leader = self.leader_host().filter(|_| self.random.random_bool(0.4));
+        let host = leader.unwrap_or(any);
+        let span = self.random.random_range(50..3500) * MS;
+        match self.random.random_range(0..16) {
+            0..=2 => {
+                self.counts.kills += 1;
+                self.kill(host);
+            }
+            3..=4 => self.lose_disk(host),
+            5 => self.hosts[host].tears = true,
+            6..=8 => self.cut(host, span),
+            9..=10 => self.freeze(host, span),
+            11..=12 => {
+                self.loss = *self.pick(&[0.0, 0.0, 0.03, 0.2]);
+                self.duplication = *self.pick(&[0.0, 0.05, 0.3]);
+                self.delay = *self.pick(&[0.0, 0.0, 0.03, 0.2]);
+            }
+            13 => {
+                self.counts.transfers += 1;
+                self.step(host, Event::Transfer { token: 0, to: None })?;
+            }
+            _ => self.change_membership(host)?,
+        }
+        Ok(())
+    }
+
+    fn pick<'a>(&mut self, choices: &'a [f64]) -> &'a f64 {
+        &choices[self.random.random_range(0..choices.len())]
+    }
+
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.hosts[host].process = None;
+        self.hosts[host].tears = false;
+        let pause = self.random.random_range(5..2500) * MS;
+        self.push(self.time + pause, Item::Start(host));
+    }
+
+    /// Loses the disk unless too few intact voters would remain, which nothing can survive.
+    fn lose_disk(&mut self, host: usize) {
+        let lost = self.hosts[host].disk.vote.map(|record| record.member);
+        let Some(lost) = lost else { return };
+        let committed = self.model.membership_index;
+        let pending = self.proposed.iter().filter(|(index, _)| *index > committed);
+        let pending = pending.map(|(_, membership)| membership);
+        let disks = self.hosts.iter().filter_map(|host| host.disk.membership());
+        let survives = disks
+            .chain(pending)
+            .chain([&self.model.membership])
+            .all(|membership| {
+                let intact = membership
+                    .voters()
+                    .filter(|&voter| voter != lost && self.is_intact(voter));
+                intact.count() >= membership.majority()
+            });
+        if survives {
+            self.counts.lost_disks += 1;
+            self.hosts[host].disk = Disk::default();
+            self.kill(host);
+        }
+    }
+
+    /// Cuts links of `host`: all or one, both ways or one way.
+    fn cut(&mut self, host: usize, span: u64) {
+        let end = self.time + span;
+        let only = self.random.random_range(0..self.hosts.len());
+        let single = self.random.random_bool(0.3);
+        let direction = self.random.random_range(0..4);
+        if direction < 2 {
+            self.counts.one_way_cuts += 1;
+        } else {
+            self.counts.cuts += 1;
+        }
+        for other in (0..self.hosts.len()).filter(|&other| !single || other == only) {
+            if direction != 0 {
+                self.cuts.insert((host, other), end);
+            }
+            if direction != 1 {
+                self.cuts.insert((other, host), end);
+            }
+        }
+    }
+
+    fn freeze(&mut self, host: usize, span: u64) {
+        if self.hosts[host].process.is_some() {
+            self.counts.freezes += 1;
+            self.hosts[host].frozen_until = self.time + span;
+            self.push(self.time + span, Item::Thaw(host));
+        }
+    }
+
+    pub(crate) fn thaw(&mut self, host: usize) -> Result<(), String> {
+        if self.hosts[host].frozen_until > self.time {
+            return Ok(());
+        }
+        let mut events: Vec<Event> = self.hosts[host]
+            .backlog
+            .drain(..)
+            .map(Event::Receive)
+            .collect();
+        events.push(Event::Tick);
+        if self.random.random_bool(0.5) {
+            events.shuffle(&mut self.random);
+        }
+        for event in events {
+            self.step(host, event)?;
+        }
+        Ok(())
+    }
+
+    /// Asks for a membership change that leaves a majority of intact voters.
+    fn change_membership(&mut self, host: usize) -> Result<(), String> {
+        let Some(process) = &self.hosts[host].process else {
+            return Ok(());
+        };
+        let membership = process.node.state().membership;
+        let seats = &membership.seats;
+        if seats.is_empty() {
+            return Ok(());
+        }
+        let seat = seats[self.random.random_range(0..seats.len())];
+        let change = match seat.standing {
+            Standing::Learner { .. } => Change::Promote(seat.member),
+            Standing::Voter if self.random.random_bool(0.5) => Change::Demote(seat.member),
+            Standing::Voter => Change::Remove(seat.member),
+        };
+        let promoted = matches!(change, Change::Promote(_)).then_some(seat.member);
+        let voters: Vec<Member> = membership.voters().collect();
+        let kept = voters.iter().copied().filter(|&voter| voter != seat.member);
+        let after: Vec<Member> = kept.chain(promoted).collect();
+        let intact = after.iter().filter(|&&voter| self.is_intact(voter)).count();
+        // A removed host is set up anew after the schedule, so a minority may be removed at a time.
+        if intact < after.len() / 2 + 1 || after.len() < 2 {
+            return Ok(());
+        }
+        self.counts.membership_changes += 1;
+        self.step(host, Event::Change { token: 0, change })
+    }
+
+    /// Ends all faults. Hosts that were removed from the cluster are set up as an operator would.
+    pub(crate) fn heal(&mut self) {
+        self.faulty = false;
+        self.acknowledged_then = self.counts.acknowledged;
+        self.cuts.clear();
+        (self.loss, self.duplication, self.delay) = (0.0, 0.0, 0.0);
+        for host in 0..self.hosts.len() {
+            self.hosts[host].tears = false;
+            self.push(self.time + 1, Item::Start(host));
+            if self.hosts[host].frozen_until > self.time {
+                self.hosts[host].frozen_until = self.time;
+                self.push(self.time, Item::Thaw(host));
+            }
+        }
+    }
+
+    /// Whether nothing is left to replicate or repair.
+    pub(crate) fn is_settled(&self) -> bool {
+        let last = self.model.last();
+        let membership = &self.model.membership;
+        let whole = |membership: &Membership| {
+            // A replacement waits while an operator has filled the voters' places with others.
+            let full = membership.voters().count() >= self.settings.max_voters;
+            membership.seats.iter().all(|seat| {
+                self.is_intact(seat.member)
+                    && (full || seat.standing != (Standing::Learner { replaces: true }))
+            })
+        };
+        let level = self.hosts.iter().all(|host| {
+            let process = host.process.as_ref();
+            process.is_some_and(|process| {
+                process.machine.applied == last
+                    && process.node.state().last.index == last
+                    && membership.seat(process.node.member()).is_some()
+            })
+        });
+        level && whole(membership)
+    }
+
+    /// Whether every host is a member and has applied a command proposed after the last fault.
+    pub(crate) fn has_recovered(&mut self) -> bool {
+        let expelled: Vec<usize> = (0..self.hosts.len())
+            .filter(|&host| {
+                let record = self.hosts[host].disk.vote;
+                record.is_some_and(|record| self.was_removed(record.member))
+            })
+            .collect();
+        for host in expelled {
+            self.hosts[host].disk = Disk::default();
+            self.kill(host);
+        }
+        self.counts.acknowledged > self.acknowledged_then && self.is_settled()
+    }
+
+    fn was_removed(&self, member: Member) -> bool {
+        let membership = &self.model.membership;
+        let given = membership
+            .incarnations
+            .iter()
+            .find(|(slot, _)| *slot == member.slot);
+        membership.seat(member).is_none()
+            && given.is_some_and(|(_, highest)| *highest >= member.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/host.rs
@@ -0,0 +1,58 @@
+//! One simulated host and its process.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurelug_coordination::raft::{Message, Node};
+
+use super::Time;
+use super::disk::Disk;
+use super::model::Machine;
+
+pub(crate) struct Host {
+    pub(crate) disk: Disk,
+    pub(crate) process: Option<Process>,
+    /// Number of process starts so far.
+    pub(crate) runs: u64,
+    pub(crate) tick_at: Time,
+    pub(crate) frozen_until: Time,
+    /// Messages that arrived while the process was frozen.
+    pub(crate) backlog: Vec<Message>,
+    /// The process dies during the next write.
+    pub(crate) tears: bool,
+}
+
+pub(crate) struct Process {
+    pub(crate) node: Node,
+    pub(crate) machine: Machine,
+    pub(crate) started: Time,
+    /// Speed of the process's clock.
+    pub(crate) rate: f64,
+    /// Term and command of each proposal, by index.
+    pub(crate) proposals: BTreeMap<u64, (u64, Vec<u8>)>,
+}
+
+impl Host {
+    pub(crate) fn new(disk: Disk) -> Self {
+        Self {
+            disk,
+            process: None,
+            runs: 0,
+            tick_at: 0,
+            frozen_until: 0,
+            backlog: Vec::new(),
+            tears: false,
+        }
+    }
+}
+
+impl Process {
+    pub(crate) fn clock(&self, time: Time) -> Duration {
+        Duration::from_nanos(((time - self.started) as f64 * 1000.0 * self.rate) as u64)
+    }
+
+    /// Simulated time at which the process's clock shows `clock`.
+    pub(crate) fn real(&self, clock: Duration) -> Time {
+        self.started + (clock.as_nanos() as f64 / 1000.0 / self.rate) as u64
+    }
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -0,0 +1,433 @@
+//! Seeded schedules of faults against real nodes on simulated disks, clocks and links.
+
+mod counts;
+mod disk;
+mod faults;
+mod host;
+mod model;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use azurelug_coordination::raft::{
+    Action, Event, Member, Membership, Message, Node, Payload, Recovered, Role, Settings, Start,
+    Write,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub(crate) use counts::Counts;
+use disk::Disk;
+use host::{Host, Process};
+use model::{Machine, Model};
+
+/// Simulated microseconds.
+type Time = u64;
+const MS: Time = 1000;
+const CLUSTER: u128 = 77;
+/// Time after the last fault within which the cluster has to recover fully.
+const RECOVERY: Time = 60_000 * MS;
+
+/// More steps than any schedule needs; reached when messages beget messages without end.
+const MAX_STEPS: u64 = 200_000;
+
+/// Something that happens at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Item {
+    Deliver(usize),
+    Tick { host: usize, run: u64 },
+    Start(usize),
+    Thaw(usize),
+    Client,
+    Fault,
+}
+
+pub(crate) struct World {
+    random: Pcg64,
+    time: Time,
+    settings: Settings,
+    hosts: Vec<Host>,
+    queue: BinaryHeap<Reverse<(Time, u64, Item)>>,
+    queued: u64,
+    /// Messages under way; `None` once delivered.
+    messages: Vec<Option<Message>>,
+    /// End of the cut of each link, by sending and receiving host.
+    cuts: BTreeMap<(usize, usize), Time>,
+    loss: f64,
+    duplication: f64,
+    delay: f64,
+    faulty: bool,
+    /// Number of acknowledged commands when the faults ended.
+    acknowledged_then: u64,
+    next_command: u64,
+    model: Model,
+    /// Index and content of each membership proposed after the committed one.
+    proposed: Vec<(u64, Membership)>,
+    counts: Counts,
+}
+
+/// Runs the schedule of `seed` with 3 or 5 voters and, in some schedules, one learner.
+pub(crate) fn run(seed: u64) -> Result<Counts, String> {
+    let mut world = World::new(seed);
+    match world.run() {
+        Ok(()) => Ok(world.counts),
+        Err(error) => Err(format!("seed {seed} at {} us: {error}", world.time)),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let voters: u16 = if random.random_bool(0.6) { 3 } else { 5 };
+        let learners = u16::from(random.random_bool(0.4));
+        let slots: Vec<u16> = (0..voters).collect();
+        let hosts = (0..voters + learners).map(|slot| {
+            let disk = if slot < voters {
+                let storage = 1000 + u64::from(slot);
+                Disk::initialized(Recovered::initialize(CLUSTER, slot, &slots, storage))
+            } else {
+                Disk::default()
+            };
+            Host::new(disk)
+        });
+        let hosts: Vec<Host> = hosts.collect();
+        let settings = Settings {
+            peers: (0..voters + learners).collect(),
+            max_batch_entries: random.random_range(1..6),
+            max_in_flight: random.random_range(1..5),
+            max_uncommitted: 40,
+            max_log_entries: 100,
+            snapshot_entries: random.random_range(8..48),
+            kept_entries: random.random_range(0..12),
+            chunk_bytes: random.random_range(40..400),
+            max_waiting_probes: 2,
+            ..Settings::default()
+        };
+        Self {
+            random,
+            time: MS,
+            settings,
+            hosts,
+            queue: BinaryHeap::new(),
+            queued: 0,
+            messages: Vec::new(),
+            cuts: BTreeMap::new(),
+            loss: 0.0,
+            duplication: 0.0,
+            delay: 0.0,
+            faulty: true,
+            acknowledged_then: 0,
+            next_command: 0,
+            model: Model::new(&slots),
+            proposed: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        for host in 0..self.hosts.len() {
+            let start = self.random.random_range(0..300 * MS);
+            self.push(start, Item::Start(host));
+        }
+        self.push(2000 * MS, Item::Fault);
+        self.push(1000 * MS, Item::Client);
+        let end = self.random.random_range(6000..20_000) * MS;
+        self.run_until(end, |_| false)?;
+        self.heal();
+        let goal = end + RECOVERY;
+        if !self.run_until(goal, World::has_recovered)? {
+            return Err(format!(
+                "not recovered {RECOVERY} us after the last fault: {}",
+                self.dump()
+            ));
+        }
+        let voters = self.model.membership.voters();
+        self.counts.replaced_members += voters.filter(|voter| voter.incarnation > 1).count() as u64;
+        Ok(())
+    }
+
+    fn run_until(&mut self, end: Time, done: fn(&mut Self) -> bool) -> Result<bool, String> {
+        while let Some(Reverse((time, _, item))) = self.queue.pop() {
+            if time > end {
+                self.push(time, item);
+                return Ok(false);
+            }
+            self.time = time;
+            let check = item == Item::Client;
+            self.handle(item)?;
+            if check && done(self) {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    fn push(&mut self, time: Time, item: Item) {
+        self.queued += 1;
+        self.queue.push(Reverse((time, self.queued, item)));
+    }
+
+    fn handle(&mut self, item: Item) -> Result<(), String> {
+        match item {
+            Item::Deliver(place) => {
+                let Some(message) = self.messages[place].take() else {
+                    return Ok(());
+                };
+                let host = usize::from(message.to.slot);
+                if self.hosts[host].frozen_until > self.time {
+                    self.hosts[host].backlog.push(message);
+                    return Ok(());
+                }
+                self.step(host, Event::Receive(message))
+            }
+            Item::Tick { host, run } => {
+                let state = &self.hosts[host];
+                let current = state.runs == run && state.tick_at == self.time;
+                if !current || state.frozen_until > self.time {
+                    return Ok(());
+                }
+                self.step(host, Event::Tick)
+            }
+            Item::Start(host) => self.start(host),
+            Item::Thaw(host) => self.thaw(host),
+            Item::Client => self.client(),
+            Item::Fault => {
+                if self.faulty {
+                    let pause = self.random.random_range(30..700) * MS;
+                    self.push(self.time + pause, Item::Fault);
+                    self.fault()?;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn start(&mut self, host: usize) -> Result<(), String> {
+        if self.hosts[host].process.is_some() {
+            return Ok(());
+        }
+        // The ratio of the extremes is 1.01, the bound on relative drift.
+        let rate = match self.random.random_range(0..4) {
+            0 => 0.99503,
+            1 => 1.00497,
+            _ => self.random.random_range(0.99503..1.00497),
+        };
+        self.counts.drifting_starts += 1;
+        let state = &mut self.hosts[host];
+        let recovered = state.disk.recover(CLUSTER, host as u16);
+        let mut machine = Machine::default();
+        if let Some(snapshot) = &state.disk.snapshot {
+            machine.restore(snapshot);
+        }
+        let random = Pcg64::seed_from_u64(self.random.random());
+        let start = Start {
+            settings: self.settings.clone(),
+            recovered,
+            random,
+        };
+        let node = Node::new(start, Duration::ZERO).map_err(|error| error.to_string())?;
+        state.runs += 1;
+        state.tick_at = 0;
+        state.frozen_until = 0;
+        state.backlog.clear();
+        let proposals = BTreeMap::new();
+        state.process = Some(Process {
+            node,
+            machine,
+            started: self.time,
+            rate,
+            proposals,
+        });
+        self.schedule_tick(host);
+        Ok(())
+    }
+
+    fn schedule_tick(&mut self, host: usize) {
+        let late = self.random.random_range(1..3 * MS);
+        let state = &mut self.hosts[host];
+        let Some(process) = &state.process else {
+            return;
+        };
+        let due = process.real(process.node.next_deadline()).max(self.time) + late;
+        if state.tick_at <= self.time || due < state.tick_at || state.tick_at + 20 * MS < due {
+            state.tick_at = due;
+            let run = state.runs;
+            self.push(due, Item::Tick { host, run });
+        }
+    }
+
+    fn step(&mut self, host: usize, event: Event) -> Result<(), String> {
+        let Some(process) = &mut self.hosts[host].process else {
+            return Ok(());
+        };
+        let now = process.clock(self.time);
+        let actions = process.node.step(event, now);
+        self.counts.steps += 1;
+        if self.counts.steps > MAX_STEPS {
+            return Err(format!("more than {MAX_STEPS} steps: {}", self.dump()));
+        }
+        self.carry_out(host, actions)?;
+        self.schedule_tick(host);
+        Ok(())
+    }
+
+    fn carry_out(&mut self, host: usize, actions: Vec<Action>) -> Result<(), String> {
+        let rank = |action: &Action| match action {
+            Action::Persist(_) => 0,
+            Action::Send(_) => 1,
+            _ => 2,
+        };
+        if !actions.is_sorted_by_key(rank) {
+            return Err(format!("actions out of order: {actions:?}"));
+        }
+        let writes = actions.iter().filter(|action| rank(action) == 0).count();
+        let tears = writes > 0 && std::mem::take(&mut self.hosts[host].tears);
+        let mut intact = if tears {
+            self.random.random_range(0..writes)
+        } else {
+            usize::MAX
+        };
+        for action in actions {
+            match action {
+                Action::Persist(write) if intact == 0 => {
+                    let entries = self.random.random_range(0..4);
+                    self.hosts[host].disk.write_torn(write, entries);
+                    self.counts.torn_writes += 1;
+                    self.kill(host);
+                    return Ok(());
+                }
+                Action::Persist(write) => {
+                    intact -= 1;
+                    self.note_memberships(&write);
+                    self.hosts[host].disk.write(write);
+                }
+                Action::Send(message) => self.transmit(host, &message),
+                other => self.observe(host, other)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Remembers memberships that may still be on their way to some member.
+    fn note_memberships(&mut self, write: &Write) {
+        let Write::Append(entries) = write else {
+            return;
+        };
+        let committed = self.model.membership_index;
+        self.proposed.retain(|(index, _)| *index > committed);
+        for entry in entries {
+            if let Payload::Membership(membership) = &entry.payload {
+                self.proposed
+                    .push((entry.position.index, membership.clone()));
+            }
+        }
+    }
+
+    /// Compares what a process does with the model.
+    fn observe(&mut self, host: usize, action: Action) -> Result<(), String> {
+        let run = self.hosts[host].runs;
+        let Some(process) = &mut self.hosts[host].process else {
+            return Ok(());
+        };
+        match action {
+            Action::Apply(entry) => {
+                self.model.apply(&mut process.machine, &entry)?;
+                let proposed = process.proposals.remove(&entry.position.index);
+                if let Some((term, command)) = proposed
+                    && term == entry.position.term
+                {
+                    if entry.payload != Payload::Command(command) {
+                        return Err(format!("another command at {:?}", entry.position));
+                    }
+                    self.counts.acknowledged += 1;
+                    self.model.acknowledge(self.time, entry.position.index);
+                }
+            }
+            Action::Restore(snapshot) => {
+                self.model.check_snapshot(&snapshot)?;
+                process.machine.restore(&snapshot);
+                self.counts.restored_snapshots += 1;
+            }
+            Action::Fresh { as_of } => {
+                self.counts.fresh_reads += 1;
+                self.model
+                    .check_fresh(process.machine.applied, process.real(as_of))?;
+            }
+            Action::RoleChanged {
+                role: Role::Leader,
+                term,
+                ..
+            } => {
+                self.counts.elections += 1;
+                self.model.lead(term, process.node.member(), run)?;
+            }
+            Action::TakeSnapshot { index } => {
+                let applied = process.machine.applied;
+                if index != applied {
+                    return Err(format!(
+                        "asked for a snapshot at {index}, applied is {applied}"
+                    ));
+                }
+                let data = process.machine.encode().into();
+                if self.random.random_bool(0.9) {
+                    self.step(host, Event::SnapshotTaken { index, data })?;
+                }
+            }
+            // Token 0 marks membership changes.
+            Action::Proposed { token, position } if token > 0 => {
+                let proposal = (position.term, token.to_be_bytes().to_vec());
+                process.proposals.insert(position.index, proposal);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Proposes one command, mostly to a leader.
+    fn client(&mut self) -> Result<(), String> {
+        let pause = self.random.random_range(3..90) * MS;
+        self.push(self.time + pause, Item::Client);
+        let leader = self.leader_host().filter(|_| self.random.random_bool(0.85));
+        let host = leader.unwrap_or_else(|| self.random.random_range(0..self.hosts.len()));
+        let enough = !self.faulty && self.counts.acknowledged > self.acknowledged_then;
+        if self.hosts[host].frozen_until > self.time || enough {
+            return Ok(());
+        }
+        self.next_command += 1;
+        let token = self.next_command;
+        self.step(
+            host,
+            Event::Propose {
+                token,
+                command: token.to_be_bytes().to_vec(),
+            },
+        )
+    }
+
+    fn leader_host(&self) -> Option<usize> {
+        let leads = |host: &Host| {
+            host.process
+                .as_ref()
+                .is_some_and(|process| process.node.state().role == Role::Leader)
+        };
+        self.hosts.iter().position(leads)
+    }
+
+    /// Whether the member's identity is the one on its host's disk.
+    fn is_intact(&self, member: Member) -> bool {
+        let record = self.hosts[usize::from(member.slot)].disk.vote;
+        record.is_some_and(|record| record.member == member)
+    }
+
+    fn dump(&self) -> String {
+        let states = self.hosts.iter().map(|host| {
+            let process = host.process.as_ref();
+            process.map(|process| serde_json::to_string(&process.node.state()).unwrap_or_default())
+        });
+        states
+            .map(|state| format!("\n{}", state.unwrap_or_default()))
+            .collect()
+    }
+}
