control: move the watermark of expired keys without overdue claims

Cause: the leader proposed Expire only while a claim was overdue. Calls that end in time leave no overdue claim, so the watermark stayed at 0: keys older than 24 h counted as new, and records were never removed, so that the table would fill to its 100,000 records and refuse all bookings. Ruled out: the table itself, which refuses and removes by the watermark as soon as it moves. Change: the leader also proposes Expire when the watermark lags by more than 60 s, one log entry a minute. Filling the table to its limit was not run.

--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -35,6 +35,9 @@
 /// How often a leader looks for claims that are overdue.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How far the watermark of expired keys may lag. Each move of it costs one log entry.
+const WATERMARK_LAG_MS: u64 = 60_000;
+
 /// Why the task ended.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -211,16 +214,23 @@
         self.step(Event::Propose { token, command }, batch);
     }
 
-    /// A leader turns overdue claims unknown.
+    /// A leader turns overdue claims unknown and moves the watermark. The watermark moves without
+    /// overdue claims as well: otherwise records whose calls all ended in time are kept for good, and
+    /// keys older than the retention count as new.
     fn expire(&mut self, batch: &mut Batch) {
+        if self.role != Role::Leader {
+            return;
+        }
         let now_ms = wall_clock_ms();
-        let due = self
-            .machine
-            .read()
-            .expect("no holder of the lock panics")
-            .once()
-            .next_due_ms();
-        if self.role != Role::Leader || due.is_none_or(|due| due > now_ms) {
+        let is_due = {
+            let machine = self.machine.read().expect("no holder of the lock panics");
+            let watermark_due = machine.once().watermark_ms()
+                + once::Limits::default().retention_ms
+                + WATERMARK_LAG_MS;
+            let claim_due = machine.once().next_due_ms().unwrap_or(u64::MAX);
+            now_ms >= claim_due.min(watermark_due)
+        };
+        if !is_due {
             return;
         }
         let command = Command::Once(once::Command::Expire { now_ms });
