--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -17,3 +17,4 @@
 mod slab;
 pub mod slow_start;
 pub mod stream;
+pub mod trace;
--- /dev/null
+++ b/crates/azurelug-core/tests/outcome.rs
@@ -0,0 +1,33 @@
+//! Attacks P5: a refusal that says `not_run` is true.
+
+use azurelug_core::outcome::Ledger;
+use azurelug_types::outcome::Execution;
+
+/// Guards against `not_run` after a byte may have left.
+#[test]
+fn a_request_that_was_sent_is_never_called_not_run() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.execution(), Execution::NotRun);
+    ledger.about_to_send();
+    assert_eq!(ledger.execution(), Execution::Unknown);
+    ledger.was_not_sent();
+    assert_eq!(ledger.execution(), Execution::NotRun);
+    ledger.about_to_send();
+    ledger.about_to_send();
+    ledger.was_not_sent();
+    assert_eq!(
+        ledger.execution(),
+        Execution::Unknown,
+        "one of two calls was sent"
+    );
+}
+
+/// Guards against an answered request that is reported as unknown, or as not run by a late event.
+#[test]
+fn an_answered_request_is_done() {
+    let mut ledger = Ledger::default();
+    ledger.about_to_send();
+    ledger.answered();
+    ledger.was_not_sent();
+    assert_eq!(ledger.execution(), Execution::Done);
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/traces.rs
@@ -0,0 +1,29 @@
+//! Replays the committed traces.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use azurelug_core::trace::Trace;
+
+/// Guarantees that traces of the core can show. P5 has a test of its own, and P8 needs processes.
+const GUARANTEES: [&str; 7] = ["P1", "P2", "P3", "P4", "P6", "P7", "P9"];
+
+/// Guards against a change of the core that breaks a stated outcome, and against a guarantee that
+/// loses its last trace.
+#[test]
+fn every_trace_has_its_stated_outcome() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../traces");
+    let mut shown = BTreeSet::new();
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+        let trace: Trace = serde_json::from_str(&text).unwrap();
+        if let Err(mismatch) = trace.replay() {
+            panic!("{}: {}: {mismatch}", path.display(), trace.failure);
+        }
+        shown.insert(trace.guarantee);
+    }
+    for guarantee in GUARANTEES {
+        assert!(shown.contains(guarantee), "no trace for {guarantee}");
+    }
+}
