--- a/crates/azurelug-core/tests/configuration.rs
+++ b/crates/azurelug-core/tests/configuration.rs
@@ -81,7 +81,7 @@
             let number: u64 = random.random_range(0..150);
             let id = format!("p{number}-{base}");
             let zone = format!("zone-{}", number % 4);
-            let state = if number % 2 == 0 {
+            let state = if number.is_multiple_of(2) {
                 State::Active
             } else {
                 State::Draining
@@ -105,7 +105,7 @@
     let mut store = Store::default();
     let count = KEPT as u64 + 50;
     for number in 0..count {
-        let state = if number % 2 == 0 {
+        let state = if number.is_multiple_of(2) {
             State::Active
         } else {
             State::Draining
