--- a/crates/azurelug-core/src/outlier.rs
+++ b/crates/azurelug-core/src/outlier.rs
@@ -7,6 +7,8 @@
 
 /// Recent samples kept for each target.
 const WINDOW: usize = 32;
+/// The median is computed with every fourth sample, because it costs as much as a routing decision.
+const MEDIAN_EVERY: usize = 4;
 /// Samples needed before a target is judged.
 const MIN_SAMPLES: usize = 8;
 /// A target is slow when its median is over this many times the median of the pool.
@@ -23,6 +25,7 @@
 pub struct Record {
     latencies: [u32; WINDOW],
     latency_count: usize,
+    median: u32,
     results: u32,
     result_count: usize,
     ejected_until: Option<Duration>,
@@ -35,6 +38,7 @@
         Self {
             latencies: [0; WINDOW],
             latency_count: 0,
+            median: 0,
             results: 0,
             result_count: 0,
             ejected_until: None,
@@ -50,6 +54,9 @@
     pub fn success(&mut self, latency: u32) {
         self.latencies[self.latency_count % WINDOW] = latency;
         self.latency_count += 1;
+        if self.latency_count <= MIN_SAMPLES || self.latency_count.is_multiple_of(MEDIAN_EVERY) {
+            self.median = self.compute_median();
+        }
         self.result(false);
     }
 
@@ -62,12 +69,7 @@
     #[must_use]
     pub fn median(&self) -> Option<(u32, usize)> {
         let count = self.latency_count.min(WINDOW);
-        if count == 0 {
-            return None;
-        }
-        let mut samples = self.latencies;
-        let samples = &mut samples[..count];
-        Some((*samples.select_nth_unstable(count / 2).1, count))
+        (count > 0).then_some((self.median, count))
     }
 
     /// Failed calls among the recent ones, in percent, once there are enough of them.
@@ -102,6 +104,12 @@
         until
     }
 
+    fn compute_median(&self) -> u32 {
+        let count = self.latency_count.min(WINDOW);
+        let mut samples = self.latencies;
+        *samples[..count].select_nth_unstable(count / 2).1
+    }
+
     fn result(&mut self, failed: bool) {
         self.results = self.results << 1 | u32::from(failed);
         self.result_count += 1;
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -78,6 +78,7 @@
     random: Pcg32,
     mode: Mode,
     table: Table,
+    own_zone: Option<ZoneKey>,
     slots: Vec<Slot>,
     pools: Vec<Pool>,
     /// The running calls. Bounded by the sum of the targets' limits, which `begin` enforces.
@@ -151,6 +152,7 @@
             random,
             mode: Mode::default(),
             table: Table::default(),
+            own_zone: None,
             slots: Vec::new(),
             pools: Vec::new(),
             calls: Slab::default(),
@@ -187,6 +189,7 @@
             }
         }
         self.table = table;
+        self.own_zone = self.table.zone(&self.settings.zone);
         self.locally_drained.clear();
         self.rebuild_pools(now);
         true
@@ -223,13 +226,14 @@
             _ => {}
         }
         let need = self.table.need(query.need).ok_or(NoTarget::NotConfigured)?;
-        let own = self.table.zone(&self.settings.zone);
-        let local = own.and_then(|zone| self.best(need, zone, query, now));
+        let own = self.own_zone;
+        let cached = self.prefix_holder(query, now);
+        let local = own.and_then(|zone| self.best(need, zone, query, cached, now));
         let own_zone_score = local.and_then(|compared| compared[0]).map(|it| it.score);
         let spill = self.mode == Mode::Normal
             && own_zone_score.is_none_or(|score| score > self.settings.spill_threshold);
         let remote = if spill {
-            self.best_elsewhere(need, own, query, now)
+            self.best_elsewhere(need, query, cached, now)
         } else {
             None
         };
@@ -237,7 +241,7 @@
             (Some(local), Some(remote)) if improves(&remote, &local) => (remote, Step::SpillBusy),
             (Some(local), _) => (local, Step::OwnZone),
             (None, Some(remote)) => (remote, Step::SpillEmpty),
-            (None, None) => return Err(self.no_target(need, own, now)),
+            (None, None) => return Err(self.no_target(need, now)),
         };
         let chosen = compared[0].ok_or(NoTarget::NotConfigured)?.target;
         Ok(Choice {
@@ -309,25 +313,37 @@
         };
         match self.mode {
             Mode::Refuse => false,
-            Mode::Degraded if self.table.zone(&self.settings.zone) != Some(zone) => false,
+            Mode::Degraded if self.own_zone != Some(zone) => false,
             _ => !self.locally_drained.contains(&zone),
         }
     }
 
+    /// An available target that holds a part of the prefix.
+    fn prefix_holder(&mut self, query: &Query<'_>, now: Duration) -> Option<prefix::Match> {
+        if query.prefix.is_empty() {
+            return None;
+        }
+        let pick = self.random.random();
+        let found = self.prefixes.longest(query.prefix, pick, now)?;
+        let usable =
+            self.slots[found.target.0 as usize].available && !query.exclude.contains(&found.target);
+        usable.then_some(found)
+    }
+
     /// The best of the other zones. Each zone costs one comparison.
     fn best_elsewhere(
         &mut self,
         need: usize,
-        own: Option<ZoneKey>,
         query: &Query<'_>,
+        cached: Option<prefix::Match>,
         now: Duration,
     ) -> Option<[Option<Candidate>; 3]> {
         let mut best: Option<[Option<Candidate>; 3]> = None;
         for zone in (0..self.table.zones().len() as u16).map(ZoneKey) {
-            if Some(zone) == own {
+            if Some(zone) == self.own_zone {
                 continue;
             }
-            let Some(compared) = self.best(need, zone, query, now) else {
+            let Some(compared) = self.best(need, zone, query, cached, now) else {
                 continue;
             };
             if best.is_none_or(|best| lower(&compared, &best)) {
@@ -344,6 +360,7 @@
         need: usize,
         zone: ZoneKey,
         query: &Query<'_>,
+        cached: Option<prefix::Match>,
         now: Duration,
     ) -> Option<[Option<Candidate>; 3]> {
         if self.locally_drained.contains(&zone) {
@@ -356,18 +373,10 @@
             &mut self.random,
             2 + exclude.len(),
         );
-        let cached = (!query.prefix.is_empty())
-            .then(|| {
-                self.prefixes
-                    .longest(query.prefix, self.random.random(), now)
-            })
-            .flatten()
-            .filter(|found| {
-                let slot = &self.slots[found.target.0 as usize];
-                slot.available
-                    && !exclude.contains(&found.target)
-                    && slot.places.iter().any(|(pool, _)| *pool == list)
-            });
+        let cached = cached.filter(|found| {
+            let places = &self.slots[found.target.0 as usize].places;
+            places.iter().any(|(pool, _)| *pool == list)
+        });
         let mut compared = [None; 3];
         let drawn = drawn
             .into_iter()
@@ -413,9 +422,11 @@
         }
     }
 
-    fn no_target(&self, need: usize, own: Option<ZoneKey>, now: Duration) -> NoTarget {
+    fn no_target(&self, need: usize, now: Duration) -> NoTarget {
         let members: usize = (0..self.table.zones().len())
-            .filter(|zone| self.mode == Mode::Normal || own == Some(ZoneKey(*zone as u16)))
+            .filter(|zone| {
+                self.mode == Mode::Normal || self.own_zone == Some(ZoneKey(*zone as u16))
+            })
             .map(|zone| self.pools[self.table.list(need, zone)].members().len())
             .sum();
         if members == 0 {
--- a/crates/azurelug-core/src/routing/observe.rs
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -122,7 +122,7 @@
         }
         match self.mode {
             Mode::Refuse => reasons.push(Unused::NoLease),
-            Mode::Degraded if self.table.zone(&self.settings.zone) != Some(entry.zone) => {
+            Mode::Degraded if self.own_zone != Some(entry.zone) => {
                 reasons.push(Unused::OtherZoneWithoutLease);
             }
             _ => {}
