testkit: serve lower priority numbers first, as engines with this interface do

Cause: the entry daemon sends 0 for short and 1 for long calls, and widely used engines with the same HTTP interface document that lower numbers run first; the double ran higher numbers first, so that long calls went ahead of short ones. A fault of the entry daemon was ruled out by that convention.

--- a/crates/azurelug-testkit/src/engine/schedule.rs
+++ b/crates/azurelug-testkit/src/engine/schedule.rs
@@ -3,7 +3,6 @@
 //! Owns the phase of every call. A [`Ticket`] stands for one call and returns its place when it is
 //! dropped, so that a client that disconnects cancels its call.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -34,7 +33,7 @@
 }
 
 /// Higher priorities come first, equal ones in order of arrival.
-type Place = (Reverse<i64>, u64);
+type Place = (i64, u64);
 
 struct Call {
     request_id: String,
@@ -119,7 +118,7 @@
         }
         let id = self.next;
         self.next += 1;
-        let place = (Reverse(priority), id);
+        let place = (priority, id);
         let (phase, receiver) = watch::channel(Phase::Waiting);
         let call = Call {
             request_id,
