--- a/crates/azurelug-testkit/src/engine/schedule.rs
+++ b/crates/azurelug-testkit/src/engine/schedule.rs
@@ -32,7 +32,7 @@
     Failed,
 }
 
-/// Higher priorities come first, equal ones in order of arrival.
+/// Lower numbers come first, equal ones in order of arrival.
 type Place = (i64, u64);
 
 struct Call {
