--- a/crates/azurelug-coordination/tests/once.rs
+++ b/crates/azurelug-coordination/tests/once.rs
@@ -218,6 +218,16 @@
     );
 }
 
+#[test]
+fn a_leader_with_a_late_clock_does_not_move_time_back() {
+    let mut table = Table::new(Limits::default());
+    table.apply(Command::Expire {
+        now_ms: NOW + 10_000,
+    });
+    claimed(table.apply(claim_at(NOW, key(NOW, 1), 1)));
+    assert_eq!(table.next_due_ms(), Some(NOW + 27_000));
+}
+
 #[test]
 fn a_key_from_the_future_is_refused() {
     let mut table = Table::new(Limits::default());
--- /dev/null
+++ b/crates/azurelug-coordination/tests/rate.rs
@@ -0,0 +1,77 @@
+//! Single cases of the shared rate. Random schedules are in `schedules.rs`.
+
+use std::time::Duration;
+
+use azurelug_coordination::lease::Identity;
+use azurelug_coordination::rate::{Grantor, Holder, Rate, Terms};
+use azurelug_coordination::share::Limits;
+
+const RATE: Rate = Rate {
+    per_second: 101,
+    window: Duration::from_secs(1),
+};
+const TERMS: Terms = Terms {
+    term: Duration::from_secs(2),
+    leader_lease: Duration::from_secs(1),
+};
+const NEVER: Duration = Duration::MAX;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn pair() -> (Grantor, Holder) {
+    let grantor = Grantor::new(at(0), 1, RATE, TERMS, Limits::default());
+    let mut holder = Holder::new(
+        at(0),
+        Identity {
+            id: 1,
+            incarnation: 1,
+        },
+        RATE,
+        TERMS,
+    );
+    holder.want(1_000);
+    (grantor, holder)
+}
+
+fn renew(grantor: &mut Grantor, holder: &mut Holder, now: Duration) {
+    let request = holder.request(now);
+    let answer = grantor
+        .request(now, NEVER, &request)
+        .expect("a leader answers");
+    holder.answer(now, &answer);
+}
+
+#[test]
+fn a_new_leader_waits_out_the_leader_lease_and_the_holders_lease() {
+    let (mut grantor, mut holder) = pair();
+    renew(&mut grantor, &mut holder, at(3_079));
+    assert_eq!(grantor.exposed(), 0);
+    renew(&mut grantor, &mut holder, at(3_080));
+    // The drift bound is taken off the rate.
+    assert_eq!(grantor.exposed(), 100);
+}
+
+#[test]
+fn a_leader_whose_lease_has_ended_grants_nothing() {
+    let (mut grantor, mut holder) = pair();
+    let request = holder.request(at(4_000));
+    assert!(grantor.request(at(4_000), at(4_000), &request).is_none());
+}
+
+#[test]
+fn tokens_saved_before_a_lapse_are_dropped() {
+    let (mut grantor, mut holder) = pair();
+    renew(&mut grantor, &mut holder, at(4_000));
+    assert!(!holder.spend(at(4_000), 1));
+    assert!(holder.spend(at(4_500), 50));
+    assert!(!holder.spend(at(4_500), 1));
+    // The grantor has forgotten the holder and first asks for its need.
+    renew(&mut grantor, &mut holder, at(6_990));
+    renew(&mut grantor, &mut holder, at(7_000));
+    assert!(!holder.spend(at(7_000), 1));
+    // At most one window is saved.
+    assert!(!holder.spend(at(8_990), 101));
+    assert!(holder.spend(at(8_990), 100));
+}
--- a/crates/azurelug-coordination/tests/support/once_world.rs
+++ b/crates/azurelug-coordination/tests/support/once_world.rs
@@ -15,7 +15,7 @@
 const WALL_MS: u64 = 1_700_000_000_000;
 const LIMITS: Limits = Limits {
     records: 24,
-    bytes: 24 * 300,
+    bytes: 24 * 270,
     answer_bytes: 20,
     deadline_ms: 6_000,
     grace_ms: 2_000,
@@ -283,19 +283,13 @@
             return Ok(());
         }
         let clock = self.processes[daemon].clock(now);
-        let gives_up = clock >= work.deadline || dice.one_in(300);
-        if !work.sent && work.told.is_none() && gives_up {
-            match work.guard.release() {
-                Release::Propose(command) => work.command = Some(command),
-                Release::NothingHeld => {}
-                Release::Refused => return Err(self.fault_text("an unsent claim was not released")),
-            }
-            work.told = Some(Told::NotRun);
-        }
         // A careless shell tries to send whenever it runs; the guard must refuse.
         if dice.one_in(3) && work.guard.start_send(clock).is_ok() {
             work.sent = true;
-            let body = request.to_be_bytes().to_vec();
+            if clock >= work.deadline {
+                return Err(self.fault_text(&format!("request {request} was sent too late")));
+            }
+            let body = request.to_be_bytes().repeat(2);
             let run = (work.fingerprint, body.clone());
             self.runs.entry(work.id).or_default().push(run);
             if !dice.one_in(6) {
@@ -303,6 +297,15 @@
             }
             self.net.count("call sent");
         }
+        let gives_up = clock >= work.deadline || dice.one_in(300);
+        if !work.sent && work.told.is_none() && gives_up {
+            match work.guard.release() {
+                Release::Propose(command) => work.command = Some(command),
+                Release::NothingHeld => {}
+                Release::Refused => return Err(self.fault_text("an unsent claim was not released")),
+            }
+            work.told = Some(Told::NotRun);
+        }
         if let Some((_, body)) = work.answer.take_if(|(at, _)| *at <= now) {
             work.command = work.guard.record(Answer::whole(200, body));
             work.resend_at = 0;
