core: let a cut-off call widen its stage's share of the deadline

The shares come from the p90 of successful calls; when a stage slows down, its calls are cut off by its small share, nothing is recorded, and the share never grows. Admission was ruled out as the cause, because refusals were only 12%.

--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    pub(crate) fn cut_off(&mut self, kind: usize, short: bool, waited: Duration) {
+        self.latencies
+            .cut_off(self.classes[usize::from(!short)][kind], waited);
+        self.latencies.cut_off(self.classes[2][kind], waited);
+    }
+
     pub(crate) fn may_retry(&mut self, kind: usize, failure: Failure) -> bool {
         match &mut self.rules {
             Rules::Measured(_, _, budgets) => budgets[kind].retry(failure).is_ok(),
--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -144,7 +144,12 @@
             Event::Ask(request) => self.ask(request),
             Event::CallEnd(request, attempt, ok) => self.call_end(request, attempt, ok),
             Event::Timeout(request, attempt) => {
-                if self.requests[request].attempt == attempt {
+                let it = &self.requests[request];
+                if it.attempt == attempt
+                    && let Some((_, _, started, _)) = it.call
+                {
+                    let daemon = &mut self.daemons[it.daemon];
+                    daemon.cut_off(it.kind, it.short, self.now - started);
                     self.call_end(request, attempt, false);
                 }
             }
--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -106,6 +106,13 @@
             .saturating_record(millis);
     }
 
+    /// A call was cut off after `waited` and would have taken longer. It counts twice as long,
+    /// because a stage that has become slow would otherwise keep the small share of the deadline
+    /// that cuts its calls off.
+    pub fn cut_off(&mut self, class: Class, waited: Duration) {
+        self.record(class, waited * 2);
+    }
+
     /// Computes the quantiles and begins a new window when it is time; about once a second.
     pub fn tick(&mut self, now: Duration) {
         for class in &mut self.classes {
