share: walk a holder's targets once for each renewal

Cause: a renewal without changes cost 440 us at 1,900 targets, because it brought the sums of every target up to date twice. Ruled out: skipping unchanged targets by a version number, since under contention the versions change all the time. Change: the sums are updated only for reported needs, acknowledged withdrawals and changed slots. A request with sequence 0 is refused; it added a holder that no timer removed.

--- a/crates/azurelug-coordination/src/share/grantor.rs
+++ b/crates/azurelug-coordination/src/share/grantor.rs
@@ -239,7 +239,8 @@
     ) -> Option<Answer> {
         self.advance(now);
         let holder = request.holder;
-        if request.epoch > self.epoch || request.needs.len() > self.limits.targets {
+        let is_too_long = request.needs.len() > self.limits.targets;
+        if request.epoch > self.epoch || request.sequence == 0 || is_too_long {
             return None;
         }
         if !self.members.contains_key(&holder) {
@@ -255,13 +256,14 @@
             .remove(&holder)
             .expect("the member was just added");
         let answer = if request.sequence > member.sequence {
-            if !member.active {
+            let was_inactive = !member.active;
+            if was_inactive {
                 self.set_timer(holder, &mut member, now + outwait(self.timing.term));
             }
             let heard = member.hear(now, request, self.epoch);
             self.take_needs(now, holder, &mut member, request, turned_cold);
             let full = request.epoch != self.epoch || request.applied <= member.added;
-            let slots = self.divide(now, holder, &mut member, request.applied, full);
+            let slots = self.divide(now, &mut member, request, full, was_inactive);
             let Request { sequence, .. } = *request;
             let number = self.number;
             Some(Answer {
@@ -372,13 +374,7 @@
                 capacity.limit = capacity.limit.min(capacity.cold);
                 turned_cold.push(id);
             }
-        }
-        for (&id, entry) in &mut member.entries {
-            entry.pending = entry
-                .pending
-                .filter(|pending| pending.until > member.applied);
-            let target = self.targets.get_mut(&id).expect("an entry has its target");
-            target.account(now, entry, holder, member.active);
+            target.account(now, entry, holder, true);
         }
     }
 
@@ -386,11 +382,14 @@
     fn divide(
         &mut self,
         now: Duration,
-        holder: Identity,
         member: &mut Member,
-        applied: u64,
+        request: &Request,
         full: bool,
+        was_inactive: bool,
     ) -> Vec<(u32, u32)> {
+        let Request {
+            holder, applied, ..
+        } = *request;
         self.number += 1;
         let settles_at = member.answered_at + self.timing.settled();
         let is_silent = now >= member.acknowledged_at + outwait(self.timing.term);
@@ -399,6 +398,15 @@
         let mut unused = Vec::new();
         for (&id, entry) in &mut member.entries {
             let target = self.targets.get_mut(&id).expect("an entry has its target");
+            let is_settled = entry
+                .pending
+                .is_some_and(|pending| pending.until <= member.applied);
+            if is_settled {
+                entry.pending = None;
+            }
+            if is_settled || was_inactive {
+                target.account(now, entry, holder, true);
+            }
             let share = if is_silent || is_closed {
                 0
             } else {
@@ -407,8 +415,10 @@
             if share < entry.slots {
                 self.pending_timers.insert((settles_at, holder, id));
             }
-            entry.set_slots(share, now, self.number, settles_at);
-            target.account(now, entry, holder, member.active);
+            if share != entry.slots {
+                entry.set_slots(share, now, self.number, settles_at);
+                target.account(now, entry, holder, true);
+            }
             if (full && share > 0) || (!full && entry.changed > applied) {
                 slots.push((id, share));
             } else if entry.is_idle(member.applied) {
