--- a/crates/azurelug-coordination/src/journal/fault.rs
+++ b/crates/azurelug-coordination/src/journal/fault.rs
@@ -2,8 +2,9 @@
 
 use thiserror::Error;
 
-const REMEDY: &str = "restore the file from a copy made while the daemon was stopped, or set the \
-data folder aside so that this member rejoins under a new incarnation";
+/// Restoring single files from a copy is no remedy: an older hard state can repeat a vote.
+const REMEDY: &str =
+    "set the data folder aside, so that this member rejoins under a new incarnation";
 
 /// A fault found in a file. The message names the file, the offset and the remedy.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/azurelug-storage/src/store/recovery.rs
+++ b/crates/azurelug-storage/src/store/recovery.rs
@@ -73,11 +73,17 @@
     };
     let name = snapshot_name(index);
     let bytes = folder.read(&name)?.ok_or_else(|| missing(folder, &name))?;
-    Ok(Some(journal::decode_snapshot(
-        &shown(folder, &name),
-        &bytes,
-        cluster,
-    )?))
+    let file = shown(folder, &name);
+    let snapshot = journal::decode_snapshot(&file, &bytes, cluster)?;
+    if snapshot.index != index {
+        let reason = format!("the snapshot ends at entry {}", snapshot.index);
+        return Err(Error::Fault(Fault::Corrupt {
+            file,
+            offset: 0,
+            reason,
+        }));
+    }
+    Ok(Some(snapshot))
 }
 
 pub(super) fn read_segments(folder: &Folder, generations: &[u64]) -> Result<Vec<Segment>, Error> {
--- a/crates/azurelug-storage/tests/store.rs
+++ b/crates/azurelug-storage/tests/store.rs
@@ -216,6 +216,28 @@
     lose_each("none");
 }
 
+#[test]
+fn a_renamed_file_is_refused_with_its_name_and_the_remedy() {
+    let (base, copied) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+    sample(base.path());
+    let trial = copied.path().join("data");
+    for prefix in ["snapshot-", "journal-"] {
+        copy(base.path(), &trial);
+        let old = names(&trial, prefix).pop().unwrap();
+        let new = trial.join(format!("{prefix}{:020}", 8));
+        fs::rename(old, &new).unwrap();
+        let error = Store::open(&trial, CLUSTER, Files::new())
+            .err()
+            .unwrap()
+            .to_string();
+        assert!(error.contains(new.to_str().unwrap()), "{error}");
+        assert!(
+            error.contains("at byte 0") && error.contains("set the data folder aside"),
+            "{error}"
+        );
+    }
+}
+
 #[test]
 fn a_writer_that_starts_hundreds_of_times_loses_nothing_and_reuses_no_generation() {
     let folder = TempDir::new().unwrap();
