system: add a load example that compares two builds of the entry daemon

Cause: nothing measured refusals (time, execution, retry time) or a daemon beside an earlier build of itself. Ruled out: a separate load generator, because the test kit's caller already checks every answer.

Change: `caller::End::Refused` carries execution, retry time and duration; `System::start_with` takes engine settings; `AZURELUG_ENTRY` names another build of the entry daemon; `examples/load.rs` runs overload, slow or burst.

--- /dev/null
+++ b/crates/azurelug-system/examples/load.rs
@@ -0,0 +1,159 @@
+//! Measures the entry daemon under load: `load overload|slow|burst`.
+//!
+//! Starts a whole system with engines of known speed, warms it up and makes checked calls through one
+//! entry daemon. `AZURELUG_ENTRY` names another build of the entry daemon to compare with.
+
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_http::client::Call;
+use azurelug_system::System;
+use azurelug_testkit::caller::{self, End, Report};
+use azurelug_testkit::engine::{Faults, Settings};
+use azurelug_types::config::StageKind;
+
+/// A short call takes about 3 x 50 ms and 50 ms + 16 x 25 ms. The 24 generate slots of the three
+/// zones complete 53 of them in a second.
+const PREFILL: Duration = Duration::from_millis(50);
+const TOKEN: Duration = Duration::from_millis(25);
+const CAPACITY: u64 = 53;
+
+#[tokio::main]
+async fn main() {
+    let scenario = std::env::args().nth(1).unwrap_or_default();
+    let settings = Settings {
+        prefill: PREFILL,
+        token: TOKEN,
+        queue: 256,
+        ..Settings::default()
+    };
+    let system = System::start_with(settings).await;
+    // Targets start under their cold limits and rise with completed calls.
+    let warm = calls(&system, 240, CAPACITY / 3, 16, 12_000);
+    print("warm-up", &run(warm).await);
+    state(&system).await;
+    match scenario.as_str() {
+        "overload" => {
+            let settings = calls(&system, 12 * 2 * CAPACITY, 2 * CAPACITY, 16, 2_000);
+            print("overload at twice the capacity", &run(settings).await);
+        }
+        "slow" => {
+            let faults = Faults {
+                hang: true,
+                ..Faults::default()
+            };
+            system.zones[0].engines[&StageKind::Rerank].set_faults(faults);
+            let settings = calls(&system, 200, CAPACITY / 3, 16, 12_000);
+            print("one of three rerank engines hangs", &run(settings).await);
+        }
+        "burst" => {
+            let long = calls(&system, 60, 1_000, 128, 12_000);
+            let short = calls(&system, 60, 6, 16, 2_000);
+            let (long, short) = tokio::join!(run(long), run(short));
+            print("60 long calls at once", &long);
+            print("short calls meanwhile", &short);
+        }
+        _ => {
+            eprintln!("load: name a scenario: overload, slow or burst");
+            std::process::exit(2);
+        }
+    }
+    waste(&system).await;
+}
+
+fn calls(
+    system: &System,
+    requests: u64,
+    per_second: u64,
+    max_tokens: u32,
+    deadline_ms: u64,
+) -> caller::Settings {
+    let pause = Duration::from_secs(1) / u32::try_from(per_second).unwrap_or(1);
+    caller::Settings {
+        max_tokens,
+        deadline: Duration::from_millis(deadline_ms),
+        ..system.calls(&[0], requests, pause)
+    }
+}
+
+async fn run(settings: caller::Settings) -> Report {
+    caller::run(settings).await.expect("build the client")
+}
+
+fn print(name: &str, report: &Report) {
+    let mut answered = Vec::new();
+    let mut refused = Vec::new();
+    let mut not_run = 0;
+    let mut without_time = 0;
+    for (_, end) in &report.ends {
+        match end {
+            End::Correct { duration, .. } => answered.push(*duration),
+            End::Refused {
+                duration,
+                execution,
+                retry_after_ms,
+                ..
+            } => {
+                refused.push(*duration);
+                not_run += usize::from(execution == "not_run");
+                without_time += usize::from(retry_after_ms.is_none());
+            }
+            End::Wrong { .. } => {}
+        }
+    }
+    println!("{name}: {} calls", report.ends.len());
+    println!("  answered {} {}", answered.len(), spread(&mut answered));
+    println!("  refused {} {}", refused.len(), spread(&mut refused));
+    println!("    {not_run} not_run, {without_time} without a time to come back");
+    println!("    {:?}", report.refused());
+    println!("  wrong {}", report.wrong().len());
+    if let Some(message) = report.wrong().first() {
+        println!("    {message}");
+    }
+}
+
+fn spread(durations: &mut [Duration]) -> String {
+    durations.sort_unstable();
+    let at = |part: usize| {
+        let place = (durations.len() * part / 100).min(durations.len().saturating_sub(1));
+        durations.get(place).map_or(0, Duration::as_millis)
+    };
+    format!("p50 {} ms, p95 {} ms, max {} ms", at(50), at(95), at(100))
+}
+
+/// Prints what the daemon knows about the engines, and its capacity.
+async fn state(system: &System) {
+    let operator = azurelug_system::Operator::new();
+    let dump = operator.get(system.admin(0), "/debug/state").await;
+    let (_, dump) = dump.expect("a state dump");
+    for target in dump["targets"].as_array().into_iter().flatten() {
+        let (name, limit) = (&target["name"], &target["limit"]);
+        print!("  {}: {limit}", name.as_str().unwrap_or_default());
+    }
+    println!();
+    metrics(system, &["admitted ", "waiting ", "capacity "]).await;
+}
+
+/// Prints the counted cost of each stage.
+async fn waste(system: &System) {
+    let names = [
+        "stage_milliseconds_total{",
+        "repeats_total{",
+        "admitted ",
+        "waiting ",
+        "capacity ",
+    ];
+    metrics(system, &names).await;
+}
+
+async fn metrics(system: &System, names: &[&str]) {
+    let client = Client::unpooled().expect("build the client");
+    let call = Call::get(system.admin(0), "/metrics", Duration::from_secs(2));
+    let (_, body) = client.send_whole(call, 1 << 20).await.expect("metrics");
+    let text = String::from_utf8_lossy(&body);
+    for line in text.lines().filter(|line| !line.starts_with('#')) {
+        if names.iter().any(|name| line.contains(name)) {
+            println!("  {}", line.trim_start_matches("azurelug_entry_"));
+        }
+    }
+}
--- a/crates/azurelug-system/src/process.rs
+++ b/crates/azurelug-system/src/process.rs
@@ -17,12 +17,14 @@
 }
 
 impl Process {
-    /// Prepares a daemon of this workspace; it does not run yet.
+    /// Prepares a daemon of this workspace; it does not run yet. The variable `AZURELUG_ENTRY` names
+    /// another build of the entry daemon, so that two versions can be measured in turn.
     ///
     /// # Panics
     /// If the binary was not built.
     pub fn new(binary: &str, arguments: Vec<String>, log: PathBuf) -> Self {
-        let program = target_folder().join(binary);
+        let other = std::env::var_os("AZURELUG_ENTRY").filter(|_| binary == "azurelug-entry");
+        let program = other.map_or_else(|| target_folder().join(binary), PathBuf::from);
         assert!(
             program.exists(),
             "{} is missing; run scripts/test.sh",
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -61,7 +61,15 @@
     /// # Panics
     /// If anything does not become ready in time.
     pub async fn start() -> Self {
-        let mut system = Self::prepare(engine::Settings::default()).await;
+        Self::start_with(engine::Settings::default()).await
+    }
+
+    /// As [`System::start`], with engines of these settings.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_with(engines: engine::Settings) -> Self {
+        let mut system = Self::prepare(engines).await;
         for zone in &mut system.zones {
             zone.control.set_argument("--initialize", true);
             zone.control.start();
--- a/crates/azurelug-testkit/src/caller.rs
+++ b/crates/azurelug-testkit/src/caller.rs
@@ -71,10 +71,16 @@
         /// Time to the first token, for streamed answers.
         first_token: Option<Duration>,
     },
-    /// A refusal with its reason and execution.
+    /// A refusal.
     Refused {
         /// The reason, as in the answer.
         reason: String,
+        /// What it says about execution.
+        execution: String,
+        /// When a retry makes sense, if it says so.
+        retry_after_ms: Option<u64>,
+        /// Time to the refusal.
+        duration: Duration,
     },
     /// The answer is wrong, incomplete or malformed.
     Wrong {
@@ -109,7 +115,7 @@
     pub fn refused(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
         for (_, end) in &self.ends {
-            if let End::Refused { reason } = end {
+            if let End::Refused { reason, .. } = end {
                 *counts.entry(reason.clone()).or_insert(0) += 1;
             }
         }
@@ -221,7 +227,7 @@
     let status = response.status().as_u16();
     match azurelug_http::answer::read_body(response.into_body(), ANSWER_LIMIT).await {
         Ok(body) if status == 200 => whole(&body, &expected, started),
-        Ok(body) => refused(&body),
+        Ok(body) => refused(&body, started),
         Err(error) => End::Wrong {
             message: error.to_string(),
         },
@@ -256,11 +262,14 @@
     }
 }
 
-fn refused(body: &[u8]) -> End {
+fn refused(body: &[u8], started: Instant) -> End {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     match value["reason"].as_str() {
         Some(reason) => End::Refused {
             reason: reason.to_owned(),
+            execution: value["execution"].as_str().unwrap_or_default().to_owned(),
+            retry_after_ms: value["retry_after_ms"].as_u64(),
+            duration: started.elapsed(),
         },
         None => End::Wrong {
             message: String::from_utf8_lossy(body).into_owned(),
@@ -311,7 +320,7 @@
                     end => end,
                 };
             }
-            "error" => return refused(event.data.as_bytes()),
+            "error" => return refused(event.data.as_bytes(), started),
             _ => {
                 return End::Wrong {
                     message: format!("got '{text}' and then {}", event.name),
