core: refuse hopeless waiting requests on each tick and limit long calls

Cause: `tick` looked at waiting requests only while a slot was free, so a request behind hanging ones was never refused; the estimate of the wait of short calls counted slots that long calls hold; requests at the edge of the estimate were accepted and half of them refused after more than a second; quantiles that led to refusals could never be measured again. Ruled out: letting short calls exceed a capacity that fell below what is running; it broke `every_request_gets_one_answer_and_no_slot_stays_idle` and was reverted.

Change: `tick` refuses all hopeless requests; `offer` raises the expected wait by a quarter; `set_long_limit` bounds long calls; `Latencies::is_measured` tells recent quantiles from old ones; `Event::Slow` starts a hedge.

Measured: `cargo test -p azurelug-core`: all pass. With the old `tick` and the old limit the two new admission tests fail: (26, 0) running and waiting instead of (19, 7), and no refusal while no slot is free.

--- a/crates/azurelug-core/src/admission.rs
+++ b/crates/azurelug-core/src/admission.rs
@@ -27,6 +27,8 @@
 const SHORT: usize = 1;
 /// Weight of one finished request in the moving average of the service time.
 const SMOOTHING: f64 = 0.05;
+/// The expected wait is raised by one part of this many before it is compared with the deadline.
+const CARE_PART: u32 = 4;
 
 /// Limits of one entry daemon.
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +113,8 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: Settings,
+    /// The most long calls that may run.
+    long_limit: u32,
     version: Version,
     names: HashMap<AccountName, AccountKey>,
     accounts: Vec<Account>,
@@ -129,6 +133,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
+            long_limit: u32::MAX,
             version: Version::default(),
             names: HashMap::new(),
             accounts: Vec::new(),
@@ -174,6 +179,12 @@
         self.dispatch(now)
     }
 
+    /// Sets how many long calls may run, for stages where they take more slots than the capacity for
+    /// all calls suggests. At least one may run.
+    pub fn set_long_limit(&mut self, limit: u32) {
+        self.long_limit = limit.max(1);
+    }
+
     /// Requests running and waiting, for metrics.
     #[must_use]
     pub fn load(&self) -> (u32, usize) {
@@ -223,8 +234,12 @@
         if self.waiting() >= self.settings.queue_total {
             return Err(Refused::new(Reason::Overloaded, wait));
         }
-        if now + wait > request.latest_start {
-            let late = now + wait - request.latest_start;
+        // In a full queue every request is near the limit, and half of them would be refused late if
+        // the estimate were taken as it is.
+        let careful = wait + wait / CARE_PART;
+        if now + careful > request.latest_start {
+            let late = (now + wait).saturating_sub(request.latest_start);
+            let late = late.max(wait / CARE_PART);
             return Err(Refused::new(Reason::DeadlineUnreachable, late));
         }
         let handle = self.requests.insert(request);
@@ -255,7 +270,33 @@
 
     /// Refuses waiting requests that have become hopeless; about every 100 ms.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
-        self.dispatch(now)
+        let mut actions = self.refuse_hopeless(now);
+        actions.extend(self.dispatch(now));
+        actions
+    }
+
+    /// Refuses hopeless requests also while no slot is free, as when every running request hangs.
+    fn refuse_hopeless(&mut self, now: Duration) -> Vec<Action> {
+        let is_hopeless =
+            |request: &Request| request.started.is_none() && now > request.latest_start;
+        let hopeless: Vec<(Handle, Request)> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| is_hopeless(request))
+            .map(|(handle, request)| (handle, *request))
+            .collect();
+        for (handle, request) in &hopeless {
+            self.requests.remove(*handle);
+            self.rings[request.lane].remove(&mut self.accounts, request.account, *handle);
+        }
+        let refuse = |(handle, request): (Handle, Request)| {
+            let wait = self.expected_wait(request.account, request.lane);
+            Action::Refuse(
+                Ticket(handle),
+                Refused::new(Reason::DeadlineUnreachable, wait),
+            )
+        };
+        hopeless.into_iter().map(refuse).collect()
     }
 
     /// Starts waiting requests while there are slots.
@@ -304,7 +345,12 @@
     fn has_slot(&self, lane: usize) -> bool {
         let running: u32 = self.running.iter().sum();
         running < self.settings.capacity
-            && (lane == SHORT || self.running[LONG] < self.settings.capacity - self.reserved())
+            && (lane == SHORT || self.running[LONG] < self.long_slots())
+    }
+
+    /// Slots that long calls may use.
+    fn long_slots(&self) -> u32 {
+        (self.settings.capacity - self.reserved()).min(self.long_limit)
     }
 
     fn start_new(&mut self, request: Request, now: Duration) -> Ticket {
@@ -329,8 +375,11 @@
     /// part of the drain rate, but no longer than all queues together take.
     fn expected_wait(&self, account: AccountKey, lane: usize) -> Duration {
         let slots = match lane {
-            SHORT => self.settings.capacity,
-            _ => self.settings.capacity - self.reserved(),
+            // Long calls that run now keep their slots for longer than a short call can wait.
+            SHORT => {
+                (self.settings.capacity.saturating_sub(self.running[LONG])).max(self.reserved())
+            }
+            _ => self.long_slots(),
         };
         let service = self.service[lane].or(self.service[1 - lane]).unwrap_or(1.0);
         let per_second = f64::from(slots.max(1)) / service.max(0.001);
--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -43,6 +43,7 @@
     running: Histogram<u32>,
     last: Histogram<u32>,
     quantiles: Quantiles,
+    is_measured: bool,
 }
 
 /// The distributions of all classes.
@@ -60,13 +61,15 @@
             running: histogram.clone(),
             last: histogram,
             quantiles: DEFAULT,
+            is_measured: false,
         }
     }
 
     fn compute(&mut self) {
         let mut both = self.last.clone();
         // Both histograms have the same bounds, so adding them cannot fail.
-        if both.add(&self.running).is_err() || both.len() < MIN_SAMPLES {
+        self.is_measured = both.add(&self.running).is_ok() && both.len() >= MIN_SAMPLES;
+        if !self.is_measured {
             return;
         }
         let at = |quantile| Duration::from_millis(both.value_at_quantile(quantile).max(1));
@@ -123,6 +126,13 @@
         self.classes[usize::from(class.0)].quantiles
     }
 
+    /// Whether the quantiles come from the last two windows. If not, they are defaults or old, and
+    /// refusing work because of them would keep them from ever being measured again.
+    #[must_use]
+    pub fn is_measured(&self, class: Class) -> bool {
+        self.classes[usize::from(class.0)].is_measured
+    }
+
     /// The share of the remaining deadline that the first of the remaining stages may use: its
     /// part of the sum of their p90.
     #[must_use]
--- a/crates/azurelug-core/src/pipeline.rs
+++ b/crates/azurelug-core/src/pipeline.rs
@@ -101,6 +101,11 @@
         /// When a retry makes sense.
         retry_after: Duration,
     },
+    /// A call is late, and the hedge budget allows another attempt beside it.
+    Slow {
+        /// The late call.
+        call: CallId,
+    },
     /// The request's deadline has passed.
     DeadlinePassed,
 }
@@ -199,6 +204,12 @@
                 may_retry,
                 retry_after,
             } => self.failed(&call, may_retry, retry_after),
+            Event::Slow { call } => {
+                if self.is_live(&call) && self.next_attempt < MAX_ATTEMPTS {
+                    return vec![self.dispatch()];
+                }
+                Vec::new()
+            }
             Event::NoTarget {
                 call,
                 reason,
--- a/crates/azurelug-core/src/slab.rs
+++ b/crates/azurelug-core/src/slab.rs
@@ -45,6 +45,18 @@
         slot.1.as_mut().filter(|_| slot.0 == handle.generation)
     }
 
+    /// All values with their handles.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Handle, &T)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(index, (generation, value))| {
+            let handle = Handle {
+                index: index as u32,
+                generation: *generation,
+            };
+            value.as_ref().map(|value| (handle, value))
+        })
+    }
+
     pub(crate) fn remove(&mut self, handle: Handle) -> Option<T> {
         let slot = self.slots.get_mut(handle.index as usize)?;
         if slot.0 != handle.generation {
--- a/crates/azurelug-core/tests/admission.rs
+++ b/crates/azurelug-core/tests/admission.rs
@@ -387,3 +387,55 @@
         10
     );
 }
+
+/// Guards against waiting requests that are refused only when a slot becomes free, long after they
+/// became hopeless.
+#[test]
+fn a_hopeless_request_is_refused_while_no_slot_is_free() {
+    let (latencies, class) = one_second();
+    let mut admission = admission(settings(2, 0), &[(1, 64)]);
+    let stages = [class];
+    let ask = Ask {
+        stages: &stages,
+        deadline: 5 * SECOND,
+        ..long(LARGE)
+    };
+    admission.offer(&ask, &latencies, SECOND).unwrap();
+    let waiting = ticket(admission.offer(&ask, &latencies, SECOND).unwrap());
+    assert_eq!(admission.tick(7 * SECOND / 2), Vec::new());
+    let actions = admission.tick(9 * SECOND / 2);
+    assert!(
+        matches!(actions[..], [Action::Refuse(it, _)] if it == waiting),
+        "{actions:?}"
+    );
+    assert_eq!(admission.load(), (1, 0));
+}
+
+/// Guards against long calls that take the slots of a stage in which they spend nearly all their
+/// time, because the capacity follows from a mix of short calls.
+#[test]
+fn long_calls_stay_under_their_own_limit() {
+    let latencies = Latencies::default();
+    let mut admission = admission(settings(32, 20), &[(1, 64)]);
+    admission.set_long_limit(19);
+    for _ in 0..26 {
+        admission.offer(&long(LARGE), &latencies, SECOND).unwrap();
+    }
+    assert_eq!(admission.load(), (19, 7));
+}
+
+/// Guards against estimates that are trusted for ever, so that requests refused because of them keep
+/// them from being measured again.
+#[test]
+fn old_estimates_do_not_count_as_measured() {
+    let mut latencies = Latencies::default();
+    let class = latencies.class("encode");
+    assert!(!latencies.is_measured(class));
+    (0..20).for_each(|_| latencies.record(class, 9 * SECOND));
+    latencies.tick(SECOND);
+    assert!(latencies.is_measured(class));
+    for second in 2..40 {
+        latencies.tick(second * SECOND);
+    }
+    assert!(!latencies.is_measured(class));
+}
