--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -22,6 +22,8 @@
 
     /// Quantiles of a class.
     pub struct Quantiles {
+        /// The mean, for throughput; quantiles say nothing about it when short and long calls mix.
+        pub mean: Duration,
         /// Half of the calls are faster.
         pub p50: Duration,
         /// Nine in ten calls are faster.
@@ -33,6 +35,7 @@
 
 /// Quantiles before anything is measured, as after a restart.
 pub const DEFAULT: Quantiles = Quantiles {
+    mean: Duration::from_millis(250),
     p50: Duration::from_millis(200),
     p90: Duration::from_millis(500),
     p95: Duration::from_millis(800),
@@ -43,6 +46,7 @@
     running: Histogram<u32>,
     last: Histogram<u32>,
     quantiles: Quantiles,
+    is_measured: bool,
 }
 
 /// The distributions of all classes.
@@ -60,17 +64,20 @@
             running: histogram.clone(),
             last: histogram,
             quantiles: DEFAULT,
+            is_measured: false,
         }
     }
 
     fn compute(&mut self) {
         let mut both = self.last.clone();
         // Both histograms have the same bounds, so adding them cannot fail.
-        if both.add(&self.running).is_err() || both.len() < MIN_SAMPLES {
+        self.is_measured = both.add(&self.running).is_ok() && both.len() >= MIN_SAMPLES;
+        if !self.is_measured {
             return;
         }
         let at = |quantile| Duration::from_millis(both.value_at_quantile(quantile).max(1));
         self.quantiles = Quantiles {
+            mean: Duration::from_secs_f64(both.mean().max(1.0) / 1000.0),
             p50: at(0.5),
             p90: at(0.9),
             p95: at(0.95),
@@ -102,6 +109,13 @@
             .saturating_record(millis);
     }
 
+    /// A call was cut off after `waited` and would have taken longer. It counts twice as long,
+    /// because a stage that has become slow would otherwise keep the small share of the deadline
+    /// that cuts its calls off.
+    pub fn cut_off(&mut self, class: Class, waited: Duration) {
+        self.record(class, waited * 2);
+    }
+
     /// Computes the quantiles and begins a new window when it is time; about once a second.
     pub fn tick(&mut self, now: Duration) {
         for class in &mut self.classes {
@@ -123,6 +137,13 @@
         self.classes[usize::from(class.0)].quantiles
     }
 
+    /// Whether the quantiles come from the last two windows. If not, they are defaults or old, and
+    /// refusing work because of them would keep them from ever being measured again.
+    #[must_use]
+    pub fn is_measured(&self, class: Class) -> bool {
+        self.classes[usize::from(class.0)].is_measured
+    }
+
     /// The share of the remaining deadline that the first of the remaining stages may use: its
     /// part of the sum of their p90.
     #[must_use]
--- a/crates/azurelug-storage/tests/store.rs
+++ b/crates/azurelug-storage/tests/store.rs
@@ -218,6 +218,28 @@
     lose_each("none");
 }
 
+#[test]
+fn a_renamed_file_is_refused_with_its_name_and_the_remedy() {
+    let (base, copied) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+    sample(base.path());
+    let trial = copied.path().join("data");
+    for prefix in ["snapshot-", "journal-"] {
+        copy(base.path(), &trial);
+        let old = names(&trial, prefix).pop().unwrap();
+        let new = trial.join(format!("{prefix}{:020}", 8));
+        fs::rename(old, &new).unwrap();
+        let error = Store::open(&trial, CLUSTER, Files::new())
+            .err()
+            .unwrap()
+            .to_string();
+        assert!(error.contains(new.to_str().unwrap()), "{error}");
+        assert!(
+            error.contains("at byte 0") && error.contains("set the data folder aside"),
+            "{error}"
+        );
+    }
+}
+
 #[test]
 fn a_writer_that_starts_hundreds_of_times_loses_nothing_and_reuses_no_generation() {
     let folder = TempDir::new().unwrap();
@@ -287,6 +309,28 @@
     assert_eq!(open(folder.path()).1.entries, entries(16..=20, 1));
 }
 
+#[test]
+fn a_log_without_snapshots_is_split_into_segments_that_are_all_needed() {
+    let folder = TempDir::new().unwrap();
+    let (mut store, _) = open(folder.path());
+    let large = |index| Entry {
+        payload: vec![index as u8; 1 << 20],
+        ..entry(index, 1)
+    };
+    for index in 1..=20 {
+        store.append(&[large(index)]).unwrap();
+        store.sync().unwrap();
+    }
+    drop(store);
+    assert_eq!(names(folder.path(), "journal-").len(), 2);
+    let (store, found) = open(folder.path());
+    assert!(found.entries.into_iter().eq((1..=20).map(large)));
+    drop(store);
+    fs::remove_file(&names(folder.path(), "journal-")[1]).unwrap();
+    let error = Store::open(folder.path(), CLUSTER, Files::new()).err();
+    assert!(matches!(error, Some(Error::Fault(_))), "{error:?}");
+}
+
 #[test]
 fn a_received_snapshot_beyond_the_log_replaces_it() {
     let folder = TempDir::new().unwrap();
