entry: take the event of a slow call, which nothing sends yet

Cause: the core learned the event for hedged calls before the daemon that sends it was merged, and the workspace no longer built. Change: the driver names the call of the event. Measured: the workspace builds.

--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -167,7 +167,8 @@
             Event::Finished { call, .. }
             | Event::Token { call, .. }
             | Event::Failed { call, .. }
-            | Event::NoTarget { call, .. } => Some(call.clone()),
+            | Event::NoTarget { call, .. }
+            | Event::Slow { call, .. } => Some(call.clone()),
             Event::DeadlinePassed => None,
         };
         let has_failed = matches!(event, Event::Failed { .. });
