control: send versions as steps or in parts

Cause: a configuration travelled as one frame of at most 1 MiB, so that about 12,000 accounts would have stopped every daemon from getting it; and each change sent it as a whole. Change: a daemon that is at most 512 versions behind gets the changes, any other the whole configuration in parts of 256 KiB, encoded once for all daemons. A command over the log's limit of 256 KiB is refused with its size instead of as a missing quorum.

--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -15,9 +15,10 @@
 use crate::replica::Replica;
 use crate::settings::Member;
 use crate::shares::Shares;
+use crate::updates::Updates;
 
-/// Configurations that wait for a slow daemon. It gets the newest one in any case.
-const WATCH_QUEUE: usize = 2;
+/// Frames that wait for a slow daemon, at most 256 KiB each.
+const WATCH_QUEUE: usize = 4;
 
 /// What the handlers share.
 #[derive(Clone)]
@@ -26,6 +27,8 @@
     pub replica: Replica,
     /// The entry daemons seen here.
     pub registry: Arc<Registry>,
+    /// The versions for entry daemons.
+    pub updates: Updates,
     /// The shares of the own zone's targets.
     pub shares: Shares,
     /// The control daemons of the cluster.
@@ -121,25 +124,24 @@
             .any(|member| member.slot == slot && member.name == peer.sender)
     }
 
-    /// Sends the present configuration if it is newer, and then each newer one.
+    /// Sends the versions that the daemon lacks, and then each newer one: as steps if they are kept,
+    /// otherwise as a whole.
     fn watch(&self, after_version: Version) -> mpsc::Receiver<Frame> {
         let (sender, receiver) = mpsc::channel(WATCH_QUEUE);
-        let mut states = self.replica.watch();
+        let updates = self.updates.clone();
+        let mut versions = self.replica.watch();
         let mut known = after_version;
         tokio::spawn(async move {
             loop {
-                let config = Arc::clone(&states.borrow_and_update());
-                if config.version > known {
-                    known = config.version;
-                    let frame = Frame::Configuration {
-                        config: Box::new((*config).clone()),
-                    };
-                    if sender.send(frame).await.is_err() {
-                        return;
+                let version = versions.borrow_and_update().version;
+                if version > known {
+                    match updates.send_after(&mut known, &sender).await {
+                        Ok(()) => {}
+                        Err(mpsc::error::SendError(_)) => return,
                     }
                 }
                 tokio::select! {
-                    changed = states.changed() => if changed.is_err() { return },
+                    changed = versions.changed() => if changed.is_err() { return },
                     () = sender.closed() => return,
                 }
             }
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod run;
 pub mod settings;
 pub mod shares;
+pub mod updates;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -15,7 +15,7 @@
 
 use crate::daemons::{Registry, Row};
 use crate::internal::wall_clock_ms;
-use crate::replica::Replica;
+use crate::replica::{self, Replica};
 use crate::shares::{self, Shares};
 
 /// What the handlers share.
@@ -170,7 +170,8 @@
         match self.replica.propose(&command).await {
             Ok(Outcome::Patch(answer)) => patch_answer(&answer),
             Ok(Outcome::Once(_)) => problem(500, "wrong outcome; report this".to_owned()),
-            Err(error) => problem(503, error.to_string()),
+            Err(error @ replica::Error::Malformed { .. }) => problem(413, error.to_string()),
+            Err(error @ replica::Error::NoQuorum { .. }) => problem(503, error.to_string()),
         }
     }
 }
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -23,6 +23,9 @@
 /// Time for one attempt to commit a command.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(1500);
 
+/// The longest encoded command in bytes, as the log accepts it.
+const COMMAND_LIMIT: usize = 256 * 1024;
+
 /// Pause before a command is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -93,6 +96,13 @@
             message: error.to_string(),
         };
         let command = codec::encode(command).map_err(malformed)?;
+        if command.len() > COMMAND_LIMIT {
+            let message = format!(
+                "{} bytes are over the limit of {COMMAND_LIMIT}",
+                command.len()
+            );
+            return Err(Error::Malformed { message });
+        }
         let limit = Instant::now() + PROPOSE_LIMIT;
         loop {
             let message = match self.propose_here(command.clone()).await {
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -21,6 +21,7 @@
 use crate::replica::task::{self, Task};
 use crate::settings::{Options, Settings};
 use crate::shares::Shares;
+use crate::updates::Updates;
 
 /// Why the daemon could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -91,6 +92,7 @@
     let internal = Internal {
         replica: replica.clone(),
         registry: Arc::clone(&registry),
+        updates: Updates::new(replica.clone()),
         shares: shares.clone(),
         members: settings.members.clone().into(),
     };
--- /dev/null
+++ b/crates/azurelug-control/src/updates.rs
@@ -0,0 +1,95 @@
+//! Brings entry daemons to the version in force.
+//!
+//! A daemon that is a few versions behind gets the steps; any other gets the whole configuration. The
+//! encoded configuration is kept once for all daemons, because after a restart all of them ask for it
+//! at the same time.
+
+use std::sync::{Arc, Mutex};
+
+use azurelug_types::id::Version;
+use azurelug_wire::frame::PART_LIMIT;
+use azurelug_wire::{Frame, codec};
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
+
+use crate::replica::Replica;
+
+type Encoded = (Version, Arc<[u8]>);
+
+/// The source of versions. Clones share it.
+#[derive(Clone)]
+pub struct Updates {
+    replica: Replica,
+    whole: Arc<Mutex<Option<Encoded>>>,
+}
+
+impl Updates {
+    /// A source that reads the state of `replica`.
+    pub fn new(replica: Replica) -> Self {
+        Self {
+            replica,
+            whole: Arc::new(Mutex::new(None)),
+        }
+    }
+
+    /// Sends what leads from version `known` to the version in force, and sets `known` to it.
+    ///
+    /// # Errors
+    /// If the receiver is gone.
+    pub async fn send_after(
+        &self,
+        known: &mut Version,
+        sender: &mpsc::Sender<Frame>,
+    ) -> Result<(), SendError<Frame>> {
+        if let Some((version, steps)) = self.steps_after(*known) {
+            for step in steps {
+                sender.send(Frame::ConfigurationStep { step }).await?;
+            }
+            *known = version;
+            return Ok(());
+        }
+        let (version, encoded) = self.whole();
+        let total = encoded.len() as u64;
+        for part in encoded.chunks(PART_LIMIT) {
+            let bytes = part.to_vec();
+            sender
+                .send(Frame::ConfigurationPart { total, bytes })
+                .await?;
+        }
+        *known = version;
+        Ok(())
+    }
+
+    /// The encoded steps after `known` and the version that they lead to. A daemon without a
+    /// configuration gets it as a whole, which is shorter than all steps.
+    fn steps_after(&self, known: Version) -> Option<(Version, Vec<Vec<u8>>)> {
+        if known == Version(0) {
+            return None;
+        }
+        let (version, steps) = {
+            let machine = self.replica.machine();
+            let store = machine.store();
+            (store.config().version, store.steps_after(known)?)
+        };
+        let encode = |step| codec::encode(step).ok();
+        let steps = steps.iter().map(encode).collect::<Option<Vec<_>>>()?;
+        Some((version, steps))
+    }
+
+    /// The whole configuration, encoded once for each version.
+    fn whole(&self) -> Encoded {
+        let config = self.replica.config();
+        let mut whole = self.whole.lock().expect("no holder of the lock panics");
+        match &*whole {
+            Some((version, encoded)) if *version == config.version => {
+                (*version, Arc::clone(encoded))
+            }
+            _ => {
+                let bytes = codec::encode_unlimited(&*config);
+                let encoded: Arc<[u8]> = bytes.expect("a configuration is plain data").into();
+                *whole = Some((config.version, Arc::clone(&encoded)));
+                (config.version, encoded)
+            }
+        }
+    }
+}
--- a/crates/azurelug-core/src/configuration.rs
+++ b/crates/azurelug-core/src/configuration.rs
@@ -10,7 +10,7 @@
 
 use azurelug_types::config::Config;
 use azurelug_types::id::Version;
-use azurelug_types::patch::{Answer, Patch};
+use azurelug_types::patch::{Answer, Change, Patch};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -18,6 +18,19 @@
 /// decisions gets a conflict, because its base version is no longer the current one.
 pub const KEPT: usize = 10_000;
 
+/// Versions whose changes are kept, so that a daemon that is behind gets them instead of the whole
+/// configuration.
+pub const KEPT_CHANGES: usize = 512;
+
+/// The changes that made one version out of the one before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// The version that they made.
+    pub version: Version,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
 /// One accepted patch in the history.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Event {
@@ -46,6 +59,7 @@
     decisions: BTreeMap<String, Decision>,
     order: VecDeque<String>,
     history: VecDeque<Event>,
+    steps: VecDeque<Step>,
 }
 
 impl Store {
@@ -77,6 +91,10 @@
             Ok(config) => {
                 let version = config.version;
                 self.config = Arc::new(config);
+                self.remember_step(Step {
+                    version,
+                    changes: patch.changes.clone(),
+                });
                 self.remember_event(Event {
                     version,
                     patch_id: patch.patch_id.clone(),
@@ -118,6 +136,22 @@
         Ok(config)
     }
 
+    /// The steps after `version` up to the version in force, oldest first; none if the first of them
+    /// is no longer kept.
+    pub fn steps_after(&self, version: Version) -> Option<Vec<Step>> {
+        let behind = self.config.version.0.checked_sub(version.0)?;
+        let behind = usize::try_from(behind).ok()?;
+        let first = self.steps.len().checked_sub(behind)?;
+        Some(self.steps.iter().skip(first).cloned().collect())
+    }
+
+    fn remember_step(&mut self, step: Step) {
+        self.steps.push_back(step);
+        if self.steps.len() > KEPT_CHANGES {
+            self.steps.pop_front();
+        }
+    }
+
     fn remember_decision(&mut self, patch_id: &str, decision: Decision) {
         self.decisions.insert(patch_id.to_owned(), decision);
         self.order.push_back(patch_id.to_owned());
@@ -136,6 +170,20 @@
     }
 }
 
+/// The configuration after `step`; none if the step does not follow `config` or does not fit it, in
+/// which case the whole configuration has to be fetched.
+pub fn advance(config: &Config, step: &Step) -> Option<Config> {
+    if step.version != config.version.next() {
+        return None;
+    }
+    let mut next = config.clone();
+    for change in &step.changes {
+        check::apply(&mut next, change).ok()?;
+    }
+    next.version = step.version;
+    Some(next)
+}
+
 /// A digest of all fields, so that another patch under the same id is noticed.
 ///
 /// # Panics
--- a/crates/azurelug-core/tests/configuration.rs
+++ b/crates/azurelug-core/tests/configuration.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use azurelug_core::configuration::{KEPT, Store, digest};
+use azurelug_core::configuration::{KEPT, KEPT_CHANGES, Store, advance, digest};
 use azurelug_types::config::{Config, OnPartition, State, Zone};
 use azurelug_types::id::{Version, ZoneName};
 use azurelug_types::patch::{Answer, Change, Patch};
@@ -141,3 +141,53 @@
     assert!(matches!(answer, Answer::Invalid { ref field, .. } if field.starts_with("changes[1]")));
     assert_eq!(before, **store.config());
 }
+
+/// Guards against a daemon that follows the steps and ends with another configuration than one that
+/// got it as a whole, and against steps that are taken twice or with a gap.
+#[test]
+fn steps_lead_to_the_whole_configuration() {
+    for seed in 0..50 {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let mut store = Store::default();
+        let mut follower: Config = (**store.config()).clone();
+        for number in 0..100_u64 {
+            let zone = format!("zone-{}", random.random_range(0..5));
+            let state = if random.random_bool(0.5) {
+                State::Active
+            } else {
+                State::Draining
+            };
+            apply(
+                &mut store,
+                &patch(&format!("p{number}"), number, &zone, state),
+            );
+            if random.random_range(0..4) == 0 {
+                let steps = store.steps_after(follower.version).unwrap();
+                for step in &steps {
+                    follower = advance(&follower, step).unwrap();
+                    assert!(
+                        advance(&follower, step).is_none(),
+                        "seed {seed}: a step counted twice"
+                    );
+                }
+                assert_eq!(follower, **store.config(), "seed {seed}");
+            }
+        }
+        let version = store.config().version;
+        assert!(store.steps_after(Version(version.0 + 1)).is_none());
+    }
+}
+
+/// Guards against steps of versions that are no longer kept.
+#[test]
+fn a_daemon_too_far_behind_gets_the_whole_configuration() {
+    let mut store = Store::default();
+    for number in 0..KEPT_CHANGES as u64 + 10 {
+        apply(
+            &mut store,
+            &patch(&format!("p{number}"), number, "zone-a", State::Active),
+        );
+    }
+    assert!(store.steps_after(Version(9)).is_none());
+    assert_eq!(store.steps_after(Version(10)).unwrap().len(), KEPT_CHANGES);
+}
--- a/crates/azurelug-entry/src/link.rs
+++ b/crates/azurelug-entry/src/link.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
+use azurelug_core::configuration;
 use azurelug_types::id::Version;
+use azurelug_wire::frame::CONFIGURATION_LIMIT;
 use azurelug_wire::handshake::Identity;
-use azurelug_wire::{Connection, Error, Frame};
+use azurelug_wire::{Connection, Error, Frame, codec};
 use tokio::time::{Instant, interval, sleep};
 
 use crate::gateway::Gateway;
@@ -111,15 +113,18 @@
     let mut ticks = interval(RENEW_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut failures = 0;
+    let mut incoming = Incoming::default();
     loop {
         tokio::select! {
             frame = versions.recv() => match (frame, gateway.upgrade()) {
-                (Some(Frame::Configuration { config }), Some(gateway)) => {
-                    gateway.apply(*config);
-                    // The acknowledgement shows operators at once where the version is in force.
-                    ticks.reset_immediately();
-                }
-                (Some(_), Some(_)) => return "unexpected frame".to_owned(),
+                (Some(frame), Some(gateway)) => match incoming.take(frame, &gateway) {
+                    Ok(true) => {
+                        // The acknowledgement shows operators at once where the version is in force.
+                        ticks.reset_immediately();
+                    }
+                    Ok(false) => {}
+                    Err(reason) => return reason.to_owned(),
+                },
                 (None, _) => return "the stream of versions ended".to_owned(),
                 (_, None) => return "the daemon stops".to_owned(),
             },
@@ -140,6 +145,41 @@
     }
 }
 
+/// Puts the parts of a configuration together.
+#[derive(Default)]
+struct Incoming {
+    bytes: Vec<u8>,
+}
+
+impl Incoming {
+    /// Takes a frame of the stream of versions; returns whether a newer version came into force.
+    fn take(&mut self, frame: Frame, gateway: &Gateway) -> Result<bool, &'static str> {
+        match frame {
+            Frame::ConfigurationPart { total, bytes } => {
+                if total > CONFIGURATION_LIMIT || self.bytes.len() + bytes.len() > total as usize {
+                    return Err("a configuration is longer than the limit or than stated");
+                }
+                self.bytes.extend_from_slice(&bytes);
+                if self.bytes.len() < total as usize {
+                    return Ok(false);
+                }
+                let bytes = std::mem::take(&mut self.bytes);
+                let config = codec::decode_unlimited(&bytes);
+                gateway.apply(config.map_err(|_| "a configuration does not decode")?);
+                Ok(true)
+            }
+            Frame::ConfigurationStep { step } => {
+                let step = codec::decode(&step).map_err(|_| "a step does not decode")?;
+                let view = gateway.view().ok_or("a step without a configuration")?;
+                let next = configuration::advance(&view.config, &step);
+                gateway.apply(next.ok_or("a step does not follow the version in force")?);
+                Ok(true)
+            }
+            _ => Err("unexpected frame"),
+        }
+    }
+}
+
 /// Renews the lease once. The holder counts from the moment before it sent the renewal, less the
 /// time for which control itself was not sure to have the newest version.
 async fn renew(connection: &Connection, gateway: &Gateway) -> Result<(), Error> {
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,13 +1,18 @@
 //! The messages between azurelug processes.
 
 use azurelug_coordination::{once, share};
-use azurelug_types::config::Config;
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The protocol's version. Peers with another one are refused in the handshake.
 pub const PROTOCOL: u32 = 1;
 
+/// The most bytes of a configuration in one frame.
+pub const PART_LIMIT: usize = 256 * 1024;
+
+/// The longest encoded configuration that is accepted: 50,000 accounts take about 5 MiB.
+pub const CONFIGURATION_LIMIT: u64 = 64 * 1024 * 1024;
+
 /// Identifies the sender of a connection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
@@ -70,10 +75,17 @@
         /// The version that the daemon has.
         after_version: Version,
     },
-    /// A complete configuration.
-    Configuration {
-        /// The configuration.
-        config: Box<Config>,
+    /// A part of a complete configuration. The parts of one configuration follow each other.
+    ConfigurationPart {
+        /// Bytes of the whole encoded configuration.
+        total: u64,
+        /// The next bytes, at most [`PART_LIMIT`].
+        bytes: Vec<u8>,
+    },
+    /// The changes that make one version out of the one before, encoded by the core.
+    ConfigurationStep {
+        /// The encoded step.
+        step: Vec<u8>,
     },
     /// A command for the at-most-once records. The receiver sets its clock reading.
     Once(once::Command),
