coordination: aim schedules at votes and leases, add directed raft cases

The aimed schedules then found one more fault of the log: after a restart a member does not know its commit index, so the member that alone held its own uncommitted demotion did not campaign.

Change: schedules cut one link and then isolate the leader, freeze all processes at once, delay vote requests, restart voters just after a vote, and pause the clients. A member campaigns if any membership in its log counts it as a voter. Demoting a voter whose successor has joined removes it. Add Node::term. Directed tests cover pre-vote, check-quorum, the lease, replacement after a durable copy, a reused identity, hand-over, cluster id, limits and frame size.

--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -219,6 +219,12 @@
         self.leader
     }
 
+    /// Current term; also the fencing number of orders given under it.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.record.term
+    }
+
     /// State at this moment.
     #[must_use]
     pub fn state(&self) -> State {
--- a/crates/azurelug-coordination/src/raft/election.rs
+++ b/crates/azurelug-coordination/src/raft/election.rs
@@ -115,10 +115,10 @@
     }
 
     /// Whether this member may lead. A member whose own removal is not yet committed may be the
-    /// only one that holds it, so it still campaigns, without counting its own vote.
+    /// only one that holds it, so it still campaigns, without counting its own vote. After a
+    /// restart it does not know which removal that is, so any vote in the log's memory counts.
     fn may_campaign(&self) -> bool {
-        let own = self.record.member;
-        self.history.latest().is_voter(own) || self.history.at(self.commit).is_voter(own)
+        self.history.ever_voter(self.record.member)
     }
 
     fn campaign(&mut self, transfer: bool, now: Duration) {
--- a/crates/azurelug-coordination/src/raft/member.rs
+++ b/crates/azurelug-coordination/src/raft/member.rs
@@ -120,6 +120,12 @@
         self.voters().find(|member| member.slot == slot)
     }
 
+    fn has_successor(&self, member: Member) -> bool {
+        self.seats.iter().any(|seat| {
+            seat.member.slot == member.slot && seat.member.incarnation > member.incarnation
+        })
+    }
+
     /// Adds a learner for `slot` under the next incarnation. Earlier learners of the slot leave.
     pub(super) fn admit(&self, slot: u16, storage: u64) -> (Self, Member) {
         let mut next = self.clone();
@@ -181,12 +187,13 @@
                     return Err("the cluster has its full number of voters; demote one first");
                 }
                 next.seats[position].standing = Standing::Voter;
-                // A demoted earlier incarnation of the slot has lost its disk and never returns.
-                next.seats
-                    .retain(|seat| seat.member.slot != member.slot || seat.member == member);
+            }
+            // A voter whose successor has joined has lost its disk, so it leaves instead.
+            Change::Demote(_) if next.has_successor(member) => {
+                next.seats.remove(position);
             }
             Change::Demote(_) => {
-                next.seats[position].standing = Standing::Learner { replaces: false }
+                next.seats[position].standing = Standing::Learner { replaces: false };
             }
             Change::Remove(_) => {
                 next.seats.remove(position);
@@ -239,6 +246,12 @@
             .1
     }
 
+    pub(super) fn ever_voter(&self, member: Member) -> bool {
+        self.steps
+            .iter()
+            .any(|(_, membership)| membership.is_voter(member))
+    }
+
     pub(super) fn push(&mut self, index: u64, membership: Membership) {
         self.steps.push_back((index, membership));
     }
--- /dev/null
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -0,0 +1,435 @@
+//! Directed cases that random schedules seldom show: each guards one rule of elections, leases or
+//! membership, on a small network whose links can be closed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use azurelug_coordination::raft::{
+    Action, Body, Change, Entry, Event, Fault, Member, Message, Node, Payload, Recovered, Refusal,
+    Role, Settings, Standing, Start, StartError,
+};
+use rand::SeedableRng;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Nodes on a network that delivers within a millisecond, except on closed links.
+struct Net {
+    nodes: Vec<Node>,
+    now: Duration,
+    under_way: Vec<Message>,
+    /// Closed links, by sending and receiving slot.
+    closed: BTreeSet<(u16, u16)>,
+    /// Messages that no link carries.
+    withheld: fn(&Message) -> bool,
+    actions: Vec<(u16, Action)>,
+}
+
+fn node(recovered: Recovered, seed: u64, now: Duration) -> Node {
+    let settings = Settings {
+        peers: vec![0, 1, 2, 3],
+        ..Settings::default()
+    };
+    let random = rand_pcg::Pcg64::seed_from_u64(seed);
+    Node::new(
+        Start {
+            settings,
+            recovered,
+            random,
+        },
+        now,
+    )
+    .expect("the folder is whole")
+}
+
+impl Net {
+    /// A cluster of three voters that has elected a leader.
+    fn started() -> Self {
+        let initial = |slot| Recovered::initialize(7, slot, &[0, 1, 2], 100 + u64::from(slot));
+        let nodes = (0..3).map(|slot| node(initial(slot), u64::from(slot), Duration::ZERO));
+        let mut net = Self {
+            nodes: nodes.collect(),
+            now: Duration::ZERO,
+            under_way: Vec::new(),
+            closed: BTreeSet::new(),
+            withheld: |_| false,
+            actions: Vec::new(),
+        };
+        net.run(5000);
+        net
+    }
+
+    fn step(&mut self, slot: u16, event: Event) {
+        for action in self.nodes[usize::from(slot)].step(event, self.now) {
+            if let Action::Send(message) = &action {
+                self.under_way.push(message.clone());
+            }
+            self.actions.push((slot, action));
+        }
+    }
+
+    fn run(&mut self, millis: u32) {
+        for _ in 0..millis {
+            self.now += MS;
+            for message in std::mem::take(&mut self.under_way) {
+                let link = (message.from.slot, message.to.slot);
+                let known = usize::from(link.1) < self.nodes.len();
+                if known && !self.closed.contains(&link) && !(self.withheld)(&message) {
+                    self.step(link.1, Event::Receive(message));
+                }
+            }
+            for slot in 0..self.nodes.len() {
+                self.step(u16::try_from(slot).expect("few nodes"), Event::Tick);
+            }
+        }
+    }
+
+    /// Slot of the leader with the highest term.
+    fn leader(&self) -> u16 {
+        let states = self
+            .nodes
+            .iter()
+            .map(Node::state)
+            .filter(|state| state.role == Role::Leader);
+        states
+            .max_by_key(|state| state.term)
+            .expect("a leader was elected")
+            .member
+            .slot
+    }
+
+    fn other(&self) -> u16 {
+        (self.leader() + 1) % 3
+    }
+
+    fn isolate(&mut self, slot: u16) {
+        self.closed
+            .extend((0..4).flat_map(|other| [(slot, other), (other, slot)]));
+    }
+
+    /// Commands that `slot` applied.
+    fn applied(&self, slot: u16) -> impl Iterator<Item = &[u8]> {
+        self.actions
+            .iter()
+            .filter_map(move |(at, action)| match action {
+                Action::Apply(Entry {
+                    payload: Payload::Command(command),
+                    ..
+                }) if *at == slot => Some(command.as_slice()),
+                _ => None,
+            })
+    }
+
+    fn refusal(&self) -> Option<Refusal> {
+        self.actions
+            .iter()
+            .rev()
+            .find_map(|(_, action)| match action {
+                Action::Refused { refusal, .. } => Some(*refusal),
+                _ => None,
+            })
+    }
+}
+
+/// A log that does not work without faults.
+#[test]
+fn three_members_elect_one_leader_and_apply_the_same_commands() {
+    let mut net = Net::started();
+    let leaders = net
+        .nodes
+        .iter()
+        .filter(|node| node.state().role == Role::Leader);
+    assert_eq!(leaders.count(), 1);
+    let (leader, settled) = (net.leader(), net.now);
+    net.actions.clear();
+    for command in [b"a", b"b", b"c"] {
+        let command = command.to_vec();
+        net.step(leader, Event::Propose { token: 1, command });
+    }
+    net.run(400);
+    for slot in 0..3 {
+        let applied: Vec<&[u8]> = net.applied(slot).collect();
+        assert_eq!(applied, [b"a", b"b", b"c"]);
+    }
+    let rejected = |(_, action): &(u16, Action)| matches!(action, Action::Rejected { .. });
+    assert!(!net.actions.iter().any(rejected));
+    assert!(
+        net.nodes
+            .iter()
+            .all(|node| node.state().fresh_as_of > Some(settled))
+    );
+    let state = serde_json::to_string(&net.nodes[0].state()).unwrap();
+    assert!(state.contains("\"membership\""), "{state}");
+}
+
+/// Without pre-votes, a member that was cut off raises its term and deposes the leader.
+#[test]
+fn a_returning_member_does_not_depose_the_leader() {
+    let mut net = Net::started();
+    let (leader, term) = (net.leader(), net.nodes[0].state().term);
+    let other = net.other();
+    net.isolate(other);
+    net.run(10_000);
+    net.closed.clear();
+    net.run(3000);
+    assert_eq!(
+        (net.leader(), net.nodes[usize::from(other)].state().term),
+        (leader, term)
+    );
+}
+
+/// Without check-quorum, a leader that hears nobody keeps the others from electing one.
+#[test]
+fn a_leader_that_hears_nobody_steps_down() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    net.closed.extend((0..3).map(|other| (other, leader)));
+    net.run(6000);
+    assert_ne!(net.leader(), leader);
+    assert_ne!(net.nodes[usize::from(leader)].state().role, Role::Leader);
+    let next = net.leader();
+    net.step(
+        next,
+        Event::Propose {
+            token: 1,
+            command: vec![1],
+        },
+    );
+    net.run(300);
+    assert_eq!(
+        net.nodes[usize::from(next)].state().commit,
+        net.nodes[usize::from(next)].state().last.index
+    );
+}
+
+/// A leader without a majority answering must not vouch for the freshness of anyone's state.
+#[test]
+fn freshness_ends_with_the_leader_lease() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    net.isolate(leader);
+    let cut = net.now;
+    net.run(10_000);
+    let (lease, promise) = (
+        Settings::default().leader_lease(),
+        Settings::default().election_timeout,
+    );
+    assert!(
+        lease * 101 / 100 + 50 * MS <= promise,
+        "the lease outlives the voters' promise"
+    );
+    let state = net.nodes[usize::from(leader)].state();
+    assert!(
+        state.fresh_as_of.is_some_and(|as_of| as_of < cut + lease),
+        "{state:?}"
+    );
+}
+
+/// The old incarnation is replaced only after the new one acknowledged a durable copy.
+#[test]
+fn a_lost_disk_is_replaced_only_after_a_durable_copy() {
+    let mut net = Net::started();
+    let (lost, leader) = (net.other(), net.leader());
+    net.nodes[usize::from(lost)] = node(Recovered::empty(7, lost), 90, net.now);
+    net.withheld = |m| m.from.incarnation == 2 && matches!(m.body, Body::AppendAnswer { .. });
+    net.run(8000);
+    let (old, new) = (
+        Member {
+            slot: lost,
+            incarnation: 1,
+        },
+        Member {
+            slot: lost,
+            incarnation: 2,
+        },
+    );
+    let membership = net.nodes[usize::from(leader)].state().membership;
+    assert!(
+        membership.is_voter(old),
+        "replaced without a copy: {membership:?}"
+    );
+    assert_eq!(
+        membership.seat(new).map(|s| s.standing),
+        Some(Standing::Learner { replaces: true })
+    );
+    net.step(
+        leader,
+        Event::Change {
+            token: 1,
+            change: Change::Promote(new),
+        },
+    );
+    assert!(matches!(net.refusal(), Some(Refusal::Impossible(_))));
+
+    net.withheld = |_| false;
+    net.run(3000);
+    let membership = net.nodes[usize::from(leader)].state().membership;
+    assert!(
+        membership.is_voter(new) && membership.seat(old).is_none(),
+        "{membership:?}"
+    );
+}
+
+/// A second `--initialize` on an emptied folder must not bring back an identity that has voted.
+#[test]
+fn an_identity_on_another_data_folder_is_refused() {
+    let mut net = Net::started();
+    let slot = net.other();
+    let again = Recovered::initialize(7, slot, &[0, 1, 2], 999);
+    net.nodes[usize::from(slot)] = node(again, 91, net.now);
+    net.actions.clear();
+    net.run(4000);
+    let refused = |(_, action): &(u16, Action)| {
+        matches!(
+            action,
+            Action::Rejected {
+                fault: Fault::WrongStorage,
+                ..
+            }
+        )
+    };
+    assert!(net.actions.iter().any(refused));
+    assert!(net.nodes.iter().all(|node| node.state().vote
+        != Some(Member {
+            slot,
+            incarnation: 1
+        })));
+}
+
+/// A graceful shutdown must not cost an election timeout.
+#[test]
+fn leadership_is_handed_over_within_a_few_round_trips() {
+    let mut net = Net::started();
+    let (leader, other) = (net.leader(), net.other());
+    let to = Some(Member {
+        slot: other,
+        incarnation: 1,
+    });
+    net.step(leader, Event::Transfer { token: 1, to });
+    net.step(
+        leader,
+        Event::Propose {
+            token: 2,
+            command: vec![1],
+        },
+    );
+    assert_eq!(net.refusal(), Some(Refusal::Transferring));
+    net.run(10);
+    assert_eq!(net.leader(), other);
+    assert_eq!(net.nodes[usize::from(leader)].state().role, Role::Follower);
+}
+
+/// A frame above the wire's limit of 1 MiB would close the connection of a healthy member.
+#[test]
+fn the_largest_messages_fit_a_frame() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    for token in 0..8 {
+        net.step(
+            leader,
+            Event::Propose {
+                token,
+                command: vec![255; 256 * 1024],
+            },
+        );
+    }
+    let standard = bincode::config::standard();
+    let mut largest = 0;
+    for _ in 0..400 {
+        for message in &net.under_way {
+            let frame = bincode::serde::encode_to_vec(message, standard).unwrap();
+            largest = largest.max(frame.len());
+            let (decoded, _): (Message, usize) =
+                bincode::serde::decode_from_slice(&frame, standard).unwrap();
+            assert_eq!(decoded, *message);
+        }
+        net.run(1);
+    }
+    assert!(
+        (256 * 1024..1024 * 1024).contains(&largest),
+        "largest frame: {largest} bytes"
+    );
+}
+
+/// Members of another cluster, and folders of another slot, are refused.
+#[test]
+fn another_cluster_is_refused() {
+    let mut net = Net::started();
+    let to = net.nodes[0].member();
+    let from = Member {
+        slot: 1,
+        incarnation: 1,
+    };
+    let body = Body::TimeoutNow;
+    let message = Message {
+        cluster: 8,
+        from,
+        storage: 101,
+        to,
+        term: 99,
+        body,
+    };
+    let rejected = Action::Rejected {
+        from,
+        fault: Fault::WrongCluster,
+    };
+    assert_eq!(
+        net.nodes[0].step(Event::Receive(message), net.now),
+        [rejected]
+    );
+
+    let recovered = Recovered {
+        cluster: 8,
+        ..Recovered::initialize(7, 0, &[0], 1)
+    };
+    let random = rand_pcg::Pcg64::seed_from_u64(1);
+    let start = Start {
+        settings: Settings::default(),
+        recovered,
+        random,
+    };
+    assert!(matches!(
+        Node::new(start, MS),
+        Err(StartError::WrongFolder { .. })
+    ));
+}
+
+/// Queues without a limit would let one slow majority exhaust the leader's memory.
+#[test]
+fn proposals_beyond_the_limits_are_refused() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    net.isolate(leader);
+    for token in 0..Settings::default().max_uncommitted {
+        net.step(
+            leader,
+            Event::Propose {
+                token,
+                command: vec![0; 10],
+            },
+        );
+    }
+    assert_eq!(net.refusal(), None);
+    net.step(
+        leader,
+        Event::Propose {
+            token: 0,
+            command: vec![0; 10],
+        },
+    );
+    assert_eq!(net.refusal(), Some(Refusal::Busy));
+    let (size, limit) = (256 * 1024 + 1, 256 * 1024);
+    net.step(
+        leader,
+        Event::Propose {
+            token: 0,
+            command: vec![0; size],
+        },
+    );
+    assert_eq!(net.refusal(), Some(Refusal::TooLarge { size, limit }));
+    let in_flight = net.nodes[usize::from(leader)].state().followers;
+    assert!(
+        in_flight
+            .iter()
+            .all(|f| f.in_flight <= Settings::default().max_in_flight)
+    );
+}
--- a/crates/azurelug-coordination/tests/support/disk.rs
+++ b/crates/azurelug-coordination/tests/support/disk.rs
@@ -65,14 +65,12 @@
 
     /// Latest membership in the log, committed or not.
     pub(crate) fn membership(&self) -> Option<&Membership> {
-        let logged = self
-            .entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Membership(membership) => Some(membership),
-                Payload::Empty | Payload::Command(_) => None,
-            });
+        let logged = self.entries.iter().rev().find_map(|entry| {
+            let Payload::Membership(membership) = &entry.payload else {
+                return None;
+            };
+            Some(membership)
+        });
         logged.or(self.snapshot.as_ref().map(|snapshot| &snapshot.membership))
     }
 }
--- a/crates/azurelug-coordination/tests/support/faults.rs
+++ b/crates/azurelug-coordination/tests/support/faults.rs
@@ -1,11 +1,14 @@
 //! The faults of a schedule, and the recovery expected after the last one.
 
-use azurelug_coordination::raft::{Change, Event, Member, Membership, Message, Standing};
+use azurelug_coordination::raft::{
+    Body, Change, Event, Member, Membership, Message, Role, Standing,
+};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
 use super::disk::Disk;
-use super::{Item, MS, World};
+use super::host::Host;
+use super::{Item, MS, Time, World};
 
 impl World {
     pub(crate) fn transmit(&mut self, from: usize, message: &Message) {
@@ -22,7 +25,11 @@
         self.counts.duplicated += copies as u64 - 1;
         for _ in 0..copies {
             let mut delay = self.random.random_range(200..2 * MS);
-            if self.random.random_bool(self.delay) {
+            let votes = matches!(message.body, Body::Vote { .. });
+            if votes && self.faulty && self.random.random_bool(0.3) {
+                self.counts.reordered += 1;
+                delay += self.random.random_range(0..60 * MS);
+            } else if self.random.random_bool(self.delay) {
                 self.counts.reordered += 1;
                 delay += self.random.random_range(0..1500 * MS);
             }
@@ -36,7 +43,7 @@
         let leader = self.leader_host().filter(|_| self.random.random_bool(0.4));
         let host = leader.unwrap_or(any);
         let span = self.random.random_range(50..3500) * MS;
-        match self.random.random_range(0..16) {
+        match self.random.random_range(0..19) {
             0..=2 => {
                 self.counts.kills += 1;
                 self.kill(host);
@@ -54,7 +61,9 @@
                 self.counts.transfers += 1;
                 self.step(host, Event::Transfer { token: 0, to: None })?;
             }
-            _ => self.change_membership(host)?,
+            14..=15 => self.change_membership(host)?,
+            16..=17 => self.stagger(host),
+            _ => self.pause_all(host),
         }
         Ok(())
     }
@@ -66,10 +75,30 @@
     pub(crate) fn kill(&mut self, host: usize) {
         self.hosts[host].process = None;
         self.hosts[host].tears = false;
-        let pause = self.random.random_range(5..2500) * MS;
+        let longest = *self.pick(&[30.0, 300.0, 2500.0]) as u64;
+        let pause = self.random.random_range(5..longest) * MS;
         self.push(self.time + pause, Item::Start(host));
     }
 
+    /// Restarts a voter just after its vote, mostly if another candidate could get a second one.
+    pub(crate) fn restart_voter(&mut self, host: usize) {
+        let Some(voter) = &self.hosts[host].process else {
+            return;
+        };
+        let term = voter.node.term();
+        let campaigns = |host: &&Host| {
+            let state = host.process.as_ref().map(|process| process.node.state());
+            state.is_some_and(|state| state.role == Role::Candidate && state.term == term)
+        };
+        let rivals = self.hosts.iter().filter(campaigns).count() > 1;
+        if self.random.random_bool(if rivals { 0.5 } else { 0.05 }) {
+            self.counts.kills += 1;
+            self.hosts[host].process = None;
+            let pause = self.random.random_range(5..20) * MS;
+            self.push(self.time + pause, Item::Start(host));
+        }
+    }
+
     /// Loses the disk unless too few intact voters would remain, which nothing can survive.
     fn lose_disk(&mut self, host: usize) {
         let lost = self.hosts[host].disk.vote.map(|record| record.member);
@@ -115,6 +144,52 @@
         }
     }
 
+    fn cut_link(&mut self, a: usize, b: usize, end: Time) {
+        self.cuts.insert((a, b), end);
+        self.cuts.insert((b, a), end);
+    }
+
+    /// Cuts one link of `host` and, about when the other end campaigns, the rest: the other end's
+    /// election then falls into the time in which a majority has only just heard from `host`.
+    fn stagger(&mut self, host: usize) {
+        self.counts.staggered_cuts += 1;
+        let other = self.random.random_range(0..self.hosts.len());
+        let end = self.time + 4000 * MS;
+        self.cut_link(host, other, end);
+        let wait = self.random.random_range(500..1500) * MS;
+        // Without new entries the other end's log stays good enough to win.
+        self.quiet_until = self.time + wait;
+        self.push(self.time + wait, Item::Isolate(host));
+    }
+
+    pub(crate) fn isolate_late(&mut self, host: usize) {
+        if !self.faulty {
+            return;
+        }
+        let end = self.time + 1000 * MS;
+        for other in 0..self.hosts.len() {
+            self.cut_link(host, other, end);
+        }
+        if self.random.random_bool(0.5) {
+            let restarted = self.random.random_range(0..self.hosts.len());
+            self.counts.kills += 1;
+            self.kill(restarted);
+        }
+    }
+
+    /// Freezes all processes past their election timeouts and cuts one link, so that several members
+    /// campaign in the same term when they continue.
+    fn pause_all(&mut self, host: usize) {
+        let span = self.random.random_range(1700..2600) * MS;
+        let other = self.random.random_range(0..self.hosts.len());
+        let end = self.time + span + 1000 * MS;
+        self.cut_link(host, other, end);
+        self.counts.common_freezes += 1;
+        for host in 0..self.hosts.len() {
+            self.freeze(host, span);
+        }
+    }
+
     fn freeze(&mut self, host: usize, span: u64) {
         if self.hosts[host].process.is_some() {
             self.counts.freezes += 1;
@@ -212,12 +287,11 @@
 
     /// Whether every host is a member and has applied a command proposed after the last fault.
     pub(crate) fn has_recovered(&mut self) -> bool {
-        let expelled: Vec<usize> = (0..self.hosts.len())
-            .filter(|&host| {
-                let record = self.hosts[host].disk.vote;
-                record.is_some_and(|record| self.was_removed(record.member))
-            })
-            .collect();
+        let removed = |host: &usize| {
+            let record = self.hosts[*host].disk.vote;
+            record.is_some_and(|record| self.was_removed(record.member))
+        };
+        let expelled: Vec<usize> = (0..self.hosts.len()).filter(removed).collect();
         for host in expelled {
             self.hosts[host].disk = Disk::default();
             self.kill(host);
--- a/crates/azurelug-coordination/tests/support/host.rs
+++ b/crates/azurelug-coordination/tests/support/host.rs
@@ -9,6 +9,7 @@
 use super::disk::Disk;
 use super::model::Machine;
 
+#[derive(Default)]
 pub(crate) struct Host {
     pub(crate) disk: Disk,
     pub(crate) process: Option<Process>,
@@ -32,20 +33,6 @@
     pub(crate) proposals: BTreeMap<u64, (u64, Vec<u8>)>,
 }
 
-impl Host {
-    pub(crate) fn new(disk: Disk) -> Self {
-        Self {
-            disk,
-            process: None,
-            runs: 0,
-            tick_at: 0,
-            frozen_until: 0,
-            backlog: Vec::new(),
-            tears: false,
-        }
-    }
-}
-
 impl Process {
     pub(crate) fn clock(&self, time: Time) -> Duration {
         Duration::from_nanos(((time - self.started) as f64 * 1000.0 * self.rate) as u64)
--- a/crates/azurelug-coordination/tests/support/schedule.rs
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use azurelug_coordination::raft::{
-    Action, Event, Member, Membership, Message, Node, Payload, Recovered, Role, Settings, Start,
-    Write,
+    Action, Body, Event, Member, Membership, Message, Node, Payload, Recovered, Role, Settings,
+    Start, Write,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -37,9 +37,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Item {
     Deliver(usize),
-    Tick { host: usize, run: u64 },
+    Tick {
+        host: usize,
+        run: u64,
+    },
     Start(usize),
     Thaw(usize),
+    /// Second part of a staggered cut.
+    Isolate(usize),
     Client,
     Fault,
 }
@@ -59,6 +64,8 @@
     duplication: f64,
     delay: f64,
     faulty: bool,
+    /// Clients propose nothing before this time.
+    quiet_until: Time,
     /// Number of acknowledged commands when the faults ended.
     acknowledged_then: u64,
     next_command: u64,
@@ -71,10 +78,9 @@
 /// Runs the schedule of `seed` with 3 or 5 voters and, in some schedules, one learner.
 pub(crate) fn run(seed: u64) -> Result<Counts, String> {
     let mut world = World::new(seed);
-    match world.run() {
-        Ok(()) => Ok(world.counts),
-        Err(error) => Err(format!("seed {seed} at {} us: {error}", world.time)),
-    }
+    let result = world.run();
+    result.map_err(|error| format!("seed {seed} at {} us: {error}", world.time))?;
+    Ok(world.counts)
 }
 
 impl World {
@@ -90,7 +96,10 @@
             } else {
                 Disk::default()
             };
-            Host::new(disk)
+            Host {
+                disk,
+                ..Host::default()
+            }
         });
         let hosts: Vec<Host> = hosts.collect();
         let settings = Settings {
@@ -118,6 +127,7 @@
             duplication: 0.0,
             delay: 0.0,
             faulty: true,
+            quiet_until: 0,
             acknowledged_then: 0,
             next_command: 0,
             model: Model::new(&slots),
@@ -192,6 +202,10 @@
             }
             Item::Start(host) => self.start(host),
             Item::Thaw(host) => self.thaw(host),
+            Item::Isolate(host) => {
+                self.isolate_late(host);
+                Ok(())
+            }
             Item::Client => self.client(),
             Item::Fault => {
                 if self.faulty {
@@ -209,11 +223,8 @@
             return Ok(());
         }
         // The ratio of the extremes is 1.01, the bound on relative drift.
-        let rate = match self.random.random_range(0..4) {
-            0 => 0.99503,
-            1 => 1.00497,
-            _ => self.random.random_range(0.99503..1.00497),
-        };
+        let between = self.random.random_range(0.99503..1.00497);
+        let rate = [0.99503, 1.00497, between, between][self.random.random_range(0..4)];
         self.counts.drifting_starts += 1;
         let state = &mut self.hosts[host];
         let recovered = state.disk.recover(CLUSTER, host as u16);
@@ -289,6 +300,7 @@
         } else {
             usize::MAX
         };
+        let mut voted = false;
         for action in actions {
             match action {
                 Action::Persist(write) if intact == 0 => {
@@ -303,10 +315,16 @@
                     self.note_memberships(&write);
                     self.hosts[host].disk.write(write);
                 }
-                Action::Send(message) => self.transmit(host, &message),
+                Action::Send(message) => {
+                    voted |= matches!(message.body, Body::VoteAnswer { granted: true });
+                    self.transmit(host, &message);
+                }
                 other => self.observe(host, other)?,
             }
         }
+        if voted && self.faulty {
+            self.restart_voter(host);
+        }
         Ok(())
     }
 
@@ -392,7 +410,8 @@
         let leader = self.leader_host().filter(|_| self.random.random_bool(0.85));
         let host = leader.unwrap_or_else(|| self.random.random_range(0..self.hosts.len()));
         let enough = !self.faulty && self.counts.acknowledged > self.acknowledged_then;
-        if self.hosts[host].frozen_until > self.time || enough {
+        let quiet = self.quiet_until > self.time;
+        if self.hosts[host].frozen_until > self.time || enough || quiet {
             return Ok(());
         }
         self.next_command += 1;
@@ -407,12 +426,14 @@
     }
 
     fn leader_host(&self) -> Option<usize> {
-        let leads = |host: &Host| {
-            host.process
-                .as_ref()
-                .is_some_and(|process| process.node.state().role == Role::Leader)
+        let term = |host: usize| {
+            let process = self.hosts[host].process.as_ref()?;
+            let leads = process.node.leader() == Some(process.node.member());
+            leads.then(|| process.node.term())
         };
-        self.hosts.iter().position(leads)
+        (0..self.hosts.len())
+            .filter(|&host| term(host).is_some())
+            .max_by_key(|&host| term(host))
     }
 
     /// Whether the member's identity is the one on its host's disk.
@@ -422,10 +443,8 @@
     }
 
     fn dump(&self) -> String {
-        let states = self.hosts.iter().map(|host| {
-            let process = host.process.as_ref();
-            process.map(|process| serde_json::to_string(&process.node.state()).unwrap_or_default())
-        });
+        let processes = self.hosts.iter().filter_map(|host| host.process.as_ref());
+        let states = processes.map(|process| serde_json::to_string(&process.node.state()));
         states
             .map(|state| format!("\n{}", state.unwrap_or_default()))
             .collect()
