core: count timeouts as slow answers; give up requests without the time for the next stage

Two causes were tried one at a time. A stage that is slow as a whole times out, which counted as errors and let outlier detection eject a third of the pool. Requests whose remaining time had been used up by waiting for a target still started their next stage. Change: Completion::TimedOut counts as a slow answer, which is compared with the pool; Latencies::needed is the sum of p90, as in the estimate of admission, and the shell gives up a request with less time left. Three mutations (timeouts as errors, timeouts ignored, cut-offs not recorded) fail the new tests; before this commit the first of them was the code. Conclusion: both kept.

--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -186,6 +186,12 @@
         }
     }
 
+    /// Whether the request is given up before its next stage.
+    pub(crate) fn is_hopeless(&self, kind: usize, short: bool, remaining: Duration) -> bool {
+        let stages = &self.classes[usize::from(!short)][kind..];
+        matches!(self.rules, Rules::Measured(..)) && remaining < self.latencies.needed(stages)
+    }
+
     /// How long a stage may take.
     pub(crate) fn timeout(&self, kind: usize, short: bool, remaining: Duration) -> Duration {
         match self.rules {
--- a/crates/azurelug-core/examples/attainment/model.rs
+++ b/crates/azurelug-core/examples/attainment/model.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azurelug_core::routing::Completion;
 use azurelug_types::config::{
     Account, Config, ModelRef, OnPartition, Role, StageKind, State, Target as Entry, Zone,
 };
@@ -41,7 +42,7 @@
 pub(crate) struct Work {
     pub(crate) duration: Duration,
     pub(crate) first_token: Duration,
-    pub(crate) succeeds: bool,
+    pub(crate) completion: Completion,
 }
 
 impl Target {
@@ -76,7 +77,11 @@
         Work {
             duration: Duration::from_secs_f64(seconds),
             first_token: Duration::from_secs_f64(BASE[self.kind] * factor),
-            succeeds: failure.is_none(),
+            completion: if failure.is_none() {
+                Completion::Success
+            } else {
+                Completion::Failure
+            },
         }
     }
 }
--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -36,7 +36,7 @@
 enum Event {
     Arrive,
     Ask(usize),
-    CallEnd(usize, u32, bool),
+    CallEnd(usize, u32, Completion),
     Timeout(usize, u32),
     Deadline(usize),
     Report(usize),
@@ -142,7 +142,7 @@
         match event {
             Event::Arrive => self.arrive(),
             Event::Ask(request) => self.ask(request),
-            Event::CallEnd(request, attempt, ok) => self.call_end(request, attempt, ok),
+            Event::CallEnd(request, attempt, it) => self.call_end(request, attempt, it),
             Event::Timeout(request, attempt) => {
                 let it = &self.requests[request];
                 if it.attempt == attempt
@@ -150,7 +150,7 @@
                 {
                     let daemon = &mut self.daemons[it.daemon];
                     daemon.cut_off(it.kind, it.short, self.now - started);
-                    self.call_end(request, attempt, false);
+                    self.call_end(request, attempt, Completion::TimedOut);
                 }
             }
             Event::Deadline(request) => self.end(request, false, false),
@@ -259,7 +259,7 @@
                 && is_lost(self.daemons[it.daemon].zone, target)
             {
                 let attempt = it.attempt;
-                self.call_end(request, attempt, false);
+                self.call_end(request, attempt, Completion::Failure);
             }
         }
     }
@@ -334,6 +334,9 @@
         }
         let (kind, short, index) = (it.kind, it.short, it.daemon);
         let left = (it.arrived + DEADLINE).saturating_sub(self.now);
+        if self.daemons[index].is_hopeless(kind, short, left) {
+            return self.end(request, false, false);
+        }
         let daemon = &mut self.daemons[index];
         let choice = daemon.choose(kind, &it.tried, self.now);
         let call = choice
@@ -355,10 +358,13 @@
         if reached {
             self.at(
                 work.duration,
-                Event::CallEnd(request, attempt, work.succeeds),
+                Event::CallEnd(request, attempt, work.completion),
             );
         } else {
-            self.at(CONNECT, Event::CallEnd(request, attempt, false));
+            self.at(
+                CONNECT,
+                Event::CallEnd(request, attempt, Completion::Failure),
+            );
         }
         self.at(timeout, Event::Timeout(request, attempt));
     }
@@ -378,7 +384,7 @@
         Some(spent)
     }
 
-    fn call_end(&mut self, request: usize, attempt: u32, ok: bool) {
+    fn call_end(&mut self, request: usize, attempt: u32, completion: Completion) {
         let it = &self.requests[request];
         if it.ended || it.attempt != attempt || it.call.is_none() {
             return;
@@ -387,8 +393,8 @@
         let begun = it
             .call
             .map(|(_, _, started, first_token)| started + first_token);
-        if ok {
-            let Some(spent) = self.stop(request, Completion::Success) else {
+        if completion == Completion::Success {
+            let Some(spent) = self.stop(request, completion) else {
                 return;
             };
             self.daemons[daemon].succeeded(kind, short, spent);
@@ -402,7 +408,7 @@
             }
             return self.ask(request);
         }
-        self.stop(request, Completion::Failure);
+        self.stop(request, completion);
         let it = &self.requests[request];
         let daemon = &mut self.daemons[daemon];
         let stages = &daemon.classes[usize::from(!short)][kind..];
@@ -410,10 +416,7 @@
             idempotent: true,
             attempts: it.tried.len() as u16,
             remaining: (it.arrived + DEADLINE).saturating_sub(self.now),
-            needed: stages
-                .iter()
-                .map(|it| daemon.latencies.quantiles(*it).p50)
-                .sum(),
+            needed: daemon.latencies.needed(stages),
         };
         if daemon.may_retry(kind, failure) {
             self.ask(request);
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -295,6 +295,11 @@
                 slot.slow_start.failure();
                 slot.record.failure();
             }
+            Completion::TimedOut => {
+                slot.slow_start.failure();
+                let waited = latency.as_micros().min(u128::from(u32::MAX)) as u32;
+                slot.record.success(waited.saturating_mul(2));
+            }
             Completion::Cancelled => {}
         }
         slot.load.ended(now);
--- a/crates/azurelug-core/src/routing/call.rs
+++ b/crates/azurelug-core/src/routing/call.rs
@@ -16,8 +16,11 @@
     pub enum Completion {
         /// The target answered in full.
         Success,
-        /// The target failed, refused or did not answer in time.
+        /// The target failed or refused.
         Failure,
+        /// The target did not answer in the time it was given. This counts as a slow answer and
+        /// not as an error, so that a stage that is slow as a whole ejects nobody.
+        TimedOut,
         /// The call was given up for reasons that say nothing about the target.
         Cancelled,
     }
--- a/crates/azurelug-core/tests/admission.rs
+++ b/crates/azurelug-core/tests/admission.rs
@@ -387,3 +387,22 @@
         10
     );
 }
+
+/// Guards against a stage that keeps the small share of the deadline that cuts its calls off, and
+/// against a next stage that is started without the time to end it.
+#[test]
+fn calls_that_are_cut_off_widen_the_share_of_their_stage() {
+    let (mut latencies, generate) = one_second();
+    let rerank = latencies.class("summary/rerank");
+    let stages = [rerank, generate];
+    let mut shares = Vec::new();
+    for second in 2..32 {
+        let share = latencies.share(10 * SECOND, &stages);
+        shares.push(share);
+        (0..20).for_each(|_| latencies.cut_off(rerank, share));
+        (0..20).for_each(|_| latencies.record(generate, SECOND));
+        latencies.tick(second * SECOND);
+    }
+    assert!(*shares.last().unwrap() > 8 * SECOND, "{shares:?}");
+    assert!(latencies.needed(&stages) > 10 * SECOND);
+}
--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -291,3 +291,31 @@
     assert_eq!(dump[0].unused, vec![]);
     assert_eq!(dump[1].unused, vec![Unused::TargetDraining]);
 }
+
+/// Guards against a stage that is slow as a whole and loses a third of its targets on top, and
+/// against a target that hangs and stays in use.
+#[test]
+fn calls_that_time_out_eject_a_single_slow_target_but_not_a_slow_pool() {
+    let late = Outcome {
+        completion: Completion::TimedOut,
+        first_token: None,
+    };
+    for slow in [1, 6] {
+        let mut router = warm_router(&zones(1, 6), 1);
+        let keys: Vec<_> = router.table().targets().map(|(key, _)| key).collect();
+        for (index, key) in keys.iter().enumerate() {
+            for _ in 0..20 {
+                let call = router.begin(*key, SECOND).unwrap();
+                if index < slow {
+                    router.finish(call, late, 2 * SECOND);
+                } else {
+                    router.finish(call, SUCCESS, 2 * SECOND);
+                }
+            }
+        }
+        router.tick(2 * SECOND);
+        let unused = |key| !router.why_unused(key, 2 * SECOND).is_empty();
+        let ejected = keys.iter().filter(|key| unused(**key)).count();
+        assert_eq!(ejected, usize::from(slow == 1), "{slow} slow targets");
+    }
+}
