core: let the queue use up at most half of a request's slack

Cause: under overload the queue grew until every request started at its last moment, so the calls slower than their p90 were wasted. Change: admission refuses a request whose expected wait is over half of the time that its stages leave.

--- a/crates/azurelug-core/src/admission.rs
+++ b/crates/azurelug-core/src/admission.rs
@@ -25,6 +25,10 @@
 const LANES: usize = 2;
 const LONG: usize = 0;
 const SHORT: usize = 1;
+/// A request may expect to wait for this part of its slack (the time left beyond that of its
+/// stages). When the queue may use up all of it, every request under overload starts at the last
+/// moment, and those whose stages take longer than their p90 are wasted.
+const MAX_SLACK_PART: u32 = 2;
 /// Weight of one finished request in the moving average of the service time.
 const SMOOTHING: f64 = 0.05;
 
@@ -223,8 +227,9 @@
         if self.waiting() >= self.settings.queue_total {
             return Err(Refused::new(Reason::Overloaded, wait));
         }
-        if now + wait > request.latest_start {
-            let late = now + wait - request.latest_start;
+        let slack = (request.latest_start - now) / MAX_SLACK_PART;
+        if wait > slack {
+            let late = wait - slack;
             return Err(Refused::new(Reason::DeadlineUnreachable, late));
         }
         let handle = self.requests.insert(request);
