entry: keep the deadline while claiming, and finish records before a shutdown

Cause: three faults found by tests against real processes. (1) Each attempt to commit a claim had 3 s of its own, so that a booking with a deadline of 4.5 s was refused after 6.2 s without a quorum. (2) The record of a booking is committed after its answer; a stopping daemon did not wait for it, and the key turned unknown although the caller had its answer. Ruled out for (2): the drain order itself, which waits for requests. (3) The design asks a stopping daemon to send `Connection: close`; it did not. Change: an attempt gets at most what is left of the deadline; records and releases in the background count as in flight; answers after the drain wait carry `Connection: close`. A record is still lost if no quorum returns within the finish wait.

--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -20,7 +20,7 @@
 use volo_http::server::route::{Router, post};
 
 use crate::drive::{self, StageReport};
-use crate::gateway::{AccountSlot, Gateway};
+use crate::gateway::{AccountSlot, Gateway, Running};
 use crate::metrics::End;
 use crate::plain;
 use crate::refuse;
@@ -112,22 +112,6 @@
     slot: AccountSlot,
 }
 
-/// Counts a request in flight until it is dropped.
-struct Running(Arc<Gateway>);
-
-impl Running {
-    fn start(gateway: &Arc<Gateway>) -> Self {
-        gateway.metrics.in_flight.inc();
-        Self(Arc::clone(gateway))
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.metrics.in_flight.dec();
-    }
-}
-
 async fn handle(
     gateway: Arc<Gateway>,
     route: Route,
@@ -142,8 +126,12 @@
         .collect();
     let answered = match accept(&gateway, &id, request.headers()) {
         Ok(accepted) => match route {
-            Route::Pipeline => pipeline(gateway, accepted, running, &names, request).await,
-            Route::Service => service(gateway, accepted, running, &names, request).await,
+            Route::Pipeline => {
+                pipeline(Arc::clone(&gateway), accepted, running, &names, request).await
+            }
+            Route::Service => {
+                service(Arc::clone(&gateway), accepted, running, &names, request).await
+            }
         },
         Err(refusal) => Err(refusal),
     };
@@ -151,6 +139,12 @@
     if let Ok(id) = HeaderValue::from_str(&id.0) {
         response.headers_mut().insert(REQUEST_ID.clone(), id);
     }
+    if gateway.shutdown.is_closing() {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
     response
 }
 
--- a/crates/azurelug-entry/src/gateway.rs
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -230,6 +230,23 @@
     }
 }
 
+/// Counts a request in flight until it is dropped.
+pub struct Running(Arc<Gateway>);
+
+impl Running {
+    /// Counts one more.
+    pub fn start(gateway: &Arc<Gateway>) -> Self {
+        gateway.metrics.in_flight.inc();
+        Self(Arc::clone(gateway))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
 /// A running call of an account. Dropping it ends the count.
 pub struct AccountSlot {
     name: AccountName,
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -15,7 +15,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::{Instant, sleep};
 
-use crate::gateway::{Gateway, InFlight};
+use crate::gateway::{Gateway, InFlight, Running};
 use crate::refuse;
 
 /// Attempts at a call that may repeat, the first one included.
@@ -226,7 +226,9 @@
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
     };
     loop {
-        match commit(gateway, command.clone()).await {
+        // The caller is answered at its deadline, whether or not control has answered by then.
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        match commit(gateway, command.clone(), COMMIT_TIMEOUT.min(left)).await {
             Some(outcome) => return decide(job, outcome),
             None if Instant::now() + COMMIT_PAUSE >= job.deadline => {
                 // The claim may still commit. Nothing was sent, and giving it back frees the key.
@@ -319,12 +321,12 @@
 }
 
 /// One attempt to commit a command; none if its outcome is not known.
-async fn commit(gateway: &Gateway, command: once::Command) -> Option<once::Outcome> {
-    match gateway
-        .link
-        .call(Frame::Once(command), COMMIT_TIMEOUT)
-        .await
-    {
+async fn commit(
+    gateway: &Gateway,
+    command: once::Command,
+    timeout: Duration,
+) -> Option<once::Outcome> {
+    match gateway.link.call(Frame::Once(command), timeout).await {
         Ok(Frame::OnceOutcome(outcome)) => Some(outcome),
         Ok(_) => None,
         Err(error) => {
@@ -334,12 +336,18 @@
     }
 }
 
-/// Commits a result or a release in the background, so that the caller's answer does not wait.
+/// Commits a result or a release in the background, so that the caller's answer does not wait. A
+/// stopping daemon waits for it as for a request.
 fn commit_later(gateway: &Arc<Gateway>, command: once::Command) {
+    let running = Running::start(gateway);
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
+        let _running = running;
         for _ in 0..COMMIT_ATTEMPTS {
-            if commit(&gateway, command.clone()).await.is_some() {
+            if commit(&gateway, command.clone(), COMMIT_TIMEOUT)
+                .await
+                .is_some()
+            {
                 return;
             }
             sleep(COMMIT_PAUSE).await;
@@ -356,10 +364,12 @@
 
 /// Finds out whether an unanswered claim was granted, and gives it back if so.
 fn release_unanswered(gateway: &Arc<Gateway>, command: once::Command) {
+    let running = Running::start(gateway);
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
+        let _running = running;
         for _ in 0..COMMIT_ATTEMPTS {
-            match commit(&gateway, command.clone()).await {
+            match commit(&gateway, command.clone(), COMMIT_TIMEOUT).await {
                 Some(once::Outcome::Claimed { claim }) => {
                     commit_later(&gateway, once::Command::Release { claim });
                     return;
--- a/crates/azurelug-entry/src/shutdown.rs
+++ b/crates/azurelug-entry/src/shutdown.rs
@@ -18,6 +18,7 @@
 /// The state of the shutdown.
 pub struct Shutdown {
     stopping: AtomicBool,
+    closing: AtomicBool,
     done: watch::Sender<bool>,
 }
 
@@ -25,6 +26,7 @@
     fn default() -> Self {
         Self {
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             done: watch::Sender::new(false),
         }
     }
@@ -36,6 +38,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether answers must ask their callers to close the connection.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// Returns when the callers' side has finished its order. The admin side stays up until then, so
     /// that the balancer can read that the daemon is not ready.
     pub async fn wait_done(&self) {
@@ -45,8 +52,8 @@
     }
 }
 
-/// Runs the order: reports not ready, accepts requests for `drain_wait`, then waits up to
-/// `finish_wait` for running requests.
+/// Runs the order: reports not ready, accepts requests for `drain_wait`, then asks callers to close
+/// their connections and waits up to `finish_wait` for running requests.
 pub async fn run(gateway: Arc<Gateway>, drain_wait: Duration, finish_wait: Duration) {
     gateway.shutdown.stopping.store(true, Ordering::Relaxed);
     log::info!(
@@ -54,6 +61,7 @@
         drain_wait.as_millis()
     );
     sleep(drain_wait).await;
+    gateway.shutdown.closing.store(true, Ordering::Relaxed);
     let limit = Instant::now() + finish_wait;
     while gateway.metrics.in_flight.get() > 0 && Instant::now() < limit {
         sleep(POLL).await;
