system: test bookings that must run at most once against real processes

Cause: the claim table and the guard had proofs of their own; nothing showed that the daemons together run a booking once. Executions are counted at the service. azurelug-system gets bookings, links that can be cut, exit codes and peak memory of processes.

--- a/crates/azurelug-system/src/lib.rs
+++ b/crates/azurelug-system/src/lib.rs
@@ -4,10 +4,13 @@
 //! engines and a replica of a plain service. The daemons are processes; the doubles run inside the
 //! test. Each system uses a loopback address of its own, so that tests can run side by side.
 
+pub mod booking;
+pub mod links;
 pub mod operator;
 pub mod process;
 pub mod system;
 
+pub use booking::Booking;
 pub use operator::Operator;
 pub use process::Process;
 pub use system::System;
--- /dev/null
+++ b/crates/azurelug-system/src/links.rs
@@ -0,0 +1,79 @@
+//! The links from daemons to control daemons, as proxies that a test can cut.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use azurelug_testkit::Proxy;
+use azurelug_testkit::proxy::{Link, NewConnections, Rule, Settings};
+
+/// Proxies by the zone they lead from and the zone they lead to. Without proxies, daemons connect
+/// directly.
+#[derive(Default)]
+pub struct Links {
+    proxies: BTreeMap<(usize, usize), Proxy>,
+}
+
+impl Links {
+    /// Starts a proxy for each pair of `zones`, also from each zone to itself.
+    ///
+    /// # Panics
+    /// If a proxy can't be started.
+    pub async fn start(zones: usize, control: impl Fn(usize) -> SocketAddr) -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut proxies = BTreeMap::new();
+        for from in 0..zones {
+            for to in 0..zones {
+                let settings = Settings {
+                    target: control(to),
+                    control: any,
+                    link: Link::default(),
+                };
+                let proxy = Proxy::start(any, settings).await.expect("start a proxy");
+                proxies.insert((from, to), proxy);
+            }
+        }
+        Self { proxies }
+    }
+
+    /// The address at which a daemon in zone `from` finds the control daemon of zone `to`; none if
+    /// it connects directly.
+    pub fn address(&self, from: usize, to: usize) -> Option<SocketAddr> {
+        self.proxies.get(&(from, to)).map(Proxy::address)
+    }
+
+    /// Cuts the links between `zone` and all others in both directions. Connections go silent, and
+    /// new ones are silent from the start.
+    pub fn isolate(&self, zone: usize) {
+        self.set(
+            |from, to| from != to && (from == zone || to == zone),
+            &silent(NewConnections::Follow),
+        );
+    }
+
+    /// Makes all connections from `zone` go silent, while new ones work.
+    pub fn silence(&self, zone: usize) {
+        self.set(|from, _| from == zone, &silent(NewConnections::Pass));
+    }
+
+    /// Lets new connections pass on all links. Connections that went silent stay silent.
+    pub fn heal(&self) {
+        self.set(|_, _| true, &Link::default());
+    }
+
+    fn set(&self, is_meant: impl Fn(usize, usize) -> bool, link: &Link) {
+        for ((from, to), proxy) in &self.proxies {
+            if is_meant(*from, *to) {
+                proxy.set_link(link.clone());
+            }
+        }
+    }
+}
+
+fn silent(new_connections: NewConnections) -> Link {
+    Link {
+        forward: Rule::Drop,
+        backward: Rule::Drop,
+        new_connections,
+        ..Link::default()
+    }
+}
--- a/crates/azurelug-system/src/process.rs
+++ b/crates/azurelug-system/src/process.rs
@@ -106,6 +106,20 @@
             .is_none_or(|child| matches!(child.try_wait(), Ok(Some(_)) | Err(_)))
     }
 
+    /// The exit code, once the process has ended by itself; none if a signal ended it.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        status.code()
+    }
+
+    /// The most memory that the process has had in use so far, in KiB.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// The log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -18,6 +18,7 @@
 use azurelug_types::patch::Change;
 use sha2::{Digest, Sha256};
 
+use crate::links::Links;
 use crate::operator::{Operator, patch};
 use crate::process::Process;
 
@@ -51,6 +52,8 @@
 pub struct System {
     /// The zones' parts, in the order of [`ZONES`].
     pub zones: Vec<ZoneParts>,
+    /// The links to control daemons.
+    pub links: Links,
     folder: PathBuf,
     address: Ipv4Addr,
 }
@@ -61,7 +64,28 @@
     /// # Panics
     /// If anything does not become ready in time.
     pub async fn start() -> Self {
-        let mut system = Self::prepare(engine::Settings::default()).await;
+        Self::start_with(engine::Settings::default()).await
+    }
+
+    /// Starts the system as [`System::start`] does, with other engines.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_with(engines: engine::Settings) -> Self {
+        Self::prepare(engines, false).await.launch().await
+    }
+
+    /// Starts the system as [`System::start`] does, with links that can be cut.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_with_links() -> Self {
+        let system = Self::prepare(engine::Settings::default(), true).await;
+        system.launch().await
+    }
+
+    async fn launch(self) -> Self {
+        let mut system = self;
         for zone in &mut system.zones {
             zone.control.set_argument("--initialize", true);
             zone.control.start();
@@ -83,7 +107,7 @@
     ///
     /// # Panics
     /// If files can't be written or doubles can't be started.
-    pub async fn prepare(engines: engine::Settings) -> Self {
+    pub async fn prepare(engines: engine::Settings, has_links: bool) -> Self {
         let address = own_address();
         let folder = std::env::temp_dir().join(format!("azurelug-{address}"));
         // An earlier run with the same process id may have been killed.
@@ -92,9 +116,13 @@
         std::fs::write(folder.join("key"), "0123456789abcdef0123456789abcdef").expect("write");
         let mut system = Self {
             zones: Vec::new(),
+            links: Links::default(),
             folder,
             address,
         };
+        if has_links {
+            system.links = Links::start(ZONES.len(), |zone| system.internal(zone)).await;
+        }
         for index in 0..ZONES.len() {
             let zone = system.prepare_zone(index, &engines).await;
             system.zones.push(zone);
@@ -144,7 +172,11 @@
         use std::fmt::Write;
         let mut members = String::new();
         for other in 0..ZONES.len() {
-            let (slot, name, address) = (other + 1, control_name(other), self.internal(other));
+            let address = match self.links.address(index, other) {
+                Some(link) if other != index => link,
+                _ => self.internal(other),
+            };
+            let (slot, name) = (other + 1, control_name(other));
             let _ = writeln!(
                 members,
                 "  - {{ slot: {slot}, name: {name}, address: \"{address}\" }}"
@@ -161,8 +193,10 @@
     }
 
     fn entry_settings(&self, index: usize) -> String {
-        let controls: Vec<String> = (0..ZONES.len())
-            .map(|step| format!("\"{}\"", self.internal((index + step) % ZONES.len())))
+        let nearest_first = (0..ZONES.len()).map(|step| (index + step) % ZONES.len());
+        let address = |zone| self.links.address(index, zone);
+        let controls: Vec<String> = nearest_first
+            .map(|zone| format!("\"{}\"", address(zone).unwrap_or(self.internal(zone))))
             .collect();
         let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
         format!(
@@ -199,6 +233,11 @@
         SocketAddr::from((self.address, base + zone))
     }
 
+    /// The folder of all files of the system.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+
     /// The data folder of a control daemon.
     pub fn data(&self, zone: usize) -> PathBuf {
         self.folder.join(control_name(zone))
@@ -272,6 +311,13 @@
         self.zones.iter().map(count).sum()
     }
 
+    /// Sets the faults of every replica of the service.
+    pub fn set_stock_faults(&self, faults: &service::Faults) {
+        for zone in &self.zones {
+            zone.stock.set_faults(faults.clone());
+        }
+    }
+
     /// The changes that set up everything.
     pub fn first_changes(&self) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -296,17 +342,7 @@
                 model: definition,
             });
         }
-        let digest = Sha256::digest(ACCOUNT_KEY.as_bytes());
-        let key_digest = digest.iter().map(|byte| format!("{byte:02x}")).collect();
-        let account = Account {
-            key_digest,
-            weight: 1,
-            max_in_flight: 256,
-        };
-        changes.push(Change::SetAccount {
-            name: AccountName::from("carts"),
-            account,
-        });
+        changes.push(account("carts", ACCOUNT_KEY));
         let operations = [("book", false), ("look-up", true)]
             .map(|(name, idempotent)| (OperationName::from(name), Operation { idempotent }));
         let service = azurelug_types::config::Service {
@@ -422,6 +458,20 @@
     }
 }
 
+/// The change that adds an account.
+pub fn account(name: &str, key: &str) -> Change {
+    let digest = Sha256::digest(key.as_bytes());
+    let account = Account {
+        key_digest: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        weight: 1,
+        max_in_flight: 256,
+    };
+    Change::SetAccount {
+        name: AccountName::from(name),
+        account,
+    }
+}
+
 fn target(
     name: &str,
     zone: &str,
