--- a/crates/azurelug-testkit/src/engine.rs
+++ b/crates/azurelug-testkit/src/engine.rs
@@ -99,6 +99,8 @@
     pub stop_after_tokens: u64,
     /// Sends every n-th token of a stream twice.
     pub duplicate_every: u64,
+    /// Answers every n-th call that starts with the id of another call.
+    pub wrong_id_every: u64,
     /// Starts a cold start now. Takes effect once and is not kept.
     pub go_cold: bool,
     /// Calls start and never make progress, until the fault is cleared.
--- a/crates/azurelug-testkit/src/engine/api.rs
+++ b/crates/azurelug-testkit/src/engine/api.rs
@@ -137,6 +137,7 @@
 
 async fn embeddings(shared: &Arc<Shared>, call: Embedding) -> Result<Response, Refusal> {
     let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    let id = answer_id(shared, &ticket, call.request_id);
     work(shared, ticket).await?;
     let inputs = match call.input {
         Inputs::One(input) => vec![input],
@@ -151,7 +152,7 @@
     let usage = json!({ "prompt_tokens": prompt_tokens });
     Ok(answer::json(
         200,
-        &json!({ "id": call.request_id, "model": call.model, "data": data, "usage": usage }),
+        &json!({ "id": id, "model": call.model, "data": data, "usage": usage }),
     ))
 }
 
@@ -160,6 +161,7 @@
         return Err(Refusal::new(400, "an embedding has 8 values"));
     }
     let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    let id = answer_id(shared, &ticket, call.request_id);
     work(shared, ticket).await?;
     let find = |rank| {
         let (id, text) = text::document(&call.model, &call.query, rank);
@@ -168,12 +170,13 @@
     let documents: Vec<_> = (0..call.top_k.min(TOP_K)).map(find).collect();
     Ok(answer::json(
         200,
-        &json!({ "id": call.request_id, "documents": documents }),
+        &json!({ "id": id, "documents": documents }),
     ))
 }
 
 async fn rerank(shared: &Arc<Shared>, call: Rerank) -> Result<Response, Refusal> {
     let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    let id = answer_id(shared, &ticket, call.request_id);
     work(shared, ticket).await?;
     let score = |document: &String| text::relevance(&call.model, &call.query, document);
     let mut scored: Vec<_> = call.documents.iter().map(score).enumerate().collect();
@@ -181,10 +184,7 @@
     scored.truncate(call.top_n);
     let result = |(index, score)| json!({ "index": index, "relevance_score": score });
     let results: Vec<_> = scored.into_iter().map(result).collect();
-    Ok(answer::json(
-        200,
-        &json!({ "id": call.request_id, "results": results }),
-    ))
+    Ok(answer::json(200, &json!({ "id": id, "results": results })))
 }
 
 async fn order(shared: &Arc<Shared>, order: Order) -> Result<Response, Refusal> {
@@ -238,6 +238,15 @@
     Ok(ticket)
 }
 
+/// The id that the answer to a call carries.
+pub(super) fn answer_id(shared: &Shared, ticket: &Ticket, request_id: String) -> String {
+    let every = shared.faults.borrow().wrong_id_every;
+    if every > 0 && (ticket.id() + 1).is_multiple_of(every) {
+        return "another-request/0/0".to_owned();
+    }
+    request_id
+}
+
 /// The whole work of a call that generates no text.
 async fn work(shared: &Arc<Shared>, mut ticket: Ticket) -> Result<(), Refusal> {
     let time = prefill_time(shared, 1.0);
--- a/crates/azurelug-testkit/src/engine/completion.rs
+++ b/crates/azurelug-testkit/src/engine/completion.rs
@@ -13,7 +13,7 @@
 use volo_http::response::Response;
 
 use super::Shared;
-use super::api::{admit, count_tokens, ended, pause, prefill_time};
+use super::api::{admit, answer_id, count_tokens, ended, pause, prefill_time};
 use super::schedule::Ticket;
 use crate::refusal::Refusal;
 use crate::text;
@@ -82,11 +82,15 @@
 }
 
 /// Generates the tokens `resume_from..max_tokens`.
-pub(super) async fn complete(shared: &Arc<Shared>, call: Completion) -> Result<Response, Refusal> {
+pub(super) async fn complete(
+    shared: &Arc<Shared>,
+    mut call: Completion,
+) -> Result<Response, Refusal> {
     if call.max_tokens > MAX_TOKENS {
         return Err(Refusal::new(400, "max_tokens is above 100000"));
     }
     let ticket = admit(shared, &call.model, &call.request_id, call.priority).await?;
+    call.request_id = answer_id(shared, &ticket, call.request_id);
     if call.stream {
         let (sender, receiver) = mpsc::channel(BUFFERED);
         let shared = shared.clone();
