--- a/crates/azurelug-core/src/admission.rs
+++ b/crates/azurelug-core/src/admission.rs
@@ -25,10 +25,12 @@
 const LANES: usize = 2;
 const LONG: usize = 0;
 const SHORT: usize = 1;
+/// A request may expect to wait for this part of its slack (the time left beyond that of its
+/// stages). When the queue may use up all of it, every request under overload starts at the last
+/// moment, and those whose stages take longer than their p90 are wasted.
+const MAX_SLACK_PART: u32 = 2;
 /// Weight of one finished request in the moving average of the service time.
 const SMOOTHING: f64 = 0.05;
-/// The expected wait is raised by one part of this many before it is compared with the deadline.
-const CARE_PART: u32 = 4;
 
 /// Limits of one entry daemon.
 #[derive(Clone, Copy, Debug)]
@@ -234,12 +236,9 @@
         if self.waiting() >= self.settings.queue_total {
             return Err(Refused::new(Reason::Overloaded, wait));
         }
-        // In a full queue every request is near the limit, and half of them would be refused late if
-        // the estimate were taken as it is.
-        let careful = wait + wait / CARE_PART;
-        if now + careful > request.latest_start {
-            let late = (now + wait).saturating_sub(request.latest_start);
-            let late = late.max(wait / CARE_PART);
+        let slack = (request.latest_start - now) / MAX_SLACK_PART;
+        if wait > slack {
+            let late = wait - slack;
             return Err(Refused::new(Reason::DeadlineUnreachable, late));
         }
         let handle = self.requests.insert(request);
