entry: admit requests, wait for slots, retry and hedge within budgets

Cause: every request ran at once, so under overload earlier stages were run for requests that found no generate slot; an attempt got half of the remaining deadline; retries had no budget.

Change: `admit` carries out `core::admission`; capacity follows from slots and latencies for the recent mix of requests, with a limit of its own for long calls. `slots` queues calls for a free slot, one queue for each model and length, and reserves a fifth for short calls. `estimates` gives time limits and budgets; `call` holds the call's task. Encode, retrieve and rerank are hedged at p95. A call that could not connect is taken back from the ledger. A passed deadline is refused with a time to come back. An account's limit now covers pipelines (admission, which queues) and services (at once) separately.

--- /dev/null
+++ b/crates/azurelug-entry/src/admit.rs
@@ -0,0 +1,320 @@
+//! Admits requests to the daemon: carries out the decisions of `azurelug_core::admission`.
+//!
+//! Owns the admission and the channels of waiting requests. A permit that is dropped, also by a
+//! caller that goes away while it waits, gives up its place at once.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::Duration;
+
+use azurelug_core::admission::{
+    Action, Admission, Ask, Entry, Refused, Settings, Ticket, pipeline_capacity,
+};
+use azurelug_core::routing::Router;
+use azurelug_types::config::{Config, ModelRef, StageKind};
+use azurelug_types::id::{AccountName, PipelineName};
+use azurelug_types::outcome::Reason;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::estimates::{Classes, Estimates};
+use crate::gateway::Gateway;
+use crate::slots::RESERVED_PART;
+
+/// Time between two looks for waiting requests that have become hopeless.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between two computations of capacity and latency quantiles.
+const TICKS_PER_SECOND: u32 = 10;
+
+/// Part of the recent arrivals that still counts a second later.
+const ARRIVALS_KEPT: f64 = 0.9;
+
+/// One short and one long request may always start, so that a daemon without usable targets answers
+/// with the true reason instead of a full queue.
+const LEAST_CAPACITY: u32 = 2;
+
+/// When a request of an account that was just removed may try again.
+const UNKNOWN_ACCOUNT_WAIT: Duration = Duration::from_secs(1);
+
+/// Where a waiting request gets its decision.
+type Decision = oneshot::Receiver<Result<(), Refused>>;
+
+/// A request that asks to run.
+pub struct Request<'a> {
+    /// Whose request it is.
+    pub account: &'a AccountName,
+    /// The configuration it was accepted under.
+    pub config: &'a Config,
+    /// The pipeline.
+    pub pipeline: &'a PipelineName,
+    /// Its stages' latency classes.
+    pub classes: &'a Classes,
+    /// Whether it is a short call.
+    pub is_short: bool,
+    /// Tokens that it may produce.
+    pub max_tokens: u32,
+    /// When its answer must be complete.
+    pub deadline: Instant,
+}
+
+/// The admission of one daemon.
+pub struct Admit {
+    started: Instant,
+    estimates: Arc<Estimates>,
+    state: Mutex<State>,
+}
+
+struct State {
+    admission: Admission,
+    capacity: u32,
+    waiting: HashMap<Ticket, oneshot::Sender<Result<(), Refused>>>,
+    /// Recent arrivals by pipeline and length, for the mix that the capacity is computed for.
+    arrivals: HashMap<(PipelineName, bool), f64>,
+}
+
+impl Admit {
+    /// An admission that knows no account yet.
+    pub fn new(estimates: Arc<Estimates>) -> Self {
+        let settings = Settings::default();
+        let state = State {
+            admission: Admission::new(settings),
+            capacity: settings.capacity,
+            waiting: HashMap::new(),
+            arrivals: HashMap::new(),
+        };
+        Self {
+            started: Instant::now(),
+            estimates,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Waits until the request may run. Dropping the future gives up its place.
+    ///
+    /// # Errors
+    /// Why it does not run, at once where that is known at once.
+    pub async fn enter(self: &Arc<Self>, request: Request<'_>) -> Result<Permit, Refused> {
+        let (ticket, answer) = self.offer(&request)?;
+        // From here on, dropping the permit gives the place back.
+        let permit = Permit {
+            ticket,
+            admit: Arc::clone(self),
+        };
+        if let Some(answer) = answer {
+            let decided = answer.await;
+            decided.expect("the sender is kept until the decision")?;
+        }
+        Ok(permit)
+    }
+
+    /// Offers the request. One that waits gets its decision on the receiver.
+    fn offer(&self, request: &Request<'_>) -> Result<(Ticket, Option<Decision>), Refused> {
+        let now = self.now();
+        let mut state = self.lock();
+        state.admission.apply(request.config);
+        let Some(account) = state.admission.account(request.account) else {
+            return Err(Refused {
+                reason: Reason::Overloaded,
+                retry_after: UNKNOWN_ACCOUNT_WAIT,
+            });
+        };
+        let key = (request.pipeline.clone(), request.is_short);
+        *state.arrivals.entry(key).or_insert(0.0) += 1.0;
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let overrun = self.estimates.overrun(request.classes);
+        let entry = self
+            .estimates
+            .with_measured(request.classes, |latencies, stages| {
+                let ask = Ask {
+                    account,
+                    short: request.is_short,
+                    cost: request.max_tokens,
+                    deadline: now + left.saturating_sub(overrun),
+                    stages,
+                };
+                state.admission.offer(&ask, latencies, now)
+            })?;
+        match entry {
+            Entry::Start(ticket) => Ok((ticket, None)),
+            Entry::Wait(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                Ok((ticket, Some(receiver)))
+            }
+        }
+    }
+
+    /// Refuses waiting requests that have become hopeless.
+    pub fn tick(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        let actions = state.admission.tick(now);
+        state.carry_out(actions);
+    }
+
+    /// Requests running and waiting, and how many may run.
+    pub fn load(&self) -> (u32, usize, u32) {
+        let state = self.lock();
+        let (running, waiting) = state.admission.load();
+        (running, waiting, state.capacity)
+    }
+
+    /// Sets how many requests may run at the same time.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.capacity = capacity.all;
+        state.admission.set_long_limit(capacity.long);
+        let capacity = capacity.all;
+        let actions = state.admission.set_capacity(capacity, now);
+        state.carry_out(actions);
+    }
+
+    /// The recent mix of requests; every pipeline equally if none arrived lately.
+    fn mix(&self, config: &Config) -> Vec<(PipelineName, bool, f64)> {
+        let mut state = self.lock();
+        state.arrivals.retain(|(pipeline, _), count| {
+            *count *= ARRIVALS_KEPT;
+            *count > 0.1 && config.pipelines.contains_key(pipeline)
+        });
+        if state.arrivals.is_empty() {
+            let both =
+                |name: &PipelineName| [(name.clone(), true, 1.0), (name.clone(), false, 1.0)];
+            return config.pipelines.keys().flat_map(both).collect();
+        }
+        let arrivals = state.arrivals.iter();
+        arrivals
+            .map(|((name, is_short), count)| (name.clone(), *is_short, *count))
+            .collect()
+    }
+
+    fn finish(&self, ticket: Ticket) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.waiting.remove(&ticket);
+        let actions = state.admission.finish(ticket, now);
+        state.carry_out(actions);
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl State {
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (ticket, decision) = match action {
+                Action::Start(ticket) => (ticket, Ok(())),
+                Action::Refuse(ticket, refused) => (ticket, Err(refused)),
+            };
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                // If the request was given up meanwhile, its permit gives the slot back.
+                let _ = sender.send(decision);
+            }
+        }
+    }
+}
+
+/// A running request's slot, or a waiting one's place. Dropping it gives it back.
+pub struct Permit {
+    ticket: Ticket,
+    admit: Arc<Admit>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.admit.finish(self.ticket);
+    }
+}
+
+/// How many requests the targets can run at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// All requests.
+    pub all: u32,
+    /// Long ones.
+    pub long: u32,
+}
+
+/// The capacity for the recent mix of requests, and the limit for long ones, as if there were no other.
+fn capacity(gateway: &Gateway, config: &Config) -> Capacity {
+    let mix = gateway.admit.mix(config);
+    let mut long: Vec<_> = mix.iter().filter(|it| !it.1).cloned().collect();
+    if long.is_empty() {
+        // The limit must be in force before the first long call arrives.
+        let names = mix.iter().map(|(name, ..)| (name.clone(), false, 1.0));
+        long = names.collect();
+    }
+    let long = capacity_for(gateway, config, &long);
+    Capacity {
+        all: capacity_for(gateway, config, &mix),
+        long: long - long.div_ceil(RESERVED_PART),
+    }
+}
+
+/// By Little's law: a request spends part of its time in each kind of work, and the kind with the
+/// fewest slots for its part limits all. For one pipeline this is the least over its stages.
+///
+/// Until the whole mix is measured, it is the fewest slots of a generate stage, where requests spend
+/// most of their time, or of any stage if none generates.
+fn capacity_for(gateway: &Gateway, config: &Config, mix: &[(PipelineName, bool, f64)]) -> u32 {
+    let mut times: HashMap<(StageKind, &ModelRef), f64> = HashMap::new();
+    let total: f64 = mix.iter().map(|(_, _, count)| count).sum();
+    let estimates = &gateway.estimates;
+    let mut is_measured = true;
+    for (name, is_short, count) in mix {
+        let Some(pipeline) = config.pipelines.get(name) else {
+            continue;
+        };
+        let classes = estimates.classes(name, &pipeline.stages, *is_short);
+        is_measured &= estimates.is_measured(&classes);
+        for (place, stage) in pipeline.stages.iter().enumerate() {
+            let typical = estimates.typical(classes.stage(place)).as_secs_f64();
+            *times.entry((stage.kind, &stage.model)).or_insert(0.0) += typical * count / total;
+        }
+    }
+    let slots = |kind, model| gateway.waiting.slots(kind, model);
+    if !is_measured {
+        let kinds = || times.keys();
+        let generate = kinds().filter(|(kind, _)| *kind == StageKind::Generate);
+        let fewest = generate.map(|(kind, model)| slots(*kind, model)).min();
+        let fewest = fewest.or_else(|| kinds().map(|(kind, model)| slots(*kind, model)).min());
+        return fewest.unwrap_or(0).max(LEAST_CAPACITY);
+    }
+    let stages: Vec<(u32, Duration)> = times
+        .into_iter()
+        .map(|((kind, model), time)| (slots(kind, model), Duration::from_secs_f64(time)))
+        .collect();
+    pipeline_capacity(&stages).max(LEAST_CAPACITY)
+}
+
+/// Keeps admission, estimates and router up to date until the gateway is gone.
+pub async fn run(gateway: Weak<Gateway>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0;
+    loop {
+        ticks.tick().await;
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
+        count = (count + 1) % TICKS_PER_SECOND;
+        if count == 0 {
+            gateway.estimates.tick(gateway.now());
+            gateway.with_router(Router::tick);
+            if let Some(view) = gateway.view() {
+                gateway.waiting.count_slots(&gateway, &view.config);
+                gateway.admit.set_capacity(capacity(&gateway, &view.config));
+            }
+        }
+        gateway.admit.tick();
+        let (running, waiting, capacity) = gateway.admit.load();
+        gateway.metrics.admission(running, waiting, capacity);
+    }
+}
--- /dev/null
+++ b/crates/azurelug-entry/src/call.rs
@@ -0,0 +1,172 @@
+//! One call of a stage on a task of its own.
+//!
+//! Sends the call once and reports its events and its end to the request's task. Owns the call's slot
+//! at the target. Never decides whether the call is repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::pipeline::{CallId, Context, Event};
+use azurelug_core::routing::Completion;
+use azurelug_types::config::{Stage, StageKind};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use crate::engine::{self, Failure};
+use crate::estimates::{Classes, is_short};
+use crate::gateway::{Gateway, InFlight};
+use crate::slots::Reserve;
+
+/// A stream without a token for this long is taken for failed and resumed elsewhere. The usual time
+/// between tokens is 29 ms at the 95th percentile.
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a call's task reports.
+#[derive(Debug)]
+pub enum Message {
+    /// For the request's state machine.
+    Event(Event),
+    /// The call has failed.
+    Failed {
+        /// The call.
+        call: CallId,
+        /// Whether the target provably got no byte.
+        is_not_sent: bool,
+    },
+}
+
+/// One call on its own task.
+pub struct Task {
+    /// The shared state.
+    pub gateway: Arc<Gateway>,
+    /// The call.
+    pub call: CallId,
+    /// Its stage.
+    pub stage: Stage,
+    /// The latency classes of the request's stages.
+    pub classes: Classes,
+    /// The results so far.
+    pub context: Context,
+    /// Tokens that a generate stage may produce.
+    pub max_tokens: u32,
+    /// The first token that is still needed.
+    pub resume_from: u32,
+    /// Time until the first sign of success.
+    pub limit: Duration,
+    /// The request's task.
+    pub messages: mpsc::Sender<Message>,
+    /// Kept as long as the slot.
+    pub reserve: Reserve,
+}
+
+impl Task {
+    /// Sends the call and reports its events and its end.
+    pub async fn run(self, slot: InFlight) {
+        let result = match self.stage.kind {
+            StageKind::Generate => self.generate(&slot).await,
+            kind => self.whole(kind, &slot).await.map(|()| None),
+        };
+        match result {
+            Ok(first_token) => slot.close(Completion::Success, first_token),
+            Err(failure) => {
+                log::debug!(
+                    "entry: call {} to {} failed: {}",
+                    self.call,
+                    slot.target,
+                    failure.message
+                );
+                slot.close(Completion::Failure, None);
+                let call = self.call.clone();
+                let is_not_sent = failure.is_not_sent;
+                let message = Message::Failed { call, is_not_sent };
+                // The request may have ended already.
+                let _ = self.messages.send(message).await;
+            }
+        }
+    }
+
+    async fn whole(&self, kind: StageKind, slot: &InFlight) -> Result<(), Failure> {
+        let request = self.request(slot);
+        let output = engine::whole(&self.gateway.pooled, kind, &request).await?;
+        self.succeeded(kind, slot.elapsed());
+        let call = self.call.clone();
+        self.report(Event::Finished { call, output }).await;
+        Ok(())
+    }
+
+    /// Passes tokens on; returns the time to the first one.
+    async fn generate(&self, slot: &InFlight) -> Result<Option<Duration>, Failure> {
+        let request = self.request(slot);
+        let client = &self.gateway.pooled;
+        let mut tokens =
+            engine::generate(client, &request, self.max_tokens, self.resume_from).await?;
+        let mut first_token = None;
+        let mut held_up = Duration::ZERO;
+        loop {
+            let limit = if first_token.is_none() {
+                request.timeout
+            } else {
+                TOKEN_TIMEOUT
+            };
+            let next = timeout(limit, tokens.next()).await;
+            let next = next.map_err(|_| Failure {
+                is_not_sent: false,
+                message: format!("no token within {} ms", limit.as_millis()),
+            })??;
+            let Some(token) = next else {
+                return Err(Failure {
+                    is_not_sent: false,
+                    message: "the stream ended before its last token".to_owned(),
+                });
+            };
+            if first_token.is_none() {
+                first_token = Some(slot.elapsed());
+                let head = self.classes.head(usize::from(self.call.stage.0));
+                self.gateway.estimates.record(head, slot.elapsed());
+            }
+            let is_last = token.is_last;
+            if is_last {
+                // A caller that reads slowly doesn't make the stage slow.
+                let latency = slot.elapsed().saturating_sub(held_up);
+                self.succeeded(StageKind::Generate, latency);
+            }
+            let waiting = Instant::now();
+            self.report(Event::Token {
+                call: self.call.clone(),
+                index: token.index,
+                text: token.text,
+                is_last,
+            })
+            .await;
+            held_up += waiting.elapsed();
+            if is_last {
+                return Ok(first_token);
+            }
+        }
+    }
+
+    /// Notes a success. A resumed generation is only a part and says nothing about whole ones.
+    fn succeeded(&self, kind: StageKind, latency: Duration) {
+        self.gateway.estimates.success(kind);
+        if self.resume_from == 0 {
+            let class = self.classes.stage(usize::from(self.call.stage.0));
+            self.gateway.estimates.record(class, latency);
+        }
+    }
+
+    fn request<'a>(&'a self, slot: &InFlight) -> engine::Request<'a> {
+        engine::Request {
+            address: slot.address,
+            call: &self.call,
+            model: &self.stage.model,
+            context: &self.context,
+            priority: u8::from(!is_short(self.max_tokens)),
+            timeout: self.limit,
+        }
+    }
+
+    async fn report(&self, event: Event) {
+        // The request may have ended already.
+        let _ = self.messages.send(Message::Event(event)).await;
+    }
+}
--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -19,8 +19,10 @@
 use volo_http::server::param::PathParamsVec;
 use volo_http::server::route::{Router, post};
 
+use crate::admit::{self, Permit};
 use crate::drive::{self, StageReport};
-use crate::gateway::{AccountSlot, Gateway};
+use crate::estimates::is_short;
+use crate::gateway::Gateway;
 use crate::metrics::End;
 use crate::plain;
 use crate::refuse;
@@ -109,7 +111,7 @@
     view: Arc<View>,
     account: AccountName,
     deadline: Instant,
-    slot: AccountSlot,
+    max_in_flight: u32,
 }
 
 /// Counts a request in flight until it is dropped.
@@ -167,15 +169,12 @@
         .map(|(name, account)| (name.clone(), account.clone()))
         .ok_or_else(|| not_run(Reason::Unauthorized, None))?;
     let millis = deadline_ms(headers).ok_or_else(|| not_run(Reason::DeadlinePassed, None))?;
-    let slot = gateway
-        .enter_account(&name, account.max_in_flight)
-        .ok_or_else(|| not_run(Reason::AccountLimit, Some(ACCOUNT_WAIT)))?;
     Ok(Accepted {
         id: id.clone(),
         view,
         account: name,
         deadline: Instant::now() + Duration::from_millis(millis),
-        slot,
+        max_in_flight: account.max_in_flight,
     })
 }
 
@@ -214,8 +213,8 @@
     let Accepted {
         id,
         view,
+        account,
         deadline,
-        slot,
         ..
     } = accepted;
     let not_run = |reason| refuse::refusal(&id.0, reason, Execution::NotRun, None);
@@ -234,24 +233,42 @@
         refusal.help = format!("set max_tokens from 1 to {MAX_TOKENS}");
         return Err(refusal);
     }
+    let is_short = is_short(body.max_tokens);
+    let classes = gateway.estimates.classes(&name, &pipeline.stages, is_short);
+    let ask = admit::Request {
+        account: &account,
+        config: &view.config,
+        pipeline: &name,
+        classes: &classes,
+        is_short,
+        max_tokens: body.max_tokens,
+        deadline,
+    };
+    let started = Instant::now();
+    let ending = Ending {
+        route: name.0.clone(),
+        started,
+        deadline,
+    };
+    let permit = gateway.admit.enter(ask).await.map_err(|refused| {
+        ending.count(&gateway, false);
+        let wait = Some(refused.retry_after);
+        refuse::refusal(&id.0, refused.reason, Execution::NotRun, wait)
+    })?;
     let job = drive::Job {
         id: id.clone(),
         pipeline,
+        classes,
         input: body.input,
         max_tokens: body.max_tokens,
         deadline,
     };
-    let ending = Ending {
-        route: name.0,
-        started: Instant::now(),
-        deadline,
-    };
     if body.stream {
-        return Ok(stream(gateway, job, ending, (running, slot)));
+        return Ok(stream(gateway, job, ending, (running, permit)));
     }
     let result = drive::run(Arc::clone(&gateway), job, None).await;
     ending.count(&gateway, result.is_ok());
-    drop((running, slot));
+    drop((running, permit));
     result.map(|done| answer::json(200, &pipeline_answer(&id, done)))
 }
 
@@ -289,7 +306,7 @@
     gateway: Arc<Gateway>,
     job: drive::Job,
     ending: Ending,
-    held: (Running, AccountSlot),
+    held: (Running, Permit),
 ) -> Response {
     let (events, body) = mpsc::channel::<Bytes>(STREAM_QUEUE);
     let (sink, mut tokens) = mpsc::channel(STREAM_QUEUE);
@@ -335,9 +352,19 @@
         view,
         account,
         deadline,
-        slot,
+        max_in_flight,
     } = accepted;
     let not_run = |reason| refuse::refusal(&id.0, reason, Execution::NotRun, None);
+    let slot = gateway
+        .enter_account(&account, max_in_flight)
+        .ok_or_else(|| {
+            refuse::refusal(
+                &id.0,
+                Reason::AccountLimit,
+                Execution::NotRun,
+                Some(ACCOUNT_WAIT),
+            )
+        })?;
     let service = ServiceName(names.first().cloned().unwrap_or_default());
     let operation = OperationName(names.get(1).cloned().unwrap_or_default());
     let declared = view.config.services.get(&service);
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use azurelug_core::outcome::Ledger;
-use azurelug_core::pipeline::{Action, CallId, Context, Event, Run};
-use azurelug_core::routing::Need;
-use azurelug_core::routing::{Completion, NoTarget, Query};
+use azurelug_core::pipeline::{Action, CallId, Event, Run};
+use azurelug_core::retry;
+use azurelug_core::routing::{Need, NoTarget, Query};
 use azurelug_core::stream::Token;
 use azurelug_types::config::{Pipeline, Stage, StageKind};
 use azurelug_types::id::{RequestId, StageIndex, TargetKey};
@@ -16,20 +16,18 @@
 use serde_json::Value;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
-use crate::engine::{self, Failure};
-use crate::gateway::{Gateway, InFlight};
-use crate::metrics::Use;
+use crate::call::{self, Message};
+use crate::estimates::{Classes, is_short};
+use crate::gateway::Gateway;
+use crate::metrics::{Repeat, Use};
 use crate::refuse;
+use crate::slots::{self, Work};
 
 /// Events that wait for the request's task. A stream that runs ahead waits for its caller.
 const EVENT_QUEUE: usize = 64;
 
-/// A stream without a token for this long is taken for failed and resumed elsewhere. The usual time
-/// between tokens is 29 ms at the 95th percentile.
-const TOKEN_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// When a retry makes sense after every attempt has failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -39,6 +37,8 @@
     pub id: RequestId,
     /// The pipeline, as declared in the version that was in force at the start.
     pub pipeline: Pipeline,
+    /// The latency classes of its stages.
+    pub classes: Classes,
     /// The caller's input.
     pub input: String,
     /// Tokens that a generate stage may produce.
@@ -79,16 +79,27 @@
     started: Instant,
     tokens: u64,
     abort: AbortHandle,
+    /// Whether it has failed or was cancelled.
+    is_over: bool,
+}
+
+/// When a call is late, and which one.
+struct Late {
+    call: CallId,
+    p95: Duration,
+    at: Instant,
 }
 
 struct Driver {
     gateway: Arc<Gateway>,
     run: Run,
     pipeline: Pipeline,
+    classes: Classes,
     max_tokens: u32,
     deadline: Instant,
     ledger: Ledger,
-    events: mpsc::Sender<Event>,
+    messages: mpsc::Sender<Message>,
+    late: Option<Late>,
     tasks: JoinSet<()>,
     attempts: HashMap<CallId, Attempt>,
     reports: Vec<StageReport>,
@@ -119,15 +130,17 @@
 ) -> Result<Done, Refusal> {
     let request = job.id.clone();
     let (run, actions) = Run::start(job.id, &job.pipeline, job.input);
-    let (events, mut incoming) = mpsc::channel(EVENT_QUEUE);
+    let (messages, mut incoming) = mpsc::channel(EVENT_QUEUE);
     let mut driver = Driver {
         gateway,
         run,
         pipeline: job.pipeline,
+        classes: job.classes,
         max_tokens: job.max_tokens,
         deadline: job.deadline,
         ledger: Ledger::default(),
-        events,
+        messages,
+        late: None,
         tasks: JoinSet::new(),
         attempts: HashMap::new(),
         reports: Vec::new(),
@@ -138,12 +151,22 @@
     loop {
         match step {
             Step::Wait => {}
-            Step::Complete => return Ok(driver.done()),
+            Step::Complete => {
+                // A streamed answer takes as long as its caller reads, which says nothing here.
+                if driver.sink.is_none() {
+                    let (class, latency) = (driver.classes.total(), driver.started.elapsed());
+                    driver.gateway.estimates.record(class, latency);
+                }
+                return Ok(driver.done());
+            }
             Step::Failed {
                 reason,
                 retry_after,
             } => {
                 let execution = driver.ledger.execution();
+                // The state machine knows no time for a passed deadline.
+                let is_known = !retry_after.is_zero();
+                let retry_after = if is_known { retry_after } else { RETRY_AFTER };
                 return Err(refuse::refusal(
                     &request.0,
                     reason,
@@ -152,25 +175,104 @@
                 ));
             }
         }
-        let event = tokio::select! {
-            event = incoming.recv() => event.expect("the driver holds a sender"),
-            () = sleep_until(driver.deadline) => Event::DeadlinePassed,
+        let late_at = driver.late.as_ref().map(|late| late.at);
+        step = tokio::select! {
+            message = incoming.recv() => {
+                driver.receive(message.expect("the driver holds a sender")).await
+            }
+            () = sleep_until(late_at.unwrap_or(driver.deadline)), if late_at.is_some() => {
+                driver.hedge().await
+            }
+            () = sleep_until(driver.deadline) => driver.take(Event::DeadlinePassed).await,
         };
-        step = driver.take(event).await;
     }
 }
 
 impl Driver {
+    async fn receive(&mut self, message: Message) -> Step {
+        match message {
+            Message::Event(event) => self.take(event).await,
+            Message::Failed { call, is_not_sent } => {
+                if is_not_sent {
+                    self.ledger.was_not_sent();
+                }
+                let may_retry = self.may_retry(&call, is_not_sent);
+                let retry_after = RETRY_AFTER;
+                self.count(&call, Use::Wasted);
+                self.take(Event::Failed {
+                    call,
+                    may_retry,
+                    retry_after,
+                })
+                .await
+            }
+        }
+    }
+
+    /// Whether a failed call may be repeated. Takes from the stage's budget, unless another attempt
+    /// still runs or the target got no byte: such a call has not put any load on the stage.
+    fn may_retry(&mut self, call: &CallId, is_not_sent: bool) -> bool {
+        let Some(attempt) = self.attempts.get_mut(call) else {
+            return false;
+        };
+        attempt.is_over = true;
+        let kind = attempt.stage;
+        if is_not_sent || call.stage != self.run.stage() || self.has_live_attempt() {
+            return true;
+        }
+        let stage = usize::from(call.stage.0);
+        let failure = retry::Failure {
+            idempotent: true,
+            attempts: call.attempt.0 + 1,
+            remaining: self.left(),
+            needed: self.gateway.estimates.least_time(&self.classes, stage),
+        };
+        let result = self.gateway.estimates.retry(kind, failure);
+        if result.is_ok() {
+            self.gateway.metrics.repeated(kind, Repeat::Retry);
+        }
+        result.is_ok()
+    }
+
+    /// Starts a second attempt beside a late one, if the budget allows it.
+    async fn hedge(&mut self) -> Step {
+        let Some(late) = self.late.take() else {
+            return Step::Wait;
+        };
+        let Some(attempt) = self.attempts.get(&late.call).filter(|it| !it.is_over) else {
+            return Step::Wait;
+        };
+        let kind = attempt.stage;
+        let slow = retry::Slow {
+            idempotent: true,
+            has_tokens: kind == StageKind::Generate,
+            waited: attempt.started.elapsed(),
+            p95: late.p95,
+        };
+        if self.gateway.estimates.hedge(kind, slow).is_err() {
+            return Step::Wait;
+        }
+        self.gateway.metrics.repeated(kind, Repeat::Hedge);
+        self.take(Event::Slow { call: late.call }).await
+    }
+
+    /// Whether an attempt at the present stage still runs.
+    fn has_live_attempt(&self) -> bool {
+        let stage = self.run.stage();
+        let mut attempts = self.attempts.iter();
+        attempts.any(|(call, attempt)| call.stage == stage && !attempt.is_over)
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Passes an event on and carries out what follows.
     async fn take(&mut self, event: Event) -> Step {
         let call = match &event {
-            Event::Finished { call, .. }
-            | Event::Token { call, .. }
-            | Event::Failed { call, .. }
-            | Event::NoTarget { call, .. } => Some(call.clone()),
-            Event::DeadlinePassed => None,
+            Event::Finished { call, .. } | Event::Token { call, .. } => Some(call.clone()),
+            _ => None,
         };
-        let has_failed = matches!(event, Event::Failed { .. });
         if let (Event::Token { .. }, Some(call)) = (&event, &call)
             && let Some(attempt) = self.attempts.get_mut(call)
         {
@@ -179,11 +281,10 @@
         let before = self.run.stage();
         let actions = self.run.step(event);
         let is_complete = actions.contains(&Action::Complete);
-        if let Some(call) = call {
-            if is_complete || self.run.stage() != before {
+        if is_complete || self.run.stage() != before {
+            self.late = None;
+            if let Some(call) = call {
                 self.count(&call, Use::Useful);
-            } else if has_failed {
-                self.count(&call, Use::Wasted);
             }
         }
         self.carry_out(actions).await
@@ -199,7 +300,7 @@
                     kind,
                     resume_from,
                 } => {
-                    if let Err(error) = self.dispatch(&call, kind, resume_from) {
+                    if let Err(error) = self.dispatch(&call, kind, resume_from).await {
                         let retry_after = retry_after(&error);
                         let reason = error.reason();
                         queue.extend(self.run.step(Event::NoTarget {
@@ -211,7 +312,8 @@
                 }
                 Action::Deliver(token) => self.deliver(token).await,
                 Action::Cancel(call) => {
-                    if let Some(attempt) = self.attempts.get(&call) {
+                    if let Some(attempt) = self.attempts.get_mut(&call) {
+                        attempt.is_over = true;
                         attempt.abort.abort();
                     }
                     self.count(&call, Use::Wasted);
@@ -237,8 +339,9 @@
         Step::Wait
     }
 
-    /// Chooses a target and starts the call on a task of its own.
-    fn dispatch(
+    /// Chooses a target, waits for a slot of it and starts the call on a task of its own. A hedge does
+    /// not wait: where all targets are busy, it would only add to the load.
+    async fn dispatch(
         &mut self,
         call: &CallId,
         kind: StageKind,
@@ -257,21 +360,45 @@
             prefix: &[],
             exclude: &exclude,
         };
-        let slot = self.gateway.begin(&call.to_string(), &query)?;
+        let place = usize::from(call.stage.0);
+        let estimates = Arc::clone(&self.gateway.estimates);
+        let name = call.to_string();
+        let work = Work {
+            kind,
+            model: stage.model.clone(),
+            is_short: is_short(self.max_tokens),
+        };
+        let taken = if self.has_live_attempt() {
+            slots::begin_now(&self.gateway, &name, &work, &query)?
+        } else {
+            let limit = estimates.time_limit(&self.classes, place, self.left());
+            slots::begin(&self.gateway, &name, &work, &query, limit).await?
+        };
+        let slots::Slot {
+            in_flight: slot,
+            reserve,
+        } = taken;
         self.ledger.about_to_send();
         let (target, key) = (slot.target.clone(), slot.choice.target);
-        let attempt = CallTask {
+        let started = Instant::now();
+        if kind != StageKind::Generate && call.attempt.0 == 0 {
+            let p95 = estimates.p95(self.classes.stage(place));
+            let (call, at) = (call.clone(), started + p95);
+            self.late = Some(Late { call, p95, at });
+        }
+        let attempt = call::Task {
             gateway: Arc::clone(&self.gateway),
             call: call.clone(),
             stage,
+            classes: self.classes.clone(),
             context: self.run.context().clone(),
             max_tokens: self.max_tokens,
             resume_from,
-            deadline: self.deadline,
-            events: self.events.clone(),
+            limit: estimates.time_limit(&self.classes, place, self.left()),
+            messages: self.messages.clone(),
+            reserve,
         };
         let abort = self.tasks.spawn(attempt.run(slot));
-        let started = Instant::now();
         let attempt = Attempt {
             stage: kind,
             target,
@@ -279,6 +406,7 @@
             started,
             tokens: 0,
             abort,
+            is_over: false,
         };
         self.attempts.insert(call.clone(), attempt);
         Ok(())
@@ -335,116 +463,3 @@
         _ => RETRY_AFTER,
     }
 }
-
-/// One call on its own task.
-struct CallTask {
-    gateway: Arc<Gateway>,
-    call: CallId,
-    stage: Stage,
-    context: Context,
-    max_tokens: u32,
-    resume_from: u32,
-    deadline: Instant,
-    events: mpsc::Sender<Event>,
-}
-
-impl CallTask {
-    async fn run(self, slot: InFlight) {
-        let result = match self.stage.kind {
-            StageKind::Generate => self.generate(&slot).await,
-            kind => self.whole(kind, &slot).await.map(|()| None),
-        };
-        match result {
-            Ok(first_token) => slot.close(Completion::Success, first_token),
-            Err(failure) => {
-                log::debug!(
-                    "entry: call {} to {} failed: {}",
-                    self.call,
-                    slot.target,
-                    failure.message
-                );
-                slot.close(Completion::Failure, None);
-                let call = self.call.clone();
-                let event = Event::Failed {
-                    call,
-                    may_retry: true,
-                    retry_after: RETRY_AFTER,
-                };
-                // The request may have ended already.
-                let _ = self.events.send(event).await;
-            }
-        }
-    }
-
-    async fn whole(&self, kind: StageKind, slot: &InFlight) -> Result<(), Failure> {
-        let request = self.request(slot);
-        let output = engine::whole(&self.gateway.pooled, kind, &request).await?;
-        let _ = self
-            .events
-            .send(Event::Finished {
-                call: self.call.clone(),
-                output,
-            })
-            .await;
-        Ok(())
-    }
-
-    /// Passes tokens on; returns the time to the first one.
-    async fn generate(&self, slot: &InFlight) -> Result<Option<Duration>, Failure> {
-        let request = self.request(slot);
-        let client = &self.gateway.pooled;
-        let mut tokens =
-            engine::generate(client, &request, self.max_tokens, self.resume_from).await?;
-        let mut first_token = None;
-        loop {
-            let limit = if first_token.is_none() {
-                request.timeout
-            } else {
-                TOKEN_TIMEOUT
-            };
-            let next = timeout(limit, tokens.next()).await;
-            let next = next.map_err(|_| Failure {
-                is_not_sent: false,
-                message: format!("no token within {} ms", limit.as_millis()),
-            })??;
-            let Some(token) = next else {
-                return Err(Failure {
-                    is_not_sent: false,
-                    message: "the stream ended before its last token".to_owned(),
-                });
-            };
-            first_token.get_or_insert_with(|| slot.elapsed());
-            let is_last = token.is_last;
-            let (call, index, text) = (self.call.clone(), token.index, token.text);
-            let _ = self
-                .events
-                .send(Event::Token {
-                    call,
-                    index,
-                    text,
-                    is_last,
-                })
-                .await;
-            if is_last {
-                return Ok(first_token);
-            }
-        }
-    }
-
-    fn request<'a>(&'a self, slot: &InFlight) -> engine::Request<'a> {
-        // Half of the time left goes to this attempt, so that a silent target leaves time for
-        // another one.
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        engine::Request {
-            address: slot.address,
-            call: &self.call,
-            model: &self.stage.model,
-            context: &self.context,
-            priority: u8::from(self.max_tokens > SHORT_TOKENS),
-            timeout: left / 2,
-        }
-    }
-}
-
-/// Generations up to this length run before longer ones, so that look-ups are not starved.
-const SHORT_TOKENS: u32 = 64;
--- a/crates/azurelug-entry/src/gateway.rs
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -12,10 +12,13 @@
 use rand::SeedableRng;
 use tokio::time::Instant;
 
+use crate::admit::Admit;
+use crate::estimates::Estimates;
 use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::recent::{Decision, Recent};
 use crate::shutdown::Shutdown;
+use crate::slots::Waiting;
 use crate::view::View;
 
 /// The shared state. It owns the router, the lease and the configuration in force.
@@ -36,6 +39,12 @@
     pub recent: Recent,
     /// The state of the shutdown.
     pub shutdown: Shutdown,
+    /// Latencies and repeat budgets of the stages.
+    pub estimates: Arc<Estimates>,
+    /// Which requests run.
+    pub admit: Arc<Admit>,
+    /// Calls that wait for a slot of a target.
+    pub waiting: Waiting,
     started: Instant,
     view: RwLock<Option<Arc<View>>>,
     router: Mutex<Router>,
@@ -51,6 +60,7 @@
     pub fn new(name: DaemonName, zone: ZoneName, link: Link) -> Result<Self, azurelug_http::Error> {
         let settings = azurelug_core::routing::Settings::new(zone.clone());
         let random = rand_pcg::Pcg32::seed_from_u64(rand::random());
+        let estimates = Arc::new(Estimates::default());
         Ok(Self {
             name,
             zone,
@@ -60,6 +70,9 @@
             metrics: Metrics::new(),
             recent: Recent::default(),
             shutdown: Shutdown::default(),
+            admit: Arc::new(Admit::new(Arc::clone(&estimates))),
+            estimates,
+            waiting: Waiting::default(),
             started: Instant::now(),
             view: RwLock::new(None),
             router: Mutex::new(Router::new(settings, random)),
@@ -217,6 +230,7 @@
         if let Some(slot) = self.slot.take() {
             self.gateway
                 .with_router(|router, now| router.finish(slot, outcome, now));
+            self.gateway.waiting.freed();
         }
     }
 }
--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -1,9 +1,12 @@
 //! Entry daemon: serves callers and routes stages to targets.
 
 pub mod admin;
+pub mod admit;
+pub mod call;
 pub mod callers;
 pub mod drive;
 pub mod engine;
+pub mod estimates;
 pub mod gateway;
 pub mod link;
 pub mod metrics;
@@ -13,4 +16,5 @@
 pub mod run;
 pub mod settings;
 pub mod shutdown;
+pub mod slots;
 pub mod view;
--- a/crates/azurelug-entry/src/metrics.rs
+++ b/crates/azurelug-entry/src/metrics.rs
@@ -37,6 +37,21 @@
     Wasted,
 }
 
+/// Why a call was made beside or after another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Repeat {
+    /// The other one failed.
+    Retry,
+    /// The other one was late.
+    Hedge,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RepeatLabels {
+    stage: &'static str,
+    repeat: Repeat,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
     route: String,
@@ -55,6 +70,10 @@
     requests: Family<RequestLabels, Counter>,
     stage_millis: Family<StageLabels, Counter>,
     stage_tokens: Family<StageLabels, Counter>,
+    repeats: Family<RepeatLabels, Counter>,
+    running: Gauge,
+    waiting: Gauge,
+    capacity: Gauge,
     first_token: Histogram,
     duration: Histogram,
     /// Requests in flight.
@@ -76,6 +95,24 @@
         let requests = Family::<RequestLabels, Counter>::default();
         let stage_millis = Family::<StageLabels, Counter>::default();
         let stage_tokens = Family::<StageLabels, Counter>::default();
+        let repeats = Family::<RepeatLabels, Counter>::default();
+        let (running, waiting, capacity) = (Gauge::default(), Gauge::default(), Gauge::default());
+        registry.register(
+            "repeats",
+            "Calls that repeat another call, by stage",
+            repeats.clone(),
+        );
+        registry.register("admitted", "Admitted pipeline requests", running.clone());
+        registry.register(
+            "waiting",
+            "Pipeline requests that wait for admission",
+            waiting.clone(),
+        );
+        registry.register(
+            "capacity",
+            "Pipeline requests that may run at the same time",
+            capacity.clone(),
+        );
         let first_token = Histogram::new(BUCKETS);
         let duration = Histogram::new(BUCKETS);
         let in_flight = Gauge::default();
@@ -112,6 +149,10 @@
             requests,
             stage_millis,
             stage_tokens,
+            repeats,
+            running,
+            waiting,
+            capacity,
             first_token,
             duration,
             in_flight,
@@ -145,6 +186,20 @@
         self.stage_tokens.get_or_create(&labels).inc_by(tokens);
     }
 
+    /// Counts a repeated call.
+    pub fn repeated(&self, stage: StageKind, repeat: Repeat) {
+        let stage = stage.as_str();
+        let labels = RepeatLabels { stage, repeat };
+        self.repeats.get_or_create(&labels).inc();
+    }
+
+    /// Sets the state of admission.
+    pub fn admission(&self, running: u32, waiting: usize, capacity: u32) {
+        self.running.set(i64::from(running));
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        self.capacity.set(i64::from(capacity));
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::link::Link;
 use crate::settings::{Options, Settings};
-use crate::{admin, callers, shutdown};
+use crate::{admin, admit, callers, shutdown};
 
 /// Why the daemon could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -64,6 +64,7 @@
     let link = Link::new(settings.control, identity);
     let gateway = Arc::new(Gateway::new(settings.name, settings.zone, link)?);
     tokio::spawn(gateway.link.clone().run(Arc::downgrade(&gateway)));
+    tokio::spawn(admit::run(Arc::downgrade(&gateway)));
     log::info!(
         "entry: {} serves callers on {} and operators on {}",
         gateway.name,
--- a/crates/azurelug-testkit/src/caller.rs
+++ b/crates/azurelug-testkit/src/caller.rs
@@ -73,6 +73,8 @@
     },
     /// A refusal.
     Refused {
+        /// The request.
+        request_id: String,
         /// The reason, as in the answer.
         reason: String,
         /// What it says about execution.
@@ -266,6 +268,7 @@
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     match value["reason"].as_str() {
         Some(reason) => End::Refused {
+            request_id: value["request_id"].as_str().unwrap_or_default().to_owned(),
             reason: reason.to_owned(),
             execution: value["execution"].as_str().unwrap_or_default().to_owned(),
             retry_after_ms: value["retry_after_ms"].as_u64(),
