entry: poll load reporters and the platform's list

Cause: the router takes reports and departures, but nothing passed them on, so completed calls warmed a target up that reports cold, and a leaving VM got new work. Ruled out: the time of arrival as a report's time; reports lag, and the router adds the calls sent since the report's time.

Change: `observe` polls the reporters in turn every 500 ms (the next one at once if one does not answer) and the platform every second; settings `reporters` and `platform`, both optional. `System::start_observed` starts a system with both.

Reports of several daemons at once are not tested here.

--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod link;
 pub mod metrics;
+pub mod observe;
 pub mod plain;
 pub mod recent;
 pub mod refuse;
--- /dev/null
+++ b/crates/azurelug-entry/src/observe.rs
@@ -0,0 +1,161 @@
+//! Polls load reporters and the platform's list of VMs, and tells the router what they say.
+//!
+//! Owns nothing but the polls. What is missing from an answer changes nothing, except that a VM that
+//! is no longer listed as leaving may get new work again.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Weak;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use azurelug_core::routing::LoadReport;
+use azurelug_http::client::Call;
+use azurelug_types::id::TargetKey;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::gateway::Gateway;
+
+/// Time between two polls of reporters, which takes them in turn.
+const REPORTER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two polls of the platform: well under the 3 s after which a leaving target must get
+/// no new work.
+const PLATFORM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A poll without an answer for this long is given up, and the next reporter is asked.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The longest answer, in bytes: about 2,000 targets.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+#[derive(Deserialize)]
+struct Loads {
+    loads: Vec<Load>,
+}
+
+#[derive(Deserialize)]
+struct Load {
+    address: SocketAddr,
+    reported_at_ms: u64,
+    started_at_ms: u64,
+    running: u32,
+    waiting: u32,
+    warm: bool,
+}
+
+#[derive(Deserialize)]
+struct Vm {
+    address: SocketAddr,
+    state: VmState,
+}
+
+#[derive(PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum VmState {
+    Live,
+    Leaving,
+}
+
+/// Polls the reporters until the gateway is gone. One that does not answer is passed over at once.
+pub async fn loads(gateway: Weak<Gateway>, reporters: Vec<SocketAddr>) {
+    let mut ticks = interval(REPORTER_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut turn = rand::random_range(0..reporters.len().max(1));
+    loop {
+        ticks.tick().await;
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
+        for _ in 0..reporters.len() {
+            turn = (turn + 1) % reporters.len();
+            match poll::<Loads>(&gateway, reporters[turn], "/v1/loads").await {
+                Ok(loads) => {
+                    report(&gateway, &loads.loads);
+                    break;
+                }
+                Err(message) => log::debug!("entry: reporter {}: {message}", reporters[turn]),
+            }
+        }
+    }
+}
+
+fn report(gateway: &Gateway, loads: &[Load]) {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    let unix = unix.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    });
+    let targets = targets(gateway);
+    gateway.with_router(|router, now| {
+        for load in loads {
+            // The engine's wall clock only tells the age of a report. The router ignores one that is
+            // older than 5 s, so clocks that differ by more only cost the reports.
+            let age = Duration::from_millis(unix.saturating_sub(load.reported_at_ms));
+            let report = LoadReport {
+                calls: load.running.saturating_add(load.waiting),
+                taken_at: now.saturating_sub(age),
+                warm: load.warm,
+                start_stamp: load.started_at_ms,
+            };
+            for target in targets.get(&load.address).into_iter().flatten() {
+                router.report(*target, report, now);
+            }
+        }
+    });
+}
+
+/// Polls the platform's list until the gateway is gone.
+pub async fn platform(gateway: Weak<Gateway>, platform: SocketAddr) {
+    let mut ticks = interval(PLATFORM_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
+        match poll::<Vec<Vm>>(&gateway, platform, "/v1/vms").await {
+            Ok(vms) => set_leaving(&gateway, &vms),
+            // The last list stays in force.
+            Err(message) => log::debug!("entry: platform {platform}: {message}"),
+        }
+    }
+}
+
+fn set_leaving(gateway: &Gateway, vms: &[Vm]) {
+    let leaving = vms.iter().filter(|vm| vm.state == VmState::Leaving);
+    let leaving: HashSet<SocketAddr> = leaving.map(|vm| vm.address).collect();
+    for (address, keys) in targets(gateway) {
+        let is_leaving = leaving.contains(&address);
+        gateway.with_router(|router, now| {
+            for key in keys {
+                router.set_leaving(key, is_leaving, now);
+            }
+        });
+    }
+}
+
+/// The targets at each address; a process may serve as several targets.
+fn targets(gateway: &Gateway) -> HashMap<SocketAddr, Vec<TargetKey>> {
+    let mut targets: HashMap<SocketAddr, Vec<TargetKey>> = HashMap::new();
+    gateway.with_router(|router, _| {
+        for (key, entry) in router.table().targets() {
+            targets.entry(entry.address).or_default().push(key);
+        }
+    });
+    targets
+}
+
+async fn poll<T: DeserializeOwned>(
+    gateway: &Gateway,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, String> {
+    let call = Call::get(address, path, POLL_TIMEOUT);
+    let answer = gateway.pooled.send_whole(call, ANSWER_LIMIT).await;
+    let (status, body) = answer.map_err(|error| error.to_string())?;
+    if status != 200 {
+        return Err(format!("status {status}"));
+    }
+    serde_json::from_slice(&body).map_err(|error| format!("malformed answer: {error}"))
+}
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::link::Link;
 use crate::settings::{Options, Settings};
-use crate::{admin, admit, callers, shutdown};
+use crate::{admin, admit, callers, observe, shutdown};
 
 /// Why the daemon could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -65,6 +65,13 @@
     let gateway = Arc::new(Gateway::new(settings.name, settings.zone, link)?);
     tokio::spawn(gateway.link.clone().run(Arc::downgrade(&gateway)));
     tokio::spawn(admit::run(Arc::downgrade(&gateway)));
+    if !settings.reporters.is_empty() {
+        let polled = observe::loads(Arc::downgrade(&gateway), settings.reporters);
+        tokio::spawn(polled);
+    }
+    if let Some(platform) = settings.platform {
+        tokio::spawn(observe::platform(Arc::downgrade(&gateway), platform));
+    }
     log::info!(
         "entry: {} serves callers on {} and operators on {}",
         gateway.name,
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -40,6 +40,12 @@
     pub admin: SocketAddr,
     /// Internal addresses of control daemons, the one of the own zone first.
     pub control: Vec<SocketAddr>,
+    /// Load reporters, polled in turn. Without them, only the daemon's own calls count.
+    #[serde(default)]
+    pub reporters: Vec<SocketAddr>,
+    /// The platform's list of live and leaving VMs.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
     /// How long a stopping daemon still accepts requests after it reports not ready; longer than the
     /// balancer takes to notice.
     #[serde(default = "default_drain_wait")]
--- a/crates/azurelug-system/src/lib.rs
+++ b/crates/azurelug-system/src/lib.rs
@@ -4,6 +4,7 @@
 //! engines and a replica of a plain service. The daemons are processes; the doubles run inside the
 //! test. Each system uses a loopback address of its own, so that tests can run side by side.
 
+pub mod observers;
 pub mod operator;
 pub mod process;
 pub mod system;
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -18,6 +18,7 @@
 use azurelug_types::patch::Change;
 use sha2::{Digest, Sha256};
 
+use crate::observers::Observers;
 use crate::operator::{Operator, patch};
 use crate::process::Process;
 
@@ -51,6 +52,8 @@
 pub struct System {
     /// The zones' parts, in the order of [`ZONES`].
     pub zones: Vec<ZoneParts>,
+    /// What the entry daemons poll; none if they know only their own calls.
+    pub observers: Option<Observers>,
     folder: PathBuf,
     address: Ipv4Addr,
 }
@@ -69,7 +72,22 @@
     /// # Panics
     /// If anything does not become ready in time.
     pub async fn start_with(engines: engine::Settings) -> Self {
-        let mut system = Self::prepare(engines).await;
+        let system = Self::prepare(engines).await;
+        system.begin().await
+    }
+
+    /// As [`System::start_with`], with a load reporter and the platform's list.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_observed(engines: engine::Settings) -> Self {
+        let observers = Observers::start().await;
+        let system = Self::prepare_with(engines, Some(observers)).await;
+        system.begin().await
+    }
+
+    async fn begin(self) -> Self {
+        let mut system = self;
         for zone in &mut system.zones {
             zone.control.set_argument("--initialize", true);
             zone.control.start();
@@ -92,6 +110,10 @@
     /// # Panics
     /// If files can't be written or doubles can't be started.
     pub async fn prepare(engines: engine::Settings) -> Self {
+        Self::prepare_with(engines, None).await
+    }
+
+    async fn prepare_with(engines: engine::Settings, observers: Option<Observers>) -> Self {
         let address = own_address();
         let folder = std::env::temp_dir().join(format!("azurelug-{address}"));
         // An earlier run with the same process id may have been killed.
@@ -100,6 +122,7 @@
         std::fs::write(folder.join("key"), "0123456789abcdef0123456789abcdef").expect("write");
         let mut system = Self {
             zones: Vec::new(),
+            observers,
             folder,
             address,
         };
@@ -107,6 +130,11 @@
             let zone = system.prepare_zone(index, &engines).await;
             system.zones.push(zone);
         }
+        if let Some(observers) = &system.observers {
+            let engines = system.zones.iter().flat_map(|zone| zone.engines.values());
+            let addresses = engines.map(Engine::address).collect();
+            observers.reporter.set_engines(addresses);
+        }
         system
     }
 
@@ -173,8 +201,10 @@
             .map(|step| format!("\"{}\"", self.internal((index + step) % ZONES.len())))
             .collect();
         let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
+        let observers = self.observers.as_ref().map(Observers::settings);
+        let observers = observers.unwrap_or_default();
         format!(
-            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+            "{observers}name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
              callers: \"{}\"\nadmin: \"{}\"\ncontrol: [{}]\ndrain_wait: 1s\nfinish_wait: 13s\n",
             self.callers(index),
             self.admin(index),
@@ -398,7 +428,7 @@
     )
 }
 
-fn loopback() -> SocketAddr {
+pub(crate) fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
