--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -19,6 +19,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::links::Links;
+use crate::observers::Observers;
 use crate::operator::{Operator, patch};
 use crate::process::Process;
 
@@ -54,6 +55,8 @@
     pub zones: Vec<ZoneParts>,
     /// The links to control daemons.
     pub links: Links,
+    /// What the entry daemons poll; none if they know only their own calls.
+    pub observers: Option<Observers>,
     folder: PathBuf,
     address: Ipv4Addr,
 }
@@ -84,6 +87,16 @@
         system.launch().await
     }
 
+    /// As [`System::start_with`], with a load reporter and the platform's list.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_observed(engines: engine::Settings) -> Self {
+        let observers = Observers::start().await;
+        let system = Self::prepare_with(engines, false, Some(observers)).await;
+        system.launch().await
+    }
+
     async fn launch(self) -> Self {
         let mut system = self;
         for zone in &mut system.zones {
@@ -108,6 +121,14 @@
     /// # Panics
     /// If files can't be written or doubles can't be started.
     pub async fn prepare(engines: engine::Settings, has_links: bool) -> Self {
+        Self::prepare_with(engines, has_links, None).await
+    }
+
+    async fn prepare_with(
+        engines: engine::Settings,
+        has_links: bool,
+        observers: Option<Observers>,
+    ) -> Self {
         let address = own_address();
         let folder = std::env::temp_dir().join(format!("azurelug-{address}"));
         // An earlier run with the same process id may have been killed.
@@ -117,6 +138,7 @@
         let mut system = Self {
             zones: Vec::new(),
             links: Links::default(),
+            observers,
             folder,
             address,
         };
@@ -127,6 +149,11 @@
             let zone = system.prepare_zone(index, &engines).await;
             system.zones.push(zone);
         }
+        if let Some(observers) = &system.observers {
+            let engines = system.zones.iter().flat_map(|zone| zone.engines.values());
+            let addresses = engines.map(Engine::address).collect();
+            observers.reporter.set_engines(addresses);
+        }
         system
     }
 
@@ -199,8 +226,10 @@
             .map(|zone| format!("\"{}\"", address(zone).unwrap_or(self.internal(zone))))
             .collect();
         let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
+        let observers = self.observers.as_ref().map(Observers::settings);
+        let observers = observers.unwrap_or_default();
         format!(
-            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+            "{observers}name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
              callers: \"{}\"\nadmin: \"{}\"\ncontrol: [{}]\ndrain_wait: 1s\nfinish_wait: 13s\n",
             self.callers(index),
             self.admin(index),
@@ -426,7 +455,7 @@
     )
 }
 
-fn loopback() -> SocketAddr {
+pub(crate) fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
