--- a/crates/azurelug-coordination/src/share/holder.rs
+++ b/crates/azurelug-coordination/src/share/holder.rs
@@ -137,6 +137,11 @@
         settled && self.is_base_open
     }
 
+    /// Whether base shares are open: no call of an earlier start of the daemon can still run.
+    pub fn is_base_open(&self) -> bool {
+        self.is_base_open
+    }
+
     /// States how many calls the daemon could run at the target now, including
     /// those in flight.
     pub fn want(&mut self, target: u32, calls: u32) {
--- a/crates/azurelug-core/src/routing/observe.rs
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -12,7 +12,7 @@
 use super::prefix::CacheEvent;
 use crate::lease_mode::Mode;
 use crate::outlier;
-use crate::slow_start::LoadReport;
+use crate::slow_start::{LoadReport, Phase};
 
 impl Router {
     /// A load report. Reports that are older than the last one or than five seconds are ignored.
@@ -69,6 +69,18 @@
         }
     }
 
+    /// Targets that were seen cold and have not warmed up since.
+    #[must_use]
+    pub fn cold(&self) -> Vec<TargetKey> {
+        let is_cold =
+            |key: &TargetKey| self.slots[key.0 as usize].slow_start.phase() == Phase::Cold;
+        self.table
+            .targets()
+            .map(|(key, _)| key)
+            .filter(is_cold)
+            .collect()
+    }
+
     /// Whether the platform's list says that the target's VM is leaving.
     pub fn set_leaving(&mut self, target: TargetKey, leaving: bool, now: Duration) {
         if let Some(slot) = self.slots.get_mut(target.0 as usize) {
--- a/crates/azurelug-entry/src/admin.rs
+++ b/crates/azurelug-entry/src/admin.rs
@@ -26,6 +26,7 @@
     control: Option<String>,
     stopping: bool,
     in_flight: i64,
+    base_shares_open: bool,
     targets: Vec<TargetState>,
     recent_decisions: Vec<Decision>,
 }
@@ -79,6 +80,7 @@
         control: gateway.link.peer(),
         stopping: gateway.shutdown.is_stopping(),
         in_flight: gateway.metrics.in_flight.get(),
+        base_shares_open: gateway.shares.is_base_open(),
         targets: gateway.with_router(|router, now| router.dump(now)),
         recent_decisions: gateway.recent.all(),
     }
--- a/crates/azurelug-entry/src/gateway.rs
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -12,11 +12,14 @@
 use rand::SeedableRng;
 use tokio::time::Instant;
 
+use crate::admit::Admit;
+use crate::estimates::Estimates;
 use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::recent::{Decision, Recent};
 use crate::shares::{Held, Shares};
 use crate::shutdown::Shutdown;
+use crate::slots::Waiting;
 use crate::view::View;
 
 /// Choices made for one call until a target has a slot.
@@ -45,6 +48,12 @@
     pub recent: Recent,
     /// The state of the shutdown.
     pub shutdown: Shutdown,
+    /// Latencies and repeat budgets of the stages.
+    pub estimates: Arc<Estimates>,
+    /// Which requests run.
+    pub admit: Arc<Admit>,
+    /// Calls that wait for a slot of a target.
+    pub waiting: Waiting,
     started: Instant,
     view: RwLock<Option<Arc<View>>>,
     router: Mutex<Router>,
@@ -65,6 +74,7 @@
     ) -> Result<Self, azurelug_http::Error> {
         let settings = azurelug_core::routing::Settings::new(zone.clone());
         let random = rand_pcg::Pcg32::seed_from_u64(rand::random());
+        let estimates = Arc::new(Estimates::default());
         Ok(Self {
             name,
             zone,
@@ -75,6 +85,9 @@
             metrics: Metrics::new(),
             recent: Recent::default(),
             shutdown: Shutdown::default(),
+            admit: Arc::new(Admit::new(Arc::clone(&estimates))),
+            estimates,
+            waiting: Waiting::default(),
             started: Instant::now(),
             view: RwLock::new(None),
             router: Mutex::new(Router::new(settings, random)),
@@ -152,6 +165,9 @@
         let mut router = self.router.lock().expect("no holder of the lock panics");
         router.set_mode(mode);
         let chosen = self.choose(&mut router, query, time_left, now);
+        if let Err(NoTarget::AllBusy { .. }) = &chosen {
+            self.shares.starved(query.need);
+        }
         let reason = match &chosen {
             Ok(taken) => taken.choice.describe(router.table()),
             Err(error) => error.to_string(),
@@ -314,6 +330,7 @@
             log::warn!("entry: target {} turned cold", self.target);
             self.gateway.shares.turned_cold(&self.target);
         }
+        self.gateway.waiting.freed();
     }
 }
 
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurelug_coordination::once::{self, Claim, Guard, Key};
+use azurelug_core::lease_mode::Mode;
 use azurelug_core::outcome::Ledger;
 use azurelug_core::routing::{Completion, Need, NoTarget, Query};
 use azurelug_http::client::Call;
@@ -33,6 +34,10 @@
 /// Attempts to commit a result or a release after the caller has its answer.
 const COMMIT_ATTEMPTS: u32 = 25;
 
+/// A call waits for a free slot for one of this many parts of the time left, so that the service
+/// itself has the rest.
+const SLOT_WAIT_PART: u32 = 4;
+
 /// When a retry makes sense without better knowledge.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -90,7 +95,7 @@
     let mut ledger = Ledger::default();
     let mut tried: Vec<TargetKey> = Vec::new();
     while tried.len() < MAX_ATTEMPTS {
-        let slot = match begin(gateway, job, &tried) {
+        let slot = match begin(gateway, job, &tried).await {
             Ok(slot) => slot,
             Err(_) if !tried.is_empty() => break,
             Err(error) => return Err(no_target(job, &error, ledger.execution())),
@@ -132,18 +137,26 @@
 }
 
 async fn at_most_once(gateway: &Arc<Gateway>, job: &Job, key: Key) -> Result<Done, Refusal> {
-    // A target is chosen first: without one there is no need to claim.
-    let slot =
-        begin(gateway, job, &[]).map_err(|error| no_target(job, &error, Execution::NotRun))?;
+    if gateway.mode() != Mode::Normal {
+        return Err(no_target(job, &NoTarget::NoQuorum, Execution::NotRun));
+    }
     let left = job.deadline.saturating_duration_since(Instant::now());
     let mut guard = Guard::new(gateway.now() + left);
+    // The claim comes before the slot: a resend of a call that was run must get that call's answer
+    // and never hear that it was not run, however busy the service is.
     match claim(gateway, job, key, left).await? {
         Decision::Replay(done) => Ok(done),
         Decision::Send(claim) => {
             if let Some(late) = guard.grant(claim) {
                 commit_later(gateway, late);
             }
-            send_once(gateway, job, &mut guard, slot).await
+            match begin(gateway, job, &[]).await {
+                Ok(slot) => send_once(gateway, job, &mut guard, slot).await,
+                Err(error) => {
+                    release(gateway, &mut guard);
+                    Err(no_target(job, &error, Execution::NotRun))
+                }
+            }
         }
     }
 }
@@ -282,7 +295,12 @@
     }
 }
 
-fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<InFlight, NoTarget> {
+/// Chooses a target and takes a slot of it; waits for a free slot for a part of the time left.
+async fn begin(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    tried: &[TargetKey],
+) -> Result<InFlight, NoTarget> {
     let query = Query {
         need: Need::Service(&job.service),
         idempotent: job.is_idempotent,
@@ -290,7 +308,16 @@
         exclude: tried,
     };
     let left = job.deadline.saturating_duration_since(Instant::now());
-    gateway.begin(&job.id.0, &query, left)
+    let end = Instant::now() + left / SLOT_WAIT_PART;
+    loop {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        match gateway.begin(&job.id.0, &query, left) {
+            Err(NoTarget::AllBusy { .. }) if Instant::now() < end => {
+                gateway.waiting.until_freed(end).await;
+            }
+            result => return result,
+        }
+    }
 }
 
 fn no_target(job: &Job, error: &NoTarget, execution: Execution) -> Refusal {
--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -4,6 +4,7 @@
 //! of that zone's targets. No call starts without a slot from here.
 
 use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
@@ -11,10 +12,12 @@
 use azurelug_coordination::lease::Identity;
 use azurelug_coordination::share::{Holder, Refusal, Slot, Timing};
 use azurelug_core::base_share;
-use azurelug_types::config::Config;
+use azurelug_core::routing::Need;
+use azurelug_types::config::{Config, Role, Target};
 use azurelug_types::id::{DaemonName, TargetKey, TargetName, ZoneName};
 use azurelug_wire::{Connection, Error, Frame, handshake};
 use sha2::{Digest, Sha256};
+use tokio::sync::Notify;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::gateway::Gateway;
@@ -36,27 +39,41 @@
 /// a daemon that can be reached no longer uses its earlier base share.
 const BASE_RISE_AFTER: Duration = Duration::from_secs(22);
 
+/// After a call found no free slot, slots of all zones are wanted for its kind of work for this long.
+const STARVED_FOR: Duration = Duration::from_secs(5);
+
+/// A target that stays cold is reported again after this long. The grantor keeps a target at its cold
+/// limit for 6 s after each report.
+const COLD_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The shortest pause between renewals that are sent early for a call that waits.
+const EARLY_PAUSE: Duration = Duration::from_millis(50);
+
 /// A target as the shares count it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Known {
     zone: usize,
     number: u32,
     key: TargetKey,
     base: u32,
     base_from: Duration,
+    /// What it can be used for, by [`work`].
+    works: Vec<u64>,
+    /// When the grantor is told next that the target is still cold.
+    cold_report_due: Duration,
 }
 
 /// A zone's control daemon and the shares it grants.
 struct Zone {
     name: ZoneName,
     holder: Holder,
-    /// Calls that found no slot since the last renewal, by target.
-    missed: HashMap<u32, u32>,
 }
 
 struct State {
     zones: Vec<Zone>,
     targets: HashMap<TargetName, Known>,
+    /// Kinds of work that found no free slot, with the time until which that counts.
+    starved: HashMap<u64, Duration>,
 }
 
 /// The shares of this daemon.
@@ -66,6 +83,8 @@
     started: Instant,
     controls: Vec<(ZoneName, SocketAddr)>,
     state: Mutex<State>,
+    /// Asks for an early renewal.
+    early: Notify,
 }
 
 /// A slot of one target, to be given back with [`Shares::end`]. Dropping it leaves the slot in use
@@ -89,12 +108,12 @@
         let zone = |(name, _): &(ZoneName, SocketAddr)| Zone {
             name: name.clone(),
             holder: Holder::new(Duration::ZERO, identity, Timing::default()),
-            missed: HashMap::new(),
         };
         let zones = controls.iter().map(zone).collect();
         let state = Mutex::new(State {
             zones,
             targets: HashMap::new(),
+            starved: HashMap::new(),
         });
         Self {
             daemon,
@@ -102,6 +121,7 @@
             started: Instant::now(),
             controls,
             state,
+            early: Notify::new(),
         }
     }
 
@@ -131,28 +151,31 @@
             if earlier.is_none_or(|earlier| base < earlier.base) {
                 state.zones[zone].holder.set_base(number, base);
             }
-            targets.insert(
-                name.clone(),
-                Known {
-                    zone,
-                    number,
-                    key,
-                    base,
-                    base_from,
-                },
-            );
+            let works = works(target);
+            let known = Known {
+                zone,
+                number,
+                key,
+                base,
+                base_from,
+                works,
+                cold_report_due: Duration::ZERO,
+            };
+            targets.insert(name.clone(), known);
         }
         let removed = state.targets.iter().filter(|(name, known)| {
             targets
                 .get(*name)
                 .is_none_or(|kept| kept.number != known.number)
         });
-        let removed: Vec<Known> = removed.map(|(_, known)| *known).collect();
+        let removed: Vec<Known> = removed.map(|(_, known)| known.clone()).collect();
         for known in removed {
             state.zones[known.zone].holder.set_base(known.number, 0);
             state.zones[known.zone].holder.want(known.number, 0);
         }
         state.targets = targets;
+        // New targets have no slots until the next renewal.
+        self.early.notify_waiters();
     }
 
     /// Takes a slot for a call that ends after `time_left` at the latest.
@@ -162,19 +185,25 @@
     pub fn start(&self, target: &TargetName, time_left: Duration) -> Result<Held, Refusal> {
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        let Some(known) = state.targets.get(target).copied() else {
+        let Some(known) = state.targets.get(target).cloned() else {
             return Err(Refusal::NoSlot);
         };
-        let zone = &mut state.zones[known.zone];
-        match zone.holder.start(now, known.number, time_left) {
-            Ok(slot) => Ok(Held {
-                zone: known.zone,
-                slot,
-            }),
-            Err(refusal) => {
-                *zone.missed.entry(known.number).or_insert(0) += 1;
-                Err(refusal)
-            }
+        let slot = state.zones[known.zone]
+            .holder
+            .start(now, known.number, time_left)?;
+        Ok(Held {
+            zone: known.zone,
+            slot,
+        })
+    }
+
+    /// Notes that a call found no free slot, so that slots of all zones are asked for.
+    pub fn starved(&self, need: Need<'_>) {
+        let until = self.started.elapsed() + STARVED_FOR;
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let known = state.starved.insert(work(need), until);
+        if known.is_none() {
+            self.early.notify_waiters();
         }
     }
 
@@ -187,16 +216,22 @@
     /// Notes signs of a cold start.
     pub fn turned_cold(&self, target: &TargetName) {
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        if let Some(known) = state.targets.get(target).copied() {
+        if let Some(known) = state.targets.get(target).cloned() {
             state.zones[known.zone].holder.turn_cold(known.number);
         }
     }
 
+    /// Whether the base shares are open, see [`Holder::is_base_open`].
+    pub fn is_base_open(&self) -> bool {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        state.zones.iter().all(|zone| zone.holder.is_base_open())
+    }
+
     /// Free slots of this daemon at each target now.
     pub fn slots(&self) -> Vec<(TargetKey, u32)> {
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        let State { zones, targets } = &mut *state;
+        let State { zones, targets, .. } = &mut *state;
         let free = |known: &Known| {
             let holder = &mut zones[known.zone].holder;
             holder.expire(now);
@@ -226,28 +261,35 @@
     }
 
     /// States what the daemon could use and builds the next renewal.
-    fn request(&self, zone: usize) -> Frame {
+    fn request(&self, zone: usize, cold: &[TargetKey]) -> Frame {
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        let State { zones, targets } = &mut *state;
-        let Zone {
-            name,
-            holder,
-            missed,
-        } = &mut zones[zone];
+        let State {
+            zones,
+            targets,
+            starved,
+        } = &mut *state;
+        starved.retain(|_, until| *until > now);
+        let Zone { name, holder } = &mut zones[zone];
         for known in targets.values_mut().filter(|known| known.zone == zone) {
             if now >= known.base_from {
                 holder.set_base(known.number, known.base);
             }
-            let missed = missed.remove(&known.number).unwrap_or(0);
+            if cold.contains(&known.key) && now >= known.cold_report_due {
+                known.cold_report_due = now + COLD_REPORT_INTERVAL;
+                holder.turn_cold(known.number);
+            }
+            // Slots of other zones' targets are taken from the daemons of those zones, so that they
+            // are wanted only when a call found none.
+            let is_starved = known.works.iter().any(|work| starved.contains_key(work));
+            let headroom = if *name == self.zone || is_starved {
+                HEADROOM
+            } else {
+                0
+            };
             let in_flight = holder.in_flight(known.number);
-            // Other zones' targets are wanted only once they are needed, because their slots are
-            // taken from the daemons of those zones.
-            let headroom = if *name == self.zone { HEADROOM } else { 0 };
-            let wanted = in_flight + in_flight / 2 + missed + headroom;
-            holder.want(known.number, wanted);
+            holder.want(known.number, in_flight + in_flight / 2 + headroom);
         }
-        missed.clear();
         Frame::Share(holder.request(now))
     }
 
@@ -289,6 +331,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
+            () = early(gateway) => ticks.reset(),
             () = connection.wait_closed() => {
                 return Error::Closed { message: "the peer is gone".to_owned() };
             }
@@ -298,7 +341,8 @@
                 message: "the daemon stops".to_owned(),
             };
         };
-        let request = gateway.shares.request(zone);
+        let cold = gateway.with_router(|router, _| router.cold());
+        let request = gateway.shares.request(zone, &cold);
         match connection.call(request, RENEW_TIMEOUT).await {
             Ok(Frame::ShareAnswer(answer)) => gateway.shares.answer(zone, &answer),
             Ok(_) => {}
@@ -307,3 +351,33 @@
         gateway.refresh_grants();
     }
 }
+
+/// Returns when an early renewal is asked for.
+async fn early(gateway: &Weak<Gateway>) {
+    if let Some(gateway) = gateway.upgrade() {
+        gateway.shares.early.notified().await;
+    }
+    sleep(EARLY_PAUSE).await;
+}
+
+/// What a target can be used for.
+fn works(target: &Target) -> Vec<u64> {
+    match &target.role {
+        Role::Engine(kind) => target
+            .loaded
+            .iter()
+            .map(|model| work(Need::Stage(*kind, model)))
+            .collect(),
+        Role::Service(service) => vec![work(Need::Service(service))],
+    }
+}
+
+/// A number for a kind of work. Two kinds with the same number only ask for more slots than needed.
+fn work(need: Need<'_>) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    match need {
+        Need::Stage(kind, model) => (kind, model).hash(&mut hasher),
+        Need::Service(service) => service.hash(&mut hasher),
+    }
+    hasher.finish()
+}
--- a/crates/azurelug-system/src/lib.rs
+++ b/crates/azurelug-system/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod booking;
 pub mod links;
+pub mod observers;
 pub mod operator;
 pub mod process;
 pub mod system;
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -21,6 +21,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::links::Links;
+use crate::observers::Observers;
 use crate::operator::{Operator, patch};
 use crate::process::Process;
 
@@ -36,6 +37,9 @@
 /// How long anything may take to become ready on a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Calls that each target can handle.
+const LIMIT: u32 = 8;
+
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
 /// One zone's part of the system.
@@ -56,8 +60,12 @@
     pub zones: Vec<ZoneParts>,
     /// The links to control daemons.
     pub links: Links,
+    /// What the entry daemons poll; none if they know only their own calls.
+    pub observers: Option<Observers>,
     folder: PathBuf,
     address: Ipv4Addr,
+    /// The engines' cold limit in the configuration.
+    cold_limit: u32,
 }
 
 impl System {
@@ -86,6 +94,16 @@
         system.launch().await
     }
 
+    /// As [`System::start_with`], with a load reporter and the platform's list.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_observed(engines: engine::Settings) -> Self {
+        let observers = Observers::start().await;
+        let system = Self::prepare_with(engines, false, Some(observers)).await;
+        system.launch().await
+    }
+
     async fn launch(self) -> Self {
         let mut system = self;
         for zone in &mut system.zones {
@@ -110,15 +128,30 @@
     /// # Panics
     /// If files can't be written or doubles can't be started.
     pub async fn prepare(engines: engine::Settings, has_links: bool) -> Self {
+        Self::prepare_with(engines, has_links, None).await
+    }
+
+    async fn prepare_with(
+        engines: engine::Settings,
+        has_links: bool,
+        observers: Option<Observers>,
+    ) -> Self {
         let address = own_address();
         let folder = std::env::temp_dir().join(format!("azurelug-{address}"));
         // An earlier run with the same process id may have been killed.
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("create the folder");
         std::fs::write(folder.join("key"), "0123456789abcdef0123456789abcdef").expect("write");
+        // Engines without a cold start can handle their whole limit from the start.
+        let cold_limit = match engines.warm_after {
+            0 => LIMIT,
+            _ => u32::try_from(engines.cold_limit).expect("cold limits are small"),
+        };
         let mut system = Self {
+            cold_limit,
             zones: Vec::new(),
             links: Links::default(),
+            observers,
             folder,
             address,
         };
@@ -129,6 +162,11 @@
             let zone = system.prepare_zone(index, &engines).await;
             system.zones.push(zone);
         }
+        if let Some(observers) = &system.observers {
+            let engines = system.zones.iter().flat_map(|zone| zone.engines.values());
+            let addresses = engines.map(Engine::address).collect();
+            observers.reporter.set_engines(addresses);
+        }
         system
     }
 
@@ -203,8 +241,10 @@
         };
         let controls: Vec<String> = nearest_first.map(control).collect();
         let (name, zone, folder) = (entry_name(index), ZONES[index], self.folder.display());
+        let observers = self.observers.as_ref().map(Observers::settings);
+        let observers = observers.unwrap_or_default();
         format!(
-            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+            "{observers}name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
              callers: \"{}\"\nadmin: \"{}\"\ncontrol: [{}]\ndrain_wait: 1s\nfinish_wait: 13s\n",
             self.callers(index),
             self.admin(index),
@@ -272,6 +312,17 @@
         .await;
     }
 
+    /// Waits until every entry daemon may use its base shares, which open after the longest call.
+    ///
+    /// # Panics
+    /// If they stay closed.
+    pub async fn wait_base_shares(&self) {
+        for zone in 0..ZONES.len() {
+            self.wait_state(zone, |state| state["base_shares_open"] == true)
+                .await;
+        }
+    }
+
     /// Waits until some control daemon leads and returns its zone.
     ///
     /// # Panics
@@ -373,11 +424,13 @@
                     engine.address(),
                     role,
                     loaded,
+                    self.cold_limit,
                 ));
             }
             let role = Role::Service(ServiceName::from("stock"));
             let name = format!("stock-{zone}");
-            changes.push(target(&name, zone, parts.stock.address(), role, Vec::new()));
+            let address = parts.stock.address();
+            changes.push(target(&name, zone, address, role, Vec::new(), LIMIT));
         }
         let stages = StageKind::ALL
             .map(|kind| Stage {
@@ -437,7 +490,7 @@
     )
 }
 
-fn loopback() -> SocketAddr {
+pub(crate) fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
@@ -489,14 +542,15 @@
     address: SocketAddr,
     role: Role,
     loaded: Vec<ModelRef>,
+    cold_limit: u32,
 ) -> Change {
     let target = Target {
         zone: ZoneName::from(zone),
         address,
         role,
         loaded,
-        limit: 8,
-        cold_limit: 2,
+        limit: LIMIT,
+        cold_limit,
         state: State::Active,
         checks_fencing: true,
     };
--- a/crates/azurelug-system/tests/calls_once.rs
+++ b/crates/azurelug-system/tests/calls_once.rs
@@ -410,6 +410,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_a_quorum_bookings_are_refused_and_pipelines_go_on() {
     let mut system = System::start().await;
+    // Without its control daemon a zone has only base shares.
+    system.wait_base_shares().await;
     for zone in [1, 2] {
         system.zones[zone].control.kill();
     }
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -21,7 +21,7 @@
   fi
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$dir"
+  [ "$status" -eq 0 ] && rm -rf "$dir"
   exit "$status"
 }
 trap stop EXIT
