coordination: show that each raft mechanism matters

Cause: a runner that never fails proves nothing. Ruled out for the two lease limits, pre-vote, check-quorum and the durable copy: finding them by random schedules; the runner does not see them in 0..8000, so directed tests guard them.

Change: the fixed set adds nine seeds that found a missing mechanism. The lease test probes a leader one millisecond before the lease ends and at its end; the replacement test withholds only successful acknowledgements, because withholding all of them let another rule block the replacement.

By directed test only: no pre-vote, no check-quorum, lease unchecked, lease without allowance, lease equal to the timeout, replaced before a copy.

--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use azurelug_coordination::raft::{
-    Action, Body, Change, Entry, Event, Fault, Member, Message, Node, Payload, Recovered, Refusal,
-    Role, Settings, Standing, Start, StartError,
+    Action, Body, Change, Entry, Event, Fault, Member, Message, Node, Outcome, Payload, Recovered,
+    Refusal, Role, Settings, Standing, Start, StartError, State,
 };
 use rand::SeedableRng;
 
@@ -83,6 +83,10 @@
         }
     }
 
+    fn state(&self, slot: u16) -> State {
+        self.nodes[usize::from(slot)].state()
+    }
+
     /// Slot of the leader with the highest term.
     fn leader(&self) -> u16 {
         let states = self
@@ -171,10 +175,7 @@
     net.run(10_000);
     net.closed.clear();
     net.run(3000);
-    assert_eq!(
-        (net.leader(), net.nodes[usize::from(other)].state().term),
-        (leader, term)
-    );
+    assert_eq!((net.leader(), net.state(other).term), (leader, term));
 }
 
 /// Without check-quorum, a leader that hears nobody keeps the others from electing one.
@@ -185,7 +186,7 @@
     net.closed.extend((0..3).map(|other| (other, leader)));
     net.run(6000);
     assert_ne!(net.leader(), leader);
-    assert_ne!(net.nodes[usize::from(leader)].state().role, Role::Leader);
+    assert_ne!(net.state(leader).role, Role::Leader);
     let next = net.leader();
     net.step(
         next,
@@ -195,20 +196,15 @@
         },
     );
     net.run(300);
-    assert_eq!(
-        net.nodes[usize::from(next)].state().commit,
-        net.nodes[usize::from(next)].state().last.index
-    );
+    assert_eq!(net.state(next).commit, net.state(next).last.index);
 }
 
-/// A leader without a majority answering must not vouch for the freshness of anyone's state.
+/// A leader without a majority answering must not vouch for the freshness of anyone's state, even
+/// if it was frozen and handles a probe before it notices the time.
 #[test]
 fn freshness_ends_with_the_leader_lease() {
     let mut net = Net::started();
-    let leader = net.leader();
-    net.isolate(leader);
-    let cut = net.now;
-    net.run(10_000);
+    let (leader, asker) = (net.leader(), net.other());
     let (lease, promise) = (
         Settings::default().leader_lease(),
         Settings::default().election_timeout,
@@ -217,9 +213,39 @@
         lease * 101 / 100 + 50 * MS <= promise,
         "the lease outlives the voters' promise"
     );
-    let state = net.nodes[usize::from(leader)].state();
+    net.isolate(leader);
+    let cut = net.now;
+    net.run(10);
+    let (from, storage) = (
+        net.nodes[usize::from(asker)].member(),
+        100 + u64::from(asker),
+    );
+    let node = &mut net.nodes[usize::from(leader)];
+    let state = node.state();
+    let end = state.lease_until.expect("a majority answered just now");
+    assert!(end <= cut + lease, "{state:?}");
+    let body = Body::Probe { run: 1, stamp: cut };
+    let probe = Message {
+        cluster: 7,
+        from,
+        storage,
+        to: state.member,
+        term: state.term,
+        body,
+    };
+    let early = node.step(Event::Receive(probe.clone()), end - MS);
+    assert!(matches!(
+        early[..],
+        [Action::Send(Message {
+            body: Body::ProbeAnswer { .. },
+            ..
+        })]
+    ));
+    assert_eq!(node.step(Event::Receive(probe), end), []);
+    net.run(5000);
+    let state = net.state(leader);
     assert!(
-        state.fresh_as_of.is_some_and(|as_of| as_of < cut + lease),
+        state.fresh_as_of.is_some_and(|as_of| as_of < end),
         "{state:?}"
     );
 }
@@ -230,7 +256,12 @@
     let mut net = Net::started();
     let (lost, leader) = (net.other(), net.leader());
     net.nodes[usize::from(lost)] = node(Recovered::empty(7, lost), 90, net.now);
-    net.withheld = |m| m.from.incarnation == 2 && matches!(m.body, Body::AppendAnswer { .. });
+    net.withheld = |m| {
+        let Body::AppendAnswer { outcome, .. } = m.body else {
+            return false;
+        };
+        m.from.incarnation == 2 && matches!(outcome, Outcome::Matched { .. })
+    };
     net.run(8000);
     let (old, new) = (
         Member {
@@ -242,7 +273,7 @@
             incarnation: 2,
         },
     );
-    let membership = net.nodes[usize::from(leader)].state().membership;
+    let membership = net.state(leader).membership;
     assert!(
         membership.is_voter(old),
         "replaced without a copy: {membership:?}"
@@ -262,7 +293,7 @@
 
     net.withheld = |_| false;
     net.run(3000);
-    let membership = net.nodes[usize::from(leader)].state().membership;
+    let membership = net.state(leader).membership;
     assert!(
         membership.is_voter(new) && membership.seat(old).is_none(),
         "{membership:?}"
@@ -315,7 +346,7 @@
     assert_eq!(net.refusal(), Some(Refusal::Transferring));
     net.run(10);
     assert_eq!(net.leader(), other);
-    assert_eq!(net.nodes[usize::from(leader)].state().role, Role::Follower);
+    assert_eq!(net.state(leader).role, Role::Follower);
 }
 
 /// A frame above the wire's limit of 1 MiB would close the connection of a healthy member.
@@ -426,7 +457,7 @@
         },
     );
     assert_eq!(net.refusal(), Some(Refusal::TooLarge { size, limit }));
-    let in_flight = net.nodes[usize::from(leader)].state().followers;
+    let in_flight = net.state(leader).followers;
     assert!(
         in_flight
             .iter()
--- a/crates/azurelug-coordination/tests/raft_schedules.rs
+++ b/crates/azurelug-coordination/tests/raft_schedules.rs
@@ -4,9 +4,14 @@
 #[path = "support/schedule.rs"]
 mod schedule;
 
+/// Seeds that failed with one mechanism taken out: the vote record, the repetition of snapshot
+/// requests, the promise to the leader, campaigns of members being removed, the lease's start, the
+/// written vote, one change at a time, the run id of probes, the promise after a restart.
+const AIMED: [u64; 9] = [384, 703, 1038, 1377, 1433, 3510, 6178, 7579, 7806];
+
 #[test]
 fn no_schedule_of_the_fixed_set_contradicts_the_single_copy() {
-    for seed in 0..300 {
+    for seed in (0..300).chain(AIMED) {
         if let Err(failure) = schedule::run(seed) {
             panic!("{failure}");
         }
--- a/crates/azurelug-coordination/tests/support/schedule.rs
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -30,7 +30,8 @@
 /// Time after the last fault within which the cluster has to recover fully.
 const RECOVERY: Time = 60_000 * MS;
 
-/// More steps than any schedule needs; reached when messages beget messages without end.
+/// More steps than any schedule needs; reached when two nodes answer
+/// each other without end.
 const MAX_STEPS: u64 = 200_000;
 
 /// Something that happens at a time.
