core: estimate stages by their p95 in admission and before each stage

Change: p95 in place of p90 in the admission estimate and in Latencies::needed. Shares of the deadline stay in proportion to p90.

--- a/crates/azurelug-core/src/admission.rs
+++ b/crates/azurelug-core/src/admission.rs
@@ -27,7 +27,7 @@
 const SHORT: usize = 1;
 /// A request may expect to wait for this part of its slack (the time left beyond that of its
 /// stages). When the queue may use up all of it, every request under overload starts at the last
-/// moment, and those whose stages take longer than their p90 are wasted.
+/// moment, and those whose stages take longer than estimated are wasted.
 const MAX_SLACK_PART: u32 = 2;
 /// Weight of one finished request in the moving average of the service time.
 const SMOOTHING: f64 = 0.05;
@@ -195,7 +195,7 @@
         let needed: Duration = ask
             .stages
             .iter()
-            .map(|stage| latencies.quantiles(*stage).p90)
+            .map(|stage| latencies.quantiles(*stage).p95)
             .sum();
         let request = Request {
             account: ask.account,
--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -134,12 +134,12 @@
         self.classes[usize::from(class.0)].quantiles
     }
 
-    /// The time that the remaining stages are expected to take, as in the estimate of admission.
+    /// The time that the remaining stages are expected to take (p95), as in the estimate of admission.
     /// A request with less time left is given up before its next stage, because the work would
     /// probably be cut off.
     #[must_use]
     pub fn needed(&self, stages: &[Class]) -> Duration {
-        stages.iter().map(|it| self.quantiles(*it).p90).sum()
+        stages.iter().map(|it| self.quantiles(*it).p95).sum()
     }
 
     /// The share of the remaining deadline that the first of the remaining stages may use: its
