core: take a broken connection as a sign of a cold start

Remainders of the parts were ruled out: tests/slow_start.rs shows that they add up to the cold limit. Change: Completion::Broken applies the cold limit at once; the shell reports it when a connection ends before the answer. The new test fails with the mutation "broken is an ordinary failure".

--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -259,7 +259,7 @@
                 && is_lost(self.daemons[it.daemon].zone, target)
             {
                 let attempt = it.attempt;
-                self.call_end(request, attempt, Completion::Failure);
+                self.call_end(request, attempt, Completion::Broken);
             }
         }
     }
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -30,7 +30,7 @@
 use crate::lease_mode::Mode;
 use crate::outlier::Record;
 use crate::slab::Slab;
-use crate::slow_start::{Position, SlowStart};
+use crate::slow_start::{Phase, Position, SlowStart};
 use call::Call;
 use load::Load;
 use pool::Pool;
@@ -295,6 +295,11 @@
                 slot.slow_start.failure();
                 slot.record.failure();
             }
+            Completion::Broken => {
+                turned_cold = slot.slow_start.phase() != Phase::Cold;
+                slot.slow_start.turn_cold(now);
+                slot.record.failure();
+            }
             Completion::TimedOut => {
                 slot.slow_start.failure();
                 let waited = latency.as_micros().min(u128::from(u32::MAX)) as u32;
--- a/crates/azurelug-core/src/routing/call.rs
+++ b/crates/azurelug-core/src/routing/call.rs
@@ -18,6 +18,9 @@
         Success,
         /// The target failed or refused.
         Failure,
+        /// The connection broke before the answer was complete. The target has probably restarted,
+        /// so its cold limit applies at once, before any report says so.
+        Broken,
         /// The target did not answer in the time it was given. This counts as a slow answer and
         /// not as an error, so that a stage that is slow as a whole ejects nobody.
         TimedOut,
--- a/crates/azurelug-core/tests/slow_start.rs
+++ b/crates/azurelug-core/tests/slow_start.rs
@@ -183,3 +183,26 @@
     report(&mut router, "a0", 0, false, 1, SECOND);
     assert_eq!(fill(&mut router, SECOND).len(), 1);
 }
+
+/// Guards against full load on a restarted engine in the time until its next report.
+#[test]
+fn a_broken_connection_applies_the_cold_limit_at_once() {
+    let mut router = warm_router(&one_target(16, 2), 1);
+    let calls = fill(&mut router, SECOND);
+    let broken = Outcome {
+        completion: Completion::Broken,
+        first_token: None,
+    };
+    let finished = router.finish(calls[0], broken, 2 * SECOND).unwrap();
+    assert!(finished.turned_cold);
+    for call in &calls[1..] {
+        assert!(router.begin(TARGET, 2 * SECOND).is_none());
+        assert!(
+            !router
+                .finish(*call, broken, 2 * SECOND)
+                .unwrap()
+                .turned_cold
+        );
+    }
+    assert_eq!(fill(&mut router, 2 * SECOND).len(), 2);
+}
