--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -42,6 +42,9 @@
 const MAX_DRAWN: usize = MAX_EXCLUDED + 2;
 /// Load that a fully cached prefix outweighs, as a part of the limit.
 const PREFIX_BONUS: f32 = 0.25;
+/// A target that was seen cold is slow as well as small; it is used once the warm ones are busier
+/// by this part of their limit.
+const COLD_PENALTY: f32 = 0.5;
 /// A target of another zone must be better than the own zone's best by this much, because of the
 /// way between the zones and because it takes room from that zone's own callers.
 const SPILL_MARGIN: f32 = 0.1;
@@ -422,9 +425,13 @@
         let bonus = found.map_or(0.0, |found| {
             PREFIX_BONUS * found.confidence * found.blocks as f32 / query.prefix.len() as f32
         });
+        let cold = match slot.slow_start.phase() {
+            Phase::Cold => COLD_PENALTY,
+            _ => 0.0,
+        };
         Candidate {
             target,
-            score: load - bonus,
+            score: load + cold - bonus,
             own,
             others,
             limit,
