core: size the admission of a partitioned daemon by the daemons of its zone

Routing was ruled out: refusals came from admission (2.8%). Change: the example divides by the daemons that share the targets. The entry daemon must do the same when it sets its capacity.

--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -33,6 +33,8 @@
     /// Classes by kind, for short calls, long calls and both.
     pub(crate) classes: [[Class; KINDS]; 3],
     models: [ModelRef; KINDS],
+    /// Daemons that share the targets it can use: all, or those of its zone without a lease.
+    sharers: u32,
 }
 
 impl Daemon {
@@ -68,6 +70,7 @@
             latencies,
             classes,
             models: std::array::from_fn(model),
+            sharers: DAEMONS as u32,
         };
         daemon.apply(config, Duration::ZERO);
         daemon
@@ -86,6 +89,10 @@
     }
 
     pub(crate) fn set_mode(&mut self, mode: Mode) {
+        self.sharers = match mode {
+            Mode::Degraded => (DAEMONS / ZONES) as u32,
+            _ => DAEMONS as u32,
+        };
         if let Rules::Measured(router, ..) = &mut self.rules {
             router.set_mode(mode);
         }
@@ -128,7 +135,7 @@
             (router.slots(need, now), mean)
         });
         // The balancer spreads callers evenly, so each daemon takes an equal part of the slots.
-        let capacity = pipeline_capacity(&stages).div_ceil(DAEMONS as u32);
+        let capacity = pipeline_capacity(&stages).div_ceil(self.sharers);
         admission.set_capacity(capacity, now)
     }
 
