core: model leased shares in the attainment example

Without shares, six daemons that see lagging reports together exceed a busy target's limit, and targets above their limit are slower. Change: every 500 ms the example divides a target's free slots among the daemons that reach it, as section 12 of the design does with leases; the admission's capacity follows the granted slots. The modelled shares have no lag and no lost messages, so this is what ideal shares would give.

--- a/crates/azurelug-core/examples/attainment.rs
+++ b/crates/azurelug-core/examples/attainment.rs
@@ -1,6 +1,7 @@
 //! Deadline attainment, first-token time, cost for each stage and refusals of the decision modules
 //! and of the naive version, on the same seeds. Six daemons share 30 targets in three zones and
-//! see the same load reports, which lag by 300 ms.
+//! see the same load reports, which lag by 300 ms. Leased shares are modelled without delay: every
+//! 500 ms a target's free slots are divided among the daemons that reach it.
 //!
 //! Run with `cargo run --release -p azurelug-core --example attainment [seeds] [scenario]`.
 
--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -33,8 +33,6 @@
     /// Classes by kind, for short calls, long calls and both.
     pub(crate) classes: [[Class; KINDS]; 3],
     models: [ModelRef; KINDS],
-    /// Daemons that share the targets it can use: all, or those of its zone without a lease.
-    sharers: u32,
 }
 
 impl Daemon {
@@ -70,7 +68,6 @@
             latencies,
             classes,
             models: std::array::from_fn(model),
-            sharers: DAEMONS as u32,
         };
         daemon.apply(config, Duration::ZERO);
         daemon
@@ -89,10 +86,6 @@
     }
 
     pub(crate) fn set_mode(&mut self, mode: Mode) {
-        self.sharers = match mode {
-            Mode::Degraded => (DAEMONS / ZONES) as u32,
-            _ => DAEMONS as u32,
-        };
         if let Rules::Measured(router, ..) = &mut self.rules {
             router.set_mode(mode);
         }
@@ -105,6 +98,20 @@
         }
     }
 
+    /// Calls in flight at a target.
+    pub(crate) fn in_flight(&self, target: TargetKey) -> u32 {
+        match &self.rules {
+            Rules::Measured(router, ..) => router.in_flight(target),
+            Rules::Naive(..) => 0,
+        }
+    }
+
+    pub(crate) fn grant(&mut self, target: TargetKey, slots: u32, now: Duration) {
+        if let Rules::Measured(router, ..) = &mut self.rules {
+            router.grant(target, Some(slots), now);
+        }
+    }
+
     pub(crate) fn offer(&mut self, ask: &Ask<'_>, now: Duration) -> Result<Entry, Refused> {
         match &mut self.rules {
             Rules::Measured(_, admission, _) => admission.offer(ask, &self.latencies, now),
@@ -134,8 +141,8 @@
             let mean = self.latencies.quantiles(self.classes[2][kind]).mean;
             (router.slots(need, now), mean)
         });
-        // The balancer spreads callers evenly, so each daemon takes an equal part of the slots.
-        let capacity = pipeline_capacity(&stages).div_ceil(self.sharers);
+        // The granted slots are this daemon's own part of each target.
+        let capacity = pipeline_capacity(&stages);
         admission.set_capacity(capacity, now)
     }
 
--- a/crates/azurelug-core/examples/attainment/model.rs
+++ b/crates/azurelug-core/examples/attainment/model.rs
@@ -50,6 +50,14 @@
         now < self.cold_until
     }
 
+    pub(crate) fn limit_in_force(&self, now: Duration) -> u32 {
+        if self.is_cold(now) {
+            self.cold_limit
+        } else {
+            self.limit
+        }
+    }
+
     /// A warm target above its limit slows down all the more; at three times the limit it refuses.
     /// A cold target fails the calls above its cold limit.
     pub(crate) fn start(&mut self, short: bool, random: &mut Pcg32, now: Duration) -> Work {
--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -8,6 +8,7 @@
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::retry::Failure;
 use azurelug_core::routing::{CallKey, Completion, LoadReport, Outcome};
+use azurelug_core::slow_start::Position;
 use azurelug_types::config::{Config, State};
 use azurelug_types::id::{AccountKey, TargetKey};
 use rand::{RngExt, SeedableRng};
@@ -156,6 +157,7 @@
             Event::Deadline(request) => self.end(request, false, false),
             Event::Report(target) => {
                 self.send_report(target);
+                self.share(target);
                 if self.now < self.end + DEADLINE {
                     self.at(REPORT_EVERY, Event::Report(target));
                 }
@@ -205,6 +207,27 @@
         self.at(REPORT_LAG, Event::Deliver(target, report));
     }
 
+    /// Divides the target's limit as leased shares do: each daemon keeps the slots it uses, and the
+    /// daemons that reach the target divide the rest.
+    fn share(&mut self, target: usize) {
+        let zone = self.targets[target].zone;
+        let key = TargetKey(target as u32);
+        let used: u32 = self.daemons.iter().map(|it| it.in_flight(key)).sum();
+        let limit = self.targets[target].limit_in_force(self.now);
+        let sharers: Vec<usize> = (0..DAEMONS).filter(|it| self.reaches(*it, zone)).collect();
+        let salt = self.random.random_range(0..DAEMONS as u32);
+        for (rank, daemon) in sharers.iter().enumerate() {
+            let position = Position {
+                rank: rank as u32,
+                daemons: sharers.len() as u32,
+            };
+            let free = position.part(limit.saturating_sub(used), salt);
+            let it = &mut self.daemons[*daemon];
+            let slots = it.in_flight(key) + free;
+            it.grant(key, slots, self.now);
+        }
+    }
+
     fn change(&mut self, change: Change) {
         match change {
             Change::Drain(zone, drained) => {
