--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -397,7 +397,12 @@
         let it = &mut self.requests[request];
         let (call, target, started, first_token) = it.call.take()?;
         let spent = self.now - started;
-        it.spent[it.kind] += spent.as_secs_f64();
+        // An attempt that did not end well is wasted even if a later one succeeds.
+        if completion == Completion::Success {
+            it.spent[it.kind] += spent.as_secs_f64();
+        } else {
+            self.result.wasted[it.kind] += spent.as_secs_f64();
+        }
         self.targets[target].running -= 1;
         let outcome = Outcome {
             completion,
