--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -319,3 +319,16 @@
         assert_eq!(ejected, usize::from(slow == 1), "{slow} slow targets");
     }
 }
+
+/// Guards against a repeated outcome that ends a later call in the same slot of the slab.
+#[test]
+fn a_repeated_outcome_does_not_end_a_later_call() {
+    let mut router = warm_router(&zones(1, 1), 1);
+    let key = router.table().key(&TargetName::from("a0")).unwrap();
+    let first = router.begin(key, SECOND).unwrap();
+    assert!(router.finish(first, SUCCESS, SECOND).is_some());
+    let second = router.begin(key, SECOND).unwrap();
+    assert!(router.finish(first, SUCCESS, SECOND).is_none());
+    assert_eq!(router.in_flight(key), 1);
+    assert!(router.finish(second, SUCCESS, SECOND).is_some());
+}
