--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -98,6 +98,20 @@
         }
     }
 
+    /// Calls in flight at a target.
+    pub(crate) fn in_flight(&self, target: TargetKey) -> u32 {
+        match &self.rules {
+            Rules::Measured(router, ..) => router.in_flight(target),
+            Rules::Naive(..) => 0,
+        }
+    }
+
+    pub(crate) fn grant(&mut self, target: TargetKey, slots: u32, now: Duration) {
+        if let Rules::Measured(router, ..) = &mut self.rules {
+            router.grant(target, Some(slots), now);
+        }
+    }
+
     pub(crate) fn offer(&mut self, ask: &Ask<'_>, now: Duration) -> Result<Entry, Refused> {
         match &mut self.rules {
             Rules::Measured(_, admission, _) => admission.offer(ask, &self.latencies, now),
@@ -127,8 +141,8 @@
             let mean = self.latencies.quantiles(self.classes[2][kind]).mean;
             (router.slots(need, now), mean)
         });
-        // The balancer spreads callers evenly, so each daemon takes an equal part of the slots.
-        let capacity = pipeline_capacity(&stages).div_ceil(DAEMONS as u32);
+        // The granted slots are this daemon's own part of each target.
+        let capacity = pipeline_capacity(&stages);
         admission.set_capacity(capacity, now)
     }
 
