system: test zones and targets that leave and return, and cut links

Cause: that a drained zone or target gets no new work after 3 s, and that a partitioned zone serves itself only, had been shown on state machines, not on processes and sockets. Change: zones.rs with 5 tests. Work is counted by the engines and services themselves; every answer is checked; bookings are counted. The partition cuts only the links to control; links from entry daemons to targets of other zones stay open, so the test shows that the daemon does not use them.

--- a/crates/azurelug-system/tests/streams.rs
+++ b/crates/azurelug-system/tests/streams.rs
@@ -290,6 +290,28 @@
     assert!(log.contains("stopped with 0 requests in flight"), "{log}");
 }
 
+/// Guards against a daemon that stops accepting requests before the balancer has noticed, when it has
+/// none that it waits for.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_daemon_without_requests_accepts_those_of_a_lagging_balancer() {
+    let mut system = System::start().await;
+    system.zones[0]
+        .entry
+        .signal(nix::sys::signal::Signal::SIGTERM);
+    let admin = system.admin(0);
+    let operator = Operator::new();
+    wait("negative readiness", || async {
+        let ready = operator.get(admin, "/readyz").await;
+        ready.is_some_and(|(status, _)| status == 503)
+    })
+    .await;
+    // The balancer's lag; the daemon accepts requests for 1 s.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let report = run(system.calls(&[0], 2, PAUSE)).await;
+    assert_all_correct(&report, 2);
+    until_ended(&mut system, 0).await;
+}
+
 /// Guards against a booking whose caller has its answer but whose key turns unknown, because its
 /// entry daemon stopped before the answer was recorded.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- /dev/null
+++ b/crates/azurelug-system/tests/zones.rs
@@ -0,0 +1,251 @@
+//! Zones and targets that leave and return, and links that are cut, against real processes.
+//!
+//! Whether a zone gets work is read from the counters of its engines and services.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use azurelug_system::Booking;
+use azurelug_system::operator::{Operator, patch, zone_state};
+use azurelug_system::system::{System, ZONES, wait};
+use azurelug_testkit::caller::{self, Report};
+use azurelug_types::config::{StageKind, State};
+use azurelug_types::id::TargetName;
+use azurelug_types::patch::{Answer, Change};
+use tokio::time::Instant;
+
+/// The time after which a drained zone or target may get no new work.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// A deadline that a healthy system meets easily.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Calls that the engines and the service of a zone have started.
+fn started(system: &System, zone: usize) -> u64 {
+    let engines = system.zones[zone].engines.values();
+    let calls = engines.map(|engine| engine.counts().started);
+    calls.sum::<u64>() + booked(system, zone)
+}
+
+/// Bookings that the replica of a zone has executed.
+fn booked(system: &System, zone: usize) -> u64 {
+    let executions = system.zones[zone].stock.executions();
+    executions.operations.values().sum()
+}
+
+/// Pipeline calls and bookings through the entry daemons of `zones` until it is stopped.
+struct Load {
+    stop: tokio::sync::watch::Sender<bool>,
+    pipelines: tokio::task::JoinSet<Vec<caller::End>>,
+    bookings: tokio::task::JoinHandle<Vec<Booking>>,
+}
+
+impl Load {
+    fn start(system: &System, zones: &[usize]) -> Self {
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let mut pipelines = tokio::task::JoinSet::new();
+        for number in 0..4 {
+            let settings = system.calls(zones, 1, Duration::ZERO);
+            let mut stopped = stopped.clone();
+            pipelines.spawn(async move {
+                let client = azurelug_http::Client::pooled().unwrap();
+                let mut ends = Vec::new();
+                while !*stopped.borrow_and_update() {
+                    let number = number * 100_000 + u64::try_from(ends.len()).unwrap();
+                    ends.push(caller::one(&client, &settings, number).await);
+                }
+                ends
+            });
+        }
+        let entries: Vec<_> = zones.iter().map(|zone| system.callers(*zone)).collect();
+        let mut stopped = stopped.clone();
+        let bookings = tokio::spawn(async move {
+            let mut bookings = Vec::new();
+            while !*stopped.borrow_and_update() {
+                let booking = Booking::new(DEADLINE);
+                let answer = booking.send(entries[bookings.len() % entries.len()]).await;
+                let answer = answer.unwrap();
+                assert_eq!(answer.status, 200, "{answer:?}");
+                bookings.push(booking);
+            }
+            bookings
+        });
+        Self {
+            stop,
+            pipelines,
+            bookings,
+        }
+    }
+
+    /// Ends the load and checks every answer.
+    async fn finish(self, system: &System) {
+        self.stop.send_replace(true);
+        let ends: Vec<_> = self.pipelines.join_all().await.concat();
+        let ends = ends.into_iter().map(|end| (Duration::ZERO, end)).collect();
+        let report = Report { ends };
+        let problems = (report.refused(), report.wrong());
+        assert_eq!(report.correct(), report.ends.len(), "{problems:?}");
+        let bookings = self.bookings.await.unwrap();
+        assert!(!report.ends.is_empty() && !bookings.is_empty());
+        for booking in bookings {
+            assert_eq!(system.executions(&booking.key), 1);
+        }
+    }
+}
+
+/// Drains with `drain`, checks that `count` stands still from 3 s after the acceptance while `other`
+/// rises, and that `count` rises again after `restore`.
+async fn drain_and_restore(
+    system: &System,
+    [drain, restore]: [Change; 2],
+    count: impl Fn() -> u64,
+    other: impl Fn() -> u64,
+) {
+    let operator = Operator::new();
+    let control = system.operators(2);
+    let load = Load::start(system, &[0, 1, 2]);
+    let rises = async |what: &str, count: &dyn Fn() -> u64| {
+        let before = count();
+        wait(what, || async { count() > before + 10 }).await;
+    };
+    rises("work before the drain", &count).await;
+    operator.change(control, vec![drain]).await;
+    // The limit of 3 s is what is tested.
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    let after = count();
+    rises("work elsewhere", &other).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(count(), after, "new work after the limit");
+    operator.change(control, vec![restore]).await;
+    rises("work after the return", &count).await;
+    load.finish(system).await;
+}
+
+/// Guards against new work in a zone later than 3 s after operators drained it, against answers that
+/// are wrong or lost while it leaves and returns, and against a zone that gets no work afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drained_zone_gets_no_new_work_until_it_is_restored() {
+    let system = System::start().await;
+    let changes = [State::Draining, State::Active].map(|state| zone_state(ZONES[1], state));
+    let others = || started(&system, 0) + started(&system, 2);
+    drain_and_restore(&system, changes, || started(&system, 1), others).await;
+}
+
+/// Guards against new work on a draining target later than 3 s after operators set it, and against
+/// a target that gets no work after its return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_target_gets_no_new_work_until_it_is_restored() {
+    let system = System::start().await;
+    let changes = [State::Draining, State::Active].map(|state| Change::SetTargetState {
+        name: TargetName::from("generate-zone-b"),
+        state,
+    });
+    let engine = |zone: usize| {
+        system.zones[zone].engines[&StageKind::Generate]
+            .counts()
+            .started
+    };
+    let others = || engine(0) + engine(2);
+    drain_and_restore(&system, changes, || engine(1), others).await;
+}
+
+/// Guards against new bookings on a draining replica of a service, as above.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_replica_gets_no_new_bookings_until_it_is_restored() {
+    let system = System::start().await;
+    let changes = [State::Draining, State::Active].map(|state| Change::SetTargetState {
+        name: TargetName::from("stock-zone-b"),
+        state,
+    });
+    let others = || booked(&system, 0) + booked(&system, 2);
+    drain_and_restore(&system, changes, || booked(&system, 1), others).await;
+}
+
+async fn mode(system: &System, zone: usize, mode: &str) {
+    system.wait_state(zone, |state| state["mode"] == mode).await;
+}
+
+/// Guards against an entry daemon of a partitioned zone that sends work by an old configuration
+/// outside its zone, that books without a quorum, that stops serving its own zone, or that does not
+/// catch up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_partitioned_zone_serves_itself_only_and_catches_up() {
+    let system = System::start_with_links().await;
+    let operator = Operator::new();
+    assert_all_correct(&system, 12).await;
+    system.links.isolate(0);
+    mode(&system, 0, "degraded").await;
+    let outside = started(&system, 1) + started(&system, 2);
+    assert_all_correct(&system, 30).await;
+    assert_eq!(
+        started(&system, 1) + started(&system, 2),
+        outside,
+        "work left the partitioned zone"
+    );
+    let refused = Booking::new(DEADLINE);
+    let answer = refused.send(system.callers(0)).await.unwrap();
+    assert_eq!(answer.refusal(), (503, "no_quorum", "not_run"));
+    assert_eq!(system.executions(&refused.key), 0);
+
+    // The rest of the system goes on without the zone.
+    let drain = vec![zone_state(ZONES[2], State::Draining)];
+    let base = operator.config(system.operators(1)).await.unwrap().version;
+    let drain = patch(base, drain);
+    wait("a patch outside the partition", || async {
+        let answer = operator.patch(system.operators(1), &drain).await;
+        matches!(answer, Some(Answer::Accepted { .. }))
+    })
+    .await;
+    let booking = Booking::new(DEADLINE);
+    let answer = booking.send(system.callers(1)).await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+
+    system.links.heal();
+    system
+        .wait_state(0, |state| {
+            state["mode"] == "normal" && state["version"] == base.next().0
+        })
+        .await;
+    let answer = refused.send(system.callers(0)).await.unwrap();
+    assert_eq!((answer.status, answer.is_replayed), (200, false));
+    assert_eq!(system.executions(&refused.key), 1);
+    assert_all_correct(&system, 12).await;
+}
+
+/// Makes calls through zone-a's entry daemon and checks that all answers are correct.
+async fn assert_all_correct(system: &System, requests: u64) {
+    // Longer than one call takes: engines that have just started take few at once.
+    let calls = system.calls(&[0], requests, Duration::from_millis(80));
+    let report = caller::run(calls).await.unwrap();
+    let (refused, wrong) = (report.refused(), report.wrong());
+    let requests = usize::try_from(requests).unwrap();
+    assert_eq!(report.correct(), requests, "{refused:?} {wrong:?}");
+}
+
+/// Guards against a daemon that stays on a connection that is open but silent while new connections
+/// work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_connection_to_control_is_replaced_within_3_s() {
+    let system = System::start_with_links().await;
+    let connected = || {
+        let log = system.zones[0].entry.log();
+        log.matches("entry: connected to control").count()
+    };
+    for _ in 0..2 {
+        let before = connected();
+        let silenced = Instant::now();
+        system.links.silence(0);
+        let calls = system.calls(&[0], 60, Duration::from_millis(50));
+        let running = tokio::spawn(caller::run(calls));
+        wait("a new connection", || async { connected() > before }).await;
+        mode(&system, 0, "normal").await;
+        let took = silenced.elapsed();
+        assert!(took <= Duration::from_secs(3), "took {took:?}");
+        let report = running.await.unwrap().unwrap();
+        let problems = (report.refused(), report.wrong());
+        assert_eq!(report.correct(), 60, "{problems:?}");
+        let booking = Booking::new(DEADLINE);
+        let answer = booking.send(system.callers(0)).await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
