entry, control: log why another daemon refuses the connection

Cause: a wrong shared key or cluster id was logged at debug level only, so that a daemon with wrong settings waited without a word. Change: a refused handshake is logged once as a warning for each peer and cause; other failures to connect stay at debug level.

--- a/crates/azurelug-control/src/peers.rs
+++ b/crates/azurelug-control/src/peers.rs
@@ -85,9 +85,11 @@
     shared: Arc<Mutex<Option<Connection>>>,
     mut frames: mpsc::Receiver<Frame>,
 ) {
+    let mut refusal = None;
     loop {
         match Connection::open(address, Arc::clone(&identity)).await {
             Ok(connection) => {
+                refusal = None;
                 log::info!("control: connected to {}", connection.peer());
                 let set = |value| {
                     *shared.lock().expect("no holder of the lock panics") = value;
@@ -101,7 +103,15 @@
                 }
             }
             Err(error) => {
-                log::debug!("control: {error}");
+                // A wrong key or cluster does not correct itself; it is logged once.
+                let text = matches!(error, Error::Handshake { .. }).then(|| error.to_string());
+                match text {
+                    Some(text) if refusal.as_ref() != Some(&text) => {
+                        log::warn!("control: member at {address}: {text}");
+                        refusal = Some(text);
+                    }
+                    _ => log::debug!("control: {error}"),
+                }
                 // What waited meanwhile is out of date.
                 while frames.try_recv().is_ok() {}
                 sleep(RETRY_PAUSE).await;
--- a/crates/azurelug-entry/src/link.rs
+++ b/crates/azurelug-entry/src/link.rs
@@ -1,5 +1,6 @@
 //! The connection to control: follows the configuration, renews the lease, carries claims.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
@@ -69,6 +70,7 @@
 
     /// Keeps a connection to one control daemon, the first address first, until the gateway is gone.
     pub async fn run(self, gateway: Weak<Gateway>) {
+        let mut refusals = HashMap::new();
         loop {
             for address in self.addresses.iter() {
                 if gateway.strong_count() == 0 {
@@ -77,11 +79,20 @@
                 match Connection::open(*address, Arc::clone(&self.identity)).await {
                     Ok(connection) => {
                         log::info!("entry: connected to control {}", connection.peer());
+                        refusals.remove(address);
                         self.set(Some(connection.clone()));
                         let reason = follow(&connection, &gateway).await;
                         self.set(None);
                         log::warn!("entry: left control {}: {reason}", connection.peer());
                     }
+                    // A wrong key or cluster does not correct itself; it is logged once.
+                    Err(error @ Error::Handshake { .. }) => {
+                        let text = error.to_string();
+                        if refusals.get(address) != Some(&text) {
+                            log::warn!("entry: control at {address}: {text}");
+                            refusals.insert(*address, text);
+                        }
+                    }
                     Err(error) => log::debug!("entry: {error}"),
                 }
             }
