settings: name the field of a value that does not parse

Cause: "'10' is not a length of time" stated line and column but no field, and stated the place twice. Change: the key before the place is put in front of the message; the parser's own statement of the place is dropped. Errors of meaning, such as an unknown log level, still have a field but no line.

--- a/crates/azurelug-settings/src/read.rs
+++ b/crates/azurelug-settings/src/read.rs
@@ -17,7 +17,13 @@
             .location()
             .map_or((0, 0), |place| (place.line(), place.column()));
         let message = error.without_snippet().to_string();
-        let message = message.lines().next().unwrap_or_default().to_owned();
+        let message = message.lines().next().unwrap_or_default();
+        // The place is stated before the message.
+        let message = message.split(" at line ").next().unwrap_or_default();
+        let message = match field(&text, line, column) {
+            Some(field) => format!("{field}: {message}"),
+            None => message.to_owned(),
+        };
         Error::Parse {
             path: path.to_owned(),
             line,
@@ -27,6 +33,16 @@
     })
 }
 
+/// The key whose value starts at a line and column, counted from 1.
+fn field(text: &str, line: u64, column: u64) -> Option<String> {
+    let index = |number: u64| usize::try_from(number).ok()?.checked_sub(1);
+    let line = text.lines().nth(index(line)?)?;
+    let before: String = line.chars().take(index(column)?).collect();
+    let key = before.trim_end().strip_suffix(':')?;
+    let key = key.rsplit([' ', '{', ',']).next()?;
+    (!key.is_empty()).then(|| key.to_owned())
+}
+
 /// Reads a file that a setting names, such as the shared key, without surrounding white space.
 ///
 /// # Errors
