--- /dev/null
+++ b/crates/azurelug-system/tests/bad_settings.rs
@@ -0,0 +1,132 @@
+//! Settings that do not fit: one line with the place and the remedy, and a non-zero exit.
+#![allow(clippy::unwrap_used)]
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use azurelug_system::system::{System, wait};
+use azurelug_system::{Booking, Process};
+
+/// Runs a daemon that must refuse its settings and returns its only line.
+async fn refusal(binary: &str, file: &Path, log: PathBuf) -> String {
+    // An earlier case may have used the same log.
+    let _ = std::fs::remove_file(&log);
+    let arguments = vec!["--settings".to_owned(), file.display().to_string()];
+    let mut process = Process::new(binary, arguments, log);
+    process.start();
+    let process = std::sync::Mutex::new(process);
+    wait("the refusal", || async {
+        process.lock().unwrap().has_ended()
+    })
+    .await;
+    let mut process = process.into_inner().unwrap();
+    let text = process.log();
+    let code = process.exit_code();
+    assert!(code.is_some_and(|code| code != 0), "exit {code:?}: {text}");
+    assert_eq!(text.lines().count(), 1, "{text}");
+    text
+}
+
+fn assert_names(line: &str, parts: &[&str]) {
+    for part in parts {
+        assert!(line.contains(part), "no '{part}' in: {line}");
+    }
+}
+
+/// Guards against settings that are taken although they do not fit, and against errors that do not
+/// say where and what to do.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn settings_that_do_not_fit_are_refused_with_place_and_remedy() {
+    let system = System::prepare(Default::default(), false).await;
+    let folder = system.folder().to_owned();
+    for (binary, name) in [
+        ("azurelug-entry", "entry-a.yaml"),
+        ("azurelug-control", "control-a.yaml"),
+    ] {
+        let good = std::fs::read_to_string(folder.join(name)).unwrap();
+        let lines = good.lines().count();
+        let added = format!("bad.yaml:{}:", lines + 1);
+        let file = folder.join("bad.yaml");
+        let log = || folder.join("bad.log");
+        let mut cases = vec![
+            (
+                format!("{good}colour: red\n"),
+                vec![added.as_str(), "colour", "expected one of name, zone"],
+            ),
+            (
+                format!("{good}log: {{ level: loud }}\n"),
+                vec!["log.level", "loud", "error, warn, info"],
+            ),
+            (
+                good.replace("name: ", "nom: "),
+                vec!["bad.yaml:1:", "nom", "expected one of name"],
+            ),
+            (
+                good.replace("zone: zone-a\n", ""),
+                vec!["bad.yaml:", "missing field `zone`"],
+            ),
+            (
+                good.replace("/key", "/no-key"),
+                vec!["no-key", "No such file", "create the file"],
+            ),
+        ];
+        if name == "entry-a.yaml" {
+            for value in ["10", "10 parsecs", "-1s"] {
+                let line = good.lines().position(|line| line.starts_with("drain_wait"));
+                let place: &str = Box::leak(format!("bad.yaml:{}:", line.unwrap() + 1).into());
+                cases.push((
+                    good.replace("drain_wait: 1s", &format!("drain_wait: {value}")),
+                    vec![place, "drain_wait", "500ms, 10s, 5m"],
+                ));
+            }
+        }
+        for (text, parts) in cases {
+            std::fs::write(&file, text).unwrap();
+            let line = refusal(binary, &file, log()).await;
+            assert_names(&line, &[binary]);
+            assert_names(&line, &parts);
+        }
+        let line = refusal(binary, &folder.join("none.yaml"), log()).await;
+        assert_names(&line, &["none.yaml", "create the file or correct the path"]);
+    }
+}
+
+/// Guards against a daemon that starts without its port, and against one that harms the process that
+/// has it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_used_port_is_refused_with_the_remedy() {
+    let system = System::start().await;
+    let folder = system.folder().to_owned();
+    for (binary, name, address) in [
+        ("azurelug-entry", "entry-a.yaml", system.callers(0)),
+        ("azurelug-control", "control-a.yaml", system.internal(0)),
+    ] {
+        let line = refusal(binary, &folder.join(name), folder.join("bad.log")).await;
+        assert_names(&line, &[&address.to_string(), "choose a free address"]);
+    }
+    assert_books(&system).await;
+}
+
+/// Guards against two processes that write one data folder.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_process_on_one_data_folder_is_refused() {
+    let system = System::start().await;
+    let folder = system.folder().to_owned();
+    let good = std::fs::read_to_string(folder.join("control-a.yaml")).unwrap();
+    let second = good
+        .replace(":7000\"", ":7900\"")
+        .replace(":7100\"", ":7901\"");
+    std::fs::write(folder.join("second.yaml"), second).unwrap();
+    let log = folder.join("bad.log");
+    let line = refusal("azurelug-control", &folder.join("second.yaml"), log).await;
+    assert_names(&line, &["in use by another process", "control-a"]);
+    assert_books(&system).await;
+}
+
+async fn assert_books(system: &System) {
+    for zone in 0..3 {
+        let booking = Booking::new(Duration::from_secs(4));
+        let answer = booking.send(system.callers(zone)).await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
