system: show that control itself refuses a peer without the key

Control daemons with a wrong key had no test. Change: the test also speaks the handshake by hand, expects the refusal with its cause and no answer to a later request; a new test starts a control daemon with another key beside a working cluster.

--- a/crates/azurelug-system/tests/bad_input.rs
+++ b/crates/azurelug-system/tests/bad_input.rs
@@ -7,7 +7,7 @@
 use azurelug_http::Client;
 use azurelug_http::client::Call;
 use azurelug_system::Booking;
-use azurelug_system::system::System;
+use azurelug_system::system::{System, wait};
 use azurelug_testkit::caller;
 use azurelug_wire::codec::{self, Reader};
 use azurelug_wire::handshake::Identity;
@@ -254,6 +254,21 @@
     assert!(peak < 256 * 1024, "peak memory {peak} KiB");
 }
 
+/// Whether a request on a new stream of the connection gets an answer.
+async fn is_answered(sender: &SendRequest<Bytes>) -> bool {
+    let exchange = async {
+        let (mut body, mut reader) = stream(sender).await?;
+        let renew = Frame::Renew {
+            version: azurelug_types::id::Version(0),
+            in_flight: 0,
+        };
+        codec::send(&mut body, &renew, true).await.ok()?;
+        reader.next().await.ok()?
+    };
+    let answer = tokio::time::timeout(Duration::from_secs(3), exchange).await;
+    answer.is_ok_and(|answer| answer.is_some())
+}
+
 /// Guards against a process of another cluster, or without the shared key, that is let in.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_peer_with_a_wrong_key_or_cluster_is_refused_with_the_cause() {
@@ -263,6 +278,24 @@
         (identity("test", wrong_key), "shared key"),
         (identity("other", SHARED_KEY), "cluster 'other'"),
     ] {
+        // By hand, because a proper initiator would also refuse the acceptor's proof.
+        let sender = raw(&system).await;
+        let (mut body, mut reader) = stream(&sender).await.unwrap();
+        let Some(Frame::Challenge { nonce }) = reader.next().await.unwrap() else {
+            panic!("no challenge")
+        };
+        let hello = identity.hello(&nonce, [1; 16]);
+        let sent = codec::send(&mut body, &Frame::Hello(hello), true).await;
+        sent.unwrap();
+        match reader.next().await {
+            Ok(Some(Frame::Refused { message })) => assert!(message.contains(cause), "{message}"),
+            other => panic!("{cause}: {other:?}"),
+        }
+        assert!(
+            !is_answered(&sender).await,
+            "{cause}: a refused peer is served"
+        );
+
         let opened = Connection::open(system.internal(0), Arc::new(identity)).await;
         match opened.map(|connection| connection.peer().to_string()) {
             Err(Error::Handshake { message }) => assert!(message.contains(cause), "{message}"),
@@ -292,7 +325,7 @@
         std::fs::write(folder.join("entry-a.yaml"), &text).unwrap();
         system.zones[0].entry.start();
         let log = || system.zones[0].entry.log();
-        azurelug_system::system::wait("the cause in the log", || async {
+        wait("the cause in the log", || async {
             log()
                 .lines()
                 .any(|line| line.contains("WARN") && line.contains(cause))
@@ -314,3 +347,32 @@
     system.wait_ready().await;
     assert_serves(&mut system).await;
 }
+
+/// Guards against a control daemon that stays outside its cluster without a word, and against one
+/// without the key that disturbs the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_control_daemon_with_a_wrong_key_logs_the_cause() {
+    let mut system = System::start().await;
+    let folder = system.folder().to_owned();
+    let outside = (system.leader().await + 1) % 3;
+    let name = system.data(outside).with_extension("yaml");
+    std::fs::write(folder.join("other-key"), "fedcba9876543210fedcba9876543210").unwrap();
+    let good = std::fs::read_to_string(&name).unwrap();
+    let key_line = format!("{}/key", folder.display());
+    let other_key = format!("{}/other-key", folder.display());
+    system.zones[outside].control.kill();
+    std::fs::write(&name, good.replace(&key_line, &other_key)).unwrap();
+    system.zones[outside].control.start();
+    wait("the cause in the log", || async {
+        let log = system.zones[outside].control.log();
+        let is_cause = |line: &str| line.contains("WARN") && line.contains("shared key");
+        log.lines().any(is_cause)
+    })
+    .await;
+    assert_serves(&mut system).await;
+    system.zones[outside].control.kill();
+    std::fs::write(&name, &good).unwrap();
+    system.zones[outside].control.start();
+    system.wait_ready().await;
+    assert_serves(&mut system).await;
+}
