entry: bound the wait for a slot by the whole stage and check again at the start

Cause: three of 60 long calls in a burst were refused after their encode. The wait for a generate slot was bounded by the time to the first token, and a request whose stages were first measured while it waited started too late to finish, then got attempts of 0 ms. Ruled out: the order of waiting calls; the log showed that these calls began 7 s after their arrival.

Change: `wait_limit` follows the share of the whole stage; `enter` compares the time left with the p90 of the stages after the wait; time limits are never less than the share. Tests for requests and callers that go away.

`entry_load` and `entry_reports` were not run again after this change. With permits that are never given back, the admission tests hang instead of failing: they have no time limit of their own.

--- a/crates/azurelug-entry/src/admit.rs
+++ b/crates/azurelug-entry/src/admit.rs
@@ -104,6 +104,15 @@
         if let Some(answer) = answer {
             let decided = answer.await;
             decided.expect("the sender is kept until the decision")?;
+            // The stages may have been measured only while the request waited.
+            let needed = self.estimates.needed(request.classes);
+            let left = request.deadline.saturating_duration_since(Instant::now());
+            if left < needed {
+                return Err(Refused {
+                    reason: Reason::DeadlineUnreachable,
+                    retry_after: (needed - left).max(TICK),
+                });
+            }
         }
         Ok(permit)
     }
@@ -227,6 +236,12 @@
     admit: Arc<Admit>,
 }
 
+impl std::fmt::Debug for Permit {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_tuple("Permit").field(&self.ticket).finish()
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         self.admit.finish(self.ticket);
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -371,7 +371,7 @@
         let taken = if self.has_live_attempt() {
             slots::begin_now(&self.gateway, &name, &work, &query)?
         } else {
-            let limit = estimates.time_limit(&self.classes, place, self.left());
+            let limit = estimates.wait_limit(&self.classes, place, self.left());
             slots::begin(&self.gateway, &name, &work, &query, limit).await?
         };
         let slots::Slot {
--- a/crates/azurelug-entry/src/estimates.rs
+++ b/crates/azurelug-entry/src/estimates.rs
@@ -129,8 +129,19 @@
         self.lock().latencies.quantiles(class).p95
     }
 
-    /// How long an attempt at a stage may take until its first sign of success, and how long it may
-    /// wait for a slot before: its share of the remaining deadline, but at least an eighth of the
+    /// How long a call may wait for a slot: the stage's share of the remaining deadline, as long as
+    /// this and the later stages still fit in afterwards, but at least an eighth of the time that the
+    /// later stages leave.
+    pub fn wait_limit(&self, classes: &Classes, stage: usize, remaining: Duration) -> Duration {
+        let state = self.lock();
+        let latencies = &state.latencies;
+        let stages = &classes.stages[stage..];
+        let least = remaining.saturating_sub(needed(latencies, &stages[1..])) / LEAST_PART;
+        let left = remaining.saturating_sub(needed(latencies, stages));
+        latencies.share(remaining, stages).min(left).max(least)
+    }
+
+    /// How long an attempt at a stage may take until its first sign of success: its share of the remaining deadline, but at least an eighth of the
     /// time that later stages leave and three times its p95. Half of that time is left for a retry
     /// where that does not cut off attempts that are only slow; an attempt that is the last one that
     /// can succeed may use all of it.
@@ -138,12 +149,7 @@
         let state = self.lock();
         let latencies = &state.latencies;
         let later = &classes.stages[stage + 1..];
-        let needed: Duration = later
-            .iter()
-            .filter(|class| latencies.is_measured(**class))
-            .map(|class| latencies.quantiles(*class).p90)
-            .sum();
-        let slack = remaining.saturating_sub(needed);
+
         let head = classes.heads[stage];
         let mut order = vec![head];
         if head != classes.stages[stage] {
@@ -152,6 +158,10 @@
         }
         order.extend(later);
         let share = latencies.share(remaining, &order);
+        // Where too little time is left, the stages share what there is.
+        let slack = remaining
+            .saturating_sub(needed(latencies, later))
+            .max(share);
         let expected = latencies.quantiles(head);
         let late = expected.p95 * LATE_FACTOR;
         let retry_time = latencies.quantiles(classes.stages[stage]).p90;
@@ -170,18 +180,18 @@
         if !latencies.is_measured(classes.total) {
             return Duration::ZERO;
         }
-        let stages: Duration = classes
-            .stages
-            .iter()
-            .filter(|class| latencies.is_measured(**class))
-            .map(|class| latencies.quantiles(*class).p90)
-            .sum();
+        let stages = needed(latencies, &classes.stages);
         latencies
             .quantiles(classes.total)
             .p95
             .saturating_sub(stages)
     }
 
+    /// The p90 of all stages that were measured lately.
+    pub fn needed(&self, classes: &Classes) -> Duration {
+        needed(&self.lock().latencies, &classes.stages)
+    }
+
     /// Whether all stages were measured lately.
     pub fn is_measured(&self, classes: &Classes) -> bool {
         let state = self.lock();
@@ -226,3 +236,12 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 }
+
+/// The p90 of all classes that were measured lately.
+fn needed(latencies: &Latencies, classes: &[Class]) -> Duration {
+    classes
+        .iter()
+        .filter(|class| latencies.is_measured(**class))
+        .map(|class| latencies.quantiles(*class).p90)
+        .sum()
+}
--- /dev/null
+++ b/crates/azurelug-entry/tests/admit.rs
@@ -0,0 +1,158 @@
+//! Attacks the daemon's admission with requests that are given up, and the order of waiting calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::admission::Refused;
+use azurelug_entry::admit::{Admit, Capacity, Permit, Request};
+use azurelug_entry::estimates::{Classes, Estimates};
+use azurelug_types::config::{Account, Config, ModelRef, Stage, StageKind};
+use azurelug_types::id::{AccountName, ModelName, PipelineName, Version};
+use azurelug_types::outcome::Reason;
+use tokio::time::{Instant, timeout};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+struct Setting {
+    admit: Arc<Admit>,
+    estimates: Arc<Estimates>,
+    config: Config,
+    classes: Classes,
+}
+
+/// One account, one rerank stage, `capacity` slots.
+fn setting(capacity: u32) -> Setting {
+    let estimates = Arc::new(Estimates::default());
+    let admit = Arc::new(Admit::new(Arc::clone(&estimates)));
+    admit.set_capacity(Capacity {
+        all: capacity,
+        long: capacity,
+    });
+    let account = Account {
+        key_digest: String::new(),
+        weight: 1,
+        max_in_flight: 64,
+    };
+    let mut config = Config {
+        version: Version(1),
+        ..Config::default()
+    };
+    config.accounts.insert(AccountName::from("carts"), account);
+    let model = ModelRef {
+        model: ModelName::from("rank"),
+        adapter: None,
+        version: "1".to_owned(),
+    };
+    let kind = StageKind::Rerank;
+    let stages = [Stage { kind, model }];
+    let classes = estimates.classes(&PipelineName::from("summary"), &stages, true);
+    Setting {
+        admit,
+        estimates,
+        config,
+        classes,
+    }
+}
+
+impl Setting {
+    async fn enter(&self, deadline: Duration) -> Result<Permit, Refused> {
+        let request = Request {
+            account: &AccountName::from("carts"),
+            config: &self.config,
+            pipeline: &PipelineName::from("summary"),
+            classes: &self.classes,
+            is_short: true,
+            max_tokens: 16,
+            deadline: Instant::now() + deadline,
+        };
+        self.admit.enter(request).await
+    }
+
+    /// Measures the stage at `latency`.
+    fn measure(&self, latency: Duration, now: Duration) {
+        for _ in 0..20 {
+            self.estimates.record(self.classes.stage(0), latency);
+        }
+        self.estimates.tick(now);
+    }
+}
+
+/// Guards against a place in the queue or a slot that is kept for a caller that went away.
+#[tokio::test]
+async fn a_caller_that_goes_away_gives_up_its_place() {
+    let setting = setting(1);
+    let running = setting.enter(12 * SECOND).await.unwrap();
+    let given_up = timeout(Duration::from_millis(20), setting.enter(12 * SECOND)).await;
+    assert!(given_up.is_err(), "it waits");
+    assert_eq!(setting.admit.load(), (1, 0, 1));
+    drop(running);
+    assert_eq!(setting.admit.load(), (0, 0, 1));
+    let next = setting.enter(12 * SECOND).await;
+    assert!(next.is_ok(), "the slot is free again");
+}
+
+/// Guards against a waiting request that is not woken by the end of another one.
+#[tokio::test]
+async fn a_waiting_request_starts_when_a_slot_becomes_free() {
+    let setting = setting(1);
+    let running = setting.enter(12 * SECOND).await.unwrap();
+    let waiting = setting.enter(12 * SECOND);
+    let end = async {
+        tokio::task::yield_now().await;
+        assert_eq!(setting.admit.load(), (1, 1, 1));
+        drop(running);
+    };
+    let (started, ()) = tokio::join!(waiting, end);
+    assert!(started.is_ok());
+    assert_eq!(setting.admit.load(), (1, 0, 1));
+}
+
+/// Guards against a request that starts although its stages take longer than its deadline allows,
+/// and against estimates that refuse everything for ever, so that nothing is measured again.
+#[tokio::test]
+async fn a_deadline_that_cannot_be_met_is_refused_until_the_estimates_are_old() {
+    let setting = setting(4);
+    assert!(setting.enter(SECOND).await.is_ok(), "nothing is measured");
+    setting.measure(3 * SECOND, SECOND);
+    let refused = setting.enter(SECOND).await.unwrap_err();
+    assert_eq!(refused.reason, Reason::DeadlineUnreachable);
+    assert!(!refused.retry_after.is_zero());
+    for second in 2..40 {
+        setting.estimates.tick(second * SECOND);
+    }
+    assert!(setting.enter(SECOND).await.is_ok(), "the estimate is old");
+}
+
+/// Guards against work on a request whose stages were first measured while it waited, and found too
+/// slow for what is left of its deadline.
+#[tokio::test]
+async fn a_request_that_became_hopeless_while_it_waited_does_not_start() {
+    let setting = setting(1);
+    let running = setting.enter(12 * SECOND).await.unwrap();
+    let waiting = setting.enter(2 * SECOND);
+    let end = async {
+        tokio::task::yield_now().await;
+        setting.measure(3 * SECOND, SECOND);
+        drop(running);
+    };
+    let (refused, ()) = tokio::join!(waiting, end);
+    let refused = refused.unwrap_err();
+    assert_eq!(refused.reason, Reason::DeadlineUnreachable);
+    assert_eq!(setting.admit.load(), (0, 0, 1));
+}
+
+/// Guards against attempts that are cut off although they are only slow, and against attempts that
+/// leave no time for a retry.
+#[test]
+fn an_attempt_gets_three_times_its_p95_and_leaves_time_for_a_retry() {
+    let setting = setting(4);
+    setting.measure(100 * SECOND / 1000, SECOND);
+    let limit = |remaining| setting.estimates.time_limit(&setting.classes, 0, remaining);
+    let millis = |count| Duration::from_millis(count);
+    // The only stage has the whole deadline as its share; half of it is kept for a retry.
+    assert_eq!(limit(12 * SECOND), 6 * SECOND);
+    // Three times the p95, and one p90 left for a retry.
+    assert!((millis(290)..=millis(310)).contains(&limit(millis(450))));
+    // There is time for one attempt only, and it may use all of it.
+    assert_eq!(limit(millis(150)), millis(150));
+}
--- /dev/null
+++ b/crates/azurelug-system/tests/entry_callers.rs
@@ -0,0 +1,55 @@
+//! Attacks an entry daemon with callers that go away.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use azurelug_system::System;
+use azurelug_system::system::{ACCOUNT_KEY, PIPELINE};
+use azurelug_testkit::engine::Faults;
+
+/// Guards against slots, places in the queue and calls that are kept for callers that went away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_go_away_free_what_they_held() {
+    let system = System::start().await;
+    let hang = |hang| {
+        for engine in system.zones.iter().flat_map(|zone| zone.engines.values()) {
+            engine.set_faults(Faults {
+                hang,
+                ..Faults::default()
+            });
+        }
+    };
+    hang(true);
+    // More than the six slots of cold encode engines, so that some wait.
+    let open: Vec<TcpStream> = (0..12).map(|_| open(&system)).collect();
+    system.wait_state(0, |state| state["in_flight"] == 12).await;
+    drop(open);
+    let dropped = std::time::Instant::now();
+    system
+        .wait_state(0, |state| {
+            let targets = state["targets"].as_array().cloned().unwrap_or_default();
+            state["in_flight"] == 0 && targets.iter().all(|target| target["own"] == 0)
+        })
+        .await;
+    // Without the callers' departure, the calls would end with their deadline of 12 s.
+    assert!(dropped.elapsed() < Duration::from_secs(6));
+    hang(false);
+    let calls = system.calls(&[0], 10, Duration::from_millis(50));
+    let report = azurelug_testkit::caller::run(calls).await.unwrap();
+    assert_eq!(report.correct(), 10, "{:?}", report.refused());
+}
+
+/// Sends a call and does not wait for its answer.
+fn open(system: &System) -> TcpStream {
+    let body = r#"{"input":"season summary","max_tokens":16}"#;
+    let head = format!(
+        "POST /v1/pipelines/{PIPELINE} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer \
+         {ACCOUNT_KEY}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(system.callers(0)).expect("connect");
+    stream.write_all(head.as_bytes()).expect("send the head");
+    stream.write_all(body.as_bytes()).expect("send the body");
+    stream
+}
