--- /dev/null
+++ b/crates/azurelug-system/examples/control_cost.rs
@@ -0,0 +1,350 @@
+//! Measures what control costs: processor time, memory and bytes of three real control daemons and of
+//! the control part of many entry daemons, idle and for each change of the configuration.
+//!
+//! `cargo build --release --workspace --bins && cargo run --release -p azurelug-system --example
+//! control_cost -- --daemons 100 --accounts 5000 --targets 200 --seconds 10`
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use azurelug_entry::gateway::Gateway;
+use azurelug_entry::link::Link;
+use azurelug_entry::shares::Shares;
+use azurelug_system::operator::{Operator, zone_state};
+use azurelug_system::system::{System, ZONES, wait};
+use azurelug_testkit::engine;
+use azurelug_types::config::{Account, Entry, Role, State, Target};
+use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
+use azurelug_types::patch::Change;
+use azurelug_wire::handshake::Identity;
+use bpaf::Bpaf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+/// Changes in one patch, so that its command stays under the log's limit of 256 KiB.
+const BATCH: usize = 1000;
+
+/// Clock ticks a second in /proc, as Linux reports them on every platform that this runs on.
+const TICKS: f64 = 100.0;
+
+/// Measures the cost of control
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Entry daemons
+    #[bpaf(argument("COUNT"), fallback(10))]
+    daemons: usize,
+    /// Client accounts
+    #[bpaf(argument("COUNT"), fallback(5))]
+    accounts: usize,
+    /// Targets, spread over the three zones
+    #[bpaf(argument("COUNT"), fallback(20))]
+    targets: usize,
+    /// Length of the idle measurement
+    #[bpaf(argument("SECONDS"), fallback(10))]
+    seconds: u64,
+    /// Changes of the configuration
+    #[bpaf(argument("COUNT"), fallback(20))]
+    changes: usize,
+}
+
+#[tokio::main]
+async fn main() {
+    let options = options().run();
+    let mut system = System::prepare(engine::Settings::default(), false).await;
+    for zone in &mut system.zones {
+        zone.control.set_argument("--initialize", true);
+        zone.control.start();
+    }
+    let operator = Operator::new();
+    let control = system.operators(0);
+    wait("control", || async {
+        operator.config(control).await.is_some()
+    })
+    .await;
+    system.leader().await;
+    for batch in changes(&system, &options).chunks(BATCH) {
+        operator.change(control, batch.to_vec()).await;
+    }
+    let version = operator
+        .config(control)
+        .await
+        .expect("control answers")
+        .version;
+
+    let counted = Arc::new(AtomicU64::new(0));
+    let counter = forwarder(system.internal(0), Arc::clone(&counted)).await;
+    let started = Instant::now();
+    let gateways = start(&system, &options, counter);
+    in_force(&gateways, version).await;
+    println!("{options:?}");
+    println!(
+        "whole configuration in force at all daemons: {} ms",
+        started.elapsed().as_millis()
+    );
+    println!(
+        "bytes for one daemon to start: {}",
+        counted.load(Ordering::Relaxed)
+    );
+
+    sleep(Duration::from_secs(3)).await;
+    let (before, own, bytes) = (
+        control_cpu(&system),
+        cpu("self"),
+        counted.load(Ordering::Relaxed),
+    );
+    sleep(Duration::from_secs(options.seconds)).await;
+    let seconds = options.seconds as f64;
+    let daemons = options.daemons as f64;
+    let spent: Vec<f64> = control_cpu(&system)
+        .iter()
+        .zip(&before)
+        .map(|(now, before)| now - before)
+        .collect();
+    println!(
+        "idle, % of a core for each control daemon: {:?}",
+        percent(&spent, seconds)
+    );
+    println!(
+        "idle, % of a core for each entry daemon: {:.3}",
+        (cpu("self") - own) / seconds / daemons * 100.0
+    );
+    let idle_bytes = counted.load(Ordering::Relaxed) - bytes;
+    println!(
+        "idle, bytes/s of one entry daemon: {:.0}",
+        idle_bytes as f64 / seconds
+    );
+    println!("memory of each control daemon, MB: {:?}", memory(&system));
+    println!(
+        "memory of the entry daemons together, MB: {}",
+        resident("self")
+    );
+
+    let (before, own, bytes) = (
+        control_cpu(&system),
+        cpu("self"),
+        counted.load(Ordering::Relaxed),
+    );
+    let mut delays = Vec::new();
+    for number in 0..options.changes {
+        let state = if number % 2 == 0 {
+            State::Draining
+        } else {
+            State::Active
+        };
+        let sent = Instant::now();
+        let version = operator
+            .change(control, vec![zone_state(ZONES[2], state)])
+            .await;
+        in_force(&gateways, version).await;
+        delays.push(sent.elapsed().as_millis());
+    }
+    delays.sort_unstable();
+    let changes = options.changes as f64;
+    let spent: f64 = control_cpu(&system)
+        .iter()
+        .zip(&before)
+        .map(|(now, before)| now - before)
+        .sum();
+    println!(
+        "a change in force at all daemons, ms: p50 {} max {}",
+        delays[delays.len() / 2],
+        delays[delays.len() - 1]
+    );
+    println!(
+        "a change, ms of processor time of all control daemons: {:.1}",
+        spent / changes * 1000.0
+    );
+    println!(
+        "a change, ms of processor time of one entry daemon: {:.3}",
+        (cpu("self") - own) / changes / daemons * 1000.0
+    );
+    let change_bytes = counted.load(Ordering::Relaxed) - bytes;
+    println!(
+        "a change, bytes of one entry daemon, renewals included: {}",
+        change_bytes / options.changes as u64
+    );
+}
+
+/// Zones, entry daemons, accounts and targets.
+fn changes(system: &System, options: &Options) -> Vec<Change> {
+    let mut changes = system.first_changes();
+    for number in 0..options.daemons {
+        let entry = Entry {
+            zone: ZoneName::from(ZONES[number % 3]),
+        };
+        changes.push(Change::SetEntry {
+            name: daemon(number),
+            entry,
+        });
+    }
+    for number in 0..options.accounts {
+        let account = Account {
+            key_digest: format!("{number:064x}"),
+            weight: 1,
+            max_in_flight: 64,
+        };
+        changes.push(Change::SetAccount {
+            name: AccountName(format!("account-{number}")),
+            account,
+        });
+    }
+    let Some(Change::SetTarget {
+        target: example, ..
+    }) = changes
+        .iter()
+        .find(|change| matches!(change, Change::SetTarget { .. }))
+        .cloned()
+    else {
+        return changes;
+    };
+    for number in 0..options.targets {
+        let host = u32::try_from(number).expect("targets are few");
+        let address = SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + host), 80));
+        let target = Target {
+            zone: ZoneName::from(ZONES[number % 3]),
+            address,
+            role: Role::clone(&example.role),
+            ..example.clone()
+        };
+        changes.push(Change::SetTarget {
+            name: TargetName(format!("target-{number}")),
+            target,
+        });
+    }
+    changes
+}
+
+fn daemon(number: usize) -> DaemonName {
+    DaemonName(format!("daemon-{number}"))
+}
+
+/// Starts the control part of entry daemons. The first one reaches control through `counter`.
+fn start(system: &System, options: &Options, counter: SocketAddr) -> Vec<Arc<Gateway>> {
+    let make = |number: usize| {
+        let own = number % 3;
+        let address = |zone: usize| {
+            if number == 0 && zone == 0 {
+                counter
+            } else {
+                system.internal(zone)
+            }
+        };
+        let controls: Vec<(ZoneName, SocketAddr)> = (0..3)
+            .map(|step| (own + step) % 3)
+            .map(|zone| (ZoneName::from(ZONES[zone]), address(zone)))
+            .collect();
+        let identity = Arc::new(Identity {
+            cluster: "test".to_owned(),
+            daemon: daemon(number),
+            zone: ZoneName::from(ZONES[own]),
+            incarnation: number as u64,
+            key: b"0123456789abcdef0123456789abcdef".to_vec(),
+        });
+        let addresses = controls.iter().map(|(_, address)| *address).collect();
+        let link = Link::new(addresses, Arc::clone(&identity));
+        let (name, zone) = (identity.daemon.clone(), identity.zone.clone());
+        let shares = Shares::new(name.clone(), zone.clone(), identity.incarnation, controls);
+        let gateway = Arc::new(Gateway::new(name, zone, link, shares).expect("build the client"));
+        tokio::spawn(gateway.link.clone().run(Arc::downgrade(&gateway)));
+        Shares::run(&gateway, &identity);
+        gateway
+    };
+    (0..options.daemons).map(make).collect()
+}
+
+async fn in_force(gateways: &[Arc<Gateway>], version: Version) {
+    while gateways.iter().any(|gateway| gateway.version() < version) {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Forwards connections to `target` and counts the bytes of both directions.
+async fn forwarder(target: SocketAddr, counted: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("bind");
+    let address = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let Ok(server) = TcpStream::connect(target).await else {
+                continue;
+            };
+            for stream in [&client, &server] {
+                stream.set_nodelay(true).expect("set an option");
+            }
+            let (from_client, to_client) = client.into_split();
+            let (from_server, to_server) = server.into_split();
+            tokio::spawn(count(from_client, to_server, Arc::clone(&counted)));
+            tokio::spawn(count(from_server, to_client, Arc::clone(&counted)));
+        }
+    });
+    address
+}
+
+async fn count(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    counted: Arc<AtomicU64>,
+) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        counted.fetch_add(length as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn ids(system: &System) -> Vec<String> {
+    system
+        .zones
+        .iter()
+        .filter_map(|zone| zone.control.id())
+        .map(|id| id.to_string())
+        .collect()
+}
+
+fn control_cpu(system: &System) -> Vec<f64> {
+    ids(system).iter().map(|id| cpu(id)).collect()
+}
+
+fn memory(system: &System) -> Vec<u64> {
+    ids(system).iter().map(|id| resident(id)).collect()
+}
+
+/// Seconds of processor time that a process has used.
+fn cpu(process: &str) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).expect("the process runs");
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| fields[index].parse::<f64>().expect("ticks are numbers");
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Resident memory in MB.
+fn resident(process: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .expect("it has memory");
+    let kilobytes: u64 = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .expect("a number");
+    kilobytes / 1024
+}
+
+fn percent(spent: &[f64], seconds: f64) -> Vec<String> {
+    spent
+        .iter()
+        .map(|spent| format!("{:.2}", spent / seconds * 100.0))
+        .collect()
+}
--- a/crates/azurelug-system/src/process.rs
+++ b/crates/azurelug-system/src/process.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// The process id, if the process was started.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal, if the process runs.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/azurelug-system/src/system/first.rs
@@ -0,0 +1,150 @@
+//! The first patch of a system: zones, entry daemons, models, targets and the pipeline.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use azurelug_types::config::{
+    Account, Entry, Model, ModelRef, Operation, Pipeline, Role, Service, Stage, StageKind, State,
+    Target, Zone,
+};
+use azurelug_types::id::{
+    AccountName, DaemonName, ModelName, OperationName, PipelineName, ServiceName, TargetName,
+    ZoneName,
+};
+use azurelug_types::patch::Change;
+use sha2::{Digest, Sha256};
+
+use super::{ACCOUNT_KEY, LIMIT, PIPELINE, System, ZONES, entry_name};
+
+impl System {
+    /// The changes that set up everything.
+    pub fn first_changes(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for zone in ZONES {
+            let zone_settings = Zone {
+                state: State::Active,
+                on_partition: Default::default(),
+            };
+            changes.push(Change::SetZone {
+                name: ZoneName::from(zone),
+                zone: zone_settings,
+            });
+        }
+        for (index, zone) in ZONES.iter().enumerate() {
+            let entry = Entry {
+                zone: ZoneName::from(*zone),
+            };
+            let name = DaemonName(entry_name(index));
+            changes.push(Change::SetEntry { name, entry });
+        }
+        for kind in StageKind::ALL {
+            let model = model(kind);
+            let definition = Model {
+                versions: BTreeSet::from([model.version]),
+                adapters: BTreeSet::new(),
+            };
+            changes.push(Change::SetModel {
+                name: model.model,
+                model: definition,
+            });
+        }
+        changes.push(account("carts", ACCOUNT_KEY));
+        let operations = [("book", false), ("look-up", true)]
+            .map(|(name, idempotent)| (OperationName::from(name), Operation { idempotent }));
+        let service = Service {
+            operations: operations.into(),
+        };
+        changes.push(Change::SetService {
+            name: ServiceName::from("stock"),
+            service,
+        });
+        for (zone, parts) in ZONES.iter().zip(&self.zones) {
+            for (kind, engine) in &parts.engines {
+                let role = Role::Engine(*kind);
+                let loaded = vec![model(*kind)];
+                changes.push(target(
+                    &format!("{kind}-{zone}"),
+                    zone,
+                    engine.address(),
+                    role,
+                    loaded,
+                    self.cold_limit,
+                ));
+            }
+            let role = Role::Service(ServiceName::from("stock"));
+            let name = format!("stock-{zone}");
+            let address = parts.stock.address();
+            changes.push(target(&name, zone, address, role, Vec::new(), LIMIT));
+        }
+        let stages = StageKind::ALL
+            .map(|kind| Stage {
+                kind,
+                model: model(kind),
+            })
+            .to_vec();
+        let pipeline = Pipeline { stages };
+        changes.push(Change::SetPipeline {
+            name: PipelineName::from(PIPELINE),
+            pipeline,
+        });
+        changes
+    }
+}
+
+fn model(kind: StageKind) -> ModelRef {
+    let (model, version) = model_text(kind)
+        .split_once('@')
+        .expect("model texts have a version");
+    ModelRef {
+        model: ModelName::from(model),
+        adapter: None,
+        version: version.to_owned(),
+    }
+}
+
+pub(super) fn model_text(kind: StageKind) -> &'static str {
+    match kind {
+        StageKind::Encode => "embed@1",
+        StageKind::Retrieve => "search@1",
+        StageKind::Rerank => "rank@1",
+        StageKind::Generate => "writer@2",
+    }
+}
+
+/// The change that adds an account.
+pub fn account(name: &str, key: &str) -> Change {
+    let digest = Sha256::digest(key.as_bytes());
+    let account = Account {
+        key_digest: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        weight: 1,
+        max_in_flight: 256,
+    };
+    Change::SetAccount {
+        name: AccountName::from(name),
+        account,
+    }
+}
+
+fn target(
+    name: &str,
+    zone: &str,
+    address: SocketAddr,
+    role: Role,
+    loaded: Vec<ModelRef>,
+    cold_limit: u32,
+) -> Change {
+    let target = Target {
+        zone: ZoneName::from(zone),
+        address,
+        role,
+        loaded,
+        limit: LIMIT,
+        cold_limit,
+        state: State::Active,
+        checks_fencing: true,
+    };
+    Change::SetTarget {
+        name: TargetName::from(name),
+        target,
+    }
+}
--- a/crates/azurelug-types/src/outcome.rs
+++ b/crates/azurelug-types/src/outcome.rs
@@ -129,7 +129,9 @@
             Self::Overloaded => "retry after the stated time",
             Self::AccountLimit => "wait until a running call of this account has ended",
             Self::NoTarget => "retry after the stated time; operators see why in the state dump",
-            Self::NoQuorum => "retry after the stated time; calls that may repeat still work",
+            Self::NoQuorum => {
+                "send the same key again after the stated time; not_run speaks of this request only"
+            }
             Self::NoConfiguration => "retry after the stated time on another connection",
             Self::InProgress => "ask again with the same key after the stated time",
             Self::KeyExpired => "use a new UUIDv7 key after checking the earlier call's effect",
