settings: name the file when a log setting does not fit

Cause: 'log.level: loud is none of ...' named no file, so that an operator with several daemons had to guess. Change: the log section is checked with its file's path. Conclusion: values that are checked after parsing still name no line.

--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -118,7 +118,7 @@
                 );
             }
         }
-        self.log.check()?;
+        self.log.check(path)?;
         read::shared_key(&self.key_file).map(|_| ())
     }
 }
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -92,7 +92,7 @@
                 help: "list zone and internal address of at least one control daemon".to_owned(),
             });
         }
-        settings.log.check()?;
+        settings.log.check(path)?;
         read::shared_key(&settings.key_file)?;
         Ok(settings)
     }
--- a/crates/azurelug-settings/src/log_setup.rs
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -1,6 +1,6 @@
 //! Sets up `log4rs` from the `log` section that all binaries share.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use log::LevelFilter;
 use log4rs::append::Append;
@@ -57,13 +57,22 @@
             })
     }
 
-    /// Checks the section without starting a logger.
+    /// Checks the section of the settings file `path` without starting a logger.
     ///
     /// # Errors
-    /// `Log` names the field that does not fit.
-    pub fn check(&self) -> Result<(), Error> {
-        self.level()?;
-        self.encoder().map(|_| ())
+    /// `Value` names the file and the field that does not fit.
+    pub fn check(&self, path: &Path) -> Result<(), Error> {
+        let checked = self.level().and_then(|_| self.encoder());
+        match checked {
+            Err(Error::Log { field, message }) => Err(Error::Value {
+                path: path.to_owned(),
+                field: format!("log.{field}"),
+                message,
+                help: "choose one of the values in docs/settings.md".to_owned(),
+            }),
+            Err(other) => Err(other),
+            Ok(_) => Ok(()),
+        }
     }
 
     fn config(&self) -> Result<Config, Error> {
