control: answer an accepted patch after this member has applied it

A lost or doubled patch was ruled out: the history had each once. Change: the daemon that passes the acceptance on waits up to 1 s until it has applied the version itself.

--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -1,6 +1,7 @@
 //! HTTP for operators: status, configuration, patches, history, state dump.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use azurelug_coordination::raft::State;
 use azurelug_core::configuration;
@@ -18,6 +19,9 @@
 use crate::replica::{self, Replica};
 use crate::shares::{self, Shares};
 
+/// How long the answer to a patch waits for this member to apply the version.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(1);
+
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Operators {
@@ -168,7 +172,10 @@
             at_ms,
         };
         match self.replica.propose(&command).await {
-            Ok(Outcome::Patch(answer)) => patch_answer(&answer),
+            Ok(Outcome::Patch(answer)) => {
+                self.catch_up(&answer).await;
+                patch_answer(&answer)
+            }
             Ok(Outcome::Once(_)) => problem(500, "wrong outcome; report this".to_owned()),
             Err(error @ replica::Error::Malformed { .. }) => problem(413, error.to_string()),
             Err(error @ replica::Error::NoQuorum { .. }) => problem(503, error.to_string()),
@@ -176,6 +183,21 @@
     }
 }
 
+impl Operators {
+    /// Waits until this member has applied an accepted version, so that the operator's next look
+    /// through the same daemon shows it and a patch against it is not a conflict. A follower learns
+    /// of a commit with the leader's next heartbeat.
+    async fn catch_up(&self, answer: &Answer) {
+        let Answer::Accepted { version } = answer else {
+            return;
+        };
+        let mut configs = self.replica.watch();
+        let applied = configs.wait_for(|config| config.version >= *version);
+        // The answer counts even if this member is late.
+        let _ = tokio::time::timeout(CATCH_UP_LIMIT, applied).await;
+    }
+}
+
 fn dry_run(replica: &Replica, patch: &Patch) -> Response {
     match replica.machine().store().evaluate(patch) {
         Ok(config) => patch_answer(&Answer::Accepted {
--- a/crates/azurelug-system/tests/control_failures.rs
+++ b/crates/azurelug-system/tests/control_failures.rs
@@ -203,3 +203,26 @@
     assert_eq!(accepted, 1, "{answers:?}");
     assert_eq!(answers.len(), 12, "{answers:?}");
 }
+
+/// Guards against a follower that shows an older version than the one whose acceptance it has just
+/// passed on, so that the operator's next patch is a conflict with the operator's own one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_shows_the_version_that_it_has_accepted() {
+    let system = System::start().await;
+    let operator = Operator::new();
+    for number in 0..6 {
+        for zone in 0..3 {
+            let state = [State::Draining, State::Active][number % 2];
+            // `change` reads the version at this daemon and expects the patch to be accepted.
+            let changes = vec![zone_state("zone-c", state)];
+            let version = operator.change(system.operators(zone), changes).await;
+            let config = operator.config(system.operators(zone)).await.unwrap();
+            assert!(config.version >= version, "round {number}, zone {zone}");
+            for other in 0..3 {
+                system
+                    .wait_state(other, |state| state["version"].as_u64() >= Some(version.0))
+                    .await;
+            }
+        }
+    }
+}
