--- a/crates/azurelug-testkit/tests/binary.rs
+++ b/crates/azurelug-testkit/tests/binary.rs
@@ -1,5 +1,6 @@
 //! The binary: ready lines, and flags that reach the doubles.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::net::SocketAddr;
--- a/crates/azurelug-testkit/tests/engine_reports.rs
+++ b/crates/azurelug-testkit/tests/engine_reports.rs
@@ -1,5 +1,6 @@
 //! Load reports, cache events, KV transfer and orders of the engine.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::net::SocketAddr;
--- a/crates/azurelug-testkit/tests/engine_schedule.rs
+++ b/crates/azurelug-testkit/tests/engine_schedule.rs
@@ -1,5 +1,6 @@
 //! Admission, priorities, cold starts and cancellation in the engine.
 
+#[path = "support/common.rs"]
 mod common;
 
 use azurelug_http::Client;
--- a/crates/azurelug-testkit/tests/engine_text.rs
+++ b/crates/azurelug-testkit/tests/engine_text.rs
@@ -1,5 +1,6 @@
 //! Text of the engine: determinism, resumption, duplicates and premature ends of streams.
 
+#[path = "support/common.rs"]
 mod common;
 
 use azurelug_http::Client;
--- a/crates/azurelug-testkit/tests/lists.rs
+++ b/crates/azurelug-testkit/tests/lists.rs
@@ -1,5 +1,6 @@
 //! The load reporter and the platform's list: lag, missing entries and changes.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::net::SocketAddr;
--- a/crates/azurelug-testkit/tests/proxy.rs
+++ b/crates/azurelug-testkit/tests/proxy.rs
@@ -1,5 +1,6 @@
 //! The fault proxy: swallowed bytes, half-open connections, cuts and new connections.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::net::SocketAddr;
--- a/crates/azurelug-testkit/tests/service.rs
+++ b/crates/azurelug-testkit/tests/service.rs
@@ -1,5 +1,6 @@
 //! Execution counts of the plain service, also when the caller gets no answer.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::time::Duration;
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -21,7 +21,7 @@
   fi
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  [ "$status" -eq 0 ] && rm -rf "$dir"
+  if [ "$status" -eq 0 ]; then rm -rf "$dir"; else echo "quickstart: all logs are in $dir"; fi
   exit "$status"
 }
 trap stop EXIT
