once: a full table forgets its oldest ended records instead of refusing every call

A larger table was ruled out by the 128 MB for control. Change: a claim that finds the table full raises the watermark above the oldest ended records, 64 at a time and none younger than 10 min. Their keys are refused as expired, never taken as new; open claims stay. Conclusion: the limit is now 166 calls a second (computed); more needs several groups.

--- a/crates/azurelug-coordination/src/once/table.rs
+++ b/crates/azurelug-coordination/src/once/table.rs
@@ -21,6 +21,9 @@
     pub grace_ms: u64,
     /// Time for which records are kept.
     pub retention_ms: u64,
+    /// Time for which records are kept even when the table is full. Beyond it a
+    /// full table forgets its oldest ended records before it refuses a claim.
+    pub full_retention_ms: u64,
     /// How far a key's time may be ahead of the table's time.
     pub future_ms: u64,
 }
@@ -34,6 +37,9 @@
             deadline_ms: 12_000,
             grace_ms: 5_000,
             retention_ms: 24 * 60 * 60 * 1_000,
+            // Many times longer than callers resend; 100,000 records then carry 166
+            // calls a second.
+            full_retention_ms: 10 * 60 * 1_000,
             future_ms: 60_000,
         }
     }
@@ -116,6 +122,9 @@
     /// The example `coordination_cost` compares it with the measured size.
     pub const RECORD_BYTES: u64 = 256;
 
+    /// Records that a full table forgets for one claim, so that the cost of a claim is bounded.
+    const FORGOTTEN_AT_ONCE: usize = 64;
+
     /// An empty table.
     pub fn new(limits: Limits) -> Self {
         Self {
@@ -260,14 +269,14 @@
             fingerprint,
             state: State::Claimed { due_ms },
         };
-        let replaced = self
-            .records
-            .get(&id)
-            .map_or(0, |old| old.bytes(&self.limits));
-        let bytes = self.bytes - replaced + record.bytes(&self.limits);
-        let records = self.records.len() as u64 + u64::from(replaced == 0);
-        if records > self.limits.records || bytes > self.limits.bytes {
-            return Outcome::Full;
+        if !self.has_room(id, &record) {
+            self.make_room();
+            if id.0.time_ms() < self.watermark_ms {
+                return Outcome::Expired;
+            }
+            if !self.has_room(id, &record) {
+                return Outcome::Full;
+            }
         }
         self.last_number += 1;
         let claim = Claim {
@@ -280,6 +289,50 @@
         Outcome::Claimed { claim }
     }
 
+    fn has_room(&self, id: (Key, u64), record: &Record) -> bool {
+        let replaced = self
+            .records
+            .get(&id)
+            .map_or(0, |old| old.bytes(&self.limits));
+        let bytes = self.bytes - replaced + record.bytes(&self.limits);
+        let records = self.records.len() as u64 + u64::from(replaced == 0);
+        records <= self.limits.records && bytes <= self.limits.bytes
+    }
+
+    /// Forgets some of the oldest ended records. The watermark rises above their keys, so that they
+    /// are refused from then on and never taken as new.
+    fn make_room(&mut self) {
+        let end_ms = self.now_ms.saturating_sub(self.limits.full_retention_ms);
+        let last = self
+            .records
+            .iter()
+            .filter(|(_, record)| !matches!(record.state, State::Claimed { .. }))
+            .map(|((key, _), _)| key.time_ms())
+            .take(Self::FORGOTTEN_AT_ONCE)
+            .take_while(|time_ms| *time_ms < end_ms)
+            .last();
+        if let Some(time_ms) = last {
+            self.watermark_ms = self.watermark_ms.max(time_ms + 1);
+            self.forget_old();
+        }
+    }
+
+    /// Forgets ended records below the watermark; returns how many.
+    fn forget_old(&mut self) -> u64 {
+        let end = (Key::lower_bound(self.watermark_ms), 0);
+        let old: Vec<_> = self
+            .records
+            .range(..end)
+            .filter(|(_, record)| !matches!(record.state, State::Claimed { .. }))
+            .map(|(&id, _)| id)
+            .collect();
+        let forgotten = old.len() as u64;
+        for id in old {
+            self.remove(id);
+        }
+        forgotten
+    }
+
     fn record(&mut self, claim: Claim, answer: Answer) -> Outcome {
         let id = (claim.key, claim.account);
         let Some(record) = self
@@ -365,17 +418,7 @@
         self.watermark_ms = self
             .watermark_ms
             .max(self.now_ms.saturating_sub(self.limits.retention_ms));
-        let end = (Key::lower_bound(self.watermark_ms), 0);
-        let old: Vec<_> = self
-            .records
-            .range(..end)
-            .filter(|(_, record)| !matches!(record.state, State::Claimed { .. }))
-            .map(|(&id, _)| id)
-            .collect();
-        forgotten += old.len() as u64;
-        for id in old {
-            self.remove(id);
-        }
+        forgotten += self.forget_old();
         Outcome::Advanced { unknown, forgotten }
     }
 
--- a/crates/azurelug-coordination/tests/once.rs
+++ b/crates/azurelug-coordination/tests/once.rs
@@ -362,3 +362,48 @@
     );
     assert_eq!(guard.start_send(Duration::ZERO), Err(SendError::Closed));
 }
+
+/// Guards against a table that a busy day fills, so that it refuses every further call for hours,
+/// and against a forgotten key that is taken for a new one.
+#[test]
+fn a_full_table_forgets_its_oldest_ended_records_and_refuses_their_keys() {
+    let limits = Limits {
+        records: 100,
+        ..Limits::default()
+    };
+    let kept_ms = limits.full_retention_ms;
+    let mut table = Table::new(limits);
+    let open = claimed(table.apply(claim_at(NOW, key(NOW, 1), 1)));
+    for low in 2..=100 {
+        let now = NOW + low;
+        let claim = claimed(table.apply(claim_at(now, key(now, low), u128::from(low))));
+        let answer = Answer::whole(200, vec![]);
+        table.apply(Command::Record { claim, answer });
+    }
+    // Too young to be forgotten.
+    let soon = NOW + kept_ms;
+    assert_eq!(
+        table.apply(claim_at(soon, key(soon, 101), 101)),
+        Outcome::Full
+    );
+    let later = NOW + kept_ms + 1_000;
+    claimed(table.apply(claim_at(later, key(later, 102), 102)));
+    assert!(table.len() < 100);
+    let forgotten = key(NOW + 2, 2);
+    assert_eq!(
+        table.apply(claim_at(later, forgotten, 103)),
+        Outcome::Expired
+    );
+    // An open claim is never forgotten.
+    let answer = Answer::whole(200, vec![]);
+    let recorded = Outcome::Recorded {
+        answer: answer.clone(),
+    };
+    assert_eq!(
+        table.apply(Command::Record {
+            claim: open,
+            answer
+        }),
+        recorded
+    );
+}
--- a/crates/azurelug-coordination/tests/support/once_world.rs
+++ b/crates/azurelug-coordination/tests/support/once_world.rs
@@ -20,6 +20,7 @@
     deadline_ms: 6_000,
     grace_ms: 2_000,
     retention_ms: 20_000,
+    full_retention_ms: 8_000,
     future_ms: 3_000,
 };
 
