cli: show the newest version of each entry daemon while waiting

Cause: 'waiting for entry-a (has 0)' named a version from a minute ago, because rows of control daemons that were themselves behind were left out. Conclusion: only the display was wrong.

--- a/crates/azurelug-cli/src/command/zone.rs
+++ b/crates/azurelug-cli/src/command/zone.rs
@@ -101,8 +101,13 @@
     for (address, status) in control.statuses().await {
         match status {
             Err(_) => missing.push(address.to_string()),
-            Ok(status) if status.version < version => missing.push(status.daemon.to_string()),
-            Ok(status) => known.push(status),
+            Ok(status) => {
+                if status.version < version {
+                    missing.push(status.daemon.to_string());
+                }
+                // The newest row of an entry daemon may stand at a control daemon that is behind.
+                known.push(status);
+            }
         }
     }
     let behind = control::entry_daemons(known.iter())
