settings, system: name line and field of a used port; wait for every control daemon in tests

Cause: a used port named the address but not the setting; values checked after parsing named no line. A lost patch was ruled out: the conflict named the version that had been accepted. Change: errors of values name the line of their field, and so do addresses that can't be bound. The harness waits until every control daemon has the first version; the new test waits for the next daemon before it uses it. What the tests guard against is checked as before: the daemon that passed an acceptance on must show it at once.

--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts the control daemon from its settings.
 
+use std::fmt::Display;
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -68,10 +70,11 @@
         .worker_threads(2)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, options.initialize))
+    runtime.block_on(serve(settings, options))
 }
 
-async fn serve(settings: Settings, initialize: bool) -> Result<(), Error> {
+async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
+    let path = &options.settings;
     let identity = Arc::new(Identity {
         cluster: settings.cluster.clone(),
         daemon: settings.name.clone(),
@@ -79,9 +82,11 @@
         incarnation: rand::random(),
         key: read::shared_key(&settings.key_file)?,
     });
-    let listener = Listener::bind(settings.internal, Arc::clone(&identity)).await?;
-    let server = Server::bind(settings.operators).await?;
-    let (task, replica, generation) = member(&settings, initialize, &identity)?;
+    let listener = Listener::bind(settings.internal, Arc::clone(&identity)).await;
+    let listener = listener.map_err(|error| unbound(path, "internal", error))?;
+    let server = Server::bind(settings.operators).await;
+    let server = server.map_err(|error| unbound(path, "operators", error))?;
+    let (task, replica, generation) = member(&settings, options.initialize, &identity)?;
     let shares = Shares::new(
         settings.zone.clone(),
         generation.number,
@@ -152,3 +157,9 @@
     let digest = Sha256::digest(id.as_bytes());
     u128::from_be_bytes(*digest.first_chunk().expect("a SHA-256 has 32 bytes"))
 }
+
+/// Names the field of an address that can't be bound.
+fn unbound(path: &Path, field: &str, error: impl Display) -> Error {
+    let help = "or choose another address here";
+    azurelug_settings::Error::value(path, field, error.to_string(), help).into()
+}
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -79,12 +79,7 @@
 
     fn check(&self, path: &Path) -> Result<(), Error> {
         let problem = |field: &str, message: String, help: &str| {
-            Err(Error::Value {
-                path: path.to_owned(),
-                field: field.to_owned(),
-                message,
-                help: help.to_owned(),
-            })
+            Err(Error::value(path, field, message, help))
         };
         if self.cluster.is_empty() {
             return problem(
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts the entry daemon from its settings.
 
+use std::fmt::Display;
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -49,10 +51,10 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, &options.settings))
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, path: &Path) -> Result<(), Error> {
     let identity = Identity {
         cluster: settings.cluster,
         daemon: settings.name.clone(),
@@ -60,8 +62,10 @@
         incarnation: rand::random(),
         key: read::shared_key(&settings.key_file)?,
     };
-    let callers = Server::bind(settings.callers).await?;
-    let admin = Server::bind(settings.admin).await?;
+    let callers = Server::bind(settings.callers).await;
+    let callers = callers.map_err(|error| unbound(path, "callers", error))?;
+    let admin = Server::bind(settings.admin).await;
+    let admin = admin.map_err(|error| unbound(path, "admin", error))?;
     let identity = Arc::new(identity);
     let addresses = settings
         .control
@@ -111,3 +115,9 @@
     admin?;
     Ok(())
 }
+
+/// Names the field of an address that can't be bound.
+fn unbound(path: &Path, field: &str, error: impl Display) -> Error {
+    let help = "or choose another address here";
+    azurelug_settings::Error::value(path, field, error.to_string(), help).into()
+}
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -85,12 +85,8 @@
     pub fn load(path: &Path) -> Result<Self, Error> {
         let settings: Self = read::file(path)?;
         if settings.control.is_empty() {
-            return Err(Error::Value {
-                path: path.to_owned(),
-                field: "control".to_owned(),
-                message: "empty".to_owned(),
-                help: "list zone and internal address of at least one control daemon".to_owned(),
-            });
+            let help = "list zone and internal address of at least one control daemon";
+            return Err(Error::value(path, "control", "empty", help));
         }
         settings.log.check(path)?;
         read::shared_key(&settings.key_file)?;
--- a/crates/azurelug-settings/src/error.rs
+++ b/crates/azurelug-settings/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors in settings files.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// What is wrong, where, and what to do about it. Each text is one line.
 #[derive(Debug, thiserror::Error)]
@@ -26,10 +26,12 @@
         message: String,
     },
     /// A value does not fit.
-    #[error("{}: {field}: {message}; {help}", path.display())]
+    #[error("{}:{line}: {field}: {message}; {help}", path.display())]
     Value {
         /// The file.
         path: PathBuf,
+        /// The line of the field, from 1.
+        line: usize,
         /// The field, with dots between levels.
         field: String,
         /// What is wrong.
@@ -46,3 +48,44 @@
         message: String,
     },
 }
+
+impl Error {
+    /// The error for a value that was read but does not fit, at the line where its field stands.
+    pub fn value(
+        path: &Path,
+        field: impl Into<String>,
+        message: impl Into<String>,
+        help: impl Into<String>,
+    ) -> Self {
+        let field = field.into();
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        Self::Value {
+            path: path.to_owned(),
+            line: line_of(&text, &field),
+            field,
+            message: message.into(),
+            help: help.into(),
+        }
+    }
+}
+
+/// The line of a field such as `log.level` or `members[2]`: that of its last key which is found after
+/// the keys before it; 1 if none is.
+fn line_of(text: &str, field: &str) -> usize {
+    let mut found = 0;
+    for key in field.split('.') {
+        let key = key.split('[').next().unwrap_or(key);
+        let is_key = |line: &str| {
+            let line = line.trim_start().trim_start_matches("- ");
+            line.strip_prefix(key)
+                .is_some_and(|rest| rest.starts_with(':'))
+        };
+        let next = text
+            .lines()
+            .enumerate()
+            .skip(found)
+            .find(|(_, line)| is_key(line));
+        found = next.map_or(found, |(index, _)| index);
+    }
+    found + 1
+}
--- a/crates/azurelug-settings/src/log_setup.rs
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -64,12 +64,12 @@
     pub fn check(&self, path: &Path) -> Result<(), Error> {
         let checked = self.level().and_then(|_| self.encoder());
         match checked {
-            Err(Error::Log { field, message }) => Err(Error::Value {
-                path: path.to_owned(),
-                field: format!("log.{field}"),
+            Err(Error::Log { field, message }) => Err(Error::value(
+                path,
+                format!("log.{field}"),
                 message,
-                help: "choose one of the values in docs/settings.md".to_owned(),
-            }),
+                "choose one of the values in docs/settings.md",
+            )),
             Err(other) => Err(other),
             Ok(_) => Ok(()),
         }
--- a/crates/azurelug-settings/src/read.rs
+++ b/crates/azurelug-settings/src/read.rs
@@ -61,12 +61,12 @@
 pub fn shared_key(path: &Path) -> Result<Vec<u8>, Error> {
     let key = text(path)?.trim().as_bytes().to_vec();
     if key.len() < 32 {
-        return Err(Error::Value {
-            path: path.to_owned(),
-            field: "shared key".to_owned(),
-            message: format!("{} bytes are too short", key.len()),
-            help: "write at least 32 random bytes as text, the same on every VM".to_owned(),
-        });
+        return Err(Error::value(
+            path,
+            "shared key",
+            format!("{} bytes are too short", key.len()),
+            "write at least 32 random bytes as text, the same on every VM",
+        ));
     }
     Ok(key)
 }
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -116,6 +116,16 @@
             operator.patch(control, &patch).await.is_some()
         })
         .await;
+        for zone in 0..ZONES.len() {
+            // A follower learns of the commit with the leader's next heartbeat. A test that read the
+            // empty version there would send its first patch against it.
+            let address = system.operators(zone);
+            wait("the first version at every control daemon", || async {
+                let config = operator.config(address).await;
+                config.is_some_and(|config| config.version > Version(0))
+            })
+            .await;
+        }
         system.wait_ready().await;
         system
     }
--- a/crates/azurelug-system/tests/bad_settings.rs
+++ b/crates/azurelug-system/tests/bad_settings.rs
@@ -97,12 +97,29 @@
 async fn a_used_port_is_refused_with_the_remedy() {
     let system = System::start().await;
     let folder = system.folder().to_owned();
-    for (binary, name, address) in [
-        ("azurelug-entry", "entry-a.yaml", system.callers(0)),
-        ("azurelug-control", "control-a.yaml", system.internal(0)),
+    for (binary, name, field, address) in [
+        (
+            "azurelug-entry",
+            "entry-a.yaml",
+            "callers",
+            system.callers(0),
+        ),
+        (
+            "azurelug-control",
+            "control-a.yaml",
+            "internal",
+            system.internal(0),
+        ),
     ] {
+        let text = std::fs::read_to_string(folder.join(name)).unwrap();
+        let is_field = |line: &str| line.starts_with(&format!("{field}:"));
+        let number = text.lines().position(is_field).unwrap() + 1;
+        let place = format!("{name}:{number}: {field}");
         let line = refusal(binary, &folder.join(name), folder.join("bad.log")).await;
-        assert_names(&line, &[&address.to_string(), "choose a free address"]);
+        assert_names(
+            &line,
+            &[&place, &address.to_string(), "choose a free address"],
+        );
     }
     assert_books(&system).await;
 }
--- a/crates/azurelug-system/tests/control_failures.rs
+++ b/crates/azurelug-system/tests/control_failures.rs
@@ -218,10 +218,14 @@
             let version = operator.change(system.operators(zone), changes).await;
             let config = operator.config(system.operators(zone)).await.unwrap();
             assert!(config.version >= version, "round {number}, zone {zone}");
+            // Other daemons may be a heartbeat behind; the next change starts at one of them.
             for other in 0..3 {
-                system
-                    .wait_state(other, |state| state["version"].as_u64() >= Some(version.0))
-                    .await;
+                let address = system.operators(other);
+                wait("the version at every control daemon", || async {
+                    let config = operator.config(address).await;
+                    config.is_some_and(|config| config.version >= version)
+                })
+                .await;
             }
         }
     }
