shares: open base shares while the zone's control daemon is down

Cause: found by reading: a holder opens its base shares only when a renewal is built, and without a connection none was. An entry daemon restarted while its zone's control daemon was down never used the targets of its zone again. Change: a failed attempt to connect moves the holder's time on as well.

--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -324,6 +324,9 @@
             Err(error) => log::debug!("shares: {error}"),
         }
         if let Some(gateway) = gateway.upgrade() {
+            // A renewal that is never sent still moves the holder's time on, so that base shares open
+            // while the zone's control daemon is down. To the grantor it is a lost message.
+            drop(gateway.shares.request(zone, &[]));
             gateway.refresh_grants();
         }
         sleep(RETRY_PAUSE).await;
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -325,11 +325,19 @@
     /// If they stay closed.
     pub async fn wait_base_shares(&self) {
         for zone in 0..ZONES.len() {
-            self.wait_state(zone, |state| state["base_shares_open"] == true)
-                .await;
+            self.wait_base_shares_of(zone).await;
         }
     }
 
+    /// As [`System::wait_base_shares`], for one entry daemon.
+    ///
+    /// # Panics
+    /// If they stay closed.
+    pub async fn wait_base_shares_of(&self, zone: usize) {
+        self.wait_state(zone, |state| state["base_shares_open"] == true)
+            .await;
+    }
+
     /// Waits until some control daemon leads and returns its zone.
     ///
     /// # Panics
--- a/crates/azurelug-system/tests/control_failures.rs
+++ b/crates/azurelug-system/tests/control_failures.rs
@@ -230,3 +230,28 @@
         }
     }
 }
+
+/// Guards against an entry daemon that is restarted while its zone's control daemon is down and never
+/// uses the targets of its zone again, because nobody opens its base shares.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn base_shares_open_without_the_zones_control_daemon() {
+    let mut system = System::start().await;
+    system.zones[0].control.kill();
+    system.zones[0].entry.kill();
+    system.zones[0].entry.start();
+    system
+        .wait_state(0, |state| state["mode"] == "normal")
+        .await;
+    system.wait_base_shares_of(0).await;
+    let calls = system.calls(&[0], 10, Duration::from_millis(100));
+    let report = azurelug_testkit::caller::run(calls).await.unwrap();
+    assert_eq!(
+        report.correct(),
+        10,
+        "{:?} {:?}",
+        report.refused(),
+        report.wrong()
+    );
+    let own = |stage: &azurelug_testkit::caller::Stage| stage.target.ends_with("zone-a");
+    assert!(report.stages().any(own), "no call used the own zone");
+}
