entry: hold slots of other zones when the own zone has no target left

The daemon asked other zones for slots only once a call waited; the capacity, which follows from the slots held, had fallen to its least value of 2 during 3 s without calls, and the calls that came before the slots saw a queue that would have taken 5 s. Ruled out: the platform poll (the target got no call), the estimates of stage latencies (they were as before). Change: other zones' slots are wanted beforehand for work that no target of the own zone takes, whether the zone is drained, or its targets leave or are ejected. The test now prints what was refused. Slots are still counted once a second.

--- a/crates/azurelug-core/src/routing/observe.rs
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -205,13 +205,29 @@
         let zones = 0..self.table.zones().len();
         zones
             .flat_map(|zone| self.pools[self.table.list(need, zone)].members())
-            .filter(|key| self.is_allowed(**key))
-            .map(|key| (key, &self.slots[key.0 as usize]))
-            .filter(|(_, slot)| !slot.leaving && slot.record.ejected_until(now).is_none())
-            .map(|(key, slot)| slot.allowance(self.settings.position, *key))
+            .filter(|key| self.is_allowed(**key) && self.is_healthy(**key, now))
+            .map(|key| self.slots[key.0 as usize].allowance(self.settings.position, *key))
             .sum()
     }
 
+    /// Targets of the own zone that may get new work, whatever the lease mode is and whether they
+    /// have free slots or not.
+    #[must_use]
+    pub fn own_zone(&self, now: Duration) -> Vec<TargetKey> {
+        let is_own = |zone| self.own_zone == Some(zone) && !self.locally_drained.contains(&zone);
+        self.table
+            .targets()
+            .filter(|(key, entry)| is_own(entry.zone) && self.table.in_service(*key))
+            .map(|(key, _)| key)
+            .filter(|key| self.is_healthy(*key, now))
+            .collect()
+    }
+
+    fn is_healthy(&self, target: TargetKey, now: Duration) -> bool {
+        let slot = &self.slots[target.0 as usize];
+        !slot.leaving && slot.record.ejected_until(now).is_none()
+    }
+
     /// Looks again at targets whose ejection or report has expired.
     pub(super) fn wake(&mut self, now: Duration) {
         while let Some(Reverse((at, target))) = self.due.peek().copied()
--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -50,6 +50,23 @@
     }
 }
 
+/// Guards against a daemon that asks other zones for slots only after its own zone's last target has
+/// left and calls are waiting, and against one that asks for them before its lease is granted.
+#[test]
+fn only_healthy_targets_in_service_count_as_the_own_zone() {
+    let mut config = zones(2, 2);
+    let mut router = warm_router(&config, 1);
+    router.set_mode(Mode::Refuse);
+    assert_eq!(router.own_zone(SECOND).len(), 2);
+    let leaving = router.own_zone(SECOND)[0];
+    router.set_leaving(leaving, true, SECOND);
+    assert!(!router.own_zone(SECOND).contains(&leaving));
+    config.version = Version(2);
+    config.zones.get_mut(&ZoneName::from("a")).unwrap().state = State::Draining;
+    router.apply(&config, SECOND);
+    assert!(router.own_zone(SECOND).is_empty());
+}
+
 /// Guards against an older configuration that brings a drained target back.
 #[test]
 fn an_older_version_does_not_bring_a_drained_target_back() {
--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -3,7 +3,7 @@
 //! Owns one holder for each availability zone, because the control daemon of a zone grants the shares
 //! of that zone's targets. No call starts without a slot from here.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
@@ -13,7 +13,7 @@
 use azurelug_coordination::share::{Holder, Refusal, Slot, Timing};
 use azurelug_core::base_share;
 use azurelug_core::routing::Need;
-use azurelug_types::config::{Config, Role, State as ZoneState, Target};
+use azurelug_types::config::{Config, Role, Target};
 use azurelug_types::id::{DaemonName, TargetKey, TargetName, ZoneName};
 use azurelug_wire::{Connection, Error, Frame, handshake};
 use sha2::{Digest, Sha256};
@@ -63,6 +63,15 @@
     cold_report_due: Duration,
 }
 
+/// What the router knows of the targets.
+#[derive(Default)]
+struct Observed {
+    /// Those that were seen cold.
+    cold: Vec<TargetKey>,
+    /// Those of the own zone that may get new work.
+    own_zone: HashSet<TargetKey>,
+}
+
 /// A zone's control daemon and the shares it grants.
 struct Zone {
     name: ZoneName,
@@ -74,8 +83,6 @@
     targets: HashMap<TargetName, Known>,
     /// Kinds of work that found no free slot, with the time until which that counts.
     starved: HashMap<u64, Duration>,
-    /// Whether the own zone takes no new work, so that all work goes to other zones.
-    is_drained: bool,
 }
 
 /// The shares of this daemon.
@@ -116,7 +123,6 @@
             zones,
             targets: HashMap::new(),
             starved: HashMap::new(),
-            is_drained: false,
         });
         Self {
             daemon,
@@ -177,8 +183,6 @@
             state.zones[known.zone].holder.want(known.number, 0);
         }
         state.targets = targets;
-        let own = config.zones.get(&self.zone);
-        state.is_drained = own.is_some_and(|zone| zone.state == ZoneState::Draining);
         // New targets have no slots until the next renewal.
         self.early.send_modify(|count| *count += 1);
     }
@@ -266,29 +270,35 @@
     }
 
     /// States what the daemon could use and builds the next renewal.
-    fn request(&self, zone: usize, cold: &[TargetKey]) -> Frame {
+    fn request(&self, zone: usize, observed: &Observed) -> Frame {
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
         let State {
             zones,
             targets,
             starved,
-            is_drained,
         } = &mut *state;
         starved.retain(|_, until| *until > now);
+        let own = targets
+            .values()
+            .filter(|known| observed.own_zone.contains(&known.key));
+        let served: HashSet<u64> = own.flat_map(|known| known.works.iter().copied()).collect();
         let Zone { name, holder } = &mut zones[zone];
         for known in targets.values_mut().filter(|known| known.zone == zone) {
             if now >= known.base_from {
                 holder.set_base(known.number, known.base);
             }
-            if cold.contains(&known.key) && now >= known.cold_report_due {
+            if observed.cold.contains(&known.key) && now >= known.cold_report_due {
                 known.cold_report_due = now + COLD_REPORT_INTERVAL;
                 holder.turn_cold(known.number);
             }
             // Slots of other zones' targets are taken from the daemons of those zones, so that they
-            // are wanted only when a call found none.
+            // are wanted only when a call found none, or when no target of the own zone does the
+            // work. Without slots before the first call, that call's successors would be refused
+            // until the capacity, which follows from the slots, has recovered.
             let is_starved = known.works.iter().any(|work| starved.contains_key(work));
-            let headroom = if *name == self.zone || is_starved || *is_drained {
+            let is_served = known.works.iter().all(|work| served.contains(work));
+            let headroom = if *name == self.zone || is_starved || !is_served {
                 HEADROOM
             } else {
                 0
@@ -326,7 +336,7 @@
         if let Some(gateway) = gateway.upgrade() {
             // A renewal that is never sent still moves the holder's time on, so that base shares open
             // while the zone's control daemon is down. To the grantor it is a lost message.
-            drop(gateway.shares.request(zone, &[]));
+            drop(gateway.shares.request(zone, &Observed::default()));
             gateway.refresh_grants();
         }
         sleep(RETRY_PAUSE).await;
@@ -366,8 +376,11 @@
                 message: "the daemon stops".to_owned(),
             };
         };
-        let cold = gateway.with_router(|router, _| router.cold());
-        let request = gateway.shares.request(zone, &cold);
+        let observed = gateway.with_router(|router, now| Observed {
+            cold: router.cold(),
+            own_zone: router.own_zone(now).into_iter().collect(),
+        });
+        let request = gateway.shares.request(zone, &observed);
         match connection.call(request, RENEW_TIMEOUT).await {
             Ok(Frame::ShareAnswer(answer)) => gateway.shares.answer(zone, &answer),
             Ok(_) => {}
--- a/crates/azurelug-system/tests/entry_reports.rs
+++ b/crates/azurelug-system/tests/entry_reports.rs
@@ -70,7 +70,8 @@
     observers.platform.set_vms(vec![vm(VmState::Leaving)]);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let left = engine.counts().started;
-    assert_eq!(run(40).await.correct(), 40);
+    let report = run(40).await;
+    assert_eq!(report.correct(), 40, "{:?}", report.incorrect());
     assert_eq!(engine.counts().started, left);
     observers.platform.set_vms(vec![vm(VmState::Live)]);
     system
--- a/crates/azurelug-testkit/src/caller.rs
+++ b/crates/azurelug-testkit/src/caller.rs
@@ -133,6 +133,15 @@
         self.ends.iter().filter_map(message).collect()
     }
 
+    /// The calls without a correct answer, with the time since the first call started.
+    pub fn incorrect(&self) -> Vec<&(Duration, End)> {
+        let is_correct = |end: &End| matches!(end, End::Correct { .. });
+        self.ends
+            .iter()
+            .filter(|(_, end)| !is_correct(end))
+            .collect()
+    }
+
     /// The stages of all correct answers.
     pub fn stages(&self) -> impl Iterator<Item = &Stage> {
         self.ends.iter().flat_map(|(_, end)| match end {
