control: answer with earlier versions of the configuration

Cause: docs/design.md promised `GET /v1/config?version=`, but the query was ignored. Only changes are kept, and these lead forwards from a version that nobody has. Ruled out: a copy of each version (the whole configuration for every patch), and memory that is lost with a restart. Change: `configuration::past` keeps the values that the last 512 patches replaced, at most 50,000, and rebuilds a version from the one in force.

--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -7,7 +7,7 @@
 use azurelug_core::configuration;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_http::answer::{self, BODY_LIMIT};
-use azurelug_types::id::{DaemonName, ZoneName};
+use azurelug_types::id::{DaemonName, Version, ZoneName};
 use azurelug_types::patch::{Answer, Patch};
 use serde::Serialize;
 use volo_http::request::Request;
@@ -96,7 +96,10 @@
                 "/v1/status",
                 get(move || async move { status.status().await }),
             )
-            .route("/v1/config", get(move || async move { config.config() }))
+            .route(
+                "/v1/config",
+                get(move |request: Request| async move { config.config(&request) }),
+            )
             .route("/v1/history", get(move || async move { history.history() }))
             .route(
                 "/debug/state",
@@ -139,8 +142,27 @@
         answer::json(200, &dump)
     }
 
-    fn config(&self) -> Response {
-        answer::json(200, &*self.replica.config())
+    /// The version in force, or the one that `?version=` names.
+    fn config(&self, request: &Request) -> Response {
+        let Some(query) = request.uri().query() else {
+            return answer::json(200, &*self.replica.config());
+        };
+        let version = query
+            .strip_prefix("version=")
+            .and_then(|text| text.parse().ok());
+        let Some(version) = version else {
+            return problem(400, "the only query is version=NUMBER".to_owned());
+        };
+        let rebuilt = self.replica.machine().version(Version(version));
+        match rebuilt {
+            Ok(config) => answer::json(200, &config),
+            Err(oldest) => {
+                let newest = self.replica.config().version;
+                let text =
+                    format!("version {version} is not kept here; ask for {oldest} to {newest}");
+                problem(404, text)
+            }
+        }
     }
 
     fn history(&self) -> Response {
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -12,7 +12,7 @@
     Action, Entry, Event, Message, Node, Payload, Position, Refusal, Role, Snapshot, Start,
     StartError, Write,
 };
-use azurelug_core::machine::{Command, Machine, Outcome};
+use azurelug_core::machine::{Command, FirstSnapshot, Machine, Outcome};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use rand::SeedableRng;
@@ -97,7 +97,7 @@
         peers: Peers,
     ) -> Result<(Self, Replica), Error> {
         let machine = match &recovered.snapshot {
-            Some(snapshot) => decode_machine(snapshot)?,
+            Some(snapshot) => decode_machine(&snapshot.data)?,
             None => Machine::default(),
         };
         let has_snapshot = recovered
@@ -362,7 +362,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
-        let restored = decode_machine(snapshot)?;
+        let restored = decode_machine(&snapshot.data)?;
         let config = Arc::clone(restored.store().config());
         *self.machine.write().expect("no holder of the lock panics") = restored;
         self.has_snapshot = true;
@@ -386,11 +386,19 @@
     }
 }
 
-fn decode_machine(snapshot: &Snapshot) -> Result<Machine, Error> {
-    if snapshot.data.is_empty() {
+/// The replicated state that a snapshot's data hold.
+///
+/// # Errors
+/// The data are not of this release or an earlier one.
+pub fn decode_machine(data: &[u8]) -> Result<Machine, Error> {
+    if data.is_empty() {
         return Ok(Machine::default());
     }
-    let state = codec::decode_unlimited(&snapshot.data).map_err(decode_error)?;
+    let state = codec::decode_unlimited(data).or_else(|error| {
+        // A data folder or a leader of the first release.
+        let first = codec::decode_unlimited::<FirstSnapshot>(data);
+        first.map(Into::into).map_err(|_| decode_error(error))
+    })?;
     Machine::restore(state).map_err(decode_error)
 }
 
--- /dev/null
+++ b/crates/azurelug-control/tests/snapshots_of_releases.rs
@@ -0,0 +1,57 @@
+//! Attacks the reading of snapshots that another release wrote.
+#![allow(clippy::unwrap_used)]
+
+use azurelug_control::replica::task::decode_machine;
+use azurelug_core::configuration::{Store, digest};
+use azurelug_core::machine::{Command, FirstSnapshot, Machine};
+use azurelug_types::config::{OnPartition, State, Zone};
+use azurelug_types::id::{Version, ZoneName};
+use azurelug_types::patch::{Change, Patch};
+use azurelug_wire::codec;
+
+fn patch() -> Patch {
+    let state = State::Active;
+    let on_partition = OnPartition::ServeLocal;
+    Patch {
+        patch_id: "first".to_owned(),
+        base_version: Version(0),
+        author: "ana".to_owned(),
+        changes: vec![Change::SetZone {
+            name: ZoneName::from("zone-a"),
+            zone: Zone {
+                state,
+                on_partition,
+            },
+        }],
+    }
+}
+
+/// Guards against a member that can't start from its data folder after an upgrade.
+#[test]
+fn a_snapshot_of_the_first_release_is_read() {
+    let patch = patch();
+    let mut store = Store::default();
+    store.apply(&patch, digest(&patch), 1);
+    // The first release had these two fields.
+    let data = codec::encode_unlimited(&(&store, Machine::default().once().snapshot())).unwrap();
+    let machine = decode_machine(&data).unwrap();
+    assert_eq!(machine.store(), &store);
+    assert_eq!(machine.version(Version(0)), Err(Version(1)));
+}
+
+/// Guards against a member of the first release that can't read the snapshot of an upgraded leader.
+#[test]
+fn the_first_release_reads_a_snapshot_of_this_one() {
+    let patch = patch();
+    let digest = digest(&patch);
+    let mut machine = Machine::default();
+    machine.apply(Command::Patch {
+        patch: Box::new(patch),
+        digest,
+        at_ms: 1,
+    });
+    let data = codec::encode_unlimited(&machine.snapshot()).unwrap();
+    let first: FirstSnapshot = codec::decode_unlimited(&data).unwrap();
+    let restored = Machine::restore(first.into()).unwrap();
+    assert_eq!(restored.store(), machine.store());
+}
--- a/crates/azurelug-core/src/configuration.rs
+++ b/crates/azurelug-core/src/configuration.rs
@@ -4,6 +4,7 @@
 //! answer on every replica and after every restart, so it reads no clock and no random numbers.
 
 pub mod check;
+pub mod past;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/azurelug-core/src/configuration/past.rs
@@ -0,0 +1,148 @@
+//! What accepted patches replaced, so that earlier versions can be rebuilt.
+//!
+//! Owns the replaced values only, because a copy of each version would cost the whole configuration
+//! for every patch. No decision may depend on it: members that started with an earlier release keep
+//! less.
+
+use std::collections::VecDeque;
+
+use azurelug_types::config::{Account, Config, Entry, Model, Pipeline, Service, Target, Zone};
+use azurelug_types::id::{
+    AccountName, DaemonName, ModelName, PipelineName, ServiceName, TargetName, Version, ZoneName,
+};
+use azurelug_types::patch::Change;
+use serde::{Deserialize, Serialize};
+
+/// Versions before the one in force that can be rebuilt.
+pub const KEPT_VERSIONS: usize = 512;
+
+/// Replaced values that are kept over all versions. Patches of thousands of changes are rare; without
+/// this limit, 512 of them would hold more than the configuration itself.
+pub const KEPT_VALUES: usize = 50_000;
+
+/// The value that a change replaced; none if the change created it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Former {
+    Zone(ZoneName, Option<Zone>),
+    Entry(DaemonName, Option<Entry>),
+    Account(AccountName, Option<Account>),
+    Model(ModelName, Option<Model>),
+    Target(TargetName, Option<(Target, u32)>),
+    Pipeline(PipelineName, Option<Pipeline>),
+    Service(ServiceName, Option<Service>),
+}
+
+/// What leads from one version back to the one before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Undo {
+    former: Vec<Former>,
+    last_target_number: u32,
+}
+
+/// The replaced values of the newest versions, oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    undos: VecDeque<Undo>,
+    values: usize,
+}
+
+impl Past {
+    /// Remembers what `changes` replace in `before`.
+    pub fn record(&mut self, before: &Config, changes: &[Change]) {
+        let former: Vec<Former> = changes
+            .iter()
+            .map(|change| former(before, change))
+            .collect();
+        self.values += former.len();
+        self.undos.push_back(Undo {
+            former,
+            last_target_number: before.last_target_number,
+        });
+        while self.undos.len() > KEPT_VERSIONS || self.values > KEPT_VALUES {
+            let Some(oldest) = self.undos.pop_front() else {
+                return;
+            };
+            self.values -= oldest.former.len();
+        }
+    }
+
+    /// The oldest version that can be rebuilt from `current`, the version in force.
+    pub fn oldest(&self, current: Version) -> Version {
+        let kept = u64::try_from(self.undos.len()).unwrap_or(u64::MAX);
+        Version(current.0.saturating_sub(kept))
+    }
+
+    /// Rebuilds `version` from `current`, the version in force; none if it is newer than that or no
+    /// longer kept.
+    pub fn rebuild(&self, current: &Config, version: Version) -> Option<Config> {
+        let behind = usize::try_from(current.version.0.checked_sub(version.0)?).ok()?;
+        if behind > self.undos.len() {
+            return None;
+        }
+        let mut config = current.clone();
+        for undo in self.undos.iter().rev().take(behind) {
+            for former in &undo.former {
+                put_back(&mut config, former);
+            }
+            config.last_target_number = undo.last_target_number;
+        }
+        config.version = version;
+        Some(config)
+    }
+}
+
+fn former(before: &Config, change: &Change) -> Former {
+    match change {
+        Change::SetZone { name, .. } | Change::SetZoneState { name, .. } => {
+            Former::Zone(name.clone(), before.zones.get(name).cloned())
+        }
+        Change::SetEntry { name, .. } | Change::RemoveEntry { name } => {
+            Former::Entry(name.clone(), before.entries.get(name).cloned())
+        }
+        Change::SetAccount { name, .. } | Change::RemoveAccount { name } => {
+            Former::Account(name.clone(), before.accounts.get(name).cloned())
+        }
+        Change::SetModel { name, .. } => {
+            Former::Model(name.clone(), before.models.get(name).cloned())
+        }
+        Change::SetTarget { name, .. }
+        | Change::SetTargetState { name, .. }
+        | Change::RemoveTarget { name } => {
+            let target = before.targets.get(name).cloned();
+            let number = before.target_numbers.get(name).copied();
+            Former::Target(name.clone(), target.zip(number))
+        }
+        Change::SetPipeline { name, .. } | Change::RemovePipeline { name } => {
+            Former::Pipeline(name.clone(), before.pipelines.get(name).cloned())
+        }
+        Change::SetService { name, .. } | Change::RemoveService { name } => {
+            Former::Service(name.clone(), before.services.get(name).cloned())
+        }
+    }
+}
+
+fn put_back(config: &mut Config, former: &Former) {
+    fn put<K: Ord + Clone, V: Clone>(
+        map: &mut std::collections::BTreeMap<K, V>,
+        name: &K,
+        value: Option<&V>,
+    ) {
+        match value {
+            Some(value) => map.insert(name.clone(), value.clone()),
+            None => map.remove(name),
+        };
+    }
+    match former {
+        Former::Zone(name, zone) => put(&mut config.zones, name, zone.as_ref()),
+        Former::Entry(name, entry) => put(&mut config.entries, name, entry.as_ref()),
+        Former::Account(name, account) => put(&mut config.accounts, name, account.as_ref()),
+        Former::Model(name, model) => put(&mut config.models, name, model.as_ref()),
+        Former::Target(name, known) => {
+            let (target, number) = known.as_ref().map(|known| (&known.0, &known.1)).unzip();
+            put(&mut config.targets, name, target);
+            put(&mut config.target_numbers, name, number);
+        }
+        Former::Pipeline(name, pipeline) => put(&mut config.pipelines, name, pipeline.as_ref()),
+        Former::Service(name, service) => put(&mut config.services, name, service.as_ref()),
+    }
+}
--- a/crates/azurelug-core/src/machine.rs
+++ b/crates/azurelug-core/src/machine.rs
@@ -3,11 +3,16 @@
 //! Every control daemon applies the same commands in the same order and holds the same state. It
 //! reads no clock: the leader's clock reading travels in the command.
 
+use std::sync::Arc;
+
 use azurelug_coordination::once;
+use azurelug_types::config::Config;
+use azurelug_types::id::Version;
 use azurelug_types::patch::{Answer, Patch};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Store;
+use crate::configuration::past::Past;
 
 /// A committed command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,13 +44,33 @@
 pub struct Machine {
     store: Store,
     once: once::Table,
+    past: Past,
 }
 
-/// The whole state in a form that serializes.
+/// The whole state in a form that serializes. New fields are added at the end: an earlier release
+/// reads its own fields and ignores the bytes that follow.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Snapshot {
     store: Store,
     once: Vec<u8>,
+    past: Past,
+}
+
+/// A snapshot of the first release, which kept no earlier versions.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FirstSnapshot {
+    store: Store,
+    once: Vec<u8>,
+}
+
+impl From<FirstSnapshot> for Snapshot {
+    fn from(first: FirstSnapshot) -> Self {
+        Self {
+            store: first.store,
+            once: first.once,
+            past: Past::default(),
+        }
+    }
 }
 
 impl Default for Machine {
@@ -53,6 +78,7 @@
         Self {
             store: Store::default(),
             once: once::Table::new(once::Limits::default()),
+            past: Past::default(),
         }
     }
 }
@@ -65,11 +91,31 @@
                 patch,
                 digest,
                 at_ms,
-            } => Outcome::Patch(self.store.apply(&patch, digest, at_ms)),
+            } => Outcome::Patch(self.patch(&patch, digest, at_ms)),
             Command::Once(command) => Outcome::Once(self.once.apply(command)),
         }
     }
 
+    fn patch(&mut self, patch: &Patch, digest: [u8; 32], at_ms: u64) -> Answer {
+        let before = Arc::clone(self.store.config());
+        let answer = self.store.apply(patch, digest, at_ms);
+        // A resent patch gets its first answer and changes nothing.
+        if self.store.config().version > before.version {
+            self.past.record(&before, &patch.changes);
+        }
+        answer
+    }
+
+    /// A version that is in force or still kept.
+    ///
+    /// # Errors
+    /// The oldest version that is kept.
+    pub fn version(&self, version: Version) -> Result<Config, Version> {
+        let current = self.store.config();
+        let rebuilt = self.past.rebuild(current, version);
+        rebuilt.ok_or_else(|| self.past.oldest(current.version))
+    }
+
     /// The configuration and its history.
     pub fn store(&self) -> &Store {
         &self.store
@@ -85,6 +131,7 @@
         Snapshot {
             store: self.store.clone(),
             once: self.once.snapshot(),
+            past: self.past.clone(),
         }
     }
 
@@ -96,6 +143,7 @@
         Ok(Self {
             store: snapshot.store,
             once: once::Table::restore(&snapshot.once)?,
+            past: snapshot.past,
         })
     }
 }
