--- a/crates/azurelug-cli/src/command/history.rs
+++ b/crates/azurelug-cli/src/command/history.rs
@@ -1,5 +1,6 @@
 //! `azurelug history`.
 
+use chrono::{DateTime, SecondsFormat};
 use serde_json::Value;
 
 use crate::control::Control;
@@ -16,15 +17,31 @@
         Value::String(text) => text.clone(),
         other => other.to_string(),
     };
-    let fields = ["version", "author", "changes", "accepted_at_ms", "patch_id"];
     let events = history.as_array().map(Vec::as_slice).unwrap_or_default();
     let rows: Vec<Vec<String>> = events
         .iter()
-        .map(|event| fields.iter().map(|field| text(event, field)).collect())
+        .map(|event| {
+            vec![
+                text(event, "version"),
+                text(event, "author"),
+                text(event, "changes"),
+                utc(&event["accepted_at_ms"]),
+                text(event, "patch_id"),
+            ]
+        })
         .collect();
     output::table(
-        &["VERSION", "AUTHOR", "CHANGES", "ACCEPTED AT MS", "PATCH ID"],
+        &["VERSION", "AUTHOR", "CHANGES", "ACCEPTED AT", "PATCH ID"],
         &rows,
     );
     Ok(())
 }
+
+/// Milliseconds since 1970 as a date and time in UTC.
+fn utc(millis: &Value) -> String {
+    let time = millis.as_i64().and_then(DateTime::from_timestamp_millis);
+    time.map_or_else(
+        || millis.to_string(),
+        |time| time.to_rfc3339_opts(SecondsFormat::Millis, true),
+    )
+}
--- a/crates/azurelug-cli/src/command/patch.rs
+++ b/crates/azurelug-cli/src/command/patch.rs
@@ -2,12 +2,16 @@
 
 use std::path::{Path, PathBuf};
 
+use azurelug_core::configuration::{self, Step};
+use azurelug_types::config::Config;
 use azurelug_types::id::Version;
 use azurelug_types::patch::{Change, Patch};
 use bpaf::Bpaf;
 
 use crate::control::Control;
+use crate::difference;
 use crate::error::Error;
+use crate::output;
 
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(arguments))]
@@ -21,7 +25,7 @@
     /// Id of the patch; use the same one to send a patch again. Random if absent
     #[bpaf(argument("ID"))]
     patch_id: Option<String>,
-    /// Check the patch and change nothing
+    /// Check the patch, show what it would change, and change nothing
     #[bpaf(switch)]
     dry_run: bool,
     /// YAML file with a list of changes
@@ -29,12 +33,18 @@
     file: PathBuf,
 }
 
-pub(crate) async fn run(control: &Control, arguments: Arguments) -> Result<(), Error> {
+pub(crate) async fn run(
+    control: &Control,
+    arguments: Arguments,
+    is_json: bool,
+) -> Result<(), Error> {
     let changes = read(&arguments.file)?;
-    let base_version = match arguments.base {
-        Some(base) => Version(base),
-        None => control.config().await?.version,
+    let current = match arguments.base {
+        Some(_) if !arguments.dry_run => None,
+        _ => Some(control.config().await?),
     };
+    let in_force = current.as_ref().map(|config| config.version);
+    let base_version = arguments.base.map(Version).or(in_force).unwrap_or_default();
     let patch_id = arguments
         .patch_id
         .unwrap_or_else(|| uuid::Uuid::now_v7().to_string());
@@ -45,14 +55,27 @@
         changes,
     };
     let version = control.patch(&patch, arguments.dry_run).await?;
-    if arguments.dry_run {
-        println!("the patch fits and would create version {version}");
+    if let Some(current) = current.filter(|_| arguments.dry_run) {
+        show(&current, patch.changes, version, is_json);
+    } else if is_json {
+        output::json(&serde_json::json!({ "version": version, "patch_id": patch.patch_id }));
     } else {
         println!("accepted as version {version}, patch id {}", patch.patch_id);
     }
     Ok(())
 }
 
+/// Shows what a patch that was only checked would change.
+fn show(current: &Config, changes: Vec<Change>, version: Version, is_json: bool) {
+    if !is_json {
+        println!("the patch fits and would create version {version}");
+    }
+    match configuration::advance(current, &Step { version, changes }) {
+        Some(next) => difference::print(&difference::between(current, &next), is_json),
+        None => eprintln!("azurelug: another version came into force meanwhile; try again"),
+    }
+}
+
 fn read(path: &Path) -> Result<Vec<Change>, Error> {
     let problem = |message: String| Error::File {
         path: path.to_owned(),
--- a/crates/azurelug-cli/src/command/status.rs
+++ b/crates/azurelug-cli/src/command/status.rs
@@ -8,6 +8,9 @@
 
 pub(crate) async fn run(control: &Control, is_json: bool) -> Result<(), Error> {
     let statuses = control.statuses().await;
+    if statuses.is_empty() {
+        return Err(Error::NoControl);
+    }
     if statuses.iter().all(|(_, status)| status.is_err()) {
         let message = "none of the given addresses answers".to_owned();
         return Err(Error::Unreachable { message });
--- /dev/null
+++ b/crates/azurelug-cli/src/command/targets.rs
@@ -0,0 +1,123 @@
+//! `azurelug targets`.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::control::Control;
+use crate::error::Error;
+use crate::output;
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// Admin address of an entry daemon; may be repeated
+    #[bpaf(
+        positional("ADDRESS"),
+        some("name the admin address of at least one entry daemon")
+    )]
+    addresses: Vec<SocketAddr>,
+}
+
+/// The part of an entry daemon's state dump that is shown.
+#[derive(Debug, Deserialize, Serialize)]
+struct Dump {
+    daemon: String,
+    version: u64,
+    targets: Vec<Target>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Target {
+    name: String,
+    zone: String,
+    own: u32,
+    limit: u32,
+    phase: Value,
+    granted: Option<u32>,
+    /// Reasons why it gets no new work.
+    unused: Vec<Map<String, Value>>,
+}
+
+pub(crate) async fn run(
+    control: &Control,
+    arguments: &Arguments,
+    is_json: bool,
+) -> Result<(), Error> {
+    let mut dumps: Vec<Dump> = Vec::new();
+    let mut last = None;
+    for address in &arguments.addresses {
+        match control.get(*address, "/debug/state").await {
+            Ok(dump) => dumps.push(dump),
+            Err(error) => {
+                eprintln!("azurelug: {address}: {error}");
+                last = Some(error);
+            }
+        }
+    }
+    if is_json {
+        output::json(&dumps);
+    } else {
+        let rows: Vec<Vec<String>> = dumps.iter().flat_map(rows).collect();
+        let heading = [
+            "DAEMON",
+            "TARGET",
+            "ZONE",
+            "STATE",
+            "IN FLIGHT",
+            "LIMIT",
+            "LEASED",
+            "USED",
+        ];
+        output::table(&heading, &rows);
+    }
+    // What is known is shown, but a script must notice that a part is missing.
+    last.map_or(Ok(()), Err)
+}
+
+fn rows(dump: &Dump) -> impl Iterator<Item = Vec<String>> {
+    dump.targets.iter().map(|target| {
+        let granted = target
+            .granted
+            .map_or_else(|| "-".to_owned(), |it| it.to_string());
+        vec![
+            dump.daemon.clone(),
+            target.name.clone(),
+            target.zone.clone(),
+            text(&target.phase).to_lowercase(),
+            target.own.to_string(),
+            target.limit.to_string(),
+            granted,
+            used(&target.unused),
+        ]
+    })
+}
+
+/// `yes`, or every reason why not, with its figures.
+fn used(unused: &[Map<String, Value>]) -> String {
+    if unused.is_empty() {
+        return "yes".to_owned();
+    }
+    let reason = |unused: &Map<String, Value>| {
+        let name = unused.get("reason").map_or_else(String::new, text);
+        let figures = unused.iter().filter(|(key, _)| *key != "reason");
+        let figures: Vec<String> = figures
+            .map(|(key, value)| format!("{} {}", key.replace('_', " "), text(value)))
+            .collect();
+        let name = name.replace('_', " ");
+        if figures.is_empty() {
+            return name;
+        }
+        format!("{name} ({})", figures.join(", "))
+    };
+    let reasons: Vec<String> = unused.iter().map(reason).collect();
+    format!("no: {}", reasons.join("; "))
+}
+
+fn text(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- a/crates/azurelug-cli/src/control.rs
+++ b/crates/azurelug-cli/src/control.rs
@@ -61,6 +61,21 @@
         self.first("/v1/config").await
     }
 
+    /// A version that is in force or still kept. Control daemons keep different numbers of versions,
+    /// so one that has it no longer is passed over.
+    pub(crate) async fn version(&self, version: Version) -> Result<Config, Error> {
+        let path = format!("/v1/config?version={version}");
+        let mut last = Error::NoControl;
+        for address in &self.addresses {
+            match self.get(*address, &path).await {
+                Err(Error::Unreachable { message }) => last = Error::Unreachable { message },
+                Err(error @ Error::Refused { status: 404, .. }) => last = error,
+                result => return result,
+            }
+        }
+        Err(last)
+    }
+
     /// Any JSON document of the first control daemon that answers.
     pub(crate) async fn document(&self, path: &str) -> Result<serde_json::Value, Error> {
         self.first(path).await
@@ -83,7 +98,10 @@
         } else {
             "/v1/patches"
         };
-        let mut message = "no address given".to_owned();
+        if self.addresses.is_empty() {
+            return Err(Error::NoControl);
+        }
+        let mut message = String::new();
         for address in &self.addresses {
             let call = Call::post_json(*address, path, patch, TIMEOUT);
             match self.client.send_whole(call, ANSWER_LIMIT).await {
@@ -131,9 +149,7 @@
     }
 
     async fn first<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        let mut last = Error::Unreachable {
-            message: "no address given".to_owned(),
-        };
+        let mut last = Error::NoControl;
         for address in &self.addresses {
             match self.get(*address, path).await {
                 Err(error @ Error::Unreachable { .. }) => last = error,
--- a/crates/azurelug-cli/src/error.rs
+++ b/crates/azurelug-cli/src/error.rs
@@ -6,6 +6,10 @@
 
 use azurelug_types::id::Version;
 
+/// The exit codes, for the help text; docs/operators.md repeats them.
+pub(crate) const EXIT_CODES: &str = "Exit codes: 0 done, 1 other error, 2 conflict, \
+    3 invalid patch or file, 4 no control daemon answers, 5 not in force in time";
+
 /// What went wrong, and what to do about it.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -13,6 +17,8 @@
     Runtime { source: std::io::Error },
     #[error("{}: {message}; see docs/operators.md for the form of a patch", path.display())]
     File { path: PathBuf, message: String },
+    #[error("name at least one control daemon with --control ADDRESS before the command")]
+    NoControl,
     #[error("no control daemon answers: {message}; check --control and the daemons")]
     Unreachable { message: String },
     #[error("{address} answered {status}: {message}")]
@@ -39,15 +45,17 @@
 }
 
 impl Error {
-    /// 2: conflict; 3: invalid patch or file; 4: no control daemon answers; 5: not in force in
-    /// time; 1: everything else. bpaf exits with 1 for a wrong command line.
+    /// See [`EXIT_CODES`]. bpaf exits with 1 for a wrong command line, too.
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Conflict { .. } => 2,
             Self::Invalid { .. } | Self::File { .. } => 3,
             Self::Unreachable { .. } => 4,
             Self::NotInForce { .. } => 5,
-            Self::Runtime { .. } | Self::Refused { .. } | Self::Malformed { .. } => 1,
+            Self::Runtime { .. }
+            | Self::NoControl
+            | Self::Refused { .. }
+            | Self::Malformed { .. } => 1,
         })
     }
 }
--- a/crates/azurelug-cli/src/main.rs
+++ b/crates/azurelug-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod control;
+mod difference;
 mod error;
 mod output;
 
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -170,6 +170,9 @@
   --key carts-key --service stock --operation book --requests 20 \
   --replica "$(port 24)" --replica "$(port 25)" --replica "$(port 26)"
 
-echo "== History"
+echo "== History, and what the drain changed"
 azurelug history
+azurelug diff 1 2
+echo "== Targets as an entry daemon sees them"
+azurelug targets "$(port 9)"
 echo "quickstart: all answers were checked"
