entry, control: follow a request id through every process

Cause: a refusal told its caller an id "to be found in the logs of every process", but the entry daemon wrote no line for most refusals and control never learned the id. Ruled out: a new field in the frames, which an earlier release could not decode. Change: one line for each refused or failed request; lines about requests that were not run are limited to 100 a second and the rest is counted. The claimant's number, which was random, is the request's id (a UUIDv7), so that control names the request of a claim without a change of the protocol. Conclusion: an id from a caller leads to entry, control and service. The cost of the lines under load was not measured.

--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -10,6 +10,7 @@
 use azurelug_wire::server::Reply;
 use azurelug_wire::{Frame, codec};
 use tokio::sync::mpsc;
+use uuid::Uuid;
 
 use crate::daemons::Registry;
 use crate::replica::Replica;
@@ -151,7 +152,17 @@
 
     async fn once(&self, mut command: once::Command) -> Frame {
         stamp(&mut command, wall_clock_ms());
-        match self.replica.propose(&Command::Once(command)).await {
+        let subject = subject(&command);
+        let proposed = self.replica.propose(&Command::Once(command)).await;
+        match &proposed {
+            Ok(Outcome::Once(once::Outcome::Claimed { claim })) => {
+                log::info!("control: {subject}: claim {} granted", claim.number);
+            }
+            Ok(Outcome::Once(outcome)) => log::info!("control: {subject}: {}", outcome.as_str()),
+            Ok(Outcome::Patch(_)) => {}
+            Err(error) => log::warn!("control: {subject}: {error}"),
+        }
+        match proposed {
             Ok(Outcome::Once(outcome)) => Frame::OnceOutcome(outcome),
             Ok(Outcome::Patch(_)) => Frame::Refused {
                 message: "wrong outcome".to_owned(),
@@ -163,6 +174,19 @@
     }
 }
 
+/// What a command is about, for the log: the request that claims, or the number of the claim. The
+/// claimant's number is the id of its request.
+fn subject(command: &once::Command) -> String {
+    match command {
+        once::Command::Claim { claimant, .. } => {
+            format!("claim of request {}", Uuid::from_u128(*claimant))
+        }
+        once::Command::Record { claim, .. } => format!("result of claim {}", claim.number),
+        once::Command::Release { claim } => format!("release of claim {}", claim.number),
+        once::Command::Expire { .. } => "expiry".to_owned(),
+    }
+}
+
 /// Sets the clock reading of a command; a sender's own reading is never trusted.
 fn stamp(command: &mut once::Command, wall_clock_ms: u64) {
     match command {
--- a/crates/azurelug-coordination/src/once.rs
+++ b/crates/azurelug-coordination/src/once.rs
@@ -114,3 +114,38 @@
         forgotten: u64,
     },
 }
+
+impl Outcome {
+    /// Every name, for metrics whose labels must be a fixed list.
+    pub const NAMES: [&'static str; 11] = [
+        "claimed",
+        "in_progress",
+        "recorded",
+        "unknown",
+        "expired",
+        "conflict",
+        "from_future",
+        "full",
+        "released",
+        "stale",
+        "advanced",
+    ];
+
+    /// The outcome's name without its content, for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        let index = match self {
+            Self::Claimed { .. } => 0,
+            Self::InProgress { .. } => 1,
+            Self::Recorded { .. } => 2,
+            Self::Unknown => 3,
+            Self::Expired => 4,
+            Self::Conflict => 5,
+            Self::FromFuture => 6,
+            Self::Full => 7,
+            Self::Released => 8,
+            Self::Stale => 9,
+            Self::Advanced { .. } => 10,
+        };
+        Self::NAMES[index]
+    }
+}
--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -137,7 +137,13 @@
         },
         Err(refusal) => Err(refusal),
     };
-    let mut response = answered.unwrap_or_else(|refusal| refuse::respond(&refusal));
+    let mut response = answered.unwrap_or_else(|refusal| {
+        let route = configured(&gateway, route, &names);
+        gateway
+            .refused
+            .log(&refusal, route.as_deref(), gateway.now());
+        refuse::respond(&refusal)
+    });
     if let Ok(id) = HeaderValue::from_str(&id.0) {
         response.headers_mut().insert(REQUEST_ID.clone(), id);
     }
@@ -150,6 +156,22 @@
     response
 }
 
+/// The name in the path, if the configuration has it. Other names don't go into logs.
+fn configured(gateway: &Gateway, route: Route, names: &[String]) -> Option<String> {
+    let (view, name) = (gateway.view()?, names.first()?);
+    let is_known = match route {
+        Route::Pipeline => {
+            let name = PipelineName::from(name.as_str());
+            view.config.pipelines.contains_key(&name)
+        }
+        Route::Service => {
+            let name = ServiceName::from(name.as_str());
+            view.config.services.contains_key(&name)
+        }
+    };
+    is_known.then(|| name.clone())
+}
+
 /// Finds the account and the deadline.
 fn accept(
     gateway: &Arc<Gateway>,
@@ -325,7 +347,11 @@
         ending.count(&gateway, result.is_ok());
         let last = match result {
             Ok(done) => answer::event("done", &pipeline_answer(&id, done)),
-            Err(refusal) => answer::event("error", &refusal),
+            Err(refusal) => {
+                let route = Some(ending.route.as_str());
+                gateway.refused.log(&refusal, route, gateway.now());
+                answer::event("error", &refusal)
+            }
         };
         // A caller that went away needs no last event.
         let _ = events.send(last).await;
--- a/crates/azurelug-entry/src/gateway.rs
+++ b/crates/azurelug-entry/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::recent::{Decision, Recent};
+use crate::refused::Refused;
 use crate::shares::{Held, Shares};
 use crate::shutdown::Shutdown;
 use crate::slots::Waiting;
@@ -46,6 +47,8 @@
     pub metrics: Metrics,
     /// The newest routing decisions.
     pub recent: Recent,
+    /// Log lines about refused requests.
+    pub refused: Refused,
     /// The state of the shutdown.
     pub shutdown: Shutdown,
     /// Latencies and repeat budgets of the stages.
@@ -84,6 +87,7 @@
             unpooled: Client::unpooled()?,
             metrics: Metrics::new(),
             recent: Recent::default(),
+            refused: Refused::default(),
             shutdown: Shutdown::default(),
             admit: Arc::new(Admit::new(Arc::clone(&estimates))),
             estimates,
--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod recent;
 pub mod refuse;
+pub mod refused;
 pub mod run;
 pub mod settings;
 pub mod shares;
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -237,7 +237,7 @@
         account: account_number(&job.account),
         key,
         fingerprint: fingerprint(job),
-        claimant: rand::random(),
+        claimant: claimant(&job.id),
         now_ms: 0,
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
     };
@@ -245,9 +245,13 @@
         // The caller is answered at its deadline, whether or not control has answered by then.
         let left = job.deadline.saturating_duration_since(Instant::now());
         match commit(gateway, command.clone(), COMMIT_TIMEOUT.min(left)).await {
-            Some(outcome) => return decide(job, outcome),
+            Some(outcome) => {
+                log_claim(job, &outcome);
+                return decide(job, outcome);
+            }
             None if Instant::now() + COMMIT_PAUSE >= job.deadline => {
                 // The claim may still commit. Nothing was sent, and giving it back frees the key.
+                log::warn!("entry: request {}: claim without an answer", job.id);
                 release_unanswered(gateway, command);
                 let reason = Reason::NoQuorum;
                 let refusal =
@@ -259,6 +263,26 @@
     }
 }
 
+/// The request's id as a number, so that control can name the request in its own log. The id is a
+/// UUIDv7 with 74 random bits, made once for each request.
+fn claimant(id: &RequestId) -> u128 {
+    // The ids are made in this process; a malformed one must still not repeat.
+    uuid::Uuid::try_parse(&id.0).map_or_else(|_| rand::random(), |id| id.as_u128())
+}
+
+fn log_claim(job: &Job, outcome: &once::Outcome) {
+    match outcome {
+        once::Outcome::Claimed { claim } => {
+            log::info!("entry: request {}: claim {} granted", job.id, claim.number);
+        }
+        other => log::info!(
+            "entry: request {}: claim answered {}",
+            job.id,
+            other.as_str()
+        ),
+    }
+}
+
 /// Turns control's answer into a permission to send or into the caller's answer.
 fn decide(job: &Job, outcome: once::Outcome) -> Result<Decision, Refusal> {
     let refuse = |reason, execution, retry_after| {
--- /dev/null
+++ b/crates/azurelug-entry/tests/refused.rs
@@ -0,0 +1,18 @@
+//! Attacks the limit on log lines about refused requests.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use azurelug_entry::refused::Refused;
+
+/// Guards against an overload that makes every request wait for the log, and lines that vanish
+/// without a count.
+#[test]
+fn an_overload_writes_few_lines_and_counts_the_rest() {
+    let refused = Refused::default();
+    let now = Duration::from_millis(7_300);
+    let written = (0..5000).filter(|_| refused.count(now).is_some()).count();
+    assert_eq!(written, 100);
+    assert_eq!(refused.count(now + Duration::from_secs(1)), Some(4900));
+    assert_eq!(refused.count(now + Duration::from_secs(1)), Some(0));
+}
--- a/crates/azurelug-settings/src/log_setup.rs
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -43,7 +43,7 @@
     /// Starts the logger of this process.
     ///
     /// Appenders write in the caller's thread, so that code on the request path logs at `debug`,
-    /// which is off in production.
+    /// which is off in production, or under a limit on its lines.
     ///
     /// # Errors
     /// `Log` names the field that does not fit.
--- a/crates/azurelug-testkit/src/service.rs
+++ b/crates/azurelug-testkit/src/service.rs
@@ -57,6 +57,9 @@
     pub keys: BTreeMap<String, u64>,
     /// Executions for each operation.
     pub operations: BTreeMap<String, u64>,
+    /// Executions for each `Azurelug-Request-Id`.
+    #[serde(default)]
+    pub requests: BTreeMap<String, u64>,
     /// Executions for each body digest, as [`digest`] gives it.
     pub digests: BTreeMap<String, u64>,
 }
@@ -178,13 +181,24 @@
         if closes {
             return self.hang_up(peer).await;
         }
-        let key = request.headers().get("idempotency-key");
-        let key = key.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let header = |name| {
+            let value = request.headers().get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_owned)
+        };
+        let (key, id) = (header("idempotency-key"), header("azurelug-request-id"));
         let body = match answer::read_body(request.into_body(), answer::BODY_LIMIT).await {
             Ok(body) => body,
             Err(error) => return Refusal::new(400, &error.to_string()).into_response(),
         };
-        let (answer, faults, loses) = self.lock().execute(operation, key, digest(&body));
+        let (answer, faults, loses) = {
+            let mut state = self.lock();
+            if let Some(id) = id {
+                count(&mut state.executions.requests, id);
+            }
+            state.execute(operation, key, digest(&body))
+        };
         if loses {
             return self.hang_up(peer).await;
         }
