control: metrics and readiness; entry: count what was in vain

Cause: control daemons had no metrics and no readiness. The entry daemon did not count refusals by reason, requests whose caller went away, nor the calls that still ran at the end of a request; a call that failed after its result counted could be counted twice. Change: `GET /metrics` and `GET /readyz` on the operators' port, all series with labels from fixed lists and present from the start. `refusals{reason,execution}` and `end="Abandoned"` at the entry daemon; each call counts once, and as wasted if the request ends before it. Conclusion: deadline attainment and useful and wasted cost follow from the metrics. Work of stages before a failed one counts as useful still, because their results were used.

--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -13,7 +13,8 @@
 use uuid::Uuid;
 
 use crate::daemons::Registry;
-use crate::replica::Replica;
+use crate::metrics;
+use crate::replica::{self, Replica};
 use crate::settings::Member;
 use crate::shares::Shares;
 use crate::updates::Updates;
@@ -43,14 +44,18 @@
             Frame::Renew { version, in_flight } => {
                 self.registry
                     .renewed(&peer.sender, &peer.zone, version, in_flight);
-                Reply::One(self.renew())
+                let answer = self.renew();
+                let is_granted = matches!(answer, Frame::Renewed { .. });
+                self.replica.metrics().lease(is_granted);
+                Reply::One(answer)
             }
             Frame::Watch { after_version } => Reply::Stream(self.watch(after_version)),
             Frame::Once(command) => Reply::One(self.once(command).await),
-            Frame::Share(request) => Reply::One(match self.shares.request(&request) {
-                Some(answer) => Frame::ShareAnswer(answer),
-                None => Frame::Done,
-            }),
+            Frame::Share(request) => {
+                let answer = self.shares.request(&request);
+                self.replica.metrics().share(answer.is_some());
+                Reply::One(answer.map_or(Frame::Done, Frame::ShareAnswer))
+            }
             Frame::Raft { message } => {
                 self.raft(&peer, &message);
                 Reply::None
@@ -154,6 +159,7 @@
         stamp(&mut command, wall_clock_ms());
         let subject = subject(&command);
         let proposed = self.replica.propose(&Command::Once(command)).await;
+        self.replica.metrics().once(result(&proposed));
         match &proposed {
             Ok(Outcome::Once(once::Outcome::Claimed { claim })) => {
                 log::info!("control: {subject}: claim {} granted", claim.number);
@@ -187,6 +193,16 @@
     }
 }
 
+/// The name under which the end of a command is counted.
+fn result(proposed: &Result<Outcome, replica::Error>) -> &'static str {
+    match proposed {
+        Ok(Outcome::Once(outcome)) => outcome.as_str(),
+        // A wrong outcome leaves the command as undecided as no quorum does.
+        Ok(Outcome::Patch(_)) | Err(replica::Error::NoQuorum { .. }) => metrics::NO_QUORUM,
+        Err(replica::Error::Malformed { .. }) => metrics::TOO_LONG,
+    }
+}
+
 /// Sets the clock reading of a command; a sender's own reading is never trusted.
 fn stamp(command: &mut once::Command, wall_clock_ms: u64) {
     match command {
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod daemons;
 pub mod disk;
 pub mod internal;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod replica;
--- /dev/null
+++ b/crates/azurelug-control/src/metrics.rs
@@ -0,0 +1,245 @@
+//! Metrics in OpenMetrics. All label values come from fixed lists, and every series exists from the
+//! start, so that a rate can be taken of the first event.
+
+use std::time::Duration;
+
+use azurelug_coordination::once;
+use azurelug_coordination::raft::{Role, State};
+use azurelug_types::patch::Answer;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds in seconds. A sync takes from a fraction of a millisecond to about 10 ms on common
+/// disks; a commit waits up to 1.5 s.
+const BUCKETS: [f64; 12] = [
+    0.000_25, 0.000_5, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.25, 0.5, 1.5,
+];
+
+const ROLES: [&str; 5] = [
+    "joining",
+    "follower",
+    "pre_candidate",
+    "candidate",
+    "leader",
+];
+
+/// How a patch ended. Dry runs are not counted.
+const PATCH_RESULTS: [&str; 5] = ["accepted", "conflict", "invalid", "too_long", "no_quorum"];
+
+/// The result of a command that no quorum decided.
+pub const NO_QUORUM: &str = "no_quorum";
+
+/// The result of a command that is too long for the log.
+pub const TOO_LONG: &str = "too_long";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RoleLabel {
+    role: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabel {
+    result: &'static str,
+}
+
+/// What is read from the daemon's state for one scrape.
+pub struct Reading {
+    /// The replicated log; none while the member stops.
+    pub log: Option<State>,
+    /// The version in force here.
+    pub version: u64,
+    /// At-most-once records.
+    pub once_records: usize,
+    /// Their size in bytes.
+    pub once_bytes: u64,
+    /// Limits in force of the own zone's targets, together.
+    pub share_limit: u64,
+    /// Slots that count as in use under leases, together.
+    pub share_granted: u64,
+}
+
+/// All metrics of the daemon.
+pub struct Metrics {
+    registry: Registry,
+    role: Family<RoleLabel, Gauge>,
+    term: Gauge,
+    commit_index: Gauge,
+    version: Gauge,
+    commit: Histogram,
+    sync: Histogram,
+    patches: Family<ResultLabel, Counter>,
+    once: Family<ResultLabel, Counter>,
+    once_records: Gauge,
+    once_bytes: Gauge,
+    renewals: Family<ResultLabel, Counter>,
+    shares: Family<ResultLabel, Counter>,
+    share_limit: Gauge,
+    share_granted: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("azurelug_control"),
+            role: Family::default(),
+            term: Gauge::default(),
+            commit_index: Gauge::default(),
+            version: Gauge::default(),
+            commit: Histogram::new(BUCKETS),
+            sync: Histogram::new(BUCKETS),
+            patches: Family::default(),
+            once: Family::default(),
+            once_records: Gauge::default(),
+            once_bytes: Gauge::default(),
+            renewals: Family::default(),
+            shares: Family::default(),
+            share_limit: Gauge::default(),
+            share_granted: Gauge::default(),
+        };
+        metrics.register_log();
+        metrics.register_grants();
+        for role in ROLES {
+            drop(metrics.role.get_or_create(&RoleLabel { role }));
+        }
+        let once = once::Outcome::NAMES
+            .into_iter()
+            .chain([NO_QUORUM, TOO_LONG]);
+        create(&metrics.once, once);
+        create(&metrics.patches, PATCH_RESULTS);
+        create(&metrics.renewals, ["granted", "refused"]);
+        create(&metrics.shares, ["granted", "dropped"]);
+        metrics
+    }
+
+    fn register_log(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("role", "1 for the member's role, else 0", self.role.clone());
+        registry.register("term", "Term of the replicated log", self.term.clone());
+        let help = "Last committed index known here";
+        registry.register("commit_index", help, self.commit_index.clone());
+        let help = "Configuration version in force";
+        registry.register("config_version", help, self.version.clone());
+        let help = "Time from a proposal at this leader to its outcome";
+        registry.register("commit_seconds", help, self.commit.clone());
+        let help = "Time to write and sync a batch to the journal";
+        registry.register("journal_sync_seconds", help, self.sync.clone());
+        let help = "Patches received here by result";
+        registry.register("patches", help, self.patches.clone());
+    }
+
+    fn register_grants(&mut self) {
+        let registry = &mut self.registry;
+        let help = "At-most-once commands received here by outcome";
+        registry.register("once_commands", help, self.once.clone());
+        registry.register(
+            "once_records",
+            "At-most-once records",
+            self.once_records.clone(),
+        );
+        let help = "Size of the at-most-once records";
+        registry.register("once_record_bytes", help, self.once_bytes.clone());
+        let help = "Renewals of configuration leases by result";
+        registry.register("lease_renewals", help, self.renewals.clone());
+        let help = "Renewals of shares by result";
+        registry.register("share_renewals", help, self.shares.clone());
+        let help = "Limits in force of the own zone's targets";
+        registry.register("share_limit", help, self.share_limit.clone());
+        let help = "Slots of the own zone's targets in use under leases";
+        registry.register("share_granted", help, self.share_granted.clone());
+    }
+
+    /// Counts a commit at this leader.
+    pub fn committed(&self, after: Duration) {
+        self.commit.observe(after.as_secs_f64());
+    }
+
+    /// Counts a batch that was written and synced.
+    pub fn synced(&self, after: Duration) {
+        self.sync.observe(after.as_secs_f64());
+    }
+
+    /// Counts an answered patch.
+    pub fn patch(&self, answer: &Answer) {
+        let result = match answer {
+            Answer::Accepted { .. } => "accepted",
+            Answer::Conflict { .. } => "conflict",
+            Answer::Invalid { .. } => "invalid",
+        };
+        self.patches.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Counts a patch without an answer: `result` is [`NO_QUORUM`] or [`TOO_LONG`].
+    pub fn patch_failed(&self, result: &'static str) {
+        self.patches.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Counts an at-most-once command. `result` is an outcome's name, [`NO_QUORUM`] or [`TOO_LONG`].
+    pub fn once(&self, result: &'static str) {
+        self.once.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Counts a renewal of a configuration lease.
+    pub fn lease(&self, is_granted: bool) {
+        let result = if is_granted { "granted" } else { "refused" };
+        self.renewals.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Counts a renewal of shares. One that came late or twice is dropped.
+    pub fn share(&self, is_answered: bool) {
+        let result = if is_answered { "granted" } else { "dropped" };
+        self.shares.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// All metrics as text, with the gauges of `reading`.
+    pub fn text(&self, reading: &Reading) -> String {
+        let own = reading.log.as_ref().map(|log| role(log.role));
+        for role in ROLES {
+            let gauge = self.role.get_or_create_owned(&RoleLabel { role });
+            gauge.set(i64::from(own == Some(role)));
+        }
+        if let Some(log) = &reading.log {
+            self.term.set(signed(log.term));
+            self.commit_index.set(signed(log.commit));
+        }
+        self.version.set(signed(reading.version));
+        self.once_records.set(signed(reading.once_records));
+        self.once_bytes.set(signed(reading.once_bytes));
+        self.share_limit.set(signed(reading.share_limit));
+        self.share_granted.set(signed(reading.share_granted));
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
+
+fn create(family: &Family<ResultLabel, Counter>, results: impl IntoIterator<Item = &'static str>) {
+    for result in results {
+        drop(family.get_or_create(&ResultLabel { result }));
+    }
+}
+
+fn role(role: Role) -> &'static str {
+    match role {
+        Role::Joining => ROLES[0],
+        Role::Follower => ROLES[1],
+        Role::PreCandidate => ROLES[2],
+        Role::Candidate => ROLES[3],
+        Role::Leader => ROLES[4],
+    }
+}
+
+fn signed<T: TryInto<i64>>(number: T) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -16,9 +16,14 @@
 
 use crate::daemons::{Registry, Row};
 use crate::internal::wall_clock_ms;
+use crate::metrics::{self, Reading};
 use crate::replica::{self, Replica};
 use crate::shares::{self, Shares};
 
+/// A configuration lease lasts 2 s from the moment at which the state was known to be the newest; a
+/// member whose state is older can't renew any.
+const READY_AGE: Duration = Duration::from_secs(2);
+
 /// How long the answer to a patch waits for this member to apply the version.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(1);
 
@@ -89,9 +94,15 @@
     pub fn router(self) -> Router {
         let (status, config, history, dump) =
             (self.clone(), self.clone(), self.clone(), self.clone());
+        let (ready, metrics) = (self.clone(), self.clone());
         let patches = self;
         Router::new()
             .route("/healthz", get(|| async { "ok" }))
+            .route("/readyz", get(move || async move { ready.readiness() }))
+            .route(
+                "/metrics",
+                get(move || async move { metrics.metrics().await }),
+            )
             .route(
                 "/v1/status",
                 get(move || async move { status.status().await }),
@@ -114,6 +125,34 @@
             )
     }
 
+    /// Ready while entry daemons can renew their leases here.
+    fn readiness(&self) -> Response {
+        let problem = match self.replica.freshness_age() {
+            Some(age) if age < READY_AGE => {
+                return answer::text(200, "text/plain", "ready\n".to_owned());
+            }
+            Some(age) => format!("no word of the leader for {} ms", age.as_millis()),
+            None => "no word of the leader since the start".to_owned(),
+        };
+        answer::text(503, "text/plain", format!("not ready: {problem}\n"))
+    }
+
+    async fn metrics(&self) -> Response {
+        let log = self.replica.dump().await;
+        let once = Once::of(&self.replica);
+        let (share_limit, share_granted) = self.shares.totals();
+        let reading = Reading {
+            log,
+            version: self.replica.config().version.0,
+            once_records: once.records,
+            once_bytes: once.bytes,
+            share_limit,
+            share_granted,
+        };
+        let text = self.replica.metrics().text(&reading);
+        answer::text(200, answer::OPEN_METRICS, text)
+    }
+
     async fn status(&self) -> Response {
         let state = self.replica.dump().await;
         let status = Status {
@@ -195,12 +234,19 @@
         };
         match self.replica.propose(&command).await {
             Ok(Outcome::Patch(answer)) => {
+                self.replica.metrics().patch(&answer);
                 self.catch_up(&answer).await;
                 patch_answer(&answer)
             }
             Ok(Outcome::Once(_)) => problem(500, "wrong outcome; report this".to_owned()),
-            Err(error @ replica::Error::Malformed { .. }) => problem(413, error.to_string()),
-            Err(error @ replica::Error::NoQuorum { .. }) => problem(503, error.to_string()),
+            Err(error @ replica::Error::Malformed { .. }) => {
+                self.replica.metrics().patch_failed(metrics::TOO_LONG);
+                problem(413, error.to_string())
+            }
+            Err(error @ replica::Error::NoQuorum { .. }) => {
+                self.replica.metrics().patch_failed(metrics::NO_QUORUM);
+                problem(503, error.to_string())
+            }
         }
     }
 }
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 
 /// How long a command may wait for a leader. An election takes up to 2 s.
@@ -82,6 +83,7 @@
     config: watch::Receiver<Arc<Config>>,
     fresh_as_of: watch::Receiver<Option<Instant>>,
     peers: Peers,
+    metrics: Arc<Metrics>,
 }
 
 impl Replica {
@@ -129,11 +131,17 @@
     /// # Errors
     /// Why it did not commit the command.
     pub async fn propose_here(&self, command: Vec<u8>) -> Result<Outcome, Missed> {
+        let proposed = Instant::now();
         let (reply, outcome) = oneshot::channel();
         let request = Request::Propose { command, reply };
         self.requests.try_send(request).map_err(|_| Missed::Busy)?;
         match timeout(ATTEMPT_LIMIT, outcome).await {
-            Ok(Ok(result)) => result,
+            Ok(Ok(result)) => {
+                if result.is_ok() {
+                    self.metrics.committed(proposed.elapsed());
+                }
+                result
+            }
             Ok(Err(_)) | Err(_) => Err(Missed::Lost),
         }
     }
@@ -158,6 +166,11 @@
         let _ = self.requests.try_send(Request::Receive(message));
     }
 
+    /// The daemon's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// The replicated state as applied here. Hold the guard only for a look-up.
     pub fn machine(&self) -> RwLockReadGuard<'_, Machine> {
         self.machine.read().expect("no holder of the lock panics")
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -24,6 +24,7 @@
 use super::{Missed, Replica, Request};
 use crate::disk::{self, Disk};
 use crate::internal::wall_clock_ms;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 
 /// Requests that wait for the task.
@@ -75,6 +76,7 @@
     role: Role,
     expire_due: Instant,
     has_snapshot: bool,
+    metrics: Arc<Metrics>,
 }
 
 /// Actions of one batch in the order in which they are carried out.
@@ -113,6 +115,7 @@
             },
             Duration::ZERO,
         )?;
+        let metrics = Arc::new(Metrics::new());
         let (sender, requests) = mpsc::channel(QUEUE);
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
         let machine = Arc::new(RwLock::new(machine));
@@ -123,6 +126,7 @@
             config: config.subscribe(),
             fresh_as_of: fresh_as_of.subscribe(),
             peers: peers.clone(),
+            metrics: Arc::clone(&metrics),
         };
         let started = Instant::now();
         let task = Self {
@@ -140,6 +144,7 @@
             role: Role::Follower,
             expire_due: started,
             has_snapshot,
+            metrics,
         };
         Ok((task, replica))
     }
@@ -255,7 +260,9 @@
     fn carry_out(&mut self, batch: Batch) -> Result<Batch, Error> {
         let mut following = Batch::default();
         if !batch.writes.is_empty() {
+            let started = Instant::now();
             block_in_place(|| self.disk.write(batch.writes))?;
+            self.metrics.synced(started.elapsed());
         }
         for message in batch.sends {
             let slot = message.to.slot;
--- a/crates/azurelug-control/src/shares.rs
+++ b/crates/azurelug-control/src/shares.rs
@@ -126,6 +126,13 @@
         rows
     }
 
+    /// The limits in force and the slots in use under leases, each summed over all targets.
+    pub fn totals(&self) -> (u64, u64) {
+        let rows = self.rows();
+        let limit = rows.iter().map(|row| u64::from(row.limit_in_force)).sum();
+        (limit, rows.iter().map(|row| row.leased_in_use).sum())
+    }
+
     /// Takes over a version. Known targets keep their limit in force within the new bounds.
     fn apply(&self, config: &Config) {
         let now = self.started.elapsed();
--- /dev/null
+++ b/crates/azurelug-control/tests/metrics.rs
@@ -0,0 +1,23 @@
+//! Attacks the page about metrics.
+#![allow(clippy::unwrap_used)]
+
+use azurelug_control::metrics::{Metrics, Reading};
+use azurelug_testkit::openmetrics;
+
+/// Guards against a metric that the page does not name, and one that is no longer there.
+#[test]
+fn the_page_names_exactly_the_metrics_with_their_labels() {
+    let reading = Reading {
+        log: None,
+        version: 0,
+        once_records: 0,
+        once_bytes: 0,
+        share_limit: 0,
+        share_granted: 0,
+    };
+    let text = Metrics::new().text(&reading);
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let documented = openmetrics::documented(&page, "azurelug_control_");
+    assert_eq!(openmetrics::metrics(&text), documented);
+}
--- a/crates/azurelug-entry/src/admin.rs
+++ b/crates/azurelug-entry/src/admin.rs
@@ -14,9 +14,6 @@
 use crate::gateway::Gateway;
 use crate::recent::Decision;
 
-/// The media type of OpenMetrics text.
-const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 #[derive(Serialize)]
 struct Dump {
     daemon: DaemonName,
@@ -44,7 +41,7 @@
         .route("/readyz", get(move || async move { readiness(&ready) }))
         .route(
             "/metrics",
-            get(move || async move { answer::text(200, OPEN_METRICS, metrics.metrics.text()) }),
+            get(move || async move { answer::text(200, answer::OPEN_METRICS, metrics.metrics.text()) }),
         )
         .route(
             "/debug/state",
--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -139,6 +139,7 @@
     };
     let mut response = answered.unwrap_or_else(|refusal| {
         let route = configured(&gateway, route, &names);
+        gateway.metrics.refused(&refusal);
         gateway
             .refused
             .log(&refusal, route.as_deref(), gateway.now());
@@ -261,13 +262,15 @@
         deadline,
     };
     let started = Instant::now();
-    let ending = Ending {
+    let mut ending = Ending {
         route: name.0.clone(),
         started,
         deadline,
+        gateway: Arc::clone(&gateway),
+        is_counted: false,
     };
     let permit = gateway.admit.enter(ask).await.map_err(|refused| {
-        ending.count(&gateway, false);
+        ending.count(false);
         let wait = Some(refused.retry_after);
         refuse::refusal(&id.0, refused.reason, Execution::NotRun, wait)
     })?;
@@ -283,7 +286,7 @@
         return Ok(stream(gateway, job, ending, (running, permit)));
     }
     let result = drive::run(Arc::clone(&gateway), job, None).await;
-    ending.count(&gateway, result.is_ok());
+    ending.count(result.is_ok());
     drop((running, permit));
     result.map(|done| answer::json(200, &pipeline_answer(&id, done)))
 }
@@ -302,18 +305,29 @@
     route: String,
     started: Instant,
     deadline: Instant,
+    gateway: Arc<Gateway>,
+    is_counted: bool,
 }
 
 impl Ending {
-    fn count(&self, gateway: &Gateway, is_answered: bool) {
+    fn count(&mut self, is_answered: bool) {
+        self.is_counted = true;
         let end = match is_answered {
             true if Instant::now() <= self.deadline => End::InTime,
             true => End::Late,
             false => End::Refused,
         };
-        gateway
-            .metrics
-            .ended(&self.route, end, self.started.elapsed());
+        let metrics = &self.gateway.metrics;
+        metrics.ended(&self.route, end, self.started.elapsed());
+    }
+}
+
+/// A request that is dropped before its end has lost its caller.
+impl Drop for Ending {
+    fn drop(&mut self) {
+        if !self.is_counted {
+            self.gateway.metrics.abandoned(&self.route);
+        }
     }
 }
 
@@ -321,7 +335,7 @@
 fn stream(
     gateway: Arc<Gateway>,
     job: drive::Job,
-    ending: Ending,
+    mut ending: Ending,
     held: (Running, Permit),
 ) -> Response {
     let (events, body) = mpsc::channel::<Bytes>(STREAM_QUEUE);
@@ -344,11 +358,12 @@
             (result, ()) = async { tokio::join!(run, forward) } => result,
             () = events.closed() => return,
         };
-        ending.count(&gateway, result.is_ok());
+        ending.count(result.is_ok());
         let last = match result {
             Ok(done) => answer::event("done", &pipeline_answer(&id, done)),
             Err(refusal) => {
                 let route = Some(ending.route.as_str());
+                gateway.metrics.refused(&refusal);
                 gateway.refused.log(&refusal, route, gateway.now());
                 answer::event("error", &refusal)
             }
@@ -397,10 +412,12 @@
         refusal
     })?;
     let body = read(&id, request).await?;
-    let ending = Ending {
+    let mut ending = Ending {
         route: service.0.clone(),
         started: Instant::now(),
         deadline,
+        gateway: Arc::clone(&gateway),
+        is_counted: false,
     };
     let job = plain::Job {
         id,
@@ -421,7 +438,7 @@
         result
     });
     let result = run.await.expect("a call's task does not panic");
-    ending.count(&gateway, result.is_ok());
+    ending.count(result.is_ok());
     result.map(service_answer)
 }
 
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -81,6 +81,8 @@
     abort: AbortHandle,
     /// Whether it has failed or was cancelled.
     is_over: bool,
+    /// Whether its cost was counted.
+    is_counted: bool,
 }
 
 /// When a call is late, and which one.
@@ -407,6 +409,7 @@
             tokens: 0,
             abort,
             is_over: false,
+            is_counted: false,
         };
         self.attempts.insert(call.clone(), attempt);
         Ok(())
@@ -424,9 +427,10 @@
 
     /// Counts the cost of a call once, and reports the call that completed a stage.
     fn count(&mut self, call: &CallId, used: Use) {
-        let Some(attempt) = self.attempts.get(call) else {
+        let Some(attempt) = self.attempts.get_mut(call).filter(|it| !it.is_counted) else {
             return;
         };
+        attempt.is_counted = true;
         let duration = attempt.started.elapsed();
         self.gateway
             .metrics
@@ -452,7 +456,17 @@
         };
         Done {
             output,
-            stages: self.reports,
+            stages: std::mem::take(&mut self.reports),
+        }
+    }
+}
+
+/// Calls that still run at the end of a request, also of one whose caller went away, were in vain.
+impl Drop for Driver {
+    fn drop(&mut self) {
+        let calls: Vec<CallId> = self.attempts.keys().cloned().collect();
+        for call in calls {
+            self.count(&call, Use::Wasted);
         }
     }
 }
--- a/crates/azurelug-entry/src/metrics.rs
+++ b/crates/azurelug-entry/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurelug_types::config::StageKind;
+use azurelug_types::outcome::Refusal;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -12,6 +13,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::refused;
+
 /// Upper bounds of latency buckets in seconds, up to the longest deadline.
 const BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 12.0,
@@ -26,6 +29,8 @@
     Late,
     /// Refused or failed.
     Refused,
+    /// The caller went away first.
+    Abandoned,
 }
 
 /// Whether work led to an answer.
@@ -58,6 +63,13 @@
     end: End,
 }
 
+/// Values of the enums `Reason` and `Execution`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    reason: String,
+    execution: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageLabels {
     stage: &'static str,
@@ -68,6 +80,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
     stage_millis: Family<StageLabels, Counter>,
     stage_tokens: Family<StageLabels, Counter>,
     repeats: Family<RepeatLabels, Counter>,
@@ -93,6 +106,7 @@
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("azurelug_entry");
         let requests = Family::<RequestLabels, Counter>::default();
+        let refusals = Family::<RefusalLabels, Counter>::default();
         let stage_millis = Family::<StageLabels, Counter>::default();
         let stage_tokens = Family::<StageLabels, Counter>::default();
         let repeats = Family::<RepeatLabels, Counter>::default();
@@ -118,6 +132,11 @@
         let in_flight = Gauge::default();
         let version = Gauge::default();
         registry.register("requests", "Requests by route and end", requests.clone());
+        registry.register(
+            "refusals",
+            "Refused and failed requests by reason and execution",
+            refusals.clone(),
+        );
         registry.register(
             "stage_milliseconds",
             "Time spent in calls, by stage",
@@ -147,6 +166,7 @@
         Self {
             registry,
             requests,
+            refusals,
             stage_millis,
             stage_tokens,
             repeats,
@@ -170,6 +190,24 @@
         self.duration.observe(duration.as_secs_f64());
     }
 
+    /// Counts a request whose caller went away. `route` must be a name from the configuration.
+    pub fn abandoned(&self, route: &str) {
+        let labels = RequestLabels {
+            route: route.to_owned(),
+            end: End::Abandoned,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a refusal, also of a request that names no known route.
+    pub fn refused(&self, refusal: &Refusal) {
+        let labels = RefusalLabels {
+            reason: refused::text(&refusal.reason),
+            execution: refused::text(&refusal.execution),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
     /// Counts the first token of a request.
     pub fn first_token(&self, after: Duration) {
         self.first_token.observe(after.as_secs_f64());
--- a/crates/azurelug-entry/src/refused.rs
+++ b/crates/azurelug-entry/src/refused.rs
@@ -64,7 +64,7 @@
 }
 
 /// The name of a reason or an execution as callers see it.
-fn text<T: Serialize>(value: &T) -> String {
+pub(crate) fn text<T: Serialize>(value: &T) -> String {
     let value = serde_json::to_value(value).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
 }
--- a/crates/azurelug-http/src/answer.rs
+++ b/crates/azurelug-http/src/answer.rs
@@ -14,6 +14,9 @@
 /// The longest request body that is read, in bytes.
 pub const BODY_LIMIT: usize = 1024 * 1024;
 
+/// The media type of OpenMetrics text.
+pub const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// A JSON answer with `status`.
 pub fn json<T: Serialize>(status: u16, value: &T) -> Response {
     let body = serde_json::to_vec(value).expect("answer types serialize to JSON");
--- /dev/null
+++ b/crates/azurelug-system/tests/metrics.rs
@@ -0,0 +1,111 @@
+//! Attacks what the daemons count, against real processes.
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::Client;
+use azurelug_http::client::Call;
+use azurelug_system::Booking;
+use azurelug_system::system::{ACCOUNT_KEY, PIPELINE, System, wait};
+use azurelug_testkit::{engine, openmetrics};
+use http::{HeaderName, HeaderValue};
+use serde_json::json;
+
+const TIMEOUT: Duration = Duration::from_secs(8);
+
+async fn text(address: SocketAddr, path: &str) -> (u16, String) {
+    let client = Client::unpooled().unwrap();
+    let sent = client.send_whole(Call::get(address, path, TIMEOUT), 1 << 20);
+    let (status, body) = sent.await.unwrap();
+    (status, String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// The sum of a series over the control daemons.
+async fn sum(system: &System, series: &str) -> f64 {
+    let mut sum = 0.0;
+    for zone in 0..3 {
+        let (status, text) = text(system.operators(zone), "/metrics").await;
+        assert_eq!(status, 200);
+        sum += openmetrics::value(&text, series).unwrap_or_else(|| panic!("no {series}"));
+    }
+    sum
+}
+
+/// Guards against a control daemon whose work is not counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn control_daemons_count_their_work() {
+    let system = System::start().await;
+    let booking = Booking::new(Duration::from_secs(8));
+    assert_eq!(booking.send(system.callers(0)).await.unwrap().status, 200);
+    let counted = [
+        ("azurelug_control_role{role=\"leader\"}", 1.0),
+        ("azurelug_control_patches_total{result=\"accepted\"}", 1.0),
+        (
+            "azurelug_control_once_commands_total{result=\"claimed\"}",
+            1.0,
+        ),
+        ("azurelug_control_config_version", 3.0),
+        ("azurelug_control_once_records", 3.0),
+    ];
+    for (series, expected) in counted {
+        wait(series, async || sum(&system, series).await == expected).await;
+    }
+    // The first patch, the claim and its result; each member syncs at least once for each.
+    assert!(sum(&system, "azurelug_control_commit_seconds_count").await >= 3.0);
+    assert!(sum(&system, "azurelug_control_journal_sync_seconds_count").await >= 9.0);
+    for series in [
+        "azurelug_control_term",
+        "azurelug_control_commit_index",
+        "azurelug_control_lease_renewals_total{result=\"granted\"}",
+        "azurelug_control_share_renewals_total{result=\"granted\"}",
+        "azurelug_control_share_limit",
+        "azurelug_control_share_granted",
+    ] {
+        wait(series, async || sum(&system, series).await > 0.0).await;
+    }
+}
+
+/// Guards against a control daemon that calls itself ready while no lease can be renewed there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_control_daemon_without_a_majority_is_not_ready() {
+    let mut system = System::start().await;
+    wait("readiness", async || {
+        text(system.operators(0), "/readyz").await.0 == 200
+    })
+    .await;
+    system.zones[1].control.kill();
+    system.zones[2].control.kill();
+    wait("the end of it", async || {
+        text(system.operators(0), "/readyz").await.0 == 503
+    })
+    .await;
+    assert_eq!(text(system.operators(0), "/healthz").await.0, 200);
+}
+
+/// Guards against work for a caller that went away that nobody counts as wasted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_for_a_caller_that_went_away_is_wasted() {
+    let system = System::start_with(engine::Settings {
+        prefill: Duration::from_millis(700),
+        ..engine::Settings::default()
+    })
+    .await;
+    let path = format!("/v1/pipelines/{PIPELINE}");
+    let body = json!({ "input": "corn", "max_tokens": 4 });
+    let limit = Duration::from_millis(300);
+    let mut call = Call::post_json(system.callers(0), path, &body, limit);
+    let key = HeaderValue::from_str(&format!("Bearer {ACCOUNT_KEY}")).unwrap();
+    call.headers
+        .push((HeaderName::from_static("authorization"), key));
+    let sent = Client::unpooled().unwrap().send_whole(call, 1 << 20).await;
+    assert!(sent.is_err(), "answered in time: {sent:?}");
+    let wasted = "azurelug_entry_stage_milliseconds_total{stage=\"encode\",used=\"Wasted\"}";
+    let left = format!("azurelug_entry_requests_total{{route=\"{PIPELINE}\",end=\"Abandoned\"}}");
+    wait("the count", async || {
+        let (_, text) = text(system.admin(0), "/metrics").await;
+        let wasted = openmetrics::value(&text, wasted).unwrap_or_default();
+        wasted >= 200.0 && openmetrics::value(&text, &left) == Some(1.0)
+    })
+    .await;
+}
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 mod history;
 mod host;
+pub mod openmetrics;
 pub mod platform;
 pub mod proxy;
 mod refusal;
