coordination: two example programs; READMEs as crate docs

Cause: an embedder found one doc example of a log of one member, and nothing that showed disks, messages, restarts or a lease with two holders. Change: `replicated_counter` (three members, disks in memory, a crash of the leader and a power cut) and `shared_limit` (a grantor, two holders, one falls silent). A test runs both. Shown to fail: without writing entries to the disk, with a grantor that opens late. A first form of the counter with the crash of one member did not notice lost entries, so the power cut was added.

--- /dev/null
+++ b/crates/azurelug-coordination/tests/examples.rs
@@ -0,0 +1,20 @@
+//! Runs the example programs.
+#![allow(clippy::unwrap_used)]
+
+#[path = "../examples/replicated_counter.rs"]
+mod replicated_counter;
+#[path = "../examples/shared_limit.rs"]
+mod shared_limit;
+
+/// Guards against an example that no longer shows how to carry out the log's actions.
+#[test]
+fn the_replicated_counter_survives_a_crash_and_a_power_cut() {
+    assert_eq!(replicated_counter::run().unwrap(), [60, 60, 60]);
+}
+
+/// Guards against an example that no longer shows when a silent client's slots come back.
+#[test]
+fn the_shared_limit_moves_when_a_client_falls_silent() {
+    let report = shared_limit::run();
+    assert_eq!((report.shared, report.silent, report.alone), ([4, 4], 4, 8));
+}
--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -1,7 +1,4 @@
-//! Decisions of the serving path without I/O.
-//!
-//! Each state machine takes an event and the present time and returns typed actions, so that it can
-//! be replayed from a trace and compared with a naive version.
+#![doc = include_str!("../README.md")]
 
 pub mod admission;
 pub mod base_share;
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -1,8 +1,4 @@
-//! Test doubles for the systems around azurelug: engines, plain services, load reporters, the
-//! platform's VM list and the network between two processes.
-//!
-//! Each double starts inside the calling process on a port chosen by the kernel, and also as a
-//! subcommand of the binary `azurelug-testkit`. The doubles contain no code of the product's core.
+#![doc = include_str!("../README.md")]
 
 pub mod caller;
 pub mod engine;
--- a/crates/azurelug-wire/src/lib.rs
+++ b/crates/azurelug-wire/src/lib.rs
@@ -1,7 +1,4 @@
-//! Frames over h2 between azurelug processes.
-//!
-//! One h2 connection joins two processes; each exchange is one h2 stream. The connection is
-//! authenticated by a shared key and watched by PINGs. This crate moves frames and decides nothing.
+#![doc = include_str!("../README.md")]
 
 pub mod client;
 pub mod codec;
