--- a/crates/azurelug-entry/tests/settings.rs
+++ b/crates/azurelug-entry/tests/settings.rs
@@ -3,8 +3,11 @@
 
 use std::path::{Path, PathBuf};
 
-use azurelug_entry::settings::Settings;
+use azurelug_entry::settings::{Control, Settings};
+use azurelug_settings::log_setup::Log;
 use azurelug_settings::read;
+use azurelug_testkit::settings_page;
+use serde_json::Value;
 
 fn repository(path: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -22,21 +25,17 @@
     error.replace(env!("CARGO_TARGET_TMPDIR"), "")
 }
 
-/// Guards against an example or a page that has fallen behind the code.
+/// Guards against an example that does not fit, and a page with other keys, required keys or defaults
+/// than the code. Every key of the example is in the page, because unknown keys don't fit.
 #[test]
-fn the_example_fits_and_the_page_names_each_of_its_keys() {
+fn the_example_fits_and_the_page_has_exactly_the_keys_of_the_code() {
     let file = repository("examples/entry.yaml");
     read::file::<Settings>(&file).unwrap();
+    let example: Value = read::file(&file).unwrap();
     let page = std::fs::read_to_string(repository("docs/settings.md")).unwrap();
-    for line in std::fs::read_to_string(file).unwrap().lines() {
-        let key = line.split_once(':').map_or("", |(key, _)| key.trim());
-        if !line.trim_start().starts_with(['#', '-']) && !key.is_empty() {
-            assert!(
-                page.contains(&format!("`{key}`")),
-                "docs/settings.md does not name {key}"
-            );
-        }
-    }
+    settings_page::compare::<Settings>(&page, "azurelug-entry", &example);
+    settings_page::compare_elements::<Control>(&page, "azurelug-entry", "control");
+    settings_page::compare::<Log>(&page, "log", &example["log"]);
 }
 
 /// Guards against a misspelt key that is ignored.
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -10,6 +10,7 @@
 mod refusal;
 pub mod reporter;
 pub mod service;
+pub mod settings_page;
 pub mod text;
 
 pub use engine::Engine;
--- /dev/null
+++ b/crates/azurelug-testkit/src/settings_page.rs
@@ -0,0 +1,121 @@
+//! Compares the tables of a page about settings with the structures that read them.
+
+use std::collections::BTreeSet;
+use std::fmt::Debug;
+
+use serde::de::value::Error;
+use serde::de::{DeserializeOwned, Deserializer, Error as _, Visitor};
+use serde::forward_to_deserialize_any;
+use serde_json::Value;
+
+/// One row of a table: a key, its meaning and its default.
+struct Row {
+    key: String,
+    meaning: String,
+    default: String,
+}
+
+/// Compares the table under `## heading` with the structure `T`: the same keys, the same required
+/// keys, and the same defaults. `example` must fit `T` and be an object.
+///
+/// # Panics
+/// If the page differs from the structure.
+pub fn compare<T: DeserializeOwned + Debug>(page: &str, heading: &str, example: &Value) {
+    let rows = rows(page, heading);
+    let documented: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    let read: BTreeSet<&str> = fields::<T>().iter().copied().collect();
+    assert_eq!(documented, read, "the keys under '{heading}'");
+    for Row { key, default, .. } in &rows {
+        let mut settings = example.clone();
+        settings.as_object_mut().expect("an object").remove(key);
+        let absent = serde_json::from_value::<T>(settings.clone()).map_err(|it| it.to_string());
+        if default == "required" {
+            assert!(absent.is_err(), "{key} is not required");
+            continue;
+        }
+        let absent = absent.unwrap_or_else(|error| panic!("{key} is required: {error}"));
+        if let Some(literal) = default
+            .strip_prefix('`')
+            .and_then(|it| it.strip_suffix('`'))
+        {
+            settings[key] = Value::from(literal);
+            let stated: T = serde_json::from_value(settings).expect("a default fits");
+            let (stated, absent) = (format!("{stated:?}"), format!("{absent:?}"));
+            assert_eq!(stated, absent, "{key} is not {literal} by default");
+        }
+    }
+}
+
+/// Compares the keys between backticks in the meaning of `key` with those of the elements `T`.
+///
+/// # Panics
+/// If the page differs from the structure.
+pub fn compare_elements<T: DeserializeOwned>(page: &str, heading: &str, key: &str) {
+    let rows = rows(page, heading);
+    let row = rows
+        .iter()
+        .find(|row| row.key == key)
+        .expect("a row for the key");
+    let documented: BTreeSet<&str> = quoted(&row.meaning).collect();
+    let read: BTreeSet<&str> = fields::<T>().iter().copied().collect();
+    assert_eq!(documented, read, "the keys of the elements of {key}");
+}
+
+fn rows(page: &str, heading: &str) -> Vec<Row> {
+    let start = format!("\n## {heading}\n");
+    let section = page
+        .split_once(&start)
+        .expect("the heading is in the page")
+        .1;
+    let section = section.split("\n## ").next().unwrap_or_default();
+    let mut rows = Vec::new();
+    for line in section.lines() {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let [_, keys, meaning, default, _] = cells[..] else {
+            continue;
+        };
+        rows.extend(quoted(keys).map(|key| Row {
+            key: key.to_owned(),
+            meaning: meaning.to_owned(),
+            default: default.to_owned(),
+        }));
+    }
+    rows
+}
+
+fn quoted(text: &str) -> impl Iterator<Item = &str> {
+    text.split('`').skip(1).step_by(2)
+}
+
+/// The keys that a derived `Deserialize` accepts.
+fn fields<T: DeserializeOwned>() -> &'static [&'static str] {
+    let mut fields: &'static [&'static str] = &[];
+    // The deserializer only notes the keys and then fails.
+    let _ = T::deserialize(Fields(&mut fields));
+    fields
+}
+
+struct Fields<'a>(&'a mut &'static [&'static str]);
+
+impl<'de> Deserializer<'de> for Fields<'_> {
+    type Error = Error;
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        fields: &'static [&'static str],
+        _: V,
+    ) -> Result<V::Value, Error> {
+        *self.0 = fields;
+        Err(Error::custom("only the keys are wanted"))
+    }
+
+    fn deserialize_any<V: Visitor<'de>>(self, _: V) -> Result<V::Value, Error> {
+        Err(Error::custom("not a structure with keys"))
+    }
+
+    forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 i128 u8 u16 u32 u64 u128 f32 f64 char str string bytes byte_buf option
+        unit unit_struct newtype_struct seq tuple tuple_struct map enum identifier ignored_any
+    }
+}
