entry: refuse a JSON array as the body of a pipeline call

Cause: serde reads a struct from a sequence, so that `["text", 4, false]` was run as input, max_tokens and stream; a new field would change its meaning. Change: an array is refused as `bad_request` with a help that names the object. The case `[1, 2]` of `bad_input` expected serde's message and now expects this one; the array that was accepted is a new case. Conclusion: only objects are accepted. Structures inside patches still accept arrays.

--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -65,6 +65,15 @@
     DEFAULT_TOKENS
 }
 
+/// Reads the body. `serde` alone would take an array as the fields in their order, so that a new field
+/// would change the meaning of such a body.
+fn pipeline_body(body: &[u8]) -> Result<PipelineBody, String> {
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err("send a JSON object in place of the array".to_owned());
+    }
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
 #[derive(Serialize)]
 struct PipelineAnswer {
     request_id: String,
@@ -240,7 +249,7 @@
         return Err(not_run(Reason::UnknownPipeline));
     };
     let body = read(&id, request).await?;
-    let body: PipelineBody = serde_json::from_slice(&body).map_err(|error| {
+    let body = pipeline_body(&body).map_err(|error| {
         let mut refusal = not_run(Reason::BadRequest);
         refusal.help = format!("{error}; {}", refusal.help);
         refusal
--- a/crates/azurelug-system/tests/bad_input.rs
+++ b/crates/azurelug-system/tests/bad_input.rs
@@ -82,7 +82,8 @@
     vec![
         body("{\"input\": \"how", "line 1"),
         body("", "line 1"),
-        body("[1, 2]", "expected a string"),
+        body("[1, 2]", "JSON object"),
+        body(r#" ["how was the season?", 4, false]"#, "JSON object"),
         body(r#"{"input": "x", "speed": 9}"#, "speed"),
         body(r#"{"input": "x", "max_tokens": 0}"#, "max_tokens"),
         body(r#"{"input": "x", "max_tokens": -4}"#, "-4"),
