system: ask real control daemons for earlier versions

Cause: `GET /v1/config?version=` was tested in the core and in the command line's fake; against a real daemon only by hand (`scripts/quickstart.sh`). Change: a test asks for earlier versions before and after the end of a process, and for versions and queries that must be refused. Shown to fail: with the version in force in place of the one asked for. Conclusion: earlier versions survive a restart.

--- /dev/null
+++ b/crates/azurelug-system/tests/earlier_versions.rs
@@ -0,0 +1,35 @@
+//! Attacks the reading of earlier versions of the configuration from real processes.
+#![allow(clippy::unwrap_used)]
+
+use azurelug_system::operator::{Operator, zone_state};
+use azurelug_system::system::{System, wait};
+use azurelug_types::config::State;
+
+/// Guards against a control daemon that forgets earlier versions with a restart, and an answer with
+/// the version in force to a query that it does not understand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_earlier_version_is_answered_also_after_a_restart() {
+    let mut system = System::start().await;
+    let (operator, address) = (Operator::new(), system.operators(0));
+    let drained = vec![zone_state("zone-b", State::Draining)];
+    assert_eq!(operator.change(address, drained).await.0, 2);
+    let ask = async |query: &str| operator.get(address, &format!("/v1/config?{query}")).await;
+    let state = async |version: u64| {
+        let (status, config) = ask(&format!("version={version}")).await?;
+        Some((status, config["zones"]["zone-b"]["state"].clone()))
+    };
+    for is_restarted in [false, true] {
+        if is_restarted {
+            system.zones[0].control.kill();
+            system.zones[0].control.start();
+        }
+        wait("version 2", async || {
+            state(2).await.is_some_and(|(_, state)| state == "draining")
+        })
+        .await;
+        assert_eq!(state(1).await.unwrap(), (200, "active".into()));
+    }
+    assert_eq!(ask("version=3").await.unwrap().0, 404);
+    assert_eq!(ask("version=new").await.unwrap().0, 400);
+    assert_eq!(ask("versoin=1").await.unwrap().0, 400);
+}
