--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -12,7 +12,7 @@
     Action, Entry, Event, Message, Node, Payload, Position, Refusal, Role, Snapshot, Start,
     StartError, Write,
 };
-use azurelug_core::machine::{Command, Machine, Outcome};
+use azurelug_core::machine::{Command, FirstSnapshot, Machine, Outcome};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use rand::SeedableRng;
@@ -24,6 +24,7 @@
 use super::{Missed, Replica, Request};
 use crate::disk::{self, Disk};
 use crate::internal::wall_clock_ms;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 
 /// Requests that wait for the task.
@@ -75,6 +76,7 @@
     role: Role,
     expire_due: Instant,
     has_snapshot: bool,
+    metrics: Arc<Metrics>,
 }
 
 /// Actions of one batch in the order in which they are carried out.
@@ -97,7 +99,7 @@
         peers: Peers,
     ) -> Result<(Self, Replica), Error> {
         let machine = match &recovered.snapshot {
-            Some(snapshot) => decode_machine(snapshot)?,
+            Some(snapshot) => decode_machine(&snapshot.data)?,
             None => Machine::default(),
         };
         let has_snapshot = recovered
@@ -113,6 +115,7 @@
             },
             Duration::ZERO,
         )?;
+        let metrics = Arc::new(Metrics::new());
         let (sender, requests) = mpsc::channel(QUEUE);
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
         let machine = Arc::new(RwLock::new(machine));
@@ -123,6 +126,7 @@
             config: config.subscribe(),
             fresh_as_of: fresh_as_of.subscribe(),
             peers: peers.clone(),
+            metrics: Arc::clone(&metrics),
         };
         let started = Instant::now();
         let task = Self {
@@ -140,6 +144,7 @@
             role: Role::Follower,
             expire_due: started,
             has_snapshot,
+            metrics,
         };
         Ok((task, replica))
     }
@@ -255,7 +260,9 @@
     fn carry_out(&mut self, batch: Batch) -> Result<Batch, Error> {
         let mut following = Batch::default();
         if !batch.writes.is_empty() {
+            let started = Instant::now();
             block_in_place(|| self.disk.write(batch.writes))?;
+            self.metrics.synced(started.elapsed());
         }
         for message in batch.sends {
             let slot = message.to.slot;
@@ -362,7 +369,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
-        let restored = decode_machine(snapshot)?;
+        let restored = decode_machine(&snapshot.data)?;
         let config = Arc::clone(restored.store().config());
         *self.machine.write().expect("no holder of the lock panics") = restored;
         self.has_snapshot = true;
@@ -386,11 +393,19 @@
     }
 }
 
-fn decode_machine(snapshot: &Snapshot) -> Result<Machine, Error> {
-    if snapshot.data.is_empty() {
+/// The replicated state that a snapshot's data hold.
+///
+/// # Errors
+/// The data are not of this release or an earlier one.
+pub fn decode_machine(data: &[u8]) -> Result<Machine, Error> {
+    if data.is_empty() {
         return Ok(Machine::default());
     }
-    let state = codec::decode_unlimited(&snapshot.data).map_err(decode_error)?;
+    let state = codec::decode_unlimited(data).or_else(|error| {
+        // A data folder or a leader of the first release.
+        let first = codec::decode_unlimited::<FirstSnapshot>(data);
+        first.map(Into::into).map_err(|_| decode_error(error))
+    })?;
     Machine::restore(state).map_err(decode_error)
 }
 
--- a/crates/azurelug-entry/src/callers.rs
+++ b/crates/azurelug-entry/src/callers.rs
@@ -65,6 +65,15 @@
     DEFAULT_TOKENS
 }
 
+/// Reads the body. `serde` alone would take an array as the fields in their order, so that a new field
+/// would change the meaning of such a body.
+fn pipeline_body(body: &[u8]) -> Result<PipelineBody, String> {
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err("send a JSON object in place of the array".to_owned());
+    }
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
 #[derive(Serialize)]
 struct PipelineAnswer {
     request_id: String,
@@ -137,7 +146,14 @@
         },
         Err(refusal) => Err(refusal),
     };
-    let mut response = answered.unwrap_or_else(|refusal| refuse::respond(&refusal));
+    let mut response = answered.unwrap_or_else(|refusal| {
+        let route = configured(&gateway, route, &names);
+        gateway.metrics.refused(&refusal);
+        gateway
+            .refused
+            .log(&refusal, route.as_deref(), gateway.now());
+        refuse::respond(&refusal)
+    });
     if let Ok(id) = HeaderValue::from_str(&id.0) {
         response.headers_mut().insert(REQUEST_ID.clone(), id);
     }
@@ -150,6 +166,22 @@
     response
 }
 
+/// The name in the path, if the configuration has it. Other names don't go into logs.
+fn configured(gateway: &Gateway, route: Route, names: &[String]) -> Option<String> {
+    let (view, name) = (gateway.view()?, names.first()?);
+    let is_known = match route {
+        Route::Pipeline => {
+            let name = PipelineName::from(name.as_str());
+            view.config.pipelines.contains_key(&name)
+        }
+        Route::Service => {
+            let name = ServiceName::from(name.as_str());
+            view.config.services.contains_key(&name)
+        }
+    };
+    is_known.then(|| name.clone())
+}
+
 /// Finds the account and the deadline.
 fn accept(
     gateway: &Arc<Gateway>,
@@ -217,7 +249,7 @@
         return Err(not_run(Reason::UnknownPipeline));
     };
     let body = read(&id, request).await?;
-    let body: PipelineBody = serde_json::from_slice(&body).map_err(|error| {
+    let body = pipeline_body(&body).map_err(|error| {
         let mut refusal = not_run(Reason::BadRequest);
         refusal.help = format!("{error}; {}", refusal.help);
         refusal
@@ -239,13 +271,15 @@
         deadline,
     };
     let started = Instant::now();
-    let ending = Ending {
+    let mut ending = Ending {
         route: name.0.clone(),
         started,
         deadline,
+        gateway: Arc::clone(&gateway),
+        is_counted: false,
     };
     let permit = gateway.admit.enter(ask).await.map_err(|refused| {
-        ending.count(&gateway, false);
+        ending.count(false);
         let wait = Some(refused.retry_after);
         refuse::refusal(&id.0, refused.reason, Execution::NotRun, wait)
     })?;
@@ -261,7 +295,7 @@
         return Ok(stream(gateway, job, ending, (running, permit)));
     }
     let result = drive::run(Arc::clone(&gateway), job, None).await;
-    ending.count(&gateway, result.is_ok());
+    ending.count(result.is_ok());
     drop((running, permit));
     result.map(|done| answer::json(200, &pipeline_answer(&id, done)))
 }
@@ -280,18 +314,29 @@
     route: String,
     started: Instant,
     deadline: Instant,
+    gateway: Arc<Gateway>,
+    is_counted: bool,
 }
 
 impl Ending {
-    fn count(&self, gateway: &Gateway, is_answered: bool) {
+    fn count(&mut self, is_answered: bool) {
+        self.is_counted = true;
         let end = match is_answered {
             true if Instant::now() <= self.deadline => End::InTime,
             true => End::Late,
             false => End::Refused,
         };
-        gateway
-            .metrics
-            .ended(&self.route, end, self.started.elapsed());
+        let metrics = &self.gateway.metrics;
+        metrics.ended(&self.route, end, self.started.elapsed());
+    }
+}
+
+/// A request that is dropped before its end has lost its caller.
+impl Drop for Ending {
+    fn drop(&mut self) {
+        if !self.is_counted {
+            self.gateway.metrics.abandoned(&self.route);
+        }
     }
 }
 
@@ -299,7 +344,7 @@
 fn stream(
     gateway: Arc<Gateway>,
     job: drive::Job,
-    ending: Ending,
+    mut ending: Ending,
     held: (Running, Permit),
 ) -> Response {
     let (events, body) = mpsc::channel::<Bytes>(STREAM_QUEUE);
@@ -322,10 +367,15 @@
             (result, ()) = async { tokio::join!(run, forward) } => result,
             () = events.closed() => return,
         };
-        ending.count(&gateway, result.is_ok());
+        ending.count(result.is_ok());
         let last = match result {
             Ok(done) => answer::event("done", &pipeline_answer(&id, done)),
-            Err(refusal) => answer::event("error", &refusal),
+            Err(refusal) => {
+                let route = Some(ending.route.as_str());
+                gateway.metrics.refused(&refusal);
+                gateway.refused.log(&refusal, route, gateway.now());
+                answer::event("error", &refusal)
+            }
         };
         // A caller that went away needs no last event.
         let _ = events.send(last).await;
@@ -371,10 +421,12 @@
         refusal
     })?;
     let body = read(&id, request).await?;
-    let ending = Ending {
+    let mut ending = Ending {
         route: service.0.clone(),
         started: Instant::now(),
         deadline,
+        gateway: Arc::clone(&gateway),
+        is_counted: false,
     };
     let job = plain::Job {
         id,
@@ -395,7 +447,7 @@
         result
     });
     let result = run.await.expect("a call's task does not panic");
-    ending.count(&gateway, result.is_ok());
+    ending.count(result.is_ok());
     result.map(service_answer)
 }
 
