system: measure a step from idle to 80% of the capacity

Cause: a test of a leaving target showed refusals while shares follow a change of load; nothing measured such a step. Change: the scenario step of the example load, which also prints when calls were refused.

--- a/crates/azurelug-system/examples/load.rs
+++ b/crates/azurelug-system/examples/load.rs
@@ -1,4 +1,4 @@
-//! Measures the entry daemon under load: `load overload|slow|burst`.
+//! Measures the entry daemon under load: `load overload|slow|burst|step`.
 //!
 //! Starts a whole system with engines of known speed, warms it up and makes checked calls through one
 //! entry daemon. `AZURELUG_ENTRY` names another build of the entry daemon to compare with.
@@ -53,8 +53,18 @@
             print("60 long calls at once", &long);
             print("short calls meanwhile", &short);
         }
+        "step" => {
+            // Long enough for the daemon to give back the slots of the other zones.
+            tokio::time::sleep(Duration::from_secs(8)).await;
+            let per_second = CAPACITY * 8 / 10;
+            let settings = calls(&system, 8 * per_second, per_second, 16, 2_000);
+            print(
+                "a step from idle to 80% of the capacity",
+                &run(settings).await,
+            );
+        }
         _ => {
-            eprintln!("load: name a scenario: overload, slow or burst");
+            eprintln!("load: name a scenario: overload, slow, burst or step");
             std::process::exit(2);
         }
     }
@@ -85,7 +95,8 @@
     let mut refused = Vec::new();
     let mut not_run = 0;
     let mut without_time = 0;
-    for (_, end) in &report.ends {
+    let mut refused_at = Vec::new();
+    for (at, end) in &report.ends {
         match end {
             End::Correct { duration, .. } => answered.push(*duration),
             End::Refused {
@@ -95,6 +106,7 @@
                 ..
             } => {
                 refused.push(*duration);
+                refused_at.push(at.as_millis());
                 not_run += usize::from(execution == "not_run");
                 without_time += usize::from(retry_after_ms.is_none());
             }
@@ -106,6 +118,9 @@
     println!("  refused {} {}", refused.len(), spread(&mut refused));
     println!("    {not_run} not_run, {without_time} without a time to come back");
     println!("    {:?}", report.refused());
+    if let (Some(first), Some(last)) = (refused_at.iter().min(), refused_at.iter().max()) {
+        println!("    from {first} ms to {last} ms after the first call");
+    }
     println!("  wrong {}", report.wrong().len());
     if let Some(message) = report.wrong().first() {
         println!("    {message}");
