shares: leave three quarters of a limit to leases; count granted slots at once

Change: base shares take at most a quarter of the limit; an idle daemon wants one spare slot at a target. Slots that arrive while requests wait count in the capacity within 100 ms; it still falls once a second and by half at most. A zone without its control daemon now runs on half the base shares it had where engines have no cold start.

--- a/crates/azurelug-coordination/src/share.rs
+++ b/crates/azurelug-coordination/src/share.rs
@@ -62,12 +62,13 @@
 }
 
 impl Capacity {
-    /// A capacity whose base shares take half the cold limit.
+    /// A capacity whose base shares take half the cold limit, which is safe at any time, but at most
+    /// a quarter of the limit: nobody else can use a base share that its daemon does not need.
     pub fn new(limit: u32, cold: u32) -> Self {
         Self {
             limit,
             cold,
-            base: cold / 2,
+            base: (cold / 2).min(limit / 4),
         }
     }
 
--- a/crates/azurelug-coordination/tests/share.rs
+++ b/crates/azurelug-coordination/tests/share.rs
@@ -43,6 +43,13 @@
     assert_eq!((base_share(7, 0, 0), base_share(7, 4, 4)), (0, 0));
 }
 
+/// Guards against base shares that idle daemons keep from one that has calls waiting.
+#[test]
+fn base_shares_leave_three_quarters_of_the_limit_to_leases() {
+    assert_eq!(Capacity::new(8, 8).leased(), 6);
+    assert_eq!(Capacity::new(30, 4).base, 2);
+}
+
 #[test]
 fn a_started_grantor_waits_out_a_lease_and_the_longest_call() {
     let mut grantor = grantor(Capacity::new(10, 4));
--- a/crates/azurelug-core/src/base_share.rs
+++ b/crates/azurelug-core/src/base_share.rs
@@ -1,7 +1,8 @@
 //! Base shares of targets' limits: the slots that an entry daemon may use without a lease.
 //!
 //! They follow from the configuration alone, so that a zone goes on serving when its control daemon
-//! is lost. Their sum is at most half of the cold limit, which is safe at any time.
+//! is lost. Their sum is at most half of the cold limit, which is safe at any time, and a quarter of
+//! the limit, because no other daemon can use them.
 
 use azurelug_coordination::share;
 use azurelug_types::config::{Config, Target};
--- a/crates/azurelug-entry/src/admit.rs
+++ b/crates/azurelug-entry/src/admit.rs
@@ -187,6 +187,20 @@
         });
     }
 
+    /// Takes over a capacity that has grown between two computations, while requests wait.
+    pub fn raise_capacity(&self, computed: Capacity) {
+        let (all, long) = {
+            let state = self.lock();
+            (state.capacity, state.long_limit)
+        };
+        if computed.all > all || computed.long > long {
+            self.set_capacity(Capacity {
+                all: computed.all.max(all),
+                long: computed.long.max(long),
+            });
+        }
+    }
+
     /// Sets how many requests may run at the same time.
     pub fn set_capacity(&self, capacity: Capacity) {
         let now = self.now();
@@ -198,13 +212,17 @@
         state.carry_out(actions);
     }
 
-    /// The recent mix of requests; every pipeline equally if none arrived lately.
-    fn mix(&self, config: &Config) -> Vec<(PipelineName, bool, f64)> {
-        let mut state = self.lock();
-        state.arrivals.retain(|(pipeline, _), count| {
+    /// Lets earlier arrivals count less; once a second.
+    fn age_arrivals(&self, config: &Config) {
+        self.lock().arrivals.retain(|(pipeline, _), count| {
             *count *= ARRIVALS_KEPT;
             *count > 0.1 && config.pipelines.contains_key(pipeline)
         });
+    }
+
+    /// The recent mix of requests; every pipeline equally if none arrived lately.
+    fn mix(&self, config: &Config) -> Vec<(PipelineName, bool, f64)> {
+        let state = self.lock();
         if state.arrivals.is_empty() {
             let both =
                 |name: &PipelineName| [(name.clone(), true, 1.0), (name.clone(), false, 1.0)];
@@ -276,7 +294,7 @@
 }
 
 /// The capacity for the recent mix of requests, and the limit for long ones, as if there were no other.
-fn capacity(gateway: &Gateway, config: &Config) -> Capacity {
+fn computed_capacity(gateway: &Gateway, config: &Config) -> Capacity {
     let mix = gateway.admit.mix(config);
     let mut long: Vec<_> = mix.iter().filter(|it| !it.1).cloned().collect();
     if long.is_empty() {
@@ -342,10 +360,11 @@
             gateway.estimates.tick(gateway.now());
             gateway.with_router(Router::tick);
             if let Some(view) = gateway.view() {
+                gateway.admit.age_arrivals(&view.config);
                 gateway.waiting.count_slots(&gateway, &view.config);
                 gateway
                     .admit
-                    .follow_capacity(capacity(&gateway, &view.config));
+                    .follow_capacity(computed_capacity(&gateway, &view.config));
             }
         }
         gateway.admit.tick();
@@ -355,6 +374,11 @@
             && let Some(view) = gateway.view()
         {
             want_more(&gateway, &view.config);
+            // Slots that were granted for the waiting requests count at once: until the next second
+            // the queue would look longer than it is, and requests would be refused.
+            gateway.waiting.count_slots(&gateway, &view.config);
+            let computed = computed_capacity(&gateway, &view.config);
+            gateway.admit.raise_capacity(computed);
         }
     }
 }
--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -34,6 +34,13 @@
 /// Slots wanted beyond those in use, so that the next calls need not wait for a renewal.
 const HEADROOM: u32 = 4;
 
+/// Slots wanted beyond those in use at a target that got no call lately. With the whole headroom, the
+/// daemons of other zones that are idle would keep slots from those that have calls waiting.
+const IDLE_HEADROOM: u32 = 1;
+
+/// Without a call for this long, a target counts as idle.
+const IDLE_AFTER: Duration = Duration::from_secs(5);
+
 /// A base share rises this long after its version came into force here: the longest time in which
 /// the version comes into force elsewhere (7 s), a lease and the longest call (under 15 s). By then
 /// a daemon that can be reached no longer uses its earlier base share.
@@ -61,6 +68,8 @@
     works: Vec<u64>,
     /// When the grantor is told next that the target is still cold.
     cold_report_due: Duration,
+    /// When the latest call took a slot.
+    used_at: Option<Duration>,
 }
 
 /// What the router knows of the targets.
@@ -152,6 +161,7 @@
                 .filter(|known| known.number == number);
             // The first version after a start needs no wait of its own: the holder opens base shares
             // only after the longest call.
+            let used_at = earlier.and_then(|earlier| earlier.used_at);
             let base_from = match earlier {
                 Some(earlier) if base > earlier.base => now + BASE_RISE_AFTER,
                 Some(earlier) => earlier.base_from,
@@ -169,6 +179,7 @@
                 base_from,
                 works,
                 cold_report_due: Duration::ZERO,
+                used_at,
             };
             targets.insert(name.clone(), known);
         }
@@ -194,16 +205,12 @@
     pub fn start(&self, target: &TargetName, time_left: Duration) -> Result<Held, Refusal> {
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        let Some(known) = state.targets.get(target).cloned() else {
-            return Err(Refusal::NoSlot);
-        };
-        let slot = state.zones[known.zone]
-            .holder
-            .start(now, known.number, time_left)?;
-        Ok(Held {
-            zone: known.zone,
-            slot,
-        })
+        let State { zones, targets, .. } = &mut *state;
+        let known = targets.get_mut(target).ok_or(Refusal::NoSlot)?;
+        let zone = known.zone;
+        let slot = zones[zone].holder.start(now, known.number, time_left)?;
+        known.used_at = Some(now);
+        Ok(Held { zone, slot })
     }
 
     /// Notes that a call found no free slot, so that slots of all zones are asked for.
@@ -298,10 +305,12 @@
             // until the capacity, which follows from the slots, has recovered.
             let is_starved = known.works.iter().any(|work| starved.contains_key(work));
             let is_served = known.works.iter().all(|work| served.contains(work));
-            let headroom = if *name == self.zone || is_starved || !is_served {
-                HEADROOM
-            } else {
-                0
+            let is_idle = known.used_at.is_none_or(|at| now > at + IDLE_AFTER);
+            let headroom = match *name == self.zone {
+                _ if is_starved || !is_served => HEADROOM,
+                true if is_idle => IDLE_HEADROOM,
+                true => HEADROOM,
+                false => 0,
             };
             let in_flight = holder.in_flight(known.number);
             holder.want(known.number, in_flight + in_flight / 2 + headroom);
