coordination: orders to engines with fencing numbers and the store's rate

Ruled out: orders on the word of the last answer alone, because an engine may restart, ignore the fencing number or lose an answer; a rate bucket of its own, because `rate` has its own lease and schedules; spending tokens when an order is decided, because a freeze until the sending would move loads together.

Change: `orders::Orders`, a state machine of the leader. It waits out the earlier leader's lease, reads each engine's state periodically and after each order, gives one order at a time, loads first and unloads last, and decides about lease, tokens and need again in `send`, immediately before the sending. An unanswered order at an engine that ignores fencing numbers blocks other orders until a read shows its effect or `longest_order` has passed since its sending. Engines that check the number get the next order after one read. `rate::Holder::has` and `rate::Rate::divided` are split off from existing functions.

The rate is counted when orders are sent; loads that start late at an engine are not spread again.

--- a/crates/azurelug-coordination/examples/lease_schedules.rs
+++ b/crates/azurelug-coordination/examples/lease_schedules.rs
@@ -11,15 +11,18 @@
 use std::time::Instant;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use worlds::{lease_world, membership_world, once_world, rate_world, share_world, sim};
+use worlds::{
+    lease_world, membership_world, once_world, orders_world, rate_world, share_world, sim,
+};
 
 type Run = fn(u64) -> Result<sim::Report, String>;
 
-const WORLDS: [(&str, Run); 5] = [
+const WORLDS: [(&str, Run); 6] = [
     ("once", once_world::run),
     ("lease", lease_world::run),
     ("share", share_world::run),
     ("rate", rate_world::run),
+    ("orders", orders_world::run),
     ("membership", membership_world::run),
 ];
 
--- a/crates/azurelug-coordination/src/lib.rs
+++ b/crates/azurelug-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`lease`]: leases with bounded clock drift, and fencing numbers.
 //! - [`membership`]: which daemons are alive, suspect or gone.
 //! - [`once`]: at-most-once records, applied from committed log entries.
+//! - [`orders`]: orders to engines, from their actual to their desired state.
 //! - [`raft`]: the replicated log.
 //! - [`rate`]: a token rate that several holders share under leases.
 //! - [`share`]: leased shares of a target's limit.
@@ -16,6 +17,7 @@
 pub mod lease;
 pub mod membership;
 pub mod once;
+pub mod orders;
 pub mod raft;
 pub mod rate;
 pub mod share;
--- /dev/null
+++ b/crates/azurelug-coordination/src/orders/leader.rs
@@ -0,0 +1,335 @@
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::time::Duration;
+
+use super::engine::{Engine, Phase};
+use super::{Action, Catalog, End, Event, Order, Row, Settings, State, Store};
+use crate::lease::{Identity, outwait};
+use crate::rate::{Grantor, Holder, Terms};
+use crate::share;
+
+/// Length of the lease under which the leader itself holds the weight store's rate.
+const STORE_TERM: Duration = Duration::from_secs(2);
+
+/// How often that lease is renewed.
+const STORE_RENEWAL: Duration = Duration::from_millis(500);
+
+/// Gives orders to engines while its process leads.
+#[derive(Debug)]
+pub struct Orders<C: Catalog> {
+    settings: Settings,
+    term: u64,
+    /// Until then an earlier leader may send orders.
+    opens_at: Duration,
+    tokens: Option<Tokens>,
+    engines: BTreeMap<C::Engine, Engine<C>>,
+    /// The engine that got the last order. The search for the next one begins behind it, so that an
+    /// engine on which orders fail does not use up the rate of the others.
+    last_ordered: Option<C::Engine>,
+    number: u64,
+    reads: usize,
+    orders: usize,
+}
+
+/// The leader's tokens of the weight store.
+#[derive(Debug)]
+struct Tokens {
+    grantor: Grantor,
+    holder: Holder,
+    load_cost: u32,
+    renew_due: Duration,
+    /// Loads that were issued and not sent yet.
+    issued: u32,
+}
+
+impl<C: Catalog> Orders<C> {
+    /// For a leader that was just elected; `term` is the fencing number of its orders.
+    pub fn new(now: Duration, term: u64, settings: Settings) -> Self {
+        let opens_at = now + outwait(settings.leader_lease + settings.send_delay);
+        let tokens = |store| Tokens::new(now, term, &settings, store);
+        Self {
+            tokens: settings.store.map(tokens),
+            settings,
+            term,
+            opens_at,
+            engines: BTreeMap::new(),
+            last_ordered: None,
+            number: 0,
+            reads: 0,
+            orders: 0,
+        }
+    }
+
+    /// Handles one event. `leads_until` is the end of the leader lease on the same clock as `now`;
+    /// after it there are no actions.
+    #[must_use = "the actions are to be carried out"]
+    pub fn step(
+        &mut self,
+        event: Event<C>,
+        now: Duration,
+        leads_until: Duration,
+    ) -> Vec<Action<C>> {
+        let concerned = match event {
+            Event::Tick => None,
+            Event::Desired {
+                engine,
+                state,
+                checks_fencing,
+            } => {
+                self.desire(now, engine, state, checks_fencing);
+                Some(engine)
+            }
+            Event::Removed { engine } => {
+                self.remove(engine);
+                Some(engine)
+            }
+            Event::Read {
+                engine,
+                number,
+                state,
+            } => {
+                self.read(now, engine, number, state);
+                Some(engine)
+            }
+            Event::Ended {
+                engine,
+                number,
+                end,
+            } => {
+                self.ended(now, engine, number, end);
+                Some(engine)
+            }
+        };
+        let mut actions = Vec::new();
+        if now >= leads_until {
+            return actions;
+        }
+        if let Some(engine) = concerned {
+            self.consider(engine, now, &mut actions);
+            return actions;
+        }
+        if let Some(tokens) = &mut self.tokens {
+            tokens.renew(now, leads_until);
+        }
+        for engine in self.in_turn() {
+            self.consider(engine, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Whether an issued order may leave now. Ask with a fresh reading of the clock and of the lease,
+    /// immediately before sending: the process may have been frozen since the order was issued. If
+    /// not, the order is dropped and given again later; no event follows.
+    #[must_use]
+    pub fn send(
+        &mut self,
+        engine: C::Engine,
+        number: u64,
+        now: Duration,
+        leads_until: Duration,
+    ) -> bool {
+        let Some(entry) = self.engines.get_mut(&engine) else {
+            return false;
+        };
+        let order = match &entry.phase {
+            Phase::Issued {
+                number: issued,
+                order,
+            } if *issued == number => order.clone(),
+            _ => return false,
+        };
+        // The desired state may have changed since.
+        let is_wanted = entry.next(now, &self.settings).as_ref() == Some(&order);
+        let mut may_send = is_wanted && now < leads_until;
+        if let (Order::Load(_), Some(tokens)) = (&order, &mut self.tokens) {
+            tokens.issued -= 1;
+            may_send = may_send && tokens.holder.spend(now, tokens.load_cost);
+        }
+        if may_send {
+            entry.sent(number, order, now);
+        } else {
+            entry.phase = Phase::Idle;
+            self.orders -= 1;
+        }
+        may_send
+    }
+
+    /// All engines, for a dump.
+    pub fn rows(&self, now: Duration) -> impl Iterator<Item = Row<C>> {
+        self.engines
+            .iter()
+            .map(move |(key, engine)| engine.row(*key, now, self.opens_at, &self.settings))
+    }
+
+    /// The fencing number of the orders.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// All engines, beginning behind the one that got the last order.
+    fn in_turn(&self) -> Vec<C::Engine> {
+        let Some(last) = self.last_ordered else {
+            return self.engines.keys().copied().collect();
+        };
+        let behind = (Bound::Excluded(last), Bound::Unbounded);
+        let rest = self.engines.range(..=last);
+        let order = self.engines.range(behind).chain(rest);
+        order.map(|(engine, _)| *engine).collect()
+    }
+
+    fn desire(&mut self, now: Duration, engine: C::Engine, state: State<C>, checks_fencing: bool) {
+        let read_due = now.max(self.opens_at);
+        let has_room = self.engines.len() < self.settings.limits.engines;
+        match self.engines.get_mut(&engine) {
+            Some(known) => known.desire(state, checks_fencing, read_due),
+            None if has_room => {
+                let new = Engine::new(state, checks_fencing, read_due);
+                self.engines.insert(engine, new);
+            }
+            None => {}
+        }
+    }
+
+    fn remove(&mut self, engine: C::Engine) {
+        match self.engines.remove(&engine).map(|removed| removed.phase) {
+            None | Some(Phase::Idle) => {}
+            Some(Phase::Reading { .. }) => self.reads -= 1,
+            Some(Phase::Sent { .. }) => self.orders -= 1,
+            Some(Phase::Issued { order, .. }) => {
+                self.orders -= 1;
+                if let (Order::Load(_), Some(tokens)) = (order, &mut self.tokens) {
+                    tokens.issued -= 1;
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, now: Duration, engine: C::Engine, number: u64, state: Option<State<C>>) {
+        let Some(entry) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        match entry.phase {
+            Phase::Reading {
+                number: asked,
+                asked_at,
+            } if asked == number => {
+                self.reads -= 1;
+                let limit = self.settings.limits.models;
+                let state = state.filter(|state| state.loaded.len() <= limit);
+                entry.read(now, asked_at, state, &self.settings);
+            }
+            _ => {}
+        }
+    }
+
+    fn ended(&mut self, now: Duration, engine: C::Engine, number: u64, end: End) {
+        let Some(entry) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        match &entry.phase {
+            Phase::Sent {
+                number: sent,
+                order,
+                sent_at,
+            } if *sent == number => {
+                self.orders -= 1;
+                let (order, sent_at) = (order.clone(), *sent_at);
+                entry.ended(now, order, sent_at, end, &self.settings);
+            }
+            _ => {}
+        }
+    }
+
+    /// Reads one engine's state or gives it an order, if either is due.
+    fn consider(&mut self, engine: C::Engine, now: Duration, actions: &mut Vec<Action<C>>) {
+        let Some(entry) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        if !matches!(entry.phase, Phase::Idle) || now < self.opens_at {
+            return;
+        }
+        if now >= entry.read_due {
+            if self.reads < self.settings.limits.reads {
+                self.number += 1;
+                self.reads += 1;
+                entry.phase = Phase::Reading {
+                    number: self.number,
+                    asked_at: now,
+                };
+                actions.push(Action::Read {
+                    engine,
+                    number: self.number,
+                });
+            }
+            return;
+        }
+        let Some(order) = entry.next(now, &self.settings) else {
+            return;
+        };
+        if !entry.may_order(now) || self.orders >= self.settings.limits.orders {
+            return;
+        }
+        if let (Order::Load(_), Some(tokens)) = (&order, &mut self.tokens) {
+            if !tokens.can_issue(now) {
+                return;
+            }
+            tokens.issued += 1;
+        }
+        self.number += 1;
+        self.orders += 1;
+        self.last_ordered = Some(engine);
+        entry.phase = Phase::Issued {
+            number: self.number,
+            order: order.clone(),
+        };
+        actions.push(Action::Order {
+            engine,
+            number: self.number,
+            order,
+            fencing: self.term,
+        });
+    }
+}
+
+impl Tokens {
+    fn new(now: Duration, term: u64, settings: &Settings, store: Store) -> Self {
+        let terms = Terms {
+            term: STORE_TERM,
+            leader_lease: settings.leader_lease + settings.send_delay,
+        };
+        let limits = share::Limits {
+            holders: 1,
+            targets: 1,
+        };
+        let identity = Identity {
+            id: 0,
+            incarnation: term,
+        };
+        let mut holder = Holder::new(now, identity, store.rate, terms);
+        holder.want(store.rate.per_second);
+        Self {
+            grantor: Grantor::new(now, term, store.rate, terms, limits),
+            holder,
+            load_cost: store.load_cost,
+            renew_due: now,
+            issued: 0,
+        }
+    }
+
+    fn renew(&mut self, now: Duration, leads_until: Duration) {
+        if now < self.renew_due {
+            return;
+        }
+        self.renew_due = now + STORE_RENEWAL;
+        let request = self.holder.request(now);
+        if let Some(answer) = self.grantor.request(now, leads_until, &request) {
+            self.holder.answer(now, &answer);
+        }
+    }
+
+    /// Whether there are tokens for one more load beside those that were issued.
+    fn can_issue(&mut self, now: Duration) -> bool {
+        let cost = self.load_cost.saturating_mul(self.issued + 1);
+        self.holder.has(now, cost)
+    }
+}
--- a/crates/azurelug-coordination/src/rate.rs
+++ b/crates/azurelug-coordination/src/rate.rs
@@ -23,6 +23,14 @@
     pub window: Duration,
 }
 
+impl Rate {
+    /// Tokens per second that are divided: a holder whose clock runs fast earns its tokens faster.
+    pub fn divided(self) -> u32 {
+        let limit = u64::from(self.per_second) * 100 / (100 + u64::from(DRIFT_PERCENT));
+        u32::try_from(limit).expect("the divided rate is below the whole rate")
+    }
+}
+
 /// Times that all grantors and holders of a rate must agree on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Terms {
@@ -54,9 +62,7 @@
     pub fn new(now: Duration, epoch: u64, rate: Rate, terms: Terms, limits: Limits) -> Self {
         let mut shares = share::Grantor::new(now, epoch, terms.timing(), limits);
         shares.open_after(now + outwait(terms.term + terms.leader_lease));
-        // A holder whose clock runs fast earns its tokens faster.
-        let limit = u64::from(rate.per_second) * 100 / (100 + u64::from(DRIFT_PERCENT));
-        let limit = u32::try_from(limit).expect("the divided rate is below the whole rate");
+        let limit = rate.divided();
         shares.set_capacity(
             TARGET,
             Capacity {
@@ -132,15 +138,19 @@
     /// fresh clock reading.
     #[must_use]
     pub fn spend(&mut self, now: Duration, tokens: u32) -> bool {
-        self.save(now);
-        let cost = u128::from(tokens) * BILLION;
-        let is_enough = self.saved >= cost;
+        let is_enough = self.has(now, tokens);
         if is_enough {
-            self.saved -= cost;
+            self.saved -= u128::from(tokens) * BILLION;
         }
         is_enough
     }
 
+    /// Whether there are enough tokens now. They may be gone at the time of use.
+    pub fn has(&mut self, now: Duration, tokens: u32) -> bool {
+        self.save(now);
+        self.saved >= u128::from(tokens) * BILLION
+    }
+
     fn most(&self, now: Duration) -> u128 {
         u128::from(self.shares.allowed(now, TARGET)) * self.window.as_nanos()
     }
--- /dev/null
+++ b/crates/azurelug-coordination/tests/orders.rs
@@ -0,0 +1,150 @@
+//! Single cases of orders to engines. Random schedules are in `schedules.rs`.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use azurelug_coordination::orders::{
+    Action, Catalog, End, Event, Limits, Order, Orders, Settings, State, Store, Waiting,
+};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Names;
+
+impl Catalog for Names {
+    type Engine = u32;
+    type Model = u32;
+    type Role = u32;
+}
+
+const NEVER: Duration = Duration::MAX;
+
+fn settings(store: Option<Store>) -> Settings {
+    Settings {
+        leader_lease: Duration::from_millis(742),
+        send_delay: Duration::from_millis(500),
+        read_interval: Duration::from_secs(30),
+        retry: Duration::from_secs(1),
+        longest_order: Duration::from_secs(60),
+        store,
+        limits: Limits::default(),
+    }
+}
+
+fn state(loaded: impl IntoIterator<Item = u32>) -> State<Names> {
+    State {
+        loaded: BTreeSet::from_iter(loaded),
+        role: 0,
+    }
+}
+
+fn desired(engine: u32, loaded: impl IntoIterator<Item = u32>) -> Event<Names> {
+    Event::Desired {
+        engine,
+        state: state(loaded),
+        checks_fencing: true,
+    }
+}
+
+/// Ticks for `span`, answers each read with `actual` and refuses each order; returns the orders.
+fn run(
+    orders: &mut Orders<Names>,
+    span: Duration,
+    actual: &State<Names>,
+) -> Vec<(Duration, u32, Order<Names>)> {
+    let mut sent = Vec::new();
+    let mut now = Duration::ZERO;
+    while now < span {
+        now += Duration::from_millis(100);
+        let mut actions = orders.step(Event::Tick, now, NEVER);
+        while let Some(action) = actions.pop() {
+            let event = match action {
+                Action::Read { engine, number } => Event::Read {
+                    engine,
+                    number,
+                    state: Some(actual.clone()),
+                },
+                Action::Order {
+                    engine,
+                    number,
+                    order,
+                    ..
+                } => {
+                    if !orders.send(engine, number, now, NEVER) {
+                        continue;
+                    }
+                    sent.push((now, engine, order));
+                    let end = End::Refused;
+                    Event::Ended {
+                        engine,
+                        number,
+                        end,
+                    }
+                }
+            };
+            actions.extend(orders.step(event, now, NEVER));
+        }
+    }
+    sent
+}
+
+/// Guards against an engine that refuses each load and uses up the weight store's rate of the others.
+#[test]
+fn refused_loads_of_one_engine_do_not_starve_the_others() {
+    let store = Store::spread(1, Duration::from_secs(5));
+    let mut orders = Orders::new(Duration::ZERO, 1, settings(store));
+    for engine in 0..4 {
+        let _ = orders.step(desired(engine, [7]), Duration::ZERO, NEVER);
+    }
+    let sent = run(&mut orders, Duration::from_secs(60), &state([]));
+    for engine in 0..4 {
+        let count = sent.iter().filter(|it| it.1 == engine).count();
+        assert!(count >= 2, "engine {engine}: {sent:?}");
+    }
+    // Evenly spread, and none before the earlier leader's lease and the store's lease have ended.
+    assert!(sent[0].0 >= Duration::from_secs(3), "{sent:?}");
+    for pair in sent.windows(2) {
+        assert!(pair[1].0 - pair[0].0 >= Duration::from_secs(5), "{sent:?}");
+    }
+}
+
+/// Guards against an order without effect that is repeated as fast as the engine answers.
+#[test]
+fn orders_without_effect_are_repeated_ever_more_rarely() {
+    let mut orders = Orders::new(Duration::ZERO, 1, settings(None));
+    let _ = orders.step(desired(1, [7]), Duration::ZERO, NEVER);
+    let sent = run(&mut orders, Duration::from_secs(120), &state([]));
+    assert!((4..=10).contains(&sent.len()), "{sent:?}");
+}
+
+/// Guards against state that grows with what an engine says.
+#[test]
+fn a_report_of_too_many_models_counts_as_no_answer() {
+    let mut orders = Orders::new(Duration::ZERO, 1, settings(None));
+    let _ = orders.step(desired(1, [7]), Duration::ZERO, NEVER);
+    let sent = run(&mut orders, Duration::from_secs(60), &state(1_000..1_300));
+    assert!(sent.is_empty(), "{sent:?}");
+    let row = orders.rows(Duration::from_secs(60)).next();
+    assert!(row.is_some_and(|row| row.state.is_none() && row.waiting == Waiting::Read));
+}
+
+/// Guards against an order that unloads a model which the desired state has listed again meanwhile.
+#[test]
+fn an_issued_order_that_is_no_longer_wanted_is_dropped() {
+    let mut orders = Orders::new(Duration::ZERO, 1, settings(None));
+    let now = Duration::from_secs(2);
+    let first = orders.step(desired(1, []), now, NEVER).pop();
+    let Some(Action::Read { number, .. }) = first else {
+        panic!("no read");
+    };
+    let read = Event::Read {
+        engine: 1,
+        number,
+        state: Some(state([7])),
+    };
+    let Some(Action::Order { number, order, .. }) = orders.step(read, now, NEVER).pop() else {
+        panic!("no order");
+    };
+    assert_eq!(order, Order::Unload(7));
+    let _ = orders.step(desired(1, [7]), now, NEVER);
+    assert!(!orders.send(1, number, now, NEVER));
+}
--- a/crates/azurelug-coordination/tests/schedules.rs
+++ b/crates/azurelug-coordination/tests/schedules.rs
@@ -4,7 +4,9 @@
 #[path = "support/worlds.rs"]
 mod worlds;
 
-use worlds::{lease_world, membership_world, once_world, rate_world, share_world, sim};
+use worlds::{
+    lease_world, membership_world, once_world, orders_world, rate_world, share_world, sim,
+};
 
 fn run_all(run: fn(u64) -> Result<sim::Report, String>, seeds: std::ops::Range<u64>) {
     let mut report = sim::Report::default();
@@ -41,3 +43,8 @@
 fn a_member_with_a_lease_is_never_called_gone() {
     run_all(membership_world::run, 0..40);
 }
+
+#[test]
+fn engines_converge_across_leaders_and_no_stale_leader_orders() {
+    run_all(orders_world::run, 0..30);
+}
--- /dev/null
+++ b/crates/azurelug-coordination/tests/support/orders_world.rs
@@ -0,0 +1,601 @@
+//! Engines, leaders that replace one another without knowing, and orders that get lost or come late.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use azurelug_coordination::orders::{
+    Action, Catalog, End, Event, Limits, Order, Orders, Settings, State, Store, Waiting,
+};
+
+use super::sim::{Dice, MILLI, Micros, Net, Process, Report, SECOND};
+
+const ENGINES: usize = 5;
+const MODELS: u64 = 5;
+const ROLES: u64 = 2;
+const LEASE: Duration = Duration::from_secs(1);
+const SEND_DELAY: Duration = Duration::from_millis(100);
+const LONGEST_ORDER: Duration = Duration::from_secs(4);
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Faults end here; the rest is the time to converge. Late copies arrive for 16 s more.
+const CALM: Micros = 40 * SECOND;
+const END: Micros = 100 * SECOND;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Names;
+
+impl Catalog for Names {
+    type Engine = usize;
+    type Model = u64;
+    type Role = u64;
+}
+
+type Wanted = BTreeMap<usize, State<Names>>;
+
+#[derive(Clone)]
+enum Message {
+    Read {
+        term: u64,
+        number: u64,
+    },
+    Order {
+        term: u64,
+        number: u64,
+        order: Order<Names>,
+    },
+    State {
+        term: u64,
+        engine: usize,
+        number: u64,
+        state: State<Names>,
+    },
+    Ended {
+        term: u64,
+        engine: usize,
+        number: u64,
+        end: End,
+    },
+}
+
+struct Engine {
+    state: State<Names>,
+    fencing: u64,
+    checks_fencing: bool,
+    down_until: Micros,
+    /// Loads that run: when they end, the model, and whom to answer.
+    loads: Vec<(Micros, u64, u64, u64)>,
+}
+
+impl Engine {
+    fn restart(&mut self) {
+        self.state = State {
+            loaded: BTreeSet::new(),
+            role: 0,
+        };
+        self.fencing = 0;
+        self.loads.clear();
+    }
+}
+
+/// What the checks know of a leader's dealings with one engine, on that leader's clock.
+#[derive(Clone, Default)]
+struct Dealings {
+    running: bool,
+    last_ended: Option<Duration>,
+    /// When the last answered read was asked for, and what it showed.
+    seen: Option<(Duration, State<Names>)>,
+    unanswered: Option<(Order<Names>, Duration)>,
+}
+
+struct Leader {
+    term: u64,
+    process: Process,
+    orders: Orders<Names>,
+    leads_until: Duration,
+    wanted: Wanted,
+    /// Calls without a result: engine, the order if it is one, when it was sent.
+    calls: BTreeMap<u64, (usize, Option<Order<Names>>, Duration)>,
+    /// Issued orders, and when the process gets to sending them.
+    issued: Vec<(Micros, usize, u64, Order<Names>)>,
+    dealings: Vec<Dealings>,
+    tick_due: Micros,
+}
+
+fn settings() -> Settings {
+    Settings {
+        leader_lease: LEASE,
+        send_delay: SEND_DELAY,
+        read_interval: Duration::from_secs(5),
+        retry: Duration::from_millis(500),
+        longest_order: LONGEST_ORDER,
+        store: Store::spread(3, Duration::from_secs(1)),
+        limits: Limits::default(),
+    }
+}
+
+/// The weight store's count: one load, refilled at the rate, in real time.
+struct Meter {
+    level: f64,
+    at: Micros,
+}
+
+struct World {
+    dice: Dice,
+    net: Net<Message>,
+    leaders: Vec<Leader>,
+    engines: Vec<Engine>,
+    meter: Meter,
+    wanted: Wanted,
+    now: Micros,
+}
+
+fn random_state(dice: &mut Dice) -> State<Names> {
+    let count = dice.below(4);
+    State {
+        loaded: (0..count).map(|_| dice.below(MODELS)).collect(),
+        role: dice.below(ROLES),
+    }
+}
+
+fn address(term: u64) -> usize {
+    ENGINES + (term % 2) as usize
+}
+
+impl World {
+    fn elect(&mut self, term: u64) {
+        let process = Process::new(&mut self.dice, term);
+        let clock = process.clock(self.now);
+        let mut leader = Leader {
+            term,
+            process,
+            orders: Orders::new(clock, term, settings()),
+            leads_until: clock + LEASE,
+            wanted: Wanted::new(),
+            calls: BTreeMap::new(),
+            issued: Vec::new(),
+            dealings: vec![Dealings::default(); ENGINES],
+            tick_due: self.now,
+        };
+        self.configure(&mut leader);
+        self.leaders.push(leader);
+    }
+
+    /// Tells a leader the configuration in force.
+    fn configure(&mut self, leader: &mut Leader) {
+        for (engine, state) in self.wanted.clone() {
+            if leader.wanted.get(&engine) != Some(&state) {
+                let event = Event::Desired {
+                    engine,
+                    state,
+                    checks_fencing: self.engines[engine].checks_fencing,
+                };
+                self.step(leader, event);
+            }
+        }
+        leader.wanted.clone_from(&self.wanted);
+    }
+
+    fn step(&mut self, leader: &mut Leader, event: Event<Names>) {
+        let clock = leader.process.clock(self.now);
+        for action in leader.orders.step(event, clock, leader.leads_until) {
+            match action {
+                Action::Read { engine, number } => {
+                    leader.calls.insert(number, (engine, None, clock));
+                    let read = Message::Read {
+                        term: leader.term,
+                        number,
+                    };
+                    let from = address(leader.term);
+                    self.net.send(self.now, &mut self.dice, from, engine, read);
+                }
+                Action::Order {
+                    engine,
+                    number,
+                    order,
+                    ..
+                } => {
+                    let at = self.now + self.dice.below(20 * MILLI);
+                    leader.issued.push((at, engine, number, order));
+                }
+            }
+        }
+    }
+
+    /// Sends issued orders whose turn has come, and checks each of them.
+    fn send(&mut self, leader: &mut Leader) -> Result<(), String> {
+        let due = |issued: &(Micros, usize, u64, Order<Names>)| issued.0 <= self.now;
+        let ready: Vec<_> = leader.issued.extract_if(.., |it| due(it)).collect();
+        for (_, engine, number, order) in ready {
+            let clock = leader.process.clock(self.now);
+            if !leader
+                .orders
+                .send(engine, number, clock, leader.leads_until)
+            {
+                self.net.count("order dropped before sending");
+                continue;
+            }
+            self.check(leader, engine, &order, clock).map_err(|fault| {
+                format!("term {} engine {engine} {order:?}: {fault}", leader.term)
+            })?;
+            leader.dealings[engine].running = true;
+            leader.dealings[engine].unanswered = None;
+            leader
+                .calls
+                .insert(number, (engine, Some(order.clone()), clock));
+            let term = leader.term;
+            let message = Message::Order {
+                term,
+                number,
+                order,
+            };
+            self.net.count("order sent");
+            let from = address(term);
+            self.net
+                .send(self.now, &mut self.dice, from, engine, message);
+        }
+        Ok(())
+    }
+
+    fn check(
+        &mut self,
+        leader: &Leader,
+        engine: usize,
+        order: &Order<Names>,
+        clock: Duration,
+    ) -> Result<(), String> {
+        if clock >= leader.leads_until {
+            return Err("sent after the lease".to_owned());
+        }
+        for other in self.leaders.iter().filter(|it| it.term < leader.term) {
+            if other.process.clock(self.now) < other.leads_until {
+                return Err(format!("sent under the lease of term {}", other.term));
+            }
+        }
+        if let Order::Load(_) = order {
+            let rate = 3.0;
+            let earned = rate * (self.now - self.meter.at) as f64 / SECOND as f64;
+            self.meter.level = (self.meter.level + earned).min(1.0) - 1.0;
+            self.meter.at = self.now;
+            if self.meter.level < -1e-4 {
+                return Err(format!("over the store's rate by {}", -self.meter.level));
+            }
+        }
+        let dealings = &leader.dealings[engine];
+        if dealings.running {
+            return Err("another order runs".to_owned());
+        }
+        let Some((asked, seen)) = &dealings.seen else {
+            return Err("sent without a read".to_owned());
+        };
+        if dealings.last_ended.is_some_and(|ended| *asked < ended) {
+            return Err("sent without a read since the last order".to_owned());
+        }
+        if clock > *asked + settings().read_interval {
+            return Err("sent on an old read".to_owned());
+        }
+        let wanted = &leader.wanted[&engine];
+        if let Order::Unload(model) = order
+            && (wanted.loaded.contains(model) || !wanted.loaded.is_subset(&seen.loaded))
+        {
+            return Err("unloaded before everything was loaded".to_owned());
+        }
+        if let Some((_, sent_at)) = dealings.unanswered
+            && !self.engines[engine].checks_fencing
+            && clock < sent_at + LONGEST_ORDER
+        {
+            return Err("the last order may still run".to_owned());
+        }
+        Ok(())
+    }
+
+    fn at_engine(&mut self, id: usize, message: Message) {
+        let (term, answer) = match message {
+            Message::Read { term, number } => {
+                let state = self.engines[id].state.clone();
+                let engine = id;
+                let answer = Message::State {
+                    term,
+                    engine,
+                    number,
+                    state,
+                };
+                (term, answer)
+            }
+            Message::Order {
+                term,
+                number,
+                order,
+            } => {
+                let engine = &mut self.engines[id];
+                let is_fenced = engine.checks_fencing && term < engine.fencing;
+                if is_fenced {
+                    self.net.count("order fenced");
+                } else {
+                    if term < engine.fencing {
+                        self.net.count("order of an earlier leader accepted");
+                    }
+                    engine.fencing = engine.fencing.max(term);
+                    match order {
+                        Order::Load(model) => {
+                            let time = self.dice.between(50 * MILLI, 2 * SECOND);
+                            engine.loads.push((self.now + time, model, term, number));
+                            return;
+                        }
+                        Order::Unload(model) => drop(engine.state.loaded.remove(&model)),
+                        Order::Role(role) => engine.state.role = role,
+                    }
+                }
+                let end = if is_fenced { End::Refused } else { End::Done };
+                let engine = id;
+                let answer = Message::Ended {
+                    term,
+                    engine,
+                    number,
+                    end,
+                };
+                (term, answer)
+            }
+            Message::State { .. } | Message::Ended { .. } => return,
+        };
+        self.net
+            .send(self.now, &mut self.dice, id, address(term), answer);
+    }
+
+    fn finish_loads(&mut self) {
+        for id in 0..ENGINES {
+            let now = self.now;
+            let done: Vec<_> = self.engines[id]
+                .loads
+                .extract_if(.., |load| load.0 <= now)
+                .collect();
+            for (_, model, term, number) in done {
+                self.engines[id].state.loaded.insert(model);
+                let answer = Message::Ended {
+                    term,
+                    engine: id,
+                    number,
+                    end: End::Done,
+                };
+                self.net
+                    .send(now, &mut self.dice, id, address(term), answer);
+            }
+        }
+    }
+
+    fn at_leader(&mut self, leader: &mut Leader, message: Message) {
+        let event = match message {
+            Message::State {
+                engine,
+                number,
+                state,
+                ..
+            } => match leader.calls.remove(&number) {
+                Some((_, None, asked)) => {
+                    let dealings = &mut leader.dealings[engine];
+                    let shown = |it: &(Order<Names>, Duration)| it.0.is_done_in(&state);
+                    if dealings.unanswered.as_ref().is_some_and(shown) {
+                        dealings.unanswered = None;
+                    }
+                    dealings.seen = Some((asked, state.clone()));
+                    Event::Read {
+                        engine,
+                        number,
+                        state: Some(state),
+                    }
+                }
+                _ => return,
+            },
+            Message::Ended {
+                engine,
+                number,
+                end,
+                ..
+            } => {
+                if leader.calls.remove(&number).is_none() {
+                    return;
+                }
+                leader.dealings[engine].running = false;
+                leader.dealings[engine].last_ended = Some(leader.process.clock(self.now));
+                Event::Ended {
+                    engine,
+                    number,
+                    end,
+                }
+            }
+            Message::Read { .. } | Message::Order { .. } => return,
+        };
+        self.step(leader, event);
+    }
+
+    /// Ends calls without an answer, as the client of the process does.
+    fn time_out(&mut self, leader: &mut Leader) {
+        let clock = leader.process.clock(self.now);
+        let is_late = |call: &(usize, Option<Order<Names>>, Duration)| {
+            let limit = if call.1.is_some() {
+                LONGEST_ORDER
+            } else {
+                READ_TIMEOUT
+            };
+            clock >= call.2 + limit
+        };
+        let late: Vec<_> = leader
+            .calls
+            .extract_if(.., |_, call| is_late(call) || self.dice.one_in(2_000))
+            .collect();
+        for (number, (engine, order, sent_at)) in late {
+            let event = match order {
+                None => Event::Read {
+                    engine,
+                    number,
+                    state: None,
+                },
+                Some(order) => {
+                    self.net.count("order unanswered");
+                    let dealings = &mut leader.dealings[engine];
+                    dealings.running = false;
+                    dealings.last_ended = Some(clock);
+                    dealings.unanswered = Some((order, sent_at));
+                    Event::Ended {
+                        engine,
+                        number,
+                        end: End::Unanswered,
+                    }
+                }
+            };
+            self.step(leader, event);
+        }
+    }
+
+    fn run_leader(&mut self, leader: &mut Leader) -> Result<(), String> {
+        if leader.process.is_frozen(self.now) {
+            return Ok(());
+        }
+        self.send(leader)?;
+        self.time_out(leader);
+        if self.now >= leader.tick_due {
+            leader.tick_due = self.now + 100 * MILLI;
+            self.step(leader, Event::Tick);
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self) {
+        while let Some((to, message)) = self.net.receive(self.now) {
+            if to < ENGINES {
+                if self.now >= self.engines[to].down_until {
+                    self.at_engine(to, message);
+                }
+                continue;
+            }
+            let (Message::State { term, .. } | Message::Ended { term, .. }) = message else {
+                continue;
+            };
+            let Some(index) = self.leaders.iter().position(|it| it.term == term) else {
+                continue;
+            };
+            let mut leader = self.leaders.remove(index);
+            if leader.process.is_frozen(self.now) {
+                let at = leader.process.frozen_until + self.dice.below(MILLI);
+                self.net.put(at, to, message);
+            } else {
+                self.at_leader(&mut leader, message);
+            }
+            self.leaders.insert(index, leader);
+        }
+    }
+
+    fn fail(&mut self) {
+        let newest = self.leaders.len() - 1;
+        if self.dice.one_in(120) {
+            self.net.count("freeze");
+            let index = self.dice.below(newest as u64 + 1) as usize;
+            let until = self.now + self.dice.between(500 * MILLI, 4 * SECOND);
+            self.leaders[index].process.frozen_until = until;
+        }
+        if self.dice.one_in(300) {
+            self.net.count("leader change");
+            let term = self.leaders[newest].term + 1;
+            if newest > 0 {
+                self.leaders.remove(0);
+            }
+            self.elect(term);
+        }
+        if self.dice.one_in(150) {
+            self.net.partition(&mut self.dice, ENGINES + 2);
+        }
+        if self.dice.one_in(300) {
+            self.net.count("engine restart");
+            let id = self.dice.below(ENGINES as u64) as usize;
+            self.engines[id].restart();
+            self.engines[id].down_until = self.now + self.dice.below(2 * SECOND);
+        }
+        if self.dice.one_in(80) {
+            self.net.count("patch");
+            let id = self.dice.below(ENGINES as u64) as usize;
+            let state = random_state(&mut self.dice);
+            self.wanted.insert(id, state);
+            // The other leader does not learn of it.
+            let mut leader = self.leaders.pop().expect("there is a leader");
+            self.configure(&mut leader);
+            self.leaders.push(leader);
+        }
+    }
+
+    fn all_converged(&self) -> Result<(), String> {
+        let newest = self.leaders.last().expect("there is a leader");
+        for (id, engine) in self.engines.iter().enumerate() {
+            if engine.state != self.wanted[&id] {
+                return Err(format!(
+                    "engine {id} has {:?} and should have {:?}",
+                    engine.state, self.wanted[&id]
+                ));
+            }
+        }
+        match newest
+            .orders
+            .rows(newest.process.clock(self.now))
+            .find(|row| !matches!(row.waiting, Waiting::Nothing | Waiting::Read))
+        {
+            Some(row) => Err(format!("the leader still waits: {row:?}")),
+            None => Ok(()),
+        }
+    }
+}
+
+pub(crate) fn run(seed: u64) -> Result<Report, String> {
+    let mut dice = Dice::new(seed);
+    let net = Net::new(&mut dice);
+    let engines = (0..ENGINES)
+        .map(|_| Engine {
+            state: random_state(&mut dice),
+            fencing: 0,
+            checks_fencing: dice.one_in(2),
+            down_until: 0,
+            loads: Vec::new(),
+        })
+        .collect();
+    let wanted = (0..ENGINES)
+        .map(|id| (id, random_state(&mut dice)))
+        .collect();
+    let mut world = World {
+        dice,
+        net,
+        leaders: Vec::new(),
+        engines,
+        meter: Meter { level: 1.0, at: 0 },
+        wanted,
+        now: 0,
+    };
+    world.elect(1);
+    let mut report = Report::default();
+    while world.now < END {
+        world.now += world.dice.between(MILLI, 30 * MILLI);
+        report.steps += 1;
+        let is_calm = world.now > CALM;
+        if is_calm && !world.net.is_calm {
+            world.net.calm();
+            let newest = world.leaders.last_mut().expect("there is a leader");
+            newest.process.frozen_until = 0;
+        }
+        if !is_calm {
+            world.fail();
+        }
+        world.deliver();
+        world.finish_loads();
+        let newest = world.leaders.last_mut().expect("there is a leader");
+        if !newest.process.is_frozen(world.now) {
+            newest.leads_until = newest.process.clock(world.now) + LEASE;
+        }
+        for index in 0..world.leaders.len() {
+            let mut leader = world.leaders.remove(index);
+            let result = world.run_leader(&mut leader);
+            world.leaders.insert(index, leader);
+            let now = world.now;
+            result.map_err(|fault| format!("seed {seed}: at {now} us {fault}"))?;
+        }
+    }
+    world
+        .all_converged()
+        .map_err(|fault| format!("seed {seed}: {fault}"))?;
+    report.faults = world.net.faults;
+    Ok(report)
+}
--- a/crates/azurelug-coordination/tests/support/worlds.rs
+++ b/crates/azurelug-coordination/tests/support/worlds.rs
@@ -6,6 +6,8 @@
 pub(crate) mod membership_world;
 #[path = "once_world.rs"]
 pub(crate) mod once_world;
+#[path = "orders_world.rs"]
+pub(crate) mod orders_world;
 #[path = "rate_world.rs"]
 pub(crate) mod rate_world;
 #[path = "share_world.rs"]
