control, entry: give orders to engines; repeat calls that meet no model

Cause: `loaded`, `role` and `checks_fencing` of a target were believed and never brought about. Ruled out: orders from each zone's daemon (two givers when a zone changes hands); the weight store's rate in the configuration (a new field changes the log's format, and the rate describes a system outside); pooled connections for orders (reads of one engine are further apart than idle connections live).

Change: `azurelug_control::orders` follows the leader lease, which the task of the log publishes after each step and before any message leaves, reads `/v1/state` and posts `/v1/orders`. Settings `orders`, `GET /v1/engines`, state dump. An engine's 404 says that it did no work, so the entry daemon repeats the call elsewhere without taking from the retry budget; it stays a failure for outlier detection. The example `control_cost` used addresses outside loopback, which the leader would now call; it uses 127.200.0.0/16 or answers itself (`--engines`).

--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod disk;
 pub mod internal;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod replica;
 pub mod run;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -1,4 +1,4 @@
-//! HTTP for operators: status, configuration, patches, history, state dump.
+//! HTTP for operators: status, configuration, patches, history, engines, state dump.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 
 use crate::daemons::{Registry, Row};
 use crate::internal::wall_clock_ms;
+use crate::orders::{self, Engines};
 use crate::replica::{self, Replica};
 use crate::shares::{self, Shares};
 
@@ -35,6 +36,8 @@
     pub registry: Arc<Registry>,
     /// The shares of the own zone's targets.
     pub shares: Shares,
+    /// What the leader knows of the engines.
+    pub engines: Engines,
 }
 
 #[derive(Serialize)]
@@ -60,6 +63,7 @@
     freshness_age_ms: Option<u128>,
     once: Once,
     shares: Vec<shares::Row>,
+    engines: orders::Report,
     log: Option<State>,
     entry_daemons: Vec<Row>,
 }
@@ -89,6 +93,7 @@
     pub fn router(self) -> Router {
         let (status, config, history, dump) =
             (self.clone(), self.clone(), self.clone(), self.clone());
+        let engines = self.engines.clone();
         let patches = self;
         Router::new()
             .route("/healthz", get(|| async { "ok" }))
@@ -98,6 +103,10 @@
             )
             .route("/v1/config", get(move || async move { config.config() }))
             .route("/v1/history", get(move || async move { history.history() }))
+            .route(
+                "/v1/engines",
+                get(move || async move { answer::json(200, &engines.report()) }),
+            )
             .route(
                 "/debug/state",
                 get(move || async move { dump.dump().await }),
@@ -133,6 +142,7 @@
             freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
             once: Once::of(&self.replica),
             shares: self.shares.rows(),
+            engines: self.engines.report(),
             log,
             entry_daemons: self.registry.rows(),
         };
--- /dev/null
+++ b/crates/azurelug-control/src/orders.rs
@@ -0,0 +1,326 @@
+//! Gives orders to engines while this daemon leads.
+//!
+//! Owns the state machine of the orders and carries its actions out over HTTP: it reads `/v1/state` and
+//! posts to `/v1/orders`. A daemon that does not lead calls no engine.
+
+mod report;
+
+pub use report::Report;
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_coordination::orders::{
+    self, Action, Catalog, End, Event, Limits, Order, Orders, State,
+};
+use azurelug_coordination::raft;
+use azurelug_http::client::Call;
+use azurelug_http::{Client, Error};
+use azurelug_types::config::{Config, Role, Target};
+use azurelug_types::id::TargetName;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::replica::Replica;
+use crate::settings;
+
+/// How often due reads and orders are looked for. With 64 reads at a time, a new leader begins the
+/// first reads of 1,900 engines within 3 s.
+const TICK: Duration = Duration::from_millis(100);
+
+/// First pause after a read or an order without success.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Time for reading an engine's state.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The HTTP client gives up connecting after this long, so no first byte leaves later than this after
+/// the check of the lease.
+const SEND_DELAY: Duration = Duration::from_millis(500);
+
+/// The longest answer of an engine, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// Engines by target number, models and roles as engines name them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Names;
+
+impl Catalog for Names {
+    type Engine = u32;
+    type Model = String;
+    type Role = String;
+}
+
+/// The engines of all zones. Clones share the state.
+#[derive(Clone)]
+pub struct Engines {
+    settings: orders::Settings,
+    started: Instant,
+    replica: Replica,
+    client: Client,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    /// Only while this daemon leads.
+    orders: Option<Orders<Names>>,
+    targets: HashMap<u32, Engine>,
+}
+
+/// An engine as configured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Engine {
+    name: TargetName,
+    address: SocketAddr,
+    desired: State<Names>,
+    checks_fencing: bool,
+}
+
+/// The part of an engine's state that matters here.
+#[derive(Deserialize)]
+struct Answer {
+    loaded: BTreeSet<String>,
+    role: String,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    order: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    model: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'a str>,
+    fencing: u64,
+}
+
+impl Engines {
+    /// Prepares the orders; [`Engines::run`] gives them.
+    ///
+    /// # Errors
+    /// The HTTP client can't be built.
+    pub fn new(settings: settings::Orders, replica: Replica) -> Result<Self, Error> {
+        let store = settings.weight_store;
+        let settings = orders::Settings {
+            leader_lease: raft::Settings::default().leader_lease(),
+            send_delay: SEND_DELAY,
+            read_interval: settings.read_interval.0,
+            retry: RETRY,
+            longest_order: settings.longest_order.0,
+            store: store.map(|store| store.store().expect("the settings were checked")),
+            limits: Limits::default(),
+        };
+        Ok(Self {
+            settings,
+            started: Instant::now(),
+            replica,
+            // The reads of one engine are further apart than servers keep connections, and an order
+            // should not meet a connection that has gone silent.
+            client: Client::unpooled()?,
+            inner: Arc::default(),
+        })
+    }
+
+    /// Follows the leadership and the configuration until the log's task is gone.
+    pub async fn run(self) {
+        let mut configs = self.replica.watch();
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let Ok(is_changed) = configs.has_changed() else {
+                return;
+            };
+            let has_started = self.follow_leadership();
+            let is_leading = self.lock().orders.is_some();
+            if has_started || (is_leading && is_changed) {
+                let config = Arc::clone(&configs.borrow_and_update());
+                self.configure(&config);
+            }
+            if is_leading {
+                self.step(Event::Tick);
+            }
+        }
+    }
+
+    /// Begins anew in each term in which this daemon leads; returns whether it has just begun. A lease
+    /// that lapses within a term ends nothing: no other leader can have come between.
+    fn follow_leadership(&self) -> bool {
+        let term = self.replica.leadership().map(|leadership| leadership.term);
+        let mut inner = self.lock();
+        let known = inner.orders.as_ref().map(Orders::term);
+        match term {
+            Some(term) if known != Some(term) => {
+                log::info!("orders: begin in term {term}, after the lease of an earlier leader");
+                let orders = Orders::new(self.started.elapsed(), term, self.settings);
+                inner.orders = Some(orders);
+                inner.targets.clear();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells the state machine what has changed in the configuration.
+    fn configure(&self, config: &Config) {
+        let engines = config.targets.iter().filter_map(|(name, target)| {
+            let number = config.target_numbers.get(name)?;
+            Some((*number, Engine::new(name, target)?))
+        });
+        let engines: HashMap<u32, Engine> = engines.collect();
+        let known = std::mem::replace(&mut self.lock().targets, engines.clone());
+        for engine in known.keys().filter(|number| !engines.contains_key(number)) {
+            self.step(Event::Removed { engine: *engine });
+        }
+        for (number, engine) in engines {
+            if known.get(&number) != Some(&engine) {
+                self.step(Event::Desired {
+                    engine: number,
+                    state: engine.desired,
+                    checks_fencing: engine.checks_fencing,
+                });
+            }
+        }
+    }
+
+    /// Hands an event to the state machine and begins what follows from it.
+    fn step(&self, event: Event<Names>) {
+        let mut inner = self.lock();
+        let Inner { orders, targets } = &mut *inner;
+        let Some(orders) = orders else {
+            return;
+        };
+        let term = orders.term();
+        let until = self.leads_until(term);
+        for action in orders.step(event, self.started.elapsed(), until) {
+            let (Action::Read { engine, .. } | Action::Order { engine, .. }) = &action;
+            let Some(target) = targets.get(engine).cloned() else {
+                continue;
+            };
+            tokio::spawn(self.clone().carry_out(term, action, target));
+        }
+    }
+
+    /// The result of an action of an earlier term is dropped: its numbers may have come again.
+    fn finish(&self, term: u64, event: Event<Names>) {
+        let is_current = self.lock().orders.as_ref().map(Orders::term) == Some(term);
+        if is_current {
+            self.step(event);
+        }
+    }
+
+    async fn carry_out(self, term: u64, action: Action<Names>, target: Engine) {
+        let event = match action {
+            Action::Read { engine, number } => Event::Read {
+                engine,
+                number,
+                state: self.read(&target).await,
+            },
+            Action::Order {
+                engine,
+                number,
+                order,
+                fencing,
+            } => {
+                let call = order_call(&target, &order, fencing, self.settings.longest_order);
+                if !self.may_send(term, engine, number) {
+                    return;
+                }
+                let end = self.order(&target, &order, call).await;
+                Event::Ended {
+                    engine,
+                    number,
+                    end,
+                }
+            }
+        };
+        self.finish(term, event);
+    }
+
+    async fn read(&self, target: &Engine) -> Option<State<Names>> {
+        let call = Call::get(target.address, "/v1/state", READ_TIMEOUT);
+        let problem = match self.client.send_whole(call, ANSWER_LIMIT).await {
+            Ok((200, body)) => match serde_json::from_slice(&body) {
+                Ok(Answer { loaded, role }) => return Some(State { loaded, role }),
+                Err(error) => error.to_string(),
+            },
+            Ok((status, _)) => format!("status {status}"),
+            Err(error) => error.to_string(),
+        };
+        log::debug!("orders: state of {} not read: {problem}", target.name);
+        None
+    }
+
+    /// Asks the state machine immediately before an order leaves.
+    fn may_send(&self, term: u64, engine: u32, number: u64) -> bool {
+        let mut inner = self.lock();
+        let orders = inner.orders.as_mut().filter(|orders| orders.term() == term);
+        let until = self.leads_until(term);
+        // Read after everything else that takes time.
+        let now = self.started.elapsed();
+        orders.is_some_and(|orders| orders.send(engine, number, now, until))
+    }
+
+    async fn order(&self, target: &Engine, order: &Order<Names>, call: Call) -> End {
+        let Engine { name, .. } = target;
+        log::info!("orders: {name}: {} sent", report::text(order));
+        let (end, problem) = match self.client.send_whole(call, ANSWER_LIMIT).await {
+            Ok((200..=299, _)) => return End::Done,
+            Ok((status @ 500.., _)) => (End::Unanswered, format!("status {status}")),
+            Ok((status, body)) => {
+                let body = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
+                (End::Refused, format!("status {status}: {body}"))
+            }
+            Err(error) if error.is_not_sent() => (End::Refused, error.to_string()),
+            Err(error) => (End::Unanswered, error.to_string()),
+        };
+        log::warn!("orders: {name}: {} failed: {problem}", report::text(order));
+        end
+    }
+
+    /// End of the leader lease of `term` on this object's clock; zero without one.
+    fn leads_until(&self, term: u64) -> Duration {
+        let leadership = self.replica.leadership().filter(|it| it.term == term);
+        leadership.map_or(Duration::ZERO, |it| {
+            it.until.saturating_duration_since(self.started)
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Engine {
+    /// The engine behind a target; none for a plain service.
+    fn new(name: &TargetName, target: &Target) -> Option<Self> {
+        let Role::Engine(kind) = &target.role else {
+            return None;
+        };
+        let loaded = target.loaded.iter().map(ToString::to_string).collect();
+        let role = kind.as_str().to_owned();
+        Some(Self {
+            name: name.clone(),
+            address: target.address,
+            desired: State { loaded, role },
+            checks_fencing: target.checks_fencing,
+        })
+    }
+}
+
+fn order_call(target: &Engine, order: &Order<Names>, fencing: u64, timeout: Duration) -> Call {
+    let (order, model, role) = match order {
+        Order::Load(model) => ("load", Some(model.as_str()), None),
+        Order::Role(role) => ("role", None, Some(role.as_str())),
+        Order::Unload(model) => ("unload", Some(model.as_str()), None),
+    };
+    let body = Body {
+        order,
+        model,
+        role,
+        fencing,
+    };
+    Call::post_json(target.address, "/v1/orders", &body, timeout)
+}
--- /dev/null
+++ b/crates/azurelug-control/src/orders/report.rs
@@ -0,0 +1,116 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use azurelug_coordination::orders::{End, Order, Row, Waiting};
+use azurelug_types::id::TargetName;
+use serde::Serialize;
+
+use super::{Engine, Engines, Names};
+
+/// What this daemon knows of the engines, or what it knew when it last led.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Whether this daemon holds the leader lease.
+    leads: bool,
+    /// The fencing number of its orders.
+    fencing: Option<u64>,
+    engines: Vec<Line>,
+}
+
+/// One engine.
+#[derive(Debug, Serialize)]
+struct Line {
+    target: TargetName,
+    number: u32,
+    desired: Models,
+    /// As last read; none if it was not read in this term.
+    actual: Option<Models>,
+    read_ms_ago: Option<u128>,
+    last_order: Option<LastOrder>,
+    /// Failed reads, and orders without effect, in a row.
+    misses: u32,
+    /// Why it gets no order now.
+    waiting: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct Models {
+    loaded: BTreeSet<String>,
+    role: String,
+}
+
+#[derive(Debug, Serialize)]
+struct LastOrder {
+    order: String,
+    sent_ms_ago: u128,
+    end: &'static str,
+}
+
+impl Engines {
+    /// What is known of the engines, for operators.
+    pub fn report(&self) -> Report {
+        let now = self.started.elapsed();
+        let inner = self.lock();
+        let Some(orders) = &inner.orders else {
+            return Report {
+                leads: false,
+                fencing: None,
+                engines: Vec::new(),
+            };
+        };
+        let leads = now < self.leads_until(orders.term());
+        let line = |row: Row<Names>| Some(line(inner.targets.get(&row.engine)?, row, now));
+        Report {
+            leads,
+            fencing: Some(orders.term()),
+            engines: orders.rows(now).filter_map(line).collect(),
+        }
+    }
+}
+
+fn line(engine: &Engine, row: Row<Names>, now: Duration) -> Line {
+    let ago = |at: Duration| now.saturating_sub(at).as_millis();
+    Line {
+        target: engine.name.clone(),
+        number: row.engine,
+        desired: Models {
+            loaded: engine.desired.loaded.clone(),
+            role: engine.desired.role.clone(),
+        },
+        actual: row.state.map(|state| Models {
+            loaded: state.loaded,
+            role: state.role,
+        }),
+        read_ms_ago: row.read_at.map(ago),
+        last_order: row.last.map(|(order, sent_at, end)| LastOrder {
+            order: text(&order),
+            sent_ms_ago: ago(sent_at),
+            end: match end {
+                None => "running",
+                Some(End::Done) => "done",
+                Some(End::Refused) => "refused",
+                Some(End::Unanswered) => "unanswered",
+            },
+        }),
+        misses: row.misses,
+        waiting: match row.waiting {
+            Waiting::Nothing => "as desired",
+            Waiting::EarlierLeader => "the lease of an earlier leader",
+            Waiting::Read => "its state",
+            Waiting::Running => "the running order",
+            Waiting::Unanswered => "an order without an answer",
+            Waiting::Store => "the weight store's rate",
+            Waiting::Others => "orders to other engines",
+            Waiting::Retry => "the next attempt",
+        },
+    }
+}
+
+/// An order as logs and reports show it.
+pub(super) fn text(order: &Order<Names>) -> String {
+    match order {
+        Order::Load(model) => format!("load {model}"),
+        Order::Role(role) => format!("role {role}"),
+        Order::Unload(model) => format!("unload {model}"),
+    }
+}
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -74,6 +74,15 @@
     Busy,
 }
 
+/// The right to act as the only leader for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leadership {
+    /// The term, which is the fencing number of orders.
+    pub term: u64,
+    /// End of the leader lease.
+    pub until: Instant,
+}
+
 /// A handle to the task. Clones share it.
 #[derive(Clone)]
 pub struct Replica {
@@ -81,6 +90,7 @@
     machine: Arc<RwLock<Machine>>,
     config: watch::Receiver<Arc<Config>>,
     fresh_as_of: watch::Receiver<Option<Instant>>,
+    leadership: watch::Receiver<Option<Leadership>>,
     peers: Peers,
 }
 
@@ -178,6 +188,12 @@
         self.fresh_as_of.borrow().map(|as_of| as_of.elapsed())
     }
 
+    /// The latest leader lease of this member, if it leads. It may have ended already: compare it with
+    /// a fresh reading of the clock.
+    pub fn leadership(&self) -> Option<Leadership> {
+        *self.leadership.borrow()
+    }
+
     /// The log's state.
     pub async fn dump(&self) -> Option<State> {
         let (reply, state) = oneshot::channel();
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -21,7 +21,7 @@
 use tokio::task::block_in_place;
 use tokio::time::{Instant, sleep_until};
 
-use super::{Missed, Replica, Request};
+use super::{Leadership, Missed, Replica, Request};
 use crate::disk::{self, Disk};
 use crate::internal::wall_clock_ms;
 use crate::peers::Peers;
@@ -67,6 +67,7 @@
     machine: Arc<RwLock<Machine>>,
     config: watch::Sender<Arc<Config>>,
     fresh_as_of: watch::Sender<Option<Instant>>,
+    leadership: watch::Sender<Option<Leadership>>,
     next_token: u64,
     /// Proposals that the log has not placed yet.
     proposed: HashMap<u64, Reply>,
@@ -117,11 +118,13 @@
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
         let machine = Arc::new(RwLock::new(machine));
         let fresh_as_of = watch::Sender::new(None);
+        let leadership = watch::Sender::new(None);
         let replica = Replica {
             requests: sender,
             machine: Arc::clone(&machine),
             config: config.subscribe(),
             fresh_as_of: fresh_as_of.subscribe(),
+            leadership: leadership.subscribe(),
             peers: peers.clone(),
         };
         let started = Instant::now();
@@ -134,6 +137,7 @@
             machine,
             config,
             fresh_as_of,
+            leadership,
             next_token: 0,
             proposed: HashMap::new(),
             placed: BTreeMap::new(),
@@ -242,7 +246,15 @@
 
     fn step(&mut self, event: Event, batch: &mut Batch) {
         let now = self.started.elapsed();
-        for action in self.node.step(event, now) {
+        let actions = self.node.step(event, now);
+        // Published before any message leaves: a leader that hands over gives its lease up first.
+        let until = self.node.lease_until();
+        let leadership = until.map(|until| Leadership {
+            term: self.node.term(),
+            until: self.started + until,
+        });
+        self.leadership.send_replace(leadership);
+        for action in actions {
             match action {
                 Action::Persist(write) => batch.writes.push(write),
                 Action::Send(message) => batch.sends.push(message),
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -18,6 +18,7 @@
 use crate::disk::{self, Disk, Generation};
 use crate::internal::Internal;
 use crate::operators::Operators;
+use crate::orders::Engines;
 use crate::peers::Peers;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
@@ -93,6 +94,8 @@
         generation.is_first,
     );
     tokio::spawn(shares.clone().run(replica.watch()));
+    let engines = Engines::new(settings.orders, replica.clone())?;
+    tokio::spawn(engines.clone().run());
     let registry = Arc::new(Registry::default());
     let internal = Internal {
         replica: replica.clone(),
@@ -107,6 +110,7 @@
         replica: replica.clone(),
         registry,
         shares,
+        engines,
     };
     log::info!(
         "control: {} serves operators on {} and daemons on {}",
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
+use azurelug_coordination::orders::Store;
 use azurelug_settings::log_setup::Log;
+use azurelug_settings::span::Span;
 use azurelug_settings::{Error, read};
 use azurelug_types::id::{DaemonName, ZoneName};
 use bpaf::Bpaf;
@@ -44,11 +47,53 @@
     pub data: PathBuf,
     /// All control daemons of the cluster, this one included.
     pub members: Vec<Member>,
+    /// Orders to engines.
+    #[serde(default)]
+    pub orders: Orders,
     /// Logs.
     #[serde(default)]
     pub log: Log,
 }
 
+/// Orders to engines. All control daemons must have the same values, because any may lead.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Orders {
+    /// The longest time that an engine takes to carry out an order, such as loading a model.
+    pub longest_order: Span,
+    /// Time between two reads of an engine that is as desired.
+    pub read_interval: Span,
+    /// The weight store's rate; none limits nothing.
+    pub weight_store: Option<WeightStore>,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            longest_order: Span(Duration::from_secs(120)),
+            read_interval: Span(Duration::from_secs(60)),
+            weight_store: None,
+        }
+    }
+}
+
+/// The rate at which engines may start to load models from the weight store.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightStore {
+    /// Loads that may start within any span of `per`; they are spread evenly.
+    pub loads: u32,
+    /// The span.
+    pub per: Span,
+}
+
+impl WeightStore {
+    /// The limit in tokens; none if the numbers are 0 or too large.
+    pub fn store(self) -> Option<Store> {
+        Store::spread(self.loads, self.per.0)
+    }
+}
+
 /// One control daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -113,6 +158,25 @@
                 );
             }
         }
+        if self.orders.longest_order.0.is_zero() {
+            let help = "write how long an engine takes to load a model at most, for instance 2m";
+            return problem("orders.longest_order", "0ms".to_owned(), help);
+        }
+        if self.orders.read_interval.0 < Duration::from_secs(1) {
+            let help = "write 1s or more; 60s keeps the cost of 1,900 engines low";
+            return problem(
+                "orders.read_interval",
+                self.orders.read_interval.to_string(),
+                help,
+            );
+        }
+        if let Some(limit) = self.orders.weight_store
+            && limit.store().is_none()
+        {
+            let message = format!("{} loads per {} can't be counted", limit.loads, limit.per);
+            let help = "write 1 to 4,000,000 loads per 1ms to 40 days, or leave `weight_store` out";
+            return problem("orders.weight_store", message, help);
+        }
         self.log.check(path)?;
         read::shared_key(&self.key_file).map(|_| ())
     }
--- a/crates/azurelug-coordination/src/raft/probe.rs
+++ b/crates/azurelug-coordination/src/raft/probe.rs
@@ -21,8 +21,10 @@
         times.get(membership.majority() - 1).copied().flatten()
     }
 
-    /// End of the leader lease; `None` without one.
-    pub(super) fn lease_until(&self) -> Option<Duration> {
+    /// End of the leader lease on the clock of `step`; `None` without one. An order that must come
+    /// from the only leader may leave until then.
+    #[must_use]
+    pub fn lease_until(&self) -> Option<Duration> {
         let leadership = self.leadership.as_ref()?;
         let handing_over = leadership
             .transfer
--- a/crates/azurelug-entry/src/call.rs
+++ b/crates/azurelug-entry/src/call.rs
@@ -32,6 +32,8 @@
         call: CallId,
         /// Whether the target provably got no byte.
         is_not_sent: bool,
+        /// Whether the target provably did no work for it.
+        is_undone: bool,
     },
 }
 
@@ -81,8 +83,11 @@
                     slot.abandon(Completion::Failure);
                 }
                 let call = self.call.clone();
-                let is_not_sent = failure.is_not_sent;
-                let message = Message::Failed { call, is_not_sent };
+                let message = Message::Failed {
+                    call,
+                    is_not_sent: failure.is_not_sent,
+                    is_undone: failure.is_undone,
+                };
                 // The request may have ended already.
                 let _ = self.messages.send(message).await;
             }
@@ -113,17 +118,13 @@
                 TOKEN_TIMEOUT
             };
             let next = timeout(limit, tokens.next()).await;
-            let next = next.map_err(|_| Failure {
-                is_not_sent: false,
-                is_ended: false,
-                message: format!("no token within {} ms", limit.as_millis()),
+            let next = next.map_err(|_| {
+                let limit = limit.as_millis();
+                Failure::after_sending(format!("no token within {limit} ms"))
             })??;
             let Some(token) = next else {
-                return Err(Failure {
-                    is_not_sent: false,
-                    is_ended: false,
-                    message: "the stream ended before its last token".to_owned(),
-                });
+                let message = "the stream ended before its last token";
+                return Err(Failure::after_sending(message));
             };
             if first_token.is_none() {
                 first_token = Some(slot.elapsed());
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -192,11 +192,15 @@
     async fn receive(&mut self, message: Message) -> Step {
         match message {
             Message::Event(event) => self.take(event).await,
-            Message::Failed { call, is_not_sent } => {
+            Message::Failed {
+                call,
+                is_not_sent,
+                is_undone,
+            } => {
                 if is_not_sent {
                     self.ledger.was_not_sent();
                 }
-                let may_retry = self.may_retry(&call, is_not_sent);
+                let may_retry = self.may_retry(&call, is_undone);
                 let retry_after = RETRY_AFTER;
                 self.count(&call, Use::Wasted);
                 self.take(Event::Failed {
@@ -210,14 +214,14 @@
     }
 
     /// Whether a failed call may be repeated. Takes from the stage's budget, unless another attempt
-    /// still runs or the target got no byte: such a call has not put any load on the stage.
-    fn may_retry(&mut self, call: &CallId, is_not_sent: bool) -> bool {
+    /// still runs or the target did no work: such a call has not put any load on the stage.
+    fn may_retry(&mut self, call: &CallId, is_undone: bool) -> bool {
         let Some(attempt) = self.attempts.get_mut(call) else {
             return false;
         };
         attempt.is_over = true;
         let kind = attempt.stage;
-        if is_not_sent || call.stage != self.run.stage() || self.has_live_attempt() {
+        if is_undone || call.stage != self.run.stage() || self.has_live_attempt() {
             return true;
         }
         let stage = usize::from(call.stage.0);
--- a/crates/azurelug-entry/src/engine.rs
+++ b/crates/azurelug-entry/src/engine.rs
@@ -25,6 +25,9 @@
     pub is_not_sent: bool,
     /// Whether the engine provably does no more work for the call.
     pub is_ended: bool,
+    /// Whether the engine provably did no work for the call, so that a repetition puts no load on
+    /// the stage.
+    pub is_undone: bool,
     /// For the log and the state dump.
     pub message: String,
 }
@@ -34,24 +37,29 @@
         Self {
             is_not_sent: error.is_not_sent(),
             is_ended: error.is_not_sent(),
+            is_undone: error.is_not_sent(),
             message: error.to_string(),
         }
     }
 }
 
 impl Failure {
-    /// A failure that the engine stated in a complete answer.
-    fn stated(message: impl Into<String>) -> Self {
+    /// A failure that the engine stated in a complete answer. With 404 it says that it has not loaded
+    /// the model: it was restarted, or an order to load is still on its way.
+    fn stated(status: u16) -> Self {
         Self {
             is_ended: true,
-            ..Self::after_sending(message)
+            is_undone: status == 404,
+            ..Self::after_sending(format!("status {status}"))
         }
     }
 
-    fn after_sending(message: impl Into<String>) -> Self {
+    /// A failure after which the engine may still work on the call.
+    pub fn after_sending(message: impl Into<String>) -> Self {
         Self {
             is_not_sent: false,
             is_ended: false,
+            is_undone: false,
             message: message.into(),
         }
     }
@@ -172,10 +180,7 @@
 
 /// The name under which engines serve a model: `model@version` or `model+adapter@version`.
 pub fn model_name(model: &ModelRef) -> String {
-    match &model.adapter {
-        Some(adapter) => format!("{}+{adapter}@{}", model.model, model.version),
-        None => format!("{}@{}", model.model, model.version),
-    }
+    model.to_string()
 }
 
 /// The prompt of a generate stage: the query, then the documents, best first.
@@ -277,10 +282,7 @@
     let call = Call::post_json(request.address, "/v1/completions", &body, request.timeout);
     let response = client.send(call).await?;
     if response.status() != http::StatusCode::OK {
-        return Err(Failure::stated(format!(
-            "status {}",
-            response.status().as_u16()
-        )));
+        return Err(Failure::stated(response.status().as_u16()));
     }
     Ok(Tokens {
         events: Events::new(response, request.address),
@@ -328,7 +330,7 @@
     let call = Call::post_json(request.address, path, body, request.timeout);
     let (status, body) = client.send_whole(call, ANSWER_LIMIT).await?;
     if status != 200 {
-        return Err(Failure::stated(format!("status {status}")));
+        return Err(Failure::stated(status));
     }
     serde_json::from_slice(&body)
         .map_err(|error| Failure::after_sending(format!("malformed answer: {error}")))
--- a/crates/azurelug-system/examples/control_cost.rs
+++ b/crates/azurelug-system/examples/control_cost.rs
@@ -48,6 +48,10 @@
     /// Changes of the configuration
     #[bpaf(argument("COUNT"), fallback(20))]
     changes: usize,
+    /// Answer the reads of the targets' state in this process, whose processor time then counts as
+    /// that of entry daemons; without it, connections to targets are refused
+    #[bpaf(switch)]
+    engines: bool,
 }
 
 #[tokio::main]
@@ -65,7 +69,7 @@
     })
     .await;
     system.leader().await;
-    for batch in changes(&system, &options).chunks(BATCH) {
+    for batch in changes(&system, &options).await.chunks(BATCH) {
         operator.change(control, batch.to_vec()).await;
     }
     let version = operator
@@ -169,7 +173,7 @@
 }
 
 /// Zones, entry daemons, accounts and targets.
-fn changes(system: &System, options: &Options) -> Vec<Change> {
+async fn changes(system: &System, options: &Options) -> Vec<Change> {
     let mut changes = system.first_changes();
     for number in 0..options.daemons {
         let entry = Entry {
@@ -201,8 +205,13 @@
         return changes;
     };
     for number in 0..options.targets {
-        let host = u32::try_from(number).expect("targets are few");
-        let address = SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + host), 80));
+        let address = if options.engines {
+            engine(STATE).await
+        } else {
+            // Nothing listens there.
+            let host = u32::try_from(number).expect("targets are few");
+            SocketAddr::from((Ipv4Addr::from(0x7fc8_0000 + host), 1))
+        };
         let target = Target {
             zone: ZoneName::from(ZONES[number % 3]),
             address,
@@ -217,6 +226,33 @@
     changes
 }
 
+/// The answer of an engine of the first kind with its model, as `GET /v1/state` gives it.
+const STATE: &str = r#"{"loaded":["embed@1"],"role":"encode","fencing":0}"#;
+
+/// Answers every request with `state` and closes the connection.
+async fn engine(state: &'static str) -> SocketAddr {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("bind; the limit on open files must be above the number of targets");
+    let address = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n{state}",
+        state.len()
+    );
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            // A request without a body fits into one read. A peer that has gone away is no matter.
+            let _ = stream.read(&mut [0; 2048]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
 fn daemon(number: usize) -> DaemonName {
     DaemonName(format!("daemon-{number}"))
 }
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -101,7 +101,24 @@
         system.launch().await
     }
 
-    async fn launch(self) -> Self {
+    /// Adds lines to the settings of every control daemon; they count from its next start.
+    ///
+    /// # Panics
+    /// If a file can't be written.
+    pub fn add_control_settings(&self, lines: &str) {
+        for zone in 0..ZONES.len() {
+            let file = self.folder.join(control_name(zone)).with_extension("yaml");
+            let text = std::fs::read_to_string(&file).expect("read a settings file");
+            std::fs::write(&file, text + lines).expect("write a settings file");
+        }
+    }
+
+    /// Starts the processes of a prepared system, sends the first patch and waits until every entry
+    /// daemon is ready.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn launch(self) -> Self {
         let mut system = self;
         for zone in &mut system.zones {
             zone.control.set_argument("--initialize", true);
--- a/crates/azurelug-system/tests/bad_settings.rs
+++ b/crates/azurelug-system/tests/bad_settings.rs
@@ -80,6 +80,28 @@
                 ));
             }
         }
+        if name == "control-a.yaml" {
+            for (orders, parts) in [
+                (
+                    "weight_store: { loads: 0, per: 1m }",
+                    vec!["orders.weight_store", "0 loads", "leave `weight_store` out"],
+                ),
+                (
+                    "weight_store: { loads: 6, per: 0s }",
+                    vec!["orders.weight_store", "per 0ms"],
+                ),
+                (
+                    "read_interval: 10ms",
+                    vec!["orders.read_interval", "10ms", "1s or more"],
+                ),
+                (
+                    "longest_order: 0s",
+                    vec!["orders.longest_order", "for instance 2m"],
+                ),
+            ] {
+                cases.push((format!("{good}orders: {{ {orders} }}\n"), parts));
+            }
+        }
         for (text, parts) in cases {
             std::fs::write(&file, text).unwrap();
             let line = refusal(binary, &file, log()).await;
--- a/crates/azurelug-types/src/config.rs
+++ b/crates/azurelug-types/src/config.rs
@@ -208,6 +208,17 @@
     64
 }
 
+impl std::fmt::Display for ModelRef {
+    /// The name under which engines serve a model: `model@version` or `model+adapter@version`.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}", self.model)?;
+        if let Some(adapter) = &self.adapter {
+            write!(formatter, "+{adapter}")?;
+        }
+        write!(formatter, "@{}", self.version)
+    }
+}
+
 impl StageKind {
     /// All kinds, in the usual order of a pipeline.
     pub const ALL: [Self; 4] = [Self::Encode, Self::Retrieve, Self::Rerank, Self::Generate];
