orders: skip engines that are as desired in each tick; measured cost

Cause: the leader used 2.36% of a core at 1,900 engines, above the goal of 1.9%. Each tick of 100 ms looked every engine up and compared its sets of models. Ruled out: longer ticks, which delay the first reads of a new leader; longer intervals between reads alone: half the reads saved 0.3 points of 2.7.

Change: an engine whose latest read showed the desired state is passed over until its next read is due.

--- a/crates/azurelug-coordination/src/orders/engine.rs
+++ b/crates/azurelug-coordination/src/orders/engine.rs
@@ -9,6 +9,8 @@
     pub(super) checks_fencing: bool,
     pub(super) phase: Phase<C>,
     known: Option<Known<C>>,
+    /// The latest read showed the desired state.
+    is_settled: bool,
     /// An order whose effect no read has shown yet.
     unproven: Option<Unproven<C>>,
     pub(super) read_due: Duration,
@@ -58,6 +60,7 @@
             checks_fencing,
             phase: Phase::Idle,
             known: None,
+            is_settled: false,
             unproven: None,
             read_due,
             order_due: Duration::ZERO,
@@ -69,12 +72,21 @@
     /// Takes another desired state over. It is looked at without delay, whatever failed before.
     pub(super) fn desire(&mut self, desired: State<C>, checks_fencing: bool, read_due: Duration) {
         self.desired = desired;
+        self.is_settled = false;
         self.checks_fencing = checks_fencing;
         self.misses = 0;
         self.order_due = Duration::ZERO;
         self.read_due = self.read_due.min(read_due);
     }
 
+    /// Whether time alone brings nothing to do for this engine before its next read.
+    pub(super) fn is_quiet(&self, now: Duration) -> bool {
+        match self.phase {
+            Phase::Idle => self.is_settled && now < self.read_due,
+            Phase::Reading { .. } | Phase::Issued { .. } | Phase::Sent { .. } => true,
+        }
+    }
+
     /// The order to give next, if the latest read may be relied on.
     pub(super) fn next(&self, now: Duration, settings: &Settings) -> Option<Order<C>> {
         let known = self.known.as_ref().filter(|known| {
@@ -95,6 +107,7 @@
         settings: &Settings,
     ) {
         self.phase = Phase::Idle;
+        self.is_settled = false;
         let Some(state) = state else {
             if let Some(known) = &mut self.known {
                 known.is_current = false;
@@ -114,7 +127,9 @@
                 self.unproven = Some(unproven);
                 self.read_due = now + settings.retry;
             }
-        } else if Order::next(&self.desired, &state).is_none() {
+        }
+        self.is_settled = Order::next(&self.desired, &state).is_none();
+        if self.is_settled && self.unproven.is_none() {
             self.misses = 0;
         }
         self.known = Some(Known {
--- a/crates/azurelug-coordination/src/orders/leader.rs
+++ b/crates/azurelug-coordination/src/orders/leader.rs
@@ -111,7 +111,7 @@
         if let Some(tokens) = &mut self.tokens {
             tokens.renew(now, leads_until);
         }
-        for engine in self.in_turn() {
+        for engine in self.in_turn(now) {
             self.consider(engine, now, &mut actions);
         }
         actions
@@ -166,15 +166,14 @@
         self.term
     }
 
-    /// All engines, beginning behind the one that got the last order.
-    fn in_turn(&self) -> Vec<C::Engine> {
-        let Some(last) = self.last_ordered else {
-            return self.engines.keys().copied().collect();
-        };
-        let behind = (Bound::Excluded(last), Bound::Unbounded);
-        let rest = self.engines.range(..=last);
-        let order = self.engines.range(behind).chain(rest);
-        order.map(|(engine, _)| *engine).collect()
+    /// The engines that something may be due for, beginning behind the one that got the last order.
+    fn in_turn(&self, now: Duration) -> Vec<C::Engine> {
+        let behind = self.last_ordered.map_or(Bound::Unbounded, Bound::Excluded);
+        let rest = self.last_ordered.map(|last| self.engines.range(..=last));
+        let engines = self.engines.range((behind, Bound::Unbounded));
+        let engines = engines.chain(rest.into_iter().flatten());
+        let due = engines.filter(|(_, engine)| !engine.is_quiet(now));
+        due.map(|(key, _)| *key).collect()
     }
 
     fn desire(&mut self, now: Duration, engine: C::Engine, state: State<C>, checks_fencing: bool) {
