--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod internal;
 pub mod metrics;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod replica;
 pub mod run;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -1,4 +1,4 @@
-//! HTTP for operators: status, configuration, patches, history, state dump.
+//! HTTP for operators: status, configuration, patches, history, engines, state dump.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use crate::daemons::{Registry, Row};
 use crate::internal::wall_clock_ms;
 use crate::metrics::{self, Reading};
+use crate::orders::{self, Engines};
 use crate::replica::{self, Replica};
 use crate::shares::{self, Shares};
 
@@ -40,6 +41,8 @@
     pub registry: Arc<Registry>,
     /// The shares of the own zone's targets.
     pub shares: Shares,
+    /// What the leader knows of the engines.
+    pub engines: Engines,
 }
 
 #[derive(Serialize)]
@@ -65,6 +68,7 @@
     freshness_age_ms: Option<u128>,
     once: Once,
     shares: Vec<shares::Row>,
+    engines: orders::Report,
     log: Option<State>,
     entry_daemons: Vec<Row>,
 }
@@ -95,6 +99,7 @@
         let (status, config, history, dump) =
             (self.clone(), self.clone(), self.clone(), self.clone());
         let (ready, metrics) = (self.clone(), self.clone());
+        let engines = self.engines.clone();
         let patches = self;
         Router::new()
             .route("/healthz", get(|| async { "ok" }))
@@ -112,6 +117,10 @@
                 get(move |request: Request| async move { config.config(&request) }),
             )
             .route("/v1/history", get(move || async move { history.history() }))
+            .route(
+                "/v1/engines",
+                get(move || async move { answer::json(200, &engines.report()) }),
+            )
             .route(
                 "/debug/state",
                 get(move || async move { dump.dump().await }),
@@ -175,6 +184,7 @@
             freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
             once: Once::of(&self.replica),
             shares: self.shares.rows(),
+            engines: self.engines.report(),
             log,
             entry_daemons: self.registry.rows(),
         };
