entry: tell a lost connection, a timeout and an error apart

Cause: the daemon reported every failed attempt as an error, so that a hanging engine was not measured as slow and a dead one kept its full limit; azurelug_http had no error for a timeout. The state machine of a request repeated an attempt with a result of the wrong kind, or far ahead of its stream, without asking the retry budget. Change: Error::TimedOut; Failure carries the completion for the router, also for plain services; timed-out calls count in the estimates through Latencies::cut_off, at no less than the median there and in the router's record, because a call with little time says nothing about speed. Action::Reject hands such an attempt to the shell, which asks the budget. Conclusion: ruled out to keep cut-off calls out of the estimates altogether (a stage that is slow as a whole would keep its small share) and to count a stream that ends early without its last token as a lost connection (the engine answered; it is an error).

--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -41,11 +41,20 @@
     p95: Duration::from_millis(800),
 };
 
+/// Calls of the running window and of the last full one.
 #[derive(Clone, Debug)]
-struct Distribution {
+struct Windows {
     running: Histogram<u32>,
     last: Histogram<u32>,
+}
+
+#[derive(Clone, Debug)]
+struct Distribution {
+    all: Windows,
+    /// Without the calls that were cut off.
+    completed: Windows,
     quantiles: Quantiles,
+    completed_quantiles: Quantiles,
     is_measured: bool,
 }
 
@@ -57,31 +66,57 @@
     window_start: Duration,
 }
 
-impl Distribution {
+impl Windows {
     fn new() -> Self {
         let histogram = Histogram::new_with_max(MAX_MS, 2).expect("the bounds are valid");
         Self {
             running: histogram.clone(),
             last: histogram,
-            quantiles: DEFAULT,
-            is_measured: false,
         }
     }
 
-    fn compute(&mut self) {
+    fn record(&mut self, latency: Duration) {
+        let millis = (latency.as_millis() as u64).clamp(1, MAX_MS);
+        self.running.saturating_record(millis);
+    }
+
+    /// The quantiles, if there are enough samples.
+    fn quantiles(&self) -> Option<Quantiles> {
         let mut both = self.last.clone();
         // Both histograms have the same bounds, so adding them cannot fail.
-        self.is_measured = both.add(&self.running).is_ok() && both.len() >= MIN_SAMPLES;
-        if !self.is_measured {
-            return;
-        }
+        both.add(&self.running).ok()?;
         let at = |quantile| Duration::from_millis(both.value_at_quantile(quantile).max(1));
-        self.quantiles = Quantiles {
+        (both.len() >= MIN_SAMPLES).then(|| Quantiles {
             mean: Duration::from_secs_f64(both.mean().max(1.0) / 1000.0),
             p50: at(0.5),
             p90: at(0.9),
             p95: at(0.95),
-        };
+        })
+    }
+
+    fn turn(&mut self) {
+        std::mem::swap(&mut self.running, &mut self.last);
+        self.running.reset();
+    }
+}
+
+impl Distribution {
+    fn new() -> Self {
+        Self {
+            all: Windows::new(),
+            completed: Windows::new(),
+            quantiles: DEFAULT,
+            completed_quantiles: DEFAULT,
+            is_measured: false,
+        }
+    }
+
+    fn compute(&mut self) {
+        let all = self.all.quantiles();
+        self.is_measured = all.is_some();
+        self.quantiles = all.unwrap_or(self.quantiles);
+        // Where hardly any call completes, the stage is slow as a whole.
+        self.completed_quantiles = self.completed.quantiles().unwrap_or(self.quantiles);
     }
 }
 
@@ -103,17 +138,22 @@
     /// A successful call took `latency`. Failures are not recorded, because they would make a
     /// failing stage look fast.
     pub fn record(&mut self, class: Class, latency: Duration) {
-        let millis = (latency.as_millis() as u64).clamp(1, MAX_MS);
-        self.classes[usize::from(class.0)]
-            .running
-            .saturating_record(millis);
+        let class = &mut self.classes[usize::from(class.0)];
+        class.all.record(latency);
+        class.completed.record(latency);
     }
 
     /// A call was cut off after `waited` and would have taken longer. It counts twice as long,
     /// because a stage that has become slow would otherwise keep the small share of the deadline
-    /// that cuts its calls off.
+    /// that cuts its calls off. It counts no less than the median: a call that had little time says
+    /// nothing about how fast the stage is.
     pub fn cut_off(&mut self, class: Class, waited: Duration) {
-        self.record(class, waited * 2);
+        let median = match self.is_measured(class) {
+            true => self.quantiles(class).p50,
+            false => Duration::ZERO,
+        };
+        let class = &mut self.classes[usize::from(class.0)];
+        class.all.record((waited * 2).max(median));
     }
 
     /// Computes the quantiles and begins a new window when it is time; about once a second.
@@ -126,8 +166,8 @@
         }
         self.window_start = now;
         for class in &mut self.classes {
-            std::mem::swap(&mut class.running, &mut class.last);
-            class.running.reset();
+            class.all.turn();
+            class.completed.turn();
         }
     }
 
@@ -137,6 +177,14 @@
         self.classes[usize::from(class.0)].quantiles
     }
 
+    /// As [`Latencies::quantiles`], without calls that were cut off as long as enough complete. These
+    /// tell when a call is late: with the calls that one hanging target costs, every call at the
+    /// other targets would get as much time, and none would be left to repeat it.
+    #[must_use]
+    pub fn completed(&self, class: Class) -> Quantiles {
+        self.classes[usize::from(class.0)].completed_quantiles
+    }
+
     /// Whether the quantiles come from the last two windows. If not, they are defaults or old, and
     /// refusing work because of them would keep them from ever being measured again.
     #[must_use]
--- a/crates/azurelug-core/src/pipeline.rs
+++ b/crates/azurelug-core/src/pipeline.rs
@@ -126,6 +126,9 @@
     Deliver(Token),
     /// Stop a call whose result is no longer needed.
     Cancel(CallId),
+    /// A result does not fit its call, which is an engine fault. Stop the call and report it as
+    /// `Failed`, so that another attempt is subject to the retry budget.
+    Reject(CallId),
     /// A result came too late, twice or for another call; count it as wasted work of this stage.
     Waste(StageIndex),
     /// The request is complete.
@@ -232,8 +235,7 @@
             (StageKind::Retrieve | StageKind::Rerank, Output::Documents(documents)) => {
                 self.context.documents = documents;
             }
-            // A result of another kind is an engine fault; the attempt counts as failed.
-            _ => return self.failed(call, true, Duration::ZERO),
+            _ => return vec![Action::Reject(call.clone())],
         }
         self.advance(call)
     }
@@ -243,7 +245,7 @@
             return vec![Action::Waste(call.stage)];
         }
         let Ok(ready) = self.stream.push(index, text) else {
-            return self.failed(call, true, Duration::ZERO);
+            return vec![Action::Reject(call.clone())];
         };
         if is_last {
             self.stream.finish_at(index + 1);
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -306,7 +306,9 @@
             Completion::TimedOut => {
                 slot.slow_start.failure();
                 let waited = latency.as_micros().min(u128::from(u32::MAX)) as u32;
-                slot.record.success(waited.saturating_mul(2));
+                // A call that had little time must not make its target look fast.
+                let median = slot.record.median().map_or(0, |(median, _)| median);
+                slot.record.success(waited.saturating_mul(2).max(median));
             }
             Completion::Cancelled => {}
         }
--- a/crates/azurelug-core/src/trace/pipeline.rs
+++ b/crates/azurelug-core/src/trace/pipeline.rs
@@ -26,7 +26,7 @@
 }
 
 /// One event and the actions that must follow, each as one text, for instance `dispatch r/1/0 from 0`,
-/// `deliver 3`, `cancel r/0/1`, `waste 0`, `complete`, `fail StageFailed`.
+/// `deliver 3`, `cancel r/0/1`, `reject r/0/1`, `waste 0`, `complete`, `fail StageFailed`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
@@ -73,6 +73,7 @@
             format!("deliver {}", token.index)
         }
         Action::Cancel(call) => format!("cancel {call}"),
+        Action::Reject(call) => format!("reject {call}"),
         Action::Waste(stage) => format!("waste {}", stage.0),
         Action::Complete => "complete".to_owned(),
         Action::Fail { reason, .. } => format!("fail {reason:?}"),
--- a/crates/azurelug-core/tests/admission.rs
+++ b/crates/azurelug-core/tests/admission.rs
@@ -459,3 +459,30 @@
     assert!(*shares.last().unwrap() > 8 * SECOND, "{shares:?}");
     assert!(latencies.needed(&stages) > 10 * SECOND);
 }
+
+/// Guards against calls with little time left that, cut off early, make their stage look fast.
+#[test]
+fn calls_that_are_cut_off_early_do_not_make_a_stage_look_fast() {
+    let (mut latencies, generate) = one_second();
+    let before = latencies.quantiles(generate).p50;
+    (0..200).for_each(|_| latencies.cut_off(generate, SECOND / 100));
+    latencies.tick(2 * SECOND);
+    assert!(latencies.quantiles(generate).p50 >= before);
+}
+
+/// Guards against one hanging target whose cut-off calls give every call at the others so much time
+/// that none is left to repeat it.
+#[test]
+fn cut_off_calls_do_not_change_when_a_call_is_late_while_others_complete() {
+    let (mut latencies, generate) = one_second();
+    (0..20).for_each(|_| latencies.cut_off(generate, 4 * SECOND));
+    latencies.tick(2 * SECOND);
+    assert!(latencies.completed(generate).p95 < 2 * SECOND);
+    assert!(latencies.quantiles(generate).p90 >= 8 * SECOND);
+    // Two windows later, no call has completed any more: the stage is slow as a whole.
+    for second in 3..40 {
+        latencies.cut_off(generate, 4 * SECOND);
+        latencies.tick(second * SECOND);
+    }
+    assert!(latencies.completed(generate).p95 >= 8 * SECOND);
+}
--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -11,7 +11,7 @@
 use azurelug_core::routing::{Completion, NoTarget, Outcome, Query, Step, Unused};
 use azurelug_core::slow_start::Position;
 use azurelug_types::config::State;
-use azurelug_types::id::{TargetName, Version, ZoneName};
+use azurelug_types::id::{TargetKey, TargetName, Version, ZoneName};
 use fleet::{SECOND, SUCCESS, fleet as zones, model, report, router, warm_router};
 use query::query;
 
@@ -320,6 +320,25 @@
     }
 }
 
+/// Guards against calls with little time that, once given up, make their target look fast and the
+/// rest of the pool slow.
+#[test]
+fn calls_that_time_out_early_do_not_make_a_target_look_fast() {
+    let mut router = warm_router(&zones(1, 1), 1);
+    let key = TargetKey(0);
+    for completion in [Completion::Success, Completion::TimedOut] {
+        for _ in 0..40 {
+            let outcome = Outcome {
+                completion,
+                ..SUCCESS
+            };
+            let call = router.begin(key, SECOND).unwrap();
+            router.finish(call, outcome, SECOND + SECOND / 1000);
+        }
+    }
+    assert_eq!(router.dump(SECOND)[0].median_us, Some(100_000));
+}
+
 /// Guards against a repeated outcome that ends a later call in the same slot of the slab.
 #[test]
 fn a_repeated_outcome_does_not_end_a_later_call() {
--- a/crates/azurelug-entry/src/call.rs
+++ b/crates/azurelug-entry/src/call.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurelug_core::latency::Class;
 use azurelug_core::pipeline::{CallId, Context, Event};
 use azurelug_core::routing::Completion;
 use azurelug_types::config::{Stage, StageKind};
@@ -76,9 +77,9 @@
                     failure.message
                 );
                 if failure.is_ended {
-                    slot.close(Completion::Failure, None);
+                    slot.close(failure.completion, None);
                 } else {
-                    slot.abandon(Completion::Failure);
+                    slot.abandon(failure.completion);
                 }
                 let call = self.call.clone();
                 let is_not_sent = failure.is_not_sent;
@@ -91,7 +92,9 @@
 
     async fn whole(&self, kind: StageKind, slot: &InFlight) -> Result<(), Failure> {
         let request = self.request(slot);
-        let output = engine::whole(&self.gateway.pooled, kind, &request).await?;
+        let output = engine::whole(&self.gateway.pooled, kind, &request).await;
+        let class = self.classes.stage(usize::from(self.call.stage.0));
+        let output = output.inspect_err(|failure| self.failed(failure, class, slot.elapsed()))?;
         self.succeeded(kind, slot.elapsed());
         let call = self.call.clone();
         self.report(Event::Finished { call, output }).await;
@@ -102,8 +105,10 @@
     async fn generate(&self, slot: &InFlight) -> Result<Option<Duration>, Failure> {
         let request = self.request(slot);
         let client = &self.gateway.pooled;
+        let head = self.classes.head(usize::from(self.call.stage.0));
+        let tokens = engine::generate(client, &request, self.max_tokens, self.resume_from).await;
         let mut tokens =
-            engine::generate(client, &request, self.max_tokens, self.resume_from).await?;
+            tokens.inspect_err(|failure| self.failed(failure, head, slot.elapsed()))?;
         let mut first_token = None;
         let mut held_up = Duration::ZERO;
         loop {
@@ -113,21 +118,16 @@
                 TOKEN_TIMEOUT
             };
             let next = timeout(limit, tokens.next()).await;
-            let next = next.map_err(|_| Failure {
-                is_not_sent: false,
-                is_ended: false,
-                message: format!("no token within {} ms", limit.as_millis()),
-            })??;
-            let Some(token) = next else {
-                return Err(Failure {
-                    is_not_sent: false,
-                    is_ended: false,
-                    message: "the stream ended before its last token".to_owned(),
-                });
+            let next = next.unwrap_or_else(|_| Err(Failure::no_token(limit)));
+            if let (Err(failure), None) = (&next, first_token) {
+                self.failed(failure, head, slot.elapsed());
+            }
+            let Some(token) = next? else {
+                let message = "the stream ended before its last token";
+                return Err(Failure::after_sending(message));
             };
             if first_token.is_none() {
                 first_token = Some(slot.elapsed());
-                let head = self.classes.head(usize::from(self.call.stage.0));
                 self.gateway.estimates.record(head, slot.elapsed());
             }
             let is_last = token.is_last;
@@ -160,6 +160,13 @@
         }
     }
 
+    /// A call that has timed out counts in the estimates as at least as long as it was waited for.
+    fn failed(&self, failure: &Failure, class: Class, waited: Duration) {
+        if failure.completion == Completion::TimedOut {
+            self.gateway.estimates.cut_off(class, waited);
+        }
+    }
+
     fn request<'a>(&'a self, slot: &InFlight) -> engine::Request<'a> {
         engine::Request {
             address: slot.address,
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -196,19 +196,23 @@
                 if is_not_sent {
                     self.ledger.was_not_sent();
                 }
-                let may_retry = self.may_retry(&call, is_not_sent);
-                let retry_after = RETRY_AFTER;
-                self.count(&call, Use::Wasted);
-                self.take(Event::Failed {
-                    call,
-                    may_retry,
-                    retry_after,
-                })
-                .await
+                let failed = self.failed(call, is_not_sent);
+                self.take(failed).await
             }
         }
     }
 
+    /// The event of a failed call, after its cost was counted and the budget was asked.
+    fn failed(&mut self, call: CallId, is_not_sent: bool) -> Event {
+        let may_retry = self.may_retry(&call, is_not_sent);
+        self.count(&call, Use::Wasted);
+        Event::Failed {
+            call,
+            may_retry,
+            retry_after: RETRY_AFTER,
+        }
+    }
+
     /// Whether a failed call may be repeated. Takes from the stage's budget, unless another attempt
     /// still runs or the target got no byte: such a call has not put any load on the stage.
     fn may_retry(&mut self, call: &CallId, is_not_sent: bool) -> bool {
@@ -318,6 +322,13 @@
                     }
                     self.count(&call, Use::Wasted);
                 }
+                Action::Reject(call) => {
+                    if let Some(attempt) = self.attempts.get(&call) {
+                        attempt.abort.abort();
+                    }
+                    let failed = self.failed(call, false);
+                    queue.extend(self.run.step(failed));
+                }
                 Action::Waste(StageIndex(stage)) => {
                     let stage = self.pipeline.stages[usize::from(stage)].kind;
                     self.gateway
--- a/crates/azurelug-entry/src/engine.rs
+++ b/crates/azurelug-entry/src/engine.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use azurelug_core::pipeline::{CallId, Context, Output};
+use azurelug_core::routing::Completion;
 use azurelug_http::client::{Call, Events};
 use azurelug_http::{Client, Error};
 use azurelug_types::config::{ModelRef, StageKind};
@@ -25,15 +26,27 @@
     pub is_not_sent: bool,
     /// Whether the engine provably does no more work for the call.
     pub is_ended: bool,
+    /// What the failure says about the engine.
+    pub completion: Completion,
     /// For the log and the state dump.
     pub message: String,
 }
 
+/// What an error of a call says about its target.
+pub fn completion(error: &Error) -> Completion {
+    match error {
+        Error::NoAnswer { .. } => Completion::Broken,
+        Error::TimedOut { .. } => Completion::TimedOut,
+        _ => Completion::Failure,
+    }
+}
+
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         Self {
             is_not_sent: error.is_not_sent(),
             is_ended: error.is_not_sent(),
+            completion: completion(&error),
             message: error.to_string(),
         }
     }
@@ -48,13 +61,23 @@
         }
     }
 
-    fn after_sending(message: impl Into<String>) -> Self {
+    /// A failure after which the engine may still work for the call.
+    pub fn after_sending(message: impl Into<String>) -> Self {
         Self {
             is_not_sent: false,
             is_ended: false,
+            completion: Completion::Failure,
             message: message.into(),
         }
     }
+
+    /// A stream without a token for `waited`.
+    pub fn no_token(waited: Duration) -> Self {
+        Self {
+            completion: Completion::TimedOut,
+            ..Self::after_sending(format!("no token within {} ms", waited.as_millis()))
+        }
+    }
 }
 
 /// One call of a stage.
--- a/crates/azurelug-entry/src/estimates.rs
+++ b/crates/azurelug-entry/src/estimates.rs
@@ -12,8 +12,8 @@
 use azurelug_types::id::PipelineName;
 
 /// A stage may use at least this part of the time that the other stages leave. Its measured share
-/// alone would cut off every call of a fast stage that turns slower, and as failures are not
-/// recorded, the share would never grow.
+/// alone would cut off every call of a fast stage that turns slower, until enough of them were
+/// recorded as cut off.
 const LEAST_PART: u32 = 8;
 
 /// An attempt that takes this many times the p95 is taken for lost.
@@ -101,6 +101,11 @@
         self.lock().latencies.record(class, latency);
     }
 
+    /// Records a call that was given up after `waited`.
+    pub fn cut_off(&self, class: Class, waited: Duration) {
+        self.lock().latencies.cut_off(class, waited);
+    }
+
     /// Computes the quantiles; about once a second.
     pub fn tick(&self, now: Duration) {
         self.lock().latencies.tick(now);
@@ -126,7 +131,7 @@
 
     /// How late a call must be before it is hedged.
     pub fn p95(&self, class: Class) -> Duration {
-        self.lock().latencies.quantiles(class).p95
+        self.lock().latencies.completed(class).p95
     }
 
     /// How long a call may wait for a slot: the stage's share of the remaining deadline, as long as
@@ -162,9 +167,9 @@
         let slack = remaining
             .saturating_sub(needed(latencies, later))
             .max(share);
-        let expected = latencies.quantiles(head);
+        let expected = latencies.completed(head);
         let late = expected.p95 * LATE_FACTOR;
-        let retry_time = latencies.quantiles(classes.stages[stage]).p90;
+        let retry_time = latencies.completed(classes.stages[stage]).p90;
         let most = match slack.checked_sub(retry_time) {
             Some(left) if left >= expected.p95 => left.min(late).max(slack / 2),
             _ => slack,
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -16,6 +16,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::{Instant, sleep};
 
+use crate::engine::completion;
 use crate::gateway::{Gateway, InFlight, Running};
 use crate::refuse;
 
@@ -122,7 +123,7 @@
                     ledger.was_not_sent();
                     slot.close(Completion::Failure, None);
                 } else {
-                    slot.abandon(Completion::Failure);
+                    slot.abandon(completion(&error));
                 }
             }
         }
@@ -207,7 +208,7 @@
         Err(error) => {
             log::warn!("entry: request {}: {error}", job.id);
             if !error.is_not_sent() {
-                slot.abandon(Completion::Failure);
+                slot.abandon(completion(&error));
                 let reason = Reason::UnknownOutcome;
                 return Err(refuse::refusal(&job.id.0, reason, Execution::Unknown, None));
             }
--- a/crates/azurelug-http/src/client.rs
+++ b/crates/azurelug-http/src/client.rs
@@ -119,7 +119,8 @@
     /// Sends the call once and returns the head of the answer with its streaming body.
     ///
     /// # Errors
-    /// `NotSent` if no connection could be opened, `NoAnswer` if the call was sent at least in part.
+    /// `NotSent` if no connection could be opened; if the call was sent at least in part, `TimedOut` if
+    /// the time is up and `NoAnswer` if the connection broke.
     pub async fn send(&self, call: Call) -> Result<Response, Error> {
         let address = call.address;
         let uri = format!("http://{address}{}", call.path);
@@ -141,10 +142,10 @@
                 address,
                 message: error.to_string(),
             }),
-            Err(_) => {
-                let message = format!("timeout after {} ms", call.timeout.as_millis());
-                Err(Error::NoAnswer { address, message })
-            }
+            Err(_) => Err(Error::TimedOut {
+                address,
+                waited: call.timeout,
+            }),
         }
     }
 
@@ -163,9 +164,9 @@
             Ok(Ok(body)) => Ok((status, body)),
             Ok(Err(Error::Build { message })) => Err(Error::NoAnswer { address, message }),
             Ok(Err(error)) => Err(error),
-            Err(_) => Err(Error::NoAnswer {
+            Err(_) => Err(Error::TimedOut {
                 address,
-                message: "timeout in the body".to_owned(),
+                waited: limit_of_time,
             }),
         }
     }
--- a/crates/azurelug-http/src/error.rs
+++ b/crates/azurelug-http/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the HTTP shells.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What went wrong, and what to do about it.
 #[derive(Debug, thiserror::Error)]
@@ -31,7 +32,7 @@
         /// The cause.
         message: String,
     },
-    /// The request was sent at least in part, and no complete answer came back.
+    /// The request was sent at least in part, and the connection broke before the answer was complete.
     #[error("no complete answer from {address}: {message}; whether it ran is unknown")]
     NoAnswer {
         /// The peer.
@@ -39,6 +40,14 @@
         /// The cause.
         message: String,
     },
+    /// The request was sent at least in part, and no complete answer came in time.
+    #[error("no complete answer from {address} within {waited:?}; whether it ran is unknown")]
+    TimedOut {
+        /// The peer.
+        address: SocketAddr,
+        /// The time that the call was given.
+        waited: Duration,
+    },
     /// The body is longer than the limit.
     #[error("body of more than {limit} bytes; send a shorter one")]
     TooLarge {
