routing: draw pairs in random order

Cause: found while prompts were sent to an idle zone: Floyd's sampling yields a random set but not a random order, and the first of equal candidates wins. The last available member of a pool never came first, so that an idle pool of two sent everything to one target. Change: each drawn member changes places with a random one of those drawn. Measured: an_idle_pool_uses_all_its_targets_alike fails without the change (200 and 0 choices for two targets) and passes with it for two to five targets; all tests and traces of core pass. Conclusion: ruled out to break ties by score alone (equal loads are the usual case in an idle zone).

--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -478,6 +478,8 @@
             pick
         };
         drawn[step] = Some(fresh);
+        // The sample is in no random order yet, and the first of equal candidates wins.
+        drawn.swap(step, random.random_range(0..=step));
     }
     drawn
 }
--- a/crates/azurelug-core/tests/routing.rs
+++ b/crates/azurelug-core/tests/routing.rs
@@ -339,6 +339,23 @@
     assert_eq!(router.dump(SECOND)[0].median_us, Some(100_000));
 }
 
+/// Guards against an idle pool whose last member never wins a comparison of equals.
+#[test]
+fn an_idle_pool_uses_all_its_targets_alike() {
+    for size in 2..6 {
+        let mut router = warm_router(&zones(1, size), 1);
+        let mut counts = vec![0; size];
+        for _ in 0..size * 100 {
+            let choice = router.choose(&query(&model(), &[]), SECOND).unwrap();
+            counts[choice.target.0 as usize] += 1;
+        }
+        assert!(
+            counts.iter().all(|count| (70..130).contains(count)),
+            "{counts:?}"
+        );
+    }
+}
+
 /// Guards against a repeated outcome that ends a later call in the same slot of the slab.
 #[test]
 fn a_repeated_outcome_does_not_end_a_later_call() {
