--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -4,6 +4,7 @@
 //! flight. Never chooses or begins a call at a target or in a zone that is draining, and never
 //! exceeds the slots of a target.
 
+mod blocks;
 mod call;
 mod choice;
 mod load;
@@ -22,6 +23,7 @@
 use rand_pcg::Pcg32;
 
 pub use crate::slow_start::LoadReport;
+pub use blocks::{BLOCK, MAX_BLOCKS, blocks};
 pub use call::{CallKey, Completion, Finished, Outcome};
 pub use choice::{Candidate, Choice, NoTarget, Query, Step, TargetState, Unused};
 pub use prefix::{CacheChange, CacheEvent};
@@ -306,7 +308,9 @@
             Completion::TimedOut => {
                 slot.slow_start.failure();
                 let waited = latency.as_micros().min(u128::from(u32::MAX)) as u32;
-                slot.record.success(waited.saturating_mul(2));
+                // A call that had little time must not make its target look fast.
+                let median = slot.record.median().map_or(0, |(median, _)| median);
+                slot.record.success(waited.saturating_mul(2).max(median));
             }
             Completion::Cancelled => {}
         }
@@ -476,6 +480,8 @@
             pick
         };
         drawn[step] = Some(fresh);
+        // The sample is in no random order yet, and the first of equal candidates wins.
+        drawn.swap(step, random.random_range(0..=step));
     }
     drawn
 }
--- a/crates/azurelug-core/src/routing/observe.rs
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -36,6 +36,29 @@
         }
     }
 
+    /// The answer to a poll of a target's cache events: those that its engine has published from
+    /// `cache_next` on, in any order. What was stored before a gap is forgotten, because a lost event
+    /// may have removed it; what is stored after the gap counts again.
+    pub fn cache_answer(
+        &mut self,
+        target: TargetKey,
+        start_stamp: u64,
+        events: &[CacheEvent],
+        now: Duration,
+    ) {
+        if self.table.target(target).is_some() {
+            self.prefixes.answer(target, start_stamp, events, now);
+        }
+    }
+
+    /// The number of the cache event of a target that is needed next.
+    #[must_use]
+    pub fn cache_next(&self, target: TargetKey) -> u64 {
+        self.table
+            .target(target)
+            .map_or(0, |_| self.prefixes.next(target))
+    }
+
     /// The complete list of a target's cached blocks as of `sequence`. Returns whether it was
     /// recent enough to be used.
     pub fn cache_resync(
@@ -89,6 +112,17 @@
         }
     }
 
+    /// Whether a target is on its way out of service: drained, removed, or on a VM that leaves.
+    #[must_use]
+    pub fn is_leaving(&self, target: TargetKey) -> bool {
+        let is_drained_here = self
+            .table
+            .target(target)
+            .is_some_and(|entry| self.locally_drained.contains(&entry.zone));
+        let slot = self.slots.get(target.0 as usize);
+        is_drained_here || !self.table.in_service(target) || slot.is_some_and(|it| it.leaving)
+    }
+
     /// Looks for outliers in each group of targets. To be called about once a second; this is the
     /// only part whose cost grows with the number of targets.
     pub fn tick(&mut self, now: Duration) {
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -1,13 +1,16 @@
 //! Drives one pipeline request: carries out the actions of `azurelug_core::pipeline`.
 
+mod moves;
+
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_core::outcome::Ledger;
 use azurelug_core::pipeline::{Action, CallId, Event, Run};
 use azurelug_core::retry;
-use azurelug_core::routing::{Need, NoTarget, Query};
+use azurelug_core::routing::{Need, NoTarget, Query, blocks};
 use azurelug_core::stream::Token;
 use azurelug_types::config::{Pipeline, Stage, StageKind};
 use azurelug_types::id::{RequestId, StageIndex, TargetKey};
@@ -19,6 +22,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::call::{self, Message};
+use crate::engine;
 use crate::estimates::{Classes, is_short};
 use crate::gateway::Gateway;
 use crate::metrics::{Repeat, Use};
@@ -76,6 +80,7 @@
     stage: StageKind,
     target: String,
     key: TargetKey,
+    address: SocketAddr,
     started: Instant,
     tokens: u64,
     abort: AbortHandle,
@@ -102,6 +107,7 @@
     ledger: Ledger,
     messages: mpsc::Sender<Message>,
     late: Option<Late>,
+    moves: moves::Move,
     tasks: JoinSet<()>,
     attempts: HashMap<CallId, Attempt>,
     reports: Vec<StageReport>,
@@ -143,6 +149,7 @@
         ledger: Ledger::default(),
         messages,
         late: None,
+        moves: moves::Move::default(),
         tasks: JoinSet::new(),
         attempts: HashMap::new(),
         reports: Vec::new(),
@@ -185,6 +192,7 @@
             () = sleep_until(late_at.unwrap_or(driver.deadline)), if late_at.is_some() => {
                 driver.hedge().await
             }
+            () = sleep_until(driver.moves.look_at) => driver.look().await,
             () = sleep_until(driver.deadline) => driver.take(Event::DeadlinePassed).await,
         };
     }
@@ -202,19 +210,23 @@
                 if is_not_sent {
                     self.ledger.was_not_sent();
                 }
-                let may_retry = self.may_retry(&call, is_undone);
-                let retry_after = RETRY_AFTER;
-                self.count(&call, Use::Wasted);
-                self.take(Event::Failed {
-                    call,
-                    may_retry,
-                    retry_after,
-                })
-                .await
+                let failed = self.failed(call, is_undone);
+                self.take(failed).await
             }
         }
     }
 
+    /// The event of a failed call, after its cost was counted and the budget was asked.
+    fn failed(&mut self, call: CallId, is_undone: bool) -> Event {
+        let may_retry = self.may_retry(&call, is_undone);
+        self.count(&call, Use::Wasted);
+        Event::Failed {
+            call,
+            may_retry,
+            retry_after: RETRY_AFTER,
+        }
+    }
+
     /// Whether a failed call may be repeated. Takes from the stage's budget, unless another attempt
     /// still runs or the target did no work: such a call has not put any load on the stage.
     fn may_retry(&mut self, call: &CallId, is_undone: bool) -> bool {
@@ -283,6 +295,7 @@
             && let Some(attempt) = self.attempts.get_mut(call)
         {
             attempt.tokens += 1;
+            self.delivered(call);
         }
         let before = self.run.stage();
         let actions = self.run.step(event);
@@ -324,6 +337,13 @@
                     }
                     self.count(&call, Use::Wasted);
                 }
+                Action::Reject(call) => {
+                    if let Some(attempt) = self.attempts.get(&call) {
+                        attempt.abort.abort();
+                    }
+                    let failed = self.failed(call, false);
+                    queue.extend(self.run.step(failed));
+                }
                 Action::Waste(StageIndex(stage)) => {
                     let stage = self.pipeline.stages[usize::from(stage)].kind;
                     self.gateway
@@ -360,10 +380,17 @@
             .filter(|(earlier, _)| earlier.stage == call.stage)
             .map(|(_, attempt)| attempt.key)
             .collect();
+        let prefix = match kind {
+            StageKind::Generate => {
+                let prompt = engine::prompt(self.run.context());
+                blocks(&engine::model_name(&stage.model), &prompt)
+            }
+            _ => Vec::new(),
+        };
         let query = Query {
             need: Need::Stage(kind, &stage.model),
             idempotent: true,
-            prefix: &[],
+            prefix: &prefix,
             exclude: &exclude,
         };
         let place = usize::from(call.stage.0);
@@ -375,7 +402,8 @@
             is_short: is_short(self.max_tokens),
         };
         let taken = if self.has_live_attempt() {
-            slots::begin_now(&self.gateway, &name, &work, &query, self.deadline)?
+            let moves = self.moves.is_under_way();
+            slots::begin_now(&self.gateway, &name, &work, &query, self.deadline, moves)?
         } else {
             let limit = estimates.wait_limit(&self.classes, place, self.left());
             slots::begin(&self.gateway, &name, &work, &query, limit, self.deadline).await?
@@ -385,7 +413,7 @@
             reserve,
         } = taken;
         self.ledger.about_to_send();
-        let (target, key) = (slot.target.to_string(), slot.choice.target);
+        let (target, key, address) = (slot.target.to_string(), slot.choice.target, slot.address);
         let started = Instant::now();
         if kind != StageKind::Generate && call.attempt.0 == 0 {
             let p95 = estimates.p95(self.classes.stage(place));
@@ -400,6 +428,7 @@
             context: self.run.context().clone(),
             max_tokens: self.max_tokens,
             resume_from,
+            kv: self.kv_source(call, key),
             limit: estimates.time_limit(&self.classes, place, self.left()),
             messages: self.messages.clone(),
             reserve,
@@ -409,6 +438,7 @@
             stage: kind,
             target,
             key,
+            address,
             started,
             tokens: 0,
             abort,
--- a/crates/azurelug-entry/src/engine.rs
+++ b/crates/azurelug-entry/src/engine.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use azurelug_core::pipeline::{CallId, Context, Output};
+use azurelug_core::routing::Completion;
 use azurelug_http::client::{Call, Events};
 use azurelug_http::{Client, Error};
 use azurelug_types::config::{ModelRef, StageKind};
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 /// The longest answer of an engine that is read whole, in bytes.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
@@ -18,6 +20,12 @@
 /// Documents that a retrieve stage asks for.
 const TOP_K: u32 = 8;
 
+/// Time to copy a KV cache. A resumed stream waits for it, and the caller with it.
+const KV_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The longest KV cache that is copied, in bytes.
+const KV_LIMIT: usize = 4 * 1024 * 1024;
+
 /// Why a call failed.
 #[derive(Debug)]
 pub struct Failure {
@@ -28,16 +36,28 @@
     /// Whether the engine provably did no work for the call, so that a repetition puts no load on
     /// the stage.
     pub is_undone: bool,
+    /// What the failure says about the engine.
+    pub completion: Completion,
     /// For the log and the state dump.
     pub message: String,
 }
 
+/// What an error of a call says about its target.
+pub fn completion(error: &Error) -> Completion {
+    match error {
+        Error::NoAnswer { .. } => Completion::Broken,
+        Error::TimedOut { .. } => Completion::TimedOut,
+        _ => Completion::Failure,
+    }
+}
+
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         Self {
             is_not_sent: error.is_not_sent(),
             is_ended: error.is_not_sent(),
             is_undone: error.is_not_sent(),
+            completion: completion(&error),
             message: error.to_string(),
         }
     }
@@ -60,9 +80,18 @@
             is_not_sent: false,
             is_ended: false,
             is_undone: false,
+            completion: Completion::Failure,
             message: message.into(),
         }
     }
+
+    /// A stream without a token for `waited`.
+    pub fn no_token(waited: Duration) -> Self {
+        Self {
+            completion: Completion::TimedOut,
+            ..Self::after_sending(format!("no token within {} ms", waited.as_millis()))
+        }
+    }
 }
 
 /// One call of a stage.
@@ -290,6 +319,31 @@
     })
 }
 
+/// Copies the KV cache of an earlier call to another engine, so that it needs no prefill.
+///
+/// # Errors
+/// Why it was not copied, for instance because one of the engines does not do this.
+pub async fn move_kv(
+    client: &Client,
+    from: SocketAddr,
+    earlier: &CallId,
+    to: SocketAddr,
+) -> Result<(), Failure> {
+    let started = Instant::now();
+    let export = Call::get(from, format!("/v1/kv/{earlier}"), KV_TIMEOUT);
+    let (status, body) = client.send_whole(export, KV_LIMIT).await?;
+    if status != 200 {
+        return Err(Failure::after_sending(format!("export: status {status}")));
+    }
+    let left = KV_TIMEOUT.saturating_sub(started.elapsed());
+    let mut import = Call::post_json(to, "/v1/kv", &(), left);
+    import.body = body;
+    match client.send_whole(import, KV_LIMIT).await? {
+        (200, _) => Ok(()),
+        (status, _) => Err(Failure::after_sending(format!("import: status {status}"))),
+    }
+}
+
 /// The tokens of one generate call.
 pub struct Tokens {
     events: Events,
