core: keep calls that would not end in time away from cold targets

A cold target is several times slower; the router knew only that it is small.

Change: a query says whether the call would probably not end in time at a target in cold start (4 times its usual time, the factor of the cold sign, plus the later stages). Such a call leaves cold targets out unless all are cold. Pools hold their members in three runs, so the draw does not look at cold targets. The entry daemon sets the field for stages. The example prints causes of waste, misses and late first tokens on request.

Ruled out: retries and hedges.

--- a/crates/azurelug-core/examples/attainment.rs
+++ b/crates/azurelug-core/examples/attainment.rs
@@ -3,17 +3,24 @@
 //! see the same load reports, which lag by 300 ms. Leased shares are modelled without delay: every
 //! 500 ms a target's free slots are divided among the daemons that reach it.
 //!
-//! Run with `cargo run --release -p azurelug-core --example attainment [seeds] [scenario]`.
+//! Run with `cargo run --release -p azurelug-core --example attainment [seeds] [scenario] [causes]`;
+//! with `causes` it also prints what was wasted and why deadlines and first tokens were missed.
 
+#[path = "attainment/breakdown.rs"]
+mod breakdown;
 #[path = "attainment/daemon.rs"]
 mod daemon;
 #[path = "attainment/model.rs"]
 mod model;
+#[path = "attainment/request.rs"]
+mod request;
 #[path = "attainment/world.rs"]
 mod world;
 
+use breakdown::Breakdown;
 use model::{GENERATE, RERANK, capacity};
-use world::{Change, Result, run};
+use request::Result;
+use world::{Change, run};
 
 /// One scenario: the load as a part of the capacity, and the changes at their seconds.
 struct Scenario {
@@ -112,6 +119,7 @@
         .and_then(|it| it.parse().ok())
         .unwrap_or(20);
     let only = arguments.next();
+    let with_causes = arguments.next().is_some();
     println!(
         "seeds 1 to {seeds}; capacity {:.1} requests/s (generate), {:.1} (rerank), by calculation",
         capacity(GENERATE, 1.0),
@@ -128,6 +136,11 @@
                 })
                 .collect();
             show(is_naive, &results, scenario);
+            if with_causes {
+                let mut causes = Breakdown::default();
+                results.iter().for_each(|it| causes.merge(&it.causes));
+                causes.print(results.len());
+            }
         }
     }
     if wanted("goodput") {
--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -150,9 +150,13 @@
         &mut self,
         kind: usize,
         exclude: &[TargetKey],
+        short: bool,
+        left: Duration,
         now: Duration,
     ) -> Result<Choice, NoTarget> {
+        let stages = &self.classes[usize::from(!short)][kind..];
         let query = Query {
+            avoid_cold: !self.latencies.fits_cold(left, stages),
             need: Need::Stage(StageKind::ALL[kind], &self.models[kind]),
             idempotent: true,
             prefix: &[],
--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -4,10 +4,10 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use azurelug_core::admission::{Action, Ask, Entry, Ticket};
+use azurelug_core::admission::{Action, Ask, Entry};
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::retry::Failure;
-use azurelug_core::routing::{CallKey, Completion, LoadReport, Outcome};
+use azurelug_core::routing::{Completion, LoadReport, Outcome};
 use azurelug_core::slow_start::Position;
 use azurelug_types::config::{Config, State};
 use azurelug_types::id::{AccountKey, TargetKey};
@@ -16,6 +16,7 @@
 
 use crate::daemon::{DAEMONS, Daemon};
 use crate::model::{COLD, KINDS, Target, fleet, zone_name};
+use crate::request::{Request, Result};
 
 const DEADLINE: Duration = Duration::from_secs(12);
 const REPORT_EVERY: Duration = Duration::from_millis(500);
@@ -47,29 +48,6 @@
     LeaseExpired,
 }
 
-struct Request {
-    daemon: usize,
-    short: bool,
-    arrived: Duration,
-    kind: usize,
-    ticket: Option<Ticket>,
-    call: Option<(CallKey, usize, Duration, Duration)>,
-    attempt: u32,
-    tried: Vec<TargetKey>,
-    spent: [f64; KINDS],
-    first_token: Option<Duration>,
-    ended: bool,
-}
-
-#[derive(Default, Clone)]
-pub(crate) struct Result {
-    /// Arrival second, met its deadline, was refused, first-token time.
-    pub(crate) requests: Vec<(f64, bool, bool, Option<f64>)>,
-    pub(crate) useful: [f64; KINDS],
-    pub(crate) wasted: [f64; KINDS],
-    pub(crate) above_cold: u32,
-}
-
 pub(crate) struct World<'a> {
     now: Duration,
     end: Duration,
@@ -298,19 +276,7 @@
         let account =
             [0, 0, 0, 0, 0, 0, 1, 1, 1, 1, 1, 1, 2, 3, 4][self.random.random_range(0..15)];
         let request = self.requests.len();
-        self.requests.push(Request {
-            daemon,
-            short,
-            arrived: self.now,
-            kind: 0,
-            ticket: None,
-            call: None,
-            attempt: 0,
-            tried: Vec::new(),
-            spent: [0.0; KINDS],
-            first_token: None,
-            ended: false,
-        });
+        self.requests.push(Request::new(daemon, short, self.now));
         let stages = self.daemons[daemon].classes[usize::from(!short)];
         let ask = Ask {
             account: AccountKey(account),
@@ -351,17 +317,22 @@
 
     /// Looks for a target for the request's stage and starts the call.
     fn ask(&mut self, request: usize) {
-        let it = &self.requests[request];
-        if it.ended {
+        if self.requests[request].ended {
             return;
         }
+        if self.requests[request].admitted.is_none() {
+            self.requests[request].admitted = Some(self.now);
+            self.requests[request].since = self.now;
+        }
+        let it = &self.requests[request];
         let (kind, short, index) = (it.kind, it.short, it.daemon);
         let left = (it.arrived + DEADLINE).saturating_sub(self.now);
         if self.daemons[index].is_hopeless(kind, short, left) {
+            self.requests[request].why = "hopeless";
             return self.end(request, false, false);
         }
         let daemon = &mut self.daemons[index];
-        let choice = daemon.choose(kind, &it.tried, self.now);
+        let choice = daemon.choose(kind, &it.tried, short, left, self.now);
         let call = choice
             .ok()
             .and_then(|it| Some((daemon.begin(it.target, self.now)?, it.target)));
@@ -375,6 +346,7 @@
         let work = self.targets[target].start(short, &mut self.random, self.now);
         let it = &mut self.requests[request];
         it.attempt += 1;
+        it.waits[kind] += self.now - it.since;
         it.tried.push(key);
         it.call = Some((call, target, self.now, work.first_token));
         let attempt = it.attempt;
@@ -397,11 +369,15 @@
         let it = &mut self.requests[request];
         let (call, target, started, first_token) = it.call.take()?;
         let spent = self.now - started;
+        let cold = self.targets[target].is_cold(started);
         // An attempt that did not end well is wasted even if a later one succeeds.
         if completion == Completion::Success {
             it.spent[it.kind] += spent.as_secs_f64();
         } else {
             self.result.wasted[it.kind] += spent.as_secs_f64();
+            let temperature = if cold { "cold" } else { "warm" };
+            let cause = format!("waste, {completion:?} {} {temperature}", it.name());
+            self.result.causes.add(cause, spent.as_secs_f64());
         }
         self.targets[target].running -= 1;
         let outcome = Outcome {
@@ -429,6 +405,7 @@
             let it = &mut self.requests[request];
             it.tried.clear();
             it.kind += 1;
+            it.since = self.now;
             if it.kind == KINDS {
                 it.kind = KINDS - 1;
                 it.first_token = begun.map(|at| at - it.arrived);
@@ -437,6 +414,7 @@
             return self.ask(request);
         }
         self.stop(request, completion);
+        self.requests[request].since = self.now;
         let it = &self.requests[request];
         let daemon = &mut self.daemons[daemon];
         let stages = &daemon.classes[usize::from(!short)][kind..];
@@ -449,6 +427,7 @@
         if daemon.may_retry(kind, failure) {
             self.ask(request);
         } else {
+            self.requests[request].why = "retry denied";
             self.end(request, false, false);
         }
     }
@@ -465,6 +444,7 @@
         } else {
             &mut self.result.wasted
         };
+        it.explain(met, refused, &mut self.result.causes);
         for (sum, spent) in sum.iter_mut().zip(it.spent) {
             *sum += spent;
         }
--- a/crates/azurelug-core/examples/decision_cost.rs
+++ b/crates/azurelug-core/examples/decision_cost.rs
@@ -142,6 +142,7 @@
         idempotent: true,
         prefix,
         exclude: &[],
+        avoid_cold: false,
     }
 }
 
--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -9,6 +9,8 @@
 use azurelug_types::key;
 use hdrhistogram::Histogram;
 
+use crate::slow_start::COLD_FACTOR;
+
 /// Length of a window. Short enough to follow a stage that slows down within two deadlines.
 const WINDOW: Duration = Duration::from_secs(10);
 /// Longest latency that is told apart, in milliseconds; far above the longest deadline of 12 s.
@@ -152,6 +154,16 @@
         stages.iter().map(|it| self.quantiles(*it).p95).sum()
     }
 
+    /// Whether the first of the remaining stages would probably end in time at a target in cold start.
+    #[must_use]
+    pub fn fits_cold(&self, remaining: Duration, stages: &[Class]) -> bool {
+        let Some((first, later)) = stages.split_first() else {
+            return true;
+        };
+        let first = self.quantiles(*first).p50 * COLD_FACTOR;
+        first + self.needed(later) <= remaining
+    }
+
     /// The share of the remaining deadline that the first of the remaining stages may use: its
     /// part of the sum of their p90.
     #[must_use]
--- a/crates/azurelug-core/src/routing.rs
+++ b/crates/azurelug-core/src/routing.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod choice;
+mod draw;
 mod load;
 mod observe;
 mod pool;
@@ -32,14 +33,13 @@
 use crate::slab::Slab;
 use crate::slow_start::{Phase, Position, SlowStart};
 use call::Call;
+use draw::draw;
 use load::Load;
 use pool::Pool;
 use prefix::Index;
 
 /// Attempts whose targets are avoided.
 const MAX_EXCLUDED: usize = 4;
-/// Members drawn from a pool at most: two to compare, and one for each excluded target.
-const MAX_DRAWN: usize = MAX_EXCLUDED + 2;
 /// Load that a fully cached prefix outweighs, as a part of the limit.
 const PREFIX_BONUS: f32 = 0.25;
 /// A target that was seen cold is slow as well as small; it is used once the warm ones are busier
@@ -70,6 +70,8 @@
     /// The pools it is in, with its position in each.
     places: Vec<(usize, usize)>,
     available: bool,
+    /// Whether its pools count it as cold.
+    is_cold: bool,
     /// When the next look at it is planned.
     wake_at: Option<Duration>,
 }
@@ -128,6 +130,7 @@
             leaving: false,
             places: Vec::new(),
             available: false,
+            is_cold: false,
             wake_at: None,
         }
     }
@@ -230,6 +233,10 @@
         }
         let need = self.table.need(query.need).ok_or(NoTarget::NotConfigured)?;
         let own = self.own_zone;
+        let query = &Query {
+            avoid_cold: query.avoid_cold && self.has_warm(need),
+            ..*query
+        };
         let cached = self.prefix_holder(query, now);
         let local = own.and_then(|zone| self.best(need, zone, query, cached, now));
         let own_zone_score = local.and_then(|compared| compared[0]).map(|it| it.score);
@@ -331,6 +338,16 @@
         }
     }
 
+    /// Whether a target of the zones that the mode allows is not in cold start.
+    fn has_warm(&self, need: usize) -> bool {
+        let zones = 0..self.table.zones().len();
+        zones
+            .filter(|zone| {
+                self.mode == Mode::Normal || self.own_zone == Some(ZoneKey(*zone as u16))
+            })
+            .any(|zone| self.pools[self.table.list(need, zone)].has_warm())
+    }
+
     /// An available target that holds a part of the prefix.
     fn prefix_holder(&mut self, query: &Query<'_>, now: Duration) -> Option<prefix::Match> {
         if query.prefix.is_empty() {
@@ -338,8 +355,10 @@
         }
         let pick = self.random.random();
         let found = self.prefixes.longest(query.prefix, pick, now)?;
-        let usable =
-            self.slots[found.target.0 as usize].available && !query.exclude.contains(&found.target);
+        let slot = &self.slots[found.target.0 as usize];
+        let usable = slot.available
+            && !(query.avoid_cold && slot.is_cold)
+            && !query.exclude.contains(&found.target);
         usable.then_some(found)
     }
 
@@ -382,7 +401,7 @@
         let list = self.table.list(need, zone.0 as usize);
         let exclude = &query.exclude[..query.exclude.len().min(MAX_EXCLUDED)];
         let drawn = draw(
-            self.pools[list].available(),
+            self.pools[list].available(query.avoid_cold),
             &mut self.random,
             2 + exclude.len(),
         );
@@ -457,29 +476,6 @@
     }
 }
 
-/// Draws up to `count` different members at random.
-fn draw(
-    available: &[TargetKey],
-    random: &mut Pcg32,
-    count: usize,
-) -> [Option<TargetKey>; MAX_DRAWN] {
-    let mut drawn = [None; MAX_DRAWN];
-    let total = available.len();
-    let count = count.min(total).min(MAX_DRAWN);
-    // Floyd's sampling: each step adds a member that was not drawn before.
-    for step in 0..count {
-        let bound = total - count + step;
-        let pick = available[random.random_range(0..=bound)];
-        let fresh = if drawn[..step].contains(&Some(pick)) {
-            available[bound]
-        } else {
-            pick
-        };
-        drawn[step] = Some(fresh);
-    }
-    drawn
-}
-
 fn score(candidate: &Option<Candidate>) -> f32 {
     candidate.map_or(f32::INFINITY, |candidate| candidate.score)
 }
--- a/crates/azurelug-core/src/routing/choice.rs
+++ b/crates/azurelug-core/src/routing/choice.rs
@@ -22,6 +22,9 @@
     pub prefix: &'a [u64],
     /// Targets that earlier attempts have used; at most the first four count.
     pub exclude: &'a [TargetKey],
+    /// Whether the call would probably not end in time at a target in cold start. Such targets are
+    /// then left out, unless there are no others.
+    pub avoid_cold: bool,
 }
 
 key! {
--- a/crates/azurelug-core/src/routing/observe.rs
+++ b/crates/azurelug-core/src/routing/observe.rs
@@ -8,7 +8,7 @@
 
 use super::Router;
 use super::choice::{TargetState, Unused};
-use super::pool::Pool;
+use super::pool::{Pool, Run};
 use super::prefix::CacheEvent;
 use crate::lease_mode::Mode;
 use crate::outlier;
@@ -239,19 +239,31 @@
         if let Some(due) = ejected.into_iter().chain(expiry).min() {
             self.wake_at(target, due, now);
         }
-        if available == self.slots[index].available {
+        let slot = &self.slots[index];
+        let is_cold = slot.slow_start.phase() == Phase::Cold;
+        if is_cold != slot.is_cold {
+            for (pool, _) in &slot.places {
+                self.pools[*pool].count_cold(is_cold);
+            }
+            self.slots[index].is_cold = is_cold;
+        } else if available == slot.available {
             return;
         }
         self.slots[index].available = available;
+        let run = match (available, is_cold) {
+            (true, false) => Run::Warm,
+            (true, true) => Run::Cold,
+            (false, _) => Run::Out,
+        };
         for place in 0..self.slots[index].places.len() {
             let (pool, position) = self.slots[index].places[place];
-            let (moved_to, other) = self.pools[pool].place(position, available);
-            if other != target {
-                let places = &mut self.slots[other.0 as usize].places;
+            let slots = &mut self.slots;
+            let moved_to = self.pools[pool].place(position, run, |other, position| {
+                let places = &mut slots[other.0 as usize].places;
                 if let Some(entry) = places.iter_mut().find(|(it, _)| *it == pool) {
                     entry.1 = position;
                 }
-            }
+            });
             self.slots[index].places[place].1 = moved_to;
         }
     }
@@ -279,6 +291,7 @@
             let key = TargetKey(index as u32);
             slot.places.clear();
             slot.available = false;
+            slot.is_cold = false;
             let Some(entry) = self.table.target(key) else {
                 continue;
             };
--- a/crates/azurelug-core/src/slow_start.rs
+++ b/crates/azurelug-core/src/slow_start.rs
@@ -9,6 +9,9 @@
 
 /// Samples that the first-token median needs before it can reveal a cold turn.
 const MIN_SAMPLES: usize = 16;
+/// A first-token time over this many times the median is a sign of a cold target; one is taken to be
+/// at least this much slower.
+pub const COLD_FACTOR: u32 = 4;
 /// Consecutive first-token times over the bound that count as a cold turn. A single one is often
 /// only a long prompt.
 const SLOW_IN_A_ROW: u8 = 2;
@@ -170,7 +173,7 @@
         now: Duration,
     ) -> bool {
         let slow = median.is_some_and(|(usual, samples)| {
-            samples >= MIN_SAMPLES && first_token > usual.saturating_mul(4)
+            samples >= MIN_SAMPLES && first_token > usual.saturating_mul(COLD_FACTOR)
         });
         if slow {
             self.completed = 0;
--- a/crates/azurelug-core/src/trace/routing.rs
+++ b/crates/azurelug-core/src/trace/routing.rs
@@ -140,6 +140,7 @@
                     idempotent: *idempotent,
                     prefix: &[],
                     exclude: &[],
+                    avoid_cold: false,
                 };
                 let (got, missed) = self.call(*count, &query, now);
                 check(index, refused, &missed)?;
--- a/crates/azurelug-core/tests/slow_start.rs
+++ b/crates/azurelug-core/tests/slow_start.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use azurelug_core::routing::{CallKey, Completion, Finished, LoadReport, Outcome, Router};
+use azurelug_core::routing::{CallKey, Completion, Finished, LoadReport, Outcome, Query, Router};
 use azurelug_core::slow_start::{Phase, Position};
 use azurelug_types::config::Config;
 use azurelug_types::id::{TargetKey, TargetName};
@@ -229,3 +229,28 @@
         assert_eq!(order.len(), 12, "seed {seed}");
     }
 }
+
+/// Guards against a long call at a cold target that cannot end in time there, and against a pool
+/// that is cold as a whole and therefore serves nothing.
+#[test]
+fn a_call_that_does_not_fit_avoids_cold_targets_unless_all_are_cold() {
+    let model = model();
+    for seed in 1..=20 {
+        let mut router = warm_router(&zones(2, 2), seed);
+        let long = Query {
+            avoid_cold: true,
+            ..query(&model, &[])
+        };
+        for cold in ["a0", "b0", "b1"] {
+            report(&mut router, cold, 0, false, 1, 2 * SECOND);
+        }
+        let warm = router.table().key(&TargetName::from("a1"));
+        while let Ok(choice) = router.choose(&long, 2 * SECOND) {
+            assert_eq!(Some(choice.target), warm, "seed {seed}");
+            router.begin(choice.target, 2 * SECOND).unwrap();
+        }
+        assert!(router.choose(&query(&model, &[]), 2 * SECOND).is_ok());
+        report(&mut router, "a1", 10, false, 1, 3 * SECOND);
+        assert!(router.choose(&long, 3 * SECOND).is_ok(), "seed {seed}");
+    }
+}
--- a/crates/azurelug-core/tests/support/query.rs
+++ b/crates/azurelug-core/tests/support/query.rs
@@ -9,5 +9,6 @@
         idempotent: true,
         prefix,
         exclude: &[],
+        avoid_cold: false,
     }
 }
--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -354,14 +354,15 @@
             .filter(|(earlier, _)| earlier.stage == call.stage)
             .map(|(_, attempt)| attempt.key)
             .collect();
+        let place = usize::from(call.stage.0);
+        let estimates = Arc::clone(&self.gateway.estimates);
         let query = Query {
             need: Need::Stage(kind, &stage.model),
             idempotent: true,
             prefix: &[],
             exclude: &exclude,
+            avoid_cold: !estimates.fits_cold(&self.classes, place, self.left()),
         };
-        let place = usize::from(call.stage.0);
-        let estimates = Arc::clone(&self.gateway.estimates);
         let name = call.to_string();
         let work = Work {
             kind,
--- a/crates/azurelug-entry/src/estimates.rs
+++ b/crates/azurelug-entry/src/estimates.rs
@@ -141,6 +141,16 @@
         latencies.share(remaining, stages).min(left).max(least)
     }
 
+    /// Whether a call of the stage would probably end in time at a target in cold start.
+    pub fn fits_cold(&self, classes: &Classes, stage: usize, remaining: Duration) -> bool {
+        let state = self.lock();
+        // Of a stage that was not measured lately nothing can be said.
+        !state.latencies.is_measured(classes.stages[stage])
+            || state
+                .latencies
+                .fits_cold(remaining, &classes.stages[stage..])
+    }
+
     /// How long an attempt at a stage may take until its first sign of success: its share of the remaining deadline, but at least an eighth of the
     /// time that later stages leave and three times its p95. Half of that time is left for a retry
     /// where that does not cut off attempts that are only slow; an attempt that is the last one that
--- a/crates/azurelug-entry/src/plain.rs
+++ b/crates/azurelug-entry/src/plain.rs
@@ -306,6 +306,7 @@
         idempotent: job.is_idempotent,
         prefix: &[],
         exclude: tried,
+        avoid_cold: false,
     };
     let left = job.deadline.saturating_duration_since(Instant::now());
     let end = Instant::now() + left / SLOT_WAIT_PART;
