core: limit the time of attempts as the entry daemon does

The model limited a call by the stage's share of the deadline alone; the entry daemon has had a least part and three times the p95 beside it, in its own module.

Change: the rule moves to `azurelug_core::latency::Latencies::time_limit`; the entry daemon calls it, and the model now does the same. A call whose first token has come is not cut off, as in the daemon.

--- a/crates/azurelug-core/examples/attainment/daemon.rs
+++ b/crates/azurelug-core/examples/attainment/daemon.rs
@@ -17,7 +17,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::model::{KINDS, ZONES, model, zone_name};
+use crate::model::{GENERATE, KINDS, ZONES, model, zone_name};
 
 pub(crate) const DAEMONS: usize = 6;
 
@@ -32,6 +32,8 @@
     pub(crate) latencies: Latencies,
     /// Classes by kind, for short calls, long calls and both.
     pub(crate) classes: [[Class; KINDS]; 3],
+    /// Classes of generate calls up to the first token, for short and long calls.
+    heads: [Class; 2],
     models: [ModelRef; KINDS],
 }
 
@@ -42,6 +44,7 @@
         let mut latencies = Latencies::default();
         let classes = ["short", "long", "all"]
             .map(|length| std::array::from_fn(|kind| latencies.class(&format!("{length}/{kind}"))));
+        let heads = ["short", "long"].map(|length| latencies.class(&format!("{length}/head")));
         let mut daemon = Self {
             zone,
             rules: if is_naive {
@@ -67,6 +70,7 @@
             },
             latencies,
             classes,
+            heads,
             models: std::array::from_fn(model),
         };
         daemon.apply(config, Duration::ZERO);
@@ -182,19 +186,36 @@
         };
     }
 
-    pub(crate) fn succeeded(&mut self, kind: usize, short: bool, latency: Duration) {
-        self.latencies
-            .record(self.classes[usize::from(!short)][kind], latency);
-        self.latencies.record(self.classes[2][kind], latency);
+    pub(crate) fn succeeded(&mut self, kind: usize, short: bool, head: Duration, all: Duration) {
+        self.record(kind, short, all);
+        if kind == GENERATE {
+            self.latencies.record(self.heads[usize::from(!short)], head);
+        }
         if let Rules::Measured(_, _, budgets) = &mut self.rules {
             budgets[kind].success();
         }
     }
 
+    fn record(&mut self, kind: usize, short: bool, latency: Duration) {
+        for of in [usize::from(!short), 2] {
+            self.latencies.record(self.classes[of][kind], latency);
+        }
+    }
+
+    /// The class of a call up to its first sign of success.
+    fn head(&self, kind: usize, short: bool) -> Class {
+        if kind == GENERATE {
+            self.heads[usize::from(!short)]
+        } else {
+            self.classes[usize::from(!short)][kind]
+        }
+    }
+
     pub(crate) fn cut_off(&mut self, kind: usize, short: bool, waited: Duration) {
-        self.latencies
-            .cut_off(self.classes[usize::from(!short)][kind], waited);
-        self.latencies.cut_off(self.classes[2][kind], waited);
+        self.latencies.cut_off(self.head(kind, short), waited);
+        if kind != GENERATE {
+            self.latencies.cut_off(self.classes[2][kind], waited);
+        }
     }
 
     pub(crate) fn may_retry(&mut self, kind: usize, failure: Failure) -> bool {
@@ -210,12 +231,13 @@
         matches!(self.rules, Rules::Measured(..)) && remaining < self.latencies.needed(stages)
     }
 
-    /// How long a stage may take.
+    /// How long a stage may take until its first sign of success; the naive version times whole calls.
     pub(crate) fn timeout(&self, kind: usize, short: bool, remaining: Duration) -> Duration {
         match self.rules {
             Rules::Measured(..) => {
                 let stages = &self.classes[usize::from(!short)][kind..];
-                self.latencies.share(remaining, stages)
+                let head = self.head(kind, short);
+                self.latencies.time_limit(remaining, head, stages)
             }
             Rules::Naive(..) => naive::TIMEOUT,
         }
--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::daemon::{DAEMONS, Daemon};
+use crate::daemon::{DAEMONS, Daemon, Rules};
 use crate::model::{COLD, KINDS, Target, fleet, zone_name};
 use crate::request::{Request, Result};
 
@@ -361,7 +361,13 @@
                 Event::CallEnd(request, attempt, Completion::Failure),
             );
         }
-        self.at(timeout, Event::Timeout(request, attempt));
+        // A call whose first token has come is not cut off any more.
+        let is_timed = matches!(self.daemons[index].rules, Rules::Naive(..))
+            || !reached
+            || work.first_token > timeout;
+        if is_timed {
+            self.at(timeout, Event::Timeout(request, attempt));
+        }
     }
 
     /// Takes the running call away from the target and the router.
@@ -401,7 +407,8 @@
             let Some(spent) = self.stop(request, completion) else {
                 return;
             };
-            self.daemons[daemon].succeeded(kind, short, spent);
+            let head = begun.map_or(spent, |at| at + spent - self.now);
+            self.daemons[daemon].succeeded(kind, short, head, spent);
             let it = &mut self.requests[request];
             it.tried.clear();
             it.kind += 1;
--- a/crates/azurelug-core/src/latency.rs
+++ b/crates/azurelug-core/src/latency.rs
@@ -17,6 +17,12 @@
 const MAX_MS: u64 = 120_000;
 /// Samples needed before measured quantiles replace the defaults.
 const MIN_SAMPLES: u64 = 10;
+/// A stage may use at least this part of the time that the other stages leave. Its measured share
+/// alone would cut off every call of a fast stage that turns slower, and as failures are not
+/// recorded, the share would never grow.
+const LEAST_PART: u32 = 8;
+/// An attempt that takes this many times the p95 is taken for lost.
+const LATE_FACTOR: u32 = 3;
 
 key! {
     /// Calls whose latencies are measured together.
@@ -174,4 +180,41 @@
         let sum: Duration = stages.iter().map(|stage| self.quantiles(*stage).p90).sum();
         remaining.mul_f64(self.quantiles(*first).p90.as_secs_f64() / sum.as_secs_f64())
     }
+
+    /// How long an attempt at the first of the remaining stages may take until its first sign of
+    /// success, whose class is `head`: the first token, or the whole answer of a stage without
+    /// tokens. This is its share of the remaining deadline, but at least an eighth of the time that
+    /// later stages leave and three times its p95. Half of that time is left for a retry where that
+    /// does not cut off attempts that are only slow; an attempt that is the last one that can succeed
+    /// may use all of it.
+    #[must_use]
+    pub fn time_limit(&self, remaining: Duration, head: Class, stages: &[Class]) -> Duration {
+        let Some((whole, later)) = stages.split_first() else {
+            return remaining;
+        };
+        let mut order = vec![head];
+        if head != *whole {
+            // The tokens after the first one need their part of the deadline, too.
+            order.push(*whole);
+        }
+        order.extend(later);
+        let share = self.share(remaining, &order);
+        // Where too little time is left, the stages share what there is.
+        let slack = remaining.saturating_sub(self.usual(later)).max(share);
+        let expected = self.quantiles(head);
+        let late = expected.p95 * LATE_FACTOR;
+        let retry_time = self.quantiles(*whole).p90;
+        let most = match slack.checked_sub(retry_time) {
+            Some(left) if left >= expected.p95 => left.min(late).max(slack / 2),
+            _ => slack,
+        };
+        share.max(late).max(slack / LEAST_PART).min(most)
+    }
+
+    /// The p90 of all stages that were measured lately.
+    #[must_use]
+    pub fn usual(&self, stages: &[Class]) -> Duration {
+        let measured = stages.iter().filter(|it| self.is_measured(**it));
+        measured.map(|it| self.quantiles(*it).p90).sum()
+    }
 }
--- a/crates/azurelug-entry/src/estimates.rs
+++ b/crates/azurelug-entry/src/estimates.rs
@@ -16,9 +16,6 @@
 /// recorded, the share would never grow.
 const LEAST_PART: u32 = 8;
 
-/// An attempt that takes this many times the p95 is taken for lost.
-const LATE_FACTOR: u32 = 3;
-
 /// Generations up to this length are short calls, such as look-ups. They run before longer ones and
 /// have reserved slots, so that they are not starved.
 const SHORT_TOKENS: u32 = 64;
@@ -136,8 +133,8 @@
         let state = self.lock();
         let latencies = &state.latencies;
         let stages = &classes.stages[stage..];
-        let least = remaining.saturating_sub(needed(latencies, &stages[1..])) / LEAST_PART;
-        let left = remaining.saturating_sub(needed(latencies, stages));
+        let least = remaining.saturating_sub(latencies.usual(&stages[1..])) / LEAST_PART;
+        let left = remaining.saturating_sub(latencies.usual(stages));
         latencies.share(remaining, stages).min(left).max(least)
     }
 
@@ -151,35 +148,13 @@
                 .fits_cold(remaining, &classes.stages[stage..])
     }
 
-    /// How long an attempt at a stage may take until its first sign of success: its share of the remaining deadline, but at least an eighth of the
-    /// time that later stages leave and three times its p95. Half of that time is left for a retry
-    /// where that does not cut off attempts that are only slow; an attempt that is the last one that
-    /// can succeed may use all of it.
+    /// How long an attempt at a stage may take until its first sign of success.
     pub fn time_limit(&self, classes: &Classes, stage: usize, remaining: Duration) -> Duration {
         let state = self.lock();
-        let latencies = &state.latencies;
-        let later = &classes.stages[stage + 1..];
-
-        let head = classes.heads[stage];
-        let mut order = vec![head];
-        if head != classes.stages[stage] {
-            // The tokens after the first one need their part of the deadline, too.
-            order.push(classes.stages[stage]);
-        }
-        order.extend(later);
-        let share = latencies.share(remaining, &order);
-        // Where too little time is left, the stages share what there is.
-        let slack = remaining
-            .saturating_sub(needed(latencies, later))
-            .max(share);
-        let expected = latencies.quantiles(head);
-        let late = expected.p95 * LATE_FACTOR;
-        let retry_time = latencies.quantiles(classes.stages[stage]).p90;
-        let most = match slack.checked_sub(retry_time) {
-            Some(left) if left >= expected.p95 => left.min(late).max(slack / 2),
-            _ => slack,
-        };
-        share.max(late).max(slack / LEAST_PART).min(most)
+        let stages = &classes.stages[stage..];
+        state
+            .latencies
+            .time_limit(remaining, classes.heads[stage], stages)
     }
 
     /// How much longer requests take from admission to their answer than their stages' p90 add up
@@ -190,7 +165,7 @@
         if !latencies.is_measured(classes.total) {
             return Duration::ZERO;
         }
-        let stages = needed(latencies, &classes.stages);
+        let stages = latencies.usual(&classes.stages);
         latencies
             .quantiles(classes.total)
             .p95
@@ -199,7 +174,7 @@
 
     /// The p90 of all stages that were measured lately.
     pub fn needed(&self, classes: &Classes) -> Duration {
-        needed(&self.lock().latencies, &classes.stages)
+        self.lock().latencies.usual(&classes.stages)
     }
 
     /// Whether all stages were measured lately.
@@ -246,12 +221,3 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 }
-
-/// The p90 of all classes that were measured lately.
-fn needed(latencies: &Latencies, classes: &[Class]) -> Duration {
-    classes
-        .iter()
-        .filter(|class| latencies.is_measured(**class))
-        .map(|class| latencies.quantiles(*class).p90)
-        .sum()
-}
