core: do not eject targets while their whole pool changes its pace

The medians of the targets follow a slowdown at different times; the first to follow was compared with those that had not yet.

Change: the bound follows from the newest 8 samples of each target, and the fast quartile of a target's own newest samples must be over it as well as its median, so that a recovery ejects nobody either.

--- a/crates/azurelug-core/src/outlier.rs
+++ b/crates/azurelug-core/src/outlier.rs
@@ -11,6 +11,10 @@
 const MEDIAN_EVERY: usize = 4;
 /// Samples needed before a target is judged.
 const MIN_SAMPLES: usize = 8;
+/// The newest samples, which tell whether a change of the whole pool has reached a target.
+const NEWEST: usize = 8;
+/// Position of the fast quartile among the sorted newest samples.
+const FAST: usize = 1;
 /// A target is slow when its median is over this many times the median of the pool.
 const SLOW_FACTOR: u32 = 3;
 /// A target fails too often when more than this share of its calls fail, in percent.
@@ -104,6 +108,15 @@
         until
     }
 
+    /// The fast quartile and the median of the newest samples, once there are enough of them.
+    fn newest(&self) -> Option<(u32, u32)> {
+        let oldest = self.latency_count.checked_sub(NEWEST)?;
+        let mut newest: [u32; NEWEST] =
+            std::array::from_fn(|it| self.latencies[(oldest + it) % WINDOW]);
+        newest.sort_unstable();
+        Some((newest[FAST], newest[NEWEST / 2]))
+    }
+
     fn compute_median(&self) -> u32 {
         let count = self.latency_count.min(WINDOW);
         let mut samples = self.latencies;
@@ -118,12 +131,15 @@
 
 /// Judges one pool at `now` and ejects its outliers, the worst first. `records` must hold the
 /// whole pool, also its ejected targets. Returns the position and the end of each new ejection.
+///
+/// The newest samples of the pool are compared with all recent ones of a target. When the whole pool
+/// becomes slower, its targets' medians follow at different times, and those that follow first would
+/// otherwise look like outliers; when it recovers, those that follow last.
 pub fn judge(records: &mut [&mut Record], now: Duration) -> Vec<(usize, Duration)> {
     let mut medians: Vec<u32> = records
         .iter()
-        .filter_map(|record| record.median())
-        .filter(|(_, samples)| *samples >= MIN_SAMPLES)
-        .map(|(median, _)| median)
+        .filter_map(|record| record.newest())
+        .map(|(_, median)| median)
         .collect();
     let usual = (medians.len() >= 3).then(|| {
         // The lower middle, so that half a pool of bad targets does not hide itself.
@@ -156,7 +172,8 @@
     {
         return Some(u64::from(u32::MAX) + percent as u64);
     }
-    let (median, samples) = record.median()?;
+    let (median, _) = record.median()?;
+    let (fast, _) = record.newest()?;
     let bound = usual?.saturating_mul(SLOW_FACTOR);
-    (samples >= MIN_SAMPLES && median > bound).then_some(u64::from(median))
+    (median > bound && fast > bound).then_some(u64::from(median))
 }
--- a/crates/azurelug-core/tests/outlier.rs
+++ b/crates/azurelug-core/tests/outlier.rs
@@ -60,6 +60,33 @@
     assert_eq!(judge_all(&mut records, SECOND), Vec::<usize>::new());
 }
 
+/// Guards against ejections of healthy targets while a change of the whole pool reaches one target
+/// after the other, in either direction.
+#[test]
+fn a_pool_that_changes_its_pace_together_ejects_nobody() {
+    let mut records = pool(&[100; 6]);
+    for latency in [1_000, 100] {
+        for step in 1..=10 {
+            for (index, record) in records.iter_mut().enumerate() {
+                // The targets get different numbers of calls between two looks.
+                let calls = if (index + step) % 2 == 0 {
+                    3
+                } else {
+                    1 + index % 2
+                };
+                (0..calls).for_each(|_| record.success(latency));
+            }
+            let now = step as u32 * SECOND;
+            assert_eq!(
+                judge_all(&mut records, now),
+                Vec::<usize>::new(),
+                "{latency}, step {step}"
+            );
+        }
+        records = pool(&[latency; 6]);
+    }
+}
+
 /// Guards against a verdict on a handful of calls.
 #[test]
 fn a_few_failures_are_no_verdict() {
