core: let in the square root more requests than the slowest stage holds

Cause: with the bound by Little's law alone, the slots of the slowest stage were partly empty: the number of requests in the other stages varies, and whenever it is above its mean the slowest stage has too few.

Change: `pipeline_capacity` adds the square root of the mean number of requests in the other stages. The entry daemon computes its capacity with this function.

The calls above a cold limit are begun before the daemon has any sign of the restart (no broken call, last report still warm), and more requests in flight make more of them; not mended.

--- a/crates/azurelug-core/src/admission.rs
+++ b/crates/azurelug-core/src/admission.rs
@@ -404,13 +404,21 @@
 
 /// Requests that a pipeline can run at the same time: the least over its stages of the stage's
 /// slots, scaled by the part of a request's time that is spent in the stage.
+///
+/// How many of them are in the other stages varies by about the square root of their mean number.
+/// That many more are let in, because slots of the stage would otherwise be empty half of the time.
 #[must_use]
 pub fn pipeline_capacity(stages: &[(u32, Duration)]) -> u32 {
     let total: Duration = stages.iter().map(|(_, typical)| *typical).sum();
+    let at_once = |(slots, typical): &(u32, Duration)| {
+        let slots = f64::from(*slots);
+        let all = slots * total.as_secs_f64() / typical.as_secs_f64();
+        all + (all - slots).max(0.0).sqrt()
+    };
     stages
         .iter()
         .filter(|(_, typical)| !typical.is_zero())
-        .map(|(slots, typical)| f64::from(*slots) * total.as_secs_f64() / typical.as_secs_f64())
+        .map(at_once)
         .fold(f64::INFINITY, f64::min)
         .min(f64::from(u32::MAX)) as u32
 }
