core: bound the wait of streamed requests by their first token

The queue was allowed half of the slack of a 12 s deadline, and the first token had no say. Waits were also longer than estimated (1.93 s for a bound of 1.45 s), because accounts with short queues pass.

Change: an ask may carry the time from start to first token (p95); the request is refused (`overloaded`) if the expected wait, corrected by how much longer the last waits were than expected, leaves no 2 s. The entry daemon sets it for `stream: true`; whole answers keep the longer queue. The example runs both.

--- a/crates/azurelug-core/examples/attainment/world.rs
+++ b/crates/azurelug-core/examples/attainment/world.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::daemon::{DAEMONS, Daemon, Rules};
+use crate::daemon::{DAEMONS, Daemon, Rules, Version};
 use crate::model::{COLD, KINDS, Target, fleet, zone_name};
 use crate::request::{Request, Result};
 
@@ -49,6 +49,7 @@
 }
 
 pub(crate) struct World<'a> {
+    version: Version,
     now: Duration,
     end: Duration,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
@@ -66,7 +67,7 @@
 
 /// Runs one scenario for `seconds` and then lets the running requests end.
 pub(crate) fn run(
-    is_naive: bool,
+    version: Version,
     seed: u64,
     seconds: u64,
     rate: &dyn Fn(f64) -> f64,
@@ -74,9 +75,10 @@
 ) -> Result {
     let (config, targets) = fleet();
     let daemons = (0..DAEMONS)
-        .map(|rank| Daemon::new(rank, is_naive, &config, seed))
+        .map(|rank| Daemon::new(rank, version, &config, seed))
         .collect();
     let mut world = World {
+        version,
         now: Duration::ZERO,
         end: Duration::from_secs(seconds),
         events: BinaryHeap::new(),
@@ -284,6 +286,8 @@
             cost: if short { 100 } else { 1000 },
             deadline: self.now + DEADLINE,
             stages: &stages,
+            first_token: (self.version == Version::Streamed)
+                .then(|| self.daemons[daemon].first_token(short)),
         };
         match self.daemons[daemon].offer(&ask, self.now) {
             Ok(entry) => {
