system: compare the entry daemon with a bare forwarder

Change: an example that sends the same calls of a service that may repeat through a bare forwarder (a process of its own, volo-http server and client through azurelug-http) and through a real entry daemon, in turn, and prints the processor time of each process for each request. Targets need an address each, so each is a stand-in of its own.

--- /dev/null
+++ b/crates/azurelug-system/examples/forwarder_cost.rs
@@ -0,0 +1,269 @@
+//! Compares the processor time of the entry daemon for each request with that of a bare forwarder on
+//! the same HTTP library. Both forward the same calls of a plain service that may repeat, in turn.
+//!
+//! `cargo build --release --workspace --bins && cargo run --release -p azurelug-system --example
+//! forwarder_cost -- --targets 200 --accounts 5`
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use azurelug_http::client::Call;
+use azurelug_http::{Client, Server, answer};
+use azurelug_system::operator::Operator;
+use azurelug_system::system::{ACCOUNT_KEY, System, ZONES};
+use azurelug_testkit::engine;
+use azurelug_testkit::service::{Service, Settings};
+use azurelug_types::config::{Account, Role};
+use azurelug_types::id::{AccountName, TargetName, ZoneName};
+use azurelug_types::patch::Change;
+use bpaf::Bpaf;
+use bytes::Bytes;
+use http::{HeaderValue, Method, header};
+use tokio::time::{Instant, sleep};
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+/// Changes in one patch, so that its command stays under the log's limit of 256 KiB.
+const BATCH: usize = 1000;
+
+/// Clock ticks a second in /proc, as Linux reports them on every platform that this runs on.
+const TICKS: f64 = 100.0;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The longest answer, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// Calls at the same time.
+const CALLERS: usize = 8;
+
+/// Time after the last change, and before a measurement of the idle daemon.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Compares the entry daemon with a bare forwarder
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Targets of the service, spread over the three zones; each is a stand-in of its own
+    #[bpaf(argument("COUNT"), fallback(20))]
+    targets: usize,
+    /// Client accounts
+    #[bpaf(argument("COUNT"), fallback(5))]
+    accounts: usize,
+    /// Requests of one round
+    #[bpaf(argument("COUNT"), fallback(10_000))]
+    requests: usize,
+    /// Rounds
+    #[bpaf(argument("COUNT"), fallback(5))]
+    rounds: usize,
+    /// Runs the forwarder to these addresses instead
+    #[bpaf(argument("ADDRESSES"), fallback(String::new()))]
+    forward: String,
+}
+
+#[tokio::main]
+async fn main() {
+    let options = options().run();
+    if options.forward.is_empty() {
+        compare(&options).await;
+    } else {
+        forward(&options.forward).await;
+    }
+}
+
+/// The bare forwarder: reads a request, sends it to the next target, returns the answer.
+async fn forward(targets: &str) {
+    let targets: Vec<SocketAddr> = targets
+        .split(',')
+        .map(|it| it.parse().expect("an address"))
+        .collect();
+    let targets = Arc::new(targets);
+    let client = Client::pooled().expect("build the client");
+    let next = Arc::new(AtomicUsize::new(0));
+    let server = Server::bind((Ipv4Addr::LOCALHOST, 0).into()).await;
+    let server = server.expect("bind");
+    println!("{}", server.address());
+    std::io::stdout().flush().expect("the parent reads");
+    let router = Router::new().fallback(move |request: Request| {
+        let (client, targets, next) = (client.clone(), Arc::clone(&targets), Arc::clone(&next));
+        async move {
+            let turn = next.fetch_add(1, Ordering::Relaxed) % targets.len();
+            pass(&client, targets[turn], request).await
+        }
+    });
+    server.serve(router, None).await.expect("serve");
+}
+
+async fn pass(client: &Client, address: SocketAddr, request: Request) -> Response {
+    let body = answer::read_body(request.into_body(), ANSWER_LIMIT).await;
+    let call = call(address, "/look-up", body.unwrap_or_default());
+    match client.send_whole(call, ANSWER_LIMIT).await {
+        Ok((status, body)) => answer::with_type(status, "application/json", body.into()),
+        Err(error) => answer::text(502, "text/plain", error.to_string()),
+    }
+}
+
+fn call(address: SocketAddr, path: &str, body: Bytes) -> Call {
+    let json = HeaderValue::from_static("application/json");
+    Call {
+        method: Method::POST,
+        address,
+        path: path.to_owned(),
+        headers: vec![(header::CONTENT_TYPE, json)],
+        body,
+        timeout: TIMEOUT,
+    }
+}
+
+async fn compare(options: &Options) {
+    let system = System::start_with(engine::Settings::default()).await;
+    let operator = Operator::new();
+    let mut replicas = Vec::new();
+    for _ in 0..options.targets {
+        let service = Service::start((Ipv4Addr::LOCALHOST, 0).into(), Settings::default());
+        replicas.push(service.await.expect("start a replica"));
+    }
+    let addresses: Vec<SocketAddr> = replicas.iter().map(Service::address).collect();
+    for batch in changes(&system, options, &addresses).chunks(BATCH) {
+        operator.change(system.operators(0), batch.to_vec()).await;
+    }
+    // The entry daemon of the first zone prefers that zone's targets.
+    let of_zone: Vec<SocketAddr> = addresses.iter().copied().step_by(ZONES.len()).collect();
+    let forwarder = Forwarder::start(&of_zone);
+    let (bare, entry) = (forwarder.address, system.callers(0));
+    let entry_id = system.zones[0].entry.id().expect("the entry daemon runs");
+    println!("{options:?}");
+    sleep(SETTLE).await;
+    let before = cpu(entry_id);
+    sleep(SETTLE).await;
+    let idle = (cpu(entry_id) - before) / SETTLE.as_secs_f64();
+    println!("idle entry daemon: {:.2}% of a core", idle * 100.0);
+    // Opens the connections that the rounds use again.
+    round(entry, "/v1/services/stock/look-up", options.requests).await;
+    round(bare, "/look-up", options.requests).await;
+    println!("us of processor time for each request: bare, entry, entry less its idle part, ratio");
+    let mut ratios = Vec::new();
+    for _ in 0..options.rounds {
+        let (path, requests) = ("/v1/services/stock/look-up", options.requests);
+        let (bare_us, _) = measure(forwarder.child.id(), bare, "/look-up", requests).await;
+        let (entry_us, seconds) = measure(entry_id, entry, path, requests).await;
+        let own_us = entry_us - idle * seconds / requests as f64 * 1e6;
+        let ratio = own_us / bare_us;
+        println!("  {bare_us:.1} {entry_us:.1} {own_us:.1} {ratio:.2}");
+        ratios.push(ratio);
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("median ratio {:.2}", ratios[ratios.len() / 2]);
+}
+
+/// Accounts, and targets of the service at `addresses`.
+fn changes(system: &System, options: &Options, addresses: &[SocketAddr]) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for number in 0..options.accounts {
+        let account = Account {
+            key_digest: format!("{number:064x}"),
+            weight: 1,
+            max_in_flight: 64,
+        };
+        let name = AccountName(format!("account-{number}"));
+        changes.push(Change::SetAccount { name, account });
+    }
+    let example = system.first_changes().into_iter().find_map(|it| match it {
+        Change::SetTarget { target, .. } if matches!(target.role, Role::Service(_)) => Some(target),
+        _ => None,
+    });
+    let example = example.expect("the system has a service");
+    for (number, address) in addresses.iter().enumerate() {
+        let zone = number % ZONES.len();
+        let target = azurelug_types::config::Target {
+            zone: ZoneName::from(ZONES[zone]),
+            address: *address,
+            ..example.clone()
+        };
+        let name = TargetName(format!("replica-{number}"));
+        changes.push(Change::SetTarget { name, target });
+    }
+    changes
+}
+
+/// Microseconds of processor time for each request, and the seconds that the round took.
+async fn measure(process: u32, address: SocketAddr, path: &str, requests: usize) -> (f64, f64) {
+    let (before, started) = (cpu(process), Instant::now());
+    round(address, path, requests).await;
+    let spent = cpu(process) - before;
+    (
+        spent / requests as f64 * 1e6,
+        started.elapsed().as_secs_f64(),
+    )
+}
+
+/// Sends calls and expects each to succeed.
+async fn round(address: SocketAddr, path: &str, requests: usize) {
+    let client = Client::pooled().expect("build the client");
+    let callers = (0..CALLERS).map(|_| {
+        let (client, path) = (client.clone(), path.to_owned());
+        tokio::spawn(async move {
+            for _ in 0..requests / CALLERS {
+                let mut call = call(address, &path, Bytes::from_static(b"{\"cart\":17}"));
+                let key = format!("Bearer {ACCOUNT_KEY}");
+                let key = HeaderValue::from_str(&key).expect("plain text");
+                call.headers.push((header::AUTHORIZATION, key));
+                let (status, body) = client
+                    .send_whole(call, ANSWER_LIMIT)
+                    .await
+                    .expect("an answer");
+                assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
+            }
+        })
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        caller.await.expect("every call succeeds");
+    }
+}
+
+/// The forwarder's process. Dropping it ends the process.
+struct Forwarder {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Forwarder {
+    fn start(targets: &[SocketAddr]) -> Self {
+        let targets: Vec<String> = targets.iter().map(ToString::to_string).collect();
+        let program = std::env::current_exe().expect("this program has a path");
+        let mut child = Command::new(program)
+            .args(["--forward", &targets.join(",")])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("start the forwarder");
+        let output = child.stdout.take().expect("it is piped");
+        let mut line = String::new();
+        let read = BufReader::new(output).read_line(&mut line);
+        read.expect("the forwarder prints its address");
+        let address = line.trim().parse().expect("an address");
+        Self { child, address }
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Seconds of processor time that a process has used.
+fn cpu(process: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).expect("the process runs");
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| fields[index].parse::<f64>().expect("ticks are numbers");
+    (ticks(11) + ticks(12)) / TICKS
+}
