--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -387,14 +387,15 @@
             }
             _ => Vec::new(),
         };
+        let place = usize::from(call.stage.0);
+        let estimates = Arc::clone(&self.gateway.estimates);
         let query = Query {
             need: Need::Stage(kind, &stage.model),
             idempotent: true,
             prefix: &prefix,
             exclude: &exclude,
+            avoid_cold: !estimates.fits_cold(&self.classes, place, self.left()),
         };
-        let place = usize::from(call.stage.0);
-        let estimates = Arc::clone(&self.gateway.estimates);
         let name = call.to_string();
         let work = Work {
             kind,
