control: decide with round trips which entry daemons are alive

Cause: the registry judged a daemon by the age of its last renewal. A renewal whose answer never arrives counted as a sign of life, a control daemon that had been frozen itself showed its daemons as suspect, and the platform's list was not asked. `coordination::membership` was not wired.

Change: the renewal frame carries the daemon's sequence and the number of the latest answer heard on the connection; the answer carries its number and whether it leases. An entry daemon counts no lease from an answer that does not, and renews twice in a row on a new connection, so that a round trip is proved at once. `GET /v1/status` and `azurelug status` show state and reason; gone daemons stay listed with their acknowledged version for 10 min, longer while the platform lists them, and `azurelug zone` does not wait for them. A daemon that the lagging list has not named since its start counts as listed. The random incarnations of a daemon's starts are ordered by arrival. The frame changes, so the protocol number is 2: entry and control daemons of different builds refuse each other in the handshake.

Ruled out: matching VMs by address, because a control daemon sees the address of a proxy or NAT.

--- a/crates/azurelug-cli/src/command/status.rs
+++ b/crates/azurelug-cli/src/command/status.rs
@@ -52,11 +52,16 @@
 }
 
 fn entry_row(entry: &EntryDaemon) -> Vec<String> {
+    let reason = match entry.reason.as_str() {
+        "" => String::new(),
+        reason => format!(" ({reason})"),
+    };
+    let state = format!("{}{reason}, {} in flight", entry.state, entry.in_flight);
     vec![
         entry.name.to_string(),
         "entry".to_owned(),
         entry.zone.to_string(),
         entry.version.to_string(),
-        format!("{}, {} in flight", entry.state, entry.in_flight),
+        state,
     ]
 }
--- a/crates/azurelug-cli/src/command/zone.rs
+++ b/crates/azurelug-cli/src/command/zone.rs
@@ -112,7 +112,7 @@
     }
     let behind = control::entry_daemons(known.iter())
         .into_values()
-        .filter(|entry| entry.version < version)
+        .filter(|entry| entry.version < version && entry.state != "gone")
         .map(|entry| format!("{} (has {})", entry.name, entry.version));
     missing.extend(behind);
     missing
--- a/crates/azurelug-cli/src/control.rs
+++ b/crates/azurelug-cli/src/control.rs
@@ -45,6 +45,9 @@
     pub(crate) version: Version,
     pub(crate) in_flight: u32,
     pub(crate) state: String,
+    /// Why the state is what it is, or what the platform's list says; empty if there is nothing to say.
+    #[serde(default)]
+    pub(crate) reason: String,
     pub(crate) renewed_ms_ago: u64,
 }
 
@@ -145,7 +148,7 @@
 }
 
 /// Every entry daemon once. One that moved to another control daemon is still listed by the earlier
-/// one for a minute, so the newest renewal counts.
+/// one, so the newest renewal counts.
 pub(crate) fn entry_daemons<'a>(
     statuses: impl Iterator<Item = &'a Status>,
 ) -> BTreeMap<DaemonName, &'a EntryDaemon> {
--- a/crates/azurelug-control/src/daemons.rs
+++ b/crates/azurelug-control/src/daemons.rs
@@ -1,28 +1,55 @@
-//! The entry daemons that renew their lease here, for the operators' status.
+//! The entry daemons that renew their lease here, and whether each is alive, suspect or gone.
+//!
+//! Owns names, acknowledged versions and reasons; [`Members`] decides the states. It must never call a
+//! daemon gone whose absence from the platform's list may only be the list's lag.
 
-use std::collections::BTreeMap;
-use std::sync::Mutex;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_coordination::lease::Identity;
+use azurelug_coordination::membership::{Answer, Change, Members, Renewal, Settings, State};
+use azurelug_core::lease_mode::LEASE;
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::Serialize;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
-/// Daemons that are remembered. Older entries of stopped daemons give way to new ones.
+/// Daemons that are remembered, and starts of them that are watched.
 const LIMIT: usize = 4096;
 
-/// A daemon without a renewal for this long is shown as suspect.
-const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
+/// How often time passes for the states; half the longest pause that counts as watching.
+const TICK: Duration = Duration::from_millis(250);
 
-/// A daemon without a renewal for this long is no longer shown.
-const GONE_AFTER: Duration = Duration::from_secs(60);
+/// How long a gone daemon is shown. One that the platform still lists is shown for longer: it may be
+/// cut off and serve its own zone by the version that it last acknowledged.
+const SHOW_GONE: Duration = Duration::from_secs(600);
 
+/// What a daemon states of itself in a renewal.
 #[derive(Clone, Debug)]
+pub struct Report {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The version it acknowledges.
+    pub version: Version,
+    /// Requests it has in flight.
+    pub in_flight: u32,
+}
+
+#[derive(Debug)]
 struct Entry {
-    zone: ZoneName,
-    version: Version,
-    in_flight: u32,
-    renewed: Instant,
+    id: u64,
+    /// The latest start and those before it that are not gone: the random number of each, and its
+    /// place in the order of arrival.
+    starts: HashMap<u64, u64>,
+    latest: u64,
+    report: Report,
+    renewed: Duration,
+    /// When the latest proved answer was sent, as of the latest tick.
+    proved: Duration,
+    /// Whether the platform's list has named it since its latest start.
+    was_listed: bool,
+    /// When and why it was called gone.
+    gone: Option<(Duration, String)>,
 }
 
 /// One row of the status.
@@ -36,56 +63,284 @@
     pub version: Version,
     /// Requests it had in flight.
     pub in_flight: u32,
-    /// `alive` or `suspect`.
+    /// `alive`, `suspect` or `gone`.
     pub state: &'static str,
+    /// Why it is not alive, and what the platform's list says; empty if there is nothing to say.
+    pub reason: String,
     /// Time since its last renewal in milliseconds.
     pub renewed_ms_ago: u64,
 }
 
+#[derive(Debug)]
+struct Daemons {
+    members: Members,
+    entries: BTreeMap<DaemonName, Entry>,
+    names: HashMap<u64, DaemonName>,
+    /// The platform's latest list, with whether each VM is leaving.
+    listed: Option<HashMap<String, bool>>,
+    last_id: u64,
+}
+
 /// The registry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
-    entries: Mutex<BTreeMap<DaemonName, Entry>>,
+    started: Instant,
+    daemons: Mutex<Daemons>,
+}
+
+/// Lets time pass for the registry until the program ends.
+pub async fn watch(registry: Arc<Registry>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        registry.tick();
+    }
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Registry {
-    /// Notes a renewal.
-    pub fn renewed(&self, name: &DaemonName, zone: &ZoneName, version: Version, in_flight: u32) {
-        let now = Instant::now();
-        let mut entries = self.entries.lock().expect("no holder of the lock panics");
-        entries.retain(|_, entry| now.duration_since(entry.renewed) < GONE_AFTER);
-        if entries.len() >= LIMIT && !entries.contains_key(name) {
-            return;
+    /// An empty registry.
+    pub fn new() -> Self {
+        let settings = Settings {
+            term: LEASE,
+            members: LIMIT,
+            ..Settings::default()
+        };
+        let daemons = Daemons {
+            members: Members::new(Duration::ZERO, settings),
+            entries: BTreeMap::new(),
+            names: HashMap::new(),
+            listed: None,
+            last_id: 0,
+        };
+        Self {
+            started: Instant::now(),
+            daemons: Mutex::new(daemons),
+        }
+    }
+
+    /// Takes a renewal of the start `incarnation` of the daemon `name`. Returns none for one that came
+    /// late or twice, or when there are too many daemons.
+    pub fn renew(
+        &self,
+        (name, incarnation): (&DaemonName, u64),
+        (sequence, heard): (u64, u64),
+        report: Report,
+    ) -> Option<Answer> {
+        let (now, mut daemons) = self.lock();
+        daemons.renew(now, (name, incarnation), (sequence, heard), report)
+    }
+
+    /// Takes the platform's list: names of VMs, each with whether it is leaving.
+    pub fn list(&self, vms: impl Iterator<Item = (String, bool)>) {
+        let (_, mut daemons) = self.lock();
+        daemons.listed = Some(vms.collect());
+        daemons.relist();
+    }
+
+    /// Lets time pass.
+    pub fn tick(&self) {
+        let (now, mut daemons) = self.lock();
+        daemons.tick(now);
+    }
+
+    /// All daemons that are remembered.
+    pub fn rows(&self) -> Vec<Row> {
+        let (now, daemons) = self.lock();
+        let row = |(name, entry): (&DaemonName, &Entry)| daemons.row(now, name, entry);
+        daemons.entries.iter().map(row).collect()
+    }
+
+    fn lock(&self) -> (Duration, MutexGuard<'_, Daemons>) {
+        let daemons = self.daemons.lock().expect("no holder of the lock panics");
+        // Read under the lock, so that time never runs backwards between two events.
+        (self.started.elapsed(), daemons)
+    }
+}
+
+impl Daemons {
+    fn renew(
+        &mut self,
+        now: Duration,
+        (name, incarnation): (&DaemonName, u64),
+        (sequence, heard): (u64, u64),
+        report: Report,
+    ) -> Option<Answer> {
+        let known = self.entries.get(name);
+        if known.is_none() && self.entries.len() >= LIMIT {
+            return None;
         }
-        let entry = Entry {
-            zone: zone.clone(),
-            version,
-            in_flight,
+        let id = known.map_or(self.last_id + 1, |entry| entry.id);
+        let (start, latest) = match known {
+            Some(entry) => match entry.starts.get(&incarnation) {
+                Some(start) => (*start, entry.latest),
+                None => (entry.latest + 1, entry.latest + 1),
+            },
+            None => (1, 1),
+        };
+        let renewal = Renewal {
+            member: Identity {
+                id,
+                incarnation: start,
+            },
+            sequence,
+            heard,
+        };
+        let mut changes = Vec::new();
+        let answer = self.members.renew(now, renewal, &mut changes)?;
+        // A start that joins is suspect until its first round trip, which is no news.
+        changes.retain(|change| change.state != State::Suspect);
+        self.last_id = self.last_id.max(id);
+        self.names.insert(id, name.clone());
+        let listed = self.listed.as_ref();
+        let is_listed = listed.is_some_and(|listed| listed.contains_key(&name.0));
+        let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
+            id,
+            starts: HashMap::new(),
+            latest,
+            report: report.clone(),
             renewed: now,
+            proved: now,
+            was_listed: is_listed,
+            gone: None,
+        });
+        let is_new = entry.starts.insert(incarnation, start).is_none();
+        if is_new && start == latest {
+            entry.was_listed = is_listed;
+        }
+        entry.latest = latest;
+        // A late renewal of an earlier start says nothing about the present one.
+        if start == latest {
+            entry.report = report;
+            entry.renewed = now;
+            entry.gone = None;
+        }
+        self.note(now, &changes);
+        if is_new {
+            self.relist();
+        }
+        Some(answer)
+    }
+
+    /// Passes the platform's list on. It lags: a daemon that it has not named yet may only be too new
+    /// for it, and counts as listed.
+    fn relist(&mut self) {
+        let Some(vms) = &self.listed else {
+            return;
         };
-        entries.insert(name.clone(), entry);
+        for (name, entry) in &mut self.entries {
+            entry.was_listed |= vms.contains_key(&name.0);
+        }
+        let live = self.entries.iter().filter_map(|(name, entry)| {
+            let leaving = vms.get(&name.0).copied();
+            let leaving = leaving.or((!entry.was_listed).then_some(false))?;
+            Some((entry.id, leaving))
+        });
+        self.members.list(live);
     }
 
-    /// All daemons that renewed within the last minute.
-    pub fn rows(&self) -> Vec<Row> {
-        let now = Instant::now();
-        let entries = self.entries.lock().expect("no holder of the lock panics");
-        entries
-            .iter()
-            .map(|(name, entry)| (name, entry, now.duration_since(entry.renewed)))
-            .filter(|(_, _, age)| *age < GONE_AFTER)
-            .map(|(name, entry, age)| Row {
-                name: name.clone(),
-                zone: entry.zone.clone(),
-                version: entry.version,
-                in_flight: entry.in_flight,
-                state: if age < SUSPECT_AFTER {
-                    "alive"
-                } else {
-                    "suspect"
-                },
-                renewed_ms_ago: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            })
-            .collect()
+    fn tick(&mut self, now: Duration) {
+        for entry in self.entries.values_mut() {
+            let member = Identity {
+                id: entry.id,
+                incarnation: entry.latest,
+            };
+            entry.proved = self.members.proved_at(member).unwrap_or(entry.proved);
+        }
+        let mut changes = Vec::new();
+        self.members.tick(now, &mut changes);
+        self.note(now, &changes);
+        self.forget(now);
+    }
+
+    /// Logs changes and keeps the reason of each daemon that is gone.
+    fn note(&mut self, now: Duration, changes: &[Change]) {
+        for change in changes {
+            let Some(name) = self.names.get(&change.member.id).cloned() else {
+                continue;
+            };
+            let reason = self.reason(now, &name, change.member);
+            let Some(entry) = self.entries.get_mut(&name) else {
+                continue;
+            };
+            if change.state == State::Gone {
+                let start = change.member.incarnation;
+                if start < entry.latest {
+                    entry.starts.retain(|_, known| *known != start);
+                    log::info!("members: an earlier start of {name} is gone");
+                    continue;
+                }
+                entry.gone = Some((now, reason.clone()));
+            }
+            match change.state {
+                State::Alive => log::info!("members: {name} is alive"),
+                State::Suspect => log::info!("members: {name} is suspect: {reason}"),
+                State::Gone => log::warn!("members: {name} is gone: {reason}"),
+            }
+        }
+    }
+
+    /// Forgets daemons that have been gone for long, unless the platform still lists them.
+    fn forget(&mut self, now: Duration) {
+        let (names, listed) = (&mut self.names, self.listed.as_ref());
+        self.entries.retain(|name, entry| {
+            let is_listed = listed.is_some_and(|listed| listed.contains_key(&name.0));
+            let is_old = matches!(entry.gone, Some((since, _)) if now >= since + SHOW_GONE);
+            let is_forgotten = is_old && !is_listed && entry.starts.len() <= 1;
+            if is_forgotten {
+                names.remove(&entry.id);
+            }
+            !is_forgotten
+        });
+    }
+
+    fn row(&self, now: Duration, name: &DaemonName, entry: &Entry) -> Row {
+        let member = Identity {
+            id: entry.id,
+            incarnation: entry.latest,
+        };
+        let (state, reason) = match (&entry.gone, self.members.state(member)) {
+            (Some((_, reason)), _) => ("gone", reason.clone()),
+            (None, State::Alive) => ("alive", self.listing(name)),
+            (None, State::Suspect | State::Gone) => ("suspect", self.reason(now, name, member)),
+        };
+        let age = now.saturating_sub(entry.renewed);
+        Row {
+            name: name.clone(),
+            zone: entry.report.zone.clone(),
+            version: entry.report.version,
+            in_flight: entry.report.in_flight,
+            state,
+            reason,
+            renewed_ms_ago: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Why a member is not alive.
+    fn reason(&self, now: Duration, name: &DaemonName, member: Identity) -> String {
+        let known = self.entries.get(name).map(|entry| entry.proved);
+        let since = self.members.proved_at(member).or(known).unwrap_or(now);
+        let silent = now.saturating_sub(since).as_secs_f64();
+        let listing = self.listing(name);
+        let separator = if listing.is_empty() { "" } else { ", " };
+        format!("no round trip for {silent:.1} s{separator}{listing}")
+    }
+
+    /// What the platform's list says of a daemon, if it says anything unusual.
+    fn listing(&self, name: &DaemonName) -> String {
+        let listed = self.listed.as_ref().map(|listed| listed.get(&name.0));
+        let was_listed = self.entries.get(name).is_some_and(|entry| entry.was_listed);
+        let text = match listed {
+            Some(Some(true)) => "leaving by the platform's list",
+            Some(None) if was_listed => "no longer in the platform's list",
+            _ => "",
+        };
+        text.to_owned()
     }
 }
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use azurelug_coordination::{once, raft};
+use azurelug_coordination::{membership, once, raft};
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_types::id::Version;
 use azurelug_wire::frame::Hello;
@@ -11,7 +11,7 @@
 use azurelug_wire::{Frame, codec};
 use tokio::sync::mpsc;
 
-use crate::daemons::Registry;
+use crate::daemons::{Registry, Report};
 use crate::replica::Replica;
 use crate::settings::Member;
 use crate::shares::Shares;
@@ -39,10 +39,20 @@
     /// Answers one frame.
     pub async fn handle(self, peer: Arc<Hello>, frame: Frame) -> Reply {
         match frame {
-            Frame::Renew { version, in_flight } => {
-                self.registry
-                    .renewed(&peer.sender, &peer.zone, version, in_flight);
-                Reply::One(self.renew())
+            Frame::Renew {
+                version,
+                in_flight,
+                sequence,
+                heard,
+            } => {
+                let report = Report {
+                    zone: peer.zone.clone(),
+                    version,
+                    in_flight,
+                };
+                let start = (&peer.sender, peer.incarnation);
+                let answer = self.registry.renew(start, (sequence, heard), report);
+                Reply::One(self.renewed(answer))
             }
             Frame::Watch { after_version } => Reply::Stream(self.watch(after_version)),
             Frame::Once(command) => Reply::One(self.once(command).await),
@@ -61,8 +71,14 @@
         }
     }
 
-    /// Renews a lease, if it is known how old the state here can be at most.
-    fn renew(&self) -> Frame {
+    /// The answer to a renewal, if it is known how old the state here can be at most.
+    fn renewed(&self, answer: Option<membership::Answer>) -> Frame {
+        let Some(answer) = answer else {
+            return Frame::Refused {
+                message: "the renewal came late or twice, or too many daemons renew here"
+                    .to_owned(),
+            };
+        };
         // The age is read before the version: a version that commits in between only makes the
         // daemon wait for it.
         let Some(age) = self.replica.freshness_age() else {
@@ -75,6 +91,8 @@
         Frame::Renewed {
             latest_version,
             freshness_age_ms: freshness_age_ms.saturating_add(1),
+            number: answer.number,
+            leased: answer.leased,
         }
     }
 
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod internal;
 pub mod operators;
 pub mod peers;
+pub mod platform;
 pub mod replica;
 pub mod run;
 pub mod settings;
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -6,19 +6,20 @@
 use std::sync::Arc;
 
 use azurelug_coordination::raft;
-use azurelug_http::Server;
 use azurelug_http::server::ShutdownHook;
+use azurelug_http::{Client, Server};
 use azurelug_settings::read;
 use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
 
 use sha2::{Digest, Sha256};
 
-use crate::daemons::Registry;
+use crate::daemons::{self, Registry};
 use crate::disk::{self, Disk, Generation};
 use crate::internal::Internal;
 use crate::operators::Operators;
 use crate::peers::Peers;
+use crate::platform;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
 use crate::settings::{Options, Settings};
@@ -93,7 +94,15 @@
         generation.is_first,
     );
     tokio::spawn(shares.clone().run(replica.watch()));
-    let registry = Arc::new(Registry::default());
+    let registry = Arc::new(Registry::new());
+    tokio::spawn(daemons::watch(Arc::clone(&registry)));
+    if let Some(platform) = settings.platform {
+        tokio::spawn(platform::poll(
+            Arc::clone(&registry),
+            Client::pooled()?,
+            platform,
+        ));
+    }
     let internal = Internal {
         replica: replica.clone(),
         registry: Arc::clone(&registry),
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -44,6 +44,9 @@
     pub data: PathBuf,
     /// All control daemons of the cluster, this one included.
     pub members: Vec<Member>,
+    /// The platform's list of live and leaving VMs.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
     /// Logs.
     #[serde(default)]
     pub log: Log,
--- a/crates/azurelug-coordination/src/membership.rs
+++ b/crates/azurelug-coordination/src/membership.rs
@@ -258,6 +258,13 @@
             .map_or(State::Gone, |member| member.state)
     }
 
+    /// When the latest proved answer to a member was sent, later by the observer's
+    /// pauses; the time of its first renewal before any proof.
+    pub fn proved_at(&self, member: Identity) -> Option<Duration> {
+        let member = self.members.get(&member)?;
+        Some(member.proved_at)
+    }
+
     /// Whether the platform's list states that the member's VM is leaving.
     pub fn is_leaving(&self, member: Identity) -> bool {
         self.listed
--- a/crates/azurelug-entry/src/link.rs
+++ b/crates/azurelug-entry/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     addresses: Arc<[SocketAddr]>,
     identity: Arc<Identity>,
     current: Arc<Mutex<Option<Connection>>>,
+    /// Renewals sent so far.
+    renewals: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -41,6 +44,7 @@
             addresses: addresses.into(),
             identity,
             current: Arc::new(Mutex::new(None)),
+            renewals: Arc::default(),
         }
     }
 
@@ -124,6 +128,7 @@
     let mut ticks = interval(RENEW_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut failures = 0;
+    let mut heard = 0;
     let mut incoming = Incoming::default();
     loop {
         tokio::select! {
@@ -141,8 +146,16 @@
             },
             _ = ticks.tick() => {
                 let Some(gateway) = gateway.upgrade() else { return "the daemon stops".to_owned() };
-                match renew(connection, &gateway).await {
-                    Ok(()) => failures = 0,
+                let is_first = heard == 0;
+                match renew(connection, &gateway, &mut heard).await {
+                    Ok(()) => {
+                        failures = 0;
+                        if is_first {
+                            // The second renewal proves the round trip of the first one, without
+                            // which a control daemon may not lease.
+                            ticks.reset_immediately();
+                        }
+                    }
                     Err(error) => {
                         failures += 1;
                         if failures >= RENEW_FAILURES || connection.is_closed() {
@@ -192,18 +205,26 @@
 }
 
 /// Renews the lease once. The holder counts from the moment before it sent the renewal, less the
-/// time for which control itself was not sure to have the newest version.
-async fn renew(connection: &Connection, gateway: &Gateway) -> Result<(), Error> {
+/// time for which control itself was not sure to have the newest version. An answer that does not
+/// lease only counts as heard.
+async fn renew(connection: &Connection, gateway: &Gateway, heard: &mut u64) -> Result<(), Error> {
     let sent = gateway.now();
     let version = gateway.version();
     let in_flight = u32::try_from(gateway.metrics.in_flight.get()).unwrap_or(0);
     let started = Instant::now();
-    let answer = connection
-        .call(Frame::Renew { version, in_flight }, RENEW_TIMEOUT)
-        .await?;
+    let sequence = gateway.link.renewals.fetch_add(1, Ordering::Relaxed) + 1;
+    let renewal = Frame::Renew {
+        version,
+        in_flight,
+        sequence,
+        heard: *heard,
+    };
+    let answer = connection.call(renewal, RENEW_TIMEOUT).await?;
     let Frame::Renewed {
         latest_version,
         freshness_age_ms,
+        number,
+        leased,
     } = answer
     else {
         return Err(Error::Malformed {
@@ -211,7 +232,8 @@
         });
     };
     log::trace!("entry: renewed in {} ms", started.elapsed().as_millis());
-    if latest_version <= gateway.version() && latest_version > Version(0) {
+    *heard = number;
+    if leased && latest_version <= gateway.version() && latest_version > Version(0) {
         let age = Duration::from_millis(freshness_age_ms);
         if let Some(at) = sent.checked_sub(age) {
             gateway.renewed(at);
--- a/crates/azurelug-system/src/links.rs
+++ b/crates/azurelug-system/src/links.rs
@@ -50,6 +50,20 @@
         );
     }
 
+    /// Swallows what control daemons send to `zone`, or what `zone` sends to them, on all connections.
+    pub fn cut_one_way(&self, zone: usize, is_to_zone: bool) {
+        let (forward, backward) = match is_to_zone {
+            true => (Rule::Pass, Rule::Drop),
+            false => (Rule::Drop, Rule::Pass),
+        };
+        let link = Link {
+            forward,
+            backward,
+            ..Link::default()
+        };
+        self.set(|from, _| from == zone, &link);
+    }
+
     /// Makes all connections from `zone` go silent, while new ones work.
     pub fn silence(&self, zone: usize) {
         self.set(|from, _| from == zone, &silent(NewConnections::Pass));
--- a/crates/azurelug-system/src/observers.rs
+++ b/crates/azurelug-system/src/observers.rs
@@ -28,7 +28,12 @@
 
     /// The keys in an entry daemon's settings.
     pub fn settings(&self) -> String {
-        let (reporter, platform) = (self.reporter.address(), self.platform.address());
-        format!("reporters: [\"{reporter}\"]\nplatform: \"{platform}\"\n")
+        let (reporter, platform) = (self.reporter.address(), self.platform_setting());
+        format!("reporters: [\"{reporter}\"]\n{platform}")
+    }
+
+    /// The key of the platform's list in any daemon's settings.
+    pub fn platform_setting(&self) -> String {
+        format!("platform: \"{}\"\n", self.platform.address())
     }
 }
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use azurelug_testkit::caller;
+use azurelug_testkit::platform::{Vm, VmState};
 use azurelug_testkit::{Engine, Service, engine, service};
 use azurelug_types::config::StageKind;
 use azurelug_types::id::Version;
@@ -101,6 +102,30 @@
         system.launch().await
     }
 
+    /// As [`System::start_observed`] with links that can be cut and the entry daemons on the platform's
+    /// list.
+    ///
+    /// # Panics
+    /// If anything does not become ready in time.
+    pub async fn start_listed() -> Self {
+        let observers = Observers::start().await;
+        let vms = (0..ZONES.len()).map(|zone| Self::entry_vm(zone, VmState::Live));
+        observers.platform.set_vms(vms.collect());
+        let engines = engine::Settings::default();
+        let system = Self::prepare_with(engines, true, Some(observers)).await;
+        system.launch().await
+    }
+
+    /// An entry daemon's VM on the platform's list.
+    pub fn entry_vm(zone: usize, state: VmState) -> Vm {
+        Vm {
+            name: entry_name(zone),
+            zone: ZONES[zone].to_owned(),
+            address: loopback(),
+            state,
+        }
+    }
+
     async fn launch(self) -> Self {
         let mut system = self;
         for zone in &mut system.zones {
@@ -232,8 +257,10 @@
         let (name, zone) = (control_name(index), ZONES[index]);
         let (internal, operators) = (self.internal(index), self.operators(index));
         let folder = self.folder.display();
+        let platform = self.observers.as_ref().map(Observers::platform_setting);
+        let platform = platform.unwrap_or_default();
         format!(
-            "name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
+            "{platform}name: {name}\nzone: {zone}\ncluster: test\nkey_file: {folder}/key\n\
              internal: \"{internal}\"\noperators: \"{operators}\"\ndata: {folder}/{name}\n\
              members:\n{members}"
         )
--- a/crates/azurelug-system/tests/bad_input.rs
+++ b/crates/azurelug-system/tests/bad_input.rs
@@ -261,6 +261,8 @@
         let renew = Frame::Renew {
             version: azurelug_types::id::Version(0),
             in_flight: 0,
+            sequence: 1,
+            heard: 0,
         };
         codec::send(&mut body, &renew, true).await.ok()?;
         reader.next().await.ok()?
--- /dev/null
+++ b/crates/azurelug-system/tests/members.rs
@@ -0,0 +1,180 @@
+//! What control daemons say of entry daemons that freeze, leave or are cut off, against real processes.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use azurelug_system::operator::{Operator, patch, zone_state};
+use azurelug_system::system::{System, ZONES, wait};
+use azurelug_testkit::platform::VmState;
+use azurelug_types::config::State;
+use azurelug_types::patch::Answer;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+/// An entry daemon's row at a control daemon.
+async fn row(system: &System, control: usize, entry: usize) -> Option<Value> {
+    let address = system.operators(control);
+    let (_, status) = Operator::new().get(address, "/v1/status").await?;
+    let zone = ZONES[entry];
+    let rows = status["entry_daemons"].as_array()?;
+    rows.iter().find(|row| row["zone"] == zone).cloned()
+}
+
+/// The control daemon at which an entry daemon is alive. It need not be the one of its zone.
+async fn home(system: &System, entry: usize) -> usize {
+    let home = std::sync::Mutex::new(0);
+    wait("an alive daemon", || async {
+        for control in 0..ZONES.len() {
+            let row = row(system, control, entry).await;
+            if row.is_some_and(|row| row["state"] == "alive") {
+                *home.lock().unwrap() = control;
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+    home.into_inner().unwrap()
+}
+
+/// Waits until the row of the first entry daemon at `control` passes, and returns it.
+async fn wait_row(
+    system: &System,
+    control: usize,
+    what: &str,
+    check: impl Fn(&Value) -> bool,
+) -> Value {
+    let passed = std::sync::Mutex::new(Value::Null);
+    wait(what, || async {
+        let row = row(system, control, 0).await.unwrap_or_default();
+        let has_passed = check(&row);
+        *passed.lock().unwrap() = row;
+        has_passed
+    })
+    .await;
+    passed.into_inner().unwrap()
+}
+
+/// Looks at the row for `time` and checks it each time.
+async fn watch_row(
+    system: &System,
+    control: usize,
+    time: Duration,
+    check: impl Fn(&Value) -> bool,
+) {
+    let started = Instant::now();
+    while started.elapsed() < time {
+        let row = row(system, control, 0).await.unwrap();
+        assert!(check(&row), "{row} after {:?}", started.elapsed());
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn is(state: &str) -> impl Fn(&Value) -> bool {
+    move |row| row["state"] == state
+}
+
+fn list(system: &System, first: Option<VmState>) {
+    let others = (1..ZONES.len()).map(|zone| System::entry_vm(zone, VmState::Live));
+    let first = first.map(|state| System::entry_vm(0, state));
+    let platform = &system.observers.as_ref().unwrap().platform;
+    platform.set_vms(first.into_iter().chain(others).collect());
+}
+
+/// Guards against a frozen daemon that is shown as alive, against one that is called gone by a lagging
+/// list while it runs, and against one that is called gone before its lease could have ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_daemon_is_suspect_and_gone_only_when_the_list_agrees() {
+    let system = System::start_listed().await;
+    let control = home(&system, 0).await;
+    let entry = &system.zones[0].entry;
+    entry.signal(Signal::SIGSTOP);
+    let frozen = wait_row(&system, control, "suspect", is("suspect")).await;
+    let reason = frozen["reason"].as_str().unwrap();
+    assert!(reason.starts_with("no round trip for "), "{reason}");
+    assert_eq!(frozen["version"], 1);
+    watch_row(&system, control, Duration::from_secs(3), is("suspect")).await;
+    list(&system, Some(VmState::Leaving));
+    let leaves = |row: &Value| row["reason"].to_string().contains("leaving by");
+    let leaving = wait_row(&system, control, "leaving", leaves).await;
+    assert_eq!(leaving["state"], "suspect");
+    list(&system, None);
+    let gone = wait_row(&system, control, "gone", is("gone")).await;
+    assert_eq!(gone["version"], 1);
+    let reason = gone["reason"].as_str().unwrap();
+    assert!(
+        reason.ends_with("no longer in the platform's list"),
+        "{reason}"
+    );
+
+    entry.signal(Signal::SIGCONT);
+    wait_row(&system, control, "alive again", is("alive")).await;
+    watch_row(&system, control, Duration::from_secs(3), is("alive")).await;
+    entry.signal(Signal::SIGSTOP);
+    let leased = |row: &Value| {
+        // A lease of 2 s may have been renewed with the last renewal.
+        row["state"] != "gone" || row["renewed_ms_ago"].as_u64().unwrap() >= 2000
+    };
+    watch_row(&system, control, Duration::from_secs(4), leased).await;
+    wait_row(&system, control, "gone again", is("gone")).await;
+    entry.signal(Signal::SIGCONT);
+}
+
+/// Guards against a daemon that counts as alive although messages pass one way only, and against a
+/// version that it seems to acknowledge meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_one_way_cut_makes_a_daemon_suspect() {
+    let operator = Operator::new();
+    for is_to_zone in [true, false] {
+        let system = System::start_listed().await;
+        let control = home(&system, 0).await;
+        let alive = row(&system, control, 0).await.unwrap();
+        system.links.cut_one_way(0, is_to_zone);
+        wait_row(&system, control, "suspect", is("suspect")).await;
+        let base = operator.config(system.operators(1)).await.unwrap().version;
+        let change = patch(base, vec![zone_state(ZONES[2], State::Active)]);
+        wait("a patch outside the cut", || async {
+            let answer = operator.patch(system.operators(1), &change).await;
+            matches!(answer, Some(Answer::Accepted { .. }))
+        })
+        .await;
+        watch_row(&system, control, Duration::from_secs(4), |row| {
+            row["state"] == "suspect" && row["version"] == alive["version"]
+        })
+        .await;
+        system.links.heal();
+        // It may have found another control daemon.
+        wait("alive with the new version", || async {
+            let home = home(&system, 0).await;
+            let row = row(&system, home, 0).await;
+            row.is_some_and(|row| row["version"] == base.next().0)
+        })
+        .await;
+    }
+}
+
+/// Guards against a control daemon that holds its own freeze against its entry daemons.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resumed_control_daemon_does_not_call_its_daemons_gone() {
+    let system = System::start_listed().await;
+    for frozen in [Duration::from_millis(1400), Duration::from_secs(5)] {
+        let control = home(&system, 0).await;
+        let process = &system.zones[control].control;
+        process.signal(Signal::SIGSTOP);
+        sleep(frozen).await;
+        process.signal(Signal::SIGCONT);
+        let first = row(&system, control, 0).await.unwrap();
+        assert_eq!(first["state"], "alive", "after {frozen:?}: {first}");
+        // After the longer freeze the daemon renews at another control daemon.
+        let state = if frozen < Duration::from_secs(2) {
+            "alive"
+        } else {
+            "suspect"
+        };
+        watch_row(&system, control, Duration::from_secs(4), |row| {
+            row["state"] == "alive" || row["state"] == state
+        })
+        .await;
+    }
+}
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The protocol's version. Peers with another one are refused in the handshake.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
 
 /// The most bytes of a configuration in one frame.
 pub const PART_LIMIT: usize = 256 * 1024;
@@ -62,13 +62,22 @@
         version: Version,
         /// Requests in flight, for the operators' status.
         in_flight: u32,
+        /// Rises with each renewal of the daemon's start, over all connections.
+        sequence: u64,
+        /// Number of the latest `Renewed` that arrived on this connection, or 0. It proves that
+        /// messages pass both ways.
+        heard: u64,
     },
-    /// The lease was renewed.
+    /// The answer to `Renew`.
     Renewed {
         /// The newest committed version.
         latest_version: Version,
         /// How long ago that was known to be the newest, in milliseconds.
         freshness_age_ms: u64,
+        /// Rises with each answer of this control daemon's start.
+        number: u64,
+        /// Whether the lease was renewed. It was not if the daemon has proved no round trip lately.
+        leased: bool,
     },
     /// Asks for every version after this one, as a stream of `Configuration` frames.
     Watch {
