shares: open a restarted grantor once all its holders have reported

Cause: a control daemon that restarted granted no leased shares for the whole settling time (14.19 s), because it did not know who held shares of its earlier start.

Change: the data folder holds a list of the holders (daemon and start) that may have leased slots; it is written and synced before a holder's first slot. A restarted grantor opens as soon as each listed holder has applied an answer of the new epoch, which takes its earlier slots away, and has then sent its use. A holder that is frozen, cut off or restarted keeps the full wait, and so does a list that is missing or damaged. An entry daemon renews early when it meets a new epoch. After a failed write the list is not written again, and new holders get base shares only. `/debug/state` of the control daemon shows `holders`.

Also ruled out: listing daemons that want no slots, which would make each zone wait for daemons of the other zones.

--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -56,7 +56,7 @@
             }
             Frame::Watch { after_version } => Reply::Stream(self.watch(after_version)),
             Frame::Once(command) => Reply::One(self.once(command).await),
-            Frame::Share(request) => Reply::One(match self.shares.request(&request) {
+            Frame::Share(request) => Reply::One(match self.shares.request(&request).await {
                 Some(answer) => Frame::ShareAnswer(answer),
                 None => Frame::Done,
             }),
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod daemons;
 pub mod disk;
+pub mod holders;
 pub mod internal;
 pub mod operators;
 pub mod peers;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -60,6 +60,7 @@
     freshness_age_ms: Option<u128>,
     once: Once,
     shares: Vec<shares::Row>,
+    holders: shares::HoldersRow,
     log: Option<State>,
     entry_daemons: Vec<Row>,
 }
@@ -133,6 +134,7 @@
             freshness_age_ms: self.replica.freshness_age().map(|age| age.as_millis()),
             once: Once::of(&self.replica),
             shares: self.shares.rows(),
+            holders: self.shares.holders(),
             log,
             entry_daemons: self.registry.rows(),
         };
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -92,6 +92,7 @@
         settings.zone.clone(),
         generation.number,
         generation.is_first,
+        &settings.data,
     );
     tokio::spawn(shares.clone().run(replica.watch()));
     let registry = Arc::new(Registry::new());
--- a/crates/azurelug-control/src/shares.rs
+++ b/crates/azurelug-control/src/shares.rs
@@ -3,10 +3,12 @@
 //! Owns the grantor and the limit in force of each target. A target that is new, or that an entry
 //! daemon reports as cold, starts at its cold limit and is raised by steps.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use azurelug_coordination::lease::Identity;
 use azurelug_coordination::share::{Answer, Capacity, Grantor, Limits, Request, Timing};
 use azurelug_core::base_share;
 use azurelug_types::config::Config;
@@ -15,6 +17,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, interval};
 
+use crate::holders::Holders;
+
 /// How often limits are looked at.
 const TICK: Duration = Duration::from_millis(500);
 
@@ -45,6 +49,8 @@
     zone: ZoneName,
     started: Instant,
     state: Arc<Mutex<State>>,
+    /// The durable list. Held while the list is chosen and written, so that no older one replaces it.
+    holders: Arc<Mutex<Holders>>,
 }
 
 /// One target's limit, for a dump.
@@ -56,16 +62,34 @@
     leased_in_use: u64,
 }
 
+/// Who may have leased shares, for a dump.
+#[derive(Debug, Serialize)]
+pub struct HoldersRow {
+    /// Whether shares are granted.
+    is_open: bool,
+    /// Daemons on the durable list.
+    listed: usize,
+    /// Daemons of the earlier start that have not reported yet; none if they are not known.
+    awaited: Option<usize>,
+}
+
 impl Shares {
     /// A grantor for `zone`. `epoch` is higher than at each earlier start; `is_first` tells that there
-    /// was none, so that no lease can be left from it.
-    pub fn new(zone: ZoneName, epoch: u64, is_first: bool) -> Self {
+    /// was none, so that no lease can be left from it. `folder` holds the list of holders.
+    pub fn new(zone: ZoneName, epoch: u64, is_first: bool, folder: &Path) -> Self {
+        let (holders, earlier) = Holders::open(folder);
+        let earlier = earlier.or(is_first.then(BTreeSet::new));
+        match &earlier {
+            Some(earlier) => log::info!("shares: {} holders of the earlier start", earlier.len()),
+            None => log::warn!("shares: holders of the earlier start are not known"),
+        }
         let make = if is_first {
             Grantor::first
         } else {
             Grantor::new
         };
         let grantor = make(Duration::ZERO, epoch, Timing::default(), Limits::default());
+        let grantor = grantor.with_list(earlier);
         let state = State {
             grantor,
             levels: HashMap::new(),
@@ -74,6 +98,7 @@
             zone,
             started: Instant::now(),
             state: Arc::new(Mutex::new(state)),
+            holders: Arc::new(Mutex::new(holders)),
         }
     }
 
@@ -91,13 +116,23 @@
                     let config = Arc::clone(&configs.borrow_and_update());
                     self.apply(&config);
                 }
-                _ = ticks.tick() => self.raise(),
+                _ = ticks.tick() => {
+                    self.raise();
+                    self.write_list(None).await;
+                }
             }
         }
     }
 
     /// Answers a renewal; none for one that came late or twice.
-    pub fn request(&self, request: &Request) -> Option<Answer> {
+    pub async fn request(&self, request: &Request) -> Option<Answer> {
+        let needs_listing = {
+            let mut state = self.state.lock().expect("no holder of the lock panics");
+            state.grantor.needs_listing(self.started.elapsed(), request)
+        };
+        if needs_listing {
+            self.write_list(Some(request.holder)).await;
+        }
         let now = self.started.elapsed();
         let mut state = self.state.lock().expect("no holder of the lock panics");
         let mut turned_cold = Vec::new();
@@ -112,6 +147,35 @@
         answer
     }
 
+    /// Puts `holder` on the durable list before it may have slots, or takes those off that have none.
+    async fn write_list(&self, holder: Option<Identity>) {
+        let (state, holders) = (Arc::clone(&self.state), Arc::clone(&self.holders));
+        let write = move || {
+            let mut holders = holders.lock().expect("no holder of the lock panics");
+            let lock = || state.lock().expect("no holder of the lock panics");
+            let list: BTreeSet<Identity> = lock().grantor.listed().chain(holder).collect();
+            let is_known =
+                list.is_superset(holders.written()) && holders.written().is_superset(&list);
+            let is_written = is_known || holders.write(list);
+            if let Some(holder) = holder.filter(|_| is_written) {
+                lock().grantor.list(holder);
+            }
+        };
+        if tokio::task::spawn_blocking(write).await.is_err() {
+            log::error!("shares: writing the list of holders ended early");
+        }
+    }
+
+    /// Who may have shares, for a dump.
+    pub fn holders(&self) -> HoldersRow {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        HoldersRow {
+            is_open: state.grantor.is_open(self.started.elapsed()),
+            listed: state.grantor.listed().count(),
+            awaited: state.grantor.awaited(),
+        }
+    }
+
     /// All targets, for a dump.
     pub fn rows(&self) -> Vec<Row> {
         let state = self.state.lock().expect("no holder of the lock panics");
--- a/crates/azurelug-coordination/src/share/grantor.rs
+++ b/crates/azurelug-coordination/src/share/grantor.rs
@@ -1,6 +1,12 @@
+mod list;
+mod member;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use list::List;
+use member::Member;
+
 use super::division::Demand;
 use super::{Answer, Capacity, Need, Request, Timing};
 use crate::lease::{Identity, outwait};
@@ -17,6 +23,8 @@
     targets: BTreeMap<u32, Target>,
     member_timers: BTreeSet<(Duration, Identity)>,
     pending_timers: BTreeSet<(Duration, Identity, u32)>,
+    /// The holders that may be granted slots; none if the grantor keeps no list.
+    list: Option<List>,
 }
 
 /// Bounds of a grantor's state.
@@ -37,21 +45,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Member {
-    sequence: u64,
-    /// Number of the last answer before this member was added. A lower or equal
-    /// acknowledgement belongs to an earlier stay.
-    added: u64,
-    applied: u64,
-    answered_at: Duration,
-    acknowledged_at: Duration,
-    active: bool,
-    /// The member's timer in `member_timers`.
-    timer: Duration,
-    entries: BTreeMap<u32, Entry>,
-}
-
 #[derive(Debug, Default)]
 struct Target {
     capacity: Option<Capacity>,
@@ -184,6 +177,7 @@
             targets: BTreeMap::new(),
             member_timers: BTreeSet::new(),
             pending_timers: BTreeSet::new(),
+            list: None,
         }
     }
 
@@ -270,6 +264,11 @@
             }
             let heard = member.hear(now, request, self.epoch);
             self.take_needs(now, holder, &mut member, request, turned_cold);
+            // The holder has applied an answer of this start, which took all earlier slots away,
+            // and has stated its use since: nothing of an earlier start is left uncounted.
+            if request.epoch == self.epoch && request.applied > member.added {
+                self.reported(holder);
+            }
             let full = request.epoch != self.epoch || request.applied <= member.added;
             let slots = self.divide(now, &mut member, request, full, was_inactive);
             let Request { sequence, .. } = *request;
@@ -314,6 +313,9 @@
             self.member_timers.remove(&timer);
             self.check_member(now, timer.1);
         }
+        if now >= self.opens_at {
+            self.end_wait();
+        }
     }
 
     /// Withdraws the slots of a member whose lease has ended, and removes it
@@ -332,6 +334,7 @@
                 target.entries -= 1;
                 self.forget_unused(id);
             }
+            self.unlist(holder);
             return;
         }
         if now >= lapses_at {
@@ -401,7 +404,7 @@
         self.number += 1;
         let settles_at = member.answered_at + self.timing.settled();
         let is_silent = now >= member.acknowledged_at + outwait(self.timing.term);
-        let is_closed = now < self.opens_at;
+        let is_closed = !self.is_open(now) || !self.is_listed(holder);
         let mut slots = Vec::new();
         let mut unused = Vec::new();
         for (&id, entry) in &mut member.entries {
@@ -460,33 +463,3 @@
         }
     }
 }
-
-impl Member {
-    fn new(now: Duration, number: u64) -> Self {
-        Self {
-            sequence: 0,
-            added: number,
-            applied: number,
-            answered_at: now,
-            acknowledged_at: now,
-            active: false,
-            timer: Duration::ZERO,
-            entries: BTreeMap::new(),
-        }
-    }
-
-    /// Takes the request's header and returns up to which request the needs are
-    /// known, or 0 when some are missing.
-    fn hear(&mut self, now: Duration, request: &Request, epoch: u64) -> u64 {
-        self.sequence = request.sequence;
-        self.active = true;
-        if request.epoch == epoch && request.applied > self.applied {
-            self.applied = request.applied;
-            self.acknowledged_at = now;
-        }
-        // The basis comes from the latest applied answer. One from an earlier stay
-        // says nothing about what this stay has heard.
-        let known = request.basis == 0 || (request.epoch == epoch && request.applied > self.added);
-        if known { request.sequence } else { 0 }
-    }
-}
--- /dev/null
+++ b/crates/azurelug-coordination/src/share/grantor/list.rs
@@ -0,0 +1,113 @@
+//! The list of holders that shortens the wait of a restarted grantor.
+//!
+//! Owns which holders are on the caller's durable list, and which of an earlier
+//! start are still awaited. No holder may get a slot before it is listed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Grantor;
+use crate::lease::Identity;
+use crate::share::Request;
+
+#[derive(Debug, Default)]
+pub(super) struct List {
+    listed: BTreeSet<Identity>,
+    /// Holders of an earlier start that have not reported to this one; none if
+    /// nobody knows who they are.
+    awaited: Option<BTreeSet<Identity>>,
+}
+
+impl Grantor {
+    /// Grants only to holders that the caller has put on a durable list, see
+    /// [`Grantor::list`]. `earlier` is the list that the earlier start left, or
+    /// none if it is lost. With it, the grantor opens as soon as each listed
+    /// holder has reported its use to this start; a holder that has restarted or
+    /// does not answer is waited for as without a list.
+    #[must_use]
+    pub fn with_list(mut self, earlier: Option<BTreeSet<Identity>>) -> Self {
+        self.list = Some(List {
+            listed: earlier.clone().unwrap_or_default(),
+            awaited: earlier,
+        });
+        self
+    }
+
+    /// Whether the holder asks for slots that it gets only after
+    /// [`Grantor::list`]. While nobody knows the holders of the earlier start, no
+    /// list is complete and none may be written.
+    pub fn needs_listing(&mut self, now: Duration, request: &Request) -> bool {
+        // Time may take holders off the list, this one included.
+        self.advance(now);
+        let Some(list) = &self.list else {
+            return false;
+        };
+        let is_possible = list.awaited.is_some() && list.listed.len() < self.limits.holders;
+        let known = self.members.get(&request.holder);
+        let mut entries = known.into_iter().flat_map(|member| member.entries.values());
+        let wants = request.needs.iter().any(|need| need.wanted > 0)
+            || entries.any(|entry| entry.wanted > 0);
+        wants && is_possible && !list.listed.contains(&request.holder)
+    }
+
+    /// Lets a holder have slots. The caller has written the list with this holder
+    /// on it and synced it: a restart must find each holder that may have slots.
+    pub fn list(&mut self, holder: Identity) {
+        if let Some(list) = &mut self.list {
+            list.listed.insert(holder);
+        }
+    }
+
+    /// The holders that must stand on the durable list. Others may be removed
+    /// from it at any time.
+    pub fn listed(&self) -> impl Iterator<Item = Identity> + '_ {
+        self.list
+            .iter()
+            .flat_map(|list| list.listed.iter().copied())
+    }
+
+    /// Number of holders of the earlier start that are waited for; none if
+    /// nobody knows who they are.
+    pub fn awaited(&self) -> Option<usize> {
+        let awaited = self.list.as_ref()?.awaited.as_ref()?;
+        Some(awaited.len())
+    }
+
+    /// Whether nothing of an earlier start can be left uncounted.
+    pub fn is_open(&self, now: Duration) -> bool {
+        now >= self.opens_at || self.awaited() == Some(0)
+    }
+
+    pub(super) fn is_listed(&self, holder: Identity) -> bool {
+        self.list
+            .as_ref()
+            .is_none_or(|list| list.listed.contains(&holder))
+    }
+
+    /// Notes that all that a holder uses is counted here.
+    pub(super) fn reported(&mut self, holder: Identity) {
+        let awaited = self.list.as_mut().and_then(|list| list.awaited.as_mut());
+        if let Some(awaited) = awaited {
+            awaited.remove(&holder);
+        }
+    }
+
+    /// Notes that no call of a holder can run any more.
+    pub(super) fn unlist(&mut self, holder: Identity) {
+        if let Some(list) = &mut self.list {
+            list.listed.remove(&holder);
+        }
+    }
+
+    /// Ends the wait for holders of the earlier start.
+    pub(super) fn end_wait(&mut self) {
+        let Some(list) = &mut self.list else {
+            return;
+        };
+        for holder in list.awaited.replace(BTreeSet::new()).into_iter().flatten() {
+            if !self.members.contains_key(&holder) {
+                list.listed.remove(&holder);
+            }
+        }
+    }
+}
--- a/crates/azurelug-coordination/src/share/holder.rs
+++ b/crates/azurelug-coordination/src/share/holder.rs
@@ -173,6 +173,11 @@
         self.valid_until
     }
 
+    /// Epoch of the grantor that gave the latest applied answer, or 0.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Calls that count as in flight at the target.
     pub fn in_flight(&self, target: u32) -> u32 {
         self.targets
--- a/crates/azurelug-coordination/tests/support/share_world.rs
+++ b/crates/azurelug-coordination/tests/support/share_world.rs
@@ -1,6 +1,6 @@
 //! Targets whose calls are counted in real time, one grantor, several daemons.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use azurelug_coordination::lease::Identity;
@@ -72,6 +72,8 @@
     net: Net<Message>,
     keeper: Process,
     grantor: Grantor,
+    /// The grantor's durable list of holders, unless it is lost.
+    listed: Option<BTreeSet<Identity>>,
     processes: Vec<Process>,
     holders: Vec<Holder>,
     targets: Vec<Target>,
@@ -103,7 +105,7 @@
         let net = Net::new(&mut dice);
         let timing = Timing::default();
         let keeper = Process::new(&mut dice, 1);
-        let grantor = Grantor::new(keeper.clock(0), 1, timing, Limits::default());
+        let grantor = Grantor::new(keeper.clock(0), 1, timing, Limits::default()).with_list(None);
         let processes: Vec<Process> = (0..HOLDERS).map(|_| Process::new(&mut dice, 1)).collect();
         let holders = processes
             .iter()
@@ -137,6 +139,7 @@
             net,
             keeper,
             grantor,
+            listed: None,
             processes,
             holders,
             targets,
@@ -180,7 +183,11 @@
             self.set_capacities();
         }
         self.end_calls();
+        let was_open = self.grantor.is_open(self.keeper.clock(self.now));
         self.deliver();
+        if !was_open && self.grantor.awaited() == Some(0) {
+            self.net.count("grantor opened early");
+        }
         for id in 0..HOLDERS {
             self.run_daemon(id);
             self.check(&format!("after daemon {id}"))?;
@@ -228,6 +235,12 @@
             let clock = process.clock(self.now);
             match message {
                 Message::Request(request) => {
+                    // Some writes of the list fail.
+                    if self.grantor.needs_listing(clock, &request) && !self.dice.one_in(8) {
+                        let listed = self.grantor.listed().chain([request.holder]);
+                        self.listed = Some(listed.collect());
+                        self.grantor.list(request.holder);
+                    }
                     let mut turned_cold = Vec::new();
                     let answer = self.grantor.request(clock, &request, &mut turned_cold);
                     for id in turned_cold {
@@ -235,8 +248,7 @@
                     }
                     if let Some(answer) = answer {
                         self.number = answer.number;
-                        let to = request.holder.id as usize;
-                        let message = Message::Answer(answer);
+                        let (to, message) = (request.holder.id as usize, Message::Answer(answer));
                         self.net
                             .send(self.now, &mut self.dice, GRANTOR, to, message);
                     }
@@ -279,8 +291,7 @@
                 let wanted = if calm { 40 } else { self.dice.below(40) as u32 };
                 self.holders[id].want(target as u32, wanted);
             }
-            let request = self.holders[id].request(clock);
-            let message = Message::Request(request);
+            let message = Message::Request(self.holders[id].request(clock));
             self.net.send(now, &mut self.dice, id, GRANTOR, message);
         }
         for index in 0..TARGETS {
@@ -337,12 +348,20 @@
                 .iter_mut()
                 .for_each(|target| target.aware[id] &= target.grantor_told);
         }
-        if self.dice.one_in(1_500) {
+        // The list may shrink at any time.
+        if self.dice.one_in(100) && self.listed.is_some() {
+            self.listed = Some(self.grantor.listed().collect());
+        }
+        if self.dice.one_in(700) {
             self.net.count("grantor restart");
             self.keeper = Process::new(&mut self.dice, self.keeper.incarnation + 1);
             let clock = self.keeper.clock(now);
             let epoch = self.keeper.incarnation;
-            self.grantor = Grantor::new(clock, epoch, Timing::default(), Limits::default());
+            if self.dice.one_in(5) {
+                self.listed = None;
+            }
+            let grantor = Grantor::new(clock, epoch, Timing::default(), Limits::default());
+            self.grantor = grantor.with_list(self.listed.clone());
             self.number = 0;
             for target in &mut self.targets {
                 // The new grantor reads the load report before it grants.
--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -301,7 +301,13 @@
 
     fn answer(&self, zone: usize, answer: &azurelug_coordination::share::Answer) {
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        state.zones[zone].holder.answer(answer);
+        let holder = &mut state.zones[zone].holder;
+        let epoch = holder.epoch();
+        holder.answer(answer);
+        if holder.epoch() != epoch {
+            // A grantor that has restarted waits for the use that the next renewal reports.
+            self.early.send_modify(|count| *count += 1);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/azurelug-system/tests/shares_restart.rs
@@ -0,0 +1,96 @@
+//! Leased shares after a restart of the control daemon that grants them, against real processes.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use azurelug_system::operator::Operator;
+use azurelug_system::system::{System, wait};
+use azurelug_testkit::engine::Settings;
+use azurelug_types::config::StageKind;
+use nix::sys::signal::Signal;
+use tokio::time::Instant;
+
+/// A lease, the longest call and the drift; see docs/design.md, section 12.
+const FULL_WAIT: Duration = Duration::from_millis(14_190);
+
+/// Slots that an idle entry daemon holds beyond its base share of 1 at each engine.
+const SPARE: u64 = 3;
+
+/// Engines with a cold limit of 2, so that a daemon wants more than its base share.
+async fn start() -> System {
+    let settings = Settings {
+        cold_limit: 2,
+        warm_after: 1,
+        ..Settings::default()
+    };
+    System::start_with(settings).await
+}
+
+/// Whether each engine of the first zone has `slots` leased slots in use.
+async fn is_granting(system: &System, slots: u64) -> bool {
+    let dump = Operator::new()
+        .get(system.operators(0), "/debug/state")
+        .await;
+    let Some((_, state)) = dump else {
+        return false;
+    };
+    let targets = state["shares"].as_array().cloned().unwrap_or_default();
+    let granted = targets
+        .iter()
+        .filter(|it| it["leased_in_use"].as_u64() >= Some(slots));
+    granted.count() >= StageKind::ALL.len()
+}
+
+/// Kills and restarts the first control daemon, and returns the times until the first and until all
+/// leased slots of its zone are granted again.
+async fn restart(system: &mut System) -> [Duration; 2] {
+    wait("grants", || is_granting(system, SPARE)).await;
+    system.zones[0].control.kill();
+    system.zones[0].control.start();
+    let restarted = Instant::now();
+    wait("grants after the restart", || is_granting(system, 1)).await;
+    let first = restarted.elapsed();
+    wait("all grants after the restart", || {
+        is_granting(system, SPARE)
+    })
+    .await;
+    [first, restarted.elapsed()]
+}
+
+/// Guards against a zone that runs on base shares for the longest call after each restart of its control
+/// daemon, and against one that trusts a list that is missing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_grantor_opens_when_all_holders_have_reported() {
+    let mut system = start().await;
+    for _ in 0..3 {
+        let [first, all] = restart(&mut system).await;
+        println!("with the list: first grants after {first:?}, all after {all:?}");
+        assert!(all < Duration::from_secs(10), "took {all:?}");
+    }
+    std::fs::remove_file(system.data(0).join("holders")).unwrap();
+    let [first, all] = restart(&mut system).await;
+    println!("without the list: first grants after {first:?}, all after {all:?}");
+    assert!(first >= FULL_WAIT, "took {first:?}");
+}
+
+/// Guards against grants that ignore the calls of a daemon that can't report them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_holder_keeps_a_restarted_grantor_closed() {
+    let mut system = start().await;
+    wait("grants", || is_granting(&system, SPARE)).await;
+    system.zones[0].entry.signal(Signal::SIGSTOP);
+    system.zones[0].control.kill();
+    system.zones[0].control.start();
+    let restarted = Instant::now();
+    let is_open = async || {
+        let dump = Operator::new()
+            .get(system.operators(0), "/debug/state")
+            .await;
+        dump.is_some_and(|(_, state)| state["holders"]["is_open"] == true)
+    };
+    wait("an open grantor", &is_open).await;
+    let took = restarted.elapsed();
+    assert!(took >= FULL_WAIT, "took {took:?}");
+    system.zones[0].entry.signal(Signal::SIGCONT);
+    wait("grants", || is_granting(&system, SPARE)).await;
+}
