--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -2,11 +2,13 @@
 
 pub mod daemons;
 pub mod disk;
+pub mod holders;
 pub mod internal;
 pub mod metrics;
 pub mod operators;
 pub mod orders;
 pub mod peers;
+pub mod platform;
 pub mod replica;
 pub mod run;
 pub mod settings;
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -69,6 +69,7 @@
     once: Once,
     shares: Vec<shares::Row>,
     engines: orders::Report,
+    holders: shares::HoldersRow,
     log: Option<State>,
     entry_daemons: Vec<Row>,
 }
@@ -185,6 +186,7 @@
             once: Once::of(&self.replica),
             shares: self.shares.rows(),
             engines: self.engines.report(),
+            holders: self.shares.holders(),
             log,
             entry_daemons: self.registry.rows(),
         };
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -50,6 +50,9 @@
     /// Orders to engines.
     #[serde(default)]
     pub orders: Orders,
+    /// The platform's list of live and leaving VMs.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
     /// Logs.
     #[serde(default)]
     pub log: Log,
--- a/crates/azurelug-control/tests/settings.rs
+++ b/crates/azurelug-control/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 
-use azurelug_control::settings::{Member, Settings};
+use azurelug_control::settings::{Member, Orders, Settings};
 use azurelug_settings::read;
 use azurelug_testkit::settings_page;
 use serde_json::Value;
@@ -19,4 +19,5 @@
     let page = std::fs::read_to_string(repository.join("docs/settings.md")).unwrap();
     settings_page::compare::<Settings>(&page, "azurelug-control", &example);
     settings_page::compare_elements::<Member>(&page, "azurelug-control", "members");
+    settings_page::compare::<Orders>(&page, "orders", &example["orders"]);
 }
--- a/crates/azurelug-entry/src/drive/moves.rs
+++ b/crates/azurelug-entry/src/drive/moves.rs
@@ -74,6 +74,7 @@
                 idempotent: true,
                 prefix: &[],
                 exclude: &[key],
+                avoid_cold: false,
             };
             let chosen = self.gateway.with_router(|router, now| {
                 let is_leaving = router.is_leaving(key);
--- a/crates/azurelug-entry/tests/locality.rs
+++ b/crates/azurelug-entry/tests/locality.rs
@@ -129,6 +129,7 @@
                 idempotent: true,
                 prefix: &blocks(MODEL, prompt),
                 exclude: &[],
+                avoid_cold: false,
             };
             let target = self.router.choose(&query, now).unwrap().target;
             let key = self.router.begin(target, now).unwrap();
--- a/crates/azurelug-testkit/src/settings_page.rs
+++ b/crates/azurelug-testkit/src/settings_page.rs
@@ -38,7 +38,8 @@
             .strip_prefix('`')
             .and_then(|it| it.strip_suffix('`'))
         {
-            settings[key] = Value::from(literal);
+            let number = literal.parse::<u64>();
+            settings[key] = number.map_or_else(|_| Value::from(literal), Value::from);
             let stated: T = serde_json::from_value(settings).expect("a default fits");
             let (stated, absent) = (format!("{stated:?}"), format!("{absent:?}"));
             assert_eq!(stated, absent, "{key} is not {literal} by default");
