system: keep the entry daemons in use while a grantor restarts

Cause: the two tests of shares_restart.rs wait for three leased slots of a daemon without calls; since idle daemons ask for one spare slot that never comes. Change: calls go through the first zone's daemon during both tests, which also puts the restart under load. The checks of times are as before.

--- a/crates/azurelug-system/tests/shares_restart.rs
+++ b/crates/azurelug-system/tests/shares_restart.rs
@@ -5,15 +5,17 @@
 
 use azurelug_system::operator::Operator;
 use azurelug_system::system::{System, wait};
+use azurelug_testkit::caller;
 use azurelug_testkit::engine::Settings;
 use azurelug_types::config::StageKind;
 use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// A lease, the longest call and the drift; see docs/design.md, section 12.
 const FULL_WAIT: Duration = Duration::from_millis(14_190);
 
-/// Slots that an idle entry daemon holds beyond its base share of 1 at each engine.
+/// Slots that an entry daemon holds beyond its base share of 1 at each engine that it calls now and then.
 const SPARE: u64 = 3;
 
 /// Engines with a cold limit of 2, so that a daemon wants more than its base share.
@@ -26,6 +28,15 @@
     System::start_with(settings).await
 }
 
+/// Calls through the first zone's entry daemon until it is aborted. Without calls a daemon asks for
+/// one slot only, which is its base share.
+fn load(system: &System) -> JoinHandle<()> {
+    let calls = system.calls(&[0], 1_000, Duration::from_millis(200));
+    tokio::spawn(async move {
+        caller::run(calls).await.unwrap();
+    })
+}
+
 /// Whether each engine of the first zone has `slots` leased slots in use.
 async fn is_granting(system: &System, slots: u64) -> bool {
     let dump = Operator::new()
@@ -62,6 +73,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_restarted_grantor_opens_when_all_holders_have_reported() {
     let mut system = start().await;
+    let load = load(&system);
     for _ in 0..3 {
         let [first, all] = restart(&mut system).await;
         println!("with the list: first grants after {first:?}, all after {all:?}");
@@ -71,12 +83,14 @@
     let [first, all] = restart(&mut system).await;
     println!("without the list: first grants after {first:?}, all after {all:?}");
     assert!(first >= FULL_WAIT, "took {first:?}");
+    load.abort();
 }
 
 /// Guards against grants that ignore the calls of a daemon that can't report them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_frozen_holder_keeps_a_restarted_grantor_closed() {
     let mut system = start().await;
+    let load = load(&system);
     wait("grants", || is_granting(&system, SPARE)).await;
     system.zones[0].entry.signal(Signal::SIGSTOP);
     system.zones[0].control.kill();
@@ -93,4 +107,5 @@
     assert!(took >= FULL_WAIT, "took {took:?}");
     system.zones[0].entry.signal(Signal::SIGCONT);
     wait("grants", || is_granting(&system, SPARE)).await;
+    load.abort();
 }
