entry, system: split the driver; one place for the counters of a zone

Change: retries and hedges move to drive/repeats.rs, the counters to system/counts.rs. No change of behaviour.

--- a/crates/azurelug-entry/src/drive.rs
+++ b/crates/azurelug-entry/src/drive.rs
@@ -1,6 +1,7 @@
 //! Drives one pipeline request: carries out the actions of `azurelug_core::pipeline`.
 
 mod moves;
+mod repeats;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,7 +10,6 @@
 
 use azurelug_core::outcome::Ledger;
 use azurelug_core::pipeline::{Action, CallId, Event, Run};
-use azurelug_core::retry;
 use azurelug_core::routing::{Need, NoTarget, Query, blocks};
 use azurelug_core::stream::Token;
 use azurelug_types::config::{Pipeline, Stage, StageKind};
@@ -25,7 +25,7 @@
 use crate::engine;
 use crate::estimates::{Classes, is_short};
 use crate::gateway::Gateway;
-use crate::metrics::{Repeat, Use};
+use crate::metrics::Use;
 use crate::refuse;
 use crate::slots::{self, Work};
 
@@ -216,71 +216,6 @@
         }
     }
 
-    /// The event of a failed call, after its cost was counted and the budget was asked.
-    fn failed(&mut self, call: CallId, is_undone: bool) -> Event {
-        let may_retry = self.may_retry(&call, is_undone);
-        self.count(&call, Use::Wasted);
-        Event::Failed {
-            call,
-            may_retry,
-            retry_after: RETRY_AFTER,
-        }
-    }
-
-    /// Whether a failed call may be repeated. Takes from the stage's budget, unless another attempt
-    /// still runs or the target did no work: such a call has not put any load on the stage.
-    fn may_retry(&mut self, call: &CallId, is_undone: bool) -> bool {
-        let Some(attempt) = self.attempts.get_mut(call) else {
-            return false;
-        };
-        attempt.is_over = true;
-        let kind = attempt.stage;
-        if is_undone || call.stage != self.run.stage() || self.has_live_attempt() {
-            return true;
-        }
-        let stage = usize::from(call.stage.0);
-        let failure = retry::Failure {
-            idempotent: true,
-            attempts: call.attempt.0 + 1,
-            remaining: self.left(),
-            needed: self.gateway.estimates.least_time(&self.classes, stage),
-        };
-        let result = self.gateway.estimates.retry(kind, failure);
-        if result.is_ok() {
-            self.gateway.metrics.repeated(kind, Repeat::Retry);
-        }
-        result.is_ok()
-    }
-
-    /// Starts a second attempt beside a late one, if the budget allows it.
-    async fn hedge(&mut self) -> Step {
-        let Some(late) = self.late.take() else {
-            return Step::Wait;
-        };
-        let Some(attempt) = self.attempts.get(&late.call).filter(|it| !it.is_over) else {
-            return Step::Wait;
-        };
-        let kind = attempt.stage;
-        let slow = retry::Slow {
-            idempotent: true,
-            has_tokens: kind == StageKind::Generate,
-            waited: attempt.started.elapsed(),
-            p95: late.p95,
-        };
-        if self.gateway.estimates.hedge(kind, slow).is_err() {
-            return Step::Wait;
-        }
-        self.gateway.metrics.repeated(kind, Repeat::Hedge);
-        self.take(Event::Slow { call: late.call }).await
-    }
-
-    /// Whether an attempt at the present stage still runs.
-    fn has_live_attempt(&self) -> bool {
-        let stage = self.run.stage();
-        let mut attempts = self.attempts.iter();
-        attempts.any(|(call, attempt)| call.stage == stage && !attempt.is_over)
-    }
-
     fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/azurelug-system/src/system.rs
+++ b/crates/azurelug-system/src/system.rs
@@ -18,7 +18,8 @@
 use crate::operator::{Operator, patch};
 use crate::process::Process;
 
-pub mod first;
+pub mod counts;
+mod first;
 
 pub use first::account;
 use first::model_text;
--- a/crates/azurelug-system/tests/partitions.rs
+++ b/crates/azurelug-system/tests/partitions.rs
@@ -21,23 +21,6 @@
 /// A deadline that leaves time for a second attempt.
 const DEADLINE: Duration = Duration::from_secs(4);
 
-/// Calls that the engines and the service of a zone have started.
-fn started(system: &System, zone: usize) -> u64 {
-    let engines = system.zones[zone].engines.values();
-    let calls = engines.map(|engine| engine.counts().started);
-    calls.sum::<u64>() + booked(system, zone)
-}
-
-/// Bookings that the replica of a zone has executed.
-fn booked(system: &System, zone: usize) -> u64 {
-    let executions = system.zones[zone].stock.executions();
-    executions.operations.values().sum()
-}
-
-async fn mode(system: &System, zone: usize, mode: &str) {
-    system.wait_state(zone, |state| state["mode"] == mode).await;
-}
-
 /// Guards against calls that are lost, doubled or left without an answer when the zone of their entry
 /// daemon loses its links to all other zones, those to targets that run the calls included.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -48,7 +31,7 @@
         delay_ms: 700,
         ..Faults::default()
     });
-    let booked = || [1, 2].map(|zone| booked(&system, zone)).iter().sum::<u64>();
+    let booked = || [1, 2].map(|zone| system.booked(zone)).iter().sum::<u64>();
     // More than the own zone takes, so that calls run in other zones at the moment of the cut.
     let calls = system.calls(&[0], 400, Duration::from_millis(5));
     let pipelines = tokio::spawn(caller::run(calls));
@@ -80,12 +63,12 @@
     }
     assert!(unknown > 0, "the cut met no booking");
 
-    mode(&system, 0, "degraded").await;
+    system.wait_mode(0, "degraded").await;
     let calls = system.calls(&[0], 20, Duration::from_millis(100));
     let report = caller::run(calls).await.unwrap();
     assert_eq!(report.correct(), 20, "{:?}", report.incorrect());
     system.links.heal();
-    mode(&system, 0, "normal").await;
+    system.wait_mode(0, "normal").await;
     system.set_stock_faults(&Faults::default());
     let answer = Booking::new(DEADLINE)
         .send(system.callers(0))
@@ -127,10 +110,10 @@
     .await;
     // The limit of 3 s is what is tested.
     tokio::time::sleep(DRAIN_LIMIT).await;
-    let before = started(&system, 0);
+    let before = system.started(0);
     let report = load.await.unwrap().unwrap();
     assert!(report.wrong().is_empty(), "{:?}", report.wrong());
-    mode(&system, 0, "refuse").await;
+    system.wait_mode(0, "refuse").await;
     let calls = system.calls(&[0], 10, Duration::from_millis(20));
     let report = caller::run(calls).await.unwrap();
     for (_, end) in &report.ends {
@@ -139,7 +122,7 @@
         };
         assert_eq!(execution, "not_run");
     }
-    assert_eq!(started(&system, 0), before, "new work after the limit");
+    assert_eq!(system.started(0), before, "new work after the limit");
 }
 
 /// Guards against a local drain that sends new work into the zone all the same, and against one that
@@ -160,23 +143,19 @@
         );
     };
     run(10).await;
-    assert!(started(&system, 1) > 0, "the own zone gets work");
+    assert!(system.started(1) > 0, "the own zone gets work");
     let mut call = Call::post_json(system.admin(1), "/v1/local-drain", &(), DEADLINE);
     call.body = ZONES[1].as_bytes().to_vec().into();
     let (status, body) = client.send_whole(call, 1024).await.unwrap();
     assert_eq!(status, 200, "{body:?}");
-    let before = started(&system, 1);
+    let before = system.started(1);
     run(20).await;
-    assert_eq!(
-        started(&system, 1),
-        before,
-        "new work after the local drain"
-    );
+    assert_eq!(system.started(1), before, "new work after the local drain");
     let account = azurelug_system::system::account("depots", "depot-key");
     operator.change(system.operators(0), vec![account]).await;
     wait("work after the next version", || async {
         run(1).await;
-        started(&system, 1) > before
+        system.started(1) > before
     })
     .await;
 }
--- a/crates/azurelug-system/tests/zones.rs
+++ b/crates/azurelug-system/tests/zones.rs
@@ -20,19 +20,6 @@
 /// A deadline that a healthy system meets easily.
 const DEADLINE: Duration = Duration::from_secs(4);
 
-/// Calls that the engines and the service of a zone have started.
-fn started(system: &System, zone: usize) -> u64 {
-    let engines = system.zones[zone].engines.values();
-    let calls = engines.map(|engine| engine.counts().started);
-    calls.sum::<u64>() + booked(system, zone)
-}
-
-/// Bookings that the replica of a zone has executed.
-fn booked(system: &System, zone: usize) -> u64 {
-    let executions = system.zones[zone].stock.executions();
-    executions.operations.values().sum()
-}
-
 /// Pipeline calls and bookings through the entry daemons of `zones` until it is stopped.
 struct Load {
     stop: tokio::sync::watch::Sender<bool>,
@@ -127,8 +114,8 @@
 async fn a_drained_zone_gets_no_new_work_until_it_is_restored() {
     let system = System::start().await;
     let changes = [State::Draining, State::Active].map(|state| zone_state(ZONES[1], state));
-    let others = || started(&system, 0) + started(&system, 2);
-    drain_and_restore(&system, changes, || started(&system, 1), others).await;
+    let others = || system.started(0) + system.started(2);
+    drain_and_restore(&system, changes, || system.started(1), others).await;
 }
 
 /// Guards against new work on a draining target later than 3 s after operators set it, and against
@@ -157,12 +144,8 @@
         name: TargetName::from("stock-zone-b"),
         state,
     });
-    let others = || booked(&system, 0) + booked(&system, 2);
-    drain_and_restore(&system, changes, || booked(&system, 1), others).await;
-}
-
-async fn mode(system: &System, zone: usize, mode: &str) {
-    system.wait_state(zone, |state| state["mode"] == mode).await;
+    let others = || system.booked(0) + system.booked(2);
+    drain_and_restore(&system, changes, || system.booked(1), others).await;
 }
 
 /// Guards against an entry daemon of a partitioned zone that sends work by an old configuration
@@ -172,13 +155,13 @@
 async fn a_partitioned_zone_serves_itself_only_and_catches_up() {
     let system = System::start_with_links().await;
     let operator = Operator::new();
-    let outside = || started(&system, 1) + started(&system, 2);
+    let outside = || system.started(1) + system.started(2);
     assert_all_correct(&system, 12).await;
     let before = outside();
     burst(&system).await;
     assert!(outside() > before, "the burst does not reach other zones");
     system.links.isolate(0);
-    mode(&system, 0, "degraded").await;
+    system.wait_mode(0, "degraded").await;
     let before = outside();
     assert_all_correct(&system, 30).await;
     burst(&system).await;
@@ -248,7 +231,7 @@
         let calls = system.calls(&[0], 60, Duration::from_millis(50));
         let running = tokio::spawn(caller::run(calls));
         wait("a new connection", || async { connected() > before }).await;
-        mode(&system, 0, "normal").await;
+        system.wait_mode(0, "normal").await;
         let took = silenced.elapsed();
         assert!(took <= Duration::from_secs(3), "took {took:?}");
         let report = running.await.unwrap().unwrap();
