settings: name line and field of a key file that can't be read

Cause: a missing or short key file was named alone; an operator did not see which line of which settings file led there. Change: shared_key takes the settings file and reports at its field key_file. Before: '/key: No such file ...', now 'x.yaml:5: key_file: ...'. Conclusion: the data folder's errors still name the folder only.

--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -82,7 +82,7 @@
         daemon: settings.name.clone(),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
-        key: read::shared_key(&settings.key_file)?,
+        key: read::shared_key(path, &settings.key_file)?,
     });
     let listener = Listener::bind(settings.internal, Arc::clone(&identity)).await;
     let listener = listener.map_err(|error| unbound(path, "internal", error))?;
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -181,6 +181,6 @@
             return problem("orders.weight_store", message, help);
         }
         self.log.check(path)?;
-        read::shared_key(&self.key_file).map(|_| ())
+        read::shared_key(path, &self.key_file).map(|_| ())
     }
 }
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -60,7 +60,7 @@
         daemon: settings.name.clone(),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
-        key: read::shared_key(&settings.key_file)?,
+        key: read::shared_key(path, &settings.key_file)?,
     };
     let callers = Server::bind(settings.callers).await;
     let callers = callers.map_err(|error| unbound(path, "callers", error))?;
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -97,7 +97,7 @@
             return Err(Error::value(path, "control", "empty", help));
         }
         settings.log.check(path)?;
-        read::shared_key(&settings.key_file)?;
+        read::shared_key(path, &settings.key_file)?;
         Ok(settings)
     }
 }
--- a/crates/azurelug-settings/src/read.rs
+++ b/crates/azurelug-settings/src/read.rs
@@ -54,19 +54,21 @@
     })
 }
 
-/// Reads the cluster's shared key.
+/// Reads the cluster's shared key from the file that the setting `key_file` in `settings` names.
 ///
 /// # Errors
-/// `Read` if the file can't be read, `Value` if the key is shorter than 32 bytes.
-pub fn shared_key(path: &Path) -> Result<Vec<u8>, Error> {
-    let key = text(path)?.trim().as_bytes().to_vec();
+/// `Value` if the file can't be read or the key is shorter than 32 bytes.
+pub fn shared_key(settings: &Path, key_file: &Path) -> Result<Vec<u8>, Error> {
+    let problem = |message: String, help: &str| {
+        let message = format!("{}: {message}", key_file.display());
+        Error::value(settings, "key_file", message, help)
+    };
+    let text = std::fs::read_to_string(key_file)
+        .map_err(|source| problem(source.to_string(), "create the file or correct the path"))?;
+    let key = text.trim().as_bytes().to_vec();
     if key.len() < 32 {
-        return Err(Error::value(
-            path,
-            "shared key",
-            format!("{} bytes are too short", key.len()),
-            "write at least 32 random bytes as text, the same on every VM",
-        ));
+        let help = "write at least 32 random bytes as text, the same on every VM";
+        return Err(problem(format!("{} bytes are too short", key.len()), help));
     }
     Ok(key)
 }
--- a/crates/azurelug-system/tests/bad_settings.rs
+++ b/crates/azurelug-system/tests/bad_settings.rs
@@ -46,6 +46,8 @@
         let good = std::fs::read_to_string(folder.join(name)).unwrap();
         let lines = good.lines().count();
         let added = format!("bad.yaml:{}:", lines + 1);
+        let key_line = good.lines().position(|line| line.starts_with("key_file"));
+        let key_line = format!("bad.yaml:{}:", key_line.unwrap() + 1);
         let file = folder.join("bad.yaml");
         let log = || folder.join("bad.log");
         let mut cases = vec![
@@ -67,7 +69,13 @@
             ),
             (
                 good.replace("/key", "/no-key"),
-                vec!["no-key", "No such file", "create the file"],
+                vec![
+                    &key_line,
+                    "key_file",
+                    "no-key",
+                    "No such file",
+                    "create the file",
+                ],
             ),
         ];
         if name == "entry-a.yaml" {
