--- /dev/null
+++ b/crates/azurelug-control/src/cluster.rs
@@ -0,0 +1,119 @@
+//! Who the control daemons are: listed in the settings, or found by their addresses.
+//!
+//! A daemon that is found by its address has its IPv4 number as its slot in the replicated log, so
+//! that the log's own membership tells where each member is, and goes by that address as its name
+//! on the wire.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use azurelug_types::id::DaemonName;
+
+use crate::settings::{Member, Settings};
+
+/// The control daemons of the cluster. Clones share the list.
+#[derive(Clone, Debug)]
+pub enum Cluster {
+    /// As the settings list them.
+    Listed(Arc<[Member]>),
+    /// Found by their addresses.
+    Found {
+        /// Addresses to ask for admission.
+        seeds: Arc<[Ipv4Addr]>,
+        /// This daemon.
+        own: Ipv4Addr,
+        /// The port of all control daemons.
+        port: u16,
+    },
+}
+
+impl Cluster {
+    /// The cluster that checked settings describe.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        let Some(discovery) = &settings.discovery else {
+            return Self::Listed(settings.members.clone().into());
+        };
+        let numbers = discovery.seeds.iter().map(SocketAddr::ip).filter_map(ipv4);
+        Self::Found {
+            seeds: numbers.collect(),
+            own: ipv4(settings.internal.ip()).unwrap_or(Ipv4Addr::UNSPECIFIED),
+            port: settings.internal.port(),
+        }
+    }
+
+    /// The own name on the wire.
+    #[must_use]
+    pub fn own_name(&self, settings: &Settings) -> DaemonName {
+        match self {
+            Self::Listed(_) => settings.name.clone(),
+            Self::Found { own, .. } => DaemonName(own.to_string()),
+        }
+    }
+
+    /// The own slot.
+    #[must_use]
+    pub fn own_slot(&self, settings: &Settings) -> u32 {
+        match self {
+            Self::Listed(_) => settings.own().expect("the settings were checked").slot,
+            Self::Found { own, .. } => (*own).into(),
+        }
+    }
+
+    /// Slots of the members to ask for admission, and of the founders on the first start.
+    #[must_use]
+    pub fn slots(&self) -> Vec<u32> {
+        match self {
+            Self::Listed(members) => members.iter().map(|member| member.slot).collect(),
+            Self::Found { seeds, .. } => seeds.iter().map(|seed| (*seed).into()).collect(),
+        }
+    }
+
+    /// Whether this daemon founds the cluster if it is the cluster's first start.
+    #[must_use]
+    pub fn is_founder(&self) -> bool {
+        match self {
+            Self::Listed(_) => true,
+            Self::Found { seeds, own, .. } => seeds.contains(own),
+        }
+    }
+
+    /// Where the member of a slot is reached.
+    #[must_use]
+    pub fn address(&self, slot: u32) -> Option<SocketAddr> {
+        match self {
+            Self::Listed(members) => {
+                let member = members.iter().find(|member| member.slot == slot);
+                member.map(|member| member.address)
+            }
+            Self::Found { port, .. } => Some((Ipv4Addr::from(slot), *port).into()),
+        }
+    }
+
+    /// Whether a peer of this name is a control daemon.
+    #[must_use]
+    pub fn is_control(&self, name: &DaemonName) -> bool {
+        match self {
+            Self::Listed(members) => members.iter().any(|member| member.name == *name),
+            Self::Found { .. } => name.as_str().parse::<Ipv4Addr>().is_ok(),
+        }
+    }
+
+    /// Whether a peer of this name is the member of a slot.
+    #[must_use]
+    pub fn is_member(&self, name: &DaemonName, slot: u32) -> bool {
+        match self {
+            Self::Listed(members) => members
+                .iter()
+                .any(|member| member.slot == slot && member.name == *name),
+            Self::Found { .. } => name.as_str() == Ipv4Addr::from(slot).to_string(),
+        }
+    }
+}
+
+fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
+    match address {
+        IpAddr::V4(address) => Some(address),
+        IpAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/azurelug-control/src/deployment.rs
@@ -0,0 +1,122 @@
+//! Operators' whole configurations and drained zones over HTTP, and the platform's list of targets.
+
+mod reader;
+
+pub use reader::read_targets;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::gateway::orders::Order;
+use azurelug_core::machine::Command;
+use azurelug_platform::document;
+use azurelug_platform::operators::Operation;
+use azurelug_types::id::ZoneName;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::replica::{Error, Replica};
+
+/// The longest document in bytes.
+const DOCUMENT_LIMIT: usize = 8 * 1024 * 1024;
+
+/// How long a read waits until the state is known to be the newest: three freshness probes, and
+/// less than the second after which operators ask another daemon.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+
+/// Answers one call of an operator.
+pub async fn handle(replica: Replica, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let operation = Operation::read(request.method(), request.uri().path());
+    match operation {
+        Some(Operation::Configure) => configure(&replica, request.into_body()).await,
+        Some(Operation::Read) => read(&replica).await,
+        Some(Operation::Drain { zone, drained }) => drain(&replica, zone, drained).await,
+        None => problem(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+async fn configure(replica: &Replica, body: Incoming) -> Response<Full<Bytes>> {
+    let body = match Limited::new(body, DOCUMENT_LIMIT).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::warn!("control: configuration refused: {error}");
+            return problem(StatusCode::BAD_REQUEST, "the body is not whole");
+        }
+    };
+    let version = match document::read(&body) {
+        Ok(deployment) => deployment.version,
+        Err(error) => {
+            log::warn!("control: configuration refused: {error}");
+            return problem(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+    };
+    // What is applied here is committed, so that a resent document needs no second entry.
+    let held = replica.orders().document().map(|held| held.version);
+    if held.is_some_and(|held| held >= version) {
+        log::info!("control: configuration {version} acknowledged; {held:?} is in force");
+        return done();
+    }
+    let order = Order::Configure {
+        version,
+        document: Arc::from(&body[..]),
+    };
+    let subject = format!("configuration {version}, {} bytes", body.len());
+    commit(replica, order, &subject).await
+}
+
+async fn drain(replica: &Replica, zone: ZoneName, drained: bool) -> Response<Full<Bytes>> {
+    let verb = if drained { "out of use" } else { "in use" };
+    let subject = format!("zone {zone} {verb}");
+    commit(replica, Order::Drain { zone, drained }, &subject).await
+}
+
+async fn commit(replica: &Replica, order: Order, subject: &str) -> Response<Full<Bytes>> {
+    match replica.propose(&Command::Deployment(order)).await {
+        Ok(_) => {
+            log::info!("control: {subject}: committed");
+            done()
+        }
+        Err(error @ Error::Malformed { .. }) => {
+            log::warn!("control: {subject}: {error}");
+            problem(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string())
+        }
+        Err(error @ Error::NoQuorum { .. }) => {
+            log::warn!("control: {subject}: {error}");
+            problem(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        }
+    }
+}
+
+async fn read(replica: &Replica) -> Response<Full<Bytes>> {
+    if !replica.wait_fresh(READ_LIMIT).await {
+        log::warn!("control: configuration not read: no word of the leader");
+        return problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not known to be the newest; ask another daemon",
+        );
+    }
+    match replica.orders().document() {
+        Some(document) => json(StatusCode::OK, Bytes::copy_from_slice(&document.bytes)),
+        None => problem(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+    }
+}
+
+fn done() -> Response<Full<Bytes>> {
+    json(StatusCode::OK, Bytes::from_static(b"{}"))
+}
+
+fn problem(status: StatusCode, error: &str) -> Response<Full<Bytes>> {
+    let body = serde_json::json!({ "error": error }).to_string();
+    json(status, Bytes::from(body))
+}
+
+fn json(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/azurelug-control/src/deployment/reader.rs
@@ -0,0 +1,136 @@
+//! Reads the platform's list of targets under the rate that all daemons share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_http::h1::client::Connection;
+use azurelug_platform::list;
+use azurelug_types::deployment::Target;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use rand::RngExt;
+use tokio::time::{sleep, timeout};
+
+use crate::gateways::Gateways;
+use crate::settings::TargetList;
+
+/// Time between two reads. With a gateway's poll after it, a target that is leaving gets no new work
+/// after a second or so.
+const INTERVAL: Duration = Duration::from_millis(700);
+
+/// The longest pause after failed reads.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+/// Part of the platform's rate that the control daemons use together.
+const RATE_PART: f64 = 0.5;
+
+/// A page without an answer for this long is given up.
+const PAGE_LIMIT: Duration = Duration::from_millis(600);
+
+/// The longest page in bytes.
+const PAGE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Pages of one list; more mean that the tokens lead in a circle.
+const MAX_PAGES: usize = 200;
+
+/// Why a list could not be read.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Http(#[from] azurelug_http::h1::client::Error),
+    #[error("no answer in {} ms", PAGE_LIMIT.as_millis())]
+    TimedOut,
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("the answer is cut short: {0}")]
+    Cut(String),
+    #[error("not a list: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("more than {MAX_PAGES} pages")]
+    TooManyPages,
+}
+
+/// Reads the list until the program ends. While the platform does not answer, its last list counts.
+pub async fn read_targets(gateways: Gateways, settings: TargetList) {
+    let mut connection = None;
+    let mut failures = 0_u32;
+    let mut unreadable = 0;
+    loop {
+        let read = read(&mut connection, settings.address).await;
+        let pages = match read {
+            Ok((targets, pages, skipped)) => {
+                if failures > 0 {
+                    log::info!("control: list of targets read again after {failures} failures");
+                }
+                if skipped != unreadable {
+                    log::warn!("control: {skipped} entries of the list name no target");
+                    unreadable = skipped;
+                }
+                failures = 0;
+                gateways.list(targets);
+                pages
+            }
+            Err(error) => {
+                connection = None;
+                if failures == 0 {
+                    log::warn!("control: list of targets: {error}; the last one counts");
+                }
+                failures += 1;
+                1
+            }
+        };
+        let rate = settings.calls_per_second * RATE_PART;
+        let share = Duration::from_secs_f64((pages * gateways.controls()) as f64 / rate);
+        let pause = INTERVAL.max(share) * (1 << failures.min(2));
+        let jitter = rand::rng().random_range(0.9..1.1);
+        sleep(pause.min(MAX_PAUSE.max(share)).mul_f64(jitter)).await;
+    }
+}
+
+/// All targets, the number of pages, and the number of entries that name no target.
+async fn read(
+    connection: &mut Option<Connection>,
+    address: SocketAddr,
+) -> Result<(Vec<Target>, usize, usize), Error> {
+    let mut targets = Vec::new();
+    let mut skipped = 0;
+    let mut token: Option<String> = None;
+    for pages in 1..=MAX_PAGES {
+        let bytes = timeout(PAGE_LIMIT, page(connection, address, token.as_deref()));
+        let bytes = bytes.await.map_err(|_| Error::TimedOut)??;
+        let page = list::read(&bytes)?;
+        targets.extend(page.targets);
+        skipped += page.unreadable;
+        token = page.next;
+        if token.is_none() {
+            return Ok((targets, pages, skipped));
+        }
+    }
+    Err(Error::TooManyPages)
+}
+
+async fn page(
+    kept: &mut Option<Connection>,
+    address: SocketAddr,
+    token: Option<&str>,
+) -> Result<Bytes, Error> {
+    let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
+        Some(connection) => connection,
+        None => Connection::open(address, PAGE_LIMIT, PAGE_LIMIT).await?,
+    };
+    let request = Request::get(list::path(token))
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .expect("the platform's tokens are valid in a path");
+    let response = connection.send(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), PAGE_BYTES).collect().await;
+    let body = body.map_err(|error| Error::Cut(error.to_string()))?;
+    if connection.wait_ready().await {
+        *kept = Some(connection);
+    }
+    Ok(body.to_bytes())
+}
--- a/crates/azurelug-control/src/disk.rs
+++ b/crates/azurelug-control/src/disk.rs
@@ -58,8 +58,8 @@
     pub fn open(
         folder: &Path,
         cluster: u128,
-        slot: u16,
-        founders: &[u16],
+        slot: u32,
+        founders: &[u32],
         initialize: bool,
         storage: u64,
     ) -> Result<(Self, Recovered), Error> {
@@ -142,8 +142,8 @@
             term: record.term,
             vote: record
                 .vote
-                .map(|member| (u32::from(member.slot), member.incarnation)),
-            slot: u32::from(record.member.slot),
+                .map(|member| (member.slot, member.incarnation)),
+            slot: record.member.slot,
             incarnation: record.member.incarnation,
             storage: record.storage,
             commit: self.record.commit,
@@ -153,10 +153,7 @@
 }
 
 fn vote_record(cluster: u128, state: &journal::HardState) -> VoteRecord {
-    let member = |slot: u32, incarnation| Member {
-        slot: u16::try_from(slot).unwrap_or(u16::MAX),
-        incarnation,
-    };
+    let member = |slot: u32, incarnation| Member { slot, incarnation };
     VoteRecord {
         cluster,
         member: member(state.slot, state.incarnation),
--- /dev/null
+++ b/crates/azurelug-control/src/gateways.rs
@@ -0,0 +1,224 @@
+//! What gateways ask a control daemon for: the operators' orders in force, the targets and the other
+//! gateways.
+//!
+//! A gateway polls one control daemon. The control daemons tell each other which gateways poll them,
+//! so that every gateway learns of all others.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_types::deployment::Target;
+use azurelug_types::fleet::{List, Peer, Poll, Polled};
+use azurelug_types::id::DaemonName;
+use azurelug_wire::Frame;
+use azurelug_wire::frame::PART_LIMIT;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::cluster::Cluster;
+use crate::peers::Peers;
+use crate::replica::Replica;
+
+/// How often the control daemons exchange the gateways that poll them.
+const EXCHANGE: Duration = Duration::from_millis(500);
+
+/// A gateway that polled nobody for this long is not listed. Several polls and exchanges long, so
+/// that one lost message moves no work.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Frames of a document that wait for a slow gateway.
+const DOCUMENT_QUEUE: usize = 2;
+
+#[derive(Debug)]
+struct Seen {
+    peer: Peer,
+    at: Instant,
+    /// Whether it polls this daemon, rather than another one.
+    is_local: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    gateways: HashMap<DaemonName, Seen>,
+    targets: Option<(Arc<List<Target>>, Instant)>,
+    controls: Vec<SocketAddr>,
+}
+
+/// The gateways and the targets. Clones share them.
+#[derive(Clone)]
+pub struct Gateways {
+    replica: Replica,
+    peers: Peers,
+    cluster: Cluster,
+    own_slot: u32,
+    state: Arc<Mutex<State>>,
+}
+
+impl Gateways {
+    /// No gateways and no targets yet.
+    pub fn new(replica: Replica, peers: Peers, cluster: Cluster, own_slot: u32) -> Self {
+        Self {
+            replica,
+            peers,
+            cluster,
+            own_slot,
+            state: Arc::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Takes the platform's newest list of targets.
+    pub fn list(&self, targets: Vec<Target>) {
+        let list = list(targets, |target| {
+            let is_cold = target.cold_ms > 0;
+            digest(&(&target.name, target.address, target.is_leaving, is_cold))
+        });
+        self.state().targets = Some((Arc::new(list), Instant::now()));
+    }
+
+    /// How many control daemons there are.
+    pub fn controls(&self) -> usize {
+        self.state().controls.len().max(1)
+    }
+
+    /// Answers a gateway's poll.
+    pub fn poll(&self, poll: Poll) -> Frame {
+        // The age is read before the orders: an order that commits in between only makes the state
+        // newer than stated.
+        let Some(age) = self.replica.freshness_age() else {
+            return Frame::Refused {
+                message: "this member has not met the leader yet; poll another one".to_owned(),
+            };
+        };
+        let orders = self.replica.orders();
+        let mut state = self.state();
+        let seen = Seen {
+            peer: poll.peer.clone(),
+            at: Instant::now(),
+            is_local: true,
+        };
+        state.gateways.insert(poll.peer.name.clone(), seen);
+        let peers = state.peers();
+        let targets = state.targets.as_ref();
+        let targets_age = targets.map(|(_, read)| millis(read.elapsed()));
+        let targets = targets.filter(|(list, _)| list.digest != poll.targets);
+        Frame::Polled(Polled {
+            age_ms: millis(age).saturating_add(1),
+            sequence: orders.sequence(),
+            version: orders.document().map(|document| document.version),
+            drained: orders.drained().iter().cloned().collect(),
+            targets_age_ms: targets_age,
+            targets: targets.map(|(list, _)| (**list).clone()),
+            peers: (peers.digest != poll.peers).then_some(peers),
+            controls: state.controls.clone(),
+        })
+    }
+
+    /// The document in force, in parts.
+    pub fn document(&self) -> mpsc::Receiver<Frame> {
+        let (sender, receiver) = mpsc::channel(DOCUMENT_QUEUE);
+        let orders = self.replica.orders();
+        tokio::spawn(async move {
+            let Some(document) = orders.document() else {
+                return;
+            };
+            let total = document.bytes.len() as u64;
+            for part in document.bytes.chunks(PART_LIMIT) {
+                let bytes = part.to_vec();
+                let frame = Frame::ConfigurationPart { total, bytes };
+                if sender.send(frame).await.is_err() {
+                    return;
+                }
+            }
+        });
+        receiver
+    }
+
+    /// Takes the gateways that poll another control daemon.
+    pub fn heard(&self, peers: Vec<Peer>) {
+        let mut state = self.state();
+        let at = Instant::now();
+        for peer in peers {
+            let known = state.gateways.get(&peer.name);
+            if known.is_some_and(|seen| seen.is_local && seen.at.elapsed() < SILENCE) {
+                continue;
+            }
+            let seen = Seen {
+                peer: peer.clone(),
+                at,
+                is_local: false,
+            };
+            state.gateways.insert(peer.name, seen);
+        }
+    }
+
+    /// Exchanges gateways with the other control daemons until the program ends.
+    pub async fn run(self) {
+        let mut ticks = interval(EXCHANGE);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let Some(log) = self.replica.dump().await else {
+                return;
+            };
+            let mut slots: Vec<u32> = log.membership.seats.iter().map(|it| it.member.slot).collect();
+            slots.dedup();
+            let local = {
+                let mut state = self.state();
+                let addresses = slots.iter().filter_map(|slot| self.cluster.address(*slot));
+                state.controls = addresses.collect();
+                state.expire();
+                state.local()
+            };
+            if local.is_empty() {
+                continue;
+            }
+            for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
+                self.peers.send(slot, Frame::Gateways(local.clone()));
+            }
+        }
+    }
+}
+
+impl State {
+    fn expire(&mut self) {
+        self.gateways.retain(|_, seen| seen.at.elapsed() < SILENCE);
+    }
+
+    fn local(&self) -> Vec<Peer> {
+        let seen = self.gateways.values().filter(|seen| seen.is_local);
+        seen.map(|seen| seen.peer.clone()).collect()
+    }
+
+    fn peers(&self) -> List<Peer> {
+        let live = self.gateways.values();
+        let live = live.filter(|seen| seen.at.elapsed() < SILENCE);
+        list(live.map(|seen| seen.peer.clone()).collect(), digest)
+    }
+}
+
+/// A list whose digest does not depend on the order of the entries.
+fn list<T>(entries: Vec<T>, digest: impl Fn(&T) -> u64) -> List<T> {
+    let sum = entries.iter().map(digest).fold(0, u64::wrapping_add);
+    List {
+        digest: sum.wrapping_add(entries.len() as u64).max(1),
+        entries,
+    }
+}
+
+/// A hash that is the same in all processes of one build.
+fn digest<T: Hash>(value: &T) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -12,10 +12,11 @@
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
+use crate::cluster::Cluster;
 use crate::daemons::{Registry, Report};
+use crate::gateways::Gateways;
 use crate::metrics;
 use crate::replica::{self, Replica};
-use crate::settings::Member;
 use crate::shares::Shares;
 use crate::updates::Updates;
 
@@ -34,7 +35,9 @@
     /// The shares of the own zone's targets.
     pub shares: Shares,
     /// The control daemons of the cluster.
-    pub members: Arc<[Member]>,
+    pub cluster: Cluster,
+    /// What gateways ask for.
+    pub gateways: Gateways,
 }
 
 impl Internal {
@@ -71,6 +74,12 @@
                 Reply::None
             }
             Frame::Forward { command } => Reply::One(self.forward(&peer, command).await),
+            Frame::Poll(poll) => Reply::One(self.gateways.poll(poll)),
+            Frame::FetchDocument => Reply::Stream(self.gateways.document()),
+            Frame::Gateways(peers) => {
+                self.gateways.heard(peers);
+                Reply::None
+            }
             _ => Reply::One(Frame::Refused {
                 message: "not a request".to_owned(),
             }),
@@ -105,7 +114,11 @@
     /// Passes a message of the replicated log on if it comes from the member that it names.
     fn raft(&self, peer: &Hello, message: &[u8]) {
         match codec::decode::<raft::Message>(message) {
-            Ok(message) if self.is_member(peer, message.from.slot) => self.replica.receive(message),
+            Ok(message) if self.cluster.is_member(&peer.sender, message.from.slot) => {
+                self.replica.receive(message);
+            }
+            // A follower passes the request of a joining member on to the leader.
+            Ok(message) if self.is_relayed_join(peer, &message) => self.replica.receive(message),
             Ok(message) => {
                 let slot = message.from.slot;
                 log::warn!(
@@ -120,8 +133,7 @@
     /// Commits a command of another member if this one leads. It is not forwarded again, so that two
     /// members with old knowledge can't send it back and forth.
     async fn forward(&self, peer: &Hello, command: Vec<u8>) -> Frame {
-        let is_known = self.members.iter().any(|member| member.name == peer.sender);
-        if !is_known {
+        if !self.cluster.is_control(&peer.sender) {
             return Frame::Refused {
                 message: "only control daemons forward commands".to_owned(),
             };
@@ -142,10 +154,8 @@
         }
     }
 
-    fn is_member(&self, peer: &Hello, slot: u16) -> bool {
-        self.members
-            .iter()
-            .any(|member| member.slot == slot && member.name == peer.sender)
+    fn is_relayed_join(&self, peer: &Hello, message: &raft::Message) -> bool {
+        matches!(message.body, raft::Body::Join) && self.cluster.is_control(&peer.sender)
     }
 
     /// Sends the versions that the daemon lacks, and then each newer one: as steps if they are kept,
@@ -183,12 +193,12 @@
                 log::info!("control: {subject}: claim {} granted", claim.number);
             }
             Ok(Outcome::Once(outcome)) => log::info!("control: {subject}: {}", outcome.as_str()),
-            Ok(Outcome::Patch(_)) => {}
+            Ok(Outcome::Patch(_) | Outcome::Deployment) => {}
             Err(error) => log::warn!("control: {subject}: {error}"),
         }
         match proposed {
             Ok(Outcome::Once(outcome)) => Frame::OnceOutcome(outcome),
-            Ok(Outcome::Patch(_)) => Frame::Refused {
+            Ok(Outcome::Patch(_) | Outcome::Deployment) => Frame::Refused {
                 message: "wrong outcome".to_owned(),
             },
             Err(error) => Frame::Refused {
@@ -216,7 +226,9 @@
     match proposed {
         Ok(Outcome::Once(outcome)) => outcome.as_str(),
         // A wrong outcome leaves the command as undecided as no quorum does.
-        Ok(Outcome::Patch(_)) | Err(replica::Error::NoQuorum { .. }) => metrics::NO_QUORUM,
+        Ok(Outcome::Patch(_) | Outcome::Deployment) | Err(replica::Error::NoQuorum { .. }) => {
+            metrics::NO_QUORUM
+        }
         Err(replica::Error::Malformed { .. }) => metrics::TOO_LONG,
     }
 }
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -1,7 +1,10 @@
 //! Control daemon: holds the replicated state and serves it to entry daemons and operators.
 
+pub mod cluster;
 pub mod daemons;
+pub mod deployment;
 pub mod disk;
+pub mod gateways;
 pub mod holders;
 pub mod internal;
 pub mod metrics;
--- a/crates/azurelug-control/src/peers.rs
+++ b/crates/azurelug-control/src/peers.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::settings::Member;
+use crate::cluster::Cluster;
 
 /// Messages that wait for a connection. More are dropped: the log sends again.
 const QUEUE: usize = 256;
@@ -18,41 +18,54 @@
 /// Pause between two attempts to connect.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+#[derive(Clone)]
 struct Peer {
     queue: mpsc::Sender<Frame>,
     connection: Arc<Mutex<Option<Connection>>>,
 }
 
-/// The connections, by slot. Clones share them.
+/// The connections, by slot; each is opened when it is first needed. Clones share them.
 #[derive(Clone)]
 pub struct Peers {
-    peers: Arc<HashMap<u16, Peer>>,
+    cluster: Cluster,
+    identity: Arc<Identity>,
+    peers: Arc<Mutex<HashMap<u32, Peer>>>,
 }
 
 impl Peers {
-    /// Starts a task for each member but the own one.
-    pub fn start(members: &[Member], own_slot: u16, identity: &Arc<Identity>) -> Self {
-        let others = members.iter().filter(|member| member.slot != own_slot);
-        let peers = others.map(|member| {
-            let (queue, frames) = mpsc::channel(QUEUE);
-            let connection = Arc::new(Mutex::new(None));
-            let task = keep(
-                member.address,
-                Arc::clone(identity),
-                Arc::clone(&connection),
-                frames,
-            );
-            tokio::spawn(task);
-            (member.slot, Peer { queue, connection })
-        });
+    /// Connections to the members of `cluster`.
+    pub fn new(cluster: Cluster, identity: &Arc<Identity>) -> Self {
         Self {
-            peers: Arc::new(peers.collect()),
+            cluster,
+            identity: Arc::clone(identity),
+            peers: Arc::new(Mutex::new(HashMap::new())),
+        }
+    }
+
+    /// The peer of a slot, with a task that keeps a connection to it.
+    fn peer(&self, slot: u32) -> Option<Peer> {
+        let mut peers = self.peers.lock().expect("no holder of the lock panics");
+        if let Some(peer) = peers.get(&slot) {
+            return Some(peer.clone());
         }
+        let address = self.cluster.address(slot)?;
+        let (queue, frames) = mpsc::channel(QUEUE);
+        let connection = Arc::new(Mutex::new(None));
+        let task = keep(
+            address,
+            Arc::clone(&self.identity),
+            Arc::clone(&connection),
+            frames,
+        );
+        tokio::spawn(task);
+        let peer = Peer { queue, connection };
+        peers.insert(slot, peer.clone());
+        Some(peer)
     }
 
     /// Sends a frame that needs no answer, or drops it.
-    pub fn send(&self, slot: u16, frame: Frame) {
-        if let Some(peer) = self.peers.get(&slot) {
+    pub fn send(&self, slot: u32, frame: Frame) {
+        if let Some(peer) = self.peer(slot) {
             // A full queue means a slow or lost peer; the log sends what is missing again.
             let _ = peer.queue.try_send(frame);
         }
@@ -62,8 +75,8 @@
     ///
     /// # Errors
     /// `Closed` without a connection; otherwise as [`Connection::call`].
-    pub async fn call(&self, slot: u16, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
-        let connection = self.peers.get(&slot).and_then(|peer| {
+    pub async fn call(&self, slot: u32, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
+        let connection = self.peer(slot).and_then(|peer| {
             peer.connection
                 .lock()
                 .expect("no holder of the lock panics")
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use azurelug_coordination::raft::{Message, State};
+use azurelug_core::gateway::orders::Orders;
 use azurelug_core::machine::{Command, Machine, Outcome};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
@@ -25,7 +26,7 @@
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(1500);
 
 /// The longest encoded command in bytes, as the log accepts it.
-const COMMAND_LIMIT: usize = 256 * 1024;
+const COMMAND_LIMIT: usize = 512 * 1024;
 
 /// Pause before a command is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -68,7 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Missed {
     /// It does not lead; the leader's slot, if known.
-    NotLeader(Option<u16>),
+    NotLeader(Option<u32>),
     /// The leadership changed first, so that the outcome is not known.
     Lost,
     /// A queue is full.
@@ -90,6 +91,7 @@
     requests: mpsc::Sender<Request>,
     machine: Arc<RwLock<Machine>>,
     config: watch::Receiver<Arc<Config>>,
+    orders: watch::Receiver<Orders>,
     fresh_as_of: watch::Receiver<Option<Instant>>,
     leadership: watch::Receiver<Option<Leadership>>,
     peers: Peers,
@@ -156,7 +158,7 @@
         }
     }
 
-    async fn forward(&self, slot: u16, command: Vec<u8>) -> Result<Outcome, azurelug_wire::Error> {
+    async fn forward(&self, slot: u32, command: Vec<u8>) -> Result<Outcome, azurelug_wire::Error> {
         let limit = ATTEMPT_LIMIT + RETRY_PAUSE;
         match self
             .peers
@@ -196,6 +198,20 @@
         self.config.clone()
     }
 
+    /// The operators' orders about the deployment that are in force here.
+    pub fn orders(&self) -> Orders {
+        self.orders.borrow().clone()
+    }
+
+    /// Waits until the state applied here includes everything that was acknowledged before this
+    /// call. False if that is not known within `limit`.
+    pub async fn wait_fresh(&self, limit: Duration) -> bool {
+        let asked = Instant::now();
+        let mut fresh = self.fresh_as_of.clone();
+        let is_fresh = |as_of: &Option<Instant>| as_of.is_some_and(|as_of| as_of >= asked);
+        matches!(timeout(limit, fresh.wait_for(is_fresh)).await, Ok(Ok(_)))
+    }
+
     /// How long ago the state applied here was known to be the newest; none if it never was.
     pub fn freshness_age(&self) -> Option<Duration> {
         self.fresh_as_of.borrow().map(|as_of| as_of.elapsed())
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -12,7 +12,8 @@
     Action, Entry, Event, Message, Node, Payload, Position, Refusal, Role, Snapshot, Start,
     StartError, Write,
 };
-use azurelug_core::machine::{Command, FirstSnapshot, Machine, Outcome};
+use azurelug_core::gateway::orders::Orders;
+use azurelug_core::machine::{Command, FirstSnapshot, Machine, Outcome, SecondSnapshot};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use rand::SeedableRng;
@@ -67,6 +68,7 @@
     requests: mpsc::Receiver<Request>,
     machine: Arc<RwLock<Machine>>,
     config: watch::Sender<Arc<Config>>,
+    orders: watch::Sender<Orders>,
     fresh_as_of: watch::Sender<Option<Instant>>,
     leadership: watch::Sender<Option<Leadership>>,
     next_token: u64,
@@ -119,6 +121,7 @@
         let metrics = Arc::new(Metrics::new());
         let (sender, requests) = mpsc::channel(QUEUE);
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
+        let orders = watch::Sender::new(machine.orders().clone());
         let machine = Arc::new(RwLock::new(machine));
         let fresh_as_of = watch::Sender::new(None);
         let leadership = watch::Sender::new(None);
@@ -126,6 +129,7 @@
             requests: sender,
             machine: Arc::clone(&machine),
             config: config.subscribe(),
+            orders: orders.subscribe(),
             fresh_as_of: fresh_as_of.subscribe(),
             leadership: leadership.subscribe(),
             peers: peers.clone(),
@@ -140,6 +144,7 @@
             requests,
             machine,
             config,
+            orders,
             fresh_as_of,
             leadership,
             next_token: 0,
@@ -344,6 +349,7 @@
                 if config.version > self.config.borrow().version {
                     self.config.send_replace(Arc::clone(config));
                 }
+                self.publish(machine.orders());
                 outcome
             };
             if let Some((placed_term, reply)) = self.placed.remove(&index) {
@@ -362,6 +368,17 @@
         Ok(())
     }
 
+    fn publish(&self, orders: &Orders) {
+        let is_newer = |known: &mut Orders| {
+            let is_newer = orders.sequence() > known.sequence();
+            if is_newer {
+                *known = orders.clone();
+            }
+            is_newer
+        };
+        self.orders.send_if_modified(is_newer);
+    }
+
     fn take_snapshot(&mut self, index: u64, following: &mut Batch) -> Result<(), Error> {
         let state = self
             .machine
@@ -383,6 +400,7 @@
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         let restored = decode_machine(&snapshot.data)?;
         let config = Arc::clone(restored.store().config());
+        self.publish(restored.orders());
         *self.machine.write().expect("no holder of the lock panics") = restored;
         self.has_snapshot = true;
         if config.version > self.config.borrow().version {
@@ -413,10 +431,11 @@
     if data.is_empty() {
         return Ok(Machine::default());
     }
+    // The fallbacks read a data folder or a leader of an earlier release.
     let state = codec::decode_unlimited(data).or_else(|error| {
-        // A data folder or a leader of the first release.
-        let first = codec::decode_unlimited::<FirstSnapshot>(data);
-        first.map(Into::into).map_err(|_| decode_error(error))
+        let second = codec::decode_unlimited::<SecondSnapshot>(data).map(Into::into);
+        let first = || codec::decode_unlimited::<FirstSnapshot>(data).map(Into::into);
+        second.or_else(|_| first()).map_err(|_| decode_error(error))
     })?;
     Machine::restore(state).map_err(decode_error)
 }
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -4,18 +4,27 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use azurelug_coordination::raft;
 use azurelug_http::server::ShutdownHook;
-use azurelug_http::{Client, Server};
+use azurelug_http::h1::server::Stage;
+use azurelug_http::{Client, Server, h1};
 use azurelug_settings::read;
 use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
 
 use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
 
+use crate::cluster::Cluster;
 use crate::daemons::{self, Registry};
+use crate::deployment::{handle, read_targets};
 use crate::disk::{self, Disk, Generation};
+use crate::gateways::Gateways;
 use crate::internal::Internal;
 use crate::operators::Operators;
 use crate::orders::Engines;
@@ -77,9 +86,10 @@
 
 async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
     let path = &options.settings;
+    let cluster = Cluster::new(&settings);
     let identity = Arc::new(Identity {
         cluster: settings.cluster.clone(),
-        daemon: settings.name.clone(),
+        daemon: cluster.own_name(&settings),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
         key: read::shared_key(path, &settings.key_file)?,
@@ -88,7 +98,10 @@
     let listener = listener.map_err(|error| unbound(path, "internal", error))?;
     let server = Server::bind(settings.operators).await;
     let server = server.map_err(|error| unbound(path, "operators", error))?;
-    let (task, replica, generation) = member(&settings, options.initialize, &identity)?;
+    let peers = Peers::new(cluster.clone(), &identity);
+    let (task, replica, generation) = member(&settings, options.initialize, &cluster, &peers)?;
+    let own_slot = cluster.own_slot(&settings);
+    let gateways = Gateways::new(replica.clone(), peers, cluster.clone(), own_slot);
     let shares = Shares::new(
         settings.zone.clone(),
         generation.number,
@@ -112,7 +125,8 @@
         registry: Arc::clone(&registry),
         updates: Updates::new(replica.clone()),
         shares: shares.clone(),
-        members: settings.members.clone().into(),
+        cluster,
+        gateways: gateways.clone(),
     };
     let operators = Operators {
         name: settings.name.clone(),
@@ -129,6 +143,31 @@
         listener.address()
     );
     tokio::spawn(listener.serve(move |peer, frame| internal.clone().handle(peer, frame)));
+    if let Some(deployment) = settings.deployment {
+        let listener = TcpListener::bind(deployment.operators).await;
+        let listener =
+            listener.map_err(|error| unbound(path, "deployment.operators", error))?;
+        tokio::spawn(gateways.clone().run());
+        tokio::spawn(read_targets(gateways, deployment.targets));
+        let (stage, stages) = watch::channel(Stage::Serving);
+        let handled = replica.clone();
+        let calls = h1::server::serve(listener, OPERATORS_IDLE, stages.clone(), move |request| {
+            handle(handled.clone(), request)
+        });
+        tokio::spawn(calls);
+        tokio::spawn(server.serve_until(operators.router(), OPERATORS_IDLE, stages));
+        return tokio::select! {
+            result = task.run() => Ok(result?),
+            result = stop_signal() => {
+                result?;
+                log::info!("control: stopping");
+                replica.transfer().await;
+                stage.send_replace(Stage::Closing);
+                sleep(HAND_OVER_TIME).await;
+                Ok(())
+            }
+        };
+    }
     let hand_over: ShutdownHook =
         Box::new(move || Box::pin(async move { replica.transfer().await }));
     tokio::select! {
@@ -138,31 +177,57 @@
     Ok(())
 }
 
+/// Operators' connections may stay idle for this long.
+const OPERATORS_IDLE: Duration = Duration::from_secs(60);
+
+/// Time for the next leader to be elected and for running calls to be answered: an election takes a
+/// few round trips after a hand-over.
+const HAND_OVER_TIME: Duration = Duration::from_millis(500);
+
+/// Returns at the first signal to stop. A hang-up only means that the settings file has changed;
+/// nothing in it can change while the daemon runs.
+async fn stop_signal() -> Result<(), std::io::Error> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    let mut hung_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminated.recv() => return Ok(()),
+            _ = interrupted.recv() => return Ok(()),
+            _ = hung_up.recv() => {
+                log::info!("control: settings changed; they count from the next start");
+            }
+        }
+    }
+}
+
 /// Opens the data folder and prepares the member of the replicated log.
 fn member(
     settings: &Settings,
     initialize: bool,
-    identity: &Arc<Identity>,
+    cluster: &Cluster,
+    peers: &Peers,
 ) -> Result<(Task, Replica, Generation), Error> {
-    let own = settings.own().expect("the settings were checked");
-    let slots: Vec<u16> = settings.members.iter().map(|member| member.slot).collect();
-    let cluster = cluster_number(&settings.cluster);
+    let own_slot = cluster.own_slot(settings);
+    let slots = cluster.slots();
+    let initialize = initialize && cluster.is_founder();
+    let number = cluster_number(&settings.cluster);
     let storage = rand::random();
     let (disk, recovered) = Disk::open(
         &settings.data,
-        cluster,
-        own.slot,
+        number,
+        own_slot,
         &slots,
         initialize,
         storage,
     )?;
     let generation = disk.generation();
-    let peers = Peers::start(&settings.members, own.slot, identity);
     let raft = raft::Settings {
-        peers: slots.into_iter().filter(|slot| *slot != own.slot).collect(),
+        peers: slots.into_iter().filter(|slot| *slot != own_slot).collect(),
+        target_voters: settings.discovery.as_ref().map(|it| it.voters()),
         ..raft::Settings::default()
     };
-    let (task, replica) = Task::new(raft, disk, recovered, peers)?;
+    let (task, replica) = Task::new(raft, disk, recovered, peers.clone())?;
     Ok((task, replica, generation))
 }
 
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -12,6 +12,9 @@
 use bpaf::Bpaf;
 use serde::Deserialize;
 
+/// More losses would need more than five voters.
+const MAX_DISK_LOSSES: usize = 2;
+
 /// Control daemon of azurelug: replicated configuration, claims, leases and shares
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -45,8 +48,15 @@
     pub operators: SocketAddr,
     /// Folder for the durable state. No other process may use it.
     pub data: PathBuf,
-    /// All control daemons of the cluster, this one included.
+    /// All control daemons of the cluster, this one included. Empty with `discovery`.
+    #[serde(default)]
     pub members: Vec<Member>,
+    /// How the control daemons find each other where they are not listed.
+    #[serde(default)]
+    pub discovery: Option<Discovery>,
+    /// Operators' whole configurations, for gateways.
+    #[serde(default)]
+    pub deployment: Option<Deployment>,
     /// Orders to engines.
     #[serde(default)]
     pub orders: Orders,
@@ -58,6 +68,45 @@
     pub log: Log,
 }
 
+/// Control daemons that find each other by address. Each is a member under its own address.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Discovery {
+    /// Addresses of some control daemons; only the IP numbers count. On the first start of the
+    /// cluster they are the founding members, the same in all settings files.
+    pub seeds: Vec<SocketAddr>,
+    /// Disks whose loss at once must lose nothing, 0 to 2. One more than twice as many members vote.
+    pub disk_losses: usize,
+}
+
+impl Discovery {
+    /// How many members vote.
+    #[must_use]
+    pub fn voters(&self) -> usize {
+        2 * self.disk_losses + 1
+    }
+}
+
+/// Operators' whole configurations.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    /// Address for operators' calls.
+    pub operators: SocketAddr,
+    /// The platform's list of targets.
+    pub targets: TargetList,
+}
+
+/// The platform's list of targets.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetList {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Calls a second that it accepts from all daemons together.
+    pub calls_per_second: f64,
+}
+
 /// Orders to engines. All control daemons must have the same values, because any may lead.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -102,7 +151,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Member {
     /// Its position, from 1, never reused for another VM.
-    pub slot: u16,
+    pub slot: u32,
     /// Its name.
     pub name: DaemonName,
     /// Its address for internal connections.
@@ -136,6 +185,67 @@
                 "choose an id for the cluster",
             );
         }
+        match &self.discovery {
+            Some(discovery) => self.check_discovery(path, discovery)?,
+            None => self.check_members(path)?,
+        }
+        if self.orders.longest_order.0.is_zero() {
+            let help = "write how long an engine takes to load a model at most, for instance 2m";
+            return problem("orders.longest_order", "0ms".to_owned(), help);
+        }
+        if self.orders.read_interval.0 < Duration::from_secs(1) {
+            let help = "write 1s or more; 60s keeps the cost of 1,900 engines low";
+            return problem(
+                "orders.read_interval",
+                self.orders.read_interval.to_string(),
+                help,
+            );
+        }
+        if let Some(limit) = self.orders.weight_store
+            && limit.store().is_none()
+        {
+            let message = format!("{} loads per {} can't be counted", limit.loads, limit.per);
+            let help = "write 1 to 4,000,000 loads per 1ms to 40 days, or leave `weight_store` out";
+            return problem("orders.weight_store", message, help);
+        }
+        if let Some(deployment) = &self.deployment
+            && !(deployment.targets.calls_per_second > 0.0)
+        {
+            let help = "write how many calls a second the platform accepts, above 0";
+            let message = deployment.targets.calls_per_second.to_string();
+            return problem("deployment.targets.calls_per_second", message, help);
+        }
+        self.log.check(path)?;
+        read::shared_key(path, &self.key_file).map(|_| ())
+    }
+
+    fn check_discovery(&self, path: &Path, discovery: &Discovery) -> Result<(), Error> {
+        let problem = |field: &str, message: &str, help: &str| {
+            Err(Error::value(path, field, message.to_owned(), help))
+        };
+        if !self.members.is_empty() {
+            let help = "leave out one of the two";
+            return problem("members", "given beside `discovery`", help);
+        }
+        if !self.internal.is_ipv4() || self.internal.ip().is_unspecified() {
+            let help = "write the address under which other daemons reach this one";
+            return problem("internal", "no IPv4 address of this VM", help);
+        }
+        if discovery.seeds.is_empty() || !discovery.seeds.iter().all(SocketAddr::is_ipv4) {
+            let help = "write the IPv4 addresses of some control daemons";
+            return problem("discovery.seeds", "no usable addresses", help);
+        }
+        if discovery.disk_losses > MAX_DISK_LOSSES {
+            let help = "write 0, 1 or 2: at most five members vote";
+            return problem("discovery.disk_losses", "out of range", help);
+        }
+        Ok(())
+    }
+
+    fn check_members(&self, path: &Path) -> Result<(), Error> {
+        let problem = |field: &str, message: String, help: &str| {
+            Err(Error::value(path, field, message, help))
+        };
         let Some(own) = self.own() else {
             let message = format!("none is named '{}'", self.name);
             return problem("members", message, "list this daemon too");
@@ -161,26 +271,6 @@
                 );
             }
         }
-        if self.orders.longest_order.0.is_zero() {
-            let help = "write how long an engine takes to load a model at most, for instance 2m";
-            return problem("orders.longest_order", "0ms".to_owned(), help);
-        }
-        if self.orders.read_interval.0 < Duration::from_secs(1) {
-            let help = "write 1s or more; 60s keeps the cost of 1,900 engines low";
-            return problem(
-                "orders.read_interval",
-                self.orders.read_interval.to_string(),
-                help,
-            );
-        }
-        if let Some(limit) = self.orders.weight_store
-            && limit.store().is_none()
-        {
-            let message = format!("{} loads per {} can't be counted", limit.loads, limit.per);
-            let help = "write 1 to 4,000,000 loads per 1ms to 40 days, or leave `weight_store` out";
-            return problem("orders.weight_store", message, help);
-        }
-        self.log.check(path)?;
-        read::shared_key(path, &self.key_file).map(|_| ())
+        Ok(())
     }
 }
--- a/crates/azurelug-coordination/examples/replicated_counter.rs
+++ b/crates/azurelug-coordination/examples/replicated_counter.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64;
 
 const CLUSTER: u128 = 7;
-const SLOTS: [u16; 3] = [1, 2, 3];
+const SLOTS: [u32; 3] = [1, 2, 3];
 
 /// Time from the sending of a message to its arrival.
 const DELAY: Duration = Duration::from_millis(1);
@@ -122,7 +122,7 @@
             assert!(self.now < end, "not done within a minute of simulated time");
             self.now += DELAY;
             for message in std::mem::take(&mut self.network) {
-                let place = usize::from(message.to.slot - 1);
+                let place = (message.to.slot - 1) as usize;
                 let member = &mut self.members[place];
                 if member.is_up {
                     member.step(Event::Receive(message), self.now, &mut self.network);
--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -270,7 +270,7 @@
             return;
         }
         match message.body {
-            Body::Join => return self.on_join(from.slot, message.storage, now),
+            Body::Join => return self.on_join(from, message.storage, message.to, now),
             Body::Joined { member, storage } => return self.on_joined(member, storage, now),
             _ if self.role == Role::Joining => return,
             _ => {}
--- a/crates/azurelug-coordination/src/raft/change.rs
+++ b/crates/azurelug-coordination/src/raft/change.rs
@@ -4,7 +4,7 @@
 
 use super::log::Payload;
 use super::member::Standing;
-use super::{Action, Body, Change, Member, Membership, Node, Refusal, Role};
+use super::{Action, Body, Change, Member, Membership, Message, Node, Refusal, Role};
 
 impl Node {
     /// Whether the previous change is committed and this leader has committed an own entry.
@@ -71,6 +71,7 @@
         if let Some(next) = self
             .bound_membership()
             .or_else(|| self.next_replacement(now))
+            .or_else(|| self.next_adjustment(now))
         {
             self.append_own(Payload::Membership(next), now);
         }
@@ -119,6 +120,40 @@
         None
     }
 
+    /// Keeps the number of voters at the target. A silent voter is demoted before a learner takes its
+    /// place: with both voting, an even number of voters would have to agree.
+    fn next_adjustment(&mut self, now: Duration) -> Option<Membership> {
+        let target = self.settings.target_voters?;
+        let current = self.history.latest().clone();
+        let learners = current
+            .seats
+            .iter()
+            .filter(|seat| seat.standing == (Standing::Learner { replaces: false }))
+            .map(|seat| seat.member)
+            .filter(|learner| current.voter_of(learner.slot).is_none());
+        let learners: Vec<Member> = learners.collect();
+        let ready = learners
+            .into_iter()
+            .find(|&learner| self.is_responsive(learner, now) && self.is_caught_up(learner))?;
+        let change = if current.voters().count() < target {
+            Change::Promote(ready)
+        } else {
+            Change::Demote(current.voters().find(|&voter| self.is_lost(voter, now))?)
+        };
+        current.changed(change, self.settings.max_voters).ok()
+    }
+
+    /// Whether a voter has answered nothing for so long that another member should vote instead.
+    fn is_lost(&self, voter: Member, now: Duration) -> bool {
+        let Some(leadership) = &self.leadership else {
+            return false;
+        };
+        let progress = leadership.followers.get(&voter);
+        let answered = progress.and_then(|progress| progress.answered);
+        let heard = answered.map_or(leadership.started, |at| at.max(leadership.started));
+        voter != self.record.member && now >= heard + self.settings.replace_after
+    }
+
     pub(super) fn tick_joining(&mut self, now: Duration) {
         if now < self.join_due {
             return;
@@ -143,8 +178,13 @@
     }
 
     /// Gives an identity to the data folder `storage` of `slot`, through a committed entry.
-    pub(super) fn on_join(&mut self, slot: u16, storage: u64, now: Duration) {
-        if self.role != Role::Leader || slot == self.record.member.slot {
+    pub(super) fn on_join(&mut self, from: Member, storage: u64, to: Member, now: Duration) {
+        let slot = from.slot;
+        if slot == self.record.member.slot {
+            return;
+        }
+        if self.role != Role::Leader {
+            self.relay_join(from, storage, to);
             return;
         }
         let mine = |membership: &Membership| {
@@ -180,6 +220,22 @@
         }
     }
 
+    /// Passes a joining member's request on to the leader, which that member may not know. A request
+    /// that names its receiver was passed on already.
+    fn relay_join(&mut self, from: Member, storage: u64, to: Member) {
+        let Some(leader) = self.leader.filter(|_| to.incarnation == 0) else {
+            return;
+        };
+        self.out.sends.push(Message {
+            cluster: self.record.cluster,
+            from,
+            storage,
+            to: leader,
+            term: 0,
+            body: Body::Join,
+        });
+    }
+
     pub(super) fn on_joined(&mut self, member: Member, storage: u64, now: Duration) {
         let own = self.record.member;
         if self.role == Role::Joining && own.slot == member.slot && storage == self.record.storage {
--- a/crates/azurelug-coordination/src/raft/member.rs
+++ b/crates/azurelug-coordination/src/raft/member.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Place in the cluster.
-    pub slot: u16,
+    pub slot: u32,
     /// Number of the disk that this slot uses, counted from 1.
     pub incarnation: u64,
 }
@@ -62,13 +62,13 @@
     /// Seats, sorted by member.
     pub seats: Vec<Seat>,
     /// Highest incarnation given so far to each slot; never shrinks.
-    pub incarnations: Vec<(u16, u64)>,
+    pub incarnations: Vec<(u32, u64)>,
 }
 
 impl Membership {
     /// Membership in which each slot votes under incarnation 1.
     #[must_use]
-    pub fn initial(slots: &[u16]) -> Self {
+    pub fn initial(slots: &[u32]) -> Self {
         let mut slots = slots.to_vec();
         slots.sort_unstable();
         slots.dedup();
@@ -116,7 +116,7 @@
     }
 
     /// Voter of `slot`, whatever its incarnation.
-    pub(super) fn voter_of(&self, slot: u16) -> Option<Member> {
+    pub(super) fn voter_of(&self, slot: u32) -> Option<Member> {
         self.voters().find(|member| member.slot == slot)
     }
 
@@ -127,7 +127,7 @@
     }
 
     /// Adds a learner for `slot` under the next incarnation. Earlier learners of the slot leave.
-    pub(super) fn admit(&self, slot: u16, storage: u64) -> (Self, Member) {
+    pub(super) fn admit(&self, slot: u32, storage: u64) -> (Self, Member) {
         let mut next = self.clone();
         let replaces = next.seats.iter().any(|seat| {
             seat.member.slot == slot
--- a/crates/azurelug-coordination/src/raft/settings.rs
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -20,9 +20,15 @@
     /// Interval of the followers' freshness probes.
     pub probe_interval: Duration,
     /// Slots that a member without identity asks to join.
-    pub peers: Vec<u16>,
+    pub peers: Vec<u32>,
     /// Largest number of voters.
     pub max_voters: usize,
+    /// Number of voters that the leader keeps by itself: it promotes learners that hold a durable
+    /// copy, and demotes voters that have been silent for `replace_after` when a learner can take
+    /// their place. None leaves this to operators.
+    pub target_voters: Option<usize>,
+    /// How long a voter is silent before a learner takes its place.
+    pub replace_after: Duration,
     /// Largest number of voters and learners together.
     pub max_members: usize,
     /// Largest command in bytes.
@@ -62,8 +68,10 @@
             probe_interval: Duration::from_millis(250),
             peers: Vec::new(),
             max_voters: 5,
+            target_voters: None,
+            replace_after: Duration::from_secs(5),
             max_members: 16,
-            max_command_bytes: 256 * 1024,
+            max_command_bytes: 512 * 1024,
             max_batch_entries: 64,
             max_batch_bytes: 256 * 1024,
             max_in_flight: 8,
@@ -123,7 +131,7 @@
     /// Cluster id from the settings; a different one on disk is an error.
     pub cluster: u128,
     /// Slot from the settings; a different one on disk is an error.
-    pub slot: u16,
+    pub slot: u32,
     /// Vote record, if the folder holds one.
     pub vote: Option<VoteRecord>,
     /// Latest snapshot, if the folder holds one.
@@ -135,7 +143,7 @@
 impl Recovered {
     /// An empty data folder. The node asks for an identity and does not vote until it has one.
     #[must_use]
-    pub fn empty(cluster: u128, slot: u16) -> Self {
+    pub fn empty(cluster: u128, slot: u32) -> Self {
         Self {
             cluster,
             slot,
@@ -148,7 +156,7 @@
     /// First start of a new cluster whose voters are `slots`. The caller writes and syncs the vote
     /// record and the snapshot before it creates the node, and does this at most once for each slot.
     #[must_use]
-    pub fn initialize(cluster: u128, slot: u16, slots: &[u16], storage: u64) -> Self {
+    pub fn initialize(cluster: u128, slot: u32, slots: &[u32], storage: u64) -> Self {
         let member = Member {
             slot,
             incarnation: 1,
--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -18,10 +18,10 @@
     now: Duration,
     under_way: Vec<Message>,
     /// Closed links, by sending and receiving slot.
-    closed: BTreeSet<(u16, u16)>,
+    closed: BTreeSet<(u32, u32)>,
     /// Messages that no link carries.
     withheld: fn(&Message) -> bool,
-    actions: Vec<(u16, Action)>,
+    actions: Vec<(u32, Action)>,
 }
 
 fn node(recovered: Recovered, seed: u64, now: Duration) -> Node {
@@ -58,8 +58,8 @@
         net
     }
 
-    fn step(&mut self, slot: u16, event: Event) {
-        for action in self.nodes[usize::from(slot)].step(event, self.now) {
+    fn step(&mut self, slot: u32, event: Event) {
+        for action in self.nodes[slot as usize].step(event, self.now) {
             if let Action::Send(message) = &action {
                 self.under_way.push(message.clone());
             }
@@ -72,23 +72,23 @@
             self.now += MS;
             for message in std::mem::take(&mut self.under_way) {
                 let link = (message.from.slot, message.to.slot);
-                let known = usize::from(link.1) < self.nodes.len();
+                let known = (link.1 as usize) < self.nodes.len();
                 if known && !self.closed.contains(&link) && !(self.withheld)(&message) {
                     self.step(link.1, Event::Receive(message));
                 }
             }
             for slot in 0..self.nodes.len() {
-                self.step(u16::try_from(slot).expect("few nodes"), Event::Tick);
+                self.step(u32::try_from(slot).expect("few nodes"), Event::Tick);
             }
         }
     }
 
-    fn state(&self, slot: u16) -> State {
-        self.nodes[usize::from(slot)].state()
+    fn state(&self, slot: u32) -> State {
+        self.nodes[slot as usize].state()
     }
 
     /// Slot of the leader with the highest term.
-    fn leader(&self) -> u16 {
+    fn leader(&self) -> u32 {
         let states = self
             .nodes
             .iter()
@@ -101,17 +101,17 @@
             .slot
     }
 
-    fn other(&self) -> u16 {
+    fn other(&self) -> u32 {
         (self.leader() + 1) % 3
     }
 
-    fn isolate(&mut self, slot: u16) {
+    fn isolate(&mut self, slot: u32) {
         self.closed
             .extend((0..4).flat_map(|other| [(slot, other), (other, slot)]));
     }
 
     /// Commands that `slot` applied.
-    fn applied(&self, slot: u16) -> impl Iterator<Item = &[u8]> {
+    fn applied(&self, slot: u32) -> impl Iterator<Item = &[u8]> {
         self.actions
             .iter()
             .filter_map(move |(at, action)| match action {
@@ -154,7 +154,7 @@
         let applied: Vec<&[u8]> = net.applied(slot).collect();
         assert_eq!(applied, [b"a", b"b", b"c"]);
     }
-    let rejected = |(_, action): &(u16, Action)| matches!(action, Action::Rejected { .. });
+    let rejected = |(_, action): &(u32, Action)| matches!(action, Action::Rejected { .. });
     assert!(!net.actions.iter().any(rejected));
     assert!(
         net.nodes
@@ -217,10 +217,10 @@
     let cut = net.now;
     net.run(10);
     let (from, storage) = (
-        net.nodes[usize::from(asker)].member(),
+        net.nodes[asker as usize].member(),
         100 + u64::from(asker),
     );
-    let node = &mut net.nodes[usize::from(leader)];
+    let node = &mut net.nodes[leader as usize];
     let state = node.state();
     let end = state.lease_until.expect("a majority answered just now");
     assert!(end <= cut + lease, "{state:?}");
@@ -255,7 +255,7 @@
 fn a_lost_disk_is_replaced_only_after_a_durable_copy() {
     let mut net = Net::started();
     let (lost, leader) = (net.other(), net.leader());
-    net.nodes[usize::from(lost)] = node(Recovered::empty(7, lost), 90, net.now);
+    net.nodes[lost as usize] = node(Recovered::empty(7, lost), 90, net.now);
     net.withheld = |m| {
         let Body::AppendAnswer { outcome, .. } = m.body else {
             return false;
@@ -306,10 +306,10 @@
     let mut net = Net::started();
     let slot = net.other();
     let again = Recovered::initialize(7, slot, &[0, 1, 2], 999);
-    net.nodes[usize::from(slot)] = node(again, 91, net.now);
+    net.nodes[slot as usize] = node(again, 91, net.now);
     net.actions.clear();
     net.run(4000);
-    let refused = |(_, action): &(u16, Action)| {
+    let refused = |(_, action): &(u32, Action)| {
         matches!(
             action,
             Action::Rejected {
--- a/crates/azurelug-coordination/tests/support/disk.rs
+++ b/crates/azurelug-coordination/tests/support/disk.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    pub(crate) fn recover(&self, cluster: u128, slot: u16) -> Recovered {
+    pub(crate) fn recover(&self, cluster: u128, slot: u32) -> Recovered {
         let Self {
             vote,
             snapshot,
--- a/crates/azurelug-coordination/tests/support/model.rs
+++ b/crates/azurelug-coordination/tests/support/model.rs
@@ -33,7 +33,7 @@
 }
 
 impl Model {
-    pub(crate) fn new(slots: &[u16]) -> Self {
+    pub(crate) fn new(slots: &[u32]) -> Self {
         Self {
             entries: Vec::new(),
             membership: Membership::initial(slots),
--- a/crates/azurelug-coordination/tests/support/schedule.rs
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -87,9 +87,9 @@
 impl World {
     fn new(seed: u64) -> Self {
         let mut random = Pcg64::seed_from_u64(seed);
-        let voters: u16 = if random.random_bool(0.6) { 3 } else { 5 };
-        let learners = u16::from(random.random_bool(0.4));
-        let slots: Vec<u16> = (0..voters).collect();
+        let voters: u32 = if random.random_bool(0.6) { 3 } else { 5 };
+        let learners = u32::from(random.random_bool(0.4));
+        let slots: Vec<u32> = (0..voters).collect();
         let hosts = (0..voters + learners).map(|slot| {
             let disk = if slot < voters {
                 let storage = 1000 + u64::from(slot);
@@ -186,7 +186,7 @@
                 let Some(message) = self.messages[place].take() else {
                     return Ok(());
                 };
-                let host = usize::from(message.to.slot);
+                let host = message.to.slot as usize;
                 if self.hosts[host].frozen_until > self.time {
                     self.hosts[host].backlog.push(message);
                     return Ok(());
@@ -228,7 +228,7 @@
         let rate = [0.99503, 1.00497, between, between][self.random.random_range(0..4)];
         self.counts.drifting_starts += 1;
         let state = &mut self.hosts[host];
-        let recovered = state.disk.recover(CLUSTER, host as u16);
+        let recovered = state.disk.recover(CLUSTER, host as u32);
         let mut machine = Machine::default();
         if let Some(snapshot) = &state.disk.snapshot {
             machine.restore(snapshot);
@@ -439,7 +439,7 @@
 
     /// Whether the member's identity is the one on its host's disk.
     fn is_intact(&self, member: Member) -> bool {
-        let record = self.hosts[usize::from(member.slot)].disk.vote;
+        let record = self.hosts[member.slot as usize].disk.vote;
         record.is_some_and(|record| record.member == member)
     }
 
--- /dev/null
+++ b/crates/azurelug-core/src/gateway.rs
@@ -0,0 +1,13 @@
+//! Decisions of the gateway: which route and account a request has, where it goes, what waits and
+//! what is refused.
+//!
+//! Nothing here does I/O or reads a clock: `now` is the time since the process started.
+
+pub mod budget;
+pub mod dispatch;
+pub mod events;
+pub mod fleet;
+pub mod orders;
+pub mod owner;
+pub mod plan;
+pub mod table;
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -0,0 +1,275 @@
+//! What a dispatcher knows of its targets: their calls, their speed and the room for results.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurelug_types::deployment::Batch;
+use azurelug_types::id::TargetName;
+
+/// A position in the arena of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct WorkerKey(usize);
+
+/// A target's name and address.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Listed {
+    /// Its name.
+    pub name: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// The first exclusion after a failed call; each further one is twice as long.
+const FIRST_EXCLUSION: Duration = Duration::from_millis(800);
+
+/// Failures in a row after which the exclusion grows no more: 13 s.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Pause after a target was full, about a fifth of a call.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Weight of the newest call in the estimate of a target's slowness.
+const NEWEST_WEIGHT: f64 = 0.5;
+
+/// Time in which the estimate halves towards the usual speed, so that a target that was slow is
+/// tried again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// The slowest that a target is taken to be.
+const MAX_SLOWNESS: f64 = 12.0;
+
+/// Part of the room above which released results are reported to the target.
+const RELEASE_PART: f64 = 0.4;
+
+/// One target.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) target: Listed,
+    is_listed: bool,
+    /// Calls in progress.
+    pub(super) running: u32,
+    /// When the call in progress is expected to end.
+    pub(super) expected_end: Duration,
+    /// Bytes of results that it holds or is making.
+    pub(super) held: u64,
+    /// Released results that it has not been told of.
+    released: Vec<String>,
+    slowness: f64,
+    measured: Duration,
+    excluded_until: Duration,
+    failures: u32,
+}
+
+impl Worker {
+    fn new(target: Listed) -> Self {
+        Self {
+            target,
+            is_listed: true,
+            running: 0,
+            expected_end: Duration::ZERO,
+            held: 0,
+            released: Vec::new(),
+            slowness: 1.0,
+            measured: Duration::ZERO,
+            excluded_until: Duration::ZERO,
+            failures: 0,
+        }
+    }
+
+    fn is_usable(&self, now: Duration) -> bool {
+        self.is_listed && now >= self.excluded_until
+    }
+
+    pub(super) fn started(&mut self, expected_end: Duration, bytes: u64) {
+        self.running += 1;
+        self.expected_end = expected_end;
+        self.held += bytes;
+    }
+
+    /// How many times the usual time a call takes.
+    pub(super) fn slowness(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.measured).as_secs_f64();
+        let decay = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
+        1.0 + (self.slowness - 1.0) * decay
+    }
+
+    pub(super) fn succeeded(&mut self, taken: Duration, expected: Duration, now: Duration) {
+        self.failures = 0;
+        self.measure(taken, expected, now);
+    }
+
+    pub(super) fn refused(&mut self, now: Duration) {
+        self.excluded_until = now + FULL_PAUSE;
+    }
+
+    pub(super) fn failed(&mut self, taken: Duration, expected: Duration, now: Duration) {
+        if taken > expected {
+            self.measure(taken, expected, now);
+        }
+        let exclusion = FIRST_EXCLUSION * (1 << self.failures.min(MAX_DOUBLINGS));
+        self.excluded_until = now + exclusion;
+        self.failures += 1;
+    }
+
+    fn measure(&mut self, taken: Duration, expected: Duration, now: Duration) {
+        let known = self.slowness(now);
+        let usual = expected.as_secs_f64() / known;
+        let newest = (taken.as_secs_f64() / usual.max(0.001)).clamp(1.0, MAX_SLOWNESS);
+        self.slowness = known + (newest - known) * NEWEST_WEIGHT;
+        self.measured = now;
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    worker: WorkerKey,
+    bytes: u64,
+    until: Duration,
+}
+
+/// All targets, also those that are no longer listed but have a call in progress.
+#[derive(Debug, Default)]
+pub(super) struct Workers {
+    workers: Vec<Worker>,
+    held: HashMap<String, Held>,
+}
+
+impl Workers {
+    pub(super) fn list(&mut self, targets: &[Listed]) {
+        for worker in &mut self.workers {
+            worker.is_listed = targets.contains(&worker.target);
+        }
+        for target in targets {
+            if !self.workers.iter().any(|worker| worker.target == *target) {
+                self.insert(Worker::new(target.clone()));
+            }
+        }
+    }
+
+    /// Puts a target into the arena, in place of one that is gone if there is one.
+    fn insert(&mut self, worker: Worker) {
+        let held = &self.held;
+        let is_gone = |(position, it): &(usize, &Worker)| {
+            let has_results = || held.values().any(|held| held.worker.0 == *position);
+            !it.is_listed && it.running == 0 && !has_results()
+        };
+        match self.workers.iter().enumerate().find(is_gone) {
+            Some((position, _)) => self.workers[position] = worker,
+            None => self.workers.push(worker),
+        }
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.iter().filter(|worker| worker.is_listed)
+    }
+
+    pub(super) fn get_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        &mut self.workers[key.0]
+    }
+
+    pub(super) fn has_usable(&self) -> bool {
+        self.workers.iter().any(|worker| worker.is_listed)
+    }
+
+    /// The fastest target that can start a call now.
+    pub(super) fn free(&self, slots: u32, now: Duration) -> Option<(WorkerKey, &Worker)> {
+        let workers = self.workers.iter().enumerate();
+        let free = workers.filter(|(_, it)| it.is_usable(now) && it.running < slots.max(1));
+        let fastest = free.min_by(|(_, a), (_, b)| {
+            let speed = a.slowness(now).total_cmp(&b.slowness(now));
+            speed.then(a.held.cmp(&b.held))
+        });
+        fastest.map(|(position, worker)| (WorkerKey(position), worker))
+    }
+
+    /// The other target on which a call would end first.
+    pub(super) fn best_other(&self, key: WorkerKey, now: Duration) -> Option<&Worker> {
+        let workers = self.workers.iter().enumerate();
+        let others = workers.filter(|(at, it)| *at != key.0 && it.is_usable(now));
+        others
+            .map(|(_, worker)| worker)
+            .min_by_key(|worker| worker.expected_end.max(now))
+    }
+
+    /// Time until the first target is free, and how many usual targets the usable ones are worth.
+    pub(super) fn capacity(&self, now: Duration) -> Option<(Duration, f64)> {
+        let usable = self.workers.iter().filter(|it| it.is_usable(now));
+        let mut first_free = None;
+        let mut rate = 0.0;
+        for worker in usable {
+            let free = if worker.running == 0 {
+                Duration::ZERO
+            } else {
+                worker.expected_end.saturating_sub(now)
+            };
+            first_free = Some(first_free.map_or(free, |first: Duration| first.min(free)));
+            rate += 1.0 / worker.slowness(now);
+        }
+        Some((first_free?, rate))
+    }
+
+    /// When the next excluded target may be used again.
+    pub(super) fn next_return(&self, now: Duration) -> Option<Duration> {
+        let excluded = self.workers.iter().filter(|it| it.is_listed);
+        let times = excluded.map(|it| it.excluded_until);
+        times.filter(|until| *until > now).min()
+    }
+
+    pub(super) fn hold(&mut self, worker: WorkerKey, handle: &str, bytes: u64, until: Duration) {
+        self.workers[worker.0].held += bytes;
+        let held = Held {
+            worker,
+            bytes,
+            until,
+        };
+        self.held.insert(handle.to_owned(), held);
+    }
+
+    /// Notes released results; returns those that targets are to be told of, by target.
+    pub(super) fn release(
+        &mut self,
+        handles: &[String],
+        batch: &Batch,
+        now: Duration,
+    ) -> Vec<(Listed, Vec<String>)> {
+        self.expire(now);
+        for handle in handles {
+            if let Some(held) = self.held.get(handle) {
+                self.workers[held.worker.0].released.push(handle.clone());
+            }
+        }
+        let limit = batch.result_room as f64 * RELEASE_PART;
+        let mut told = Vec::new();
+        for worker in &mut self.workers {
+            if worker.released.is_empty() || (worker.held as f64) < limit {
+                continue;
+            }
+            let released = std::mem::take(&mut worker.released);
+            for handle in &released {
+                if let Some(held) = self.held.remove(handle) {
+                    worker.held = worker.held.saturating_sub(held.bytes);
+                }
+            }
+            told.push((worker.target.clone(), released));
+        }
+        told
+    }
+
+    /// Forgets results that have ended by themselves.
+    pub(super) fn expire(&mut self, now: Duration) {
+        let workers = &mut self.workers;
+        self.held.retain(|_, held| {
+            let is_held = held.until > now;
+            if !is_held {
+                let worker = &mut workers[held.worker.0];
+                worker.held = worker.held.saturating_sub(held.bytes);
+            }
+            is_held
+        });
+        for worker in workers {
+            let held = &self.held;
+            worker.released.retain(|handle| held.contains_key(handle));
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -0,0 +1,112 @@
+//! The order of a request's stages, and the time that each may take.
+
+use std::time::Duration;
+
+use azurelug_types::deployment::{Deployment, Route, Stage};
+
+/// The stages of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The stages, in the route's order.
+    pub steps: Vec<Step>,
+}
+
+/// One stage of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Its pieces; 0 if the request leaves it out.
+    pub pieces: u16,
+    /// Positions of the stages whose results it needs and that are not left out.
+    pub after: Vec<u8>,
+    /// Usual time from the end of this stage until the first event of the answer.
+    pub rest: Duration,
+    /// Whether its results go to the model engine, because no other stage uses them.
+    pub is_last: bool,
+}
+
+/// Usual time of a model engine until its first event, beside a few other requests.
+const ENGINE_TIME: Duration = Duration::from_millis(120);
+
+/// Usual wait before a call of a stage starts: half of a call that is in progress.
+const STAGE_WAIT: f64 = 0.5;
+
+/// The usual share of a call's room for pieces that is filled.
+const USUAL_FILL: f64 = 0.4;
+
+/// Why the pieces of a request don't fit its route.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the request names {found} stages, its route has {expected}; send one number for each stage")]
+pub struct Mismatch {
+    /// Stages of the route.
+    pub expected: usize,
+    /// Numbers in the request.
+    pub found: usize,
+}
+
+impl Plan {
+    /// Plans the stages of a request that has these numbers of pieces.
+    ///
+    /// # Errors
+    /// There isn't one number for each stage.
+    pub fn new(deployment: &Deployment, route: &Route, pieces: &[u16]) -> Result<Self, Mismatch> {
+        if pieces.len() != route.stages.len() {
+            return Err(Mismatch {
+                expected: route.stages.len(),
+                found: pieces.len(),
+            });
+        }
+        let mut steps: Vec<Step> = Vec::with_capacity(pieces.len());
+        for (position, stage) in route.stages.iter().enumerate() {
+            let followers = followers(route, position);
+            steps.push(Step {
+                pieces: pieces[position],
+                after: used(stage, pieces),
+                rest: Duration::ZERO,
+                is_last: followers.is_empty(),
+            });
+        }
+        // One pass for each stage settles the longest path, in whatever order the route lists them.
+        for position in (0..steps.len()).rev().cycle().take(steps.len() * steps.len()) {
+            let rest = followers(route, position).into_iter().map(|follower| {
+                let own = if pieces[follower] == 0 {
+                    Duration::ZERO
+                } else {
+                    usual_time(deployment, &route.stages[follower])
+                };
+                steps[follower].rest + own
+            });
+            steps[position].rest = rest.max().unwrap_or(ENGINE_TIME);
+        }
+        Ok(Self { steps })
+    }
+
+    /// Usual time of the longest path through all stages and the engine.
+    #[must_use]
+    pub fn usual_time(&self, deployment: &Deployment, route: &Route) -> Duration {
+        let paths = self.steps.iter().zip(&route.stages);
+        let paths = paths
+            .filter(|(step, _)| step.pieces > 0)
+            .map(|(step, stage)| step.rest + usual_time(deployment, stage));
+        paths.max().unwrap_or(ENGINE_TIME)
+    }
+}
+
+fn used(stage: &Stage, pieces: &[u16]) -> Vec<u8> {
+    let needed = stage.after.iter().copied();
+    needed.filter(|&it| pieces[usize::from(it)] > 0).collect()
+}
+
+fn followers(route: &Route, position: usize) -> Vec<usize> {
+    let stages = route.stages.iter().enumerate();
+    let follows = stages.filter(|(_, it)| it.after.iter().any(|&a| usize::from(a) == position));
+    follows.map(|(at, _)| at).collect()
+}
+
+/// Usual time of one stage: the wait for a call and the call itself.
+fn usual_time(deployment: &Deployment, stage: &Stage) -> Duration {
+    let Some(batch) = deployment.service(stage.service).batch else {
+        return Duration::ZERO;
+    };
+    let call = batch.call_time + batch.piece_time.mul_f64(batch.max_pieces as f64 * USUAL_FILL);
+    call.mul_f64(1.0 + STAGE_WAIT)
+}
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/table.rs
@@ -0,0 +1,94 @@
+//! Finds the route and the account of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use azurelug_types::deployment::{Account, Deployment, Route, Service, ServiceKey, Share};
+
+/// A configuration with the indexes that requests are looked up in.
+#[derive(Debug, Default)]
+pub struct Table {
+    deployment: Arc<Deployment>,
+    /// Positions of each host's routes, the longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    /// Position of the account that holds a key.
+    keys: HashMap<String, usize>,
+}
+
+impl Table {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(deployment: Arc<Deployment>) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (position, route) in deployment.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(position);
+        }
+        for positions in hosts.values_mut() {
+            positions.sort_by_key(|&it| std::cmp::Reverse(deployment.routes[it].prefix.len()));
+        }
+        let keys = deployment.accounts.iter().enumerate();
+        let keys = keys.flat_map(|(position, account)| {
+            account.keys.iter().map(move |key| (key.clone(), position))
+        });
+        let keys = keys.collect();
+        Self {
+            deployment,
+            hosts,
+            keys,
+        }
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub fn deployment(&self) -> &Arc<Deployment> {
+        &self.deployment
+    }
+
+    /// The route of a request: of its host's routes, the one with the longest prefix of the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let positions = match self.hosts.get(host) {
+            Some(positions) => positions,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        let routes = positions.iter().map(|&it| &self.deployment.routes[it]);
+        routes.into_iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The account that holds a key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        let position = self.keys.get(key)?;
+        Some(&self.deployment.accounts[*position])
+    }
+
+    /// Whether requests need a key at all.
+    #[must_use]
+    pub fn asks_for_keys(&self) -> bool {
+        !self.deployment.accounts.is_empty()
+    }
+
+    /// The service that a route's request goes to; `random` is uniform in 0..1.
+    #[must_use]
+    pub fn choose(&self, split: &[Share], random: f64) -> ServiceKey {
+        let total: u32 = split.iter().map(|share| share.weight).sum();
+        let mut left = random * f64::from(total);
+        for share in split {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return share.service;
+            }
+        }
+        let last = split.iter().rev().find(|share| share.weight > 0);
+        last.or(split.last())
+            .map_or(ServiceKey(0), |share| share.service)
+    }
+
+    /// The service of a key.
+    #[must_use]
+    pub fn service(&self, key: ServiceKey) -> &Service {
+        self.deployment.service(key)
+    }
+}
--- a/crates/azurelug-core/src/lib.rs
+++ b/crates/azurelug-core/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod base_share;
 pub mod configuration;
+pub mod gateway;
 pub mod latency;
 pub mod lease_mode;
 pub mod machine;
--- a/crates/azurelug-core/src/machine.rs
+++ b/crates/azurelug-core/src/machine.rs
@@ -13,6 +13,7 @@
 
 use crate::configuration::Store;
 use crate::configuration::past::Past;
+use crate::gateway::orders::{Order, Orders};
 
 /// A committed command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     },
     /// A command for the at-most-once records.
     Once(once::Command),
+    /// An operator's order about the deployment.
+    Deployment(Order),
 }
 
 /// The result of a command.
@@ -37,6 +40,8 @@
     Patch(Answer),
     /// The outcome for the at-most-once records.
     Once(once::Outcome),
+    /// An order about the deployment is in force, or a newer one is.
+    Deployment,
 }
 
 /// The replicated state.
@@ -45,6 +50,7 @@
     store: Store,
     once: once::Table,
     past: Past,
+    orders: Orders,
 }
 
 /// The whole state in a form that serializes. New fields are added at the end: an earlier release
@@ -54,6 +60,26 @@
     store: Store,
     once: Vec<u8>,
     past: Past,
+    orders: Orders,
+}
+
+/// A snapshot of the second release, which had no deployment orders.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SecondSnapshot {
+    store: Store,
+    once: Vec<u8>,
+    past: Past,
+}
+
+impl From<SecondSnapshot> for Snapshot {
+    fn from(second: SecondSnapshot) -> Self {
+        Self {
+            store: second.store,
+            once: second.once,
+            past: second.past,
+            orders: Orders::default(),
+        }
+    }
 }
 
 /// A snapshot of the first release, which kept no earlier versions.
@@ -69,6 +95,7 @@
             store: first.store,
             once: first.once,
             past: Past::default(),
+            orders: Orders::default(),
         }
     }
 }
@@ -79,6 +106,7 @@
             store: Store::default(),
             once: once::Table::new(once::Limits::default()),
             past: Past::default(),
+            orders: Orders::default(),
         }
     }
 }
@@ -93,6 +121,10 @@
                 at_ms,
             } => Outcome::Patch(self.patch(&patch, digest, at_ms)),
             Command::Once(command) => Outcome::Once(self.once.apply(command)),
+            Command::Deployment(order) => {
+                self.orders.apply(order);
+                Outcome::Deployment
+            }
         }
     }
 
@@ -121,6 +153,11 @@
         &self.store
     }
 
+    /// The operators' orders about the deployment.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
     /// The at-most-once records.
     pub fn once(&self) -> &once::Table {
         &self.once
@@ -132,6 +169,7 @@
             store: self.store.clone(),
             once: self.once.snapshot(),
             past: self.past.clone(),
+            orders: self.orders.clone(),
         }
     }
 
@@ -144,6 +182,7 @@
             store: snapshot.store,
             once: once::Table::restore(&snapshot.once)?,
             past: snapshot.past,
+            orders: snapshot.orders,
         })
     }
 }
--- /dev/null
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -0,0 +1,92 @@
+//! Readiness, metrics and the state dump.
+
+use std::sync::Arc;
+
+use azurelug_platform::operators::READY;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::body::Body;
+use crate::gateway::Gateway;
+
+#[derive(Serialize)]
+struct Dump {
+    name: String,
+    zone: String,
+    is_ready: bool,
+    version: Option<u64>,
+    staleness_ms: Option<u128>,
+    gateways: usize,
+    idle_connections: usize,
+    targets: Vec<TargetRow>,
+    stage_targets: Vec<StageRow>,
+}
+
+#[derive(Serialize)]
+struct TargetRow {
+    name: String,
+    service: String,
+    zone: String,
+    is_leaving: bool,
+    in_flight: u32,
+}
+
+#[derive(Serialize)]
+struct StageRow {
+    name: String,
+    running: u32,
+    held_bytes: u64,
+}
+
+/// Answers one request at the admin address.
+pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        READY if gateway.is_ready() => text(StatusCode::OK, "ready\n".to_owned()),
+        READY => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/metrics" => text(StatusCode::OK, gateway.metrics.text()),
+        "/debug/state" => match serde_json::to_string(&dump(&gateway)) {
+            Ok(dump) => text(StatusCode::OK, dump),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        },
+        _ => text(StatusCode::NOT_FOUND, "unknown path\n".to_owned()),
+    }
+}
+
+fn dump(gateway: &Gateway) -> Dump {
+    let fleet = gateway.fleet();
+    let rows = fleet.loads().map(|(target, in_flight)| TargetRow {
+        name: target.name.to_string(),
+        service: target.service.to_string(),
+        zone: target.zone.to_string(),
+        is_leaving: target.is_leaving,
+        in_flight,
+    });
+    let targets = rows.collect();
+    drop(fleet);
+    let stage_targets = gateway.stations.dump().into_iter();
+    Dump {
+        name: gateway.name.to_string(),
+        zone: gateway.zone.to_string(),
+        is_ready: gateway.is_ready(),
+        version: gateway.table().map(|table| table.deployment().version),
+        staleness_ms: gateway.staleness().map(|age| age.as_millis()),
+        gateways: gateway.gateways(),
+        idle_connections: gateway.upstream.idle_count(),
+        targets,
+        stage_targets: stage_targets
+            .map(|(name, running, held_bytes)| StageRow {
+                name,
+                running,
+                held_bytes,
+            })
+            .collect(),
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::whole(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -0,0 +1,463 @@
+//! Sends a request to targets until one answers it, or it may not be sent again.
+
+use std::time::Duration;
+
+use azurelug_core::gateway::events::{Event, Splitter};
+use azurelug_core::gateway::fleet::{Key, Outcome, Unplaced};
+use azurelug_http::h1::client::{self, Connection};
+use azurelug_platform::target::{self, Head, Order, Verdict};
+use azurelug_types::deployment::Kind;
+use azurelug_types::id::{AccountName, ZoneName};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::exchange::{Exchange, Failure};
+use crate::gateway::Place;
+
+/// The longest answer that is held as a whole, in bytes.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// Targets that may refuse a request before it is given up.
+const MAX_REFUSALS: u32 = 3;
+
+/// The longest wait for a place at a target, as a part of the objective.
+const PLACE_WAIT_PART: f64 = 0.35;
+
+/// Part of the objective after which a request that may be repeated is sent to another target.
+const PATIENCE_PART: f64 = 0.6;
+
+/// The least patience with a stream's first event: an engine reads a long prompt before it.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The least patience with a whole answer.
+const MIN_PATIENCE: Duration = Duration::from_millis(60);
+
+/// With less time than this no target can answer.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+
+/// When a refused client is told to come back: a place is held for about this long.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// An answer that is passed on as a whole.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A stream whose first event has arrived.
+pub struct Stream {
+    /// The place at the target.
+    pub place: Place,
+    /// The connection to it.
+    pub connection: Connection,
+    /// How long the target keeps it open when it is idle.
+    pub idle: Option<Duration>,
+    /// The answer's headers.
+    pub headers: HeaderMap,
+    /// The rest of the answer.
+    pub body: Incoming,
+    /// Its events.
+    pub splitter: Splitter,
+    /// The event that has arrived; none if the stream has none.
+    pub first: Option<Event>,
+    /// Whether the stream has ended after it.
+    pub is_ended: bool,
+}
+
+/// An answer of a target.
+pub enum Answer {
+    /// Passed on as a whole.
+    Whole(Whole),
+    /// Passed on event by event.
+    Stream(Box<Stream>),
+}
+
+/// How one sending ended.
+enum Sent {
+    Answered(Answer),
+    /// The target answered that it failed; the answer may be passed on.
+    Failed(Whole),
+    /// The target did not run the request.
+    NotRun,
+    /// The results of the stages are gone; the target did not run the request.
+    InputsGone,
+    /// Nothing reached the target.
+    Unreachable,
+    /// The request may have run.
+    Lost(&'static str),
+}
+
+/// What came back from a target.
+enum Reply {
+    Whole(Whole),
+    Stream(Begun),
+    NotRun(StatusCode),
+    WrongTarget,
+    Unreachable,
+    /// The connection failed.
+    Broken(&'static str),
+    /// The target answered with something that can't be used.
+    Unusable(&'static str),
+}
+
+/// A stream up to its first event.
+struct Begun {
+    connection: Connection,
+    idle: Option<Duration>,
+    headers: HeaderMap,
+    body: Incoming,
+    first: Option<Event>,
+    is_ended: bool,
+}
+
+/// Where a request was sent so far.
+#[derive(Debug, Default)]
+pub struct Trail {
+    /// The targets.
+    pub tried: Vec<Key>,
+    /// Targets on which it may have run.
+    pub runs: u32,
+    /// Targets that did not run it.
+    pub refusals: u32,
+    /// Whether it was sent at all.
+    pub is_sent: bool,
+}
+
+/// What a request is sent with.
+pub struct Sending<'a> {
+    /// Results of the stages.
+    pub inputs: &'a [String],
+    /// The last event that was delivered.
+    pub last_event: Option<u64>,
+    /// The zone to prefer.
+    pub zone: &'a ZoneName,
+    /// Whether a new splitter starts, or this one goes on.
+    pub splitter: Splitter,
+}
+
+/// Sends the request until a target answers.
+///
+/// # Errors
+/// Why no answer can be had.
+pub async fn run(
+    exchange: &Exchange,
+    mut sending: Sending<'_>,
+    trail: &mut Trail,
+) -> Result<Answer, Failure> {
+    let mut last = Failure::Refused(RETRY_AFTER, "no target can be reached");
+    // An answer of a target that failed, for the case that no other target answers.
+    let mut failed: Option<Whole> = None;
+    loop {
+        let next = next_place(exchange, &sending, trail, &last).await;
+        let place = match (next, failed) {
+            (Ok(place), _) => place,
+            (Err(_), Some(whole)) => return Ok(Answer::Whole(whole)),
+            (Err(failure), None) => return Err(failure),
+        };
+        failed = None;
+        let name = place.target.name.clone();
+        trail.tried.push(place.key);
+        let more_runs = trail.runs + 1 < exchange.route.max_attempts;
+        let may_repeat = exchange.route.kind.is_repeatable() && more_runs;
+        let reason = match send(exchange, place, &mut sending, may_repeat).await {
+            Sent::Answered(answer) => return Ok(answer),
+            Sent::Failed(whole) if !may_repeat => return Ok(Answer::Whole(whole)),
+            Sent::Failed(whole) => {
+                trail.runs += 1;
+                last = Failure::Broken("targets failed");
+                failed = Some(whole);
+                "failed"
+            }
+            Sent::InputsGone => {
+                return Err(Failure::Refused(RETRY_AFTER, "results of a stage are gone"));
+            }
+            Sent::NotRun => {
+                last = trail.refused(last, "targets are full");
+                "not run"
+            }
+            Sent::Unreachable => {
+                last = trail.refused(last, "no target can be reached");
+                "unreachable"
+            }
+            Sent::Lost(reason) => {
+                trail.runs += 1;
+                last = Failure::Broken(reason);
+                if !may_repeat {
+                    let is_over = exchange.left() < MIN_LEFT;
+                    return Err(if is_over { Failure::TimedOut } else { last });
+                }
+                reason
+            }
+        };
+        if trail.refusals >= MAX_REFUSALS {
+            return Err(last);
+        }
+        log::info!("gateway: request {} at {name}: {reason}", exchange.id);
+    }
+}
+
+/// The place for the next sending.
+async fn next_place(
+    exchange: &Exchange,
+    sending: &Sending<'_>,
+    trail: &mut Trail,
+    last: &Failure,
+) -> Result<Place, Failure> {
+    if exchange.left() < MIN_LEFT {
+        return Err(out_of_time(trail));
+    }
+    if trail.is_sent && !exchange.gateway.may_repeat(&exchange.service.name) {
+        log::info!("gateway: request {}: no repeat left in the budget", exchange.id);
+        return Err(last.clone());
+    }
+    let placed = place(exchange, sending.zone, trail).await;
+    if !trail.is_sent && placed.is_ok() {
+        exchange.gateway.earn(&exchange.service.name);
+        trail.is_sent = true;
+    }
+    // What happened before says more than that nothing is left to try.
+    placed.map_err(|failure| if trail.is_sent { last.clone() } else { failure })
+}
+
+impl Trail {
+    /// Notes that a target did not run the request. A refusal is true only as long as the request
+    /// can't have run anywhere.
+    fn refused(&mut self, last: Failure, reason: &'static str) -> Failure {
+        self.refusals += 1;
+        if self.runs == 0 {
+            Failure::Refused(RETRY_AFTER, reason)
+        } else {
+            last
+        }
+    }
+}
+
+fn out_of_time(trail: &Trail) -> Failure {
+    if trail.runs == 0 {
+        Failure::Refused(RETRY_AFTER, "the time is over")
+    } else {
+        Failure::TimedOut
+    }
+}
+
+/// A place at a target, perhaps after a short wait.
+async fn place(exchange: &Exchange, zone: &ZoneName, trail: &Trail) -> Result<Place, Failure> {
+    let gateway = &exchange.gateway;
+    let wait = exchange.route.objective.mul_f64(PLACE_WAIT_PART);
+    let limit = gateway.now() + wait.min(exchange.left());
+    loop {
+        let affinity = exchange.affinity();
+        let unplaced = match gateway.place(&exchange.service, affinity, zone, &trail.tried) {
+            Ok(place) => return Ok(place),
+            Err(unplaced) => unplaced,
+        };
+        let left = limit.saturating_sub(gateway.now());
+        let pause = match unplaced {
+            Unplaced::None => {
+                return Err(Failure::Refused(RETRY_AFTER * 2, "the service has no target"));
+            }
+            Unplaced::Held(pause) if pause > left => {
+                return Err(Failure::Refused(pause, "targets are held back"));
+            }
+            Unplaced::Full if left.is_zero() => {
+                return Err(Failure::Refused(RETRY_AFTER, "targets are full"));
+            }
+            Unplaced::Held(pause) => pause,
+            Unplaced::Full => left,
+        };
+        // Either a place becomes free or the pause ends.
+        let _ = timeout(pause, gateway.wait_freed()).await;
+    }
+}
+
+/// How long to wait for an answer at one target.
+fn patience(exchange: &Exchange, may_repeat: bool) -> Duration {
+    let left = exchange.left();
+    if !may_repeat {
+        return left;
+    }
+    let least = if exchange.route.kind.is_stream() {
+        MIN_STREAM_PATIENCE
+    } else {
+        MIN_PATIENCE
+    };
+    let patience = exchange.route.objective.mul_f64(PATIENCE_PART).max(least);
+    patience.min(left)
+}
+
+async fn send(
+    exchange: &Exchange,
+    mut place: Place,
+    sending: &mut Sending<'_>,
+    may_repeat: bool,
+) -> Sent {
+    let patience = patience(exchange, may_repeat);
+    let reply = timeout(patience, send_once(exchange, &place, sending)).await;
+    let reply = reply.unwrap_or(Reply::Broken("no answer in time"));
+    let first = place.elapsed();
+    let (sent, outcome) = match reply {
+        Reply::Whole(whole) if whole.status.is_server_error() => {
+            (Sent::Failed(whole), Outcome::Error)
+        }
+        Reply::Whole(whole) => (
+            Sent::Answered(Answer::Whole(whole)),
+            Outcome::Answered(first),
+        ),
+        Reply::Stream(begun) => {
+            place.show(Outcome::Answered(first));
+            let stream = Stream {
+                place,
+                connection: begun.connection,
+                idle: begun.idle,
+                headers: begun.headers,
+                body: begun.body,
+                splitter: std::mem::take(&mut sending.splitter),
+                first: begun.first,
+                is_ended: begun.is_ended,
+            };
+            return Sent::Answered(Answer::Stream(Box::new(stream)));
+        }
+        Reply::NotRun(StatusCode::CONFLICT) => (Sent::InputsGone, Outcome::Unknown),
+        Reply::NotRun(_) => (Sent::NotRun, Outcome::Full),
+        Reply::WrongTarget => (Sent::NotRun, Outcome::Gone),
+        Reply::Unreachable => (Sent::Unreachable, Outcome::Unreachable),
+        Reply::Broken(reason) => (Sent::Lost(reason), Outcome::Unreachable),
+        Reply::Unusable(reason) => (Sent::Lost(reason), Outcome::Error),
+    };
+    place.show(outcome);
+    place.close();
+    sent
+}
+
+/// Sends the request to one target and reads the answer, up to a stream's first event.
+async fn send_once(exchange: &Exchange, place: &Place, sending: &mut Sending<'_>) -> Reply {
+    let upstream = &exchange.gateway.upstream;
+    let once = exchange.route.kind == Kind::AtMostOnce;
+    let mut taken = match upstream.take(&place.target, once).await {
+        Ok(taken) => taken,
+        Err(error) => return unreachable(exchange, &error),
+    };
+    loop {
+        let request = request(exchange, place, sending);
+        let error = match taken.connection.send(request).await {
+            Ok(response) => return read(exchange, place, sending, taken.connection, response).await,
+            Err(error) => error,
+        };
+        if !(error.is_unsent() && taken.is_kept) {
+            log::info!("gateway: request {} at {}: {error}", exchange.id, place.target.name);
+            return if error.is_unsent() {
+                Reply::Unreachable
+            } else {
+                Reply::Broken("the connection failed")
+            };
+        }
+        // The kept connection had ended, and nothing was sent.
+        taken = match upstream.open(&place.target).await {
+            Ok(taken) => taken,
+            Err(error) => return unreachable(exchange, &error),
+        };
+    }
+}
+
+fn unreachable(exchange: &Exchange, error: &client::Error) -> Reply {
+    log::info!("gateway: request {}: {error}", exchange.id);
+    Reply::Unreachable
+}
+
+fn request(exchange: &Exchange, place: &Place, sending: &Sending<'_>) -> Request<Full<Bytes>> {
+    let order = Order {
+        target: &place.target,
+        time_left: exchange.left(),
+        account: exchange.account.as_ref().map(AccountName::as_str),
+        inputs: Some(sending.inputs),
+        last_event: sending.last_event,
+    };
+    target::request(&exchange.parts, exchange.body.clone(), &order)
+}
+
+async fn read(
+    exchange: &Exchange,
+    place: &Place,
+    sending: &mut Sending<'_>,
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Reply {
+    let (parts, body) = response.into_parts();
+    let head = Head::read(parts.status, &parts.headers, &exchange.id);
+    if let Some(left) = head.cold {
+        let now = exchange.gateway.now();
+        exchange.gateway.fleet().turned_cold(place.key, left, now);
+    }
+    match head.verdict {
+        Verdict::Unusable => return Reply::Unusable("the answer is not this request's"),
+        Verdict::Answered if target::is_event_stream(&parts.headers) => {
+            return begin(connection, &head, parts.headers, body, &mut sending.splitter).await;
+        }
+        _ => {}
+    }
+    let read = Limited::new(body, ANSWER_LIMIT).collect().await;
+    let Ok(body) = read else {
+        return match head.verdict {
+            Verdict::NotRun => Reply::NotRun(head.status),
+            Verdict::WrongTarget => Reply::WrongTarget,
+            _ => Reply::Unusable("the answer is cut short"),
+        };
+    };
+    let upstream = &exchange.gateway.upstream;
+    upstream.keep_when_ready(&place.target.name, connection, head.idle);
+    match head.verdict {
+        Verdict::NotRun => Reply::NotRun(head.status),
+        Verdict::WrongTarget => Reply::WrongTarget,
+        _ => Reply::Whole(Whole {
+            status: head.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        }),
+    }
+}
+
+/// Reads a stream up to its first event.
+async fn begin(
+    connection: Connection,
+    head: &Head,
+    headers: HeaderMap,
+    mut body: Incoming,
+    splitter: &mut Splitter,
+) -> Reply {
+    splitter.restart();
+    let mut is_ended = false;
+    let first = loop {
+        match splitter.next_event() {
+            Ok(Some(event)) => break Some(event),
+            Ok(None) if is_ended => break None,
+            Ok(None) => {}
+            Err(_) => return Reply::Unusable("the stream skips an event"),
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    splitter.push(&data);
+                }
+            }
+            Some(Err(_)) => return Reply::Broken("the stream broke off"),
+            None if splitter.has_partial() => return Reply::Broken("the stream broke off"),
+            None => is_ended = true,
+        }
+    };
+    Reply::Stream(Begun {
+        connection,
+        idle: head.idle,
+        headers,
+        body,
+        first,
+        is_ended,
+    })
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -0,0 +1,277 @@
+//! Everything that one gateway knows, shared by its tasks.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_core::gateway::budget::{Allowance, Budget};
+use azurelug_core::gateway::fleet::{self, Fleet, Key, Outcome, Unplaced, Wanted};
+use azurelug_core::gateway::table::Table;
+use azurelug_types::deployment::{Service, Target};
+use azurelug_types::id::{DaemonName, ServiceName, ZoneName};
+use azurelug_wire::handshake::Identity;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::{Bounds, Settings};
+use crate::station::Stations;
+use crate::upstream::Upstream;
+
+/// How much earlier than the revocation bound a gateway stops to trust its configuration, for the
+/// way of a request to a target and the error of both clocks.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(600);
+
+/// The configuration and how old it can be at most.
+#[derive(Debug, Default)]
+struct View {
+    table: Option<Arc<Table>>,
+    /// Number of the operators' last order that is known here.
+    sequence: u64,
+    fresh_as_of: Option<Instant>,
+    is_stopping: bool,
+}
+
+/// One gateway.
+pub struct Gateway {
+    /// Its name.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Connections to targets.
+    pub upstream: Upstream,
+    /// The other gateways.
+    pub peers: Peers,
+    /// Dispatchers of staged services.
+    pub stations: Stations,
+    /// Metrics.
+    pub metrics: Metrics,
+    bounds: Bounds,
+    started: Instant,
+    view: Mutex<View>,
+    fleet: Mutex<Fleet>,
+    budgets: Mutex<HashMap<ServiceName, Budget>>,
+    /// Woken when a place at a target has become free.
+    freed: Notify,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: &Settings, identity: Arc<Identity>) -> Self {
+        Self {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            upstream: Upstream::default(),
+            peers: Peers::new(settings, identity),
+            stations: Stations::default(),
+            metrics: Metrics::default(),
+            bounds: settings.bounds,
+            started: Instant::now(),
+            view: Mutex::default(),
+            fleet: Mutex::default(),
+            budgets: Mutex::default(),
+            freed: Notify::new(),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The moment at a time since the start.
+    pub fn at(&self, time: Duration) -> Instant {
+        self.started + time
+    }
+
+    fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().expect("no holder of the lock panics")
+    }
+
+    /// The targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().expect("no holder of the lock panics")
+    }
+
+    /// The zone of the target that made a result. A handle begins with its address.
+    pub fn zone_of_handle(&self, handle: &str) -> Option<ZoneName> {
+        let address = azurelug_platform::pieces::maker(handle)?;
+        let fleet = self.fleet();
+        let mut loads = fleet.loads();
+        let maker = loads.find(|(target, _)| target.address == address);
+        maker.map(|(target, _)| target.zone.clone())
+    }
+
+    /// The configuration in force here.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.view().table.clone()
+    }
+
+    /// Puts a newer configuration in force; an older one changes nothing.
+    pub fn configure(&self, table: Table) {
+        let version = table.deployment().version;
+        let mut view = self.view();
+        let held = view.table.as_ref().map(|table| table.deployment().version);
+        if held.is_some_and(|held| held >= version) {
+            return;
+        }
+        log::info!("gateway: configuration {version} in force, before {held:?}");
+        self.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        view.table = Some(Arc::new(table));
+    }
+
+    /// Notes that the orders up to `sequence` are known here and were the newest at `as_of`. False
+    /// if newer ones are known already.
+    pub fn refreshed(&self, sequence: u64, as_of: Instant) -> bool {
+        let mut view = self.view();
+        if sequence < view.sequence {
+            return false;
+        }
+        view.sequence = sequence;
+        view.fresh_as_of = view.fresh_as_of.max(Some(as_of));
+        true
+    }
+
+    /// How old the configuration can be.
+    pub fn staleness(&self) -> Option<Duration> {
+        self.view().fresh_as_of.map(|as_of| as_of.elapsed())
+    }
+
+    /// Whether keys can be checked: whether every key that was removed longer ago than the bound
+    /// allows is known.
+    pub fn may_check_keys(&self) -> bool {
+        let limit = self.bounds.revocation.0.saturating_sub(REVOCATION_MARGIN);
+        self.staleness().is_some_and(|age| age < limit)
+    }
+
+    /// Whether new connections are wanted.
+    pub fn is_ready(&self) -> bool {
+        let has_targets = || self.fleet().loads().next().is_some();
+        !self.view().is_stopping
+            && self.table().is_some()
+            && self.may_check_keys()
+            && has_targets()
+    }
+
+    /// Takes the gateway out of rotation.
+    pub fn stop(&self) {
+        self.view().is_stopping = true;
+    }
+
+    /// Gateways that serve, this one included.
+    pub fn gateways(&self) -> usize {
+        self.peers.count()
+    }
+
+    fn bounds_of(&self, service: &Service) -> fleet::Bounds {
+        fleet::Bounds {
+            gateways: self.gateways(),
+            cold_rate: service.cold_rate,
+            cold_time: service.cold_time,
+            slots: service.engine.map(|engine| engine.slots),
+        }
+    }
+
+    /// Takes a place at a target for a request.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub fn place(
+        self: &Arc<Self>,
+        service: &Service,
+        affinity: Option<u64>,
+        zone: &ZoneName,
+        tried: &[Key],
+    ) -> Result<Place, Unplaced> {
+        let wanted = Wanted {
+            service: &service.name,
+            affinity,
+            zone,
+            tried,
+            bounds: self.bounds_of(service),
+        };
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let key = fleet.place(&wanted, rand::random(), now)?;
+        let target = fleet.target(key).clone();
+        Ok(Place {
+            gateway: Arc::clone(self),
+            key,
+            target,
+            sent: now,
+            outcome: Outcome::Unknown,
+        })
+    }
+
+    /// Returns when a place may have become free.
+    pub async fn wait_freed(&self) {
+        self.freed.notified().await;
+    }
+
+    fn allowance(&self) -> Allowance {
+        Allowance {
+            ratio: self.bounds.retry_ratio,
+            window: self.bounds.retry_window.0,
+            extra: self.bounds.retry_extra,
+        }
+    }
+
+    fn budgets(&self) -> MutexGuard<'_, HashMap<ServiceName, Budget>> {
+        self.budgets.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes the first sending of a request.
+    pub fn earn(&self, service: &ServiceName) {
+        let (allowance, gateways, now) = (self.allowance(), self.gateways(), self.now());
+        let mut budgets = self.budgets();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.earn(&allowance, gateways, now);
+    }
+
+    /// Takes a token to send a request once more; false if the budget is used up.
+    pub fn may_repeat(&self, service: &ServiceName) -> bool {
+        let (allowance, gateways, now) = (self.allowance(), self.gateways(), self.now());
+        let mut budgets = self.budgets();
+        let budget = budgets.entry(service.clone()).or_default();
+        let is_allowed = budget.take(&allowance, gateways, now);
+        if is_allowed {
+            self.metrics.repeated(service.as_str());
+        }
+        is_allowed
+    }
+}
+
+/// A request's place at a target. It is given back when this is dropped.
+pub struct Place {
+    gateway: Arc<Gateway>,
+    /// The target's position.
+    pub key: Key,
+    /// The target.
+    pub target: Target,
+    sent: Duration,
+    outcome: Outcome,
+}
+
+impl Place {
+    /// Time since the place was taken.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.sent)
+    }
+
+    /// Notes what the request shows of the target's health.
+    pub fn show(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Gives the place back.
+    pub fn close(self) {}
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        self.gateway.fleet().finished(self.key, self.outcome, now);
+        self.gateway.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -0,0 +1,218 @@
+//! The other gateways, and connections to them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_core::gateway::owner;
+use azurelug_types::fleet::{List, Peer};
+use azurelug_types::id::{ServiceName, ZoneName};
+use azurelug_wire::handshake::Identity;
+use azurelug_wire::{Connection, Error, Frame};
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+use crate::settings::Settings;
+
+/// A gateway that did not answer is asked nothing for this long. The control daemons take it off
+/// the list after about as long.
+const SUSPICION: Duration = Duration::from_secs(2);
+
+/// How long handles wait, so that one message names those of many requests. Results hold their room
+/// for seconds otherwise.
+const RELEASE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time for a dispatcher to take handles.
+const RELEASE_LIMIT: Duration = Duration::from_millis(800);
+
+#[derive(Default)]
+struct State {
+    peers: Arc<[Peer]>,
+    digest: u64,
+    connections: HashMap<SocketAddr, Connection>,
+    suspects: HashMap<SocketAddr, Instant>,
+    /// The wait that each dispatcher stated last, and when.
+    delays: HashMap<(ServiceName, ZoneName), (Duration, Instant)>,
+    /// Handles that dispatchers are to be told of.
+    releases: Vec<(Vec<ServiceName>, Vec<String>)>,
+}
+
+/// The other gateways.
+pub struct Peers {
+    own: Peer,
+    identity: Arc<Identity>,
+    state: Mutex<State>,
+}
+
+impl Peers {
+    /// Knows only this gateway.
+    pub fn new(settings: &Settings, identity: Arc<Identity>) -> Self {
+        let own = Peer {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.internal,
+        };
+        let state = State {
+            peers: Arc::from([own.clone()]),
+            ..State::default()
+        };
+        Self {
+            own,
+            identity,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// This gateway.
+    pub fn own(&self) -> &Peer {
+        &self.own
+    }
+
+    /// Digest of the list in force; 0 before the first.
+    pub fn digest(&self) -> u64 {
+        self.state().digest
+    }
+
+    /// How many gateways serve, this one included.
+    pub fn count(&self) -> usize {
+        self.state().peers.len().max(1)
+    }
+
+    /// Takes a newer list.
+    pub fn list(&self, list: List<Peer>) {
+        let mut state = self.state();
+        let addresses: Vec<SocketAddr> = list.entries.iter().map(|peer| peer.address).collect();
+        state.connections.retain(|address, _| addresses.contains(address));
+        state.digest = list.digest;
+        state.peers = list.entries.into();
+        log::info!("gateway: {} gateways serve", state.peers.len());
+    }
+
+    /// The gateways that may dispatch a service's calls in a zone, the first choice first. Those of
+    /// the zone go first, because they reach its targets also when the zone is cut off.
+    pub fn dispatchers(&self, service: &ServiceName, zone: &ZoneName) -> Vec<Peer> {
+        let state = self.state();
+        let key = (service, zone);
+        let near: Vec<&Peer> = state.peers.iter().filter(|peer| peer.zone == *zone).collect();
+        let far: Vec<&Peer> = state.peers.iter().filter(|peer| peer.zone != *zone).collect();
+        let ranked = owner::ranked(&key, &near).into_iter();
+        let ranked = ranked.chain(owner::ranked(&key, &far));
+        let now = Instant::now();
+        let is_suspect = |peer: &Peer| {
+            let until = state.suspects.get(&peer.address);
+            until.is_some_and(|until| now < *until)
+        };
+        ranked
+            .filter(|peer| !is_suspect(peer))
+            .map(|peer| (*peer).clone())
+            .collect()
+    }
+
+    /// The wait to be expected at a zone's dispatcher of a service: what it stated last, less the
+    /// time since.
+    pub fn delay(&self, service: &ServiceName, zone: &ZoneName) -> Duration {
+        let state = self.state();
+        let delay = state.delays.get(&(service.clone(), zone.clone()));
+        delay.map_or(Duration::ZERO, |(delay, at)| delay.saturating_sub(at.elapsed()))
+    }
+
+    /// Notes the wait that a dispatcher stated.
+    pub fn note_delay(&self, service: &ServiceName, zone: &ZoneName, delay: Duration) {
+        let noted = (delay, Instant::now());
+        let mut state = self.state();
+        state.delays.insert((service.clone(), zone.clone()), noted);
+    }
+
+    /// Tells the dispatchers of services that results are no longer needed, together with others.
+    pub fn queue_release(
+        &self,
+        gateway: &Arc<Gateway>,
+        services: &[ServiceName],
+        handles: Vec<String>,
+    ) {
+        let is_first = {
+            let mut state = self.state();
+            state.releases.push((services.to_vec(), handles));
+            state.releases.len() == 1
+        };
+        if is_first {
+            let gateway = Arc::clone(gateway);
+            tokio::spawn(async move {
+                tokio::time::sleep(RELEASE_PAUSE).await;
+                gateway.peers.release(&gateway).await;
+            });
+        }
+    }
+
+    /// Sends the handles that wait, each to the dispatchers that may know it.
+    async fn release(&self, gateway: &Arc<Gateway>) {
+        let waiting = std::mem::take(&mut self.state().releases);
+        let mut by_peer: HashMap<SocketAddr, Vec<String>> = HashMap::new();
+        for (services, handles) in waiting {
+            for handle in handles {
+                let zone = gateway.zone_of_handle(&handle);
+                let Some(zone) = zone else { continue };
+                for service in &services {
+                    let first = self.dispatchers(service, &zone).into_iter().next();
+                    let Some(peer) = first else { continue };
+                    let told = by_peer.entry(peer.address).or_default();
+                    if told.last() != Some(&handle) {
+                        told.push(handle.clone());
+                    }
+                }
+            }
+        }
+        for (address, handles) in by_peer {
+            if address == self.own.address {
+                gateway.stations.release(gateway, &handles);
+                continue;
+            }
+            // Without an answer the results end by themselves.
+            let frame = Frame::Release { handles };
+            let _ = self.call(address, frame, RELEASE_LIMIT).await;
+        }
+    }
+
+    /// Sends a frame to a gateway and waits for its answer. One that gives none is suspected for a
+    /// while.
+    ///
+    /// # Errors
+    /// As [`Connection::call`].
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        frame: Frame,
+        limit: Duration,
+    ) -> Result<Frame, Error> {
+        let called = match self.connection(address).await {
+            Ok(connection) => connection.call(frame, limit).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = &called
+            && !matches!(error, Error::Refused { .. })
+        {
+            log::warn!("gateway: peer {address}: {error}; not asked for 2 s");
+            let mut state = self.state();
+            state.suspects.insert(address, Instant::now() + SUSPICION);
+            state.connections.remove(&address);
+        }
+        called
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let known = self.state().connections.get(&address).cloned();
+        if let Some(connection) = known.filter(|connection| !connection.is_closed()) {
+            return Ok(connection);
+        }
+        let connection = Connection::open(address, Arc::clone(&self.identity)).await?;
+        let mut state = self.state();
+        // Two requests may have opened one each; both work.
+        state.connections.insert(address, connection.clone());
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/run.rs
@@ -0,0 +1,174 @@
+//! Starts the gateway from its settings, and stops it without cutting off a request.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_http::h1::server::{Stage, serve};
+use azurelug_settings::read;
+use azurelug_types::deployment::Limits;
+use azurelug_wire::frame::Hello;
+use azurelug_wire::handshake::Identity;
+use azurelug_wire::server::Reply;
+use azurelug_wire::{Frame, Listener};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::gateway::Gateway;
+use crate::settings::{Options, Settings};
+use crate::{admin, control, serve as clients};
+
+/// How long a stopping gateway accepts requests after it reports not ready: the balancer asks once a
+/// second and takes a gateway out after two misses.
+const DRAIN_TIME: Duration = Duration::from_millis(2600);
+
+/// Part of the grace period that must be left when the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// How often idle connections to targets are looked through.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why the gateway could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings do not fit.
+    #[error(transparent)]
+    Settings(#[from] azurelug_settings::Error),
+    /// The runtime or the signals could not be set up.
+    #[error("can't start: {0}; check the limits on threads, memory and descriptors")]
+    Runtime(#[from] std::io::Error),
+}
+
+/// Runs the gateway and turns an error into one line and an exit code.
+pub fn main(options: &Options) -> ExitCode {
+    match start(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("azurelug-gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(options: &Options) -> Result<(), Error> {
+    let settings = Settings::load(&options.settings)?;
+    if options.check {
+        println!("{}: settings fit", options.settings.display());
+        return Ok(());
+    }
+    settings.log.start()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings, &options.settings))
+}
+
+async fn run(settings: Settings, path: &Path) -> Result<(), Error> {
+    let identity = Arc::new(Identity {
+        cluster: settings.cluster.clone(),
+        daemon: settings.name.clone(),
+        zone: settings.zone.clone(),
+        incarnation: rand::random(),
+        key: read::shared_key(path, &settings.key_file)?,
+    });
+    let client_listener = bind(path, "clients", settings.clients).await?;
+    let admin_listener = bind(path, "admin", settings.admin).await?;
+    let internal = Listener::bind(settings.internal, Arc::clone(&identity)).await;
+    let internal = internal.map_err(|error| unbound(path, "internal", error))?;
+    let gateway = Arc::new(Gateway::new(&settings, Arc::clone(&identity)));
+    log::info!(
+        "gateway: {} of zone {} serves clients on {}",
+        settings.name,
+        settings.zone,
+        settings.clients
+    );
+    let grace = settings.bounds.grace.0;
+    tokio::spawn(control::run(Arc::clone(&gateway), settings, identity));
+    tokio::spawn(prune(Arc::clone(&gateway)));
+    let peers = Arc::clone(&gateway);
+    tokio::spawn(internal.serve(move |peer, frame| peer_frame(Arc::clone(&peers), peer, frame)));
+    let (stage, stages) = watch::channel(Stage::Serving);
+    // Admin connections stay open until the end, so that the balancer can read the readiness.
+    let (_admin_stage, admin_stages) = watch::channel(Stage::Serving);
+    let idle = Limits::default().idle_timeout;
+    let state = Arc::clone(&gateway);
+    tokio::spawn(serve(admin_listener, idle, admin_stages, move |request| {
+        admin::handle(Arc::clone(&state), request)
+    }));
+    let handler = Arc::clone(&gateway);
+    let mut serving = tokio::spawn(serve(client_listener, idle, stages, move |request| {
+        clients::handle(Arc::clone(&handler), request)
+    }));
+    stop_signal().await?;
+    log::info!("gateway: stopping, not ready");
+    gateway.stop();
+    sleep(DRAIN_TIME).await;
+    stage.send_replace(Stage::Closing);
+    let left = grace.saturating_sub(DRAIN_TIME + GRACE_MARGIN);
+    let finished = timeout(left, &mut serving).await.is_ok();
+    let in_flight = gateway.metrics.in_flight.get();
+    log::info!("gateway: stopped; finished={finished} in_flight={in_flight}");
+    Ok(())
+}
+
+/// Answers a frame of another gateway.
+async fn peer_frame(gateway: Arc<Gateway>, peer: Arc<Hello>, frame: Frame) -> Reply {
+    match frame {
+        Frame::Pieces(order) => {
+            let end = gateway.stations.run(&gateway, order).await;
+            Reply::One(Frame::PiecesEnd(end))
+        }
+        Frame::Release { handles } => {
+            gateway.stations.release(&gateway, &handles);
+            Reply::One(Frame::Done)
+        }
+        _ => {
+            log::warn!("gateway: {} sent a frame that is no request", peer.sender);
+            Reply::One(Frame::Refused {
+                message: "not a request".to_owned(),
+            })
+        }
+    }
+}
+
+async fn prune(gateway: Arc<Gateway>) {
+    let mut ticks = interval(PRUNE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        gateway.upstream.prune();
+    }
+}
+
+/// Returns at the first signal to stop. A hang-up only means that the settings file has changed;
+/// nothing in it can change while the daemon runs.
+async fn stop_signal() -> Result<(), std::io::Error> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    let mut hung_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminated.recv() => return Ok(()),
+            _ = interrupted.recv() => return Ok(()),
+            _ = hung_up.recv() => {
+                log::info!("gateway: settings changed; they count from the next start");
+            }
+        }
+    }
+}
+
+async fn bind(path: &Path, field: &str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| unbound(path, field, error))
+}
+
+/// Names the field of an address that can't be bound.
+fn unbound(path: &Path, field: &str, error: impl Display) -> Error {
+    let help = "or choose another address here";
+    azurelug_settings::Error::value(path, field, error.to_string(), help).into()
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -0,0 +1,331 @@
+//! Answers clients' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::gateway::events::Splitter;
+use azurelug_core::gateway::plan::Plan;
+use azurelug_core::gateway::table::Table;
+use azurelug_platform::answer::{self, Refusal};
+use azurelug_platform::client::Fields;
+use azurelug_types::deployment::{Account, Kind, Route};
+use azurelug_types::id::{AccountName, ZoneName};
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::attempt::{self, Answer, Sending, Trail};
+use crate::body::Body;
+use crate::exchange::{Exchange, Failure};
+use crate::gateway::Gateway;
+use crate::metrics::End;
+use crate::relay::Relay;
+use crate::stages::{self, Results};
+
+/// When a client is told to come back while this gateway has no current configuration. Other
+/// gateways have one, and a repeat reaches another gateway.
+const NO_CONFIGURATION: Duration = Duration::from_millis(300);
+
+/// Added to the route's timeout before an exchange is ended from outside, so that its own handling
+/// of the deadline goes first.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+
+/// What is logged of a request.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Time until the first part of the answer.
+    pub first: Duration,
+    /// Time that the stages took.
+    pub staged: Duration,
+    /// Targets that it was sent to.
+    pub targets: usize,
+}
+
+impl Record {
+    /// Whether the first part came after the objective.
+    #[must_use]
+    pub fn is_late(&self, exchange: &Exchange) -> bool {
+        self.first > exchange.route.objective
+    }
+
+    /// Logs and counts the end of a request.
+    pub fn close(self, exchange: &Exchange, end: End, reason: &'static str) {
+        let metrics = &exchange.gateway.metrics;
+        metrics.ended(end, self.first);
+        metrics.in_flight.dec();
+        let staleness = exchange.gateway.staleness().unwrap_or_default();
+        log::info!(
+            "gateway: request {} {}: {reason}; route={} account={} staged_ms={} first_ms={} \
+             total_ms={} targets={} version={} version_age_ms={}",
+            exchange.id,
+            end.as_str(),
+            exchange.route.name,
+            exchange.account.as_ref().map_or("-", AccountName::as_str),
+            self.staged.as_millis(),
+            self.first.as_millis(),
+            exchange.elapsed().as_millis(),
+            self.targets,
+            exchange.table.deployment().version,
+            staleness.as_millis(),
+        );
+    }
+}
+
+/// Answers one request.
+pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let fields = Fields::read(&parts);
+    let id = fields.id.clone();
+    match admit(&gateway, parts, fields, body).await {
+        Ok(exchange) => {
+            gateway.metrics.in_flight.inc();
+            serve(exchange).await
+        }
+        Err((refusal, reason)) => {
+            let id = id.as_deref();
+            let status = refusal.status().as_u16();
+            log::info!("gateway: request {} refused: {reason}; status={status}", id.unwrap_or("-"));
+            refusal.response(id, reason).map(Body::whole)
+        }
+    }
+}
+
+type Denied = (Refusal, &'static str);
+
+/// Reads a request and finds its route and account.
+async fn admit(
+    gateway: &Arc<Gateway>,
+    parts: Parts,
+    fields: Fields,
+    body: Incoming,
+) -> Result<Exchange, Denied> {
+    let arrived = gateway.now();
+    let table = gateway.table();
+    let limit = table.as_ref().map_or_else(
+        || azurelug_types::deployment::Limits::default().max_body_bytes,
+        |table| table.deployment().limits.max_body_bytes,
+    );
+    let body = read_body(body, limit).await?;
+    let Some(table) = table else {
+        return Err((Refusal::Busy(NO_CONFIGURATION), "no configuration yet"));
+    };
+    let Some(id) = fields.id.clone() else {
+        return Err((Refusal::Malformed, "no request id"));
+    };
+    let Some(route) = table.route(&fields.host, parts.uri.path()).cloned() else {
+        return Err((Refusal::NoRoute, "no route"));
+    };
+    let account = account(gateway, &table, &route, &fields)?;
+    let (account, account_rank) = match account {
+        Some(account) => (Some(account.name.clone()), account.priority),
+        None => (None, 0),
+    };
+    let key = table.choose(&route.split, rand::random());
+    let service = table.service(key).clone();
+    let time = fields.time_left.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Exchange {
+        gateway: Arc::clone(gateway),
+        rank: Exchange::rank(account_rank, route.priority),
+        service,
+        account,
+        id,
+        parts,
+        body,
+        arrived,
+        deadline: arrived + time,
+        route,
+        table,
+        fields,
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Denied> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err((Refusal::TooLarge, "the body is too long"))
+        }
+        Err(_) => Err((Refusal::Malformed, "the body is not whole")),
+    }
+}
+
+/// The account of a request; none if its route needs no key.
+fn account<'a>(
+    gateway: &Gateway,
+    table: &'a Table,
+    route: &Route,
+    fields: &Fields,
+) -> Result<Option<&'a Account>, Denied> {
+    if !table.asks_for_keys() {
+        return Ok(None);
+    }
+    let account = fields.key.as_deref().and_then(|key| table.account(key));
+    if route.is_anonymous && account.is_none() {
+        return Ok(None);
+    }
+    if !gateway.may_check_keys() {
+        return Err((Refusal::Busy(NO_CONFIGURATION), "keys can't be checked"));
+    }
+    account
+        .map(Some)
+        .ok_or((Refusal::Unauthorized, "the key belongs to no account"))
+}
+
+/// Serves a request that was admitted. One that may not be repeated is seen through although its
+/// client leaves: to break it off would leave its outcome unknown.
+async fn serve(exchange: Exchange) -> Response<Body> {
+    if exchange.route.kind == Kind::AtMostOnce {
+        let served = tokio::spawn(answer(exchange)).await;
+        return served.unwrap_or_else(|error| {
+            log::error!("gateway: a request's task ended: {error}");
+            Refusal::BadAnswer.response(None, "internal error").map(Body::whole)
+        });
+    }
+    answer(exchange).await
+}
+
+async fn answer(exchange: Exchange) -> Response<Body> {
+    let limit = exchange.left() + DEADLINE_GRACE;
+    let id = exchange.id.clone();
+    let mut guard = Abandoned::new(&exchange);
+    let answered = timeout(limit, try_answer(exchange)).await;
+    guard.is_over = answered.is_ok();
+    answered.unwrap_or_else(|_| {
+        log::warn!("gateway: request {id} failed: it outlived its deadline");
+        Refusal::TimedOut.response(Some(&id), "no answer in time").map(Body::whole)
+    })
+}
+
+/// Logs and counts a request whose client left before its answer began.
+struct Abandoned {
+    gateway: Arc<Gateway>,
+    id: String,
+    route: String,
+    arrived: Duration,
+    is_over: bool,
+}
+
+impl Abandoned {
+    fn new(exchange: &Exchange) -> Self {
+        Self {
+            gateway: Arc::clone(&exchange.gateway),
+            id: exchange.id.clone(),
+            route: exchange.route.name.clone(),
+            arrived: exchange.arrived,
+            is_over: false,
+        }
+    }
+}
+
+impl Drop for Abandoned {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let elapsed = self.gateway.now().saturating_sub(self.arrived);
+        self.gateway.metrics.ended(End::Abandoned, elapsed);
+        self.gateway.metrics.in_flight.dec();
+        log::info!(
+            "gateway: request {} abandoned: the client left; route={} total_ms={}",
+            self.id,
+            self.route,
+            elapsed.as_millis()
+        );
+    }
+}
+
+async fn try_answer(exchange: Exchange) -> Response<Body> {
+    let mut record = Record {
+        first: Duration::ZERO,
+        staged: Duration::ZERO,
+        targets: 0,
+    };
+    let zone = home_zone(&exchange);
+    let results = match stages(&exchange, &zone).await {
+        Ok(results) => results,
+        Err(failure) => return refuse(&exchange, record, &failure),
+    };
+    record.staged = exchange.elapsed();
+    let mut trail = Trail::default();
+    let sending = Sending {
+        inputs: &results.inputs,
+        last_event: exchange.fields.last_event,
+        zone: &zone,
+        splitter: Splitter::after(exchange.fields.last_event),
+    };
+    let answered = attempt::run(&exchange, sending, &mut trail).await;
+    record.first = exchange.elapsed();
+    record.targets = trail.tried.len();
+    match answered {
+        Ok(Answer::Whole(whole)) => {
+            results.close(&exchange);
+            let is_late = record.is_late(&exchange);
+            let end = match whole.status.is_success() {
+                false => End::Failed,
+                true if is_late => End::Late,
+                true => End::InTime,
+            };
+            record.close(&exchange, end, "answered");
+            let head = answer::passed_on(whole.status, whole.headers);
+            head.map(|()| Body::whole(whole.body))
+        }
+        Ok(Answer::Stream(mut stream)) => {
+            let headers = std::mem::take(&mut stream.headers);
+            let relay = Relay {
+                exchange,
+                results,
+                trail,
+                zone,
+                record,
+            };
+            let events = relay.start(stream);
+            let head = answer::passed_on(http::StatusCode::OK, headers);
+            head.map(|()| Body::Stream(events))
+        }
+        Err(failure) => {
+            results.close(&exchange);
+            refuse(&exchange, record, &failure)
+        }
+    }
+}
+
+/// The zone in which the request is likely to run: that of the target which keeps its prompt
+/// prefix, or the own one.
+fn home_zone(exchange: &Exchange) -> ZoneName {
+    let gateway = &exchange.gateway;
+    let Some(affinity) = exchange.affinity() else {
+        return gateway.zone.clone();
+    };
+    let fleet = gateway.fleet();
+    let home = fleet.home(&exchange.service.name, affinity);
+    home.map_or_else(|| gateway.zone.clone(), |target| target.zone.clone())
+}
+
+async fn stages(exchange: &Exchange, zone: &ZoneName) -> Result<Results, Failure> {
+    if exchange.route.stages.is_empty() {
+        return Ok(Results::none());
+    }
+    let deployment = exchange.table.deployment();
+    let plan = Plan::new(deployment, &exchange.route, &exchange.fields.pieces);
+    let plan = plan.map_err(|error| {
+        log::warn!("gateway: request {}: {error}", exchange.id);
+        Failure::Refused(NO_CONFIGURATION, "the pieces don't fit the route")
+    })?;
+    let results = timeout(exchange.left(), stages::run(exchange, &plan, zone)).await;
+    results.unwrap_or(Err(Failure::Refused(NO_CONFIGURATION, "the time is over")))
+}
+
+fn refuse(exchange: &Exchange, mut record: Record, failure: &Failure) -> Response<Body> {
+    record.first = exchange.elapsed();
+    let end = match failure {
+        Failure::Refused(..) => End::Refused,
+        Failure::Broken(_) | Failure::TimedOut => End::Failed,
+    };
+    let reason = failure.reason();
+    record.close(exchange, end, reason);
+    let response = failure.refusal().response(Some(&exchange.id), reason);
+    response.map(Body::whole)
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -0,0 +1,110 @@
+//! Command line and settings of the gateway.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use azurelug_settings::log_setup::Log;
+use azurelug_settings::span::Span;
+use azurelug_settings::{Error, read};
+use azurelug_types::id::{DaemonName, ZoneName};
+use bpaf::Bpaf;
+use serde::Deserialize;
+
+/// Gateway of azurelug: forwards requests of a deployment's routes to targets
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Settings file in YAML, for instance gateway.yaml
+    #[bpaf(argument("FILE"))]
+    pub settings: PathBuf,
+    /// Check the settings and exit
+    #[bpaf(switch)]
+    pub check: bool,
+}
+
+/// The settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This daemon's name, unique in the cluster.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The cluster's id, the same in all settings files.
+    pub cluster: String,
+    /// File with the shared key, at least 32 bytes of text.
+    pub key_file: PathBuf,
+    /// Address for clients.
+    pub clients: SocketAddr,
+    /// Address for readiness, metrics and the state dump.
+    pub admin: SocketAddr,
+    /// Address for other gateways.
+    pub internal: SocketAddr,
+    /// Addresses of some control daemons. Their port is that of `internal`.
+    pub seeds: Vec<SocketAddr>,
+    /// What the operators' rules allow.
+    pub bounds: Bounds,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// What the operators' rules allow.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// How long after its removal a key may still be accepted.
+    pub revocation: Span,
+    /// How long a stopping process has before it is killed.
+    pub grace: Span,
+    /// Repeats for each first request, over all gateways.
+    pub retry_ratio: f64,
+    /// The window over which repeats are counted.
+    pub retry_window: Span,
+    /// Repeats in each window beyond the ratio, over all gateways.
+    pub retry_extra: f64,
+}
+
+impl Settings {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// The first problem, with its field and remedy.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let settings: Self = read::file(path)?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &Path) -> Result<(), Error> {
+        let problem = |field: &str, message: &str, help: &str| {
+            Err(Error::value(path, field, message, help))
+        };
+        if self.cluster.is_empty() {
+            return problem("cluster", "empty", "choose an id for the cluster");
+        }
+        if self.seeds.is_empty() {
+            let help = "write the addresses of some control daemons";
+            return problem("seeds", "none are given", help);
+        }
+        if self.internal.ip().is_unspecified() {
+            let help = "write the address under which other gateways reach this one";
+            return problem("internal", "no address of this VM", help);
+        }
+        let bounds = &self.bounds;
+        if bounds.revocation.0.is_zero() {
+            let help = "write how long a removed key may still work, for instance 5s";
+            return problem("bounds.revocation", "0ms", help);
+        }
+        if bounds.retry_window.0.is_zero() {
+            let help = "write the window in which repeats are counted, for instance 10s";
+            return problem("bounds.retry_window", "0ms", help);
+        }
+        if !(bounds.retry_ratio >= 0.0 && bounds.retry_extra >= 0.0) {
+            let help = "write 0 or more";
+            return problem("bounds.retry_ratio", "below 0", help);
+        }
+        self.log.check(path)?;
+        read::shared_key(path, &self.key_file).map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -0,0 +1,251 @@
+//! Has the stages of a request run, in the order that its plan gives.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::gateway::plan::Plan;
+use azurelug_types::fleet::{Peer, Pieces, PiecesEnd, PiecesError, Source};
+use azurelug_types::id::{ServiceName, ZoneName};
+use azurelug_wire::Frame;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::exchange::{Exchange, Failure};
+
+/// Time of an order at another gateway beyond its usual time, before that gateway is taken to have
+/// stopped.
+const ORDER_GRACE: Duration = Duration::from_millis(900);
+
+/// What another zone costs, as a delay for each megabyte of results: transfers between zones are
+/// slower, and they are billed.
+const CROSSING_PER_MB: Duration = Duration::from_millis(40);
+
+/// What another zone costs at least.
+const CROSSING: Duration = Duration::from_millis(40);
+
+/// The results of a request's stages. They are released when this is closed.
+pub struct Results {
+    /// Handles for the engine: those of the last stages.
+    pub inputs: Vec<String>,
+    all: Vec<String>,
+}
+
+impl Results {
+    /// No results.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            inputs: Vec::new(),
+            all: Vec::new(),
+        }
+    }
+
+    /// Gives the room for the results back.
+    pub fn close(self, exchange: &Exchange) {
+        release(exchange, self.all);
+    }
+}
+
+/// Runs the stages. `home` is the zone of the engine that the request is likely to run on.
+///
+/// # Errors
+/// Why there are no results. The request itself has not run then.
+pub async fn run(exchange: &Exchange, plan: &Plan, home: &ZoneName) -> Result<Results, Failure> {
+    let mut handles: Vec<Option<Vec<String>>> = vec![None; plan.steps.len()];
+    let mut started = vec![false; plan.steps.len()];
+    for (position, step) in plan.steps.iter().enumerate() {
+        if step.pieces == 0 {
+            handles[position] = Some(Vec::new());
+            started[position] = true;
+        }
+    }
+    let mut running = FuturesUnordered::new();
+    loop {
+        for (position, step) in plan.steps.iter().enumerate() {
+            let is_ready = step.after.iter().all(|&it| handles[usize::from(it)].is_some());
+            if started[position] || !is_ready {
+                continue;
+            }
+            started[position] = true;
+            let inputs: Vec<String> = step
+                .after
+                .iter()
+                .filter_map(|&it| handles[usize::from(it)].clone())
+                .flatten()
+                .collect();
+            running.push(stage(exchange, plan, position, inputs, home));
+        }
+        let Some((position, result)) = running.next().await else {
+            break;
+        };
+        match result {
+            Ok(made) => handles[position] = Some(made),
+            Err(error) => {
+                let made = handles.into_iter().flatten().flatten().collect();
+                release(exchange, made);
+                return Err(error);
+            }
+        }
+    }
+    let last = plan.steps.iter().zip(&handles).filter(|(step, _)| step.is_last);
+    let inputs = last.filter_map(|(_, made)| made.clone()).flatten().collect();
+    let all = handles.into_iter().flatten().flatten().collect();
+    Ok(Results { inputs, all })
+}
+
+/// Runs one stage; returns its position with the result.
+async fn stage(
+    exchange: &Exchange,
+    plan: &Plan,
+    position: usize,
+    inputs: Vec<String>,
+    home: &ZoneName,
+) -> (usize, Result<Vec<String>, Failure>) {
+    let step = &plan.steps[position];
+    let stage = &exchange.route.stages[position];
+    let gateway = &exchange.gateway;
+    let service = exchange.table.service(stage.service);
+    let source = if exchange.route.stages[position].after.is_empty() {
+        Source::Key(exchange.fields.piece_key.clone().unwrap_or_default())
+    } else {
+        Source::Results(inputs)
+    };
+    let now = gateway.now();
+    let due = exchange.due().saturating_sub(step.rest);
+    let order = Pieces {
+        service: service.name.clone(),
+        zone: home.clone(),
+        request: exchange.id.clone(),
+        stage: u8::try_from(position).unwrap_or(u8::MAX),
+        pieces: (0..step.pieces).collect(),
+        source,
+        result_bytes: stage.result_bytes,
+        rank: exchange.rank,
+        due_ms: signed_millis(due) - signed_millis(now),
+        deadline_ms: millis(exchange.left()),
+    };
+    let bytes = stage.result_bytes * u64::from(step.pieces);
+    let result = order_in_some_zone(exchange, order, bytes).await;
+    (position, result)
+}
+
+/// Gives the order to the zone where it is likely to end first, and to others if that one fails.
+async fn order_in_some_zone(
+    exchange: &Exchange,
+    mut order: Pieces,
+    bytes: u64,
+) -> Result<Vec<String>, Failure> {
+    let mut failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
+    for zone in zones(exchange, &order.service, &order.zone, bytes) {
+        order.zone = zone;
+        order.deadline_ms = millis(exchange.left());
+        match send(exchange, &order).await {
+            Some(Ok(handles)) => return Ok(handles),
+            Some(Err(PiecesError::Late { retry_after_ms })) => {
+                let after = Duration::from_millis(retry_after_ms);
+                return Err(Failure::Refused(after, "a stage is overloaded"));
+            }
+            Some(Err(PiecesError::ResultsGone)) => {
+                return Err(Failure::Refused(RETRY_AFTER, "a stage's input is gone"));
+            }
+            Some(Err(PiecesError::Failed)) => {
+                return Err(Failure::Refused(RETRY_AFTER, "a stage failed"));
+            }
+            Some(Err(PiecesError::NoTarget)) | None => {
+                failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
+            }
+        }
+        if exchange.left().is_zero() {
+            break;
+        }
+    }
+    Err(failure)
+}
+
+/// When a client is told to come back if nothing better is known: about two calls.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The zones that have targets of a service, the best first.
+fn zones(
+    exchange: &Exchange,
+    service: &ServiceName,
+    home: &ZoneName,
+    bytes: u64,
+) -> Vec<ZoneName> {
+    let gateway = &exchange.gateway;
+    let mut counts: HashMap<ZoneName, usize> = HashMap::new();
+    for target in gateway.fleet().usable(service) {
+        *counts.entry(target.zone.clone()).or_default() += 1;
+    }
+    let crossing = CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6);
+    let mut zones: Vec<(Duration, ZoneName)> = counts
+        .into_keys()
+        .map(|zone| {
+            let delay = gateway.peers.delay(service, &zone);
+            let cost = if zone == *home { Duration::ZERO } else { crossing };
+            (delay + cost, zone)
+        })
+        .collect();
+    zones.sort();
+    zones.into_iter().map(|(_, zone)| zone).collect()
+}
+
+/// Gives the order to the zone's dispatcher; none if no gateway answers.
+async fn send(exchange: &Exchange, order: &Pieces) -> Option<Result<Vec<String>, PiecesError>> {
+    let gateway = &exchange.gateway;
+    let dispatchers = gateway.peers.dispatchers(&order.service, &order.zone);
+    for peer in dispatchers.iter().take(MAX_DISPATCHERS) {
+        if let Some(end) = send_to(exchange, peer, order).await {
+            let delay = Duration::from_millis(end.delay_ms);
+            gateway.peers.note_delay(&order.service, &order.zone, delay);
+            return Some(end.result);
+        }
+    }
+    None
+}
+
+/// Gateways that are asked to dispatch one order; the third is chosen when two have just stopped.
+const MAX_DISPATCHERS: usize = 3;
+
+async fn send_to(exchange: &Exchange, peer: &Peer, order: &Pieces) -> Option<PiecesEnd> {
+    let gateway = &exchange.gateway;
+    if peer.name == gateway.peers.own().name {
+        return Some(gateway.stations.run(gateway, order.clone()).await);
+    }
+    let usual = exchange.route.objective.max(Duration::from_millis(400));
+    let delay = gateway.peers.delay(&order.service, &order.zone);
+    let limit = (usual + delay + ORDER_GRACE).min(exchange.left());
+    let frame = Frame::Pieces(order.clone());
+    match gateway.peers.call(peer.address, frame, limit).await {
+        Ok(Frame::PiecesEnd(end)) => Some(end),
+        Ok(_) => {
+            log::warn!("gateway: peer {}: not an answer to an order", peer.name);
+            None
+        }
+        // Logged by the call.
+        Err(_) => None,
+    }
+}
+
+/// Tells the dispatchers that results are no longer needed.
+fn release(exchange: &Exchange, handles: Vec<String>) {
+    if handles.is_empty() {
+        return;
+    }
+    let gateway = Arc::clone(&exchange.gateway);
+    let services: Vec<ServiceName> = {
+        let stages = exchange.route.stages.iter();
+        stages
+            .map(|stage| exchange.table.service(stage.service).name.clone())
+            .collect()
+    };
+    gateway.peers.queue_release(&gateway, &services, handles);
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn signed_millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/azurelug-gateway/src/station.rs
@@ -0,0 +1,341 @@
+//! Runs the dispatchers of the staged services for which this gateway is chosen.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_core::gateway::dispatch::{
+    Action, CallEnd, CallKey, Dispatcher, Listed, Token,
+};
+use azurelug_platform::{pieces, target};
+use azurelug_types::deployment::{Batch, Target};
+use azurelug_types::fleet::{Item, Pieces, PiecesEnd, PiecesError};
+use azurelug_types::id::{ServiceName, ZoneName};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+
+/// The longest answer to a call, in bytes. A handle takes about 40.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// Time to tell a target that results are no longer needed.
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+
+/// A service and a zone.
+type Place = (ServiceName, ZoneName);
+
+/// The dispatchers that have been needed so far.
+#[derive(Default)]
+pub struct Stations {
+    stations: Mutex<HashMap<Place, Arc<Station>>>,
+}
+
+/// One dispatcher and the orders that wait for it.
+pub struct Station {
+    service: ServiceName,
+    zone: ZoneName,
+    dispatcher: Mutex<Dispatcher>,
+    waiting: Mutex<HashMap<Token, oneshot::Sender<PiecesEnd>>>,
+    next_token: Mutex<u64>,
+    /// Woken when the dispatcher's next deadline may have changed.
+    changed: Notify,
+}
+
+impl Stations {
+    fn stations(&self) -> MutexGuard<'_, HashMap<Place, Arc<Station>>> {
+        self.stations.lock().expect("no holder of the lock panics")
+    }
+
+    /// Runs pieces and waits for their end. They are forgotten if this future is dropped.
+    pub async fn run(&self, gateway: &Arc<Gateway>, order: Pieces) -> PiecesEnd {
+        let no_target = PiecesEnd {
+            result: Err(PiecesError::NoTarget),
+            delay_ms: 0,
+        };
+        let table = gateway.table();
+        let batch = table.and_then(|table| {
+            let services = table.deployment().services.iter();
+            let mut named = services.filter(|service| service.name == order.service);
+            named.find_map(|service| service.batch)
+        });
+        let Some(batch) = batch else {
+            return no_target;
+        };
+        let station = self.station(gateway, &order, batch);
+        let (sender, receiver) = oneshot::channel();
+        let token = station.register(sender);
+        let _guard = Cancel {
+            station: &station,
+            token,
+        };
+        let now = gateway.now();
+        let actions = station.dispatcher().submit(token, order, now);
+        station.act(gateway, actions);
+        receiver.await.unwrap_or(no_target)
+    }
+
+    fn station(&self, gateway: &Arc<Gateway>, order: &Pieces, batch: Batch) -> Arc<Station> {
+        let place = (order.service.clone(), order.zone.clone());
+        let mut stations = self.stations();
+        if let Some(station) = stations.get(&place) {
+            station.dispatcher().configure(batch);
+            return Arc::clone(station);
+        }
+        let station = Arc::new(Station {
+            service: order.service.clone(),
+            zone: order.zone.clone(),
+            dispatcher: Mutex::new(Dispatcher::new(batch)),
+            waiting: Mutex::default(),
+            next_token: Mutex::default(),
+            changed: Notify::new(),
+        });
+        stations.insert(place, Arc::clone(&station));
+        station.relist(gateway);
+        tokio::spawn(Arc::clone(&station).watch(Arc::clone(gateway)));
+        station
+    }
+
+    /// Gives every dispatcher the present targets.
+    pub fn relist(&self, gateway: &Arc<Gateway>) {
+        let stations: Vec<Arc<Station>> = self.stations().values().cloned().collect();
+        for station in stations {
+            station.relist(gateway);
+        }
+    }
+
+    /// Notes that results are no longer needed.
+    pub fn release(&self, gateway: &Arc<Gateway>, handles: &[String]) {
+        let stations: Vec<Arc<Station>> = self.stations().values().cloned().collect();
+        for station in stations {
+            let actions = station.dispatcher().release(handles, gateway.now());
+            station.act(gateway, actions);
+        }
+    }
+
+    /// The dispatchers' targets with their running calls and held bytes, for a dump.
+    pub fn dump(&self) -> Vec<(String, u32, u64)> {
+        let stations = self.stations();
+        let mut rows = Vec::new();
+        for station in stations.values() {
+            let dispatcher = station.dispatcher();
+            let targets = dispatcher.targets();
+            rows.extend(targets.map(|(name, running, held)| (name.to_string(), running, held)));
+        }
+        rows
+    }
+}
+
+/// Forgets an order whose requester is gone.
+struct Cancel<'a> {
+    station: &'a Station,
+    token: Token,
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        if self.station.waiting().remove(&self.token).is_some() {
+            self.station.dispatcher().cancel(self.token);
+        }
+    }
+}
+
+impl Station {
+    fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        self.dispatcher.lock().expect("no holder of the lock panics")
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, HashMap<Token, oneshot::Sender<PiecesEnd>>> {
+        self.waiting.lock().expect("no holder of the lock panics")
+    }
+
+    fn register(&self, sender: oneshot::Sender<PiecesEnd>) -> Token {
+        let mut next = self.next_token.lock().expect("no holder of the lock panics");
+        *next += 1;
+        let token = Token(*next);
+        self.waiting().insert(token, sender);
+        token
+    }
+
+    fn relist(self: &Arc<Self>, gateway: &Arc<Gateway>) {
+        let listed: Vec<Listed> = {
+            let fleet = gateway.fleet();
+            let targets = fleet.usable(&self.service);
+            let own = targets.filter(|target| target.zone == self.zone);
+            own.map(listed).collect()
+        };
+        let actions = self.dispatcher().list(&listed, gateway.now());
+        self.act(gateway, actions);
+    }
+
+    /// Lets time pass for the dispatcher.
+    async fn watch(self: Arc<Self>, gateway: Arc<Gateway>) {
+        loop {
+            let next = self.dispatcher().next_deadline(gateway.now());
+            let changed = self.changed.notified();
+            match next {
+                Some(next) => {
+                    let next = gateway.at(next);
+                    // The pause keeps a deadline that has just passed from spinning.
+                    let next = next.max(tokio::time::Instant::now() + Duration::from_millis(5));
+                    let _ = tokio::time::timeout_at(next, changed).await;
+                }
+                None => changed.await,
+            }
+            let actions = self.dispatcher().advance(gateway.now());
+            self.perform(&gateway, actions);
+        }
+    }
+
+    fn act(self: &Arc<Self>, gateway: &Arc<Gateway>, actions: Vec<Action>) {
+        self.perform(gateway, actions);
+        self.changed.notify_one();
+    }
+
+    fn perform(self: &Arc<Self>, gateway: &Arc<Gateway>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call,
+                    target,
+                    items,
+                    limit,
+                } => {
+                    let running = Running {
+                        station: Arc::clone(self),
+                        gateway: Arc::clone(gateway),
+                        call,
+                        target: self.target(target),
+                    };
+                    tokio::spawn(running.run(items, limit));
+                }
+                Action::End { token, result } => {
+                    let delay = self.dispatcher().delay(gateway.now());
+                    let delay_ms = delay.map_or(0, |delay| delay.as_millis() as u64);
+                    if let Some(sender) = self.waiting().remove(&token) {
+                        // The requester may have gone away just now.
+                        let _ = sender.send(PiecesEnd { result, delay_ms });
+                    }
+                }
+                Action::Release { target, handles } => {
+                    let target = self.target(target);
+                    tokio::spawn(release(Arc::clone(gateway), target, handles));
+                }
+            }
+        }
+    }
+
+    fn target(&self, listed: Listed) -> Target {
+        Target {
+            name: listed.name,
+            service: self.service.clone(),
+            address: listed.address,
+            zone: self.zone.clone(),
+            slots: 1,
+            is_leaving: false,
+            cold_ms: 0,
+        }
+    }
+}
+
+fn listed(target: &Target) -> Listed {
+    Listed {
+        name: target.name.clone(),
+        address: target.address,
+    }
+}
+
+struct Running {
+    station: Arc<Station>,
+    gateway: Arc<Gateway>,
+    call: CallKey,
+    target: Target,
+}
+
+impl Running {
+    async fn run(self, items: Vec<Item>, limit: Duration) {
+        let count = items.len();
+        self.gateway
+            .metrics
+            .called(self.station.service.as_str(), count);
+        let started = self.gateway.now();
+        let called = timeout(limit, self.call(&items)).await;
+        let taken = self.gateway.now().saturating_sub(started).as_millis();
+        let name = &self.target.name;
+        let end = match called {
+            Ok(Ok(end)) => end,
+            Ok(Err(message)) => {
+                log::warn!("gateway: call to {name}, {count} pieces, {taken} ms: {message}");
+                CallEnd::Failed
+            }
+            Err(_) => {
+                log::warn!("gateway: call to {name}, {count} pieces: no answer in {taken} ms");
+                CallEnd::Failed
+            }
+        };
+        log::debug!("gateway: call to {name}, {count} pieces, {taken} ms");
+        let actions = {
+            let mut dispatcher = self.station.dispatcher();
+            dispatcher.called(self.call, end, self.gateway.now())
+        };
+        self.station.act(&self.gateway, actions);
+    }
+
+    async fn call(&self, items: &[Item]) -> Result<CallEnd, String> {
+        let request = pieces::call(&self.target.name, items);
+        let mut taken = self.gateway.upstream.take(&self.target, false).await;
+        let mut kept = matches!(&taken, Ok(taken) if taken.is_kept);
+        let response = loop {
+            let mut connection = taken.map_err(|error| error.to_string())?;
+            match connection.connection.send(request.clone()).await {
+                Ok(response) => break (connection.connection, response),
+                // A kept connection may have ended since.
+                Err(error) if kept => {
+                    log::debug!("gateway: {}: {error}", self.target.name);
+                    kept = false;
+                    taken = self.gateway.upstream.open(&self.target).await;
+                }
+                Err(error) => return Err(error.to_string()),
+            }
+        };
+        let (mut connection, response) = response;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT).collect().await;
+        let body: Bytes = body.map_err(|error| error.to_string())?.to_bytes();
+        let idle = target::Head::read(head.status, &head.headers, "").idle;
+        if connection.wait_ready().await {
+            let name = &self.target.name;
+            self.gateway.upstream.keep(name, connection, idle);
+        }
+        if pieces::is_not_run(head.status, &head.headers) {
+            return Ok(CallEnd::NotRun);
+        }
+        if !head.status.is_success() {
+            return Err(format!("status {}", head.status.as_u16()));
+        }
+        let ends = pieces::read(&body).map_err(|error| error.to_string())?;
+        Ok(CallEnd::Items(ends))
+    }
+}
+
+/// Tells a target that results are no longer needed. A failure costs only their room, which they
+/// give back by themselves later.
+async fn release(gateway: Arc<Gateway>, target: Target, handles: Vec<String>) {
+    let request = pieces::release(&target.name, &handles);
+    let released = async {
+        let mut taken = gateway.upstream.take(&target, false).await?;
+        let response = taken.connection.send(request).await?;
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
+        if body.is_ok() && taken.connection.wait_ready().await {
+            gateway.upstream.keep(&target.name, taken.connection, None);
+        }
+        Ok::<(), azurelug_http::h1::client::Error>(())
+    };
+    match timeout(RELEASE_LIMIT, released).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("gateway: release at {}: {error}", target.name),
+        Err(_) => log::debug!("gateway: release at {}: no answer", target.name),
+    }
+}
--- /dev/null
+++ b/crates/azurelug-http/src/h1/client.rs
@@ -0,0 +1,132 @@
+//! One HTTP/1.1 connection to a server, for one request at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// The longest answer head and the largest buffer of one connection, in bytes.
+const BUFFER: usize = 64 * 1024;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection could not be opened; nothing was sent.
+    #[error("can't connect to {address}: {message}; check that the server is up")]
+    Connect {
+        /// The server.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+    },
+    /// The connection had ended before the request was written.
+    #[error("the connection ended before the request was sent; open a new one")]
+    NotSent,
+    /// The connection failed after the request was sent, at least in part.
+    #[error("no answer: {message}; the request may have run")]
+    Lost {
+        /// The cause.
+        message: String,
+    },
+}
+
+impl Error {
+    /// Whether the server can't have seen the request.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        !matches!(self, Self::Lost { .. })
+    }
+}
+
+/// An open connection. Dropping it closes the socket, which tells the server to stop its work.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Connects within `limit`. The connection ends if the server acknowledges nothing for
+    /// `silence`.
+    ///
+    /// # Errors
+    /// `Connect`.
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        silence: Duration,
+    ) -> Result<Self, Error> {
+        let failed = |message: String| Error::Connect { address, message };
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(failed(error.to_string())),
+            Err(_) => return Err(failed(format!("no answer in {} ms", limit.as_millis()))),
+        };
+        super::prepare(&stream, silence).map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("http: connection to {address} ended: {error}");
+            }
+        });
+        Ok(Self { sender, driver })
+    }
+
+    /// Whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether the next request can be sent at once. Not so while the end of an answer is still to
+    /// be read, or a request body is still being sent.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the next request can be sent; false if the connection has ended.
+    pub async fn wait_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// `NotSent` or `Lost`.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut failure| match failure.take_message() {
+            Some(_) => Error::NotSent,
+            None => Error::Lost {
+                message: describe(failure.error()),
+            },
+        })
+    }
+}
+
+/// An error and its cause in one line, because hyper's own text leaves the cause out.
+fn describe(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
--- a/crates/azurelug-http/src/lib.rs
+++ b/crates/azurelug-http/src/lib.rs
@@ -1,4 +1,4 @@
-//! HTTP server and client shells on `volo-http`.
+//! HTTP server and client shells on `volo-http`, and on `hyper` where a gateway needs more.
 //!
 //! Every daemon, the command line and the test doubles use these, so that limits, error answers and
 //! the rule "one call is sent once" are the same everywhere. No routing decisions are made here.
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod client;
 pub mod error;
+pub mod h1;
 pub mod server;
 
 pub use client::Client;
--- a/crates/azurelug-http/src/server.rs
+++ b/crates/azurelug-http/src/server.rs
@@ -1,15 +1,26 @@
 //! An HTTP server: bind first, so that a used port is reported at once, then serve a router.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
 
+use http::Request;
+use hyper::body::Incoming;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo::Service;
 use volo::net::MakeIncoming;
 use volo::net::incoming::DefaultIncoming;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::response::Response;
 use volo_http::server::route::Router;
 
 use crate::Error;
+use crate::h1::server::{Stage, serve};
 
 /// A bound listener that serves nothing yet.
 pub struct Server {
@@ -48,6 +59,17 @@
             .await
     }
 
+    /// Serves until `stage` says that the process is stopping. The caller handles signals: `run` of
+    /// `volo-http` would end the process on a hang-up.
+    pub async fn serve_until(self, router: Router, idle: Duration, stage: watch::Receiver<Stage>) {
+        let router = Arc::new(router);
+        let address = self.address;
+        serve(self.listener, idle, stage, move |request| {
+            call(Arc::clone(&router), address, request)
+        })
+        .await;
+    }
+
     /// Serves as [`Server::serve`] does, on the connections that `make` takes from the bound
     /// listener. The test doubles use it to close connections from outside.
     ///
@@ -73,3 +95,14 @@
             })
     }
 }
+
+async fn call(router: Arc<Router>, address: SocketAddr, request: Request<Incoming>) -> Response {
+    let mut context = ServerContext::new(volo::net::Address::from(address));
+    let answered: Result<Response, Infallible> = router
+        .call(&mut context, request.map(Body::from_incoming))
+        .await;
+    match answered {
+        Ok(response) => response,
+        Err(never) => match never {},
+    }
+}
--- a/crates/azurelug-settings/src/lib.rs
+++ b/crates/azurelug-settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod error;
 pub mod log_setup;
+pub mod queue;
 pub mod read;
 pub mod span;
 
--- a/crates/azurelug-settings/src/log_setup.rs
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 
 use crate::Error;
+use crate::queue::Queue;
 
 /// One line for each event: time, level, text. The text starts with the part's prefix.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
@@ -27,6 +28,8 @@
     pub format: String,
     /// A file to append to; standard error if absent.
     pub file: Option<PathBuf>,
+    /// Whether lines go to standard output instead, through a bounded queue that never blocks.
+    pub stdout: bool,
 }
 
 impl Default for Log {
@@ -35,6 +38,7 @@
             level: "info".to_owned(),
             format: "text".to_owned(),
             file: None,
+            stdout: false,
         }
     }
 }
@@ -42,7 +46,7 @@
 impl Log {
     /// Starts the logger of this process.
     ///
-    /// Appenders write in the caller's thread, so that code on the request path logs at `debug`,
+    /// Unless `stdout` is set, appenders write in the caller's thread, so that code on the request path logs at `debug`,
     /// which is off in production, or under a limit on its lines.
     ///
     /// # Errors
@@ -78,6 +82,13 @@
     fn config(&self) -> Result<Config, Error> {
         let level = self.level()?;
         let appender: Box<dyn Append> = match &self.file {
+            None if self.stdout => {
+                let queue = Queue::start(self.encoder()?).map_err(|error| Error::Log {
+                    field: "stdout",
+                    message: error.to_string(),
+                })?;
+                Box::new(queue)
+            }
             None => Box::new(
                 ConsoleAppender::builder()
                     .target(Target::Stderr)
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,6 +1,7 @@
 //! The messages between azurelug processes.
 
 use azurelug_coordination::{once, share};
+use azurelug_types::fleet::{Pieces, PiecesEnd, Poll, Polled};
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -126,4 +127,21 @@
         /// The encoded outcome.
         outcome: Vec<u8>,
     },
+    /// A gateway asks a control daemon for the orders in force and the fleet.
+    Poll(Poll),
+    /// The answer to `Poll`.
+    Polled(Polled),
+    /// Asks for the deployment document in force, as a stream of `ConfigurationPart` frames.
+    FetchDocument,
+    /// A control daemon tells another which gateways poll it.
+    Gateways(Vec<azurelug_types::fleet::Peer>),
+    /// Asks a gateway to have pieces of a stage run.
+    Pieces(Pieces),
+    /// The answer to `Pieces`.
+    PiecesEnd(PiecesEnd),
+    /// Results that are no longer needed, by their handles.
+    Release {
+        /// The handles.
+        handles: Vec<String>,
+    },
 }
