dispatch: name the host in stage calls; keep accounts of targets' room

Cause: stage calls carried no Host header and were refused with status 400. Once they ran, 47,260 pieces met targets without room: results of earlier stages were held until the end of the stream, and calls that were given up were not counted as holding anything.

Change: the host is named; results are released once the stages that need them are done; lost calls count as held for their lifetime; a target without room is given less for a while.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -196,6 +196,7 @@
         let worker = self.workers.get_mut(call.worker);
         worker.running -= 1;
         worker.held = worker.held.saturating_sub(call.bytes);
+        let is_refused = call_end == CallEnd::NotRun;
         let ends = match call_end {
             CallEnd::Items(ends) if ends.len() == call.items.len() => {
                 worker.succeeded(taken, call.expected, now);
@@ -207,9 +208,14 @@
             }
             CallEnd::Items(_) | CallEnd::Failed => {
                 worker.failed(taken, call.expected, now);
+                let until = now + call.expected + self.batch.result_lifetime;
+                self.workers.hold_unknown(call.worker, call.bytes, until);
                 vec![ItemEnd::Failed; call.items.len()]
             }
         };
+        if !is_refused && ends.contains(&ItemEnd::NoRoom) {
+            self.workers.get_mut(call.worker).had_no_room(now);
+        }
         let mut actions = Vec::new();
         for ((token, place), item_end) in call.items.iter().zip(ends) {
             self.item_ended(call.worker, *token, *place, item_end, now, &mut actions);
@@ -333,11 +339,9 @@
     }
 
     fn start_call(&mut self, key: WorkerKey, now: Duration) -> Option<Action> {
-        let room = self.batch.result_room;
         let worker = self.workers.get_mut(key);
         let slowness = worker.slowness(now);
-        // No room stated means no bound.
-        let free_bytes = (room > 0).then(|| room.saturating_sub(worker.held));
+        let free_bytes = worker.free_room(self.batch.result_room, now);
         let usual_one = self.usual_time(1).mul_f64(slowness);
         let picked = self
             .queue
@@ -383,7 +387,11 @@
 
     /// Time until a call can start behind `pieces` that wait; none without targets.
     fn wait_for(&self, pieces: usize, now: Duration) -> Option<Duration> {
-        let (first_free, rate) = self.workers.capacity(now)?;
+        let Some((first_free, rate)) = self.workers.capacity(now) else {
+            // Every target failed lately; the first one is tried again then.
+            let next = self.workers.next_return(now)?;
+            return Some(next.saturating_sub(now));
+        };
         let calls = pieces / self.batch.max_pieces.max(1);
         let work = self.usual_time(self.batch.max_pieces).mul_f64(calls as f64);
         Some(first_free + work.div_f64(rate))
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -40,7 +40,17 @@
 const MAX_SLOWNESS: f64 = 12.0;
 
 /// Part of the room above which released results are reported to the target.
-const RELEASE_PART: f64 = 0.4;
+const RELEASE_PART: f64 = 0.25;
+
+/// Part of the stated room that is used. Sizes of results are approximate.
+const ROOM_PART: f64 = 0.92;
+
+/// What is left of the part in use after a target had no room, and the least of it.
+const ROOM_BACKOFF: f64 = 0.9;
+const MIN_ROOM_PART: f64 = 0.5;
+
+/// Time in which half of a backoff is forgotten.
+const ROOM_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// One target.
 #[derive(Debug)]
@@ -55,6 +65,9 @@
     pub(super) held: u64,
     /// Released results that it has not been told of.
     released: Vec<String>,
+    /// Part of the stated room that is used, and since when.
+    room_part: f64,
+    room_part_since: Duration,
     slowness: f64,
     measured: Duration,
     excluded_until: Duration,
@@ -70,6 +83,8 @@
             expected_end: Duration::ZERO,
             held: 0,
             released: Vec::new(),
+            room_part: ROOM_PART,
+            room_part_since: Duration::ZERO,
             slowness: 1.0,
             measured: Duration::ZERO,
             excluded_until: Duration::ZERO,
@@ -99,6 +114,25 @@
         self.measure(taken, expected, now);
     }
 
+    /// Bytes of results that may be added; none without a bound.
+    pub(super) fn free_room(&self, room: u64, now: Duration) -> Option<u64> {
+        let usable = room as f64 * self.room_part(now);
+        (room > 0).then(|| (usable as u64).saturating_sub(self.held))
+    }
+
+    fn room_part(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.room_part_since).as_secs_f64();
+        let decay = 0.5_f64.powf(age / ROOM_HALF_LIFE.as_secs_f64());
+        ROOM_PART - (ROOM_PART - self.room_part) * decay
+    }
+
+    /// Notes that the target had no room although there should have been some.
+    pub(super) fn had_no_room(&mut self, now: Duration) {
+        self.room_part = (self.room_part(now) * ROOM_BACKOFF).max(MIN_ROOM_PART);
+        self.room_part_since = now;
+        self.excluded_until = self.excluded_until.max(now + FULL_PAUSE);
+    }
+
     pub(super) fn refused(&mut self, now: Duration) {
         self.excluded_until = now + FULL_PAUSE;
     }
@@ -133,6 +167,8 @@
 pub(super) struct Workers {
     workers: Vec<Worker>,
     held: HashMap<String, Held>,
+    /// Calls that were given up.
+    lost: u64,
 }
 
 impl Workers {
@@ -216,6 +252,14 @@
         times.filter(|until| *until > now).min()
     }
 
+    /// Notes results whose handles are not known, because their call was given up. The target may
+    /// still make them.
+    pub(super) fn hold_unknown(&mut self, worker: WorkerKey, bytes: u64, until: Duration) {
+        self.lost += 1;
+        let name = format!("lost/{}", self.lost);
+        self.hold(worker, &name, bytes, until);
+    }
+
     pub(super) fn hold(&mut self, worker: WorkerKey, handle: &str, bytes: u64, until: Duration) {
         self.workers[worker.0].held += bytes;
         let held = Held {
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -21,7 +21,7 @@
 
 /// How long handles wait, so that one message names those of many requests. Results hold their room
 /// for seconds otherwise.
-const RELEASE_PAUSE: Duration = Duration::from_millis(250);
+const RELEASE_PAUSE: Duration = Duration::from_millis(80);
 
 /// Time for a dispatcher to take handles.
 const RELEASE_LIMIT: Duration = Duration::from_millis(800);
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -79,7 +79,10 @@
             break;
         };
         match result {
-            Ok(made) => handles[position] = Some(made),
+            Ok(made) => {
+                handles[position] = Some(made);
+                release(exchange, consumed(plan, &mut handles));
+            }
             Err(error) => {
                 let made = handles.into_iter().flatten().flatten().collect();
                 release(exchange, made);
@@ -93,6 +96,24 @@
     Ok(Results { inputs, all })
 }
 
+/// Takes the results of stages that no stage which is still to run needs, and that the engine does
+/// not fetch. Their targets have little room.
+fn consumed(plan: &Plan, handles: &mut [Option<Vec<String>>]) -> Vec<String> {
+    let mut consumed = Vec::new();
+    for position in 0..plan.steps.len() {
+        let is_needed = plan.steps.iter().zip(handles.iter()).any(|(step, made)| {
+            made.is_none() && step.after.iter().any(|&it| usize::from(it) == position)
+        });
+        if is_needed || plan.steps[position].is_last {
+            continue;
+        }
+        if let Some(made) = &mut handles[position] {
+            consumed.append(made);
+        }
+    }
+    consumed
+}
+
 /// Runs one stage; returns its position with the result.
 async fn stage(
     exchange: &Exchange,
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -284,7 +284,7 @@
     }
 
     async fn call(&self, items: &[Item]) -> Result<CallEnd, String> {
-        let request = pieces::call(&self.target.name, items);
+        let request = pieces::call(&self.target, items);
         let mut taken = self.gateway.upstream.take(&self.target, false).await;
         let mut kept = matches!(&taken, Ok(taken) if taken.is_kept);
         let response = loop {
@@ -313,7 +313,8 @@
             return Ok(CallEnd::NotRun);
         }
         if !head.status.is_success() {
-            return Err(format!("status {}", head.status.as_u16()));
+            let text = String::from_utf8_lossy(&body[..body.len().min(120)]).into_owned();
+            return Err(format!("status {}: {text}", head.status.as_u16()));
         }
         let ends = pieces::read(&body).map_err(|error| error.to_string())?;
         Ok(CallEnd::Items(ends))
@@ -323,7 +324,7 @@
 /// Tells a target that results are no longer needed. A failure costs only their room, which they
 /// give back by themselves later.
 async fn release(gateway: Arc<Gateway>, target: Target, handles: Vec<String>) {
-    let request = pieces::release(&target.name, &handles);
+    let request = pieces::release(&target, &handles);
     let released = async {
         let mut taken = gateway.upstream.take(&target, false).await?;
         let response = taken.connection.send(request).await?;
