--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -210,7 +210,8 @@
 ) -> Result<(Task, Replica, Generation), Error> {
     let own_slot = cluster.own_slot(settings);
     let slots = cluster.slots();
-    let initialize = initialize && cluster.is_founder();
+    let is_first = settings.discovery.as_ref().is_some_and(|it| it.first_start);
+    let initialize = (initialize || is_first) && cluster.is_founder();
     let number = cluster_number(&settings.cluster);
     let storage = rand::random();
     let (disk, recovered) = Disk::open(
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -75,6 +75,10 @@
     /// Addresses of some control daemons; only the IP numbers count. On the first start of the
     /// cluster they are the founding members, the same in all settings files.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the cluster starts for the first time, with empty disks. Then an empty data folder of
+    /// a seed makes it a founding member, as `--initialize` does; otherwise it rejoins.
+    #[serde(default)]
+    pub first_start: bool,
     /// Disks whose loss at once must lose nothing, 0 to 2. One more than twice as many members vote.
     pub disk_losses: usize,
 }
