fleet: weigh zones by their stage targets; pace warm targets by the limit

Cause: a third of the engines' sessions had their home in a zone with a fifth of the stage targets, so that results crossed zones; and a front's part of a cold target's rate, 2 a second, moved sessions off their home although the targets were warm.

Change: weighted rendezvous; a warm target is paced by the limit over any second, a cold one by its rate.

What is left is lateness of requests with stages.

--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -31,8 +31,8 @@
     pub gateways: usize,
     /// Requests a second that a cold target bears from all gateways; 0 for no bound.
     pub cold_rate: f64,
-    /// Usual length of a cold start; 0 if targets have none.
-    pub cold_time: Duration,
+    /// Requests in any second that no cold target may get from all gateways.
+    pub cold_limit: f64,
     /// Requests that one target runs at the same time, if the service states it.
     pub slots: Option<u32>,
 }
@@ -46,12 +46,25 @@
     pub affinity: Option<u64>,
     /// The zone to prefer.
     pub zone: &'a ZoneName,
+    /// How much of the work with a prompt prefix each zone is to get.
+    pub weights: &'a Weights,
     /// Targets that were tried already.
     pub tried: &'a [Key],
     /// What the target bears.
     pub bounds: Bounds,
 }
 
+/// Weights of zones; a zone that is not named has 1.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Weights(pub Vec<(ZoneName, f64)>);
+
+impl Weights {
+    fn of(&self, zone: &ZoneName) -> f64 {
+        let named = self.0.iter().find(|(name, _)| name == zone);
+        named.map_or(1.0, |(_, weight)| *weight)
+    }
+}
+
 /// Why there is no target for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unplaced {
@@ -77,7 +90,7 @@
 /// How much a request avoids a target that fails all requests, in parts of its places.
 const ERROR_PENALTY: f64 = 2.0;
 
-/// Part of a cold target's rate that is used, because the requests of many gateways bunch.
+/// Part of a cold target's rate, and of its limit, that is used: the requests of many gateways bunch.
 const PACE_PART: f64 = 0.85;
 
 #[derive(Debug)]
@@ -191,9 +204,30 @@
 
     /// The preferred target of a prompt prefix, whatever its load.
     #[must_use]
-    pub fn home(&self, service: &ServiceName, affinity: u64) -> Option<&Target> {
+    pub fn home(
+        &self,
+        service: &ServiceName,
+        affinity: u64,
+        weights: &Weights,
+    ) -> Option<&Target> {
         let targets = self.usable(service);
-        targets.max_by_key(|target| owner::weight(&affinity, &target.name))
+        let weigh = |target: &Target| {
+            owner::weighted(&affinity, &target.name, weights.of(&target.zone))
+        };
+        targets.max_by(|a, b| weigh(a).total_cmp(&weigh(b)))
+    }
+
+    /// How many targets of a service may get new work in each zone.
+    #[must_use]
+    pub fn zones(&self, service: &ServiceName) -> Vec<(ZoneName, usize)> {
+        let mut zones: Vec<(ZoneName, usize)> = Vec::new();
+        for target in self.usable(service) {
+            match zones.iter_mut().find(|(zone, _)| *zone == target.zone) {
+                Some((_, count)) => *count += 1,
+                None => zones.push((target.zone.clone(), 1)),
+            }
+        }
+        zones
     }
 
     /// Chooses a target and takes a place there. `random` draws from 0..1.
@@ -248,9 +282,16 @@
         });
         let mut candidates: Vec<Key> = usable.collect();
         if let Some(affinity) = wanted.affinity {
-            candidates.sort_by_cached_key(|key| {
-                std::cmp::Reverse(owner::weight(&affinity, &self.target(*key).name))
-            });
+            let mut weighed: Vec<(f64, Key)> = candidates
+                .into_iter()
+                .map(|key| {
+                    let target = self.target(key);
+                    let weight = wanted.weights.of(&target.zone);
+                    (owner::weighted(&affinity, &target.name, weight), key)
+                })
+                .collect();
+            weighed.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+            candidates = weighed.into_iter().map(|(_, key)| key).collect();
         }
         candidates
     }
@@ -263,7 +304,13 @@
         if bounds.cold_rate <= 0.0 {
             return None;
         }
-        let part = bounds.cold_rate * PACE_PART / bounds.gateways.max(1) as f64;
+        // A target can turn cold at any moment, so that the limit holds for all of them.
+        let rate = if record.cold_until > now {
+            bounds.cold_rate
+        } else {
+            bounds.cold_limit
+        };
+        let part = rate * PACE_PART / bounds.gateways.max(1) as f64;
         record.pace.held_until(part, now)
     }
 
--- a/crates/azurelug-core/src/gateway/fleet/pace.rs
+++ b/crates/azurelug-core/src/gateway/fleet/pace.rs
@@ -6,13 +6,17 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// The most times that are kept.
+const KEPT: usize = 256;
+
+/// The lowest rate: one request in 100 s.
+const MIN_RATE: f64 = 0.01;
+
 #[derive(Debug, Default)]
 pub(super) struct Pace {
     sent: VecDeque<Duration>,
 }
 
-/// The most times that are kept.
-const KEPT: usize = 256;
 
 impl Pace {
     pub(super) fn sent(&mut self, now: Duration) {
@@ -22,14 +26,12 @@
         self.sent.push_back(now);
     }
 
-    /// Until when nothing may be sent at `rate` requests a second, if so. A rate below one request
-    /// a second spaces requests by its period.
+    /// Until when nothing may be sent at `rate` requests a second, if so. The next whole number of
+    /// requests may be sent in the time that they take at that rate.
     pub(super) fn held_until(&self, rate: f64, now: Duration) -> Option<Duration> {
-        let (count, span) = if rate >= 1.0 {
-            (rate as usize, SECOND)
-        } else {
-            (1, SECOND.div_f64(rate.max(0.01)))
-        };
+        let rate = rate.clamp(MIN_RATE, KEPT as f64);
+        let count = rate.ceil() as usize;
+        let span = SECOND.mul_f64(count as f64 / rate);
         let first = self.sent.len().checked_sub(count)?;
         let until = self.sent[first] + span;
         (until > now).then_some(until)
--- a/crates/azurelug-core/src/gateway/owner.rs
+++ b/crates/azurelug-core/src/gateway/owner.rs
@@ -14,6 +14,14 @@
     hasher.finish()
 }
 
+/// The weight of an entry that is to be chosen `share` times as often as one with a share of 1.
+#[must_use]
+pub fn weighted<K: Hash + ?Sized, E: Hash + ?Sized>(key: &K, entry: &E, share: f64) -> f64 {
+    // Uniform in 0..1 from the upper bits, which a float holds exactly.
+    let uniform = ((weight(key, entry) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -share.max(f64::MIN_POSITIVE) / uniform.ln()
+}
+
 /// The entries by falling weight for a key.
 pub fn ranked<'a, K: Hash + ?Sized, E: Hash>(key: &K, entries: &'a [E]) -> Vec<&'a E> {
     let mut weighed: Vec<(u64, &E)> = entries.iter().map(|it| (weight(key, it), it)).collect();
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -255,7 +255,9 @@
     let limit = gateway.now() + wait.min(exchange.left());
     loop {
         let affinity = exchange.affinity();
-        let unplaced = match gateway.place(&exchange.service, affinity, zone, &trail.tried) {
+        let weights = &exchange.weights;
+        let placed = gateway.place(&exchange.service, affinity, zone, weights, &trail.tried);
+        let unplaced = match placed {
             Ok(place) => return Ok(place),
             Err(unplaced) => unplaced,
         };
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurelug_core::gateway::fleet::Weights;
 use azurelug_core::gateway::table::Table;
 use azurelug_platform::answer::Refusal;
 use azurelug_platform::client::{Fields, PromptPart};
@@ -35,6 +36,8 @@
     pub fields: Fields,
     /// Its body.
     pub body: Bytes,
+    /// How much of the route's requests each zone is to get.
+    pub weights: Weights,
     /// When it arrived.
     pub arrived: Duration,
     /// When the client gives up, or the route does.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::budget::{Allowance, Budget};
-use azurelug_core::gateway::fleet::{self, Fleet, Key, Outcome, Unplaced, Wanted};
+use azurelug_core::gateway::fleet::{self, Fleet, Key, Outcome, Unplaced, Wanted, Weights};
 use azurelug_core::gateway::table::Table;
 use azurelug_types::deployment::{Service, Target};
 use azurelug_types::id::{DaemonName, ServiceName, ZoneName};
@@ -168,7 +168,7 @@
         fleet::Bounds {
             gateways: self.gateways(),
             cold_rate: service.cold_rate,
-            cold_time: service.cold_time,
+            cold_limit: service.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra,
             slots: service.engine.map(|engine| engine.slots),
         }
     }
@@ -182,12 +182,14 @@
         service: &Service,
         affinity: Option<u64>,
         zone: &ZoneName,
+        weights: &Weights,
         tried: &[Key],
     ) -> Result<Place, Unplaced> {
         let wanted = Wanted {
             service: &service.name,
             affinity,
             zone,
+            weights,
             tried,
             bounds: self.bounds_of(service),
         };
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::events::Splitter;
+use azurelug_core::gateway::fleet::Weights;
 use azurelug_core::gateway::plan::Plan;
 use azurelug_core::gateway::table::Table;
 use azurelug_platform::answer::{self, Refusal};
@@ -128,6 +129,7 @@
     let time = fields.time_left.unwrap_or(route.timeout).min(route.timeout);
     Ok(Exchange {
         gateway: Arc::clone(gateway),
+        weights: weights(gateway, &table, &route),
         rank: Exchange::rank(account_rank, route.priority),
         service,
         account,
@@ -142,6 +144,18 @@
     })
 }
 
+/// Weights of zones for a route with stages: results that cross zones cost more than anything else
+/// on their way, so that each zone gets requests in proportion to the stage targets that it has.
+fn weights(gateway: &Gateway, table: &Table, route: &Route) -> Weights {
+    let heaviest = route.stages.iter().max_by_key(|stage| stage.result_bytes);
+    let Some(stage) = heaviest else {
+        return Weights::default();
+    };
+    let service = &table.service(stage.service).name;
+    let zones = gateway.fleet().zones(service).into_iter();
+    Weights(zones.map(|(zone, count)| (zone, count as f64)).collect())
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Denied> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
@@ -300,7 +314,7 @@
         return gateway.zone.clone();
     };
     let fleet = gateway.fleet();
-    let home = fleet.home(&exchange.service.name, affinity);
+    let home = fleet.home(&exchange.service.name, affinity, &exchange.weights);
     home.map_or_else(|| gateway.zone.clone(), |target| target.zone.clone())
 }
 
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -63,6 +63,11 @@
     pub retry_window: Span,
     /// Repeats in each window beyond the ratio, over all gateways.
     pub retry_extra: f64,
+    /// No second may bring a cold target more than this many times the rate that it bears, over all
+    /// gateways.
+    pub cold_factor: f64,
+    /// Requests that may be added to that.
+    pub cold_extra: f64,
 }
 
 impl Settings {
@@ -100,9 +105,16 @@
             let help = "write the window in which repeats are counted, for instance 10s";
             return problem("bounds.retry_window", "0ms", help);
         }
-        if !(bounds.retry_ratio >= 0.0 && bounds.retry_extra >= 0.0) {
-            let help = "write 0 or more";
-            return problem("bounds.retry_ratio", "below 0", help);
+        let numbers = [
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_extra", bounds.retry_extra),
+            ("bounds.cold_factor", bounds.cold_factor),
+            ("bounds.cold_extra", bounds.cold_extra),
+        ];
+        for (field, number) in numbers {
+            if !(number >= 0.0 && number.is_finite()) {
+                return problem(field, &number.to_string(), "write 0 or more");
+            }
         }
         self.log.check(path)?;
         read::shared_key(path, &self.key_file).map(|_| ())
