--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -2,10 +2,12 @@
 //!
 //! Load pattern: a call costs 200 ms whatever it holds, and a target runs one call at a time. Daemons
 //! that each send their own small calls use up the targets with call overhead, and at two or three
-//! times the usual load every request is late. One dispatcher for the targets of a zone fills calls
-//! up to their limit, in the order of the times at which results are needed, and refuses at once
-//! what can't be done in time, so that a burst delays nobody beyond it.
+//! times the usual load every request is late. One dispatcher for many targets fills calls up to
+//! their limit, in the order of the times at which results are needed. When more comes than can be
+//! done, what can't be in time gives way to what can, and what can't be done at all is refused at
+//! once.
 
+mod backlog;
 mod queue;
 mod workers;
 
@@ -13,9 +15,10 @@
 
 use azurelug_types::deployment::Batch;
 use azurelug_types::fleet::{Item, ItemEnd, Pieces, PiecesError};
-use azurelug_types::id::TargetName;
+use azurelug_types::id::{TargetName, ZoneName};
 
-use queue::{Queue, Waiting};
+use backlog::Utilization;
+use queue::{Queue, Room, Waiting};
 pub use workers::Listed;
 use workers::{Worker, WorkerKey, Workers};
 
@@ -27,23 +30,34 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallKey(pub u64);
 
-/// Backlog up to which an order is accepted although its results will be late. Beyond it, late work
-/// would only push back work that can still be in time.
-const LATE_BACKLOG: Duration = Duration::from_millis(400);
-
 /// Calls of an order's pieces that may fail before the order does. Targets fail independently, so
 /// that a third failure in a row is rare.
 const MAX_TRIES: u32 = 3;
 
-/// A call that takes this many times its usual time, and [`CALL_GRACE`] more, is given up. Slow
-/// targets take four to five times as long; waiting for them costs the request its deadline.
-const CALL_PATIENCE: f64 = 2.0;
+/// A call that takes this many times its usual time, and [`OVERDUE_GRACE`] more, has its pieces run
+/// by another target as well. Calls of sound targets hardly differ from their usual time.
+const OVERDUE_FACTOR: f64 = 1.4;
+
+/// Added to the time after which a call is overdue, for the connection and the transfer of inputs.
+const OVERDUE_GRACE: Duration = Duration::from_millis(60);
+
+/// A call that takes this many times its usual time, and [`CALL_GRACE`] more, is given up. Until
+/// then the target is still at work on it and could do nothing else.
+const CALL_PATIENCE: f64 = 6.0;
+
+/// Added to the patience.
+const CALL_GRACE: Duration = Duration::from_millis(500);
+
+/// The shortest time after which a refused client is told to come back: about a call.
+const MIN_RETRY: Duration = Duration::from_millis(300);
 
-/// Added to the patience, for the connection and the transfer of inputs.
-const CALL_GRACE: Duration = Duration::from_millis(250);
+/// Results that cross zones are worth waiting for a target of their own zone: this long, and
+/// [`CROSSING_PER_MB`] more for each megabyte.
+const CROSSING: Duration = Duration::from_millis(40);
 
-/// The shortest time after which a refused client is told to come back: half a usual call.
-const MIN_RETRY: Duration = Duration::from_millis(150);
+/// See [`CROSSING`]. A wait of this length hardly ever makes an answer late, while every megabyte
+/// between zones is billed.
+const CROSSING_PER_MB: Duration = Duration::from_millis(80);
 
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,9 +109,16 @@
     /// The order of each item and the item's place among the order's pieces.
     items: Vec<(Token, usize)>,
     bytes: u64,
+    is_overdue: bool,
 }
 
-/// The dispatcher of one service's targets in one zone.
+impl Call {
+    fn overdue_at(&self) -> Duration {
+        self.started + self.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_GRACE
+    }
+}
+
+/// The dispatcher of some targets of one service.
 #[derive(Debug)]
 pub struct Dispatcher {
     batch: Batch,
@@ -105,6 +126,8 @@
     queue: Queue,
     calls: Vec<Call>,
     next_call: u64,
+    /// Use of the targets by work that can be in time.
+    utilization: Utilization,
 }
 
 impl Dispatcher {
@@ -117,6 +140,7 @@
             queue: Queue::default(),
             calls: Vec::new(),
             next_call: 0,
+            utilization: Utilization::default(),
         }
     }
 
@@ -131,12 +155,6 @@
         self.advance(now)
     }
 
-    /// Whether there is nothing to wait for.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.queue.is_empty() && self.calls.is_empty()
-    }
-
     /// The wait that a new order has to expect before its call starts.
     #[must_use]
     pub fn delay(&self, now: Duration) -> Option<Duration> {
@@ -146,12 +164,11 @@
     /// When [`Dispatcher::advance`] is to be called although nothing has happened.
     #[must_use]
     pub fn next_deadline(&self, now: Duration) -> Option<Duration> {
-        if self.queue.is_empty() {
-            return None;
-        }
-        let returning = self.workers.next_return(now);
-        let latest_start = self.queue.first_deadline();
-        [returning, latest_start].into_iter().flatten().min()
+        let calls = self.calls.iter().filter(|call| !call.is_overdue);
+        let overdue = calls.map(Call::overdue_at).min();
+        let waiting = self.queue.first_deadline();
+        let returning = waiting.and_then(|_| self.workers.next_return(now));
+        [overdue, waiting, returning].into_iter().flatten().min()
     }
 
     /// Takes an order.
@@ -164,14 +181,28 @@
         let wait = self.wait_for(ahead, now).unwrap_or_default();
         let shared = ahead % self.batch.max_pieces.max(1);
         let done = now + wait + self.usual_time(shared + waiting.left());
-        let is_late = done > waiting.due;
-        if done > waiting.deadline || (is_late && wait > LATE_BACKLOG) {
+        if done <= waiting.due {
+            self.utilization.add(self.work(waiting.left()), now);
+        } else if !self.has_time(&waiting, self.queue.pieces(), now) {
             return vec![end(token, Err(self.refusal(now)))];
         }
         self.queue.push(waiting);
         self.advance(now)
     }
 
+    /// Whether an order that will be late can still be done before its client gives up, behind
+    /// `ahead` pieces and all work that comes meanwhile and can be in time.
+    fn has_time(&self, waiting: &Waiting, ahead: usize, now: Duration) -> bool {
+        let Some(wait) = self.wait_for(ahead, now) else {
+            return false;
+        };
+        let rate = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
+        let Some(wait) = self.utilization.stretch(wait, rate, now) else {
+            return false;
+        };
+        now + wait + self.usual_time(waiting.left()) < waiting.deadline
+    }
+
     /// Forgets an order whose client is gone. Pieces that are in a call are not taken back.
     pub fn cancel(&mut self, token: Token) {
         self.queue.remove(token);
@@ -192,14 +223,27 @@
             return Vec::new();
         };
         let call = self.calls.swap_remove(position);
+        let ends = self.call_ended(&call, call_end, now);
+        let mut actions = Vec::new();
+        for ((token, place), item_end) in call.items.iter().zip(ends) {
+            actions.extend(self.item_ended(call.worker, *token, *place, item_end, now));
+        }
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Notes what a call shows of its target; returns the end of each item.
+    fn call_ended(&mut self, call: &Call, call_end: CallEnd, now: Duration) -> Vec<ItemEnd> {
         let taken = now.saturating_sub(call.started);
         let worker = self.workers.get_mut(call.worker);
         worker.running -= 1;
         worker.held = worker.held.saturating_sub(call.bytes);
-        let is_refused = call_end == CallEnd::NotRun;
-        let ends = match call_end {
+        match call_end {
             CallEnd::Items(ends) if ends.len() == call.items.len() => {
                 worker.succeeded(taken, call.expected, now);
+                if ends.contains(&ItemEnd::NoRoom) {
+                    worker.had_no_room(now);
+                }
                 ends
             }
             CallEnd::NotRun => {
@@ -208,20 +252,12 @@
             }
             CallEnd::Items(_) | CallEnd::Failed => {
                 worker.failed(taken, call.expected, now);
+                // The target may still make the results.
                 let until = now + call.expected + self.batch.result_lifetime;
                 self.workers.hold_unknown(call.worker, call.bytes, until);
                 vec![ItemEnd::Failed; call.items.len()]
             }
-        };
-        if !is_refused && ends.contains(&ItemEnd::NoRoom) {
-            self.workers.get_mut(call.worker).had_no_room(now);
-        }
-        let mut actions = Vec::new();
-        for ((token, place), item_end) in call.items.iter().zip(ends) {
-            self.item_ended(call.worker, *token, *place, item_end, now, &mut actions);
         }
-        actions.extend(self.advance(now));
-        actions
     }
 
     fn item_ended(
@@ -231,41 +267,31 @@
         place: usize,
         item_end: ItemEnd,
         now: Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    ) -> Vec<Action> {
         if let ItemEnd::Done(handle) = &item_end {
             let bytes = self.queue.result_bytes(token);
             self.workers
                 .hold(worker, handle, bytes, now + self.batch.result_lifetime);
         }
         let Some(waiting) = self.queue.get_mut(token) else {
-            if let ItemEnd::Done(handle) = item_end {
-                // The order has ended without this result.
-                let released = self.release(&[handle], now);
-                actions.extend(released);
-            }
-            return;
+            // The order has ended without this result.
+            return match item_end {
+                ItemEnd::Done(handle) => self.release(&[handle], now),
+                _ => Vec::new(),
+            };
         };
         waiting.returned(place);
         let failure = match item_end {
-            ItemEnd::Done(handle) => {
-                waiting.results[place] = Some(handle);
-                if waiting.is_done() {
-                    let waiting = self.queue.remove(token).expect("it was just found");
-                    let handles = waiting.results.into_iter().flatten().collect();
-                    actions.push(end(token, Ok(handles)));
-                }
-                return;
-            }
+            ItemEnd::Done(handle) => return self.finish(token, place, handle, now),
             ItemEnd::NoRoom => {
                 waiting.requeue(place);
-                return;
+                return Vec::new();
             }
             ItemEnd::Failed => {
                 waiting.tries += 1;
-                if waiting.tries < MAX_TRIES {
+                if waiting.tries < MAX_TRIES || waiting.is_running() {
                     waiting.requeue(place);
-                    return;
+                    return Vec::new();
                 }
                 PiecesError::Failed
             }
@@ -274,7 +300,19 @@
                 retry_after_ms: millis(MIN_RETRY),
             },
         };
-        actions.extend(self.fail(token, failure, now));
+        self.fail(token, failure, now)
+    }
+
+    fn finish(&mut self, token: Token, place: usize, handle: String, now: Duration) -> Vec<Action> {
+        let waiting = self.queue.get_mut(token).expect("it was just found");
+        if let Some(spare) = waiting.finish(place, handle) {
+            return self.release(&[spare], now);
+        }
+        if !waiting.is_done() {
+            return Vec::new();
+        }
+        let waiting = self.queue.remove(token).expect("it was just found");
+        vec![end(token, Ok(waiting.into_handles()))]
     }
 
     /// Ends an order without results and releases those that it has.
@@ -282,34 +320,55 @@
         let Some(waiting) = self.queue.remove(token) else {
             return Vec::new();
         };
-        let handles: Vec<String> = waiting.results.into_iter().flatten().collect();
-        let mut actions = self.release(&handles, now);
+        let mut actions = self.release(&waiting.into_handles(), now);
         actions.push(end(token, Err(error)));
         actions
     }
 
-    /// Refuses what can't be done any more and starts calls on free targets.
+    /// Has overdue pieces run elsewhere, refuses what can't be done any more, and starts calls on
+    /// free targets.
     pub fn advance(&mut self, now: Duration) -> Vec<Action> {
         self.workers.expire(now);
+        self.run_overdue_beside(now);
         let mut actions = self.refuse_late(now);
-        while let Some(worker) = self.choose_worker(now) {
-            let Some(call) = self.start_call(worker, now) else {
-                break;
-            };
+        while let Some(call) = self.next_call(now) {
             actions.push(call);
         }
         actions
     }
 
+    fn run_overdue_beside(&mut self, now: Duration) {
+        for call in &mut self.calls {
+            if call.is_overdue || now < call.overdue_at() {
+                continue;
+            }
+            call.is_overdue = true;
+            let taken = now.saturating_sub(call.started);
+            let worker = self.workers.get_mut(call.worker);
+            worker.overdue(taken, call.expected, now);
+            for (token, place) in &call.items {
+                if let Some(waiting) = self.queue.get_mut(*token) {
+                    waiting.run_beside(*place);
+                }
+            }
+        }
+    }
+
+    /// Refuses orders that can't be in time and have no time left to wait until there is less work.
     fn refuse_late(&mut self, now: Duration) -> Vec<Action> {
         let soonest = now + self.usual_time(1);
-        let backlog = self.delay(now);
-        let has_backlog = backlog.is_none_or(|backlog| backlog > LATE_BACKLOG);
-        let is_hopeless = |waiting: &Waiting| {
-            let is_late = soonest > waiting.due;
-            soonest > waiting.deadline || (is_late && has_backlog)
-        };
-        let hopeless = self.queue.idle_tokens(is_hopeless);
+        let mut ahead = self.queue.waiting().filter(|it| it.due >= soonest).map(Waiting::left).sum();
+        let mut hopeless = Vec::new();
+        for waiting in self.queue.waiting().filter(|it| it.due < soonest) {
+            if waiting.is_running() {
+                continue;
+            }
+            if self.has_time(waiting, ahead, now) {
+                ahead += waiting.left();
+            } else {
+                hopeless.push(waiting.token);
+            }
+        }
         if hopeless.is_empty() {
             return Vec::new();
         }
@@ -320,36 +379,59 @@
             .collect()
     }
 
-    /// The target for the next call; none if nothing waits or no target is worth starting on.
-    fn choose_worker(&self, now: Duration) -> Option<WorkerKey> {
-        let pieces = self.queue.pieces();
-        if pieces == 0 {
+    /// The next call that is worth starting now.
+    fn next_call(&mut self, now: Duration) -> Option<Action> {
+        if self.queue.pieces() == 0 {
             return None;
         }
-        let (key, worker) = self.workers.free(self.batch.slots, now)?;
-        let usual = self.usual_time(pieces.min(self.batch.max_pieces));
-        let here = now + usual.mul_f64(worker.slowness(now));
-        // A slow target is used only if waiting for another one would take longer.
-        let elsewhere = self.workers.best_other(key, now).map(|other| {
-            let backlog = self.wait_for(pieces, now).unwrap_or_default();
-            other.expected_end.max(now) + usual.mul_f64(other.slowness(now)) + backlog / 2
-        });
-        let is_worth = elsewhere.is_none_or(|elsewhere| here <= elsewhere);
-        is_worth.then_some(key)
+        let free = self.workers.free(self.batch.slots, now);
+        free.into_iter().find_map(|key| self.start_call(key, now))
     }
 
     fn start_call(&mut self, key: WorkerKey, now: Duration) -> Option<Action> {
-        let worker = self.workers.get_mut(key);
+        let worker = self.workers.get(key);
         let slowness = worker.slowness(now);
-        let free_bytes = worker.free_room(self.batch.result_room, now);
-        let usual_one = self.usual_time(1).mul_f64(slowness);
-        let picked = self
-            .queue
-            .pick(self.batch.max_pieces, free_bytes, now + usual_one);
+        let room = Room {
+            pieces: self.batch.max_pieces,
+            bytes: worker.free_room(self.batch.result_room, now),
+            end: now + self.usual_time(1).mul_f64(slowness),
+        };
+        let zone = worker.target.zone.clone();
+        let waits = self.zone_waits(now);
+        let suits = |waiting: &Waiting| {
+            let home = &waiting.order.home;
+            let wait = waits.iter().find(|(zone, _)| zone == home);
+            zone == *home || wait.is_none_or(|(_, wait)| *wait > crossing(waiting.bytes()))
+        };
+        let picked = self.queue.pick(room, self.batch.max_pieces, suits);
         if picked.is_empty() {
             return None;
         }
-        let expected = self.usual_time(picked.len()).mul_f64(slowness);
+        let usual = self.usual_time(picked.len());
+        if !self.is_worth(key, usual, now) {
+            return None;
+        }
+        Some(self.call(key, picked, usual.mul_f64(slowness), now))
+    }
+
+    /// Whether a call on a target ends sooner than if it waited for another one. Only slow targets
+    /// can lose.
+    fn is_worth(&self, key: WorkerKey, usual: Duration, now: Duration) -> bool {
+        let here = now + usual.mul_f64(self.workers.get(key).slowness(now));
+        let elsewhere = self.workers.best_other(key, now).map(|other| {
+            let backlog = self.delay(now).unwrap_or_default();
+            other.expected_end.max(now) + usual.mul_f64(other.slowness(now)) + backlog / 2
+        });
+        elsewhere.is_none_or(|elsewhere| here <= elsewhere + OVERDUE_GRACE)
+    }
+
+    fn call(
+        &mut self,
+        key: WorkerKey,
+        picked: Vec<(Token, usize)>,
+        expected: Duration,
+        now: Duration,
+    ) -> Action {
         self.next_call += 1;
         let call = CallKey(self.next_call);
         let mut items = Vec::with_capacity(picked.len());
@@ -370,13 +452,26 @@
             expected,
             items: picked,
             bytes,
+            is_overdue: false,
         });
-        Some(Action::Call {
+        Action::Call {
             call,
             target,
             items,
             limit: expected.mul_f64(CALL_PATIENCE) + CALL_GRACE,
-        })
+        }
+    }
+
+    /// For each zone with targets, the wait of work that wants to stay there.
+    fn zone_waits(&self, now: Duration) -> Vec<(ZoneName, Duration)> {
+        let zones = self.workers.zones(now).into_iter();
+        let waits = zones.map(|(zone, first_free, rate)| {
+            let own = self.queue.waiting().filter(|it| it.order.home == zone);
+            let calls = own.map(Waiting::left).sum::<usize>() / self.batch.max_pieces.max(1);
+            let work = self.usual_time(self.batch.max_pieces).mul_f64(calls as f64);
+            (zone, first_free + work.div_f64(rate))
+        });
+        waits.collect()
     }
 
     /// Usual time of a call with this many pieces.
@@ -385,6 +480,12 @@
         self.batch.call_time + self.batch.piece_time * pieces
     }
 
+    /// Time of a target that pieces take in full calls.
+    fn work(&self, pieces: usize) -> Duration {
+        let full = self.usual_time(self.batch.max_pieces);
+        full.mul_f64(pieces as f64 / self.batch.max_pieces.max(1) as f64)
+    }
+
     /// Time until a call can start behind `pieces` that wait; none without targets.
     fn wait_for(&self, pieces: usize, now: Duration) -> Option<Duration> {
         let Some((first_free, rate)) = self.workers.capacity(now) else {
@@ -397,9 +498,9 @@
         Some(first_free + work.div_f64(rate))
     }
 
-    /// A refusal with the time until the backlog has gone.
+    /// A refusal with the time until the work that waits is done.
     fn refusal(&self, now: Duration) -> PiecesError {
-        let backlog = self.delay(now).unwrap_or(LATE_BACKLOG);
+        let backlog = self.delay(now).unwrap_or_default();
         PiecesError::Late {
             retry_after_ms: millis(backlog.max(MIN_RETRY)),
         }
@@ -411,6 +512,11 @@
     }
 }
 
+/// How long results of this size are worth waiting for a target of their own zone.
+fn crossing(bytes: u64) -> Duration {
+    CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6)
+}
+
 fn dump(worker: &Worker) -> (&TargetName, u32, u64) {
     (&worker.target.name, worker.running, worker.held)
 }
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -13,12 +13,13 @@
 /// Ranks beyond this count as this one.
 const MAX_RANK: u32 = 8;
 
-/// How far a piece has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
-    Waiting,
-    Running,
-    Done,
+/// One piece of an order.
+#[derive(Clone, Debug, Default)]
+struct Piece {
+    is_waiting: bool,
+    /// Calls that hold it.
+    running: u32,
+    result: Option<String>,
 }
 
 /// One order.
@@ -30,56 +31,96 @@
     pub(super) due: Duration,
     /// When the client gives up.
     pub(super) deadline: Duration,
-    /// Handles by piece.
-    pub(super) results: Vec<Option<String>>,
     /// Pieces that failed so far.
     pub(super) tries: u32,
-    progress: Vec<Progress>,
-    waiting: usize,
+    pieces: Vec<Piece>,
+    left: usize,
 }
 
 impl Waiting {
     pub(super) fn new(token: Token, order: Pieces, now: Duration) -> Self {
-        let count = order.pieces.len();
         let offset = Duration::from_millis(order.due_ms.unsigned_abs());
         let due = if order.due_ms < 0 {
             now.saturating_sub(offset)
         } else {
             now + offset
         };
+        let piece = Piece {
+            is_waiting: true,
+            ..Piece::default()
+        };
         Self {
             token,
             due,
             deadline: now + Duration::from_millis(order.deadline_ms),
-            results: vec![None; count],
             tries: 0,
-            progress: vec![Progress::Waiting; count],
-            waiting: count,
+            left: order.pieces.len(),
+            pieces: vec![piece; order.pieces.len()],
             order,
         }
     }
 
     /// Pieces that wait.
     pub(super) fn left(&self) -> usize {
-        self.waiting
+        self.left
+    }
+
+    /// Size of the results of the pieces that wait.
+    pub(super) fn bytes(&self) -> u64 {
+        self.order.result_bytes * self.left as u64
     }
 
     pub(super) fn is_done(&self) -> bool {
-        self.results.iter().all(Option::is_some)
+        self.pieces.iter().all(|piece| piece.result.is_some())
+    }
+
+    /// The handles that there are, in the order of the pieces.
+    pub(super) fn into_handles(self) -> Vec<String> {
+        self.pieces.into_iter().filter_map(|piece| piece.result).collect()
     }
 
     pub(super) fn started(&mut self, place: usize) {
-        self.progress[place] = Progress::Running;
-        self.waiting -= 1;
+        self.take_off(place);
+        self.pieces[place].running += 1;
     }
 
+    /// Notes that one call with a piece has ended.
     pub(super) fn returned(&mut self, place: usize) {
-        self.progress[place] = Progress::Done;
+        self.pieces[place].running -= 1;
     }
 
+    /// Notes a piece's result; gives it back if there is one already.
+    pub(super) fn finish(&mut self, place: usize, handle: String) -> Option<String> {
+        if self.pieces[place].result.is_some() {
+            return Some(handle);
+        }
+        self.take_off(place);
+        self.pieces[place].result = Some(handle);
+        None
+    }
+
+    /// Has a piece run again, unless another call holds it.
     pub(super) fn requeue(&mut self, place: usize) {
-        self.progress[place] = Progress::Waiting;
-        self.waiting += 1;
+        if self.pieces[place].running == 0 {
+            self.run_beside(place);
+        }
+    }
+
+    /// Has a piece run in another call beside the one that holds it.
+    pub(super) fn run_beside(&mut self, place: usize) {
+        let piece = &mut self.pieces[place];
+        if piece.result.is_none() && !piece.is_waiting {
+            piece.is_waiting = true;
+            self.left += 1;
+        }
+    }
+
+    fn take_off(&mut self, place: usize) {
+        let piece = &mut self.pieces[place];
+        if piece.is_waiting {
+            piece.is_waiting = false;
+            self.left -= 1;
+        }
     }
 
     pub(super) fn item(&self, place: usize, now: Duration) -> Item {
@@ -92,23 +133,33 @@
         }
     }
 
-    fn is_running(&self) -> bool {
-        self.progress.contains(&Progress::Running)
+    pub(super) fn is_running(&self) -> bool {
+        self.pieces.iter().any(|piece| piece.running > 0)
     }
 
     fn places(&self) -> impl Iterator<Item = usize> + '_ {
-        let places = self.progress.iter().enumerate();
+        let places = self.pieces.iter().enumerate();
         places
-            .filter(|(_, progress)| **progress == Progress::Waiting)
+            .filter(|(_, piece)| piece.is_waiting)
             .map(|(place, _)| place)
     }
 
     /// The time by which orders are served; earlier goes first.
-    fn turn(&self) -> Duration {
+    pub(super) fn turn(&self) -> Duration {
         self.due + RANK_STEP * u32::from(self.order.rank).min(MAX_RANK)
     }
 }
 
+/// What one call can take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    pub(super) pieces: usize,
+    /// None without a bound.
+    pub(super) bytes: Option<u64>,
+    /// When the call ends at the earliest.
+    pub(super) end: Duration,
+}
+
 /// All orders that have not ended.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -116,8 +167,10 @@
 }
 
 impl Queue {
-    pub(super) fn is_empty(&self) -> bool {
-        self.orders.is_empty()
+
+    /// Orders that have pieces that wait, in their turn.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &Waiting> {
+        self.orders.iter().filter(|it| it.left() > 0)
     }
 
     /// Pieces that wait.
@@ -151,42 +204,35 @@
         Some(self.orders.remove(position))
     }
 
-    /// Orders that match and have no piece in a call.
-    pub(super) fn idle_tokens(&self, matches: impl Fn(&Waiting) -> bool) -> Vec<Token> {
-        let idle = self.orders.iter().filter(|it| it.left() > 0 && !it.is_running());
-        idle.filter(|it| matches(it)).map(|it| it.token).collect()
-    }
-
     /// The earliest deadline of an order that waits.
     pub(super) fn first_deadline(&self) -> Option<Duration> {
-        let waiting = self.orders.iter().filter(|it| it.left() > 0);
-        waiting.map(|it| it.deadline).min()
+        self.waiting().map(|it| it.deadline).min()
     }
 
-    /// Pieces for one call that ends at `end` at the earliest: those that can be in time first, in
-    /// the order of their turns, then the others. An order is split only if it fits no call.
+    /// Pieces for one call: those that can be in time first, in the order of their turns, then the
+    /// others. An order is split only if it fits no call.
     pub(super) fn pick(
         &self,
+        room: Room,
         max_pieces: usize,
-        max_bytes: Option<u64>,
-        end: Duration,
+        suits: impl Fn(&Waiting) -> bool,
     ) -> Vec<(Token, usize)> {
         let mut picked = Vec::new();
         let mut bytes = 0;
-        let in_time = self.orders.iter().filter(|it| it.due >= end);
-        let late = self.orders.iter().filter(|it| it.due < end);
-        for waiting in in_time.chain(late) {
-            let room = max_pieces - picked.len();
-            if room == 0 {
+        let in_time = self.waiting().filter(|it| it.due >= room.end);
+        let late = self.waiting().filter(|it| it.due < room.end);
+        for waiting in in_time.chain(late).filter(|it| suits(it)) {
+            let left = room.pieces - picked.len();
+            if left == 0 {
                 break;
             }
             let splits = waiting.left() > max_pieces;
-            if waiting.left() > room && !splits {
+            if waiting.left() > left && !splits {
                 continue;
             }
-            for place in waiting.places().take(room) {
+            for place in waiting.places().take(left) {
                 bytes += waiting.order.result_bytes;
-                if max_bytes.is_some_and(|limit| bytes > limit) {
+                if room.bytes.is_some_and(|limit| bytes > limit) {
                     return picked;
                 }
                 picked.push((waiting.token, place));
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -5,19 +5,21 @@
 use std::time::Duration;
 
 use azurelug_types::deployment::Batch;
-use azurelug_types::id::TargetName;
+use azurelug_types::id::{TargetName, ZoneName};
 
 /// A position in the arena of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct WorkerKey(usize);
 
-/// A target's name and address.
+/// A target's name, address and zone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Listed {
     /// Its name.
     pub name: TargetName,
     /// Its address.
     pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
 }
 
 /// The first exclusion after a failed call; each further one is twice as long.
@@ -96,6 +98,15 @@
         self.is_listed && now >= self.excluded_until
     }
 
+    /// Time until it can start the next call.
+    fn free_in(&self, now: Duration) -> Duration {
+        if self.running == 0 {
+            Duration::ZERO
+        } else {
+            self.expected_end.saturating_sub(now)
+        }
+    }
+
     pub(super) fn started(&mut self, expected_end: Duration, bytes: u64) {
         self.running += 1;
         self.expected_end = expected_end;
@@ -146,6 +157,12 @@
         self.failures += 1;
     }
 
+    /// Notes that a call takes longer than it should.
+    pub(super) fn overdue(&mut self, taken: Duration, expected: Duration, now: Duration) {
+        self.measure(taken, expected, now);
+        self.expected_end = now + taken;
+    }
+
     fn measure(&mut self, taken: Duration, expected: Duration, now: Duration) {
         let known = self.slowness(now);
         let usual = expected.as_secs_f64() / known;
@@ -208,15 +225,20 @@
         self.workers.iter().any(|worker| worker.is_listed)
     }
 
-    /// The fastest target that can start a call now.
-    pub(super) fn free(&self, slots: u32, now: Duration) -> Option<(WorkerKey, &Worker)> {
+    pub(super) fn get(&self, key: WorkerKey) -> &Worker {
+        &self.workers[key.0]
+    }
+
+    /// The targets that can start a call now, the fastest first.
+    pub(super) fn free(&self, slots: u32, now: Duration) -> Vec<WorkerKey> {
         let workers = self.workers.iter().enumerate();
         let free = workers.filter(|(_, it)| it.is_usable(now) && it.running < slots.max(1));
-        let fastest = free.min_by(|(_, a), (_, b)| {
+        let mut free: Vec<(usize, &Worker)> = free.collect();
+        free.sort_by(|(_, a), (_, b)| {
             let speed = a.slowness(now).total_cmp(&b.slowness(now));
             speed.then(a.held.cmp(&b.held))
         });
-        fastest.map(|(position, worker)| (WorkerKey(position), worker))
+        free.into_iter().map(|(position, _)| WorkerKey(position)).collect()
     }
 
     /// The other target on which a call would end first.
@@ -228,17 +250,32 @@
             .min_by_key(|worker| worker.expected_end.max(now))
     }
 
+    /// For each zone, the time until its first target is free and how many usual targets its own
+    /// are worth.
+    pub(super) fn zones(&self, now: Duration) -> Vec<(ZoneName, Duration, f64)> {
+        let mut zones: Vec<(ZoneName, Duration, f64)> = Vec::new();
+        for worker in self.workers.iter().filter(|it| it.is_usable(now)) {
+            let free = worker.free_in(now);
+            let rate = 1.0 / worker.slowness(now);
+            let known = zones.iter_mut().find(|(zone, ..)| *zone == worker.target.zone);
+            match known {
+                Some((_, first_free, sum)) => {
+                    *first_free = free.min(*first_free);
+                    *sum += rate;
+                }
+                None => zones.push((worker.target.zone.clone(), free, rate)),
+            }
+        }
+        zones
+    }
+
     /// Time until the first target is free, and how many usual targets the usable ones are worth.
     pub(super) fn capacity(&self, now: Duration) -> Option<(Duration, f64)> {
         let usable = self.workers.iter().filter(|it| it.is_usable(now));
         let mut first_free = None;
         let mut rate = 0.0;
         for worker in usable {
-            let free = if worker.running == 0 {
-                Duration::ZERO
-            } else {
-                worker.expected_end.saturating_sub(now)
-            };
+            let free = worker.free_in(now);
             first_free = Some(first_free.map_or(free, |first: Duration| first.min(free)));
             rate += 1.0 / worker.slowness(now);
         }
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azurelug_types::deployment::{Deployment, Route, Stage};
+use azurelug_types::deployment::{Deployment, Route, Service, Stage};
 
 /// The stages of one request.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,11 +27,12 @@
 /// Usual time of a model engine until its first event, beside a few other requests.
 const ENGINE_TIME: Duration = Duration::from_millis(120);
 
-/// Usual wait before a call of a stage starts: half of a call that is in progress.
-const STAGE_WAIT: f64 = 0.5;
+/// The least wait before a call of a stage starts, in parts of the call: with several targets one
+/// becomes free every few dozen milliseconds.
+const STAGE_WAIT: f64 = 0.3;
 
 /// The usual share of a call's room for pieces that is filled.
-const USUAL_FILL: f64 = 0.4;
+const USUAL_FILL: f64 = 0.6;
 
 /// Why the pieces of a request don't fit its route.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -44,11 +45,17 @@
 }
 
 impl Plan {
-    /// Plans the stages of a request that has these numbers of pieces.
+    /// Plans the stages of a request that has these numbers of pieces. `wait` tells how long work
+    /// of a service waits at present.
     ///
     /// # Errors
     /// There isn't one number for each stage.
-    pub fn new(deployment: &Deployment, route: &Route, pieces: &[u16]) -> Result<Self, Mismatch> {
+    pub fn new(
+        deployment: &Deployment,
+        route: &Route,
+        pieces: &[u16],
+        wait: impl Fn(&Service) -> Duration,
+    ) -> Result<Self, Mismatch> {
         if pieces.len() != route.stages.len() {
             return Err(Mismatch {
                 expected: route.stages.len(),
@@ -71,7 +78,7 @@
                 let own = if pieces[follower] == 0 {
                     Duration::ZERO
                 } else {
-                    usual_time(deployment, &route.stages[follower])
+                    usual_time(deployment.service(route.stages[follower].service), &wait)
                 };
                 steps[follower].rest + own
             });
@@ -79,16 +86,6 @@
         }
         Ok(Self { steps })
     }
-
-    /// Usual time of the longest path through all stages and the engine.
-    #[must_use]
-    pub fn usual_time(&self, deployment: &Deployment, route: &Route) -> Duration {
-        let paths = self.steps.iter().zip(&route.stages);
-        let paths = paths
-            .filter(|(step, _)| step.pieces > 0)
-            .map(|(step, stage)| step.rest + usual_time(deployment, stage));
-        paths.max().unwrap_or(ENGINE_TIME)
-    }
 }
 
 fn used(stage: &Stage, pieces: &[u16]) -> Vec<u8> {
@@ -103,10 +100,10 @@
 }
 
 /// Usual time of one stage: the wait for a call and the call itself.
-fn usual_time(deployment: &Deployment, stage: &Stage) -> Duration {
-    let Some(batch) = deployment.service(stage.service).batch else {
+fn usual_time(service: &Service, wait: impl Fn(&Service) -> Duration) -> Duration {
+    let Some(batch) = service.batch else {
         return Duration::ZERO;
     };
     let call = batch.call_time + batch.piece_time.mul_f64(batch.max_pieces as f64 * USUAL_FILL);
-    call.mul_f64(1.0 + STAGE_WAIT)
+    wait(service).max(call.mul_f64(STAGE_WAIT)) + call
 }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{Peers, Scope};
 use crate::settings::{Bounds, Settings};
 use crate::station::Stations;
 use crate::upstream::Upstream;
@@ -23,6 +23,9 @@
 /// way of a request to a target and the error of both clocks.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(600);
 
+/// The most targets that one gateway dispatches over all zones.
+const MAX_POOL: usize = 8;
+
 /// The configuration and how old it can be at most.
 #[derive(Debug, Default)]
 struct View {
@@ -94,6 +97,14 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// The targets with which one of a service in `zone` is dispatched. A few are one pool, because
+    /// a free target is found sooner among more of them; many are split by zone, because one
+    /// gateway could not dispatch them all.
+    pub fn scope(&self, service: &ServiceName, zone: &ZoneName) -> Scope {
+        let count = self.fleet().usable(service).count();
+        (count > MAX_POOL).then(|| zone.clone())
+    }
+
     /// The zone of the target that made a result. A handle begins with its address.
     pub fn zone_of_handle(&self, handle: &str) -> Option<ZoneName> {
         let address = azurelug_platform::pieces::maker(handle)?;
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::owner;
-use azurelug_types::fleet::{List, Peer};
+use azurelug_types::fleet::{List, Peer, Pieces, PiecesEnd};
 use azurelug_types::id::{ServiceName, ZoneName};
 use azurelug_wire::handshake::Identity;
 use azurelug_wire::{Connection, Error, Frame};
-use tokio::time::Instant;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
 
 use crate::gateway::Gateway;
 use crate::settings::Settings;
@@ -19,6 +20,12 @@
 /// the list after about as long.
 const SUSPICION: Duration = Duration::from_secs(2);
 
+/// Time for a gateway to confirm an order: several round trips between zones, and a new connection.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(250);
+
+/// The targets of one zone, or all of a service's.
+pub type Scope = Option<ZoneName>;
+
 /// How long handles wait, so that one message names those of many requests. Results hold their room
 /// for seconds otherwise.
 const RELEASE_PAUSE: Duration = Duration::from_millis(80);
@@ -33,7 +40,7 @@
     connections: HashMap<SocketAddr, Connection>,
     suspects: HashMap<SocketAddr, Instant>,
     /// The wait that each dispatcher stated last, and when.
-    delays: HashMap<(ServiceName, ZoneName), (Duration, Instant)>,
+    delays: HashMap<(ServiceName, Scope), (Duration, Instant)>,
     /// Handles that dispatchers are to be told of.
     releases: Vec<(Vec<ServiceName>, Vec<String>)>,
 }
@@ -93,13 +100,14 @@
         log::info!("gateway: {} gateways serve", state.peers.len());
     }
 
-    /// The gateways that may dispatch a service's calls in a zone, the first choice first. Those of
-    /// the zone go first, because they reach its targets also when the zone is cut off.
-    pub fn dispatchers(&self, service: &ServiceName, zone: &ZoneName) -> Vec<Peer> {
+    /// The gateways that may dispatch a service's calls, the first choice first. For the targets of
+    /// one zone those of the zone go first, because they reach them also when the zone is cut off.
+    pub fn dispatchers(&self, service: &ServiceName, scope: &Scope) -> Vec<Peer> {
         let state = self.state();
-        let key = (service, zone);
-        let near: Vec<&Peer> = state.peers.iter().filter(|peer| peer.zone == *zone).collect();
-        let far: Vec<&Peer> = state.peers.iter().filter(|peer| peer.zone != *zone).collect();
+        let key = (service, scope);
+        let is_near = |peer: &&Peer| scope.as_ref().is_none_or(|zone| peer.zone == *zone);
+        let near: Vec<&Peer> = state.peers.iter().filter(is_near).collect();
+        let far: Vec<&Peer> = state.peers.iter().filter(|peer| !is_near(peer)).collect();
         let ranked = owner::ranked(&key, &near).into_iter();
         let ranked = ranked.chain(owner::ranked(&key, &far));
         let now = Instant::now();
@@ -113,19 +121,19 @@
             .collect()
     }
 
-    /// The wait to be expected at a zone's dispatcher of a service: what it stated last, less the
-    /// time since.
-    pub fn delay(&self, service: &ServiceName, zone: &ZoneName) -> Duration {
+    /// The wait to be expected at a dispatcher of a service: what it stated last, less the time
+    /// since.
+    pub fn delay(&self, service: &ServiceName, scope: &Scope) -> Duration {
         let state = self.state();
-        let delay = state.delays.get(&(service.clone(), zone.clone()));
+        let delay = state.delays.get(&(service.clone(), scope.clone()));
         delay.map_or(Duration::ZERO, |(delay, at)| delay.saturating_sub(at.elapsed()))
     }
 
     /// Notes the wait that a dispatcher stated.
-    pub fn note_delay(&self, service: &ServiceName, zone: &ZoneName, delay: Duration) {
+    pub fn note_delay(&self, service: &ServiceName, scope: &Scope, delay: Duration) {
         let noted = (delay, Instant::now());
         let mut state = self.state();
-        state.delays.insert((service.clone(), zone.clone()), noted);
+        state.delays.insert((service.clone(), scope.clone()), noted);
     }
 
     /// Tells the dispatchers of services that results are no longer needed, together with others.
@@ -158,7 +166,8 @@
                 let zone = gateway.zone_of_handle(&handle);
                 let Some(zone) = zone else { continue };
                 for service in &services {
-                    let first = self.dispatchers(service, &zone).into_iter().next();
+                    let scope = gateway.scope(service, &zone);
+                    let first = self.dispatchers(service, &scope).into_iter().next();
                     let Some(peer) = first else { continue };
                     let told = by_peer.entry(peer.address).or_default();
                     if told.last() != Some(&handle) {
@@ -193,15 +202,64 @@
             Ok(connection) => connection.call(frame, limit).await,
             Err(error) => Err(error),
         };
-        if let Err(error) = &called
-            && !matches!(error, Error::Refused { .. })
-        {
-            log::warn!("gateway: peer {address}: {error}; not asked for 2 s");
-            let mut state = self.state();
-            state.suspects.insert(address, Instant::now() + SUSPICION);
-            state.connections.remove(&address);
+        called.inspect_err(|error| self.suspect(address, error))
+    }
+
+    /// Gives an order to a gateway and waits for its end. A gateway that does not confirm the order
+    /// at once is suspected, so that another one gets it. An order that was confirmed may wait for
+    /// long; the connection's own heartbeat tells whether the gateway still runs.
+    ///
+    /// # Errors
+    /// As [`Connection::call`].
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        order: Pieces,
+        limit: Duration,
+    ) -> Result<PiecesEnd, Error> {
+        let given = timeout(CONFIRM_LIMIT, self.give(address, order)).await;
+        let given = given.unwrap_or(Err(Error::Timeout {
+            millis: CONFIRM_LIMIT.as_millis(),
+        }));
+        let mut frames = given.inspect_err(|error| self.suspect(address, error))?;
+        match timeout(limit, frames.recv()).await {
+            Ok(Some(Frame::PiecesEnd(end))) => Ok(end),
+            Ok(_) => {
+                let error = Error::Closed {
+                    message: "the order was dropped".to_owned(),
+                };
+                self.suspect(address, &error);
+                Err(error)
+            }
+            Err(_) => Err(Error::Timeout {
+                millis: limit.as_millis(),
+            }),
+        }
+    }
+
+    async fn give(
+        &self,
+        address: SocketAddr,
+        order: Pieces,
+    ) -> Result<mpsc::Receiver<Frame>, Error> {
+        let connection = self.connection(address).await?;
+        let mut frames = connection.subscribe(Frame::Pieces(order)).await?;
+        match frames.recv().await {
+            Some(Frame::PiecesTaken) => Ok(frames),
+            _ => Err(Error::Closed {
+                message: "the order was not confirmed".to_owned(),
+            }),
         }
-        called
+    }
+
+    fn suspect(&self, address: SocketAddr, error: &Error) {
+        if matches!(error, Error::Refused { .. }) {
+            return;
+        }
+        log::warn!("gateway: peer {address}: {error}; not asked for 2 s");
+        let mut state = self.state();
+        state.suspects.insert(address, Instant::now() + SUSPICION);
+        state.connections.remove(&address);
     }
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, Error> {
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -10,13 +10,14 @@
 use azurelug_http::h1::server::{Stage, serve};
 use azurelug_settings::read;
 use azurelug_types::deployment::Limits;
+use azurelug_types::fleet::Pieces;
 use azurelug_wire::frame::Hello;
 use azurelug_wire::handshake::Identity;
 use azurelug_wire::server::Reply;
 use azurelug_wire::{Frame, Listener};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::gateway::Gateway;
@@ -120,8 +121,9 @@
 async fn peer_frame(gateway: Arc<Gateway>, peer: Arc<Hello>, frame: Frame) -> Reply {
     match frame {
         Frame::Pieces(order) => {
-            let end = gateway.stations.run(&gateway, order).await;
-            Reply::One(Frame::PiecesEnd(end))
+            let (sender, frames) = mpsc::channel(2);
+            tokio::spawn(run_pieces(gateway, order, sender));
+            Reply::Stream(frames)
         }
         Frame::Release { handles } => {
             gateway.stations.release(&gateway, &handles);
@@ -136,6 +138,19 @@
     }
 }
 
+/// Confirms another gateway's order and runs it until that gateway no longer wants it.
+async fn run_pieces(gateway: Arc<Gateway>, order: Pieces, frames: mpsc::Sender<Frame>) {
+    if frames.send(Frame::PiecesTaken).await.is_err() {
+        return;
+    }
+    let end = tokio::select! {
+        end = gateway.stations.run(&gateway, order) => end,
+        () = frames.closed() => return,
+    };
+    // The other gateway may have gone away just now.
+    let _ = frames.send(Frame::PiecesEnd(end)).await;
+}
+
 async fn prune(gateway: Arc<Gateway>) {
     let mut ticks = interval(PRUNE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -5,7 +5,6 @@
 
 use azurelug_core::gateway::events::Splitter;
 use azurelug_core::gateway::fleet::Weights;
-use azurelug_core::gateway::plan::Plan;
 use azurelug_core::gateway::table::Table;
 use azurelug_platform::answer::{self, Refusal};
 use azurelug_platform::client::Fields;
@@ -322,13 +321,7 @@
     if exchange.route.stages.is_empty() {
         return Ok(Results::none());
     }
-    let deployment = exchange.table.deployment();
-    let plan = Plan::new(deployment, &exchange.route, &exchange.fields.pieces);
-    let plan = plan.map_err(|error| {
-        log::warn!("gateway: request {}: {error}", exchange.id);
-        Failure::Refused(NO_CONFIGURATION, "the pieces don't fit the route")
-    })?;
-    let results = timeout(exchange.left(), stages::run(exchange, &plan, zone)).await;
+    let results = timeout(exchange.left(), stages::run(exchange, zone)).await;
     results.unwrap_or(Err(Failure::Refused(NO_CONFIGURATION, "the time is over")))
 }
 
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -1,20 +1,16 @@
 //! Has the stages of a request run, in the order that its plan gives.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_core::gateway::plan::Plan;
+use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
-use azurelug_wire::Frame;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::exchange::{Exchange, Failure};
-
-/// Time of an order at another gateway beyond its usual time, before that gateway is taken to have
-/// stopped.
-const ORDER_GRACE: Duration = Duration::from_millis(900);
+use crate::peers::Scope;
 
 /// What another zone costs, as a delay for each megabyte of results: transfers between zones are
 /// slower, and they are billed.
@@ -23,6 +19,13 @@
 /// What another zone costs at least.
 const CROSSING: Duration = Duration::from_millis(40);
 
+/// How much earlier than needed results are asked for. Calls and transfers take a little longer or
+/// shorter than usual, and what is planned to the last moment comes late half of the time.
+const MARGIN: Duration = Duration::from_millis(80);
+
+/// Part of a request's time after which it is refused if its stages are not done.
+const MAX_HELD_PART: f64 = 0.7;
+
 /// The results of a request's stages. They are released when this is closed.
 pub struct Results {
     /// Handles for the engine: those of the last stages.
@@ -46,11 +49,28 @@
     }
 }
 
+/// The plan of a request by the waits that are known now.
+fn plan(exchange: &Exchange) -> Result<Plan, Failure> {
+    let wait = |service: &Service| {
+        let scopes = scopes(exchange, &service.name, &exchange.gateway.zone, 0);
+        let delays = scopes.iter();
+        let delays = delays.map(|scope| exchange.gateway.peers.delay(&service.name, scope));
+        delays.min().unwrap_or_default()
+    };
+    let pieces = &exchange.fields.pieces;
+    let plan = Plan::new(exchange.table.deployment(), &exchange.route, pieces, wait);
+    plan.map_err(|error| {
+        log::warn!("gateway: request {}: {error}", exchange.id);
+        Failure::Refused(RETRY_AFTER, "the pieces don't fit the route")
+    })
+}
+
 /// Runs the stages. `home` is the zone of the engine that the request is likely to run on.
 ///
 /// # Errors
 /// Why there are no results. The request itself has not run then.
-pub async fn run(exchange: &Exchange, plan: &Plan, home: &ZoneName) -> Result<Results, Failure> {
+pub async fn run(exchange: &Exchange, home: &ZoneName) -> Result<Results, Failure> {
+    let plan = &plan(exchange)?;
     let mut handles: Vec<Option<Vec<String>>> = vec![None; plan.steps.len()];
     let mut started = vec![false; plan.steps.len()];
     for (position, step) in plan.steps.iter().enumerate() {
@@ -124,6 +144,8 @@
 ) -> (usize, Result<Vec<String>, Failure>) {
     let step = &plan.steps[position];
     let stage = &exchange.route.stages[position];
+    // Waits have changed since the first stage.
+    let rest = self::plan(exchange).map_or(step.rest, |plan| plan.steps[position].rest);
     let gateway = &exchange.gateway;
     let service = exchange.table.service(stage.service);
     let source = if exchange.route.stages[position].after.is_empty() {
@@ -132,10 +154,11 @@
         Source::Results(inputs)
     };
     let now = gateway.now();
-    let due = exchange.due().saturating_sub(step.rest);
+    let due = exchange.due().saturating_sub(rest + MARGIN);
     let order = Pieces {
         service: service.name.clone(),
-        zone: home.clone(),
+        scope: None,
+        home: home.clone(),
         request: exchange.id.clone(),
         stage: u8::try_from(position).unwrap_or(u8::MAX),
         pieces: (0..step.pieces).collect(),
@@ -143,13 +166,21 @@
         result_bytes: stage.result_bytes,
         rank: exchange.rank,
         due_ms: signed_millis(due) - signed_millis(now),
-        deadline_ms: millis(exchange.left()),
+        deadline_ms: millis(stage_time(exchange, rest)),
     };
     let bytes = stage.result_bytes * u64::from(step.pieces);
     let result = order_in_some_zone(exchange, order, bytes).await;
     (position, result)
 }
 
+/// Time until a stage must have ended: what follows it takes `rest`, and a client that can't be
+/// served is told so while it can still come back.
+fn stage_time(exchange: &Exchange, rest: Duration) -> Duration {
+    let limit = exchange.deadline.saturating_sub(exchange.arrived);
+    let give_up = limit.mul_f64(MAX_HELD_PART).saturating_sub(exchange.elapsed());
+    exchange.left().saturating_sub(rest).min(give_up)
+}
+
 /// Gives the order to the zone where it is likely to end first, and to others if that one fails.
 async fn order_in_some_zone(
     exchange: &Exchange,
@@ -157,9 +188,8 @@
     bytes: u64,
 ) -> Result<Vec<String>, Failure> {
     let mut failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
-    for zone in zones(exchange, &order.service, &order.zone, bytes) {
-        order.zone = zone;
-        order.deadline_ms = millis(exchange.left());
+    for scope in scopes(exchange, &order.service, &order.home, bytes) {
+        order.scope = scope;
         match send(exchange, &order).await {
             Some(Ok(handles)) => return Ok(handles),
             Some(Err(PiecesError::Late { retry_after_ms })) => {
@@ -186,39 +216,39 @@
 /// When a client is told to come back if nothing better is known: about two calls.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// The zones that have targets of a service, the best first.
-fn zones(
+/// The groups of targets that are dispatched together, the best first.
+fn scopes(
     exchange: &Exchange,
     service: &ServiceName,
     home: &ZoneName,
     bytes: u64,
-) -> Vec<ZoneName> {
+) -> Vec<Scope> {
     let gateway = &exchange.gateway;
-    let mut counts: HashMap<ZoneName, usize> = HashMap::new();
-    for target in gateway.fleet().usable(service) {
-        *counts.entry(target.zone.clone()).or_default() += 1;
+    let zones = gateway.fleet().zones(service);
+    if gateway.scope(service, home).is_none() {
+        return vec![None];
     }
     let crossing = CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6);
-    let mut zones: Vec<(Duration, ZoneName)> = counts
-        .into_keys()
-        .map(|zone| {
-            let delay = gateway.peers.delay(service, &zone);
+    let mut scopes: Vec<(Duration, Scope)> = zones
+        .into_iter()
+        .map(|(zone, _)| {
             let cost = if zone == *home { Duration::ZERO } else { crossing };
-            (delay + cost, zone)
+            let scope = Some(zone);
+            (gateway.peers.delay(service, &scope) + cost, scope)
         })
         .collect();
-    zones.sort();
-    zones.into_iter().map(|(_, zone)| zone).collect()
+    scopes.sort();
+    scopes.into_iter().map(|(_, scope)| scope).collect()
 }
 
-/// Gives the order to the zone's dispatcher; none if no gateway answers.
+/// Gives the order to the dispatcher of its targets; none if no gateway answers.
 async fn send(exchange: &Exchange, order: &Pieces) -> Option<Result<Vec<String>, PiecesError>> {
     let gateway = &exchange.gateway;
-    let dispatchers = gateway.peers.dispatchers(&order.service, &order.zone);
+    let dispatchers = gateway.peers.dispatchers(&order.service, &order.scope);
     for peer in dispatchers.iter().take(MAX_DISPATCHERS) {
         if let Some(end) = send_to(exchange, peer, order).await {
             let delay = Duration::from_millis(end.delay_ms);
-            gateway.peers.note_delay(&order.service, &order.zone, delay);
+            gateway.peers.note_delay(&order.service, &order.scope, delay);
             return Some(end.result);
         }
     }
@@ -233,19 +263,9 @@
     if peer.name == gateway.peers.own().name {
         return Some(gateway.stations.run(gateway, order.clone()).await);
     }
-    let usual = exchange.route.objective.max(Duration::from_millis(400));
-    let delay = gateway.peers.delay(&order.service, &order.zone);
-    let limit = (usual + delay + ORDER_GRACE).min(exchange.left());
-    let frame = Frame::Pieces(order.clone());
-    match gateway.peers.call(peer.address, frame, limit).await {
-        Ok(Frame::PiecesEnd(end)) => Some(end),
-        Ok(_) => {
-            log::warn!("gateway: peer {}: not an answer to an order", peer.name);
-            None
-        }
-        // Logged by the call.
-        Err(_) => None,
-    }
+    // Logged by the call.
+    let ordered = gateway.peers.order(peer.address, order.clone(), exchange.left());
+    ordered.await.ok()
 }
 
 /// Tells the dispatchers that results are no longer needed.
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -10,13 +10,14 @@
 use azurelug_platform::{pieces, target};
 use azurelug_types::deployment::{Batch, Target};
 use azurelug_types::fleet::{Item, Pieces, PiecesEnd, PiecesError};
-use azurelug_types::id::{ServiceName, ZoneName};
+use azurelug_types::id::ServiceName;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::peers::Scope;
 
 /// The longest answer to a call, in bytes. A handle takes about 40.
 const ANSWER_LIMIT: usize = 1024 * 1024;
@@ -24,8 +25,8 @@
 /// Time to tell a target that results are no longer needed.
 const RELEASE_LIMIT: Duration = Duration::from_secs(1);
 
-/// A service and a zone.
-type Place = (ServiceName, ZoneName);
+/// A service and some of its targets.
+type Place = (ServiceName, Scope);
 
 /// The dispatchers that have been needed so far.
 #[derive(Default)]
@@ -36,7 +37,7 @@
 /// One dispatcher and the orders that wait for it.
 pub struct Station {
     service: ServiceName,
-    zone: ZoneName,
+    scope: Scope,
     dispatcher: Mutex<Dispatcher>,
     waiting: Mutex<HashMap<Token, oneshot::Sender<PiecesEnd>>>,
     next_token: Mutex<u64>,
@@ -78,7 +79,7 @@
     }
 
     fn station(&self, gateway: &Arc<Gateway>, order: &Pieces, batch: Batch) -> Arc<Station> {
-        let place = (order.service.clone(), order.zone.clone());
+        let place = (order.service.clone(), order.scope.clone());
         let mut stations = self.stations();
         if let Some(station) = stations.get(&place) {
             station.dispatcher().configure(batch);
@@ -86,7 +87,7 @@
         }
         let station = Arc::new(Station {
             service: order.service.clone(),
-            zone: order.zone.clone(),
+            scope: order.scope.clone(),
             dispatcher: Mutex::new(Dispatcher::new(batch)),
             waiting: Mutex::default(),
             next_token: Mutex::default(),
@@ -163,8 +164,10 @@
         let listed: Vec<Listed> = {
             let fleet = gateway.fleet();
             let targets = fleet.usable(&self.service);
-            let own = targets.filter(|target| target.zone == self.zone);
-            own.map(listed).collect()
+            let is_own = |target: &&Target| {
+                self.scope.as_ref().is_none_or(|zone| target.zone == *zone)
+            };
+            targets.filter(is_own).map(listed).collect()
         };
         let actions = self.dispatcher().list(&listed, gateway.now());
         self.act(gateway, actions);
@@ -232,7 +235,7 @@
             name: listed.name,
             service: self.service.clone(),
             address: listed.address,
-            zone: self.zone.clone(),
+            zone: listed.zone,
             slots: 1,
             is_leaving: false,
             cold_ms: 0,
@@ -244,6 +247,7 @@
     Listed {
         name: target.name.clone(),
         address: target.address,
+        zone: target.zone.clone(),
     }
 }
 
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -62,8 +62,10 @@
     pub struct Pieces {
         /// The service whose targets run them.
         pub service: ServiceName,
-        /// Only targets of this zone are to run them.
-        pub zone: ZoneName,
+        /// Only targets of this zone are to run them; none for all targets of the service.
+        pub scope: Option<ZoneName>,
+        /// The zone in which the results are likely to be needed.
+        pub home: ZoneName,
         /// The id of the client's request.
         pub request: String,
         /// The stage's position in the route.
--- a/crates/azurelug-wire/src/client.rs
+++ b/crates/azurelug-wire/src/client.rs
@@ -75,8 +75,7 @@
     /// said so.
     pub async fn call(&self, frame: Frame, timeout: Duration) -> Result<Frame, Error> {
         let exchange = async {
-            let (mut sender, mut reader) = self.stream().await?;
-            codec::send(&mut sender, &frame, true).await?;
+            let mut reader = self.ask(&frame).await?;
             reader
                 .next()
                 .await?
@@ -97,13 +96,18 @@
     /// # Errors
     /// `Closed` if the stream can't be opened.
     pub async fn subscribe(&self, frame: Frame) -> Result<mpsc::Receiver<Frame>, Error> {
-        let (mut sender, mut reader) = self.stream().await?;
-        codec::send(&mut sender, &frame, true).await?;
+        let mut reader = self.ask(&frame).await?;
         let (queue, receiver) = mpsc::channel(SUBSCRIPTION_QUEUE);
         tokio::spawn(async move {
-            while let Ok(Some(frame)) = reader.next().await {
+            // The stream is reset when the reader is dropped, which tells the peer to stop.
+            loop {
+                let read = tokio::select! {
+                    read = reader.next() => read,
+                    () = queue.closed() => return,
+                };
+                let Ok(Some(frame)) = read else { return };
                 if queue.send(frame).await.is_err() {
-                    break;
+                    return;
                 }
             }
         });
@@ -128,6 +132,17 @@
         Ok(queue)
     }
 
+    /// Opens a stream with one frame, without waiting for the peer in between.
+    async fn ask(&self, frame: &Frame) -> Result<Reader, Error> {
+        let mut ready = self.sender.clone().ready().await.map_err(Error::closed)?;
+        let (response, mut sender) = ready
+            .send_request(request(), false)
+            .map_err(Error::closed)?;
+        codec::send(&mut sender, frame, true).await?;
+        let response = response.await.map_err(Error::closed)?;
+        Ok(Reader::new(response.into_body()))
+    }
+
     async fn stream(&self) -> Result<(h2::SendStream<Bytes>, Reader), Error> {
         let mut ready = self.sender.clone().ready().await.map_err(Error::closed)?;
         let (response, sender) = ready
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -137,7 +137,9 @@
     Gateways(Vec<azurelug_types::fleet::Peer>),
     /// Asks a gateway to have pieces of a stage run.
     Pieces(Pieces),
-    /// The answer to `Pieces`.
+    /// The first answer to `Pieces`, sent at once: the order is being dealt with.
+    PiecesTaken,
+    /// The second answer to `Pieces`.
     PiecesEnd(PiecesEnd),
     /// Results that are no longer needed, by their handles.
     Release {
--- a/crates/azurelug-wire/src/server.rs
+++ b/crates/azurelug-wire/src/server.rs
@@ -244,11 +244,20 @@
                 return Err(error);
             }
         };
-        match handler(Arc::clone(&peer), frame).await {
+        let reply = tokio::select! {
+            reply = handler(Arc::clone(&peer), frame) => reply,
+            () = reset(&mut sender) => return Ok(()),
+        };
+        match reply {
             Reply::None => {}
             Reply::One(frame) => codec::send(&mut sender, &frame, false).await?,
             Reply::Stream(mut frames) => {
-                while let Some(frame) = frames.recv().await {
+                loop {
+                    let frame = tokio::select! {
+                        frame = frames.recv() => frame,
+                        () = reset(&mut sender) => return Ok(()),
+                    };
+                    let Some(frame) = frame else { break };
                     let sent = codec::send(&mut sender, &frame, false);
                     tokio::time::timeout(PEER_SILENCE, sent)
                         .await
@@ -262,3 +271,9 @@
     }
     sender.send_data(Bytes::new(), true).map_err(Error::closed)
 }
+
+/// Returns when the peer no longer wants the answer.
+async fn reset(sender: &mut h2::SendStream<Bytes>) {
+    // An error means that the connection has ended.
+    let _ = std::future::poll_fn(|context| sender.poll_reset(context)).await;
+}
