stages: release the results of requests whose client has left

A lost opening packet cost a restarted daemon a second.

Change: results are held by a guard; connections between daemons are tried again after 300 ms.

--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -107,7 +107,7 @@
     }
 
     fn close(mut self, end: End, reason: &'static str) {
-        self.results.close(&self.exchange);
+        self.results.close();
         self.record.targets = self.trail.tried.len();
         self.record.close(&self.exchange, end, reason);
     }
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -274,7 +274,7 @@
     record.targets = trail.tried.len();
     match answered {
         Ok(Answer::Whole(whole)) => {
-            results.close(&exchange);
+            results.close();
             let is_late = record.is_late(&exchange);
             let end = match whole.status.is_success() {
                 false => End::Failed,
@@ -299,7 +299,7 @@
             head.map(|()| Body::Stream(events))
         }
         Err(failure) => {
-            results.close(&exchange);
+            results.close();
             refuse(&exchange, record, &failure)
         }
     }
@@ -319,7 +319,7 @@
 
 async fn stages(exchange: &Exchange, zone: &ZoneName) -> Result<Results, Failure> {
     if exchange.route.stages.is_empty() {
-        return Ok(Results::none());
+        return Ok(Results::none(exchange));
     }
     let results = timeout(exchange.left(), stages::run(exchange, zone)).await;
     results.unwrap_or(Err(Failure::Refused(NO_CONFIGURATION, "the time is over")))
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -10,6 +10,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::exchange::{Exchange, Failure};
+use crate::gateway::Gateway;
 use crate::peers::Scope;
 
 /// What another zone costs, as a delay for each megabyte of results: transfers between zones are
@@ -26,26 +27,66 @@
 /// Part of a request's time after which it is refused if its stages are not done.
 const MAX_HELD_PART: f64 = 0.7;
 
-/// The results of a request's stages. They are released when this is closed.
+/// Handles of results that a request holds. They are released when this is closed, or dropped
+/// because the client has left.
+pub struct Held {
+    gateway: Arc<Gateway>,
+    services: Vec<ServiceName>,
+    handles: Vec<String>,
+}
+
+impl Held {
+    fn new(exchange: &Exchange) -> Self {
+        let stages = exchange.route.stages.iter();
+        let services = stages.map(|stage| exchange.table.service(stage.service).name.clone());
+        Self {
+            gateway: Arc::clone(&exchange.gateway),
+            services: services.collect(),
+            handles: Vec::new(),
+        }
+    }
+
+    /// Gives the room for some of the results back.
+    fn release(&mut self, handles: Vec<String>) {
+        self.handles.retain(|held| !handles.contains(held));
+        self.tell(handles);
+    }
+
+    fn tell(&self, handles: Vec<String>) {
+        if !handles.is_empty() {
+            let peers = &self.gateway.peers;
+            peers.queue_release(&self.gateway, &self.services, handles);
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let handles = std::mem::take(&mut self.handles);
+        self.tell(handles);
+    }
+}
+
+/// The results of a request's stages.
 pub struct Results {
     /// Handles for the engine: those of the last stages.
     pub inputs: Vec<String>,
-    all: Vec<String>,
+    held: Held,
 }
 
 impl Results {
     /// No results.
     #[must_use]
-    pub fn none() -> Self {
+    pub fn none(exchange: &Exchange) -> Self {
         Self {
             inputs: Vec::new(),
-            all: Vec::new(),
+            held: Held::new(exchange),
         }
     }
 
     /// Gives the room for the results back.
-    pub fn close(self, exchange: &Exchange) {
-        release(exchange, self.all);
+    pub fn close(self) {
+        drop(self.held);
     }
 }
 
@@ -79,6 +120,7 @@
             started[position] = true;
         }
     }
+    let mut held = Held::new(exchange);
     let mut running = FuturesUnordered::new();
     loop {
         for (position, step) in plan.steps.iter().enumerate() {
@@ -100,20 +142,16 @@
         };
         match result {
             Ok(made) => {
+                held.handles.extend(made.iter().cloned());
                 handles[position] = Some(made);
-                release(exchange, consumed(plan, &mut handles));
-            }
-            Err(error) => {
-                let made = handles.into_iter().flatten().flatten().collect();
-                release(exchange, made);
-                return Err(error);
+                held.release(consumed(plan, &mut handles));
             }
+            Err(error) => return Err(error),
         }
     }
     let last = plan.steps.iter().zip(&handles).filter(|(step, _)| step.is_last);
     let inputs = last.filter_map(|(_, made)| made.clone()).flatten().collect();
-    let all = handles.into_iter().flatten().flatten().collect();
-    Ok(Results { inputs, all })
+    Ok(Results { inputs, held })
 }
 
 /// Takes the results of stages that no stage which is still to run needs, and that the engine does
@@ -268,21 +306,6 @@
     ordered.await.ok()
 }
 
-/// Tells the dispatchers that results are no longer needed.
-fn release(exchange: &Exchange, handles: Vec<String>) {
-    if handles.is_empty() {
-        return;
-    }
-    let gateway = Arc::clone(&exchange.gateway);
-    let services: Vec<ServiceName> = {
-        let stages = exchange.route.stages.iter();
-        stages
-            .map(|stage| exchange.table.service(stage.service).name.clone())
-            .collect()
-    };
-    gateway.peers.queue_release(&gateway, &services, handles);
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -279,7 +279,7 @@
                 CallEnd::Failed
             }
         };
-        log::debug!("gateway: call to {name}, {count} pieces, {taken} ms");
+        log::info!("gateway: call to {name}, {count} pieces, {taken} ms");
         let actions = {
             let mut dispatcher = self.station.dispatcher();
             dispatcher.called(self.call, end, self.gateway.now())
--- a/crates/azurelug-wire/src/client.rs
+++ b/crates/azurelug-wire/src/client.rs
@@ -18,6 +18,10 @@
 /// Time for the TCP connection and the handshake together.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for the TCP connection alone. An opening packet that is lost, for instance because the peer
+/// is just starting, is sent again only after a second; a new attempt comes sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Pause between PINGs.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -163,12 +167,13 @@
 }
 
 async fn open(address: SocketAddr, identity: &Identity) -> Result<Connection, Error> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|error| Error::Connect {
-            address,
-            message: error.to_string(),
-        })?;
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let failed = |message: String| Error::Connect { address, message };
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(failed(error.to_string())),
+        Err(_) => return Err(failed("the peer does not answer".to_owned())),
+    };
     stream.set_nodelay(true).map_err(Error::closed)?;
     let (sender, mut connection) = h2::client::handshake(stream).await.map_err(Error::closed)?;
     let pings = connection
