dispatch: book later stages, learn the times of pieces, release results at the first event

Cause: requests were refused at their second or third stage after the first ones had been run; pieces of some stages take 0.3 of the stated time; and the room for results bound the calls of the first stage: at a burst they held 13 of 22 pieces, because results were kept until the end of the stream.

Change: as above.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -9,16 +9,18 @@
 
 mod backlog;
 mod queue;
+mod times;
 mod workers;
 
 use std::time::Duration;
 
 use azurelug_types::deployment::Batch;
-use azurelug_types::fleet::{Item, ItemEnd, Pieces, PiecesError};
+use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesError};
 use azurelug_types::id::{TargetName, ZoneName};
 
-use backlog::Utilization;
+use backlog::{Promise, Utilization};
 use queue::{Queue, Room, Waiting};
+use times::{Load, Times};
 pub use workers::Listed;
 use workers::{Worker, WorkerKey, Workers};
 
@@ -48,6 +50,9 @@
 /// Added to the patience.
 const CALL_GRACE: Duration = Duration::from_millis(500);
 
+/// A target that is less slow than this tells how long pieces take.
+const USUAL_SLOWNESS: f64 = 1.1;
+
 /// The shortest time after which a refused client is told to come back: about a call.
 const MIN_RETRY: Duration = Duration::from_millis(300);
 
@@ -100,6 +105,14 @@
     },
 }
 
+/// Time that is kept for pieces of a later stage.
+#[derive(Debug)]
+struct Booked {
+    request: String,
+    stage: u8,
+    promise: Promise,
+}
+
 #[derive(Debug)]
 struct Call {
     key: CallKey,
@@ -109,6 +122,8 @@
     /// The order of each item and the item's place among the order's pieces.
     items: Vec<(Token, usize)>,
     bytes: u64,
+    /// The kind of each item.
+    kinds: Vec<u64>,
     is_overdue: bool,
 }
 
@@ -125,7 +140,9 @@
     workers: Workers,
     queue: Queue,
     calls: Vec<Call>,
+    times: Times,
     next_call: u64,
+    bookings: Vec<Booked>,
     /// Use of the targets by work that can be in time.
     utilization: Utilization,
 }
@@ -139,7 +156,9 @@
             workers: Workers::default(),
             queue: Queue::default(),
             calls: Vec::new(),
+            times: Times::default(),
             next_call: 0,
+            bookings: Vec::new(),
             utilization: Utilization::default(),
         }
     }
@@ -158,7 +177,7 @@
     /// The wait that a new order has to expect before its call starts.
     #[must_use]
     pub fn delay(&self, now: Duration) -> Option<Duration> {
-        self.wait_for(self.queue.pieces(), now)
+        self.wait_for(self.queue.load(), now)
     }
 
     /// When [`Dispatcher::advance`] is to be called although nothing has happened.
@@ -173,26 +192,103 @@
 
     /// Takes an order.
     pub fn submit(&mut self, token: Token, order: Pieces, now: Duration) -> Vec<Action> {
-        let waiting = Waiting::new(token, order, now);
+        let piece_time = self.times.piece(&self.batch, order.kind);
+        let waiting = Waiting::new(token, order, piece_time, now);
         if !self.workers.has_usable() {
             return vec![end(token, Err(PiecesError::NoTarget))];
         }
-        let ahead = self.queue.pieces_before(&waiting);
-        let wait = self.wait_for(ahead, now).unwrap_or_default();
-        let shared = ahead % self.batch.max_pieces.max(1);
-        let done = now + wait + self.usual_time(shared + waiting.left());
-        if done <= waiting.due {
-            self.utilization.add(self.work(waiting.left()), now);
-        } else if !self.has_time(&waiting, self.queue.pieces(), now) {
+        let is_booked = self.take_booking(&waiting.order.request, waiting.order.stage);
+        if !is_booked && self.can_promise(&waiting, now) {
+            self.utilization.add(self.work(waiting.load()), now);
+        } else if !is_booked && !self.has_time(waiting.load(), waiting.deadline, now) {
             return vec![end(token, Err(self.refusal(now)))];
         }
         self.queue.push(waiting);
         self.advance(now)
     }
 
-    /// Whether an order that will be late can still be done before its client gives up, behind
-    /// `ahead` pieces and all work that comes meanwhile and can be in time.
-    fn has_time(&self, waiting: &Waiting, ahead: usize, now: Duration) -> bool {
+    /// Keeps time for pieces of a later stage, so that a request whose later stages can't be in time
+    /// is refused before its first ones are done.
+    ///
+    /// # Errors
+    /// There is no time left, not even to serve the request late; the refusal to pass on.
+    pub fn book(&mut self, booking: &Booking, now: Duration) -> Result<(), PiecesError> {
+        self.bookings.retain(|booked| booked.promise.due > now);
+        let pieces = usize::from(booking.pieces);
+        let load = self.times.load(&self.batch, booking.kind, pieces);
+        let promise = Promise {
+            due: now + Duration::from_millis(booking.due_ms),
+            work: self.work(load),
+        };
+        if !self.fits(promise, booking.rank, now) {
+            let deadline = now + Duration::from_millis(booking.deadline_ms);
+            let has_time = self.has_time(load, deadline, now);
+            return has_time.then_some(()).ok_or_else(|| self.refusal(now));
+        }
+        self.utilization.add(promise.work, now);
+        self.bookings.push(Booked {
+            request: booking.request.clone(),
+            stage: booking.stage,
+            promise,
+        });
+        Ok(())
+    }
+
+    /// Gives back the time that was kept for a request.
+    pub fn unbook(&mut self, request: &str) {
+        self.bookings.retain(|booked| booked.request != request);
+    }
+
+    /// Takes the booking of an order; whether there was one.
+    fn take_booking(&mut self, request: &str, stage: u8) -> bool {
+        let is_own = |booked: &Booked| booked.request == request && booked.stage == stage;
+        let position = self.bookings.iter().position(is_own);
+        position.map(|it| self.bookings.swap_remove(it)).is_some()
+    }
+
+    /// Whether an order can be in time without making others late.
+    fn can_promise(&self, waiting: &Waiting, now: Duration) -> bool {
+        let ahead = self.queue.load_before(waiting);
+        let wait = self.wait_for(ahead, now).unwrap_or_default();
+        let mut shared = ahead.part(self.batch.max_pieces);
+        shared.add(waiting.load());
+        let done = now + wait + self.call_time(shared);
+        let promise = Promise {
+            due: waiting.due,
+            work: self.work(waiting.load()),
+        };
+        done <= waiting.due && self.fits(promise, waiting.order.rank, now)
+    }
+
+    fn fits(&self, new: Promise, rank: u16, now: Duration) -> bool {
+        let Some((_, rate)) = self.workers.capacity(now) else {
+            return false;
+        };
+        let waiting = self.queue.waiting().map(|waiting| Promise {
+            due: waiting.due,
+            work: self.work(waiting.load()),
+        });
+        // What is late already gives way.
+        let waiting = waiting.filter(|promise| promise.due > now);
+        let booked = self.bookings.iter().map(|booked| booked.promise);
+        let promises = waiting.chain(booked).collect();
+        backlog::fits(promises, new, rank, self.workers.busy(now), rate, now)
+    }
+
+    /// Whether late pieces can still be done by a deadline, behind everything that waits.
+    fn has_time(&self, load: Load, deadline: Duration, now: Duration) -> bool {
+        self.has_time_behind(self.queue.load(), load, deadline, now)
+    }
+
+    /// Whether late pieces can still be done by a deadline, behind `ahead` and all work that
+    /// comes meanwhile and can be in time.
+    fn has_time_behind(
+        &self,
+        ahead: Load,
+        load: Load,
+        deadline: Duration,
+        now: Duration,
+    ) -> bool {
         let Some(wait) = self.wait_for(ahead, now) else {
             return false;
         };
@@ -200,7 +296,7 @@
         let Some(wait) = self.utilization.stretch(wait, rate, now) else {
             return false;
         };
-        now + wait + self.usual_time(waiting.left()) < waiting.deadline
+        now + wait + self.call_time(load) < deadline
     }
 
     /// Forgets an order whose client is gone. Pieces that are in a call are not taken back.
@@ -240,7 +336,12 @@
         worker.held = worker.held.saturating_sub(call.bytes);
         match call_end {
             CallEnd::Items(ends) if ends.len() == call.items.len() => {
+                let is_usual = worker.slowness(now) < USUAL_SLOWNESS;
                 worker.succeeded(taken, call.expected, now);
+                let is_whole = ends.iter().all(|end| matches!(end, ItemEnd::Done(_)));
+                if is_usual && is_whole {
+                    self.times.learn(&self.batch, &call.kinds, taken);
+                }
                 if ends.contains(&ItemEnd::NoRoom) {
                     worker.had_no_room(now);
                 }
@@ -356,15 +457,16 @@
 
     /// Refuses orders that can't be in time and have no time left to wait until there is less work.
     fn refuse_late(&mut self, now: Duration) -> Vec<Action> {
-        let soonest = now + self.usual_time(1);
-        let mut ahead = self.queue.waiting().filter(|it| it.due >= soonest).map(Waiting::left).sum();
+        let soonest = now + self.batch.call_time;
+        let in_time = self.queue.waiting().filter(|it| it.due >= soonest);
+        let mut ahead: Load = in_time.map(Waiting::load).sum();
         let mut hopeless = Vec::new();
         for waiting in self.queue.waiting().filter(|it| it.due < soonest) {
             if waiting.is_running() {
                 continue;
             }
-            if self.has_time(waiting, ahead, now) {
-                ahead += waiting.left();
+            if self.has_time_behind(ahead, waiting.load(), waiting.deadline, now) {
+                ahead.add(waiting.load());
             } else {
                 hopeless.push(waiting.token);
             }
@@ -381,7 +483,7 @@
 
     /// The next call that is worth starting now.
     fn next_call(&mut self, now: Duration) -> Option<Action> {
-        if self.queue.pieces() == 0 {
+        if self.queue.load().pieces == 0 {
             return None;
         }
         let free = self.workers.free(self.batch.slots, now);
@@ -394,7 +496,7 @@
         let room = Room {
             pieces: self.batch.max_pieces,
             bytes: worker.free_room(self.batch.result_room, now),
-            end: now + self.usual_time(1).mul_f64(slowness),
+            end: now + self.batch.call_time.mul_f64(slowness),
         };
         let zone = worker.target.zone.clone();
         let waits = self.zone_waits(now);
@@ -407,7 +509,7 @@
         if picked.is_empty() {
             return None;
         }
-        let usual = self.usual_time(picked.len());
+        let usual = self.call_time(self.picked_load(&picked));
         if !self.is_worth(key, usual, now) {
             return None;
         }
@@ -435,11 +537,13 @@
         self.next_call += 1;
         let call = CallKey(self.next_call);
         let mut items = Vec::with_capacity(picked.len());
+        let mut kinds = Vec::with_capacity(picked.len());
         let mut bytes = 0;
         for &(token, place) in &picked {
             let waiting = self.queue.get_mut(token).expect("it was just picked");
             waiting.started(place);
             bytes += waiting.order.result_bytes;
+            kinds.push(waiting.order.kind);
             items.push(waiting.item(place, now));
         }
         let worker = self.workers.get_mut(key);
@@ -452,6 +556,7 @@
             expected,
             items: picked,
             bytes,
+            kinds,
             is_overdue: false,
         });
         Action::Call {
@@ -467,35 +572,51 @@
         let zones = self.workers.zones(now).into_iter();
         let waits = zones.map(|(zone, first_free, rate)| {
             let own = self.queue.waiting().filter(|it| it.order.home == zone);
-            let calls = own.map(Waiting::left).sum::<usize>() / self.batch.max_pieces.max(1);
-            let work = self.usual_time(self.batch.max_pieces).mul_f64(calls as f64);
+            let work = self.whole_calls(own.map(Waiting::load).sum());
             (zone, first_free + work.div_f64(rate))
         });
         waits.collect()
     }
 
-    /// Usual time of a call with this many pieces.
-    fn usual_time(&self, pieces: usize) -> Duration {
-        let pieces = u32::try_from(pieces.min(self.batch.max_pieces)).unwrap_or(u32::MAX);
-        self.batch.call_time + self.batch.piece_time * pieces
+    fn picked_load(&self, picked: &[(Token, usize)]) -> Load {
+        let orders = picked.iter().filter_map(|(token, _)| self.queue.get(*token));
+        let loads = orders.map(|order| Load {
+            pieces: 1,
+            time: order.piece_time(),
+        });
+        loads.sum()
+    }
+
+    /// Usual time of one call with this load.
+    fn call_time(&self, load: Load) -> Duration {
+        let most = self.batch.piece_time * u32::try_from(self.batch.max_pieces).unwrap_or(u32::MAX);
+        self.batch.call_time + load.time.min(most)
+    }
+
+    /// Time of a target that a load takes in full calls.
+    fn work(&self, load: Load) -> Duration {
+        let calls = load.pieces as f64 / self.batch.max_pieces.max(1) as f64;
+        self.batch.call_time.mul_f64(calls) + load.time
     }
 
-    /// Time of a target that pieces take in full calls.
-    fn work(&self, pieces: usize) -> Duration {
-        let full = self.usual_time(self.batch.max_pieces);
-        full.mul_f64(pieces as f64 / self.batch.max_pieces.max(1) as f64)
+    /// Time of a target that the calls take which a load fills.
+    fn whole_calls(&self, load: Load) -> Duration {
+        let calls = load.pieces / self.batch.max_pieces.max(1);
+        if calls == 0 {
+            return Duration::ZERO;
+        }
+        let part = (calls * self.batch.max_pieces) as f64 / load.pieces as f64;
+        self.batch.call_time.mul_f64(calls as f64) + load.time.mul_f64(part)
     }
 
-    /// Time until a call can start behind `pieces` that wait; none without targets.
-    fn wait_for(&self, pieces: usize, now: Duration) -> Option<Duration> {
+    /// Time until a call can start behind a load that waits; none without targets.
+    fn wait_for(&self, load: Load, now: Duration) -> Option<Duration> {
         let Some((first_free, rate)) = self.workers.capacity(now) else {
             // Every target failed lately; the first one is tried again then.
             let next = self.workers.next_return(now)?;
             return Some(next.saturating_sub(now));
         };
-        let calls = pieces / self.batch.max_pieces.max(1);
-        let work = self.usual_time(self.batch.max_pieces).mul_f64(calls as f64);
-        Some(first_free + work.div_f64(rate))
+        Some(first_free + self.whole_calls(load).div_f64(rate))
     }
 
     /// A refusal with the time until the work that waits is done.
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -5,6 +5,7 @@
 use azurelug_types::fleet::{Item, Pieces};
 
 use super::Token;
+use super::times::Load;
 
 /// How much later an order counts as due for each step of its rank. Less urgent work gives way to
 /// more urgent work that is due about the same time, but isn't starved by it.
@@ -33,12 +34,14 @@
     pub(super) deadline: Duration,
     /// Pieces that failed so far.
     pub(super) tries: u32,
+    /// Time that one piece adds to a call.
+    piece_time: Duration,
     pieces: Vec<Piece>,
     left: usize,
 }
 
 impl Waiting {
-    pub(super) fn new(token: Token, order: Pieces, now: Duration) -> Self {
+    pub(super) fn new(token: Token, order: Pieces, piece_time: Duration, now: Duration) -> Self {
         let offset = Duration::from_millis(order.due_ms.unsigned_abs());
         let due = if order.due_ms < 0 {
             now.saturating_sub(offset)
@@ -54,6 +57,7 @@
             due,
             deadline: now + Duration::from_millis(order.deadline_ms),
             tries: 0,
+            piece_time,
             left: order.pieces.len(),
             pieces: vec![piece; order.pieces.len()],
             order,
@@ -65,6 +69,20 @@
         self.left
     }
 
+    /// The pieces that wait and the time that they add to calls.
+    pub(super) fn load(&self) -> Load {
+        let left = u32::try_from(self.left).unwrap_or(u32::MAX);
+        Load {
+            pieces: self.left,
+            time: self.piece_time * left,
+        }
+    }
+
+    /// Time that one piece adds to a call.
+    pub(super) fn piece_time(&self) -> Duration {
+        self.piece_time
+    }
+
     /// Size of the results of the pieces that wait.
     pub(super) fn bytes(&self) -> u64 {
         self.order.result_bytes * self.left as u64
@@ -173,15 +191,15 @@
         self.orders.iter().filter(|it| it.left() > 0)
     }
 
-    /// Pieces that wait.
-    pub(super) fn pieces(&self) -> usize {
-        self.orders.iter().map(Waiting::left).sum()
+    /// Everything that waits.
+    pub(super) fn load(&self) -> Load {
+        self.orders.iter().map(Waiting::load).sum()
     }
 
-    /// Pieces that wait and go before those of `new`.
-    pub(super) fn pieces_before(&self, new: &Waiting) -> usize {
+    /// What waits and goes before `new`.
+    pub(super) fn load_before(&self, new: &Waiting) -> Load {
         let earlier = self.orders.iter().filter(|it| it.turn() <= new.turn());
-        earlier.map(Waiting::left).sum()
+        earlier.map(Waiting::load).sum()
     }
 
     pub(super) fn push(&mut self, waiting: Waiting) {
@@ -194,9 +212,12 @@
         self.orders.iter_mut().find(|it| it.token == token)
     }
 
+    pub(super) fn get(&self, token: Token) -> Option<&Waiting> {
+        self.orders.iter().find(|it| it.token == token)
+    }
+
     pub(super) fn result_bytes(&self, token: Token) -> u64 {
-        let order = self.orders.iter().find(|it| it.token == token);
-        order.map_or(0, |it| it.order.result_bytes)
+        self.get(token).map_or(0, |it| it.order.result_bytes)
     }
 
     pub(super) fn remove(&mut self, token: Token) -> Option<Waiting> {
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/dispatch/times.rs
@@ -0,0 +1,103 @@
+//! How long pieces take, learned from the calls that hold them. The configuration states one time
+//! for all pieces of a service, but those of some stages take a fraction of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use azurelug_types::deployment::Batch;
+
+/// How much of a call's error one call corrects.
+const STEP: f64 = 0.4;
+
+/// Bounds of a learned time, as parts of the stated one.
+const MIN_PART: f64 = 0.05;
+const MAX_PART: f64 = 2.0;
+
+/// Calls that took longer than this many times the expected time show a slow target, not slow
+/// pieces.
+const MAX_RATIO: f64 = 1.5;
+
+/// Kinds of pieces that are remembered; a deployment has a few dozen.
+const MAX_KINDS: usize = 1024;
+
+/// Pieces that need a call, and the time that they add to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Load {
+    pub(super) pieces: usize,
+    pub(super) time: Duration,
+}
+
+impl Load {
+    /// What is left of it beside calls that it fills.
+    pub(super) fn part(self, max_pieces: usize) -> Self {
+        let pieces = self.pieces % max_pieces.max(1);
+        let part = pieces as f64 / self.pieces.max(1) as f64;
+        Self {
+            pieces,
+            time: self.time.mul_f64(part),
+        }
+    }
+
+    pub(super) fn add(&mut self, other: Self) {
+        self.pieces += other.pieces;
+        self.time += other.time;
+    }
+}
+
+impl std::iter::Sum for Load {
+    fn sum<I: Iterator<Item = Self>>(loads: I) -> Self {
+        loads.fold(Self::default(), |mut sum, load| {
+            sum.add(load);
+            sum
+        })
+    }
+}
+
+/// The times of pieces by their kind, in seconds.
+#[derive(Debug, Default)]
+pub(super) struct Times {
+    learned: HashMap<u64, f64>,
+}
+
+impl Times {
+    /// The time that one piece of a kind adds to a call.
+    pub(super) fn piece(&self, batch: &Batch, kind: u64) -> Duration {
+        let learned = self.learned.get(&kind).copied();
+        learned.map_or(batch.piece_time, Duration::from_secs_f64)
+    }
+
+    /// The load of some pieces of a kind.
+    pub(super) fn load(&self, batch: &Batch, kind: u64, pieces: usize) -> Load {
+        let count = u32::try_from(pieces).unwrap_or(u32::MAX);
+        Load {
+            pieces,
+            time: self.piece(batch, kind) * count,
+        }
+    }
+
+    /// Corrects the times of the pieces in a call that took `taken`, at a target of usual speed.
+    pub(super) fn learn(&mut self, batch: &Batch, kinds: &[u64], taken: Duration) {
+        let mut counts: HashMap<u64, f64> = HashMap::new();
+        for kind in kinds {
+            *counts.entry(*kind).or_default() += 1.0;
+        }
+        let stated = batch.piece_time.as_secs_f64();
+        let known = |kind: &u64| known_or(&self.learned, *kind, stated);
+        let pieces: f64 = counts.iter().map(|(kind, count)| known(kind) * count).sum();
+        let expected = batch.call_time.as_secs_f64() + pieces;
+        let error = taken.as_secs_f64() - expected;
+        if taken.as_secs_f64() > expected * MAX_RATIO || self.learned.len() > MAX_KINDS {
+            return;
+        }
+        let norm: f64 = counts.values().map(|count| count * count).sum();
+        for (kind, count) in counts {
+            let time = known_or(&self.learned, kind, stated) + STEP * error * count / norm;
+            self.learned
+                .insert(kind, time.clamp(stated * MIN_PART, stated * MAX_PART));
+        }
+    }
+}
+
+fn known_or(learned: &HashMap<u64, f64>, kind: u64, stated: f64) -> f64 {
+    learned.get(&kind).copied().unwrap_or(stated)
+}
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -282,6 +282,12 @@
         Some((first_free?, rate))
     }
 
+    /// Time that calls in progress still take, summed over the targets.
+    pub(super) fn busy(&self, now: Duration) -> Duration {
+        let usable = self.workers.iter().filter(|it| it.is_usable(now));
+        usable.map(|worker| worker.free_in(now)).sum()
+    }
+
     /// When the next excluded target may be used again.
     pub(super) fn next_return(&self, now: Duration) -> Option<Duration> {
         let excluded = self.workers.iter().filter(|it| it.is_listed);
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::owner;
-use azurelug_types::fleet::{List, Peer, Pieces, PiecesEnd};
+use azurelug_types::fleet::{Booking, List, Peer, Pieces, PiecesEnd};
 use azurelug_types::id::{ServiceName, ZoneName};
 use azurelug_wire::handshake::Identity;
 use azurelug_wire::{Connection, Error, Frame};
@@ -28,7 +28,7 @@
 
 /// How long handles wait, so that one message names those of many requests. Results hold their room
 /// for seconds otherwise.
-const RELEASE_PAUSE: Duration = Duration::from_millis(80);
+const RELEASE_PAUSE: Duration = Duration::from_millis(25);
 
 /// Time for a dispatcher to take handles.
 const RELEASE_LIMIT: Duration = Duration::from_millis(800);
@@ -237,6 +237,55 @@
         }
     }
 
+    /// Asks a service's dispatcher to keep time for pieces of a later stage.
+    ///
+    /// # Errors
+    /// The time until a new request is likely to be served, if there is no time. A dispatcher that
+    /// does not answer refuses nothing.
+    pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<(), Duration> {
+        let first = self.dispatchers(&booking.service, &booking.scope).into_iter().next();
+        let Some(peer) = first else { return Ok(()) };
+        let answer = if peer.name == self.own.name {
+            gateway.stations.book(gateway, &booking)
+        } else {
+            let frame = Frame::Book(booking.clone());
+            match self.call(peer.address, frame, CONFIRM_LIMIT).await {
+                Ok(answer) => answer,
+                // Logged by the call.
+                Err(_) => return Ok(()),
+            }
+        };
+        let Frame::Booked {
+            refused_ms,
+            delay_ms,
+        } = answer
+        else {
+            return Ok(());
+        };
+        let delay = Duration::from_millis(delay_ms);
+        self.note_delay(&booking.service, &booking.scope, delay);
+        refused_ms.map_or(Ok(()), |millis| Err(Duration::from_millis(millis)))
+    }
+
+    /// Takes a request's bookings back.
+    pub async fn unbook(&self, gateway: &Arc<Gateway>, bookings: &[Booking]) {
+        let mut told: Vec<SocketAddr> = Vec::new();
+        for booking in bookings {
+            let first = self.dispatchers(&booking.service, &booking.scope).into_iter().next();
+            let Some(peer) = first.filter(|peer| !told.contains(&peer.address)) else {
+                continue;
+            };
+            told.push(peer.address);
+            if peer.name == self.own.name {
+                gateway.stations.unbook(&booking.request);
+                continue;
+            }
+            let request = booking.request.clone();
+            // Without an answer the bookings end at their due times.
+            let _ = self.call(peer.address, Frame::Unbook { request }, CONFIRM_LIMIT).await;
+        }
+    }
+
     async fn give(
         &self,
         address: SocketAddr,
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -15,7 +15,6 @@
 use crate::exchange::Exchange;
 use crate::metrics::End;
 use crate::serve::Record;
-use crate::stages::Results;
 
 /// Events that wait for a slow client. More hold the target back through its connection.
 const EVENTS: usize = 32;
@@ -34,8 +33,8 @@
 pub struct Relay {
     /// The request.
     pub exchange: Exchange,
-    /// The results of its stages.
-    pub results: Results,
+    /// Handles of its stages' results, which may be gone by now.
+    pub inputs: Vec<String>,
     /// Where it was sent so far.
     pub trail: Trail,
     /// The zone to prefer for a target that goes on.
@@ -107,7 +106,6 @@
     }
 
     fn close(mut self, end: End, reason: &'static str) {
-        self.results.close();
         self.record.targets = self.trail.tried.len();
         self.record.close(&self.exchange, end, reason);
     }
@@ -188,7 +186,7 @@
         drop(connection);
         place.close();
         let sending = Sending {
-            inputs: &self.results.inputs,
+            inputs: &self.inputs,
             last_event: splitter.last().or(self.exchange.fields.last_event),
             zone: &self.zone,
             splitter,
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -125,6 +125,11 @@
             tokio::spawn(run_pieces(gateway, order, sender));
             Reply::Stream(frames)
         }
+        Frame::Book(booking) => Reply::One(gateway.stations.book(&gateway, &booking)),
+        Frame::Unbook { request } => {
+            gateway.stations.unbook(&request);
+            Reply::One(Frame::Done)
+        }
         Frame::Release { handles } => {
             gateway.stations.release(&gateway, &handles);
             Reply::One(Frame::Done)
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -274,7 +274,7 @@
     record.targets = trail.tried.len();
     match answered {
         Ok(Answer::Whole(whole)) => {
-            results.close();
+            drop(results.close());
             let is_late = record.is_late(&exchange);
             let end = match whole.status.is_success() {
                 false => End::Failed,
@@ -289,7 +289,7 @@
             let headers = std::mem::take(&mut stream.headers);
             let relay = Relay {
                 exchange,
-                results,
+                inputs: results.close(),
                 trail,
                 zone,
                 record,
@@ -299,7 +299,7 @@
             head.map(|()| Body::Stream(events))
         }
         Err(failure) => {
-            results.close();
+            drop(results.close());
             refuse(&exchange, record, &failure)
         }
     }
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurelug_core::gateway::owner;
 use azurelug_core::gateway::plan::Plan;
 use azurelug_types::deployment::Service;
-use azurelug_types::fleet::{Peer, Pieces, PiecesEnd, PiecesError, Source};
+use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
@@ -84,9 +85,13 @@
         }
     }
 
-    /// Gives the room for the results back.
-    pub fn close(self) {
+    /// Gives the room for the results back, because an engine has fetched them. Returns their
+    /// handles: targets keep results until they need the room, so that another engine can often
+    /// still fetch them.
+    #[must_use]
+    pub fn close(self) -> Vec<String> {
         drop(self.held);
+        self.inputs
     }
 }
 
@@ -111,7 +116,22 @@
 /// # Errors
 /// Why there are no results. The request itself has not run then.
 pub async fn run(exchange: &Exchange, home: &ZoneName) -> Result<Results, Failure> {
-    let plan = &plan(exchange)?;
+    let plan = plan(exchange)?;
+    let bookings = Bookings::new(exchange, &plan, home);
+    let mut held = Held::new(exchange);
+    let inputs = run_steps(exchange, &plan, home, &bookings, &mut held).await?;
+    bookings.close();
+    Ok(Results { inputs, held })
+}
+
+/// Runs the stages of a plan; returns the handles for the engine.
+async fn run_steps(
+    exchange: &Exchange,
+    plan: &Plan,
+    home: &ZoneName,
+    bookings: &Bookings<'_>,
+    held: &mut Held,
+) -> Result<Vec<String>, Failure> {
     let mut handles: Vec<Option<Vec<String>>> = vec![None; plan.steps.len()];
     let mut started = vec![false; plan.steps.len()];
     for (position, step) in plan.steps.iter().enumerate() {
@@ -120,8 +140,9 @@
             started[position] = true;
         }
     }
-    let mut held = Held::new(exchange);
     let mut running = FuturesUnordered::new();
+    let mut booking = std::pin::pin!(bookings.book());
+    let mut is_booked = false;
     loop {
         for (position, step) in plan.steps.iter().enumerate() {
             let is_ready = step.after.iter().all(|&it| handles[usize::from(it)].is_some());
@@ -137,21 +158,88 @@
                 .collect();
             running.push(stage(exchange, plan, position, inputs, home));
         }
-        let Some((position, result)) = running.next().await else {
+        let ended = tokio::select! {
+            ended = running.next() => ended,
+            booked = &mut booking, if !is_booked => {
+                booked?;
+                is_booked = true;
+                continue;
+            }
+        };
+        let Some((position, result)) = ended else {
             break;
         };
-        match result {
-            Ok(made) => {
-                held.handles.extend(made.iter().cloned());
-                handles[position] = Some(made);
-                held.release(consumed(plan, &mut handles));
-            }
-            Err(error) => return Err(error),
-        }
+        let made = result?;
+        held.handles.extend(made.iter().cloned());
+        handles[position] = Some(made);
+        held.release(consumed(plan, &mut handles));
     }
     let last = plan.steps.iter().zip(&handles).filter(|(step, _)| step.is_last);
-    let inputs = last.filter_map(|(_, made)| made.clone()).flatten().collect();
-    Ok(Results { inputs, held })
+    Ok(last.filter_map(|(_, made)| made.clone()).flatten().collect())
+}
+
+/// The time that dispatchers keep for a request's later stages. It is given back if this is dropped
+/// before the stages are done.
+struct Bookings<'a> {
+    exchange: &'a Exchange,
+    bookings: Vec<Booking>,
+}
+
+impl<'a> Bookings<'a> {
+    /// Bookings for all stages that follow another one, unless the request is late already.
+    fn new(exchange: &'a Exchange, plan: &Plan, home: &ZoneName) -> Self {
+        let now = exchange.gateway.now();
+        let steps = plan.steps.iter().enumerate();
+        let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
+        let bookings = later.filter_map(|(position, step)| {
+            let due = exchange.due().saturating_sub(step.rest + MARGIN);
+            let service = exchange.table.service(exchange.route.stages[position].service);
+            (due > now).then(|| Booking {
+                service: service.name.clone(),
+                scope: exchange.gateway.scope(&service.name, home),
+                request: exchange.id.clone(),
+                stage: u8::try_from(position).unwrap_or(u8::MAX),
+                kind: owner::weight(&exchange.route.name, &position),
+                pieces: step.pieces,
+                rank: exchange.rank,
+                due_ms: millis(due - now),
+                deadline_ms: millis(stage_time(exchange, step.rest)),
+            })
+        });
+        let bookings = bookings.collect();
+        Self { exchange, bookings }
+    }
+
+    async fn book(&self) -> Result<(), Failure> {
+        let gateway = &self.exchange.gateway;
+        let asked = self.bookings.iter();
+        let asked = asked.map(|booking| gateway.peers.book(gateway, booking.clone()));
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        while let Some(booked) = asked.next().await {
+            booked.map_err(|after| {
+                Failure::Refused(after.max(RETRY_AFTER), "a later stage is overloaded")
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Notes that the stages are done; their orders have used the bookings up.
+    fn close(mut self) {
+        self.bookings.clear();
+    }
+}
+
+impl Drop for Bookings<'_> {
+    fn drop(&mut self) {
+        if self.bookings.is_empty() {
+            return;
+        }
+        let gateway = Arc::clone(&self.exchange.gateway);
+        let bookings = std::mem::take(&mut self.bookings);
+        tokio::spawn(async move {
+            gateway.peers.unbook(&gateway, &bookings).await;
+        });
+    }
 }
 
 /// Takes the results of stages that no stage which is still to run needs, and that the engine does
@@ -199,6 +287,7 @@
         home: home.clone(),
         request: exchange.id.clone(),
         stage: u8::try_from(position).unwrap_or(u8::MAX),
+        kind: owner::weight(&exchange.route.name, &position),
         pieces: (0..step.pieces).collect(),
         source,
         result_bytes: stage.result_bytes,
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -8,9 +8,10 @@
     Action, CallEnd, CallKey, Dispatcher, Listed, Token,
 };
 use azurelug_platform::{pieces, target};
-use azurelug_types::deployment::{Batch, Target};
-use azurelug_types::fleet::{Item, Pieces, PiecesEnd, PiecesError};
+use azurelug_types::deployment::Target;
+use azurelug_types::fleet::{Booking, Item, Pieces, PiecesEnd, PiecesError};
 use azurelug_types::id::ServiceName;
+use azurelug_wire::Frame;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::{Notify, oneshot};
@@ -56,16 +57,9 @@
             result: Err(PiecesError::NoTarget),
             delay_ms: 0,
         };
-        let table = gateway.table();
-        let batch = table.and_then(|table| {
-            let services = table.deployment().services.iter();
-            let mut named = services.filter(|service| service.name == order.service);
-            named.find_map(|service| service.batch)
-        });
-        let Some(batch) = batch else {
+        let Some(station) = self.station(gateway, &order.service, &order.scope) else {
             return no_target;
         };
-        let station = self.station(gateway, &order, batch);
         let (sender, receiver) = oneshot::channel();
         let token = station.register(sender);
         let _guard = Cancel {
@@ -78,16 +72,53 @@
         receiver.await.unwrap_or(no_target)
     }
 
-    fn station(&self, gateway: &Arc<Gateway>, order: &Pieces, batch: Batch) -> Arc<Station> {
-        let place = (order.service.clone(), order.scope.clone());
+    /// Keeps time for pieces of a later stage; the answer for the gateway that asks.
+    pub fn book(&self, gateway: &Arc<Gateway>, booking: &Booking) -> Frame {
+        let Some(station) = self.station(gateway, &booking.service, &booking.scope) else {
+            return Frame::Refused {
+                message: "the service runs no pieces".to_owned(),
+            };
+        };
+        let now = gateway.now();
+        let mut dispatcher = station.dispatcher();
+        let refused_ms = match dispatcher.book(booking, now) {
+            Ok(()) => None,
+            Err(PiecesError::Late { retry_after_ms }) => Some(retry_after_ms),
+            Err(_) => Some(0),
+        };
+        let delay = dispatcher.delay(now).unwrap_or_default();
+        Frame::Booked {
+            refused_ms,
+            delay_ms: u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Gives back the time that was kept for a request.
+    pub fn unbook(&self, request: &str) {
+        for station in self.stations().values() {
+            station.dispatcher().unbook(request);
+        }
+    }
+
+    /// The dispatcher of a service's targets; none if the service runs no pieces.
+    fn station(
+        &self,
+        gateway: &Arc<Gateway>,
+        service: &ServiceName,
+        scope: &Scope,
+    ) -> Option<Arc<Station>> {
+        let table = gateway.table()?;
+        let mut services = table.deployment().services.iter();
+        let batch = services.find(|it| it.name == *service)?.batch?;
+        let place = (service.clone(), scope.clone());
         let mut stations = self.stations();
         if let Some(station) = stations.get(&place) {
             station.dispatcher().configure(batch);
-            return Arc::clone(station);
+            return Some(Arc::clone(station));
         }
         let station = Arc::new(Station {
-            service: order.service.clone(),
-            scope: order.scope.clone(),
+            service: service.clone(),
+            scope: scope.clone(),
             dispatcher: Mutex::new(Dispatcher::new(batch)),
             waiting: Mutex::default(),
             next_token: Mutex::default(),
@@ -96,7 +127,7 @@
         stations.insert(place, Arc::clone(&station));
         station.relist(gateway);
         tokio::spawn(Arc::clone(&station).watch(Arc::clone(gateway)));
-        station
+        Some(station)
     }
 
     /// Gives every dispatcher the present targets.
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -70,6 +70,8 @@
         pub request: String,
         /// The stage's position in the route.
         pub stage: u8,
+        /// Equal for pieces of the same route and stage, which take about the same time.
+        pub kind: u64,
         /// The pieces' positions in the stage.
         pub pieces: Vec<u16>,
         /// What the pieces work on.
@@ -85,6 +87,28 @@
         pub deadline_ms: u64,
     }
 
+    /// Pieces of a later stage that a request will need, for which a dispatcher is to keep time.
+    pub struct Booking {
+        /// The service whose targets will run them.
+        pub service: ServiceName,
+        /// As in [`Pieces`].
+        pub scope: Option<ZoneName>,
+        /// The id of the client's request.
+        pub request: String,
+        /// The stage's position in the route.
+        pub stage: u8,
+        /// As in [`Pieces`].
+        pub kind: u64,
+        /// How many pieces there are.
+        pub pieces: u16,
+        /// Rank; 0 is the most urgent.
+        pub rank: u16,
+        /// Time until the results are needed, in milliseconds.
+        pub due_ms: u64,
+        /// Time until the client gives up, in milliseconds.
+        pub deadline_ms: u64,
+    }
+
     /// What pieces work on.
     pub enum Source {
         /// The client's key of the work, for a stage that follows no other.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The messages between azurelug processes.
 
 use azurelug_coordination::{once, share};
-use azurelug_types::fleet::{Pieces, PiecesEnd, Poll, Polled};
+use azurelug_types::fleet::{Booking, Pieces, PiecesEnd, Poll, Polled};
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -141,6 +141,20 @@
     PiecesTaken,
     /// The second answer to `Pieces`.
     PiecesEnd(PiecesEnd),
+    /// Asks a gateway to keep time for pieces of a later stage.
+    Book(Booking),
+    /// The answer to `Book`.
+    Booked {
+        /// When a new request is likely to be served, in milliseconds, if there is no time.
+        refused_ms: Option<u64>,
+        /// The wait that an order has to expect at present, in milliseconds.
+        delay_ms: u64,
+    },
+    /// Takes bookings of a request back, because it needs them no longer.
+    Unbook {
+        /// The id of the client's request.
+        request: String,
+    },
     /// Results that are no longer needed, by their handles.
     Release {
         /// The handles.
