dispatch: release inputs once a call has fetched them; account for lost pieces

Cause: the room for results binds at bursts (7.3 MB at vendor-pay against 60 kB and more a piece), and results were held through the next stage's whole call. Results of ended orders counted as 0 bytes.

Change: a call's inputs are released 90 ms after it was sent; bytes are kept with the items of a call; a late confirmation is waited for through a lost packet, because two dispatchers for one target overfill it.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -113,17 +113,24 @@
     promise: Promise,
 }
 
+/// A piece in a call.
+#[derive(Clone, Copy, Debug)]
+struct CallItem {
+    token: Token,
+    /// Its place among the order's pieces.
+    place: usize,
+    kind: u64,
+    bytes: u64,
+}
+
 #[derive(Debug)]
 struct Call {
     key: CallKey,
     worker: WorkerKey,
     started: Duration,
     expected: Duration,
-    /// The order of each item and the item's place among the order's pieces.
-    items: Vec<(Token, usize)>,
+    items: Vec<CallItem>,
     bytes: u64,
-    /// The kind of each item.
-    kinds: Vec<u64>,
     is_overdue: bool,
 }
 
@@ -321,8 +328,8 @@
         let call = self.calls.swap_remove(position);
         let ends = self.call_ended(&call, call_end, now);
         let mut actions = Vec::new();
-        for ((token, place), item_end) in call.items.iter().zip(ends) {
-            actions.extend(self.item_ended(call.worker, *token, *place, item_end, now));
+        for (item, item_end) in call.items.iter().zip(ends) {
+            actions.extend(self.item_ended(call.worker, *item, item_end, now));
         }
         actions.extend(self.advance(now));
         actions
@@ -340,7 +347,8 @@
                 worker.succeeded(taken, call.expected, now);
                 let is_whole = ends.iter().all(|end| matches!(end, ItemEnd::Done(_)));
                 if is_usual && is_whole {
-                    self.times.learn(&self.batch, &call.kinds, taken);
+                    let kinds: Vec<u64> = call.items.iter().map(|item| item.kind).collect();
+                    self.times.learn(&self.batch, &kinds, taken);
                 }
                 if ends.contains(&ItemEnd::NoRoom) {
                     worker.had_no_room(now);
@@ -364,15 +372,14 @@
     fn item_ended(
         &mut self,
         worker: WorkerKey,
-        token: Token,
-        place: usize,
+        item: CallItem,
         item_end: ItemEnd,
         now: Duration,
     ) -> Vec<Action> {
+        let CallItem { token, place, .. } = item;
         if let ItemEnd::Done(handle) = &item_end {
-            let bytes = self.queue.result_bytes(token);
-            self.workers
-                .hold(worker, handle, bytes, now + self.batch.result_lifetime);
+            let until = now + self.batch.result_lifetime;
+            self.workers.hold(worker, handle, item.bytes, until);
         }
         let Some(waiting) = self.queue.get_mut(token) else {
             // The order has ended without this result.
@@ -447,9 +454,9 @@
             let taken = now.saturating_sub(call.started);
             let worker = self.workers.get_mut(call.worker);
             worker.overdue(taken, call.expected, now);
-            for (token, place) in &call.items {
-                if let Some(waiting) = self.queue.get_mut(*token) {
-                    waiting.run_beside(*place);
+            for item in &call.items {
+                if let Some(waiting) = self.queue.get_mut(item.token) {
+                    waiting.run_beside(item.place);
                 }
             }
         }
@@ -537,13 +544,18 @@
         self.next_call += 1;
         let call = CallKey(self.next_call);
         let mut items = Vec::with_capacity(picked.len());
-        let mut kinds = Vec::with_capacity(picked.len());
+        let mut held = Vec::with_capacity(picked.len());
         let mut bytes = 0;
         for &(token, place) in &picked {
             let waiting = self.queue.get_mut(token).expect("it was just picked");
             waiting.started(place);
             bytes += waiting.order.result_bytes;
-            kinds.push(waiting.order.kind);
+            held.push(CallItem {
+                token,
+                place,
+                kind: waiting.order.kind,
+                bytes: waiting.order.result_bytes,
+            });
             items.push(waiting.item(place, now));
         }
         let worker = self.workers.get_mut(key);
@@ -554,9 +566,8 @@
             worker: key,
             started: now,
             expected,
-            items: picked,
+            items: held,
             bytes,
-            kinds,
             is_overdue: false,
         });
         Action::Call {
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -216,10 +216,6 @@
         self.orders.iter().find(|it| it.token == token)
     }
 
-    pub(super) fn result_bytes(&self, token: Token) -> u64 {
-        self.get(token).map_or(0, |it| it.order.result_bytes)
-    }
-
     pub(super) fn remove(&mut self, token: Token) -> Option<Waiting> {
         let position = self.orders.iter().position(|it| it.token == token)?;
         Some(self.orders.remove(position))
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -105,13 +105,13 @@
         (count > MAX_POOL).then(|| zone.clone())
     }
 
-    /// The zone of the target that made a result. A handle begins with its address.
-    pub fn zone_of_handle(&self, handle: &str) -> Option<ZoneName> {
+    /// The service and the zone of the target that made a result.
+    pub fn maker(&self, handle: &str) -> Option<(ServiceName, ZoneName)> {
         let address = azurelug_platform::pieces::maker(handle)?;
         let fleet = self.fleet();
         let mut loads = fleet.loads();
         let maker = loads.find(|(target, _)| target.address == address);
-        maker.map(|(target, _)| target.zone.clone())
+        maker.map(|(target, _)| (target.service.clone(), target.zone.clone()))
     }
 
     /// The configuration in force here.
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -20,8 +20,9 @@
 /// the list after about as long.
 const SUSPICION: Duration = Duration::from_secs(2);
 
-/// Time for a gateway to confirm an order: several round trips between zones, and a new connection.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(250);
+/// Time for a gateway to confirm an order: a lost packet is sent again after 200 ms, and once more
+/// after twice as long. Two dispatchers for the same targets do more harm than a late start.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
 
 /// The targets of one zone, or all of a service's.
 pub type Scope = Option<ZoneName>;
@@ -42,7 +43,7 @@
     /// The wait that each dispatcher stated last, and when.
     delays: HashMap<(ServiceName, Scope), (Duration, Instant)>,
     /// Handles that dispatchers are to be told of.
-    releases: Vec<(Vec<ServiceName>, Vec<String>)>,
+    releases: Vec<String>,
 }
 
 /// The other gateways.
@@ -136,17 +137,14 @@
         state.delays.insert((service.clone(), scope.clone()), noted);
     }
 
-    /// Tells the dispatchers of services that results are no longer needed, together with others.
-    pub fn queue_release(
-        &self,
-        gateway: &Arc<Gateway>,
-        services: &[ServiceName],
-        handles: Vec<String>,
-    ) {
+    /// Tells the dispatchers of the targets that made them that results are no longer needed,
+    /// together with others.
+    pub fn queue_release(&self, gateway: &Arc<Gateway>, handles: Vec<String>) {
         let is_first = {
             let mut state = self.state();
-            state.releases.push((services.to_vec(), handles));
-            state.releases.len() == 1
+            let is_first = state.releases.is_empty();
+            state.releases.extend(handles);
+            is_first && !state.releases.is_empty()
         };
         if is_first {
             let gateway = Arc::clone(gateway);
@@ -157,23 +155,18 @@
         }
     }
 
-    /// Sends the handles that wait, each to the dispatchers that may know it.
+    /// Sends the handles that wait.
     async fn release(&self, gateway: &Arc<Gateway>) {
         let waiting = std::mem::take(&mut self.state().releases);
         let mut by_peer: HashMap<SocketAddr, Vec<String>> = HashMap::new();
-        for (services, handles) in waiting {
-            for handle in handles {
-                let zone = gateway.zone_of_handle(&handle);
-                let Some(zone) = zone else { continue };
-                for service in &services {
-                    let scope = gateway.scope(service, &zone);
-                    let first = self.dispatchers(service, &scope).into_iter().next();
-                    let Some(peer) = first else { continue };
-                    let told = by_peer.entry(peer.address).or_default();
-                    if told.last() != Some(&handle) {
-                        told.push(handle.clone());
-                    }
-                }
+        for handle in waiting {
+            // The results of a target that is gone are gone, too.
+            let Some((service, zone)) = gateway.maker(&handle) else {
+                continue;
+            };
+            let scope = gateway.scope(&service, &zone);
+            if let Some(peer) = self.dispatchers(&service, &scope).into_iter().next() {
+                by_peer.entry(peer.address).or_default().push(handle);
             }
         }
         for (address, handles) in by_peer {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -32,17 +32,13 @@
 /// because the client has left.
 pub struct Held {
     gateway: Arc<Gateway>,
-    services: Vec<ServiceName>,
     handles: Vec<String>,
 }
 
 impl Held {
     fn new(exchange: &Exchange) -> Self {
-        let stages = exchange.route.stages.iter();
-        let services = stages.map(|stage| exchange.table.service(stage.service).name.clone());
         Self {
             gateway: Arc::clone(&exchange.gateway),
-            services: services.collect(),
             handles: Vec::new(),
         }
     }
@@ -56,7 +52,7 @@
     fn tell(&self, handles: Vec<String>) {
         if !handles.is_empty() {
             let peers = &self.gateway.peers;
-            peers.queue_release(&self.gateway, &self.services, handles);
+            peers.queue_release(&self.gateway, handles);
         }
     }
 }
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -9,8 +9,8 @@
 };
 use azurelug_platform::{pieces, target};
 use azurelug_types::deployment::Target;
-use azurelug_types::fleet::{Booking, Item, Pieces, PiecesEnd, PiecesError};
-use azurelug_types::id::ServiceName;
+use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesEnd, PiecesError, Source};
+use azurelug_types::id::{ServiceName, TargetName};
 use azurelug_wire::Frame;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -23,6 +23,10 @@
 /// The longest answer to a call, in bytes. A handle takes about 40.
 const ANSWER_LIMIT: usize = 1024 * 1024;
 
+/// Time in which a target fetches the inputs of a call: a few megabytes over its link, the connection
+/// and a lost packet.
+const FETCH_TIME: Duration = Duration::from_millis(90);
+
 /// Time to tell a target that results are no longer needed.
 const RELEASE_LIMIT: Duration = Duration::from_secs(1);
 
@@ -191,6 +195,14 @@
         token
     }
 
+    /// Bytes of results that a target is known to hold.
+    fn held(&self, name: &TargetName) -> u64 {
+        let dispatcher = self.dispatcher();
+        let mut targets = dispatcher.targets();
+        let held = targets.find(|(target, ..)| *target == name);
+        held.map_or(0, |(_, _, held)| held)
+    }
+
     fn relist(self: &Arc<Self>, gateway: &Arc<Gateway>) {
         let listed: Vec<Listed> = {
             let fleet = gateway.fleet();
@@ -296,7 +308,21 @@
             .metrics
             .called(self.station.service.as_str(), count);
         let started = self.gateway.now();
-        let called = timeout(limit, self.call(&items)).await;
+        let fetched = inputs(&items);
+        let called = timeout(limit, async {
+            let call = self.call(&items);
+            tokio::pin!(call);
+            // A target has nothing else to do when it gets a call, so that it fetches the inputs
+            // at once; their makers have little room.
+            if !fetched.is_empty()
+                && let Ok(ended) = timeout(FETCH_TIME, call.as_mut()).await
+            {
+                return ended;
+            }
+            self.gateway.peers.queue_release(&self.gateway, fetched);
+            call.await
+        });
+        let called = called.await;
         let taken = self.gateway.now().saturating_sub(started).as_millis();
         let name = &self.target.name;
         let end = match called {
@@ -311,6 +337,13 @@
             }
         };
         log::info!("gateway: call to {name}, {count} pieces, {taken} ms");
+        if let CallEnd::Items(ends) = &end {
+            let refused = ends.iter().filter(|end| **end == ItemEnd::NoRoom).count();
+            if refused > 0 {
+                let held = self.station.held(name);
+                log::warn!("gateway: {name} had no room for {refused} of {count} pieces; held={held}");
+            }
+        }
         let actions = {
             let mut dispatcher = self.station.dispatcher();
             dispatcher.called(self.call, end, self.gateway.now())
@@ -356,6 +389,19 @@
     }
 }
 
+/// The results that a call's target fetches.
+fn inputs(items: &[Item]) -> Vec<String> {
+    let mut inputs: Vec<String> = Vec::new();
+    for item in items {
+        if let Source::Results(handles) = &item.source {
+            inputs.extend(handles.iter().cloned());
+        }
+    }
+    inputs.sort_unstable();
+    inputs.dedup();
+    inputs
+}
+
 /// Tells a target that results are no longer needed. A failure costs only their room, which they
 /// give back by themselves later.
 async fn release(gateway: Arc<Gateway>, target: Target, handles: Vec<String>) {
@@ -363,6 +409,10 @@
     let released = async {
         let mut taken = gateway.upstream.take(&target, false).await?;
         let response = taken.connection.send(request).await?;
+        if !response.status().is_success() {
+            let status = response.status().as_u16();
+            log::warn!("gateway: release at {}: status {status}", target.name);
+        }
         let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
         if body.is_ok() && taken.connection.wait_ready().await {
             gateway.upstream.keep(&target.name, taken.connection, None);
@@ -371,7 +421,7 @@
     };
     match timeout(RELEASE_LIMIT, released).await {
         Ok(Ok(())) => {}
-        Ok(Err(error)) => log::debug!("gateway: release at {}: {error}", target.name),
-        Err(_) => log::debug!("gateway: release at {}: no answer", target.name),
+        Ok(Err(error)) => log::info!("gateway: release at {}: {error}", target.name),
+        Err(_) => log::info!("gateway: release at {}: no answer", target.name),
     }
 }
