dispatch: tell targets of released results when a call needs the room

Cause: a piece that failed found its inputs gone, because they had been released while its call ran, and its whole request was refused: 2 in 100 requests with ten pieces. Results of another dispatcher kept their room for 4 s. Pieces run beside an overdue call ended their order when inputs were gone.

Change: released results are given up when a call starts, beyond 0.12 of the room; those of another dispatcher at once.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 mod times;
 mod workers;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use azurelug_types::deployment::Batch;
@@ -64,6 +65,15 @@
 /// between zones is billed.
 const CROSSING_PER_MB: Duration = Duration::from_millis(80);
 
+/// A result that is no longer needed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// Its handle.
+    pub handle: String,
+    /// The address of the target that made it.
+    pub maker: SocketAddr,
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -86,6 +96,8 @@
         target: Listed,
         /// Its items.
         items: Vec<Item>,
+        /// Results that the target is told first are no longer needed, to make room.
+        release: Vec<String>,
         /// When to give up.
         limit: Duration,
     },
@@ -311,10 +323,10 @@
         self.queue.remove(token);
     }
 
-    /// Notes that results are no longer needed. Targets are told when they need the room: each
+    /// Notes that results are no longer needed. Targets are told when a call needs the room: each
     /// result also ends by itself.
-    pub fn release(&mut self, handles: &[String], now: Duration) -> Vec<Action> {
-        let flushed = self.workers.release(handles, &self.batch, now);
+    pub fn release(&mut self, results: &[Released], now: Duration) -> Vec<Action> {
+        let flushed = self.workers.release(results, &self.batch, now);
         let releases = flushed.into_iter();
         let releases = releases.map(|(target, handles)| Action::Release { target, handles });
         releases.collect()
@@ -384,13 +396,13 @@
         let Some(waiting) = self.queue.get_mut(token) else {
             // The order has ended without this result.
             return match item_end {
-                ItemEnd::Done(handle) => self.release(&[handle], now),
+                ItemEnd::Done(handle) => self.drop_result(worker, handle, now),
                 _ => Vec::new(),
             };
         };
         waiting.returned(place);
         let failure = match item_end {
-            ItemEnd::Done(handle) => return self.finish(token, place, handle, now),
+            ItemEnd::Done(handle) => return self.finish(worker, item, handle, now),
             ItemEnd::NoRoom => {
                 waiting.requeue(place);
                 return Vec::new();
@@ -403,6 +415,8 @@
                 }
                 PiecesError::Failed
             }
+            // Another call may have fetched the inputs in time.
+            ItemEnd::InputGone | ItemEnd::Late if waiting.is_held(place) => return Vec::new(),
             ItemEnd::InputGone => PiecesError::ResultsGone,
             ItemEnd::Late => PiecesError::Late {
                 retry_after_ms: millis(MIN_RETRY),
@@ -411,10 +425,23 @@
         self.fail(token, failure, now)
     }
 
-    fn finish(&mut self, token: Token, place: usize, handle: String, now: Duration) -> Vec<Action> {
+    /// Releases a result that its target has just made and nobody needs.
+    fn drop_result(&mut self, worker: WorkerKey, handle: String, now: Duration) -> Vec<Action> {
+        let maker = self.workers.get(worker).target.address;
+        self.release(&[Released { handle, maker }], now)
+    }
+
+    fn finish(
+        &mut self,
+        worker: WorkerKey,
+        item: CallItem,
+        handle: String,
+        now: Duration,
+    ) -> Vec<Action> {
+        let CallItem { token, place, .. } = item;
         let waiting = self.queue.get_mut(token).expect("it was just found");
-        if let Some(spare) = waiting.finish(place, handle) {
-            return self.release(&[spare], now);
+        if let Some(spare) = waiting.finish(place, worker, handle) {
+            return self.drop_result(worker, spare, now);
         }
         if !waiting.is_done() {
             return Vec::new();
@@ -428,7 +455,15 @@
         let Some(waiting) = self.queue.remove(token) else {
             return Vec::new();
         };
-        let mut actions = self.release(&waiting.into_handles(), now);
+        let made = waiting.into_results();
+        let made: Vec<Released> = made
+            .into_iter()
+            .map(|(worker, handle)| Released {
+                handle,
+                maker: self.workers.get(worker).target.address,
+            })
+            .collect();
+        let mut actions = self.release(&made, now);
         actions.push(end(token, Err(error)));
         actions
     }
@@ -556,8 +591,13 @@
                 kind: waiting.order.kind,
                 bytes: waiting.order.result_bytes,
             });
-            items.push(waiting.item(place, now));
         }
+        // Only now is it known which orders the call holds as a whole.
+        for item in &held {
+            let waiting = self.queue.get(item.token).expect("it was just picked");
+            items.push(waiting.item(item.place, now));
+        }
+        let release = self.workers.make_room(key, bytes, &self.batch, now);
         let worker = self.workers.get_mut(key);
         worker.started(now + expected, bytes);
         let target = worker.target.clone();
@@ -574,6 +614,7 @@
             call,
             target,
             items,
+            release,
             limit: expected.mul_f64(CALL_PATIENCE) + CALL_GRACE,
         }
     }
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -6,6 +6,7 @@
 
 use super::Token;
 use super::times::Load;
+use super::workers::WorkerKey;
 
 /// How much later an order counts as due for each step of its rank. Less urgent work gives way to
 /// more urgent work that is due about the same time, but isn't starved by it.
@@ -20,7 +21,7 @@
     is_waiting: bool,
     /// Calls that hold it.
     running: u32,
-    result: Option<String>,
+    result: Option<(WorkerKey, String)>,
 }
 
 /// One order.
@@ -94,6 +95,12 @@
 
     /// The handles that there are, in the order of the pieces.
     pub(super) fn into_handles(self) -> Vec<String> {
+        let results = self.into_results().into_iter();
+        results.map(|(_, handle)| handle).collect()
+    }
+
+    /// The results that there are and the targets that made them, in the order of the pieces.
+    pub(super) fn into_results(self) -> Vec<(WorkerKey, String)> {
         self.pieces.into_iter().filter_map(|piece| piece.result).collect()
     }
 
@@ -102,18 +109,29 @@
         self.pieces[place].running += 1;
     }
 
+    /// Whether a piece is done or in a call.
+    pub(super) fn is_held(&self, place: usize) -> bool {
+        let piece = &self.pieces[place];
+        piece.running > 0 || piece.result.is_some()
+    }
+
     /// Notes that one call with a piece has ended.
     pub(super) fn returned(&mut self, place: usize) {
         self.pieces[place].running -= 1;
     }
 
     /// Notes a piece's result; gives it back if there is one already.
-    pub(super) fn finish(&mut self, place: usize, handle: String) -> Option<String> {
+    pub(super) fn finish(
+        &mut self,
+        place: usize,
+        worker: WorkerKey,
+        handle: String,
+    ) -> Option<String> {
         if self.pieces[place].result.is_some() {
             return Some(handle);
         }
         self.take_off(place);
-        self.pieces[place].result = Some(handle);
+        self.pieces[place].result = Some((worker, handle));
         None
     }
 
@@ -148,6 +166,7 @@
             piece: self.order.pieces[place],
             source: self.order.source.clone(),
             left: self.deadline.saturating_sub(now),
+            is_whole_order: self.left == 0 && self.tries == 0,
         }
     }
 
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -7,6 +7,8 @@
 use azurelug_types::deployment::Batch;
 use azurelug_types::id::{TargetName, ZoneName};
 
+use super::Released;
+
 /// A position in the arena of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct WorkerKey(usize);
@@ -41,8 +43,9 @@
 /// The slowest that a target is taken to be.
 const MAX_SLOWNESS: f64 = 12.0;
 
-/// Part of the room above which released results are reported to the target.
-const RELEASE_PART: f64 = 0.25;
+/// Part of the room up to which released results are kept, because a piece that failed needs its
+/// inputs once more. Results are often larger than stated.
+const KEPT_PART: f64 = 0.12;
 
 /// Part of the stated room that is used. Sizes of results are approximate.
 const ROOM_PART: f64 = 0.92;
@@ -65,8 +68,9 @@
     pub(super) expected_end: Duration,
     /// Bytes of results that it holds or is making.
     pub(super) held: u64,
-    /// Released results that it has not been told of.
+    /// Released results that it has not been told of, the oldest first, and their bytes.
     released: Vec<String>,
+    released_bytes: u64,
     /// Part of the stated room that is used, and since when.
     room_part: f64,
     room_part_since: Duration,
@@ -85,6 +89,7 @@
             expected_end: Duration::ZERO,
             held: 0,
             released: Vec::new(),
+            released_bytes: 0,
             room_part: ROOM_PART,
             room_part_since: Duration::ZERO,
             slowness: 1.0,
@@ -128,7 +133,8 @@
     /// Bytes of results that may be added; none without a bound.
     pub(super) fn free_room(&self, room: u64, now: Duration) -> Option<u64> {
         let usable = room as f64 * self.room_part(now);
-        (room > 0).then(|| (usable as u64).saturating_sub(self.held))
+        let needed = self.held.saturating_sub(self.released_bytes);
+        (room > 0).then(|| (usable as u64).saturating_sub(needed))
     }
 
     fn room_part(&self, now: Duration) -> f64 {
@@ -177,6 +183,7 @@
     worker: WorkerKey,
     bytes: u64,
     until: Duration,
+    is_released: bool,
 }
 
 /// All targets, also those that are no longer listed but have a call in progress.
@@ -186,6 +193,8 @@
     held: HashMap<String, Held>,
     /// Calls that were given up.
     lost: u64,
+    /// Results that targets were told of, and until when that is remembered.
+    told: HashMap<String, Duration>,
 }
 
 impl Workers {
@@ -309,48 +318,90 @@
             worker,
             bytes,
             until,
+            is_released: false,
         };
         self.held.insert(handle.to_owned(), held);
     }
 
-    /// Notes released results; returns those that targets are to be told of, by target.
+    /// Notes released results. Returns those that their targets are to be told of at once, because
+    /// another dispatcher ordered them and nothing here accounts for their room.
     pub(super) fn release(
         &mut self,
-        handles: &[String],
+        results: &[Released],
         batch: &Batch,
         now: Duration,
     ) -> Vec<(Listed, Vec<String>)> {
         self.expire(now);
-        for handle in handles {
-            if let Some(held) = self.held.get(handle) {
-                self.workers[held.worker.0].released.push(handle.clone());
-            }
-        }
-        let limit = batch.result_room as f64 * RELEASE_PART;
-        let mut told = Vec::new();
-        for worker in &mut self.workers {
-            if worker.released.is_empty() || (worker.held as f64) < limit {
+        let mut unknown: Vec<(Listed, Vec<String>)> = Vec::new();
+        for result in results {
+            if self.told.contains_key(&result.handle) {
                 continue;
             }
-            let released = std::mem::take(&mut worker.released);
-            for handle in &released {
-                if let Some(held) = self.held.remove(handle) {
-                    worker.held = worker.held.saturating_sub(held.bytes);
+            let mut workers = self.workers.iter_mut();
+            let maker = workers.find(|worker| worker.target.address == result.maker);
+            let Some(maker) = maker else { continue };
+            if let Some(held) = self.held.get_mut(&result.handle) {
+                if !std::mem::replace(&mut held.is_released, true) {
+                    maker.released.push(result.handle.clone());
+                    maker.released_bytes += held.bytes;
                 }
+                continue;
+            }
+            let until = now + batch.result_lifetime;
+            self.told.insert(result.handle.clone(), until);
+            match unknown.iter_mut().find(|(target, _)| *target == maker.target) {
+                Some((_, handles)) => handles.push(result.handle.clone()),
+                None => unknown.push((maker.target.clone(), vec![result.handle.clone()])),
             }
-            told.push((worker.target.clone(), released));
         }
-        told
+        unknown
+    }
+
+    /// Takes released results off a target to make room for `bytes` more; returns those that it is
+    /// to be told of.
+    pub(super) fn make_room(
+        &mut self,
+        key: WorkerKey,
+        bytes: u64,
+        batch: &Batch,
+        now: Duration,
+    ) -> Vec<String> {
+        let limit = (batch.result_room as f64 * KEPT_PART) as u64;
+        let worker = &mut self.workers[key.0];
+        let mut freed = 0;
+        let count = worker
+            .released
+            .iter()
+            .take_while(|handle| {
+                let is_needed = worker.held + bytes > limit + freed;
+                freed += self.held.get(*handle).map_or(0, |held| held.bytes);
+                is_needed
+            })
+            .count();
+        let handles: Vec<String> = worker.released.drain(..count).collect();
+        for handle in &handles {
+            if let Some(held) = self.held.remove(handle) {
+                worker.held = worker.held.saturating_sub(held.bytes);
+                worker.released_bytes = worker.released_bytes.saturating_sub(held.bytes);
+            }
+            let until = now + batch.result_lifetime;
+            self.told.insert(handle.clone(), until);
+        }
+        handles
     }
 
     /// Forgets results that have ended by themselves.
     pub(super) fn expire(&mut self, now: Duration) {
+        self.told.retain(|_, until| *until > now);
         let workers = &mut self.workers;
         self.held.retain(|_, held| {
             let is_held = held.until > now;
             if !is_held {
                 let worker = &mut workers[held.worker.0];
                 worker.held = worker.held.saturating_sub(held.bytes);
+                if held.is_released {
+                    worker.released_bytes = worker.released_bytes.saturating_sub(held.bytes);
+                }
             }
             is_held
         });
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::dispatch::{
-    Action, CallEnd, CallKey, Dispatcher, Listed, Token,
+    Action, CallEnd, CallKey, Dispatcher, Listed, Released, Token,
 };
 use azurelug_platform::{pieces, target};
 use azurelug_types::deployment::Target;
@@ -27,6 +27,9 @@
 /// and a lost packet.
 const FETCH_TIME: Duration = Duration::from_millis(90);
 
+/// How long a call waits for its target to give room back.
+const RELEASE_FIRST: Duration = Duration::from_millis(20);
+
 /// Time to tell a target that results are no longer needed.
 const RELEASE_LIMIT: Duration = Duration::from_secs(1);
 
@@ -144,9 +147,15 @@
 
     /// Notes that results are no longer needed.
     pub fn release(&self, gateway: &Arc<Gateway>, handles: &[String]) {
+        let results = handles.iter().filter_map(|handle| {
+            let maker = pieces::maker(handle)?;
+            let handle = handle.clone();
+            Some(Released { handle, maker })
+        });
+        let results: Vec<Released> = results.collect();
         let stations: Vec<Arc<Station>> = self.stations().values().cloned().collect();
         for station in stations {
-            let actions = station.dispatcher().release(handles, gateway.now());
+            let actions = station.dispatcher().release(&results, gateway.now());
             station.act(gateway, actions);
         }
     }
@@ -247,6 +256,7 @@
                     call,
                     target,
                     items,
+                    release,
                     limit,
                 } => {
                     let running = Running {
@@ -255,7 +265,7 @@
                         call,
                         target: self.target(target),
                     };
-                    tokio::spawn(running.run(items, limit));
+                    tokio::spawn(running.run(items, release, limit));
                 }
                 Action::End { token, result } => {
                     let delay = self.dispatcher().delay(gateway.now());
@@ -267,7 +277,8 @@
                 }
                 Action::Release { target, handles } => {
                     let target = self.target(target);
-                    tokio::spawn(release(Arc::clone(gateway), target, handles));
+                    let gateway = Arc::clone(gateway);
+                    tokio::spawn(async move { release(&gateway, &target, handles).await });
                 }
             }
         }
@@ -302,13 +313,18 @@
 }
 
 impl Running {
-    async fn run(self, items: Vec<Item>, limit: Duration) {
+    async fn run(self, items: Vec<Item>, release: Vec<String>, limit: Duration) {
         let count = items.len();
         self.gateway
             .metrics
             .called(self.station.service.as_str(), count);
         let started = self.gateway.now();
         let fetched = inputs(&items);
+        if !release.is_empty() {
+            let told = self::release(&self.gateway, &self.target, release);
+            // Without an answer the call may find no room for some pieces, which wait for another.
+            let _ = timeout(RELEASE_FIRST, told).await;
+        }
         let called = timeout(limit, async {
             let call = self.call(&items);
             tokio::pin!(call);
@@ -392,7 +408,7 @@
 /// The results that a call's target fetches.
 fn inputs(items: &[Item]) -> Vec<String> {
     let mut inputs: Vec<String> = Vec::new();
-    for item in items {
+    for item in items.iter().filter(|item| item.is_whole_order) {
         if let Source::Results(handles) = &item.source {
             inputs.extend(handles.iter().cloned());
         }
@@ -404,10 +420,10 @@
 
 /// Tells a target that results are no longer needed. A failure costs only their room, which they
 /// give back by themselves later.
-async fn release(gateway: Arc<Gateway>, target: Target, handles: Vec<String>) {
-    let request = pieces::release(&target, &handles);
+async fn release(gateway: &Gateway, target: &Target, handles: Vec<String>) {
+    let request = pieces::release(target, &handles);
     let released = async {
-        let mut taken = gateway.upstream.take(&target, false).await?;
+        let mut taken = gateway.upstream.take(target, false).await?;
         let response = taken.connection.send(request).await?;
         if !response.status().is_success() {
             let status = response.status().as_u16();
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -155,6 +155,8 @@
     pub source: Source,
     /// Time until the client gives up.
     pub left: Duration,
+    /// Whether the call holds all pieces of their order, so that nothing else needs their inputs.
+    pub is_whole_order: bool,
 }
 
 /// How one piece of a call ended.
