dispatch: admit by worth for the work when the targets' time runs out

Cause: at a burst a third of the requests can't be in time, and which ones were refused followed from their order of arrival, although what requests are worth differs ten times.

Change: a request's place among those of its route, by worth for its work, adds to the part of the targets' time that it may be promised. Refused clients are told to come back after up to a third of the time that they have left.

--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -11,3 +11,4 @@
 pub mod owner;
 pub mod plan;
 pub mod table;
+pub mod worth;
--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -19,7 +19,7 @@
 use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesError};
 use azurelug_types::id::{TargetName, ZoneName};
 
-use backlog::{Promise, Utilization};
+use backlog::{Claim, Promise, Utilization};
 use queue::{Queue, Room, Waiting};
 use times::{Load, Times};
 pub use workers::Listed;
@@ -239,7 +239,11 @@
             due: now + Duration::from_millis(booking.due_ms),
             work: self.work(load),
         };
-        if !self.fits(promise, booking.rank, now) {
+        let claim = Claim {
+            rank: booking.rank,
+            worth: booking.worth,
+        };
+        if !self.fits(promise, claim, now) {
             let deadline = now + Duration::from_millis(booking.deadline_ms);
             let has_time = self.has_time(load, deadline, now);
             return has_time.then_some(()).ok_or_else(|| self.refusal(now));
@@ -276,10 +280,14 @@
             due: waiting.due,
             work: self.work(waiting.load()),
         };
-        done <= waiting.due && self.fits(promise, waiting.order.rank, now)
+        let claim = Claim {
+            rank: waiting.order.rank,
+            worth: waiting.order.worth,
+        };
+        done <= waiting.due && self.fits(promise, claim, now)
     }
 
-    fn fits(&self, new: Promise, rank: u16, now: Duration) -> bool {
+    fn fits(&self, new: Promise, claim: Claim, now: Duration) -> bool {
         let Some((_, rate)) = self.workers.capacity(now) else {
             return false;
         };
@@ -291,7 +299,7 @@
         let waiting = waiting.filter(|promise| promise.due > now);
         let booked = self.bookings.iter().map(|booked| booked.promise);
         let promises = waiting.chain(booked).collect();
-        backlog::fits(promises, new, rank, self.workers.busy(now), rate, now)
+        backlog::fits(promises, new, claim, self.workers.busy(now), rate, now)
     }
 
     /// Whether late pieces can still be done by a deadline, behind everything that waits.
--- a/crates/azurelug-core/src/gateway/dispatch/backlog.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/backlog.rs
@@ -8,14 +8,33 @@
 /// Above this use, late work would hardly ever get its turn.
 const MAX_USE: f64 = 0.95;
 
-/// Part of the targets' time that may be promised to the most urgent work. The rest covers calls
-/// that are not full and take longer than usual.
-const PROMISED_PART: f64 = 0.95;
+/// Part of the targets' time that may be promised to work that is worth the least. The rest covers
+/// calls that are not full and take longer than usual.
+const PROMISED_PART: f64 = 0.8;
+
+/// How much more of it may be promised to work that is worth the most.
+const WORTH_PART: f64 = 0.3;
 
 /// How much less of it may be promised to each rank that is less urgent, and the ranks that count.
-const RANK_PART: f64 = 0.02;
+const RANK_PART: f64 = 0.01;
 const MAX_RANK: u16 = 8;
 
+/// How urgent and how much worth work is.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    pub(super) rank: u16,
+    /// From 0 to 1.
+    pub(super) worth: f64,
+}
+
+impl Claim {
+    /// Part of the targets' time up to which this work may be promised.
+    fn part(self) -> f64 {
+        let rank = f64::from(self.rank.min(MAX_RANK));
+        PROMISED_PART + WORTH_PART * self.worth.clamp(0.0, 1.0) - RANK_PART * rank
+    }
+}
+
 /// An exponential average of the targets' time that is asked for in each second.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Utilization {
@@ -56,12 +75,12 @@
 pub(super) fn fits(
     mut promises: Vec<Promise>,
     new: Promise,
-    rank: u16,
+    claim: Claim,
     busy: Duration,
     rate: f64,
     now: Duration,
 ) -> bool {
-    let part = PROMISED_PART - RANK_PART * f64::from(rank.min(MAX_RANK));
+    let part = claim.part();
     promises.push(new);
     promises.sort_by_key(|promise| promise.due);
     let mut sum = busy;
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -28,6 +28,8 @@
     pub account: Option<AccountName>,
     /// Rank among requests that wait; 0 is the most urgent.
     pub rank: u16,
+    /// Place among requests of its route by worth for the work, from 0 to 1.
+    pub worth: f64,
     /// The id of this attempt.
     pub id: String,
     /// Its head.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use azurelug_core::gateway::budget::{Allowance, Budget};
 use azurelug_core::gateway::fleet::{self, Fleet, Key, Outcome, Unplaced, Wanted, Weights};
 use azurelug_core::gateway::table::Table;
+use azurelug_core::gateway::worth::Worth;
 use azurelug_types::deployment::{Service, Target};
 use azurelug_types::id::{DaemonName, ServiceName, ZoneName};
 use azurelug_wire::handshake::Identity;
@@ -26,6 +27,9 @@
 /// The most targets that one gateway dispatches over all zones.
 const MAX_POOL: usize = 8;
 
+/// Routes whose requests are compared. Configurations bring and take away routes by the hundred.
+const MAX_WORTHS: usize = 512;
+
 /// The configuration and how old it can be at most.
 #[derive(Debug, Default)]
 struct View {
@@ -55,6 +59,8 @@
     view: Mutex<View>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
+    /// What requests are worth, by route.
+    worths: Mutex<HashMap<String, Worth>>,
     /// Woken when a place at a target has become free.
     freed: Notify,
 }
@@ -74,6 +80,7 @@
             view: Mutex::default(),
             fleet: Mutex::default(),
             budgets: Mutex::default(),
+            worths: Mutex::default(),
             freed: Notify::new(),
         }
     }
@@ -217,6 +224,16 @@
         })
     }
 
+    /// The place of a request by worth for its work among others of its route.
+    pub fn weigh(&self, route: &str, tokens: Option<(u64, u64)>, work: Duration) -> f64 {
+        let mut worths = self.worths.lock().expect("no holder of the lock panics");
+        if worths.len() > MAX_WORTHS {
+            worths.clear();
+        }
+        let worth = worths.entry(route.to_owned()).or_default();
+        worth.place(tokens, work)
+    }
+
     /// Returns when a place may have become free.
     pub async fn wait_freed(&self) {
         self.freed.notified().await;
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -126,10 +126,13 @@
     let key = table.choose(&route.split, rand::random());
     let service = table.service(key).clone();
     let time = fields.time_left.unwrap_or(route.timeout).min(route.timeout);
+    let work = stage_work(&table, &route, &fields.pieces);
+    let worth = gateway.weigh(&route.name, fields.tokens, work);
     Ok(Exchange {
         gateway: Arc::clone(gateway),
         weights: weights(gateway, &table, &route),
         rank: Exchange::rank(account_rank, route.priority),
+        worth,
         service,
         account,
         id,
@@ -155,6 +158,16 @@
     Weights(zones.map(|(zone, count)| (zone, count as f64)).collect())
 }
 
+/// Time of stage targets that a request takes, beside that of the calls which it shares.
+fn stage_work(table: &Table, route: &Route, pieces: &[u16]) -> Duration {
+    let stages = route.stages.iter().zip(pieces);
+    let times = stages.filter_map(|(stage, count)| {
+        let batch = table.service(stage.service).batch?;
+        Some(batch.piece_time * u32::from(*count))
+    });
+    times.sum()
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Denied> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -8,6 +8,7 @@
 use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
+use rand::RngExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::exchange::{Exchange, Failure};
@@ -25,6 +26,10 @@
 /// shorter than usual, and what is planned to the last moment comes late half of the time.
 const MARGIN: Duration = Duration::from_millis(80);
 
+/// Part of the time left after which a refused client comes back at the latest; clients wait no
+/// longer.
+const RETURN_PART: f64 = 1.0 / 3.0;
+
 /// Part of a request's time after which it is refused if its stages are not done.
 const MAX_HELD_PART: f64 = 0.7;
 
@@ -198,6 +203,7 @@
                 kind: owner::weight(&exchange.route.name, &position),
                 pieces: step.pieces,
                 rank: exchange.rank,
+                worth: exchange.worth,
                 due_ms: millis(due - now),
                 deadline_ms: millis(stage_time(exchange, step.rest)),
             })
@@ -213,7 +219,8 @@
         let mut asked: FuturesUnordered<_> = asked.collect();
         while let Some(booked) = asked.next().await {
             booked.map_err(|after| {
-                Failure::Refused(after.max(RETRY_AFTER), "a later stage is overloaded")
+                let after = come_back(self.exchange, after);
+                Failure::Refused(after, "a later stage is overloaded")
             })?;
         }
         Ok(())
@@ -288,6 +295,7 @@
         source,
         result_bytes: stage.result_bytes,
         rank: exchange.rank,
+        worth: exchange.worth,
         due_ms: signed_millis(due) - signed_millis(now),
         deadline_ms: millis(stage_time(exchange, rest)),
     };
@@ -316,7 +324,7 @@
         match send(exchange, &order).await {
             Some(Ok(handles)) => return Ok(handles),
             Some(Err(PiecesError::Late { retry_after_ms })) => {
-                let after = Duration::from_millis(retry_after_ms);
+                let after = come_back(exchange, Duration::from_millis(retry_after_ms));
                 return Err(Failure::Refused(after, "a stage is overloaded"));
             }
             Some(Err(PiecesError::ResultsGone)) => {
@@ -339,6 +347,14 @@
 /// When a client is told to come back if nothing better is known: about two calls.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// When a client is told to come back after an overload: late enough that the burst may have passed,
+/// at a moment of its own, and early enough to be served.
+fn come_back(exchange: &Exchange, backlog: Duration) -> Duration {
+    let spread = rand::rng().random_range(0.7..1.0);
+    let latest = exchange.left().mul_f64(RETURN_PART * spread);
+    latest.max(backlog)
+}
+
 /// The groups of targets that are dispatched together, the best first.
 fn scopes(
     exchange: &Exchange,
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -80,6 +80,8 @@
         pub result_bytes: u64,
         /// Rank; 0 is the most urgent.
         pub rank: u16,
+        /// Place among requests of its route by worth for the work, from 0 to 1.
+        pub worth: f64,
         /// Time until the results are needed for an answer within its objective, in milliseconds.
         /// Negative if that time has passed.
         pub due_ms: i64,
@@ -103,6 +105,8 @@
         pub pieces: u16,
         /// Rank; 0 is the most urgent.
         pub rank: u16,
+        /// Place among requests of its route by worth for the work, from 0 to 1.
+        pub worth: f64,
         /// Time until the results are needed, in milliseconds.
         pub due_ms: u64,
         /// Time until the client gives up, in milliseconds.
