--- a/crates/azurelug-cli/tests/commands.rs
+++ b/crates/azurelug-cli/tests/commands.rs
@@ -126,7 +126,7 @@
                 at_ms: AT_MS,
             }) {
                 Outcome::Patch(answer) => answer,
-                Outcome::Once(_) => unreachable!("a patch was applied"),
+                Outcome::Once(_) | Outcome::Deployment => unreachable!("a patch was applied"),
             }
         };
         let status = match decided {
--- a/crates/azurelug-control/src/deployment/reader.rs
+++ b/crates/azurelug-control/src/deployment/reader.rs
@@ -19,6 +19,14 @@
 /// after a second or so.
 const INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time between two reads of all control daemons together. Each call is billed, and more daemons do
+/// not need to read more often.
+const JOINT_INTERVAL: Duration = Duration::from_millis(230);
+
+/// The longest time between two reads of one daemon: operators expect a target that is leaving to
+/// get nothing after three seconds.
+const MAX_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// The longest pause after failed reads.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
@@ -82,7 +90,9 @@
         };
         let rate = settings.calls_per_second * RATE_PART;
         let share = Duration::from_secs_f64((pages * gateways.controls()) as f64 / rate);
-        let pause = INTERVAL.max(share) * (1 << failures.min(2));
+        let joint = JOINT_INTERVAL * u32::try_from(gateways.controls()).unwrap_or(u32::MAX);
+        let usual = joint.clamp(INTERVAL, MAX_INTERVAL);
+        let pause = usual.max(share) * (1 << failures.min(2));
         let jitter = rand::rng().random_range(0.9..1.1);
         sleep(pause.min(MAX_PAUSE.max(share)).mul_f64(jitter)).await;
     }
@@ -127,7 +137,9 @@
     if response.status() != StatusCode::OK {
         return Err(Error::Status(response.status()));
     }
-    let body = Limited::new(response.into_body(), PAGE_BYTES).collect().await;
+    let body = Limited::new(response.into_body(), PAGE_BYTES)
+        .collect()
+        .await;
     let body = body.map_err(|error| Error::Cut(error.to_string()))?;
     if connection.wait_ready().await {
         *kept = Some(connection);
--- a/crates/azurelug-control/src/disk.rs
+++ b/crates/azurelug-control/src/disk.rs
@@ -140,9 +140,7 @@
     fn save_vote(&mut self, record: &VoteRecord) -> Result<(), Error> {
         self.record = journal::HardState {
             term: record.term,
-            vote: record
-                .vote
-                .map(|member| (member.slot, member.incarnation)),
+            vote: record.vote.map(|member| (member.slot, member.incarnation)),
             slot: record.member.slot,
             incarnation: record.member.incarnation,
             storage: record.storage,
--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -88,7 +88,7 @@
     }
 
     /// Answers a gateway's poll.
-    pub fn poll(&self, poll: Poll) -> Frame {
+    pub fn poll(&self, poll: &Poll) -> Frame {
         // The age is read before the orders: an order that commits in between only makes the state
         // newer than stated.
         let Some(age) = self.replica.freshness_age() else {
@@ -167,7 +167,12 @@
             let Some(log) = self.replica.dump().await else {
                 return;
             };
-            let mut slots: Vec<u32> = log.membership.seats.iter().map(|it| it.member.slot).collect();
+            let mut slots: Vec<u32> = log
+                .membership
+                .seats
+                .iter()
+                .map(|it| it.member.slot)
+                .collect();
             slots.dedup();
             let local = {
                 let mut state = self.state();
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -74,7 +74,7 @@
                 Reply::None
             }
             Frame::Forward { command } => Reply::One(self.forward(&peer, command).await),
-            Frame::Poll(poll) => Reply::One(self.gateways.poll(poll)),
+            Frame::Poll(poll) => Reply::One(self.gateways.poll(&poll)),
             Frame::FetchDocument => Reply::Stream(self.gateways.document()),
             Frame::Gateways(peers) => {
                 self.gateways.heard(peers);
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -250,7 +250,9 @@
                 self.catch_up(&answer).await;
                 patch_answer(&answer)
             }
-            Ok(Outcome::Once(_) | Outcome::Deployment) => problem(500, "wrong outcome; report this".to_owned()),
+            Ok(Outcome::Once(_) | Outcome::Deployment) => {
+                problem(500, "wrong outcome; report this".to_owned())
+            }
             Err(error @ replica::Error::Malformed { .. }) => {
                 self.replica.metrics().patch_failed(metrics::TOO_LONG);
                 problem(413, error.to_string())
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use azurelug_coordination::raft;
-use azurelug_http::server::ShutdownHook;
 use azurelug_http::h1::server::Stage;
+use azurelug_http::server::ShutdownHook;
 use azurelug_http::{Client, Server, h1};
 use azurelug_settings::read;
 use azurelug_wire::Listener;
@@ -32,7 +32,7 @@
 use crate::platform;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
-use crate::settings::{Options, Settings};
+use crate::settings::{Discovery, Options, Settings};
 use crate::shares::Shares;
 use crate::updates::Updates;
 
@@ -145,8 +145,7 @@
     tokio::spawn(listener.serve(move |peer, frame| internal.clone().handle(peer, frame)));
     if let Some(deployment) = settings.deployment {
         let listener = TcpListener::bind(deployment.operators).await;
-        let listener =
-            listener.map_err(|error| unbound(path, "deployment.operators", error))?;
+        let listener = listener.map_err(|error| unbound(path, "deployment.operators", error))?;
         tokio::spawn(gateways.clone().run());
         tokio::spawn(read_targets(gateways, deployment.targets));
         let (stage, stages) = watch::channel(Stage::Serving);
@@ -225,7 +224,7 @@
     let generation = disk.generation();
     let raft = raft::Settings {
         peers: slots.into_iter().filter(|slot| *slot != own_slot).collect(),
-        target_voters: settings.discovery.as_ref().map(|it| it.voters()),
+        target_voters: settings.discovery.as_ref().map(Discovery::voters),
         ..raft::Settings::default()
     };
     let (task, replica) = Task::new(raft, disk, recovered, peers.clone())?;
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -213,7 +213,8 @@
             return problem("orders.weight_store", message, help);
         }
         if let Some(deployment) = &self.deployment
-            && !(deployment.targets.calls_per_second > 0.0)
+            && (deployment.targets.calls_per_second <= 0.0
+                || !deployment.targets.calls_per_second.is_finite())
         {
             let help = "write how many calls a second the platform accepts, above 0";
             let message = deployment.targets.calls_per_second.to_string();
--- a/crates/azurelug-control/tests/settings.rs
+++ b/crates/azurelug-control/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 
-use azurelug_control::settings::{Member, Orders, Settings};
+use azurelug_control::settings::{Deployment, Discovery, Member, Orders, Settings, TargetList};
 use azurelug_settings::read;
 use azurelug_testkit::settings_page;
 use serde_json::Value;
@@ -20,4 +20,10 @@
     settings_page::compare::<Settings>(&page, "azurelug-control", &example);
     settings_page::compare_elements::<Member>(&page, "azurelug-control", "members");
     settings_page::compare::<Orders>(&page, "orders", &example["orders"]);
+    let found = serde_json::json!({"seeds": ["10.0.1.20:7200"], "disk_losses": 1});
+    settings_page::compare::<Discovery>(&page, "discovery", &found);
+    let targets = serde_json::json!({"address": "10.0.0.5:80", "calls_per_second": 40.0});
+    settings_page::compare::<TargetList>(&page, "deployment.targets", &targets);
+    let deployment = serde_json::json!({"operators": "10.0.1.20:7200", "targets": targets});
+    settings_page::compare::<Deployment>(&page, "deployment", &deployment);
 }
--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -216,10 +216,7 @@
     net.isolate(leader);
     let cut = net.now;
     net.run(10);
-    let (from, storage) = (
-        net.nodes[asker as usize].member(),
-        100 + u64::from(asker),
-    );
+    let (from, storage) = (net.nodes[asker as usize].member(), 100 + u64::from(asker));
     let node = &mut net.nodes[leader as usize];
     let state = node.state();
     let end = state.lease_until.expect("a majority answered just now");
@@ -448,7 +445,8 @@
         },
     );
     assert_eq!(net.refusal(), Some(Refusal::Busy));
-    let (size, limit) = (256 * 1024 + 1, 256 * 1024);
+    let limit = Settings::default().max_command_bytes;
+    let size = limit + 1;
     net.step(
         leader,
         Event::Propose {
@@ -464,3 +462,72 @@
             .all(|f| f.in_flight <= Settings::default().max_in_flight)
     );
 }
+
+fn adjusting(recovered: Recovered, seed: u64, now: Duration) -> Node {
+    let settings = Settings {
+        peers: vec![0, 1, 2, 3],
+        target_voters: Some(3),
+        ..Settings::default()
+    };
+    let random = rand_pcg::Pcg64::seed_from_u64(seed);
+    let start = Start {
+        settings,
+        recovered,
+        random,
+    };
+    Node::new(start, now).expect("the folder is whole")
+}
+
+fn voters(state: &State) -> Vec<u32> {
+    state
+        .membership
+        .voters()
+        .map(|member| member.slot)
+        .collect()
+}
+
+/// Guards against a cluster that stays one loss away from standing still after a member was replaced
+/// by one at another address. Every member promotes and demotes by itself as leader.
+#[test]
+fn a_learner_takes_the_place_of_a_voter_that_is_gone() {
+    let mut net = Net::started();
+    for slot in 0..3 {
+        let initial = Recovered::initialize(7, slot, &[0, 1, 2], 100 + u64::from(slot));
+        net.nodes[slot as usize] = adjusting(initial, 40 + u64::from(slot), net.now);
+    }
+    net.run(5000);
+    let gone = net.other();
+    net.isolate(gone);
+    let joining = adjusting(Recovered::empty(7, 3), 77, net.now);
+    net.nodes.push(joining);
+    net.run(12_000);
+    let state = net.state(net.leader());
+    let mut expected: Vec<u32> = (0..4).filter(|slot| *slot != gone).collect();
+    expected.sort_unstable();
+    assert_eq!(voters(&state), expected);
+    // The voter that was gone is a learner and takes no part until it is needed.
+    net.closed.clear();
+    net.run(8000);
+    let state = net.state(net.leader());
+    assert_eq!(voters(&state), expected);
+    assert_eq!(net.state(gone).commit, state.commit);
+}
+
+/// Guards against a member that can't join because the leader is not among those that it knows.
+#[test]
+fn a_follower_passes_a_request_to_join_on_to_the_leader() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    let joining = adjusting(Recovered::empty(7, 3), 78, net.now);
+    net.nodes.push(joining);
+    // The newcomer reaches the followers only, but the leader reaches the newcomer.
+    net.closed.insert((3, leader));
+    net.run(3000);
+    net.closed.clear();
+    net.run(3000);
+    assert_ne!(
+        net.state(3).member.incarnation,
+        0,
+        "the newcomer has no identity"
+    );
+}
--- a/crates/azurelug-coordination/tests/support/faults.rs
+++ b/crates/azurelug-coordination/tests/support/faults.rs
@@ -12,7 +12,7 @@
 
 impl World {
     pub(crate) fn transmit(&mut self, from: usize, message: &Message) {
-        let to = usize::from(message.to.slot);
+        let to = message.to.slot as usize;
         let cut = self
             .cuts
             .get(&(from, to))
--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallKey(pub u64);
 
-/// Calls of an order's pieces that may fail before the order does. Targets fail independently, so
+/// Calls with a piece that may fail before its order does. Targets fail independently, so
 /// that a third failure in a row is rare.
 const MAX_TRIES: u32 = 3;
 
@@ -123,6 +123,7 @@
     request: String,
     stage: u8,
     promise: Promise,
+    load: Load,
 }
 
 /// A piece in a call.
@@ -253,6 +254,7 @@
             request: booking.request.clone(),
             stage: booking.stage,
             promise,
+            load,
         });
         Ok(())
     }
@@ -273,7 +275,7 @@
     fn can_promise(&self, waiting: &Waiting, now: Duration) -> bool {
         let ahead = self.queue.load_before(waiting);
         let wait = self.wait_for(ahead, now).unwrap_or_default();
-        let mut shared = ahead.part(self.batch.max_pieces);
+        let mut shared = ahead;
         shared.add(waiting.load());
         let done = now + wait + self.call_time(shared);
         let promise = Promise {
@@ -304,18 +306,18 @@
 
     /// Whether late pieces can still be done by a deadline, behind everything that waits.
     fn has_time(&self, load: Load, deadline: Duration, now: Duration) -> bool {
-        self.has_time_behind(self.queue.load(), load, deadline, now)
+        let mut ahead = self.queue.load();
+        for booked in &self.bookings {
+            ahead.add(booked.load);
+        }
+        // A load that does not fit into the call that is being filled waits for the next one.
+        ahead.add(load);
+        self.has_time_behind(ahead, load, deadline, now)
     }
 
     /// Whether late pieces can still be done by a deadline, behind `ahead` and all work that
     /// comes meanwhile and can be in time.
-    fn has_time_behind(
-        &self,
-        ahead: Load,
-        load: Load,
-        deadline: Duration,
-        now: Duration,
-    ) -> bool {
+    fn has_time_behind(&self, ahead: Load, load: Load, deadline: Duration, now: Duration) -> bool {
         let Some(wait) = self.wait_for(ahead, now) else {
             return false;
         };
@@ -416,8 +418,7 @@
                 return Vec::new();
             }
             ItemEnd::Failed => {
-                waiting.tries += 1;
-                if waiting.tries < MAX_TRIES || waiting.is_running() {
+                if waiting.failed(place) < MAX_TRIES || waiting.is_held(place) {
                     waiting.requeue(place);
                     return Vec::new();
                 }
@@ -546,7 +547,7 @@
         let room = Room {
             pieces: self.batch.max_pieces,
             bytes: worker.free_room(self.batch.result_room, now),
-            end: now + self.batch.call_time.mul_f64(slowness),
+            end: now + self.call_time(self.queue.load()).mul_f64(slowness),
         };
         let zone = worker.target.zone.clone();
         let waits = self.zone_waits(now);
@@ -563,7 +564,7 @@
         if !self.is_worth(key, usual, now) {
             return None;
         }
-        Some(self.call(key, picked, usual.mul_f64(slowness), now))
+        Some(self.call(key, &picked, usual.mul_f64(slowness), now))
     }
 
     /// Whether a call on a target ends sooner than if it waited for another one. Only slow targets
@@ -580,7 +581,7 @@
     fn call(
         &mut self,
         key: WorkerKey,
-        picked: Vec<(Token, usize)>,
+        picked: &[(Token, usize)],
         expected: Duration,
         now: Duration,
     ) -> Action {
@@ -589,7 +590,7 @@
         let mut items = Vec::with_capacity(picked.len());
         let mut held = Vec::with_capacity(picked.len());
         let mut bytes = 0;
-        for &(token, place) in &picked {
+        for &(token, place) in picked {
             let waiting = self.queue.get_mut(token).expect("it was just picked");
             waiting.started(place);
             bytes += waiting.order.result_bytes;
@@ -639,7 +640,9 @@
     }
 
     fn picked_load(&self, picked: &[(Token, usize)]) -> Load {
-        let orders = picked.iter().filter_map(|(token, _)| self.queue.get(*token));
+        let orders = picked
+            .iter()
+            .filter_map(|(token, _)| self.queue.get(*token));
         let loads = orders.map(|order| Load {
             pieces: 1,
             time: order.piece_time(),
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -21,6 +21,8 @@
     is_waiting: bool,
     /// Calls that hold it.
     running: u32,
+    /// Calls with it that failed.
+    failures: u32,
     result: Option<(WorkerKey, String)>,
 }
 
@@ -33,8 +35,6 @@
     pub(super) due: Duration,
     /// When the client gives up.
     pub(super) deadline: Duration,
-    /// Pieces that failed so far.
-    pub(super) tries: u32,
     /// Time that one piece adds to a call.
     piece_time: Duration,
     pieces: Vec<Piece>,
@@ -57,7 +57,6 @@
             token,
             due,
             deadline: now + Duration::from_millis(order.deadline_ms),
-            tries: 0,
             piece_time,
             left: order.pieces.len(),
             pieces: vec![piece; order.pieces.len()],
@@ -101,7 +100,10 @@
 
     /// The results that there are and the targets that made them, in the order of the pieces.
     pub(super) fn into_results(self) -> Vec<(WorkerKey, String)> {
-        self.pieces.into_iter().filter_map(|piece| piece.result).collect()
+        self.pieces
+            .into_iter()
+            .filter_map(|piece| piece.result)
+            .collect()
     }
 
     pub(super) fn started(&mut self, place: usize) {
@@ -120,6 +122,12 @@
         self.pieces[place].running -= 1;
     }
 
+    /// Notes that a call with a piece failed; returns how many did.
+    pub(super) fn failed(&mut self, place: usize) -> u32 {
+        self.pieces[place].failures += 1;
+        self.pieces[place].failures
+    }
+
     /// Notes a piece's result; gives it back if there is one already.
     pub(super) fn finish(
         &mut self,
@@ -166,7 +174,7 @@
             piece: self.order.pieces[place],
             source: self.order.source.clone(),
             left: self.deadline.saturating_sub(now),
-            is_whole_order: self.left == 0 && self.tries == 0,
+            is_whole_order: self.left == 0 && self.pieces.iter().all(|it| it.failures == 0),
         }
     }
 
@@ -204,7 +212,6 @@
 }
 
 impl Queue {
-
     /// Orders that have pieces that wait, in their turn.
     pub(super) fn waiting(&self) -> impl Iterator<Item = &Waiting> {
         self.orders.iter().filter(|it| it.left() > 0)
--- a/crates/azurelug-core/src/gateway/dispatch/times.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/times.rs
@@ -28,16 +28,6 @@
 }
 
 impl Load {
-    /// What is left of it beside calls that it fills.
-    pub(super) fn part(self, max_pieces: usize) -> Self {
-        let pieces = self.pieces % max_pieces.max(1);
-        let part = pieces as f64 / self.pieces.max(1) as f64;
-        Self {
-            pieces,
-            time: self.time.mul_f64(part),
-        }
-    }
-
     pub(super) fn add(&mut self, other: Self) {
         self.pieces += other.pieces;
         self.time += other.time;
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -247,7 +247,9 @@
             let speed = a.slowness(now).total_cmp(&b.slowness(now));
             speed.then(a.held.cmp(&b.held))
         });
-        free.into_iter().map(|(position, _)| WorkerKey(position)).collect()
+        free.into_iter()
+            .map(|(position, _)| WorkerKey(position))
+            .collect()
     }
 
     /// The other target on which a call would end first.
@@ -266,7 +268,9 @@
         for worker in self.workers.iter().filter(|it| it.is_usable(now)) {
             let free = worker.free_in(now);
             let rate = 1.0 / worker.slowness(now);
-            let known = zones.iter_mut().find(|(zone, ..)| *zone == worker.target.zone);
+            let known = zones
+                .iter_mut()
+                .find(|(zone, ..)| *zone == worker.target.zone);
             match known {
                 Some((_, first_free, sum)) => {
                     *first_free = free.min(*first_free);
@@ -349,7 +353,10 @@
             }
             let until = now + batch.result_lifetime;
             self.told.insert(result.handle.clone(), until);
-            match unknown.iter_mut().find(|(target, _)| *target == maker.target) {
+            match unknown
+                .iter_mut()
+                .find(|(target, _)| *target == maker.target)
+            {
                 Some((_, handles)) => handles.push(result.handle.clone()),
                 None => unknown.push((maker.target.clone(), vec![result.handle.clone()])),
             }
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -191,9 +191,7 @@
     }
 
     fn may_use(&self, record: &Record) -> bool {
-        record.is_listed
-            && !record.target.is_leaving
-            && !self.drained.contains(&record.target.zone)
+        record.is_listed && !record.target.is_leaving && !self.drained.contains(&record.target.zone)
     }
 
     /// Whether a target may still get new work.
@@ -204,16 +202,10 @@
 
     /// The preferred target of a prompt prefix, whatever its load.
     #[must_use]
-    pub fn home(
-        &self,
-        service: &ServiceName,
-        affinity: u64,
-        weights: &Weights,
-    ) -> Option<&Target> {
+    pub fn home(&self, service: &ServiceName, affinity: u64, weights: &Weights) -> Option<&Target> {
         let targets = self.usable(service);
-        let weigh = |target: &Target| {
-            owner::weighted(&affinity, &target.name, weights.of(&target.zone))
-        };
+        let weigh =
+            |target: &Target| owner::weighted(&affinity, &target.name, weights.of(&target.zone));
         targets.max_by(|a, b| weigh(a).total_cmp(&weigh(b)))
     }
 
@@ -342,7 +334,9 @@
 fn places(record: &Record, bounds: &Bounds) -> u32 {
     let slots = bounds.slots.unwrap_or(record.target.slots).max(1);
     let part = f64::from(slots) * SLOT_FACTOR / bounds.gateways.max(1) as f64;
-    (part.ceil() as u32).max(MIN_PLACES).min(slots.max(MIN_PLACES))
+    (part.ceil() as u32)
+        .max(MIN_PLACES)
+        .min(slots.max(MIN_PLACES))
 }
 
 /// How much a target is to be avoided.
--- a/crates/azurelug-core/src/gateway/fleet/pace.rs
+++ b/crates/azurelug-core/src/gateway/fleet/pace.rs
@@ -17,7 +17,6 @@
     sent: VecDeque<Duration>,
 }
 
-
 impl Pace {
     pub(super) fn sent(&mut self, now: Duration) {
         if self.sent.len() == KEPT {
--- a/crates/azurelug-core/src/gateway/orders.rs
+++ b/crates/azurelug-core/src/gateway/orders.rs
@@ -50,14 +50,23 @@
     pub fn apply(&mut self, order: Order) {
         let has_changed = match order {
             Order::Configure { version, document } => self.configure(version, document),
-            Order::Drain { zone, drained: true } => self.drained.insert(zone),
-            Order::Drain { zone, drained: false } => self.drained.remove(&zone),
+            Order::Drain {
+                zone,
+                drained: true,
+            } => self.drained.insert(zone),
+            Order::Drain {
+                zone,
+                drained: false,
+            } => self.drained.remove(&zone),
         };
         self.sequence += u64::from(has_changed);
     }
 
     fn configure(&mut self, version: u64, bytes: Arc<[u8]>) -> bool {
-        let is_newer = self.document.as_ref().is_none_or(|held| version > held.version);
+        let is_newer = self
+            .document
+            .as_ref()
+            .is_none_or(|held| version > held.version);
         if is_newer {
             self.document = Some(Document { version, bytes });
         }
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -36,7 +36,9 @@
 
 /// Why the pieces of a request don't fit its route.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the request names {found} stages, its route has {expected}; send one number for each stage")]
+#[error(
+    "the request names {found} stages, its route has {expected}; send one number for each stage"
+)]
 pub struct Mismatch {
     /// Stages of the route.
     pub expected: usize,
@@ -73,7 +75,11 @@
             });
         }
         // One pass for each stage settles the longest path, in whatever order the route lists them.
-        for position in (0..steps.len()).rev().cycle().take(steps.len() * steps.len()) {
+        for position in (0..steps.len())
+            .rev()
+            .cycle()
+            .take(steps.len() * steps.len())
+        {
             let rest = followers(route, position).into_iter().map(|follower| {
                 let own = if pieces[follower] == 0 {
                     Duration::ZERO
@@ -104,6 +110,9 @@
     let Some(batch) = service.batch else {
         return Duration::ZERO;
     };
-    let call = batch.call_time + batch.piece_time.mul_f64(batch.max_pieces as f64 * USUAL_FILL);
+    let call = batch.call_time
+        + batch
+            .piece_time
+            .mul_f64(batch.max_pieces as f64 * USUAL_FILL);
     wait(service).max(call.mul_f64(STAGE_WAIT)) + call
 }
--- a/crates/azurelug-core/src/gateway/table.rs
+++ b/crates/azurelug-core/src/gateway/table.rs
@@ -54,7 +54,9 @@
             None => self.hosts.get(&host.to_ascii_lowercase())?,
         };
         let routes = positions.iter().map(|&it| &self.deployment.routes[it]);
-        routes.into_iter().find(|route| path.starts_with(&route.prefix))
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(&route.prefix))
     }
 
     /// The account that holds a key.
--- a/crates/azurelug-core/src/gateway/worth.rs
+++ b/crates/azurelug-core/src/gateway/worth.rs
@@ -26,8 +26,9 @@
 /// What is remembered of one route's requests.
 #[derive(Debug, Default)]
 pub struct Worth {
-    mean_size: f64,
-    recent: VecDeque<f64>,
+    /// Sizes in tokens and the work of recent requests.
+    recent: VecDeque<(f64, Duration)>,
+    sum: f64,
 }
 
 impl Worth {
@@ -38,21 +39,23 @@
             return 0.5;
         };
         let size = prompt as f64 + ANSWER_TOKEN * answer as f64;
-        if self.mean_size <= 0.0 {
-            self.mean_size = size;
+        if self.recent.len() == REMEMBERED
+            && let Some((oldest, _)) = self.recent.pop_front()
+        {
+            self.sum -= oldest;
         }
-        self.mean_size += (size - self.mean_size) / REMEMBERED as f64;
-        let worth = FIXED_PART + (1.0 - FIXED_PART) * size / self.mean_size.max(1.0);
-        let density = worth / (BASE_WORK + work).as_secs_f64();
-        let lower = self.recent.iter().filter(|it| **it < density).count();
-        let place = lower as f64 / self.recent.len().max(1) as f64;
-        if self.recent.len() == REMEMBERED {
-            self.recent.pop_front();
-        }
-        self.recent.push_back(density);
+        self.recent.push_back((size, work));
+        self.sum += size;
+        let mean = (self.sum / self.recent.len() as f64).max(1.0);
+        let density = |(size, work): (f64, Duration)| {
+            let worth = FIXED_PART + (1.0 - FIXED_PART) * size / mean;
+            worth / (BASE_WORK + work).as_secs_f64()
+        };
+        let own = density((size, work));
+        let lower = self.recent.iter().filter(|it| density(**it) < own).count();
         if self.recent.len() < MIN_REMEMBERED {
             return 0.5;
         }
-        place
+        lower as f64 / (self.recent.len() - 1) as f64
     }
 }
--- /dev/null
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -0,0 +1,419 @@
+//! Attacks the dispatcher of staged services with bursts, slow and failing targets and full rooms.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use azurelug_core::gateway::dispatch::{
+    Action, CallEnd, CallKey, Dispatcher, Listed, Released, Token,
+};
+use azurelug_types::deployment::Batch;
+use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesError, Source};
+use azurelug_types::id::{ServiceName, TargetName, ZoneName};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A service of 5 targets: 56 pieces a call, 200 ms a call and 3.1 ms a piece.
+fn batch() -> Batch {
+    Batch {
+        slots: 1,
+        queue: 2,
+        max_pieces: 56,
+        call_time: Duration::from_millis(200),
+        piece_time: Duration::from_micros(3100),
+        result_room: 0,
+        result_lifetime: Duration::from_secs(4),
+    }
+}
+
+fn targets(count: usize) -> Vec<Listed> {
+    let zones = ["a", "a", "b", "b", "c"];
+    let target = |number: usize| Listed {
+        name: TargetName(format!("t{number}")),
+        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        zone: ZoneName::from(zones[number % zones.len()]),
+    };
+    (0..count).map(target).collect()
+}
+
+fn order(request: u64, pieces: u16, due_ms: i64) -> Pieces {
+    Pieces {
+        service: ServiceName::from("rank"),
+        scope: None,
+        home: ZoneName::from("a"),
+        request: format!("r{request}"),
+        stage: 1,
+        kind: 7,
+        pieces: (0..pieces).collect(),
+        source: Source::Results(vec!["10.9.9.9:80/x".to_owned()]),
+        result_bytes: 0,
+        rank: 0,
+        worth: 0.5,
+        due_ms,
+        deadline_ms: 3500,
+    }
+}
+
+/// Targets that take the stated time for each call, driven on a clock of the test's own.
+struct World {
+    dispatchers: Vec<Dispatcher>,
+    batch: Batch,
+    now: Duration,
+    /// Calls that end, by their time: the dispatcher, the call and its items.
+    running: BTreeMap<(Duration, u64), (usize, CallKey, usize)>,
+    /// When each target has done the calls that it was given.
+    free_at: HashMap<TargetName, Duration>,
+    calls: u64,
+    pieces: u64,
+    ended: HashMap<Token, (Duration, bool)>,
+}
+
+impl World {
+    fn new(dispatchers: usize) -> Self {
+        let listed = targets(5);
+        let dispatchers = (0..dispatchers).map(|_| {
+            let mut dispatcher = Dispatcher::new(batch());
+            dispatcher.list(&listed, Duration::ZERO);
+            dispatcher
+        });
+        Self {
+            dispatchers: dispatchers.collect(),
+            batch: batch(),
+            now: Duration::ZERO,
+            running: BTreeMap::new(),
+            free_at: HashMap::new(),
+            calls: 0,
+            pieces: 0,
+            ended: HashMap::new(),
+        }
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call,
+                    target,
+                    items,
+                    ..
+                } => {
+                    let free = self.free_at.entry(target.name).or_default();
+                    let start = (*free).max(self.now);
+                    let pieces = u32::try_from(items.len()).unwrap();
+                    let end = start + self.batch.call_time + self.batch.piece_time * pieces;
+                    *free = end;
+                    self.calls += 1;
+                    self.pieces += u64::from(pieces);
+                    self.running
+                        .insert((end, self.calls), (at, call, items.len()));
+                }
+                Action::End { token, result } => {
+                    self.ended.insert(token, (self.now, result.is_ok()));
+                }
+                Action::Release { .. } => {}
+            }
+        }
+    }
+
+    /// Lets time pass until `until`.
+    fn run(&mut self, until: Duration) {
+        while let Some((&key, &(at, call, items))) = self.running.first_key_value() {
+            if key.0 > until {
+                break;
+            }
+            self.running.remove(&key);
+            self.now = key.0;
+            let ends = (0..items).map(|item| ItemEnd::Done(format!("h{}-{item}", key.1)));
+            let end = CallEnd::Items(ends.collect());
+            let actions = self.dispatchers[at].called(call, end, self.now);
+            self.act(at, actions);
+        }
+        self.now = until;
+        for at in 0..self.dispatchers.len() {
+            let actions = self.dispatchers[at].advance(self.now);
+            self.act(at, actions);
+        }
+    }
+
+    /// Offers orders of six pieces at `rate` a second for ten seconds, to the dispatchers in turn;
+    /// returns the part that was done within `due`.
+    fn load(&mut self, rate: f64, due: Duration) -> f64 {
+        let count = (rate * 10.0) as u64;
+        let mut dues = HashMap::new();
+        for number in 0..count {
+            self.run(Duration::from_secs_f64(number as f64 / rate));
+            let at = number as usize % self.dispatchers.len();
+            let token = Token(number);
+            dues.insert(token, self.now + due);
+            let due_ms = i64::try_from(due.as_millis()).unwrap();
+            let actions = self.dispatchers[at].submit(token, order(number, 6, due_ms), self.now);
+            self.act(at, actions);
+        }
+        self.run(self.now + Duration::from_secs(6));
+        let in_time = |(token, due): (&Token, &Duration)| {
+            let end = self.ended.get(token);
+            end.is_some_and(|(at, is_done)| *is_done && at <= due)
+        };
+        dues.iter().filter(|it| in_time(*it)).count() as f64 / count as f64
+    }
+}
+
+/// Guards against calls that are filled by each gateway on its own: seven gateways that share five
+/// targets use them up with call overhead. The load is 0.7 of what full calls can do.
+#[test]
+fn one_dispatcher_keeps_a_load_in_time_that_seven_do_not() {
+    let due = Duration::from_millis(900);
+    let together = World::new(1).load(87.0, due);
+    let apart = World::new(7).load(87.0, due);
+    assert!(together >= 0.95, "{together} in time with one dispatcher");
+    assert!(
+        apart < together / 2.0,
+        "{apart} in time with seven, {together} with one"
+    );
+}
+
+/// Guards against a burst that makes everything late: at 1.25 times of what full calls can do, most
+/// of that is still done in time, and the rest is refused.
+#[test]
+fn a_burst_beyond_the_capacity_leaves_most_of_the_capacity_in_time() {
+    let capacity = 5.0 * 56.0 / 0.3736 / 6.0;
+    let mut world = World::new(1);
+    let in_time = world.load(capacity * 1.25, Duration::from_millis(900));
+    let possible = 1.0 / 1.25;
+    assert!(
+        in_time >= possible * 0.75,
+        "{in_time} in time, {possible} is possible"
+    );
+    assert_eq!(
+        world.ended.len(),
+        (capacity * 12.5) as usize,
+        "an order has no end"
+    );
+}
+
+/// Guards against an order that waits although it is known that it can't be done.
+#[test]
+fn what_cannot_be_done_is_refused_at_once() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let mut refused = 0;
+    for number in 0..400 {
+        let actions = dispatcher.submit(Token(number), order(number, 6, 500), MS);
+        refused += actions
+            .iter()
+            .filter(|action| {
+                matches!(action, Action::End { result: Err(PiecesError::Late { retry_after_ms }), .. } if *retry_after_ms > 0)
+            })
+            .count();
+    }
+    // One target does 9 such orders in 0.37 s.
+    assert!(refused > 300, "{refused} of 400 were refused at once");
+}
+
+/// Guards against an order without a target that waits for one.
+#[test]
+fn without_targets_an_order_ends_at_once() {
+    let mut dispatcher = Dispatcher::new(batch());
+    let actions = dispatcher.submit(Token(1), order(1, 6, 500), MS);
+    let expected = Action::End {
+        token: Token(1),
+        result: Err(PiecesError::NoTarget),
+    };
+    assert_eq!(actions, [expected]);
+}
+
+/// Guards against admission by arrival: when time runs out, the order that is worth more is taken.
+#[test]
+fn an_order_that_is_worth_more_is_admitted_when_time_runs_out() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(5), Duration::ZERO);
+    let book = |dispatcher: &mut Dispatcher, number: u64, worth: f64| {
+        let booking = Booking {
+            service: ServiceName::from("rank"),
+            scope: None,
+            request: format!("b{number}"),
+            stage: 1,
+            kind: 7,
+            pieces: 6,
+            rank: 0,
+            worth,
+            due_ms: 1000,
+            deadline_ms: 1100,
+        };
+        dispatcher.book(&booking, MS).is_ok()
+    };
+    let admitted = (0..1000)
+        .take_while(|&it| book(&mut dispatcher, it, 0.0))
+        .count();
+    assert!(
+        admitted > 20,
+        "only {admitted} orders of little worth are admitted"
+    );
+    assert!(
+        book(&mut dispatcher, 2000, 1.0),
+        "an order of much worth is refused"
+    );
+}
+
+/// Guards against time that stays booked for requests that have ended.
+#[test]
+fn time_that_is_given_back_can_be_booked_again() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let booking = |request: &str| Booking {
+        service: ServiceName::from("rank"),
+        scope: None,
+        request: request.to_owned(),
+        stage: 1,
+        kind: 7,
+        pieces: 50,
+        rank: 0,
+        worth: 0.5,
+        due_ms: 600,
+        deadline_ms: 500,
+    };
+    assert!(dispatcher.book(&booking("first"), MS).is_ok());
+    assert!(dispatcher.book(&booking("second"), MS).is_err());
+    dispatcher.unbook("first");
+    assert!(dispatcher.book(&booking("second"), MS).is_ok());
+}
+
+fn only_call(actions: &[Action]) -> (CallKey, Listed, Vec<Item>) {
+    let mut calls = actions.iter().filter_map(|action| match action {
+        Action::Call {
+            call,
+            target,
+            items,
+            ..
+        } => Some((*call, target.clone(), items.clone())),
+        _ => None,
+    });
+    let call = calls.next().expect("a call was started");
+    assert!(calls.next().is_none(), "two calls were started");
+    call
+}
+
+/// Guards against pieces that wait for a slow target while others are free.
+#[test]
+fn pieces_of_an_overdue_call_run_at_another_target_and_count_once() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(2), Duration::ZERO);
+    let (first, slow, _) = only_call(&dispatcher.submit(Token(1), order(1, 2, 3000), MS));
+    let overdue = dispatcher.next_deadline(MS).unwrap();
+    assert!(
+        overdue < Duration::from_millis(450),
+        "overdue only at {overdue:?}"
+    );
+    let (second, other, items) = only_call(&dispatcher.advance(overdue));
+    assert_ne!(other, slow);
+    assert_eq!(items.len(), 2);
+    let done = |name: &str| {
+        let ends = ["0", "1"].map(|piece| ItemEnd::Done(format!("{name}{piece}")));
+        CallEnd::Items(ends.to_vec())
+    };
+    let ended = dispatcher.called(second, done("new"), overdue + 200 * MS);
+    let handles = vec!["new0".to_owned(), "new1".to_owned()];
+    assert!(ended.contains(&Action::End {
+        token: Token(1),
+        result: Ok(handles)
+    }));
+    let late = dispatcher.called(first, done("old"), overdue + 900 * MS);
+    assert!(
+        !late
+            .iter()
+            .any(|action| matches!(action, Action::End { .. }))
+    );
+}
+
+/// Guards against an order that ends because a second call finds its inputs gone while the first
+/// one, which fetched them, is still at work.
+#[test]
+fn inputs_that_are_gone_for_a_second_call_do_not_end_the_order() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(2), Duration::ZERO);
+    let (first, ..) = only_call(&dispatcher.submit(Token(1), order(1, 1, 3000), MS));
+    let overdue = dispatcher.next_deadline(MS).unwrap();
+    let (second, ..) = only_call(&dispatcher.advance(overdue));
+    let gone = CallEnd::Items(vec![ItemEnd::InputGone]);
+    assert!(dispatcher.called(second, gone, overdue + MS).is_empty());
+    let done = CallEnd::Items(vec![ItemEnd::Done("h".to_owned())]);
+    let ended = dispatcher.called(first, done, overdue + 100 * MS);
+    assert!(ended.contains(&Action::End {
+        token: Token(1),
+        result: Ok(vec!["h".to_owned()])
+    }));
+}
+
+/// Guards against a failed target that gets the next call as well.
+#[test]
+fn pieces_of_a_failed_call_run_at_another_target() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(2), Duration::ZERO);
+    let (first, failed, _) = only_call(&dispatcher.submit(Token(1), order(1, 3, 3000), MS));
+    let (_, other, items) = only_call(&dispatcher.called(first, CallEnd::Failed, 2 * MS));
+    assert_ne!(other, failed);
+    assert_eq!(items.len(), 3);
+}
+
+/// Guards against calls for more results than a target has room for.
+#[test]
+fn a_call_holds_no_more_results_than_there_is_room_for() {
+    let room = Batch {
+        result_room: 1_000_000,
+        ..batch()
+    };
+    let mut dispatcher = Dispatcher::new(room);
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let large = Pieces {
+        result_bytes: 100_000,
+        ..order(1, 40, 3000)
+    };
+    let (call, target, items) = only_call(&dispatcher.submit(Token(1), large, MS));
+    assert!(
+        items.len() <= 10,
+        "{} results of 0.1 MB in 1 MB",
+        items.len()
+    );
+    // The next call fits only if the first one's results are given up, and the target is told so.
+    let ends = (0..items.len())
+        .map(|it| ItemEnd::Done(format!("h{it}")))
+        .collect();
+    let waiting = dispatcher.called(call, CallEnd::Items(ends), 300 * MS);
+    assert!(waiting.is_empty(), "a call without room: {waiting:?}");
+    let results: Vec<Released> = (0..items.len())
+        .map(|it| Released {
+            handle: format!("h{it}"),
+            maker: target.address,
+        })
+        .collect();
+    dispatcher.release(&results, 301 * MS);
+    let released = dispatcher
+        .advance(302 * MS)
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Call { release, .. } => Some(release),
+            _ => None,
+        });
+    assert!(!released.expect("a call was started").is_empty());
+}
+
+/// Guards against results of another dispatcher that keep their room although nobody needs them.
+#[test]
+fn results_of_another_dispatcher_are_released_at_once() {
+    let mut dispatcher = Dispatcher::new(batch());
+    let listed = targets(1);
+    dispatcher.list(&listed, Duration::ZERO);
+    let results = [Released {
+        handle: "elsewhere".to_owned(),
+        maker: listed[0].address,
+    }];
+    let expected = Action::Release {
+        target: listed[0].clone(),
+        handles: vec!["elsewhere".to_owned()],
+    };
+    assert_eq!(dispatcher.release(&results, MS), [expected]);
+    assert!(
+        dispatcher.release(&results, 2 * MS).is_empty(),
+        "released twice"
+    );
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -0,0 +1,252 @@
+//! Attacks the choice of targets with cold starts, failures, drained zones and popular prompts.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeSet, HashSet};
+use std::time::Duration;
+
+use azurelug_core::gateway::fleet::{Bounds, Fleet, Key, Outcome, Unplaced, Wanted, Weights};
+use azurelug_types::deployment::Target;
+use azurelug_types::id::{ServiceName, TargetName, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn target(number: usize) -> Target {
+    let zones = ["a", "b", "c"];
+    Target {
+        name: TargetName(format!("t{number}")),
+        service: ServiceName::from("llm"),
+        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        zone: ZoneName::from(zones[number % zones.len()]),
+        slots: 16,
+        is_leaving: false,
+        cold_ms: 0,
+    }
+}
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    let targets: Vec<Target> = (0..count).map(target).collect();
+    fleet.list(&targets, Duration::ZERO);
+    fleet
+}
+
+struct Request {
+    service: ServiceName,
+    zone: ZoneName,
+    weights: Weights,
+    affinity: Option<u64>,
+    bounds: Bounds,
+}
+
+impl Request {
+    fn new(affinity: Option<u64>) -> Self {
+        Self {
+            service: ServiceName::from("llm"),
+            zone: ZoneName::from("a"),
+            weights: Weights::default(),
+            affinity,
+            bounds: Bounds {
+                gateways: 7,
+                cold_rate: 0.0,
+                cold_limit: 0.0,
+                slots: None,
+            },
+        }
+    }
+
+    fn place(&self, fleet: &mut Fleet, tried: &[Key], now: Duration) -> Result<Key, Unplaced> {
+        let wanted = Wanted {
+            service: &self.service,
+            affinity: self.affinity,
+            zone: &self.zone,
+            weights: &self.weights,
+            tried,
+            bounds: self.bounds,
+        };
+        fleet.place(&wanted, 0.5, now)
+    }
+}
+
+/// Guards against a cold target that falls over: however requests bunch at seven gateways, none of
+/// them knowing of the others, no second brings it more than the limit.
+#[test]
+fn no_second_brings_a_cold_target_more_than_the_limit() {
+    for seed in 0..20 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut gateways: Vec<Fleet> = (0..7).map(|_| fleet(1)).collect();
+        let mut request = Request::new(Some(3));
+        request.bounds.cold_rate = 24.0;
+        request.bounds.cold_limit = 41.0;
+        let mut sent: Vec<Duration> = Vec::new();
+        let mut now = Duration::ZERO;
+        while now < Duration::from_secs(4) {
+            now += Duration::from_micros(random.random_range(50..3000));
+            let fleet = &mut gateways[random.random_range(0..7)];
+            if let Ok(key) = request.place(fleet, &[], now) {
+                fleet.finished(key, Outcome::Answered(20 * MS), now);
+                sent.push(now);
+            }
+        }
+        for (first, at) in sent.iter().enumerate() {
+            let second = sent[first..].iter().take_while(|it| **it < *at + 1000 * MS);
+            let count = second.count();
+            assert!(
+                count <= 41,
+                "seed {seed}: {count} requests in a second from {at:?}"
+            );
+        }
+    }
+}
+
+/// Guards against new work for targets that are leaving, gone or in a drained zone, or that were
+/// tried before.
+#[test]
+fn only_targets_that_may_be_used_are_chosen() {
+    let mut fleet = Fleet::default();
+    let mut targets: Vec<Target> = (0..6).map(target).collect();
+    fleet.list(&targets, Duration::ZERO);
+    targets[0].is_leaving = true;
+    targets.remove(5);
+    fleet.list(&targets, MS);
+    fleet.drain(BTreeSet::from([ZoneName::from("b")]));
+    let request = Request::new(None);
+    let first = request.place(&mut fleet, &[], MS).unwrap();
+    let second = request.place(&mut fleet, &[first], MS).unwrap();
+    let chosen: HashSet<&str> = [first, second]
+        .iter()
+        .map(|key| fleet.target(*key).name.as_str())
+        .collect();
+    // Of six, t0 leaves, t1 and t4 are in zone b, and t5 is gone.
+    assert_eq!(chosen, HashSet::from(["t2", "t3"]));
+    let third = request.place(&mut fleet, &[first, second], MS);
+    assert_eq!(third, Err(Unplaced::None));
+}
+
+/// Guards against prompts that are read by many targets: gateways that know nothing of each other
+/// send one prefix to the same target, and a full one spills over the same way.
+#[test]
+fn gateways_agree_on_the_targets_of_a_prompt_prefix() {
+    let mut one = fleet(18);
+    let mut other = fleet(18);
+    for affinity in 0..50 {
+        let request = Request::new(Some(affinity));
+        let mut taken = Vec::new();
+        for _ in 0..6 {
+            let left = request.place(&mut one, &[], MS).unwrap();
+            let right = request.place(&mut other, &[], MS).unwrap();
+            assert_eq!(one.target(left).name, other.target(right).name);
+            taken.push((left, right));
+        }
+        for (left, right) in taken {
+            one.finished(left, Outcome::Answered(20 * MS), MS);
+            other.finished(right, Outcome::Answered(20 * MS), MS);
+        }
+    }
+}
+
+/// Guards against prefixes whose home is where there are no stage targets.
+#[test]
+fn zones_get_prefixes_in_proportion_to_their_weights() {
+    let fleet = fleet(18);
+    let weights = Weights(vec![
+        (ZoneName::from("a"), 2.0),
+        (ZoneName::from("b"), 2.0),
+        (ZoneName::from("c"), 1.0),
+    ]);
+    let service = ServiceName::from("llm");
+    let in_c = (0..3000_u64)
+        .filter(|affinity| {
+            let home = fleet.home(&service, *affinity, &weights).unwrap();
+            home.zone.as_str() == "c"
+        })
+        .count();
+    assert!(
+        (450..750).contains(&in_c),
+        "{in_c} of 3000 in a zone with a fifth of the weight"
+    );
+}
+
+/// Guards against a target that fails every request and still gets its share, and against one that
+/// has recovered and is left unused.
+#[test]
+fn a_target_that_fails_is_left_alone_and_tried_again() {
+    let mut fleet = fleet(1);
+    let request = Request::new(None);
+    for _ in 0..2 {
+        let key = request.place(&mut fleet, &[], MS).unwrap();
+        fleet.finished(key, Outcome::Unreachable, MS);
+    }
+    let held = request.place(&mut fleet, &[], 2 * MS);
+    let Err(Unplaced::Held(wait)) = held else {
+        panic!("a failed target is used: {held:?}");
+    };
+    assert!(wait <= Duration::from_secs(1));
+    // One request tells whether it has recovered; a second one waits for its result.
+    let later = 2 * MS + wait;
+    let trial = request.place(&mut fleet, &[], later).unwrap();
+    assert!(matches!(
+        request.place(&mut fleet, &[], later),
+        Err(Unplaced::Held(_))
+    ));
+    fleet.finished(trial, Outcome::Answered(5 * MS), later + MS);
+    assert!(request.place(&mut fleet, &[], later + MS).is_ok());
+}
+
+/// Guards against a pool that stays out of use for long after all of its targets failed.
+#[test]
+fn exclusions_grow_but_stay_bounded() {
+    let mut fleet = fleet(1);
+    let request = Request::new(None);
+    let mut now = MS;
+    let mut longest = Duration::ZERO;
+    for _ in 0..30 {
+        match request.place(&mut fleet, &[], now) {
+            Ok(key) => fleet.finished(key, Outcome::Unreachable, now),
+            Err(Unplaced::Held(wait)) => {
+                longest = longest.max(wait);
+                now += wait;
+            }
+            Err(other) => panic!("{other:?}"),
+        }
+    }
+    assert!(
+        longest > Duration::from_secs(2),
+        "the longest exclusion is {longest:?}"
+    );
+    assert!(
+        longest <= Duration::from_secs(8),
+        "the longest exclusion is {longest:?}"
+    );
+}
+
+/// Guards against one gateway that fills a target which others need as well.
+#[test]
+fn a_gateway_takes_no_more_than_its_part_of_a_targets_slots() {
+    let mut fleet = fleet(1);
+    let request = Request::new(None);
+    let taken = (0..100)
+        .take_while(|_| request.place(&mut fleet, &[], MS).is_ok())
+        .count();
+    // 16 slots for 7 gateways, half as much again because they do not all send at once.
+    assert_eq!(taken, 4);
+    assert_eq!(request.place(&mut fleet, &[], MS), Err(Unplaced::Full));
+}
+
+/// Guards against an address that was given to another target: what was known of the old one must
+/// not count for the new one.
+#[test]
+fn a_target_that_starts_anew_is_a_new_target() {
+    let mut fleet = fleet(1);
+    let request = Request::new(None);
+    for _ in 0..2 {
+        let key = request.place(&mut fleet, &[], MS).unwrap();
+        fleet.finished(key, Outcome::Unreachable, MS);
+    }
+    let mut other = target(0);
+    other.name = TargetName("another".to_owned());
+    fleet.list(&[other], 2 * MS);
+    let key = request.place(&mut fleet, &[], 2 * MS).unwrap();
+    assert_eq!(fleet.target(key).name.as_str(), "another");
+}
--- /dev/null
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -0,0 +1,288 @@
+//! Attacks the smaller decisions of the gateway: routes, accounts, orders, repeats, events, stages.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_core::gateway::budget::{Allowance, Budget};
+use azurelug_core::gateway::events::{Error, Splitter};
+use azurelug_core::gateway::orders::{Order, Orders};
+use azurelug_core::gateway::plan::Plan;
+use azurelug_core::gateway::table::Table;
+use azurelug_core::gateway::worth::Worth;
+use azurelug_types::deployment::{
+    Account, Batch, Deployment, Kind, Route, Service, ServiceKey, Share, Stage,
+};
+use azurelug_types::id::{AccountName, ServiceName, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(800),
+        gap_objective: Duration::from_millis(250),
+        priority: 0,
+        split: vec![Share {
+            service: ServiceKey(0),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        stages: Vec::new(),
+        is_anonymous: false,
+    }
+}
+
+fn service(name: &str, is_staged: bool) -> Service {
+    Service {
+        name: ServiceName::from(name),
+        max_connections: 100,
+        cold_time: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: None,
+        batch: is_staged.then_some(Batch {
+            slots: 1,
+            queue: 2,
+            max_pieces: 20,
+            call_time: 200 * MS,
+            piece_time: 8 * MS,
+            result_room: 0,
+            result_lifetime: 4000 * MS,
+        }),
+    }
+}
+
+/// Guards against a request that goes to a route of another host, or to a shorter prefix.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let deployment = Deployment {
+        routes: vec![
+            route("short", "one.example", "/a/"),
+            route("long", "one.example", "/a/b/"),
+            route("other", "two.example", "/a/b/c/"),
+        ],
+        services: vec![service("s", false)],
+        ..Deployment::default()
+    };
+    let table = Table::new(Arc::new(deployment));
+    let name = |host, path| table.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("one.example", "/a/b/c/d"), Some("long"));
+    assert_eq!(name("one.example:8080", "/a/x"), Some("short"));
+    assert_eq!(name("ONE.example", "/a/x"), Some("short"));
+    assert_eq!(name("one.example", "/a"), None);
+    assert_eq!(name("three.example", "/a/b/"), None);
+}
+
+/// Guards against a removed key that still finds its account.
+#[test]
+fn a_key_belongs_to_the_account_that_holds_it_now() {
+    let account = |keys: &[&str]| Account {
+        name: AccountName::from("carts"),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: 0,
+    };
+    let table = |keys| {
+        Table::new(Arc::new(Deployment {
+            accounts: vec![account(keys)],
+            ..Deployment::default()
+        }))
+    };
+    assert!(table(&["old", "new"]).account("old").is_some());
+    assert!(table(&["new"]).account("old").is_none());
+    assert!(table(&["new"]).asks_for_keys());
+}
+
+/// Guards against a split whose service without weight gets requests.
+#[test]
+fn a_share_without_weight_gets_nothing() {
+    let table = Table::default();
+    let share = |service, weight| Share {
+        service: ServiceKey(service),
+        weight,
+    };
+    let split = [share(0, 0), share(1, 90), share(2, 10), share(3, 0)];
+    let mut counts = [0; 4];
+    for draw in 0..1000 {
+        let chosen = table.choose(&split, f64::from(draw) / 1000.0);
+        counts[usize::from(chosen.0)] += 1;
+    }
+    assert_eq!(counts, [0, 900, 100, 0]);
+}
+
+/// Guards against a configuration that goes back: old and repeated orders change nothing, in
+/// whatever order they arrive.
+#[test]
+fn the_highest_version_stays_in_force() {
+    let configure = |version: u64, text: &str| Order::Configure {
+        version,
+        document: Arc::from(text.as_bytes()),
+    };
+    let mut orders = Orders::default();
+    for order in [
+        configure(3, "three"),
+        configure(7, "seven"),
+        configure(5, "five"),
+        configure(7, "other content"),
+        configure(3, "three"),
+    ] {
+        orders.apply(order);
+    }
+    let document = orders.document().unwrap();
+    assert_eq!(
+        (document.version, &*document.bytes),
+        (7, b"seven".as_slice())
+    );
+    assert_eq!(orders.sequence(), 2);
+}
+
+/// Guards against an order that is repeated after its answer was lost and counts twice.
+#[test]
+fn a_zone_is_drained_until_it_is_taken_back() {
+    let drain = |drained| Order::Drain {
+        zone: ZoneName::from("a"),
+        drained,
+    };
+    let mut orders = Orders::default();
+    orders.apply(drain(true));
+    orders.apply(drain(true));
+    assert!(orders.drained().contains(&ZoneName::from("a")));
+    orders.apply(drain(false));
+    assert!(orders.drained().is_empty());
+    assert_eq!(orders.sequence(), 2);
+}
+
+/// Guards against gateways that keep to the budget each on its own and break it together. Failures
+/// come in waves, each gateway repeats whenever it may.
+#[test]
+fn repeats_of_all_gateways_stay_within_the_budget_of_any_window() {
+    let allowance = Allowance {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        extra: 54.0,
+    };
+    for seed in 0..10 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut gateways = vec![Budget::default(); 7];
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = Duration::ZERO;
+        while now < Duration::from_secs(60) {
+            now += Duration::from_micros(random.random_range(1000..30_000));
+            let budget = &mut gateways[random.random_range(0..7)];
+            budget.earn(&allowance, 7, now);
+            requests.push(now);
+            let is_wave = now.as_secs() % 20 > 8;
+            if is_wave {
+                while budget.take(&allowance, 7, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        let within = |times: &[Duration], from: Duration| {
+            let end = from + allowance.window;
+            times.iter().filter(|at| **at >= from && **at < end).count() as f64
+        };
+        for from in &repeats {
+            let allowed = allowance.ratio * within(&requests, *from) + allowance.extra;
+            let used = within(&repeats, *from);
+            assert!(
+                used <= allowed,
+                "seed {seed}: {used} repeats from {from:?}, {allowed} allowed"
+            );
+        }
+    }
+}
+
+/// Guards against events that are passed on in part, twice or with a gap when another target goes on
+/// with a stream.
+#[test]
+fn a_stream_that_another_target_goes_on_with_has_each_event_once() {
+    let mut splitter = Splitter::after(None);
+    let mut passed = String::new();
+    let mut take = |splitter: &mut Splitter| {
+        while let Some(event) = splitter.next_event().unwrap() {
+            passed.push_str(std::str::from_utf8(&event.bytes).unwrap());
+        }
+    };
+    for part in ["id: 1\nda", "ta: a\n\nid: 2\ndata: b\n\nid: 3\nda"] {
+        splitter.push(part.as_bytes());
+        take(&mut splitter);
+    }
+    assert!(splitter.has_partial());
+    assert_eq!(splitter.last(), Some(2));
+    splitter.restart();
+    for part in ["id: 2\ndata: b\n\n", "id: 3\r\ndata: c\r\n\r\n"] {
+        splitter.push(part.as_bytes());
+        take(&mut splitter);
+    }
+    assert!(!splitter.has_partial());
+    assert_eq!(
+        passed,
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n"
+    );
+}
+
+/// Guards against a gap that reaches the client.
+#[test]
+fn a_missing_event_is_an_error() {
+    let mut splitter = Splitter::after(Some(4));
+    splitter.push(b"id: 5\n\nid: 7\n\n");
+    assert_eq!(splitter.next_event().unwrap().unwrap().id, Some(5));
+    let missing = Error::Order { last: 5, found: 7 };
+    assert_eq!(splitter.next_event(), Err(missing));
+}
+
+/// Guards against memory that grows with bytes that are no events.
+#[test]
+fn bytes_without_an_end_of_an_event_are_an_error() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'x'; 300 * 1024]);
+    assert_eq!(splitter.next_event(), Err(Error::TooLong));
+}
+
+/// Guards against stages that wait for one that the request leaves out, and results of the wrong
+/// stages for the engine.
+#[test]
+fn a_stage_that_is_left_out_is_not_waited_for() {
+    let stage = |after: &[u8]| Stage {
+        service: ServiceKey(0),
+        after: after.to_vec(),
+        result_bytes: 1000,
+    };
+    let mut route = route("r", "h", "/");
+    route.stages = vec![stage(&[]), stage(&[]), stage(&[0, 1]), stage(&[2])];
+    let deployment = Deployment {
+        services: vec![service("encode", true)],
+        ..Deployment::default()
+    };
+    let plan = Plan::new(&deployment, &route, &[0, 2, 6, 10], |_| Duration::ZERO).unwrap();
+    assert_eq!(plan.steps[2].after, [1]);
+    let last: Vec<bool> = plan.steps.iter().map(|step| step.is_last).collect();
+    assert_eq!(last, [false, false, false, true]);
+    assert!(plan.steps[0].rest > plan.steps[2].rest);
+    assert!(Plan::new(&deployment, &route, &[1, 2], |_| Duration::ZERO).is_err());
+}
+
+/// Guards against a preference for large requests whatever their work.
+#[test]
+fn worth_is_compared_by_the_work_that_it_takes() {
+    let mut worth = Worth::default();
+    for size in 1..=100_u64 {
+        worth.place(Some((size * 100, 10)), 40 * MS);
+    }
+    let large = worth.place(Some((12_000, 10)), 40 * MS);
+    let small = worth.place(Some((100, 10)), 40 * MS);
+    let costly = worth.place(Some((12_000, 10)), 4000 * MS);
+    assert!(large > 0.9 && small < 0.1, "large {large}, small {small}");
+    assert!(
+        costly < 0.1,
+        "a large request with a hundred times the work is at {costly}"
+    );
+    let unknown = worth.place(None, 40 * MS);
+    assert!((unknown - 0.5).abs() < f64::EPSILON);
+}
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -215,7 +215,10 @@
         return Err(out_of_time(trail));
     }
     if trail.is_sent && !exchange.gateway.may_repeat(&exchange.service.name) {
-        log::info!("gateway: request {}: no repeat left in the budget", exchange.id);
+        log::info!(
+            "gateway: request {}: no repeat left in the budget",
+            exchange.id
+        );
         return Err(last.clone());
     }
     let placed = place(exchange, sending.zone, trail).await;
@@ -264,7 +267,10 @@
         let left = limit.saturating_sub(gateway.now());
         let pause = match unplaced {
             Unplaced::None => {
-                return Err(Failure::Refused(RETRY_AFTER * 2, "the service has no target"));
+                return Err(Failure::Refused(
+                    RETRY_AFTER * 2,
+                    "the service has no target",
+                ));
             }
             Unplaced::Held(pause) if pause > left => {
                 return Err(Failure::Refused(pause, "targets are held back"));
@@ -350,11 +356,17 @@
     loop {
         let request = request(exchange, place, sending);
         let error = match taken.connection.send(request).await {
-            Ok(response) => return read(exchange, place, sending, taken.connection, response).await,
+            Ok(response) => {
+                return read(exchange, place, sending, taken.connection, response).await;
+            }
             Err(error) => error,
         };
         if !(error.is_unsent() && taken.is_kept) {
-            log::info!("gateway: request {} at {}: {error}", exchange.id, place.target.name);
+            log::info!(
+                "gateway: request {} at {}: {error}",
+                exchange.id,
+                place.target.name
+            );
             return if error.is_unsent() {
                 Reply::Unreachable
             } else {
@@ -401,7 +413,14 @@
     match head.verdict {
         Verdict::Unusable => return Reply::Unusable("the answer is not this request's"),
         Verdict::Answered if target::is_event_stream(&parts.headers) => {
-            return begin(connection, &head, parts.headers, body, &mut sending.splitter).await;
+            return begin(
+                connection,
+                &head,
+                parts.headers,
+                body,
+                &mut sending.splitter,
+            )
+            .await;
         }
         _ => {}
     }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -135,7 +135,9 @@
             return;
         }
         log::info!("gateway: configuration {version} in force, before {held:?}");
-        self.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.metrics
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
         view.table = Some(Arc::new(table));
     }
 
@@ -166,10 +168,7 @@
     /// Whether new connections are wanted.
     pub fn is_ready(&self) -> bool {
         let has_targets = || self.fleet().loads().next().is_some();
-        !self.view().is_stopping
-            && self.table().is_some()
-            && self.may_check_keys()
-            && has_targets()
+        !self.view().is_stopping && self.table().is_some() && self.may_check_keys() && has_targets()
     }
 
     /// Takes the gateway out of rotation.
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -136,7 +136,8 @@
     /// All metrics as text.
     pub fn text(&self) -> String {
         let dropped = azurelug_settings::queue::dropped_lines();
-        self.log_dropped.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        self.log_dropped
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!("gateway: metrics can't be encoded: {error}");
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -95,7 +95,9 @@
     pub fn list(&self, list: List<Peer>) {
         let mut state = self.state();
         let addresses: Vec<SocketAddr> = list.entries.iter().map(|peer| peer.address).collect();
-        state.connections.retain(|address, _| addresses.contains(address));
+        state
+            .connections
+            .retain(|address, _| addresses.contains(address));
         state.digest = list.digest;
         state.peers = list.entries.into();
         log::info!("gateway: {} gateways serve", state.peers.len());
@@ -127,7 +129,9 @@
     pub fn delay(&self, service: &ServiceName, scope: &Scope) -> Duration {
         let state = self.state();
         let delay = state.delays.get(&(service.clone(), scope.clone()));
-        delay.map_or(Duration::ZERO, |(delay, at)| delay.saturating_sub(at.elapsed()))
+        delay.map_or(Duration::ZERO, |(delay, at)| {
+            delay.saturating_sub(at.elapsed())
+        })
     }
 
     /// Notes the wait that a dispatcher stated.
@@ -236,7 +240,10 @@
     /// The time until a new request is likely to be served, if there is no time. A dispatcher that
     /// does not answer refuses nothing.
     pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<(), Duration> {
-        let first = self.dispatchers(&booking.service, &booking.scope).into_iter().next();
+        let first = self
+            .dispatchers(&booking.service, &booking.scope)
+            .into_iter()
+            .next();
         let Some(peer) = first else { return Ok(()) };
         let answer = if peer.name == self.own.name {
             gateway.stations.book(gateway, &booking)
@@ -264,7 +271,10 @@
     pub async fn unbook(&self, gateway: &Arc<Gateway>, bookings: &[Booking]) {
         let mut told: Vec<SocketAddr> = Vec::new();
         for booking in bookings {
-            let first = self.dispatchers(&booking.service, &booking.scope).into_iter().next();
+            let first = self
+                .dispatchers(&booking.service, &booking.scope)
+                .into_iter()
+                .next();
             let Some(peer) = first.filter(|peer| !told.contains(&peer.address)) else {
                 continue;
             };
@@ -275,7 +285,9 @@
             }
             let request = booking.request.clone();
             // Without an answer the bookings end at their due times.
-            let _ = self.call(peer.address, Frame::Unbook { request }, CONFIRM_LIMIT).await;
+            let _ = self
+                .call(peer.address, Frame::Unbook { request }, CONFIRM_LIMIT)
+                .await;
         }
     }
 
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -87,7 +87,10 @@
         Err((refusal, reason)) => {
             let id = id.as_deref();
             let status = refusal.status().as_u16();
-            log::info!("gateway: request {} refused: {reason}; status={status}", id.unwrap_or("-"));
+            log::info!(
+                "gateway: request {} refused: {reason}; status={status}",
+                id.unwrap_or("-")
+            );
             refusal.response(id, reason).map(Body::whole)
         }
     }
@@ -207,7 +210,9 @@
         let served = tokio::spawn(answer(exchange)).await;
         return served.unwrap_or_else(|error| {
             log::error!("gateway: a request's task ended: {error}");
-            Refusal::BadAnswer.response(None, "internal error").map(Body::whole)
+            Refusal::BadAnswer
+                .response(None, "internal error")
+                .map(Body::whole)
         });
     }
     answer(exchange).await
@@ -221,7 +226,9 @@
     guard.is_over = answered.is_ok();
     answered.unwrap_or_else(|_| {
         log::warn!("gateway: request {id} failed: it outlived its deadline");
-        Refusal::TimedOut.response(Some(&id), "no answer in time").map(Body::whole)
+        Refusal::TimedOut
+            .response(Some(&id), "no answer in time")
+            .map(Body::whole)
     })
 }
 
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -82,9 +82,8 @@
     }
 
     fn check(&self, path: &Path) -> Result<(), Error> {
-        let problem = |field: &str, message: &str, help: &str| {
-            Err(Error::value(path, field, message, help))
-        };
+        let problem =
+            |field: &str, message: &str, help: &str| Err(Error::value(path, field, message, help));
         if self.cluster.is_empty() {
             return problem("cluster", "empty", "choose an id for the cluster");
         }
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -8,8 +8,8 @@
 use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
-use rand::RngExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use rand::RngExt;
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::Gateway;
@@ -146,7 +146,10 @@
     let mut is_booked = false;
     loop {
         for (position, step) in plan.steps.iter().enumerate() {
-            let is_ready = step.after.iter().all(|&it| handles[usize::from(it)].is_some());
+            let is_ready = step
+                .after
+                .iter()
+                .all(|&it| handles[usize::from(it)].is_some());
             if started[position] || !is_ready {
                 continue;
             }
@@ -175,8 +178,15 @@
         handles[position] = Some(made);
         held.release(consumed(plan, &mut handles));
     }
-    let last = plan.steps.iter().zip(&handles).filter(|(step, _)| step.is_last);
-    Ok(last.filter_map(|(_, made)| made.clone()).flatten().collect())
+    let last = plan
+        .steps
+        .iter()
+        .zip(&handles)
+        .filter(|(step, _)| step.is_last);
+    Ok(last
+        .filter_map(|(_, made)| made.clone())
+        .flatten()
+        .collect())
 }
 
 /// The time that dispatchers keep for a request's later stages. It is given back if this is dropped
@@ -194,7 +204,9 @@
         let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
         let bookings = later.filter_map(|(position, step)| {
             let due = exchange.due().saturating_sub(step.rest + MARGIN);
-            let service = exchange.table.service(exchange.route.stages[position].service);
+            let service = exchange
+                .table
+                .service(exchange.route.stages[position].service);
             (due > now).then(|| Booking {
                 service: service.name.clone(),
                 scope: exchange.gateway.scope(&service.name, home),
@@ -308,7 +320,9 @@
 /// served is told so while it can still come back.
 fn stage_time(exchange: &Exchange, rest: Duration) -> Duration {
     let limit = exchange.deadline.saturating_sub(exchange.arrived);
-    let give_up = limit.mul_f64(MAX_HELD_PART).saturating_sub(exchange.elapsed());
+    let give_up = limit
+        .mul_f64(MAX_HELD_PART)
+        .saturating_sub(exchange.elapsed());
     exchange.left().saturating_sub(rest).min(give_up)
 }
 
@@ -356,12 +370,7 @@
 }
 
 /// The groups of targets that are dispatched together, the best first.
-fn scopes(
-    exchange: &Exchange,
-    service: &ServiceName,
-    home: &ZoneName,
-    bytes: u64,
-) -> Vec<Scope> {
+fn scopes(exchange: &Exchange, service: &ServiceName, home: &ZoneName, bytes: u64) -> Vec<Scope> {
     let gateway = &exchange.gateway;
     let zones = gateway.fleet().zones(service);
     if gateway.scope(service, home).is_none() {
@@ -371,7 +380,11 @@
     let mut scopes: Vec<(Duration, Scope)> = zones
         .into_iter()
         .map(|(zone, _)| {
-            let cost = if zone == *home { Duration::ZERO } else { crossing };
+            let cost = if zone == *home {
+                Duration::ZERO
+            } else {
+                crossing
+            };
             let scope = Some(zone);
             (gateway.peers.delay(service, &scope) + cost, scope)
         })
@@ -387,7 +400,9 @@
     for peer in dispatchers.iter().take(MAX_DISPATCHERS) {
         if let Some(end) = send_to(exchange, peer, order).await {
             let delay = Duration::from_millis(end.delay_ms);
-            gateway.peers.note_delay(&order.service, &order.scope, delay);
+            gateway
+                .peers
+                .note_delay(&order.service, &order.scope, delay);
             return Some(end.result);
         }
     }
@@ -403,7 +418,9 @@
         return Some(gateway.stations.run(gateway, order.clone()).await);
     }
     // Logged by the call.
-    let ordered = gateway.peers.order(peer.address, order.clone(), exchange.left());
+    let ordered = gateway
+        .peers
+        .order(peer.address, order.clone(), exchange.left());
     ordered.await.ok()
 }
 
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -189,7 +189,9 @@
 
 impl Station {
     fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
-        self.dispatcher.lock().expect("no holder of the lock panics")
+        self.dispatcher
+            .lock()
+            .expect("no holder of the lock panics")
     }
 
     fn waiting(&self) -> MutexGuard<'_, HashMap<Token, oneshot::Sender<PiecesEnd>>> {
@@ -197,7 +199,10 @@
     }
 
     fn register(&self, sender: oneshot::Sender<PiecesEnd>) -> Token {
-        let mut next = self.next_token.lock().expect("no holder of the lock panics");
+        let mut next = self
+            .next_token
+            .lock()
+            .expect("no holder of the lock panics");
         *next += 1;
         let token = Token(*next);
         self.waiting().insert(token, sender);
@@ -216,9 +221,8 @@
         let listed: Vec<Listed> = {
             let fleet = gateway.fleet();
             let targets = fleet.usable(&self.service);
-            let is_own = |target: &&Target| {
-                self.scope.as_ref().is_none_or(|zone| target.zone == *zone)
-            };
+            let is_own =
+                |target: &&Target| self.scope.as_ref().is_none_or(|zone| target.zone == *zone);
             targets.filter(is_own).map(listed).collect()
         };
         let actions = self.dispatcher().list(&listed, gateway.now());
@@ -357,7 +361,9 @@
             let refused = ends.iter().filter(|end| **end == ItemEnd::NoRoom).count();
             if refused > 0 {
                 let held = self.station.held(name);
-                log::warn!("gateway: {name} had no room for {refused} of {count} pieces; held={held}");
+                log::warn!(
+                    "gateway: {name} had no room for {refused} of {count} pieces; held={held}"
+                );
             }
         }
         let actions = {
@@ -429,7 +435,9 @@
             let status = response.status().as_u16();
             log::warn!("gateway: release at {}: status {status}", target.name);
         }
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT)
+            .collect()
+            .await;
         if body.is_ok() && taken.connection.wait_ready().await {
             gateway.upstream.keep(&target.name, taken.connection, None);
         }
--- a/crates/azurelug-gateway/src/upstream.rs
+++ b/crates/azurelug-gateway/src/upstream.rs
@@ -90,7 +90,11 @@
         let waiting = idle.get_mut(&target.name)?;
         // The newest is the least likely to have been closed by the target.
         while let Some(last) = waiting.pop() {
-            let limit = if once { last.limit.min(FRESH) } else { last.limit };
+            let limit = if once {
+                last.limit.min(FRESH)
+            } else {
+                last.limit
+            };
             let is_usable = last.connection.is_ready() && last.since.elapsed() < limit;
             if is_usable {
                 return Some(last.connection);
--- a/crates/azurelug-http/src/h1/client.rs
+++ b/crates/azurelug-http/src/h1/client.rs
@@ -112,7 +112,10 @@
     ///
     /// # Errors
     /// `NotSent` or `Lost`.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut failure| match failure.take_message() {
             Some(_) => Error::NotSent,
--- a/crates/azurelug-settings/src/queue.rs
+++ b/crates/azurelug-settings/src/queue.rs
@@ -72,7 +72,10 @@
         }
         let dropped = dropped_lines();
         if dropped > reported {
-            let text = format!("log: {} lines dropped, the queue was full\n", dropped - reported);
+            let text = format!(
+                "log: {} lines dropped, the queue was full\n",
+                dropped - reported
+            );
             lines.extend_from_slice(text.as_bytes());
             reported = dropped;
         }
@@ -81,4 +84,3 @@
         std::thread::sleep(PAUSE);
     }
 }
-
--- /dev/null
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -0,0 +1,225 @@
+//! Attacks the whole path of a deployment: a gateway and a control daemon as real processes, before
+//! targets that refuse, break off and lose answers.
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/deployment.rs"]
+mod deployment;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use deployment::{Behaviour, Deployment, EVENTS, configuration};
+use http::Method;
+use serde_json::Value;
+use tokio::time::sleep;
+
+const STAGED: [(&str, &str); 3] = [
+    ("x-pieces", "2,3"),
+    ("x-piece-key", "k"),
+    ("x-prompt-prefix", "5c1e:800,91bd:410"),
+];
+
+/// Guards against a request that is changed on its way, and one that passes without a key or route.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_proper_request_reaches_a_target_and_unchanged() {
+    let deployment = Deployment::start().await;
+    let fields = [("x-tenant", "forged"), ("x-model", "m")];
+    let answer = deployment.request("id-1", "/look/x?q=1", &fields).await;
+    assert_eq!(answer.status, 200, "{}", deployment.log());
+    assert_eq!(answer.headers["x-response-signature"], "signed");
+    assert!(answer.body.starts_with(b"answer of desk"));
+    let seen = deployment.seen("id-1");
+    assert_eq!(seen.len(), 1);
+    assert_eq!(
+        (seen[0].path.as_str(), &seen[0].body[..]),
+        ("/look/x", &b"a body"[..])
+    );
+    assert_eq!(seen[0].headers["x-tenant"], "carts");
+    assert!(!seen[0].headers.contains_key("authorization"));
+    let unknown = deployment
+        .request("id-2", "/look/x", &[("authorization", "Bearer none")])
+        .await;
+    let nowhere = deployment.request("id-3", "/nowhere/x", &[]).await;
+    assert_eq!((unknown.status, nowhere.status), (401, 404));
+    assert!(deployment.seen("id-2").is_empty() && deployment.seen("id-3").is_empty());
+}
+
+/// Guards against pieces that run twice or get the inputs of another stage, and against an engine
+/// that starts without the results.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_staged_stream_runs_each_piece_once_and_arrives_whole() {
+    let deployment = Deployment::start().await;
+    let answer = deployment.request("id-1", "/chat/x", &STAGED).await;
+    assert_eq!(
+        answer.events(),
+        (1..=EVENTS).collect::<Vec<u64>>(),
+        "{}",
+        deployment.log()
+    );
+    let calls = deployment.seen_at("/stage-run");
+    let items = calls.iter().flat_map(|call| {
+        let body: Value = serde_json::from_slice(&call.body).unwrap();
+        body["items"].as_array().unwrap().clone()
+    });
+    let items: Vec<Value> = items.collect();
+    assert_eq!(items.len(), 5, "{items:?}");
+    let of_stage = |stage| items.iter().filter(move |item| item["stage"] == stage);
+    assert!(of_stage(0).all(|item| item["key"] == "k" && item["inputs"].is_null()));
+    assert!(of_stage(1).all(|item| item["inputs"].as_array().unwrap().len() == 2));
+    let engine = deployment.seen("id-1");
+    assert_eq!(engine[0].headers["x-inputs"].split(',').count(), 3);
+}
+
+/// Guards against events that are lost, doubled or cut when an engine breaks off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_goes_on_at_another_target() {
+    let deployment = Deployment::start().await;
+    let first = deployment.request("id-1", "/talk/x", &[]).await;
+    assert_eq!(first.status, 200);
+    let used = deployment.seen("id-1")[0].target.clone();
+    deployment.set(&used, Behaviour::BreaksOff);
+    let mut resumed = 0;
+    for number in 0..10 {
+        let id = format!("again-{number}");
+        let answer = deployment.request(&id, "/talk/x", &[]).await;
+        assert_eq!(
+            answer.events(),
+            (1..=EVENTS).collect::<Vec<u64>>(),
+            "{}",
+            deployment.log()
+        );
+        let seen = deployment.seen(&id);
+        if seen.len() == 2 {
+            assert_ne!(seen[0].target, seen[1].target);
+            assert_eq!(seen[1].headers["last-event-id"], "3");
+            resumed += 1;
+        }
+    }
+    assert!(resumed > 0, "no stream met the target that breaks off");
+}
+
+/// Guards against a booking that runs twice, and against a refusal that says it has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_not_repeat_runs_once_though_its_answer_is_lost() {
+    let deployment = Deployment::start().await;
+    deployment.set("desk-a", Behaviour::LosesAnswers);
+    deployment.set("desk-b", Behaviour::LosesAnswers);
+    for number in 0..5 {
+        let id = format!("id-{number}");
+        let answer = deployment.request(&id, "/book/x", &[]).await;
+        // Once both targets are known to fail, a request is refused, and then it has not run.
+        match deployment.seen(&id).len() {
+            0 => assert_eq!(answer.status, 503, "{}", deployment.log()),
+            runs => assert_eq!((answer.status, runs), (502, 1), "{}", deployment.log()),
+        }
+    }
+    assert!(!deployment.seen("id-0").is_empty());
+    // One that may be repeated is sent to the other target.
+    deployment.set("desk-b", Behaviour::Sound);
+    sleep(Duration::from_secs(1)).await;
+    let answer = deployment.request("look", "/look/x", &[]).await;
+    assert_eq!(answer.status, 200, "{}", deployment.log());
+}
+
+/// Guards against a client that is kept waiting for targets which have no room, or is not told when
+/// to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_by_all_targets_is_passed_on_with_the_time_to_return() {
+    let deployment = Deployment::start().await;
+    deployment.set("desk-a", Behaviour::Full);
+    deployment.set("desk-b", Behaviour::Full);
+    let asked = Instant::now();
+    let answer = deployment.request("id-1", "/book/x", &[]).await;
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+    assert!(
+        asked.elapsed() < Duration::from_secs(1),
+        "held for {:?}",
+        asked.elapsed()
+    );
+}
+
+/// Guards against a drained zone that still gets requests or pieces, and a configuration that goes
+/// back or is accepted although it is invalid.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_zone_gets_nothing_and_an_older_configuration_changes_nothing() {
+    let deployment = Deployment::start().await;
+    deployment.put(&configuration(9), 200).await;
+    let mut older = configuration(4);
+    older["routes"] = Value::Array(Vec::new());
+    deployment.put(&older, 200).await;
+    let held = deployment
+        .order(Method::GET, "/configuration", Bytes::new(), 200)
+        .await;
+    let held: Value = serde_json::from_slice(&held).unwrap();
+    assert_eq!(held, configuration(9));
+    let mut invalid = configuration(11);
+    invalid["routes"][0]["timeout_ms"] = Value::from(0);
+    deployment.put(&invalid, 400).await;
+    deployment
+        .order(Method::POST, "/evacuation/a", Bytes::new(), 200)
+        .await;
+    sleep(Duration::from_secs(2)).await;
+    for number in 0..6 {
+        let id = format!("drained-{number}");
+        let answer = deployment.request(&id, "/chat/x", &STAGED).await;
+        assert_eq!(answer.status, 200, "{}", deployment.log());
+        assert!(
+            deployment
+                .seen(&id)
+                .iter()
+                .all(|seen| seen.target.ends_with("-b"))
+        );
+    }
+    deployment
+        .order(Method::DELETE, "/evacuation/a", Bytes::new(), 200)
+        .await;
+}
+
+/// Guards against a planned stop that cuts off streams, and a gateway that stays in rotation while
+/// it stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_gateway_reports_not_ready_and_finishes_its_streams() {
+    let mut deployment = Deployment::start().await;
+    deployment.set("llm-a", Behaviour::Slow);
+    deployment.set("llm-b", Behaviour::Slow);
+    let (answer, ()) = tokio::join!(deployment.try_request("id-1", "/talk/x", &[]), async {
+        sleep(Duration::from_millis(300)).await;
+        deployment.gateway.signal(nix::sys::signal::Signal::SIGTERM);
+        deployment.wait_ready(false).await;
+    });
+    let answer = answer.unwrap();
+    assert_eq!(
+        answer.events(),
+        (1..=EVENTS).collect::<Vec<u64>>(),
+        "{}",
+        deployment.log()
+    );
+    assert!(
+        deployment.gateway.terminate(Duration::from_secs(8)),
+        "it did not end by itself"
+    );
+}
+
+/// Guards against a gateway that forgets its configuration, or goes on with keys that may have been
+/// taken away, when it is cut off from the control daemons for long.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_control_keys_are_trusted_only_for_the_revocation_time() {
+    let mut deployment = Deployment::start().await;
+    deployment.control.kill();
+    let early = deployment.request("id-1", "/look/x", &[]).await;
+    assert_eq!(early.status, 200);
+    deployment.wait_ready(false).await;
+    let late = deployment.request("id-2", "/look/x", &[]).await;
+    assert_eq!(late.status, 503);
+    assert!(deployment.seen("id-2").is_empty());
+    deployment.control.start();
+    deployment.wait_ready(true).await;
+    let again = deployment.request("id-3", "/look/x", &[]).await;
+    assert_eq!(again.status, 200);
+}
--- /dev/null
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -0,0 +1,461 @@
+//! A gateway and a control daemon as real processes, before stand-ins of the platform's list and of
+//! targets that record what reaches them.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_gateway::body::{Body, BrokenOff};
+use azurelug_http::h1::client::Connection;
+use azurelug_http::h1::server::{Stage, serve};
+use azurelug_system::process::Process;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+/// A generous bound for anything that must come about.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Events of a whole stream.
+pub(crate) const EVENTS: u64 = 6;
+
+static FOLDERS: AtomicU64 = AtomicU64::new(0);
+
+/// How a target behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Behaviour {
+    /// As it should.
+    Sound,
+    /// Refuses every request as full.
+    Full,
+    /// Runs a request and closes the connection without an answer.
+    LosesAnswers,
+    /// Breaks streams off after three events.
+    BreaksOff,
+    /// Takes 200 ms between two events.
+    Slow,
+}
+
+/// What reached a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) target: String,
+    pub(crate) path: String,
+    pub(crate) headers: HashMap<String, String>,
+    pub(crate) body: Bytes,
+}
+
+#[derive(Default)]
+struct World {
+    seen: Vec<Seen>,
+    behaviours: HashMap<String, Behaviour>,
+    list: Vec<Value>,
+}
+
+/// The processes and stand-ins of one test.
+pub(crate) struct Deployment {
+    world: Arc<Mutex<World>>,
+    pub(crate) gateway: Process,
+    pub(crate) control: Process,
+    clients: SocketAddr,
+    admin: SocketAddr,
+    operators: SocketAddr,
+    folder: PathBuf,
+    _stage: watch::Sender<Stage>,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.gateway.kill();
+        self.control.kill();
+        // What is left is in the system's folder for temporary files.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn address(last: u8, port: u16) -> SocketAddr {
+    (IpAddr::V4(Ipv4Addr::new(127, 0, 0, last)), port).into()
+}
+
+/// A port that is free at both of the daemons' addresses.
+fn free_port() -> u16 {
+    loop {
+        let first = std::net::TcpListener::bind(address(2, 0)).expect("bind");
+        let port = first.local_addr().expect("an address").port();
+        if std::net::TcpListener::bind(address(3, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts everything: two engines, one plain target and one stage target in each of the zones
+    /// `a` and `b`, and waits until the gateway is ready.
+    pub(crate) async fn start() -> Self {
+        let world = Arc::new(Mutex::new(World::default()));
+        let (stage, stages) = watch::channel(Stage::Serving);
+        for zone in ["a", "b"] {
+            for service in ["llm", "desk", "encode"] {
+                let name = format!("{service}-{zone}");
+                let listener = TcpListener::bind(address(1, 0)).await.expect("bind");
+                let at = listener.local_addr().expect("an address");
+                world
+                    .lock()
+                    .unwrap()
+                    .list
+                    .push(json!({"id": name, "service": service,
+                    "address": at, "zone": zone, "version": "v1", "slots": 8, "state": "ready",
+                    "cold_remaining_ms": 0}));
+                let state = Arc::clone(&world);
+                let handler = move |request| target(Arc::clone(&state), name.clone(), at, request);
+                tokio::spawn(serve(listener, LIMIT, stages.clone(), handler));
+            }
+        }
+        let listener = TcpListener::bind(address(1, 0)).await.expect("bind");
+        let list = listener.local_addr().expect("an address");
+        let state = Arc::clone(&world);
+        let handler = move |_| list_answer(Arc::clone(&state));
+        tokio::spawn(serve(listener, LIMIT, stages, handler));
+
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir();
+        let folder = folder.join(format!("azurelug-gateway-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("create a folder");
+        let key = folder.join("key");
+        std::fs::write(&key, "a key of the test, longer than 32 bytes of text").expect("write");
+        let internal = free_port();
+        let (operators, status) = (address(2, free_port()), address(2, free_port()));
+        let (clients, admin) = (address(3, free_port()), address(3, free_port()));
+        let common = format!("cluster: test\nkey_file: {}\n", key.display());
+        let control = format!(
+            "name: control\nzone: a\n{common}internal: \"{}\"\noperators: \"{status}\"\n\
+             data: {}\ndiscovery:\n  seeds: [\"{}\"]\n  first_start: true\n  disk_losses: 0\n\
+             deployment:\n  operators: \"{operators}\"\n  targets:\n    address: \"{list}\"\n    \
+             calls_per_second: 50\n",
+            address(2, internal),
+            folder.join("state").display(),
+            address(2, 1),
+        );
+        let gateway = format!(
+            "name: gateway\nzone: a\n{common}internal: \"{}\"\nclients: \"{clients}\"\n\
+             admin: \"{admin}\"\nseeds: [\"{}\"]\nbounds:\n  revocation: 5s\n  grace: 8s\n  \
+             retry_ratio: 0.2\n  retry_window: 10s\n  retry_extra: 50\n  cold_factor: 1.5\n  \
+             cold_extra: 5\n",
+            address(3, internal),
+            address(2, 1),
+        );
+        let daemon = |name: &str, settings: String| {
+            let file = folder.join(format!("{name}.yaml"));
+            std::fs::write(&file, settings).expect("write settings");
+            let arguments = vec!["--settings".to_owned(), file.display().to_string()];
+            let log = folder.join(format!("{name}.log"));
+            let mut process = Process::new(&format!("azurelug-{name}"), arguments, log);
+            process.start();
+            process
+        };
+        let deployment = Self {
+            control: daemon("control", control),
+            gateway: daemon("gateway", gateway),
+            world,
+            clients,
+            admin,
+            operators,
+            folder,
+            _stage: stage,
+        };
+        deployment.put(&configuration(1), 200).await;
+        deployment.wait_ready(true).await;
+        deployment
+    }
+
+    /// Sets the behaviour of a target.
+    pub(crate) fn set(&self, target: &str, behaviour: Behaviour) {
+        let mut world = self.world.lock().unwrap();
+        world.behaviours.insert(target.to_owned(), behaviour);
+    }
+
+    /// What reached targets with a request's id.
+    pub(crate) fn seen(&self, id: &str) -> Vec<Seen> {
+        let world = self.world.lock().unwrap();
+        let is_own = |seen: &&Seen| {
+            seen.headers
+                .get("x-request-attempt-id")
+                .is_some_and(|it| it == id)
+        };
+        world.seen.iter().filter(is_own).cloned().collect()
+    }
+
+    /// What reached targets at a path.
+    pub(crate) fn seen_at(&self, path: &str) -> Vec<Seen> {
+        let world = self.world.lock().unwrap();
+        world
+            .seen
+            .iter()
+            .filter(|seen| seen.path == path)
+            .cloned()
+            .collect()
+    }
+
+    /// Whether the gateway reports ready.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let answer = call(self.admin, Method::GET, "/ready", &[], Bytes::new()).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Waits until the gateway reports ready, or not.
+    pub(crate) async fn wait_ready(&self, expected: bool) {
+        let started = std::time::Instant::now();
+        while self.is_ready().await != expected {
+            let logs = || format!("{}\n{}", self.control.log(), self.gateway.log());
+            assert!(
+                started.elapsed() < LIMIT,
+                "ready is not {expected}:\n{}",
+                logs()
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a configuration until it gets `status`; a control daemon without a leader answers 503.
+    pub(crate) async fn put(&self, configuration: &Value, status: u16) {
+        let body = Bytes::from(configuration.to_string());
+        self.order(Method::PUT, "/configuration", body, status)
+            .await;
+    }
+
+    /// Sends an operator's call until it gets `status`.
+    pub(crate) async fn order(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        status: u16,
+    ) -> Bytes {
+        let started = std::time::Instant::now();
+        loop {
+            let answer = call(self.operators, method.clone(), path, &[], body.clone()).await;
+            match answer {
+                Ok(answer) if answer.status == status => return answer.body,
+                Ok(answer) if answer.status != 503 => {
+                    panic!("{method} {path}: {} instead of {status}", answer.status)
+                }
+                _ => assert!(
+                    started.elapsed() < LIMIT,
+                    "{method} {path}: {}",
+                    self.control.log()
+                ),
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends a client's request with a valid key and returns the whole answer.
+    pub(crate) async fn request(&self, id: &str, path: &str, fields: &[(&str, &str)]) -> Answer {
+        self.try_request(id, path, fields).await.expect("an answer")
+    }
+
+    /// As [`Deployment::request`], for an answer that may break off.
+    pub(crate) async fn try_request(
+        &self,
+        id: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+    ) -> Result<Answer, String> {
+        let mut all = vec![
+            ("host", "carts.example"),
+            ("x-request-attempt-id", id),
+            ("x-deadline-milliseconds", "4000"),
+            ("authorization", "Bearer key-1"),
+        ];
+        all.retain(|(name, _)| !fields.iter().any(|(other, _)| other == name));
+        all.extend_from_slice(fields);
+        let body = Bytes::from_static(b"a body");
+        call(self.clients, Method::POST, path, &all, body).await
+    }
+
+    /// The gateway's log so far.
+    pub(crate) fn log(&self) -> String {
+        self.gateway.log()
+    }
+}
+
+/// An answer and its whole body.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    /// The numbers of the events in the body, in order.
+    pub(crate) fn events(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    fields: &[(&str, &str)],
+    body: Bytes,
+) -> Result<Answer, String> {
+    let mut connection = Connection::open(address, LIMIT, LIMIT)
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut request = Request::builder().method(method).uri(path);
+    for (name, value) in fields {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body)).expect("a request");
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|error| error.to_string())?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.map_err(|error| error.to_string())?;
+    Ok(Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
+/// A configuration with a plain route, one that may not repeat, and a staged stream.
+pub(crate) fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "carts.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 0,
+            "service": service, "max_attempts": attempts, "resume_streams": true,
+            "gap_aim_ms": 400, "stages": []})
+    };
+    let mut chat = route("chat", "streaming", "llm", 2);
+    chat["stages"] = json!([
+        {"service": "encode", "after": [], "bytes": 1000},
+        {"service": "encode", "after": [0], "bytes": 1000}
+    ]);
+    let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1,
+        "room_mb": 10, "handle_s": 4});
+    json!({"version": version,
+        "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
+            route("talk", "streaming", "llm", 2)],
+        "services": [
+            {"name": "llm", "max_connections": 50, "cold_start_s": 0, "cold_per_s": 0},
+            {"name": "desk"}, {"name": "encode", "pieces": pieces}],
+        "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
+}
+
+async fn list_answer(world: Arc<Mutex<World>>) -> Response<Body> {
+    let list = world.lock().unwrap().list.clone();
+    let body = json!({"instances": list, "next": null}).to_string();
+    Response::new(Body::whole(Bytes::from(body)))
+}
+
+async fn target(
+    world: Arc<Mutex<World>>,
+    name: String,
+    at: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.expect("a whole request").to_bytes();
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        (
+            name.to_string(),
+            value.to_str().unwrap_or_default().to_owned(),
+        )
+    };
+    let seen = Seen {
+        target: name.clone(),
+        path: parts.uri.path().to_owned(),
+        headers: parts.headers.iter().map(header).collect(),
+        body: body.clone(),
+    };
+    let behaviour = {
+        let mut world = world.lock().unwrap();
+        world.seen.push(seen.clone());
+        world
+            .behaviours
+            .get(&name)
+            .copied()
+            .unwrap_or(Behaviour::Sound)
+    };
+    if seen.path == "/stage-run" {
+        let items: Value = serde_json::from_slice(&body).expect("a call");
+        let count = items["items"].as_array().expect("items").len();
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let handle = |piece| json!({"handle": format!("{at}/{number}-{piece}")});
+        let ends: Vec<Value> = (0..count).map(handle).collect();
+        sleep(Duration::from_millis(10)).await;
+        return Response::new(Body::whole(json!({"items": ends}).to_string().into()));
+    }
+    let mut response = Response::new(Body::whole(Bytes::from(format!("answer of {name}"))));
+    let id = seen
+        .headers
+        .get("x-request-attempt-id")
+        .cloned()
+        .unwrap_or_default();
+    if behaviour == Behaviour::Full {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+            .headers_mut()
+            .insert("x-not-executed", "1".parse().unwrap());
+        return response;
+    }
+    response
+        .headers_mut()
+        .insert("x-request-attempt-id", id.parse().unwrap());
+    response
+        .headers_mut()
+        .insert("x-response-signature", "signed".parse().unwrap());
+    if behaviour == Behaviour::LosesAnswers {
+        let (sender, events) = mpsc::channel(1);
+        drop(sender.try_send(Err(BrokenOff)));
+        *response.body_mut() = Body::Stream(events);
+        return response;
+    }
+    if name.starts_with("llm") {
+        let kind = "text/event-stream".parse().unwrap();
+        response.headers_mut().insert("content-type", kind);
+        let last = seen
+            .headers
+            .get("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        *response.body_mut() = Body::Stream(events(behaviour, last));
+    }
+    response
+}
+
+fn events(behaviour: Behaviour, last: u64) -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
+    let (sender, events) = mpsc::channel(1);
+    tokio::spawn(async move {
+        for id in last + 1..=EVENTS {
+            if behaviour == Behaviour::BreaksOff && id == last + 4 {
+                // An event that is cut in the middle.
+                let _ = sender.send(Ok(Bytes::from(format!("id: {id}\nda")))).await;
+                let _ = sender.send(Err(BrokenOff)).await;
+                return;
+            }
+            if behaviour == Behaviour::Slow {
+                sleep(Duration::from_millis(200)).await;
+            }
+            let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
+            if sender.send(Ok(event)).await.is_err() {
+                return;
+            }
+        }
+    });
+    events
+}
