dispatch: split admission and the start of calls; share idle connections

Change: dispatch/admission.rs and dispatch/start.rs; a gateway keeps its part of half of the least number of connections that a service accepts.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -7,8 +7,10 @@
 //! done, what can't be in time gives way to what can, and what can't be done at all is refused at
 //! once.
 
+mod admission;
 mod backlog;
 mod queue;
+mod start;
 mod times;
 mod workers;
 
@@ -16,11 +18,12 @@
 use std::time::Duration;
 
 use azurelug_types::deployment::Batch;
-use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesError};
-use azurelug_types::id::{TargetName, ZoneName};
+use azurelug_types::fleet::{Item, ItemEnd, PiecesError};
+use azurelug_types::id::TargetName;
 
-use backlog::{Claim, Promise, Utilization};
-use queue::{Queue, Room, Waiting};
+use admission::Booked;
+use backlog::Utilization;
+use queue::Queue;
 use times::{Load, Times};
 pub use workers::Listed;
 use workers::{Worker, WorkerKey, Workers};
@@ -57,14 +60,6 @@
 /// The shortest time after which a refused client is told to come back: about a call.
 const MIN_RETRY: Duration = Duration::from_millis(300);
 
-/// Results that cross zones are worth waiting for a target of their own zone: this long, and
-/// [`CROSSING_PER_MB`] more for each megabyte.
-const CROSSING: Duration = Duration::from_millis(40);
-
-/// See [`CROSSING`]. A wait of this length hardly ever makes an answer late, while every megabyte
-/// between zones is billed.
-const CROSSING_PER_MB: Duration = Duration::from_millis(80);
-
 /// A result that is no longer needed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Released {
@@ -117,15 +112,6 @@
     },
 }
 
-/// Time that is kept for pieces of a later stage.
-#[derive(Debug)]
-struct Booked {
-    request: String,
-    stage: u8,
-    promise: Promise,
-    load: Load,
-}
-
 /// A piece in a call.
 #[derive(Clone, Copy, Debug)]
 struct CallItem {
@@ -210,124 +196,6 @@
         [overdue, waiting, returning].into_iter().flatten().min()
     }
 
-    /// Takes an order.
-    pub fn submit(&mut self, token: Token, order: Pieces, now: Duration) -> Vec<Action> {
-        let piece_time = self.times.piece(&self.batch, order.kind);
-        let waiting = Waiting::new(token, order, piece_time, now);
-        if !self.workers.has_usable() {
-            return vec![end(token, Err(PiecesError::NoTarget))];
-        }
-        let is_booked = self.take_booking(&waiting.order.request, waiting.order.stage);
-        if !is_booked && self.can_promise(&waiting, now) {
-            self.utilization.add(self.work(waiting.load()), now);
-        } else if !is_booked && !self.has_time(waiting.load(), waiting.deadline, now) {
-            return vec![end(token, Err(self.refusal(now)))];
-        }
-        self.queue.push(waiting);
-        self.advance(now)
-    }
-
-    /// Keeps time for pieces of a later stage, so that a request whose later stages can't be in time
-    /// is refused before its first ones are done.
-    ///
-    /// # Errors
-    /// There is no time left, not even to serve the request late; the refusal to pass on.
-    pub fn book(&mut self, booking: &Booking, now: Duration) -> Result<(), PiecesError> {
-        self.bookings.retain(|booked| booked.promise.due > now);
-        let pieces = usize::from(booking.pieces);
-        let load = self.times.load(&self.batch, booking.kind, pieces);
-        let promise = Promise {
-            due: now + Duration::from_millis(booking.due_ms),
-            work: self.work(load),
-        };
-        let claim = Claim {
-            rank: booking.rank,
-            worth: booking.worth,
-        };
-        if !self.fits(promise, claim, now) {
-            let deadline = now + Duration::from_millis(booking.deadline_ms);
-            let has_time = self.has_time(load, deadline, now);
-            return has_time.then_some(()).ok_or_else(|| self.refusal(now));
-        }
-        self.utilization.add(promise.work, now);
-        self.bookings.push(Booked {
-            request: booking.request.clone(),
-            stage: booking.stage,
-            promise,
-            load,
-        });
-        Ok(())
-    }
-
-    /// Gives back the time that was kept for a request.
-    pub fn unbook(&mut self, request: &str) {
-        self.bookings.retain(|booked| booked.request != request);
-    }
-
-    /// Takes the booking of an order; whether there was one.
-    fn take_booking(&mut self, request: &str, stage: u8) -> bool {
-        let is_own = |booked: &Booked| booked.request == request && booked.stage == stage;
-        let position = self.bookings.iter().position(is_own);
-        position.map(|it| self.bookings.swap_remove(it)).is_some()
-    }
-
-    /// Whether an order can be in time without making others late.
-    fn can_promise(&self, waiting: &Waiting, now: Duration) -> bool {
-        let ahead = self.queue.load_before(waiting);
-        let wait = self.wait_for(ahead, now).unwrap_or_default();
-        let mut shared = ahead;
-        shared.add(waiting.load());
-        let done = now + wait + self.call_time(shared);
-        let promise = Promise {
-            due: waiting.due,
-            work: self.work(waiting.load()),
-        };
-        let claim = Claim {
-            rank: waiting.order.rank,
-            worth: waiting.order.worth,
-        };
-        done <= waiting.due && self.fits(promise, claim, now)
-    }
-
-    fn fits(&self, new: Promise, claim: Claim, now: Duration) -> bool {
-        let Some((_, rate)) = self.workers.capacity(now) else {
-            return false;
-        };
-        let waiting = self.queue.waiting().map(|waiting| Promise {
-            due: waiting.due,
-            work: self.work(waiting.load()),
-        });
-        // What is late already gives way.
-        let waiting = waiting.filter(|promise| promise.due > now);
-        let booked = self.bookings.iter().map(|booked| booked.promise);
-        let promises = waiting.chain(booked).collect();
-        backlog::fits(promises, new, claim, self.workers.busy(now), rate, now)
-    }
-
-    /// Whether late pieces can still be done by a deadline, behind everything that waits.
-    fn has_time(&self, load: Load, deadline: Duration, now: Duration) -> bool {
-        let mut ahead = self.queue.load();
-        for booked in &self.bookings {
-            ahead.add(booked.load);
-        }
-        // A load that does not fit into the call that is being filled waits for the next one.
-        ahead.add(load);
-        self.has_time_behind(ahead, load, deadline, now)
-    }
-
-    /// Whether late pieces can still be done by a deadline, behind `ahead` and all work that
-    /// comes meanwhile and can be in time.
-    fn has_time_behind(&self, ahead: Load, load: Load, deadline: Duration, now: Duration) -> bool {
-        let Some(wait) = self.wait_for(ahead, now) else {
-            return false;
-        };
-        let rate = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
-        let Some(wait) = self.utilization.stretch(wait, rate, now) else {
-            return false;
-        };
-        now + wait + self.call_time(load) < deadline
-    }
-
     /// Forgets an order whose client is gone. Pieces that are in a call are not taken back.
     pub fn cancel(&mut self, token: Token) {
         self.queue.remove(token);
@@ -506,150 +374,6 @@
         }
     }
 
-    /// Refuses orders that can't be in time and have no time left to wait until there is less work.
-    fn refuse_late(&mut self, now: Duration) -> Vec<Action> {
-        let soonest = now + self.batch.call_time;
-        let in_time = self.queue.waiting().filter(|it| it.due >= soonest);
-        let mut ahead: Load = in_time.map(Waiting::load).sum();
-        let mut hopeless = Vec::new();
-        for waiting in self.queue.waiting().filter(|it| it.due < soonest) {
-            if waiting.is_running() {
-                continue;
-            }
-            if self.has_time_behind(ahead, waiting.load(), waiting.deadline, now) {
-                ahead.add(waiting.load());
-            } else {
-                hopeless.push(waiting.token);
-            }
-        }
-        if hopeless.is_empty() {
-            return Vec::new();
-        }
-        let refusal = self.refusal(now);
-        let refusals = hopeless.into_iter();
-        refusals
-            .flat_map(|token| self.fail(token, refusal.clone(), now))
-            .collect()
-    }
-
-    /// The next call that is worth starting now.
-    fn next_call(&mut self, now: Duration) -> Option<Action> {
-        if self.queue.load().pieces == 0 {
-            return None;
-        }
-        let free = self.workers.free(self.batch.slots, now);
-        free.into_iter().find_map(|key| self.start_call(key, now))
-    }
-
-    fn start_call(&mut self, key: WorkerKey, now: Duration) -> Option<Action> {
-        let worker = self.workers.get(key);
-        let slowness = worker.slowness(now);
-        let room = Room {
-            pieces: self.batch.max_pieces,
-            bytes: worker.free_room(self.batch.result_room, now),
-            end: now + self.call_time(self.queue.load()).mul_f64(slowness),
-        };
-        let zone = worker.target.zone.clone();
-        let waits = self.zone_waits(now);
-        let suits = |waiting: &Waiting| {
-            let home = &waiting.order.home;
-            let wait = waits.iter().find(|(zone, _)| zone == home);
-            zone == *home || wait.is_none_or(|(_, wait)| *wait > crossing(waiting.bytes()))
-        };
-        let picked = self.queue.pick(room, self.batch.max_pieces, suits);
-        if picked.is_empty() {
-            return None;
-        }
-        let usual = self.call_time(self.picked_load(&picked));
-        if !self.is_worth(key, usual, now) {
-            return None;
-        }
-        Some(self.call(key, &picked, usual.mul_f64(slowness), now))
-    }
-
-    /// Whether a call on a target ends sooner than if it waited for another one. Only slow targets
-    /// can lose.
-    fn is_worth(&self, key: WorkerKey, usual: Duration, now: Duration) -> bool {
-        let here = now + usual.mul_f64(self.workers.get(key).slowness(now));
-        let elsewhere = self.workers.best_other(key, now).map(|other| {
-            let backlog = self.delay(now).unwrap_or_default();
-            other.expected_end.max(now) + usual.mul_f64(other.slowness(now)) + backlog / 2
-        });
-        elsewhere.is_none_or(|elsewhere| here <= elsewhere + OVERDUE_GRACE)
-    }
-
-    fn call(
-        &mut self,
-        key: WorkerKey,
-        picked: &[(Token, usize)],
-        expected: Duration,
-        now: Duration,
-    ) -> Action {
-        self.next_call += 1;
-        let call = CallKey(self.next_call);
-        let mut items = Vec::with_capacity(picked.len());
-        let mut held = Vec::with_capacity(picked.len());
-        let mut bytes = 0;
-        for &(token, place) in picked {
-            let waiting = self.queue.get_mut(token).expect("it was just picked");
-            waiting.started(place);
-            bytes += waiting.order.result_bytes;
-            held.push(CallItem {
-                token,
-                place,
-                kind: waiting.order.kind,
-                bytes: waiting.order.result_bytes,
-            });
-        }
-        // Only now is it known which orders the call holds as a whole.
-        for item in &held {
-            let waiting = self.queue.get(item.token).expect("it was just picked");
-            items.push(waiting.item(item.place, now));
-        }
-        let release = self.workers.make_room(key, bytes, &self.batch, now);
-        let worker = self.workers.get_mut(key);
-        worker.started(now + expected, bytes);
-        let target = worker.target.clone();
-        self.calls.push(Call {
-            key: call,
-            worker: key,
-            started: now,
-            expected,
-            items: held,
-            bytes,
-            is_overdue: false,
-        });
-        Action::Call {
-            call,
-            target,
-            items,
-            release,
-            limit: expected.mul_f64(CALL_PATIENCE) + CALL_GRACE,
-        }
-    }
-
-    /// For each zone with targets, the wait of work that wants to stay there.
-    fn zone_waits(&self, now: Duration) -> Vec<(ZoneName, Duration)> {
-        let zones = self.workers.zones(now).into_iter();
-        let waits = zones.map(|(zone, first_free, rate)| {
-            let own = self.queue.waiting().filter(|it| it.order.home == zone);
-            let work = self.whole_calls(own.map(Waiting::load).sum());
-            (zone, first_free + work.div_f64(rate))
-        });
-        waits.collect()
-    }
-
-    fn picked_load(&self, picked: &[(Token, usize)]) -> Load {
-        let orders = picked
-            .iter()
-            .filter_map(|(token, _)| self.queue.get(*token));
-        let loads = orders.map(|order| Load {
-            pieces: 1,
-            time: order.piece_time(),
-        });
-        loads.sum()
-    }
-
     /// Usual time of one call with this load.
     fn call_time(&self, load: Load) -> Duration {
         let most = self.batch.piece_time * u32::try_from(self.batch.max_pieces).unwrap_or(u32::MAX);
@@ -682,25 +406,12 @@
         Some(first_free + self.whole_calls(load).div_f64(rate))
     }
 
-    /// A refusal with the time until the work that waits is done.
-    fn refusal(&self, now: Duration) -> PiecesError {
-        let backlog = self.delay(now).unwrap_or_default();
-        PiecesError::Late {
-            retry_after_ms: millis(backlog.max(MIN_RETRY)),
-        }
-    }
-
     /// What each target is doing, for a dump.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetName, u32, u64)> {
         self.workers.iter().map(dump)
     }
 }
 
-/// How long results of this size are worth waiting for a target of their own zone.
-fn crossing(bytes: u64) -> Duration {
-    CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6)
-}
-
 fn dump(worker: &Worker) -> (&TargetName, u32, u64) {
     (&worker.target.name, worker.running, worker.held)
 }
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -0,0 +1,173 @@
+//! Which orders a dispatcher takes, for which later stages it keeps time, and what it refuses.
+
+use std::time::Duration;
+
+use azurelug_types::fleet::{Booking, Pieces, PiecesError};
+
+use super::backlog::{self, Claim, Promise};
+use super::queue::Waiting;
+use super::times::Load;
+use super::{Action, Dispatcher, MIN_RETRY, Token, end, millis};
+
+/// Time that is kept for pieces of a later stage.
+#[derive(Debug)]
+pub(super) struct Booked {
+    request: String,
+    stage: u8,
+    promise: Promise,
+    load: Load,
+}
+
+impl Dispatcher {
+    /// Takes an order.
+    pub fn submit(&mut self, token: Token, order: Pieces, now: Duration) -> Vec<Action> {
+        let piece_time = self.times.piece(&self.batch, order.kind);
+        let waiting = Waiting::new(token, order, piece_time, now);
+        if !self.workers.has_usable() {
+            return vec![end(token, Err(PiecesError::NoTarget))];
+        }
+        let is_booked = self.take_booking(&waiting.order.request, waiting.order.stage);
+        if !is_booked && self.can_promise(&waiting, now) {
+            self.utilization.add(self.work(waiting.load()), now);
+        } else if !is_booked && !self.has_time(waiting.load(), waiting.deadline, now) {
+            return vec![end(token, Err(self.refusal(now)))];
+        }
+        self.queue.push(waiting);
+        self.advance(now)
+    }
+
+    /// Keeps time for pieces of a later stage, so that a request whose later stages can't be in time
+    /// is refused before its first ones are done.
+    ///
+    /// # Errors
+    /// There is no time left, not even to serve the request late; the refusal to pass on.
+    pub fn book(&mut self, booking: &Booking, now: Duration) -> Result<(), PiecesError> {
+        self.bookings.retain(|booked| booked.promise.due > now);
+        let pieces = usize::from(booking.pieces);
+        let load = self.times.load(&self.batch, booking.kind, pieces);
+        let promise = Promise {
+            due: now + Duration::from_millis(booking.due_ms),
+            work: self.work(load),
+        };
+        let claim = Claim {
+            rank: booking.rank,
+            worth: booking.worth,
+        };
+        if !self.fits(promise, claim, now) {
+            let deadline = now + Duration::from_millis(booking.deadline_ms);
+            let has_time = self.has_time(load, deadline, now);
+            return has_time.then_some(()).ok_or_else(|| self.refusal(now));
+        }
+        self.utilization.add(promise.work, now);
+        self.bookings.push(Booked {
+            request: booking.request.clone(),
+            stage: booking.stage,
+            promise,
+            load,
+        });
+        Ok(())
+    }
+
+    /// Gives back the time that was kept for a request.
+    pub fn unbook(&mut self, request: &str) {
+        self.bookings.retain(|booked| booked.request != request);
+    }
+
+    /// Takes the booking of an order; whether there was one.
+    fn take_booking(&mut self, request: &str, stage: u8) -> bool {
+        let is_own = |booked: &Booked| booked.request == request && booked.stage == stage;
+        let position = self.bookings.iter().position(is_own);
+        position.map(|it| self.bookings.swap_remove(it)).is_some()
+    }
+
+    /// Whether an order can be in time without making others late.
+    fn can_promise(&self, waiting: &Waiting, now: Duration) -> bool {
+        let ahead = self.queue.load_before(waiting);
+        let wait = self.wait_for(ahead, now).unwrap_or_default();
+        let mut shared = ahead;
+        shared.add(waiting.load());
+        let done = now + wait + self.call_time(shared);
+        let promise = Promise {
+            due: waiting.due,
+            work: self.work(waiting.load()),
+        };
+        let claim = Claim {
+            rank: waiting.order.rank,
+            worth: waiting.order.worth,
+        };
+        done <= waiting.due && self.fits(promise, claim, now)
+    }
+
+    fn fits(&self, new: Promise, claim: Claim, now: Duration) -> bool {
+        let Some((_, rate)) = self.workers.capacity(now) else {
+            return false;
+        };
+        let waiting = self.queue.waiting().map(|waiting| Promise {
+            due: waiting.due,
+            work: self.work(waiting.load()),
+        });
+        // What is late already gives way.
+        let waiting = waiting.filter(|promise| promise.due > now);
+        let booked = self.bookings.iter().map(|booked| booked.promise);
+        let promises = waiting.chain(booked).collect();
+        backlog::fits(promises, new, claim, self.workers.busy(now), rate, now)
+    }
+
+    /// Whether late pieces can still be done by a deadline, behind everything that waits.
+    fn has_time(&self, load: Load, deadline: Duration, now: Duration) -> bool {
+        let mut ahead = self.queue.load();
+        for booked in &self.bookings {
+            ahead.add(booked.load);
+        }
+        // A load that does not fit into the call that is being filled waits for the next one.
+        ahead.add(load);
+        self.has_time_behind(ahead, load, deadline, now)
+    }
+
+    /// Whether late pieces can still be done by a deadline, behind `ahead` and all work that
+    /// comes meanwhile and can be in time.
+    fn has_time_behind(&self, ahead: Load, load: Load, deadline: Duration, now: Duration) -> bool {
+        let Some(wait) = self.wait_for(ahead, now) else {
+            return false;
+        };
+        let rate = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
+        let Some(wait) = self.utilization.stretch(wait, rate, now) else {
+            return false;
+        };
+        now + wait + self.call_time(load) < deadline
+    }
+
+    /// Refuses orders that can't be in time and have no time left to wait until there is less work.
+    pub(super) fn refuse_late(&mut self, now: Duration) -> Vec<Action> {
+        let soonest = now + self.batch.call_time;
+        let in_time = self.queue.waiting().filter(|it| it.due >= soonest);
+        let mut ahead: Load = in_time.map(Waiting::load).sum();
+        let mut hopeless = Vec::new();
+        for waiting in self.queue.waiting().filter(|it| it.due < soonest) {
+            if waiting.is_running() {
+                continue;
+            }
+            if self.has_time_behind(ahead, waiting.load(), waiting.deadline, now) {
+                ahead.add(waiting.load());
+            } else {
+                hopeless.push(waiting.token);
+            }
+        }
+        if hopeless.is_empty() {
+            return Vec::new();
+        }
+        let refusal = self.refusal(now);
+        let refusals = hopeless.into_iter();
+        refusals
+            .flat_map(|token| self.fail(token, refusal.clone(), now))
+            .collect()
+    }
+
+    /// A refusal with the time until the work that waits is done.
+    fn refusal(&self, now: Duration) -> PiecesError {
+        let backlog = self.delay(now).unwrap_or_default();
+        PiecesError::Late {
+            retry_after_ms: millis(backlog.max(MIN_RETRY)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -0,0 +1,145 @@
+//! Which call is worth starting, at which target and with which pieces.
+
+use std::time::Duration;
+
+use azurelug_types::id::ZoneName;
+
+use super::queue::{Room, Waiting};
+use super::times::Load;
+use super::workers::WorkerKey;
+use super::{
+    Action, CALL_GRACE, CALL_PATIENCE, Call, CallItem, CallKey, Dispatcher, OVERDUE_GRACE, Token,
+};
+
+/// Results that cross zones are worth waiting for a target of their own zone: this long, and
+/// [`CROSSING_PER_MB`] more for each megabyte.
+const CROSSING: Duration = Duration::from_millis(40);
+
+/// See [`CROSSING`]. A wait of this length hardly ever makes an answer late, while every megabyte
+/// between zones is billed.
+const CROSSING_PER_MB: Duration = Duration::from_millis(80);
+
+impl Dispatcher {
+    /// The next call that is worth starting now.
+    pub(super) fn next_call(&mut self, now: Duration) -> Option<Action> {
+        if self.queue.load().pieces == 0 {
+            return None;
+        }
+        let free = self.workers.free(self.batch.slots, now);
+        free.into_iter().find_map(|key| self.start_call(key, now))
+    }
+
+    fn start_call(&mut self, key: WorkerKey, now: Duration) -> Option<Action> {
+        let worker = self.workers.get(key);
+        let slowness = worker.slowness(now);
+        let room = Room {
+            pieces: self.batch.max_pieces,
+            bytes: worker.free_room(self.batch.result_room, now),
+            end: now + self.call_time(self.queue.load()).mul_f64(slowness),
+        };
+        let zone = worker.target.zone.clone();
+        let waits = self.zone_waits(now);
+        let suits = |waiting: &Waiting| {
+            let home = &waiting.order.home;
+            let wait = waits.iter().find(|(zone, _)| zone == home);
+            zone == *home || wait.is_none_or(|(_, wait)| *wait > crossing(waiting.bytes()))
+        };
+        let picked = self.queue.pick(room, self.batch.max_pieces, suits);
+        if picked.is_empty() {
+            return None;
+        }
+        let usual = self.call_time(self.picked_load(&picked));
+        if !self.is_worth(key, usual, now) {
+            return None;
+        }
+        Some(self.call(key, &picked, usual.mul_f64(slowness), now))
+    }
+
+    /// Whether a call on a target ends sooner than if it waited for another one. Only slow targets
+    /// can lose.
+    fn is_worth(&self, key: WorkerKey, usual: Duration, now: Duration) -> bool {
+        let here = now + usual.mul_f64(self.workers.get(key).slowness(now));
+        let elsewhere = self.workers.best_other(key, now).map(|other| {
+            let backlog = self.delay(now).unwrap_or_default();
+            other.expected_end.max(now) + usual.mul_f64(other.slowness(now)) + backlog / 2
+        });
+        elsewhere.is_none_or(|elsewhere| here <= elsewhere + OVERDUE_GRACE)
+    }
+
+    fn call(
+        &mut self,
+        key: WorkerKey,
+        picked: &[(Token, usize)],
+        expected: Duration,
+        now: Duration,
+    ) -> Action {
+        self.next_call += 1;
+        let call = CallKey(self.next_call);
+        let mut items = Vec::with_capacity(picked.len());
+        let mut held = Vec::with_capacity(picked.len());
+        let mut bytes = 0;
+        for &(token, place) in picked {
+            let waiting = self.queue.get_mut(token).expect("it was just picked");
+            waiting.started(place);
+            bytes += waiting.order.result_bytes;
+            held.push(CallItem {
+                token,
+                place,
+                kind: waiting.order.kind,
+                bytes: waiting.order.result_bytes,
+            });
+        }
+        // Only now is it known which orders the call holds as a whole.
+        for item in &held {
+            let waiting = self.queue.get(item.token).expect("it was just picked");
+            items.push(waiting.item(item.place, now));
+        }
+        let release = self.workers.make_room(key, bytes, &self.batch, now);
+        let worker = self.workers.get_mut(key);
+        worker.started(now + expected, bytes);
+        let target = worker.target.clone();
+        self.calls.push(Call {
+            key: call,
+            worker: key,
+            started: now,
+            expected,
+            items: held,
+            bytes,
+            is_overdue: false,
+        });
+        Action::Call {
+            call,
+            target,
+            items,
+            release,
+            limit: expected.mul_f64(CALL_PATIENCE) + CALL_GRACE,
+        }
+    }
+
+    /// For each zone with targets, the wait of work that wants to stay there.
+    fn zone_waits(&self, now: Duration) -> Vec<(ZoneName, Duration)> {
+        let zones = self.workers.zones(now).into_iter();
+        let waits = zones.map(|(zone, first_free, rate)| {
+            let own = self.queue.waiting().filter(|it| it.order.home == zone);
+            let work = self.whole_calls(own.map(Waiting::load).sum());
+            (zone, first_free + work.div_f64(rate))
+        });
+        waits.collect()
+    }
+
+    fn picked_load(&self, picked: &[(Token, usize)]) -> Load {
+        let orders = picked
+            .iter()
+            .filter_map(|(token, _)| self.queue.get(*token));
+        let loads = orders.map(|order| Load {
+            pieces: 1,
+            time: order.piece_time(),
+        });
+        loads.sum()
+    }
+}
+
+/// How long results of this size are worth waiting for a target of their own zone.
+fn crossing(bytes: u64) -> Duration {
+    CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6)
+}
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -144,6 +144,7 @@
             }
         }
         self.gateway.stations.relist(&self.gateway);
+        self.gateway.share_connections();
         if age > STALE {
             return Err(format!("its state is {} ms old", age.as_millis()));
         }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -181,6 +181,16 @@
         self.peers.count()
     }
 
+    /// Keeps the idle connections of all gateways together within what targets accept: half of it,
+    /// as the other half carries requests.
+    pub fn share_connections(&self) {
+        let Some(table) = self.table() else { return };
+        let services = table.deployment().services.iter();
+        let least = services.map(|service| service.max_connections).min();
+        let part = least.unwrap_or(0) as usize / 2 / self.gateways();
+        self.upstream.limit(part);
+    }
+
     fn bounds_of(&self, service: &Service) -> fleet::Bounds {
         fleet::Bounds {
             gateways: self.gateways(),
--- a/crates/azurelug-gateway/src/upstream.rs
+++ b/crates/azurelug-gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to targets that wait for their next request.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,7 +27,8 @@
 /// an idle connection without notice, and what was sent on it can't be sent again.
 const FRESH: Duration = Duration::from_millis(400);
 
-/// Idle connections to one target. A burst opens more; they are closed afterwards.
+/// Idle connections of this gateway to one target at most. A burst opens more; they are closed
+/// afterwards.
 const MAX_IDLE: usize = 6;
 
 /// Time for a target to take the rest of a request that it has answered.
@@ -40,9 +42,11 @@
 }
 
 /// The idle connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Upstream {
     idle: Arc<Waiting>,
+    /// Idle connections to one target that leave room for those of the other gateways.
+    limit: Arc<AtomicUsize>,
 }
 
 /// Idle connections by target.
@@ -57,7 +61,21 @@
     pub is_kept: bool,
 }
 
+impl Default for Upstream {
+    fn default() -> Self {
+        Self {
+            idle: Arc::default(),
+            limit: Arc::new(AtomicUsize::new(MAX_IDLE)),
+        }
+    }
+}
+
 impl Upstream {
+    /// Takes this gateway's part of the connections that a target accepts from all of them.
+    pub fn limit(&self, part: usize) {
+        self.limit.store(part.clamp(1, MAX_IDLE), Ordering::Relaxed);
+    }
+
     /// An idle connection to a target, or a new one. `once` asks for one that can hardly have been
     /// dropped by the target.
     ///
@@ -105,7 +123,8 @@
 
     /// Keeps a connection whose answer has been read to its end.
     pub fn keep(&self, target: &TargetName, connection: Connection, idle: Option<Duration>) {
-        keep(&self.idle, target, connection, idle);
+        let limit = self.limit.load(Ordering::Relaxed);
+        keep(&self.idle, limit, target, connection, idle);
     }
 
     /// Keeps a connection once the rest of its exchange has been dealt with: the target may have
@@ -121,11 +140,12 @@
             return;
         }
         let waiting = Arc::clone(&self.idle);
+        let limit = self.limit.load(Ordering::Relaxed);
         let target = target.clone();
         tokio::spawn(async move {
             let is_ready = timeout(READY_LIMIT, connection.wait_ready()).await;
             if is_ready == Ok(true) {
-                keep(&waiting, &target, connection, idle);
+                keep(&waiting, limit, &target, connection, idle);
             }
         });
     }
@@ -146,14 +166,20 @@
     }
 }
 
-fn keep(waiting: &Waiting, target: &TargetName, connection: Connection, idle: Option<Duration>) {
+fn keep(
+    waiting: &Waiting,
+    most: usize,
+    target: &TargetName,
+    connection: Connection,
+    idle: Option<Duration>,
+) {
     if connection.is_closed() {
         return;
     }
     let limit = idle.map_or(DEFAULT_IDLE, |idle| idle.mul_f64(IDLE_PART));
     let mut kept = waiting.lock().expect("no holder of the lock panics");
     let waiting = kept.entry(target.clone()).or_default();
-    if waiting.len() < MAX_IDLE {
+    if waiting.len() < most {
         waiting.push(Idle {
             connection,
             since: Instant::now(),
