raft: test the largest message at the present limit of a command

Cause: the limit of a command rose from 256 to 512 KiB, so that a configuration of several hundred routes fits. Two tests named the old figure.

Ruled out: a frame over 1 MiB; the largest message stays below it.

Change: both tests take the limit from the settings, and the lower bound of the largest frame rises with it.

Conclusion: as strict as before the limit rose.

--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -356,7 +356,7 @@
             leader,
             Event::Propose {
                 token,
-                command: vec![255; 256 * 1024],
+                command: vec![255; Settings::default().max_command_bytes],
             },
         );
     }
@@ -373,7 +373,7 @@
         net.run(1);
     }
     assert!(
-        (256 * 1024..1024 * 1024).contains(&largest),
+        (Settings::default().max_command_bytes..1024 * 1024).contains(&largest),
         "largest frame: {largest} bytes"
     );
 }
