dispatch: spread the starts of calls over the time of a call

Calls that start together leave all pieces to the first one; the others cost a target 200 ms for next to nothing, and end together again. Ruled out: room for results (no call found a target full), slow targets (calls took 0.97 to 1.02 of the expected time), engines (52 ms at the median).

Change: a call that would not be full waits until the last start is a part of a call's time ago. It does not wait if that would make an order late, after a failed call, or while fewer than 0.3 of the targets are at work. Calls and refusals now log the inputs that decided them. A model of the staged services replays loads without the bench (tests/support/staged.rs).

What is left of the loss in bursts is admission.

--- /dev/null
+++ b/crates/azurelug-core/examples/staged_load.rs
@@ -0,0 +1,97 @@
+//! Offers several loads to the dispatchers of a pipeline and prints what becomes of the requests:
+//! `cargo run --release -p azurelug-core --example staged_load`.
+#![allow(clippy::unwrap_used)]
+
+#[path = "../tests/support/staged.rs"]
+mod staged;
+
+use std::time::Duration;
+
+use staged::{Model, grown};
+
+fn print(name: &str, model: &Model) {
+    println!("{name}");
+    for (class, it) in model.outcomes.iter().enumerate() {
+        println!(
+            "  class {class}: asked {} in time {:.3} worth {:.3} late {:.3} refused {:.3} wasted {:.3}",
+            it.asked,
+            it.part_in_time(),
+            it.worth_part(),
+            f64::from(it.late) / f64::from(it.asked),
+            f64::from(it.refused) / f64::from(it.asked),
+            f64::from(it.wasted) / f64::from(it.asked),
+        );
+    }
+    for (service, it) in model.calls.iter().enumerate() {
+        println!(
+            "  service {service}: calls {} pieces a call {:.1} small {:.2}",
+            it.calls,
+            f64::from(it.pieces) / f64::from(it.calls),
+            f64::from(it.small) / f64::from(it.calls)
+        );
+    }
+}
+
+fn main() {
+    for (name, digest, brief) in [
+        (
+            "calm",
+            (|_| 171.0) as fn(f64) -> f64,
+            (|_| 212.0) as fn(f64) -> f64,
+        ),
+        (
+            "digest 2.4",
+            |t| {
+                if (4.0..10.8).contains(&t) {
+                    410.0
+                } else {
+                    171.0
+                }
+            },
+            |_| 212.0,
+        ),
+        (
+            "brief 1.7",
+            |_| 171.0,
+            |t| {
+                if (4.0..10.5).contains(&t) {
+                    340.0
+                } else {
+                    212.0
+                }
+            },
+        ),
+        (
+            "brief 2.1",
+            |_| 171.0,
+            |t| {
+                if (4.0..10.5).contains(&t) {
+                    410.0
+                } else {
+                    212.0
+                }
+            },
+        ),
+        (
+            "all 1.7",
+            |t| {
+                if (4.0..8.0).contains(&t) {
+                    290.0
+                } else {
+                    171.0
+                }
+            },
+            |t| {
+                if (4.0..8.0).contains(&t) {
+                    360.0
+                } else {
+                    212.0
+                }
+            },
+        ),
+    ] {
+        let mut model = grown(digest, brief, 1);
+        model.run(Duration::from_secs(14));
+        print(name, &model);
+    }
+}
--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -93,6 +93,10 @@
         items: Vec<Item>,
         /// Results that the target is told first are no longer needed, to make room.
         release: Vec<String>,
+        /// How long it usually takes.
+        expected: Duration,
+        /// Pieces that still wait after it.
+        waiting: usize,
         /// When to give up.
         limit: Duration,
     },
@@ -112,6 +116,19 @@
     },
 }
 
+/// What a dispatcher has to do, compared with its targets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pressure {
+    /// Pieces that wait.
+    pub waiting: usize,
+    /// Pieces of later stages for which time is kept.
+    pub booked: usize,
+    /// Time that calls in progress still take, summed over the targets.
+    pub busy: Duration,
+    /// How many usual targets the usable ones are worth.
+    pub targets: f64,
+}
+
 /// A piece in a call.
 #[derive(Clone, Copy, Debug)]
 struct CallItem {
@@ -148,6 +165,7 @@
     calls: Vec<Call>,
     times: Times,
     next_call: u64,
+    last_start: Option<Duration>,
     bookings: Vec<Booked>,
     /// Use of the targets by work that can be in time.
     utilization: Utilization,
@@ -164,6 +182,7 @@
             calls: Vec::new(),
             times: Times::default(),
             next_call: 0,
+            last_start: None,
             bookings: Vec::new(),
             utilization: Utilization::default(),
         }
@@ -193,7 +212,9 @@
         let overdue = calls.map(Call::overdue_at).min();
         let waiting = self.queue.first_deadline();
         let returning = waiting.and_then(|_| self.workers.next_return(now));
-        [overdue, waiting, returning].into_iter().flatten().min()
+        let held = waiting.and_then(|_| self.held_until(now));
+        let times = [overdue, waiting, returning, held];
+        times.into_iter().flatten().min()
     }
 
     /// Forgets an order whose client is gone. Pieces that are in a call are not taken back.
@@ -251,6 +272,8 @@
             }
             CallEnd::Items(_) | CallEnd::Failed => {
                 worker.failed(taken, call.expected, now);
+                // The pieces are late enough already.
+                self.last_start = None;
                 // The target may still make the results.
                 let until = now + call.expected + self.batch.result_lifetime;
                 self.workers.hold_unknown(call.worker, call.bytes, until);
@@ -406,6 +429,19 @@
         Some(first_free + self.whole_calls(load).div_f64(rate))
     }
 
+    /// What admission decides by, for logs.
+    #[must_use]
+    pub fn pressure(&self, now: Duration) -> Pressure {
+        let booked = self.bookings.iter().filter(|it| it.promise.due > now);
+        let waiting = self.queue.load();
+        Pressure {
+            waiting: waiting.pieces,
+            booked: booked.map(|it| it.load.pieces).sum(),
+            busy: self.workers.busy(now),
+            targets: self.workers.capacity(now).map_or(0.0, |(_, rate)| rate),
+        }
+    }
+
     /// What each target is doing, for a dump.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetName, u32, u64)> {
         self.workers.iter().map(dump)
--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -14,8 +14,8 @@
 pub(super) struct Booked {
     request: String,
     stage: u8,
-    promise: Promise,
-    load: Load,
+    pub(super) promise: Promise,
+    pub(super) load: Load,
 }
 
 impl Dispatcher {
--- a/crates/azurelug-core/src/gateway/dispatch/start.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -19,16 +19,45 @@
 /// between zones is billed.
 const CROSSING_PER_MB: Duration = Duration::from_millis(80);
 
+/// Part of the time of a call over which the starts of all targets' calls are spread. Below 1, so
+/// that targets do not wait for each other when calls take longer than expected.
+const SPACING_PART: f64 = 0.9;
+
+/// With fewer targets at work than this part, a call that holds little costs nobody anything.
+const CALM_PART: f64 = 0.3;
+
 impl Dispatcher {
     /// The next call that is worth starting now.
     pub(super) fn next_call(&mut self, now: Duration) -> Option<Action> {
-        if self.queue.load().pieces == 0 {
+        if self.queue.load().pieces == 0 || self.held_until(now).is_some() {
             return None;
         }
         let free = self.workers.free(self.batch.slots, now);
         free.into_iter().find_map(|key| self.start_call(key, now))
     }
 
+    /// Until when a call that would not be full is held back, if so. Calls that start together take
+    /// all pieces in the first one and leave the others next to nothing, though each costs a target
+    /// the same time; starts that are spread over the time of a call hold equal parts.
+    pub(super) fn held_until(&self, now: Duration) -> Option<Duration> {
+        let load = self.queue.load();
+        if load.pieces >= self.batch.max_pieces {
+            return None;
+        }
+        if self.workers.busy_part(now) < CALM_PART {
+            return None;
+        }
+        let (_, rate) = self.workers.capacity(now)?;
+        let call = self.call_time(load);
+        let spacing = call.mul_f64(SPACING_PART / rate.max(1.0));
+        let until = self.last_start? + spacing;
+        let is_urgent = self
+            .queue
+            .waiting()
+            .any(|it| it.due >= now + call && it.due < until + call);
+        (now < until && !is_urgent).then_some(until)
+    }
+
     fn start_call(&mut self, key: WorkerKey, now: Duration) -> Option<Action> {
         let worker = self.workers.get(key);
         let slowness = worker.slowness(now);
@@ -74,6 +103,7 @@
         now: Duration,
     ) -> Action {
         self.next_call += 1;
+        self.last_start = Some(now);
         let call = CallKey(self.next_call);
         let mut items = Vec::with_capacity(picked.len());
         let mut held = Vec::with_capacity(picked.len());
@@ -112,6 +142,8 @@
             target,
             items,
             release,
+            expected,
+            waiting: self.queue.load().pieces,
             limit: expected.mul_f64(CALL_PATIENCE) + CALL_GRACE,
         }
     }
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -301,6 +301,15 @@
         usable.map(|worker| worker.free_in(now)).sum()
     }
 
+    /// Part of the usable targets that have a call in progress.
+    pub(super) fn busy_part(&self, now: Duration) -> f64 {
+        let usable = self.workers.iter().filter(|it| it.is_usable(now));
+        let (busy, all) = usable.fold((0, 0), |(busy, all), it| {
+            (busy + u32::from(it.running > 0), all + 1)
+        });
+        f64::from(busy) / f64::from(all.max(1))
+    }
+
     /// When the next excluded target may be used again.
     pub(super) fn next_return(&self, now: Duration) -> Option<Duration> {
         let excluded = self.workers.iter().filter(|it| it.is_listed);
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -18,6 +18,8 @@
     pub pieces: u16,
     /// Positions of the stages whose results it needs and that are not left out.
     pub after: Vec<u8>,
+    /// Usual time from the arrival of the request until this stage can start.
+    pub start: Duration,
     /// Usual time from the end of this stage until the first event of the answer.
     pub rest: Duration,
     /// Whether its results go to the model engine, because no other stage uses them.
@@ -34,6 +36,10 @@
 /// The usual share of a call's room for pieces that is filled.
 const USUAL_FILL: f64 = 0.6;
 
+/// How much earlier than needed results are asked for. Calls and transfers take a little longer or
+/// shorter than usual, and what is planned to the last moment comes late half of the time.
+const MARGIN: Duration = Duration::from_millis(80);
+
 /// Why the pieces of a request don't fit its route.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
@@ -70,28 +76,41 @@
             steps.push(Step {
                 pieces: pieces[position],
                 after: used(stage, pieces),
+                start: Duration::ZERO,
                 rest: Duration::ZERO,
                 is_last: followers.is_empty(),
             });
         }
+        let times: Vec<Duration> = (0..steps.len())
+            .map(|position| match pieces[position] {
+                0 => Duration::ZERO,
+                _ => usual_time(deployment.service(route.stages[position].service), &wait),
+            })
+            .collect();
         // One pass for each stage settles the longest path, in whatever order the route lists them.
         for position in (0..steps.len())
             .rev()
             .cycle()
             .take(steps.len() * steps.len())
         {
-            let rest = followers(route, position).into_iter().map(|follower| {
-                let own = if pieces[follower] == 0 {
-                    Duration::ZERO
-                } else {
-                    usual_time(deployment.service(route.stages[follower].service), &wait)
-                };
-                steps[follower].rest + own
-            });
+            let rest = followers(route, position).into_iter();
+            let rest = rest.map(|follower| steps[follower].rest + times[follower]);
             steps[position].rest = rest.max().unwrap_or(ENGINE_TIME);
+            let before = route.stages[position]
+                .after
+                .iter()
+                .map(|&it| usize::from(it));
+            let start = before.map(|it| steps[it].start + times[it]).max();
+            steps[position].start = start.unwrap_or_default();
         }
         Ok(Self { steps })
     }
+
+    /// When the results of a stage are needed for an answer that is due at `due`.
+    #[must_use]
+    pub fn due(&self, position: usize, due: Duration) -> Duration {
+        due.saturating_sub(self.steps[position].rest + MARGIN)
+    }
 }
 
 fn used(stage: &Stage, pieces: &[u16]) -> Vec<u8> {
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -237,6 +237,7 @@
             pieces: 6,
             rank: 0,
             worth,
+            start_ms: 0,
             due_ms: 1000,
             deadline_ms: 1100,
         };
@@ -269,6 +270,7 @@
         pieces: 50,
         rank: 0,
         worth: 0.5,
+        start_ms: 0,
         due_ms: 600,
         deadline_ms: 500,
     };
--- /dev/null
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -0,0 +1,633 @@
+//! A model of staged services: dispatchers, targets that run one call at a time, and requests whose
+//! stages follow each other, driven on a clock of its own.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use azurelug_core::gateway::dispatch::{
+    Action, CallEnd, CallKey, Dispatcher, Listed, Released, Token,
+};
+use azurelug_core::gateway::plan::Plan;
+use azurelug_types::deployment::{
+    Batch, Deployment, Kind, Route, Service, ServiceKey, Share, Stage,
+};
+use azurelug_types::fleet::{Booking, ItemEnd, Pieces, Source};
+use azurelug_types::id::{ServiceName, TargetName, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// One way between two gateways, with the time until a small VM has read the message.
+const HOP: Duration = Duration::from_millis(5);
+
+/// What a call takes beside the stated times: the connection and the transfer of inputs.
+const CALL_OVERHEAD: Duration = Duration::from_millis(12);
+
+/// Time of an engine until its first event.
+const ENGINE: Duration = Duration::from_millis(60);
+
+/// How long after the start of a call its inputs are released.
+const FETCHED: Duration = Duration::from_millis(115);
+
+/// One kind of requests.
+#[derive(Clone, Debug)]
+pub(crate) struct Class {
+    pub(crate) route: Route,
+    /// Requests a second at each time.
+    pub(crate) rate: fn(f64) -> f64,
+    /// The least and the most pieces of each stage.
+    pub(crate) pieces: Vec<(u16, u16)>,
+    /// Part of the requests that leave the first stage out.
+    pub(crate) skips_first: f64,
+    /// The real time of a piece of each stage, as a part of the stated one.
+    pub(crate) work: Vec<f64>,
+}
+
+/// What became of the requests of a class.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Outcome {
+    pub(crate) asked: u32,
+    pub(crate) in_time: u32,
+    pub(crate) late: u32,
+    pub(crate) refused: u32,
+    /// Requests that were refused after a stage had run.
+    pub(crate) wasted: u32,
+    /// Sum over the requests of their sizes, and over those in time; the mean size is 1.
+    pub(crate) worth: f64,
+    pub(crate) worth_in_time: f64,
+}
+
+impl Outcome {
+    pub(crate) fn part_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+
+    pub(crate) fn worth_part(&self) -> f64 {
+        self.worth_in_time / self.worth.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Calls of a service and the pieces in them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Calls {
+    pub(crate) calls: u32,
+    pub(crate) pieces: u32,
+    pub(crate) small: u32,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrival(usize),
+    Order {
+        request: usize,
+        stage: usize,
+    },
+    CallEnded {
+        place: usize,
+        call: CallKey,
+        items: Vec<(u64, String)>,
+    },
+    Release {
+        place: usize,
+        results: Vec<Released>,
+    },
+    Wake {
+        place: usize,
+    },
+    Ended {
+        request: usize,
+        stage: usize,
+    },
+    Answered {
+        request: usize,
+    },
+}
+
+struct Request {
+    class: usize,
+    home: usize,
+    arrived: Duration,
+    worth: f64,
+    size: f64,
+    plan: Plan,
+    done: Vec<bool>,
+    started: Vec<bool>,
+    handles: Vec<Vec<(usize, Released)>>,
+    is_over: bool,
+    has_run: bool,
+}
+
+struct Place {
+    service: usize,
+    dispatcher: Dispatcher,
+    free_at: HashMap<TargetName, Duration>,
+    woken_at: Option<Duration>,
+}
+
+/// All of it.
+pub(crate) struct Model {
+    deployment: Deployment,
+    classes: Vec<Class>,
+    places: Vec<Place>,
+    zones: usize,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    sequence: u64,
+    requests: Vec<Request>,
+    tokens: HashMap<(usize, Token), (usize, usize)>,
+    random: Pcg64,
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) calls: Vec<Calls>,
+    until: Duration,
+}
+
+pub(crate) fn service(name: &str, max_pieces: usize, piece_us: u64, room: u64) -> Service {
+    Service {
+        name: ServiceName::from(name),
+        max_connections: 100,
+        cold_time: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: None,
+        batch: Some(Batch {
+            slots: 1,
+            queue: 2,
+            max_pieces,
+            call_time: Duration::from_millis(200),
+            piece_time: Duration::from_micros(piece_us),
+            result_room: room,
+            result_lifetime: Duration::from_secs(4),
+        }),
+    }
+}
+
+/// Stages are the service, the stages before and the size of a result.
+pub(crate) fn route(
+    name: &str,
+    objective_ms: u64,
+    priority: u8,
+    stages: &[(u16, &[u8], u64)],
+) -> Route {
+    let stages = stages.iter().map(|(service, after, result_bytes)| Stage {
+        service: ServiceKey(*service),
+        after: after.to_vec(),
+        result_bytes: *result_bytes,
+    });
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: true },
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(objective_ms),
+        gap_objective: Duration::from_millis(250),
+        priority,
+        split: vec![Share {
+            service: ServiceKey(0),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        stages: stages.collect(),
+        is_anonymous: true,
+    }
+}
+
+impl Model {
+    /// `targets` are those of each service in each zone; with one zone they are one pool.
+    pub(crate) fn new(
+        services: Vec<Service>,
+        classes: Vec<Class>,
+        targets: &[usize],
+        zones: usize,
+        seed: u64,
+    ) -> Self {
+        let mut places = Vec::new();
+        for (at, service) in services.iter().enumerate() {
+            for (zone, name) in ZONES.iter().enumerate().take(zones) {
+                let mut dispatcher = Dispatcher::new(service.batch.unwrap());
+                let listed: Vec<Listed> = (0..targets[at])
+                    .map(|number| Listed {
+                        name: TargetName(format!("{}-{zone}-{number}", service.name)),
+                        address: format!("10.{at}.{zone}.{}:80", number + 1).parse().unwrap(),
+                        zone: ZoneName::from(*name),
+                    })
+                    .collect();
+                dispatcher.list(&listed, Duration::ZERO);
+                places.push(Place {
+                    service: at,
+                    dispatcher,
+                    free_at: HashMap::new(),
+                    woken_at: None,
+                });
+            }
+        }
+        Self {
+            calls: vec![Calls::default(); services.len()],
+            deployment: Deployment {
+                services,
+                ..Deployment::default()
+            },
+            outcomes: vec![Outcome::default(); classes.len()],
+            classes,
+            places,
+            zones,
+            now: Duration::ZERO,
+            events: BTreeMap::new(),
+            sequence: 0,
+            requests: Vec::new(),
+            tokens: HashMap::new(),
+            random: Pcg64::seed_from_u64(seed),
+            until: Duration::ZERO,
+        }
+    }
+
+    fn at(&mut self, time: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.insert((time, self.sequence), event);
+    }
+
+    /// Offers the load until `until`, and lets all of it end.
+    pub(crate) fn run(&mut self, until: Duration) {
+        self.until = until;
+        for class in 0..self.classes.len() {
+            self.at(Duration::ZERO, Event::Arrival(class));
+        }
+        while let Some(((time, _), event)) = self.events.pop_first() {
+            self.now = time;
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(class) => self.arrive(class),
+            Event::Order { request, stage } => self.order(request, stage),
+            Event::CallEnded { place, call, items } => {
+                let ends = items
+                    .iter()
+                    .map(|(_, handle)| ItemEnd::Done(handle.clone()));
+                let end = CallEnd::Items(ends.collect());
+                let actions = self.places[place].dispatcher.called(call, end, self.now);
+                self.act(place, actions);
+            }
+            Event::Release { place, results } => {
+                let actions = self.places[place].dispatcher.release(&results, self.now);
+                self.act(place, actions);
+                let actions = self.places[place].dispatcher.advance(self.now);
+                self.act(place, actions);
+            }
+            Event::Wake { place } => {
+                if self.places[place].woken_at == Some(self.now) {
+                    self.places[place].woken_at = None;
+                    let actions = self.places[place].dispatcher.advance(self.now);
+                    self.act(place, actions);
+                }
+            }
+            Event::Ended { request, stage } => self.stage_ended(request, stage),
+            Event::Answered { request } => self.answered(request),
+        }
+    }
+
+    fn arrive(&mut self, class: usize) {
+        let rate = (self.classes[class].rate)(self.now.as_secs_f64());
+        let gap = -(1.0 - self.random.random::<f64>()).ln() / rate;
+        let next = self.now + Duration::from_secs_f64(gap);
+        if next < self.until {
+            self.at(next, Event::Arrival(class));
+        }
+        let kind = self.classes[class].clone();
+        let skips = self.random.random::<f64>() < kind.skips_first;
+        let pieces: Vec<u16> = kind
+            .pieces
+            .iter()
+            .enumerate()
+            .map(|(at, &(least, most))| {
+                if at == 0 && skips {
+                    0
+                } else {
+                    self.random.random_range(least..=most)
+                }
+            })
+            .collect();
+        // Sizes that differ up to ten times, with a mean of 1.
+        let place = self.random.random::<f64>();
+        let size = 0.2 + 2.4 * place * place;
+        let waits: Vec<Duration> = (0..self.deployment.services.len())
+            .map(|service| {
+                let place = &self.places[service * self.zones];
+                place.dispatcher.delay(self.now).unwrap_or_default()
+            })
+            .collect();
+        let names: Vec<ServiceName> = self
+            .deployment
+            .services
+            .iter()
+            .map(|it| it.name.clone())
+            .collect();
+        let plan = Plan::new(&self.deployment, &kind.route, &pieces, |service| {
+            waits[names.iter().position(|name| *name == service.name).unwrap()]
+        })
+        .unwrap();
+        let count = pieces.len();
+        let request = self.requests.len();
+        self.outcomes[class].asked += 1;
+        self.outcomes[class].worth += size;
+        self.requests.push(Request {
+            class,
+            home: self.random.random_range(0..self.zones),
+            arrived: self.now,
+            worth: place,
+            size,
+            plan,
+            done: pieces.iter().map(|it| *it == 0).collect(),
+            started: pieces.iter().map(|it| *it == 0).collect(),
+            handles: vec![Vec::new(); count],
+            is_over: false,
+            has_run: false,
+        });
+        if !self.book(request) {
+            return;
+        }
+        self.start_ready(request);
+    }
+
+    fn place_of(&self, request: usize, stage: usize) -> usize {
+        let it = &self.requests[request];
+        let service = self.classes[it.class].route.stages[stage].service;
+        usize::from(service.0) * self.zones + it.home
+    }
+
+    fn due(&self, request: usize, stage: usize) -> Duration {
+        let it = &self.requests[request];
+        let objective = self.classes[it.class].route.objective;
+        it.plan.due(stage, it.arrived + objective)
+    }
+
+    fn book(&mut self, request: usize) -> bool {
+        for stage in 0..self.requests[request].plan.steps.len() {
+            let it = &self.requests[request];
+            let step = &it.plan.steps[stage];
+            let route = &self.classes[it.class].route;
+            if step.pieces == 0 || step.after.is_empty() {
+                continue;
+            }
+            let due = self.due(request, stage);
+            let booking = Booking {
+                service: self
+                    .deployment
+                    .service(route.stages[stage].service)
+                    .name
+                    .clone(),
+                scope: None,
+                request: format!("r{request}"),
+                stage: u8::try_from(stage).unwrap(),
+                kind: (it.class * 8 + stage) as u64,
+                pieces: step.pieces,
+                rank: u16::from(route.priority),
+                worth: it.worth,
+                start_ms: step.start.as_millis() as u64,
+                due_ms: due.saturating_sub(self.now).as_millis() as u64,
+                deadline_ms: 3000,
+            };
+            let place = self.place_of(request, stage);
+            let booked = self.places[place].dispatcher.book(&booking, self.now);
+            if booked.is_err() {
+                self.refuse(request);
+                return false;
+            }
+        }
+        true
+    }
+
+    fn refuse(&mut self, request: usize) {
+        let it = &mut self.requests[request];
+        it.is_over = true;
+        let has_run = it.has_run;
+        let outcome = &mut self.outcomes[it.class];
+        outcome.refused += 1;
+        outcome.wasted += u32::from(has_run);
+        for place in &mut self.places {
+            place.dispatcher.unbook(&format!("r{request}"));
+        }
+        self.release(request, |_| true);
+    }
+
+    fn release(&mut self, request: usize, stages: impl Fn(usize) -> bool) {
+        let mut by_place: HashMap<usize, Vec<Released>> = HashMap::new();
+        let handles = &mut self.requests[request].handles;
+        for (stage, held) in handles.iter_mut().enumerate() {
+            if stages(stage) {
+                for (place, released) in held.drain(..) {
+                    by_place.entry(place).or_default().push(released);
+                }
+            }
+        }
+        let at = self.now + HOP + Duration::from_millis(25);
+        for (place, results) in by_place {
+            self.at(at, Event::Release { place, results });
+        }
+    }
+
+    fn start_ready(&mut self, request: usize) {
+        let at = self.now + HOP;
+        for stage in 0..self.requests[request].plan.steps.len() {
+            let it = &mut self.requests[request];
+            let after = &it.plan.steps[stage].after;
+            if !it.started[stage] && after.iter().all(|&before| it.done[usize::from(before)]) {
+                it.started[stage] = true;
+                self.at(at, Event::Order { request, stage });
+            }
+        }
+        let it = &self.requests[request];
+        if it.done.iter().all(|done| *done) {
+            self.at(self.now + ENGINE, Event::Answered { request });
+        }
+    }
+
+    fn order(&mut self, request: usize, stage: usize) {
+        if self.requests[request].is_over {
+            return;
+        }
+        let due = self.due(request, stage).as_millis() as i64 - self.now.as_millis() as i64;
+        let it = &self.requests[request];
+        let route = &self.classes[it.class].route;
+        let order = Pieces {
+            service: self
+                .deployment
+                .service(route.stages[stage].service)
+                .name
+                .clone(),
+            scope: None,
+            home: ZoneName::from(ZONES[it.home]),
+            request: format!("r{request}"),
+            stage: u8::try_from(stage).unwrap(),
+            kind: (it.class * 8 + stage) as u64,
+            pieces: (0..it.plan.steps[stage].pieces).collect(),
+            source: Source::Key(String::new()),
+            result_bytes: route.stages[stage].result_bytes,
+            rank: u16::from(route.priority),
+            worth: it.worth,
+            due_ms: due,
+            deadline_ms: 3000,
+        };
+        let place = self.place_of(request, stage);
+        let token = Token((request * 8 + stage) as u64);
+        self.tokens.insert((place, token), (request, stage));
+        let actions = self.places[place].dispatcher.submit(token, order, self.now);
+        self.act(place, actions);
+    }
+
+    fn act(&mut self, place: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call,
+                    target,
+                    items,
+                    ..
+                } => {
+                    let service = self.places[place].service;
+                    let batch = self.deployment.services[service].batch.unwrap();
+                    let mut time = batch.call_time + CALL_OVERHEAD;
+                    let mut ended = Vec::new();
+                    for item in &items {
+                        let request: usize = item.request[1..].parse().unwrap();
+                        let stage = usize::from(item.stage);
+                        self.requests[request].has_run = true;
+                        let class = &self.classes[self.requests[request].class];
+                        time += batch.piece_time.mul_f64(class.work[stage]);
+                        let handle =
+                            format!("{}/{}-{stage}-{}", target.address, request, item.piece);
+                        ended.push((request as u64, handle));
+                    }
+                    let free = self.places[place].free_at.entry(target.name).or_default();
+                    let start = (*free).max(self.now);
+                    let end = start + time;
+                    *free = end;
+                    let most = batch.max_pieces;
+                    self.calls[service].calls += 1;
+                    self.calls[service].pieces += items.len() as u32;
+                    self.calls[service].small += u32::from(items.len() * 4 < most);
+                    self.release_inputs(&items, start + FETCHED);
+                    self.at(
+                        end + HOP,
+                        Event::CallEnded {
+                            place,
+                            call,
+                            items: ended,
+                        },
+                    );
+                }
+                Action::End { token, result } => {
+                    let (request, stage) = self.tokens[&(place, token)];
+                    match result {
+                        Ok(handles) => {
+                            let results = handles.into_iter().map(|handle| {
+                                let maker = handle.split('/').next().unwrap().parse().unwrap();
+                                (place, Released { handle, maker })
+                            });
+                            self.requests[request].handles[stage] = results.collect();
+                            self.at(self.now + HOP, Event::Ended { request, stage });
+                        }
+                        Err(_) if self.requests[request].is_over => {}
+                        Err(_) => self.refuse(request),
+                    }
+                }
+                Action::Release { .. } => {}
+            }
+        }
+        let now = self.now;
+        let next = self.places[place].dispatcher.next_deadline(now);
+        let next = next.map(|next| next.max(now + Duration::from_millis(2)));
+        let woken = &mut self.places[place].woken_at;
+        if let Some(next) = next
+            && woken.is_none_or(|at| next < at)
+        {
+            *woken = Some(next);
+            self.at(next, Event::Wake { place });
+        }
+    }
+
+    /// The inputs of orders that a call holds as a whole are released soon after its start.
+    fn release_inputs(&mut self, items: &[azurelug_types::fleet::Item], at: Duration) {
+        let mut by_place: HashMap<usize, Vec<Released>> = HashMap::new();
+        for item in items
+            .iter()
+            .filter(|item| item.is_whole_order && item.piece == 0)
+        {
+            let request: usize = item.request[1..].parse().unwrap();
+            let it = &mut self.requests[request];
+            let after = it.plan.steps[usize::from(item.stage)].after.clone();
+            for before in after {
+                for (place, released) in it.handles[usize::from(before)].drain(..) {
+                    by_place.entry(place).or_default().push(released);
+                }
+            }
+        }
+        for (place, results) in by_place {
+            self.at(at + HOP, Event::Release { place, results });
+        }
+    }
+
+    fn stage_ended(&mut self, request: usize, stage: usize) {
+        if self.requests[request].is_over {
+            return self.release(request, |_| true);
+        }
+        self.requests[request].done[stage] = true;
+        self.start_ready(request);
+    }
+
+    fn answered(&mut self, request: usize) {
+        let it = &mut self.requests[request];
+        if it.is_over {
+            return;
+        }
+        it.is_over = true;
+        let taken = self.now - it.arrived;
+        let is_late = taken > self.classes[it.class].route.objective;
+        let size = it.size;
+        let outcome = &mut self.outcomes[it.class];
+        if is_late {
+            outcome.late += 1;
+        } else {
+            outcome.in_time += 1;
+            outcome.worth_in_time += size;
+        }
+        self.release(request, |_| true);
+    }
+}
+
+/// Two kinds of requests: one whose first stage has large results, and one with three stages.
+fn classes(digest: fn(f64) -> f64, brief: fn(f64) -> f64) -> Vec<Class> {
+    vec![
+        Class {
+            route: route("digest", 790, 1, &[(0, &[], 1_500_000)]),
+            rate: digest,
+            pieces: vec![(1, 4)],
+            skips_first: 0.3,
+            work: vec![1.0],
+        },
+        Class {
+            route: route(
+                "brief",
+                1700,
+                0,
+                &[(0, &[], 8000), (1, &[0], 60_000), (2, &[1], 6000)],
+            ),
+            rate: brief,
+            pieces: vec![(1, 1), (6, 6), (4, 16)],
+            skips_first: 0.0,
+            work: vec![0.3, 1.03, 1.25],
+        },
+    ]
+}
+
+/// Three zones with the staged services of a deployment of 51 stage targets.
+pub(crate) fn grown(digest: fn(f64) -> f64, brief: fn(f64) -> f64, seed: u64) -> Model {
+    let services = vec![
+        service("encode", 20, 8600, 45_000_000),
+        service("rerank", 62, 2800, 8_100_000),
+        service("rank", 86, 2000, 1_100_000),
+    ];
+    Model::new(services, classes(digest, brief), &[6, 5, 6], 3, seed)
+}
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -22,10 +22,6 @@
 /// What another zone costs at least.
 const CROSSING: Duration = Duration::from_millis(40);
 
-/// How much earlier than needed results are asked for. Calls and transfers take a little longer or
-/// shorter than usual, and what is planned to the last moment comes late half of the time.
-const MARGIN: Duration = Duration::from_millis(80);
-
 /// Part of the time left after which a refused client comes back at the latest; clients wait no
 /// longer.
 const RETURN_PART: f64 = 1.0 / 3.0;
@@ -203,7 +199,7 @@
         let steps = plan.steps.iter().enumerate();
         let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
         let bookings = later.filter_map(|(position, step)| {
-            let due = exchange.due().saturating_sub(step.rest + MARGIN);
+            let due = plan.due(position, exchange.due());
             let service = exchange
                 .table
                 .service(exchange.route.stages[position].service);
@@ -216,6 +212,7 @@
                 pieces: step.pieces,
                 rank: exchange.rank,
                 worth: exchange.worth,
+                start_ms: millis((exchange.arrived + step.start).saturating_sub(now)),
                 due_ms: millis(due - now),
                 deadline_ms: millis(stage_time(exchange, step.rest)),
             })
@@ -286,7 +283,9 @@
     let step = &plan.steps[position];
     let stage = &exchange.route.stages[position];
     // Waits have changed since the first stage.
-    let rest = self::plan(exchange).map_or(step.rest, |plan| plan.steps[position].rest);
+    let planned = self::plan(exchange);
+    let plan = planned.as_ref().unwrap_or(plan);
+    let rest = plan.steps[position].rest;
     let gateway = &exchange.gateway;
     let service = exchange.table.service(stage.service);
     let source = if exchange.route.stages[position].after.is_empty() {
@@ -295,7 +294,7 @@
         Source::Results(inputs)
     };
     let now = gateway.now();
-    let due = exchange.due().saturating_sub(rest + MARGIN);
+    let due = plan.due(position, exchange.due());
     let order = Pieces {
         service: service.name.clone(),
         scope: None,
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -94,6 +94,14 @@
             Err(_) => Some(0),
         };
         let delay = dispatcher.delay(now).unwrap_or_default();
+        drop(dispatcher);
+        if refused_ms.is_some() {
+            let due = booking.due_ms;
+            station.log_refusal(
+                gateway,
+                &format!("booking of {}, due in {due} ms", booking.request),
+            );
+        }
         Frame::Booked {
             refused_ms,
             delay_ms: u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
@@ -261,6 +269,8 @@
                     target,
                     items,
                     release,
+                    expected,
+                    waiting,
                     limit,
                 } => {
                     let running = Running {
@@ -268,10 +278,15 @@
                         gateway: Arc::clone(gateway),
                         call,
                         target: self.target(target),
+                        expected,
+                        waiting,
                     };
                     tokio::spawn(running.run(items, release, limit));
                 }
                 Action::End { token, result } => {
+                    if matches!(result, Err(PiecesError::Late { .. })) {
+                        self.log_refusal(gateway, &format!("order {}", token.0));
+                    }
                     let delay = self.dispatcher().delay(gateway.now());
                     let delay_ms = delay.map_or(0, |delay| delay.as_millis() as u64);
                     if let Some(sender) = self.waiting().remove(&token) {
@@ -288,6 +303,19 @@
         }
     }
 
+    /// Logs what a refusal was decided by.
+    fn log_refusal(&self, gateway: &Gateway, what: &str) {
+        let pressure = self.dispatcher().pressure(gateway.now());
+        log::info!(
+            "gateway: {what} refused; service={} waiting={} booked={} busy_ms={} targets={:.1}",
+            self.service,
+            pressure.waiting,
+            pressure.booked,
+            pressure.busy.as_millis(),
+            pressure.targets
+        );
+    }
+
     fn target(&self, listed: Listed) -> Target {
         Target {
             name: listed.name,
@@ -314,6 +342,9 @@
     gateway: Arc<Gateway>,
     call: CallKey,
     target: Target,
+    expected: Duration,
+    /// Pieces that waited when it started.
+    waiting: usize,
 }
 
 impl Running {
@@ -356,7 +387,13 @@
                 CallEnd::Failed
             }
         };
-        log::info!("gateway: call to {name}, {count} pieces, {taken} ms");
+        log::info!(
+            "gateway: call to {name}, {count} pieces, {taken} ms; service={} expected_ms={} waiting={} held={}",
+            self.station.service,
+            self.expected.as_millis(),
+            self.waiting,
+            self.station.held(name)
+        );
         if let CallEnd::Items(ends) = &end {
             let refused = ends.iter().filter(|end| **end == ItemEnd::NoRoom).count();
             if refused > 0 {
