gateway: dispatchers of one zone run on different gateways

Cause: calls of the zone whose three dispatchers ran on one gateway took 40 to 70 ms longer than those of the other zones for the same number of pieces (43.6 pieces in 394 ms against 52.6 in 369 ms), a quarter of that zone's capacity. A dispatcher needs about 0.02 of a core, three of them over half of a small VM's 0.12, and every message waits for the others. Ruled out: slow targets (the same ones are fast under another dispatcher), larger calls.

Change: owner::spread gives the services' dispatchers of a zone different gateways as long as there are enough; the ranking is worked out once for each list of gateways, not for each order. Results that ended by themselves are looked for ten times a second, not at every event.

Test the_first_choices_of_different_keys_are_different_entries.

--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -57,6 +57,9 @@
 /// Time in which half of a backoff is forgotten.
 const ROOM_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Results that have ended by themselves are looked for this often. Hardly any live that long.
+const EXPIRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// One target.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -195,6 +198,8 @@
     lost: u64,
     /// Results that targets were told of, and until when that is remembered.
     told: HashMap<String, Duration>,
+    /// When results that have ended by themselves are looked for again.
+    next_expiry: Duration,
 }
 
 impl Workers {
@@ -408,6 +413,10 @@
 
     /// Forgets results that have ended by themselves.
     pub(super) fn expire(&mut self, now: Duration) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now + EXPIRY_PAUSE;
         self.told.retain(|_, until| *until > now);
         let workers = &mut self.workers;
         self.held.retain(|_, held| {
--- a/crates/azurelug-core/src/gateway/owner.rs
+++ b/crates/azurelug-core/src/gateway/owner.rs
@@ -28,3 +28,26 @@
     weighed.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
     weighed.into_iter().map(|(_, entry)| entry).collect()
 }
+
+/// The entries by falling preference for the key at `position` of `keys`, so that the first choices
+/// of different keys are different entries as long as there are enough.
+///
+/// Load pattern: the dispatchers of several services need most of a small VM's processor. Two of
+/// them on one VM make every call of both take tens of milliseconds longer.
+pub fn spread<'a, K: Hash, E: Hash>(keys: &[K], position: usize, entries: &'a [E]) -> Vec<&'a E> {
+    let mut taken: Vec<bool> = vec![false; entries.len()];
+    let mut ranking: Vec<usize> = Vec::new();
+    for (count, key) in keys.iter().take(position + 1).enumerate() {
+        if entries.is_empty() {
+            break;
+        }
+        if count % entries.len() == 0 {
+            taken.fill(false);
+        }
+        ranking = (0..entries.len()).collect();
+        // Entries that earlier keys have taken go last.
+        ranking.sort_by_key(|&at| (taken[at], std::cmp::Reverse(weight(key, &entries[at]))));
+        taken[ranking[0]] = true;
+    }
+    ranking.into_iter().map(|at| &entries[at]).collect()
+}
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -7,6 +7,7 @@
 use azurelug_core::gateway::budget::{Allowance, Budget};
 use azurelug_core::gateway::events::{Error, Splitter};
 use azurelug_core::gateway::orders::{Order, Orders};
+use azurelug_core::gateway::owner;
 use azurelug_core::gateway::plan::Plan;
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::worth::Worth;
@@ -286,3 +287,21 @@
     let unknown = worth.place(None, 40 * MS);
     assert!((unknown - 0.5).abs() < f64::EPSILON);
 }
+
+/// Guards against a VM that dispatches several services while others dispatch none.
+#[test]
+fn the_first_choices_of_different_keys_are_different_entries() {
+    let keys = ["encode", "rank", "rerank"];
+    for seed in 0..50 {
+        let entries: Vec<String> = (0..4).map(|number| format!("{seed}-{number}")).collect();
+        let mut first: Vec<&String> = (0..3)
+            .map(|position| owner::spread(&keys, position, &entries)[0])
+            .collect();
+        first.sort();
+        first.dedup();
+        assert_eq!(first.len(), 3, "seed {seed}");
+    }
+    let one = ["only".to_owned()];
+    assert_eq!(owner::spread(&keys, 2, &one), [&one[0]]);
+    assert!(owner::spread::<_, String>(&keys, 2, &[]).is_empty());
+}
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -138,6 +138,10 @@
         self.metrics
             .version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let services = table.deployment().services.iter();
+        let staged = services.filter(|service| service.batch.is_some());
+        self.peers
+            .stage(staged.map(|service| service.name.clone()).collect());
         view.table = Some(Arc::new(table));
     }
 
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -34,6 +34,9 @@
 /// Time for a dispatcher to take handles.
 const RELEASE_LIMIT: Duration = Duration::from_millis(800);
 
+/// Gateways that are asked to dispatch one order; the third is chosen when two have just stopped.
+const MAX_DISPATCHERS: usize = 3;
+
 #[derive(Default)]
 struct State {
     peers: Arc<[Peer]>,
@@ -44,6 +47,11 @@
     delays: HashMap<(ServiceName, Scope), (Duration, Instant)>,
     /// Handles that dispatchers are to be told of.
     releases: Vec<String>,
+    /// Names of the services that run pieces of stages, in order.
+    staged: Vec<ServiceName>,
+    /// The gateways that may dispatch, by falling preference. Worked out when they are first asked
+    /// for after a change of the gateways or the services.
+    dispatchers: HashMap<(ServiceName, Scope), Arc<[Peer]>>,
 }
 
 /// The other gateways.
@@ -100,28 +108,40 @@
             .retain(|address, _| addresses.contains(address));
         state.digest = list.digest;
         state.peers = list.entries.into();
+        state.dispatchers.clear();
         log::info!("gateway: {} gateways serve", state.peers.len());
     }
 
+    /// Takes the names of the services that run pieces of stages.
+    pub fn stage(&self, mut services: Vec<ServiceName>) {
+        services.sort();
+        let mut state = self.state();
+        if state.staged != services {
+            state.staged = services;
+            state.dispatchers.clear();
+        }
+    }
+
     /// The gateways that may dispatch a service's calls, the first choice first. For the targets of
     /// one zone those of the zone go first, because they reach them also when the zone is cut off.
     pub fn dispatchers(&self, service: &ServiceName, scope: &Scope) -> Vec<Peer> {
-        let state = self.state();
-        let key = (service, scope);
-        let is_near = |peer: &&Peer| scope.as_ref().is_none_or(|zone| peer.zone == *zone);
-        let near: Vec<&Peer> = state.peers.iter().filter(is_near).collect();
-        let far: Vec<&Peer> = state.peers.iter().filter(|peer| !is_near(peer)).collect();
-        let ranked = owner::ranked(&key, &near).into_iter();
-        let ranked = ranked.chain(owner::ranked(&key, &far));
+        let mut state = self.state();
+        let key = (service.clone(), scope.clone());
+        let ranked = match state.dispatchers.get(&key) {
+            Some(ranked) => Arc::clone(ranked),
+            None => {
+                let ranked = rank(&state, service, scope);
+                state.dispatchers.insert(key, Arc::clone(&ranked));
+                ranked
+            }
+        };
         let now = Instant::now();
         let is_suspect = |peer: &Peer| {
             let until = state.suspects.get(&peer.address);
             until.is_some_and(|until| now < *until)
         };
-        ranked
-            .filter(|peer| !is_suspect(peer))
-            .map(|peer| (*peer).clone())
-            .collect()
+        let sound = ranked.iter().filter(|peer| !is_suspect(peer));
+        sound.take(MAX_DISPATCHERS).cloned().collect()
     }
 
     /// The wait to be expected at a dispatcher of a service: what it stated last, less the time
@@ -328,3 +348,17 @@
         Ok(connection)
     }
 }
+
+/// The gateways that may dispatch a service's calls, by falling preference.
+fn rank(state: &State, service: &ServiceName, scope: &Scope) -> Arc<[Peer]> {
+    let is_near = |peer: &&Peer| scope.as_ref().is_none_or(|zone| peer.zone == *zone);
+    let near: Vec<&Peer> = state.peers.iter().filter(is_near).collect();
+    let far: Vec<&Peer> = state.peers.iter().filter(|peer| !is_near(peer)).collect();
+    let position = state.staged.iter().position(|name| name == service);
+    let near = match position {
+        Some(position) => owner::spread(&state.staged, position, &near),
+        None => owner::ranked(service, &near),
+    };
+    let ranked = near.into_iter().chain(owner::ranked(service, &far));
+    ranked.map(|peer| (*peer).clone()).collect()
+}
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -396,7 +396,7 @@
 async fn send(exchange: &Exchange, order: &Pieces) -> Option<Result<Vec<String>, PiecesError>> {
     let gateway = &exchange.gateway;
     let dispatchers = gateway.peers.dispatchers(&order.service, &order.scope);
-    for peer in dispatchers.iter().take(MAX_DISPATCHERS) {
+    for peer in &dispatchers {
         if let Some(end) = send_to(exchange, peer, order).await {
             let delay = Duration::from_millis(end.delay_ms);
             gateway
@@ -408,9 +408,6 @@
     None
 }
 
-/// Gateways that are asked to dispatch one order; the third is chosen when two have just stopped.
-const MAX_DISPATCHERS: usize = 3;
-
 async fn send_to(exchange: &Exchange, peer: &Peer, order: &Pieces) -> Option<PiecesEnd> {
     let gateway = &exchange.gateway;
     if peer.name == gateway.peers.own().name {
