gateway: stages run where they are booked; account for results that nobody released

Cause: three losses around results and bookings. (1) The order of a booked stage went to the zone with the shortest stated wait, where nothing was booked, and was refused there while its time was kept elsewhere.

Change: a stage's order goes to the group of targets that took its booking. Released results stay until their room is needed, up to 0.6 of it. A call that finds no room shows how much of it is used by others. Gateways tell a dispatcher's successor again of the results that they released in the last 0.8 s. A dispatcher whose targets all failed gives orders back for other zones. While a gateway has no configuration, clients are told to come back after a third of their time, because a start of all gateways takes one or two seconds.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -262,7 +262,11 @@
                     self.times.learn(&self.batch, &kinds, taken);
                 }
                 if ends.contains(&ItemEnd::NoRoom) {
-                    worker.had_no_room(now);
+                    let done = call.items.iter().zip(&ends);
+                    let done = done.filter(|(_, end)| matches!(end, ItemEnd::Done(_)));
+                    let made = done.map(|(item, _)| item.bytes).sum();
+                    self.workers
+                        .had_no_room(call.worker, made, &self.batch, now);
                 }
                 ends
             }
@@ -373,7 +377,8 @@
     pub fn advance(&mut self, now: Duration) -> Vec<Action> {
         self.workers.expire(now);
         self.run_overdue_beside(now);
-        let mut actions = self.refuse_late(now);
+        let mut actions = self.give_back(now);
+        actions.extend(self.refuse_late(now));
         while let Some(call) = self.next_call(now) {
             actions.push(call);
         }
--- a/crates/azurelug-core/src/gateway/dispatch/start.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -63,7 +63,7 @@
         let slowness = worker.slowness(now);
         let room = Room {
             pieces: self.batch.max_pieces,
-            bytes: worker.free_room(self.batch.result_room, now),
+            bytes: worker.free_room(self.batch.result_room),
             end: now + self.call_time(self.queue.load()).mul_f64(slowness),
         };
         let zone = worker.target.zone.clone();
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -45,17 +45,13 @@
 
 /// Part of the room up to which released results are kept, because a piece that failed needs its
 /// inputs once more. Results are often larger than stated.
-const KEPT_PART: f64 = 0.12;
+const KEPT_PART: f64 = 0.6;
 
 /// Part of the stated room that is used. Sizes of results are approximate.
 const ROOM_PART: f64 = 0.92;
 
-/// What is left of the part in use after a target had no room, and the least of it.
-const ROOM_BACKOFF: f64 = 0.9;
-const MIN_ROOM_PART: f64 = 0.5;
-
-/// Time in which half of a backoff is forgotten.
-const ROOM_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Part of their lifetime that unknown results are taken to live on: they have ages of all kinds.
+const UNKNOWN_LIFETIME_PART: f64 = 0.5;
 
 /// Results that have ended by themselves are looked for this often. Hardly any live that long.
 const EXPIRY_PAUSE: Duration = Duration::from_millis(100);
@@ -74,9 +70,6 @@
     /// Released results that it has not been told of, the oldest first, and their bytes.
     released: Vec<String>,
     released_bytes: u64,
-    /// Part of the stated room that is used, and since when.
-    room_part: f64,
-    room_part_since: Duration,
     slowness: f64,
     measured: Duration,
     excluded_until: Duration,
@@ -93,8 +86,6 @@
             held: 0,
             released: Vec::new(),
             released_bytes: 0,
-            room_part: ROOM_PART,
-            room_part_since: Duration::ZERO,
             slowness: 1.0,
             measured: Duration::ZERO,
             excluded_until: Duration::ZERO,
@@ -134,25 +125,12 @@
     }
 
     /// Bytes of results that may be added; none without a bound.
-    pub(super) fn free_room(&self, room: u64, now: Duration) -> Option<u64> {
-        let usable = room as f64 * self.room_part(now);
+    pub(super) fn free_room(&self, room: u64) -> Option<u64> {
+        let usable = room as f64 * ROOM_PART;
         let needed = self.held.saturating_sub(self.released_bytes);
         (room > 0).then(|| (usable as u64).saturating_sub(needed))
     }
 
-    fn room_part(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.room_part_since).as_secs_f64();
-        let decay = 0.5_f64.powf(age / ROOM_HALF_LIFE.as_secs_f64());
-        ROOM_PART - (ROOM_PART - self.room_part) * decay
-    }
-
-    /// Notes that the target had no room although there should have been some.
-    pub(super) fn had_no_room(&mut self, now: Duration) {
-        self.room_part = (self.room_part(now) * ROOM_BACKOFF).max(MIN_ROOM_PART);
-        self.room_part_since = now;
-        self.excluded_until = self.excluded_until.max(now + FULL_PAUSE);
-    }
-
     pub(super) fn refused(&mut self, now: Duration) {
         self.excluded_until = now + FULL_PAUSE;
     }
@@ -235,10 +213,6 @@
         &mut self.workers[key.0]
     }
 
-    pub(super) fn has_usable(&self) -> bool {
-        self.workers.iter().any(|worker| worker.is_listed)
-    }
-
     pub(super) fn get(&self, key: WorkerKey) -> &Worker {
         &self.workers[key.0]
     }
@@ -322,6 +296,17 @@
         times.filter(|until| *until > now).min()
     }
 
+    /// Notes that a target had room for no more than `made` bytes. What else it holds is not known
+    /// here: results of a dispatcher that has ended, or results that are larger than stated.
+    pub(super) fn had_no_room(&mut self, key: WorkerKey, made: u64, batch: &Batch, now: Duration) {
+        let worker = &mut self.workers[key.0];
+        worker.excluded_until = worker.excluded_until.max(now + FULL_PAUSE);
+        let room = (batch.result_room as f64 * ROOM_PART) as u64;
+        let unknown = room.saturating_sub(worker.held + made);
+        let until = now + batch.result_lifetime.mul_f64(UNKNOWN_LIFETIME_PART);
+        self.hold_unknown(key, unknown, until);
+    }
+
     /// Notes results whose handles are not known, because their call was given up. The target may
     /// still make them.
     pub(super) fn hold_unknown(&mut self, worker: WorkerKey, bytes: u64, until: Duration) {
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other gateways, and connections to them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -34,6 +34,10 @@
 /// Time for a dispatcher to take handles.
 const RELEASE_LIMIT: Duration = Duration::from_millis(800);
 
+/// How long it is remembered which handles a dispatcher was told of: about two calls, until it has
+/// told their targets. Its successor is told of them again.
+const TOLD_TIME: Duration = Duration::from_millis(800);
+
 /// Gateways that are asked to dispatch one order; the third is chosen when two have just stopped.
 const MAX_DISPATCHERS: usize = 3;
 
@@ -47,6 +51,10 @@
     delays: HashMap<(ServiceName, Scope), (Duration, Instant)>,
     /// Handles that dispatchers are to be told of.
     releases: Vec<String>,
+    /// Handles that each dispatcher was told of lately, and when.
+    told: HashMap<SocketAddr, VecDeque<(Instant, Vec<String>)>>,
+    /// Handles that go to the successor of the dispatcher that was told of them.
+    again: Vec<String>,
     /// Names of the services that run pieces of stages, in order.
     staged: Vec<ServiceName>,
     /// The gateways that may dispatch, by falling preference. Worked out when they are first asked
@@ -54,6 +62,26 @@
     dispatchers: HashMap<(ServiceName, Scope), Arc<[Peer]>>,
 }
 
+impl State {
+    fn remember(&mut self, address: SocketAddr, handles: &[String]) {
+        let now = Instant::now();
+        let told = self.told.entry(address).or_default();
+        while told.front().is_some_and(|(at, _)| *at + TOLD_TIME < now) {
+            told.pop_front();
+        }
+        told.push_back((now, handles.to_vec()));
+    }
+
+    /// Has the successor of a dispatcher told of the handles that this one may have taken along.
+    fn tell_again(&mut self, address: SocketAddr) {
+        let oldest = Instant::now().checked_sub(TOLD_TIME);
+        let told = self.told.remove(&address).unwrap_or_default().into_iter();
+        let recent = told.filter(|(at, _)| oldest.is_none_or(|oldest| *at >= oldest));
+        let handles = recent.flat_map(|(_, handles)| handles);
+        self.again.extend(handles);
+    }
+}
+
 /// The other gateways.
 pub struct Peers {
     own: Peer,
@@ -103,6 +131,11 @@
     pub fn list(&self, list: List<Peer>) {
         let mut state = self.state();
         let addresses: Vec<SocketAddr> = list.entries.iter().map(|peer| peer.address).collect();
+        let gone = |address: &&SocketAddr| !addresses.contains(*address);
+        let gone: Vec<SocketAddr> = state.told.keys().filter(gone).copied().collect();
+        for address in gone {
+            state.tell_again(address);
+        }
         state
             .connections
             .retain(|address, _| addresses.contains(address));
@@ -181,7 +214,12 @@
 
     /// Sends the handles that wait.
     async fn release(&self, gateway: &Arc<Gateway>) {
-        let waiting = std::mem::take(&mut self.state().releases);
+        let waiting = {
+            let mut state = self.state();
+            let mut waiting = std::mem::take(&mut state.releases);
+            waiting.append(&mut state.again);
+            waiting
+        };
         let mut by_peer: HashMap<SocketAddr, Vec<String>> = HashMap::new();
         for handle in waiting {
             // The results of a target that is gone are gone, too.
@@ -198,6 +236,7 @@
                 gateway.stations.release(gateway, &handles);
                 continue;
             }
+            self.state().remember(address, &handles);
             // Without an answer the results end by themselves.
             let frame = Frame::Release { handles };
             let _ = self.call(address, frame, RELEASE_LIMIT).await;
@@ -254,17 +293,20 @@
         }
     }
 
-    /// Asks a service's dispatcher to keep time for pieces of a later stage.
+    /// Asks a service's dispatcher to keep time for pieces of a later stage. Returns whether it does;
+    /// else the pieces may run late.
     ///
     /// # Errors
     /// The time until a new request is likely to be served, if there is no time. A dispatcher that
     /// does not answer refuses nothing.
-    pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<(), Duration> {
+    pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<bool, Duration> {
         let first = self
             .dispatchers(&booking.service, &booking.scope)
             .into_iter()
             .next();
-        let Some(peer) = first else { return Ok(()) };
+        let Some(peer) = first else {
+            return Ok(false);
+        };
         let answer = if peer.name == self.own.name {
             gateway.stations.book(gateway, &booking)
         } else {
@@ -272,19 +314,20 @@
             match self.call(peer.address, frame, CONFIRM_LIMIT).await {
                 Ok(answer) => answer,
                 // Logged by the call.
-                Err(_) => return Ok(()),
+                Err(_) => return Ok(false),
             }
         };
         let Frame::Booked {
+            is_booked,
             refused_ms,
             delay_ms,
         } = answer
         else {
-            return Ok(());
+            return Ok(false);
         };
         let delay = Duration::from_millis(delay_ms);
         self.note_delay(&booking.service, &booking.scope, delay);
-        refused_ms.map_or(Ok(()), |millis| Err(Duration::from_millis(millis)))
+        refused_ms.map_or(Ok(is_booked), |millis| Err(Duration::from_millis(millis)))
     }
 
     /// Takes a request's bookings back.
@@ -333,6 +376,7 @@
         log::warn!("gateway: peer {address}: {error}; not asked for 2 s");
         let mut state = self.state();
         state.suspects.insert(address, Instant::now() + SUSPICION);
+        state.tell_again(address);
         state.connections.remove(&address);
     }
 
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use rand::RngExt;
 use tokio::time::timeout;
 
 use crate::attempt::{self, Answer, Sending, Trail};
@@ -29,6 +30,11 @@
 /// gateways have one, and a repeat reaches another gateway.
 const NO_CONFIGURATION: Duration = Duration::from_millis(300);
 
+/// Part of a request's time after which its client is told to come back if this gateway has just
+/// started: clients wait no longer. When all gateways start together, the first configuration takes
+/// one or two seconds, and clients repeat only once or twice.
+const STARTING_PART: f64 = 1.0 / 3.0;
+
 /// Added to the route's timeout before an exchange is ended from outside, so that its own handling
 /// of the deadline goes first.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
@@ -113,7 +119,10 @@
     );
     let body = read_body(body, limit).await?;
     let Some(table) = table else {
-        return Err((Refusal::Busy(NO_CONFIGURATION), "no configuration yet"));
+        let left = fields.time_left.unwrap_or_default();
+        let spread = rand::rng().random_range(0.8..1.0);
+        let after = left.mul_f64(STARTING_PART * spread).max(NO_CONFIGURATION);
+        return Err((Refusal::Busy(after), "no configuration yet"));
     };
     let Some(id) = fields.id.clone() else {
         return Err((Refusal::Malformed, "no request id"));
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -1,6 +1,6 @@
 //! Has the stages of a request run, in the order that its plan gives.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use azurelug_core::gateway::owner;
@@ -156,7 +156,7 @@
                 .filter_map(|&it| handles[usize::from(it)].clone())
                 .flatten()
                 .collect();
-            running.push(stage(exchange, plan, position, inputs, home));
+            running.push(stage(exchange, plan, position, inputs, home, bookings));
         }
         let ended = tokio::select! {
             ended = running.next() => ended,
@@ -189,7 +189,17 @@
 /// before the stages are done.
 struct Bookings<'a> {
     exchange: &'a Exchange,
-    bookings: Vec<Booking>,
+    /// What is to be booked, with the groups of targets that may run it, the best first.
+    wanted: Vec<(Booking, Vec<Scope>)>,
+    /// What dispatchers have answered.
+    answered: Mutex<Vec<Answered>>,
+}
+
+/// A dispatcher's answer to a booking that it did not refuse.
+struct Answered {
+    booking: Booking,
+    /// Whether time is kept; else the stage may run late.
+    is_booked: bool,
 }
 
 impl<'a> Bookings<'a> {
@@ -198,14 +208,14 @@
         let now = exchange.gateway.now();
         let steps = plan.steps.iter().enumerate();
         let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
-        let bookings = later.filter_map(|(position, step)| {
+        let wanted = later.filter_map(|(position, step)| {
             let due = plan.due(position, exchange.due());
-            let service = exchange
-                .table
-                .service(exchange.route.stages[position].service);
-            (due > now).then(|| Booking {
-                service: service.name.clone(),
-                scope: exchange.gateway.scope(&service.name, home),
+            let stage = &exchange.route.stages[position];
+            let service = &exchange.table.service(stage.service).name;
+            let bytes = stage.result_bytes * u64::from(step.pieces);
+            let booking = Booking {
+                service: service.clone(),
+                scope: None,
                 request: exchange.id.clone(),
                 stage: u8::try_from(position).unwrap_or(u8::MAX),
                 kind: owner::weight(&exchange.route.name, &position),
@@ -213,18 +223,35 @@
                 rank: exchange.rank,
                 worth: exchange.worth,
                 start_ms: millis((exchange.arrived + step.start).saturating_sub(now)),
-                due_ms: millis(due - now),
+                due_ms: millis(due.saturating_sub(now)),
                 deadline_ms: millis(stage_time(exchange, step.rest)),
-            })
+            };
+            // Other zones are as loaded in a burst, and what is moved there crosses zones.
+            let scopes = || scopes(exchange, service, home, bytes).into_iter().take(1);
+            (due > now).then(|| (booking, scopes().collect()))
         });
-        let bookings = bookings.collect();
-        Self { exchange, bookings }
+        Self {
+            wanted: wanted.collect(),
+            exchange,
+            answered: Mutex::default(),
+        }
+    }
+
+    fn answered(&self) -> MutexGuard<'_, Vec<Answered>> {
+        self.answered.lock().expect("no holder of the lock panics")
+    }
+
+    /// The targets that are to run a stage.
+    fn chosen(&self, stage: u8) -> Option<Scope> {
+        let answered = self.answered();
+        let own = || answered.iter().filter(|it| it.booking.stage == stage);
+        let booked = own().find(|it| it.is_booked).or_else(|| own().next());
+        booked.map(|it| it.booking.scope.clone())
     }
 
     async fn book(&self) -> Result<(), Failure> {
-        let gateway = &self.exchange.gateway;
-        let asked = self.bookings.iter();
-        let asked = asked.map(|booking| gateway.peers.book(gateway, booking.clone()));
+        let asked = self.wanted.iter();
+        let asked = asked.map(|(booking, scopes)| self.book_one(booking, scopes));
         let mut asked: FuturesUnordered<_> = asked.collect();
         while let Some(booked) = asked.next().await {
             booked.map_err(|after| {
@@ -235,19 +262,49 @@
         Ok(())
     }
 
+    /// Books time at the first dispatcher that has some. A burst or a failure in one zone leaves
+    /// targets of others free.
+    async fn book_one(&self, booking: &Booking, scopes: &[Scope]) -> Result<(), Duration> {
+        let gateway = &self.exchange.gateway;
+        let mut refused: Option<Duration> = None;
+        let mut may_be_late = false;
+        for scope in scopes {
+            let booking = Booking {
+                scope: scope.clone(),
+                ..booking.clone()
+            };
+            match gateway.peers.book(gateway, booking.clone()).await {
+                Ok(is_booked) => {
+                    may_be_late = true;
+                    self.answered().push(Answered { booking, is_booked });
+                    if is_booked {
+                        return Ok(());
+                    }
+                }
+                Err(after) => refused = Some(refused.map_or(after, |least| least.min(after))),
+            }
+        }
+        match refused {
+            Some(after) if !may_be_late => Err(after),
+            _ => Ok(()),
+        }
+    }
+
     /// Notes that the stages are done; their orders have used the bookings up.
-    fn close(mut self) {
-        self.bookings.clear();
+    fn close(self) {
+        self.answered().clear();
     }
 }
 
 impl Drop for Bookings<'_> {
     fn drop(&mut self) {
-        if self.bookings.is_empty() {
+        let answered = std::mem::take(&mut *self.answered()).into_iter();
+        let booked = answered.filter(|it| it.is_booked);
+        let bookings: Vec<Booking> = booked.map(|it| it.booking).collect();
+        if bookings.is_empty() {
             return;
         }
         let gateway = Arc::clone(&self.exchange.gateway);
-        let bookings = std::mem::take(&mut self.bookings);
         tokio::spawn(async move {
             gateway.peers.unbook(&gateway, &bookings).await;
         });
@@ -279,6 +336,7 @@
     position: usize,
     inputs: Vec<String>,
     home: &ZoneName,
+    bookings: &Bookings<'_>,
 ) -> (usize, Result<Vec<String>, Failure>) {
     let step = &plan.steps[position];
     let stage = &exchange.route.stages[position];
@@ -311,7 +369,12 @@
         deadline_ms: millis(stage_time(exchange, rest)),
     };
     let bytes = stage.result_bytes * u64::from(step.pieces);
-    let result = order_in_some_zone(exchange, order, bytes).await;
+    let mut scopes = scopes(exchange, &order.service, home, bytes);
+    if let Some(chosen) = bookings.chosen(order.stage) {
+        // Stable, so that the others stay in their order.
+        scopes.sort_by_key(|scope| *scope != chosen);
+    }
+    let result = order_in_some_zone(exchange, order, &scopes).await;
     (position, result)
 }
 
@@ -325,15 +388,15 @@
     exchange.left().saturating_sub(rest).min(give_up)
 }
 
-/// Gives the order to the zone where it is likely to end first, and to others if that one fails.
+/// Gives the order to the first group of targets that takes it.
 async fn order_in_some_zone(
     exchange: &Exchange,
     mut order: Pieces,
-    bytes: u64,
+    scopes: &[Scope],
 ) -> Result<Vec<String>, Failure> {
-    let mut failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
-    for scope in scopes(exchange, &order.service, &order.home, bytes) {
-        order.scope = scope;
+    let failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
+    for scope in scopes {
+        order.scope.clone_from(scope);
         match send(exchange, &order).await {
             Some(Ok(handles)) => return Ok(handles),
             Some(Err(PiecesError::Late { retry_after_ms })) => {
@@ -346,9 +409,7 @@
             Some(Err(PiecesError::Failed)) => {
                 return Err(Failure::Refused(RETRY_AFTER, "a stage failed"));
             }
-            Some(Err(PiecesError::NoTarget)) | None => {
-                failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
-            }
+            Some(Err(PiecesError::NoTarget)) | None => {}
         }
         if exchange.left().is_zero() {
             break;
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -145,6 +145,8 @@
     Book(Booking),
     /// The answer to `Book`.
     Booked {
+        /// Whether time is kept; else there is only time to serve the request late, if any.
+        is_booked: bool,
         /// When a new request is likely to be served, in milliseconds, if there is no time.
         refused_ms: Option<u64>,
         /// The wait that an order has to expect at present, in milliseconds.
