dispatch: late orders whose earlier stages are done take what calls leave free

Cause: in a burst every second refusal came after one or two stages had run ("a stage is overloaded" after 0.7 to 1.5 s): an order that was late by then was refused because targets were used above 0.95, though their calls were 0.7 full.

Change: an order with results of earlier stages waits as long as one more call ends in time. It rides in calls that would not be full, behind everything that can be in time.

--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -29,7 +29,7 @@
         let is_booked = self.take_booking(&waiting.order.request, waiting.order.stage);
         if !is_booked && self.can_promise(&waiting, now) {
             self.utilization.add(self.work(waiting.load()), now);
-        } else if !is_booked && !self.has_time(waiting.load(), waiting.deadline, now) {
+        } else if !is_booked && !self.may_wait(&waiting, now) {
             return vec![end(token, Err(self.refusal(now)))];
         }
         self.queue.push(waiting);
@@ -114,6 +114,18 @@
         backlog::fits(promises, new, claim, self.workers.busy(now), rate, now)
     }
 
+    /// Whether an order that can't be in time may wait. If stages before it are done, it takes what
+    /// calls leave free, which costs next to nothing, while a refusal throws their work away.
+    fn may_wait(&self, waiting: &Waiting, now: Duration) -> bool {
+        if !waiting.has_inputs() {
+            return self.has_time(waiting.load(), waiting.deadline, now);
+        }
+        let mut ahead = self.queue.load();
+        ahead.add(waiting.load());
+        let wait = self.wait_for(ahead, now);
+        wait.is_some_and(|wait| now + wait + self.call_time(waiting.load()) < waiting.deadline)
+    }
+
     /// Whether late pieces can still be done by a deadline, behind everything that waits.
     fn has_time(&self, load: Load, deadline: Duration, now: Duration) -> bool {
         let mut ahead = self.queue.load();
@@ -160,7 +172,12 @@
             if waiting.is_running() {
                 continue;
             }
-            if self.has_time_behind(ahead, waiting.load(), waiting.deadline, now) {
+            let may_wait = if waiting.has_inputs() {
+                now + self.call_time(waiting.load()) < waiting.deadline
+            } else {
+                self.has_time_behind(ahead, waiting.load(), waiting.deadline, now)
+            };
+            if may_wait {
                 ahead.add(waiting.load());
             } else {
                 hopeless.push(waiting.token);
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azurelug_types::fleet::{Item, Pieces};
+use azurelug_types::fleet::{Item, Pieces, Source};
 
 use super::Token;
 use super::times::Load;
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Whether stages before this one are done.
+    pub(super) fn has_inputs(&self) -> bool {
+        matches!(self.order.source, Source::Results(_))
+    }
+
     pub(super) fn is_running(&self) -> bool {
         self.pieces.iter().any(|piece| piece.running > 0)
     }
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -463,7 +463,11 @@
             stage: u8::try_from(stage).unwrap(),
             kind: (it.class * 8 + stage) as u64,
             pieces: (0..it.plan.steps[stage].pieces).collect(),
-            source: Source::Key(String::new()),
+            source: if stage == 0 {
+                Source::Key(String::new())
+            } else {
+                Source::Results(Vec::new())
+            },
             result_bytes: route.stages[stage].result_bytes,
             rank: u16::from(route.priority),
             worth: it.worth,
