gateway: zones that can't be reached are known by their gateways

Cause: while a zone is cut off silently, every third request of the other zones has its prompt prefix there. Its stages waited 0.6 s for each of up to three dispatchers of the cut zone, then for targets that no connection reaches, and each gateway found each target out for itself.

Change: gateway::reach takes a zone for cut when two of its gateways are silent and none answers, or none is listed any more. New work then goes to other zones as long as the service has targets there. A silent gateway is asked again by a probe before its suspicion ends, not by a request.

Tests in gateway_fleet.rs.

--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -10,5 +10,6 @@
 pub mod orders;
 pub mod owner;
 pub mod plan;
+pub mod reach;
 pub mod table;
 pub mod worth;
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -110,6 +110,7 @@
     by_name: HashMap<TargetName, Key>,
     pools: HashMap<ServiceName, Vec<Key>>,
     drained: BTreeSet<ZoneName>,
+    cut: BTreeSet<ZoneName>,
 }
 
 impl Fleet {
@@ -176,6 +177,14 @@
         self.drained = zones;
     }
 
+    /// Takes the zones that can't be reached. Their targets get no new work as long as a service has
+    /// others. Returns whether these are other zones than before.
+    pub fn cut_off(&mut self, zones: BTreeSet<ZoneName>) -> bool {
+        let is_changed = self.cut != zones;
+        self.cut = zones;
+        is_changed
+    }
+
     /// The target of a key.
     #[must_use]
     pub fn target(&self, key: Key) -> &Target {
@@ -184,10 +193,21 @@
 
     /// The targets of a service that may get new work.
     pub fn usable<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Target> {
-        let keys = self.pools.get(service).into_iter().flatten();
-        keys.map(|key| &self.records[key.0 as usize])
-            .filter(|record| self.may_use(record))
-            .map(|record| &record.target)
+        let keys = self.usable_keys(service).into_iter();
+        keys.map(|key| &self.records[key.0 as usize].target)
+    }
+
+    /// The targets of a service that may get new work: those that can be reached, if there are any.
+    fn usable_keys(&self, service: &ServiceName) -> Vec<Key> {
+        let keys = self.pools.get(service).into_iter().flatten().copied();
+        let mut usable: Vec<Key> = keys
+            .filter(|key| self.may_use(&self.records[key.0 as usize]))
+            .collect();
+        let is_near = |key: &Key| !self.cut.contains(&self.target(*key).zone);
+        if !self.cut.is_empty() && usable.iter().any(is_near) {
+            usable.retain(is_near);
+        }
+        usable
     }
 
     fn may_use(&self, record: &Record) -> bool {
@@ -268,11 +288,8 @@
 
     /// Candidates by falling preference of the prompt prefix.
     fn candidates(&self, wanted: &Wanted<'_>) -> Vec<Key> {
-        let keys = self.pools.get(wanted.service).into_iter().flatten();
-        let usable = keys.copied().filter(|key| {
-            self.may_use(&self.records[key.0 as usize]) && !wanted.tried.contains(key)
-        });
-        let mut candidates: Vec<Key> = usable.collect();
+        let mut candidates = self.usable_keys(wanted.service);
+        candidates.retain(|key| !wanted.tried.contains(key));
         if let Some(affinity) = wanted.affinity {
             let mut weighed: Vec<(f64, Key)> = candidates
                 .into_iter()
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::fleet::{Bounds, Fleet, Key, Outcome, Unplaced, Wanted, Weights};
+use azurelug_core::gateway::reach::Reach;
 use azurelug_types::deployment::Target;
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
 use rand::{RngExt, SeedableRng};
@@ -250,3 +251,45 @@
     let key = request.place(&mut fleet, &[], 2 * MS).unwrap();
     assert_eq!(fleet.target(key).name.as_str(), "another");
 }
+
+fn address(number: u8) -> std::net::SocketAddr {
+    format!("10.2.0.{number}:7000").parse().unwrap()
+}
+
+/// Guards against a zone that is given up because one of its gateways was killed, and against one
+/// that is asked again and again although nothing in it answers.
+#[test]
+fn a_zone_is_cut_when_two_of_its_gateways_are_silent_and_none_answers() {
+    let zone = ZoneName::from("b");
+    let mut reach = Reach::default();
+    reach.list([&zone, &zone, &zone].into_iter());
+    reach.silent(&zone, address(1));
+    reach.silent(&zone, address(1));
+    assert!(reach.cut().is_empty(), "one silent gateway");
+    reach.silent(&zone, address(2));
+    assert!(reach.cut().contains(&zone), "two silent gateways");
+    reach.answered(&zone);
+    assert!(reach.cut().is_empty(), "one answers again");
+    reach.list([].into_iter());
+    assert!(reach.cut().contains(&zone), "none is listed any more");
+}
+
+/// Guards against requests that each find out anew that a zone can't be reached, and against a
+/// service that is left without targets because all of them are in that zone.
+#[test]
+fn targets_of_a_cut_zone_are_used_only_if_there_are_no_others() {
+    let cut = BTreeSet::from([ZoneName::from("b")]);
+    let mut all = fleet(6);
+    assert!(all.cut_off(cut.clone()));
+    assert!(!all.cut_off(cut.clone()));
+    let request = Request::new(Some(3));
+    for _ in 0..20 {
+        let key = request.place(&mut all, &[], Duration::ZERO).unwrap();
+        assert_ne!(all.target(key).zone, ZoneName::from("b"));
+        all.finished(key, Outcome::Unknown, Duration::ZERO);
+    }
+    let mut only = Fleet::default();
+    only.list(&[target(1)], Duration::ZERO);
+    only.cut_off(cut);
+    assert!(request.place(&mut only, &[], Duration::ZERO).is_ok());
+}
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -87,6 +87,8 @@
         };
         log::info!("gateway: follows control {address}");
         loop {
+            self.gateway.peers.probe(&self.gateway);
+            self.gateway.notice_cuts();
             if let Err(reason) = self.poll(&connection).await {
                 self.gateway.metrics.control_losses.inc();
                 log::warn!("gateway: leaves control {address}: {reason}");
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -104,6 +104,14 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// Keeps new work away from zones that can't be reached.
+    pub fn notice_cuts(&self) {
+        let cut = self.peers.cut();
+        if self.fleet().cut_off(cut.clone()) {
+            log::warn!("gateway: zones that can't be reached: {cut:?}");
+        }
+    }
+
     /// The targets with which one of a service in `zone` is dispatched. A few are one pool, because
     /// a free target is found sooner among more of them; many are split by zone, because one
     /// gateway could not dispatch them all.
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -1,11 +1,12 @@
 //! The other gateways, and connections to them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use azurelug_core::gateway::owner;
+use azurelug_core::gateway::reach::Reach;
 use azurelug_types::fleet::{Booking, List, Peer, Pieces, PiecesEnd};
 use azurelug_types::id::{ServiceName, ZoneName};
 use azurelug_wire::handshake::Identity;
@@ -20,6 +21,10 @@
 /// the list after about as long.
 const SUSPICION: Duration = Duration::from_secs(2);
 
+/// How long before the end of a suspicion its gateway is asked again: two polls of the control
+/// daemons, which the probes are sent with.
+const PROBE_AHEAD: Duration = Duration::from_millis(700);
+
 /// Time for a gateway to confirm an order: a lost packet is sent again after 200 ms, and once more
 /// after twice as long. Two dispatchers for the same targets do more harm than a late start.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
@@ -55,6 +60,8 @@
     told: HashMap<SocketAddr, VecDeque<(Instant, Vec<String>)>>,
     /// Handles that go to the successor of the dispatcher that was told of them.
     again: Vec<String>,
+    /// Which zones can be reached.
+    reach: Reach,
     /// Names of the services that run pieces of stages, in order.
     staged: Vec<ServiceName>,
     /// The gateways that may dispatch, by falling preference. Worked out when they are first asked
@@ -63,6 +70,18 @@
 }
 
 impl State {
+    fn zone(&self, address: SocketAddr) -> Option<ZoneName> {
+        let peer = self.peers.iter().find(|peer| peer.address == address);
+        peer.map(|peer| peer.zone.clone())
+    }
+
+    fn answered(&mut self, address: SocketAddr) {
+        self.suspects.remove(&address);
+        if let Some(zone) = self.zone(address) {
+            self.reach.answered(&zone);
+        }
+    }
+
     fn remember(&mut self, address: SocketAddr, handles: &[String]) {
         let now = Instant::now();
         let told = self.told.entry(address).or_default();
@@ -141,10 +160,51 @@
             .retain(|address, _| addresses.contains(address));
         state.digest = list.digest;
         state.peers = list.entries.into();
+        let peers = Arc::clone(&state.peers);
+        let others = peers.iter().map(|peer| &peer.zone);
+        state
+            .reach
+            .list(others.filter(|zone| **zone != self.own.zone));
         state.dispatchers.clear();
         log::info!("gateway: {} gateways serve", state.peers.len());
     }
 
+    /// The zones that can't be reached.
+    pub fn cut(&self) -> BTreeSet<ZoneName> {
+        self.state().reach.cut()
+    }
+
+    /// Asks the gateways whose suspicion ends before long whether they answer again, so that no
+    /// request has to find out. Those that do not stay suspected.
+    pub fn probe(&self, gateway: &Arc<Gateway>) {
+        let now = Instant::now();
+        let mut due: Vec<SocketAddr> = Vec::new();
+        {
+            let mut state = self.state();
+            let peers = Arc::clone(&state.peers);
+            let is_listed = |address: &SocketAddr| peers.iter().any(|it| it.address == *address);
+            state.suspects.retain(|address, _| is_listed(address));
+            for (address, until) in &mut state.suspects {
+                if *until < now + PROBE_AHEAD {
+                    *until = now + SUSPICION;
+                    due.push(*address);
+                }
+            }
+        }
+        for address in due {
+            let gateway = Arc::clone(gateway);
+            tokio::spawn(async move {
+                let request = String::new();
+                // An answer ends the suspicion; a failure is logged by the call.
+                let _ = gateway
+                    .peers
+                    .call(address, Frame::Unbook { request }, CONFIRM_LIMIT)
+                    .await;
+                gateway.notice_cuts();
+            });
+        }
+    }
+
     /// Takes the names of the services that run pieces of stages.
     pub fn stage(&self, mut services: Vec<ServiceName>) {
         services.sort();
@@ -258,6 +318,9 @@
             Ok(connection) => connection.call(frame, limit).await,
             Err(error) => Err(error),
         };
+        if called.is_ok() {
+            self.state().answered(address);
+        }
         called.inspect_err(|error| self.suspect(address, error))
     }
 
@@ -278,6 +341,7 @@
             millis: CONFIRM_LIMIT.as_millis(),
         }));
         let mut frames = given.inspect_err(|error| self.suspect(address, error))?;
+        self.state().answered(address);
         match timeout(limit, frames.recv()).await {
             Ok(Some(Frame::PiecesEnd(end))) => Ok(end),
             Ok(_) => {
@@ -376,6 +440,9 @@
         log::warn!("gateway: peer {address}: {error}; not asked for 2 s");
         let mut state = self.state();
         state.suspects.insert(address, Instant::now() + SUSPICION);
+        if let Some(zone) = state.zone(address) {
+            state.reach.silent(&zone, address);
+        }
         state.tell_again(address);
         state.connections.remove(&address);
     }
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -478,7 +478,11 @@
     let ordered = gateway
         .peers
         .order(peer.address, order.clone(), exchange.left());
-    ordered.await.ok()
+    let ended = ordered.await.ok();
+    if ended.is_none() {
+        gateway.notice_cuts();
+    }
+    ended
 }
 
 fn millis(time: Duration) -> u64 {
