gateway: stages run in the zone of what they fetch

Each piece of the last stage fetches all six results of the stage before: 3.6 MB a request, ten times what it makes. Its zone was chosen by the engine's zone and by the size of what it makes, so that it waited 40 ms at most for a target near its inputs. Ruled out: results of the first stage (they wait up to 0.34 s for a target of the engine's zone), engines elsewhere.

Change: an order names the zone that holds what it fetches, if that is more than it makes, and the bytes that would cross. A wait for the own zone ends after 0.2 s, half of a call.

Test a_stage_fetches_all_inputs_for_each_of_its_pieces.

--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -83,11 +83,6 @@
         self.piece_time
     }
 
-    /// Size of the results of the pieces that wait.
-    pub(super) fn bytes(&self) -> u64 {
-        self.order.result_bytes * self.left as u64
-    }
-
     pub(super) fn is_done(&self) -> bool {
         self.pieces.iter().all(|piece| piece.result.is_some())
     }
--- a/crates/azurelug-core/src/gateway/dispatch/start.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -19,6 +19,9 @@
 /// between zones is billed.
 const CROSSING_PER_MB: Duration = Duration::from_millis(80);
 
+/// The longest wait for the own zone: about half of a call. What waits longer is late too often.
+const MAX_CROSSING: Duration = Duration::from_millis(200);
+
 /// Part of the time of a call over which the starts of all targets' calls are spread. Below 1, so
 /// that targets do not wait for each other when calls take longer than expected.
 const SPACING_PART: f64 = 0.9;
@@ -71,7 +74,8 @@
         let suits = |waiting: &Waiting| {
             let home = &waiting.order.home;
             let wait = waits.iter().find(|(zone, _)| zone == home);
-            zone == *home || wait.is_none_or(|(_, wait)| *wait > crossing(waiting.bytes()))
+            zone == *home
+                || wait.is_none_or(|(_, wait)| *wait > crossing(waiting.order.crossing_bytes))
         };
         let picked = self.queue.pick(room, self.batch.max_pieces, suits);
         if picked.is_empty() {
@@ -171,7 +175,8 @@
     }
 }
 
-/// How long results of this size are worth waiting for a target of their own zone.
+/// How long it is worth waiting for a target of the own zone instead of sending this much elsewhere.
 fn crossing(bytes: u64) -> Duration {
-    CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6)
+    let wait = CROSSING + CROSSING_PER_MB.mul_f64(bytes as f64 / 1e6);
+    wait.min(MAX_CROSSING)
 }
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -106,6 +106,21 @@
         Ok(Self { steps })
     }
 
+    /// Bytes that the targets of a stage fetch. Each piece fetches all results that the stage needs.
+    #[must_use]
+    pub fn input_bytes(&self, position: usize, route: &Route) -> u64 {
+        let step = &self.steps[position];
+        let inputs = step.after.iter().map(|&it| usize::from(it));
+        let bytes = inputs.map(|it| self.result_bytes(it, route));
+        u64::from(step.pieces) * bytes.sum::<u64>()
+    }
+
+    /// Bytes of all results of a stage.
+    #[must_use]
+    pub fn result_bytes(&self, position: usize, route: &Route) -> u64 {
+        u64::from(self.steps[position].pieces) * route.stages[position].result_bytes
+    }
+
     /// When the results of a stage are needed for an answer that is due at `due`.
     #[must_use]
     pub fn due(&self, position: usize, due: Duration) -> Duration {
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -41,6 +41,7 @@
         service: ServiceName::from("rank"),
         scope: None,
         home: ZoneName::from("a"),
+        crossing_bytes: 0,
         request: format!("r{request}"),
         stage: 1,
         kind: 7,
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -305,3 +305,33 @@
     assert_eq!(owner::spread(&keys, 2, &one), [&one[0]]);
     assert!(owner::spread::<_, String>(&keys, 2, &[]).is_empty());
 }
+
+/// Three stages of one service, each after the one before, with results of falling size.
+fn three_stages() -> (Deployment, Route) {
+    let stage = |after: &[u8], result_bytes| Stage {
+        service: ServiceKey(0),
+        after: after.to_vec(),
+        result_bytes,
+    };
+    let mut route = route("r", "h", "/");
+    route.stages = vec![stage(&[], 8000), stage(&[0], 60_000), stage(&[1], 6000)];
+    let deployment = Deployment {
+        services: vec![service("encode", true)],
+        ..Deployment::default()
+    };
+    (deployment, route)
+}
+
+/// Guards against a stage that is placed by its small results although each of its pieces fetches
+/// all results of the stage before.
+#[test]
+fn a_stage_fetches_all_inputs_for_each_of_its_pieces() {
+    let (deployment, route) = three_stages();
+    let plan = Plan::new(&deployment, &route, &[1, 6, 10], |_| Duration::ZERO).unwrap();
+    assert_eq!(plan.input_bytes(0, &route), 0);
+    assert_eq!(plan.input_bytes(1, &route), 6 * 8000);
+    assert_eq!(plan.input_bytes(2, &route), 10 * 6 * 60_000);
+    assert_eq!(plan.result_bytes(2, &route), 10 * 6000);
+    let without = Plan::new(&deployment, &route, &[1, 0, 10], |_| Duration::ZERO).unwrap();
+    assert_eq!(without.input_bytes(2, &route), 0);
+}
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -459,6 +459,7 @@
                 .clone(),
             scope: None,
             home: ZoneName::from(ZONES[it.home]),
+            crossing_bytes: 0,
             request: format!("r{request}"),
             stage: u8::try_from(stage).unwrap(),
             kind: (it.class * 8 + stage) as u64,
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -212,7 +212,7 @@
             let due = plan.due(position, exchange.due());
             let stage = &exchange.route.stages[position];
             let service = &exchange.table.service(stage.service).name;
-            let bytes = stage.result_bytes * u64::from(step.pieces);
+            let bytes = plan.result_bytes(position, &exchange.route);
             let booking = Booking {
                 service: service.clone(),
                 scope: None,
@@ -346,6 +346,7 @@
     let rest = plan.steps[position].rest;
     let gateway = &exchange.gateway;
     let service = exchange.table.service(stage.service);
+    let (home, bytes) = place_of(exchange, plan, position, &inputs, home);
     let source = if exchange.route.stages[position].after.is_empty() {
         Source::Key(exchange.fields.piece_key.clone().unwrap_or_default())
     } else {
@@ -357,6 +358,7 @@
         service: service.name.clone(),
         scope: None,
         home: home.clone(),
+        crossing_bytes: bytes,
         request: exchange.id.clone(),
         stage: u8::try_from(position).unwrap_or(u8::MAX),
         kind: owner::weight(&exchange.route.name, &position),
@@ -368,8 +370,7 @@
         due_ms: signed_millis(due) - signed_millis(now),
         deadline_ms: millis(stage_time(exchange, rest)),
     };
-    let bytes = stage.result_bytes * u64::from(step.pieces);
-    let mut scopes = scopes(exchange, &order.service, home, bytes);
+    let mut scopes = scopes(exchange, &order.service, &home, bytes);
     if let Some(chosen) = bookings.chosen(order.stage) {
         // Stable, so that the others stay in their order.
         scopes.sort_by_key(|scope| *scope != chosen);
@@ -378,6 +379,33 @@
     (position, result)
 }
 
+/// The zone in which a stage is to run, and the bytes that cross zones if it runs in another one:
+/// the zone of its inputs if it fetches more than it makes, or else the zone of the engine.
+fn place_of(
+    exchange: &Exchange,
+    plan: &Plan,
+    position: usize,
+    inputs: &[String],
+    home: &ZoneName,
+) -> (ZoneName, u64) {
+    let fetched = plan.input_bytes(position, &exchange.route);
+    let made = plan.result_bytes(position, &exchange.route);
+    let makers = inputs
+        .iter()
+        .filter_map(|handle| exchange.gateway.maker(handle));
+    let mut zones: Vec<(ZoneName, usize)> = Vec::new();
+    for (_, zone) in makers {
+        match zones.iter_mut().find(|(name, _)| *name == zone) {
+            Some((_, count)) => *count += 1,
+            None => zones.push((zone, 1)),
+        }
+    }
+    match zones.into_iter().max_by_key(|(_, count)| *count) {
+        Some((zone, _)) if fetched > made => (zone, fetched),
+        _ => (home.clone(), made),
+    }
+}
+
 /// Time until a stage must have ended: what follows it takes `rest`, and a client that can't be
 /// served is told so while it can still come back.
 fn stage_time(exchange: &Exchange, rest: Duration) -> Duration {
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -64,8 +64,11 @@
         pub service: ServiceName,
         /// Only targets of this zone are to run them; none for all targets of the service.
         pub scope: Option<ZoneName>,
-        /// The zone in which the results are likely to be needed.
+        /// The zone in which the pieces are to run if it can be: the one that holds what they fetch,
+        /// or where their results are likely to be needed.
         pub home: ZoneName,
+        /// Bytes that cross zones if they run in another one.
+        pub crossing_bytes: u64,
         /// The id of the client's request.
         pub request: String,
         /// The stage's position in the route.
