--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -355,7 +355,7 @@
             .metrics
             .called(self.station.service.as_str(), count);
         let started = self.gateway.now();
-        let (fetched, crossing) = self.inputs(&items);
+        let fetched = inputs(&items);
         if !release.is_empty() {
             let told = self::release(&self.gateway, &self.target, release);
             // Without an answer the call may find no room for some pieces, which wait for another.
@@ -375,7 +375,6 @@
             call.await
         });
         let called = called.await;
-        self.gateway.peers.queue_release(&self.gateway, crossing);
         let taken = self.gateway.now().saturating_sub(started).as_millis();
         let name = &self.target.name;
         let end = match called {
@@ -412,24 +411,6 @@
         self.station.act(&self.gateway, actions);
     }
 
-    /// The results that the call's target fetches: those of its own zone, and those of others, whose
-    /// transfer can take longer than [`FETCH_TIME`].
-    fn inputs(&self, items: &[Item]) -> (Vec<String>, Vec<String>) {
-        let mut inputs: Vec<String> = Vec::new();
-        for item in items.iter().filter(|item| item.is_whole_order) {
-            if let Source::Results(handles) = &item.source {
-                inputs.extend(handles.iter().cloned());
-            }
-        }
-        inputs.sort_unstable();
-        inputs.dedup();
-        let is_near = |handle: &String| {
-            let maker = self.gateway.maker(handle);
-            maker.is_some_and(|(_, zone)| zone == self.target.zone)
-        };
-        inputs.into_iter().partition(is_near)
-    }
-
     async fn call(&self, items: &[Item]) -> Result<CallEnd, String> {
         let request = pieces::call(&self.target, items);
         let mut taken = self.gateway.upstream.take(&self.target, false).await;
@@ -468,6 +449,19 @@
     }
 }
 
+/// The results that a call's target fetches.
+fn inputs(items: &[Item]) -> Vec<String> {
+    let mut inputs: Vec<String> = Vec::new();
+    for item in items.iter().filter(|item| item.is_whole_order) {
+        if let Source::Results(handles) = &item.source {
+            inputs.extend(handles.iter().cloned());
+        }
+    }
+    inputs.sort_unstable();
+    inputs.dedup();
+    inputs
+}
+
 /// Tells a target that results are no longer needed. A failure costs only their room, which they
 /// give back by themselves later.
 async fn release(gateway: &Gateway, target: &Target, handles: Vec<String>) {
