gateway: give stages up after half of a request's time

Cause: late orders that ride in calls waited up to 0.7 of their request's time and were then refused in long overloads; their clients had no time left to come back.

Change: MAX_HELD_PART 0.7 to 0.5.

--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -27,7 +27,7 @@
 const RETURN_PART: f64 = 1.0 / 3.0;
 
 /// Part of a request's time after which it is refused if its stages are not done.
-const MAX_HELD_PART: f64 = 0.7;
+const MAX_HELD_PART: f64 = 0.5;
 
 /// Handles of results that a request holds. They are released when this is closed, or dropped
 /// because the client has left.
