dispatch: do not give orders back while a target only pauses; simplify bookings

Cause: the new test of calls without room found that a dispatcher whose only target pauses for 60 ms after it was full gave its orders back as if the target had failed, and the request was refused.

Change: orders are given back only if no target can be used for longer than that pause. A gateway answers probes, so that a suspected one is asked with a frame of its own.

--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -23,7 +23,7 @@
     pub fn submit(&mut self, token: Token, order: Pieces, now: Duration) -> Vec<Action> {
         let piece_time = self.times.piece(&self.batch, order.kind);
         let waiting = Waiting::new(token, order, piece_time, now);
-        if self.workers.capacity(now).is_none() {
+        if self.workers.are_down(now) {
             return vec![end(token, Err(PiecesError::NoTarget))];
         }
         let is_booked = self.take_booking(&waiting.order.request, waiting.order.stage);
@@ -37,12 +37,11 @@
     }
 
     /// Keeps time for pieces of a later stage, so that a request whose later stages can't be in time
-    /// is refused before its first ones are done. Returns whether time is kept; else there is only
-    /// time to serve the request late.
+    /// is refused before its first ones are done.
     ///
     /// # Errors
     /// There is no time left, not even to serve the request late; the refusal to pass on.
-    pub fn book(&mut self, booking: &Booking, now: Duration) -> Result<bool, PiecesError> {
+    pub fn book(&mut self, booking: &Booking, now: Duration) -> Result<(), PiecesError> {
         self.bookings.retain(|booked| booked.promise.due > now);
         let pieces = usize::from(booking.pieces);
         let load = self.times.load(&self.batch, booking.kind, pieces);
@@ -57,7 +56,7 @@
         if !self.fits(promise, claim, now) {
             let deadline = now + Duration::from_millis(booking.deadline_ms);
             let has_time = self.has_time(load, deadline, now);
-            return has_time.then_some(false).ok_or_else(|| self.refusal(now));
+            return has_time.then_some(()).ok_or_else(|| self.refusal(now));
         }
         self.utilization.add(promise.work, now);
         self.bookings.push(Booked {
@@ -66,7 +65,7 @@
             promise,
             load,
         });
-        Ok(true)
+        Ok(())
     }
 
     /// Gives back the time that was kept for a request.
@@ -152,7 +151,7 @@
 
     /// Gives orders back that wait although every target failed lately: other targets may run them.
     pub(super) fn give_back(&mut self, now: Duration) -> Vec<Action> {
-        if self.workers.capacity(now).is_some() {
+        if !self.workers.are_down(now) {
             return Vec::new();
         }
         let waiting = self.queue.waiting().filter(|it| !it.is_running());
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -274,6 +274,12 @@
         Some((first_free?, rate))
     }
 
+    /// Whether no target can be used for longer than the pause after one was full: all failed lately.
+    pub(super) fn are_down(&self, now: Duration) -> bool {
+        let usable_soon = |it: &Worker| it.is_listed && it.excluded_until <= now + FULL_PAUSE;
+        !self.workers.iter().any(usable_soon)
+    }
+
     /// Time that calls in progress still take, summed over the targets.
     pub(super) fn busy(&self, now: Duration) -> Duration {
         let usable = self.workers.iter().filter(|it| it.is_usable(now));
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -18,8 +18,6 @@
     pub pieces: u16,
     /// Positions of the stages whose results it needs and that are not left out.
     pub after: Vec<u8>,
-    /// Usual time from the arrival of the request until this stage can start.
-    pub start: Duration,
     /// Usual time from the end of this stage until the first event of the answer.
     pub rest: Duration,
     /// Whether its results go to the model engine, because no other stage uses them.
@@ -76,7 +74,6 @@
             steps.push(Step {
                 pieces: pieces[position],
                 after: used(stage, pieces),
-                start: Duration::ZERO,
                 rest: Duration::ZERO,
                 is_last: followers.is_empty(),
             });
@@ -96,12 +93,6 @@
             let rest = followers(route, position).into_iter();
             let rest = rest.map(|follower| steps[follower].rest + times[follower]);
             steps[position].rest = rest.max().unwrap_or(ENGINE_TIME);
-            let before = route.stages[position]
-                .after
-                .iter()
-                .map(|&it| usize::from(it));
-            let start = before.map(|it| steps[it].start + times[it]).max();
-            steps[position].start = start.unwrap_or_default();
         }
         Ok(Self { steps })
     }
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -238,7 +238,6 @@
             pieces: 6,
             rank: 0,
             worth,
-            start_ms: 0,
             due_ms: 1000,
             deadline_ms: 1100,
         };
@@ -271,7 +270,6 @@
         pieces: 50,
         rank: 0,
         worth: 0.5,
-        start_ms: 0,
         due_ms: 600,
         deadline_ms: 500,
     };
@@ -420,3 +418,89 @@
         "released twice"
     );
 }
+
+/// Guards against orders that wait for targets that all failed, while other targets could run them.
+#[test]
+fn orders_are_given_back_when_every_target_has_failed() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let (call, ..) = only_call(&dispatcher.submit(Token(1), order(1, 3, 3000), MS));
+    let failed = dispatcher.called(call, CallEnd::Failed, 2 * MS);
+    let given_back = |token| Action::End {
+        token: Token(token),
+        result: Err(PiecesError::NoTarget),
+    };
+    assert!(failed.contains(&given_back(1)), "{failed:?}");
+    let later = dispatcher.submit(Token(2), order(2, 3, 3000), 3 * MS);
+    assert_eq!(later, [given_back(2)]);
+}
+
+/// Guards against a dispatcher that takes over from one that was killed and sends call after call
+/// to targets whose room is full of results that it does not know.
+#[test]
+fn a_call_that_finds_no_room_shows_what_others_hold() {
+    let room = Batch {
+        result_room: 1_000_000,
+        ..batch()
+    };
+    let mut dispatcher = Dispatcher::new(room);
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let large = Pieces {
+        result_bytes: 100_000,
+        ..order(1, 9, 8000)
+    };
+    let (call, _, items) = only_call(&dispatcher.submit(Token(1), large, MS));
+    let ends = (0..items.len()).map(|it| match it {
+        0..4 => ItemEnd::Done(format!("h{it}")),
+        _ => ItemEnd::NoRoom,
+    });
+    dispatcher.called(call, CallEnd::Items(ends.collect()), 300 * MS);
+    let at_once = dispatcher.advance(500 * MS);
+    assert!(at_once.is_empty(), "a call without room: {at_once:?}");
+    let (.., rest) = only_call(&dispatcher.advance(2500 * MS));
+    assert_eq!(rest.len(), 5);
+}
+
+/// Guards against work of earlier stages that is thrown away, because an order that is late by then
+/// is refused although calls have places left.
+#[test]
+fn a_late_order_waits_if_its_earlier_stages_are_done() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let booked = (0..100).take_while(|number| {
+        let booking = Booking {
+            service: ServiceName::from("rank"),
+            scope: None,
+            request: format!("b{number}"),
+            stage: 1,
+            kind: 7,
+            pieces: 6,
+            rank: 0,
+            worth: 1.0,
+            due_ms: 2000,
+            deadline_ms: 900,
+        };
+        dispatcher.book(&booking, MS).is_ok()
+    });
+    assert!(booked.count() > 20);
+    let late = Pieces {
+        deadline_ms: 900,
+        ..order(1, 6, -1)
+    };
+    let first = Pieces {
+        source: Source::Key("k".to_owned()),
+        ..late.clone()
+    };
+    let refused = dispatcher.submit(Token(1), first, MS);
+    assert!(
+        matches!(
+            refused[..],
+            [Action::End {
+                result: Err(PiecesError::Late { .. }),
+                ..
+            }]
+        ),
+        "{refused:?}"
+    );
+    only_call(&dispatcher.submit(Token(2), late, MS));
+}
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -385,7 +385,6 @@
                 pieces: step.pieces,
                 rank: u16::from(route.priority),
                 worth: it.worth,
-                start_ms: step.start.as_millis() as u64,
                 due_ms: due.saturating_sub(self.now).as_millis() as u64,
                 deadline_ms: 3000,
             };
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -194,12 +194,9 @@
         for address in due {
             let gateway = Arc::clone(gateway);
             tokio::spawn(async move {
-                let request = String::new();
+                let probed = gateway.peers.call(address, Frame::Probe, CONFIRM_LIMIT);
                 // An answer ends the suspicion; a failure is logged by the call.
-                let _ = gateway
-                    .peers
-                    .call(address, Frame::Unbook { request }, CONFIRM_LIMIT)
-                    .await;
+                let _ = probed.await;
                 gateway.notice_cuts();
             });
         }
@@ -357,19 +354,18 @@
         }
     }
 
-    /// Asks a service's dispatcher to keep time for pieces of a later stage. Returns whether it does;
-    /// else the pieces may run late.
+    /// Asks a service's dispatcher to keep time for pieces of a later stage.
     ///
     /// # Errors
     /// The time until a new request is likely to be served, if there is no time. A dispatcher that
     /// does not answer refuses nothing.
-    pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<bool, Duration> {
+    pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<(), Duration> {
         let first = self
             .dispatchers(&booking.service, &booking.scope)
             .into_iter()
             .next();
         let Some(peer) = first else {
-            return Ok(false);
+            return Ok(());
         };
         let answer = if peer.name == self.own.name {
             gateway.stations.book(gateway, &booking)
@@ -378,20 +374,19 @@
             match self.call(peer.address, frame, CONFIRM_LIMIT).await {
                 Ok(answer) => answer,
                 // Logged by the call.
-                Err(_) => return Ok(false),
+                Err(_) => return Ok(()),
             }
         };
         let Frame::Booked {
-            is_booked,
             refused_ms,
             delay_ms,
         } = answer
         else {
-            return Ok(false);
+            return Ok(());
         };
         let delay = Duration::from_millis(delay_ms);
         self.note_delay(&booking.service, &booking.scope, delay);
-        refused_ms.map_or(Ok(is_booked), |millis| Err(Duration::from_millis(millis)))
+        refused_ms.map_or(Ok(()), |millis| Err(Duration::from_millis(millis)))
     }
 
     /// Takes a request's bookings back.
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -134,6 +134,7 @@
             gateway.stations.release(&gateway, &handles);
             Reply::One(Frame::Done)
         }
+        Frame::Probe => Reply::One(Frame::Done),
         _ => {
             log::warn!("gateway: {} sent a frame that is no request", peer.sender);
             Reply::One(Frame::Refused {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -1,6 +1,6 @@
 //! Has the stages of a request run, in the order that its plan gives.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_core::gateway::owner;
@@ -189,69 +189,49 @@
 /// before the stages are done.
 struct Bookings<'a> {
     exchange: &'a Exchange,
-    /// What is to be booked, with the groups of targets that may run it, the best first.
-    wanted: Vec<(Booking, Vec<Scope>)>,
-    /// What dispatchers have answered.
-    answered: Mutex<Vec<Answered>>,
-}
-
-/// A dispatcher's answer to a booking that it did not refuse.
-struct Answered {
-    booking: Booking,
-    /// Whether time is kept; else the stage may run late.
-    is_booked: bool,
+    bookings: Vec<Booking>,
 }
 
 impl<'a> Bookings<'a> {
-    /// Bookings for all stages that follow another one, unless the request is late already.
+    /// Bookings for all stages that follow another one, unless the request is late already. Each is
+    /// made at one group of targets: in a burst the others are as loaded.
     fn new(exchange: &'a Exchange, plan: &Plan, home: &ZoneName) -> Self {
         let now = exchange.gateway.now();
         let steps = plan.steps.iter().enumerate();
         let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
-        let wanted = later.filter_map(|(position, step)| {
+        let bookings = later.filter_map(|(position, step)| {
             let due = plan.due(position, exchange.due());
             let stage = &exchange.route.stages[position];
             let service = &exchange.table.service(stage.service).name;
             let bytes = plan.result_bytes(position, &exchange.route);
-            let booking = Booking {
+            let scope = scopes(exchange, service, home, bytes).into_iter().next()?;
+            (due > now).then(|| Booking {
                 service: service.clone(),
-                scope: None,
+                scope,
                 request: exchange.id.clone(),
                 stage: u8::try_from(position).unwrap_or(u8::MAX),
                 kind: owner::weight(&exchange.route.name, &position),
                 pieces: step.pieces,
                 rank: exchange.rank,
                 worth: exchange.worth,
-                start_ms: millis((exchange.arrived + step.start).saturating_sub(now)),
-                due_ms: millis(due.saturating_sub(now)),
+                due_ms: millis(due - now),
                 deadline_ms: millis(stage_time(exchange, step.rest)),
-            };
-            // Other zones are as loaded in a burst, and what is moved there crosses zones.
-            let scopes = || scopes(exchange, service, home, bytes).into_iter().take(1);
-            (due > now).then(|| (booking, scopes().collect()))
+            })
         });
-        Self {
-            wanted: wanted.collect(),
-            exchange,
-            answered: Mutex::default(),
-        }
-    }
-
-    fn answered(&self) -> MutexGuard<'_, Vec<Answered>> {
-        self.answered.lock().expect("no holder of the lock panics")
+        let bookings = bookings.collect();
+        Self { exchange, bookings }
     }
 
-    /// The targets that are to run a stage.
-    fn chosen(&self, stage: u8) -> Option<Scope> {
-        let answered = self.answered();
-        let own = || answered.iter().filter(|it| it.booking.stage == stage);
-        let booked = own().find(|it| it.is_booked).or_else(|| own().next());
-        booked.map(|it| it.booking.scope.clone())
+    /// The targets at which a stage is booked.
+    fn scope(&self, stage: u8) -> Option<&Scope> {
+        let booking = self.bookings.iter().find(|it| it.stage == stage);
+        booking.map(|it| &it.scope)
     }
 
     async fn book(&self) -> Result<(), Failure> {
-        let asked = self.wanted.iter();
-        let asked = asked.map(|(booking, scopes)| self.book_one(booking, scopes));
+        let gateway = &self.exchange.gateway;
+        let asked = self.bookings.iter();
+        let asked = asked.map(|booking| gateway.peers.book(gateway, booking.clone()));
         let mut asked: FuturesUnordered<_> = asked.collect();
         while let Some(booked) = asked.next().await {
             booked.map_err(|after| {
@@ -262,49 +242,19 @@
         Ok(())
     }
 
-    /// Books time at the first dispatcher that has some. A burst or a failure in one zone leaves
-    /// targets of others free.
-    async fn book_one(&self, booking: &Booking, scopes: &[Scope]) -> Result<(), Duration> {
-        let gateway = &self.exchange.gateway;
-        let mut refused: Option<Duration> = None;
-        let mut may_be_late = false;
-        for scope in scopes {
-            let booking = Booking {
-                scope: scope.clone(),
-                ..booking.clone()
-            };
-            match gateway.peers.book(gateway, booking.clone()).await {
-                Ok(is_booked) => {
-                    may_be_late = true;
-                    self.answered().push(Answered { booking, is_booked });
-                    if is_booked {
-                        return Ok(());
-                    }
-                }
-                Err(after) => refused = Some(refused.map_or(after, |least| least.min(after))),
-            }
-        }
-        match refused {
-            Some(after) if !may_be_late => Err(after),
-            _ => Ok(()),
-        }
-    }
-
     /// Notes that the stages are done; their orders have used the bookings up.
-    fn close(self) {
-        self.answered().clear();
+    fn close(mut self) {
+        self.bookings.clear();
     }
 }
 
 impl Drop for Bookings<'_> {
     fn drop(&mut self) {
-        let answered = std::mem::take(&mut *self.answered()).into_iter();
-        let booked = answered.filter(|it| it.is_booked);
-        let bookings: Vec<Booking> = booked.map(|it| it.booking).collect();
-        if bookings.is_empty() {
+        if self.bookings.is_empty() {
             return;
         }
         let gateway = Arc::clone(&self.exchange.gateway);
+        let bookings = std::mem::take(&mut self.bookings);
         tokio::spawn(async move {
             gateway.peers.unbook(&gateway, &bookings).await;
         });
@@ -371,9 +321,9 @@
         deadline_ms: millis(stage_time(exchange, rest)),
     };
     let mut scopes = scopes(exchange, &order.service, &home, bytes);
-    if let Some(chosen) = bookings.chosen(order.stage) {
+    if let Some(booked) = bookings.scope(order.stage) {
         // Stable, so that the others stay in their order.
-        scopes.sort_by_key(|scope| *scope != chosen);
+        scopes.sort_by_key(|scope| scope != booked);
     }
     let result = order_in_some_zone(exchange, order, &scopes).await;
     (position, result)
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -88,10 +88,10 @@
         };
         let now = gateway.now();
         let mut dispatcher = station.dispatcher();
-        let (is_booked, refused_ms) = match dispatcher.book(booking, now) {
-            Ok(is_booked) => (is_booked, None),
-            Err(PiecesError::Late { retry_after_ms }) => (false, Some(retry_after_ms)),
-            Err(_) => (false, Some(0)),
+        let refused_ms = match dispatcher.book(booking, now) {
+            Ok(()) => None,
+            Err(PiecesError::Late { retry_after_ms }) => Some(retry_after_ms),
+            Err(_) => Some(0),
         };
         let delay = dispatcher.delay(now).unwrap_or_default();
         drop(dispatcher);
@@ -103,7 +103,6 @@
             );
         }
         Frame::Booked {
-            is_booked,
             refused_ms,
             delay_ms: u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
         }
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -17,9 +17,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// A generous bound for anything that must come about.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -281,6 +282,26 @@
         call(self.clients, Method::POST, path, &all, body).await
     }
 
+    /// Sends bytes to the gateway and returns what comes back until it closes the connection, or
+    /// for a quarter of a second after an answer has begun. Waits 8 s for an answer.
+    pub(crate) async fn raw(&self, bytes: &[u8]) -> String {
+        let stream = TcpStream::connect(self.clients).await.expect("connect");
+        let (mut reader, mut writer) = stream.into_split();
+        // The gateway may close before it has read everything.
+        let _ = writer.write_all(bytes).await;
+        let mut answer = Vec::new();
+        let mut buffer = [0; 4096];
+        loop {
+            let limit = if answer.is_empty() { 8000 } else { 250 };
+            let read = timeout(Duration::from_millis(limit), reader.read(&mut buffer)).await;
+            match read {
+                Ok(Ok(count)) if count > 0 => answer.extend_from_slice(&buffer[..count]),
+                Err(_) if answer.is_empty() => panic!("no answer and no close in 8 s"),
+                _ => return String::from_utf8_lossy(&answer).into_owned(),
+            }
+        }
+    }
+
     /// The gateway's log so far.
     pub(crate) fn log(&self) -> String {
         self.gateway.log()
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -110,8 +110,6 @@
         pub rank: u16,
         /// Place among requests of its route by worth for the work, from 0 to 1.
         pub worth: f64,
-        /// Time until the stages before are usually done, in milliseconds.
-        pub start_ms: u64,
         /// Time until the results are needed, in milliseconds.
         pub due_ms: u64,
         /// Time until the client gives up, in milliseconds.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -110,7 +110,7 @@
         /// The encoded message.
         message: Vec<u8>,
     },
-    /// Asks the leader whether it is still the leader.
+    /// Asks the leader whether it is still the leader, or a gateway whether it answers.
     Probe,
     /// The leader's answer to `Probe`.
     ProbeAnswer {
@@ -145,8 +145,6 @@
     Book(Booking),
     /// The answer to `Book`.
     Booked {
-        /// Whether time is kept; else there is only time to serve the request late, if any.
-        is_booked: bool,
         /// When a new request is likely to be served, in milliseconds, if there is no time.
         refused_ms: Option<u64>,
         /// The wait that an order has to expect at present, in milliseconds.
