--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -75,7 +75,10 @@
     /// The end of each item, in the order of the items.
     Items(Vec<ItemEnd>),
     /// The target refused the call and did not run it.
-    NotRun,
+    NotRun {
+        /// How long it wants no call; zero if it does not say.
+        closed: Duration,
+    },
     /// The target failed, or nothing came in time.
     Failed,
 }
@@ -231,6 +234,16 @@
         releases.collect()
     }
 
+    /// Whether an answer to a call names a result that an earlier answer has named. It is a copy of
+    /// that answer then, and says nothing of this call.
+    #[must_use]
+    pub fn is_copy(&self, ends: &[ItemEnd]) -> bool {
+        ends.iter().any(|end| match end {
+            ItemEnd::Done(handle) => self.workers.knows(handle),
+            _ => false,
+        })
+    }
+
     /// Takes the end of a call.
     pub fn called(&mut self, key: CallKey, call_end: CallEnd, now: Duration) -> Vec<Action> {
         let Some(position) = self.calls.iter().position(|call| call.key == key) else {
@@ -270,8 +283,8 @@
                 }
                 ends
             }
-            CallEnd::NotRun => {
-                worker.refused(now);
+            CallEnd::NotRun { closed } => {
+                worker.refused(closed, now);
                 vec![ItemEnd::NoRoom; call.items.len()]
             }
             CallEnd::Items(_) | CallEnd::Failed => {
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -131,8 +131,8 @@
         (room > 0).then(|| (usable as u64).saturating_sub(needed))
     }
 
-    pub(super) fn refused(&mut self, now: Duration) {
-        self.excluded_until = now + FULL_PAUSE;
+    pub(super) fn refused(&mut self, closed: Duration, now: Duration) {
+        self.excluded_until = self.excluded_until.max(now + closed.max(FULL_PAUSE));
     }
 
     pub(super) fn failed(&mut self, taken: Duration, expected: Duration, now: Duration) {
@@ -313,6 +313,11 @@
         self.hold_unknown(key, unknown, until);
     }
 
+    /// Whether a result was named by an answer before.
+    pub(super) fn knows(&self, handle: &str) -> bool {
+        self.held.contains_key(handle) || self.told.contains_key(handle)
+    }
+
     /// Notes results whose handles are not known, because their call was given up. The target may
     /// still make them.
     pub(super) fn hold_unknown(&mut self, worker: WorkerKey, bytes: u64, until: Duration) {
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
-use azurelug_types::deployment::Target;
+use azurelug_types::deployment::{Notice, Target};
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
 
 use super::owner;
@@ -99,10 +99,36 @@
     is_listed: bool,
     in_flight: u32,
     cold_until: Duration,
+    /// Whether the target itself has said that it is leaving. The list says so later, and a daemon
+    /// that is cut off from the list not at all.
+    says_leaving: bool,
+    /// Until when the target wants no request from this daemon.
+    closed_until: Duration,
     health: Health,
     pace: Pace,
 }
 
+impl Record {
+    fn new(target: &Target, cold_until: Duration) -> Self {
+        Self {
+            target: target.clone(),
+            is_listed: true,
+            in_flight: 0,
+            cold_until,
+            says_leaving: false,
+            closed_until: Duration::ZERO,
+            health: Health::default(),
+            pace: Pace::default(),
+        }
+    }
+
+    /// Forgets what an earlier start of the target said of itself.
+    fn restarted(&mut self) {
+        self.says_leaving = false;
+        self.closed_until = Duration::ZERO;
+    }
+}
+
 /// All targets of all services.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -118,7 +144,11 @@
     pub fn list(&mut self, targets: &[Target], now: Duration) {
         let named: HashSet<&TargetName> = targets.iter().map(|target| &target.name).collect();
         for record in &mut self.records {
+            let was_listed = record.is_listed;
             record.is_listed = named.contains(&record.target.name);
+            if record.is_listed && !was_listed {
+                record.restarted();
+            }
         }
         for target in targets {
             self.list_one(target, now);
@@ -144,18 +174,14 @@
         {
             let record = &mut self.records[key.0 as usize];
             record.cold_until = record.cold_until.max(cold_until);
+            if record.target.is_leaving && !target.is_leaving {
+                record.restarted();
+            }
             record.target.clone_from(target);
             record.is_listed = true;
             return;
         }
-        let record = Record {
-            target: target.clone(),
-            is_listed: true,
-            in_flight: 0,
-            cold_until,
-            health: Health::default(),
-            pace: Pace::default(),
-        };
+        let record = Record::new(target, cold_until);
         let is_gone = |it: &Record| !it.is_listed && it.in_flight == 0;
         let position = match self.records.iter().position(is_gone) {
             Some(position) => {
@@ -211,7 +237,10 @@
     }
 
     fn may_use(&self, record: &Record) -> bool {
-        record.is_listed && !record.target.is_leaving && !self.drained.contains(&record.target.zone)
+        record.is_listed
+            && !record.target.is_leaving
+            && !record.says_leaving
+            && !self.drained.contains(&record.target.zone)
     }
 
     /// Whether a target may still get new work.
@@ -307,6 +336,9 @@
 
     /// Until when a target gets nothing, because it failed lately or has had its part of a second.
     fn held_until(&self, record: &Record, bounds: &Bounds, now: Duration) -> Option<Duration> {
+        if record.closed_until > now {
+            return Some(record.closed_until);
+        }
         if let Some(until) = record.health.excluded_until(now) {
             return Some(until);
         }
@@ -334,10 +366,48 @@
         record.health.ended(outcome, now);
     }
 
-    /// Notes that a target says that it is cold.
-    pub fn turned_cold(&mut self, key: Key, left: Duration, now: Duration) {
+    /// Takes what a target says of itself. Returns whether it has turned out to be leaving.
+    pub fn note(&mut self, key: Key, notice: Notice, now: Duration) -> bool {
         let record = &mut self.records[key.0 as usize];
-        record.cold_until = record.cold_until.max(now + left);
+        if let Some(left) = notice.cold {
+            record.cold_until = record.cold_until.max(now + left);
+        }
+        if let Some(closed) = notice.closed {
+            record.closed_until = record.closed_until.max(now + closed);
+        }
+        let is_news = notice.is_leaving && !record.says_leaving;
+        record.says_leaving |= notice.is_leaving;
+        is_news
+    }
+
+    /// The key of a listed target.
+    #[must_use]
+    pub fn key(&self, name: &TargetName) -> Option<Key> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Whether a target may be called at all: whether it has neither closed itself nor said that it
+    /// is leaving. One that is no longer listed may not.
+    #[must_use]
+    pub fn may_call(&self, name: &TargetName, now: Duration) -> bool {
+        let record = self.key(name).map(|key| &self.records[key.0 as usize]);
+        record.is_some_and(|it| it.is_listed && !it.says_leaving && it.closed_until <= now)
+    }
+
+    /// How much longer all targets of a service want no request from this daemon; zero if one of
+    /// them is open.
+    #[must_use]
+    pub fn opens_in(&self, service: &ServiceName, now: Duration) -> Duration {
+        let keys = self.usable_keys(service).into_iter();
+        let closed = keys.map(|key| self.records[key.0 as usize].closed_until);
+        closed.min().unwrap_or_default().saturating_sub(now)
+    }
+
+    /// How much longer a target wants no request from this daemon.
+    #[must_use]
+    pub fn closed_for(&self, name: &TargetName, now: Duration) -> Duration {
+        let record = self.key(name).map(|key| &self.records[key.0 as usize]);
+        record.map_or(Duration::ZERO, |it| it.closed_until.saturating_sub(now))
     }
 
     /// Requests in flight by target, for a dump.
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -504,3 +504,46 @@
     );
     only_call(&dispatcher.submit(Token(2), late, MS));
 }
+
+/// Guards against calls to a target that wants none for a while.
+#[test]
+fn a_target_that_closes_itself_gets_no_call_before_it_opens() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(2), Duration::ZERO);
+    let (call, first, _) = only_call(&dispatcher.submit(Token(1), order(1, 1, 3000), MS));
+    let closed = Duration::from_secs(2);
+    let refused = CallEnd::NotRun { closed };
+    let (call, other, _) = only_call(&dispatcher.called(call, refused.clone(), 2 * MS));
+    assert_ne!(other.name, first.name);
+    // With both closed, orders are refused rather than sent.
+    dispatcher.called(call, refused, 3 * MS);
+    let ended = dispatcher.submit(Token(2), order(2, 1, 3000), 4 * MS);
+    let no_target = Err(PiecesError::NoTarget);
+    assert!(matches!(&ended[..], [Action::End { result, .. }] if *result == no_target));
+    let again = dispatcher.submit(Token(3), order(3, 1, 3000), 2 * MS + closed);
+    assert_eq!(only_call(&again).1.name, first.name);
+}
+
+/// Guards against the results of one call that are taken for those of another, because a target
+/// sent its answer twice.
+#[test]
+fn an_answer_with_results_that_are_known_is_a_copy() {
+    let mut dispatcher = Dispatcher::new(batch());
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let (call, target, _) = only_call(&dispatcher.submit(Token(1), order(1, 1, 3000), MS));
+    let handle = format!("{}/a", target.address);
+    let answer = vec![ItemEnd::Done(handle.clone())];
+    assert!(!dispatcher.is_copy(&answer));
+    dispatcher.called(call, CallEnd::Items(answer.clone()), 300 * MS);
+    assert!(dispatcher.is_copy(&answer));
+    let released = Released {
+        handle,
+        maker: target.address,
+    };
+    dispatcher.release(&[released], 400 * MS);
+    assert!(
+        dispatcher.is_copy(&answer),
+        "released results are remembered"
+    );
+    assert!(!dispatcher.is_copy(&[ItemEnd::NoRoom, ItemEnd::Failed]));
+}
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -6,7 +6,7 @@
 
 use azurelug_core::gateway::fleet::{Bounds, Fleet, Key, Outcome, Unplaced, Wanted, Weights};
 use azurelug_core::gateway::reach::Reach;
-use azurelug_types::deployment::Target;
+use azurelug_types::deployment::{Notice, Target};
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -252,6 +252,60 @@
     assert_eq!(fleet.target(key).name.as_str(), "another");
 }
 
+/// Guards against a target that has said that it is leaving and gets new work until the list says
+/// so too, and against its next start, which gets none.
+#[test]
+fn a_leaving_target_gets_nothing_until_its_next_start_is_listed() {
+    let mut fleet = fleet(2);
+    let request = Request::new(None);
+    let leaving = fleet.key(&target(0).name).unwrap();
+    let notice = Notice {
+        is_leaving: true,
+        ..Notice::default()
+    };
+    assert!(fleet.note(leaving, notice, MS));
+    assert!(!fleet.note(leaving, notice, MS), "it is no news any more");
+    // The list lags behind: it still names the target as ready.
+    let listed: Vec<Target> = (0..2).map(target).collect();
+    fleet.list(&listed, 2 * MS);
+    for _ in 0..4 {
+        let key = request.place(&mut fleet, &[], 2 * MS).unwrap();
+        assert_ne!(key, leaving);
+    }
+    assert!(!fleet.may_call(&target(0).name, 2 * MS));
+    let only = [fleet.key(&target(1).name).unwrap()];
+    let none = request.place(&mut fleet, &only, 2 * MS);
+    assert_eq!(none, Err(Unplaced::None));
+    // It ends, and starts again under its name.
+    fleet.list(&listed[1..], 3 * MS);
+    fleet.list(&listed, 4 * MS);
+    assert!(fleet.may_call(&target(0).name, 4 * MS));
+}
+
+/// Guards against requests to targets that want none for a while, and against refusals that call
+/// clients back before the first one opens.
+#[test]
+fn closed_targets_get_nothing_before_they_open() {
+    let mut fleet = fleet(2);
+    let request = Request::new(None);
+    for (number, seconds) in [(0, 3), (1, 2)] {
+        let key = fleet.key(&target(number).name).unwrap();
+        let notice = Notice {
+            closed: Some(Duration::from_secs(seconds)),
+            ..Notice::default()
+        };
+        assert!(!fleet.note(key, notice, Duration::ZERO));
+    }
+    let wait = Duration::from_millis(1500);
+    let held = request.place(&mut fleet, &[], 500 * MS);
+    assert_eq!(held, Err(Unplaced::Held(wait)));
+    assert_eq!(fleet.opens_in(&request.service, 500 * MS), wait);
+    assert!(!fleet.may_call(&target(1).name, 1999 * MS));
+    let open = request.place(&mut fleet, &[], 2000 * MS).unwrap();
+    assert_eq!(fleet.target(open).name, target(1).name);
+    assert_eq!(fleet.opens_in(&request.service, 2000 * MS), Duration::ZERO);
+}
+
 fn address(number: u8) -> std::net::SocketAddr {
     format!("10.2.0.{number}:7000").parse().unwrap()
 }
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -10,12 +10,13 @@
 use azurelug_types::id::{AccountName, ZoneName};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::Place;
+use crate::upstream::Taken;
 
 /// The longest answer that is held as a whole, in bytes.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
@@ -141,6 +142,8 @@
     pub zone: &'a ZoneName,
     /// Whether a new splitter starts, or this one goes on.
     pub splitter: Splitter,
+    /// The place for the next sending, if one is reserved.
+    pub place: Option<Place>,
 }
 
 /// Sends the request until a target answers.
@@ -148,6 +151,16 @@
 /// # Errors
 /// Why no answer can be had.
 pub async fn run(
+    exchange: &Exchange,
+    sending: Sending<'_>,
+    trail: &mut Trail,
+) -> Result<Answer, Failure> {
+    let result = send_until_answered(exchange, sending, trail).await;
+    let opens_in = || exchange.gateway.opens_in(&exchange.service.name);
+    result.map_err(|failure| failure.not_before(opens_in()))
+}
+
+async fn send_until_answered(
     exchange: &Exchange,
     mut sending: Sending<'_>,
     trail: &mut Trail,
@@ -156,7 +169,10 @@
     // An answer of a target that failed, for the case that no other target answers.
     let mut failed: Option<Whole> = None;
     loop {
-        let next = next_place(exchange, &sending, trail, &last).await;
+        let next = match sending.place.take() {
+            Some(place) => Ok(place),
+            None => next_place(exchange, &sending, trail, &last).await,
+        };
         let place = match (next, failed) {
             (Ok(place), _) => place,
             (Err(_), Some(whole)) => return Ok(Answer::Whole(whole)),
@@ -167,7 +183,7 @@
         trail.tried.push(place.key);
         let more_runs = trail.runs + 1 < exchange.route.max_attempts;
         let may_repeat = exchange.route.kind.is_repeatable() && more_runs;
-        let reason = match send(exchange, place, &mut sending, may_repeat).await {
+        let reason = match send(exchange, place, &mut sending, trail, may_repeat).await {
             Sent::Answered(answer) => return Ok(answer),
             Sent::Failed(whole) if !may_repeat => return Ok(Answer::Whole(whole)),
             Sent::Failed(whole) => {
@@ -177,7 +193,7 @@
                 "failed"
             }
             Sent::InputsGone => {
-                return Err(Failure::Refused(RETRY_AFTER, "results of a stage are gone"));
+                return Err(trail.refused(last, "results of a stage are gone"));
             }
             Sent::NotRun => {
                 last = trail.refused(last, "targets are full");
@@ -226,8 +242,28 @@
         exchange.gateway.earn(&exchange.service.name);
         trail.is_sent = true;
     }
-    // What happened before says more than that nothing is left to try.
-    placed.map_err(|failure| if trail.is_sent { last.clone() } else { failure })
+    placed.map_err(|failure| match (last, failure) {
+        (_, failure) if !trail.is_sent => failure,
+        (Failure::Refused(after, reason), Failure::Refused(open, _)) => {
+            Failure::Refused(open.max(*after), reason)
+        }
+        // What happened before says more than that nothing is left to try.
+        _ => last.clone(),
+    })
+}
+
+/// Reserves a place for one more sending, if there is one now and the budget allows it. What a
+/// request already waits for is given up only for a place elsewhere: a slow target may be sound.
+pub fn reserve(exchange: &Exchange, zone: &ZoneName, trail: &Trail) -> Option<Place> {
+    if exchange.left() < MIN_LEFT {
+        return None;
+    }
+    let gateway = &exchange.gateway;
+    let affinity = exchange.affinity();
+    let weights = &exchange.weights;
+    let place = gateway.place(&exchange.service, affinity, zone, weights, &trail.tried);
+    let place = place.ok()?;
+    gateway.may_repeat(&exchange.service.name).then_some(place)
 }
 
 impl Trail {
@@ -305,11 +341,11 @@
     exchange: &Exchange,
     mut place: Place,
     sending: &mut Sending<'_>,
+    trail: &Trail,
     may_repeat: bool,
 ) -> Sent {
-    let patience = patience(exchange, may_repeat);
-    let reply = timeout(patience, send_once(exchange, &place, sending)).await;
-    let reply = reply.unwrap_or(Reply::Broken("no answer in time"));
+    let (reply, next) = wait(exchange, &place, sending, trail, may_repeat).await;
+    sending.place = next;
     let first = place.elapsed();
     let (sent, outcome) = match reply {
         Reply::Whole(whole) if whole.status.is_server_error() => {
@@ -345,6 +381,32 @@
     sent
 }
 
+/// Waits for a target's answer, or until the request may go elsewhere; then the place there is
+/// returned too.
+async fn wait(
+    exchange: &Exchange,
+    place: &Place,
+    sending: &mut Sending<'_>,
+    trail: &Trail,
+    may_repeat: bool,
+) -> (Reply, Option<Place>) {
+    const NO_ANSWER: Reply = Reply::Broken("no answer in time");
+    let zone = sending.zone;
+    let mut sent = std::pin::pin!(send_once(exchange, place, sending));
+    loop {
+        let patience = patience(exchange, may_repeat);
+        if let Ok(reply) = timeout(patience, sent.as_mut()).await {
+            return (reply, None);
+        }
+        if !may_repeat || exchange.left() < MIN_LEFT {
+            return (NO_ANSWER, None);
+        }
+        if let Some(next) = reserve(exchange, zone, trail) {
+            return (NO_ANSWER, Some(next));
+        }
+    }
+}
+
 /// Sends the request to one target and reads the answer, up to a stream's first event.
 async fn send_once(exchange: &Exchange, place: &Place, sending: &mut Sending<'_>) -> Reply {
     let upstream = &exchange.gateway.upstream;
@@ -357,7 +419,7 @@
         let request = request(exchange, place, sending);
         let error = match taken.connection.send(request).await {
             Ok(response) => {
-                return read(exchange, place, sending, taken.connection, response).await;
+                return read(exchange, place, sending, taken, response).await;
             }
             Err(error) => error,
         };
@@ -401,17 +463,21 @@
     exchange: &Exchange,
     place: &Place,
     sending: &mut Sending<'_>,
-    connection: Connection,
+    taken: Taken,
     response: Response<Incoming>,
 ) -> Reply {
+    let Taken {
+        connection,
+        is_kept,
+    } = taken;
     let (parts, body) = response.into_parts();
     let head = Head::read(parts.status, &parts.headers, &exchange.id);
-    if let Some(left) = head.cold {
-        let now = exchange.gateway.now();
-        exchange.gateway.fleet().turned_cold(place.key, left, now);
-    }
+    exchange.gateway.note(&place.target.name, head.notice);
     match head.verdict {
         Verdict::Unusable => return Reply::Unusable("the answer is not this request's"),
+        Verdict::NotRun | Verdict::WrongTarget if is_kept && !head.is_named => {
+            return Reply::Unusable("the refusal may be a copy of an earlier one");
+        }
         Verdict::Answered if target::is_event_stream(&parts.headers) => {
             return begin(
                 connection,
@@ -424,13 +490,18 @@
         }
         _ => {}
     }
-    let read = Limited::new(body, ANSWER_LIMIT).collect().await;
-    let Ok(body) = read else {
-        return match head.verdict {
-            Verdict::NotRun => Reply::NotRun(head.status),
-            Verdict::WrongTarget => Reply::WrongTarget,
-            _ => Reply::Unusable("the answer is cut short"),
-        };
+    let read = exchange.gateway.answers.read(body, ANSWER_LIMIT).await;
+    let body = match read {
+        Ok(body) => body,
+        Err(error) => {
+            let name = &place.target.name;
+            log::info!("gateway: request {} at {name}: {error}", exchange.id);
+            return match head.verdict {
+                Verdict::NotRun => Reply::NotRun(head.status),
+                Verdict::WrongTarget => Reply::WrongTarget,
+                _ => Reply::Unusable("the answer is not whole"),
+            };
+        }
     };
     let upstream = &exchange.gateway.upstream;
     upstream.keep_when_ready(&place.target.name, connection, head.idle);
@@ -440,7 +511,7 @@
         _ => Reply::Whole(Whole {
             status: head.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         }),
     }
 }
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -103,6 +103,15 @@
 }
 
 impl Failure {
+    /// The same, with a later time to return if a refused client would come too early.
+    #[must_use]
+    pub fn not_before(self, time: Duration) -> Self {
+        match self {
+            Self::Refused(after, reason) => Self::Refused(after.max(time), reason),
+            other => other,
+        }
+    }
+
     /// The answer for the client.
     #[must_use]
     pub fn refusal(&self) -> Refusal {
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::answers::Answers;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, Scope};
 use crate::settings::{Bounds, Settings};
@@ -48,6 +49,8 @@
     pub zone: ZoneName,
     /// Connections to targets.
     pub upstream: Upstream,
+    /// Memory for answers that are held as a whole.
+    pub answers: Answers,
     /// The other gateways.
     pub peers: Peers,
     /// Dispatchers of staged services.
@@ -72,6 +75,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             upstream: Upstream::default(),
+            answers: Answers::default(),
             peers: Peers::new(settings, identity),
             stations: Stations::default(),
             metrics: Metrics::default(),
@@ -104,6 +108,44 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// Takes what a target says of itself beside an answer to this gateway.
+    pub fn note(self: &Arc<Self>, name: &TargetName, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let now = self.now();
+        let is_leaving = {
+            let mut fleet = self.fleet();
+            let Some(key) = fleet.key(name) else { return };
+            fleet.note(key, notice, now)
+        };
+        if let Some(closed) = notice.closed {
+            log::info!(
+                "gateway: target {name} wants nothing for {} ms",
+                closed.as_millis()
+            );
+        }
+        if is_leaving {
+            log::info!("gateway: target {name} says that it is leaving; gets no new work");
+            self.stations.relist(self);
+        }
+    }
+
+    /// How much longer a target wants no request from this gateway.
+    pub fn closed_for(&self, name: &TargetName) -> Duration {
+        self.fleet().closed_for(name, self.now())
+    }
+
+    /// How much longer all targets of a service want no request from this gateway.
+    pub fn opens_in(&self, service: &ServiceName) -> Duration {
+        self.fleet().opens_in(service, self.now())
+    }
+
+    /// Whether a target may be told of something that it can do without.
+    pub fn may_call(&self, name: &TargetName) -> bool {
+        self.fleet().may_call(name, self.now())
+    }
+
     /// Keeps new work away from zones that can't be reached.
     pub fn notice_cuts(&self) {
         let cut = self.peers.cut();
@@ -134,6 +176,12 @@
         self.view().table.clone()
     }
 
+    /// What a client may send.
+    pub fn client_limits(&self) -> Limits {
+        let table = self.table();
+        table.map_or_else(Limits::default, |table| table.deployment().limits)
+    }
+
     /// Puts a newer configuration in force; an older one changes nothing.
     pub fn configure(&self, table: Table) {
         let version = table.deployment().version;
@@ -176,12 +224,6 @@
         let limit = self.bounds.revocation.0.saturating_sub(REVOCATION_MARGIN);
         self.staleness().is_some_and(|age| age < limit)
     }
-    /// What a client may send.
-    pub fn client_limits(&self) -> Limits {
-        let table = self.table();
-        table.map_or_else(Limits::default, |table| table.deployment().limits)
-    }
-
 
     /// Whether new connections are wanted.
     pub fn is_ready(&self) -> bool {
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! round them, and everything that one process knows of the others.
 
 pub mod admin;
+pub mod answers;
 pub mod attempt;
 pub mod body;
 pub mod control;
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -13,14 +13,15 @@
 use crate::attempt::{self, Answer, Sending, Stream, Trail};
 use crate::body::BrokenOff;
 use crate::exchange::Exchange;
+use crate::gateway::Place;
 use crate::metrics::End;
 use crate::serve::Record;
 
 /// Events that wait for a slow client. More hold the target back through its connection.
 const EVENTS: usize = 32;
 
-/// A pause of a stream after which another target goes on with it, as a multiple of the longest
-/// pause that is still on time.
+/// A pause between events after which another target goes on with a stream, if one has room, as a
+/// multiple of the longest pause that is still on time.
 const STALL_FACTOR: f64 = 3.0;
 
 /// The shortest such pause: an engine that reads another request's long prompt stops for less.
@@ -47,6 +48,8 @@
 enum Part {
     Whole,
     Broken(&'static str),
+    /// No event has come for long, but the target may be sound.
+    Stalled,
     ClientGone,
     OutOfTime,
 }
@@ -62,7 +65,7 @@
     async fn run(mut self, mut stream: Box<Stream>, events: Sender<Result<Bytes, BrokenOff>>) {
         loop {
             let part = self.pass_on(&mut stream, &events).await;
-            let reason = match part {
+            let (reason, next) = match part {
                 Part::Whole => {
                     let Stream {
                         place,
@@ -85,7 +88,14 @@
                     let _ = events.send(Err(BrokenOff)).await;
                     return self.close(End::Failed, "out of time");
                 }
-                Part::Broken(reason) => reason,
+                Part::Broken(reason) => (reason, None),
+                Part::Stalled => {
+                    let next = attempt::reserve(&self.exchange, &self.zone, &self.trail);
+                    if next.is_none() {
+                        continue;
+                    }
+                    ("the stream stalled", next)
+                }
             };
             stream.place.show(Outcome::Unreachable);
             let name = &stream.place.target.name;
@@ -95,7 +105,7 @@
                 self.exchange.id
             );
             self.trail.runs += 1;
-            match self.resume(*stream).await {
+            match self.resume(*stream, next).await {
                 Some(next) => stream = next,
                 None => {
                     let _ = events.send(Err(BrokenOff)).await;
@@ -119,11 +129,14 @@
         let gateway = &self.exchange.gateway;
         let deadline = gateway.at(self.exchange.deadline);
         let mut next = stream.first.take();
+        // Bytes without an event do not keep a stream alive.
+        let mut last = Instant::now();
         loop {
-            if let Some(event) = next.take()
-                && events.send(Ok(event.bytes)).await.is_err()
-            {
-                return Part::ClientGone;
+            if let Some(event) = next.take() {
+                if events.send(Ok(event.bytes)).await.is_err() {
+                    return Part::ClientGone;
+                }
+                last = Instant::now();
             }
             match stream.splitter.next_event() {
                 Ok(Some(event)) => {
@@ -134,9 +147,10 @@
                 Ok(None) => {}
                 Err(_) => return Part::Broken("an event is missing"),
             }
-            let patience = Instant::now() + self.stall();
+            let patience = self.stall().map(|stall| last + stall);
+            let limit = patience.map_or(deadline, |patience| patience.min(deadline));
             let read = tokio::select! {
-                read = timeout_at(patience.min(deadline), stream.body.frame()) => read,
+                read = timeout_at(limit, stream.body.frame()) => read,
                 () = events.closed() => return Part::ClientGone,
             };
             match read {
@@ -151,18 +165,15 @@
                 }
                 Ok(None) => stream.is_ended = true,
                 Err(_) if self.exchange.left().is_zero() => return Part::OutOfTime,
-                Err(_) => return Part::Broken("the stream stalled"),
+                Err(_) => return Part::Stalled,
             }
         }
     }
 
-    /// The longest pause before another target goes on.
-    fn stall(&self) -> Duration {
-        if !self.may_resume() {
-            return self.exchange.left();
-        }
+    /// The longest pause before another target goes on, if one may.
+    fn stall(&self) -> Option<Duration> {
         let stall = self.exchange.route.gap_objective.mul_f64(STALL_FACTOR);
-        stall.max(MIN_STALL)
+        self.may_resume().then(|| stall.max(MIN_STALL))
     }
 
     fn may_resume(&self) -> bool {
@@ -171,7 +182,7 @@
     }
 
     /// Has another target go on after the last event that was passed on.
-    async fn resume(&mut self, broken: Stream) -> Option<Box<Stream>> {
+    async fn resume(&mut self, broken: Stream, next: Option<Place>) -> Option<Box<Stream>> {
         let is_resumable = self.exchange.route.kind == Kind::Stream { resumable: true };
         if !is_resumable || self.trail.runs >= self.exchange.route.max_attempts {
             return None;
@@ -190,6 +201,7 @@
             last_event: splitter.last().or(self.exchange.fields.last_event),
             zone: &self.zone,
             splitter,
+            place: next,
         };
         match attempt::run(&self.exchange, sending, &mut self.trail).await {
             Ok(Answer::Stream(stream)) => Some(stream),
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -298,6 +298,7 @@
         last_event: exchange.fields.last_event,
         zone: &zone,
         splitter: Splitter::after(exchange.fields.last_event),
+        place: None,
     };
     let answered = attempt::run(&exchange, sending, &mut trail).await;
     record.first = exchange.elapsed();
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -7,16 +7,16 @@
 use azurelug_core::gateway::dispatch::{
     Action, CallEnd, CallKey, Dispatcher, Listed, Released, Token,
 };
+use azurelug_http::h1::client::{self, Connection};
 use azurelug_platform::{pieces, target};
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{Booking, Item, ItemEnd, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, TargetName};
 use azurelug_wire::Frame;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
+use crate::answers;
 use crate::gateway::Gateway;
 use crate::peers::Scope;
 
@@ -411,43 +411,83 @@
     }
 
     async fn call(&self, items: &[Item]) -> Result<CallEnd, String> {
-        let request = pieces::call(&self.target, items);
-        let mut taken = self.gateway.upstream.take(&self.target, false).await;
-        let mut kept = matches!(&taken, Ok(taken) if taken.is_kept);
-        let response = loop {
-            let mut connection = taken.map_err(|error| error.to_string())?;
-            match connection.connection.send(request.clone()).await {
-                Ok(response) => break (connection.connection, response),
-                // A kept connection may have ended since.
-                Err(error) if kept => {
-                    log::debug!("gateway: {}: {error}", self.target.name);
-                    kept = false;
-                    taken = self.gateway.upstream.open(&self.target).await;
-                }
-                Err(error) => return Err(error.to_string()),
+        let closed = self.gateway.closed_for(&self.target.name);
+        if !closed.is_zero() {
+            return Ok(CallEnd::NotRun { closed });
+        }
+        let upstream = &self.gateway.upstream;
+        let taken = upstream.take(&self.target, false).await;
+        let taken = taken.map_err(|error| error.to_string())?;
+        let is_kept = taken.is_kept;
+        match self.call_on(taken.connection, items).await {
+            Err(error) if is_kept && error.is_outdated() => {
+                log::info!("gateway: call to {}: {error}", self.target.name);
+                let taken = upstream.open(&self.target).await;
+                let taken = taken.map_err(|error| error.to_string())?;
+                let called = self.call_on(taken.connection, items).await;
+                called.map_err(|error| error.to_string())
             }
-        };
-        let (mut connection, response) = response;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, ANSWER_LIMIT).collect().await;
-        let body: Bytes = body.map_err(|error| error.to_string())?.to_bytes();
-        let idle = target::Head::read(head.status, &head.headers, "").idle;
-        if connection.wait_ready().await {
-            let name = &self.target.name;
-            self.gateway.upstream.keep(name, connection, idle);
+            called => called.map_err(|error| error.to_string()),
         }
-        if pieces::is_not_run(head.status, &head.headers) {
-            return Ok(CallEnd::NotRun);
+    }
+
+    async fn call_on(
+        &self,
+        mut connection: Connection,
+        items: &[Item],
+    ) -> Result<CallEnd, CallError> {
+        let request = pieces::call(&self.target, items);
+        let (parts, body) = connection.send(request).await?.into_parts();
+        let head = target::Head::read(parts.status, &parts.headers, "");
+        self.gateway.note(&self.target.name, head.notice);
+        let body = self.gateway.answers.read(body, ANSWER_LIMIT).await?;
+        if pieces::is_not_run(head.status, &parts.headers) {
+            let closed = head.notice.closed.unwrap_or_default();
+            return Ok(CallEnd::NotRun { closed });
         }
         if !head.status.is_success() {
             let text = String::from_utf8_lossy(&body[..body.len().min(120)]).into_owned();
-            return Err(format!("status {}: {text}", head.status.as_u16()));
+            let status = head.status.as_u16();
+            return Err(CallError::Status { status, text });
+        }
+        let ends = pieces::read(&body)?;
+        if self.station.dispatcher().is_copy(&ends) {
+            return Err(CallError::Copy);
+        }
+        // Answers to calls bear no name of their call. Only one with new results is certainly this
+        // call's; after any other, the next answer on the connection may belong to this call.
+        let is_own = ends.iter().any(|end| matches!(end, ItemEnd::Done(_)));
+        if is_own && connection.wait_ready().await {
+            let name = &self.target.name;
+            self.gateway.upstream.keep(name, connection, head.idle);
         }
-        let ends = pieces::read(&body).map_err(|error| error.to_string())?;
         Ok(CallEnd::Items(ends))
     }
 }
 
+/// Why a call has no answer of its target.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error(transparent)]
+    Connection(#[from] client::Error),
+    #[error(transparent)]
+    Answer(#[from] answers::Error),
+    #[error("the answer can't be read: {0}; the target has to be looked at")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("status {status}: {text}; the target has to be looked at")]
+    Status { status: u16, text: String },
+    #[error("the answer is a copy of an earlier one; a new connection has none")]
+    Copy,
+}
+
+impl CallError {
+    /// Whether the connection had ended, or carried something that belongs to an earlier call, so
+    /// that a new one may do better.
+    fn is_outdated(&self) -> bool {
+        matches!(self, Self::Connection(_) | Self::Copy)
+    }
+}
+
 /// The results that a call's target fetches.
 fn inputs(items: &[Item]) -> Vec<String> {
     let mut inputs: Vec<String> = Vec::new();
@@ -463,22 +503,26 @@
 
 /// Tells a target that results are no longer needed. A failure costs only their room, which they
 /// give back by themselves later.
-async fn release(gateway: &Gateway, target: &Target, handles: Vec<String>) {
+async fn release(gateway: &Arc<Gateway>, target: &Target, handles: Vec<String>) {
+    if !gateway.may_call(&target.name) {
+        return;
+    }
     let request = pieces::release(target, &handles);
     let released = async {
         let mut taken = gateway.upstream.take(target, false).await?;
         let response = taken.connection.send(request).await?;
-        if !response.status().is_success() {
-            let status = response.status().as_u16();
+        let (parts, body) = response.into_parts();
+        let head = target::Head::read(parts.status, &parts.headers, "");
+        gateway.note(&target.name, head.notice);
+        if !head.status.is_success() {
+            let status = head.status.as_u16();
             log::warn!("gateway: release at {}: status {status}", target.name);
         }
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT)
-            .collect()
-            .await;
+        let body = gateway.answers.read(body, ANSWER_LIMIT).await;
         if body.is_ok() && taken.connection.wait_ready().await {
             gateway.upstream.keep(&target.name, taken.connection, None);
         }
-        Ok::<(), azurelug_http::h1::client::Error>(())
+        Ok::<(), client::Error>(())
     };
     match timeout(RELEASE_LIMIT, released).await {
         Ok(Ok(())) => {}
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -4,6 +4,8 @@
 
 #[path = "support/deployment.rs"]
 mod deployment;
+#[path = "gateway/troubled.rs"]
+mod troubled;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/crates/azurelug-system/tests/gateway/troubled.rs
@@ -0,0 +1,270 @@
+//! Attacks a gateway with targets in trouble: targets that leave, close themselves, send copies of
+//! answers, bytes without end or streams that stall, and with a stop in the middle of a burst.
+
+use std::time::{Duration, Instant};
+
+use crate::deployment::{Behaviour, COPIER, Deployment, EVENTS, RAW};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout};
+
+/// Memory of the smallest VM that a gateway runs on.
+const VM_MEMORY: u64 = 160 * 1024 * 1024;
+
+const STAGED: [(&str, &str); 2] = [("x-pieces", "2"), ("x-piece-key", "k")];
+
+fn all_events() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+/// Guards against new work for a target that has said that it is leaving, while the list still
+/// names it as ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_it_is_leaving_gets_no_new_request() {
+    let deployment = Deployment::start().await;
+    deployment.set("desk-a", Behaviour::Leaving);
+    let mut told = None;
+    for number in 0..30 {
+        let id = format!("id-{number}");
+        let answer = deployment.request(&id, "/look/x", &[]).await;
+        assert_eq!(answer.status, 200, "{}", deployment.log());
+        let target = deployment.seen(&id)[0].target.clone();
+        assert!(told.is_none() || target != "desk-a", "after {told:?}: {id}");
+        if target == "desk-a" {
+            told = Some(number);
+        }
+    }
+    assert!(told.is_some(), "the leaving target was never used");
+    // Nothing is left once all of them leave.
+    deployment.set("desk-b", Behaviour::Leaving);
+    deployment.request("last", "/look/x", &[]).await;
+    let refused = deployment.request("none", "/look/x", &[]).await;
+    assert_eq!(refused.status, 503);
+    assert!(deployment.seen("none").is_empty());
+}
+
+/// Guards against requests to a target that wants none for a while, and against refusals that call
+/// clients back before it opens.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_closes_itself_is_left_alone_until_it_opens() {
+    let deployment = Deployment::start().await;
+    deployment.set("desk-a", Behaviour::Closed);
+    deployment.set("desk-b", Behaviour::Closed);
+    let first = deployment.request("first", "/look/x", &[]).await;
+    assert_eq!(first.status, 503);
+    let closed = Instant::now();
+    let after: f64 = first.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((1.0..=1.6).contains(&after), "{after}");
+    // A request waits up to 0.35 s for a target that is about to open.
+    while closed.elapsed() < Duration::from_millis(1050) {
+        let answer = deployment.request("again", "/look/x", &[]).await;
+        assert_eq!(answer.status, 503);
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(deployment.seen("again").is_empty(), "{}", deployment.log());
+    deployment.set("desk-a", Behaviour::Sound);
+    deployment.set("desk-b", Behaviour::Sound);
+    sleep(Duration::from_millis(600)).await;
+    let open = deployment.request("open", "/look/x", &[]).await;
+    assert_eq!(open.status, 200, "{}", deployment.log());
+}
+
+/// Guards against a late copy of an answer that is taken for the answer to the next request on the
+/// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_an_answer_reaches_no_other_request() {
+    let deployment = Deployment::start().await;
+    deployment.set(RAW, Behaviour::CopiesAnswers);
+    let mut own = 0;
+    for number in 0..12 {
+        let id = format!("id-{number}");
+        let path = if number % 2 == 0 { "/raw/x" } else { "/once/x" };
+        let answer = deployment.request(&id, path, &[]).await;
+        match answer.status {
+            200 => {
+                assert_eq!(answer.body, format!("answer to {id}").as_bytes());
+                own += 1;
+            }
+            // A request that may run once is not sent again, and has run.
+            status => assert_eq!(status, 502, "{}", deployment.log()),
+        }
+        assert!(deployment.seen(&id).len() <= 2);
+    }
+    assert!(own >= 6, "{own} of 12 answered: {}", deployment.log());
+}
+
+/// Guards against pieces that get the results of another request, because a late copy of a call's
+/// answer is taken for the answer to the next call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_calls_answer_gives_no_request_the_results_of_another() {
+    let deployment = Deployment::start().await;
+    deployment.set(COPIER, Behaviour::CopiesAnswers);
+    let mut served = 0;
+    for number in 0..8 {
+        let id = format!("id-{number}");
+        let answer = deployment.request(&id, "/copied/x", &STAGED).await;
+        if let Some(engine) = deployment.seen(&id).first() {
+            let inputs = &engine.headers["x-inputs"];
+            let is_own = |input: &str| input.contains(&format!("/{id}-0-"));
+            assert!(inputs.split(',').all(is_own), "{id} got {inputs}");
+        }
+        served += u32::from(answer.status == 200);
+        // The dispatcher leaves a target alone for a while after a failure.
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert!(served >= 4, "{served} of 8 served: {}", deployment.log());
+}
+
+/// Guards against an answer that broke off halfway and looks complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_short_is_no_success() {
+    let deployment = Deployment::start().await;
+    deployment.set(RAW, Behaviour::CutsBody);
+    for path in ["/raw/x", "/once/x"] {
+        let answer = deployment.request("cut", path, &[]).await;
+        assert_eq!(answer.status, 502, "{}", deployment.log());
+    }
+}
+
+/// Guards against answers without end: each is given up within the request's time, and the gateway
+/// serves others meanwhile within the memory of its VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_are_cut_off_and_cost_bounded_memory() {
+    let deployment = Deployment::start().await;
+    let endless = [
+        Behaviour::EndlessHead,
+        Behaviour::EndlessInterim,
+        Behaviour::EndlessTail,
+    ];
+    for behaviour in endless {
+        deployment.set(RAW, behaviour);
+        let id = format!("{behaviour:?}");
+        let started = Instant::now();
+        let fields = [("x-deadline-milliseconds", "1500")];
+        let answer = deployment.request(&id, "/raw/x", &fields).await;
+        let expected = if behaviour == Behaviour::EndlessTail {
+            200
+        } else {
+            502
+        };
+        let status = answer.status;
+        assert!(status == expected || status == 504, "{id}: {status}");
+        assert!(
+            started.elapsed() < Duration::from_secs(3),
+            "{id}: {:?}",
+            started.elapsed()
+        );
+        sleep(Duration::from_millis(1100)).await;
+    }
+    deployment.set("desk-a", Behaviour::EndlessBody);
+    deployment.set("desk-b", Behaviour::EndlessBody);
+    let ids: Vec<String> = (0..64).map(|number| format!("endless-{number}")).collect();
+    let requests = ids
+        .iter()
+        .map(|id| deployment.try_request(id, "/book/x", &[]));
+    let served = async {
+        sleep(Duration::from_millis(200)).await;
+        deployment.request("talk", "/talk/x", &[]).await
+    };
+    let (answers, other) = tokio::join!(futures_util::future::join_all(requests), served);
+    assert_eq!(other.events(), all_events(), "{}", deployment.log());
+    for answer in answers {
+        let status = answer.unwrap().status;
+        // Refused because all targets are full, or given up.
+        assert!([502, 503, 504].contains(&status), "{status}");
+    }
+    let peak = deployment.peak_memory();
+    println!(
+        "peak memory with 64 endless answers: {} MiB",
+        peak / 1024 / 1024
+    );
+    assert!(peak < VM_MEMORY, "{peak} bytes");
+}
+
+/// Guards against a stalled stream that is kept alive by bytes without an event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_comments_goes_on_at_another_target() {
+    let deployment = Deployment::start().await;
+    deployment.request("first", "/talk/x", &[]).await;
+    let used = deployment.seen("first")[0].target.clone();
+    deployment.set(&used, Behaviour::Comments);
+    let mut moved = 0;
+    for number in 0..4 {
+        let id = format!("id-{number}");
+        let answer = deployment.try_request(&id, "/talk/x", &[]).await;
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", deployment.log()));
+        assert_eq!(answer.events(), all_events(), "{}", deployment.log());
+        moved += usize::from(deployment.seen(&id).len() == 2);
+    }
+    assert!(moved > 0, "no stream met the target that stalls");
+}
+
+/// Guards against a slow but sound stream that is cut although no other target can go on with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_stream_is_not_cut_when_no_other_target_has_room() {
+    let deployment = Deployment::start().await;
+    deployment.set("llm-b", Behaviour::Leaving);
+    // Makes the other target known as leaving.
+    deployment.set("llm-a", Behaviour::Full);
+    let first = deployment.request("first", "/talk/x", &[]).await;
+    assert_eq!(first.status, 200, "{}", deployment.log());
+    sleep(Duration::from_millis(100)).await;
+    deployment.set("llm-a", Behaviour::Halting);
+    let fields = [("x-deadline-milliseconds", "20000")];
+    let answer = deployment.try_request("slow", "/talk/x", &fields).await;
+    let seen = deployment.seen("slow");
+    assert_eq!(seen.len(), 1, "{}", deployment.log());
+    // The route's own timeout of 4 s ends it; until then events arrive.
+    assert!(answer.is_err());
+    assert!(
+        deployment
+            .log()
+            .contains("request slow failed: out of time")
+    );
+}
+
+/// Guards against a planned stop that cuts off requests which were accepted just before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_when_a_gateway_stops_are_answered() {
+    let mut deployment = Deployment::start().await;
+    // The listener closes 2.6 s after the signal; connections arrive around that moment.
+    deployment.gateway.signal(nix::sys::signal::Signal::SIGTERM);
+    sleep(Duration::from_millis(2300)).await;
+    let (mut answered, mut closed) = (0, 0);
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < Duration::from_millis(600) {
+        let Ok(mut stream) = deployment.connect().await else {
+            // The listener has closed: the client knows that nothing was sent.
+            closed += 1;
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        // A client's bytes arrive a little after its connection is established.
+        sleep(Duration::from_millis(number % 7)).await;
+        number += 1;
+        let head = format!(
+            "POST /look/x HTTP/1.1\r\nHost: carts.example\r\nAuthorization: Bearer key-1\r\n\
+             X-Request-Attempt-Id: stop-{number}\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = [0; 12];
+        let read = timeout(Duration::from_secs(4), stream.read_exact(&mut answer)).await;
+        let read = read.expect("an answer or a close");
+        assert!(
+            read.is_ok(),
+            "request {number} was cut off: {}",
+            deployment.log()
+        );
+        assert_eq!(&answer, b"HTTP/1.1 200", "request {number}");
+        answered += 1;
+    }
+    assert!(
+        answered > 0 && closed > 0,
+        "{answered} answered, {closed} closed"
+    );
+    assert!(deployment.gateway.terminate(Duration::from_secs(8)));
+}
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -10,7 +10,7 @@
 
 use azurelug_gateway::body::{Body, BrokenOff};
 use azurelug_http::h1::client::Connection;
-use azurelug_http::h1::server::{Stage, serve};
+use azurelug_http::h1::server::{Limits, Stage, serve};
 use azurelug_system::process::Process;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -22,12 +22,20 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+#[path = "raw.rs"]
+mod raw;
+
 /// A generous bound for anything that must come about.
 const LIMIT: Duration = Duration::from_secs(20);
 
 /// Events of a whole stream.
 pub(crate) const EVENTS: u64 = 6;
 
+/// Limits of a stand-in, which never closes a connection.
+fn patient() -> Limits {
+    Limits::idle(LIMIT)
+}
+
 static FOLDERS: AtomicU64 = AtomicU64::new(0);
 
 /// How a target behaves.
@@ -43,8 +51,34 @@
     BreaksOff,
     /// Takes 200 ms between two events.
     Slow,
+    /// Takes 1.3 s between two events.
+    Halting,
+    /// Sends comments after the second event, and no further event.
+    Comments,
+    /// Says in its answers that it is leaving.
+    Leaving,
+    /// Refuses every request, and wants nothing for 1.5 s.
+    Closed,
+    /// Sends a body that does not end.
+    EndlessBody,
+    /// Sends its last answer on the connection once more before the next one.
+    CopiesAnswers,
+    /// Sends a head that does not end.
+    EndlessHead,
+    /// Sends interim answers without end.
+    EndlessInterim,
+    /// Sends bytes without end after its answer.
+    EndlessTail,
+    /// Closes the connection before the end of the body.
+    CutsBody,
 }
 
+/// The target that answers byte by byte, of the service `raw`.
+pub(crate) const RAW: &str = "raw-a";
+
+/// The same for the service `copier`, which runs pieces.
+pub(crate) const COPIER: &str = "copier-a";
+
 /// What reached a target.
 #[derive(Clone, Debug)]
 pub(crate) struct Seen {
@@ -108,23 +142,29 @@
                 let name = format!("{service}-{zone}");
                 let listener = TcpListener::bind(address(1, 0)).await.expect("bind");
                 let at = listener.local_addr().expect("an address");
-                world
-                    .lock()
-                    .unwrap()
-                    .list
-                    .push(json!({"id": name, "service": service,
-                    "address": at, "zone": zone, "version": "v1", "slots": 8, "state": "ready",
-                    "cold_remaining_ms": 0}));
+                let listed = entry(&name, Some(service), at, zone);
+                world.lock().unwrap().list.push(listed);
                 let state = Arc::clone(&world);
                 let handler = move |request| target(Arc::clone(&state), name.clone(), at, request);
-                tokio::spawn(serve(listener, LIMIT, stages.clone(), handler));
+                tokio::spawn(serve(listener, patient, stages.clone(), handler));
             }
         }
+        for name in [RAW, COPIER] {
+            let listener = TcpListener::bind(address(1, 0)).await.expect("bind");
+            let at = listener.local_addr().expect("an address");
+            let service = name.split('-').next();
+            world
+                .lock()
+                .unwrap()
+                .list
+                .push(entry(name, service, at, "a"));
+            tokio::spawn(raw::serve(listener, Arc::clone(&world), name));
+        }
         let listener = TcpListener::bind(address(1, 0)).await.expect("bind");
         let list = listener.local_addr().expect("an address");
         let state = Arc::clone(&world);
         let handler = move |_| list_answer(Arc::clone(&state));
-        tokio::spawn(serve(listener, LIMIT, stages, handler));
+        tokio::spawn(serve(listener, patient, stages, handler));
 
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir();
@@ -302,6 +342,23 @@
         }
     }
 
+    /// The most memory that the gateway has held so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let id = self.gateway.id().expect("the gateway runs");
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes
+            .and_then(|it| it.trim().parse::<u64>().ok())
+            .expect("a number")
+            * 1024
+    }
+
+    /// Opens a connection to the gateway's address for clients.
+    pub(crate) async fn connect(&self) -> std::io::Result<TcpStream> {
+        TcpStream::connect(self.clients).await
+    }
+
     /// The gateway's log so far.
     pub(crate) fn log(&self) -> String {
         self.gateway.log()
@@ -353,6 +410,12 @@
     })
 }
 
+/// A target's entry in the platform's list.
+fn entry(name: &str, service: Option<&str>, at: SocketAddr, zone: &str) -> Value {
+    json!({"id": name, "service": service, "address": at, "zone": zone, "version": "v1",
+        "slots": 8, "state": "ready", "cold_remaining_ms": 0})
+}
+
 /// A configuration with a plain route, one that may not repeat, and a staged stream.
 pub(crate) fn configuration(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
@@ -366,14 +429,18 @@
         {"service": "encode", "after": [], "bytes": 1000},
         {"service": "encode", "after": [0], "bytes": 1000}
     ]);
+    let mut copied = route("copied", "streaming", "llm", 2);
+    copied["stages"] = json!([{"service": "copier", "after": [], "bytes": 1000}]);
     let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1,
         "room_mb": 10, "handle_s": 4});
     json!({"version": version,
         "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
-            route("talk", "streaming", "llm", 2)],
+            route("talk", "streaming", "llm", 2), route("raw", "safe", "raw", 2),
+            route("once", "unsafe", "raw", 1), copied],
         "services": [
             {"name": "llm", "max_connections": 50, "cold_start_s": 0, "cold_per_s": 0},
-            {"name": "desk"}, {"name": "encode", "pieces": pieces}],
+            {"name": "desk"}, {"name": "raw"}, {"name": "encode", "pieces": pieces},
+            {"name": "copier", "pieces": pieces}],
         "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
 }
 
@@ -427,16 +494,22 @@
         .get("x-request-attempt-id")
         .cloned()
         .unwrap_or_default();
-    if behaviour == Behaviour::Full {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        response
-            .headers_mut()
-            .insert("x-not-executed", "1".parse().unwrap());
-        return response;
-    }
     response
         .headers_mut()
         .insert("x-request-attempt-id", id.parse().unwrap());
+    if matches!(behaviour, Behaviour::Full | Behaviour::Closed) {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        headers.insert("x-not-executed", "1".parse().unwrap());
+        if behaviour == Behaviour::Closed {
+            headers.insert("retry-after", "1.5".parse().unwrap());
+        }
+        return response;
+    }
+    if behaviour == Behaviour::Leaving {
+        let headers = response.headers_mut();
+        headers.insert("server-leaving", "1".parse().unwrap());
+    }
     response
         .headers_mut()
         .insert("x-response-signature", "signed".parse().unwrap());
@@ -446,6 +519,10 @@
         *response.body_mut() = Body::Stream(events);
         return response;
     }
+    if behaviour == Behaviour::EndlessBody {
+        *response.body_mut() = Body::Stream(endless());
+        return response;
+    }
     if name.starts_with("llm") {
         let kind = "text/event-stream".parse().unwrap();
         response.headers_mut().insert("content-type", kind);
@@ -459,6 +536,24 @@
     response
 }
 
+/// Sends a comment line twice in the time of the longest pause that is on time.
+async fn comments(sender: mpsc::Sender<Result<Bytes, BrokenOff>>) {
+    let line = || Bytes::from_static(b": still here\n");
+    while sender.send(Ok(line())).await.is_ok() {
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// A body without an end.
+fn endless() -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
+    let (sender, bytes) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let part = Bytes::from(vec![b'x'; 64 * 1024]);
+        while sender.send(Ok(part.clone())).await.is_ok() {}
+    });
+    bytes
+}
+
 fn events(behaviour: Behaviour, last: u64) -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
     let (sender, events) = mpsc::channel(1);
     tokio::spawn(async move {
@@ -469,8 +564,11 @@
                 let _ = sender.send(Err(BrokenOff)).await;
                 return;
             }
-            if behaviour == Behaviour::Slow {
-                sleep(Duration::from_millis(200)).await;
+            match behaviour {
+                Behaviour::Slow => sleep(Duration::from_millis(200)).await,
+                Behaviour::Halting => sleep(Duration::from_millis(1300)).await,
+                Behaviour::Comments if id == last + 3 => return comments(sender).await,
+                _ => {}
             }
             let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
             if sender.send(Ok(event)).await.is_err() {
--- /dev/null
+++ b/crates/azurelug-system/tests/support/raw.rs
@@ -0,0 +1,137 @@
+//! A target that writes its answers byte by byte, for answers that no HTTP server would give.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::{Behaviour, Seen, World};
+
+/// The longest request that the stand-in reads.
+const REQUEST_LIMIT: usize = 1024 * 1024;
+
+/// Serves connections until the test ends.
+pub(super) async fn serve(listener: TcpListener, world: Arc<Mutex<World>>, name: &'static str) {
+    let at = listener.local_addr().expect("an address");
+    loop {
+        let (stream, _) = listener.accept().await.expect("accept");
+        let world = Arc::clone(&world);
+        // The gateway may break a connection off at any moment.
+        tokio::spawn(async move { connection(stream, world, name, at).await.ok() });
+    }
+}
+
+async fn connection(
+    mut stream: TcpStream,
+    world: Arc<Mutex<World>>,
+    name: &str,
+    at: SocketAddr,
+) -> std::io::Result<()> {
+    let mut last: Option<Vec<u8>> = None;
+    while let Some(seen) = request(&mut stream, name).await? {
+        let behaviour = {
+            let mut world = world.lock().unwrap();
+            world.seen.push(seen.clone());
+            world.behaviours.get(name).copied()
+        };
+        let answer = answer(&seen, at);
+        match behaviour.unwrap_or(Behaviour::Sound) {
+            Behaviour::CopiesAnswers => {
+                if let Some(copy) = &last {
+                    stream.write_all(copy).await?;
+                    sleep(Duration::from_millis(30)).await;
+                }
+            }
+            Behaviour::EndlessHead => {
+                stream.write_all(b"HTTP/1.1 200 OK\r\nx-long: ").await?;
+                return endless(stream, b"xxxxxxxxxxxxxxxx").await;
+            }
+            Behaviour::EndlessInterim => {
+                return endless(stream, b"HTTP/1.1 102 Processing\r\n\r\n").await;
+            }
+            Behaviour::EndlessTail => {
+                stream.write_all(&answer).await?;
+                return endless(stream, b"more bytes than the answer has").await;
+            }
+            Behaviour::CutsBody => {
+                stream.write_all(&answer[..answer.len() - 3]).await?;
+                return Ok(());
+            }
+            _ => {}
+        }
+        stream.write_all(&answer).await?;
+        last = Some(answer);
+    }
+    Ok(())
+}
+
+/// Writes the same bytes until the gateway closes the connection.
+async fn endless(mut stream: TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    let many = bytes.repeat(1024);
+    loop {
+        stream.write_all(&many).await?;
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Reads one request; none if the connection ends.
+async fn request(stream: &mut TcpStream, name: &str) -> std::io::Result<Option<Seen>> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if bytes.len() > REQUEST_LIMIT || stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut lines = head.lines();
+    let path = lines.next().and_then(|line| line.split(' ').nth(1));
+    let path = path.and_then(|path| path.split('?').next());
+    let fields = lines.filter_map(|line| line.split_once(": "));
+    let headers: HashMap<String, String> = fields
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers.get("content-length");
+    let length: usize = length.map_or(0, |length| length.parse().expect("a length"));
+    while bytes.len() < end + length {
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(None);
+        }
+    }
+    Ok(Some(Seen {
+        target: name.to_owned(),
+        path: path.unwrap_or_default().to_owned(),
+        headers,
+        body: Bytes::copy_from_slice(&bytes[end..end + length]),
+    }))
+}
+
+/// A sound answer: results whose handles name their request, or a signed body that names it.
+fn answer(seen: &Seen, at: SocketAddr) -> Vec<u8> {
+    let (fields, body) = if seen.path == "/stage-run" {
+        let call: Value = serde_json::from_slice(&seen.body).expect("a call");
+        let items = call["items"].as_array().expect("items").iter();
+        let handle = |item: &Value| {
+            let id = item["id"].as_str().expect("an id");
+            json!({"handle": format!("{at}/{id}-{}-{}", item["stage"], item["piece"])})
+        };
+        let ends: Vec<Value> = items.map(handle).collect();
+        (String::new(), json!({"items": ends}).to_string())
+    } else if seen.path == "/stage-free" {
+        (String::new(), "{}".to_owned())
+    } else {
+        let id = &seen.headers["x-request-attempt-id"];
+        let fields = format!("x-request-attempt-id: {id}\r\nx-response-signature: signed\r\n");
+        (fields, format!("answer to {id}"))
+    };
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\n{fields}content-length: {length}\r\n\r\n{body}").into_bytes()
+}
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -204,6 +204,17 @@
     pub cold_ms: u64,
 }
 
+/// What a target says of itself beside its answer to a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// How much longer it stays cold.
+    pub cold: Option<Duration>,
+    /// Whether it is leaving and wants no new work from the daemon that it answers.
+    pub is_leaving: bool,
+    /// How long it wants no request at all from the daemon that it answers.
+    pub closed: Option<Duration>,
+}
+
 impl Deployment {
     /// The service of a key that this configuration gave out.
     #[must_use]
