control: wait for room while the disk is full

Cause: any failed write of the replicated log ended the process and set the data folder aside, also when the disk had no room. Ruled out: damage by the failed write; recovery cuts a torn tail, and nothing that depends on a failed write was sent.

Change: only a failed sync sets the folder aside. On a full disk the member gives its leadership up, refuses commands, goes on serving what it holds, opens the folder again every 200 ms and goes on from what is durable; a start on a full disk waits the same way.

The interface of Disk::open changed, so the test can't be built against the code before; there the first failed write returns from Task::run by inspection.

Conclusion: a full disk costs acknowledgements while it lasts, and no copy of the log. Room in reserve for compaction is open.

--- a/crates/azurelug-control/src/disk.rs
+++ b/crates/azurelug-control/src/disk.rs
@@ -1,6 +1,6 @@
 //! Maps the replicated log's writes to the data folder.
 
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use azurelug_coordination::journal;
@@ -26,6 +26,38 @@
     Decode(#[from] azurelug_wire::Error),
 }
 
+impl Error {
+    /// Whether the disk had no room for a write, so that the folder can be opened again later.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Storage(error) if error.is_full())
+    }
+
+    /// Whether what the disk holds is unknown, so that the folder must not be used again.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        use azurelug_storage::Error::{Lost, Sync};
+        matches!(self, Self::Storage(Sync { .. } | Lost { .. }))
+    }
+}
+
+/// Which data folder a member has, and what it is in its cluster.
+#[derive(Clone)]
+pub struct Source {
+    /// The folder.
+    pub folder: PathBuf,
+    /// The cluster's number.
+    pub cluster: u128,
+    /// The member's slot.
+    pub slot: u32,
+    /// Slots of the founding members.
+    pub founders: Vec<u32>,
+    /// Random number of a member that is founded on an empty folder.
+    pub storage: u64,
+    /// Access to the file system; tests inject failures.
+    pub files: Arc<dyn Fn() -> Files + Send + Sync>,
+}
+
 /// A snapshot's content on disk.
 #[derive(Serialize, Deserialize)]
 struct Content {
@@ -55,15 +87,15 @@
     ///
     /// # Errors
     /// The folder is in use, damaged, of another cluster, or not accessible.
-    pub fn open(
-        folder: &Path,
-        cluster: u128,
-        slot: u32,
-        founders: &[u32],
-        initialize: bool,
-        storage: u64,
-    ) -> Result<(Self, Recovered), Error> {
-        let (store, found) = Store::open(folder, cluster, Files::new())?;
+    pub fn open(source: &Source, initialize: bool) -> Result<(Self, Recovered), Error> {
+        let &Source {
+            cluster,
+            slot,
+            storage,
+            ..
+        } = source;
+        let founders = &source.founders;
+        let (store, found) = Store::open(&source.folder, cluster, (source.files)())?;
         let mut disk = Self {
             is_first: false,
             store,
@@ -133,7 +165,7 @@
     ///
     /// # Errors
     /// The folder can't be renamed.
-    pub fn set_aside(self) -> Result<std::path::PathBuf, Error> {
+    pub fn set_aside(self) -> Result<PathBuf, Error> {
         Ok(self.store.set_aside()?)
     }
 
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -9,8 +9,8 @@
 
 use azurelug_coordination::once;
 use azurelug_coordination::raft::{
-    Action, Entry, Event, Message, Node, Payload, Position, Refusal, Role, Snapshot, Start,
-    StartError, Write,
+    self, Action, Entry, Event, Message, Node, Payload, Position, Recovered, Refusal, Role,
+    Snapshot, Start, StartError, Write,
 };
 use azurelug_core::gateway::orders::Orders;
 use azurelug_core::machine::{Command, FirstSnapshot, Machine, Outcome, SecondSnapshot};
@@ -20,7 +20,7 @@
 use rand_pcg::Pcg64;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::block_in_place;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::{Leadership, Missed, Replica, Request};
 use crate::disk::{self, Disk};
@@ -40,6 +40,9 @@
 /// How far the watermark of expired keys may lag. Each move of it costs one log entry.
 const WATERMARK_LAG_MS: u64 = 60_000;
 
+/// How often a full disk is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// Why the task ended.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -61,7 +64,9 @@
 
 /// The task's own state.
 pub struct Task {
+    settings: raft::Settings,
     node: Node,
+    source: disk::Source,
     disk: Disk,
     peers: Peers,
     started: Instant,
@@ -96,28 +101,16 @@
     /// # Errors
     /// The disk's content does not fit.
     pub fn new(
-        settings: azurelug_coordination::raft::Settings,
-        disk: Disk,
-        recovered: azurelug_coordination::raft::Recovered,
+        settings: raft::Settings,
+        source: disk::Source,
+        (disk, recovered): (Disk, Recovered),
         peers: Peers,
     ) -> Result<(Self, Replica), Error> {
-        let machine = match &recovered.snapshot {
-            Some(snapshot) => decode_machine(&snapshot.data)?,
-            None => Machine::default(),
-        };
-        let has_snapshot = recovered
-            .snapshot
-            .as_ref()
-            .is_some_and(|it| it.position.index > 0);
-        let random = Pcg64::seed_from_u64(rand::random());
-        let node = Node::new(
-            Start {
-                settings,
-                recovered,
-                random,
-            },
-            Duration::ZERO,
-        )?;
+        let Member {
+            node,
+            machine,
+            has_snapshot,
+        } = Member::new(&settings, recovered, Duration::ZERO)?;
         let metrics = Arc::new(Metrics::new());
         let (sender, requests) = mpsc::channel(QUEUE);
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
@@ -137,7 +130,9 @@
         };
         let started = Instant::now();
         let task = Self {
+            settings,
             node,
+            source,
             disk,
             peers,
             started,
@@ -158,24 +153,76 @@
         Ok((task, replica))
     }
 
-    /// Runs until every handle is gone or the disk fails. After a failure of the disk the data
+    /// Runs until every handle is gone or the disk fails. While the disk is full, commands are
+    /// refused and the state that is durable goes on being served. After a failed sync the data
     /// folder is set aside, because it may show as written what the disk does not hold.
     ///
     /// # Errors
     /// Why the member can't go on.
     pub async fn run(mut self) -> Result<(), Error> {
-        let result = self.serve().await;
-        if let Err(Error::Disk(error)) = &result {
+        loop {
+            let error = match self.serve().await {
+                Ok(()) => return Ok(()),
+                Err(Error::Disk(error)) => error,
+                Err(error) => return Err(error),
+            };
             log::error!("control: {error}");
-            match self.disk.set_aside() {
-                Ok(folder) => log::error!(
-                    "control: the data folder was set aside as {}; restart to rejoin",
-                    folder.display()
-                ),
-                Err(error) => log::error!("control: {error}"),
+            if error.is_full() {
+                self = self.wait_for_room().await?;
+                continue;
             }
+            if error.is_lost() {
+                match self.disk.set_aside() {
+                    Ok(folder) => log::error!(
+                        "control: the data folder was set aside as {}; restart to rejoin",
+                        folder.display()
+                    ),
+                    Err(error) => log::error!("control: {error}"),
+                }
+            }
+            return Err(error.into());
         }
-        result
+    }
+
+    /// Opens the data folder again once the disk has room, and goes on from what it holds. Nothing
+    /// that depends on the writes that failed was sent.
+    async fn wait_for_room(mut self) -> Result<Self, Error> {
+        log::error!("control: the disk is full; commands are refused until it has room");
+        self.role = Role::Follower;
+        self.leadership.send_replace(None);
+        let placed = std::mem::take(&mut self.placed).into_values();
+        let proposed = std::mem::take(&mut self.proposed).into_values();
+        for reply in placed.map(|(_, reply)| reply).chain(proposed) {
+            // The asker may have given up.
+            let _ = reply.send(Err(Missed::Lost));
+        }
+        // The folder can't be opened again before its lock is released.
+        drop(self.disk);
+        let (disk, recovered) = loop {
+            match block_in_place(|| Disk::open(&self.source, false)) {
+                Ok(opened) => break opened,
+                Err(error) if error.is_full() => {}
+                Err(error) => return Err(error.into()),
+            }
+            let until = Instant::now() + FULL_PAUSE;
+            while let Ok(Some(request)) = timeout_at(until, self.requests.recv()).await {
+                refuse(request, &self.node);
+            }
+            sleep_until(until).await;
+        };
+        let Member {
+            node,
+            machine,
+            has_snapshot,
+        } = Member::new(&self.settings, recovered, self.started.elapsed())?;
+        log::info!("control: the disk has room again; commands are taken");
+        *self.machine.write().expect("no holder of the lock panics") = machine;
+        Ok(Self {
+            node,
+            disk,
+            has_snapshot,
+            ..self
+        })
     }
 
     async fn serve(&mut self) -> Result<(), Error> {
@@ -416,6 +463,49 @@
     }
 }
 
+/// A member of the log and the state that its disk holds.
+struct Member {
+    node: Node,
+    machine: Machine,
+    has_snapshot: bool,
+}
+
+impl Member {
+    fn new(settings: &raft::Settings, recovered: Recovered, now: Duration) -> Result<Self, Error> {
+        let snapshot = recovered.snapshot.as_ref();
+        let machine = match snapshot {
+            Some(snapshot) => decode_machine(&snapshot.data)?,
+            None => Machine::default(),
+        };
+        let has_snapshot = snapshot.is_some_and(|it| it.position.index > 0);
+        let start = Start {
+            settings: settings.clone(),
+            recovered,
+            random: Pcg64::seed_from_u64(rand::random()),
+        };
+        Ok(Self {
+            node: Node::new(start, now)?,
+            machine,
+            has_snapshot,
+        })
+    }
+}
+
+/// Answers a request while nothing can be written.
+fn refuse(request: Request, node: &Node) {
+    match request {
+        Request::Propose { reply, .. } => {
+            // The asker may have given up.
+            let _ = reply.send(Err(Missed::Busy));
+        }
+        Request::Dump(reply) => {
+            let _ = reply.send(node.state());
+        }
+        // The log sends what is missing again, and this member leads nothing.
+        Request::Receive(_) | Request::Transfer => {}
+    }
+}
+
 fn missed(refusal: Refusal) -> Missed {
     match refusal {
         Refusal::NotLeader { leader } => Missed::NotLeader(leader.map(|leader| leader.slot)),
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurelug_coordination::raft;
+use azurelug_coordination::raft::{self, Recovered};
 use azurelug_http::h1::server::Stage;
 use azurelug_http::server::ShutdownHook;
 use azurelug_http::{Client, Server, h1};
 use azurelug_settings::read;
+use azurelug_storage::Files;
 use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
 
@@ -99,7 +100,8 @@
     let server = Server::bind(settings.operators).await;
     let server = server.map_err(|error| unbound(path, "operators", error))?;
     let peers = Peers::new(cluster.clone(), &identity);
-    let (task, replica, generation) = member(&settings, options.initialize, &cluster, &peers)?;
+    let (task, replica, generation) =
+        member(&settings, options.initialize, &cluster, &peers).await?;
     let own_slot = cluster.own_slot(&settings);
     let gateways = Gateways::new(replica.clone(), peers, cluster.clone(), own_slot);
     let shares = Shares::new(
@@ -177,6 +179,9 @@
     Ok(())
 }
 
+/// How often a full disk is tried again at the start.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// Operators' connections may stay idle for this long.
 const OPERATORS_IDLE: Duration = Duration::from_secs(60);
 
@@ -202,7 +207,7 @@
 }
 
 /// Opens the data folder and prepares the member of the replicated log.
-fn member(
+async fn member(
     settings: &Settings,
     initialize: bool,
     cluster: &Cluster,
@@ -213,25 +218,41 @@
     let is_first = settings.discovery.as_ref().is_some_and(|it| it.first_start);
     let initialize = (initialize || is_first) && cluster.is_founder();
     let number = cluster_number(&settings.cluster);
-    let storage = rand::random();
-    let (disk, recovered) = Disk::open(
-        &settings.data,
-        number,
-        own_slot,
-        &slots,
-        initialize,
-        storage,
-    )?;
-    let generation = disk.generation();
+    let source = disk::Source {
+        folder: settings.data.clone(),
+        cluster: number,
+        slot: own_slot,
+        founders: slots.clone(),
+        storage: rand::random(),
+        files: Arc::new(Files::new),
+    };
+    let opened = open(&source, initialize).await?;
+    let generation = opened.0.generation();
     let raft = raft::Settings {
         peers: slots.into_iter().filter(|slot| *slot != own_slot).collect(),
         target_voters: settings.discovery.as_ref().map(Discovery::voters),
         ..raft::Settings::default()
     };
-    let (task, replica) = Task::new(raft, disk, recovered, peers.clone())?;
+    let (task, replica) = Task::new(raft, source, opened, peers.clone())?;
     Ok((task, replica, generation))
 }
 
+/// Opens the data folder; waits for room if the disk is full.
+async fn open(source: &disk::Source, initialize: bool) -> Result<(Disk, Recovered), disk::Error> {
+    let mut is_first = true;
+    loop {
+        match Disk::open(source, initialize) {
+            Err(error) if error.is_full() => {
+                if std::mem::take(&mut is_first) {
+                    log::error!("control: {error}; tried again until the disk has room");
+                }
+                sleep(FULL_PAUSE).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 /// The number of a cluster in the log and on the disk: the first half of its id's SHA-256.
 fn cluster_number(id: &str) -> u128 {
     let digest = Sha256::digest(id.as_bytes());
--- /dev/null
+++ b/crates/azurelug-control/tests/disk_full.rs
@@ -0,0 +1,143 @@
+//! Attacks a member of the replicated log with a disk that is full for a while, by injected errors.
+#![allow(clippy::unwrap_used)]
+
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use azurelug_control::cluster::Cluster;
+use azurelug_control::disk::{Disk, Source};
+use azurelug_control::peers::Peers;
+use azurelug_control::replica::Replica;
+use azurelug_control::replica::task::Task;
+use azurelug_coordination::raft;
+use azurelug_core::gateway::orders::Order;
+use azurelug_core::machine::Command;
+use azurelug_storage::{Files, Op, Verdict};
+use azurelug_types::id::{DaemonName, ZoneName};
+use azurelug_wire::codec;
+use azurelug_wire::handshake::Identity;
+use tokio::time::{Instant, sleep};
+
+const SLOT: u32 = 1;
+
+/// A generous bound for anything that must come about.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A data folder whose disk can be filled.
+struct World {
+    source: Source,
+    is_full: Arc<AtomicBool>,
+}
+
+impl World {
+    fn new(folder: &Path) -> Self {
+        let is_full = Arc::new(AtomicBool::new(false));
+        let hooked = Arc::clone(&is_full);
+        let files = move || {
+            let is_full = Arc::clone(&hooked);
+            Files::with_hook(Box::new(move |op| {
+                let grows = matches!(op, Op::Create(_) | Op::Write { .. });
+                if grows && is_full.load(Ordering::SeqCst) {
+                    Verdict::Fail(io::ErrorKind::StorageFull.into())
+                } else {
+                    Verdict::Proceed
+                }
+            }))
+        };
+        let source = Source {
+            folder: folder.join("state"),
+            cluster: 7,
+            slot: SLOT,
+            founders: vec![SLOT],
+            storage: 3,
+            files: Arc::new(files),
+        };
+        Self { source, is_full }
+    }
+
+    fn fill(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::SeqCst);
+    }
+
+    /// Starts the only member of a cluster.
+    fn start(&self) -> (Replica, tokio::task::JoinHandle<()>) {
+        let identity = Arc::new(Identity {
+            cluster: "test".to_owned(),
+            daemon: DaemonName("control".to_owned()),
+            zone: ZoneName::from("a"),
+            incarnation: 1,
+            key: vec![7; 32],
+        });
+        let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity);
+        let opened = Disk::open(&self.source, true).unwrap();
+        let settings = raft::Settings::default();
+        let (task, replica) = Task::new(settings, self.source.clone(), opened, peers).unwrap();
+        let running = tokio::spawn(async move { task.run().await.unwrap() });
+        (replica, running)
+    }
+}
+
+fn configure(version: u64) -> Command {
+    Command::Deployment(Order::Configure {
+        version,
+        document: Arc::from(vec![b'x'; 300]),
+    })
+}
+
+async fn commit(replica: &Replica, version: u64) {
+    let started = Instant::now();
+    while let Err(error) = replica.propose(&configure(version)).await {
+        assert!(started.elapsed() < LIMIT, "version {version}: {error}");
+    }
+}
+
+fn version(replica: &Replica) -> Option<u64> {
+    replica.orders().document().map(|document| document.version)
+}
+
+/// Guards against a member that ends, or sets its data folder aside, because its disk was full: what
+/// was acknowledged stays, nothing is acknowledged meanwhile, and it goes on by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_disk_stops_acknowledgements_and_loses_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let world = World::new(folder.path());
+    let (replica, running) = world.start();
+    commit(&replica, 1).await;
+    for round in 0..3 {
+        let held = version(&replica);
+        world.fill(true);
+        for _ in 0..3 {
+            let command = codec::encode(&configure(100 + round)).unwrap();
+            let refused = replica.propose_here(command).await;
+            assert!(refused.is_err(), "acknowledged without room");
+            sleep(Duration::from_millis(150)).await;
+        }
+        assert!(!running.is_finished(), "the member ended");
+        assert_eq!(
+            version(&replica),
+            held,
+            "what is durable goes on being read"
+        );
+        assert!(replica.leadership().is_none(), "it leads without a disk");
+        assert!(replica.dump().await.is_some());
+        world.fill(false);
+        commit(&replica, 200 + round).await;
+        assert_eq!(version(&replica), Some(200 + round));
+    }
+    let names = std::fs::read_dir(folder.path()).unwrap();
+    let names: Vec<_> = names.map(|entry| entry.unwrap().file_name()).collect();
+    assert_eq!(names, ["state"], "the folder was set aside");
+    running.abort();
+    drop(replica);
+    // The folder's lock is free once the task has ended.
+    while !running.is_finished() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let (replica, running) = world.start();
+    commit(&replica, 1).await;
+    assert_eq!(version(&replica), Some(202), "lost by a restart");
+    running.abort();
+}
--- a/crates/azurelug-storage/src/error.rs
+++ b/crates/azurelug-storage/src/error.rs
@@ -80,3 +80,13 @@
         reason: String,
     },
 }
+
+impl Error {
+    /// Whether the disk had no room for a write. What was synced before is unharmed, and the folder
+    /// can be opened again once there is room.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{QuotaExceeded, StorageFull};
+        matches!(self, Self::Io { source, .. } if matches!(source.kind(), StorageFull | QuotaExceeded))
+    }
+}
