control: one daemon reads the platform's list for all

Ruled out: a longer interval, which leaving targets do not allow.

Change: the daemons are ranked by their slots. The first reads every 0.7 s and tells the others; a later rank reads only when the newest list that it knows is older than the ranks before it let it become (core::gateway::turn), so that a daemon that is cut off reads for itself.

Conclusion: the price of calls no longer grows with the control daemons.

--- a/crates/azurelug-control/src/deployment/reader.rs
+++ b/crates/azurelug-control/src/deployment/reader.rs
@@ -15,17 +15,8 @@
 use crate::gateways::Gateways;
 use crate::settings::TargetList;
 
-/// Time between two reads. With a gateway's poll after it, a target that is leaving gets no new work
-/// after a second or so.
-const INTERVAL: Duration = Duration::from_millis(700);
-
-/// Time between two reads of all control daemons together. Each call is billed, and more daemons do
-/// not need to read more often.
-const JOINT_INTERVAL: Duration = Duration::from_millis(230);
-
-/// The longest time between two reads of one daemon: operators expect a target that is leaving to
-/// get nothing after three seconds.
-const MAX_INTERVAL: Duration = Duration::from_millis(1500);
+/// The first pause after a failed read; each further one is twice as long.
+const PAUSE: Duration = Duration::from_millis(700);
 
 /// The longest pause after failed reads.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
@@ -59,12 +50,19 @@
     TooManyPages,
 }
 
-/// Reads the list until the program ends. While the platform does not answer, its last list counts.
+/// Reads the list whenever it is this daemon's turn, until the program ends. While the platform does
+/// not answer, its last list counts.
 pub async fn read_targets(gateways: Gateways, settings: TargetList) {
     let mut connection = None;
     let mut failures = 0_u32;
     let mut unreadable = 0;
     loop {
+        let wait = gateways.until_read();
+        if !wait.is_zero() {
+            // Another daemon may tell a newer list meanwhile.
+            sleep(wait).await;
+            continue;
+        }
         let read = read(&mut connection, settings.address).await;
         let pages = match read {
             Ok((targets, pages, skipped)) => {
@@ -90,11 +88,10 @@
         };
         let rate = settings.calls_per_second * RATE_PART;
         let share = Duration::from_secs_f64((pages * gateways.controls()) as f64 / rate);
-        let joint = JOINT_INTERVAL * u32::try_from(gateways.controls()).unwrap_or(u32::MAX);
-        let usual = joint.clamp(INTERVAL, MAX_INTERVAL);
-        let pause = usual.max(share) * (1 << failures.min(2));
+        let failed = PAUSE * (1 << failures.saturating_sub(1).min(2));
+        let pause = if failures > 0 { failed } else { share };
         let jitter = rand::rng().random_range(0.9..1.1);
-        sleep(pause.min(MAX_PAUSE.max(share)).mul_f64(jitter)).await;
+        sleep(pause.min(MAX_PAUSE).max(share).mul_f64(jitter)).await;
     }
 }
 
--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -10,8 +10,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_core::gateway::turn;
 use azurelug_types::deployment::Target;
-use azurelug_types::fleet::{List, Peer, Poll, Polled};
+use azurelug_types::fleet::{Inventory, List, Peer, Poll, Polled};
 use azurelug_types::id::DaemonName;
 use azurelug_wire::Frame;
 use azurelug_wire::frame::PART_LIMIT;
@@ -45,6 +46,8 @@
     gateways: HashMap<DaemonName, Seen>,
     targets: Option<(Arc<List<Target>>, Instant)>,
     controls: Vec<SocketAddr>,
+    /// Slots of the control daemons, in order.
+    slots: Vec<u32>,
 }
 
 /// The gateways and the targets. Clones share them.
@@ -73,13 +76,48 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
-    /// Takes the platform's newest list of targets.
+    /// Takes the platform's list of targets, which has just been read, and tells the other control
+    /// daemons.
     pub fn list(&self, targets: Vec<Target>) {
         let list = list(targets, |target| {
             let is_cold = target.cold_ms > 0;
             digest(&(&target.name, target.address, target.is_leaving, is_cold))
         });
-        self.state().targets = Some((Arc::new(list), Instant::now()));
+        let inventory = Inventory {
+            targets: list.clone(),
+            age_ms: 0,
+        };
+        let slots = {
+            let mut state = self.state();
+            state.targets = Some((Arc::new(list), Instant::now()));
+            state.slots.clone()
+        };
+        for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
+            let frame = Frame::Inventory(inventory.clone());
+            self.peers.send(slot, frame);
+        }
+    }
+
+    /// Takes the platform's list as another control daemon has read it, if it is newer than the one
+    /// held here.
+    pub fn told(&self, inventory: Inventory) {
+        let age = Duration::from_millis(inventory.age_ms);
+        let Some(read) = Instant::now().checked_sub(age) else {
+            return;
+        };
+        let mut state = self.state();
+        if state.targets.as_ref().is_none_or(|(_, held)| *held < read) {
+            state.targets = Some((Arc::new(inventory.targets), read));
+        }
+    }
+
+    /// The time until this daemon is to read the platform's list itself.
+    pub fn until_read(&self) -> Duration {
+        let state = self.state();
+        let age = state.targets.as_ref().map(|(_, read)| read.elapsed());
+        let rank = state.slots.iter().position(|slot| *slot == self.own_slot);
+        // One that is not among the members yet lets all of them go first.
+        turn::wait(rank.unwrap_or(state.slots.len()), state.slots.len(), age)
     }
 
     /// How many control daemons there are.
@@ -173,11 +211,13 @@
                 .iter()
                 .map(|it| it.member.slot)
                 .collect();
+            slots.sort_unstable();
             slots.dedup();
             let local = {
                 let mut state = self.state();
                 let addresses = slots.iter().filter_map(|slot| self.cluster.address(*slot));
                 state.controls = addresses.collect();
+                state.slots.clone_from(&slots);
                 state.expire();
                 state.local()
             };
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -80,6 +80,10 @@
                 self.gateways.heard(peers);
                 Reply::None
             }
+            Frame::Inventory(inventory) => {
+                self.gateways.told(inventory);
+                Reply::None
+            }
             _ => Reply::One(Frame::Refused {
                 message: "not a request".to_owned(),
             }),
--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -12,4 +12,5 @@
 pub mod plan;
 pub mod reach;
 pub mod table;
+pub mod turn;
 pub mod worth;
--- /dev/null
+++ b/crates/azurelug-core/tests/gateway_turn.rs
@@ -0,0 +1,96 @@
+//! Replays the reads of the platform's list by several control daemons, some of which are down or cut
+//! off.
+
+use std::time::Duration;
+
+use azurelug_core::gateway::turn;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// How long a read and its way to the other daemons take.
+const WAY: Duration = Duration::from_millis(60);
+
+/// Control daemons that read for each other.
+struct World {
+    /// When the newest list that each one knows was read.
+    known: Vec<Option<Duration>>,
+    reads: usize,
+    oldest: Duration,
+}
+
+/// Runs `count` daemons for 20 s from a start without lists. `reaches` tells whether a list that the
+/// first daemon reads gets to the second; a daemon that does not reach itself is down.
+fn run(count: usize, reaches: impl Fn(usize, usize) -> bool) -> World {
+    let mut world = World {
+        known: vec![None; count],
+        reads: 0,
+        oldest: Duration::ZERO,
+    };
+    let mut told: Vec<(Duration, usize, Duration)> = Vec::new();
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(20) {
+        now += MS;
+        told.retain(|&(at, to, read)| {
+            if at <= now {
+                world.known[to] = world.known[to].max(Some(read));
+            }
+            at > now
+        });
+        for daemon in (0..count).filter(|it| reaches(*it, *it)) {
+            let age = world.known[daemon].map(|read| now - read);
+            if now > Duration::from_secs(2) {
+                world.oldest = world.oldest.max(age.unwrap_or(now));
+            }
+            if !turn::wait(daemon, count, age).is_zero() {
+                continue;
+            }
+            world.reads += 1;
+            world.known[daemon] = Some(now);
+            let others = (0..count).filter(|it| *it != daemon && reaches(daemon, *it));
+            told.extend(others.map(|to| (now + WAY, to, now)));
+        }
+    }
+    world
+}
+
+/// Guards against a list that each of the daemons reads, and is billed for.
+#[test]
+fn one_daemon_reads_for_all() {
+    for count in [1, 3, 5, 8] {
+        let world = run(count, |_, _| true);
+        // Once each at the start, then one every 0.7 s.
+        let limit = count + 29;
+        assert!(
+            world.reads <= limit,
+            "{count} daemons: {} reads",
+            world.reads
+        );
+        assert!(
+            world.oldest <= 800 * MS,
+            "{count} daemons: {:?} old",
+            world.oldest
+        );
+    }
+}
+
+/// Guards against a list that grows old because the daemons that should read it are down, or because
+/// no daemon reaches another.
+#[test]
+fn the_list_stays_young_when_daemons_are_lost() {
+    for count in [3, 5, 8] {
+        for down in 1..count {
+            let world = run(count, |from, to| from >= down && to >= down);
+            assert!(
+                world.oldest <= 1700 * MS,
+                "{down} of {count} down: {:?}",
+                world.oldest
+            );
+        }
+        let alone = run(count, |from, to| from == to);
+        assert!(
+            alone.oldest <= 1700 * MS,
+            "{count} alone: {:?}",
+            alone.oldest
+        );
+    }
+}
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -50,6 +50,14 @@
         pub controls: Vec<SocketAddr>,
     }
 
+    /// The platform's list as one control daemon has read it for the others.
+    pub struct Inventory {
+        /// The targets.
+        pub targets: List<Target>,
+        /// How long ago it was read, in milliseconds.
+        pub age_ms: u64,
+    }
+
     /// A list and its digest.
     pub struct List<T> {
         /// Digest of the entries; never 0.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The messages between azurelug processes.
 
 use azurelug_coordination::{once, share};
-use azurelug_types::fleet::{Booking, Pieces, PiecesEnd, Poll, Polled};
+use azurelug_types::fleet::{Booking, Inventory, Pieces, PiecesEnd, Poll, Polled};
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -160,4 +160,6 @@
         /// The handles.
         handles: Vec<String>,
     },
+    /// A control daemon tells another the platform's list of targets, which it has just read.
+    Inventory(Inventory),
 }
