gateway: parts of shared limits that hundreds of gateways can use

Cause: limits that hold over all gateways were split evenly. At 295 of them a gateway held 0.75 of a repeat, with which nothing can be repeated, and could send a target one request in ten seconds, so that every second request for a prompt prefix had it read by another target. Against a cold target the split did not hold: the first request of each gateway passed.

Change: a bucket holds one whole repeat as long as its part of a window does; two requests may go to a warm target together at the same rate; for a cold target each gateway draws a lot for each second.

The three new tests fail on the code before (no repeat at all; 190 requests a second for a cold target that bears 27).

Conclusion: budgets and rates are usable at 300 gateways and hold there.

--- a/crates/azurelug-core/src/gateway/budget.rs
+++ b/crates/azurelug-core/src/gateway/budget.rs
@@ -21,6 +21,14 @@
 /// repeats near the edge of a window.
 const USED_PART: f64 = 0.7;
 
+/// What one gateway gets of the allowance.
+struct Part {
+    /// The most tokens that it holds.
+    most: f64,
+    /// Tokens that flow in during a window.
+    inflow: f64,
+}
+
 /// Tokens for repeats of one service's requests.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -32,7 +40,7 @@
     /// Notes a first request.
     pub fn earn(&mut self, allowance: &Allowance, gateways: usize, now: Duration) {
         self.refill(allowance, gateways, now);
-        let most = cap(allowance, gateways).max(1.0);
+        let most = part(allowance, gateways).most.max(1.0);
         // Tokens earned above the cap would allow a burst that a later window can't cover.
         self.tokens = (self.tokens + allowance.ratio * USED_PART).min(most);
     }
@@ -47,20 +55,27 @@
         is_allowed
     }
 
-    /// A window can hold a full bucket and what flows in meanwhile, so each is half of the part.
     fn refill(&mut self, allowance: &Allowance, gateways: usize, now: Duration) {
-        let most = cap(allowance, gateways);
+        let Part { most, inflow } = part(allowance, gateways);
         let Some(refilled) = self.refilled.replace(now) else {
             self.tokens = most;
             return;
         };
         let passed = now.saturating_sub(refilled).as_secs_f64() / allowance.window.as_secs_f64();
         if self.tokens < most {
-            self.tokens = (self.tokens + most * passed).min(most);
+            self.tokens = (self.tokens + inflow * passed).min(most);
         }
     }
 }
 
-fn cap(allowance: &Allowance, gateways: usize) -> f64 {
-    allowance.extra * USED_PART / 2.0 / gateways.max(1) as f64
+/// A window can hold a full bucket and what flows in meanwhile. Among hundreds of gateways the half
+/// of a part is less than one token, with which nothing can be repeated, so a bucket holds a whole
+/// one as long as the part does.
+fn part(allowance: &Allowance, gateways: usize) -> Part {
+    let whole = allowance.extra * USED_PART / gateways.max(1) as f64;
+    let most = (whole / 2.0).max(whole.min(1.0));
+    Part {
+        most,
+        inflow: whole - most,
+    }
 }
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -90,6 +90,11 @@
 /// How much a request avoids a target that fails all requests, in parts of its places.
 const ERROR_PENALTY: f64 = 2.0;
 
+/// Requests that a gateway may send to a warm target together, whatever its part of a second is. With
+/// hundreds of gateways that part is a request in ten seconds, and the second request for a prompt
+/// prefix would have it read by another target.
+const WARM_BURST: usize = 2;
+
 /// Part of a cold target's rate, and of its limit, that is used: the requests of many gateways bunch.
 const PACE_PART: f64 = 0.85;
 
@@ -137,9 +142,20 @@
     pools: HashMap<ServiceName, Vec<Key>>,
     drained: BTreeSet<ZoneName>,
     cut: BTreeSet<ZoneName>,
+    /// Differs from gateway to gateway, for lots that are drawn among them.
+    lots: u64,
 }
 
 impl Fleet {
+    /// A fleet without targets. `lots` is a random number of this gateway.
+    #[must_use]
+    pub fn new(lots: u64) -> Self {
+        Self {
+            lots,
+            ..Self::default()
+        }
+    }
+
     /// Takes the platform's newest list, read `age` ago.
     pub fn list(&mut self, targets: &[Target], now: Duration) {
         let named: HashSet<&TargetName> = targets.iter().map(|target| &target.name).collect();
@@ -352,7 +368,21 @@
             bounds.cold_limit
         };
         let part = rate * PACE_PART / bounds.gateways.max(1) as f64;
-        record.pace.held_until(part, now)
+        if record.cold_until > now && part < 1.0 {
+            return self
+                .lot_until(record, part, now)
+                .or_else(|| record.pace.held_until(1.0, 1, now));
+        }
+        record.pace.held_until(part, WARM_BURST, now)
+    }
+
+    /// Until when a cold target gets nothing, because this gateway is not among those that may send
+    /// to it. Hundreds of gateways with a request each would be too many for one second, so that in
+    /// each second a part of them is drawn by lot.
+    fn lot_until(&self, record: &Record, part: f64, now: Duration) -> Option<Duration> {
+        let second = now.as_secs();
+        let lot = owner::uniform(&(self.lots, second), &record.target.name);
+        (lot >= part).then(|| Duration::from_secs(second + 1))
     }
 
     fn is_cold(&self, key: Key, now: Duration) -> bool {
--- a/crates/azurelug-core/src/gateway/fleet/pace.rs
+++ b/crates/azurelug-core/src/gateway/fleet/pace.rs
@@ -25,11 +25,11 @@
         self.sent.push_back(now);
     }
 
-    /// Until when nothing may be sent at `rate` requests a second, if so. The next whole number of
-    /// requests may be sent in the time that they take at that rate.
-    pub(super) fn held_until(&self, rate: f64, now: Duration) -> Option<Duration> {
+    /// Until when nothing may be sent at `rate` requests a second, if so. `least` requests at least
+    /// may be sent together, in the time that they take at that rate.
+    pub(super) fn held_until(&self, rate: f64, least: usize, now: Duration) -> Option<Duration> {
         let rate = rate.clamp(MIN_RATE, KEPT as f64);
-        let count = rate.ceil() as usize;
+        let count = (rate.ceil() as usize).max(least);
         let span = SECOND.mul_f64(count as f64 / rate);
         let first = self.sent.len().checked_sub(count)?;
         let until = self.sent[first] + span;
--- a/crates/azurelug-core/src/gateway/owner.rs
+++ b/crates/azurelug-core/src/gateway/owner.rs
@@ -17,9 +17,14 @@
 /// The weight of an entry that is to be chosen `share` times as often as one with a share of 1.
 #[must_use]
 pub fn weighted<K: Hash + ?Sized, E: Hash + ?Sized>(key: &K, entry: &E, share: f64) -> f64 {
-    // Uniform in 0..1 from the upper bits, which a float holds exactly.
-    let uniform = ((weight(key, entry) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    -share.max(f64::MIN_POSITIVE) / uniform.ln()
+    -share.max(f64::MIN_POSITIVE) / uniform(key, entry).ln()
+}
+
+/// A number between 0 and 1 for a key and an entry, both excluded.
+#[must_use]
+pub fn uniform<K: Hash + ?Sized, E: Hash + ?Sized>(key: &K, entry: &E) -> f64 {
+    // From the upper bits, which a float holds exactly.
+    ((weight(key, entry) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
 
 /// The entries by falling weight for a key.
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -101,6 +101,103 @@
     }
 }
 
+/// Guards against a cold target that falls over because each of hundreds of gateways sends it one
+/// request: 190 requests a second for one prompt prefix, as when one key gets much of the traffic.
+#[test]
+fn hundreds_of_gateways_send_a_cold_target_no_more_than_it_bears() {
+    const GATEWAYS: u64 = 295;
+    for seed in 0..5 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut cold = target(0);
+        cold.cold_ms = 20_000;
+        let mut gateways: Vec<Fleet> = (0..GATEWAYS)
+            .map(|number| {
+                let mut fleet = Fleet::new(seed * 1000 + number);
+                fleet.list(std::slice::from_ref(&cold), Duration::ZERO);
+                fleet
+            })
+            .collect();
+        let mut request = Request::new(Some(3));
+        request.bounds.gateways = GATEWAYS as usize;
+        request.bounds.cold_rate = 15.0;
+        request.bounds.cold_limit = 27.5;
+        let mut sent: Vec<Duration> = Vec::new();
+        let mut now = Duration::ZERO;
+        while now < Duration::from_secs(10) {
+            now += Duration::from_micros(random.random_range(1000..9500));
+            let fleet = &mut gateways[random.random_range(0..GATEWAYS as usize)];
+            if let Ok(key) = request.place(fleet, &[], now) {
+                fleet.finished(key, Outcome::Answered(20 * MS), now);
+                sent.push(now);
+            }
+        }
+        let counts = sent.iter().enumerate().map(|(first, at)| {
+            let second = sent[first..].iter();
+            second.take_while(|it| **it < *at + 1000 * MS).count()
+        });
+        let most = counts.max().unwrap_or_default();
+        assert!(most <= 27, "seed {seed}: {most} requests in a second");
+        assert!(
+            sent.len() >= 40,
+            "seed {seed}: the target is hardly used: {}",
+            sent.len()
+        );
+    }
+}
+
+/// Guards against a prompt prefix that is read by another target although its own one has room: two
+/// requests of a gateway within a second go to the same target.
+#[test]
+fn a_warm_target_gets_two_requests_of_one_of_hundreds_of_gateways() {
+    let mut fleet = fleet(18);
+    let mut request = Request::new(Some(3));
+    request.bounds.gateways = 295;
+    request.bounds.cold_rate = 15.0;
+    request.bounds.cold_limit = 27.5;
+    let first = request.place(&mut fleet, &[], MS).unwrap();
+    fleet.finished(first, Outcome::Answered(20 * MS), 30 * MS);
+    let second = request.place(&mut fleet, &[], 700 * MS).unwrap();
+    assert_eq!(first, second);
+    fleet.finished(second, Outcome::Answered(20 * MS), 730 * MS);
+    let third = request.place(&mut fleet, &[], 900 * MS).unwrap();
+    assert_ne!(first, third);
+}
+
+/// Replays the crash of a quarter of a pool: targets that refuse connections do so at once, so that
+/// they look free, and each of hundreds of gateways meets them anew. Guards against requests that are
+/// given up after a few of them although most targets are sound.
+#[test]
+fn targets_that_refuse_connections_are_tried_once_by_each_gateway() {
+    const COUNT: usize = 128;
+    let is_down = |fleet: &Fleet, key: Key| fleet.target(key).name.as_str().ends_with('7');
+    let mut random = Pcg64::seed_from_u64(1);
+    let (mut met, mut most) = (0, 0);
+    for gateway in 0..40 {
+        let mut fleet = Fleet::new(gateway);
+        fleet.list(&(0..COUNT).map(target).collect::<Vec<_>>(), Duration::ZERO);
+        for number in 0..30_u64 {
+            let now = 10 * MS * u32::try_from(number).unwrap();
+            let mut request = Request::new(Some(random.random_range(0..40)));
+            request.bounds.gateways = 295;
+            let mut tried = Vec::new();
+            loop {
+                let key = request.place(&mut fleet, &tried, now).unwrap();
+                if !is_down(&fleet, key) {
+                    fleet.finished(key, Outcome::Answered(20 * MS), now);
+                    break;
+                }
+                fleet.finished(key, Outcome::Unconnected, now);
+                tried.push(key);
+            }
+            met += tried.len();
+            most = most.max(tried.len());
+        }
+    }
+    // 12 of 128 are down; 30 requests of a gateway in 0.3 s meet each of them once at most.
+    assert!(most <= 5, "{most} tries of one request failed");
+    assert!(met <= 40 * 12, "{met} tries failed");
+}
+
 /// Guards against new work for targets that are leaving, gone or in a drained zone, or that were
 /// tried before.
 #[test]
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -199,6 +199,32 @@
     }
 }
 
+/// Guards against a budget that lies idle because it is split into parts of less than one repeat:
+/// among 295 gateways, each can send its first failed request once more, and together they stay
+/// within the budget.
+#[test]
+fn hundreds_of_gateways_can_use_the_budget_and_stay_within_it() {
+    let allowance = Allowance {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        extra: 630.0,
+    };
+    let mut gateways = vec![Budget::default(); 295];
+    let at = |second: u64| Duration::from_secs(second);
+    let first = gateways.iter_mut();
+    let first = first.filter_map(|it| it.take(&allowance, 295, at(0)).then_some(()));
+    assert_eq!(first.count(), 295);
+    let mut used = 295.0;
+    for second in 1..10 {
+        for budget in &mut gateways {
+            while budget.take(&allowance, 295, at(second)) {
+                used += 1.0;
+            }
+        }
+    }
+    assert!(used <= allowance.extra, "{used} repeats in a window");
+}
+
 /// Guards against events that are passed on in part, twice or with a gap when another target goes on
 /// with a stream.
 #[test]
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -82,7 +82,7 @@
             bounds: settings.bounds,
             started: Instant::now(),
             view: Mutex::default(),
-            fleet: Mutex::default(),
+            fleet: Mutex::new(Fleet::new(rand::random())),
             budgets: Mutex::default(),
             worths: Mutex::default(),
             freed: Notify::new(),
