gateway: targets that refuse connections do not use up a request's tries

Cause: a target that is down refuses connections at once, so that it looks free. Each try also took a repeat out of the budget, though nothing had arrived.

Change: one refused connection excludes a target; only a request that has arrived counts as a repeat; six targets may refuse before a request is given up.

--- a/crates/azurelug-core/src/gateway/fleet/health.rs
+++ b/crates/azurelug-core/src/gateway/fleet/health.rs
@@ -12,7 +12,9 @@
     Error,
     /// The target was full and did not run the request.
     Full,
-    /// No connection, or none that answered in time.
+    /// No connection could be opened.
+    Unconnected,
+    /// The connection failed, or gave no answer in time.
     Unreachable,
     /// The target says that it is another one than expected, or is leaving.
     Gone,
@@ -93,6 +95,12 @@
                     self.exclude(now);
                 }
             }
+            Outcome::Unconnected => {
+                self.count_error(1.0);
+                self.unreachable_in_row += 1;
+                // A target that refuses connections refuses them at once, so that it looks free.
+                self.exclude(now);
+            }
             Outcome::Gone => self.excluded_until = self.excluded_until.max(now + GONE_PAUSE),
             Outcome::Unknown => self.trial_sent = None,
         }
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -21,8 +21,9 @@
 /// The longest answer that is held as a whole, in bytes.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
 
-/// Targets that may refuse a request before it is given up.
-const MAX_REFUSALS: u32 = 3;
+/// Targets that may refuse a request, or can't be reached, before it is given up. With a quarter of
+/// a pool down, one request in four thousand meets so many.
+const MAX_REFUSALS: u32 = 6;
 
 /// The longest wait for a place at a target, as a part of the objective.
 const PLACE_WAIT_PART: f64 = 0.35;
@@ -128,8 +129,10 @@
     pub runs: u32,
     /// Targets that did not run it.
     pub refusals: u32,
-    /// Whether it was sent at all.
-    pub is_sent: bool,
+    /// Whether it counts as a request for the service.
+    pub is_counted: bool,
+    /// Whether it has arrived at a target, so that each further sending is a repeat.
+    pub has_arrived: bool,
 }
 
 /// What a request is sent with.
@@ -201,7 +204,11 @@
             }
             Sent::Unreachable => {
                 last = trail.refused(last, "no target can be reached");
-                "unreachable"
+                log::info!("gateway: request {} at {name}: unreachable", exchange.id);
+                if trail.refusals >= MAX_REFUSALS {
+                    return Err(last);
+                }
+                continue;
             }
             Sent::Lost(reason) => {
                 trail.runs += 1;
@@ -213,10 +220,11 @@
                 reason
             }
         };
+        trail.has_arrived = true;
+        log::info!("gateway: request {} at {name}: {reason}", exchange.id);
         if trail.refusals >= MAX_REFUSALS {
             return Err(last);
         }
-        log::info!("gateway: request {} at {name}: {reason}", exchange.id);
     }
 }
 
@@ -230,7 +238,7 @@
     if exchange.left() < MIN_LEFT {
         return Err(out_of_time(trail));
     }
-    if trail.is_sent && !exchange.gateway.may_repeat(&exchange.service.name) {
+    if trail.has_arrived && !exchange.gateway.may_repeat(&exchange.service.name) {
         log::info!(
             "gateway: request {}: no repeat left in the budget",
             exchange.id
@@ -238,12 +246,12 @@
         return Err(last.clone());
     }
     let placed = place(exchange, sending.zone, trail).await;
-    if !trail.is_sent && placed.is_ok() {
+    if !trail.is_counted && placed.is_ok() {
         exchange.gateway.earn(&exchange.service.name);
-        trail.is_sent = true;
+        trail.is_counted = true;
     }
     placed.map_err(|failure| match (last, failure) {
-        (_, failure) if !trail.is_sent => failure,
+        (_, failure) if !trail.is_counted => failure,
         (Failure::Refused(after, reason), Failure::Refused(open, _)) => {
             Failure::Refused(open.max(*after), reason)
         }
@@ -372,7 +380,7 @@
         Reply::NotRun(StatusCode::CONFLICT) => (Sent::InputsGone, Outcome::Unknown),
         Reply::NotRun(_) => (Sent::NotRun, Outcome::Full),
         Reply::WrongTarget => (Sent::NotRun, Outcome::Gone),
-        Reply::Unreachable => (Sent::Unreachable, Outcome::Unreachable),
+        Reply::Unreachable => (Sent::Unreachable, Outcome::Unconnected),
         Reply::Broken(reason) => (Sent::Lost(reason), Outcome::Unreachable),
         Reply::Unusable(reason) => (Sent::Lost(reason), Outcome::Error),
     };
