dispatch: give the room of a target back that started again at its address

Cause: released results were looked up by the address of their maker. A target that starts again mostly has a new name and its old address, and the first match was the start before. A call that could not connect also counted its results as held for 4 s.

Change: a result is released under the key of the target that holds it; unknown results live two full calls; a call that did not reach its target holds nothing and costs its pieces no try.

Conclusion: crashes and releases no longer take a target's room away; what binds a burst now is the time of calls.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -79,6 +79,8 @@
         /// How long it wants no call; zero if it does not say.
         closed: Duration,
     },
+    /// No connection to the target could be opened, so that the call did not run.
+    Unreached,
     /// The target failed, or nothing came in time.
     Failed,
 }
@@ -287,6 +289,11 @@
                 worker.refused(closed, now);
                 vec![ItemEnd::NoRoom; call.items.len()]
             }
+            CallEnd::Unreached => {
+                worker.failed(taken, call.expected, now);
+                self.last_start = None;
+                vec![ItemEnd::NoRoom; call.items.len()]
+            }
             CallEnd::Items(_) | CallEnd::Failed => {
                 worker.failed(taken, call.expected, now);
                 // The pieces are late enough already.
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -50,7 +50,11 @@
 /// Part of the stated room that is used. Sizes of results are approximate.
 const ROOM_PART: f64 = 0.92;
 
-/// Part of their lifetime that unknown results are taken to live on: they have ages of all kinds.
+/// Full calls for which unknown results are taken to live on. Known ones are released after about as
+/// long: through their own call, a wait, and the start of the next stage's call.
+const UNKNOWN_LIFETIME_CALLS: f64 = 2.0;
+
+/// The longest that unknown results are taken to live on, as a part of their lifetime.
 const UNKNOWN_LIFETIME_PART: f64 = 0.5;
 
 /// Results that have ended by themselves are looked for this often. Hardly any live that long.
@@ -309,7 +313,10 @@
         worker.excluded_until = worker.excluded_until.max(now + FULL_PAUSE);
         let room = (batch.result_room as f64 * ROOM_PART) as u64;
         let unknown = room.saturating_sub(worker.held + made);
-        let until = now + batch.result_lifetime.mul_f64(UNKNOWN_LIFETIME_PART);
+        let pieces = u32::try_from(batch.max_pieces).unwrap_or(u32::MAX);
+        let call = batch.call_time + batch.piece_time * pieces;
+        let longest = batch.result_lifetime.mul_f64(UNKNOWN_LIFETIME_PART);
+        let until = now + call.mul_f64(UNKNOWN_LIFETIME_CALLS).min(longest);
         self.hold_unknown(key, unknown, until);
     }
 
@@ -351,16 +358,19 @@
             if self.told.contains_key(&result.handle) {
                 continue;
             }
-            let mut workers = self.workers.iter_mut();
-            let maker = workers.find(|worker| worker.target.address == result.maker);
-            let Some(maker) = maker else { continue };
             if let Some(held) = self.held.get_mut(&result.handle) {
+                // Found by its key: a target that starts again may have the address of one before.
+                let maker = &mut self.workers[held.worker.0];
                 if !std::mem::replace(&mut held.is_released, true) {
                     maker.released.push(result.handle.clone());
                     maker.released_bytes += held.bytes;
                 }
                 continue;
             }
+            let is_maker = |it: &&Worker| it.is_listed && it.target.address == result.maker;
+            let Some(maker) = self.workers.iter().find(is_maker) else {
+                continue;
+            };
             let until = now + batch.result_lifetime;
             self.told.insert(result.handle.clone(), until);
             match unknown
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -461,6 +461,92 @@
     assert_eq!(rest.len(), 5);
 }
 
+/// Guards against targets that stand idle for seconds in a burst because one call found no room:
+/// what a target holds is released about as fast as its dispatcher's own results.
+#[test]
+fn a_target_that_had_no_room_is_used_again_after_two_calls() {
+    let room = Batch {
+        result_room: 1_000_000,
+        ..batch()
+    };
+    let mut dispatcher = Dispatcher::new(room);
+    dispatcher.list(&targets(1), Duration::ZERO);
+    let large = Pieces {
+        result_bytes: 100_000,
+        ..order(1, 9, 8000)
+    };
+    let (call, _, items) = only_call(&dispatcher.submit(Token(1), large, MS));
+    let ends = vec![ItemEnd::NoRoom; items.len()];
+    dispatcher.called(call, CallEnd::Items(ends), 300 * MS);
+    let full_call = room.call_time + room.piece_time * 56;
+    let again = dispatcher.advance(310 * MS + full_call * 2);
+    assert_eq!(only_call(&again).2.len(), 9);
+}
+
+/// Replays the crash of a target that starts again at its address. Guards against results of the new
+/// start that are released in the name of the old one, so that the new one's room stays full for the
+/// lifetime of its results.
+#[test]
+fn results_of_a_target_that_started_again_give_their_room_back() {
+    let room = Batch {
+        result_room: 1_000_000,
+        ..batch()
+    };
+    let large = |request: u64| Pieces {
+        result_bytes: 100_000,
+        ..order(request, 8, 8000)
+    };
+    let mut dispatcher = Dispatcher::new(room);
+    let before = targets(1);
+    dispatcher.list(&before, Duration::ZERO);
+    let (call, ..) = only_call(&dispatcher.submit(Token(1), large(1), MS));
+    dispatcher.called(call, CallEnd::Failed, 10 * MS);
+    let mut after = before.clone();
+    after[0].name = TargetName("again".to_owned());
+    dispatcher.list(&after, 3000 * MS);
+    let mut now = 3000 * MS;
+    for round in 0..3 {
+        let actions = dispatcher.submit(Token(round + 2), large(round + 2), now);
+        let (call, target, items) = only_call(&actions);
+        assert_eq!((target.name.as_str(), items.len()), ("again", 8));
+        let handles: Vec<String> = (0..8).map(|it| format!("{round}-{it}")).collect();
+        let ends = handles.iter().map(|it| ItemEnd::Done(it.clone()));
+        now += 250 * MS;
+        dispatcher.called(call, CallEnd::Items(ends.collect()), now);
+        let released = handles.into_iter().map(|handle| Released {
+            handle,
+            maker: target.address,
+        });
+        dispatcher.release(&released.collect::<Vec<_>>(), now);
+        now += 50 * MS;
+    }
+}
+
+/// Guards against a call that never reached its target and counts as results that fill its room.
+#[test]
+fn a_call_that_did_not_reach_its_target_leaves_its_room_free() {
+    let room = Batch {
+        result_room: 1_000_000,
+        ..batch()
+    };
+    let large = |request: u64| Pieces {
+        result_bytes: 100_000,
+        ..order(request, 9, 8000)
+    };
+    let mut dispatcher = Dispatcher::new(room);
+    dispatcher.list(&targets(2), Duration::ZERO);
+    let (call, first, _) = only_call(&dispatcher.submit(Token(1), large(1), MS));
+    let other = dispatcher.called(call, CallEnd::Unreached, 2 * MS);
+    let (call, second, items) = only_call(&other);
+    assert_ne!(first.name, second.name);
+    assert_eq!(items.len(), 9, "the pieces run elsewhere at once");
+    let ends = (0..9).map(|it| ItemEnd::Done(format!("h{it}")));
+    dispatcher.called(call, CallEnd::Items(ends.collect()), 300 * MS);
+    // The first target is tried again with a whole call.
+    let (_, again, items) = only_call(&dispatcher.submit(Token(2), large(2), 2000 * MS));
+    assert_eq!((again.name, items.len()), (first.name, 9));
+}
+
 /// Guards against work of earlier stages that is thrown away, because an order that is late by then
 /// is refused although calls have places left.
 #[test]
--- a/crates/azurelug-gateway/src/station.rs
+++ b/crates/azurelug-gateway/src/station.rs
@@ -416,14 +416,18 @@
             return Ok(CallEnd::NotRun { closed });
         }
         let upstream = &self.gateway.upstream;
-        let taken = upstream.take(&self.target, false).await;
-        let taken = taken.map_err(|error| error.to_string())?;
+        let taken = match upstream.take(&self.target, false).await {
+            Ok(taken) => taken,
+            Err(error) => return Ok(self.unreached(&error)),
+        };
         let is_kept = taken.is_kept;
         match self.call_on(taken.connection, items).await {
             Err(error) if is_kept && error.is_outdated() => {
                 log::info!("gateway: call to {}: {error}", self.target.name);
-                let taken = upstream.open(&self.target).await;
-                let taken = taken.map_err(|error| error.to_string())?;
+                let taken = match upstream.open(&self.target).await {
+                    Ok(taken) => taken,
+                    Err(error) => return Ok(self.unreached(&error)),
+                };
                 let called = self.call_on(taken.connection, items).await;
                 called.map_err(|error| error.to_string())
             }
@@ -431,6 +435,11 @@
         }
     }
 
+    fn unreached(&self, error: &client::Error) -> CallEnd {
+        log::warn!("gateway: call to {}: {error}", self.target.name);
+        CallEnd::Unreached
+    }
+
     async fn call_on(
         &self,
         mut connection: Connection,
