gateway: streams whose stages' results are gone go on after the stages ran again

Cause: results of stages are released once an engine has fetched them, and in a burst their room is used at once. A stream that went on elsewhere did not count as a repeat either.

Change: the stages run again before the stream goes on; a stream with stages is taken for stalled after six times its longest pause instead of three; a request that was answered counts as arrived.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -133,6 +133,8 @@
     pub is_counted: bool,
     /// Whether it has arrived at a target, so that each further sending is a repeat.
     pub has_arrived: bool,
+    /// Whether it was refused because results of its stages are gone.
+    pub inputs_gone: bool,
 }
 
 /// What a request is sent with.
@@ -187,7 +189,10 @@
         let more_runs = trail.runs + 1 < exchange.route.max_attempts;
         let may_repeat = exchange.route.kind.is_repeatable() && more_runs;
         let reason = match send(exchange, place, &mut sending, trail, may_repeat).await {
-            Sent::Answered(answer) => return Ok(answer),
+            Sent::Answered(answer) => {
+                trail.has_arrived = true;
+                return Ok(answer);
+            }
             Sent::Failed(whole) if !may_repeat => return Ok(Answer::Whole(whole)),
             Sent::Failed(whole) => {
                 trail.runs += 1;
@@ -196,6 +201,8 @@
                 "failed"
             }
             Sent::InputsGone => {
+                trail.has_arrived = true;
+                trail.inputs_gone = true;
                 return Err(trail.refused(last, "results of a stage are gone"));
             }
             Sent::NotRun => {
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azurelug_core::gateway::events::Splitter;
 use azurelug_core::gateway::fleet::Outcome;
 use azurelug_types::deployment::Kind;
 use azurelug_types::id::ZoneName;
@@ -16,6 +17,7 @@
 use crate::gateway::Place;
 use crate::metrics::End;
 use crate::serve::Record;
+use crate::stages;
 
 /// Events that wait for a slow client. More hold the target back through its connection.
 const EVENTS: usize = 32;
@@ -24,6 +26,9 @@
 /// multiple of the longest pause that is still on time.
 const STALL_FACTOR: f64 = 3.0;
 
+/// The same for a stream with stages, which have to run again before another target goes on.
+const STAGED_STALL_FACTOR: f64 = 6.0;
+
 /// The shortest such pause: an engine that reads another request's long prompt stops for less.
 const MIN_STALL: Duration = Duration::from_millis(900);
 
@@ -172,7 +177,12 @@
 
     /// The longest pause before another target goes on, if one may.
     fn stall(&self) -> Option<Duration> {
-        let stall = self.exchange.route.gap_objective.mul_f64(STALL_FACTOR);
+        let factor = if self.exchange.route.stages.is_empty() {
+            STALL_FACTOR
+        } else {
+            STAGED_STALL_FACTOR
+        };
+        let stall = self.exchange.route.gap_objective.mul_f64(factor);
         self.may_resume().then(|| stall.max(MIN_STALL))
     }
 
@@ -196,11 +206,34 @@
         // The broken target must stop before another one starts.
         drop(connection);
         place.close();
+        let last = splitter.last().or(self.exchange.fields.last_event);
+        let resumed = self.go_on(last, next).await;
+        if resumed.is_some() || !std::mem::take(&mut self.trail.inputs_gone) {
+            return resumed;
+        }
+        // The first target had fetched the results of the stages, and their room was needed.
+        let results = match stages::run(&self.exchange, &self.zone).await {
+            Ok(results) => results,
+            Err(failure) => {
+                let id = &self.exchange.id;
+                let reason = failure.reason();
+                log::info!("gateway: request {id}: stages not run again: {reason}");
+                return None;
+            }
+        };
+        self.inputs.clone_from(&results.inputs);
+        let resumed = self.go_on(last, None).await;
+        drop(results.close());
+        resumed
+    }
+
+    /// Has a target go on after event `last`.
+    async fn go_on(&mut self, last: Option<u64>, next: Option<Place>) -> Option<Box<Stream>> {
         let sending = Sending {
             inputs: &self.inputs,
-            last_event: splitter.last().or(self.exchange.fields.last_event),
+            last_event: last,
             zone: &self.zone,
-            splitter,
+            splitter: Splitter::after(last),
             place: next,
         };
         match attempt::run(&self.exchange, sending, &mut self.trail).await {
