gateway: polls follow the operators' bounds

Cause: a gateway polled at a fixed time and left control daemons at a fixed age, beside settings that did not state how soon a change must be in force or a leaving target must be left alone. A deployment with halved bounds was not kept.

Change: bounds.apply and bounds.drain in the settings, filled in by the template; the interval of polls and the age follow from them, at most as long as before; trust in keys ends at a part of the revocation bound instead of 0.6 s before it.

Measured: polls_keep_bounds_of_other_lengths (halved to doubled bounds). For the deployments at hand the times are as before.

--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -16,11 +16,28 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::Gateway;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 
-/// Time between two polls. Changes must be in force everywhere within two seconds or so, and a
-/// target that is leaving must get nothing new within three.
-const INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two polls, as a part of the time in which a change must be in force. A change waits
+/// for a heartbeat of the replicated log, a poll and the transfer of a document.
+const INTERVAL_PART: f64 = 0.15;
+
+/// The longest time between two polls: they also tell of gateways that are gone.
+const MAX_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Age of a control daemon's state at which it is left for another one, as a part of the time in
+/// which a change must be in force. Its freshness probes come four times a second.
+const STALE_PART: f64 = 0.6;
+
+/// The least such age: several freshness probes.
+const MIN_STALE: Duration = Duration::from_millis(600);
+
+/// The largest such age.
+const MAX_STALE: Duration = Duration::from_millis(1200);
+
+/// Part of the time in which a leaving target must get no new work that is left for its poll; the
+/// control daemons' read of the list and its way take the rest.
+const DRAIN_PART: f64 = 2.0 / 3.0;
 
 /// A poll without an answer for this long is given up. Several round trips between zones.
 const POLL_LIMIT: Duration = Duration::from_millis(500);
@@ -29,22 +46,40 @@
 /// link takes 0.4 s.
 const DOCUMENT_LIMIT: Duration = Duration::from_secs(2);
 
-/// A control daemon whose state is older than this is left for another one. Its freshness probes
-/// come four times a second.
-const STALE: Duration = Duration::from_millis(1200);
-
 /// A control daemon whose list of targets is older than this is left for another one.
 const STALE_LIST: Duration = Duration::from_secs(3);
 
 /// Pause after every known control daemon has failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// How often control daemons are polled, and when they are left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Time between two polls.
+    pub interval: Duration,
+    /// Age of a control daemon's state at which it is left for another one.
+    pub stale: Duration,
+}
+
+impl Pace {
+    /// The pace that keeps the operators' bounds.
+    #[must_use]
+    pub fn new(bounds: &Bounds) -> Self {
+        let time = bounds.apply.0.min(bounds.drain.0.mul_f64(DRAIN_PART));
+        Self {
+            interval: time.mul_f64(INTERVAL_PART).min(MAX_INTERVAL),
+            stale: time.mul_f64(STALE_PART).clamp(MIN_STALE, MAX_STALE),
+        }
+    }
+}
+
 /// Polls until the program ends.
 pub async fn run(gateway: Arc<Gateway>, settings: Settings, identity: Arc<Identity>) {
     let port = settings.internal.port();
     let seeds = settings.seeds.iter();
     let seeds: Vec<SocketAddr> = seeds.map(|seed| (seed.ip(), port).into()).collect();
     let mut link = Link {
+        pace: Pace::new(&settings.bounds),
         gateway,
         identity,
         known: seeds.clone(),
@@ -66,6 +101,7 @@
 }
 
 struct Link {
+    pace: Pace,
     gateway: Arc<Gateway>,
     identity: Arc<Identity>,
     /// Internal addresses of the control daemons.
@@ -95,7 +131,7 @@
                 return;
             }
             let jitter = rand::rng().random_range(0.85..1.15);
-            sleep(INTERVAL.mul_f64(jitter)).await;
+            sleep(self.pace.interval.mul_f64(jitter)).await;
         }
     }
 
@@ -147,7 +183,7 @@
         }
         self.gateway.stations.relist(&self.gateway);
         self.gateway.share_connections();
-        if age > STALE {
+        if age > self.pace.stale {
             return Err(format!("its state is {} ms old", age.as_millis()));
         }
         match list_age {
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -21,9 +21,9 @@
 use crate::station::Stations;
 use crate::upstream::Upstream;
 
-/// How much earlier than the revocation bound a gateway stops to trust its configuration, for the
-/// way of a request to a target and the error of both clocks.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(600);
+/// Part of the revocation bound after which a gateway stops to trust its configuration. The rest is
+/// for the way of a request to a target and the error of both clocks.
+const TRUST_PART: f64 = 0.88;
 
 /// The most targets that one gateway dispatches over all zones.
 const MAX_POOL: usize = 8;
@@ -221,7 +221,7 @@
     /// Whether keys can be checked: whether every key that was removed longer ago than the bound
     /// allows is known.
     pub fn may_check_keys(&self) -> bool {
-        let limit = self.bounds.revocation.0.saturating_sub(REVOCATION_MARGIN);
+        let limit = self.bounds.revocation.0.mul_f64(TRUST_PART);
         self.staleness().is_some_and(|age| age < limit)
     }
 
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -55,6 +55,10 @@
 pub struct Bounds {
     /// How long after its removal a key may still be accepted.
     pub revocation: Span,
+    /// How soon an accepted order must be in force.
+    pub apply: Span,
+    /// How soon a target that is leaving must get no new work.
+    pub drain: Span,
     /// How long a stopping process has before it is killed.
     pub grace: Span,
     /// Repeats for each first request, over all gateways.
@@ -100,6 +104,15 @@
             let help = "write how long a removed key may still work, for instance 5s";
             return problem("bounds.revocation", "0ms", help);
         }
+        for (field, span) in [
+            ("bounds.apply", bounds.apply),
+            ("bounds.drain", bounds.drain),
+        ] {
+            if span.0.is_zero() {
+                let help = "write how soon a change must be in force, for instance 2s";
+                return problem(field, "0ms", help);
+            }
+        }
         if bounds.retry_window.0.is_zero() {
             let help = "write the window in which repeats are counted, for instance 10s";
             return problem("bounds.retry_window", "0ms", help);
--- a/crates/azurelug-gateway/tests/settings.rs
+++ b/crates/azurelug-gateway/tests/settings.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 use std::path::Path;
+use std::time::Duration;
 
+use azurelug_gateway::control::Pace;
 use azurelug_gateway::settings::{Bounds, Settings};
 use azurelug_settings::read;
 use azurelug_testkit::settings_page;
@@ -20,3 +22,33 @@
     settings_page::compare::<Settings>(&page, "azurelug-gateway", &example);
     settings_page::compare::<Bounds>(&page, "bounds", &example["bounds"]);
 }
+
+/// Guards against fixed times that keep the bounds of one deployment only: a change that is accepted
+/// and a target that leaves have to reach a gateway by its polls within halved and doubled bounds.
+#[test]
+fn polls_keep_bounds_of_other_lengths() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway.yaml");
+    let mut bounds = read::file::<Settings>(&file).unwrap().bounds;
+    // A read of the list and its way, a heartbeat of the log, a transfer of a document.
+    let (list, commit, document) = (750, 150, 400);
+    for (apply, drain) in [(1000, 1500), (2000, 3000), (2500, 4000), (6000, 8000)] {
+        bounds.apply = read_span(apply);
+        bounds.drain = read_span(drain);
+        let pace = Pace::new(&bounds);
+        // The longest poll is a seventh longer than the usual one.
+        let poll = pace.interval.mul_f64(1.15).as_millis();
+        assert!(
+            poll + commit + document <= apply.into(),
+            "{apply}: {pace:?}"
+        );
+        assert!(poll + list <= drain.into(), "{drain}: {pace:?}");
+        assert!(
+            pace.stale <= Duration::from_millis(apply.into()),
+            "{pace:?}"
+        );
+    }
+}
+
+fn read_span(millis: u32) -> azurelug_settings::span::Span {
+    azurelug_settings::span::Span(Duration::from_millis(millis.into()))
+}
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -187,7 +187,7 @@
         );
         let gateway = format!(
             "name: gateway\nzone: a\n{common}internal: \"{}\"\nclients: \"{clients}\"\n\
-             admin: \"{admin}\"\nseeds: [\"{}\"]\nbounds:\n  revocation: 5s\n  grace: 8s\n  \
+             admin: \"{admin}\"\nseeds: [\"{}\"]\nbounds:\n  revocation: 5s\n  apply: 2s\n  drain: 3s\n  grace: 8s\n  \
              retry_ratio: 0.2\n  retry_window: 10s\n  retry_extra: 50\n  cold_factor: 1.5\n  \
              cold_extra: 5\n",
             address(3, internal),
