system: a randomized soak of gateways and control daemons as processes

Change: azurelug_system::soak starts three control daemons and gateways in three zones on loopback, stand-ins behind proxies, callers and an operator. A seed gives a plan of overlapping faults: kills, stops, freezes and lost disks of daemons; resets, delays, one-way and silent connections; targets that refuse, close themselves, lose or break off answers; leaving targets and drained zones. Checked: whole answers of one's own, at most one run, true refusals, inputs of the own request, reads of the configuration, targets left alone, stops that cut nothing off, service after the faults.

Checks shown to fail with a mechanism taken out: none yet.

--- /dev/null
+++ b/crates/azurelug-system/examples/soak.rs
@@ -0,0 +1,92 @@
+//! Runs the soak: `soak --seed 7`, `soak --seeds 1..51` or `soak --minutes 5` with fresh seeds.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use azurelug_system::soak::{self, Options};
+use bpaf::Bpaf;
+
+/// Starts gateways and control daemons as processes, injects faults from outside and checks what
+/// callers, operators and targets see
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Run this seed
+    #[bpaf(argument("NUMBER"), optional)]
+    seed: Option<u64>,
+    /// Run the seeds from the first to before the second, written A..B
+    #[bpaf(argument("A..B"), optional)]
+    seeds: Option<String>,
+    /// Run fresh seeds for this long
+    #[bpaf(argument("MINUTES"), optional)]
+    minutes: Option<u64>,
+    /// Gateways in each of the three zones
+    #[bpaf(argument("COUNT"), fallback(2), display_fallback)]
+    size: u8,
+    /// Seconds over which faults are injected
+    #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+    seconds: u64,
+    /// Print one JSON object for each seed
+    #[bpaf(switch)]
+    json: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let mut failed = 0;
+    let mut count = 0;
+    for seed in seeds(&arguments) {
+        let options = Options {
+            seed,
+            faults_for: Duration::from_secs(arguments.seconds),
+            gateways: arguments.size,
+            ..Options::default()
+        };
+        let report = soak::run(&options).await;
+        count += 1;
+        failed += usize::from(!report.violations.is_empty());
+        if arguments.json {
+            println!("{}", report.summary);
+            continue;
+        }
+        let verdict = if report.violations.is_empty() {
+            "holds"
+        } else {
+            "FAILED"
+        };
+        println!(
+            "seed {seed}: {verdict}; requests {}; faults {}",
+            report.summary["requests"], report.summary["faults"]
+        );
+        for violation in &report.violations {
+            println!("  {violation}");
+        }
+        if let Some(logs) = &report.logs {
+            println!("  logs in {}", logs.display());
+        }
+    }
+    println!("{count} seeds, {failed} failed");
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// The seeds that were asked for.
+fn seeds(arguments: &Arguments) -> Box<dyn Iterator<Item = u64>> {
+    if let Some(minutes) = arguments.minutes {
+        let end = Instant::now() + Duration::from_secs(minutes * 60);
+        let fresh = std::iter::repeat_with(|| rand::random::<u32>().into());
+        return Box::new(fresh.take_while(move |_| Instant::now() < end));
+    }
+    let range = arguments.seeds.as_deref().and_then(|text| {
+        let (first, end) = text.split_once("..")?;
+        Some(first.parse().ok()?..end.parse().ok()?)
+    });
+    match range {
+        Some(range) => Box::new(range),
+        None => Box::new(std::iter::once(arguments.seed.unwrap_or(1))),
+    }
+}
--- a/crates/azurelug-system/src/lib.rs
+++ b/crates/azurelug-system/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod observers;
 pub mod operator;
 pub mod process;
+pub mod soak;
 pub mod system;
 
 pub use booking::Booking;
--- /dev/null
+++ b/crates/azurelug-system/src/soak.rs
@@ -0,0 +1,100 @@
+//! A randomized soak of a deployment: gateways and control daemons as real processes, faults from
+//! outside them, and checks of what callers, operators and targets see.
+//!
+//! A seed gives the same plan of faults. What the processes make of it depends on their timing, so
+//! that a violation keeps its logs.
+
+pub mod callers;
+pub mod operator;
+pub mod plan;
+pub mod targets;
+pub mod verdict;
+pub mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use plan::{Fault, Step};
+use verdict::{Report, Verdict};
+use world::World;
+
+/// Time after the last fault until requests have to be served again.
+pub const RECOVERY: Duration = Duration::from_secs(10);
+
+/// Time over which the service is measured at the end.
+pub const MEASURED: Duration = Duration::from_secs(4);
+
+/// How large a run is and how long it takes.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed of the plan.
+    pub seed: u64,
+    /// How long faults are injected.
+    pub faults_for: Duration,
+    /// Gateways in each of the three zones.
+    pub gateways: u8,
+    /// Callers that send one request after another.
+    pub callers: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            faults_for: Duration::from_secs(20),
+            gateways: 2,
+            callers: 24,
+        }
+    }
+}
+
+/// Runs one seed.
+///
+/// # Panics
+/// If the processes can't be started.
+pub async fn run(options: &Options) -> Report {
+    let plan = plan::plan(options);
+    let verdict = Arc::new(Verdict::default());
+    let mut world = World::start(options, Arc::clone(&verdict)).await;
+    let callers = callers::start(&world, options);
+    let operator = operator::start(&world, options.seed);
+    let started = Instant::now();
+    let mut random = Pcg64::seed_from_u64(options.seed);
+    let mut ends: Vec<(Duration, Fault)> = Vec::new();
+    for Step { at, lasts, fault } in plan.iter().cloned() {
+        end_until(&mut world, &mut ends, started, at).await;
+        sleep_until(started + at).await;
+        verdict.injected(&fault);
+        world.begin(&fault, &mut random).await;
+        ends.push((at + lasts, fault));
+        ends.sort_by_key(|(end, _)| *end);
+    }
+    end_until(&mut world, &mut ends, started, Duration::MAX).await;
+    sleep(RECOVERY).await;
+    let measured = verdict.counts();
+    sleep(MEASURED).await;
+    verdict.check_recovery(&measured);
+    operator.abort();
+    for caller in callers {
+        caller.abort();
+    }
+    world.close(options.seed, &verdict, &plan)
+}
+
+/// Ends the faults that are over by a time.
+async fn end_until(
+    world: &mut World,
+    ends: &mut Vec<(Duration, Fault)>,
+    started: Instant,
+    limit: Duration,
+) {
+    while ends.first().is_some_and(|(end, _)| *end <= limit) {
+        let (end, fault) = ends.remove(0);
+        sleep_until(started + end).await;
+        world.end(&fault).await;
+    }
+}
--- /dev/null
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -0,0 +1,184 @@
+//! Callers that send one request after another, and check every answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_http::h1::client::{Connection, Error};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Options;
+use super::targets::EVENTS;
+use super::verdict::{End, Verdict};
+use super::world::{Stops, World};
+
+/// How long a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_millis(4000);
+
+/// Requests on one connection at most.
+const PER_CONNECTION: u32 = 20;
+
+/// The kinds of request and their paths.
+const KINDS: [(&str, &str); 4] = [
+    ("look", "/look/x"),
+    ("book", "/book/x"),
+    ("talk", "/talk/x"),
+    ("chat", "/chat/x"),
+];
+
+struct Caller {
+    name: String,
+    gateways: Vec<SocketAddr>,
+    stops: Arc<Stops>,
+    verdict: Arc<Verdict>,
+    random: Pcg64,
+}
+
+/// A connection, which gateway it leads to, and how many requests it has carried.
+struct Line {
+    gateway: usize,
+    connection: Connection,
+    requests: u32,
+}
+
+/// Starts the callers of a run.
+pub fn start(world: &World, options: &Options) -> Vec<JoinHandle<()>> {
+    let callers = (0..options.callers).map(|number| {
+        let caller = Caller {
+            name: format!("{}-{number}", options.seed),
+            gateways: world.gateways(),
+            stops: world.stops(),
+            verdict: world.verdict(),
+            random: Pcg64::seed_from_u64(options.seed * 1000 + number as u64),
+        };
+        tokio::spawn(caller.run())
+    });
+    callers.collect()
+}
+
+impl Caller {
+    async fn run(mut self) {
+        let mut line: Option<Line> = None;
+        for number in 0_u64.. {
+            let pause = self.random.random_range(5..120);
+            sleep(Duration::from_millis(pause)).await;
+            let Some(mut taken) = self.line(line.take()).await else {
+                continue;
+            };
+            let (kind, path) = KINDS[self.random.random_range(0..KINDS.len())];
+            let id = format!("{}-{number}", self.name);
+            if kind == "book" {
+                self.verdict.may_run_once(&id);
+            }
+            let sent = Instant::now();
+            let (end, is_usable) = self.exchange(&mut taken, &id, kind, path).await;
+            if end == End::Lost && self.stops.promised(taken.gateway, sent) {
+                let text = format!("{id} ({kind}) got no answer though its gateway only stopped");
+                self.verdict.violated(text);
+            }
+            self.verdict.ended(&id, kind, end);
+            if is_usable && taken.requests < PER_CONNECTION {
+                line = Some(taken);
+            }
+        }
+    }
+
+    /// The open connection, or a new one to any gateway.
+    async fn line(&mut self, line: Option<Line>) -> Option<Line> {
+        if let Some(line) = line.filter(|line| line.connection.is_ready()) {
+            return Some(line);
+        }
+        let gateway = self.random.random_range(0..self.gateways.len());
+        let address = self.gateways[gateway];
+        let limit = Duration::from_secs(1);
+        let connection = Connection::open(address, limit, DEADLINE).await.ok()?;
+        Some(Line {
+            gateway,
+            connection,
+            requests: 0,
+        })
+    }
+
+    /// Sends a request; returns how it ended and whether the connection can carry another one.
+    async fn exchange(&self, line: &mut Line, id: &str, kind: &str, path: &str) -> (End, bool) {
+        line.requests += 1;
+        let request = request(id, path);
+        let answered = timeout(DEADLINE + Duration::from_secs(1), async {
+            let response = line.connection.send(request).await?;
+            let (parts, body) = response.into_parts();
+            Ok::<_, Error>((parts, body.collect().await))
+        });
+        match answered.await {
+            Ok(Ok((parts, Ok(body)))) => {
+                let end = self.judge(id, kind, parts.status, &parts.headers, &body.to_bytes());
+                let is_open = line.connection.wait_ready().await;
+                (end, is_open)
+            }
+            // A head without the rest of the body is an answer that broke off, and looks so.
+            Ok(Ok((_, Err(_)))) => (End::Failed, false),
+            // Nothing was sent, so that the gateway owes no answer.
+            Ok(Err(error)) if error.is_unsent() => (End::Failed, false),
+            Ok(Err(_)) | Err(_) => (End::Lost, false),
+        }
+    }
+
+    fn judge(
+        &self,
+        id: &str,
+        kind: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> End {
+        let is_refusal = [408, 421, 429, 503].contains(&status.as_u16());
+        if is_refusal {
+            return End::Refused;
+        }
+        if !status.is_success() {
+            return End::Failed;
+        }
+        let named = headers.get("x-request-attempt-id");
+        let is_signed = headers.contains_key("x-response-signature");
+        if named.is_none_or(|it| it != id) || !is_signed {
+            self.verdict
+                .violated(format!("{id} ({kind}) got the success of another request"));
+        }
+        let is_whole = if matches!(kind, "talk" | "chat") {
+            event_ids(body) == (1..=EVENTS).collect::<Vec<u64>>()
+        } else {
+            *body == format!("answer to {id}")
+        };
+        if !is_whole {
+            let text = String::from_utf8_lossy(body).into_owned();
+            self.verdict
+                .violated(format!("{id} ({kind}) got {text:?} as a whole answer"));
+        }
+        End::Served
+    }
+}
+
+fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
+    let request = Request::post(path)
+        .header("host", "carts.example")
+        .header("authorization", "Bearer key-1")
+        .header("x-request-attempt-id", id)
+        .header("x-deadline-milliseconds", DEADLINE.as_millis().to_string())
+        .header("x-pieces", "2,3")
+        .header("x-piece-key", "k")
+        .header("x-prompt-prefix", "5c1e:800,91bd:410");
+    let body = Full::new(Bytes::from_static(b"a body"));
+    request.body(body).expect("a request")
+}
+
+/// The numbers of the events in a body, in order.
+fn event_ids(body: &Bytes) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body).into_owned();
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
--- /dev/null
+++ b/crates/azurelug-system/src/soak/operator.rs
@@ -0,0 +1,131 @@
+//! An operator that changes the configuration, reads it back and drains zones.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurelug_http::h1::client::Connection;
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::verdict::Verdict;
+use super::world::World;
+
+/// How long an order is sent again until it is acknowledged.
+const ORDER_LIMIT: Duration = Duration::from_secs(20);
+
+/// How long one call may take.
+const CALL_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Starts an operator that sends a version every second or two and reads between them.
+pub fn start(world: &World, seed: u64) -> JoinHandle<()> {
+    let controls = world.controls();
+    let verdict = world.verdict();
+    let random = Pcg64::seed_from_u64(seed + 7);
+    tokio::spawn(change(controls, verdict, random))
+}
+
+async fn change(controls: Vec<SocketAddr>, verdict: Arc<Verdict>, mut random: Pcg64) {
+    let mut acknowledged = 1;
+    for version in 2_u64.. {
+        let body = Bytes::from(configuration(version).to_string());
+        if order(&controls, Method::PUT, "/configuration", body).await {
+            acknowledged = version;
+        }
+        for _ in 0..random.random_range(1..4) {
+            let control = controls[random.random_range(0..controls.len())];
+            let expected = acknowledged;
+            let read = call(control, Method::GET, "/configuration", Bytes::new()).await;
+            if let Some((200, body)) = read {
+                verdict.read();
+                check_read(&verdict, &body, expected);
+            }
+            sleep(Duration::from_millis(random.random_range(50..500))).await;
+        }
+    }
+}
+
+fn check_read(verdict: &Verdict, body: &Bytes, acknowledged: u64) {
+    let document: Value = serde_json::from_slice(body).unwrap_or_default();
+    let version = document["version"].as_u64().unwrap_or_default();
+    if version < acknowledged {
+        verdict.violated(format!(
+            "version {version} was read after {acknowledged} was acknowledged"
+        ));
+    }
+    if document != configuration(version) {
+        verdict.violated(format!("version {version} is not what was sent"));
+    }
+}
+
+/// Sends an order to one control daemon after another until it is acknowledged; false if it was not.
+pub async fn order(controls: &[SocketAddr], method: Method, path: &str, body: Bytes) -> bool {
+    let started = Instant::now();
+    for control in controls.iter().cycle() {
+        let answer = call(*control, method.clone(), path, body.clone()).await;
+        if answer.is_some_and(|(status, _)| status == 200) {
+            return true;
+        }
+        if started.elapsed() > ORDER_LIMIT {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Option<(u16, Bytes)> {
+    let called = timeout(CALL_LIMIT, async {
+        let mut connection = Connection::open(address, CALL_LIMIT, CALL_LIMIT)
+            .await
+            .ok()?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "control");
+        let request = request.body(Full::new(body)).ok()?;
+        let response = connection.send(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?;
+        Some((status, body.to_bytes()))
+    });
+    called.await.ok()?
+}
+
+/// A configuration with a plain route, one that may not repeat, and two streams, one with stages.
+/// The timeouts follow from the version, so that a document can be told from another one.
+#[must_use]
+pub fn configuration(version: u64) -> Value {
+    let timeout = 4000 + version % 50;
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "carts.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": timeout, "target_latency_ms": 1000, "priority": 0,
+            "service": service, "max_attempts": attempts, "resume_streams": true,
+            "gap_aim_ms": 400, "stages": []})
+    };
+    let mut chat = route("chat", "streaming", "llm", 2);
+    chat["stages"] = json!([
+        {"service": "encode", "after": [], "bytes": 1000},
+        {"service": "encode", "after": [0], "bytes": 1000}
+    ]);
+    let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1,
+        "room_mb": 10, "handle_s": 4});
+    json!({"version": version,
+        "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
+            route("talk", "streaming", "llm", 2)],
+        "services": [
+            {"name": "llm", "max_connections": 200, "cold_start_s": 0, "cold_per_s": 0},
+            {"name": "desk"}, {"name": "encode", "pieces": pieces}],
+        "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
+}
--- /dev/null
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -0,0 +1,261 @@
+//! Stand-ins of targets and of the platform's list. Each target records what it runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azurelug_gateway::body::{Body, BrokenOff};
+use azurelug_http::h1::server::{Limits, Stage, serve};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+use super::verdict::Verdict;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 8;
+
+/// Time between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+
+/// How a target behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// As it should.
+    #[default]
+    Sound,
+    /// Refuses every request as full.
+    Full,
+    /// Refuses every request and wants nothing for 0.8 s.
+    Closed,
+    /// Runs a request and closes the connection without an answer.
+    LosesAnswers,
+    /// Breaks answers off halfway.
+    BreaksOff,
+    /// Takes a second longer.
+    Slow,
+    /// Answers half of the requests with a failure.
+    Fails,
+}
+
+impl Behaviour {
+    pub(super) fn draw(random: &mut Pcg64) -> Self {
+        let all = [
+            Self::Full,
+            Self::Closed,
+            Self::LosesAnswers,
+            Self::BreaksOff,
+            Self::Slow,
+            Self::Fails,
+        ];
+        all[random.random_range(0..all.len())]
+    }
+}
+
+/// What the targets share.
+#[derive(Default)]
+pub struct Pool {
+    behaviours: Mutex<HashMap<String, Behaviour>>,
+    list: Mutex<Vec<Value>>,
+}
+
+impl Pool {
+    fn behaviours(&self) -> MutexGuard<'_, HashMap<String, Behaviour>> {
+        self.behaviours
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+
+    fn list(&self) -> MutexGuard<'_, Vec<Value>> {
+        self.list.lock().expect("no holder of the lock panics")
+    }
+
+    /// Sets the behaviour of a target.
+    pub fn set(&self, name: &str, behaviour: Behaviour) {
+        self.behaviours().insert(name.to_owned(), behaviour);
+    }
+
+    /// Lists a target at an address.
+    pub fn enter(&self, name: &str, service: &str, zone: &str, address: SocketAddr) {
+        self.list()
+            .push(json!({"id": name, "service": service, "address": address,
+            "zone": zone, "version": "v1", "slots": 8, "state": "ready",
+            "cold_remaining_ms": 0}));
+    }
+
+    /// Changes the state of a listed target.
+    pub fn mark(&self, name: &str, state: &str) {
+        for entry in self.list().iter_mut().filter(|entry| entry["id"] == name) {
+            entry["state"] = Value::from(state);
+        }
+    }
+}
+
+/// Starts the platform's list; returns its address.
+pub async fn start_list(pool: Arc<Pool>, stages: watch::Receiver<Stage>) -> SocketAddr {
+    let (listener, address) = bind().await;
+    let handler = move |_| {
+        let list = pool.list().clone();
+        let body = json!({"instances": list, "next": null}).to_string();
+        async move { Response::new(Body::whole(Bytes::from(body))) }
+    };
+    tokio::spawn(serve(listener, patient, stages, handler));
+    address
+}
+
+/// Starts a target; returns its address.
+pub async fn start_target(
+    name: String,
+    pool: Arc<Pool>,
+    verdict: Arc<Verdict>,
+    stages: watch::Receiver<Stage>,
+) -> SocketAddr {
+    let (listener, address) = bind().await;
+    let handler = move |request| {
+        let target = Target {
+            name: name.clone(),
+            address,
+            pool: Arc::clone(&pool),
+            verdict: Arc::clone(&verdict),
+        };
+        target.answer(request)
+    };
+    tokio::spawn(serve(listener, patient, stages, handler));
+    address
+}
+
+async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Limits of a stand-in, which never closes a connection.
+fn patient() -> Limits {
+    Limits::idle(Duration::from_secs(60))
+}
+
+struct Target {
+    name: String,
+    address: SocketAddr,
+    pool: Arc<Pool>,
+    verdict: Arc<Verdict>,
+}
+
+impl Target {
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        // A request that breaks off has not run.
+        let Ok(body) = body.collect().await else {
+            return Response::new(Body::whole(Bytes::new()));
+        };
+        let header = |name: &str| {
+            let value = parts.headers.get(name).and_then(|it| it.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let id = header("x-request-attempt-id");
+        let behaviour = self.pool.behaviours().get(&self.name).copied();
+        let behaviour = behaviour.unwrap_or_default();
+        self.verdict.arrived(&self.name);
+        if matches!(behaviour, Behaviour::Full | Behaviour::Closed) {
+            return refused(&id, behaviour);
+        }
+        if behaviour == Behaviour::Slow {
+            sleep(Duration::from_secs(1)).await;
+        }
+        match parts.uri.path() {
+            "/stage-run" => self.run_pieces(&body.to_bytes()).await,
+            "/stage-free" => Response::new(Body::whole(Bytes::from_static(b"{}"))),
+            _ => {
+                let last = header("last-event-id").parse().unwrap_or(0);
+                self.run(&id, last, behaviour)
+            }
+        }
+    }
+
+    /// Runs pieces; the handles name their request, so that inputs of another one are noticed.
+    async fn run_pieces(&self, body: &[u8]) -> Response<Body> {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let items = call["items"].as_array().cloned().unwrap_or_default();
+        let ends = items.iter().map(|item| {
+            let id = item["id"].as_str().unwrap_or_default();
+            let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
+            self.verdict.check_inputs(id, &inputs);
+            let nonce = rand::random::<u32>();
+            let handle = format!("{}/{id}.{}.{nonce}", self.address, item["piece"]);
+            json!({ "handle": handle })
+        });
+        let ends: Vec<Value> = ends.collect();
+        sleep(Duration::from_millis(20)).await;
+        Response::new(Body::whole(json!({ "items": ends }).to_string().into()))
+    }
+
+    fn run(&self, id: &str, last: u64, behaviour: Behaviour) -> Response<Body> {
+        self.verdict.ran(id);
+        let mut response = Response::new(Body::whole(Bytes::from(format!("answer to {id}"))));
+        let headers = response.headers_mut();
+        if let Ok(id) = id.parse() {
+            headers.insert("x-request-attempt-id", id);
+        }
+        headers.insert("x-response-signature", "signed".parse().expect("valid"));
+        if behaviour == Behaviour::Fails && rand::random() {
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            return response;
+        }
+        let is_stream = self.name.starts_with("llm");
+        if behaviour == Behaviour::LosesAnswers || (behaviour == Behaviour::BreaksOff && !is_stream)
+        {
+            let (sender, parts) = mpsc::channel(1);
+            drop(sender.try_send(Err(BrokenOff)));
+            *response.body_mut() = Body::Stream(parts);
+            return response;
+        }
+        if is_stream {
+            let kind = "text/event-stream".parse().expect("valid");
+            response.headers_mut().insert("content-type", kind);
+            *response.body_mut() = Body::Stream(events(behaviour, last));
+        }
+        response
+    }
+}
+
+fn refused(id: &str, behaviour: Behaviour) -> Response<Body> {
+    let mut response = Response::new(Body::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert("x-not-executed", "1".parse().expect("valid"));
+    if let Ok(id) = id.parse() {
+        headers.insert("x-request-attempt-id", id);
+    }
+    if behaviour == Behaviour::Closed {
+        headers.insert("retry-after", "0.8".parse().expect("valid"));
+    }
+    response
+}
+
+fn events(behaviour: Behaviour, last: u64) -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
+    let (sender, events) = mpsc::channel(1);
+    tokio::spawn(async move {
+        for id in last + 1..=EVENTS {
+            if behaviour == Behaviour::BreaksOff && id == last + 3 {
+                let _ = sender.send(Ok(Bytes::from(format!("id: {id}\nda")))).await;
+                let _ = sender.send(Err(BrokenOff)).await;
+                return;
+            }
+            sleep(EVENT_PAUSE).await;
+            let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
+            if sender.send(Ok(event)).await.is_err() {
+                return;
+            }
+        }
+    });
+    events
+}
--- /dev/null
+++ b/crates/azurelug-system/src/soak/verdict.rs
@@ -0,0 +1,244 @@
+//! What must hold, and what was seen.
+
+use std::collections::{BTreeMap, HashMap};
+use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::plan::{Fault, Step};
+
+/// Time after which a drained zone or a leaving target gets nothing more: the bound of the product's
+/// promise, and a second for requests that are on their way and processes that share one machine.
+const LEFT_ALONE: Duration = Duration::from_millis(4000);
+
+/// A gateway that stood still or started later than this before an arrival may have sent it by what
+/// it knew before.
+const CATCH_UP: Duration = Duration::from_millis(5000);
+
+/// Part of the requests that have to be served after the faults.
+const SERVED: f64 = 0.95;
+
+/// Violations that are kept in full; the others are counted.
+const MAX_VIOLATIONS: usize = 40;
+
+/// How a request ended, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// The whole answer of a target.
+    Served,
+    /// An answer that says that the request has not run.
+    Refused,
+    /// Any other failure.
+    Failed,
+    /// No answer.
+    Lost,
+}
+
+#[derive(Default)]
+struct State {
+    violations: Vec<String>,
+    more_violations: usize,
+    runs: HashMap<String, u32>,
+    once: Vec<String>,
+    refused: Vec<String>,
+    ends: BTreeMap<(String, End), u64>,
+    faults: BTreeMap<String, u64>,
+    /// Since when a target has to be left alone.
+    left: HashMap<String, Instant>,
+    disturbed: Option<Instant>,
+    reads: u64,
+}
+
+/// What a run has shown so far.
+#[derive(Default)]
+pub struct Verdict {
+    state: Mutex<State>,
+}
+
+/// The result of a run.
+#[derive(Debug)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// What did not hold.
+    pub violations: Vec<String>,
+    /// Where the logs of a failed run are.
+    pub logs: Option<PathBuf>,
+    /// Everything for people and programs.
+    pub summary: Value,
+}
+
+impl Verdict {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes that something did not hold.
+    pub fn violated(&self, text: String) {
+        let mut state = self.state();
+        if state.violations.len() < MAX_VIOLATIONS {
+            state.violations.push(text);
+        } else {
+            state.more_violations += 1;
+        }
+    }
+
+    /// Counts a fault.
+    pub fn injected(&self, fault: &Fault) {
+        let text = format!("{fault:?}");
+        let kind = text.split('(').next().unwrap_or_default().to_owned();
+        *self.state().faults.entry(kind).or_default() += 1;
+    }
+
+    /// Notes that a target has run a request.
+    pub fn ran(&self, id: &str) {
+        *self.state().runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// Notes a request that may run once at most.
+    pub fn may_run_once(&self, id: &str) {
+        self.state().once.push(id.to_owned());
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&self, id: &str, kind: &str, end: End) {
+        let mut state = self.state();
+        if end == End::Refused {
+            state.refused.push(id.to_owned());
+        }
+        *state.ends.entry((kind.to_owned(), end)).or_default() += 1;
+    }
+
+    /// Counts a read of the configuration.
+    pub fn read(&self) {
+        self.state().reads += 1;
+    }
+
+    /// Checks that inputs of a piece were made for its own request.
+    pub fn check_inputs(&self, id: &str, inputs: &[Value]) {
+        let is_own = |input: &Value| {
+            let handle = input.as_str().unwrap_or_default();
+            handle
+                .split('/')
+                .nth(1)
+                .is_some_and(|it| it.starts_with(&format!("{id}.")))
+        };
+        if !inputs.iter().all(is_own) {
+            self.violated(format!("a piece of {id} got the inputs {inputs:?}"));
+        }
+    }
+
+    /// Notes that a target is to be left alone from now on, or not any more.
+    pub fn leave_alone(&self, target: &str, is_left: bool) {
+        let mut state = self.state();
+        if is_left {
+            state.left.insert(target.to_owned(), Instant::now());
+        } else {
+            state.left.remove(target);
+        }
+    }
+
+    /// Notes that a daemon stood still, ended or started.
+    pub fn disturbed(&self) {
+        self.state().disturbed = Some(Instant::now());
+    }
+
+    /// Notes that anything has arrived at a target.
+    pub fn arrived(&self, target: &str) {
+        let late = {
+            let state = self.state();
+            let is_calm = state.disturbed.is_none_or(|at| at.elapsed() > CATCH_UP);
+            let left = state.left.get(target).filter(|_| is_calm);
+            left.map(Instant::elapsed).filter(|it| *it > LEFT_ALONE)
+        };
+        if let Some(late) = late {
+            let millis = late.as_millis();
+            self.violated(format!(
+                "{target} got a request {millis} ms after it was left"
+            ));
+        }
+    }
+
+    /// Requests by their end so far.
+    pub fn counts(&self) -> BTreeMap<End, u64> {
+        let mut counts = BTreeMap::new();
+        for ((_, end), count) in &self.state().ends {
+            *counts.entry(*end).or_default() += count;
+        }
+        counts
+    }
+
+    /// Checks that nearly all requests since `before` were served.
+    pub fn check_recovery(&self, before: &BTreeMap<End, u64>) {
+        let now = self.counts();
+        let since = |end: End| {
+            let before = before.get(&end).copied().unwrap_or_default();
+            now.get(&end).copied().unwrap_or_default() - before
+        };
+        let all = [End::Served, End::Refused, End::Failed, End::Lost];
+        let sum: u64 = all.into_iter().map(since).sum();
+        let served = since(End::Served);
+        if served == 0 || (served as f64) < SERVED * sum as f64 {
+            let what = all.map(|end| format!("{end:?} {}", since(end)));
+            self.violated(format!("after the faults: {}", what.join(", ")));
+        }
+    }
+
+    /// Checks what can only be told at the end, and sums everything up.
+    pub fn close(&self, seed: u64, plan: &[Step]) -> Report {
+        self.check_runs();
+        let mut state = self.state();
+        let mut violations = std::mem::take(&mut state.violations);
+        if state.more_violations > 0 {
+            violations.push(format!("and {} more", state.more_violations));
+        }
+        let ends = state.ends.iter();
+        let ends: BTreeMap<String, u64> = ends
+            .map(|((kind, end), count)| (format!("{kind} {end:?}").to_lowercase(), *count))
+            .collect();
+        let plan: Vec<String> = plan
+            .iter()
+            .map(|step| {
+                let (at, lasts) = (step.at.as_millis(), step.lasts.as_millis());
+                format!("{at} ms, for {lasts} ms: {:?}", step.fault)
+            })
+            .collect();
+        let summary = json!({"seed": seed, "violations": violations, "requests": ends,
+            "faults": state.faults, "reads": state.reads, "plan": plan});
+        Report {
+            seed,
+            violations,
+            logs: None,
+            summary,
+        }
+    }
+
+    fn check_runs(&self) {
+        let (twice, untrue) = {
+            let state = self.state();
+            let runs = |id: &&String| state.runs.get(*id).copied().unwrap_or_default();
+            let twice: Vec<String> = state
+                .once
+                .iter()
+                .filter(|id| runs(id) > 1)
+                .cloned()
+                .collect();
+            let untrue: Vec<String> = state
+                .refused
+                .iter()
+                .filter(|id| runs(id) > 0)
+                .cloned()
+                .collect();
+            (twice, untrue)
+        };
+        for id in twice {
+            self.violated(format!("{id} ran more than once"));
+        }
+        for id in untrue {
+            self.violated(format!("{id} was refused as not run, and has run"));
+        }
+    }
+}
