system: soak begins faults without randomness of its own

Cause: left over from an earlier form of the plan, which now draws everything. Change: World::begin takes the fault alone. Conclusion: none.

--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -14,8 +14,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand_pcg::Pcg64;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use plan::{Fault, Step};
@@ -63,13 +61,12 @@
     let callers = callers::start(&world, options);
     let operator = operator::start(&world, options.seed);
     let started = Instant::now();
-    let mut random = Pcg64::seed_from_u64(options.seed);
     let mut ends: Vec<(Duration, Fault)> = Vec::new();
     for Step { at, lasts, fault } in plan.iter().cloned() {
         end_until(&mut world, &mut ends, started, at).await;
         sleep_until(started + at).await;
         verdict.injected(&fault);
-        world.begin(&fault, &mut random).await;
+        world.begin(&fault);
         ends.push((at + lasts, fault));
         ends.sort_by_key(|(end, _)| *end);
     }
--- a/crates/azurelug-system/src/soak/world.rs
+++ b/crates/azurelug-system/src/soak/world.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use http::Method;
 use nix::sys::signal::Signal;
-use rand_pcg::Pcg64;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -227,7 +226,7 @@
     }
 
     /// Begins a fault.
-    pub async fn begin(&mut self, fault: &Fault, _random: &mut Pcg64) {
+    pub fn begin(&mut self, fault: &Fault) {
         self.note(fault, true);
         match fault {
             Fault::KillGateway(it) => self.gateway(*it).kill(),
