--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -21,6 +21,9 @@
 /// How long a caller waits for an answer.
 const DEADLINE: Duration = Duration::from_millis(4000);
 
+/// A connection that the gateway closes as a request is sent on it ends within this time.
+const CROSSING: Duration = Duration::from_millis(300);
+
 /// Requests on one connection at most.
 const PER_CONNECTION: u32 = 20;
 
@@ -78,8 +81,10 @@
             }
             let sent = Instant::now();
             let (end, is_usable) = self.exchange(&mut taken, &id, kind, path).await;
-            if end == End::Lost && self.stops.promised(taken.gateway, sent) {
-                let text = format!("{id} ({kind}) got no answer though its gateway only stopped");
+            // One that crosses the close of its connection, and that nobody has read, may be lost.
+            let was_read = self.verdict.was_seen(&id) || sent.elapsed() > CROSSING;
+            if end == End::Lost && was_read && self.stops.promised(taken.gateway, sent) {
+                let text = format!("{id} ({kind}) got no answer, and its gateway was up");
                 self.verdict.violated(text);
             }
             self.verdict.ended(&id, kind, end);
--- a/crates/azurelug-system/src/soak/verdict.rs
+++ b/crates/azurelug-system/src/soak/verdict.rs
@@ -1,6 +1,6 @@
 //! What must hold, and what was seen.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -14,9 +14,9 @@
 /// promise, and a second for requests that are on their way and processes that share one machine.
 const LEFT_ALONE: Duration = Duration::from_millis(4000);
 
-/// A gateway that stood still or started later than this before an arrival may have sent it by what
-/// it knew before.
-const CATCH_UP: Duration = Duration::from_millis(5000);
+/// A gateway that woke later than this before an arrival may have sent it by what it knew before, and
+/// so may one whose control daemon was lost.
+const CATCH_UP: Duration = Duration::from_millis(2000);
 
 /// Part of the requests that have to be served after the faults.
 const SERVED: f64 = 0.95;
@@ -42,6 +42,8 @@
     violations: Vec<String>,
     more_violations: usize,
     runs: HashMap<String, u32>,
+    /// Requests of which a target has seen pieces.
+    staged: HashSet<String>,
     once: Vec<String>,
     refused: Vec<String>,
     ends: BTreeMap<(String, End), u64>,
@@ -98,6 +100,12 @@
         *self.state().runs.entry(id.to_owned()).or_default() += 1;
     }
 
+    /// Whether a target has seen a request or a piece of it.
+    pub fn was_seen(&self, id: &str) -> bool {
+        let state = self.state();
+        state.runs.contains_key(id) || state.staged.contains(id)
+    }
+
     /// Notes a request that may run once at most.
     pub fn may_run_once(&self, id: &str) {
         self.state().once.push(id.to_owned());
@@ -119,6 +127,7 @@
 
     /// Checks that inputs of a piece were made for its own request.
     pub fn check_inputs(&self, id: &str, inputs: &[Value]) {
+        self.state().staged.insert(id.to_owned());
         let is_own = |input: &Value| {
             let handle = input.as_str().unwrap_or_default();
             handle
@@ -141,7 +150,7 @@
         }
     }
 
-    /// Notes that a daemon stood still, ended or started.
+    /// Notes that what gateways know may be old for a while.
     pub fn disturbed(&self) {
         self.state().disturbed = Some(Instant::now());
     }
--- a/crates/azurelug-system/src/soak/world.rs
+++ b/crates/azurelug-system/src/soak/world.rs
@@ -28,51 +28,49 @@
 /// How long a stopping daemon may take to end by itself.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// How long after the end of a gateway its callers may still send on connections to it.
+const ENDED: Duration = Duration::from_secs(1);
+
 /// How long a stopping gateway accepts requests: a little less than it states.
 const ACCEPTS: Duration = Duration::from_millis(2300);
 
-/// Stops of gateways, for the promise that a stop cuts no request off.
-#[derive(Default)]
-pub struct Stops {
-    /// Stops in progress: when each began, by the gateway's number.
-    stops: Mutex<HashMap<usize, Instant>>,
-    /// When something else than a stop last disturbed anything, or still does.
-    others: Mutex<Others>,
+/// What happened to one gateway last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Past {
+    /// Whether it is being killed or is dead.
+    is_down: bool,
+    /// When it was last dead.
+    killed: Option<Instant>,
+    is_frozen: bool,
+    thawed: Option<Instant>,
+    /// When it was asked to stop, and when it had ended.
+    stopped: Option<Instant>,
+    ended: Option<Instant>,
 }
 
+/// What happened to the gateways, for the promise that each request gets an answer.
 #[derive(Default)]
-struct Others {
-    active: usize,
-    last: Option<Instant>,
-}
+pub struct Stops(Mutex<HashMap<usize, Past>>);
 
 impl Stops {
-    /// Whether a request that was sent to a gateway has to be answered although the gateway stops:
-    /// it was sent while the gateway accepted requests, and nothing else went on.
+    /// Whether a request that was sent to a gateway has to be answered, whatever its targets do: the
+    /// gateway was not killed and did not stand still since, and accepted requests then.
     pub fn promised(&self, gateway: usize, sent: Instant) -> bool {
-        let stops = self.stops.lock().expect("no holder of the lock panics");
-        let others = self.others.lock().expect("no holder of the lock panics");
-        let is_calm = others.active == 0 && others.last.is_none_or(|last| last < sent);
-        let began = stops.get(&gateway);
-        began.is_some_and(|began| is_calm && sent < *began + ACCEPTS)
-    }
-
-    fn stop(&self, gateway: u8, began: Option<Instant>) {
-        let mut stops = self.stops.lock().expect("no holder of the lock panics");
-        match began {
-            Some(at) => stops.insert(usize::from(gateway), at),
-            None => stops.remove(&usize::from(gateway)),
-        };
+        let pasts = self.0.lock().expect("no holder of the lock panics");
+        let past = pasts.get(&gateway).copied().unwrap_or_default();
+        let since = |at: Option<Instant>| at.is_some_and(|at| at >= sent);
+        let is_closing = past.stopped.is_some_and(|at| at + ACCEPTS <= sent)
+            && past.ended.is_none_or(|at| sent < at + ENDED);
+        !past.is_down
+            && !since(past.killed)
+            && !past.is_frozen
+            && !since(past.thawed)
+            && !is_closing
     }
 
-    fn disturb(&self, is_active: bool) {
-        let mut others = self.others.lock().expect("no holder of the lock panics");
-        others.last = Some(Instant::now());
-        others.active = if is_active {
-            others.active + 1
-        } else {
-            others.active.saturating_sub(1)
-        };
+    fn note(&self, gateway: u8, change: impl FnOnce(&mut Past)) {
+        let mut pasts = self.0.lock().expect("no holder of the lock panics");
+        change(pasts.entry(usize::from(gateway)).or_default());
     }
 }
 
@@ -229,12 +227,22 @@
     pub fn begin(&mut self, fault: &Fault) {
         self.note(fault, true);
         match fault {
-            Fault::KillGateway(it) => self.gateway(*it).kill(),
+            Fault::KillGateway(it) => {
+                // Callers may see its end before this task goes on.
+                self.stops.note(*it, |past| past.is_down = true);
+                self.gateway(*it).kill();
+            }
             Fault::StopGateway(it) => {
-                self.stops.stop(*it, Some(Instant::now()));
+                self.stops.note(*it, |past| {
+                    past.stopped = Some(Instant::now());
+                    past.ended = None;
+                });
                 self.gateway(*it).signal(Signal::SIGTERM);
             }
-            Fault::FreezeGateway(it) => self.gateway(*it).signal(Signal::SIGSTOP),
+            Fault::FreezeGateway(it) => {
+                self.stops.note(*it, |past| past.is_frozen = true);
+                self.gateway(*it).signal(Signal::SIGSTOP);
+            }
             Fault::KillControl(it) => self.control(*it).kill(),
             Fault::StopControl(it) => self.control(*it).signal(Signal::SIGTERM),
             Fault::FreezeControl(it) => self.control(*it).signal(Signal::SIGSTOP),
@@ -256,10 +264,17 @@
     /// Ends a fault.
     pub async fn end(&mut self, fault: &Fault) {
         match fault {
-            Fault::KillGateway(it) => self.gateway(*it).start(),
+            Fault::KillGateway(it) => {
+                self.stops.note(*it, |past| {
+                    past.is_down = false;
+                    past.killed = Some(Instant::now());
+                });
+                self.gateway(*it).start();
+            }
             Fault::StopGateway(it) => {
                 let ended = self.ended(*it).await;
-                self.stops.stop(*it, None);
+                self.stops
+                    .note(*it, |past| past.ended = Some(Instant::now()));
                 if !ended {
                     let text = format!("gateway {it} did not end within its grace period");
                     self.verdict.violated(text);
@@ -267,7 +282,13 @@
                 }
                 self.gateway(*it).start();
             }
-            Fault::FreezeGateway(it) => self.gateway(*it).signal(Signal::SIGCONT),
+            Fault::FreezeGateway(it) => {
+                self.gateway(*it).signal(Signal::SIGCONT);
+                self.stops.note(*it, |past| {
+                    past.is_frozen = false;
+                    past.thawed = Some(Instant::now());
+                });
+            }
             Fault::KillControl(it) | Fault::WipeControl(it) => self.control(*it).start(),
             Fault::StopControl(it) => {
                 self.control(*it).kill();
@@ -285,16 +306,18 @@
         self.note(fault, false);
     }
 
-    /// Notes what a fault excuses.
+    /// Notes what a fault excuses: a gateway that wakes sends what it decided before, and while
+    /// control daemons change gateways learn late.
     fn note(&self, fault: &Fault, is_begin: bool) {
-        if !matches!(fault, Fault::StopGateway(_)) {
-            self.stops.disturb(is_begin);
-        }
-        let is_daemon = !matches!(
-            fault,
-            Fault::Target(..) | Fault::Link(..) | Fault::Leave(_) | Fault::Drain(_)
-        );
-        if is_daemon {
+        let is_excuse = match fault {
+            Fault::FreezeGateway(_) => !is_begin,
+            Fault::KillControl(_)
+            | Fault::StopControl(_)
+            | Fault::FreezeControl(_)
+            | Fault::WipeControl(_) => true,
+            _ => false,
+        };
+        if is_excuse {
             self.verdict.disturbed();
         }
     }
