gateway: log the limit that a target names and each request sent to it

Change: platform decodes the header into TargetNotice, the gateway keeps the limit beside the target's other notices, logs its begin, change and end, logs each request to such a target with its kind, and shows the limit in the state dump. The selection of targets is unchanged.

--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod fleet;
+pub mod limits;
 pub mod orders;
 pub mod plan;
 pub mod reachability;
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -14,8 +14,9 @@
 
 use azurelug_types::deployment::{Target, TargetNotice};
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
+use azurelug_types::rate::Rate;
 
-use super::rendezvous;
+use super::{limits, rendezvous};
 use health::Health;
 pub use health::Outcome;
 use rate_limit::RateLimit;
@@ -76,6 +77,15 @@
     None,
 }
 
+/// What a target's notice has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoticeEffect {
+    /// Whether it is the first report that the target is leaving.
+    pub is_leaving: bool,
+    /// Whether the target's limit has changed, begun or ended.
+    pub is_limit_changed: bool,
+}
+
 /// Overcommit factor for a target's slots, over all gateways. Above 1, because gateways rarely use
 /// their full share at the same time, and a target can queue a few requests.
 const SLOT_OVERCOMMIT: f64 = 1.5;
@@ -110,6 +120,8 @@
     reported_leaving: bool,
     /// Until when the target has asked this daemon to send no requests.
     closed_until: Duration,
+    /// The target's own limit for the requests from all gateways.
+    limit: limits::Knowledge,
     health: Health,
     rate_limit: RateLimit,
 }
@@ -123,6 +135,7 @@
             cold_until,
             reported_leaving: false,
             closed_until: Duration::ZERO,
+            limit: limits::Knowledge::default(),
             health: Health::default(),
             rate_limit: RateLimit::default(),
         }
@@ -132,6 +145,7 @@
     fn reset_reported(&mut self) {
         self.reported_leaving = false;
         self.closed_until = Duration::ZERO;
+        self.limit = limits::Knowledge::default();
     }
 }
 
@@ -408,8 +422,14 @@
         record.health.record_outcome(outcome, now);
     }
 
-    /// Applies a status notice of a target. Returns whether it is the first report of leaving.
-    pub fn apply_notice(&mut self, key: Key, notice: TargetNotice, now: Duration) -> bool {
+    /// Applies a status notice of a target, from the answer to a request that was sent at `sent`.
+    pub fn apply_notice(
+        &mut self,
+        key: Key,
+        notice: TargetNotice,
+        sent: Duration,
+        now: Duration,
+    ) -> NoticeEffect {
         let record = &mut self.records[key.0 as usize];
         if let Some(left) = notice.cold {
             record.cold_until = record.cold_until.max(now + left);
@@ -419,7 +439,17 @@
         }
         let is_first_report = notice.is_leaving && !record.reported_leaving;
         record.reported_leaving |= notice.is_leaving;
-        is_first_report
+        NoticeEffect {
+            is_leaving: is_first_report,
+            is_limit_changed: record.limit.observe(notice.limit, sent, now),
+        }
+    }
+
+    /// Returns the limit that a target has named for the requests from all gateways.
+    #[must_use]
+    pub fn limit(&self, name: &TargetName) -> Option<Rate> {
+        let key = self.key(name)?;
+        self.records[key.0 as usize].limit.rate
     }
 
     /// Returns the key of a target by its name.
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -376,9 +376,9 @@
         is_leaving: true,
         ..TargetNotice::default()
     };
-    assert!(fleet.apply_notice(leaving, notice, MS));
+    assert!(fleet.apply_notice(leaving, notice, MS, MS).is_leaving);
     assert!(
-        !fleet.apply_notice(leaving, notice, MS),
+        !fleet.apply_notice(leaving, notice, MS, MS).is_leaving,
         "a repeated notice was reported as new"
     );
     // The list is stale: it still has the target as ready.
@@ -410,7 +410,8 @@
             unavailable_for: Some(Duration::from_secs(seconds)),
             ..TargetNotice::default()
         };
-        assert!(!fleet.apply_notice(key, notice, Duration::ZERO));
+        let effect = fleet.apply_notice(key, notice, Duration::ZERO, Duration::ZERO);
+        assert!(!effect.is_leaving);
     }
     let wait = Duration::from_millis(1500);
     let held = request.place(&mut fleet, &[], 500 * MS);
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use azurelug_platform::operators::READY;
+use azurelug_types::rate::Rate;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -30,6 +31,8 @@
     service: String,
     zone: String,
     is_leaving: bool,
+    /// Limit that the target has named, in requests a second from all gateways.
+    limit: Option<f64>,
     in_flight: u32,
 }
 
@@ -61,6 +64,7 @@
         service: target.service.to_string(),
         zone: target.zone.to_string(),
         is_leaving: target.is_leaving,
+        limit: fleet.limit(&target.name).map(Rate::per_second),
         in_flight,
     });
     let targets = rows.collect();
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::{Exchange, Failure};
-use crate::gateway::Slot;
+use crate::gateway::{SendKind, Slot};
 use crate::upstream::Acquired;
 
 /// Largest answer that is buffered in full.
@@ -135,6 +135,8 @@
     pub has_arrived: bool,
     /// Whether a target refused the request because stage results are no longer available.
     pub inputs_gone: bool,
+    /// Whether the client has received a part of the stream.
+    pub is_resumed: bool,
 }
 
 /// Parameters of the attempts of a request.
@@ -288,6 +290,15 @@
 }
 
 impl AttemptHistory {
+    /// The kind of the attempt at the last target in `tried`.
+    fn send_kind(&self) -> SendKind {
+        match self.tried.len() {
+            0 | 1 => SendKind::First,
+            _ if self.is_resumed => SendKind::Resume,
+            _ => SendKind::Repeat,
+        }
+    }
+
     /// Counts a refusal. The client may be told that the request was refused only while it can't
     /// have run at any target.
     fn record_refusal(&mut self, last: Failure, reason: &'static str) -> Failure {
@@ -424,7 +435,7 @@
 ) -> (TargetReply, Option<Slot>) {
     const NO_ANSWER: TargetReply = TargetReply::ConnectionFailed("no answer in time");
     let zone = params.zone;
-    let mut sent = std::pin::pin!(send_once(exchange, slot, params));
+    let mut sent = std::pin::pin!(send_once(exchange, slot, params, history.send_kind()));
     loop {
         let attempt_timeout = attempt_timeout(exchange, may_retry);
         if let Ok(reply) = timeout(attempt_timeout, sent.as_mut()).await {
@@ -444,6 +455,7 @@
     exchange: &Exchange,
     slot: &Slot,
     params: &mut AttemptParams<'_>,
+    kind: SendKind,
 ) -> TargetReply {
     let upstream = &exchange.gateway.upstream;
     let at_most_once = exchange.route.kind == RequestKind::AtMostOnce;
@@ -452,6 +464,8 @@
         Err(error) => return connect_failed(exchange, &error),
     };
     loop {
+        let gateway = &exchange.gateway;
+        gateway.log_limited_send(&slot.target.name, kind, &exchange.id);
         let request = request(exchange, slot, params);
         let error = match acquired.connection.send(request).await {
             Ok(response) => {
@@ -508,9 +522,14 @@
     } = acquired;
     let (parts, body) = response.into_parts();
     let head = Head::read(parts.status, &parts.headers, &exchange.id);
-    exchange
-        .gateway
-        .apply_notice(&slot.target.name, head.notice);
+    let notice = if head.has_request_id {
+        head.notice
+    } else {
+        head.notice.of_possible_copy()
+    };
+    let sent = slot.reserved_at();
+    let gateway = &exchange.gateway;
+    gateway.apply_notice(&slot.target.name, notice, sent);
     match head.verdict {
         Verdict::Unusable => {
             return TargetReply::Unusable("the answer is not this request's");
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 use crate::answers;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, SendKind};
 use crate::peers::Scope;
 
 /// Largest answer to a call. A handle has about 40 bytes.
@@ -455,9 +455,13 @@
         items: &[WorkItem],
     ) -> Result<CallEnd, CallError> {
         let request = pieces::call(&self.target, items);
+        let sent = self.gateway.now();
+        let name = &self.target.name;
+        let gateway = &self.gateway;
+        gateway.log_limited_send(name, SendKind::Pieces, &items[0].request);
         let (parts, body) = connection.send(request).await?.into_parts();
         let head = target::Head::read(parts.status, &parts.headers, "");
-        self.gateway.apply_notice(&self.target.name, head.notice);
+        gateway.apply_notice(name, head.notice.of_possible_copy(), sent);
         let body = self
             .gateway
             .answer_reader
@@ -479,8 +483,10 @@
         // Answers don't identify their call. Only an answer with new results certainly belongs to
         // this call; after any other, the next answer on the connection may be this call's.
         let is_own = ends.iter().any(|end| matches!(end, ItemOutcome::Done(_)));
+        if is_own {
+            gateway.apply_notice(name, head.notice, sent);
+        }
         if is_own && connection.wait_ready().await {
-            let name = &self.target.name;
             self.gateway
                 .upstream
                 .put_back(name, connection, head.idle_timeout);
@@ -534,10 +540,12 @@
     let request = pieces::release(target, &handles);
     let released = async {
         let mut acquired = gateway.upstream.acquire(target, false).await?;
+        let sent = gateway.now();
+        gateway.log_limited_send(&target.name, SendKind::Release, "-");
         let response = acquired.connection.send(request).await?;
         let (parts, body) = response.into_parts();
         let head = target::Head::read(parts.status, &parts.headers, "");
-        gateway.apply_notice(&target.name, head.notice);
+        gateway.apply_notice(&target.name, head.notice.of_possible_copy(), sent);
         if !head.status.is_success() {
             let status = head.status.as_u16();
             log::warn!(
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::value_rank::ValueRanking;
-use azurelug_types::deployment::{Limits, Service, Target, TargetNotice};
+use azurelug_types::deployment::{LimitNotice, Limits, Service, Target, TargetNotice};
 use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use azurelug_wire::handshake::Identity;
 use tokio::sync::Notify;
@@ -111,29 +111,41 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
-    /// Applies the status that a target reported in the headers of an answer.
-    pub fn apply_notice(self: &Arc<Self>, name: &TargetName, notice: TargetNotice) {
+    /// Applies the status that a target reported in the headers of an answer to a request that was
+    /// sent at `sent`.
+    pub fn apply_notice(self: &Arc<Self>, name: &TargetName, notice: TargetNotice, sent: Duration) {
         if notice == TargetNotice::default() {
             return;
         }
         let now = self.now();
-        let is_leaving = {
+        let effect = {
             let mut fleet = self.fleet();
             let Some(key) = fleet.key(name) else { return };
-            fleet.apply_notice(key, notice, now)
+            fleet.apply_notice(key, notice, sent, now)
         };
+        if effect.is_limit_changed {
+            log_limit(name, notice.limit);
+        }
         if let Some(closed) = notice.unavailable_for {
             log::info!(
                 "gateway: target {name} wants nothing for {} ms",
                 closed.as_millis()
             );
         }
-        if is_leaving {
+        if effect.is_leaving {
             log::info!("gateway: target {name} says that it is leaving; gets no new work");
             self.dispatch_workers.relist(self);
         }
     }
 
+    /// Logs a request to a target that has named a limit. Targets without one cause no lines.
+    pub fn log_limited_send(&self, target: &TargetName, kind: SendKind, id: &str) {
+        if let Some(limit) = self.fleet().limit(target) {
+            let kind = kind.as_str();
+            log::info!("gateway: request {id} sent to {target}; kind={kind} limit={limit}");
+        }
+    }
+
     /// Time until a target accepts requests from this gateway again.
     pub fn target_retry_after(&self, name: &TargetName) -> Duration {
         self.fleet().closed_for(name, self.now())
@@ -347,6 +359,43 @@
     }
 }
 
+fn log_limit(name: &TargetName, limit: LimitNotice) {
+    match limit {
+        LimitNotice::Limited(rate) => log::info!("gateway: target {name} names a limit of {rate}"),
+        LimitNotice::Unlimited => log::info!("gateway: target {name} names no limit any more"),
+        LimitNotice::Unknown => {}
+    }
+}
+
+/// Why a request is sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// The first attempt of a client's request.
+    First,
+    /// A further attempt.
+    Repeat,
+    /// A further attempt that continues a stream.
+    Resume,
+    /// A call that runs pieces of stages.
+    Pieces,
+    /// A call that releases results.
+    Release,
+}
+
+impl SendKind {
+    /// Returns the name for log lines.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Repeat => "repeat",
+            Self::Resume => "resume",
+            Self::Pieces => "pieces",
+            Self::Release => "release",
+        }
+    }
+}
+
 /// A request's reserved slot at a target. Dropping it releases the slot.
 pub struct Slot {
     gateway: Arc<Gateway>,
@@ -364,6 +413,11 @@
         self.gateway.now().saturating_sub(self.sent)
     }
 
+    /// When the slot was reserved, as the time since the gateway's start.
+    pub fn reserved_at(&self) -> Duration {
+        self.sent
+    }
+
     /// Sets the outcome that is reported to the target's health record on release.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -215,6 +215,7 @@
         drop(connection);
         slot.release();
         let last = splitter.last().or(self.exchange.fields.last_event);
+        self.history.is_resumed = true;
         let resumed = self.resume_at_target(last, next).await;
         if resumed.is_some() || !std::mem::take(&mut self.history.inputs_gone) {
             return resumed;
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::id::{AccountName, ServiceName, TargetName, ZoneName};
+use crate::rate::Rate;
 
 /// A position in [`Deployment::services`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -214,6 +215,32 @@
     pub is_leaving: bool,
     /// How long it accepts no request at all from the daemon that it answers.
     pub unavailable_for: Option<Duration>,
+    /// The limit for requests from all daemons together.
+    pub limit: LimitNotice,
+}
+
+/// What an answer says about the target's limit for requests from all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// Nothing: the limit can't be read, or the answer may be another target's.
+    #[default]
+    Unknown,
+    /// The target has no limit.
+    Unlimited,
+    /// The target accepts this rate from all daemons together.
+    Limited(Rate),
+}
+
+impl TargetNotice {
+    /// The notice of an answer that may be a late copy of an earlier one. The end of a limit is
+    /// not taken from it.
+    #[must_use]
+    pub fn of_possible_copy(mut self) -> Self {
+        if self.limit == LimitNotice::Unlimited {
+            self.limit = LimitNotice::Unknown;
+        }
+        self
+    }
 }
 
 impl Deployment {
--- a/crates/azurelug-types/src/lib.rs
+++ b/crates/azurelug-types/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod id;
 pub mod outcome;
 pub mod patch;
+pub mod rate;
