system: failing tests of the limit that a target names

Evidence: six real gateways, three control daemons and targets that name a limit. Change: azurelug_testkit::limit checks the rule from arrivals by gateway; the soak's targets name limits. Both tests are in KNOWN-RED.txt and passed over until the fix.

--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod checker;
 pub mod deployment;
+pub mod limits;
 pub mod operator;
 pub mod plan;
 pub mod targets;
--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -126,10 +126,12 @@
         path: &str,
     ) -> (Outcome, bool) {
         current.requests += 1;
+        self.checker.limits.record_sent(id, current.gateway);
         let request = request(id, path);
         let answered = timeout(DEADLINE + Duration::from_secs(1), async {
             let response = current.connection.send(request).await?;
             let (parts, body) = response.into_parts();
+            self.record_limit(&parts.headers, current.gateway);
             Ok::<_, Error>((parts, body.collect().await))
         });
         match answered.await {
@@ -147,6 +149,15 @@
         }
     }
 
+    fn record_limit(&self, headers: &HeaderMap, gateway: usize) {
+        let target = headers.get("x-instance-id").and_then(|it| it.to_str().ok());
+        if let Some(target) = target
+            && headers.contains_key("server-limit")
+        {
+            self.checker.limits.record_told(target, gateway);
+        }
+    }
+
     fn check_answer(
         &self,
         id: &str,
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
 
 /// Time after which a drained zone or a leaving target must get no requests: the guaranteed bound
@@ -58,6 +59,8 @@
 #[derive(Default)]
 pub struct Checker {
     state: Mutex<State>,
+    /// The limits of targets.
+    pub limits: Limits,
 }
 
 /// The result of a run.
@@ -161,7 +164,8 @@
     }
 
     /// Checks, when a request arrives at a target, that the target may get requests.
-    pub fn check_arrival(&self, target: &str) {
+    pub fn check_arrival(&self, target: &str, id: &str) {
+        self.limits.record_arrival(target, id);
         let late = {
             let state = self.state();
             let is_undisrupted = state
@@ -214,6 +218,9 @@
     /// Runs the final checks and builds the report.
     pub fn finish(&self, seed: u64, plan: &[ScheduledFault]) -> Report {
         self.check_runs();
+        for violation in self.limits.violations() {
+            self.record_violation(violation);
+        }
         let mut state = self.state();
         let mut violations = std::mem::take(&mut state.violations);
         if state.omitted_violations > 0 {
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -8,6 +8,7 @@
 
 use azurelug_http::h1::server::ShutdownState;
 use azurelug_testkit::proxy::{Link, NewConnections, Proxy, Rule, Settings};
+use azurelug_types::rate::Rate;
 use bytes::Bytes;
 use http::Method;
 use nix::sys::signal::Signal;
@@ -240,9 +241,18 @@
         Arc::clone(&self.checker)
     }
 
+    /// Sets the limit that a target names in its answers.
+    pub fn set_limit(&self, target: &str, limit: Option<Rate>) {
+        self.pool.set_limit(target, limit);
+        self.checker.limits.set_limit(target, limit);
+    }
+
     /// Starts a fault.
     pub fn start_fault(&mut self, fault: &Fault) {
         self.note_disruption(fault, true);
+        if let Some(gateway) = fault.gateway() {
+            self.checker.limits.start_fault(gateway);
+        }
         match fault {
             Fault::KillGateway(it) => {
                 // Noted first, because callers may see the connection close before `kill` returns.
@@ -271,6 +281,7 @@
                 std::fs::remove_dir_all(data).expect("remove the data folder");
             }
             Fault::Target(name, behaviour) => self.pool.set_behaviour(name, *behaviour),
+            Fault::Limit(name, rate) => self.set_limit(name, Some(*rate)),
             Fault::Link(name, kind) => self.proxies[name].set_link(link_settings(*kind)),
             Fault::Leave(name) => {
                 self.pool.set_state(name, "draining");
@@ -315,6 +326,7 @@
             }
             Fault::FreezeControl(it) => self.control(*it).signal(Signal::SIGCONT),
             Fault::Target(name, _) => self.pool.set_behaviour(name, Behaviour::Normal),
+            Fault::Limit(name, _) => self.set_limit(name, None),
             Fault::Link(name, _) => self.proxies[name].set_link(Link::default()),
             Fault::Leave(name) => {
                 self.checker.set_drained(name, false);
@@ -322,6 +334,9 @@
             }
             Fault::Drain(number) => self.drain(*number, false),
         }
+        if let Some(gateway) = fault.gateway() {
+            self.checker.limits.end_fault(gateway);
+        }
         self.note_disruption(fault, false);
     }
 
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azurelug_types::rate::Rate;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -36,6 +37,8 @@
     WipeControl(u8),
     /// A target misbehaves.
     Target(String, Behaviour),
+    /// A target names a limit for the requests of all gateways, and no limit at the end.
+    Limit(String, Rate),
     /// The gateways' connections to a target fail.
     Link(String, LinkFault),
     /// The platform's list shows a target as draining, and as ready again at the end.
@@ -147,6 +150,19 @@
     faults
 }
 
+impl Fault {
+    /// The gateway whose process this fault concerns.
+    #[must_use]
+    pub fn gateway(&self) -> Option<usize> {
+        match self {
+            Self::KillGateway(it) | Self::StopGateway(it) | Self::FreezeGateway(it) => {
+                Some(usize::from(*it))
+            }
+            _ => None,
+        }
+    }
+}
+
 /// The name of a zone.
 #[must_use]
 pub fn zone_name(number: u8) -> &'static str {
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -8,6 +8,7 @@
 
 use azurelug_gateway::body::{Body, BodyInterrupted};
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use azurelug_types::rate::Rate;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -65,6 +66,8 @@
 #[derive(Default)]
 pub struct TargetPool {
     behaviours: Mutex<HashMap<String, Behaviour>>,
+    /// Limits that targets name in their answers.
+    limits: Mutex<HashMap<String, Rate>>,
     list: Mutex<Vec<Value>>,
 }
 
@@ -82,6 +85,18 @@
         self.behaviours().insert(name.to_owned(), behaviour);
     }
 
+    fn limits(&self) -> MutexGuard<'_, HashMap<String, Rate>> {
+        self.limits.lock().expect("the lock is not poisoned")
+    }
+
+    /// Sets the limit that a target names in its answers.
+    pub fn set_limit(&self, name: &str, limit: Option<Rate>) {
+        match limit {
+            Some(rate) => self.limits().insert(name.to_owned(), rate),
+            None => self.limits().remove(name),
+        };
+    }
+
     /// Adds a target to the platform's list.
     pub fn add(&self, name: &str, service: &str, zone: &str, address: SocketAddr) {
         self.list()
@@ -128,7 +143,7 @@
             pool: Arc::clone(&pool),
             checker: Arc::clone(&checker),
         };
-        target.answer(request)
+        target.answer_with_limit(request)
     };
     tokio::spawn(serve(listener, connection_limits, stages, handler));
     address
@@ -157,7 +172,19 @@
 }
 
 impl Target {
-    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer_with_limit(self, request: Request<Incoming>) -> Response<Body> {
+        let mut response = self.answer(request).await;
+        let headers = response.headers_mut();
+        let name = self.name.parse().expect("a valid header value");
+        headers.insert("x-instance-id", name);
+        if let Some(rate) = self.pool.limits().get(&self.name) {
+            let text = rate.per_second().to_string();
+            headers.insert("server-limit", text.parse().expect("a valid header value"));
+        }
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         // An incomplete request is not run.
         let Ok(body) = body.collect().await else {
@@ -170,7 +197,7 @@
         let id = header("x-request-attempt-id");
         let behaviour = self.pool.behaviours().get(&self.name).copied();
         let behaviour = behaviour.unwrap_or_default();
-        self.checker.check_arrival(&self.name);
+        self.checker.check_arrival(&self.name, &id);
         if matches!(behaviour, Behaviour::Full | Behaviour::Closed) {
             return refusal(&id, behaviour);
         }
--- /dev/null
+++ b/crates/azurelug-system/tests/target_limits.rs
@@ -0,0 +1,196 @@
+//! Tests of gateways and control daemons as real processes with targets that name a limit for the
+//! requests of all gateways together.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_http::h1::client::Connection;
+use azurelug_system::soak::Options;
+use azurelug_system::soak::checker::Checker;
+use azurelug_system::soak::deployment::Deployment;
+use azurelug_types::rate::Rate;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// How long the targets name their limits.
+const LIMITED_TIME: Duration = Duration::from_secs(12);
+
+/// Time until all gateways have been answered by a target that names a limit.
+const LEARNING_TIME: Duration = Duration::from_secs(4);
+
+fn rate(per_second: f64) -> Option<Rate> {
+    Rate::from_per_second(per_second)
+}
+
+fn options(seed: u64) -> Options {
+    Options {
+        seed,
+        gateways_per_zone: 2,
+        ..Options::default()
+    }
+}
+
+/// An answer that a client received.
+#[derive(Clone, Debug)]
+struct Answer {
+    status: u16,
+    retry_after: Option<f64>,
+    elapsed: Duration,
+}
+
+/// Clients that send requests at a steady rate through all gateways.
+struct Load {
+    answers: Arc<Mutex<Vec<Answer>>>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts one client for each gateway, which sends a request every `interval`.
+    fn start(deployment: &Deployment, path: &'static str, interval: Duration) -> Self {
+        let answers: Arc<Mutex<Vec<Answer>>> = Arc::default();
+        let gateways = deployment.gateways().into_iter().enumerate();
+        let clients = gateways.map(|(gateway, address)| {
+            let (answers, checker) = (Arc::clone(&answers), deployment.checker());
+            tokio::spawn(async move {
+                let mut ticks = tokio::time::interval(interval);
+                for number in 0_u64.. {
+                    ticks.tick().await;
+                    let id = format!("load-{gateway}-{number}");
+                    let (answers, checker) = (Arc::clone(&answers), Arc::clone(&checker));
+                    tokio::spawn(async move {
+                        let answer = send(gateway, address, &id, path, &checker).await;
+                        answers.lock().unwrap().push(answer);
+                    });
+                }
+            })
+        });
+        Self {
+            clients: clients.collect(),
+            answers,
+        }
+    }
+
+    /// Stops the clients and returns the answers that they received.
+    fn close(self) -> Vec<Answer> {
+        for client in self.clients {
+            client.abort();
+        }
+        self.answers.lock().unwrap().clone()
+    }
+}
+
+async fn send(
+    gateway: usize,
+    address: SocketAddr,
+    id: &str,
+    path: &str,
+    checker: &Checker,
+) -> Answer {
+    let sent = Instant::now();
+    checker.limits.record_sent(id, gateway);
+    let request = Request::post(path)
+        .header("host", "carts.example")
+        .header("authorization", "Bearer key-1")
+        .header("x-request-attempt-id", id)
+        .header("x-deadline-milliseconds", "4000")
+        .body(Full::new(Bytes::from_static(b"a body")))
+        .unwrap();
+    let limit = Duration::from_secs(5);
+    let mut connection = Connection::open(address, limit, limit).await.unwrap();
+    let response = connection.send(request).await.unwrap();
+    let (parts, body) = response.into_parts();
+    let text = |name: &str| parts.headers.get(name).and_then(|it| it.to_str().ok());
+    if let Some(target) = text("x-instance-id")
+        && parts.headers.contains_key("server-limit")
+    {
+        checker.limits.record_told(target, gateway);
+    }
+    let answer = Answer {
+        status: parts.status.as_u16(),
+        retry_after: text("retry-after").and_then(|it| it.parse().ok()),
+        elapsed: sent.elapsed(),
+    };
+    body.collect().await.unwrap();
+    answer
+}
+
+fn by_status(answers: &[Answer]) -> HashMap<u16, usize> {
+    let mut counts = HashMap::new();
+    for answer in answers {
+        *counts.entry(answer.status).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against gateways that each keep a limit which holds for all of them together, or that
+/// ignore it, and against requests that are refused although other targets have room.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt: no gateway obeys the limit that a target names"]
+async fn gateways_together_exceed_no_limit_that_a_target_names() {
+    let checker = Arc::new(Checker::default());
+    let deployment = Deployment::start(&options(9001), Arc::clone(&checker)).await;
+    let load = Load::start(&deployment, "/look/x", Duration::from_millis(60));
+    sleep(Duration::from_secs(1)).await;
+    deployment.set_limit("desk-a", rate(2.2));
+    let named = checker.limits.now();
+    sleep(LIMITED_TIME).await;
+    let end = checker.limits.now();
+    let answers = load.close();
+    let statuses = by_status(&answers);
+    assert_eq!(
+        checker.limits.violations(),
+        [] as [String; 0],
+        "{statuses:?}"
+    );
+    assert!(
+        statuses.keys().all(|status| *status == 200),
+        "targets without a limit had room: {statuses:?}"
+    );
+    let used = checker.limits.count("desk-a", named + LEARNING_TIME, end);
+    let allowed = 2.2 * (end - named - LEARNING_TIME).as_secs_f64();
+    println!("used {used} of {allowed:.1} requests that the limit allows");
+    assert!(used > 0, "the limited target got nothing");
+}
+
+/// Guards against a pool whose limited targets together serve much less than their limits allow,
+/// and against requests that wait for a limited target instead of being refused with the time at
+/// which there is room.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt: no gateway obeys the limit that a target names"]
+async fn a_pool_of_limited_targets_serves_the_sum_of_their_limits() {
+    let checker = Arc::new(Checker::default());
+    let deployment = Deployment::start(&options(9002), Arc::clone(&checker)).await;
+    let targets = ["desk-a", "desk-b", "desk-c"];
+    for target in targets {
+        deployment.set_limit(target, rate(5.0));
+    }
+    let named = checker.limits.now();
+    let load = Load::start(&deployment, "/look/x", Duration::from_millis(120));
+    sleep(LIMITED_TIME).await;
+    let end = checker.limits.now();
+    let answers = load.close();
+    let statuses = by_status(&answers);
+    assert_eq!(
+        checker.limits.violations(),
+        [] as [String; 0],
+        "{statuses:?}"
+    );
+    let start = named + LEARNING_TIME;
+    let used = targets.map(|target| checker.limits.count(target, start, end));
+    let used: usize = used.iter().sum();
+    let allowed = 15.0 * (end - start).as_secs_f64();
+    println!("used {used} of {allowed:.1} requests that the limits allow; {statuses:?}");
+    assert!(used as f64 >= 0.8 * allowed, "{used} of {allowed:.1}");
+    for refused in answers.iter().filter(|answer| answer.status != 200) {
+        assert_eq!(refused.status, 503);
+        assert!(refused.retry_after.is_some_and(|after| after > 0.0));
+        // A third of the route's latency objective of 1 s, and time for the processes.
+        assert!(refused.elapsed < Duration::from_millis(800), "{refused:?}");
+    }
+}
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 mod error_response;
 mod history;
+pub mod limit;
 pub mod openmetrics;
 pub mod platform;
 pub mod proxy;
