gateway: a restarted grantor ends no limit

Cause: a gateway's clock began at 0 with its start. It could not represent a report from before its start, took the limit that others had been told for no report at all, and answered requests for permits with 'no limit', as of its start. That is newer than what the others knew, so they dropped the limit and passed the end on to the control daemons. Change: clocks start at one hour; a limit is reported only by a daemon that knows one. After the end of a limit permits are granted at a rate that doubles every second for 5 s, so that no report of an end, true or false, sends all gateways at once. Waits of a reduced share end with the handover.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -154,7 +154,7 @@
         state.limits.merge(poll.observed_limits);
         let peers = state.peers();
         let limits = list_with_digest(state.limits.reports(), |limit| {
-            digest(&(&limit.target, limit.rate))
+            digest(&(&limit.target, limit.rate, limit.is_ended))
         });
         let targets = state.targets.as_ref();
         let targets_age = targets.map(|(_, read)| millis(read.elapsed()));
--- a/crates/azurelug-control/src/limits.rs
+++ b/crates/azurelug-control/src/limits.rs
@@ -22,7 +22,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Known {
-    rate: Option<Rate>,
+    rate: Rate,
+    is_ended: bool,
     as_of: Instant,
 }
 
@@ -41,15 +42,22 @@
             let Some(as_of) = now.checked_sub(age) else {
                 continue;
             };
-            let rate = report.rate;
+            let TargetLimit { rate, is_ended, .. } = report;
             let is_newer = match self.entries.get(&report.target) {
                 // Each transfer makes a report appear a little newer.
-                Some(known) if known.rate == rate => known.as_of + REFRESH_INTERVAL < as_of,
+                Some(known) if (known.rate, known.is_ended) == (rate, is_ended) => {
+                    known.as_of + REFRESH_INTERVAL < as_of
+                }
                 Some(known) => known.as_of < as_of,
                 None => self.entries.len() < MAX_LIMITS,
             };
             if is_newer {
-                self.entries.insert(report.target, Known { rate, as_of });
+                let known = Known {
+                    rate,
+                    is_ended,
+                    as_of,
+                };
+                self.entries.insert(report.target, known);
             }
         }
     }
@@ -57,7 +65,7 @@
     /// Removes old entries of targets for which `is_listed` is false, and of limits that ended.
     pub fn prune(&mut self, is_listed: impl Fn(&TargetName) -> bool) {
         self.entries.retain(|target, known| {
-            let is_in_force = known.rate.is_some() && is_listed(target);
+            let is_in_force = !known.is_ended && is_listed(target);
             is_in_force || known.as_of.elapsed() < RETENTION
         });
     }
@@ -68,6 +76,7 @@
         let reports = entries.map(|(target, known)| TargetLimit {
             target: target.clone(),
             rate: known.rate,
+            is_ended: known.is_ended,
             age_ms: u64::try_from(known.as_of.elapsed().as_millis()).unwrap_or(u64::MAX),
         });
         reports.collect()
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -146,7 +146,7 @@
 
     /// Returns the time until which there is no permit for a request, if the target has a limit.
     fn denied_until(&self, now: Duration) -> Option<Duration> {
-        self.limit.rate?;
+        self.limit.permitted(now)?;
         self.permits.denied_until(now)
     }
 
--- a/crates/azurelug-core/src/gateway/fleet/permits.rs
+++ b/crates/azurelug-core/src/gateway/fleet/permits.rs
@@ -34,7 +34,7 @@
     /// The number of permits to ask for, if there is none and the target has a limit.
     pub fn take_permit(&mut self, key: Key, now: Duration) -> Result<(), u32> {
         let record = &mut self.records[key.0 as usize];
-        if record.limit.rate.is_none() || record.permits.take(now) {
+        if record.limit.permitted(now).is_none() || record.permits.take(now) {
             return Ok(());
         }
         Err(record.permits.wanted(now))
@@ -54,6 +54,6 @@
     #[must_use]
     pub fn limit(&self, name: &TargetName) -> Option<Rate> {
         let key = self.key(name)?;
-        self.records[key.0 as usize].limit.rate
+        self.records[key.0 as usize].limit.in_force()
     }
 }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use azurelug_core::gateway::fleet::{
     self, Fleet, Key, Outcome, SelectionError, TargetQuery, Weights,
 };
+use azurelug_core::gateway::limits::CLOCK_START;
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::value_rank::ValueRanking;
 use azurelug_types::deployment::{LimitNotice, Limits, Service, Target, TargetNotice};
@@ -99,14 +100,14 @@
         }
     }
 
-    /// Time since the start.
+    /// The time by this gateway's clock, which is at [`CLOCK_START`] when the gateway starts.
     pub fn now(&self) -> Duration {
-        self.started.elapsed()
+        CLOCK_START + self.started.elapsed()
     }
 
-    /// Converts a time since the start to an `Instant`.
+    /// Converts a time by this gateway's clock to an `Instant`.
     pub fn at(&self, time: Duration) -> Instant {
-        self.started + time
+        self.started + time.saturating_sub(CLOCK_START)
     }
 
     fn view(&self) -> MutexGuard<'_, View> {
@@ -447,7 +448,7 @@
         self.gateway.now().saturating_sub(self.sent)
     }
 
-    /// When the slot was reserved, as the time since the gateway's start.
+    /// When the slot was reserved.
     pub fn reserved_at(&self) -> Duration {
         self.sent
     }
--- a/crates/azurelug-gateway/src/permits.rs
+++ b/crates/azurelug-gateway/src/permits.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use azurelug_core::gateway::limits::{Decision, Grantor, Knowledge, Rota};
+use azurelug_core::gateway::limits::{Decision, Grantor, HANDOVER, Knowledge, Rota};
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{Grant, Peer, PermitRequest, TargetLimit};
 use azurelug_types::id::{TargetName, ZoneName};
@@ -78,11 +78,15 @@
         let has_contact = gateway.staleness().is_some_and(|age| age < CONTACT_LIMIT);
         let standing = self.rota().standing(own, name, zone, has_contact, now);
         let share = standing.and_then(|standing| standing.share());
-        let (Some(share), Some(rate)) = (share, knowledge.rate) else {
+        let (Some(share), Some(rate)) = (share, knowledge.permitted(now)) else {
             return Decision::Denied(NO_GRANTOR_PAUSE);
         };
         let mut grantor = self.grantor.lock().expect("no holder of the lock panics");
-        grantor.grant(name, rate, share, wanted, now)
+        match grantor.grant(name, rate, share, wanted, now) {
+            // The share grows, or another gateway grants more, after the handover.
+            Decision::Denied(wait) if share < 1.0 => Decision::Denied(wait.min(HANDOVER)),
+            decision => decision,
+        }
     }
 }
 
@@ -111,11 +115,7 @@
             let of = (&target.name, &target.zone);
             self.permits.decide(self, of, knowledge, wanted)
         } else {
-            match self.ask(&peer, &target, knowledge, wanted).await {
-                // The limit has ended.
-                None => return Ok(()),
-                Some(decision) => decision,
-            }
+            self.ask(&peer, &target, knowledge, wanted).await
         };
         match decision {
             Decision::Granted(count) => {
@@ -141,16 +141,19 @@
         Err(wait)
     }
 
-    /// Asks another gateway for permits. Returns none if it knows that the limit has ended.
+    /// Asks another gateway for permits.
     async fn ask(
         self: &Arc<Self>,
         peer: &Peer,
         target: &Target,
         knowledge: Knowledge,
         wanted: u32,
-    ) -> Option<Decision> {
+    ) -> Decision {
+        let Some(limit) = self.limit_report(&target.name, knowledge) else {
+            return Decision::Denied(NO_GRANTOR_PAUSE);
+        };
         let request = PermitRequest {
-            limit: self.limit_report(&target.name, knowledge),
+            limit,
             zone: target.zone.clone(),
             wanted,
         };
@@ -158,7 +161,7 @@
         let asked = self.peers.ask(peer.address, frame, PERMIT_TIMEOUT).await;
         let grant = match asked {
             Ok(Frame::Permits(grant)) => grant,
-            Ok(_) => return Some(Decision::Denied(NO_GRANTOR_PAUSE)),
+            Ok(_) => return Decision::Denied(NO_GRANTOR_PAUSE),
             Err(error) => {
                 let name = &target.name;
                 log::info!(
@@ -168,15 +171,14 @@
                 );
                 self.permits.skip(peer.address, self.now());
                 // The second choice is asked from now on.
-                return Some(Decision::Denied(Duration::ZERO));
+                return Decision::Denied(Duration::ZERO);
             }
         };
         self.learn_limits(std::slice::from_ref(&grant.limit));
-        grant.limit.rate?;
-        Some(match grant.granted {
+        match grant.granted {
             0 => Decision::Denied(Duration::from_millis(grant.retry_after_ms)),
             count => Decision::Granted(count),
-        })
+        }
     }
 
     /// Answers another gateway's request for permits.
@@ -189,19 +191,15 @@
         };
         // A gateway may see a new target earlier than this one.
         let known = known.unwrap_or_else(|| self.knowledge(&request.limit));
-        let decision = match known.rate {
-            Some(_) => {
-                let of = (name, &request.zone);
-                self.permits.decide(self, of, known, request.wanted)
-            }
-            None => Decision::Denied(Duration::ZERO),
-        };
+        let of = (name, &request.zone);
+        let decision = self.permits.decide(self, of, known, request.wanted);
         let (granted, retry_after) = match decision {
             Decision::Granted(count) => (count, Duration::ZERO),
             Decision::Denied(wait) => (0, wait),
         };
+        let limit = self.limit_report(name, known);
         Frame::Permits(Grant {
-            limit: self.limit_report(name, known),
+            limit: limit.unwrap_or_else(|| request.limit.clone()),
             granted,
             retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
         })
@@ -219,12 +217,14 @@
                 fleet.learn_limit(key, knowledge)
             };
             if is_changed {
-                let rate = limit
-                    .rate
-                    .map_or("none".to_owned(), |rate| rate.to_string());
+                let TargetLimit { target, rate, .. } = limit;
+                let state = if limit.is_ended {
+                    "has ended"
+                } else {
+                    "is in force"
+                };
                 log::info!(
-                    "gateway: limit of target {} is {rate}, as other gateways were told",
-                    limit.target
+                    "gateway: limit of {rate} of target {target} {state}, as other gateways were told"
                 );
             }
         }
@@ -234,12 +234,15 @@
     pub fn unreported_limits(&self, reported: &HashMap<TargetName, Knowledge>) -> Vec<TargetLimit> {
         let fleet = self.fleet();
         let is_newer = |name: &TargetName, own: &Knowledge| match reported.get(name) {
-            Some(reported) => reported.rate != own.rate && reported.as_of < own.as_of,
-            None => own.rate.is_some(),
+            Some(reported) => {
+                let is_same = reported.rate == own.rate && reported.is_ended == own.is_ended;
+                !is_same && reported.as_of < own.as_of
+            }
+            None => own.in_force().is_some(),
         };
         let newer = fleet.limits().filter(|(name, own)| is_newer(name, own));
         newer
-            .map(|(name, own)| self.limit_report(name, own))
+            .filter_map(|(name, own)| self.limit_report(name, own))
             .collect()
     }
 
@@ -247,17 +250,20 @@
     pub fn knowledge(&self, limit: &TargetLimit) -> Knowledge {
         let age = Duration::from_millis(limit.age_ms);
         Knowledge {
-            rate: limit.rate,
+            rate: Some(limit.rate),
+            is_ended: limit.is_ended,
             as_of: self.now().saturating_sub(age),
         }
     }
 
-    fn limit_report(&self, name: &TargetName, knowledge: Knowledge) -> TargetLimit {
-        let age = self.now().saturating_sub(knowledge.as_of);
-        TargetLimit {
+    /// A report for other daemons; none if the target never named a limit.
+    fn limit_report(&self, name: &TargetName, knowledge: Knowledge) -> Option<TargetLimit> {
+        let age = knowledge.age(self.now());
+        Some(TargetLimit {
             target: name.clone(),
-            rate: knowledge.rate,
+            rate: knowledge.rate?,
+            is_ended: knowledge.is_ended,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        }
+        })
     }
 }
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -231,6 +231,12 @@
         self.controls.iter().map(|it| it.operators).collect()
     }
 
+    /// The logs of all gateways.
+    pub fn gateway_logs(&self) -> String {
+        let logs = self.gateways.iter().map(|gateway| gateway.process.log());
+        logs.collect()
+    }
+
     /// The recent faults of the gateways.
     pub fn gateway_faults(&self) -> Arc<GatewayFaults> {
         Arc::clone(&self.gateway_faults)
@@ -241,6 +247,11 @@
         Arc::clone(&self.checker)
     }
 
+    /// Sets the behaviour of a target.
+    pub fn set_behaviour(&self, target: &str, behaviour: Behaviour) {
+        self.pool.set_behaviour(target, behaviour);
+    }
+
     /// Sets the limit that a target names in its answers.
     pub fn set_limit(&self, target: &str, limit: Option<Rate>) {
         self.pool.set_limit(target, limit);
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -62,8 +62,10 @@
     pub struct TargetLimit {
         /// The target.
         pub target: TargetName,
-        /// The limit; none if it has ended.
-        pub rate: Option<Rate>,
+        /// The limit that the target named last.
+        pub rate: Rate,
+        /// Whether it has named no limit since then.
+        pub is_ended: bool,
         /// How long ago the target said so, in milliseconds.
         pub age_ms: u64,
     }
--- a/crates/azurelug-types/src/rate.rs
+++ b/crates/azurelug-types/src/rate.rs
@@ -28,6 +28,13 @@
         Some(Self(thousandths as u32))
     }
 
+    /// Multiplies the rate by a positive factor, within the range from [`Rate::MIN`] to
+    /// [`Rate::MAX`].
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self::from_per_second(self.per_second() * factor).unwrap_or(self)
+    }
+
     /// Requests a second.
     #[must_use]
     pub fn per_second(self) -> f64 {
