gateway: a closed target does not hide that others are only full

What callers saw: requests were refused at once, with a retry time of seconds, while another target would have had room in a moment. Cause: Fleet::select returned Blocked with the time until a closed, excluded or limited target opens, also when other targets were only at their concurrency limits. wait_for_slot then refused the request instead of waiting for a slot. Evidence: a_full_target_counts_although_another_one_is_closed; the code before returns Blocked there (read, not run: the type has changed with the fix). Change: Full carries the time until the first blocked target opens, and counts if any target is only full.

--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -69,8 +69,12 @@
 /// Why no target is available for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionError {
-    /// Every target is at its concurrency limit; a request may end at any time.
-    Full,
+    /// Some targets are at their concurrency limits; a request may end at any time. Others are
+    /// excluded or rate limited, and the first of these is available after the given time.
+    Full {
+        /// None if all targets are at their concurrency limits.
+        opens_in: Option<Duration>,
+    },
     /// Every target is excluded or rate limited; the first one is available after this time.
     Blocked(Duration),
     /// The service has no usable target.
@@ -334,6 +338,7 @@
         }
         let mut blocked: Option<Duration> = None;
         let mut best: Option<(f64, Key)> = None;
+        let mut is_any_full = false;
         let any_warm = candidates.iter().any(|key| !self.is_cold(*key, now));
         for (preference, key) in candidates.iter().enumerate() {
             let record = &self.records[key.0 as usize];
@@ -343,6 +348,7 @@
             }
             let limit = concurrency_limit(record, &wanted.bounds);
             if record.in_flight >= limit {
+                is_any_full = true;
                 continue;
             }
             let is_cold = any_warm && self.is_cold(*key, now);
@@ -352,8 +358,11 @@
             }
         }
         let Some((_, key)) = best else {
-            let wait = blocked.map(|until| until.saturating_sub(now));
-            return Err(wait.map_or(SelectionError::Full, SelectionError::Blocked));
+            let opens_in = blocked.map(|until| until.saturating_sub(now));
+            return Err(match opens_in {
+                Some(wait) if !is_any_full => SelectionError::Blocked(wait),
+                _ => SelectionError::Full { opens_in },
+            });
         };
         let record = &mut self.records[key.0 as usize];
         record.in_flight += 1;
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -345,7 +345,7 @@
     assert_eq!(taken, 4);
     assert_eq!(
         request.place(&mut fleet, &[], MS),
-        Err(SelectionError::Full)
+        Err(SelectionError::Full { opens_in: None })
     );
 }
 
@@ -426,6 +426,24 @@
     );
 }
 
+/// Guards against a request that is refused because one target is closed for long, although
+/// another one is only full and may have room in a moment.
+#[test]
+fn a_full_target_counts_although_another_one_is_closed() {
+    let mut fleet = fleet(2);
+    let request = Request::new(None);
+    let closed = fleet.key(&target(0).name).unwrap();
+    let notice = TargetNotice {
+        unavailable_for: Some(Duration::from_secs(3)),
+        ..TargetNotice::default()
+    };
+    fleet.apply_notice(closed, notice, MS, MS);
+    let refused =
+        std::iter::repeat_with(|| request.place(&mut fleet, &[], 2 * MS)).find_map(Result::err);
+    let opens_in = Some(Duration::from_millis(2999));
+    assert_eq!(refused, Some(SelectionError::Full { opens_in }));
+}
+
 fn address(number: u8) -> std::net::SocketAddr {
     format!("10.2.0.{number}:7000").parse().unwrap()
 }
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -28,6 +28,9 @@
 /// Longest wait for a free slot at a target, as a fraction of the latency objective.
 const SLOT_WAIT_FRACTION: f64 = 0.35;
 
+/// Shortest pause until a slot is searched for again.
+const MIN_SLOT_PAUSE: Duration = Duration::from_millis(5);
+
 /// Fraction of the latency objective after which a retryable request is sent to another target.
 const ATTEMPT_TIMEOUT_FRACTION: f64 = 0.6;
 
@@ -349,13 +352,14 @@
             SelectionError::Blocked(pause) if pause > left => {
                 return Err(Failure::Refused(pause, "targets are held back"));
             }
-            SelectionError::Full if left.is_zero() => {
+            SelectionError::Full { .. } if left.is_zero() => {
                 return Err(Failure::Refused(RETRY_AFTER, "targets are full"));
             }
             SelectionError::Blocked(pause) => pause,
-            SelectionError::Full => left,
+            SelectionError::Full { opens_in } => opens_in.unwrap_or(left).min(left),
         };
         // Wakes when a slot becomes free or the pause ends.
+        let pause = pause.max(MIN_SLOT_PAUSE);
         let _ = timeout(pause, gateway.wait_slot_freed()).await;
     }
 }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -339,7 +339,10 @@
             }
             slot.cancel();
         }
-        Err(SelectionError::Blocked(shortest_wait))
+        // The request may get a permit for one of the remaining targets.
+        Err(SelectionError::Full {
+            opens_in: Some(shortest_wait),
+        })
     }
 
     /// Rank of a request by value per unit of work among recent requests of its route, from 0 to 1.
