gateway: a grantor that was cut off grants a reduced share at first

What callers saw: nothing yet. A gateway that regains contact with the control daemons may find itself first choice by its old list and by theirs, while the others still ask the gateway that replaced it: for up to a second both granted the whole limit. Change: Rota::regain_contact starts the handover time anew; the model's cuts keep their start.

--- a/crates/azurelug-core/src/gateway/limits/rota.rs
+++ b/crates/azurelug-core/src/gateway/limits/rota.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Records that the control daemons answer again after a time without contact, in which another
+    /// gateway may have become the first choice.
+    pub fn regain_contact(&mut self, now: Duration) {
+        if let Some((_, peers)) = self.lists.pop_back() {
+            self.lists = VecDeque::from([(now, peers)]);
+        }
+    }
+
     /// The gateways that grant permits for a target, by descending preference. The gateways of the
     /// target's zone come first, because they reach the target during a partition.
     #[must_use]
--- a/crates/azurelug-core/tests/gateway_limits.rs
+++ b/crates/azurelug-core/tests/gateway_limits.rs
@@ -228,6 +228,10 @@
     assert!(share(&rota, true, 10 * SECOND + HANDOVER - MS).unwrap() < 0.5);
     assert_eq!(share(&rota, true, 10 * SECOND + HANDOVER), Some(1.0));
     assert!(share(&rota, false, 10 * SECOND + HANDOVER).unwrap() < 0.5);
+    // While it was cut off, another gateway may have become the first choice.
+    rota.regain_contact(20 * SECOND);
+    assert!(share(&rota, true, 20 * SECOND + HANDOVER - MS).unwrap() < 0.5);
+    assert_eq!(share(&rota, true, 20 * SECOND + HANDOVER), Some(1.0));
     let far = rota.grantors(&target, &ZoneName::from("nowhere"));
     assert_eq!(
         far.len(),
--- a/crates/azurelug-core/tests/support/limit_model.rs
+++ b/crates/azurelug-core/tests/support/limit_model.rs
@@ -159,8 +159,15 @@
         if gateway.condition == Condition::Down {
             gateway.started = now;
         }
+        let is_still_cut = gateway.condition != Condition::Sound && condition != Condition::Sound;
+        if condition == Condition::Sound && gateway.condition != Condition::Down {
+            let clock = gateway.clock(now);
+            gateway.rota.regain_contact(clock);
+        }
         gateway.condition = condition;
-        gateway.since = now;
+        if !is_still_cut {
+            gateway.since = now;
+        }
         if condition == Condition::Sound {
             let list = self.list();
             self.send_list(number, &list);
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -177,9 +177,13 @@
             self.fetch(connection, version).await?;
         }
         let as_of = sent.checked_sub(age).unwrap_or(sent);
+        let had_contact = self.gateway.has_contact();
         if polled.version.is_some() && !self.gateway.record_freshness(polled.sequence, as_of) {
             return Err("its state is older than this gateway's".to_owned());
         }
+        if !had_contact {
+            self.gateway.permits.regain_contact(self.gateway.now());
+        }
         if !polled.controls.is_empty() {
             self.controls = polled.controls;
         }
--- a/crates/azurelug-gateway/src/permits.rs
+++ b/crates/azurelug-gateway/src/permits.rs
@@ -52,6 +52,11 @@
         self.skipped().retain(|_, until| *until > now);
     }
 
+    /// Records that the control daemons answer again after a time without contact.
+    pub fn regain_contact(&self, now: Duration) {
+        self.rota().regain_contact(now);
+    }
+
     /// The gateway to ask for permits.
     fn grantor_of(&self, target: &Target, now: Duration) -> Option<Peer> {
         let grantors = self.rota().grantors(&target.name, &target.zone);
@@ -75,7 +80,7 @@
         let now = gateway.now();
         let (name, zone) = target;
         let own = &gateway.name;
-        let has_contact = gateway.staleness().is_some_and(|age| age < CONTACT_LIMIT);
+        let has_contact = gateway.has_contact();
         let standing = self.rota().standing(own, name, zone, has_contact, now);
         let share = standing.and_then(|standing| standing.share());
         let (Some(share), Some(rate)) = (share, knowledge.permitted(now)) else {
@@ -91,6 +96,11 @@
 }
 
 impl Gateway {
+    /// Whether the control daemons certainly list this gateway.
+    pub fn has_contact(&self) -> bool {
+        self.staleness().is_some_and(|age| age < CONTACT_LIMIT)
+    }
+
     /// Gets a permit for a request to a target; immediately if the target has no limit.
     ///
     /// # Errors
