--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -287,7 +287,7 @@
     ///
     /// # Errors
     /// Why no target is available.
-    pub fn reserve_slot(
+    fn reserve_slot(
         self: &Arc<Self>,
         service: &Service,
         affinity: Option<u64>,
