gateway: a refusal by held back targets names a time to return

What callers saw: requests that all targets' limits turned away were refused with Retry-After: 0.000 when the next permit was due within a millisecond, and returned at once into the same crowd. Cause: wait_for_slot passed on the time until the first target opens, however short. Change: at least the 250 ms that the gateway's other refusals name. The tests of limits share the part that has targets name limits and checks them; each check and bound is as before.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -43,7 +43,7 @@
 /// Below this remaining time no target can answer.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// `Retry-After` of a refusal: about as long as a request occupies a slot.
+/// Shortest `Retry-After` of a refusal: about as long as a request occupies a slot.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// An answer that was buffered in full.
@@ -350,7 +350,8 @@
                 ));
             }
             SelectionError::Blocked(pause) if pause > left => {
-                return Err(Failure::Refused(pause, "targets are held back"));
+                let after = pause.max(RETRY_AFTER);
+                return Err(Failure::Refused(after, "targets are held back"));
             }
             SelectionError::Full { .. } if left.is_zero() => {
                 return Err(Failure::Refused(RETRY_AFTER, "targets are full"));
--- a/crates/azurelug-system/tests/target_limits.rs
+++ b/crates/azurelug-system/tests/target_limits.rs
@@ -161,33 +161,62 @@
     counts
 }
 
+/// What happened while targets named limits.
+struct Outcome {
+    answers: Vec<Answer>,
+    statuses: HashMap<u16, usize>,
+    /// Requests of informed gateways, after [`LEARNING_TIME`].
+    used: usize,
+    /// Seconds in which these were counted.
+    seconds: f64,
+}
+
+/// Has targets name a limit for [`LIMITED_TIME`], and checks that none gets more than it allows.
+async fn limit_targets(
+    deployment: &Deployment,
+    load: Load,
+    targets: &[&str],
+    per_second: f64,
+) -> Outcome {
+    let checker = deployment.checker();
+    for target in targets {
+        deployment.set_limit(target, rate(per_second));
+    }
+    let start = checker.limits.now() + LEARNING_TIME;
+    sleep(LIMITED_TIME).await;
+    let end = checker.limits.now();
+    let answers = load.close().await;
+    let statuses = by_status(&answers);
+    let violations = checker.limits.violations();
+    assert_eq!(violations, [] as [String; 0], "{statuses:?}");
+    let counts = targets
+        .iter()
+        .map(|it| checker.limits.count(it, start, end));
+    let (used, seconds) = (counts.sum(), (end - start).as_secs_f64());
+    let allowed = per_second * targets.len() as f64 * seconds;
+    println!("used {used} of {allowed:.1} requests that the limits allow; {statuses:?}");
+    Outcome {
+        answers,
+        statuses,
+        used,
+        seconds,
+    }
+}
+
 /// Guards against gateways that each keep a limit which holds for all of them together, or that
 /// ignore it, and against requests that are refused although other targets have room.
 #[tokio::test(flavor = "multi_thread")]
 async fn gateways_together_exceed_no_limit_that_a_target_names() {
-    let checker = Arc::new(Checker::default());
-    let deployment = Deployment::start(&options(9001), Arc::clone(&checker)).await;
+    let deployment = Deployment::start(&options(9001), Arc::default()).await;
     let load = Load::start(&deployment, "/look/x", Duration::from_millis(60));
     sleep(Duration::from_secs(1)).await;
-    deployment.set_limit("desk-a", rate(2.2));
-    let named = checker.limits.now();
-    sleep(LIMITED_TIME).await;
-    let end = checker.limits.now();
-    let answers = load.close().await;
-    let statuses = by_status(&answers);
-    assert_eq!(
-        checker.limits.violations(),
-        [] as [String; 0],
-        "{statuses:?}"
-    );
+    let outcome = limit_targets(&deployment, load, &["desk-a"], 2.2).await;
+    let statuses = outcome.statuses;
     assert!(
         statuses.keys().all(|status| *status == 200),
         "targets without a limit had room: {statuses:?}"
     );
-    let used = checker.limits.count("desk-a", named + LEARNING_TIME, end);
-    let allowed = 2.2 * (end - named - LEARNING_TIME).as_secs_f64();
-    println!("used {used} of {allowed:.1} requests that the limit allows");
-    assert!(used > 0, "the limited target got nothing");
+    assert!(outcome.used > 0, "the limited target got nothing");
 }
 
 /// Guards against a limit that gateways keep after the target has ended it.
@@ -217,26 +246,14 @@
 /// Guards against calls for pieces, and releases of results, that exceed a limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_of_dispatchers_exceed_no_limit_that_a_target_names() {
-    let checker = Arc::new(Checker::default());
-    let deployment = Deployment::start(&options(9004), Arc::clone(&checker)).await;
+    let deployment = Deployment::start(&options(9004), Arc::default()).await;
     let load = Load::start(&deployment, "/chat/x", Duration::from_millis(150));
     sleep(Duration::from_secs(1)).await;
-    deployment.set_limit("encode-a", rate(3.0));
-    let named = checker.limits.now();
-    sleep(LIMITED_TIME).await;
-    let end = checker.limits.now();
-    let answers = load.close().await;
-    let statuses = by_status(&answers);
-    assert_eq!(
-        checker.limits.violations(),
-        [] as [String; 0],
-        "{statuses:?}"
-    );
-    let used = checker.limits.count("encode-a", named + LEARNING_TIME, end);
-    println!("{used} calls; {statuses:?}");
-    assert!(used > 0, "the limited target got no calls");
+    let outcome = limit_targets(&deployment, load, &["encode-a"], 3.0).await;
+    assert!(outcome.used > 0, "the limited target got no calls");
+    let statuses = outcome.statuses;
     let served = statuses.get(&200).copied().unwrap_or_default();
-    assert!(served * 10 >= answers.len() * 9, "{statuses:?}");
+    assert!(served * 10 >= outcome.answers.len() * 9, "{statuses:?}");
 }
 
 /// Guards against a pool whose limited targets together serve much less than their limits allow,
@@ -244,30 +261,13 @@
 /// which there is room.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_pool_of_limited_targets_serves_the_sum_of_their_limits() {
-    let checker = Arc::new(Checker::default());
-    let deployment = Deployment::start(&options(9002), Arc::clone(&checker)).await;
-    let targets = ["desk-a", "desk-b", "desk-c"];
-    for target in targets {
-        deployment.set_limit(target, rate(5.0));
-    }
-    let named = checker.limits.now();
+    let deployment = Deployment::start(&options(9002), Arc::default()).await;
     let load = Load::start(&deployment, "/look/x", Duration::from_millis(120));
-    sleep(LIMITED_TIME).await;
-    let end = checker.limits.now();
-    let answers = load.close().await;
-    let statuses = by_status(&answers);
-    assert_eq!(
-        checker.limits.violations(),
-        [] as [String; 0],
-        "{statuses:?}"
-    );
-    let start = named + LEARNING_TIME;
-    let used = targets.map(|target| checker.limits.count(target, start, end));
-    let used: usize = used.iter().sum();
-    let allowed = 15.0 * (end - start).as_secs_f64();
-    println!("used {used} of {allowed:.1} requests that the limits allow; {statuses:?}");
+    let targets = ["desk-a", "desk-b", "desk-c"];
+    let outcome = limit_targets(&deployment, load, &targets, 5.0).await;
+    let (used, allowed) = (outcome.used, 15.0 * outcome.seconds);
     assert!(used as f64 >= 0.8 * allowed, "{used} of {allowed:.1}");
-    for refused in answers.iter().filter(|answer| answer.status != 200) {
+    for refused in outcome.answers.iter().filter(|answer| answer.status != 200) {
         assert_eq!(refused.status, 503);
         assert!(refused.retry_after.is_some_and(|after| after > 0.0));
         // A third of the route's latency objective of 1 s, and time for the processes.
