gateway: say why a stream is not resumed, and count streams that end early

Cause of this commit: the logs named "no target can be reached" where a target had refused because the results of the stages were gone, and no metric told how many streams a gateway had cut.

Change: a line names the target and "results of a stage are gone"; `interrupted_streams` counts streams to clients that ended early. The end of a client's stream stands once in `relay`. Nothing is decided differently.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -208,7 +208,9 @@
             AttemptOutcome::InputsGone => {
                 history.has_arrived = true;
                 history.inputs_gone = true;
-                return Err(history.record_refusal(last, "results of a stage are gone"));
+                let reason = "results of a stage are gone";
+                log::info!("gateway: request {} at {name}: {reason}", exchange.id);
+                return Err(history.record_refusal(last, reason));
             }
             AttemptOutcome::NotRun => {
                 last = history.record_refusal(last, "targets are full");
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub config_version: Gauge,
     /// Number of lost connections to control daemons.
     pub control_disconnects: Counter,
+    /// Streams to clients that ended early.
+    pub interrupted_streams: Counter,
     /// Permits that this gateway received for requests to targets that have a limit.
     pub permits_granted: Counter,
     /// Requests for permits that were denied or got no answer.
@@ -105,6 +107,9 @@
         let control_disconnects = Counter::default();
         let help = "Lost connections to control daemons";
         registry.register("control_losses", help, control_disconnects.clone());
+        let interrupted_streams = Counter::default();
+        let help = "Streams to clients that ended early";
+        registry.register("interrupted_streams", help, interrupted_streams.clone());
         let permits_granted = Counter::default();
         let help = "Permits received for targets that have a limit";
         registry.register("permits_granted", help, permits_granted.clone());
@@ -113,6 +118,7 @@
         registry.register("permits_denied", help, permits_denied.clone());
         Self {
             registry,
+            interrupted_streams,
             permits_granted,
             permits_denied,
             requests,
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -35,6 +35,8 @@
 /// The receiving end of a stream's events.
 pub type EventReceiver = mpsc::Receiver<Result<Bytes, BodyInterrupted>>;
 
+type EventSender = Sender<Result<Bytes, BodyInterrupted>>;
+
 /// A stream that is being forwarded.
 pub struct Relay {
     /// The request.
@@ -67,11 +69,7 @@
         events
     }
 
-    async fn run(
-        mut self,
-        mut stream: Box<Stream>,
-        events: Sender<Result<Bytes, BodyInterrupted>>,
-    ) {
+    async fn run(mut self, mut stream: Box<Stream>, events: EventSender) {
         loop {
             let segment_end = self.forward_events(&mut stream, &events).await;
             let (reason, next) = match segment_end {
@@ -94,8 +92,7 @@
                     return self.close(End::Abandoned, "the client disconnected");
                 }
                 SegmentEnd::OutOfTime => {
-                    let _ = events.send(Err(BodyInterrupted)).await;
-                    return self.close(End::Failed, "out of time");
+                    return self.interrupt(&events, "out of time").await;
                 }
                 SegmentEnd::Interrupted(reason) => (reason, None),
                 SegmentEnd::Stalled => {
@@ -117,25 +114,26 @@
             self.history.possible_runs += 1;
             match self.resume(*stream, next).await {
                 Some(next) => stream = next,
-                None => {
-                    let _ = events.send(Err(BodyInterrupted)).await;
-                    return self.close(End::Failed, reason);
-                }
+                None => return self.interrupt(&events, reason).await,
             }
         }
     }
 
+    /// Ends the client's stream so that it does not look complete.
+    async fn interrupt(self, events: &EventSender, reason: &'static str) {
+        // The client may have disconnected.
+        let _ = events.send(Err(BodyInterrupted)).await;
+        self.exchange.gateway.metrics.interrupted_streams.inc();
+        self.close(End::Failed, reason);
+    }
+
     fn close(mut self, end: End, reason: &'static str) {
         self.record.targets = self.history.tried.len();
         self.record.close(&self.exchange, end, reason);
     }
 
     /// Forwards events until the target's part of the stream ends.
-    async fn forward_events(
-        &mut self,
-        stream: &mut Stream,
-        events: &Sender<Result<Bytes, BodyInterrupted>>,
-    ) -> SegmentEnd {
+    async fn forward_events(&mut self, stream: &mut Stream, events: &EventSender) -> SegmentEnd {
         let gateway = &self.exchange.gateway;
         let deadline = gateway.at(self.exchange.deadline);
         let mut next = stream.first.take();
