system: targets with scripted answers, and answers that end with their connection

Cause: the test targets could not fall silent at a chosen place of an answer and go on, nor send an answer with neither a length nor chunks.

Change: a service of two targets gets a script: the first arrival of a request, at either target, gets the first reply and the second arrival the second. A reply pauses before, in or after the head, between or inside events; marks the end of its body by a length, chunks or the end of the connection; and is complete, or cut inside an event by a FIN or a reset. Clients keep their connections and send a second request on them.

Not covered: a body that is not a stream, has neither a length nor chunks and is cut by a FIN can't be told from a complete one.

--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -22,8 +22,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+#[path = "kept_client.rs"]
+pub(crate) mod kept_client;
 #[path = "raw.rs"]
 mod raw;
+#[path = "scripted.rs"]
+pub(crate) mod scripted;
 
 /// A generous time limit for any expected event.
 const TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/azurelug-system/tests/support/raw.rs
+++ b/crates/azurelug-system/tests/support/raw.rs
@@ -88,7 +88,7 @@
 }
 
 /// Reads one request; none if the connection ends or the head is too long.
-async fn read_request(
+pub(super) async fn read_request(
     stream: &mut TcpStream,
     name: &str,
 ) -> std::io::Result<Option<ReceivedRequest>> {
@@ -128,7 +128,7 @@
 
 /// Builds a correct answer: handles that contain the request's id for a call of a stage, otherwise
 /// a signed body that contains it.
-fn build_answer(received: &ReceivedRequest, at: SocketAddr) -> Vec<u8> {
+pub(super) fn build_answer(received: &ReceivedRequest, at: SocketAddr) -> Vec<u8> {
     let (fields, body) = if received.path == "/stage-run" {
         let call: Value = serde_json::from_slice(&received.body).expect("a call is JSON");
         let items = call["items"].as_array().expect("a call has items").iter();
