platform: one odd entry of the list no longer hides the others

What callers saw: while an entry of another writer stood in the platform's list, control daemons kept their last list: new targets got no requests, and leaving or stopped ones still got some. Other odd entries were taken for targets. Cause: the page was decoded as a whole, so one entry that is nested too deeply (128 levels), has a number out of range, text that is not UTF-8 or any invalid token made it unreadable. A page that is cut off, has no list or has two lists is rejected as before. Why it works: JSON strings and brackets are enough to find an entry's end, whatever is between them. serde_json's RawValue does skip deep nesting, but rejects the page for invalid UTF-8, control characters and tokens such as NaN. An entry with unbalanced brackets or quotes still makes the page unreadable.

--- a/crates/azurelug-control/src/deployment/reader.rs
+++ b/crates/azurelug-control/src/deployment/reader.rs
@@ -45,7 +45,7 @@
     #[error("the response body is incomplete or too large: {0}")]
     Truncated(String),
     #[error("not a list: {0}")]
-    Malformed(#[from] serde_json::Error),
+    Malformed(#[from] list::Error),
     #[error("more than {MAX_PAGES} pages")]
     TooManyPages,
 }
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -343,3 +343,54 @@
             .all(|it| it.headers.contains_key("x-request-attempt-id"))
     );
 }
+
+/// Guards against daemons that end, or that stop following the platform's list, while an odd entry
+/// of another writer stands in it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_list_is_followed_while_an_odd_entry_stands_in_it() {
+    let deployment = Deployment::start().await;
+    let nested = ["[".repeat(100_000), "]".repeat(100_000)].concat();
+    let odd = |field: &str| {
+        format!(
+            "{{\"id\":\"odd\",\"service\":\"desk\",\"zone\":\"a\",\"address\":\"127.0.0.1:9\",\
+             \"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":0,{field}}}"
+        )
+    };
+    let entries = [
+        nested.clone(),
+        odd(&format!("\"later\":{nested}")),
+        odd("\"later\":1e999"),
+        odd("\"slots\":4294967295"),
+    ];
+    for (number, entry) in entries.into_iter().enumerate() {
+        let state = ["draining", "ready"][number % 2];
+        deployment.change_list(|list| {
+            list.push(entry.replace("127.0.0.1:9", "127.0.0.1:70000"));
+            list.push(entry);
+            for listed in list.iter_mut().filter(|it| it.contains("\"desk-a\"")) {
+                *listed = listed
+                    .replace("draining", "ready")
+                    .replace("\"ready\"", &format!("\"{state}\""));
+            }
+        });
+        let started = Instant::now();
+        let mut is_followed = false;
+        while !is_followed {
+            assert!(
+                started.elapsed() < Duration::from_secs(10),
+                "{}",
+                deployment.control.log()
+            );
+            sleep(Duration::from_millis(300)).await;
+            let mut targets = Vec::new();
+            for attempt in 0..12 {
+                let id = format!("id-{number}-{attempt}-{:?}", started.elapsed());
+                assert_eq!(deployment.request(&id, "/look/x", &[]).await.status, 200);
+                targets.push(deployment.received(&id)[0].target.clone());
+            }
+            let is_used = targets.iter().any(|target| target == "desk-a");
+            is_followed = is_used == (state == "ready");
+        }
+        assert!(deployment.is_ready().await);
+    }
+}
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -96,7 +96,8 @@
 struct SharedState {
     received: Vec<ReceivedRequest>,
     behaviours: HashMap<String, Behaviour>,
-    list: Vec<Value>,
+    /// The entries of the platform's list as JSON text.
+    list: Vec<String>,
 }
 
 /// The processes and test doubles of one test.
@@ -244,6 +245,11 @@
         shared.behaviours.insert(target.to_owned(), behaviour);
     }
 
+    /// Changes the entries of the platform's list.
+    pub(crate) fn change_list(&self, change: impl FnOnce(&mut Vec<String>)) {
+        change(&mut self.shared.lock().unwrap().list);
+    }
+
     /// The requests with an id that targets received.
     pub(crate) fn received(&self, id: &str) -> Vec<ReceivedRequest> {
         let shared = self.shared.lock().unwrap();
@@ -445,9 +451,10 @@
 }
 
 /// Builds a target's entry in the platform's list.
-fn list_entry(name: &str, service: Option<&str>, at: SocketAddr, zone: &str) -> Value {
-    json!({"id": name, "service": service, "address": at, "zone": zone, "version": "v1",
-        "slots": 8, "state": "ready", "cold_remaining_ms": 0})
+fn list_entry(name: &str, service: Option<&str>, at: SocketAddr, zone: &str) -> String {
+    let entry = json!({"id": name, "service": service, "address": at, "zone": zone,
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0});
+    entry.to_string()
 }
 
 /// A configuration with idempotent routes, routes that are not idempotent, and streaming routes
@@ -480,8 +487,8 @@
 }
 
 async fn list_answer(shared: Arc<Mutex<SharedState>>) -> Response<Body> {
-    let list = shared.lock().unwrap().list.clone();
-    let body = json!({"instances": list, "next": null}).to_string();
+    let list = shared.lock().unwrap().list.join(",");
+    let body = format!("{{\"instances\":[{list}],\"next\":null}}");
     Response::new(Body::complete(Bytes::from(body)))
 }
 
