control: a list whose pages form a loop is given up at the repeated token

What callers saw: while a page of the platform's list named itself as the next one, a control daemon read it 150 times a second, however few calls the platform allows to all daemons together. Cause: a read ended only after 200 pages. Change: a token that was given before in the same read is an error of the read. The limit of 200 pages remains. Why it works: each page of a sound list has its own token, so a loop shows at the first repeated one.

--- a/crates/azurelug-control/src/deployment/reader.rs
+++ b/crates/azurelug-control/src/deployment/reader.rs
@@ -1,5 +1,6 @@
 //! Reads the platform's list of targets within the call rate that all daemons share.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,7 +31,7 @@
 /// Size limit of a page in bytes.
 const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
 
-/// Maximum number of pages of one list; more pages mean that the page tokens form a loop.
+/// Maximum number of pages of one list.
 const MAX_PAGES: usize = 200;
 
 /// Why a list could not be read.
@@ -48,6 +49,8 @@
     Malformed(#[from] list::Error),
     #[error("no request for a page can be built: {0}")]
     Request(#[from] http::Error),
+    #[error("the token of a page is repeated; its pages form a loop")]
+    RepeatedToken,
     #[error("more than {MAX_PAGES} pages")]
     TooManyPages,
 }
@@ -112,6 +115,7 @@
     let mut targets = Vec::new();
     let mut skipped = 0;
     let mut token: Option<String> = None;
+    let mut tokens = HashSet::new();
     for pages in 1..=MAX_PAGES {
         let bytes = timeout(
             PAGE_TIMEOUT,
@@ -121,10 +125,13 @@
         let page = list::read(&bytes)?;
         targets.extend(page.targets);
         skipped += page.invalid_entries;
-        token = page.next;
-        if token.is_none() {
+        let Some(next) = page.next else {
             return Ok((targets, pages, skipped));
+        };
+        if !tokens.insert(next.clone()) {
+            return Err(Error::RepeatedToken);
         }
+        token = Some(next);
     }
     Err(Error::TooManyPages)
 }
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -385,6 +385,21 @@
     }
 }
 
+/// Guards against control daemons that read the same page again and again, which uses up the rate of
+/// calls that all daemons share.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_page_that_names_itself_as_the_next_one_is_not_read_on_and_on() {
+    let deployment = Deployment::start().await;
+    let calls = deployment.list_calls();
+    deployment.set_next_page("p-50".into());
+    sleep(Duration::from_secs(4)).await;
+    let calls = deployment.list_calls() - calls;
+    // After a failure the daemon pauses for 0.7 s at least; each read takes two calls.
+    assert!((2..=16).contains(&calls), "{calls} calls in 4 s");
+    deployment.set_next_page(Value::Null);
+    assert_list_is_followed(&deployment, false).await;
+}
+
 /// Lists the target `desk-a` as ready or leaving and waits until the gateway uses it or not.
 async fn assert_list_is_followed(deployment: &Deployment, is_ready: bool) {
     let state = if is_ready {
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -100,6 +100,7 @@
     list: Vec<String>,
     /// Token of the next page in each page of the list.
     next_page: Value,
+    list_calls: u32,
 }
 
 /// The processes and test doubles of one test.
@@ -252,6 +253,11 @@
         change(&mut self.shared.lock().unwrap().list);
     }
 
+    /// The number of reads of a page of the platform's list.
+    pub(crate) fn list_calls(&self) -> u32 {
+        self.shared.lock().unwrap().list_calls
+    }
+
     /// Sets the token of the next page in each page of the platform's list.
     pub(crate) fn set_next_page(&self, token: Value) {
         self.shared.lock().unwrap().next_page = token;
@@ -494,7 +500,8 @@
 }
 
 async fn list_answer(shared: Arc<Mutex<SharedState>>) -> Response<Body> {
-    let shared = shared.lock().unwrap();
+    let mut shared = shared.lock().unwrap();
+    shared.list_calls += 1;
     let (list, next) = (shared.list.join(","), &shared.next_page);
     let body = format!("{{\"instances\":[{list}],\"next\":{next}}}");
     Response::new(Body::complete(Bytes::from(body)))
