testkit: ports of test daemons lie below those that the kernel hands out

What developers saw: a test failed at its start, "admin: Address already in use" (a_request_without_an_id_is_refused, 1 of 3 runs of gateway.rs while other tests ran).

Cause: the port was one that the kernel had just handed out and taken back. Before the daemon listened on it, the kernel gave it to another connection.

Change: `testkit::port::free` draws ports below that range; the soak's and the tests' own copies use it.

Why it works: outgoing connections get their ports from the kernel's range, so only another daemon of a test can take the port in between.

--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use azurelug_http::h1::server::ShutdownState;
+use azurelug_testkit::port;
 use azurelug_testkit::proxy::{Link, NewConnections, Proxy, Rule, Settings};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
@@ -108,24 +109,6 @@
     (IpAddr::V4(Ipv4Addr::new(127, 0, third, last)), port).into()
 }
 
-/// Finds a port that is free on all of `addresses`.
-fn free_port(addresses: &[IpAddr]) -> u16 {
-    loop {
-        let first = std::net::TcpListener::bind((addresses[0], 0)).expect("bind a listener");
-        let port = first
-            .local_addr()
-            .expect("a bound listener has an address")
-            .port();
-        let others = addresses[1..].iter();
-        let bound: Vec<_> = others
-            .map(|it| std::net::TcpListener::bind((*it, port)))
-            .collect();
-        if bound.iter().all(Result::is_ok) {
-            return port;
-        }
-    }
-}
-
 impl Deployment {
     /// Starts the test doubles and the daemons, and waits until all gateways are ready.
     ///
@@ -168,7 +151,7 @@
             .collect();
         let gateways: Vec<IpAddr> = (0..count).map(|it| address(3, it + 1, 0).ip()).collect();
         let all: Vec<IpAddr> = controls.iter().chain(&gateways).copied().collect();
-        let internal = free_port(&all);
+        let internal = port::free(&all);
         let seeds: Vec<String> = controls.iter().map(|ip| format!("\"{ip}:1\"")).collect();
         let layout = Layout {
             folder: folder.clone(),
@@ -524,8 +507,8 @@
     fn control(&self, number: u8) -> Control {
         let name = format!("control-{}", zone_name(number));
         let at = |port| address(2, number + 1, port);
-        let operators = at(free_port(&[at(0).ip()]));
-        let status = at(free_port(&[at(0).ip()]));
+        let operators = at(port::free(&[at(0).ip()]));
+        let status = at(port::free(&[at(0).ip()]));
         let data = self.folder.join(format!("{name}.state"));
         let settings = format!(
             "name: {name}\nzone: {}\n{}internal: \"{}\"\noperators: \"{status}\"\ndata: {}\n\
@@ -551,8 +534,8 @@
     fn gateway(&self, number: u8) -> Gateway {
         let name = format!("gateway-{number}");
         let at = |port| address(3, number + 1, port);
-        let clients = at(free_port(&[at(0).ip()]));
-        let admin = at(free_port(&[at(0).ip()]));
+        let clients = at(port::free(&[at(0).ip()]));
+        let admin = at(port::free(&[at(0).ip()]));
         let settings = format!(
             "name: {name}\nzone: {}\n{}internal: \"{}\"\nclients: \"{clients}\"\n\
              admin: \"{admin}\"\nseeds: [{}]\nbounds:\n  revocation: 5s\n  apply: 2s\n  \
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -12,6 +12,7 @@
 use azurelug_http::h1::client::Connection;
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
 use azurelug_system::process::Process;
+use azurelug_testkit::port;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -130,16 +131,7 @@
 
 /// Finds a port that is free on the addresses of both daemons.
 fn free_port() -> u16 {
-    loop {
-        let first = std::net::TcpListener::bind(address(2, 0)).expect("bind a listener");
-        let port = first
-            .local_addr()
-            .expect("a bound listener has an address")
-            .port();
-        if std::net::TcpListener::bind(address(3, port)).is_ok() {
-            return port;
-        }
-    }
+    port::free(&[address(2, 0).ip(), address(3, 0).ip()])
 }
 
 impl Deployment {
--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limit;
 pub mod openmetrics;
 pub mod platform;
+pub mod port;
 pub mod proxy;
 pub mod reporter;
 pub mod service;
