system: failing test of a slow head after an idle time

Callers saw a kept connection closed in the middle of a request's head, without an answer, although the connection had been idle for less than the idle timeout and the head took less than the timeout for heads.

Cause: hyper's `header_read_timeout`, which `http::h1::server` sets to the idle timeout, runs from the end of the last answer to the end of the next head, so that both times together must be below the idle timeout.

--- a/crates/azurelug-system/tests/gateway/kept_connections.rs
+++ b/crates/azurelug-system/tests/gateway/kept_connections.rs
@@ -73,6 +73,21 @@
     assert_eq!(status, "200", "{}", deployment.log());
 }
 
+/// Guards against a request that is cut off because the idle time before its head is added to the
+/// time that the head takes, which are limited separately.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt: the idle time counts against the head"]
+async fn a_slow_head_after_an_idle_time_is_answered() {
+    let deployment = Deployment::start().await;
+    put_limits(&deployment, limits(2, 16_384, 6000, 3000)).await;
+    let mut stream = deployment.connect().await.unwrap();
+    let first = send_slowly(&mut stream, "first", Duration::ZERO).await;
+    assert_eq!(first, "200", "{}", deployment.log());
+    sleep(Duration::from_millis(2000)).await;
+    let second = send_slowly(&mut stream, "second", Duration::from_millis(2500)).await;
+    assert_eq!(second, "200", "{}", deployment.log());
+}
+
 /// Guards against connections that keep the default limits because they were accepted before the
 /// gateway had a configuration.
 #[tokio::test(flavor = "multi_thread")]
