system: requests in flight beside changes, reloads, stops and restarts

Cause: no test changed the configuration, reloaded, stopped or restarted a daemon while requests waited for targets that pause, with clients on kept connections.

--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -2,6 +2,8 @@
 //! refuse requests, break off streams or lose answers.
 #![allow(clippy::unwrap_used)]
 
+#[path = "gateway/changes_in_flight.rs"]
+mod changes_in_flight;
 #[path = "support/deployment.rs"]
 mod deployment;
 #[path = "gateway/faulty_targets.rs"]
