system: targets of stages that fall silent or answer without length

Cause: the scripted targets answered the calls of stages at once, so that silence, unframed and cut answers of stage targets were not tried.

Change: a script may be for the calls of a route's stage. A request whose stage target pauses must be served or refused, since it has not run; a call whose answer ends with its connection, or is cut, must be completed. The requests of changes_in_flight have such targets too.

--- a/crates/azurelug-system/tests/gateway/changes_in_flight.rs
+++ b/crates/azurelug-system/tests/gateway/changes_in_flight.rs
@@ -30,6 +30,7 @@
         Kind::AtMostOnce,
         Kind::Resumable,
         Kind::NotResumable,
+        Kind::Staged,
     ];
     let replies = [
         (Framing::Chunked, Pause::BeforeHead),
--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -21,7 +21,12 @@
     };
     let pauses = pauses.iter();
     let scripts = pauses.flat_map(|&pause| OTHERS.map(|other| script(pause, other)));
-    let cases: Vec<_> = scripts.map(|it| (it, Expected::Complete)).collect();
+    let expected = match kind {
+        // Without results of the stages the request has not run.
+        Kind::Staged => Expected::Served,
+        _ => Expected::Complete,
+    };
+    let cases: Vec<_> = scripts.map(|it| (it, expected)).collect();
     let deployment = Deployment::start_scripted(&cases).await;
     deployment.check_scripts(&cases).await;
 }
@@ -45,6 +50,12 @@
     check_pauses(Kind::Safe, &[&UNTIL_FIRST_EVENT[..], &IN_BODY].concat()).await;
 }
 
+/// Guards against a request without an answer or a refusal because a target of its stage pauses.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_stage_target_pauses_is_served_or_refused() {
+    check_pauses(Kind::Staged, &[&UNTIL_FIRST_EVENT[..], &IN_BODY].concat()).await;
+}
+
 /// Guards against requests that may run only once and are given up while their target pauses.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_run_once_waits_for_its_silent_target() {
--- a/crates/azurelug-system/tests/gateway/unframed_answers.rs
+++ b/crates/azurelug-system/tests/gateway/unframed_answers.rs
@@ -80,6 +80,21 @@
     check(scripts.map(|it| (it, Expected::Incomplete)).collect()).await;
 }
 
+/// Guards against results of a stage that are lost or mixed up because the answer to its call ends
+/// with its connection or is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_call_whose_answer_ends_with_its_connection_or_is_cut_is_completed() {
+    let whole = UNTIL_CLOSE.iter().map(|&it| run(it, End::Complete));
+    let replies = whole.chain(cuts(Kind::Safe));
+    let scripts = replies.flat_map(|reply| {
+        [Framing::Chunked, Framing::Unframed].map(|framing| Script {
+            kind: Kind::Staged,
+            replies: vec![reply, run(framing, End::Complete)],
+        })
+    });
+    check(scripts.map(|it| (it, Expected::Complete)).collect()).await;
+}
+
 /// Guards against an answer that is given up although another target may complete it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_cut_is_completed_by_another_target_where_allowed() {
--- a/crates/azurelug-system/tests/support/kept_client.rs
+++ b/crates/azurelug-system/tests/support/kept_client.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 
-use super::scripted::{Kind, Script, body_parts, service_name};
+use super::scripted::{Kind, STAGE_HEADERS, Script, body_parts, service_name};
 use super::{Deployment, TIMEOUT};
 
 /// A client that keeps its connection open.
@@ -27,6 +27,8 @@
 pub(crate) enum Expected {
     /// The whole answer, and another one on the same connection.
     Complete,
+    /// The same, or a refusal of a request that no target has run.
+    Served,
     /// No answer that looks complete, and not a refusal, because the request has run.
     Incomplete,
 }
@@ -43,7 +45,7 @@
             .header("host", "carts.example")
             .header("x-request-attempt-id", id)
             .header("authorization", "Bearer key-1");
-        for (name, value) in headers {
+        for (name, value) in headers.iter().chain(&STAGE_HEADERS) {
             request = request.header(*name, *value);
         }
         let request = request.body(Full::new(Bytes::from_static(b"a body")));
@@ -128,20 +130,22 @@
         let arrivals = self.received(&id).len();
         let report = format!("{id}, {script:?}: {answer:?} after {arrivals} arrivals");
         let limit = if script.kind.is_repeatable() { 2 } else { 1 };
+        let is_refusal = |it: &Received| it.status == 503 && arrivals == 0;
         let is_expected = answer.is_ok_and(|answer| match expected {
             Expected::Complete => answer.is_complete(script.kind, &id),
+            Expected::Served => answer.is_complete(script.kind, &id) || is_refusal(&answer),
             Expected::Incomplete => answer.is_incomplete(script.kind, &id),
         });
         if !is_expected || arrivals > limit {
             return Err(report);
         }
-        if *expected == Expected::Incomplete {
-            return Ok(());
-        }
         let id = format!("warm-again-{index}");
-        match client.request(&id, &path, &[]).await {
-            Ok(answer) if answer.is_complete(script.kind, &id) => Ok(()),
-            other => Err(format!("{id}, after {script:?}: {other:?}")),
+        match (expected, client.request(&id, &path, &[]).await) {
+            // The connection ends with a stream that was cut.
+            (Expected::Incomplete, _) => Ok(()),
+            (_, Ok(answer)) if answer.is_complete(script.kind, &id) => Ok(()),
+            (Expected::Served, Ok(answer)) if answer.status == 503 => Ok(()),
+            (_, other) => Err(format!("{id}, after {script:?}: {other:?}")),
         }
     }
 }
--- a/crates/azurelug-system/tests/support/scripted.rs
+++ b/crates/azurelug-system/tests/support/scripted.rs
@@ -2,6 +2,7 @@
 //! end of the body, and how the connection ends.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,8 +14,8 @@
 
 use super::kept_client::Expected;
 use super::{
-    Deployment, EVENT_COUNT, ReceivedRequest, SharedState, TIMEOUT, address, configuration,
-    list_entry, raw,
+    Deployment, EVENT_COUNT, NEXT_NUMBER, ReceivedRequest, SharedState, TIMEOUT, address,
+    configuration, list_entry, raw,
 };
 
 /// How long a silent target pauses. Longer than the gateway's timeouts for a retry on the routes of
@@ -24,6 +25,9 @@
 /// Requests whose ids start with this are answered at once, without the script.
 const WARM_UP: &str = "warm-";
 
+/// Headers of requests on routes with a stage; others ignore them.
+pub(crate) const STAGE_HEADERS: [(&str, &str); 2] = [("x-pieces", "2"), ("x-piece-key", "k")];
+
 /// The kind of a scripted service's route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -31,16 +35,19 @@
     AtMostOnce,
     Resumable,
     NotResumable,
+    /// A stream that may be resumed, with a stage at the same service. The script is for the calls
+    /// of the stage.
+    Staged,
 }
 
 impl Kind {
     pub(crate) fn is_stream(self) -> bool {
-        matches!(self, Self::Resumable | Self::NotResumable)
+        matches!(self, Self::Resumable | Self::NotResumable | Self::Staged)
     }
 
     /// Whether the gateway may send a request to a second target that may have run.
     pub(crate) fn is_repeatable(self) -> bool {
-        matches!(self, Self::Safe | Self::Resumable)
+        matches!(self, Self::Safe | Self::Resumable | Self::Staged)
     }
 }
 
@@ -106,14 +113,22 @@
         let (kind, attempts) = match script.kind {
             Kind::Safe => ("safe", 2),
             Kind::AtMostOnce => ("unsafe", 1),
-            Kind::Resumable => ("streaming", 2),
+            Kind::Resumable | Kind::Staged => ("streaming", 2),
             Kind::NotResumable => ("streaming", 1),
         };
+        let mut service = json!({"name": name});
+        let mut stages = json!([]);
+        if script.kind == Kind::Staged {
+            service["pieces"] = json!({"slots": 2, "queue": 2, "batch": 8, "call_ms": 10,
+                "item_ms": 1, "room_mb": 10, "handle_s": 10});
+            stages = json!([{"service": name, "after": [], "bytes": 1000}]);
+        }
         let route = json!({"name": name, "host": "carts.example",
             "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 8000,
             "target_latency_ms": 1000, "priority": 0, "service": name, "max_attempts": attempts,
-            "resume_streams": script.kind == Kind::Resumable, "gap_aim_ms": 300, "stages": []});
-        let lists = [("routes", route), ("services", json!({"name": name}))];
+            "resume_streams": script.kind != Kind::NotResumable, "gap_aim_ms": 300,
+            "stages": stages});
+        let lists = [("routes", route), ("services", service)];
         for (list, entry) in lists {
             document[list].as_array_mut().unwrap().push(entry);
         }
@@ -158,7 +173,7 @@
         while !(is_used("-a") && is_used("-b")) {
             let is_in_time = started.elapsed() < TIMEOUT;
             assert!(is_in_time, "{path} is not served: {}", self.log());
-            join_all((0..4).map(|_| self.try_request(&id, &path, &[]))).await;
+            join_all((0..4).map(|_| self.try_request(&id, &path, &STAGE_HEADERS))).await;
             sleep(Duration::from_millis(10)).await;
         }
     }
@@ -201,28 +216,47 @@
     script: Script,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    while let Some(received) = raw::read_request(&mut stream, &name).await? {
-        if received.path.starts_with("/stage-") {
-            shared.lock().unwrap().received.push(received.clone());
+    while let Some(mut received) = raw::read_request(&mut stream, &name).await? {
+        let is_call = received.path == "/stage-run";
+        if received.path == "/stage-free" {
             stream.write_all(&raw::build_answer(&received, at)).await?;
             continue;
         }
-        let id = received.headers["x-request-attempt-id"].clone();
-        let earlier = record_arrival(&shared, received.clone(), &id);
-        let reply = if id.starts_with(WARM_UP) {
+        let call: Value = serde_json::from_slice(&received.body).unwrap_or_default();
+        let mut id = received.headers.get("x-request-attempt-id").cloned();
+        if is_call {
+            id = call["items"][0]["id"].as_str().map(str::to_owned);
+            // Calls are counted like requests.
+            let key = format!("call-of-{}", id.as_deref().unwrap_or_default());
+            received
+                .headers
+                .insert("x-request-attempt-id".to_owned(), key);
+        }
+        let id = id.unwrap_or_default();
+        let earlier = record_arrival(&shared, &received);
+        let is_scripted = is_call == (script.kind == Kind::Staged) && !id.starts_with(WARM_UP);
+        let is_first_target = earlier.first().is_none_or(|target| *target == name);
+        let reply = if !is_scripted || (is_call && is_first_target && !earlier.is_empty()) {
             Reply::Run(Framing::Chunked, None, End::Complete)
         } else {
-            script.replies[earlier.min(script.replies.len() - 1)]
+            script.replies[earlier.len().min(script.replies.len() - 1)]
         };
         let status = match reply {
             Reply::Run(framing, pause, end) => {
+                let (last, parts) = if is_call {
+                    (0, call_parts(&call, at))
+                } else {
+                    let last = received.headers.get("last-event-id");
+                    let last = last.and_then(|it| it.parse().ok()).unwrap_or(0);
+                    (last, body_parts(script.kind, &id, last))
+                };
                 let run = Run {
-                    kind: script.kind,
+                    is_stream: script.kind.is_stream() && !is_call,
                     framing,
                     pause,
                     end,
                 };
-                if !run.answer(&mut stream, &received, &id).await? {
+                if !run.answer(&mut stream, &id, last, parts).await? {
                     return Ok(());
                 }
                 continue;
@@ -238,34 +272,50 @@
     Ok(())
 }
 
-/// Records an arrival and returns the number of earlier arrivals of the same request.
-fn record_arrival(shared: &Mutex<SharedState>, received: ReceivedRequest, id: &str) -> usize {
+/// Records an arrival and returns the targets of earlier arrivals of the same request.
+fn record_arrival(shared: &Mutex<SharedState>, received: &ReceivedRequest) -> Vec<String> {
+    let id = received.headers.get("x-request-attempt-id");
     let mut shared = shared.lock().unwrap();
-    let ids = shared.received.iter();
-    let ids = ids.filter_map(|it| it.headers.get("x-request-attempt-id"));
-    let earlier = ids.filter(|other| *other == id).count();
-    shared.received.push(received);
-    earlier
+    let earlier = shared.received.iter();
+    let earlier = earlier.filter(|it| it.headers.get("x-request-attempt-id") == id);
+    let targets = earlier.map(|it| it.target.clone()).collect();
+    shared.received.push(received.clone());
+    targets
+}
+
+/// The body of the answer to a stage's call, in as many parts as other answers have.
+fn call_parts(call: &Value, at: SocketAddr) -> Vec<String> {
+    let items = call["items"].as_array().expect("a call has items").iter();
+    let handle = |item: &Value| {
+        let id = item["id"].as_str().expect("an item has an id");
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        json!({"handle": format!("{at}/{id}-{number}")})
+    };
+    let body = json!({"items": items.map(handle).collect::<Vec<_>>()}).to_string();
+    let length = body.len().div_ceil(EVENT_COUNT as usize);
+    let parts = body.as_bytes().chunks(length);
+    parts
+        .map(|it| String::from_utf8_lossy(it).into_owned())
+        .collect()
 }
 
 struct Run {
-    kind: Kind,
+    is_stream: bool,
     framing: Framing,
     pause: Option<Pause>,
     end: End,
 }
 
 impl Run {
-    /// Sends the answer to a request; returns whether the connection can be used again.
+    /// Sends the answer to a request, whose parts are numbered from `last` on; returns whether the
+    /// connection can be used again.
     async fn answer(
         &self,
         stream: &mut TcpStream,
-        received: &ReceivedRequest,
         id: &str,
+        last: u64,
+        parts: Vec<String>,
     ) -> std::io::Result<bool> {
-        let last = received.headers.get("last-event-id");
-        let last = last.and_then(|it| it.parse().ok()).unwrap_or(0);
-        let parts = body_parts(self.kind, id, last);
         let head = self.head(id, parts.concat().len());
         let (start, rest) = head.split_at(head.len() / 2);
         self.pause_at(Pause::BeforeHead).await;
@@ -291,7 +341,9 @@
                 return Ok(false);
             }
             self.write(stream, rest).await?;
-            sleep(Duration::from_millis(20)).await;
+            if self.is_stream {
+                sleep(Duration::from_millis(20)).await;
+            }
         }
         if self.framing == Framing::Chunked {
             stream.write_all(b"0\r\n\r\n").await?;
@@ -312,7 +364,7 @@
             Framing::Announced => "connection: close\r\n".to_owned(),
             Framing::Unframed => String::new(),
         };
-        let kind = if self.kind.is_stream() {
+        let kind = if self.is_stream {
             "text/event-stream"
         } else {
             "text/plain"
