system: requests that cross a stop or a close, and changes of stages

Cause: stops were tested with requests on new connections only, and no test changed the stages of a route while their calls ran.

Change: requests on kept connections around the idle timeout and around the moment at which a stopping gateway closes its connections must be answered or not be passed on to a target; a request whose head or body arrives meanwhile must be answered. The settings of services with stages, and the stages of routes, change while requests are in flight.

--- a/crates/azurelug-system/tests/gateway/changes_in_flight.rs
+++ b/crates/azurelug-system/tests/gateway/changes_in_flight.rs
@@ -209,6 +209,43 @@
     .await;
 }
 
+/// Guards against requests that are given up because the settings of their stages change.
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_stages_cut_off_no_request_in_flight() {
+    check_changes(&[
+        ("small-pieces", |it, _| {
+            set_pieces(
+                it,
+                &json!({"slots": 1, "queue": 0, "batch": 1, "call_ms": 1, "item_ms": 0,
+                    "room_mb": 0.001, "handle_s": 0.1}),
+            );
+        }),
+        ("large-pieces", |it, _| {
+            set_pieces(
+                it,
+                &json!({"slots": 9, "queue": 9, "batch": 64, "call_ms": 900, "item_ms": 50,
+                    "room_mb": 900, "handle_s": 60}),
+            );
+        }),
+        ("two-stages", |it, index| {
+            let stages = json!([{"service": "encode", "after": [], "bytes": 1000},
+                {"service": "encode", "after": [0], "bytes": 1000}]);
+            route(it, index)["stages"] = stages;
+        }),
+        ("no-stages", |it, index| {
+            route(it, index)["stages"] = json!([]);
+        }),
+    ])
+    .await;
+}
+
+fn set_pieces(document: &mut Value, pieces: &Value) {
+    let services = document["services"].as_array_mut().unwrap();
+    for service in services.iter_mut().filter(|it| !it["pieces"].is_null()) {
+        service["pieces"] = pieces.clone();
+    }
+}
+
 /// Guards against requests that are cut off by a reload of the daemons or a restart of control.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reload_or_a_restart_of_control_cuts_off_no_request_in_flight() {
--- a/crates/azurelug-system/tests/gateway/kept_connections.rs
+++ b/crates/azurelug-system/tests/gateway/kept_connections.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -141,6 +143,74 @@
     }
 }
 
+/// Guards against a request that is passed on to a target and gets no answer because the gateway
+/// closes the kept connection at that moment, after a stop or an idle time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crosses_a_close_is_answered_or_not_passed_on() {
+    let mut deployment = Deployment::start().await;
+    put_limits(&deployment, limits(2, 16_384, 3000, 250)).await;
+    let crossing = async |number: u64, pause: Duration| {
+        let mut client = deployment.client().await;
+        let mut answered = 0;
+        for round in 0..40 {
+            let id = format!("cross-{number}-{round}");
+            match client.request(&id, "/look/x", &[]).await {
+                Ok(answer) if answer.is_whole && answer.status == 200 => answered += 1,
+                Ok(answer) => return Err(format!("{id}: {answer:?}")),
+                // The connection was closed, which the client may see only now.
+                Err(_) if deployment.received(&id).is_empty() => {
+                    match deployment.try_client().await {
+                        Some(other) => client = other,
+                        None => return Ok(answered),
+                    }
+                }
+                Err(error) => return Err(format!("{id} was passed on: {error}")),
+            }
+            sleep(pause).await;
+        }
+        Ok(answered)
+    };
+    // The clients' pauses are around the idle timeout.
+    let pauses = (0..24).map(|it| (it, Duration::from_millis(238 + it)));
+    let idle = join_all(pauses.map(|(number, pause)| crossing(number, pause))).await;
+    deployment.gateway.signal(Signal::SIGTERM);
+    sleep(Duration::from_millis(2300)).await;
+    let pauses = (24..48).map(|it| (it, Duration::from_millis(it % 25)));
+    let stop = join_all(pauses.map(|(number, pause)| crossing(number, pause))).await;
+    let results: Result<Vec<u32>, String> = idle.into_iter().chain(stop).collect();
+    let answered = results.unwrap_or_else(|error| panic!("{error}: {}", deployment.log()));
+    assert!(answered[..24].iter().all(|&it| it > 0), "{answered:?}");
+    assert!(deployment.gateway.terminate(Duration::from_secs(8)));
+}
+
+/// Guards against a whole request without an answer if the gateway stops while the request arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_arrives_during_a_stop_is_answered() {
+    let mut deployment = Deployment::start().await;
+    let mut streams = Vec::new();
+    for _ in 0..4 {
+        let mut stream = deployment.connect().await.unwrap();
+        assert_eq!(
+            send_slowly(&mut stream, "first", Duration::ZERO).await,
+            "200"
+        );
+        streams.push(stream);
+    }
+    deployment.gateway.signal(Signal::SIGTERM);
+    // The gateway closes idle connections 2.6 s after the signal.
+    sleep(Duration::from_millis(2000)).await;
+    let requests = streams.iter_mut().zip(["second", "body", "second", "body"]);
+    let requests = requests.zip([900, 900, 1200, 2500]);
+    let requests = requests.map(|((stream, id), pause)| {
+        let pause = Duration::from_millis(pause);
+        async move { (id, pause, send_slowly(stream, id, pause).await) }
+    });
+    for (id, pause, status) in join_all(requests).await {
+        assert_eq!(status, "200", "{id} {pause:?}: {}", deployment.log());
+    }
+    assert!(deployment.gateway.terminate(Duration::from_secs(8)));
+}
+
 /// Sends a request with a pause in its head if `id` is `second`, otherwise in its body, and returns
 /// the status of the answer; `closed` if the connection ends.
 async fn send_slowly(stream: &mut TcpStream, id: &str, pause: Duration) -> String {
--- a/crates/azurelug-system/tests/support/kept_client.rs
+++ b/crates/azurelug-system/tests/support/kept_client.rs
@@ -92,8 +92,13 @@
 impl Deployment {
     /// Opens a connection for several requests.
     pub(crate) async fn client(&self) -> Client {
+        self.try_client().await.expect("connect to the gateway")
+    }
+
+    /// As [`Deployment::client`]; none if the gateway accepts no connections.
+    pub(crate) async fn try_client(&self) -> Option<Client> {
         let opened = Connection::open(self.clients, TIMEOUT, TIMEOUT).await;
-        Client(opened.expect("connect to the gateway"))
+        opened.ok().map(Client)
     }
 
     /// Sends a request to each scripted service at the same time, and then a second one on the same
