testkit: a port is given to one daemon of a test process only

What developers saw: "can't listen on 127.0.0.2: Address already in use" in 1 of 3 runs of gateway.rs, at the start of a test.

Cause: ports were drawn at random, and the daemons of other tests of the same process had not opened theirs yet when a port was checked: with eight tests at a time one run in ten draws a port twice.

Change: the ports of a process follow each other from a start that depends on its id.

Why it works: two tests of one process never get the same port, and two processes start 997 ports apart.

--- a/crates/azurelug-testkit/src/port.rs
+++ b/crates/azurelug-testkit/src/port.rs
@@ -2,18 +2,25 @@
 
 use std::net::{IpAddr, TcpListener};
 use std::ops::Range;
-
-use rand::RngExt;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Ports below those that the kernel hands out by itself: a port that is free now could otherwise
 /// become another connection's before the daemon listens on it.
-const PORTS: Range<u16> = 10_000..32_000;
+const PORTS: Range<u32> = 10_000..32_000;
+
+/// Distance between the first ports of two processes.
+const PROCESS_STRIDE: u32 = 997;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// Finds a port that is free on all of `addresses`.
+/// Finds a port that is free on all of `addresses`. It is given to no other caller in this process.
 #[must_use]
 pub fn free(addresses: &[IpAddr]) -> u16 {
+    let first = std::process::id().wrapping_mul(PROCESS_STRIDE);
     loop {
-        let port = rand::rng().random_range(PORTS);
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
+        let port = u16::try_from(port).expect("the range ends below 65,536");
         let mut addresses = addresses.iter();
         if addresses.all(|address| TcpListener::bind((*address, port)).is_ok()) {
             return port;
