--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -76,6 +76,22 @@
     Reply::Run(Framing::Chunked, pause, end)
 }
 
+/// Guards against a stalled stream that more targets fail to resume than the request may run at.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_stream_runs_at_no_more_targets_than_allowed() {
+    let stalls = chunked(Some(Pause::Twice), End::Complete);
+    check_replies(vec![stalls, Reply::Error, Reply::Error, Reply::Error]).await;
+}
+
+/// Guards against attempts to resume a stream that are cancelled and not counted as runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_attempts_to_resume_a_stream_are_counted() {
+    let stalls = chunked(Some(Pause::Twice), End::Complete);
+    let waits = chunked(Some(Pause::BeforeHead), End::Complete);
+    let waits_longer = chunked(Some(Pause::Twice), End::Complete);
+    check_replies(vec![stalls, waits_longer, waits, waits]).await;
+}
+
 /// Guards against an answer without length, chunks and events that is taken for a complete stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_ends_before_its_first_event_is_not_complete() {
