gateway: a target that refused to resume a stream may be asked again

What callers saw: a stream that was cut although a target had room to resume it. It had refused once, while the first target was silent.

Cause: targets that stated that they did not run the request stayed excluded for the rest of the request.

Change: they are eligible again when the stream is next to be resumed.

Why it works: a refusal tells about that moment only, and it is not a run.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -117,6 +117,8 @@
     pub has_arrived: bool,
     /// Whether a target refused the request because stage results are no longer available.
     pub inputs_gone: bool,
+    /// Targets that did not run the request; they may have room later.
+    refused: Vec<Key>,
     /// Whether the client has received a part of the stream.
     pub is_resumed: bool,
 }
@@ -311,6 +313,7 @@
     /// Records the reply of an attempt that has ended; returns the answer for the client.
     fn record_reply(&mut self, slot: Slot, reply: Reply) -> Option<Answer> {
         let name = slot.target.name.clone();
+        let key = slot.key;
         let may_retry = self.may_retry(1);
         // Further attempts wait for a free slot, unless this reply ends them.
         self.is_due = true;
@@ -341,11 +344,13 @@
                 reason
             }
             AttemptOutcome::NotRun => {
+                self.history.refused.push(key);
                 self.last = self.history.record_refusal(&self.last, "targets are full");
                 "not run"
             }
             AttemptOutcome::Unreachable => {
                 let reason = "no target can be reached";
+                self.history.refused.push(key);
                 self.last = self.history.record_refusal(&self.last, reason);
                 log::info!(
                     "gateway: request {} at {name}: unreachable",
@@ -454,6 +459,13 @@
         }
     }
 
+    /// Makes targets that did not run the request eligible again.
+    pub fn forget_refusals(&mut self) {
+        let refused = std::mem::take(&mut self.refused);
+        self.tried.retain(|key| !refused.contains(key));
+        self.refusals = 0;
+    }
+
     /// Counts a refusal. The client may be told that the request was refused only while it can't
     /// have run at any target.
     fn record_refusal(&mut self, last: &Failure, reason: &'static str) -> Failure {
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -191,6 +191,7 @@
             return None;
         }
         drop(failed);
+        self.history.forget_refusals();
         self.resume_after(last, None).await
     }
 
@@ -236,6 +237,7 @@
         name: &TargetName,
         last: Option<u64>,
     ) -> Option<Box<Stream>> {
+        self.history.forget_refusals();
         let (exchange, history) = (&self.exchange, &self.history);
         let slot = attempt::reserve_retry_slot(exchange, &self.zone, history).await?;
         self.log_left(name, last, "the stream stalled");
--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -92,6 +92,15 @@
     check_replies(vec![stalls, waits_longer, waits, waits]).await;
 }
 
+/// Guards against a stream that is cut because the target that has room now refused to resume it
+/// while the first target was silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_refused_may_resume_the_stream_later() {
+    let breaks_off = chunked(Some(Pause::BetweenEvents), End::Reset);
+    let complete = chunked(None, End::Complete);
+    check_replies(vec![breaks_off, Reply::Refusal, complete]).await;
+}
+
 /// Guards against an answer without length, chunks and events that is taken for a complete stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_ends_before_its_first_event_is_not_complete() {
