gateway: a stream that is being resumed ends when its client leaves

Cause: nobody watched the client while another target was asked.

Change: the end of the client cancels the attempt.

Why it works: dropping the attempt closes its connection.

--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -73,6 +73,7 @@
     Failed(Box<Stream>),
     /// The stalled target has failed, and no other one resumes the stream.
     Lost(&'static str),
+    ClientGone,
 }
 
 impl Relay {
@@ -105,13 +106,20 @@
                 Read::Complete => return self.complete(*stream),
                 Read::ClientGone => return self.abandon(*stream),
                 Read::OutOfTime => return self.interrupt(&events, "out of time").await,
-                Read::Interrupted(reason) => match self.resume(*stream, reason).await {
-                    Some(next) => {
-                        stream = next;
-                        last_event = Instant::now();
+                Read::Interrupted(reason) => {
+                    let resumed = tokio::select! {
+                        resumed = self.resume(*stream, reason) => Some(resumed),
+                        () = events.closed() => None,
+                    };
+                    match resumed {
+                        Some(Some(next)) => {
+                            stream = next;
+                            last_event = Instant::now();
+                        }
+                        Some(None) => return self.interrupt(&events, reason).await,
+                        None => return self.close_abandoned(),
                     }
-                    None => return self.interrupt(&events, reason).await,
-                },
+                }
                 Read::Stalled => match self.take_over(stream, &events).await {
                     Takeover::Resumed(next) | Takeover::Failed(next) => {
                         stream = next;
@@ -122,6 +130,7 @@
                         returned = Some(read);
                     }
                     Takeover::Lost(reason) => return self.interrupt(&events, reason).await,
+                    Takeover::ClientGone => return self.close_abandoned(),
                 },
             }
         }
@@ -210,8 +219,10 @@
                 Read::Interrupted(reason) => {
                     stalled.slot.set_outcome(Outcome::Unreachable);
                     drop(stalled);
-                    let next = resumed.await;
-                    return next.map_or(Takeover::Lost(reason), Takeover::Resumed);
+                    return tokio::select! {
+                        next = resumed => next.map_or(Takeover::Lost(reason), Takeover::Resumed),
+                        () = events.closed() => Takeover::ClientGone,
+                    };
                 }
                 read => Some(read),
             },
--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -1,6 +1,10 @@
 //! Tests of a gateway with sound targets that fall silent for a while and go on, while the only
 //! other target refuses, fails or closes the connection.
 
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
 use crate::deployment::Deployment;
 use crate::deployment::kept_client::Expected;
 use crate::deployment::scripted::{End, Framing, Kind, Pause, Reply, Script};
@@ -109,3 +113,26 @@
     let stalls = chunked(Some(Pause::BetweenEvents), End::Complete);
     check_replies(vec![stalls, Reply::Empty]).await;
 }
+
+/// Guards against targets that go on working on a stream that is being resumed after its client has
+/// left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_ends_when_its_client_leaves() {
+    let replies = vec![
+        chunked(None, End::Reset),
+        chunked(Some(Pause::BeforeHead), End::Complete),
+    ];
+    let kind = Kind::Resumable;
+    let cases = [(Script { kind, replies }, Expected::Complete)];
+    let deployment = Deployment::start_scripted(&cases).await;
+    let mut client = deployment.client().await;
+    let asked = client.request("left", "/scripted0/x", &[]);
+    let left = timeout(Duration::from_millis(600), asked).await;
+    assert!(left.is_err(), "{left:?}");
+    drop(client);
+    sleep(Duration::from_millis(500)).await;
+    let log = deployment.log();
+    let mut ends = log.lines().filter(|line| line.contains("request left"));
+    let is_ended = ends.any(|line| line.contains("the client disconnected"));
+    assert!(is_ended, "{log}");
+}
