gateway: an attempt that lost the race does not count against its target

What callers saw: refusals ("targets are full") by a gateway with a sound target that it had excluded.

Cause: when a silent target answered, every other pending attempt was recorded as a failure of its target, also one that had just been sent. Two of them exclude a target for half a second.

Change: an attempt counts as a failure only if it was silent itself for as long as an attempt may be.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -299,7 +299,10 @@
                 "gateway: request {} at {name}: no answer in time",
                 self.exchange.id
             );
-            silent.slot.set_outcome(Outcome::Unreachable);
+            // An attempt that was sent a moment ago tells nothing of its target.
+            if silent.slot.elapsed() >= attempt_timeout(self.exchange, true) {
+                silent.slot.set_outcome(Outcome::Unreachable);
+            }
             self.history.possible_runs += 1;
             self.history.has_arrived = true;
         }
