system: tests of refusals that a target repeats on a kept connection

Report of other operators: a target wrote an earlier refusal once more on a kept connection, and clients were told that requests which ran had not run, or such a request ran at a second target. Since an answer on a connection that carried an earlier request must name the request to count as a refusal, a copy leads to 502; bytes that arrive between two requests end the connection. Tests: 400, 408, 409, 421, 429 and 503, with the earlier request's id and without one, in place of the answer, after an interim answer, while the connection is idle, in one write with the refusal, and after the next answer; for requests that may run once, streams that can't be resumed, and idempotent requests. A copied refusal of a call for pieces makes the dispatcher call again, which is allowed; the engine gets the request once, and the client is refused only if no engine got it.

--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -1,7 +1,7 @@
 //! A gateway and a control daemon as real processes, with test doubles of the platform's list and
 //! of targets that record the requests they receive.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,6 +29,7 @@
 mod raw;
 #[path = "scripted.rs"]
 pub(crate) mod scripted;
+pub(crate) use raw::Reply;
 
 /// A generous time limit for any expected event.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -105,6 +106,8 @@
     /// Token of the next page in each page of the list.
     next_page: Value,
     list_calls: u32,
+    /// Answers of the targets that write raw bytes, by the request's id or the call's path.
+    replies: HashMap<String, VecDeque<Reply>>,
 }
 
 /// The processes and test doubles of one test.
@@ -139,7 +142,7 @@
 
 impl Deployment {
     /// Starts the daemons with an engine, a plain target and a stage target in each of the zones
-    /// `a` and `b` and the targets [`RAW`] and [`COPIER`], and waits until the gateway is ready.
+    /// `a` and `b` and the targets that write raw bytes, and waits until the gateway is ready.
     pub(crate) async fn start() -> Self {
         let shared = Arc::new(Mutex::new(SharedState::default()));
         let (stage, stages) = watch::channel(ShutdownState::Serving);
@@ -160,7 +163,7 @@
                 tokio::spawn(serve(listener, connection_limits, stages.clone(), handler));
             }
         }
-        for name in [RAW, COPIER] {
+        for name in [RAW, COPIER, "wire-a", "wire-b"] {
             let listener = TcpListener::bind(address(1, 0))
                 .await
                 .expect("bind a listener");
@@ -258,6 +261,19 @@
         self.shared.lock().unwrap().next_page = token;
     }
 
+    /// Sets the answers to the requests with an id, or to the calls with a path, in their order. Only
+    /// the targets that write raw bytes use them.
+    pub(crate) fn set_replies(&self, key: &str, replies: impl IntoIterator<Item = Reply>) {
+        let mut shared = self.shared.lock().unwrap();
+        let queue = shared.replies.entry(key.to_owned()).or_default();
+        queue.extend(replies);
+    }
+
+    /// Removes the answers that were set and not used.
+    pub(crate) fn clear_replies(&self) {
+        self.shared.lock().unwrap().replies.clear();
+    }
+
     /// The requests with an id that targets received.
     pub(crate) fn received(&self, id: &str) -> Vec<ReceivedRequest> {
         let shared = self.shared.lock().unwrap();
@@ -481,15 +497,17 @@
     ]);
     let mut copied = route("copied", "streaming", "llm", 2);
     copied["stages"] = json!([{"service": "copier", "after": [], "bytes": 1000}]);
+    let mut flow = route("flow", "streaming", "raw", 1);
+    flow["resume_streams"] = json!(false);
     let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1,
         "room_mb": 10, "handle_s": 4});
     json!({"version": version,
         "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
             route("talk", "streaming", "llm", 2), route("raw", "safe", "raw", 2),
-            route("once", "unsafe", "raw", 1), copied],
+            route("once", "unsafe", "raw", 1), copied, flow],
         "services": [
             {"name": "llm", "max_connections": 50, "cold_start_s": 0, "cold_per_s": 0},
-            {"name": "desk"}, {"name": "raw"}, {"name": "encode", "pieces": pieces},
+            {"name": "desk"}, {"name": "raw"}, {"name": "wire"}, {"name": "encode", "pieces": pieces},
             {"name": "copier", "pieces": pieces}],
         "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
 }
--- a/crates/azurelug-system/tests/support/raw.rs
+++ b/crates/azurelug-system/tests/support/raw.rs
@@ -1,7 +1,7 @@
 //! A test double of a target that writes raw bytes, for answers that an HTTP library would not
 //! send.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -17,6 +17,15 @@
 /// Maximum length of a request's head, in bytes.
 const REQUEST_LIMIT: usize = 1024 * 1024;
 
+/// What a target writes in answer to one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    /// Written with a short pause after each part.
+    pub(crate) parts: Vec<String>,
+    /// Whether the connection is closed after the last part.
+    pub(crate) closes: bool,
+}
+
 /// Serves connections until the test ends.
 pub(super) async fn serve(
     listener: TcpListener,
@@ -42,11 +51,24 @@
 ) -> std::io::Result<()> {
     let mut previous: Option<Vec<u8>> = None;
     while let Some(received) = read_request(&mut stream, name).await? {
-        let behaviour = {
+        let (behaviour, reply) = {
             let mut shared = shared.lock().unwrap();
             shared.received.push(received.clone());
-            shared.behaviours.get(name).copied()
+            let id = received.headers.get("x-request-attempt-id");
+            let replies = shared.replies.get_mut(id.unwrap_or(&received.path));
+            let reply = replies.and_then(VecDeque::pop_front);
+            (shared.behaviours.get(name).copied(), reply)
         };
+        if let Some(reply) = reply {
+            for part in &reply.parts {
+                stream.write_all(part.as_bytes()).await?;
+                sleep(Duration::from_millis(30)).await;
+            }
+            if reply.closes {
+                return Ok(());
+            }
+            continue;
+        }
         let answer = build_answer(&received, at);
         match behaviour.unwrap_or(Behaviour::Normal) {
             Behaviour::DuplicatesAnswers => {
