gateway: only an answer with status 200 is forwarded as a stream

What callers saw: a stream broke off, the next target answered with a signed error whose content type was text/event-stream, and the client found the error's text in its stream, which then ended as if it were complete. At the first target, such an error reached the client as status 200. Cause: whether an answer is a stream was decided by its content type alone. Change: an answer with another status is read whole. After the first event that means "not resumed", and the client's stream is cut; before it, the answer is forwarded or the request repeated, as for other errors. Why it works: a stream's first target answers 200, so the parts of one stream have the same status.

--- a/crates/azurelug-gateway/src/attempt/reply.rs
+++ b/crates/azurelug-gateway/src/attempt/reply.rs
@@ -142,7 +142,9 @@
         Verdict::NotRun | Verdict::WrongTarget if is_reused && !head.has_request_id => {
             return Reply::Unusable("the refusal may be a copy of an earlier one");
         }
-        Verdict::Answered if target::is_event_stream(&parts.headers) => {
+        Verdict::Answered
+            if head.status == StatusCode::OK && target::is_event_stream(&parts.headers) =>
+        {
             return read_first_event(connection, &head, parts.headers, body, attempt.splitter)
                 .await;
         }
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -4,6 +4,8 @@
 
 #[path = "gateway/changes_in_flight.rs"]
 mod changes_in_flight;
+#[path = "gateway/broken_streams.rs"]
+mod broken_streams;
 #[path = "gateway/copied_refusals.rs"]
 mod copied_refusals;
 #[path = "support/deployment.rs"]
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -504,7 +504,7 @@
     json!({"version": version,
         "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
             route("talk", "streaming", "llm", 2), route("raw", "safe", "raw", 2),
-            route("once", "unsafe", "raw", 1), copied, flow],
+            route("once", "unsafe", "raw", 1), copied, flow, route("wire", "streaming", "wire", 2)],
         "services": [
             {"name": "llm", "max_connections": 50, "cold_start_s": 0, "cold_per_s": 0},
             {"name": "desk"}, {"name": "raw"}, {"name": "wire"}, {"name": "encode", "pieces": pieces},
