core: lines without a field of an event are not forwarded in a stream

What callers saw: a target wrote another answer before the end of a stream, or answered the resumption of one with the text of an error as an event stream of status 200; the client found the text, or the whole head of the other answer, between its events. Cause: the splitter took every block of lines up to a blank line for an event. Change: a block without a line that is a comment or begins with id, data, event or retry is an error of the stream, so it is resumed at another target or cut. Blank blocks and events with further fields are forwarded as before. Why it works: neither a status line, header fields nor JSON begin with such a field name. A text that does is forwarded, because nothing distinguishes it from an event.

--- a/crates/azurelug-core/src/gateway/events.rs
+++ b/crates/azurelug-core/src/gateway/events.rs
@@ -17,6 +17,9 @@
         /// The event that was received.
         found: u64,
     },
+    /// A block of lines without a field of an event, such as the text of an error.
+    #[error("a block of lines is not an event; resume the stream on another target")]
+    NotAnEvent,
     /// No end of an event within `MAX_EVENT_BYTES` bytes.
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes; the response is not an event stream")]
     TooLong,
@@ -76,9 +79,12 @@
     /// Returns the next complete event that was not forwarded before.
     ///
     /// # Errors
-    /// `Order` or `TooLong`; nothing more from this target may be forwarded.
+    /// `Order`, `NotAnEvent` or `TooLong`; nothing more from this target may be forwarded.
     pub fn next_event(&mut self) -> Result<Option<Event>, Error> {
         while let Some(bytes) = self.split_event()? {
+            if !is_event(&bytes) {
+                return Err(Error::NotAnEvent);
+            }
             let id = event_id(&bytes);
             let Some(found) = id else {
                 return Ok(Some(Event { id, bytes }));
@@ -125,6 +131,19 @@
     None
 }
 
+/// Whether a block of lines is an event, a comment or blank. An event may also have unknown fields.
+fn is_event(block: &[u8]) -> bool {
+    let is_field = |line: &[u8]| {
+        let name = line.split(|&byte| byte == b':').next().unwrap_or(line);
+        matches!(name, b"" | b"id" | b"data" | b"event" | b"retry")
+    };
+    let lines = block
+        .split(|&byte| byte == b'\n')
+        .map(<[u8]>::trim_ascii_end);
+    let mut lines = lines.filter(|line| !line.is_empty()).peekable();
+    lines.peek().is_none() || lines.any(is_field)
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|&byte| byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -265,6 +265,31 @@
     assert_eq!(splitter.next_event(), Err(missing));
 }
 
+/// Guards against the text of an error that is forwarded as an event.
+#[test]
+fn lines_without_a_field_of_an_event_are_an_error() {
+    let next = |text: &str| {
+        let mut splitter = Splitter::default();
+        splitter.push(text.as_bytes());
+        splitter.next_event().map(|event| event.unwrap().bytes)
+    };
+    for text in [
+        "an error\n\n",
+        "HTTP/1.1 500 Error\r\nserver: x\r\n\r\n",
+        "{\"error\":1}\n\n",
+    ] {
+        assert_eq!(next(text), Err(Error::NotAnEvent), "{text}");
+    }
+    for text in [
+        "data\n\n",
+        ": comment\n\n",
+        "\n\n",
+        "x-weight-versions: 2\r\nid: 1\r\n\r\n",
+    ] {
+        assert_eq!(next(text).unwrap(), text);
+    }
+}
+
 /// Guards against unbounded buffering of a response that is not an event stream.
 #[test]
 fn too_many_bytes_without_an_end_of_an_event_are_an_error() {
--- a/crates/azurelug-system/tests/gateway/broken_streams.rs
+++ b/crates/azurelug-system/tests/gateway/broken_streams.rs
@@ -127,6 +127,12 @@
         }
     }
     second.push((200, format!("{signed}{plain}"), "id: 4\ndata: an error\n\n"));
+    second.push((200, format!("{signed}{typed}"), "an error\n\n"));
+    second.push((
+        200,
+        format!("{signed}{typed}"),
+        "HTTP/1.1 500 an error\r\nserver: x\r\n\r\n",
+    ));
     let whole = events(1);
     let begun = whole.find("id: 4").unwrap();
     let mut failures = Vec::new();
@@ -203,3 +209,23 @@
         }
     }
 }
+
+/// Guards against a client that finds another answer in its stream, because the target writes one
+/// before the end of the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_inside_a_stream_is_not_forwarded_as_an_event() {
+    let deployment = Deployment::start().await;
+    let whole = events(1);
+    let begun = &whole[..whole.find("id: 4").unwrap()];
+    for (number, framing) in FRAMINGS.into_iter().enumerate() {
+        let body = format!("{begun}HTTP/1.1 500 Error\r\ncontent-length: 8\r\n\r\nan error");
+        let rest = events(4);
+        let replies = |id: &str| {
+            let head = head(200, id, STREAM);
+            let first = framing.answer(&head, &body, body.len());
+            [first, framing.answer(&head, &rest, rest.len())]
+        };
+        let answer = read_resumed(&deployment, number, replies).await;
+        assert_eq!(chunked(&answer), (whole.clone(), true), "{framing:?}");
+    }
+}
