core: the weights of a traffic split may add up to any sum

Cause: the sum of the weights was a u32. Change: the sum is a floating-point number, as the draw already is. Why it works: an f64 holds the sum of 65,535 weights exactly.

--- a/crates/azurelug-core/src/gateway/table.rs
+++ b/crates/azurelug-core/src/gateway/table.rs
@@ -77,8 +77,8 @@
     /// Selects a service of a traffic split by weight; `random` is uniform in 0..1.
     #[must_use]
     pub fn choose(&self, split: &[WeightedService], random: f64) -> ServiceKey {
-        let total: u32 = split.iter().map(|share| share.weight).sum();
-        let mut remaining = random * f64::from(total);
+        let total: f64 = split.iter().map(|share| f64::from(share.weight)).sum();
+        let mut remaining = random * total;
         for share in split {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -117,6 +117,18 @@
     assert_eq!(counts, [0, 900, 100, 0]);
 }
 
+/// Guards against weights whose sum overflows.
+#[test]
+fn large_weights_divide_the_requests_in_proportion() {
+    let share = |service| WeightedService {
+        service: ServiceKey(service),
+        weight: u32::MAX,
+    };
+    let split = [share(0), share(1), share(2), share(3)];
+    let choose = |draw| Table::default().choose(&split, draw).0;
+    assert_eq!([0.1, 0.3, 0.6, 0.9].map(choose), [0, 1, 2, 3]);
+}
+
 /// Guards against a configuration that reverts: old and repeated commands must not change it, in
 /// whatever order they arrive.
 #[test]
