core: a target is used only at the address that the list names

What callers saw: after a target restarted under its name at another address, its old address still got requests; another target refuses them with 421, or nothing answers. While two entries of the list had the same name, each new list added two records, all of which got requests. Cause: a record counted as listed while the list had its name, also after a newer record had replaced it. Reusing the place of such a record removed the newer one's name as well. Change: a replaced record is no longer listed. Of several entries with the same name the first one counts. Why it works: a name belongs to one record at a time, and only that record's place in the list is looked up.

--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -27,6 +27,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Key(u32);
 
+impl Key {
+    fn at(position: usize) -> Self {
+        Self(u32::try_from(position).expect("targets fit into 32 bits"))
+    }
+}
+
 /// Limits that all gateways together have to respect at a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -171,10 +177,13 @@
         }
     }
 
-    /// Applies the platform's newest list of targets.
+    /// Applies the platform's newest list of targets. Of entries with the same name the first counts.
     pub fn list(&mut self, targets: &[Target], now: Duration) {
-        let named: HashSet<&TargetName> = targets.iter().map(|target| &target.name).collect();
-        for record in &mut self.records {
+        let mut named: HashSet<&TargetName> = HashSet::new();
+        let mut targets: Vec<&Target> = targets.iter().collect();
+        targets.retain(|target| named.insert(&target.name));
+        for key in self.by_name.values() {
+            let record = &mut self.records[key.0 as usize];
             let was_listed = record.is_listed;
             record.is_listed = named.contains(&record.target.name);
             if record.is_listed && !was_listed {
@@ -187,9 +196,8 @@
         self.pools.clear();
         for (position, record) in self.records.iter().enumerate() {
             if record.is_listed {
-                let key = Key(u32::try_from(position).expect("targets fit into 32 bits"));
                 let pool = self.pools.entry(record.target.service.clone());
-                pool.or_default().push(key);
+                pool.or_default().push(Key::at(position));
             }
         }
     }
@@ -212,12 +220,18 @@
             record.is_listed = true;
             return;
         }
+        if let Some(Key(replaced)) = known {
+            self.records[replaced as usize].is_listed = false;
+        }
         let record = TargetState::new(target, cold_until);
         let is_gone = |it: &TargetState| !it.is_listed && it.in_flight == 0;
         let position = match self.records.iter().position(is_gone) {
             Some(position) => {
                 let old = std::mem::replace(&mut self.records[position], record);
-                self.by_name.remove(&old.target.name);
+                // A newer record may have the same name.
+                if self.by_name.get(&old.target.name) == Some(&Key::at(position)) {
+                    self.by_name.remove(&old.target.name);
+                }
                 position
             }
             None => {
@@ -225,8 +239,7 @@
                 self.records.len() - 1
             }
         };
-        let key = Key(u32::try_from(position).expect("targets fit into 32 bits"));
-        self.by_name.insert(target.name.clone(), key);
+        self.by_name.insert(target.name.clone(), Key::at(position));
     }
 
     /// Sets the zones that operators have drained.
