gateway: a call that reads the answer of an earlier release is sent again

What callers saw: requests with stages were refused with "no target for a stage" after a stage target had written the answer to a release twice on a kept connection. Cause: the copy was the first answer that the next call read. A copy of an earlier call's answer leads to a new connection and a second call, but an answer without results counted as a failure of the target. Change: an answer that can't be decoded on a reused connection is treated as one to an earlier request; on a new connection it is a failure as before. Why it works: answers don't name their call, but nothing precedes the answer on a new connection. Pieces may run twice.

--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -518,10 +518,10 @@
 }
 
 impl CallError {
-    /// Whether the connection was closed or delivered the answer to an earlier call, so that a
-    /// retry on a new connection makes sense.
+    /// Whether the connection was closed or delivered the answer to an earlier call or release, so
+    /// that a retry on a new connection makes sense.
     fn is_stale_connection(&self) -> bool {
-        matches!(self, Self::Connection(_) | Self::Copy)
+        matches!(self, Self::Connection(_) | Self::Copy | Self::Unreadable(_))
     }
 }
 
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -2,10 +2,10 @@
 //! refuse requests, break off streams or lose answers.
 #![allow(clippy::unwrap_used)]
 
-#[path = "gateway/changes_in_flight.rs"]
-mod changes_in_flight;
 #[path = "gateway/broken_streams.rs"]
 mod broken_streams;
+#[path = "gateway/changes_in_flight.rs"]
+mod changes_in_flight;
 #[path = "gateway/copied_refusals.rs"]
 mod copied_refusals;
 #[path = "support/deployment.rs"]
--- a/crates/azurelug-system/tests/gateway/copied_refusals.rs
+++ b/crates/azurelug-system/tests/gateway/copied_refusals.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::deployment::{Deployment, Reply};
+use crate::deployment::{Deployment, Reply, configuration};
 use tokio::time::sleep;
 
 /// A refusal of a request that the target did not run.
@@ -135,3 +135,32 @@
     let calls = deployment.received_at_path("/stage-run").len();
     assert!(calls > 8, "no copy was read as an answer");
 }
+
+/// Guards against a call that fails because the answer to the release before it, which a copy of an
+/// earlier answer delayed, is taken for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copied_answer_to_a_release_does_not_fail_the_next_call() {
+    let deployment = Deployment::start().await;
+    let headers = [("x-pieces", "2"), ("x-piece-key", "k")];
+    // Results are released when their target needs the memory: it has room for four.
+    let mut small = configuration(2);
+    for service in small["services"].as_array_mut().unwrap() {
+        if service.get("pieces").is_some() {
+            service["pieces"]["room_mb"] = 0.004.into();
+        }
+    }
+    deployment.put_configuration(&small, 200).await;
+    sleep(Duration::from_secs(1)).await;
+    let released = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+    for number in 0..10 {
+        let id = format!("id-{number}");
+        let copies = keeps_connection(&[released, released]);
+        deployment.set_replies("/stage-free", [copies]);
+        let answer = deployment.request(&id, "/copied/x", &headers).await;
+        assert_eq!(answer.status, 200, "{id}: {}", deployment.log());
+        sleep(Duration::from_millis(if number % 2 == 0 { 5 } else { 300 })).await;
+        deployment.clear_replies();
+    }
+    let calls = deployment.received_at_path("/stage-free").len();
+    assert!(calls > 0, "nothing was released");
+}
