testkit: check of requests with parts that crash targets

Cause: nothing checked what all gateways together do with requests whose prompt has a part that crashes each target which begins to answer it.

Change: crash::Ledger gets crashes, arrivals and clients' requests, and finds more than three arrivals later than 3 s after the fifth crash, and sound requests of the same route that share the key or the first part and are answered less than half as often as before. outage::Outages holds the spans in which gateways were out of contact; limit::Ledger uses it as well and can forget what gateways were told when its target starts again. A proxy tells the address that it forwards to.

The tests include the bounds and one more than them.

Conclusion: system tests and the soak can share the check.

--- a/crates/azurelug-testkit/src/lib.rs
+++ b/crates/azurelug-testkit/src/lib.rs
@@ -1,11 +1,13 @@
 #![doc = include_str!("../README.md")]
 
 pub mod caller;
+pub mod crash;
 pub mod engine;
 mod error_response;
 mod history;
 pub mod limit;
 pub mod openmetrics;
+pub mod outage;
 pub mod platform;
 pub mod port;
 pub mod proxy;
--- a/crates/azurelug-testkit/src/limit.rs
+++ b/crates/azurelug-testkit/src/limit.rs
@@ -7,6 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::outage::Outages;
+
 /// Span over which requests are counted.
 pub const WINDOW: Duration = Duration::from_secs(4);
 
@@ -30,7 +32,7 @@
     /// When each gateway first passed on an answer with the limit in force.
     told: HashMap<String, Duration>,
     /// Spans in which the requests of a gateway don't count.
-    excused: Vec<(String, Duration, Duration)>,
+    excused: Outages,
     arrivals: Vec<(Duration, String)>,
 }
 
@@ -69,7 +71,7 @@
 
     /// Excludes a gateway's requests, because it was killed, frozen or cut off.
     pub fn excuse(&mut self, gateway: &str, from: Duration, until: Duration) {
-        self.excused.push((gateway.to_owned(), from, until));
+        self.excused.record(gateway, from, until);
     }
 
     /// Records that a gateway has lost what it knew of the limit.
@@ -77,6 +79,12 @@
         self.told.remove(gateway);
     }
 
+    /// Records that all gateways have lost what they knew of the limit, because the target has
+    /// started again.
+    pub fn forget_all(&mut self) {
+        self.told.clear();
+    }
+
     /// Records a request from a gateway. Requests of gateways that don't know the limit are allowed.
     pub fn record_arrival(&mut self, gateway: &str, at: Duration) {
         let told = self.told.get(gateway);
@@ -110,7 +118,7 @@
         let rate = self.highest_limit(start.saturating_sub(CONTACT), end)?;
         let mut gateways: HashMap<&str, usize> = HashMap::new();
         for (at, gateway) in &self.arrivals {
-            if (start..end).contains(at) && !self.is_excused(gateway, *at) {
+            if (start..end).contains(at) && !self.excused.covers(gateway, *at) {
                 *gateways.entry(gateway).or_default() += 1;
             }
         }
@@ -138,11 +146,4 @@
         let rates: Option<Vec<f64>> = rates.into_iter().collect();
         rates?.into_iter().reduce(f64::max)
     }
-
-    fn is_excused(&self, gateway: &str, at: Duration) -> bool {
-        let spans = self.excused.iter();
-        let own = spans.filter(|(name, ..)| name == gateway);
-        let mut around = own.filter(|(_, from, until)| (*from..*until).contains(&at));
-        around.next().is_some()
-    }
 }
--- a/crates/azurelug-testkit/src/proxy.rs
+++ b/crates/azurelug-testkit/src/proxy.rs
@@ -155,6 +155,11 @@
         self.address
     }
 
+    /// The address that connections are forwarded to.
+    pub fn target(&self) -> SocketAddr {
+        self.shared.target
+    }
+
     /// The bound address of the control interface.
     pub fn control(&self) -> SocketAddr {
         self.control.address()
--- /dev/null
+++ b/crates/azurelug-testkit/tests/crash.rs
@@ -0,0 +1,148 @@
+//! Tests of the check of requests with parts that crash targets.
+
+use std::time::Duration;
+
+use azurelug_testkit::crash::{Answered, Ledger, Request, Violation};
+use azurelug_testkit::outage::Outages;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A ledger in which the part `d` crashes a target every 500 ms from second 2 on, and the fifth
+/// crash is at second 4.
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::new("d");
+    for number in 0..6 {
+        ledger.record_crash((2000 + number * 500) * MS);
+    }
+    ledger
+}
+
+fn request(sent: Duration, part: &str, has_begun: bool) -> Request {
+    Request {
+        gateway: "a".to_owned(),
+        sent,
+        route: "talk".to_owned(),
+        key: "key".to_owned(),
+        parts: vec!["base".to_owned(), part.to_owned()],
+        is_sound: part != "d",
+        has_begun,
+    }
+}
+
+/// Records `count` sound requests from `start` on, of which the first `begun` are answered.
+fn record_sound(ledger: &mut Ledger, start: u32, begun: u32, count: u32) {
+    for number in 0..count {
+        let sent = (start + number) * MS;
+        ledger.record_request(request(sent, "s", number < begun));
+    }
+}
+
+/// Guards against a check that misses a request too many, or whose bounds are off by one.
+#[test]
+fn one_request_too_many_after_the_fifth_crash_is_found() {
+    let mut ledger = ledger();
+    // The last moment that is allowed, and then the three requests that are.
+    for at in [6999, 7000, 7001, 7002, 9000] {
+        ledger.record_arrival("a", at * MS);
+    }
+    assert_eq!(ledger.violations(&Outages::default()), []);
+    ledger.record_arrival("b", 20_000 * MS);
+    let gateways = vec![("a".to_owned(), 3), ("b".to_owned(), 1)];
+    let expected = Violation::Arrivals { count: 4, gateways };
+    assert_eq!(ledger.violations(&Outages::default()), [expected]);
+}
+
+/// Guards against a check that counts requests which are allowed: those of gateways out of contact,
+/// and all of them before the fifth crash.
+#[test]
+fn requests_out_of_contact_and_before_the_fifth_crash_are_allowed() {
+    let mut late = ledger();
+    let mut early = Ledger::new("d");
+    for number in 0..4 {
+        early.record_crash((2000 + number * 500) * MS);
+    }
+    for number in 0..100 {
+        late.record_arrival("a", (8000 + number) * MS);
+        early.record_arrival("a", (8000 + number) * MS);
+    }
+    assert_eq!(early.violations(&Outages::default()), []);
+    let (mut own, mut others, mut all) = <(Outages, Outages, Outages)>::default();
+    own.record("a", 8000 * MS, 9000 * MS);
+    others.record("b", 8000 * MS, 9000 * MS);
+    all.record_all(8000 * MS, 9000 * MS);
+    assert_eq!(late.violations(&own), []);
+    assert_eq!(late.violations(&all), []);
+    assert_eq!(late.violations(&others).len(), 1);
+}
+
+/// Guards against a check that misses sound requests which are answered less than half as often.
+#[test]
+fn sound_requests_that_are_answered_too_rarely_are_found() {
+    let before = Answered { begun: 20, all: 20 };
+    for (begun, is_broken) in [(10, false), (9, true)] {
+        let mut ledger = ledger();
+        record_sound(&mut ledger, 1000, 20, 20);
+        ledger.record_request(request(1500 * MS, "d", false));
+        // Not counted: twice the time of contact has not passed.
+        record_sound(&mut ledger, 9000, 0, 900);
+        record_sound(&mut ledger, 10_000, begun, 20);
+        ledger.record_request(request(11_000 * MS, "d", false));
+        // Not counted: no request with the part comes any more.
+        record_sound(&mut ledger, 11_001, 0, 900);
+        let during = Answered {
+            begun: begun as usize,
+            all: 20,
+        };
+        let expected = Violation::Unanswered { during, before };
+        let violations = ledger.violations(&Outages::default());
+        assert_eq!(violations.contains(&expected), is_broken, "{violations:?}");
+    }
+}
+
+/// Guards against a check that counts requests which share neither the account nor the first part,
+/// those of other routes and those with another part that crashes targets, and against one that
+/// ignores a time after fewer than five crashes.
+#[test]
+fn only_related_sound_requests_count() {
+    let mut ledger = Ledger::new("d");
+    ledger.record_crash(2000 * MS);
+    record_sound(&mut ledger, 1000, 20, 20);
+    ledger.record_request(request(1500 * MS, "d", false));
+    ledger.record_request(request(9000 * MS, "d", false));
+    let sound = request(8000 * MS, "s", false);
+    let with_other_first = || vec!["other".to_owned()];
+    for number in 0..20 {
+        let sent = (8000 + number) * MS;
+        let unrelated = Request {
+            sent,
+            key: "another".to_owned(),
+            parts: with_other_first(),
+            ..sound.clone()
+        };
+        let other_route = Request {
+            sent,
+            route: "look".to_owned(),
+            ..sound.clone()
+        };
+        let unsound = Request {
+            sent,
+            is_sound: false,
+            ..sound.clone()
+        };
+        for request in [unrelated, other_route, unsound] {
+            ledger.record_request(request);
+        }
+    }
+    assert_eq!(ledger.violations(&Outages::default()), []);
+    for number in 0..20 {
+        let sent = (8000 + number) * MS;
+        let (key, parts) = ("key".to_owned(), with_other_first());
+        ledger.record_request(Request {
+            sent,
+            key,
+            parts,
+            ..sound.clone()
+        });
+    }
+    assert_eq!(ledger.violations(&Outages::default()).len(), 1);
+}
