soak: targets that crash on a part of a prompt

Cause: targets of the soak lose answers, but never end, so that no test saw a target that ends with all its connections and starts again.

Change: a target that begins to answer a request with a given part closes its address and all its connections, before its answer, after its head, inside the first event or after it. It is back at the same address after 2 to 3 s, mostly under another name, and remains on the list meanwhile; it refuses requests for another name, and can be cold. A deployment can have more than one target of a service in each zone, and a second account. The layout and the recent faults become files of their own.

--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -6,8 +6,10 @@
 
 pub mod callers;
 pub mod checker;
+pub mod crashes;
 pub mod deployment;
 pub mod limits;
+pub mod load;
 pub mod operator;
 pub mod plan;
 pub mod targets;
@@ -36,6 +38,8 @@
     pub fault_duration: Duration,
     /// Gateways in each of the three zones.
     pub gateways_per_zone: u8,
+    /// Targets of each service in each zone.
+    pub targets_per_zone: u8,
     /// Number of concurrent callers; each sends one request at a time.
     pub callers: usize,
 }
@@ -46,6 +50,7 @@
             seed: 1,
             fault_duration: Duration::from_secs(20),
             gateways_per_zone: 2,
+            targets_per_zone: 1,
             callers: 24,
         }
     }
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use super::crashes::Crashes;
 use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
 
@@ -61,6 +62,8 @@
     state: Mutex<State>,
     /// The limits of targets.
     pub limits: Limits,
+    /// The parts of prompts that crash targets.
+    pub crashes: Crashes,
 }
 
 /// The result of a run.
@@ -158,6 +161,18 @@
         }
     }
 
+    /// Records that a gateway is killed, stopped or frozen.
+    pub fn start_fault(&self, gateway: usize) {
+        self.limits.start_fault(gateway);
+        self.crashes.start_fault(gateway, self.limits.now());
+    }
+
+    /// Records the end of a gateway's fault.
+    pub fn end_fault(&self, gateway: usize) {
+        self.limits.end_fault(gateway);
+        self.crashes.end_fault(gateway, self.limits.now());
+    }
+
     /// Records that the gateways' target state may be outdated for a while.
     pub fn record_disruption(&self) {
         self.state().disrupted = Some(Instant::now());
@@ -217,8 +232,11 @@
 
     /// Runs the final checks and builds the report.
     pub fn finish(&self, seed: u64, plan: &[ScheduledFault]) -> Report {
-        self.check_runs();
-        for violation in self.limits.violations() {
+        for violation in self.run_violations() {
+            self.record_violation(violation);
+        }
+        let found = self.limits.violations().into_iter();
+        for violation in found.chain(self.crashes.violations()) {
             self.record_violation(violation);
         }
         let mut state = self.state();
@@ -248,29 +266,15 @@
         }
     }
 
-    fn check_runs(&self) {
-        let (repeated, refused_but_run) = {
-            let state = self.state();
-            let runs = |id: &&String| state.runs.get(*id).copied().unwrap_or_default();
-            let repeated: Vec<String> = state
-                .at_most_once
-                .iter()
-                .filter(|id| runs(id) > 1)
-                .cloned()
-                .collect();
-            let refused_but_run: Vec<String> = state
-                .refused
-                .iter()
-                .filter(|id| runs(id) > 0)
-                .cloned()
-                .collect();
-            (repeated, refused_but_run)
-        };
-        for id in repeated {
-            self.record_violation(format!("{id} ran more than once"));
-        }
-        for id in refused_but_run {
-            self.record_violation(format!("{id} was refused as not run, but has run"));
-        }
+    /// Requests that ran more than once although they may not, or that ran although they were
+    /// refused.
+    pub fn run_violations(&self) -> Vec<String> {
+        let state = self.state();
+        let runs = |id: &&String| state.runs.get(*id).copied().unwrap_or_default();
+        let repeated = state.at_most_once.iter().filter(|id| runs(id) > 1);
+        let repeated = repeated.map(|id| format!("{id} ran more than once"));
+        let refused = state.refused.iter().filter(|id| runs(id) > 0);
+        let refused = refused.map(|id| format!("{id} was refused as not run, but has run"));
+        repeated.chain(refused).collect()
     }
 }
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -1,14 +1,16 @@
 //! The processes of a run, the test doubles behind proxies, and the injection of faults.
 
-use std::collections::HashMap;
+mod layout;
+mod recent_faults;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_http::h1::server::ShutdownState;
 use azurelug_testkit::port;
-use azurelug_testkit::proxy::{Link, NewConnections, Proxy, Rule, Settings};
+use azurelug_testkit::proxy::{Link, NewConnections, Proxy, Rule};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
 use http::Method;
@@ -23,6 +25,8 @@
 use super::plan::{CONTROL_COUNT, Fault, LinkFault, SERVICES, TARGETS_PER_SERVICE, zone_name};
 use super::targets::{self, Behaviour, TargetPool};
 use crate::process::Process;
+use layout::Layout;
+pub use recent_faults::GatewayFaults;
 
 /// Longest time until all gateways report ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -30,55 +34,6 @@
 /// Longest time in which a gateway must exit after SIGTERM.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 
-/// Time after the exit of a gateway during which callers may still send on connections to it.
-const STALE_CONNECTION_TIME: Duration = Duration::from_secs(1);
-
-/// Time for which a stopping gateway accepts requests, a little below its specified time.
-const ACCEPT_TIME: Duration = Duration::from_millis(2300);
-
-/// The most recent faults of one gateway.
-#[derive(Clone, Copy, Debug, Default)]
-struct FaultHistory {
-    /// Whether it has been killed and not been restarted.
-    is_down: bool,
-    /// When it was last restarted after a kill.
-    restarted: Option<Instant>,
-    is_suspended: bool,
-    resumed: Option<Instant>,
-    /// When it received SIGTERM, and when it exited.
-    stopped: Option<Instant>,
-    exited: Option<Instant>,
-}
-
-/// The most recent faults of the gateways, to decide whether a request must be answered.
-#[derive(Default)]
-pub struct GatewayFaults(Mutex<HashMap<usize, FaultHistory>>);
-
-impl GatewayFaults {
-    /// Whether a request that was sent to a gateway at `sent` must be answered, whatever the
-    /// targets do: the gateway has not been killed or suspended since, and was accepting requests
-    /// at `sent`.
-    pub fn must_answer(&self, gateway: usize, sent: Instant) -> bool {
-        let histories = self.0.lock().expect("the lock is not poisoned");
-        let history = histories.get(&gateway).copied().unwrap_or_default();
-        let since = |at: Option<Instant>| at.is_some_and(|at| at >= sent);
-        let is_closing = history.stopped.is_some_and(|at| at + ACCEPT_TIME <= sent)
-            && history
-                .exited
-                .is_none_or(|at| sent < at + STALE_CONNECTION_TIME);
-        !history.is_down
-            && !since(history.restarted)
-            && !history.is_suspended
-            && !since(history.resumed)
-            && !is_closing
-    }
-
-    fn update(&self, gateway: u8, change: impl FnOnce(&mut FaultHistory)) {
-        let mut histories = self.0.lock().expect("the lock is not poisoned");
-        change(histories.entry(usize::from(gateway)).or_default());
-    }
-}
-
 struct Gateway {
     process: Process,
     clients: SocketAddr,
@@ -97,11 +52,11 @@
     folder: PathBuf,
     gateways: Vec<Gateway>,
     controls: Vec<Control>,
-    proxies: HashMap<String, Proxy>,
     pool: Arc<TargetPool>,
     checker: Arc<Checker>,
     gateway_faults: Arc<GatewayFaults>,
     drain_orders: Vec<JoinHandle<()>>,
+    targets_per_zone: u8,
     _stage: watch::Sender<ShutdownState>,
 }
 
@@ -109,6 +64,21 @@
     (IpAddr::V4(Ipv4Addr::new(127, 0, third, last)), port).into()
 }
 
+/// An address at which a target that starts again finds its port free: no other run uses it.
+fn target_address(seed: u64) -> SocketAddr {
+    let (third, last) = (10 + seed % 200, 1 + std::process::id() % 250);
+    address(third as u8, last as u8, 0)
+}
+
+/// Name of a target. Numbers go round the zones.
+fn target_name(service: &str, number: u8) -> String {
+    let zone = zone_name(number);
+    match number / TARGETS_PER_SERVICE {
+        0 => format!("{service}-{zone}"),
+        more => format!("{service}-{zone}-{}", more + 1),
+    }
+}
+
 impl Deployment {
     /// Starts the test doubles and the daemons, and waits until all gateways are ready.
     ///
@@ -125,23 +95,17 @@
         .expect("write the key file");
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let pool = Arc::new(TargetPool::default());
-        let mut proxies = HashMap::new();
+        let target_address = target_address(options.seed);
         for service in SERVICES {
-            for number in 0..TARGETS_PER_SERVICE {
-                let name = format!("{service}-{}", zone_name(number));
+            for number in 0..TARGETS_PER_SERVICE * options.targets_per_zone {
+                let name = target_name(service, number);
                 let state = (Arc::clone(&pool), Arc::clone(&checker));
                 let at =
                     targets::start_target(name.clone(), state.0, state.1, stages.clone()).await;
-                let settings = Settings {
-                    target: at,
-                    control_address: address(0, 1, 0),
-                    link: Link::default(),
-                };
-                let proxy = Proxy::start(address(0, 1, 0), settings)
+                let proxy = Proxy::start(target_address, targets::proxy_settings(at))
                     .await
                     .expect("start a proxy");
-                pool.add(&name, service, zone_name(number), proxy.address());
-                proxies.insert(name, proxy);
+                pool.add(&name, service, zone_name(number), proxy);
             }
         }
         let list = targets::start_list(Arc::clone(&pool), stages).await;
@@ -163,11 +127,11 @@
             controls: (0..CONTROL_COUNT).map(|it| layout.control(it)).collect(),
             gateways: (0..count).map(|it| layout.gateway(it)).collect(),
             folder,
-            proxies,
             pool,
             checker,
             gateway_faults: Arc::default(),
             drain_orders: Vec::new(),
+            targets_per_zone: options.targets_per_zone,
             _stage: stage,
         };
         let body = Bytes::from(configuration(1).to_string());
@@ -241,11 +205,23 @@
         self.checker.limits.set_limit(target, limit);
     }
 
+    /// Sets the time for which targets are cold after a crash.
+    pub fn set_cold_time(&self, time: Duration) {
+        self.pool.set_cold_time(time);
+    }
+
+    /// Crashes a target, which starts again after a while. No request is the cause.
+    pub fn crash(&self, target: &str) {
+        if self.pool.crash(target) {
+            self.checker.limits.record_crash(target);
+        }
+    }
+
     /// Starts a fault.
     pub fn start_fault(&mut self, fault: &Fault) {
         self.note_disruption(fault, true);
         if let Some(gateway) = fault.gateway() {
-            self.checker.limits.start_fault(gateway);
+            self.checker.start_fault(gateway);
         }
         match fault {
             Fault::KillGateway(it) => {
@@ -276,7 +252,7 @@
             }
             Fault::Target(name, behaviour) => self.pool.set_behaviour(name, *behaviour),
             Fault::Limit(name, rate) => self.set_limit(name, Some(*rate)),
-            Fault::Link(name, kind) => self.proxies[name].set_link(link_settings(*kind)),
+            Fault::Link(name, kind) => self.pool.set_link(name, link_settings(*kind)),
             Fault::Leave(name) => {
                 self.pool.set_state(name, "draining");
                 self.checker.set_drained(name, true);
@@ -321,7 +297,7 @@
             Fault::FreezeControl(it) => self.control(*it).signal(Signal::SIGCONT),
             Fault::Target(name, _) => self.pool.set_behaviour(name, Behaviour::Normal),
             Fault::Limit(name, _) => self.set_limit(name, None),
-            Fault::Link(name, _) => self.proxies[name].set_link(Link::default()),
+            Fault::Link(name, _) => self.pool.set_link(name, Link::default()),
             Fault::Leave(name) => {
                 self.checker.set_drained(name, false);
                 self.pool.set_state(name, "ready");
@@ -329,7 +305,7 @@
             Fault::Drain(number) => self.drain(*number, false),
         }
         if let Some(gateway) = fault.gateway() {
-            self.checker.limits.end_fault(gateway);
+            self.checker.end_fault(gateway);
         }
         self.note_disruption(fault, false);
     }
@@ -349,6 +325,10 @@
         if is_disruption {
             self.checker.record_disruption();
         }
+        if is_disruption && fault.gateway().is_none() {
+            let crashes = &self.checker.crashes;
+            crashes.record_control_fault(self.checker.limits.now());
+        }
     }
 
     fn gateway(&mut self, number: u8) -> &mut Process {
@@ -374,9 +354,9 @@
     /// Starts or undoes the drain of a zone. Its targets must get no requests from the
     /// acknowledgement of the drain until it is undone.
     fn drain(&mut self, number: u8, is_drained: bool) {
-        let names: Vec<String> = SERVICES
-            .iter()
-            .map(|it| format!("{it}-{}", zone_name(number)))
+        let numbers = (0..self.targets_per_zone).map(|it| it * TARGETS_PER_SERVICE + number);
+        let names: Vec<String> = numbers
+            .flat_map(|number| SERVICES.map(|service| target_name(service, number)))
             .collect();
         if !is_drained {
             for name in &names {
@@ -479,78 +459,3 @@
     let answer = connection.send(request).await;
     answer.is_ok_and(|answer| answer.status().is_success())
 }
-
-/// Addresses and files for the daemons' settings.
-struct Layout {
-    folder: PathBuf,
-    seeds: String,
-    internal: u16,
-    list: SocketAddr,
-}
-
-impl Layout {
-    fn process(&self, binary: &str, name: &str, settings: &str) -> (Process, PathBuf) {
-        let file = self.folder.join(format!("{name}.yaml"));
-        std::fs::write(&file, settings).expect("write a settings file");
-        let arguments = vec!["--settings".to_owned(), file.display().to_string()];
-        let log = self.folder.join(format!("{name}.log"));
-        let mut process = Process::new(binary, arguments, log);
-        process.start();
-        (process, file)
-    }
-
-    fn common(&self) -> String {
-        let key: &Path = &self.folder.join("key");
-        format!("cluster: soak\nkey_file: {}\n", key.display())
-    }
-
-    fn control(&self, number: u8) -> Control {
-        let name = format!("control-{}", zone_name(number));
-        let at = |port| address(2, number + 1, port);
-        let operators = at(port::free(&[at(0).ip()]));
-        let status = at(port::free(&[at(0).ip()]));
-        let data = self.folder.join(format!("{name}.state"));
-        let settings = format!(
-            "name: {name}\nzone: {}\n{}internal: \"{}\"\noperators: \"{status}\"\ndata: {}\n\
-             discovery:\n  seeds: [{}]\n  first_start: true\n  disk_losses: 1\ndeployment:\n  \
-             operators: \"{operators}\"\n  targets:\n    address: \"{}\"\n    \
-             calls_per_second: 50\n",
-            zone_name(number),
-            self.common(),
-            at(self.internal),
-            data.display(),
-            self.seeds,
-            self.list,
-        );
-        let (process, file) = self.process("azurelug-control", &name, &settings);
-        Control {
-            process,
-            operators,
-            settings: file,
-            data,
-        }
-    }
-
-    fn gateway(&self, number: u8) -> Gateway {
-        let name = format!("gateway-{number}");
-        let at = |port| address(3, number + 1, port);
-        let clients = at(port::free(&[at(0).ip()]));
-        let admin = at(port::free(&[at(0).ip()]));
-        let settings = format!(
-            "name: {name}\nzone: {}\n{}internal: \"{}\"\nclients: \"{clients}\"\n\
-             admin: \"{admin}\"\nseeds: [{}]\nbounds:\n  revocation: 5s\n  apply: 2s\n  \
-             drain: 3s\n  grace: 8s\n  retry_ratio: 0.2\n  retry_window: 10s\n  \
-             retry_extra: 200\n  cold_factor: 1.5\n  cold_extra: 5\n",
-            zone_name(number),
-            self.common(),
-            at(self.internal),
-            self.seeds,
-        );
-        let (process, _) = self.process("azurelug-gateway", &name, &settings);
-        Gateway {
-            process,
-            clients,
-            admin,
-        }
-    }
-}
--- a/crates/azurelug-system/src/soak/limits.rs
+++ b/crates/azurelug-system/src/soak/limits.rs
@@ -55,6 +55,11 @@
         self.state().gateways.insert(id.to_owned(), gateway);
     }
 
+    /// The gateway that a request was sent to by its client.
+    pub fn gateway(&self, id: &str) -> Option<usize> {
+        self.state().gateways.get(id).copied()
+    }
+
     /// Records that a client has received an answer which names the target's limit.
     pub fn record_told(&self, target: &str, gateway: usize) {
         let now = self.now();
@@ -62,11 +67,19 @@
         if state.faulty.contains_key(&gateway) {
             return;
         }
+        let target = target_of(target);
         if let Some(ledger) = state.ledgers.get_mut(target) {
             ledger.record_told(&name(gateway), now);
         }
     }
 
+    /// Records that a target has crashed. No gateway knows the limit of its next lifetime.
+    pub fn record_crash(&self, target: &str) {
+        if let Some(ledger) = self.state().ledgers.get_mut(target) {
+            ledger.forget_all();
+        }
+    }
+
     /// Records a client's request that has arrived at a target.
     pub fn record_arrival(&self, target: &str, id: &str) {
         let now = self.now();
@@ -138,6 +151,11 @@
 /// Stands for the gateways that send calls.
 const ANY_GATEWAY: &str = "any gateway";
 
+/// The target of a name on the platform's list: a restarted target adds a suffix to its name.
+fn target_of(id: &str) -> &str {
+    id.split('.').next().unwrap_or(id)
+}
+
 fn name(gateway: usize) -> String {
     format!("gateway-{gateway}")
 }
--- /dev/null
+++ b/crates/azurelug-system/src/soak/load.rs
@@ -0,0 +1,257 @@
+//! Clients that send requests at a steady rate, whether or not earlier ones have been answered.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_http::h1::client::Connection;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
+
+use super::checker::{Checker, Outcome};
+use super::crashes::Draft;
+use super::deployment::Deployment;
+
+/// How long a client waits for an answer.
+const DEADLINE: Duration = Duration::from_millis(4000);
+
+/// Longest time to open a connection, and for an answer after [`DEADLINE`].
+const CONNECTION_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause before a request is repeated, unless the answer asks for a longer one.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause before a request is repeated.
+const MAX_REPEAT_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a client received.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The request.
+    pub draft: Draft,
+    /// Number of the gateway that it was sent to.
+    pub gateway: usize,
+    /// How often it had been sent before.
+    pub repeat: u32,
+    /// When it was sent, as time since the start of the run.
+    pub sent: Duration,
+    /// Whether no part of its prompt crashes targets.
+    pub is_sound: bool,
+    /// HTTP status; none without an answer.
+    pub status: Option<u16>,
+    /// The target that answered.
+    pub target: Option<String>,
+    /// Seconds until the request may be sent again.
+    pub retry_after: Option<f64>,
+    /// Time from the request to the answer's head.
+    pub elapsed: Duration,
+    /// Whether the first bytes of a successful answer arrived.
+    pub has_begun: bool,
+    /// Whether the answer ended as it should.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Whether the status promises that the request has not run.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self.status, Some(408 | 421 | 429 | 503))
+    }
+
+    fn may_be_repeated(&self) -> bool {
+        self.is_refused() || self.status.is_none_or(|status| status >= 500)
+    }
+}
+
+/// Clients of a run.
+pub struct Load {
+    answers: Arc<Mutex<Vec<Answer>>>,
+    clients: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+/// Where and how often clients send.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace<'a> {
+    /// Numbers of the gateways; all if empty.
+    pub gateways: &'a [usize],
+    /// Time between two requests at one gateway.
+    pub interval: Duration,
+    /// Seed of the requests' content.
+    pub seed: u64,
+    /// How often a client repeats a request that failed.
+    pub repeats: u32,
+}
+
+impl Load {
+    /// Starts one client for each gateway. `draw` chooses the content of each request.
+    pub fn start<F>(deployment: &Deployment, pace: Pace<'_>, draw: F) -> Self
+    where
+        F: Fn(&mut Pcg64) -> Draft + Clone + Send + 'static,
+    {
+        let answers: Arc<Mutex<Vec<Answer>>> = Arc::default();
+        let stop = watch::Sender::new(false);
+        let gateways = deployment.gateways().into_iter().enumerate();
+        let used = pace.gateways;
+        let gateways = gateways.filter(|(number, _)| used.is_empty() || used.contains(number));
+        let nonce = rand::random();
+        let clients = gateways.map(|(gateway, address)| {
+            let client = Client {
+                nonce,
+                gateway,
+                address,
+                checker: deployment.checker(),
+                answers: Arc::clone(&answers),
+            };
+            let random = Pcg64::seed_from_u64(pace.seed * 1000 + gateway as u64);
+            let draw = draw.clone();
+            tokio::spawn(client.run(pace.interval, pace.repeats, random, draw, stop.subscribe()))
+        });
+        Self {
+            clients: clients.collect(),
+            answers,
+            stop,
+        }
+    }
+
+    /// Stops the clients, waits for their last answers and returns all.
+    ///
+    /// # Panics
+    /// If a client has panicked.
+    pub async fn close(self) -> Vec<Answer> {
+        self.stop.send_replace(true);
+        for client in self.clients {
+            client.await.expect("a client does not panic");
+        }
+        let answers = self.answers.lock().expect("the lock is not poisoned");
+        answers.clone()
+    }
+}
+
+#[derive(Clone)]
+struct Client {
+    /// Distinguishes the ids of this load's requests.
+    nonce: u32,
+    gateway: usize,
+    address: SocketAddr,
+    checker: Arc<Checker>,
+    answers: Arc<Mutex<Vec<Answer>>>,
+}
+
+impl Client {
+    async fn run(
+        self,
+        interval: Duration,
+        repeats: u32,
+        mut random: Pcg64,
+        draw: impl Fn(&mut Pcg64) -> Draft,
+        mut stop: watch::Receiver<bool>,
+    ) {
+        let mut ticks = tokio::time::interval(interval);
+        let mut requests = JoinSet::new();
+        for number in 0_u64.. {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                _ = stop.wait_for(|is_stopped| *is_stopped) => break,
+            }
+            let draft = draw(&mut random);
+            requests.spawn(self.clone().send_until_served(number, draft, repeats));
+        }
+        requests.join_all().await;
+    }
+
+    async fn send_until_served(self, number: u64, draft: Draft, repeats: u32) {
+        for repeat in 0..=repeats {
+            let id = format!("{:x}-{}-{number}-{repeat}", self.nonce, self.gateway);
+            let answer = self.send(&id, &draft, repeat).await;
+            let is_final = answer.is_whole && !answer.may_be_repeated();
+            let after = Duration::from_secs_f64(answer.retry_after.unwrap_or_default());
+            self.record(answer);
+            if is_final {
+                return;
+            }
+            sleep(after.clamp(REPEAT_PAUSE, MAX_REPEAT_PAUSE)).await;
+        }
+    }
+
+    fn record(&self, answer: Answer) {
+        let mut answers = self.answers.lock().expect("the lock is not poisoned");
+        answers.push(answer);
+    }
+
+    async fn send(&self, id: &str, draft: &Draft, repeat: u32) -> Answer {
+        let limits = &self.checker.limits;
+        limits.record_sent(id, self.gateway);
+        let mut answer = Answer {
+            draft: draft.clone(),
+            gateway: self.gateway,
+            repeat,
+            sent: limits.now(),
+            is_sound: self.checker.crashes.is_sound(draft),
+            status: None,
+            target: None,
+            retry_after: None,
+            elapsed: Duration::ZERO,
+            has_begun: false,
+            is_whole: false,
+        };
+        // A gateway that is killed gives no answer.
+        let _ = self.exchange(id, &mut answer).await;
+        if repeat == 0 {
+            let (sent, has_begun) = (answer.sent, answer.has_begun);
+            let crashes = &self.checker.crashes;
+            crashes.record_request(draft, self.gateway, sent, has_begun);
+        }
+        if answer.is_refused() {
+            self.checker.record_outcome(id, "load", Outcome::Refused);
+        }
+        answer
+    }
+
+    /// Sends a request and records its answer; none if it does not end as it should.
+    async fn exchange(&self, id: &str, answer: &mut Answer) -> Option<()> {
+        let started = Instant::now();
+        let request = request(id, &answer.draft);
+        let limit = CONNECTION_LIMIT;
+        let mut connection = Connection::open(self.address, limit, limit).await.ok()?;
+        let response = connection.send(request).await.ok()?;
+        let (parts, mut body) = response.into_parts();
+        let text = |name: &str| parts.headers.get(name).and_then(|it| it.to_str().ok());
+        answer.status = Some(parts.status.as_u16());
+        answer.target = text("x-instance-id").map(str::to_owned);
+        answer.retry_after = text("retry-after").and_then(|it| it.parse().ok());
+        answer.elapsed = started.elapsed();
+        if let Some(target) = &answer.target
+            && parts.headers.contains_key("server-limit")
+        {
+            self.checker.limits.record_told(target, self.gateway);
+        }
+        while let Some(frame) = body.frame().await {
+            frame.ok()?;
+            answer.has_begun |= parts.status.is_success();
+        }
+        answer.is_whole = true;
+        Some(())
+    }
+}
+
+fn request(id: &str, draft: &Draft) -> Request<Full<Bytes>> {
+    let mut request = Request::post(draft.path)
+        .header("host", "carts.example")
+        .header("authorization", format!("Bearer {}", draft.key))
+        .header("x-request-attempt-id", id)
+        .header("x-deadline-milliseconds", DEADLINE.as_millis().to_string())
+        .header("x-pieces", "2,3")
+        .header("x-piece-key", "k");
+    if !draft.prompt.is_empty() {
+        request = request.header("x-prompt-prefix", &draft.prompt);
+    }
+    let body = Full::new(Bytes::from_static(b"a body"));
+    request.body(body).expect("build a request")
+}
--- a/crates/azurelug-system/src/soak/operator.rs
+++ b/crates/azurelug-system/src/soak/operator.rs
@@ -131,5 +131,6 @@
         "services": [
             {"name": "llm", "max_connections": 200, "cold_start_s": 0, "cold_per_s": 0},
             {"name": "desk"}, {"name": "encode", "pieces": pieces}],
-        "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
+        "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0},
+            {"name": "tolls", "api_keys": ["key-2"], "priority": 0}]})
 }
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -1,6 +1,8 @@
 //! Test doubles of targets and of the platform's list. Each target records the requests that it
 //! runs.
 
+mod crash;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -8,6 +10,7 @@
 
 use azurelug_gateway::body::{Body, BodyInterrupted};
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use azurelug_testkit::proxy::{Link, Proxy, Settings};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -18,7 +21,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::checker::Checker;
 
@@ -28,6 +31,9 @@
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Delay of each answer of a cold target.
+const COLD_DELAY: Duration = Duration::from_millis(200);
+
 /// How a target behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -69,6 +75,14 @@
     /// Limits that targets name in their answers.
     limits: Mutex<HashMap<String, Rate>>,
     list: Mutex<Vec<Value>>,
+    /// The names that restarted targets have on the list.
+    ids: Mutex<HashMap<String, String>>,
+    /// Time for which a restarted target is cold.
+    cold_time: Mutex<Duration>,
+    /// Until when restarted targets are cold, by their names on the list.
+    cold: Mutex<HashMap<String, Instant>>,
+    /// The proxies in front of the targets that run.
+    proxies: Mutex<HashMap<String, Proxy>>,
 }
 
 impl TargetPool {
@@ -97,8 +111,52 @@
         };
     }
 
-    /// Adds a target to the platform's list.
-    pub fn add(&self, name: &str, service: &str, zone: &str, address: SocketAddr) {
+    fn ids(&self) -> MutexGuard<'_, HashMap<String, String>> {
+        self.ids.lock().expect("the lock is not poisoned")
+    }
+
+    fn cold(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
+        self.cold.lock().expect("the lock is not poisoned")
+    }
+
+    fn cold_time(&self) -> Duration {
+        *self.cold_time.lock().expect("the lock is not poisoned")
+    }
+
+    /// Sets the time for which targets are cold after a crash.
+    pub fn set_cold_time(&self, time: Duration) {
+        *self.cold_time.lock().expect("the lock is not poisoned") = time;
+    }
+
+    fn proxies(&self) -> MutexGuard<'_, HashMap<String, Proxy>> {
+        self.proxies.lock().expect("the lock is not poisoned")
+    }
+
+    /// The name of a target on the platform's list.
+    fn id(&self, name: &str) -> String {
+        let id = self.ids().get(name).cloned();
+        id.unwrap_or_else(|| name.to_owned())
+    }
+
+    /// For how much longer a target is cold, by its name on the platform's list.
+    fn cold_left(&self, id: &str) -> Duration {
+        let until = self.cold().get(id).copied();
+        until.map_or(Duration::ZERO, |it| {
+            it.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Sets the rules of the link to a target that runs.
+    pub fn set_link(&self, name: &str, link: Link) {
+        if let Some(proxy) = self.proxies().get(name) {
+            proxy.set_link(link);
+        }
+    }
+
+    /// Adds a target behind a proxy to the platform's list.
+    pub fn add(&self, name: &str, service: &str, zone: &str, proxy: Proxy) {
+        let address = proxy.address();
+        self.proxies().insert(name.to_owned(), proxy);
         self.list()
             .push(json!({"id": name, "service": service, "address": address,
             "zone": zone, "version": "v1", "slots": 8, "state": "ready",
@@ -107,7 +165,8 @@
 
     /// Sets the state of a target on the platform's list.
     pub fn set_state(&self, name: &str, state: &str) {
-        for entry in self.list().iter_mut().filter(|entry| entry["id"] == name) {
+        let id = self.id(name);
+        for entry in self.list().iter_mut().filter(|entry| entry["id"] == id) {
             entry["state"] = Value::from(state);
         }
     }
@@ -120,7 +179,11 @@
 ) -> SocketAddr {
     let (listener, address) = bind().await;
     let handler = move |_| {
-        let list = pool.list().clone();
+        let mut list = pool.list().clone();
+        for entry in &mut list {
+            let left = pool.cold_left(entry["id"].as_str().unwrap_or_default());
+            entry["cold_remaining_ms"] = Value::from(left.as_millis() as u64);
+        }
         let body = json!({"instances": list, "next": null}).to_string();
         async move { Response::new(Body::complete(Bytes::from(body))) }
     };
@@ -164,6 +227,16 @@
     Limits::idle(Duration::from_secs(60))
 }
 
+/// Settings of the proxy in front of a target.
+pub fn proxy_settings(target: SocketAddr) -> Settings {
+    Settings {
+        target,
+        control_address: (target.ip(), 0).into(),
+        link: Link::default(),
+    }
+}
+
+#[derive(Clone)]
 struct Target {
     name: String,
     address: SocketAddr,
@@ -175,8 +248,8 @@
     async fn answer_with_limit(self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.answer(request).await;
         let headers = response.headers_mut();
-        let name = self.name.parse().expect("a valid header value");
-        headers.insert("x-instance-id", name);
+        let id = self.pool.id(&self.name);
+        headers.insert("x-instance-id", id.parse().expect("a valid header value"));
         if let Some(rate) = self.pool.limits().get(&self.name) {
             let text = rate.per_second().to_string();
             headers.insert("server-limit", text.parse().expect("a valid header value"));
@@ -198,6 +271,11 @@
         let behaviour = self.pool.behaviours().get(&self.name).copied();
         let behaviour = behaviour.unwrap_or_default();
         self.checker.check_arrival(&self.name, &id);
+        let deadly = self.record_prompt(&id, &header("x-prompt-prefix"));
+        let expected = header("x-expected-instance");
+        if !expected.is_empty() && expected != self.pool.id(&self.name) {
+            return not_run(&id, StatusCode::MISDIRECTED_REQUEST);
+        }
         if matches!(behaviour, Behaviour::Full | Behaviour::Closed) {
             return refusal(&id, behaviour);
         }
@@ -212,12 +290,31 @@
             "/stage-run" => self.run_pieces(&body.to_bytes()).await,
             "/stage-free" => Response::new(Body::complete(Bytes::from_static(b"{}"))),
             _ => {
+                if let Some(part) = deadly {
+                    return self.crash_on(&id, &part).await;
+                }
+                let cold = !self.pool.cold_left(&self.pool.id(&self.name)).is_zero();
+                if cold {
+                    sleep(COLD_DELAY).await;
+                }
                 let last = header("last-event-id").parse().unwrap_or(0);
                 self.run(&id, last, behaviour)
             }
         }
     }
 
+    fn service(&self) -> &str {
+        self.name.split('-').next().unwrap_or_default()
+    }
+
+    /// Records a request's prompt, and returns the part that crashes the target, if it has one.
+    fn record_prompt(&self, id: &str, prompt: &str) -> Option<String> {
+        let limits = &self.checker.limits;
+        let (gateway, now) = (limits.gateway(id), limits.now());
+        let crashes = &self.checker.crashes;
+        crashes.record_arrival(self.service(), prompt, gateway, now)
+    }
+
     /// Runs pieces. Each handle contains its request's id, so that inputs of another request are
     /// detected.
     async fn run_pieces(&self, body: &[u8]) -> Response<Body> {
@@ -271,16 +368,22 @@
 }
 
 fn refusal(id: &str, behaviour: Behaviour) -> Response<Body> {
+    let mut response = not_run(id, StatusCode::SERVICE_UNAVAILABLE);
+    if behaviour == Behaviour::Closed {
+        let after = "0.8".parse().expect("a valid header value");
+        response.headers_mut().insert("retry-after", after);
+    }
+    response
+}
+
+fn not_run(id: &str, status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::complete(Bytes::new()));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert("x-not-executed", "1".parse().expect("a valid header value"));
     if let Ok(id) = id.parse() {
         headers.insert("x-request-attempt-id", id);
     }
-    if behaviour == Behaviour::Closed {
-        headers.insert("retry-after", "0.8".parse().expect("a valid header value"));
-    }
     response
 }
 
