soak: loopback addresses of its own for each run

Cause: runs of one process choose free ports on the same addresses, and one may bind a port before the daemon of another run that chose it does. A run with ten deployments failed once: a gateway ended with "can't listen on 127.0.3.2:38599: Address already in use" (1 of 2 runs of crashing_parts).

Change: the second number of the addresses follows from the seed and the process. It also keeps the port of a crashed target free until it returns.

Conclusion: runs of one process share no address.

--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -60,14 +60,14 @@
     _stage: watch::Sender<ShutdownState>,
 }
 
-fn address(third: u8, last: u8, port: u16) -> SocketAddr {
-    (IpAddr::V4(Ipv4Addr::new(127, 0, third, last)), port).into()
+/// The second number of a run's loopback addresses. Runs of one process have different ones, so
+/// that none takes a port that another has chosen, or that one of its crashed targets returns to.
+fn network(seed: u64) -> u8 {
+    (1 + (seed + u64::from(std::process::id())) % 254) as u8
 }
 
-/// An address at which a target that starts again finds its port free: no other run uses it.
-fn target_address(seed: u64) -> SocketAddr {
-    let (third, last) = (10 + seed % 200, 1 + std::process::id() % 250);
-    address(third as u8, last as u8, 0)
+fn address(network: u8, third: u8, last: u8, port: u16) -> SocketAddr {
+    (IpAddr::V4(Ipv4Addr::new(127, network, third, last)), port).into()
 }
 
 /// Name of a target. Numbers go round the zones.
@@ -95,14 +95,14 @@
         .expect("write the key file");
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let pool = Arc::new(TargetPool::default());
-        let target_address = target_address(options.seed);
+        let network = network(options.seed);
         for service in SERVICES {
             for number in 0..TARGETS_PER_SERVICE * options.targets_per_zone {
                 let name = target_name(service, number);
                 let state = (Arc::clone(&pool), Arc::clone(&checker));
                 let at =
                     targets::start_target(name.clone(), state.0, state.1, stages.clone()).await;
-                let proxy = Proxy::start(target_address, targets::proxy_settings(at))
+                let proxy = Proxy::start(address(network, 1, 1, 0), targets::proxy_settings(at))
                     .await
                     .expect("start a proxy");
                 pool.add(&name, service, zone_name(number), proxy);
@@ -111,14 +111,17 @@
         let list = targets::start_list(Arc::clone(&pool), stages).await;
         let count = options.gateways_per_zone * CONTROL_COUNT;
         let controls: Vec<IpAddr> = (0..CONTROL_COUNT)
-            .map(|it| address(2, it + 1, 0).ip())
+            .map(|it| address(network, 2, it + 1, 0).ip())
+            .collect();
+        let gateways: Vec<IpAddr> = (0..count)
+            .map(|it| address(network, 3, it + 1, 0).ip())
             .collect();
-        let gateways: Vec<IpAddr> = (0..count).map(|it| address(3, it + 1, 0).ip()).collect();
         let all: Vec<IpAddr> = controls.iter().chain(&gateways).copied().collect();
         let internal = port::free(&all);
         let seeds: Vec<String> = controls.iter().map(|ip| format!("\"{ip}:1\"")).collect();
         let layout = Layout {
             folder: folder.clone(),
+            network,
             seeds: seeds.join(", "),
             internal,
             list,
--- a/crates/azurelug-system/src/soak/deployment/layout.rs
+++ b/crates/azurelug-system/src/soak/deployment/layout.rs
@@ -12,6 +12,7 @@
 /// Addresses and files for the daemons' settings.
 pub(super) struct Layout {
     pub(super) folder: PathBuf,
+    pub(super) network: u8,
     pub(super) seeds: String,
     pub(super) internal: u16,
     pub(super) list: SocketAddr,
@@ -35,7 +36,7 @@
 
     pub(super) fn control(&self, number: u8) -> Control {
         let name = format!("control-{}", zone_name(number));
-        let at = |port| address(2, number + 1, port);
+        let at = |port| address(self.network, 2, number + 1, port);
         let operators = at(port::free(&[at(0).ip()]));
         let status = at(port::free(&[at(0).ip()]));
         let data = self.folder.join(format!("{name}.state"));
@@ -62,7 +63,7 @@
 
     pub(super) fn gateway(&self, number: u8) -> Gateway {
         let name = format!("gateway-{number}");
-        let at = |port| address(3, number + 1, port);
+        let at = |port| address(self.network, 3, number + 1, port);
         let clients = at(port::free(&[at(0).ip()]));
         let admin = at(port::free(&[at(0).ip()]));
         let settings = format!(
