system: variants of a part that crashes targets

Cause: the case has many forms, which a repair could miss or overdo.

Streams begin after 50 ms, so that requests die beside the one that crashes their target.

Conclusion: to be run on the repair.

--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -31,7 +31,10 @@
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Delay of each answer of a cold target.
+/// Time from the arrival of a request until a stream begins.
+const PREFILL_TIME: Duration = Duration::from_millis(50);
+
+/// Further delay of each answer of a cold target.
 const COLD_DELAY: Duration = Duration::from_millis(200);
 
 /// How a target behaves.
@@ -52,6 +55,8 @@
     Slow,
     /// Answers half of the requests with a failure.
     Fails,
+    /// Crashes when it begins to answer, whatever the request is.
+    Crashes,
 }
 
 impl Behaviour {
@@ -271,7 +276,7 @@
         let behaviour = self.pool.behaviours().get(&self.name).copied();
         let behaviour = behaviour.unwrap_or_default();
         self.checker.check_arrival(&self.name, &id);
-        let deadly = self.record_prompt(&id, &header("x-prompt-prefix"));
+        let crashing_part = self.record_prompt(&id, &header("x-prompt-prefix"));
         let expected = header("x-expected-instance");
         if !expected.is_empty() && expected != self.pool.id(&self.name) {
             return not_run(&id, StatusCode::MISDIRECTED_REQUEST);
@@ -290,12 +295,9 @@
             "/stage-run" => self.run_pieces(&body.to_bytes()).await,
             "/stage-free" => Response::new(Body::complete(Bytes::from_static(b"{}"))),
             _ => {
-                if let Some(part) = deadly {
-                    return self.crash_on(&id, &part).await;
-                }
-                let cold = !self.pool.cold_left(&self.pool.id(&self.name)).is_zero();
-                if cold {
-                    sleep(COLD_DELAY).await;
+                self.prefill().await;
+                if crashing_part.is_some() || behaviour == Behaviour::Crashes {
+                    return self.crash_on(&id, crashing_part).await;
                 }
                 let last = header("last-event-id").parse().unwrap_or(0);
                 self.run(&id, last, behaviour)
@@ -307,6 +309,16 @@
         self.name.split('-').next().unwrap_or_default()
     }
 
+    /// Waits until an answer begins.
+    async fn prefill(&self) {
+        if self.service() == "llm" {
+            sleep(PREFILL_TIME).await;
+        }
+        if !self.pool.cold_left(&self.pool.id(&self.name)).is_zero() {
+            sleep(COLD_DELAY).await;
+        }
+    }
+
     /// Records a request's prompt, and returns the part that crashes the target, if it has one.
     fn record_prompt(&self, id: &str, prompt: &str) -> Option<String> {
         let limits = &self.checker.limits;
--- a/crates/azurelug-system/src/soak/targets/crash.rs
+++ b/crates/azurelug-system/src/soak/targets/crash.rs
@@ -14,9 +14,6 @@
 
 use super::{Behaviour, Target, TargetPool, proxy_settings};
 
-/// Time from the arrival of a request until its answer begins.
-const PREFILL_TIME: Duration = Duration::from_millis(30);
-
 /// Time that bytes need to the gateway before the target ends.
 const WRITE_TIME: Duration = Duration::from_millis(10);
 
@@ -80,35 +77,36 @@
 }
 
 impl Target {
-    /// Begins to write an answer to a request, and crashes.
-    pub(super) async fn crash_on(&self, id: &str, part: &str) -> Response<Body> {
-        sleep(PREFILL_TIME).await;
+    /// Begins to write an answer to a request, and crashes because of a part, if there is one.
+    pub(super) async fn crash_on(&self, id: &str, part: Option<String>) -> Response<Body> {
         let choice = rand::rng().random_range(0..WRITTEN.len());
         let Some(bytes) = WRITTEN[choice] else {
             self.checker.record_run(id);
-            self.crash(part);
+            self.crash(part.as_deref());
             return std::future::pending().await;
         };
         let mut response = self.run(id, 0, Behaviour::Normal);
         let (sender, body) = mpsc::channel::<Result<Bytes, BodyInterrupted>>(1);
         *response.body_mut() = Body::Stream(body);
         let target = self.clone();
-        let part = part.to_owned();
         tokio::spawn(async move {
             if !bytes.is_empty() {
                 let _ = sender.send(Ok(Bytes::from_static(bytes))).await;
             }
             sleep(WRITE_TIME).await;
-            target.crash(&part);
+            target.crash(part.as_deref());
             sender.closed().await;
         });
         response
     }
 
-    fn crash(&self, part: &str) {
+    fn crash(&self, part: Option<&str>) {
         let now = self.checker.limits.now();
-        if self.pool.crash(&self.name) {
-            self.checker.limits.record_crash(&self.name);
+        if !self.pool.crash(&self.name) {
+            return;
+        }
+        self.checker.limits.record_crash(&self.name);
+        if let Some(part) = part {
             self.checker.crashes.record_crash(self.service(), part, now);
         }
     }
--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -10,6 +10,9 @@
 use azurelug_system::soak::crashes::Draft;
 use azurelug_system::soak::deployment::Deployment;
 use azurelug_system::soak::load::{Answer, Load, Pace};
+use azurelug_system::soak::plan::Fault;
+use azurelug_system::soak::targets::Behaviour;
+use azurelug_testkit::crash::ALLOWED;
 use rand::RngExt;
 use rand_pcg::Pcg64;
 use tokio::time::sleep;
@@ -32,6 +35,23 @@
 /// Parts that crash targets.
 const CRASHING: [&str; 2] = ["dead", "de4d"];
 
+/// The targets that stream.
+const ENGINES: [&str; 6] = ["llm-a", "llm-b", "llm-c", "llm-a-2", "llm-b-2", "llm-c-2"];
+
+/// For how long a target that has crashed is cold.
+const COLD_TIME: Duration = Duration::from_millis(1500);
+
+/// Time after a crash without a cause in requests in which sound requests may fail: the longest
+/// time for which a target is down, and the time of contact.
+const RECOVERY_TIME: Duration = Duration::from_secs(6);
+
+/// Last part of a run, when the parts that crash targets are known.
+const END_TIME: Duration = Duration::from_secs(4);
+
+/// Longest time until a request is refused: a third of the route's latency objective of 1 s, and
+/// time for the processes.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(800);
+
 /// A draft on the streaming route. The last part belongs to the request.
 fn talk(random: &mut Pcg64, shared: &[&str]) -> Draft {
     let own = format!("{:x}:250", random.random::<u32>());
@@ -104,6 +124,25 @@
         self.has_started.store(true, Ordering::Relaxed);
     }
 
+    /// Time since the start of the run.
+    fn now(&self) -> Duration {
+        self.deployment.checker().limits.now()
+    }
+
+    /// Crashes targets at once without a cause in requests.
+    fn crash(&self, targets: &[&str]) {
+        for target in targets {
+            self.deployment.crash(target);
+        }
+    }
+
+    /// Has a fault for some time.
+    async fn fail(&mut self, fault: &Fault, time: Duration) {
+        self.deployment.start_fault(fault);
+        sleep(time).await;
+        self.deployment.end_fault(fault).await;
+    }
+
     /// Waits until the end, stops the requests and checks the rules.
     async fn finish(self, time_left: Duration) -> Vec<Answer> {
         sleep(time_left).await;
@@ -120,6 +159,42 @@
     }
 }
 
+/// Whether requests share a part with others.
+fn has_part(answer: &Answer, part: &str) -> bool {
+    answer.draft.prompt.contains(&format!("{part}:400,"))
+}
+
+/// Sound requests at the first attempt whose answer has begun, and all of them.
+fn count_begun<'a>(answers: impl Iterator<Item = &'a Answer>) -> (usize, usize) {
+    let first = answers.filter(|answer| answer.is_sound && answer.repeat == 0);
+    first.fold((0, 0), |(begun, all), answer| {
+        (begun + usize::from(answer.has_begun), all + 1)
+    })
+}
+
+/// Checks that at least `percent` of the requests with each sound part are answered from a time on.
+fn check_sound_parts(answers: &[Answer], start: Duration, percent: usize) {
+    for part in SOUND {
+        let of = answers
+            .iter()
+            .filter(|it| it.sent >= start && has_part(it, part));
+        let (begun, all) = count_begun(of);
+        let is_enough = all > 0 && begun * 100 >= all * percent;
+        assert!(is_enough, "part {part}: {begun} of {all}");
+    }
+}
+
+/// Checks that requests with a part that every gateway must know are refused at once, except the
+/// few that may reach targets.
+fn check_refusals(answers: &[Answer], known_from: Duration) {
+    let unsound = answers
+        .iter()
+        .filter(|it| !it.is_sound && it.sent > known_from);
+    let late = unsound.filter(|it| !it.is_whole || it.elapsed > REFUSAL_LIMIT);
+    let late: Vec<&Answer> = late.collect();
+    assert!(late.len() <= ALLOWED, "{late:?}");
+}
+
 fn options(seed: u64, gateways_per_zone: u8) -> Options {
     Options {
         seed,
@@ -136,5 +211,154 @@
     let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
     let scenario = Scenario::start(options(9101, 2), 0.08, &CRASHING[..1], sound, crashing).await;
     scenario.begin();
+    let checker = scenario.deployment.checker();
+    let answers = scenario.finish(CRASHING_TIME).await;
+    for summary in checker.crashes.summary().values() {
+        check_refusals(&answers, summary.known_from.unwrap_or(Duration::MAX));
+    }
+}
+
+/// Guards against a decision on one part that hides another.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_parts_at_once_do_not_crash_one_target_after_another() {
+    let crashing = |random: &mut Pcg64| {
+        let part = CRASHING[random.random_range(0..CRASHING.len())];
+        talk(random, &[BASE, part])
+    };
+    let scenario = Scenario::start(options(9102, 1), 0.12, &CRASHING, sound, crashing).await;
+    scenario.begin();
+    scenario.finish(CRASHING_TIME).await;
+}
+
+/// Guards against an account that is refused altogether, and other accounts with it, because all
+/// of its requests have the part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_in_all_requests_of_one_key_does_not_crash_one_target_after_another() {
+    let crashing = |random: &mut Pcg64| {
+        let part = SOUND[random.random_range(0..SOUND.len())];
+        Draft {
+            key: "key-2",
+            ..talk(random, &[BASE, part, CRASHING[0]])
+        }
+    };
+    let scenario = Scenario::start(options(9103, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    scenario.begin();
+    let start = scenario.now() + CRASHING_TIME - END_TIME;
+    let answers = scenario.finish(CRASHING_TIME).await;
+    check_sound_parts(&answers, start, 50);
+}
+
+/// Guards against sound requests that are refused because several targets ended for another reason
+/// when they began to answer them.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_without_a_cause_in_requests_refuse_no_sound_request() {
+    let scenario = Scenario::start(options(9104, 1), 0.0, &[], sound, sound).await;
+    scenario.deployment.set_cold_time(COLD_TIME);
+    for engines in [&ENGINES[..4], &ENGINES, &ENGINES[2..]] {
+        scenario.crash(engines);
+        sleep(Duration::from_secs(3)).await;
+    }
+    let start = scenario.now() + RECOVERY_TIME;
+    let answers = scenario
+        .finish(RECOVERY_TIME + Duration::from_secs(5))
+        .await;
+    check_sound_parts(&answers, start, 95);
+}
+
+/// Guards against parts that are blamed for the crashes of targets which crash on every request.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_crash_on_every_request_do_not_hide_the_sound_ones() {
+    let scenario = Scenario::start(options(9110, 1), 0.0, &[], sound, sound).await;
+    let start = scenario.now();
+    for engine in ["llm-a", "llm-a-2"] {
+        scenario
+            .deployment
+            .set_behaviour(engine, Behaviour::Crashes);
+    }
+    let answers = scenario.finish(CRASHING_TIME).await;
+    check_sound_parts(&answers, start, 50);
+}
+
+/// Guards against a decision that blames sound parts for crashes without a cause in requests, or
+/// that misses the part which is to blame, while targets come back cold.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_without_a_cause_beside_a_part_that_crashes_targets_hide_nothing() {
+    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let scenario = Scenario::start(options(9105, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    scenario.deployment.set_cold_time(COLD_TIME);
+    scenario.begin();
+    for _ in 0..2 {
+        sleep(Duration::from_secs(2)).await;
+        scenario.crash(&ENGINES[..3]);
+    }
+    let start = scenario.now() + CRASHING_TIME - END_TIME;
+    let answers = scenario.finish(CRASHING_TIME).await;
+    check_sound_parts(&answers, start, 50);
+}
+
+/// Guards against a restarted gateway that has lost the decision and begins anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_gateway_does_not_forget_the_part() {
+    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let mut scenario =
+        Scenario::start(options(9106, 1), 0.15, &CRASHING[..1], sound, crashing).await;
+    scenario.begin();
+    sleep(Duration::from_secs(5)).await;
+    for gateway in [0, 1] {
+        let fault = Fault::KillGateway(gateway);
+        scenario.fail(&fault, Duration::from_millis(500)).await;
+    }
+    scenario.finish(Duration::from_secs(12)).await;
+}
+
+/// Guards against a decision that needs all control daemons, or the one that leads.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_control_daemon_does_not_hide_the_part() {
+    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let mut scenario =
+        Scenario::start(options(9107, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    scenario.begin();
+    let fault = Fault::KillControl(0);
+    scenario.fail(&fault, Duration::from_secs(3)).await;
     scenario.finish(CRASHING_TIME).await;
 }
+
+/// Guards against requests that are refused because their prompt has a single part or none, and
+/// against a first part that crashes targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_of_one_part_are_not_refused() {
+    let sound = |random: &mut Pcg64| match random.random_range(0..3) {
+        0 => talk(random, &[]),
+        1 => Draft {
+            prompt: String::new(),
+            ..talk(random, &[])
+        },
+        _ => talk(random, &[SOUND[0]]),
+    };
+    let crashing = |random: &mut Pcg64| talk(random, &[CRASHING[0]]);
+    let scenario = Scenario::start(options(9108, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    scenario.begin();
+    scenario.finish(CRASHING_TIME).await;
+}
+
+/// Guards against a decision that holds for services at which the part crashes no target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_one_service_is_served_by_another() {
+    let look = |random: &mut Pcg64| Draft {
+        path: "/look/x",
+        ..talk(random, &[BASE, CRASHING[0]])
+    };
+    let sound = move |random: &mut Pcg64| {
+        if random.random_bool(0.5) {
+            look(random)
+        } else {
+            sound(random)
+        }
+    };
+    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let scenario = Scenario::start(options(9109, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    scenario.begin();
+    let answers = scenario.finish(CRASHING_TIME).await;
+    let (begun, all) = count_begun(answers.iter().filter(|it| it.draft.path == "/look/x"));
+    assert!(all > 0 && begun * 100 >= all * 95, "{begun} of {all}");
+}
