soak: parts of prompts that crash engines, as an option

Cause: no schedule of faults had targets that a request crashes.

The schedule of a seed's other faults stays the same.

--- a/crates/azurelug-system/examples/soak.rs
+++ b/crates/azurelug-system/examples/soak.rs
@@ -27,6 +27,9 @@
     /// Seconds over which faults are injected
     #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
     seconds: u64,
+    /// Let parts of prompts crash engines, of which each zone then has two
+    #[bpaf(switch)]
+    crashing_parts: bool,
     /// Print one JSON object for each seed
     #[bpaf(switch)]
     json: bool,
@@ -42,6 +45,8 @@
             seed,
             fault_duration: Duration::from_secs(arguments.seconds),
             gateways_per_zone: arguments.size,
+            targets_per_zone: 1 + u8::from(arguments.crashing_parts),
+            crashing_parts: arguments.crashing_parts,
             ..Options::default()
         };
         let report = soak::run(&options).await;
--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -40,6 +40,8 @@
     pub gateways_per_zone: u8,
     /// Targets of each service in each zone.
     pub targets_per_zone: u8,
+    /// Whether parts of prompts crash engines.
+    pub crashing_parts: bool,
     /// Number of concurrent callers; each sends one request at a time.
     pub callers: usize,
 }
@@ -51,6 +53,7 @@
             fault_duration: Duration::from_secs(20),
             gateways_per_zone: 2,
             targets_per_zone: 1,
+            crashing_parts: false,
             callers: 24,
         }
     }
@@ -63,6 +66,11 @@
 pub async fn run(options: &Options) -> Report {
     let plan = plan::plan(options);
     let checker = Arc::new(Checker::default());
+    for scheduled in &plan {
+        if let Fault::Part(part, _) = &scheduled.fault {
+            checker.crashes.add_part("llm", part);
+        }
+    }
     let mut deployment = Deployment::start(options, Arc::clone(&checker)).await;
     let callers = callers::start(&deployment, options);
     let operator = operator::start(&deployment, options.seed);
--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -6,8 +6,8 @@
 
 use azurelug_http::h1::client::{Connection, Error};
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::task::JoinHandle;
@@ -15,18 +15,23 @@
 
 use super::Options;
 use super::checker::{Checker, Outcome};
+use super::crashes::Draft;
 use super::deployment::{Deployment, GatewayFaults};
+use super::load::{DEADLINE, request};
 use super::targets::EVENT_COUNT;
 
-/// How long a caller waits for an answer.
-const DEADLINE: Duration = Duration::from_millis(4000);
-
 /// Time within which a request fails that was sent while the gateway was closing the connection.
 const CLOSE_RACE_LIMIT: Duration = Duration::from_millis(300);
 
 /// Maximum number of requests on one connection.
 const MAX_REQUESTS_PER_CONNECTION: u32 = 20;
 
+/// Kind of the requests with a part that crashes engines, whatever their path.
+const CRASHING: &str = "crashing";
+
+/// Prompt of all requests in a run without such parts.
+const PROMPT: &str = "5c1e:800,91bd:410";
+
 /// The kinds of requests and their paths.
 const KINDS: [(&str, &str); 4] = [
     ("look", "/look/x"),
@@ -41,6 +46,8 @@
     gateway_faults: Arc<GatewayFaults>,
     checker: Arc<Checker>,
     random: Pcg64,
+    /// Whether prompts differ, and some have a part that crashes engines.
+    draws_prompts: bool,
 }
 
 /// A connection to a gateway, with the number of requests sent on it.
@@ -59,6 +66,7 @@
             gateway_faults: deployment.gateway_faults(),
             checker: deployment.checker(),
             random: Pcg64::seed_from_u64(options.seed * 1000 + number as u64),
+            draws_prompts: options.crashing_parts,
         };
         tokio::spawn(caller.run())
     });
@@ -74,13 +82,17 @@
             let Some(mut current) = self.connect_or_reuse(kept.take()).await else {
                 continue;
             };
-            let (kind, path) = KINDS[self.random.random_range(0..KINDS.len())];
+            let (mut kind, path) = KINDS[self.random.random_range(0..KINDS.len())];
+            let draft = self.draw(path);
+            if !self.checker.crashes.is_sound(&draft) {
+                kind = CRASHING;
+            }
             let id = format!("{}-{number}", self.name);
             if kind == "book" {
                 self.checker.expect_at_most_once(&id);
             }
             let sent = Instant::now();
-            let (outcome, is_reusable) = self.exchange(&mut current, &id, kind, path).await;
+            let (outcome, is_reusable) = self.exchange(&mut current, &id, kind, &draft).await;
             // A request that no target has received may be lost if it was sent while the gateway
             // was closing the connection.
             let was_processed = self.checker.was_received(&id) || sent.elapsed() > CLOSE_RACE_LIMIT;
@@ -98,6 +110,20 @@
         }
     }
 
+    /// Draws the content of a request.
+    fn draw(&mut self, path: &'static str) -> Draft {
+        let prompt = if self.draws_prompts {
+            self.checker.crashes.draw_prompt(&mut self.random)
+        } else {
+            PROMPT.to_owned()
+        };
+        Draft {
+            path,
+            key: "key-1",
+            prompt,
+        }
+    }
+
     /// Returns the open connection, or a new one to a randomly chosen gateway.
     async fn connect_or_reuse(
         &mut self,
@@ -123,18 +149,26 @@
         current: &mut GatewayConnection,
         id: &str,
         kind: &str,
-        path: &str,
+        draft: &Draft,
     ) -> (Outcome, bool) {
         current.requests += 1;
+        let sent = self.checker.limits.now();
         self.checker.limits.record_sent(id, current.gateway);
-        let request = request(id, path);
+        let request = request(id, draft);
         let answered = timeout(DEADLINE + Duration::from_secs(1), async {
             let response = current.connection.send(request).await?;
             let (parts, body) = response.into_parts();
             self.record_limit(&parts.headers, current.gateway);
             Ok::<_, Error>((parts, body.collect().await))
         });
-        match answered.await {
+        let answered = answered.await;
+        let is_unsent = matches!(&answered, Ok(Err(error)) if error.is_unsent());
+        if !is_unsent {
+            let has_begun = matches!(&answered, Ok(Ok((parts, _))) if parts.status.is_success());
+            let crashes = &self.checker.crashes;
+            crashes.record_request(draft, current.gateway, sent, has_begun);
+        }
+        match answered {
             Ok(Ok((parts, Ok(body)))) => {
                 let outcome =
                     self.check_answer(id, kind, parts.status, &parts.headers, &body.to_bytes());
@@ -180,7 +214,7 @@
                 "{id} ({kind}) got the success answer of another request"
             ));
         }
-        let is_whole = if matches!(kind, "talk" | "chat") {
+        let is_whole = if matches!(kind, "talk" | "chat" | CRASHING) {
             event_ids(body) == (1..=EVENT_COUNT).collect::<Vec<u64>>()
         } else {
             *body == format!("answer to {id}")
@@ -195,19 +229,6 @@
     }
 }
 
-fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
-    let request = Request::post(path)
-        .header("host", "carts.example")
-        .header("authorization", "Bearer key-1")
-        .header("x-request-attempt-id", id)
-        .header("x-deadline-milliseconds", DEADLINE.as_millis().to_string())
-        .header("x-pieces", "2,3")
-        .header("x-piece-key", "k")
-        .header("x-prompt-prefix", "5c1e:800,91bd:410");
-    let body = Full::new(Bytes::from_static(b"a body"));
-    request.body(body).expect("build a request")
-}
-
 /// The ids of the events in a body, in order.
 fn event_ids(body: &Bytes) -> Vec<u64> {
     let text = String::from_utf8_lossy(body).into_owned();
--- a/crates/azurelug-system/src/soak/crashes.rs
+++ b/crates/azurelug-system/src/soak/crashes.rs
@@ -6,6 +6,11 @@
 
 use azurelug_testkit::crash::{Answered, CONTACT, Ledger, Request};
 use azurelug_testkit::outage::Outages;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+/// Parts of prompts that crash no target.
+const SOUND_PARTS: [&str; 4] = ["91bd", "a402", "77f0", "03cc"];
 
 /// A part that crashes the targets of one service.
 type Part = (String, String);
@@ -42,6 +47,8 @@
     outages: Outages,
     /// Gateways under a fault, and since when.
     faulty: HashMap<usize, Duration>,
+    /// Parts that callers use, with the share of their requests.
+    used: Vec<(String, f64)>,
 }
 
 /// Records the crashes that requests caused, and the requests.
@@ -60,6 +67,28 @@
         self.state().ledgers.entry(key).or_insert(ledger);
     }
 
+    /// Has callers use a part in a share of their requests.
+    pub fn start_use(&self, part: &str, share: f64) {
+        self.state().used.push((part.to_owned(), share));
+    }
+
+    /// Ends the use of a part.
+    pub fn end_use(&self, part: &str) {
+        self.state().used.retain(|(used, _)| used != part);
+    }
+
+    /// Draws the prompt of a caller's request, with a sound part or one that is in use.
+    pub fn draw_prompt(&self, random: &mut Pcg64) -> String {
+        let used = self.state().used.clone();
+        let mut used = used
+            .into_iter()
+            .filter(|(_, share)| random.random_bool(*share));
+        let part = used.next().map(|(part, _)| part);
+        let part = part.unwrap_or_else(|| SOUND_PARTS[random.random_range(0..4)].to_owned());
+        let own = random.random::<u32>();
+        format!("5c1e:800,{part}:400,{own:x}:250")
+    }
+
     /// Records a request that has arrived at a target, and returns the part that crashes the
     /// target, if it has one.
     pub fn record_arrival(
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -260,6 +260,10 @@
                 self.pool.set_state(name, "draining");
                 self.checker.set_drained(name, true);
             }
+            Fault::Part(part, share) => {
+                let share = f64::from(*share) / 1000.0;
+                self.checker.crashes.start_use(part, share);
+            }
             Fault::Drain(number) => self.drain(*number, true),
         }
     }
@@ -305,6 +309,7 @@
                 self.checker.set_drained(name, false);
                 self.pool.set_state(name, "ready");
             }
+            Fault::Part(part, _) => self.checker.crashes.end_use(part),
             Fault::Drain(number) => self.drain(*number, false),
         }
         if let Some(gateway) = fault.gateway() {
--- a/crates/azurelug-system/src/soak/load.rs
+++ b/crates/azurelug-system/src/soak/load.rs
@@ -19,7 +19,7 @@
 use super::deployment::Deployment;
 
 /// How long a client waits for an answer.
-const DEADLINE: Duration = Duration::from_millis(4000);
+pub(super) const DEADLINE: Duration = Duration::from_millis(4000);
 
 /// Longest time to open a connection, and for an answer after [`DEADLINE`].
 const CONNECTION_LIMIT: Duration = Duration::from_secs(5);
@@ -241,7 +241,8 @@
     }
 }
 
-fn request(id: &str, draft: &Draft) -> Request<Full<Bytes>> {
+/// Builds a client's request.
+pub(super) fn request(id: &str, draft: &Draft) -> Request<Full<Bytes>> {
     let mut request = Request::post(draft.path)
         .header("host", "carts.example")
         .header("authorization", format!("Bearer {}", draft.key))
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -43,6 +43,9 @@
     Link(String, LinkFault),
     /// The platform's list shows a target as draining, and as ready again at the end.
     Leave(String),
+    /// Engines crash when they begin to answer a request with a part, which comes in so many of a
+    /// thousand requests.
+    Part(String, u32),
     /// Operators drain a zone, and undo the drain at the end.
     Drain(u8),
 }
@@ -77,6 +80,9 @@
 /// Distinguishes the random numbers of limits from those of the other faults.
 const LIMIT_SEED: u64 = 0x6c69_6d69_7400;
 
+/// Distinguishes the random numbers of parts that crash engines.
+const PART_SEED: u64 = 0x7061_7274_7300;
+
 /// Minimum time between two faults of control daemons. Only one data folder may be lost at a time,
 /// and a control daemon needs several seconds to recover its state from the others.
 const CONTROL_FAULT_PAUSE_MS: u64 = 6000;
@@ -153,6 +159,9 @@
         }
     });
     faults.extend(plan_limits(options));
+    if options.crashing_parts {
+        faults.extend(plan_parts(options));
+    }
     faults.sort_by_key(|fault| fault.start);
     faults
 }
@@ -183,6 +192,25 @@
     faults
 }
 
+/// Generates the parts that crash engines. They begin one after the other, after a time without
+/// any, and end with the faults.
+fn plan_parts(options: &Options) -> Vec<ScheduledFault> {
+    let mut random = Pcg64::seed_from_u64(options.seed ^ PART_SEED);
+    let end = options.fault_duration.as_millis() as u64;
+    let count = random.random_range(1..=2);
+    let parts = (1..=count).map(|number| {
+        let start = (number * random.random_range(2500..4000)).min(end);
+        let shares = [5, 20, 50, 100, 300];
+        let share = shares[random.random_range(0..shares.len())];
+        ScheduledFault {
+            start: Duration::from_millis(start),
+            duration: Duration::from_millis(end - start),
+            fault: Fault::Part(format!("{:x}", random.random::<u32>()), share),
+        }
+    });
+    parts.collect()
+}
+
 impl Fault {
     /// The gateway whose process this fault concerns.
     #[must_use]
