system: parts that crash plain targets, and requests with stages

Cause: the variants used one streaming route without stages only.

Change: two parts come on the streaming routes with and without stages, and another test has a part that crashes the targets of a plain service.

--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -69,6 +69,31 @@
     talk(random, &[BASE, part])
 }
 
+/// Parts that crash the targets of a service, and the share of requests with one of them.
+struct Crashing<'a> {
+    service: &'a str,
+    parts: &'a [&'a str],
+    share: f64,
+}
+
+impl Crashing<'_> {
+    /// One part that crashes engines.
+    fn engines(share: f64) -> Self {
+        Self {
+            service: "llm",
+            parts: &CRASHING[..1],
+            share,
+        }
+    }
+
+    fn none() -> Self {
+        Self {
+            parts: &[],
+            ..Self::engines(0.0)
+        }
+    }
+}
+
 /// A deployment with requests, of which some will crash targets.
 struct Scenario {
     seed: u64,
@@ -78,21 +103,17 @@
 }
 
 impl Scenario {
-    /// Starts a deployment whose engines crash on `parts`, and sound requests.
-    async fn start<F, G>(
-        options: Options,
-        share: f64,
-        parts: &[&str],
-        sound: F,
-        crashing: G,
-    ) -> Self
+    /// Starts a deployment and sound requests. `unsound` draws requests that crash targets.
+    async fn start<F, G>(options: Options, crashing: Crashing<'_>, sound: F, unsound: G) -> Self
     where
         F: Fn(&mut Pcg64) -> Draft + Copy + Send + 'static,
         G: Fn(&mut Pcg64) -> Draft + Copy + Send + 'static,
     {
+        let share = crashing.share;
         let deployment = Deployment::start(&options, Arc::default()).await;
-        for part in parts {
-            deployment.checker().crashes.add_part("llm", part);
+        for part in crashing.parts {
+            let crashes = &deployment.checker().crashes;
+            crashes.add_part(crashing.service, part);
         }
         let has_started = Arc::new(AtomicBool::new(false));
         let pace = Pace {
@@ -103,9 +124,9 @@
         };
         let started = Arc::clone(&has_started);
         let load = Load::start(&deployment, pace, move |random| {
-            let is_crashing = random.random_bool(share);
-            if is_crashing && started.load(Ordering::Relaxed) {
-                crashing(random)
+            let is_unsound = random.random_bool(share);
+            if is_unsound && started.load(Ordering::Relaxed) {
+                unsound(random)
             } else {
                 sound(random)
             }
@@ -208,8 +229,8 @@
 /// sees few of the crashes, and against the loss of the sound requests beside them.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_does_not_crash_one_target_after_another() {
-    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
-    let scenario = Scenario::start(options(9101, 2), 0.08, &CRASHING[..1], sound, crashing).await;
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let scenario = Scenario::start(options(9101, 2), Crashing::engines(0.08), sound, unsound).await;
     scenario.begin();
     let checker = scenario.deployment.checker();
     let answers = scenario.finish(CRASHING_TIME).await;
@@ -218,14 +239,32 @@
     }
 }
 
-/// Guards against a decision on one part that hides another.
+/// Guards against a decision on one part that hides another, and against one that requests with
+/// stages pass by.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_parts_at_once_do_not_crash_one_target_after_another() {
-    let crashing = |random: &mut Pcg64| {
+    let path = |random: &mut Pcg64| ["/talk/x", "/chat/x"][random.random_range(0..2)];
+    let sound = move |random: &mut Pcg64| Draft {
+        path: path(random),
+        ..sound(random)
+    };
+    let unsound = move |random: &mut Pcg64| {
         let part = CRASHING[random.random_range(0..CRASHING.len())];
-        talk(random, &[BASE, part])
+        Draft {
+            path: path(random),
+            ..talk(random, &[BASE, part])
+        }
     };
-    let scenario = Scenario::start(options(9102, 1), 0.12, &CRASHING, sound, crashing).await;
+    let scenario = Scenario::start(
+        options(9102, 1),
+        Crashing {
+            parts: &CRASHING,
+            ..Crashing::engines(0.12)
+        },
+        sound,
+        unsound,
+    )
+    .await;
     scenario.begin();
     scenario.finish(CRASHING_TIME).await;
 }
@@ -234,14 +273,14 @@
 /// of its requests have the part.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_in_all_requests_of_one_key_does_not_crash_one_target_after_another() {
-    let crashing = |random: &mut Pcg64| {
+    let unsound = |random: &mut Pcg64| {
         let part = SOUND[random.random_range(0..SOUND.len())];
         Draft {
             key: "key-2",
             ..talk(random, &[BASE, part, CRASHING[0]])
         }
     };
-    let scenario = Scenario::start(options(9103, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    let scenario = Scenario::start(options(9103, 1), Crashing::engines(0.1), sound, unsound).await;
     scenario.begin();
     let start = scenario.now() + CRASHING_TIME - END_TIME;
     let answers = scenario.finish(CRASHING_TIME).await;
@@ -252,7 +291,7 @@
 /// when they began to answer them.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_without_a_cause_in_requests_refuse_no_sound_request() {
-    let scenario = Scenario::start(options(9104, 1), 0.0, &[], sound, sound).await;
+    let scenario = Scenario::start(options(9104, 1), Crashing::none(), sound, sound).await;
     scenario.deployment.set_cold_time(COLD_TIME);
     for engines in [&ENGINES[..4], &ENGINES, &ENGINES[2..]] {
         scenario.crash(engines);
@@ -268,7 +307,7 @@
 /// Guards against parts that are blamed for the crashes of targets which crash on every request.
 #[tokio::test(flavor = "multi_thread")]
 async fn targets_that_crash_on_every_request_do_not_hide_the_sound_ones() {
-    let scenario = Scenario::start(options(9110, 1), 0.0, &[], sound, sound).await;
+    let scenario = Scenario::start(options(9110, 1), Crashing::none(), sound, sound).await;
     let start = scenario.now();
     for engine in ["llm-a", "llm-a-2"] {
         scenario
@@ -283,8 +322,8 @@
 /// that misses the part which is to blame, while targets come back cold.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_without_a_cause_beside_a_part_that_crashes_targets_hide_nothing() {
-    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
-    let scenario = Scenario::start(options(9105, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let scenario = Scenario::start(options(9105, 1), Crashing::engines(0.1), sound, unsound).await;
     scenario.deployment.set_cold_time(COLD_TIME);
     scenario.begin();
     for _ in 0..2 {
@@ -299,9 +338,9 @@
 /// Guards against a restarted gateway that has lost the decision and begins anew.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_gateway_does_not_forget_the_part() {
-    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
     let mut scenario =
-        Scenario::start(options(9106, 1), 0.15, &CRASHING[..1], sound, crashing).await;
+        Scenario::start(options(9106, 1), Crashing::engines(0.15), sound, unsound).await;
     scenario.begin();
     sleep(Duration::from_secs(5)).await;
     for gateway in [0, 1] {
@@ -314,9 +353,9 @@
 /// Guards against a decision that needs all control daemons, or the one that leads.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_control_daemon_does_not_hide_the_part() {
-    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
     let mut scenario =
-        Scenario::start(options(9107, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+        Scenario::start(options(9107, 1), Crashing::engines(0.1), sound, unsound).await;
     scenario.begin();
     let fault = Fault::KillControl(0);
     scenario.fail(&fault, Duration::from_secs(3)).await;
@@ -335,8 +374,8 @@
         },
         _ => talk(random, &[SOUND[0]]),
     };
-    let crashing = |random: &mut Pcg64| talk(random, &[CRASHING[0]]);
-    let scenario = Scenario::start(options(9108, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    let unsound = |random: &mut Pcg64| talk(random, &[CRASHING[0]]);
+    let scenario = Scenario::start(options(9108, 1), Crashing::engines(0.1), sound, unsound).await;
     scenario.begin();
     scenario.finish(CRASHING_TIME).await;
 }
@@ -355,10 +394,28 @@
             sound(random)
         }
     };
-    let crashing = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
-    let scenario = Scenario::start(options(9109, 1), 0.1, &CRASHING[..1], sound, crashing).await;
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let scenario = Scenario::start(options(9109, 1), Crashing::engines(0.1), sound, unsound).await;
     scenario.begin();
     let answers = scenario.finish(CRASHING_TIME).await;
     let (begun, all) = count_begun(answers.iter().filter(|it| it.draft.path == "/look/x"));
     assert!(all > 0 && begun * 100 >= all * 95, "{begun} of {all}");
 }
+
+/// Guards against plain targets that a part crashes one after another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_does_not_crash_one_plain_target_after_another() {
+    let look = |random: &mut Pcg64, part: &str| Draft {
+        path: "/look/x",
+        ..talk(random, &[BASE, part])
+    };
+    let sound = move |random: &mut Pcg64| look(random, SOUND[0]);
+    let unsound = move |random: &mut Pcg64| look(random, CRASHING[0]);
+    let crashing = Crashing {
+        service: "desk",
+        ..Crashing::engines(0.1)
+    };
+    let scenario = Scenario::start(options(9111, 1), crashing, sound, unsound).await;
+    scenario.begin();
+    scenario.finish(CRASHING_TIME).await;
+}
