system: gateways that learn late of a part that crashes targets

Cause: a gateway may be frozen while the others learn of the part, or start when the control daemons that knew of it have started again as well.

Change: a test for each of the two.

--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -396,6 +396,38 @@
     scenario.finish(CRASHING_TIME).await;
 }
 
+/// Guards against a gateway that was frozen while the others learned of the part, and that does not
+/// learn of it afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_was_frozen_learns_of_the_part() {
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let crashing = Crashing::engines(0.15);
+    let mut scenario = Scenario::start(options(9113, 1), crashing, sound, unsound).await;
+    scenario.begin();
+    let fault = Fault::FreezeGateway(0);
+    scenario.fail(&fault, Duration::from_secs(6)).await;
+    scenario.finish(Duration::from_secs(11)).await;
+}
+
+/// Guards against a decision that is lost with the memory of the control daemons, so that a
+/// restarted gateway begins anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_control_daemons_do_not_forget_the_part() {
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let crashing = Crashing::engines(0.15);
+    let mut scenario = Scenario::start(options(9114, 1), crashing, sound, unsound).await;
+    scenario.begin();
+    sleep(Duration::from_secs(4)).await;
+    for control in 0..3 {
+        let fault = Fault::KillControl(control);
+        scenario.fail(&fault, Duration::from_millis(500)).await;
+        sleep(Duration::from_millis(500)).await;
+    }
+    let fault = Fault::KillGateway(0);
+    scenario.fail(&fault, Duration::from_millis(500)).await;
+    scenario.finish(Duration::from_secs(11)).await;
+}
+
 /// Guards against requests that are refused because their prompt has a single part or none, and
 /// against a first part that crashes targets.
 #[tokio::test(flavor = "multi_thread")]
