gateway: a target that pauses while it reads a request is not given up

Cause: the timeout for unacknowledged data, 0.7 s, is shorter than the pause that a sound target may make. It also ends connections whose peer acknowledges every probe but has no room in its receive buffer.

Change: 2.5 s. Requests that may be repeated go to another target before that, as they did.

Why it works: the timeout is longer than the two seconds for which a sound target may be silent. A VM that is gone is noticed 1.8 s later by requests that can't be repeated.

--- a/crates/azurelug-gateway/src/upstream.rs
+++ b/crates/azurelug-gateway/src/upstream.rs
@@ -14,8 +14,9 @@
 /// queue is full answers only the second SYN, after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without acknowledgements after which a target counts as unreachable.
-const ACK_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without acknowledgements, or without room in its receive buffer, after which a target counts
+/// as unreachable. A sound target may pause for up to two seconds.
+const ACK_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Idle timeout of a connection if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -136,3 +136,16 @@
     let is_ended = ends.any(|line| line.contains("the client disconnected"));
     assert!(is_ended, "{log}");
 }
+
+/// Guards against a connection that is closed, with a request that may run only once, because its
+/// target reads nothing for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_waits_for_a_target_that_pauses_reading() {
+    let silent = Reply::Run(Framing::Chunked, Some(Pause::Reading), End::Complete);
+    let cases = [Kind::AtMostOnce, Kind::NotResumable].map(|kind| {
+        let replies = vec![silent];
+        (Script { kind, replies }, Expected::Complete)
+    });
+    let deployment = Deployment::start_scripted(&cases).await;
+    deployment.check_scripts(&cases).await;
+}
--- a/crates/azurelug-system/tests/support/kept_client.rs
+++ b/crates/azurelug-system/tests/support/kept_client.rs
@@ -9,6 +9,10 @@
 use super::scripted::{Kind, STAGE_HEADERS, Script, body_parts, service_name};
 use super::{Deployment, TIMEOUT};
 
+/// Length of a long request in bytes: above the buffers of a connection, and below the gateway's
+/// limit for bodies.
+const LONG_BODY_BYTES: usize = 3_000_000;
+
 /// A client that keeps its connection open.
 pub(crate) struct Client(Connection);
 
@@ -40,6 +44,18 @@
         id: &str,
         path: &str,
         headers: &[(&str, &str)],
+    ) -> Result<Received, String> {
+        let body = Bytes::from_static(b"a body");
+        self.request_with_body(id, path, headers, body).await
+    }
+
+    /// As [`Client::request`], with a body.
+    pub(crate) async fn request_with_body(
+        &mut self,
+        id: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
     ) -> Result<Received, String> {
         let mut request = Request::post(path)
             .header("host", "carts.example")
@@ -48,7 +64,7 @@
         for (name, value) in headers.iter().chain(&STAGE_HEADERS) {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(Bytes::from_static(b"a body")));
+        let request = request.body(Full::new(body));
         let request = request.expect("a valid request");
         let response = self.0.send(request).await.map_err(|it| it.to_string())?;
         let (parts, mut body) = response.into_parts();
@@ -131,7 +147,9 @@
         let mut client = self.client().await;
         let path = format!("/{}/x", service_name(index));
         let id = format!("first-{index}");
-        let answer = client.request(&id, &path, &[]).await;
+        let length = if script.is_long() { LONG_BODY_BYTES } else { 6 };
+        let body = Bytes::from(vec![b'x'; length]);
+        let answer = client.request_with_body(&id, &path, &[], body).await;
         let arrivals = self.received(&id).len();
         let report = format!("{id}, {script:?}: {answer:?} after {arrivals} arrivals");
         let limit = script.max_attempts();
--- a/crates/azurelug-system/tests/support/scripted.rs
+++ b/crates/azurelug-system/tests/support/scripted.rs
@@ -65,6 +65,8 @@
 /// Where a target falls silent for [`SILENCE`] before it goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Pause {
+    /// Before the request is read, whose body is longer than the buffers of the connection.
+    Reading,
     BeforeHead,
     InHead,
     AfterHead,
@@ -118,6 +120,12 @@
             1
         }
     }
+
+    /// Whether a target pauses before it reads the request, which is long then.
+    pub(crate) fn is_long(&self) -> bool {
+        let mut replies = self.replies.iter();
+        replies.any(|it| matches!(it, Reply::Run(_, Some(Pause::Reading), _)))
+    }
 }
 
 /// The name of the service with the `index`-th script; its route has the prefix `/NAME/`.
@@ -235,7 +243,11 @@
     script: Script,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    while let Some(mut received) = raw::read_request(&mut stream, &name).await? {
+    loop {
+        pause_reading(&stream, &script).await?;
+        let Some(mut received) = raw::read_request(&mut stream, &name).await? else {
+            return Ok(());
+        };
         let is_call = received.path == "/stage-run";
         if received.path == "/stage-free" {
             stream.write_all(&raw::build_answer(&received, at)).await?;
@@ -294,6 +306,17 @@
         let answer = format!("{head}content-length: 6\r\n\r\nfailed");
         stream.write_all(answer.as_bytes()).await?;
     }
+}
+
+/// Waits before the next request is read, if its script says so.
+async fn pause_reading(stream: &TcpStream, script: &Script) -> std::io::Result<()> {
+    if script.is_long() {
+        let mut head = [0; 1024];
+        let count = stream.peek(&mut head).await?;
+        if !String::from_utf8_lossy(&head[..count]).contains(WARM_UP) {
+            sleep(SILENCE).await;
+        }
+    }
     Ok(())
 }
 
