soak: handles name the address of their target on the list

Cause: targets put their own address into the handles of results, not that of the proxy under which they are listed. Gateways found no maker for these handles and released no result, so that each stayed until the end of its lifetime. With results of 1,000 bytes nobody noticed.

--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -168,6 +168,14 @@
             "cold_remaining_ms": 0}));
     }
 
+    /// The address of a target on the platform's list.
+    fn address(&self, name: &str) -> String {
+        let list = self.list();
+        let entry = list.iter().find(|entry| entry["id"] == name);
+        let address = entry.and_then(|entry| entry["address"].as_str());
+        address.unwrap_or_default().to_owned()
+    }
+
     /// Sets the state of a target on the platform's list.
     pub fn set_state(&self, name: &str, state: &str) {
         let id = self.id(name);
@@ -207,7 +215,6 @@
     let handler = move |request| {
         let target = Target {
             name: name.clone(),
-            address,
             pool: Arc::clone(&pool),
             checker: Arc::clone(&checker),
         };
@@ -244,7 +251,6 @@
 #[derive(Clone)]
 struct Target {
     name: String,
-    address: SocketAddr,
     pool: Arc<TargetPool>,
     checker: Arc<Checker>,
 }
@@ -332,12 +338,13 @@
     async fn run_pieces(&self, body: &[u8]) -> Response<Body> {
         let call: Value = serde_json::from_slice(body).unwrap_or_default();
         let items = call["items"].as_array().cloned().unwrap_or_default();
+        let address = self.pool.address(&self.name);
         let results = items.iter().map(|item| {
             let id = item["id"].as_str().unwrap_or_default();
             let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
             self.checker.check_inputs(id, &inputs);
             let nonce = rand::random::<u32>();
-            let handle = format!("{}/{id}.{}.{nonce}", self.address, item["piece"]);
+            let handle = format!("{address}/{id}.{}.{nonce}", item["piece"]);
             json!({ "handle": handle })
         });
         let results: Vec<Value> = results.collect();
