soak: silent and unframed targets, SIGHUP, and changes of all settings

Cause: the soak's targets neither paused for longer than the gateways' timeouts nor sent answers that end with their connection, its operator changed only the timeout of routes, and a request that failed although its target was sound broke no check.

The configuration varies gaps, objectives, attempts, splits, connections, sizes of results, settings of pieces, keys, priorities, limits, and a service with a route that comes and goes. New check: a request must not fail, with time left and at a gateway that is up, if all targets that began to answer it were sound and had their connection closed by the gateway. The series have generators of their own, so that the other faults of a seed remain as they were.

--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -20,6 +20,9 @@
 use super::load::{DEADLINE, request};
 use super::targets::EVENT_COUNT;
 
+/// A request that ends before this was not ended by its deadline.
+const EARLY_END: Duration = Duration::from_millis(3700);
+
 /// Time within which a request fails that was sent while the gateway was closing the connection.
 const CLOSE_RACE_LIMIT: Duration = Duration::from_millis(300);
 
@@ -103,6 +106,12 @@
                 let text = format!("{id} ({kind}) got no answer although its gateway was up");
                 self.checker.record_violation(text);
             }
+            if outcome == Outcome::Failed
+                && sent.elapsed() < EARLY_END
+                && self.gateway_faults.must_answer(current.gateway, sent)
+            {
+                self.checker.record_unserved(&id);
+            }
             self.checker.record_outcome(&id, kind, outcome);
             if is_reusable && current.requests < MAX_REQUESTS_PER_CONNECTION {
                 kept = Some(current);
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -46,6 +46,12 @@
     runs: HashMap<String, u32>,
     /// Requests of which a target has received pieces.
     with_pieces: HashSet<String>,
+    /// Requests that ended early without a success, at gateways that were up.
+    unserved: Vec<String>,
+    /// Targets that have begun to answer a request with a success.
+    answering: HashMap<String, HashSet<String>>,
+    /// Of these, sound targets whose gateway closed the connection before the answer was complete.
+    given_up: HashMap<String, HashSet<String>>,
     at_most_once: Vec<String>,
     refused: Vec<String>,
     outcomes: BTreeMap<(String, Outcome), u64>,
@@ -106,6 +112,26 @@
         *self.state().runs.entry(id.to_owned()).or_default() += 1;
     }
 
+    /// Records that a target has begun to answer a request with a success.
+    pub fn record_answering(&self, id: &str, target: &str) {
+        let mut state = self.state();
+        let targets = state.answering.entry(id.to_owned()).or_default();
+        targets.insert(target.to_owned());
+    }
+
+    /// Records that a gateway closed the connection to a sound target that was answering.
+    pub fn record_given_up(&self, id: &str, target: &str) {
+        let mut state = self.state();
+        let targets = state.given_up.entry(id.to_owned()).or_default();
+        targets.insert(target.to_owned());
+    }
+
+    /// Records a request that ended without a success, although its gateway was up and its time
+    /// was not over.
+    pub fn record_unserved(&self, id: &str) {
+        self.state().unserved.push(id.to_owned());
+    }
+
     /// Whether a target has received a request or a piece of it.
     pub fn was_received(&self, id: &str) -> bool {
         let state = self.state();
@@ -235,6 +261,7 @@
         for violation in self.run_violations() {
             self.record_violation(violation);
         }
+        self.check_given_up();
         let found = self.limits.violations().into_iter();
         for violation in found.chain(self.crashes.violations()) {
             self.record_violation(violation);
@@ -277,4 +304,21 @@
         let refused = refused.map(|id| format!("{id} was refused as not run, but has run"));
         repeated.chain(refused).collect()
     }
+
+    /// Checks that no request failed because sound targets were given up before another one
+    /// answered.
+    fn check_given_up(&self) {
+        let given_up: Vec<String> = {
+            let state = self.state();
+            let is_given_up = |id: &&String| {
+                let answering = state.answering.get(*id);
+                let given_up = state.given_up.get(*id);
+                given_up.is_some_and(|it| answering.is_none_or(|targets| targets.is_subset(it)))
+            };
+            state.unserved.iter().filter(is_given_up).cloned().collect()
+        };
+        for id in given_up {
+            self.record_violation(format!("{id} failed although its target was sound"));
+        }
+    }
 }
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -23,7 +23,7 @@
 use super::checker::{Checker, Report};
 use super::operator::{self, configuration};
 use super::plan::{CONTROL_COUNT, Fault, LinkFault, SERVICES, TARGETS_PER_SERVICE, zone_name};
-use super::targets::{self, Behaviour, TargetPool};
+use super::targets::{self, Behaviour, Manner, TargetPool};
 use crate::process::Process;
 use layout::Layout;
 pub use recent_faults::GatewayFaults;
@@ -31,6 +31,9 @@
 /// Longest time until all gateways report ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time after a start in which a gateway may have no signal handlers yet.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Longest time in which a gateway must exit after SIGTERM.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 
@@ -254,8 +257,13 @@
                 std::fs::remove_dir_all(data).expect("remove the data folder");
             }
             Fault::Target(name, behaviour) => self.pool.set_behaviour(name, *behaviour),
+            Fault::Manner(name, manner) => self.pool.set_manner(name, *manner),
+            Fault::ReloadGateway(it) => self.reload(*it),
             Fault::Limit(name, rate) => self.set_limit(name, Some(*rate)),
-            Fault::Link(name, kind) => self.pool.set_link(name, link_settings(*kind)),
+            Fault::Link(name, kind) => {
+                self.pool.set_link_fault(name, true);
+                self.pool.set_link(name, link_settings(*kind));
+            }
             Fault::Leave(name) => {
                 self.pool.set_state(name, "draining");
                 self.checker.set_drained(name, true);
@@ -303,8 +311,13 @@
             }
             Fault::FreezeControl(it) => self.control(*it).signal(Signal::SIGCONT),
             Fault::Target(name, _) => self.pool.set_behaviour(name, Behaviour::Normal),
+            Fault::Manner(name, _) => self.pool.set_manner(name, Manner::Usual),
+            Fault::ReloadGateway(_) => {}
             Fault::Limit(name, _) => self.set_limit(name, None),
-            Fault::Link(name, _) => self.pool.set_link(name, Link::default()),
+            Fault::Link(name, _) => {
+                self.pool.set_link(name, Link::default());
+                self.pool.set_link_fault(name, false);
+            }
             Fault::Leave(name) => {
                 self.checker.set_drained(name, false);
                 self.pool.set_state(name, "ready");
@@ -343,6 +356,14 @@
         &mut self.gateways[usize::from(number)].process
     }
 
+    /// Sends SIGHUP to a gateway, unless it may not have set its signal handlers up yet.
+    fn reload(&mut self, number: u8) {
+        let is_starting = self.gateway_faults.has_restarted_within(number, START_TIME);
+        if !is_starting && !self.gateway(number).has_ended() {
+            self.gateway(number).signal(Signal::SIGHUP);
+        }
+    }
+
     fn control(&mut self, number: u8) -> &mut Process {
         &mut self.controls[usize::from(number)].process
     }
--- a/crates/azurelug-system/src/soak/deployment/recent_faults.rs
+++ b/crates/azurelug-system/src/soak/deployment/recent_faults.rs
@@ -49,6 +49,16 @@
             && !is_closing
     }
 
+    /// Whether a gateway is down or was started less than `time` ago.
+    pub(super) fn has_restarted_within(&self, gateway: u8, time: Duration) -> bool {
+        let histories = self.0.lock().expect("the lock is not poisoned");
+        let history = histories.get(&usize::from(gateway));
+        history.is_some_and(|it| {
+            let mut starts = [it.restarted, it.exited].into_iter().flatten();
+            it.is_down || starts.any(|at| at.elapsed() < time)
+        })
+    }
+
     pub(super) fn update(&self, gateway: u8, change: impl FnOnce(&mut FaultHistory)) {
         let mut histories = self.0.lock().expect("the lock is not poisoned");
         change(histories.entry(usize::from(gateway)).or_default());
--- a/crates/azurelug-system/src/soak/operator.rs
+++ b/crates/azurelug-system/src/soak/operator.rs
@@ -108,29 +108,57 @@
 }
 
 /// A configuration with an idempotent route, one that is not idempotent, and two streaming routes,
-/// one of them with stages. The timeout depends on the version, so that documents differ.
+/// one of them with stages. All settings that leave the answers as they are depend on the version;
+/// a spare service with a route comes and goes.
 #[must_use]
 pub fn configuration(version: u64) -> Value {
+    // Version 1 has the first values.
+    let step_of = |step: u64| (version.saturating_sub(1) / step) as usize;
+    let pick = |step: u64, values: &[u64]| values[step_of(step) % values.len()];
     let timeout = 4000 + version % 50;
-    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+    let latency = pick(2, &[1000, 500, 2000]);
+    let gap = pick(1, &[400, 200, 1000]);
+    let attempts = pick(5, &[2, 3]);
+    let route = |name: &str, kind: &str, service: &str, attempts: u64| {
         json!({"name": name, "host": "carts.example", "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": timeout, "target_latency_ms": 1000, "priority": 0,
+            "kind": kind, "timeout_ms": timeout, "target_latency_ms": latency, "priority": 0,
             "service": service, "max_attempts": attempts, "resume_streams": true,
-            "gap_aim_ms": 400, "stages": []})
+            "gap_aim_ms": gap, "stages": []})
     };
-    let mut chat = route("chat", "streaming", "llm", 2);
+    let mut chat = route("chat", "streaming", "llm", attempts);
     chat["stages"] = json!([
-        {"service": "encode", "after": [], "bytes": 1000},
+        {"service": "encode", "after": [], "bytes": pick(3, &[1000, 200_000])},
         {"service": "encode", "after": [0], "bytes": 1000}
     ]);
-    let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1,
-        "room_mb": 10, "handle_s": 4});
-    json!({"version": version,
-        "routes": [chat, route("look", "safe", "desk", 2), route("book", "unsafe", "desk", 1),
-            route("talk", "streaming", "llm", 2)],
-        "services": [
-            {"name": "llm", "max_connections": 200, "cold_start_s": 0, "cold_per_s": 0},
-            {"name": "desk"}, {"name": "encode", "pieces": pieces}],
-        "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0},
-            {"name": "tolls", "api_keys": ["key-2"], "priority": 0}]})
+    let mut look = route("look", "safe", "desk", attempts);
+    if version.is_multiple_of(3) {
+        look["traffic_split"] = json!([{"service": "desk", "weight": pick(1, &[1, 90])},
+            {"service": "encode", "weight": 0}]);
+    }
+    let mut routes = vec![
+        chat,
+        look,
+        route("book", "unsafe", "desk", 1),
+        route("talk", "streaming", "llm", attempts),
+    ];
+    let pieces = json!({"slots": pick(2, &[1, 2]), "queue": 2, "batch": pick(3, &[8, 4]),
+        "call_ms": pick(2, &[20, 40]), "item_ms": 1, "room_mb": 10, "handle_s": pick(4, &[4, 8])});
+    let mut services = vec![
+        json!({"name": "llm", "max_connections": pick(3, &[200, 100]), "cold_start_s": 0,
+            "cold_per_s": 0}),
+        json!({"name": "desk"}),
+        json!({"name": "encode", "pieces": pieces}),
+    ];
+    let mut keys = vec!["key-1"];
+    if version.is_multiple_of(2) {
+        routes.push(route("spare", "safe", "spare", 2));
+        services.push(json!({"name": "spare"}));
+        keys.push("key-3");
+    }
+    json!({"version": version, "routes": routes, "services": services,
+        "tenants": [{"name": "carts", "api_keys": keys, "priority": pick(3, &[0, 1])},
+            {"name": "tolls", "api_keys": ["key-2"], "priority": 0}],
+        "limits": {"max_header_bytes": pick(2, &[16_384, 8192, 65_536]),
+            "max_body_bytes": 4_194_304, "header_timeout_ms": pick(3, &[3000, 1000]),
+            "idle_timeout_ms": pick(1, &[15_000, 2000, 5000])}})
 }
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64;
 
 use super::Options;
-use super::targets::Behaviour;
+use super::targets::{Behaviour, Manner};
 
 /// Number of control daemons, one in each zone.
 pub const CONTROL_COUNT: u8 = 3;
@@ -37,6 +37,10 @@
     WipeControl(u8),
     /// A target misbehaves.
     Target(String, Behaviour),
+    /// A target that is otherwise as it was answers in an unusual manner.
+    Manner(String, Manner),
+    /// A gateway gets SIGHUP.
+    ReloadGateway(u8),
     /// A target names a limit for the requests of all gateways, and no limit at the end.
     Limit(String, Rate),
     /// The gateways' connections to a target fail.
@@ -83,6 +87,9 @@
 /// Distinguishes the random numbers of parts that crash engines.
 const PART_SEED: u64 = 0x7061_7274_7300;
 
+/// Distinguishes the random numbers of manners and reloads from those of the other faults.
+const MANNER_SEED: u64 = 0x6d61_6e6e_6572;
+
 /// Minimum time between two faults of control daemons. Only one data folder may be lost at a time,
 /// and a control daemon needs several seconds to recover its state from the others.
 const CONTROL_FAULT_PAUSE_MS: u64 = 6000;
@@ -159,6 +166,8 @@
         }
     });
     faults.extend(plan_limits(options));
+    let manners = plan_manners(options, &faults);
+    faults.extend(manners);
     if options.crashing_parts {
         faults.extend(plan_parts(options));
     }
@@ -211,6 +220,52 @@
     parts.collect()
 }
 
+/// Time after the end of a fault in which answers that began during the fault end.
+const ANSWER_TIME: Duration = Duration::from_millis(4000);
+
+/// Generates the manners of targets, in two series, and the reloads of gateways, with a generator of
+/// their own.
+fn plan_manners(options: &Options, others: &[ScheduledFault]) -> Vec<ScheduledFault> {
+    let mut random = Pcg64::seed_from_u64(options.seed ^ MANNER_SEED);
+    let end = options.fault_duration.as_millis() as u64;
+    let gateways = options.gateways_per_zone * CONTROL_COUNT;
+    let mut faults = Vec::new();
+    for _ in 0..2 {
+        let mut start = random.random_range(0..1500);
+        while start < end {
+            let service = SERVICES[random.random_range(0..SERVICES.len())];
+            let zone = zone_name(random.random_range(0..TARGETS_PER_SERVICE));
+            let target = format!("{service}-{zone}");
+            let mut manner = Manner::draw(&mut random);
+            let duration = random.random_range(2000..6000);
+            let gateway = random.random_range(0..gateways);
+            let until = Duration::from_millis(start + duration) + ANSWER_TIME;
+            let is_closed = options.crashing_parts
+                || others.iter().any(|other| {
+                    let link = Fault::Link(target.clone(), LinkFault::Reset);
+                    let end = other.start + other.duration;
+                    other.fault == link
+                        && other.start < until
+                        && end >= Duration::from_millis(start)
+                });
+            if is_closed {
+                // The proxy's close, also at a crash, would mark the end of an unframed answer.
+                manner = Manner::Pauses;
+            }
+            let fault = Fault::Manner(target, manner);
+            for (fault, duration) in [(fault, duration), (Fault::ReloadGateway(gateway), 0)] {
+                faults.push(ScheduledFault {
+                    start: Duration::from_millis(start),
+                    duration: Duration::from_millis(duration),
+                    fault,
+                });
+            }
+            start += duration + random.random_range(100..1000);
+        }
+    }
+    faults
+}
+
 impl Fault {
     /// The gateway whose process this fault concerns.
     #[must_use]
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -2,6 +2,7 @@
 //! runs.
 
 mod crash;
+mod manner;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use azurelug_testkit::proxy::{Link, Proxy, Settings};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -24,6 +25,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::checker::Checker;
+pub use manner::Manner;
+use manner::{Run, send_events, send_halves};
 
 /// Number of events in a complete stream.
 pub const EVENT_COUNT: u64 = 8;
@@ -77,6 +80,9 @@
 #[derive(Default)]
 pub struct TargetPool {
     behaviours: Mutex<HashMap<String, Behaviour>>,
+    manners: Mutex<HashMap<String, Manner>>,
+    /// When faults of the connections to a target ended; none during a fault.
+    link_faults: Mutex<HashMap<String, Option<Instant>>>,
     /// Limits that targets name in their answers.
     limits: Mutex<HashMap<String, Rate>>,
     list: Mutex<Vec<Value>>,
@@ -104,6 +110,31 @@
         self.behaviours().insert(name.to_owned(), behaviour);
     }
 
+    /// Sets the manner in which a target answers.
+    pub fn set_manner(&self, name: &str, manner: Manner) {
+        let mut manners = self.manners.lock().expect("the lock is not poisoned");
+        manners.insert(name.to_owned(), manner);
+    }
+
+    fn manner(&self, name: &str) -> Manner {
+        let manners = self.manners.lock().expect("the lock is not poisoned");
+        manners.get(name).copied().unwrap_or_default()
+    }
+
+    /// Records the start or the end of a fault of the connections to a target.
+    pub fn set_link_fault(&self, name: &str, is_faulty: bool) {
+        let ended = (!is_faulty).then(Instant::now);
+        let mut faults = self.link_faults.lock().expect("the lock is not poisoned");
+        faults.insert(name.to_owned(), ended);
+    }
+
+    /// Whether the connections to a target have been sound since `time`.
+    fn is_link_sound(&self, name: &str, time: Instant) -> bool {
+        let faults = self.link_faults.lock().expect("the lock is not poisoned");
+        let ended = faults.get(name);
+        ended.is_none_or(|ended| ended.is_some_and(|ended| ended < time))
+    }
+
     fn limits(&self) -> MutexGuard<'_, HashMap<String, Rate>> {
         self.limits.lock().expect("the lock is not poisoned")
     }
@@ -170,8 +201,9 @@
 
     /// The address of a target on the platform's list.
     fn address(&self, name: &str) -> String {
+        let id = self.id(name);
         let list = self.list();
-        let entry = list.iter().find(|entry| entry["id"] == name);
+        let entry = list.iter().find(|entry| entry["id"] == id);
         let address = entry.and_then(|entry| entry["address"].as_str());
         address.unwrap_or_default().to_owned()
     }
@@ -290,23 +322,27 @@
         if matches!(behaviour, Behaviour::Full | Behaviour::Closed) {
             return refusal(&id, behaviour);
         }
-        if behaviour == Behaviour::Slow {
-            sleep(Duration::from_secs(1)).await;
-        }
         let path = parts.uri.path();
-        if path.starts_with("/stage-") {
+        let is_call = path.starts_with("/stage-");
+        if is_call {
             self.checker.limits.record_call(&self.name);
         }
+        let mut run = Run::new(self, &id, behaviour, is_call);
+        if behaviour == Behaviour::Slow {
+            sleep(Duration::from_secs(1)).await;
+        }
+        run.pause_at(0).await;
         match path {
             "/stage-run" => self.run_pieces(&body.to_bytes()).await,
             "/stage-free" => Response::new(Body::complete(Bytes::from_static(b"{}"))),
             _ => {
                 self.prefill().await;
                 if crashing_part.is_some() || behaviour == Behaviour::Crashes {
-                    return self.crash_on(&id, crashing_part).await;
+                    run.end();
+                    return self.crash_on(&id, crashing_part, run).await;
                 }
                 let last = header("last-event-id").parse().unwrap_or(0);
-                self.run(&id, last, behaviour)
+                self.run(&id, last, behaviour, run)
             }
         }
     }
@@ -349,12 +385,18 @@
         });
         let results: Vec<Value> = results.collect();
         sleep(Duration::from_millis(20)).await;
-        Response::new(Body::complete(
-            json!({ "items": results }).to_string().into(),
-        ))
+        let body = Bytes::from(json!({ "items": results }).to_string());
+        if !self.pool.manner(&self.name).is_unframed() {
+            return Response::new(Body::complete(body));
+        }
+        let (sender, parts) = mpsc::channel(1);
+        drop(sender.try_send(Ok(body)));
+        let mut response = Response::new(Body::Stream(parts));
+        *response.version_mut() = Version::HTTP_10;
+        response
     }
 
-    fn run(&self, id: &str, last: u64, behaviour: Behaviour) -> Response<Body> {
+    fn run(&self, id: &str, last: u64, behaviour: Behaviour, mut run: Run) -> Response<Body> {
         self.checker.record_run(id);
         let mut response = Response::new(Body::complete(Bytes::from(format!("answer to {id}"))));
         let headers = response.headers_mut();
@@ -367,6 +409,7 @@
         );
         if behaviour == Behaviour::Fails && rand::random() {
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            run.end();
             return response;
         }
         let is_stream = self.name.starts_with("llm");
@@ -375,12 +418,29 @@
             let (sender, parts) = mpsc::channel(1);
             drop(sender.try_send(Err(BodyInterrupted)));
             *response.body_mut() = Body::Stream(parts);
+            run.end();
             return response;
         }
+        self.checker.record_answering(id, &self.name);
+        // The server library does not send the last part of a body that breaks off, without which an
+        // unframed answer looks complete.
+        let is_cut = behaviour == Behaviour::BreaksOff;
+        if self.pool.manner(&self.name).is_unframed() && !is_cut {
+            // The library marks the end of such a body by the end of the connection.
+            *response.version_mut() = Version::HTTP_10;
+        }
         if is_stream {
             let kind = "text/event-stream".parse().expect("a valid header value");
             response.headers_mut().insert("content-type", kind);
-            *response.body_mut() = Body::Stream(events(behaviour, last));
+            let (sender, events) = mpsc::channel(1);
+            tokio::spawn(send_events(sender, behaviour, last, run));
+            *response.body_mut() = Body::Stream(events);
+        } else if response.version() == Version::HTTP_10 {
+            let (sender, parts) = mpsc::channel(1);
+            tokio::spawn(send_halves(sender, format!("answer to {id}"), run));
+            *response.body_mut() = Body::Stream(parts);
+        } else {
+            run.end();
         }
         response
     }
@@ -405,22 +465,3 @@
     }
     response
 }
-
-fn events(behaviour: Behaviour, last: u64) -> mpsc::Receiver<Result<Bytes, BodyInterrupted>> {
-    let (sender, events) = mpsc::channel(1);
-    tokio::spawn(async move {
-        for id in last + 1..=EVENT_COUNT {
-            if behaviour == Behaviour::BreaksOff && id == last + 3 {
-                let _ = sender.send(Ok(Bytes::from(format!("id: {id}\nda")))).await;
-                let _ = sender.send(Err(BodyInterrupted)).await;
-                return;
-            }
-            sleep(EVENT_INTERVAL).await;
-            let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
-            if sender.send(Ok(event)).await.is_err() {
-                return;
-            }
-        }
-    });
-    events
-}
--- a/crates/azurelug-system/src/soak/targets/crash.rs
+++ b/crates/azurelug-system/src/soak/targets/crash.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
+use super::manner::Run;
 use super::{Behaviour, Target, TargetPool, proxy_settings};
 
 /// Time that bytes need to the gateway before the target ends.
@@ -42,6 +43,8 @@
             return false;
         };
         let (address, target) = (proxy.address(), proxy.target());
+        // The crash ends answers, not the gateway.
+        self.set_link_fault(name, true);
         drop(proxy);
         let (pool, name) = (Arc::clone(self), name.to_owned());
         let down = Duration::from_millis(rand::rng().random_range(DOWN_MS));
@@ -73,19 +76,25 @@
         let cold_until = Instant::now() + self.cold_time();
         self.cold().insert(id.clone(), cold_until);
         self.proxies().insert(name.to_owned(), proxy);
+        self.set_link_fault(name, false);
     }
 }
 
 impl Target {
     /// Begins to write an answer to a request, and crashes because of a part, if there is one.
-    pub(super) async fn crash_on(&self, id: &str, part: Option<String>) -> Response<Body> {
+    pub(super) async fn crash_on(
+        &self,
+        id: &str,
+        part: Option<String>,
+        run: Run,
+    ) -> Response<Body> {
         let choice = rand::rng().random_range(0..WRITTEN.len());
         let Some(bytes) = WRITTEN[choice] else {
             self.checker.record_run(id);
             self.crash(part.as_deref());
             return std::future::pending().await;
         };
-        let mut response = self.run(id, 0, Behaviour::Normal);
+        let mut response = self.run(id, 0, Behaviour::Normal, run);
         let (sender, body) = mpsc::channel::<Result<Bytes, BodyInterrupted>>(1);
         *response.body_mut() = Body::Stream(body);
         let target = self.clone();
