system: targets that pause together, and refusals beside changes

Cause: no test had all targets of a request silent at the same time, and the second targets of changes_in_flight were sound, so that the fault of silent targets could not show beside a change of the configuration.

The second targets of changes_in_flight answer, refuse or close the connection.

--- a/crates/azurelug-system/tests/gateway/changes_in_flight.rs
+++ b/crates/azurelug-system/tests/gateway/changes_in_flight.rs
@@ -23,7 +23,8 @@
 /// Longest time until a gateway has applied a configuration (`apply` of its settings).
 const APPLY: Duration = Duration::from_secs(2);
 
-/// Pausing targets for all kinds of requests, framings that differ, and a sound second target.
+/// Pausing targets for all kinds of requests, framings that differ, and second targets that answer,
+/// refuse or close the connection.
 fn cases() -> Vec<(Script, Expected)> {
     let kinds = [
         Kind::Safe,
@@ -32,16 +33,19 @@
         Kind::NotResumable,
         Kind::Staged,
     ];
+    let whole = Reply::Run(Framing::Unframed, None, End::Complete);
     let replies = [
-        (Framing::Chunked, Pause::BeforeHead),
-        (Framing::Unframed, Pause::AfterHead),
-        (Framing::Announced, Pause::InsideEvent),
+        (Framing::Chunked, Pause::BeforeHead, whole),
+        (Framing::Unframed, Pause::AfterHead, Reply::Refusal),
+        (Framing::Announced, Pause::InsideEvent, Reply::Refusal),
+        (Framing::Chunked, Pause::BetweenEvents, Reply::Disconnect),
     ];
-    let script = |kind, (framing, pause)| Script {
+    let script = |kind, (framing, pause, other)| Script {
         kind,
         replies: vec![
             Reply::Run(framing, Some(pause), End::Complete),
-            Reply::Run(Framing::Unframed, None, End::Complete),
+            // The calls of a stage may be refused if no target answers in time.
+            if kind == Kind::Staged { whole } else { other },
         ],
     };
     let scripts = kinds
--- a/crates/azurelug-system/tests/gateway/silent_targets.rs
+++ b/crates/azurelug-system/tests/gateway/silent_targets.rs
@@ -137,6 +137,31 @@
     assert!(is_ended, "{log}");
 }
 
+/// Guards against requests that fail because all of their targets pause at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_by_targets_that_all_pause() {
+    let pauses = [&UNTIL_FIRST_EVENT[..], &IN_BODY].concat();
+    let silent = |framing, pause| Reply::Run(framing, Some(pause), End::Complete);
+    let pairs = pauses.iter().flat_map(|&first| {
+        let seconds = pauses.iter();
+        seconds.map(move |&second| {
+            vec![
+                silent(Framing::Unframed, first),
+                silent(Framing::Chunked, second),
+            ]
+        })
+    });
+    let scripts = pairs.flat_map(|replies| {
+        [Kind::Safe, Kind::Resumable].map(|kind| Script {
+            kind,
+            replies: replies.clone(),
+        })
+    });
+    let cases: Vec<_> = scripts.map(|it| (it, Expected::Complete)).collect();
+    let deployment = Deployment::start_scripted(&cases).await;
+    deployment.check_scripts(&cases).await;
+}
+
 /// Guards against a connection that is closed, with a request that may run only once, because its
 /// target reads nothing for a while.
 #[tokio::test(flavor = "multi_thread")]
