system: limits that change often, and one answer to a long body

Cause: the limits of open connections now follow the configuration; no test used kept connections while they change back and forth, or a body beyond the limit whose rest arrives after the answer.

Change: kept connections with heads of 6,000 bytes, with pauses below four fifths of the shortest idle timeout, and with slow heads, while the limits change 57 times; no request may be refused or lost. A refused body of 1 to 4 MB gets at most one answer.

--- a/crates/azurelug-system/tests/gateway/kept_connections.rs
+++ b/crates/azurelug-system/tests/gateway/kept_connections.rs
@@ -138,6 +138,79 @@
     }
 }
 
+/// Guards against kept connections that are closed, or requests that are refused, while the limits
+/// change often, although the requests keep within each of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_that_change_often_end_no_connection_in_use() {
+    let deployment = Deployment::start().await;
+    put_limits(&deployment, limits(2, 8192, 1500, 1000)).await;
+    let changes = async {
+        for version in 3..60 {
+            let document = match version % 3 {
+                0 => limits(version, 65_536, 5000, 8000),
+                1 => limits(version, 8192, 1500, 1000),
+                _ => limits(version, 16_384, 3000, 2000),
+            };
+            deployment.put_configuration(&document, 200).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let heads = (0..12).map(async |number: u64| {
+        let mut client = deployment.client().await;
+        let long = "x".repeat(6000);
+        for round in 0..12 {
+            let id = format!("kept-{number}-{round}");
+            let headers = [("x-long", long.as_str())];
+            let answer = client.request(&id, "/look/x", &headers).await;
+            let is_served = answer.as_ref().is_ok_and(|it| it.status == 200);
+            assert!(is_served, "{id}: {answer:?}\n{}", deployment.log());
+            sleep(Duration::from_millis(50 * number)).await;
+        }
+    });
+    let slow_heads = (0..8).map(async |number: u64| {
+        let mut stream = deployment.connect().await.unwrap();
+        for round in 0..8 {
+            let pause = Duration::from_millis(50 * number + 20 * round);
+            let status = send_slowly(&mut stream, "second", pause).await;
+            assert_eq!(status, "200", "{pause:?}: {}", deployment.log());
+            sleep(Duration::from_millis(400)).await;
+        }
+    });
+    tokio::join!(changes, join_all(heads), join_all(slow_heads));
+}
+
+/// Guards against a second answer to a request that is refused before its body has been read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_beyond_the_limit_gets_one_answer() {
+    let deployment = Deployment::start().await;
+    put_limits(&deployment, limits(2, 8192, 500, 1000)).await;
+    for (number, length) in [1_000_001, 1_020_000, 4_000_000].into_iter().enumerate() {
+        let mut stream = deployment.connect().await.unwrap();
+        let id = format!("large-{number}");
+        let head = format!(
+            "POST /look/x HTTP/1.1\r\nHost: carts.example\r\nAuthorization: Bearer key-1\r\n\
+             Content-Length: {length}\r\nX-Request-Attempt-Id: {id}\r\n\r\n"
+        );
+        let (mut reader, mut writer) = stream.split();
+        let upload = async {
+            writer.write_all(head.as_bytes()).await?;
+            for part in vec![b'x'; length].chunks(50_000) {
+                writer.write_all(part).await?;
+                sleep(Duration::from_millis(5)).await;
+            }
+            Ok::<_, std::io::Error>(())
+        };
+        let mut answer = Vec::new();
+        let read = timeout(Duration::from_secs(8), reader.read_to_end(&mut answer));
+        // The gateway may close the connection before it has read everything.
+        let _ = tokio::join!(upload, read);
+        let text = String::from_utf8_lossy(&answer);
+        let count = text.matches("HTTP/1.1 ").count();
+        assert!(count <= 1, "{length}: {text}");
+        assert!(deployment.received(&id).is_empty());
+    }
+}
+
 /// Guards against a request that is passed on to a target and gets no answer because the gateway
 /// closes the kept connection at that moment, after a stop or an idle time.
 #[tokio::test(flavor = "multi_thread")]
