system: engines that are silent for seconds but sound

What callers see: a request ends as `stage_failed` although its engine is sound and answers before the deadline. A stream ends if each of its tokens takes 1.2 s, or if its engine pauses while the other engines fail; a stage ends if its answer takes 5 s of 12.

Cause: the entry daemon takes silence for a failure.

--- a/crates/azurelug-testkit/src/engine.rs
+++ b/crates/azurelug-testkit/src/engine.rs
@@ -106,6 +106,8 @@
     pub go_cold: bool,
     /// Calls start but make no progress until the fault is cleared.
     pub hang: bool,
+    /// Streams produce no token until the fault is cleared.
+    pub pause: bool,
 }
 
 /// A running engine.
--- a/crates/azurelug-testkit/src/engine/completion.rs
+++ b/crates/azurelug-testkit/src/engine/completion.rs
@@ -171,7 +171,10 @@
     call: &CompletionRequest,
     sender: &mpsc::Sender<Bytes>,
 ) -> StreamEnd {
+    let mut faults = shared.faults.subscribe();
     for n in call.resume_from..call.max_tokens {
+        // The sender lives as long as the engine, so this returns only when the fault is cleared.
+        let _ = faults.wait_for(|faults| !faults.pause).await;
         let sent = n - call.resume_from;
         if is_stopped(shared, sent) {
             return StreamEnd::Stopped;
