entry: keep the call to a silent engine until another has delivered

What callers saw: `stage_failed` although an engine was sound and answered before the deadline: streams with 1.2 s between tokens, streams whose engine paused while the others failed, stages that took 5 s of 12.

Cause: silence was handled as the end of a call. After 1 s without a token, or after the time limit of an attempt, the call was dropped and another one was charged to the retry budget. When the attempts or the budget were used up, nothing was left.

Change: a call reports its silence and goes on. If all calls of the stage are silent, a target has a slot and the retry budget allows it, another call starts beside them (executor/takeover.rs). The first token of a call cancels the silent ones, and a silent call that goes on first cancels the one that was to replace it. The router learns of the timeout at once, as before; the slot in the shares stays occupied, as before. A token that a cancelled call left in the queue no longer completes a migration. The choice of a target and the start of a call moved to executor/dispatch.rs.

Why it works: silence says nothing about the outcome, so it may start a call but not end one. Attempts and budget bound the calls as before, tokens are merged by index, and a cancelled call is no longer live in the state machine. A request whose engines all hang now ends at its deadline.

--- a/crates/azurelug-core/src/pipeline.rs
+++ b/crates/azurelug-core/src/pipeline.rs
@@ -101,7 +101,7 @@
         /// When the caller should retry.
         retry_after: Duration,
     },
-    /// A call is late, and the hedge budget allows another attempt at the same time.
+    /// A call is late or silent, and its stage's budgets allow another attempt at the same time.
     Slow {
         /// The late call.
         call: CallId,
@@ -186,6 +186,11 @@
         StageIndex(u8::try_from(self.stage).expect("a pipeline has at most 8 stages"))
     }
 
+    /// Attempts made at the current stage, including those that found no target.
+    pub fn attempts(&self) -> u16 {
+        self.next_attempt
+    }
+
     /// Whether the request is complete or has failed.
     pub fn is_finished(&self) -> bool {
         self.is_finished
--- a/crates/azurelug-entry/src/engine.rs
+++ b/crates/azurelug-entry/src/engine.rs
@@ -85,14 +85,6 @@
             message: message.into(),
         }
     }
-
-    /// The failure of a stream that produced no token for `waited`.
-    pub fn no_token(waited: Duration) -> Self {
-        Self {
-            completion: Completion::TimedOut,
-            ..Self::after_sending(format!("no token within {} ms", waited.as_millis()))
-        }
-    }
 }
 
 /// One call of a stage.
--- a/crates/azurelug-entry/src/entry_state.rs
+++ b/crates/azurelug-entry/src/entry_state.rs
@@ -342,6 +342,15 @@
         });
     }
 
+    /// Records that the call has not answered in time, although it goes on. The router no longer
+    /// counts it, but its slot in the shares stays occupied.
+    pub fn record_timeout(&mut self) {
+        self.finish(Outcome {
+            completion: Completion::TimedOut,
+            first_token: None,
+        });
+    }
+
     /// Time since the slot was acquired.
     pub fn elapsed(&self) -> Duration {
         self.entry_state.now().saturating_sub(self.acquired_at)
--- a/crates/azurelug-entry/src/executor.rs
+++ b/crates/azurelug-entry/src/executor.rs
@@ -1,8 +1,10 @@
 //! Executes one pipeline request: performs the actions of the `azurelug_core::pipeline` state
 //! machine.
 
+mod dispatch;
 mod migration;
 mod retries;
+mod takeover;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,9 +13,9 @@
 
 use azurelug_core::outcome::ExecutionTracker;
 use azurelug_core::pipeline::{Action, CallId, Event, RequestRun};
-use azurelug_core::routing::{NoTarget, Query, Requirement, blocks};
+use azurelug_core::routing::NoTarget;
 use azurelug_core::stream::Token;
-use azurelug_types::config::{Pipeline, Stage, StageKind};
+use azurelug_types::config::{Pipeline, StageKind};
 use azurelug_types::id::{RequestId, StageIndex, TargetKey};
 use azurelug_types::outcome::{Reason, Refusal};
 use serde::Serialize;
@@ -22,13 +24,11 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep_until};
 
-use crate::engine;
 use crate::entry_state::EntryState;
-use crate::estimates::{Classes, is_short};
+use crate::estimates::Classes;
 use crate::metrics::Usefulness;
 use crate::refusal;
-use crate::slots::{self, WorkKind};
-use crate::stage_call::{self, Message};
+use crate::stage_call::Message;
 
 /// Length of the queue of events for the request's task. A stream that is faster than its caller
 /// waits when the queue is full.
@@ -86,6 +86,10 @@
     started: Instant,
     tokens: u64,
     abort: AbortHandle,
+    /// When it was reported as silent; none if it has delivered since.
+    silent_since: Option<Instant>,
+    /// Whether it was started because all other calls of its stage were silent.
+    is_takeover: bool,
     /// Whether it has failed or was cancelled.
     is_finished: bool,
     /// Whether its cost was recorded in the metrics.
@@ -110,6 +114,8 @@
     messages: mpsc::Sender<Message>,
     hedge_timer: Option<HedgeTimer>,
     migration: migration::Migration,
+    /// When to check whether another call is to be started beside silent ones.
+    takeover_at: Option<Instant>,
     tasks: JoinSet<()>,
     attempts: HashMap<CallId, Attempt>,
     stage_reports: Vec<StageReport>,
@@ -152,6 +158,7 @@
         messages,
         hedge_timer: None,
         migration: migration::Migration::default(),
+        takeover_at: None,
         tasks: JoinSet::new(),
         attempts: HashMap::new(),
         stage_reports: Vec::new(),
@@ -187,6 +194,7 @@
             }
         }
         let hedge_at = executor.hedge_timer.as_ref().map(|timer| timer.at);
+        let takeover_at = executor.takeover_at;
         step = tokio::select! {
             message = incoming.recv() => {
                 executor.handle_message(message.expect("the request holds a sender")).await
@@ -194,6 +202,9 @@
             () = sleep_until(hedge_at.unwrap_or(executor.deadline)), if hedge_at.is_some() => {
                 executor.hedge().await
             }
+            () = sleep_until(takeover_at.unwrap_or(executor.deadline)), if takeover_at.is_some() => {
+                executor.check_takeover()
+            }
             () = sleep_until(executor.migration.next_check) => executor.check_migration().await,
             () = sleep_until(executor.deadline) => {
                 executor.handle_event(Event::DeadlinePassed).await
@@ -206,6 +217,10 @@
     async fn handle_message(&mut self, message: Message) -> StepResult {
         match message {
             Message::Event(event) => self.handle_event(event).await,
+            Message::Silent { call } => {
+                self.record_silence(&call);
+                StepResult::Wait
+            }
             Message::Failed {
                 call,
                 is_not_sent,
@@ -230,20 +245,28 @@
             Event::Finished { call, .. } | Event::Token { call, .. } => Some(call.clone()),
             _ => None,
         };
+        let mut live_stream = None;
         if let (Event::Token { .. }, Some(call)) = (&event, &call)
             && let Some(attempt) = self.attempts.get_mut(call)
         {
             attempt.tokens += 1;
-            self.complete_migration(call);
+            // A token of a cancelled call may still be in the queue.
+            if !attempt.is_finished {
+                live_stream = Some(call.clone());
+                self.complete_migration(call);
+            }
         }
         let previous_stage = self.run.stage();
         let actions = self.run.step(event);
         let is_complete = actions.contains(&Action::Complete);
+        let is_rejected = matches!(actions.as_slice(), [Action::Reject(_)]);
         if is_complete || self.run.stage() != previous_stage {
             self.hedge_timer = None;
             if let Some(call) = call {
                 self.record_cost(&call, Usefulness::Useful);
             }
+        } else if let Some(call) = live_stream.filter(|_| !is_rejected) {
+            self.complete_takeover(&call);
         }
         self.execute(actions).await
     }
@@ -255,11 +278,9 @@
         while let Some(action) = queue.pop_front() {
             match action {
                 Action::Dispatch {
-                    call,
-                    kind,
-                    resume_from,
+                    call, resume_from, ..
                 } => {
-                    if let Err(error) = self.dispatch(&call, kind, resume_from).await {
+                    if let Err(error) = self.dispatch(&call, resume_from).await {
                         let retry_after = retry_after(&error);
                         let reason = error.reason();
                         queue.extend(self.run.step(Event::NoTarget {
@@ -308,110 +329,6 @@
         StepResult::Wait
     }
 
-    /// Chooses a target, waits for a free slot there and starts the call on its own task. A hedge
-    /// does not wait: when all targets are busy, it would only add to the load.
-    async fn dispatch(
-        &mut self,
-        call: &CallId,
-        kind: StageKind,
-        resume_from: u32,
-    ) -> Result<(), NoTarget> {
-        let stage: Stage = self.pipeline.stages[usize::from(call.stage.0)].clone();
-        let exclude: Vec<TargetKey> = self
-            .attempts
-            .iter()
-            .filter(|(earlier, _)| earlier.stage == call.stage)
-            .map(|(_, attempt)| attempt.key)
-            .collect();
-        let prefix = match kind {
-            StageKind::Generate => {
-                let prompt = engine::prompt(self.run.context());
-                blocks(&engine::model_name(&stage.model), &prompt)
-            }
-            _ => Vec::new(),
-        };
-        let stage_index = usize::from(call.stage.0);
-        let estimates = Arc::clone(&self.entry_state.estimates);
-        let query = Query {
-            need: Requirement::Stage(kind, &stage.model),
-            idempotent: true,
-            prefix: &prefix,
-            exclude: &exclude,
-            avoid_cold: !estimates.fits_cold(&self.classes, stage_index, self.time_left()),
-        };
-        let name = call.to_string();
-        let work = WorkKind {
-            kind,
-            model: stage.model.clone(),
-            is_short: is_short(self.max_tokens),
-        };
-        let acquired = if self.has_live_attempt() {
-            let replaces_call = self.migration.is_active();
-            slots::try_acquire(
-                &self.entry_state,
-                &name,
-                &work,
-                &query,
-                self.deadline,
-                replaces_call,
-            )?
-        } else {
-            let limit = estimates.wait_limit(&self.classes, stage_index, self.time_left());
-            slots::acquire(
-                &self.entry_state,
-                &name,
-                &work,
-                &query,
-                limit,
-                self.deadline,
-            )
-            .await?
-        };
-        let slots::Slot {
-            in_flight: slot,
-            reservation,
-        } = acquired;
-        self.tracker.about_to_send();
-        let (target, key, address) = (slot.target.to_string(), slot.choice.target, slot.address);
-        let started = Instant::now();
-        if kind != StageKind::Generate && call.attempt.0 == 0 {
-            let p95 = estimates.hedge_delay(self.classes.stage(stage_index));
-            let (call, at) = (call.clone(), started + p95);
-            self.hedge_timer = Some(HedgeTimer { call, p95, at });
-        }
-        let attempt = stage_call::Task {
-            entry_state: Arc::clone(&self.entry_state),
-            call: call.clone(),
-            stage,
-            classes: self.classes.clone(),
-            context: self.run.context().clone(),
-            max_tokens: self.max_tokens,
-            resume_from,
-            kv_source: self.kv_source(call, key),
-            first_response_timeout: estimates.attempt_timeout(
-                &self.classes,
-                stage_index,
-                self.time_left(),
-            ),
-            messages: self.messages.clone(),
-            reservation,
-        };
-        let abort = self.tasks.spawn(attempt.run(slot));
-        let attempt = Attempt {
-            stage: kind,
-            target,
-            key,
-            address,
-            started,
-            tokens: 0,
-            abort,
-            is_finished: false,
-            is_recorded: false,
-        };
-        self.attempts.insert(call.clone(), attempt);
-        Ok(())
-    }
-
     async fn deliver(&mut self, token: Token) {
         if token.index == 0 {
             self.entry_state
--- a/crates/azurelug-entry/src/executor/migration.rs
+++ b/crates/azurelug-entry/src/executor/migration.rs
@@ -13,7 +13,6 @@
 use tokio::time::Instant;
 
 use super::{Executor, StepResult};
-use crate::metrics::Usefulness;
 
 /// Interval of the check whether the target of a running stream is leaving. A draining target stays
 /// up for at least the 3 s within which new work stops.
@@ -109,22 +108,7 @@
         let Some(old_call) = self.migration.old_call.take() else {
             return;
         };
-        let Some(attempt) = self
-            .attempts
-            .get_mut(&old_call)
-            .filter(|it| !it.is_finished)
-        else {
-            return;
-        };
-        attempt.is_finished = true;
-        attempt.abort.abort();
-        self.record_cost(&old_call, Usefulness::Wasted);
-        // Another attempt is running, so the state machine returns no actions.
-        self.run.step(Event::Failed {
-            call: old_call,
-            may_retry: false,
-            retry_after: Duration::ZERO,
-        });
+        self.cancel(old_call);
     }
 
     /// The engine that may hold the KV cache of the latest earlier call of a stream, and that call.
--- a/crates/azurelug-entry/src/executor/retries.rs
+++ b/crates/azurelug-entry/src/executor/retries.rs
@@ -5,6 +5,7 @@
 use azurelug_core::pipeline::{CallId, Event};
 use azurelug_core::retry;
 use azurelug_types::config::StageKind;
+use tokio::time::Instant;
 
 use super::{Executor, RETRY_AFTER, StepResult};
 use crate::metrics::{RepeatKind, Usefulness};
@@ -15,6 +16,8 @@
     pub(super) fn failure_event(&mut self, call: CallId, is_not_executed: bool) -> Event {
         let may_retry = self.may_retry(&call, is_not_executed);
         self.record_cost(&call, Usefulness::Wasted);
+        // The remaining calls of the stage may all be silent.
+        self.takeover_at = Some(Instant::now());
         Event::Failed {
             call,
             may_retry,
--- a/crates/azurelug-entry/src/metrics.rs
+++ b/crates/azurelug-entry/src/metrics.rs
@@ -45,7 +45,7 @@
 /// Why a call was repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum RepeatKind {
-    /// The earlier call failed.
+    /// The earlier call failed or is silent.
     Retry,
     /// The earlier call was late and still running.
     Hedge,
--- a/crates/azurelug-entry/src/stage_call.rs
+++ b/crates/azurelug-entry/src/stage_call.rs
@@ -1,9 +1,11 @@
 //! Runs one call of a stage on its own task.
 //!
 //! Sends the call once and reports its events and its end to the request's task. Owns the call's
-//! slot at the target. Whether the call is repeated is decided by the request's task.
+//! slot at the target. Silence is reported and does not end the call. Whether the call is repeated
+//! or cancelled is decided by the request's task.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,20 +16,28 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use crate::engine::{self, Failure};
+use crate::engine::{self, Failure, Token, Tokens};
 use crate::entry_state::{EntryState, InFlightCall};
 use crate::estimates::{Classes, is_short};
 use crate::slots::Reservation;
 
-/// A stream that produces no token for this long counts as failed and is resumed on another target.
-/// The usual time between tokens is 29 ms at the 95th percentile.
+/// A stream that produces no token for this long is silent and may be resumed on another target. The usual time between tokens is 29 ms at the 95th percentile.
 const TOKEN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// By how much the time limit of a connection exceeds the request's deadline. The request's task
+/// ends its calls at the deadline, before their connections time out.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+
 /// A message from a call's task to the request's task.
 #[derive(Debug)]
 pub enum Message {
     /// An event for the request's state machine.
     Event(Event),
+    /// The call is silent; it goes on.
+    Silent {
+        /// The call.
+        call: CallId,
+    },
     /// The call has failed.
     Failed {
         /// The call.
@@ -57,8 +67,11 @@
     pub resume_from: u32,
     /// The engine that may still hold the KV cache of an earlier call of the stream, and that call.
     pub kv_source: Option<(SocketAddr, CallId)>,
-    /// Time limit for the first token, or for the whole answer of a stage without tokens.
+    /// Time until the first token, or the whole answer of a stage without tokens, after which the
+    /// call is reported as silent.
     pub first_response_timeout: Duration,
+    /// The request's deadline.
+    pub deadline: Instant,
     /// Channel to the request's task.
     pub messages: mpsc::Sender<Message>,
     /// Held for as long as the slot.
@@ -67,10 +80,10 @@
 
 impl Task {
     /// Sends the call and reports its events and its end.
-    pub async fn run(self, slot: InFlightCall) {
+    pub async fn run(self, mut slot: InFlightCall) {
         let result = match self.stage.kind {
-            StageKind::Generate => self.generate(&slot).await,
-            kind => self.run_unary(kind, &slot).await.map(|()| None),
+            StageKind::Generate => self.generate(&mut slot).await,
+            kind => self.run_unary(kind, &mut slot).await.map(|()| None),
         };
         match result {
             Ok(first_token) => slot.release(Completion::Success, first_token),
@@ -98,12 +111,11 @@
         }
     }
 
-    async fn run_unary(&self, kind: StageKind, slot: &InFlightCall) -> Result<(), Failure> {
-        let request = self.request(slot);
-        let output = engine::call_unary(&self.entry_state.pooled, kind, &request).await;
+    async fn run_unary(&self, kind: StageKind, slot: &mut InFlightCall) -> Result<(), Failure> {
+        let request = self.request(slot.address);
         let class = self.classes.stage(usize::from(self.call.stage.0));
-        let output =
-            output.inspect_err(|failure| self.record_timeout(failure, class, slot.elapsed()))?;
+        let answer = engine::call_unary(&self.entry_state.pooled, kind, &request);
+        let output = self.first_response(slot, class, answer).await?;
         self.record_success(kind, slot.elapsed());
         let call = self.call.clone();
         self.report(Event::Finished { call, output }).await;
@@ -111,45 +123,16 @@
     }
 
     /// Forwards tokens to the request's task; returns the time to the first token.
-    async fn generate(&self, slot: &InFlightCall) -> Result<Option<Duration>, Failure> {
-        let request = self.request(slot);
-        let client = &self.entry_state.pooled;
-        let first_response = self.classes.first_response(usize::from(self.call.stage.0));
-        if let Some((from, earlier)) = &self.kv_source
-            && let Err(failure) = engine::copy_kv_cache(client, *from, earlier, slot.address).await
-        {
-            // Without the KV cache, the engine prefills the prompt itself.
-            log::debug!(
-                "entry: KV cache of {earlier} was not copied: {}",
-                failure.message
-            );
-        }
-        let tokens = engine::generate(client, &request, self.max_tokens, self.resume_from).await;
-        let mut tokens = tokens
-            .inspect_err(|failure| self.record_timeout(failure, first_response, slot.elapsed()))?;
-        let mut first_token = None;
+    async fn generate(&self, slot: &mut InFlightCall) -> Result<Option<Duration>, Failure> {
+        self.copy_kv_cache(slot).await;
+        let class = self.classes.first_response(usize::from(self.call.stage.0));
+        let (mut tokens, mut token) = self
+            .first_response(slot, class, self.open(slot.address))
+            .await?;
+        let first_token = slot.elapsed();
+        self.entry_state.estimates.record(class, first_token);
         let mut time_blocked = Duration::ZERO;
         loop {
-            let token_timeout = if first_token.is_none() {
-                request.timeout
-            } else {
-                TOKEN_TIMEOUT
-            };
-            let next = timeout(token_timeout, tokens.next()).await;
-            let next = next.unwrap_or_else(|_| Err(Failure::no_token(token_timeout)));
-            if let (Err(failure), None) = (&next, first_token) {
-                self.record_timeout(failure, first_response, slot.elapsed());
-            }
-            let Some(token) = next? else {
-                let message = "the stream ended before its last token";
-                return Err(Failure::after_sending(message));
-            };
-            if first_token.is_none() {
-                first_token = Some(slot.elapsed());
-                self.entry_state
-                    .estimates
-                    .record(first_response, slot.elapsed());
-            }
             let is_last = token.is_last;
             if is_last {
                 // Time spent waiting for a slow caller doesn't count as latency of the stage.
@@ -166,11 +149,78 @@
             .await;
             time_blocked += report_started.elapsed();
             if is_last {
-                return Ok(first_token);
+                return Ok(Some(first_token));
             }
+            token = self.next_token(slot, &mut tokens).await?;
         }
     }
 
+    /// Starts the stream and waits for its first token.
+    async fn open(&self, address: SocketAddr) -> Result<(Tokens, Token), Failure> {
+        let client = &self.entry_state.pooled;
+        let request = self.request(address);
+        let stream = engine::generate(client, &request, self.max_tokens, self.resume_from);
+        let mut tokens = stream.await?;
+        let token = tokens.next().await?.ok_or_else(stream_ended)?;
+        Ok((tokens, token))
+    }
+
+    async fn next_token(
+        &self,
+        slot: &mut InFlightCall,
+        tokens: &mut Tokens,
+    ) -> Result<Token, Failure> {
+        let mut next = pin!(tokens.next());
+        let token = match timeout(TOKEN_TIMEOUT, next.as_mut()).await {
+            Ok(token) => token,
+            Err(_) => {
+                self.report_silence(slot).await;
+                next.await
+            }
+        };
+        token?.ok_or_else(stream_ended)
+    }
+
+    /// Copies the KV cache of an earlier call, if there is one. Without it, the engine prefills the
+    /// prompt itself.
+    async fn copy_kv_cache(&self, slot: &InFlightCall) {
+        let client = &self.entry_state.pooled;
+        if let Some((from, earlier)) = &self.kv_source
+            && let Err(failure) = engine::copy_kv_cache(client, *from, earlier, slot.address).await
+        {
+            log::debug!(
+                "entry: KV cache of {earlier} was not copied: {}",
+                failure.message
+            );
+        }
+    }
+
+    /// Waits for the first response of the target; reports the call as silent if it takes longer
+    /// than the timeout. The time waited is recorded as a lower bound of the latency.
+    async fn first_response<T>(
+        &self,
+        slot: &mut InFlightCall,
+        class: Class,
+        response: impl Future<Output = T>,
+    ) -> T {
+        let mut response = pin!(response);
+        if let Ok(response) = timeout(self.first_response_timeout, response.as_mut()).await {
+            return response;
+        }
+        let estimates = &self.entry_state.estimates;
+        estimates.record_timeout(class, slot.elapsed());
+        self.report_silence(slot).await;
+        response.await
+    }
+
+    async fn report_silence(&self, slot: &mut InFlightCall) {
+        log::debug!("entry: call {} to {} is silent", self.call, slot.target);
+        slot.record_timeout();
+        let call = self.call.clone();
+        // The request may have ended already.
+        let _ = self.messages.send(Message::Silent { call }).await;
+    }
+
     /// Records a success. The latency of a resumed generation is not recorded, because it covers
     /// only a part of the output.
     fn record_success(&self, kind: StageKind, latency: Duration) {
@@ -181,22 +231,15 @@
         }
     }
 
-    /// Records a timed-out call in the estimates, with the time waited as a lower bound of its
-    /// latency.
-    fn record_timeout(&self, failure: &Failure, class: Class, waited: Duration) {
-        if failure.completion == Completion::TimedOut {
-            self.entry_state.estimates.record_timeout(class, waited);
-        }
-    }
-
-    fn request<'a>(&'a self, slot: &InFlightCall) -> engine::Request<'a> {
+    fn request(&self, address: SocketAddr) -> engine::Request<'_> {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
         engine::Request {
-            address: slot.address,
+            address,
             call: &self.call,
             model: &self.stage.model,
             context: &self.context,
             priority: u8::from(!is_short(self.max_tokens)),
-            timeout: self.first_response_timeout,
+            timeout: time_left + DEADLINE_MARGIN,
         }
     }
 
@@ -205,3 +248,7 @@
         let _ = self.messages.send(Message::Event(event)).await;
     }
 }
+
+fn stream_ended() -> Failure {
+    Failure::after_sending("the stream ended before its last token")
+}
--- a/crates/azurelug-system/tests/slow_engines.rs
+++ b/crates/azurelug-system/tests/slow_engines.rs
@@ -81,6 +81,10 @@
     })
     .await;
     assert_served(settings(&system, 1, 6)).await;
+    let engines = system.zones.iter().map(|it| &it.engines);
+    let calls = engines.map(|it| it[&StageKind::Generate].counts().started);
+    // The retry budget allows three attempts at a stage.
+    assert!((1..=3).contains(&calls.sum::<u64>()));
 }
 
 /// Guards against a stream whose engine was left during a pause although no other engine could take
