entry: keep an idempotent call to a silent replica until another answered

What callers saw: `stage_failed` although a replica answered before the deadline, or although another one got a free slot a little later.

Cause: the call was dropped after half of the time left. The next one had half as long, and if no other replica had a slot within that time, the request failed at once.

Change: a call that takes longer than half of the time left goes on beside the next one, which starts once a replica has a slot; the first answer ends the others. There are at most three attempts, as before. The code moved to service_call/idempotent.rs. Calls that are not idempotent are unchanged.

Why it works: silence says nothing about the outcome, so it may start a call but not end one. A call whose replicas all hang is now refused at its deadline instead of after seven eighths of the time.

--- a/crates/azurelug-entry/src/service_call.rs
+++ b/crates/azurelug-entry/src/service_call.rs
@@ -1,12 +1,13 @@
 //! Calls to plain services. A non-idempotent call is claimed at a quorum of control before it is
 //! sent, so that it runs at most once.
 
+mod idempotent;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_coordination::once::{self, Claim, Guard, Key};
 use azurelug_core::lease_mode::Mode;
-use azurelug_core::outcome::ExecutionTracker;
 use azurelug_core::routing::{Completion, NoTarget, Query, Requirement};
 use azurelug_http::client::Call;
 use azurelug_types::id::{AccountName, OperationName, RequestId, ServiceName, TargetKey};
@@ -21,9 +22,6 @@
 use crate::entry_state::{EntryState, InFlightCall, RunningRequest};
 use crate::refusal;
 
-/// Limit of attempts for an idempotent call, including the first.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Size limit of a service's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 
@@ -80,10 +78,10 @@
 /// The refusal for the caller.
 pub async fn run(entry_state: Arc<EntryState>, job: Job) -> Result<ServiceResponse, Refusal> {
     match job.key {
-        None if job.is_idempotent => run_idempotent(&entry_state, &job).await,
+        None if job.is_idempotent => idempotent::run(&entry_state, &job).await,
         Some(key) if !job.is_idempotent => run_at_most_once(&entry_state, &job, key).await,
         // The key of an idempotent call is forwarded to the service and otherwise ignored.
-        Some(_) => run_idempotent(&entry_state, &job).await,
+        Some(_) => idempotent::run(&entry_state, &job).await,
         None => Err(refusal::new_refusal(
             &job.id.0,
             Reason::BadRequest,
@@ -93,54 +91,6 @@
     }
 }
 
-async fn run_idempotent(
-    entry_state: &Arc<EntryState>,
-    job: &Job,
-) -> Result<ServiceResponse, Refusal> {
-    let mut tracker = ExecutionTracker::default();
-    let mut tried: Vec<TargetKey> = Vec::new();
-    while tried.len() < MAX_ATTEMPTS {
-        let slot = match acquire_slot(entry_state, job, &tried).await {
-            Ok(slot) => slot,
-            Err(_) if !tried.is_empty() => break,
-            Err(error) => return Err(no_target_refusal(job, &error, tracker.execution())),
-        };
-        tried.push(slot.choice.target);
-        tracker.about_to_send();
-        let time_left = job.deadline.saturating_duration_since(Instant::now());
-        let sent = entry_state
-            .pooled
-            .send_whole(service_request(job, &slot, time_left / 2), MAX_ANSWER_BYTES)
-            .await;
-        match sent {
-            Ok((status, body)) if status < 500 => {
-                slot.release(Completion::Success, None);
-                return Ok(ServiceResponse {
-                    status,
-                    body,
-                    is_replayed: false,
-                });
-            }
-            Ok(_) => slot.release(Completion::Failure, None),
-            Err(error) => {
-                if error.is_not_sent() {
-                    tracker.was_not_sent();
-                    slot.release(Completion::Failure, None);
-                } else {
-                    slot.abandon(completion(&error));
-                }
-            }
-        }
-    }
-    let execution = tracker.execution();
-    Err(refusal::new_refusal(
-        &job.id.0,
-        Reason::StageFailed,
-        execution,
-        Some(DEFAULT_RETRY_AFTER),
-    ))
-}
-
 async fn run_at_most_once(
     entry_state: &Arc<EntryState>,
     job: &Job,
@@ -365,18 +315,10 @@
     job: &Job,
     tried: &[TargetKey],
 ) -> Result<InFlightCall, NoTarget> {
-    let query = Query {
-        need: Requirement::Service(&job.service),
-        idempotent: job.is_idempotent,
-        prefix: &[],
-        exclude: tried,
-        avoid_cold: false,
-    };
     let time_left = job.deadline.saturating_duration_since(Instant::now());
     let end = Instant::now() + time_left / SLOT_WAIT_DIVISOR;
     loop {
-        let time_left = job.deadline.saturating_duration_since(Instant::now());
-        match entry_state.acquire_slot(&job.id.0, &query, time_left) {
+        match try_acquire_slot(entry_state, job, tried) {
             Err(NoTarget::AllBusy { .. }) if Instant::now() < end => {
                 entry_state.slot_queues.wait_freed(end).await;
             }
@@ -385,6 +327,23 @@
     }
 }
 
+/// Chooses a target and acquires a slot there without waiting.
+fn try_acquire_slot(
+    entry_state: &Arc<EntryState>,
+    job: &Job,
+    tried: &[TargetKey],
+) -> Result<InFlightCall, NoTarget> {
+    let query = Query {
+        need: Requirement::Service(&job.service),
+        idempotent: job.is_idempotent,
+        prefix: &[],
+        exclude: tried,
+        avoid_cold: false,
+    };
+    let time_left = job.deadline.saturating_duration_since(Instant::now());
+    entry_state.acquire_slot(&job.id.0, &query, time_left)
+}
+
 fn no_target_refusal(job: &Job, error: &NoTarget, execution: Execution) -> Refusal {
     let retry_after = match error {
         NoTarget::AllBusy { retry_after, .. } => *retry_after,
