core: quarantine for prompt parts that crash targets

What callers saw: requests that share one part of their prompt crashed one target after another, and sound requests beside them failed.

Cause: a request under which a target crashed is sent to the next one, and no gateway sees enough crashes to know the part. The class of fault is that of limits: a bound on the sum over all gateways, handled by each for itself.

Change: core::gateway::quarantine keeps records of crashes, progress and probes by part, which merge in any order. Progress clears shared parts; a part without it is refused after three independent crashes or five in a moment. One gateway decides on its probes. limits::Rota can name the owner of any matter.

--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod orders;
 pub mod plan;
+pub mod quarantine;
 pub mod reachability;
 pub mod read_rotation;
 pub mod rendezvous;
--- a/crates/azurelug-core/src/gateway/limits/rota.rs
+++ b/crates/azurelug-core/src/gateway/limits/rota.rs
@@ -1,6 +1,7 @@
 //! Which gateway grants the permits for a target.
 
 use std::collections::VecDeque;
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,16 +101,47 @@
         has_contact: bool,
         now: Duration,
     ) -> Option<Standing> {
+        let rank = |peers| ranked(peers, target, zone);
+        self.standing_by(own, rank, has_contact, now)
+    }
+
+    /// The gateway that decides on a matter for all gateways.
+    #[must_use]
+    pub fn owner<K: Hash>(&self, matter: &K) -> Option<Peer> {
         let (_, peers) = self.lists.back()?;
-        let ranked_now = ranked(peers, target, zone);
-        let rank = ranked_now.iter().position(|peer| peer.name == *own)?;
+        first_two(matter, peers.iter()).first().copied().cloned()
+    }
+
+    /// Whether a gateway decides on a matter alone: no other gateway can, even by an older list.
+    #[must_use]
+    pub fn owns<K: Hash>(
+        &self,
+        own: &DaemonName,
+        matter: &K,
+        has_contact: bool,
+        now: Duration,
+    ) -> bool {
+        let rank = |peers| first_two(matter, <[Peer]>::iter(peers));
+        let standing = self.standing_by(own, rank, has_contact, now);
+        standing.is_some_and(|it| it.rank == 0 && it.is_settled && it.has_contact)
+    }
+
+    fn standing_by<'a>(
+        &'a self,
+        own: &DaemonName,
+        rank: impl Fn(&'a [Peer]) -> Vec<&'a Peer>,
+        has_contact: bool,
+        now: Duration,
+    ) -> Option<Standing> {
+        let (_, peers) = self.lists.back()?;
+        let position = rank(peers).iter().position(|peer| peer.name == *own)?;
         // A list was in force until its successor's time.
         let ends = self.lists.iter().skip(1).map(|(since, _)| *since);
         let ends = ends.chain(std::iter::once(now));
         let recent = self.lists.iter().zip(ends);
         let mut recent = recent.filter(|(_, end)| *end + HANDOVER > now);
-        let was_first = |peers: &[Peer]| {
-            let first = ranked(peers, target, zone).into_iter().next();
+        let was_first = |peers: &'a [Peer]| {
+            let first = rank(peers).into_iter().next();
             first.is_some_and(|peer| peer.name == *own)
         };
         let is_known = self
@@ -117,7 +149,7 @@
             .front()
             .is_some_and(|(since, _)| *since + HANDOVER <= now);
         Some(Standing {
-            rank,
+            rank: position,
             is_settled: is_known && recent.all(|((_, peers), _)| was_first(peers)),
             has_contact,
         })
@@ -127,19 +159,21 @@
 /// The first and the second choice among the gateways of the zone; of all if the zone has none.
 fn ranked<'a>(peers: &'a [Peer], target: &TargetName, zone: &ZoneName) -> Vec<&'a Peer> {
     let near = || peers.iter().filter(|peer| peer.zone == *zone);
-    let weigh = |peer: &&Peer| rendezvous::weight(target, &peer.name);
-    let first_two = |candidates: &mut dyn Iterator<Item = &'a Peer>| {
-        let mut best: Vec<&'a Peer> = Vec::with_capacity(3);
-        for peer in candidates {
-            let position = best.partition_point(|other| weigh(other) >= weigh(&peer));
-            best.insert(position, peer);
-            best.truncate(2);
-        }
-        best
-    };
     if near().next().is_some() {
-        first_two(&mut near())
+        first_two(target, near())
     } else {
-        first_two(&mut peers.iter())
+        first_two(target, peers.iter())
+    }
+}
+
+/// The first and the second choice among some gateways.
+fn first_two<'a, K: Hash>(key: &K, candidates: impl Iterator<Item = &'a Peer>) -> Vec<&'a Peer> {
+    let weigh = |peer: &Peer| rendezvous::weight(key, &peer.name);
+    let mut best: Vec<&'a Peer> = Vec::with_capacity(3);
+    for peer in candidates {
+        let position = best.partition_point(|other| weigh(other) >= weigh(peer));
+        best.insert(position, peer);
+        best.truncate(2);
     }
+    best
 }
--- /dev/null
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -0,0 +1,277 @@
+//! The records of all suspected parts, in bounded memory, with a revision for each change so that
+//! daemons send each other only what has changed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use azurelug_types::fleet::{PartKey, SuspectPart};
+
+use super::record::{Crash, Evidence, Record};
+
+/// Most records. All of them fit into one message.
+pub const MAX_RECORDS: usize = 1024;
+
+/// Records that are removed at a time when there are too many.
+const EVICTED_RECORDS: usize = MAX_RECORDS / 16;
+
+/// Independent crashes after which a part is suspected: its requests are not repeated.
+const SUSPECTED_CRASHES: usize = 2;
+
+/// Independent crashes after which a part is accused.
+const ACCUSED_CRASHES: usize = 3;
+
+/// Different targets among these crashes. A single target may crash by itself.
+const ACCUSED_TARGETS: usize = 2;
+
+/// Crashes after which a part is accused in any case. Those of targets that may have failed together
+/// count here, unless the part was sound shortly before.
+const CONCLUSIVE_CRASHES: usize = 5;
+
+/// Time after the third crash within which progress at any gateway is known here. A part that was
+/// sound shortly before is accused only then.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+
+/// Time for which progress is reported.
+const PROGRESS_RETENTION: Duration = Duration::from_secs(60);
+
+/// Time for which crashes of a part that is not accused are kept.
+const SUSPECT_RETENTION: Duration = Duration::from_secs(3600);
+
+/// Time from the last crash or probe until an accusation expires.
+const ACCUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
+/// What the records say about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Status {
+    /// Nothing speaks against it, or not enough.
+    Clear,
+    /// Its requests are not sent again after a crash.
+    Suspected,
+    /// Its requests are refused.
+    Accused,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    record: Record,
+    /// Weight of the record's crashes.
+    evidence: Evidence,
+    revision: u64,
+}
+
+/// Records that have changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The records.
+    pub reports: Vec<SuspectPart>,
+    /// The newest revision.
+    pub revision: u64,
+}
+
+/// The records by part.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    entries: HashMap<PartKey, Entry>,
+    revision: u64,
+}
+
+impl Ledger {
+    /// Adds a crash of a target at which a request with the part was pending.
+    pub fn record_crash(&mut self, part: PartKey, crash: Crash) {
+        self.update(part, |record| record.add_crash(crash));
+    }
+
+    /// Adds a probe of the part.
+    pub fn record_probe(&mut self, part: PartKey, now: Duration) {
+        self.update(part, |record| record.add_probe(now));
+    }
+
+    /// Removes a probe that was recorded at `at` and did not reach a target.
+    pub fn remove_probe(&mut self, part: PartKey, at: Duration) {
+        if self.entries.contains_key(&part) {
+            self.update(part, |record| record.remove_probe(at));
+        }
+    }
+
+    /// Adds progress of an answer to a request with the part; ignored without a record.
+    pub fn record_progress(&mut self, part: PartKey, at: Duration) {
+        if self.entries.contains_key(&part) {
+            self.update(part, |record| record.add_progress(at));
+        }
+    }
+
+    /// Takes over a report of another daemon. Returns whether that changes anything.
+    pub fn merge(&mut self, report: &SuspectPart, now: Duration) -> bool {
+        let theirs = Record::of_report(report, now);
+        // A report without crashes only clears a record that exists.
+        if theirs.crashes().is_empty() && !self.entries.contains_key(&report.part) {
+            return false;
+        }
+        self.update(report.part, |record| record.merge(&theirs))
+    }
+
+    fn update(&mut self, part: PartKey, change: impl FnOnce(&mut Record) -> bool) -> bool {
+        if self.entries.len() >= MAX_RECORDS && !self.entries.contains_key(&part) {
+            self.evict();
+        }
+        let entry = self.entries.entry(part).or_default();
+        let is_changed = change(&mut entry.record);
+        if is_changed {
+            entry.evidence = entry.record.evidence(|_| false);
+            self.revision += 1;
+            entry.revision = self.revision;
+        }
+        is_changed
+    }
+
+    /// Removes the records with the least evidence, of these the oldest.
+    fn evict(&mut self) {
+        let weigh = |(part, entry): (&PartKey, &Entry)| {
+            (entry.evidence.crashes, entry.record.last_event(), *part)
+        };
+        let mut weighed: Vec<(usize, Duration, PartKey)> = self.entries.iter().map(weigh).collect();
+        weighed.sort_unstable();
+        for (_, _, part) in weighed.into_iter().take(EVICTED_RECORDS) {
+            self.entries.remove(&part);
+        }
+    }
+
+    /// Removes expired records.
+    pub fn prune(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| {
+            let retention = if entry.record.crashes().is_empty() {
+                PROGRESS_RETENTION
+            } else if is_conclusive(entry.evidence) {
+                ACCUSED_RETENTION
+            } else {
+                SUSPECT_RETENTION
+            };
+            entry.record.last_event() + retention > now
+        });
+    }
+
+    /// The records that have changed since `revision`, as reports.
+    #[must_use]
+    pub fn changes_since(&self, revision: u64, now: Duration) -> Changes {
+        let mut reports = Vec::new();
+        if revision < self.revision {
+            let entries = self.entries.iter();
+            let changed = entries.filter(|(_, entry)| entry.revision > revision);
+            reports.extend(changed.map(|(part, entry)| entry.record.report(*part, now)));
+        }
+        Changes {
+            reports,
+            revision: self.revision,
+        }
+    }
+
+    /// The status of a part. `is_proven` tells whether a part was sound shortly before its first
+    /// crash.
+    #[must_use]
+    pub fn status(
+        &self,
+        part: &PartKey,
+        is_proven: impl Fn(&PartKey, &Record) -> bool,
+        now: Duration,
+    ) -> Status {
+        let Some(entry) = self.entries.get(part) else {
+            return Status::Clear;
+        };
+        let plain = entry.evidence;
+        if plain.crashes > 0 && self.is_accused_elsewhere(part) {
+            return Status::Accused;
+        }
+        if plain.total < SUSPECTED_CRASHES {
+            return Status::Clear;
+        }
+        let stronger = self.stronger_than(part, plain, &is_proven);
+        let is_proven = is_proven(part, &entry.record);
+        let is_explained = |crash: &Crash| {
+            let mut crashes = stronger.iter().flat_map(|record| record.crashes());
+            crashes.any(|other| other.is_same(crash))
+        };
+        let evidence = entry.record.evidence(is_explained);
+        if evidence.crashes >= CONCLUSIVE_CRASHES
+            || !is_proven && is_conclusive(evidence)
+            || is_proven && is_settled(evidence, now)
+        {
+            Status::Accused
+        } else if evidence.crashes >= SUSPECTED_CRASHES && !is_proven {
+            Status::Suspected
+        } else {
+            Status::Clear
+        }
+    }
+
+    /// Whether the same part is accused at another service.
+    fn is_accused_elsewhere(&self, part: &PartKey) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|(other, entry)| {
+            other.id == part.id && other.service != part.service && is_conclusive(entry.evidence)
+        })
+    }
+
+    /// The records with more evidence, which explain the crashes that they share with the part.
+    fn stronger_than(
+        &self,
+        part: &PartKey,
+        evidence: Evidence,
+        is_proven: impl Fn(&PartKey, &Record) -> bool,
+    ) -> Vec<&Record> {
+        let others = self.entries.iter().filter(|(other, _)| *other != part);
+        let stronger = others.filter(|(other, entry)| {
+            entry.evidence.crashes > evidence.crashes
+                && is_conclusive(entry.evidence)
+                && !is_proven(other, &entry.record)
+        });
+        stronger.map(|(_, entry)| &entry.record).collect()
+    }
+
+    /// What is known of a part.
+    #[must_use]
+    pub fn record(&self, part: &PartKey) -> Option<&Record> {
+        self.entries.get(part).map(|entry| &entry.record)
+    }
+
+    /// The parts that have a record.
+    pub fn parts(&self) -> impl Iterator<Item = PartKey> {
+        self.entries.keys().copied()
+    }
+
+    /// The parts of requests that were pending at a target when it crashed.
+    pub fn parts_with(&self, crash: &Crash) -> impl Iterator<Item = PartKey> {
+        let entries = self.entries.iter();
+        let has_crash = |record: &Record| record.crashes().iter().any(|it| it.is_same(crash));
+        entries
+            .filter(move |(_, entry)| has_crash(&entry.record))
+            .map(|(part, _)| *part)
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// Whether the crashes accuse a part that is not known to have been sound.
+fn is_conclusive(evidence: Evidence) -> bool {
+    evidence.total >= CONCLUSIVE_CRASHES
+        || evidence.crashes >= ACCUSED_CRASHES && evidence.targets >= ACCUSED_TARGETS
+}
+
+/// Whether the crashes accuse a part that was sound shortly before.
+fn is_settled(evidence: Evidence, now: Duration) -> bool {
+    let is_old = |at: Duration| at + SETTLE_TIME <= now;
+    let has_spread = evidence.crashes >= SUSPECTED_CRASHES;
+    let has_many = evidence.total >= CONCLUSIVE_CRASHES && has_spread;
+    let is_accused = evidence.crashes >= ACCUSED_CRASHES && evidence.targets >= ACCUSED_TARGETS;
+    is_accused && evidence.third.is_some_and(is_old)
+        || has_many && evidence.last.is_some_and(is_old)
+}
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -5,10 +5,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::data;
 use crate::deployment::Target;
 use crate::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use crate::rate::Rate;
+use crate::{data, key};
+
+key! {
+    /// A part of the prompts of requests to one service.
+    pub struct PartKey {
+        /// Hash of the service's name.
+        pub service: u64,
+        /// Hash of the part's id.
+        pub id: u64,
+    }
+}
 
 data! {
     /// A gateway.
@@ -34,6 +44,10 @@
         pub limits: u64,
         /// Limits that differ from those.
         pub observed_limits: Vec<TargetLimit>,
+        /// Revision of the suspected parts that it received last on this connection; 0 for none.
+        pub suspects_revision: u64,
+        /// Suspected parts that have changed at the gateway since its last poll on this connection.
+        pub suspects: Vec<SuspectPart>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -54,6 +68,10 @@
         pub peers: Option<List<Peer>>,
         /// The targets' limits, if the list differs from the gateway's.
         pub limits: Option<List<TargetLimit>>,
+        /// Revision of the suspected parts at the control daemon.
+        pub suspects_revision: u64,
+        /// Suspected parts that have changed since the gateway's revision.
+        pub suspects: Vec<SuspectPart>,
         /// Internal addresses of the control daemons.
         pub controls: Vec<SocketAddr>,
     }
@@ -90,6 +108,29 @@
         pub retry_after_ms: u64,
     }
 
+    /// What is known of a prompt part whose requests were pending at targets that crashed.
+    #[derive(Eq)]
+    pub struct SuspectPart {
+        /// The part.
+        pub part: PartKey,
+        /// The crashes since the last progress.
+        pub crashes: Vec<TargetCrash>,
+        /// How long ago probes were sent since the last progress, in milliseconds.
+        pub probe_ages_ms: Vec<u64>,
+        /// How long ago an answer to a request with the part went on after its start, in
+        /// milliseconds; none if that is not known.
+        pub progress_age_ms: Option<u64>,
+    }
+
+    /// The crash of a target at which a request was pending.
+    #[derive(Eq)]
+    pub struct TargetCrash {
+        /// Hash of the target's name.
+        pub target: u64,
+        /// How long ago it crashed, in milliseconds.
+        pub age_ms: u64,
+    }
+
     /// The platform's list of targets, read by one control daemon and shared with the others.
     pub struct Inventory {
         /// The targets.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -2,13 +2,14 @@
 
 use azurelug_coordination::{once, share};
 use azurelug_types::fleet::{
-    Booking, Grant, Inventory, PermitRequest, Pieces, PiecesEnd, Poll, Polled, TargetLimit,
+    Booking, Grant, Inventory, PartKey, PermitRequest, Pieces, PiecesEnd, Poll, Polled,
+    SuspectPart, TargetLimit,
 };
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The protocol version. Peers with another version are refused in the handshake.
-pub const PROTOCOL: u32 = 3;
+pub const PROTOCOL: u32 = 4;
 
 /// Maximum number of bytes of a configuration in one frame.
 pub const PART_LIMIT: usize = 256 * 1024;
@@ -135,7 +136,7 @@
     /// A gateway asks a control daemon for the operator orders in force and the state of the fleet.
     Poll(Poll),
     /// The answer to `Poll`.
-    Polled(Polled),
+    Polled(Box<Polled>),
     /// Requests the deployment document in force, as a stream of `ConfigurationPart` frames.
     FetchDocument,
     /// A control daemon reports to another which gateways poll it.
@@ -174,4 +175,14 @@
     Permits(Grant),
     /// A control daemon sends another the limits of targets that it knows.
     Limits(Vec<TargetLimit>),
+    /// A control daemon sends another suspected prompt parts.
+    Suspects(Vec<SuspectPart>),
+    /// A gateway asks the one that decides on probes whether it may send a request with these
+    /// accused parts.
+    TakeProbe(Vec<PartKey>),
+    /// The answer to `TakeProbe`.
+    ProbeTaken {
+        /// Whether the request may be sent.
+        is_granted: bool,
+    },
 }
