core: targets that a request crashed are used soon after their return

What callers saw: after crashes that requests caused, returned targets stayed unused for seconds.

Cause: each refused connection doubles a target's exclusion, up to 8 s, and raises its error rate, although a prompt part and not the target is at fault.

Change: Outcome::Crashed keeps exclusions at 0.8 s for 15 s and does not charge the error rate. Other outcomes count as before.

--- a/crates/azurelug-core/src/gateway/fleet/health.rs
+++ b/crates/azurelug-core/src/gateway/fleet/health.rs
@@ -17,6 +17,8 @@
     Unconnected,
     /// The connection failed, or the response timed out.
     Unreachable,
+    /// The target crashed under a request that crashes targets, and will be back soon.
+    Crashed,
     /// The target reports that it is not the expected instance, or that it is shutting down.
     Gone,
     /// The client disconnected first, so the outcome is unknown.
@@ -32,6 +34,12 @@
 /// Maximum duration of an exclusion, so that a recovered pool is soon used again.
 const MAX_EXCLUSION: Duration = Duration::from_secs(8);
 
+/// Time after a crash that a request has caused in which exclusions stay short.
+const CRASH_RECOVERY: Duration = Duration::from_secs(15);
+
+/// Maximum duration of an exclusion in this time.
+const MAX_CRASH_EXCLUSION: Duration = Duration::from_millis(800);
+
 /// Time without requests to a target that was at capacity.
 const FULL_BACKOFF: Duration = Duration::from_millis(40);
 
@@ -55,6 +63,8 @@
     exclusion_backoff: Duration,
     /// When the last probe was sent: a request that tests whether the target has recovered.
     probe_sent_at: Option<Duration>,
+    /// Until when the target is expected to recover from a crash that a request has caused.
+    recovering_until: Duration,
     error_rate: f64,
     mean_response_start_s: f64,
 }
@@ -99,8 +109,14 @@
                     self.exclude(now);
                 }
             }
+            Outcome::Crashed => {
+                self.recovering_until = now + CRASH_RECOVERY;
+                self.exclude(now);
+            }
             Outcome::Unconnected => {
-                self.update_error_rate(1.0);
+                if now >= self.recovering_until {
+                    self.update_error_rate(1.0);
+                }
                 self.consecutive_unreachable += 1;
                 // A refused connection fails immediately, so the target would appear to be idle.
                 self.exclude(now);
@@ -121,8 +137,13 @@
         if now < self.excluded_until {
             return;
         }
+        let max_exclusion = if now < self.recovering_until {
+            MAX_CRASH_EXCLUSION
+        } else {
+            MAX_EXCLUSION
+        };
         self.exclusion_backoff =
-            (self.exclusion_backoff * 2).clamp(INITIAL_EXCLUSION, MAX_EXCLUSION);
+            (self.exclusion_backoff * 2).clamp(INITIAL_EXCLUSION, max_exclusion);
         self.excluded_until = now + self.exclusion_backoff;
         self.probe_sent_at = None;
     }
