http: tell connections that the server ended from silence

Cause: a lost answer had no cause that code can read, so that a crashed server could not be told from silence, an unreachable network or a malformed answer.

Change: h1::client::is_ended_by_server, and the same for the errors of sends and of answers that are read in full.

--- a/crates/azurelug-gateway/src/answers.rs
+++ b/crates/azurelug-gateway/src/answers.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use azurelug_http::h1::client::is_ended_by_server;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -38,9 +39,25 @@
     Interrupted {
         /// The cause.
         message: String,
+        /// Whether the server ended the connection.
+        is_ended_by_server: bool,
     },
 }
 
+impl Error {
+    /// Whether the server ended the connection.
+    #[must_use]
+    pub fn is_ended_by_server(&self) -> bool {
+        matches!(
+            self,
+            Self::Interrupted {
+                is_ended_by_server: true,
+                ..
+            }
+        )
+    }
+}
+
 /// Reads answers within the shared limit.
 #[derive(Debug)]
 pub struct AnswerReader {
@@ -70,6 +87,7 @@
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Error::Interrupted {
                 message: error.to_string(),
+                is_ended_by_server: is_ended_by_server(&error),
             })?;
             let Ok(data) = frame.into_data() else {
                 continue;
--- a/crates/azurelug-http/src/h1/client.rs
+++ b/crates/azurelug-http/src/h1/client.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a server, for one request at a time.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     Lost {
         /// The cause.
         message: String,
+        /// Whether the server ended the connection, as [`is_ended_by_server`].
+        is_ended_by_server: bool,
     },
 }
 
@@ -46,6 +49,18 @@
     pub fn is_unsent(&self) -> bool {
         !matches!(self, Self::Lost { .. })
     }
+
+    /// Whether the server ended the connection after the request was sent.
+    #[must_use]
+    pub fn is_ended_by_server(&self) -> bool {
+        matches!(
+            self,
+            Self::Lost {
+                is_ended_by_server: true,
+                ..
+            }
+        )
+    }
 }
 
 /// An open connection. Dropping it closes the socket, so that the server can cancel its work.
@@ -132,6 +147,7 @@
             Some(_) => Error::NotSent,
             None => Error::Lost {
                 message: describe(failure.error()),
+                is_ended_by_server: is_ended_by_server(failure.error()),
             },
         })
     }
@@ -144,3 +160,26 @@
         None => error.to_string(),
     }
 }
+
+/// Whether the server closed or reset the connection, in contrast to silence, a network that is out
+/// of reach or an answer that can't be parsed.
+#[must_use]
+pub fn is_ended_by_server(error: &hyper::Error) -> bool {
+    if error.is_parse() || error.is_canceled() {
+        return false;
+    }
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return matches!(
+                error.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        cause = error.source();
+    }
+    true
+}
