gateway: a request with a suspected part is at one target at a time

What callers saw: nothing yet. A reviewer read that a probe, or a request with a part that two crashes speak against, is sent to a second target when its first one is silent for the time of an attempt: two sends for one probe.

Cause: whether a probe had been sent was known only when it had arrived, and suspicion was asked only after a failure.

Change: an attempt beside a pending one needs parts that are all clear.

No test plays a silent target of a probe.

Why it works: the second attempt is the only way to a second target while the first one goes on.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -203,7 +203,8 @@
         loop {
             match self.next_step().await {
                 Step::Send(slot) => {
-                    match quarantine::check_attempt(self.exchange, self.history, slot) {
+                    let is_hedge = !self.pending.is_empty();
+                    match quarantine::check_attempt(self.exchange, self.history, is_hedge, slot) {
                         Ok(slot) => self.send(slot),
                         Err(failure) if self.pending.is_empty() => return self.fail(failure),
                         Err(_) => self.is_due = false,
--- a/crates/azurelug-gateway/src/quarantine.rs
+++ b/crates/azurelug-gateway/src/quarantine.rs
@@ -270,15 +270,21 @@
     Err(Failure::Refused(retry_after.max(MIN_RETRY_AFTER), REASON))
 }
 
-/// Decides on the next attempt, for which a slot has been reserved.
+/// Decides on the next attempt, for which a slot has been reserved. `is_hedge` tells whether an
+/// earlier attempt goes on: a request with a suspected part is at one target at a time.
 ///
 /// # Errors
 /// Why the request may not be sent; the slot is released.
 pub fn check_attempt(
     exchange: &Exchange,
     history: &AttemptHistory,
+    is_hedge: bool,
     mut slot: Slot,
 ) -> Result<Slot, Failure> {
+    if is_hedge && !may_repeat(exchange) {
+        slot.cancel();
+        return Err(Failure::NoUsableAnswer(REASON));
+    }
     let parts = shared_parts(exchange);
     let gateway = &exchange.gateway;
     let now = gateway.quarantine_now();
