gateway: faulty answers and refusals are no crashes

What callers saw: nothing yet.

Change: only signed answers that break off count, and of ends inside an event only those without a length and chunks.

Why it works: a target that marks the end of a body is still there. No test of its own.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -79,6 +79,8 @@
     pub first: Option<Event>,
     /// Whether the end of the body has been read.
     pub is_ended: bool,
+    /// Whether a length or chunks mark the end of the body.
+    pub is_framed: bool,
 }
 
 /// An answer of a target.
@@ -584,6 +586,7 @@
                 splitter: start.splitter,
                 first: start.first,
                 is_ended: start.is_ended,
+                is_framed: start.is_framed,
             };
             return AttemptOutcome::Answered(Answer::Stream(Box::new(stream)));
         }
--- a/crates/azurelug-gateway/src/attempt/reply.rs
+++ b/crates/azurelug-gateway/src/attempt/reply.rs
@@ -69,6 +69,7 @@
     pub(super) splitter: Splitter,
     pub(super) first: Option<Event>,
     pub(super) is_ended: bool,
+    pub(super) is_framed: bool,
 }
 
 /// Sends the request to one target and reads the answer; a stream only up to its first event.
@@ -173,7 +174,7 @@
         Err(error) => {
             let name = &attempt.target.name;
             log::info!("gateway: request {} at {name}: {error}", exchange.id);
-            if error.is_ended_by_server() {
+            if head.verdict == Verdict::Answered && error.is_ended_by_server() {
                 attempt.record_crash(exchange);
             }
             return match head.verdict {
@@ -226,7 +227,10 @@
                 return Reply::ConnectionFailed("the stream broke off");
             }
             None if attempt.splitter.has_partial() || !is_framed => {
-                attempt.record_crash(exchange);
+                // A body of known length that ends inside an event is a faulty answer.
+                if !is_framed {
+                    attempt.record_crash(exchange);
+                }
                 return Reply::ConnectionFailed("the stream broke off");
             }
             None => is_ended = true,
@@ -240,5 +244,6 @@
         splitter: attempt.splitter,
         first,
         is_ended,
+        is_framed,
     }))
 }
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -350,7 +350,9 @@
                 return Read::Interrupted("the stream was interrupted");
             }
             Ok(None) if stream.splitter.has_partial() => {
-                record_crash(exchange, stream);
+                if !stream.is_framed {
+                    record_crash(exchange, stream);
+                }
                 return Read::Interrupted("the stream was interrupted inside an event");
             }
             Ok(None) => stream.is_ended = true,
