gateway: a complete stream of one event clears the parts of its prompt

What callers saw: nothing yet.

Cause: progress was the second event.

Change: the end of a stream with a length or chunks is progress, too.

Why it works: a target that crashes after its first event doesn't send the last chunk. No test of its own.

--- a/crates/azurelug-gateway/src/quarantine.rs
+++ b/crates/azurelug-gateway/src/quarantine.rs
@@ -353,6 +353,11 @@
     }
 }
 
+/// Records a complete stream with a length or chunks, which may have a single event.
+pub fn record_complete(exchange: &Exchange) {
+    record_progress(exchange);
+}
+
 /// Records a complete answer. One that ends with its connection may be incomplete.
 pub fn record_answer(exchange: &Exchange, answer: &BufferedAnswer) {
     if answer.status.is_success() && is_delimited(&answer.headers) {
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -140,6 +140,9 @@
     }
 
     fn complete(self, stream: Stream) {
+        if stream.is_framed {
+            quarantine::record_complete(&self.exchange);
+        }
         let Stream {
             slot,
             connection,
