core: the crashes of a record stay in order when one turns out earlier

Cause (read by a reviewer): a report of the same crash with an earlier time changed the time in place, and the order that the evidence relies on was lost.

Change: the crashes are sorted again. No test of its own.

--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -121,6 +121,7 @@
             let is_earlier = crash.at + TRANSIT < known.at;
             if is_earlier {
                 known.at = crash.at;
+                self.crashes.sort_by_key(|it| it.at);
             }
             return is_earlier;
         }
