core: control daemons send each other all suspected parts every two seconds

Cause (read by a reviewer): a control daemon that restarts had no records for up to ten seconds, and gateways that poll it meanwhile none either.

Change: all records are sent with every fourth exchange instead of every twentieth.

The messages are empty while no part has a record.

--- a/crates/azurelug-core/src/gateway/quarantine/broadcast.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/broadcast.rs
@@ -11,8 +11,9 @@
 /// Rounds in which a change is sent.
 const ROUNDS_PER_CHANGE: usize = 6;
 
-/// Rounds from one message with all records to the next.
-const ROUNDS_PER_REFRESH: u64 = 20;
+/// Rounds from one message with all records to the next. A control daemon that has restarted knows
+/// nothing until then.
+const ROUNDS_PER_REFRESH: u64 = 4;
 
 /// The messages sent so far.
 #[derive(Debug, Default)]
