gateway: log the end of a stop and the requests that it cuts off

A request that the exit cut off was either missing from the log (streams) or "abandoned: the client disconnected".

Cause: the log queue is written by a thread that pauses 100 ms between two writes, and the process exits without waiting for it. The guard of a pending request knows one reason for its drop, and a stream that is being relayed has no guard. `finished` says only that the connections have ended; a request that may run once goes on without its client.

The gateway ends its runtime, then flushes. Requests that are dropped by the exit are logged and counted as `cut_off`, with id, route and age; `finished` also needs `in_flight=0`. No request is handled differently.

--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -48,6 +48,7 @@
     sequence: u64,
     fresh_as_of: Option<Instant>,
     is_stopping: bool,
+    is_exiting: bool,
 }
 
 /// The gateway.
@@ -263,6 +264,16 @@
         self.view().is_stopping = true;
     }
 
+    /// Records that the process ends now, which cuts off the requests that are still in flight.
+    pub fn set_exiting(&self) {
+        self.view().is_exiting = true;
+    }
+
+    /// Whether the process ends now.
+    pub fn is_exiting(&self) -> bool {
+        self.view().is_exiting
+    }
+
     /// Number of serving gateways, this one included.
     pub fn gateway_count(&self) -> usize {
         self.peers.count()
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     Failed,
     /// The client disconnected before the request had ended.
     Abandoned,
+    /// The process ended before the request had ended.
+    CutOff,
 }
 
 impl End {
@@ -41,6 +43,7 @@
             Self::Refused => "refused",
             Self::Failed => "failed",
             Self::Abandoned => "abandoned",
+            Self::CutOff => "cut_off",
         }
     }
 }
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::gateway::Slot;
 use crate::metrics::End;
 use crate::quarantine;
-use crate::serve::RequestRecord;
+use crate::serve::{PendingGuard, RequestRecord};
 use crate::stages;
 
 /// Events buffered for a slow client. A full buffer slows the target down by TCP flow control.
@@ -52,6 +52,8 @@
     pub zone: ZoneName,
     /// Log record of the request.
     pub record: RequestRecord,
+    /// Logs the request if the process ends first.
+    pub guard: PendingGuard,
 }
 
 /// What the target of a stream did next.
@@ -177,6 +179,7 @@
     fn close(mut self, end: End, reason: &'static str) {
         self.record.targets = self.history.tried.len();
         self.record.close(&self.exchange, end, reason);
+        self.guard.close();
     }
 
     /// Stall timeout; none if the stream may not be resumed.
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -65,7 +65,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run(settings, &options.settings))
+    let result = runtime.block_on(run(settings, &options.settings));
+    // Ends the tasks that are still running, which log that they were cut off.
+    drop(runtime);
+    log::logger().flush();
+    result
 }
 
 async fn run(settings: Settings, path: &Path) -> Result<(), Error> {
@@ -123,9 +127,11 @@
     sleep(DRAIN_PERIOD).await;
     client_shutdown.send_replace(ShutdownState::Closing);
     let time_left = grace_period.saturating_sub(DRAIN_PERIOD + EXIT_MARGIN);
-    let drained = timeout(time_left, &mut client_server).await.is_ok();
+    let is_drained = timeout(time_left, &mut client_server).await.is_ok();
+    gateway.set_exiting();
     let in_flight = gateway.metrics.in_flight.get();
-    log::info!("gateway: stopped; finished={drained} in_flight={in_flight}");
+    let is_finished = is_drained && in_flight == 0;
+    log::info!("gateway: stopped; finished={is_finished} in_flight={in_flight}");
     Ok(())
 }
 
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -239,9 +239,9 @@
 async fn answer(exchange: Exchange) -> Response<Body> {
     let limit = exchange.time_left() + DEADLINE_GRACE;
     let id = exchange.id.clone();
-    let mut guard = AbandonGuard::new(&exchange);
+    let mut guard = PendingGuard::new(&exchange);
     let answered = timeout(limit, try_answer(exchange)).await;
-    guard.is_answered = answered.is_ok();
+    guard.is_ended = answered.is_ok();
     answered.unwrap_or_else(|_| {
         log::warn!("gateway: request {id} failed: cancelled after its deadline");
         Refusal::TimedOut
@@ -250,38 +250,52 @@
     })
 }
 
-/// Logs and counts a request whose client disconnected before the answer began.
-struct AbandonGuard {
+/// Logs and counts a request whose task is dropped before its end: its client disconnected, or the
+/// process ends.
+pub struct PendingGuard {
     gateway: Arc<Gateway>,
     id: String,
     route: String,
     arrived: Duration,
-    is_answered: bool,
+    is_ended: bool,
 }
 
-impl AbandonGuard {
-    fn new(exchange: &Exchange) -> Self {
+impl PendingGuard {
+    /// Creates the guard of a request that has not ended.
+    #[must_use]
+    pub fn new(exchange: &Exchange) -> Self {
         Self {
             gateway: Arc::clone(&exchange.gateway),
             id: exchange.id.clone(),
             route: exchange.route.name.clone(),
             arrived: exchange.arrived,
-            is_answered: false,
+            is_ended: false,
         }
     }
+
+    /// Ends the guard of a request whose end has been logged and counted.
+    pub fn close(mut self) {
+        self.is_ended = true;
+    }
 }
 
-impl Drop for AbandonGuard {
+impl Drop for PendingGuard {
     fn drop(&mut self) {
-        if self.is_answered {
+        if self.is_ended {
             return;
         }
         let elapsed = self.gateway.now().saturating_sub(self.arrived);
-        self.gateway.metrics.record_request(End::Abandoned, elapsed);
+        let (end, reason) = if self.gateway.is_exiting() {
+            (End::CutOff, "the process ends")
+        } else {
+            (End::Abandoned, "the client disconnected")
+        };
+        self.gateway.metrics.record_request(end, elapsed);
         self.gateway.metrics.in_flight.dec();
         log::info!(
-            "gateway: request {} abandoned: the client disconnected; route={} total_ms={}",
+            "gateway: request {} {}: {reason}; route={} total_ms={}",
             self.id,
+            end.as_str(),
             self.route,
             elapsed.as_millis()
         );
@@ -329,6 +343,7 @@
         Ok(Answer::Stream(mut stream)) => {
             let headers = std::mem::take(&mut stream.headers);
             let relay = Relay {
+                guard: PendingGuard::new(&exchange),
                 exchange: Arc::new(exchange),
                 inputs: results.close(),
                 history,
--- a/crates/azurelug-settings/src/log_setup.rs
+++ b/crates/azurelug-settings/src/log_setup.rs
@@ -85,11 +85,11 @@
         let level = self.level()?;
         let appender: Box<dyn Append> = match &self.file {
             None if self.stdout => {
-                let queue = QueueAppender::start(self.encoder()?).map_err(|error| Error::Log {
+                let queue = QueueAppender::start(self.encoder()?, std::io::stdout());
+                Box::new(queue.map_err(|error| Error::Log {
                     field: "stdout",
                     message: error.to_string(),
-                })?;
-                Box::new(queue)
+                })?)
             }
             None => Box::new(
                 ConsoleAppender::builder()
--- a/crates/azurelug-system/src/process.rs
+++ b/crates/azurelug-system/src/process.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Starts the daemon and appends its standard error to the log file.
+    /// Starts the daemon and appends its output to the log file.
     ///
     /// # Panics
     /// If the process can't be started.
@@ -49,10 +49,11 @@
             .append(true)
             .open(&self.log)
             .expect("open the log file");
+        let output = log.try_clone().expect("duplicate the log file");
         let child = Command::new(&self.program)
             .args(&self.arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .expect("start the daemon");
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -16,6 +16,8 @@
 mod faulty_targets;
 #[path = "gateway/kept_connections.rs"]
 mod kept_connections;
+#[path = "gateway/planned_stops.rs"]
+mod planned_stops;
 #[path = "gateway/silent_targets.rs"]
 mod silent_targets;
 #[path = "gateway/unframed_answers.rs"]
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -144,6 +144,11 @@
     /// Starts the daemons with an engine, a plain target and a stage target in each of the zones
     /// `a` and `b` and the targets that write raw bytes, and waits until the gateway is ready.
     pub(crate) async fn start() -> Self {
+        Self::start_with("8s", "").await
+    }
+
+    /// As [`Deployment::start`], with the gateway's grace period and its log section.
+    pub(crate) async fn start_with(grace: &str, log: &str) -> Self {
         let shared = Arc::new(Mutex::new(SharedState::default()));
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         for zone in ["a", "b"] {
@@ -210,9 +215,9 @@
         );
         let gateway = format!(
             "name: gateway\nzone: a\n{common}internal: \"{}\"\nclients: \"{clients}\"\n\
-             admin: \"{admin}\"\nseeds: [\"{}\"]\nbounds:\n  revocation: 5s\n  apply: 2s\n  drain: 3s\n  grace: 8s\n  \
+             admin: \"{admin}\"\nseeds: [\"{}\"]\nbounds:\n  revocation: 5s\n  apply: 2s\n  drain: 3s\n  grace: {grace}\n  \
              retry_ratio: 0.2\n  retry_window: 10s\n  retry_extra: 50\n  cold_factor: 1.5\n  \
-             cold_extra: 5\n",
+             cold_extra: 5\n{log}",
             address(3, internal),
             address(2, 1),
         );
@@ -418,6 +423,11 @@
             * 1024
     }
 
+    /// The gateway's address for clients.
+    pub(crate) fn client_address(&self) -> SocketAddr {
+        self.clients
+    }
+
     /// Opens a connection to the gateway's address for clients.
     pub(crate) async fn connect(&self) -> std::io::Result<TcpStream> {
         TcpStream::connect(self.clients).await
--- a/crates/azurelug-system/tests/support/scripted.rs
+++ b/crates/azurelug-system/tests/support/scripted.rs
@@ -168,6 +168,12 @@
     /// to them; the gateway has used all targets.
     pub(crate) async fn start_scripted(cases: &[(Script, Expected)]) -> Self {
         let deployment = Self::start().await;
+        deployment.add_scripts(cases).await;
+        deployment
+    }
+
+    /// Adds a service for each script to a deployment with version 1 of the configuration.
+    pub(crate) async fn add_scripts(&self, cases: &[(Script, Expected)]) {
         for (index, (script, _)) in cases.iter().enumerate() {
             let service = service_name(index);
             for target in script.targets() {
@@ -175,17 +181,16 @@
                 let at = listener.local_addr().unwrap();
                 let name = format!("{service}-{target}");
                 let entry = list_entry(&name, Some(&service), at, "a");
-                deployment.shared.lock().unwrap().list.push(entry);
-                let state = Arc::clone(&deployment.shared);
+                self.shared.lock().unwrap().list.push(entry);
+                let state = Arc::clone(&self.shared);
                 tokio::spawn(serve(listener, state, name, script.clone()));
             }
         }
         let document = scripted_configuration(2, cases);
-        deployment.put_configuration(&document, 200).await;
+        self.put_configuration(&document, 200).await;
         for (index, (script, _)) in cases.iter().enumerate() {
-            deployment.warm_up(index, script).await;
+            self.warm_up(index, script).await;
         }
-        deployment
     }
 
     /// Sends requests to a scripted service until all of its targets have answered.
