gateway: answer every request before a planned stop ends

What callers saw: a request that was sent to a stopping gateway, passed on to a target and still at work 0.5 s before the end of the grace period ended without an answer, also one that may run once only. Targets were told up to 8 s although the process exited in 3.5 s (grace period of 4 s).

Cause: `gateway::run` waits for the connections until the grace period less 0.5 s and returns; nothing ties the deadline of an exchange to that time. `DRAIN_PERIOD` was a constant, longer than a short grace period.

Change: `core::gateway::shutdown` decides without I/O: until when requests are accepted, when the last exchange ends, when the process exits, and which new requests are refused because four fifths of the recent ones of their route took longer than what is left. Waits of an exchange go through `Gateway::run_until`, which ends them at the capped deadline also if the signal comes during the wait. The time that targets are told follows. The exit also waits for requests that may run once and whose clients have left.

--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -13,5 +13,6 @@
 pub mod reachability;
 pub mod read_rotation;
 pub mod rendezvous;
+pub mod shutdown;
 pub mod table;
 pub mod value_rank;
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::Instant;
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::{SendKind, Slot};
@@ -250,11 +250,11 @@
         if self.pending.is_empty() {
             return Step::Stop(self.last.clone());
         }
-        let replied = timeout(
-            attempt_timeout(exchange, may_retry),
-            next_reply(&mut self.pending),
-        );
-        if let Ok((slot, reply)) = replied.await {
+        let limit = Instant::now() + attempt_timeout(exchange, may_retry);
+        let replied = exchange
+            .gateway
+            .run_until(limit, next_reply(&mut self.pending));
+        if let Some((slot, reply)) = replied.await {
             return Step::Reply(slot, reply);
         }
         if is_out_of_time(exchange) {
@@ -510,7 +510,7 @@
 ) -> Result<Slot, Failure> {
     let gateway = &exchange.gateway;
     let wait = exchange.route.latency_objective.mul_f64(SLOT_WAIT_FRACTION);
-    let limit = gateway.now() + wait.min(exchange.time_left());
+    let limit = gateway.now() + wait;
     loop {
         let affinity = exchange.affinity();
         let weights = &exchange.weights;
@@ -521,6 +521,7 @@
             Err(unavailable) => unavailable,
         };
         let left = limit.saturating_sub(gateway.now());
+        let left = left.min(exchange.time_left());
         let pause = match unavailable {
             SelectionError::None => {
                 return Err(Failure::Refused(
@@ -540,7 +541,8 @@
         };
         // Wakes when a slot becomes free or the pause ends.
         let pause = pause.max(MIN_SLOT_PAUSE);
-        let _ = timeout(pause, gateway.wait_slot_freed()).await;
+        let limit = Instant::now() + pause;
+        gateway.run_until(limit, gateway.wait_slot_freed()).await;
     }
 }
 
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -43,7 +43,8 @@
     pub weights: Weights,
     /// Arrival time.
     pub arrived: Duration,
-    /// When the client's or the route's timeout ends, whichever is first.
+    /// When the client's or the route's timeout ends, whichever is first. A planned stop may end the
+    /// exchange earlier.
     pub deadline: Duration,
     /// Whether the request is sent once although a part of its prompt is accused.
     pub is_probe: bool,
@@ -72,10 +73,11 @@
         u16::from(account) * ROUTE_RANKS + u16::from(route).min(ROUTE_RANKS - 1)
     }
 
-    /// Time until the deadline.
+    /// Time until the deadline, or until exchanges end because the gateway is stopping.
     #[must_use]
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_sub(self.gateway.now())
+        let deadline = self.gateway.cap_deadline(self.deadline);
+        deadline.saturating_sub(self.gateway.now())
     }
 
     /// Time since the arrival.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -1,6 +1,8 @@
 //! State of the gateway that its tasks share.
 
 use std::collections::HashMap;
+use std::future::Future;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -9,13 +11,14 @@
     self, Fleet, Key, Outcome, SelectionError, TargetQuery, Weights,
 };
 use azurelug_core::gateway::limits::CLOCK_START;
+use azurelug_core::gateway::shutdown::{Durations, Shutdown};
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::value_rank::ValueRanking;
 use azurelug_types::deployment::{LimitNotice, Limits, Service, Target, TargetNotice};
 use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use azurelug_wire::handshake::Identity;
-use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep_until};
 
 use crate::answers::AnswerReader;
 use crate::dispatch_worker::DispatchWorkers;
@@ -37,8 +40,9 @@
 /// Targets that one request is refused a permit for before it counts as held back.
 const MAX_PERMIT_REQUESTS: usize = 6;
 
-/// Routes whose request values are tracked; configurations add and remove routes by the hundred.
-const MAX_VALUED_ROUTES: usize = 512;
+/// Routes whose request values or durations are tracked; configurations add and remove routes by the
+/// hundred.
+const MAX_TRACKED_ROUTES: usize = 512;
 
 /// The configuration and its freshness.
 #[derive(Debug, Default)]
@@ -47,7 +51,6 @@
     /// Number of the last operators' order that this gateway knows.
     sequence: u64,
     fresh_as_of: Option<Instant>,
-    is_stopping: bool,
     is_exiting: bool,
 }
 
@@ -78,6 +81,10 @@
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     /// Values of recent requests, by route.
     request_values: Mutex<HashMap<String, ValueRanking>>,
+    /// Durations of recent complete requests, by route.
+    durations: Mutex<HashMap<String, Durations>>,
+    /// The planned stop, once it has been requested.
+    shutdown: watch::Sender<Option<Shutdown>>,
     /// Notified when a slot at a target becomes free.
     slot_freed: Notify,
 }
@@ -101,6 +108,8 @@
             fleet: Mutex::new(Fleet::new(rand::random())),
             budgets: Mutex::default(),
             request_values: Mutex::default(),
+            durations: Mutex::default(),
+            shutdown: watch::Sender::new(None),
             slot_freed: Notify::new(),
         }
     }
@@ -256,12 +265,79 @@
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         let has_targets = || self.fleet().loads().next().is_some();
-        !self.view().is_stopping && self.table().is_some() && self.may_check_keys() && has_targets()
+        self.shutdown().is_none()
+            && self.table().is_some()
+            && self.may_check_keys()
+            && has_targets()
+    }
+
+    /// Starts a planned stop: the gateway reports not ready from now on, so that the load balancer
+    /// takes it out of rotation, and every exchange ends in time.
+    pub fn stop(&self, shutdown: Shutdown) {
+        self.shutdown.send_replace(Some(shutdown));
+    }
+
+    /// The planned stop, once it has been requested.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// The time at which an exchange with this deadline ends: earlier if the gateway is stopping.
+    pub fn cap_deadline(&self, deadline: Duration) -> Duration {
+        let shutdown = self.shutdown();
+        shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.latest_end()))
+    }
+
+    /// Runs a part of an exchange until `limit`, or until exchanges end because the gateway is
+    /// stopping, also if the stop is requested meanwhile; none if the time is over first.
+    pub async fn run_until<F: Future>(&self, limit: Instant, work: F) -> Option<F::Output> {
+        self.run_until_with_margin(limit, Duration::ZERO, work)
+            .await
+    }
+
+    /// As [`Gateway::run_until`], with `margin` after the limit or the stop.
+    pub async fn run_until_with_margin<F: Future>(
+        &self,
+        limit: Instant,
+        margin: Duration,
+        work: F,
+    ) -> Option<F::Output> {
+        let mut stops = self.shutdown.subscribe();
+        let mut work = pin!(work);
+        loop {
+            let stop = self.shutdown().map(|it| self.at(it.latest_end()));
+            let limit = stop.map_or(limit, |stop| limit.min(stop)) + margin;
+            tokio::select! {
+                biased;
+                output = &mut work => return Some(output),
+                () = sleep_until(limit) => return None,
+                // The sender is a field of `self`, so this can't fail.
+                _ = stops.changed() => {}
+            }
+        }
+    }
+
+    fn durations(&self) -> MutexGuard<'_, HashMap<String, Durations>> {
+        self.durations.lock().expect("no holder of the lock panics")
+    }
+
+    /// Records how long a complete request of a route took.
+    pub fn record_duration(&self, route: &str, duration: Duration) {
+        let now = self.now();
+        let mut durations = self.durations();
+        if let Some(known) = durations.get_mut(route) {
+            return known.record(duration, now);
+        }
+        if durations.len() > MAX_TRACKED_ROUTES {
+            durations.clear();
+        }
+        let new = durations.entry(route.to_owned()).or_default();
+        new.record(duration, now);
     }
 
-    /// Reports not ready from now on, so that the load balancer takes the gateway out of rotation.
-    pub fn set_stopping(&self) {
-        self.view().is_stopping = true;
+    /// The duration within which most requests of a route are complete; none if it is unknown.
+    pub fn typical_duration(&self, route: &str) -> Option<Duration> {
+        self.durations().get(route)?.typical(self.now())
     }
 
     /// Records that the process ends now, which cuts off the requests that are still in flight.
@@ -367,7 +443,7 @@
             .request_values
             .lock()
             .expect("no holder of the lock panics");
-        if request_values.len() > MAX_VALUED_ROUTES {
+        if request_values.len() > MAX_TRACKED_ROUTES {
             request_values.clear();
         }
         let values = request_values.entry(route.to_owned()).or_default();
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -11,11 +11,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::{self, Sender};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::attempt::{self, Answer, AttemptHistory, AttemptParams, Stream};
 use crate::body::BodyInterrupted;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Failure};
 use crate::gateway::Slot;
 use crate::metrics::End;
 use crate::quarantine;
@@ -281,7 +281,10 @@
             return resumed;
         }
         // The first target had fetched the stage results, and their memory has been reused since.
-        let results = match stages::run(&self.exchange, &self.zone).await {
+        let gateway = &self.exchange.gateway;
+        let deadline = gateway.at(self.exchange.deadline);
+        let results = gateway.run_until(deadline, stages::run(&self.exchange, &self.zone));
+        let results = match results.await.unwrap_or(Err(Failure::TimedOut)) {
             Ok(results) => results,
             Err(failure) => {
                 let id = &self.exchange.id;
@@ -340,30 +343,30 @@
             Err(_) => return Read::Interrupted("an event is missing"),
         }
         let read = tokio::select! {
-            read = timeout_at(limit, stream.body.frame()) => read,
+            read = exchange.gateway.run_until(limit, stream.body.frame()) => read,
             () = events.closed() => return Read::ClientGone,
         };
         match read {
-            Ok(Some(Ok(frame))) => {
+            Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     stream.splitter.push(&data);
                 }
             }
-            Ok(Some(Err(error))) => {
+            Some(Some(Err(error))) => {
                 if client::is_ended_by_server(&error) {
                     record_crash(exchange, stream);
                 }
                 return Read::Interrupted("the stream was interrupted");
             }
-            Ok(None) if stream.splitter.has_partial() => {
+            Some(None) if stream.splitter.has_partial() => {
                 if !stream.is_framed {
                     record_crash(exchange, stream);
                 }
                 return Read::Interrupted("the stream was interrupted inside an event");
             }
-            Ok(None) => stream.is_ended = true,
-            Err(_) if exchange.time_left().is_zero() => return Read::OutOfTime,
-            Err(_) => return Read::Stalled,
+            Some(None) => stream.is_ended = true,
+            None if exchange.time_left().is_zero() => return Read::OutOfTime,
+            None => return Read::Stalled,
         }
     }
 }
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurelug_core::gateway::shutdown::Shutdown;
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
 use azurelug_settings::read;
 use azurelug_types::fleet::Pieces;
@@ -17,18 +18,14 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until, timeout_at};
 
 use crate::gateway::Gateway;
 use crate::settings::{Options, Settings};
 use crate::{admin, control, serve as clients};
 
-/// How long a gateway still accepts requests after its readiness check starts to fail: the load
-/// balancer checks once a second and removes a gateway after two failed checks.
-const DRAIN_PERIOD: Duration = Duration::from_millis(2600);
-
-/// Part of the shutdown grace period that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// How often a stopping gateway checks whether all requests have ended.
+const IN_FLIGHT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How often expired idle connections to targets are closed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -122,15 +119,23 @@
         client_handler,
     ));
     wait_for_stop_signal().await?;
+    let shutdown = Shutdown::new(gateway.now(), grace_period);
     log::info!("gateway: stopping, not ready");
-    gateway.set_stopping();
-    sleep(DRAIN_PERIOD).await;
+    gateway.stop(shutdown);
+    sleep_until(gateway.at(shutdown.accepts_until())).await;
     client_shutdown.send_replace(ShutdownState::Closing);
-    let time_left = grace_period.saturating_sub(DRAIN_PERIOD + EXIT_MARGIN);
-    let is_drained = timeout(time_left, &mut client_server).await.is_ok();
+    let drained = async {
+        // The server ends with its connections; a panic in it has been logged.
+        let _ = (&mut client_server).await;
+        // Requests that may run only once go on without their clients.
+        while gateway.metrics.in_flight.get() > 0 {
+            sleep(IN_FLIGHT_CHECK_INTERVAL).await;
+        }
+    };
+    let exits_at = gateway.at(shutdown.exits_at());
+    let is_finished = timeout_at(exits_at, drained).await.is_ok();
     gateway.set_exiting();
     let in_flight = gateway.metrics.in_flight.get();
-    let is_finished = is_drained && in_flight == 0;
     log::info!("gateway: stopped; finished={is_finished} in_flight={in_flight}");
     Ok(())
 }
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -12,12 +12,12 @@
 use azurelug_types::deployment::{Account, RequestKind, Route};
 use azurelug_types::id::{AccountName, ZoneName};
 use bytes::Bytes;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::timeout;
 
 use crate::attempt::{self, Answer, AttemptHistory, AttemptParams};
 use crate::body::Body;
@@ -64,6 +64,10 @@
         let metrics = &exchange.gateway.metrics;
         metrics.record_request(end, self.first);
         metrics.in_flight.dec();
+        if matches!(end, End::InTime | End::Late) {
+            let gateway = &exchange.gateway;
+            gateway.record_duration(&exchange.route.name, exchange.elapsed());
+        }
         let staleness = exchange.gateway.staleness().unwrap_or_default();
         log::info!(
             "gateway: request {} {}: {reason}; route={} account={} staged_ms={} first_ms={} \
@@ -99,7 +103,13 @@
                 "gateway: request {} refused: {reason}; status={status}",
                 id.unwrap_or("-")
             );
-            refusal.response(id, reason).map(Body::complete)
+            let mut response = refusal.response(id, reason).map(Body::complete);
+            if gateway.shutdown().is_some() {
+                // The retry on a new connection reaches another gateway.
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
         }
     }
 }
@@ -139,9 +149,17 @@
         Some(account) => (Some(account.name.clone()), account.priority),
         None => (None, 0),
     };
+    let time = fields.time_left.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + time;
+    if let Some(shutdown) = gateway.shutdown() {
+        let typical = gateway.typical_duration(&route.name);
+        let refusal = shutdown.refusal(gateway.now(), deadline, typical);
+        if let Some(after) = refusal {
+            return Err((Refusal::Busy(after), "stopping"));
+        }
+    }
     let key = table.choose(&route.services, rand::random());
     let service = table.service(key).clone();
-    let time = fields.time_left.unwrap_or(route.timeout).min(route.timeout);
     let work = stage_work(&table, &route, &fields.pieces);
     let value_rank = gateway.rank_by_value(&route.name, fields.tokens, work);
     Ok(Exchange {
@@ -155,7 +173,7 @@
         parts,
         body,
         arrived,
-        deadline: arrived + time,
+        deadline,
         is_probe: false,
         crashes: AtomicU32::new(0),
         route,
@@ -237,12 +255,14 @@
 }
 
 async fn answer(exchange: Exchange) -> Response<Body> {
-    let limit = exchange.time_left() + DEADLINE_GRACE;
+    let gateway = Arc::clone(&exchange.gateway);
+    let deadline = gateway.at(exchange.deadline);
     let id = exchange.id.clone();
     let mut guard = PendingGuard::new(&exchange);
-    let answered = timeout(limit, try_answer(exchange)).await;
-    guard.is_ended = answered.is_ok();
-    answered.unwrap_or_else(|_| {
+    let answered = gateway.run_until_with_margin(deadline, DEADLINE_GRACE, try_answer(exchange));
+    let answered = answered.await;
+    guard.is_ended = answered.is_some();
+    answered.unwrap_or_else(|| {
         log::warn!("gateway: request {id} failed: cancelled after its deadline");
         Refusal::TimedOut
             .response(Some(&id), "no answer in time")
@@ -377,8 +397,10 @@
     if exchange.route.stages.is_empty() {
         return Ok(Results::none(exchange));
     }
-    let results = timeout(exchange.time_left(), stages::run(exchange, zone)).await;
-    results.unwrap_or(Err(Failure::Refused(
+    let gateway = &exchange.gateway;
+    let deadline = gateway.at(exchange.deadline);
+    let results = gateway.run_until(deadline, stages::run(exchange, zone));
+    results.await.unwrap_or(Err(Failure::Refused(
         NO_CONFIGURATION_RETRY_AFTER,
         "the time is over",
     )))
--- a/crates/azurelug-system/tests/support/scripted.rs
+++ b/crates/azurelug-system/tests/support/scripted.rs
@@ -22,6 +22,10 @@
 /// scripted services, and far shorter than the routes' timeout.
 pub(crate) const SILENCE: Duration = Duration::from_millis(1500);
 
+/// How long a target pauses that is silent for good. Longer than the grace periods of tests, and
+/// shorter than the routes' timeout.
+const LONG_SILENCE: Duration = Duration::from_secs(6);
+
 /// Requests whose ids start with this are answered at once, without the script.
 const WARM_UP: &str = "warm-";
 
@@ -62,7 +66,7 @@
     Unframed,
 }
 
-/// Where a target falls silent for [`SILENCE`] before it goes on.
+/// Where a target falls silent for [`SILENCE`], unless another time is named, before it goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Pause {
     /// Before the request is read, whose body is longer than the buffers of the connection.
@@ -74,6 +78,10 @@
     InsideEvent,
     /// Twice between events, for twice as long each time.
     Twice,
+    /// Before the head, for [`LONG_SILENCE`].
+    LongBeforeHead,
+    /// Between events, for [`LONG_SILENCE`].
+    LongBetweenEvents,
 }
 
 /// How an answer ends. An answer that is cut ends inside its fourth event.
@@ -212,7 +220,7 @@
 }
 
 /// The body of the answer to the request `id`: the events after `last`, or a few lines.
-pub(super) fn body_parts(kind: Kind, id: &str, last: u64) -> Vec<String> {
+pub(crate) fn body_parts(kind: Kind, id: &str, last: u64) -> Vec<String> {
     let numbers = last + 1..=EVENT_COUNT;
     if kind.is_stream() {
         let event = |number| format!("id: {number}\ndata: event {number} of {id}\n\n");
@@ -372,6 +380,7 @@
         let head = self.head(id, parts.concat().len());
         let (start, rest) = head.split_at(head.len() / 2);
         self.pause_at(Pause::BeforeHead).await;
+        self.pause_at(Pause::LongBeforeHead).await;
         stream.write_all(start.as_bytes()).await?;
         self.pause_at(Pause::InHead).await;
         stream.write_all(rest.as_bytes()).await?;
@@ -380,6 +389,7 @@
             let (start, rest) = part.split_at(part.len() / 2);
             if number == 3 {
                 self.pause_at(Pause::BetweenEvents).await;
+                self.pause_at(Pause::LongBetweenEvents).await;
             }
             if number == 3 || number == 5 {
                 self.pause_at(Pause::Twice).await;
@@ -409,8 +419,9 @@
     }
 
     async fn pause_at(&self, place: Pause) {
+        let is_long = matches!(place, Pause::LongBeforeHead | Pause::LongBetweenEvents);
         if self.pause == Some(place) {
-            sleep(SILENCE).await;
+            sleep(if is_long { LONG_SILENCE } else { SILENCE }).await;
         }
     }
 
