types: keys of whole requests beside those of prompt parts

A whole request that crashes targets needs a record as a prompt part does. Its key is a `PartKey` with the highest bit of the id set, so that records, messages and probes stay as they are on the wire (protocol 4).

--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -11,15 +11,46 @@
 use crate::{data, key};
 
 key! {
-    /// A part of the prompts of requests to one service.
+    /// What requests to one service have in common: a part of their prompts, or the whole request
+    /// when clients repeat it.
     pub struct PartKey {
         /// Hash of the service's name.
         pub service: u64,
-        /// Hash of the part's id.
+        /// Hash of the part's id, or digest of the request. The highest bit is set for requests.
         pub id: u64,
     }
 }
 
+/// The bit of [`PartKey::id`] that is set for whole requests.
+const REQUEST_BIT: u64 = 1 << 63;
+
+impl PartKey {
+    /// The key of a prompt part. `hash` is the hash of its id.
+    #[must_use]
+    pub fn part(service: u64, hash: u64) -> Self {
+        Self {
+            service,
+            id: hash & !REQUEST_BIT,
+        }
+    }
+
+    /// The key of a whole request. `digest` covers all that a repeat has in common with it: path,
+    /// caller and body.
+    #[must_use]
+    pub fn request(service: u64, digest: u64) -> Self {
+        Self {
+            service,
+            id: digest | REQUEST_BIT,
+        }
+    }
+
+    /// Whether this is the key of a whole request.
+    #[must_use]
+    pub fn is_request(&self) -> bool {
+        self.id & REQUEST_BIT != 0
+    }
+}
+
 data! {
     /// A gateway.
     #[derive(Eq, PartialOrd, Ord, Hash)]
@@ -108,10 +139,11 @@
         pub retry_after_ms: u64,
     }
 
-    /// What is known of a prompt part whose requests were pending at targets that crashed.
+    /// What is known of a prompt part, or of a whole request, that was pending at targets that
+    /// crashed.
     #[derive(Eq)]
     pub struct SuspectPart {
-        /// The part.
+        /// The part or the request.
         pub part: PartKey,
         /// The crashes since the last progress.
         pub crashes: Vec<TargetCrash>,
