core: whole requests that crash targets are accused by a key of their own

What callers saw: a request without prompt parts that crashes each target that begins to run it was sent to one target after another for as long as clients repeated it, and requests with the same parts were refused beside it.

Cause: the quarantine knows a request only by the parts that it shares. It has no key for the request itself, counts crashes within 200 ms as one, although a request is at one target at a time, and blames the shared parts for all of them.

Its own key is blamed for each of its crashes, also beside an accused part, which the request may have accused. - A part is clear if one accused request shares all its crashes but one. If two requests are needed, the part is what they have in common. A part that is clear for this reason explains no crashes of others. - A request or a part with more independent crashes explains those of other requests that were pending at the same targets. - Probes of a request with three independent crashes begin after 15 s. - Requests are not entered among the parts with recent progress. The first crash of a request displaces only records with less weight, and is kept for 10 minutes. - The records that can accuse are indexed, and others are compared only with these.

--- a/crates/azurelug-core/src/gateway/quarantine.rs
+++ b/crates/azurelug-core/src/gateway/quarantine.rs
@@ -1,12 +1,15 @@
-//! Prompt parts that crash targets.
+//! Prompt parts and requests that crash targets.
 //!
-//! Load pattern: one part of a prompt crashes every target that starts an answer to it. Requests
-//! with that part come to any gateway, share their other parts with sound requests, and are sent to
-//! the next target after each crash. No gateway alone sees enough crashes, so the gateways exchange
-//! records of crashes and of progress.
+//! Load pattern: one part of a prompt, or one request that clients repeat, crashes every target that
+//! starts an answer to it. Requests with that part come to any gateway, share their other parts with
+//! sound requests, and are sent to the next target after each crash. No gateway alone sees enough
+//! crashes, so the gateways exchange records of crashes and of progress.
 //!
 //! A part is accused if several targets crashed under requests with it, and no answer to a request
 //! with it has gone on since. Accused parts are refused, except for a few probes.
+//!
+//! A request has a key of its own beside those of its parts, and is treated like one of them. Its
+//! crashes don't accuse its parts.
 
 mod broadcast;
 mod ledger;
@@ -55,7 +58,8 @@
     ProbeDue(Vec<PartKey>),
 }
 
-/// What a gateway knows of the prompt parts of requests.
+/// What a gateway knows of requests and their prompt parts. Where a request's parts are expected,
+/// its own key may be among them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     ledger: Ledger,
@@ -68,10 +72,12 @@
     /// Records that a target crashed while a request with these parts was pending: the connection
     /// failed after the request was sent and before the answer went on.
     pub fn record_crash(&mut self, parts: &[PartKey], crash: Crash, now: Duration) {
-        // Accused parts explain the crash.
-        let accused: Vec<PartKey> = self.accused_of(parts, now).collect();
-        let blamed = if accused.is_empty() { parts } else { &accused };
-        for part in blamed {
+        // Accused parts explain the crash, but the request itself may have been what accused them.
+        let accused = self.accused_of(parts, now);
+        let accused: Vec<PartKey> = accused.filter(|part| !part.is_request()).collect();
+        let is_blamed =
+            |part: &&PartKey| part.is_request() || accused.is_empty() || accused.contains(part);
+        for part in parts.iter().filter(is_blamed) {
             if self.recent.get(part).is_none_or(|at| at < crash.at) {
                 self.ledger.record_crash(*part, crash);
             }
@@ -82,7 +88,9 @@
     /// complete.
     pub fn record_progress(&mut self, parts: &[PartKey], now: Duration) {
         for part in parts {
-            self.recent.record(*part, now);
+            if !part.is_request() {
+                self.recent.record(*part, now);
+            }
             self.ledger.record_progress(*part, now);
         }
     }
@@ -236,7 +244,7 @@
             if !record.has_same_crashes(first) {
                 return None;
             }
-            latest = latest.max(record.probe_due_at()?);
+            latest = latest.max(record.probe_due_at(part)?);
         }
         let others = u32::try_from(accused.len().saturating_sub(1)).unwrap_or(u32::MAX);
         Some(latest + SHARED_PROBE_DELAY.saturating_mul(others))
--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -1,7 +1,7 @@
-//! The records of all suspected parts, in bounded memory, with a revision for each change so that
-//! daemons send each other only what has changed.
+//! The records of all suspected parts and requests, in bounded memory, with a revision for each
+//! change so that daemons send each other only what has changed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use azurelug_types::fleet::{PartKey, SuspectPart};
@@ -14,10 +14,11 @@
 /// Records that are removed at a time when there are too many.
 const EVICTED_RECORDS: usize = MAX_RECORDS / 16;
 
-/// Independent crashes after which a part is suspected: its requests are not repeated.
+/// Independent crashes after which a part is suspected: its requests are not repeated. For a
+/// request all crashes count, because it is at one target at a time.
 const SUSPECTED_CRASHES: usize = 2;
 
-/// Independent crashes after which a part is accused.
+/// Independent crashes after which a part is accused, and all crashes after which a request is.
 const ACCUSED_CRASHES: usize = 3;
 
 /// Different targets among these crashes. A single target may crash by itself.
@@ -27,6 +28,9 @@
 /// count here, unless the part was sound shortly before.
 const CONCLUSIVE_CRASHES: usize = 5;
 
+/// Crashes of a part that an accused request need not share in order to explain the others.
+const UNSHARED_CRASHES: usize = 1;
+
 /// Time after the third crash within which progress at any gateway is known here. A part that was
 /// sound shortly before is accused only then.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
@@ -37,6 +41,10 @@
 /// Time for which crashes of a part that is not accused are kept.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(3600);
 
+/// Time for which a request's only crash is kept. All requests that are pending at a failing rack
+/// have one.
+const REQUEST_RETENTION: Duration = Duration::from_secs(600);
+
 /// Time from the last crash or probe until an accusation expires.
 const ACCUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
@@ -56,9 +64,31 @@
     record: Record,
     /// Weight of the record's crashes.
     evidence: Evidence,
+    /// Whether one accused request explains the crashes of this part.
+    is_covered: bool,
     revision: u64,
 }
 
+/// The order in which records are removed when there are too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Weight {
+    crashes: usize,
+    is_part: bool,
+    last_event: Duration,
+    part: PartKey,
+}
+
+impl Weight {
+    fn new(part: PartKey, record: &Record, evidence: Evidence) -> Self {
+        Self {
+            crashes: counted_crashes(&part, evidence),
+            is_part: !part.is_request(),
+            last_event: record.last_event(),
+            part,
+        }
+    }
+}
+
 /// Records that have changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
@@ -72,6 +102,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     entries: HashMap<PartKey, Entry>,
+    /// The records whose crashes accuse a part or request, unless others explain them.
+    conclusive: BTreeSet<PartKey>,
     revision: u64,
 }
 
@@ -111,43 +143,134 @@
     }
 
     fn update(&mut self, part: PartKey, change: impl FnOnce(&mut Record) -> bool) -> bool {
-        if self.entries.len() >= MAX_RECORDS && !self.entries.contains_key(&part) {
-            self.evict();
-        }
-        let entry = self.entries.entry(part).or_default();
+        let Some(entry) = self.entries.get_mut(&part) else {
+            return self.insert(part, change);
+        };
         let is_changed = change(&mut entry.record);
         if is_changed {
-            entry.evidence = entry.record.evidence(|_| false);
-            self.revision += 1;
-            entry.revision = self.revision;
+            self.weigh(part);
         }
         is_changed
     }
 
-    /// Removes the records with the least evidence, of these the oldest.
-    fn evict(&mut self) {
-        let weigh = |(part, entry): (&PartKey, &Entry)| {
-            (entry.evidence.crashes, entry.record.last_event(), *part)
+    fn insert(&mut self, part: PartKey, change: impl FnOnce(&mut Record) -> bool) -> bool {
+        let mut record = Record::default();
+        if !change(&mut record) {
+            return false;
+        }
+        if self.entries.len() >= MAX_RECORDS {
+            self.evict(Weight::new(part, &record, record.evidence(|_| false)));
+        }
+        if self.entries.len() >= MAX_RECORDS {
+            return false;
+        }
+        let entry = Entry {
+            record,
+            ..Entry::default()
+        };
+        self.entries.insert(part, entry);
+        self.weigh(part);
+        true
+    }
+
+    /// Weighs a record that has changed.
+    fn weigh(&mut self, part: PartKey) {
+        self.revision += 1;
+        let Some(entry) = self.entries.get_mut(&part) else {
+            return;
+        };
+        entry.revision = self.revision;
+        entry.evidence = entry.record.evidence(|_| false);
+        let is_now_conclusive = is_conclusive(&part, entry.evidence);
+        let was_conclusive = if is_now_conclusive {
+            !self.conclusive.insert(part)
+        } else {
+            self.conclusive.remove(&part)
         };
-        let mut weighed: Vec<(usize, Duration, PartKey)> = self.entries.iter().map(weigh).collect();
-        weighed.sort_unstable();
-        for (_, _, part) in weighed.into_iter().take(EVICTED_RECORDS) {
-            self.entries.remove(&part);
+        if !part.is_request() {
+            let is_covered = self.is_covered(&part);
+            self.set_covered(part, is_covered);
+        } else if is_now_conclusive || was_conclusive {
+            self.cover();
+        }
+    }
+
+    /// Finds out for all parts whether an accused request explains their crashes.
+    fn cover(&mut self) {
+        let parts = self.entries.iter().filter(|(part, entry)| {
+            let has_several = entry.evidence.total >= SUSPECTED_CRASHES;
+            !part.is_request() && (entry.is_covered || has_several)
+        });
+        let parts: Vec<PartKey> = parts.map(|(part, _)| *part).collect();
+        for part in parts {
+            let is_covered = self.is_covered(&part);
+            self.set_covered(part, is_covered);
+        }
+    }
+
+    fn set_covered(&mut self, part: PartKey, is_covered: bool) {
+        if let Some(entry) = self.entries.get_mut(&part) {
+            entry.is_covered = is_covered;
+        }
+    }
+
+    /// Whether one accused request shares almost all crashes of a part. If several requests are
+    /// needed, the part is what they have in common.
+    fn is_covered(&self, part: &PartKey) -> bool {
+        let crashes = self.record(part).map_or(&[][..], Record::crashes);
+        let requests = self.conclusive.iter().filter(|part| part.is_request());
+        let mut requests = requests.filter_map(|part| self.record(part));
+        crashes.len() >= SUSPECTED_CRASHES
+            && requests.any(|request| {
+                let is_shared =
+                    |crash: &Crash| request.crashes().iter().any(|it| it.is_same(crash));
+                let unshared = crashes.iter().filter(|crash| !is_shared(crash));
+                unshared.take(UNSHARED_CRASHES + 1).count() <= UNSHARED_CRASHES
+            })
+    }
+
+    /// Removes the records with the least evidence, of these those of requests and the oldest, to
+    /// make room for a new one. A request's first crash removes only records with less weight.
+    fn evict(&mut self, newcomer: Weight) {
+        let weigh =
+            |(part, entry): (&PartKey, &Entry)| Weight::new(*part, &entry.record, entry.evidence);
+        let is_weak = newcomer.part.is_request() && newcomer.crashes < SUSPECTED_CRASHES;
+        let weights = self.entries.iter().map(weigh);
+        let mut weights: Vec<Weight> = weights
+            .filter(|weight| !is_weak || *weight < newcomer)
+            .collect();
+        weights.sort_unstable();
+        for weight in weights.into_iter().take(EVICTED_RECORDS) {
+            self.entries.remove(&weight.part);
         }
+        self.forget_conclusive();
     }
 
     /// Removes expired records.
     pub fn prune(&mut self, now: Duration) {
-        self.entries.retain(|_, entry| {
+        self.entries.retain(|part, entry| {
             let retention = if entry.record.crashes().is_empty() {
                 PROGRESS_RETENTION
-            } else if is_conclusive(entry.evidence) {
+            } else if is_conclusive(part, entry.evidence) {
                 ACCUSED_RETENTION
+            } else if part.is_request() && entry.evidence.total < SUSPECTED_CRASHES {
+                REQUEST_RETENTION
             } else {
                 SUSPECT_RETENTION
             };
             entry.record.last_event() + retention > now
         });
+        self.forget_conclusive();
+    }
+
+    /// Updates what depends on removed records.
+    fn forget_conclusive(&mut self) {
+        let count = self.conclusive.len();
+        self.conclusive
+            .retain(|part| self.entries.contains_key(part));
+        if self.conclusive.len() < count {
+            self.cover();
+        }
     }
 
     /// The records that have changed since `revision`, as reports.
@@ -181,7 +304,7 @@
         if plain.crashes > 0 && self.is_accused_elsewhere(part) {
             return Status::Accused;
         }
-        if plain.total < SUSPECTED_CRASHES {
+        if plain.total < SUSPECTED_CRASHES || entry.is_covered {
             return Status::Clear;
         }
         let stronger = self.stronger_than(part, plain, &is_proven);
@@ -192,11 +315,11 @@
         };
         let evidence = entry.record.evidence(is_explained);
         if evidence.crashes >= CONCLUSIVE_CRASHES
-            || !is_proven && is_conclusive(evidence)
+            || !is_proven && is_conclusive(part, evidence)
             || is_proven && is_settled(evidence, now)
         {
             Status::Accused
-        } else if evidence.crashes >= SUSPECTED_CRASHES && !is_proven {
+        } else if counted_crashes(part, evidence) >= SUSPECTED_CRASHES && !is_proven {
             Status::Suspected
         } else {
             Status::Clear
@@ -205,23 +328,30 @@
 
     /// Whether the same part is accused at another service.
     fn is_accused_elsewhere(&self, part: &PartKey) -> bool {
-        let mut entries = self.entries.iter();
-        entries.any(|(other, entry)| {
-            other.id == part.id && other.service != part.service && is_conclusive(entry.evidence)
+        let mut same = self.conclusive.iter().filter(|other| other.id == part.id);
+        same.any(|other| {
+            let entry = self.entries.get(other);
+            other.service != part.service && entry.is_some_and(|entry| !entry.is_covered)
         })
     }
 
-    /// The records with more evidence, which explain the crashes that they share with the part.
+    /// The records with more evidence, which explain the crashes that they share with the part. A
+    /// request explains other requests here, and parts as in [`Self::is_covered`].
     fn stronger_than(
         &self,
         part: &PartKey,
         evidence: Evidence,
         is_proven: impl Fn(&PartKey, &Record) -> bool,
     ) -> Vec<&Record> {
-        let others = self.entries.iter().filter(|(other, _)| *other != part);
+        let crashes = counted_crashes(part, evidence);
+        let others = self
+            .conclusive
+            .iter()
+            .filter(|other| *other != part && (part.is_request() || !other.is_request()));
+        let others = others.filter_map(|other| Some((other, self.entries.get(other)?)));
         let stronger = others.filter(|(other, entry)| {
-            entry.evidence.crashes > evidence.crashes
-                && is_conclusive(entry.evidence)
+            entry.evidence.crashes > crashes
+                && !entry.is_covered
                 && !is_proven(other, &entry.record)
         });
         stronger.map(|(_, entry)| &entry.record).collect()
@@ -260,8 +390,20 @@
     }
 }
 
-/// Whether the crashes accuse a part that is not known to have been sound.
-fn is_conclusive(evidence: Evidence) -> bool {
+/// The crashes that count for a part or a request.
+fn counted_crashes(part: &PartKey, evidence: Evidence) -> usize {
+    if part.is_request() {
+        evidence.total
+    } else {
+        evidence.crashes
+    }
+}
+
+/// Whether the crashes accuse a request, or a part that is not known to have been sound.
+fn is_conclusive(part: &PartKey, evidence: Evidence) -> bool {
+    if part.is_request() {
+        return evidence.total >= ACCUSED_CRASHES;
+    }
     evidence.total >= CONCLUSIVE_CRASHES
         || evidence.crashes >= ACCUSED_CRASHES && evidence.targets >= ACCUSED_TARGETS
 }
--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! The evidence about one part.
+//! The evidence about one part or request.
 //!
 //! Records of several daemons merge to the union of their crashes and probes, whatever the order of
 //! the messages. Progress removes everything that is older.
@@ -28,8 +28,12 @@
 /// Most crashes of a record.
 const MAX_CRASHES: usize = FIRST_CRASHES + LAST_CRASHES + SAMPLED_CRASHES;
 
+/// Independent crashes of a request that no failure of a rack or a zone explains.
+const INDEPENDENT_CRASHES: usize = 3;
+
 /// Time from the last crash and the last probe until the next probe, by the number of probes sent.
-/// All gateways know of the last crash before the first one.
+/// All gateways know of the last crash before the first one. The first one is left out for a
+/// request with [`INDEPENDENT_CRASHES`].
 pub const PROBE_PAUSES: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(15),
@@ -202,15 +206,7 @@
     pub fn evidence(&self, is_explained: impl Fn(&Crash) -> bool) -> Evidence {
         let crashes = self.crashes.iter().filter(|crash| !is_explained(crash));
         let crashes: Vec<&Crash> = crashes.collect();
-        let mut counted: Vec<&Crash> = Vec::with_capacity(crashes.len());
-        for crash in &crashes {
-            if counted
-                .last()
-                .is_none_or(|last| crash.is_independent_of(last))
-            {
-                counted.push(crash);
-            }
-        }
+        let counted = independent(&crashes);
         let mut targets: Vec<u64> = counted.iter().map(|crash| crash.target).collect();
         targets.sort_unstable();
         targets.dedup();
@@ -230,15 +226,24 @@
         self.crashes.len() == other.crashes.len() && pairs.all(|(own, other)| own.is_same(other))
     }
 
-    /// When the next probe may be sent; none if all have been sent.
+    /// When the next probe of the part or request may be sent; none if all have been sent.
     #[must_use]
-    pub fn probe_due_at(&self) -> Option<Duration> {
-        let pause = PROBE_PAUSES.get(self.probes.len())?;
+    pub fn probe_due_at(&self, part: &PartKey) -> Option<Duration> {
+        let is_first_omitted = part.is_request() && self.has_independent_crashes();
+        let pause = PROBE_PAUSES.get(self.probes.len() + usize::from(is_first_omitted))?;
         let last_crash = self.crashes.last().map(|crash| crash.at);
         let last_event = last_crash.max(self.probes.last().copied());
         Some(last_event.unwrap_or_default() + *pause)
     }
 
+    /// Whether [`INDEPENDENT_CRASHES`] came before the first probe.
+    fn has_independent_crashes(&self) -> bool {
+        let first_probe = self.probes.first();
+        let is_before = |crash: &&Crash| first_probe.is_none_or(|probe| crash.at <= *probe);
+        let crashes: Vec<&Crash> = self.crashes.iter().filter(is_before).collect();
+        independent(&crashes).len() >= INDEPENDENT_CRASHES
+    }
+
     /// A report for other daemons.
     #[must_use]
     pub fn report(&self, part: PartKey, now: Duration) -> SuspectPart {
@@ -276,6 +281,18 @@
     }
 }
 
+/// The crashes that are independent of each other, oldest first.
+fn independent<'a>(crashes: &[&'a Crash]) -> Vec<&'a Crash> {
+    let mut independent: Vec<&Crash> = Vec::with_capacity(crashes.len());
+    for crash in crashes {
+        let last = independent.last();
+        if last.is_none_or(|last| crash.is_independent_of(last)) {
+            independent.push(crash);
+        }
+    }
+    independent
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
