--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -86,12 +86,12 @@
                 continue;
             };
             let (mut kind, path) = KINDS[self.random.random_range(0..KINDS.len())];
-            let draft = self.draw(path);
+            let id = format!("{}-{number}", self.name);
+            let draft = self.draw(path, &id);
             if !self.checker.crashes.is_sound(&draft) {
                 kind = CRASHING;
             }
-            let id = format!("{}-{number}", self.name);
-            if kind == "book" {
+            if draft.is_unsafe() {
                 self.checker.expect_at_most_once(&id);
             }
             let sent = Instant::now();
@@ -119,17 +119,16 @@
         }
     }
 
-    /// Draws the content of a request.
-    fn draw(&mut self, path: &'static str) -> Draft {
+    /// Draws the content of a request. Its body is its own.
+    fn draw(&mut self, path: &'static str, id: &str) -> Draft {
         let prompt = if self.draws_prompts {
             self.checker.crashes.draw_prompt(&mut self.random)
         } else {
             PROMPT.to_owned()
         };
         Draft {
-            path,
-            key: "key-1",
-            prompt,
+            body: format!("a body of {id}"),
+            ..Draft::post(path, prompt)
         }
     }
 
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -68,7 +68,7 @@
     state: Mutex<State>,
     /// The limits of targets.
     pub limits: Limits,
-    /// The parts of prompts that crash targets.
+    /// The requests that crash targets.
     pub crashes: Crashes,
 }
 
--- a/crates/azurelug-system/src/soak/crashes.rs
+++ b/crates/azurelug-system/src/soak/crashes.rs
@@ -1,37 +1,79 @@
-//! The parts of prompts that crash targets, and the requests with and without them.
+//! The requests that crash targets, by a part of their prompt or as a whole, and those beside them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use azurelug_testkit::crash::{Answered, CONTACT, Ledger, Request};
+use azurelug_testkit::crash::{Answered, CONTACT, Cause, Identity, Ledger, Request};
 use azurelug_testkit::outage::Outages;
+use http::Method;
 use rand::RngExt;
 use rand_pcg::Pcg64;
 
 /// Parts of prompts that crash no target.
 const SOUND_PARTS: [&str; 4] = ["91bd", "a402", "77f0", "03cc"];
 
-/// A part that crashes the targets of one service.
-type Part = (String, String);
-
 /// What a client put into a request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Draft {
-    /// The path, which selects the route.
+    /// The method.
+    pub method: Method,
+    /// The path, which selects the route, and the query.
     pub path: &'static str,
     /// The account's key.
     pub key: &'static str,
     /// The parts of the prompt with their tokens.
     pub prompt: String,
+    /// The body.
+    pub body: String,
+}
+
+impl Draft {
+    /// A POST of the account `carts` whose body belongs to its prompt.
+    #[must_use]
+    pub fn post(path: &'static str, prompt: String) -> Self {
+        Self {
+            method: Method::POST,
+            path,
+            key: "key-1",
+            body: format!("a body with {prompt}"),
+            prompt,
+        }
+    }
+
+    /// Whether it may run once only.
+    #[must_use]
+    pub fn is_unsafe(&self) -> bool {
+        route(self.path) == "book"
+    }
+
+    fn identity(&self) -> Identity {
+        Identity {
+            method: self.method.to_string(),
+            path: self.path.to_owned(),
+            account: account(self.key).to_owned(),
+            body: self.body.clone().into_bytes(),
+        }
+    }
 }
 
-/// What happened to one part.
+/// A request that has arrived at a target.
+#[derive(Debug)]
+pub struct Arrival<'a> {
+    /// What its repeats share with it.
+    pub identity: Identity,
+    /// Its prompt.
+    pub prompt: &'a str,
+    /// The gateway that sent it, if it is known.
+    pub gateway: Option<usize>,
+}
+
+/// What happened to one cause of crashes.
 #[derive(Clone, Debug)]
 pub struct Summary {
     /// Targets that it crashed.
     pub crashes: usize,
-    /// When every gateway in contact must know it; none before the fifth crash.
+    /// When every gateway in contact must know it; none before enough crashes.
     pub known_from: Option<Duration>,
     /// Requests with it that reached targets after that.
     pub late: usize,
@@ -43,7 +85,8 @@
 
 #[derive(Default)]
 struct State {
-    ledgers: BTreeMap<Part, Ledger>,
+    /// By service and cause.
+    ledgers: BTreeMap<(String, Cause), Ledger>,
     outages: Outages,
     /// Gateways under a fault, and since when.
     faulty: HashMap<usize, Duration>,
@@ -62,8 +105,17 @@
 
     /// Makes a part crash each target of a service that begins to answer a request with it.
     pub fn add_part(&self, service: &str, part: &str) {
-        let key = (service.to_owned(), part.to_owned());
-        let ledger = Ledger::new(part);
+        self.add(service, Cause::Part(part.to_owned()));
+    }
+
+    /// Makes a request crash each target of its service that begins to answer it.
+    pub fn add_request(&self, draft: &Draft) {
+        self.add(service(draft.path), Cause::Request(draft.identity()));
+    }
+
+    fn add(&self, service: &str, cause: Cause) {
+        let ledger = Ledger::new(cause.clone());
+        let key = (service.to_owned(), cause);
         self.state().ledgers.entry(key).or_insert(ledger);
     }
 
@@ -89,36 +141,35 @@
         format!("5c1e:800,{part}:400,{own:x}:250")
     }
 
-    /// Records a request that has arrived at a target, and returns the part that crashes the
-    /// target, if it has one.
+    /// Records a request that has arrived at a target, and returns what crashes the target, if
+    /// anything does.
     pub fn record_arrival(
         &self,
         service: &str,
-        prompt: &str,
-        gateway: Option<usize>,
+        arrival: &Arrival<'_>,
         now: Duration,
-    ) -> Option<String> {
-        let parts = shared_parts(prompt);
-        let gateway = gateway.map_or_else(|| "unknown".to_owned(), name);
+    ) -> Option<Cause> {
+        let parts = shared_parts(arrival.prompt);
+        let gateway = arrival.gateway.map_or_else(|| "unknown".to_owned(), name);
         let mut found = None;
-        for ((of, part), ledger) in &mut self.state().ledgers {
-            if of == service && parts.contains(part) {
+        for ((of, cause), ledger) in &mut self.state().ledgers {
+            if of == service && cause.is_in(&arrival.identity, &parts) {
                 ledger.record_arrival(&gateway, now);
-                found = Some(part.clone());
+                found = Some(cause.clone());
             }
         }
         found
     }
 
-    /// Records that a part has crashed a target.
-    pub fn record_crash(&self, service: &str, part: &str, now: Duration) {
-        let key = (service.to_owned(), part.to_owned());
+    /// Records that a cause has crashed a target.
+    pub fn record_crash(&self, service: &str, cause: &Cause, now: Duration) {
+        let key = (service.to_owned(), cause.clone());
         if let Some(ledger) = self.state().ledgers.get_mut(&key) {
             ledger.record_crash(now);
         }
     }
 
-    /// Whether a request has no part that crashes targets.
+    /// Whether neither a request nor a part of it crashes targets.
     pub fn is_sound(&self, draft: &Draft) -> bool {
         self.state().is_sound(draft)
     }
@@ -130,8 +181,8 @@
         let request = Request {
             gateway: name(gateway),
             sent,
-            route: draft.path.to_owned(),
-            key: draft.key.to_owned(),
+            route: route(draft.path).to_owned(),
+            identity: draft.identity(),
             parts: shared_parts(&draft.prompt),
             is_sound: state.is_sound(draft),
             has_begun,
@@ -161,12 +212,20 @@
         self.state().outages.record_all(now, now + CONTACT);
     }
 
-    /// What happened to each part, by the part and its service.
+    /// When every gateway in contact must know that a request crashes targets; none before enough
+    /// crashes.
+    pub fn known_from(&self, draft: &Draft) -> Option<Duration> {
+        let state = self.state();
+        let ledgers = state.ledgers_of(draft);
+        ledgers.filter_map(Ledger::known_from).min()
+    }
+
+    /// What happened to each cause, by the cause and its service.
     pub fn summary(&self) -> BTreeMap<String, Summary> {
         let state = self.state();
         let outages = state.all_outages();
         let ledgers = state.ledgers.iter();
-        let summaries = ledgers.map(|((service, part), ledger)| {
+        let summaries = ledgers.map(|((service, cause), ledger)| {
             let (during, before) = ledger.answered(&outages);
             let summary = Summary {
                 crashes: ledger.crash_count(),
@@ -175,7 +234,7 @@
                 before,
                 during,
             };
-            (format!("{part} at {service}"), summary)
+            (format!("{cause} at {service}"), summary)
         });
         summaries.collect()
     }
@@ -185,23 +244,27 @@
         let state = self.state();
         let outages = state.all_outages();
         let mut violations = Vec::new();
-        for ((service, part), ledger) in &state.ledgers {
+        for ((service, cause), ledger) in &state.ledgers {
             let found = ledger.violations(&outages);
-            violations.extend(
-                found
-                    .iter()
-                    .map(|it| format!("part {part} at {service}: {it}")),
-            );
+            violations.extend(found.iter().map(|it| format!("{cause} at {service}: {it}")));
         }
         violations
     }
 }
 
 impl State {
+    /// The ledgers of the causes that a request has.
+    fn ledgers_of(&self, draft: &Draft) -> impl Iterator<Item = &Ledger> {
+        let (service, identity) = (service(draft.path), draft.identity());
+        let parts = shared_parts(&draft.prompt);
+        let ledgers = self.ledgers.iter();
+        let of_draft =
+            ledgers.filter(move |((of, cause), _)| of == service && cause.is_in(&identity, &parts));
+        of_draft.map(|(_, ledger)| ledger)
+    }
+
     fn is_sound(&self, draft: &Draft) -> bool {
-        let (service, parts) = (service(draft.path), shared_parts(&draft.prompt));
-        let mut ledgers = self.ledgers.keys();
-        !ledgers.any(|(of, part)| of == service && parts.contains(part))
+        self.ledgers_of(draft).next().is_none()
     }
 
     /// The outages, with those that have not ended.
@@ -222,14 +285,27 @@
     parts
 }
 
-/// The service of a route in [`super::operator::configuration`].
+/// The route of a path.
+fn route(path: &str) -> &str {
+    path.split('/').nth(1).unwrap_or_default()
+}
+
+/// The service of a path in [`super::operator::configuration`].
 fn service(path: &str) -> &'static str {
-    match path.split('/').nth(1) {
-        Some("look" | "book") => "desk",
+    match route(path) {
+        "look" | "book" => "desk",
         _ => "llm",
     }
 }
 
+/// The account of a key in [`super::operator::configuration`].
+fn account(key: &str) -> &'static str {
+    match key {
+        "key-2" => "tolls",
+        _ => "carts",
+    }
+}
+
 fn name(gateway: usize) -> String {
     format!("gateway-{gateway}")
 }
--- a/crates/azurelug-system/src/soak/load.rs
+++ b/crates/azurelug-system/src/soak/load.rs
@@ -41,7 +41,7 @@
     pub repeat: u32,
     /// When it was sent, as time since the start of the run.
     pub sent: Duration,
-    /// Whether no part of its prompt crashes targets.
+    /// Whether neither it nor a part of its prompt crashes targets.
     pub is_sound: bool,
     /// HTTP status; none without an answer.
     pub status: Option<u16>,
@@ -197,6 +197,9 @@
         let limits = &self.checker.limits;
         let gateway = (self.gateway + repeat as usize) % self.addresses.len();
         limits.record_sent(id, gateway);
+        if draft.is_unsafe() {
+            self.checker.expect_at_most_once(id);
+        }
         let mut answer = Answer {
             draft: draft.clone(),
             gateway,
@@ -252,7 +255,9 @@
 
 /// Builds a client's request.
 pub(super) fn request(id: &str, draft: &Draft) -> Request<Full<Bytes>> {
-    let mut request = Request::post(draft.path)
+    let mut request = Request::builder()
+        .method(&draft.method)
+        .uri(draft.path)
         .header("host", "carts.example")
         .header("authorization", format!("Bearer {}", draft.key))
         .header("x-request-attempt-id", id)
@@ -262,6 +267,6 @@
     if !draft.prompt.is_empty() {
         request = request.header("x-prompt-prefix", &draft.prompt);
     }
-    let body = Full::new(Bytes::from_static(b"a body"));
+    let body = Full::new(Bytes::from(draft.body.clone()));
     request.body(body).expect("build a request")
 }
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -11,6 +11,7 @@
 
 use azurelug_gateway::body::{Body, BodyInterrupted};
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use azurelug_testkit::crash::Identity;
 use azurelug_testkit::proxy::{Link, Proxy, Settings};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::checker::Checker;
+use super::crashes::Arrival;
 pub use manner::Manner;
 use manner::{Run, send_events, send_halves};
 
@@ -314,7 +316,20 @@
         let behaviour = self.pool.behaviours().get(&self.name).copied();
         let behaviour = behaviour.unwrap_or_default();
         self.checker.check_arrival(&self.name, &id);
-        let crashing_part = self.record_prompt(&id, &header("x-prompt-prefix"));
+        let body = body.to_bytes();
+        let arrival = Arrival {
+            identity: Identity {
+                method: parts.method.to_string(),
+                path: parts.uri.to_string(),
+                account: header("x-tenant"),
+                body: body.to_vec(),
+            },
+            prompt: &header("x-prompt-prefix"),
+            gateway: self.checker.limits.gateway(&id),
+        };
+        let now = self.checker.limits.now();
+        let crashes = &self.checker.crashes;
+        let cause = crashes.record_arrival(self.service(), &arrival, now);
         let expected = header("x-expected-instance");
         if !expected.is_empty() && expected != self.pool.id(&self.name) {
             return not_run(&id, StatusCode::MISDIRECTED_REQUEST);
@@ -333,13 +348,13 @@
         }
         run.pause_at(0).await;
         match path {
-            "/stage-run" => self.run_pieces(&body.to_bytes()).await,
+            "/stage-run" => self.run_pieces(&body).await,
             "/stage-free" => Response::new(Body::complete(Bytes::from_static(b"{}"))),
             _ => {
                 self.prefill().await;
-                if crashing_part.is_some() || behaviour == Behaviour::Crashes {
+                if cause.is_some() || behaviour == Behaviour::Crashes {
                     run.end();
-                    return self.crash_on(&id, crashing_part, run).await;
+                    return self.crash_on(&id, cause, run).await;
                 }
                 let last = header("last-event-id").parse().unwrap_or(0);
                 self.run(&id, last, behaviour, run)
@@ -361,14 +376,6 @@
         }
     }
 
-    /// Records a request's prompt, and returns the part that crashes the target, if it has one.
-    fn record_prompt(&self, id: &str, prompt: &str) -> Option<String> {
-        let limits = &self.checker.limits;
-        let (gateway, now) = (limits.gateway(id), limits.now());
-        let crashes = &self.checker.crashes;
-        crashes.record_arrival(self.service(), prompt, gateway, now)
-    }
-
     /// Runs pieces. Each handle contains its request's id, so that inputs of another request are
     /// detected.
     async fn run_pieces(&self, body: &[u8]) -> Response<Body> {
--- a/crates/azurelug-system/src/soak/targets/crash.rs
+++ b/crates/azurelug-system/src/soak/targets/crash.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurelug_gateway::body::{Body, BodyInterrupted};
+use azurelug_testkit::crash::Cause;
 use azurelug_testkit::proxy::Proxy;
 use bytes::Bytes;
 use http::Response;
@@ -81,17 +82,17 @@
 }
 
 impl Target {
-    /// Begins to write an answer to a request, and crashes because of a part, if there is one.
+    /// Begins to write an answer to a request, and crashes; without a cause for no reason in it.
     pub(super) async fn crash_on(
         &self,
         id: &str,
-        part: Option<String>,
+        cause: Option<Cause>,
         run: Run,
     ) -> Response<Body> {
         let choice = rand::rng().random_range(0..WRITTEN.len());
         let Some(bytes) = WRITTEN[choice] else {
             self.checker.record_run(id);
-            self.crash(part.as_deref());
+            self.crash(cause.as_ref());
             return std::future::pending().await;
         };
         let mut response = self.run(id, 0, Behaviour::Normal, run);
@@ -103,20 +104,21 @@
                 let _ = sender.send(Ok(Bytes::from_static(bytes))).await;
             }
             sleep(WRITE_TIME).await;
-            target.crash(part.as_deref());
+            target.crash(cause.as_ref());
             sender.closed().await;
         });
         response
     }
 
-    fn crash(&self, part: Option<&str>) {
+    fn crash(&self, cause: Option<&Cause>) {
         let now = self.checker.limits.now();
         if !self.pool.crash(&self.name) {
             return;
         }
         self.checker.limits.record_crash(&self.name);
-        if let Some(part) = part {
-            self.checker.crashes.record_crash(self.service(), part, now);
+        if let Some(cause) = cause {
+            let crashes = &self.checker.crashes;
+            crashes.record_crash(self.service(), cause, now);
         }
     }
 }
--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -67,11 +67,7 @@
 fn talk(random: &mut Pcg64, shared: &[&str]) -> Draft {
     let own = format!("{:x}:250", random.random::<u32>());
     let shared = shared.iter().map(|part| format!("{part}:400,"));
-    Draft {
-        path: "/talk/x",
-        key: "key-1",
-        prompt: shared.collect::<String>() + &own,
-    }
+    Draft::post("/talk/x", shared.collect::<String>() + &own)
 }
 
 /// A sound request, which differs from one that crashes targets in one part.
--- a/crates/azurelug-system/tests/target_limits.rs
+++ b/crates/azurelug-system/tests/target_limits.rs
@@ -53,11 +53,7 @@
         seed: 0,
         repeats: 0,
     };
-    Load::start(deployment, pace, move |_| Draft {
-        path,
-        key: "key-1",
-        prompt: String::new(),
-    })
+    Load::start(deployment, pace, move |_| Draft::post(path, String::new()))
 }
 
 /// Stops the clients and returns the whole answers. A gateway that is killed gives none.
--- a/crates/azurelug-testkit/src/crash.rs
+++ b/crates/azurelug-testkit/src/crash.rs
@@ -1,8 +1,10 @@
-//! Checks the requests with a part of a prompt that crashes targets, and the requests beside them.
+//! Checks requests that crash targets, by a part of their prompt or as a whole, and the requests
+//! beside them.
 //!
-//! After the fifth crash, all gateways together may send few further requests with the part
-//! ([`ALLOWED`]). Meanwhile, requests without it that share the account or the first part must be
-//! answered at least half as often as before.
+//! After the fifth crash by a part, or the third by a whole request, all gateways together may send
+//! few further requests with the cause ([`ALLOWED`]). Meanwhile, related requests without it must be
+//! answered at least half as often as before: for a part those of the same routes that share the
+//! account or the first part, for a whole request all at its service.
 
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
@@ -10,18 +12,43 @@
 
 use crate::outage::Outages;
 
-/// Crashes after which the part must be known.
-pub const CRASHES: usize = 5;
+/// Crashes after which a part must be known.
+pub const PART_CRASHES: usize = 5;
 
-/// Time from the last of these crashes until every gateway must know the part.
+/// Crashes after which a whole request must be known.
+pub const REQUEST_CRASHES: usize = 3;
+
+/// Time from the last of these crashes until every gateway must know the cause.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
-/// Requests with the part that may reach targets after that time.
+/// Requests with the cause that may reach targets after that time.
 pub const ALLOWED: usize = 3;
 
-/// Requests without the part that a share of answered ones is taken from.
+/// Requests without the cause that a share of answered ones is taken from.
 const MIN_REQUESTS: usize = 20;
 
+/// What all repeats of a request have in common.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Identity {
+    /// HTTP method.
+    pub method: String,
+    /// The path with the query.
+    pub path: String,
+    /// The client account.
+    pub account: String,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// What crashes targets.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// A part of prompts.
+    Part(String),
+    /// A whole request.
+    Request(Identity),
+}
+
 /// A client's request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -31,26 +58,26 @@
     pub sent: Duration,
     /// The route.
     pub route: String,
-    /// The account's key.
-    pub key: String,
+    /// What its repeats share with it.
+    pub identity: Identity,
     /// The parts of its prompt that other requests may share.
     pub parts: Vec<String>,
-    /// Whether none of its parts crashes targets.
+    /// Whether neither it nor one of its parts crashes targets.
     pub is_sound: bool,
     /// Whether the client received the beginning of a successful answer.
     pub has_begun: bool,
 }
 
-/// The events that concern one part at the targets of one service.
+/// The events that concern one cause at the targets of one service.
 #[derive(Debug)]
 pub struct Ledger {
-    part: String,
+    cause: Cause,
     crashes: Vec<Duration>,
     arrivals: Vec<(Duration, String)>,
     requests: Vec<Request>,
 }
 
-/// Requests without the part, and how many of them were answered.
+/// Requests without the cause, and how many of them were answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Answered {
     /// Those whose answer has begun.
@@ -62,18 +89,20 @@
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
-    /// Too many requests with the part reached targets after it had to be known.
+    /// Too many requests with the cause reached targets after it had to be known.
     Arrivals {
+        /// Crashes after which it had to be known.
+        crashes: usize,
         /// Their number.
         count: usize,
         /// Requests by gateway.
         gateways: Vec<(String, usize)>,
     },
-    /// Requests without the part were answered less than half as often as before.
+    /// Requests without the cause were answered less than half as often as before.
     Unanswered {
-        /// Requests while the part had to be known and requests with it still came.
+        /// Requests while the cause had to be known and requests with it still came.
         during: Answered,
-        /// Requests before the first request with the part.
+        /// Requests before the first request with the cause.
         before: Answered,
     },
 }
@@ -81,9 +110,13 @@
 impl fmt::Display for Violation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Arrivals { count, gateways } => write!(
+            Self::Arrivals {
+                crashes,
+                count,
+                gateways,
+            } => write!(
                 formatter,
-                "{count} requests reached targets later than {CONTACT:?} after crash {CRASHES}, \
+                "{count} requests reached targets later than {CONTACT:?} after crash {crashes}, \
                  {ALLOWED} are allowed: {gateways:?}"
             ),
             Self::Unanswered { during, before } => write!(
@@ -95,24 +128,61 @@
     }
 }
 
+impl Cause {
+    /// Crashes after which every gateway in contact must know it.
+    #[must_use]
+    pub fn crash_limit(&self) -> usize {
+        match self {
+            Self::Part(_) => PART_CRASHES,
+            Self::Request(_) => REQUEST_CRASHES,
+        }
+    }
+
+    /// Whether a request with these shared parts has it.
+    #[must_use]
+    pub fn is_in(&self, identity: &Identity, parts: &[String]) -> bool {
+        match self {
+            Self::Part(part) => parts.contains(part),
+            Self::Request(request) => request == identity,
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(formatter, "part {part}"),
+            Self::Request(Identity {
+                method,
+                path,
+                account,
+                body,
+            }) => {
+                let body = String::from_utf8_lossy(body);
+                write!(formatter, "{method} {path} of {account} with {body:?}")
+            }
+        }
+    }
+}
+
 impl Ledger {
-    /// Creates a ledger without events for a part.
+    /// Creates a ledger without events for a cause.
     #[must_use]
-    pub fn new(part: &str) -> Self {
+    pub fn new(cause: Cause) -> Self {
         Self {
-            part: part.to_owned(),
+            cause,
             crashes: Vec::new(),
             arrivals: Vec::new(),
             requests: Vec::new(),
         }
     }
 
-    /// Records that the part has crashed a target. Times don't decrease.
+    /// Records that the cause has crashed a target. Times don't decrease.
     pub fn record_crash(&mut self, at: Duration) {
         self.crashes.push(at);
     }
 
-    /// Records a request with the part that has arrived at a target, whether or not it runs.
+    /// Records a request with the cause that has arrived at a target, whether or not it runs.
     pub fn record_arrival(&mut self, gateway: &str, at: Duration) {
         self.arrivals.push((at, gateway.to_owned()));
     }
@@ -128,13 +198,14 @@
         self.crashes.len()
     }
 
-    /// When every gateway in contact must know the part; none after fewer crashes.
+    /// When every gateway in contact must know the cause; none after fewer crashes.
     #[must_use]
     pub fn known_from(&self) -> Option<Duration> {
-        self.crashes.get(CRASHES - 1).map(|at| *at + CONTACT)
+        let last = self.crashes.get(self.cause.crash_limit() - 1);
+        last.map(|at| *at + CONTACT)
     }
 
-    /// Requests with the part that reached targets after it had to be known, by gateway.
+    /// Requests with the cause that reached targets after it had to be known, by gateway.
     #[must_use]
     pub fn late_arrivals(&self, outages: &Outages) -> BTreeMap<String, usize> {
         let mut gateways = BTreeMap::new();
@@ -147,31 +218,42 @@
         gateways
     }
 
-    /// Sound requests from twice [`CONTACT`] after the fifth crash, or the last one if there are
-    /// fewer, until the last request with the part; and those before the first request with it.
+    /// Related sound requests from twice [`CONTACT`] after the crash that made the cause known, or
+    /// the last one if there are fewer, until the last request with the cause; and those before the
+    /// first request with it.
     #[must_use]
     pub fn answered(&self, outages: &Outages) -> (Answered, Answered) {
-        let with_part: Vec<&Request> = self
+        let with_cause: Vec<&Request> = self
             .requests
             .iter()
-            .filter(|request| request.parts.contains(&self.part))
+            .filter(|request| self.cause.is_in(&request.identity, &request.parts))
             .collect();
-        let sent = || with_part.iter().map(|request| request.sent);
-        let crash = self.crashes.iter().take(CRASHES).next_back();
+        let sent = || with_cause.iter().map(|request| request.sent);
+        let counted = self.crashes.iter().take(self.cause.crash_limit());
+        let crash = counted.max();
         let (Some(first), Some(last), Some(crash)) = (sent().min(), sent().max(), crash) else {
             return Default::default();
         };
         let start = *crash + 2 * CONTACT;
-        let routes: HashSet<&str> = with_part.iter().map(|it| it.route.as_str()).collect();
-        let keys: HashSet<&str> = with_part.iter().map(|it| it.key.as_str()).collect();
-        let firsts: HashSet<&String> = with_part.iter().filter_map(|it| it.parts.first()).collect();
+        let routes: HashSet<&str> = with_cause.iter().map(|it| it.route.as_str()).collect();
+        let accounts = with_cause.iter().map(|it| it.identity.account.as_str());
+        let accounts: HashSet<&str> = accounts.collect();
+        let firsts: HashSet<&String> = with_cause
+            .iter()
+            .filter_map(|it| it.parts.first())
+            .collect();
+        let is_related = |request: &Request| match self.cause {
+            Cause::Request(_) => true,
+            Cause::Part(_) => {
+                let shares_first = request.parts.first().is_some_and(|it| firsts.contains(it));
+                let shares_account = accounts.contains(request.identity.account.as_str());
+                routes.contains(request.route.as_str()) && (shares_first || shares_account)
+            }
+        };
         let (mut during, mut before) = (Answered::default(), Answered::default());
         for request in &self.requests {
-            let shares_first = request.parts.first().is_some_and(|it| firsts.contains(it));
-            let is_related = shares_first || keys.contains(request.key.as_str());
             let is_counted = request.is_sound
-                && is_related
-                && routes.contains(request.route.as_str())
+                && is_related(request)
                 && !outages.covers(&request.gateway, request.sent);
             let span = match request.sent {
                 _ if !is_counted => continue,
@@ -192,8 +274,11 @@
         let late = self.late_arrivals(outages);
         let count = late.values().sum();
         if count > ALLOWED {
-            let gateways = late.into_iter().collect();
-            violations.push(Violation::Arrivals { count, gateways });
+            violations.push(Violation::Arrivals {
+                crashes: self.cause.crash_limit(),
+                count,
+                gateways: late.into_iter().collect(),
+            });
         }
         let (during, before) = self.answered(outages);
         let is_enough = during.all >= MIN_REQUESTS && before.all >= MIN_REQUESTS;
--- a/crates/azurelug-testkit/tests/crash.rs
+++ b/crates/azurelug-testkit/tests/crash.rs
@@ -1,16 +1,25 @@
-//! Tests of the check of requests with parts that crash targets.
+//! Tests of the check of requests that crash targets.
 
 use std::time::Duration;
 
-use azurelug_testkit::crash::{Answered, Ledger, Request, Violation};
+use azurelug_testkit::crash::{Answered, Cause, Identity, Ledger, Request, Violation};
 use azurelug_testkit::outage::Outages;
 
 const MS: Duration = Duration::from_millis(1);
 
+fn identity(body: &str) -> Identity {
+    Identity {
+        method: "POST".to_owned(),
+        path: "/talk/x".to_owned(),
+        account: "carts".to_owned(),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
 /// A ledger in which the part `d` crashes a target every 500 ms from second 2 on, and the fifth
 /// crash is at second 4.
 fn ledger() -> Ledger {
-    let mut ledger = Ledger::new("d");
+    let mut ledger = Ledger::new(Cause::Part("d".to_owned()));
     for number in 0..6 {
         ledger.record_crash((2000 + number * 500) * MS);
     }
@@ -22,7 +31,7 @@
         gateway: "a".to_owned(),
         sent,
         route: "talk".to_owned(),
-        key: "key".to_owned(),
+        identity: identity(part),
         parts: vec!["base".to_owned(), part.to_owned()],
         is_sound: part != "d",
         has_begun,
@@ -48,7 +57,11 @@
     assert_eq!(ledger.violations(&Outages::default()), []);
     ledger.record_arrival("b", 20_000 * MS);
     let gateways = vec![("a".to_owned(), 3), ("b".to_owned(), 1)];
-    let expected = Violation::Arrivals { count: 4, gateways };
+    let expected = Violation::Arrivals {
+        crashes: 5,
+        count: 4,
+        gateways,
+    };
     assert_eq!(ledger.violations(&Outages::default()), [expected]);
 }
 
@@ -57,7 +70,7 @@
 #[test]
 fn requests_out_of_contact_and_before_the_fifth_crash_are_allowed() {
     let mut late = ledger();
-    let mut early = Ledger::new("d");
+    let mut early = Ledger::new(Cause::Part("d".to_owned()));
     for number in 0..4 {
         early.record_crash((2000 + number * 500) * MS);
     }
@@ -104,7 +117,7 @@
 /// ignores a time after fewer than five crashes.
 #[test]
 fn only_related_sound_requests_count() {
-    let mut ledger = Ledger::new("d");
+    let mut ledger = Ledger::new(Cause::Part("d".to_owned()));
     ledger.record_crash(2000 * MS);
     record_sound(&mut ledger, 1000, 20, 20);
     ledger.record_request(request(1500 * MS, "d", false));
@@ -115,7 +128,10 @@
         let sent = (8000 + number) * MS;
         let unrelated = Request {
             sent,
-            key: "another".to_owned(),
+            identity: Identity {
+                account: "another".to_owned(),
+                ..identity("s")
+            },
             parts: with_other_first(),
             ..sound.clone()
         };
@@ -136,13 +152,80 @@
     assert_eq!(ledger.violations(&Outages::default()), []);
     for number in 0..20 {
         let sent = (8000 + number) * MS;
-        let (key, parts) = ("key".to_owned(), with_other_first());
         ledger.record_request(Request {
             sent,
-            key,
-            parts,
+            parts: with_other_first(),
             ..sound.clone()
         });
     }
     assert_eq!(ledger.violations(&Outages::default()).len(), 1);
 }
+
+/// Guards against a check of whole requests that allows a fourth crash, as for parts.
+#[test]
+fn one_whole_request_too_many_after_the_third_crash_is_found() {
+    let mut ledger = Ledger::new(Cause::Request(identity("d")));
+    for number in 0..3 {
+        ledger.record_crash((2000 + number * 500) * MS);
+    }
+    assert_eq!(ledger.known_from(), Some(6000 * MS));
+    for at in [5999, 6000, 6001, 6002, 6003] {
+        ledger.record_arrival("a", at * MS);
+    }
+    assert_eq!(ledger.violations(&Outages::default()), []);
+    ledger.record_arrival("b", 20_000 * MS);
+    let expected = Violation::Arrivals {
+        crashes: 3,
+        count: 4,
+        gateways: vec![("a".to_owned(), 3), ("b".to_owned(), 1)],
+    };
+    assert_eq!(ledger.violations(&Outages::default()), [expected]);
+}
+
+/// Guards against a check that takes a sound request for the one that crashes targets because most
+/// of its identity is the same, and against one that counts related requests only.
+#[test]
+fn sound_requests_that_differ_in_one_field_count() {
+    let deadly = identity("d");
+    let others = [
+        Identity {
+            method: "GET".to_owned(),
+            ..deadly.clone()
+        },
+        Identity {
+            path: "/talk/x?2".to_owned(),
+            ..deadly.clone()
+        },
+        Identity {
+            account: "tolls".to_owned(),
+            ..deadly.clone()
+        },
+        identity("e"),
+    ];
+    let mut ledger = Ledger::new(Cause::Request(deadly.clone()));
+    ledger.record_crash(2000 * MS);
+    let record = |ledger: &mut Ledger, at: u32, other: &Identity, has_begun| {
+        ledger.record_request(Request {
+            identity: other.clone(),
+            parts: Vec::new(),
+            is_sound: *other != deadly,
+            ..request(at * MS, "s", has_begun)
+        });
+    };
+    for number in 0..20 {
+        for (index, other) in others.iter().enumerate() {
+            record(&mut ledger, 1000 + number, other, true);
+            // Two of the four are refused, which is still allowed.
+            record(&mut ledger, 8000 + number, other, index < 2);
+        }
+    }
+    record(&mut ledger, 1500, &deadly, false);
+    record(&mut ledger, 9000, &deadly, false);
+    assert_eq!(ledger.violations(&Outages::default()), []);
+    record(&mut ledger, 8500, &others[3], false);
+    let expected = Violation::Unanswered {
+        during: Answered { begun: 40, all: 81 },
+        before: Answered { begun: 80, all: 80 },
+    };
+    assert_eq!(ledger.violations(&Outages::default()), [expected]);
+}
