--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -2,47 +2,28 @@
 //! to answer a request with a certain part in its prompt.
 #![allow(clippy::unwrap_used)]
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+#[path = "support/crashing.rs"]
+mod crashing;
+
 use std::time::Duration;
 
-use azurelug_system::soak::Options;
 use azurelug_system::soak::crashes::Draft;
-use azurelug_system::soak::deployment::Deployment;
-use azurelug_system::soak::load::{Answer, Load, Pace};
+use azurelug_system::soak::load::Answer;
 use azurelug_system::soak::plan::Fault;
 use azurelug_system::soak::targets::Behaviour;
-use azurelug_testkit::crash::ALLOWED;
+use crashing::{
+    BASE, CRASHING, CRASHING_TIME, Crashing, END_TIME, LONG_CRASHING_TIME, SOUND, Scenario,
+    check_refusals, count_begun, options, sound, talk,
+};
 use rand::RngExt;
 use rand_pcg::Pcg64;
 use tokio::time::sleep;
 
-/// How long all requests are sound.
-const SOUND_TIME: Duration = Duration::from_millis(2500);
-
-/// How long requests with parts that crash targets come afterwards.
-const CRASHING_TIME: Duration = Duration::from_secs(15);
-
-/// How long they come in a long run.
-const LONG_CRASHING_TIME: Duration = Duration::from_secs(25);
-
-/// Time between two requests at one gateway.
-const INTERVAL: Duration = Duration::from_millis(100);
-
-/// The part that all requests of the route share, unless a test says otherwise.
-const BASE: &str = "5c1e";
-
-/// Parts that crash no target.
-const SOUND: [&str; 4] = ["91bd", "a402", "77f0", "03cc"];
-
 /// Sound parts that few requests share.
 const RARE: [&str; 16] = [
     "a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9", "aa", "ab", "ac", "ad", "ae", "af",
 ];
 
-/// Parts that crash targets.
-const CRASHING: [&str; 2] = ["dead", "de4d"];
-
 /// The targets that stream.
 const ENGINES: [&str; 6] = ["llm-a", "llm-b", "llm-c", "llm-a-2", "llm-b-2", "llm-c-2"];
 
@@ -53,155 +34,11 @@
 /// time for which a target is down, and the time of contact.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
-/// Last part of a run, when the parts that crash targets are known.
-const END_TIME: Duration = Duration::from_secs(4);
-
-/// Requests that may be denied, besides one in 500.
-const DENIED: usize = 5;
-
-/// Longest time until a request is refused: a third of the route's latency objective of 1 s, and
-/// time for the processes.
-const REFUSAL_LIMIT: Duration = Duration::from_millis(800);
-
-/// A draft on the streaming route. The last part belongs to the request.
-fn talk(random: &mut Pcg64, shared: &[&str]) -> Draft {
-    let own = format!("{:x}:250", random.random::<u32>());
-    let shared = shared.iter().map(|part| format!("{part}:400,"));
-    Draft::post("/talk/x", shared.collect::<String>() + &own)
-}
-
-/// A sound request, which differs from one that crashes targets in one part.
-fn sound(random: &mut Pcg64) -> Draft {
-    let part = SOUND[random.random_range(0..SOUND.len())];
-    talk(random, &[BASE, part])
-}
-
-/// Parts that crash the targets of a service, and the share of requests with one of them.
-struct Crashing<'a> {
-    service: &'a str,
-    parts: &'a [&'a str],
-    share: f64,
-}
-
-impl Crashing<'_> {
-    /// One part that crashes engines.
-    fn engines(share: f64) -> Self {
-        Self {
-            service: "llm",
-            parts: &CRASHING[..1],
-            share,
-        }
-    }
-
-    fn none() -> Self {
-        Self {
-            parts: &[],
-            ..Self::engines(0.0)
-        }
-    }
-}
-
-/// A deployment with requests, of which some will crash targets.
-struct Scenario {
-    seed: u64,
-    deployment: Deployment,
-    load: Load,
-    has_started: Arc<AtomicBool>,
-}
-
-impl Scenario {
-    /// Starts a deployment and sound requests. `unsound` draws requests that crash targets.
-    async fn start<F, G>(options: Options, crashing: Crashing<'_>, sound: F, unsound: G) -> Self
-    where
-        F: Fn(&mut Pcg64) -> Draft + Copy + Send + 'static,
-        G: Fn(&mut Pcg64) -> Draft + Copy + Send + 'static,
-    {
-        let share = crashing.share;
-        let deployment = Deployment::start(&options, Arc::default()).await;
-        for part in crashing.parts {
-            let crashes = &deployment.checker().crashes;
-            crashes.add_part(crashing.service, part);
-        }
-        let has_started = Arc::new(AtomicBool::new(false));
-        let pace = Pace {
-            gateways: &[],
-            interval: INTERVAL,
-            seed: options.seed,
-            repeats: 2,
-        };
-        let started = Arc::clone(&has_started);
-        let load = Load::start(&deployment, pace, move |random| {
-            let is_unsound = random.random_bool(share);
-            if is_unsound && started.load(Ordering::Relaxed) {
-                unsound(random)
-            } else {
-                sound(random)
-            }
-        });
-        sleep(SOUND_TIME).await;
-        Self {
-            seed: options.seed,
-            deployment,
-            load,
-            has_started,
-        }
-    }
-
-    /// Lets requests come that crash targets.
-    fn begin(&self) {
-        self.has_started.store(true, Ordering::Relaxed);
-    }
-
-    /// Time since the start of the run.
-    fn now(&self) -> Duration {
-        self.deployment.checker().limits.now()
-    }
-
-    /// Crashes targets at once without a cause in requests.
-    fn crash(&self, targets: &[&str]) {
-        for target in targets {
-            self.deployment.crash(target);
-        }
-    }
-
-    /// Has a fault for some time.
-    async fn fail(&mut self, fault: &Fault, time: Duration) {
-        self.deployment.start_fault(fault);
-        sleep(time).await;
-        self.deployment.end_fault(fault).await;
-    }
-
-    /// Waits until the end, stops the requests and checks the rules.
-    async fn finish(self, time_left: Duration) -> Vec<Answer> {
-        sleep(time_left).await;
-        let answers = self.load.close().await;
-        let checker = self.deployment.checker();
-        let report = self.deployment.finish(self.seed, &checker, &[]);
-        for (part, summary) in checker.crashes.summary() {
-            println!("{part}: {summary:?}");
-            assert!(summary.crashes > 0, "{part} has crashed no target");
-        }
-        let denied = answers.iter().filter(|answer| answer.is_denied()).count();
-        assert!(denied <= DENIED + answers.len() / 500, "{denied} denied");
-        let logs = report.log_folder;
-        assert_eq!(report.violations, [] as [String; 0], "logs in {logs:?}");
-        answers
-    }
-}
-
 /// Whether requests share a part with others.
 fn has_part(answer: &Answer, part: &str) -> bool {
     answer.draft.prompt.contains(&format!("{part}:400,"))
 }
 
-/// Sound requests at the first attempt whose answer has begun, and all of them.
-fn count_begun<'a>(answers: impl Iterator<Item = &'a Answer>) -> (usize, usize) {
-    let first = answers.filter(|answer| answer.is_sound && answer.repeat == 0);
-    first.fold((0, 0), |(begun, all), answer| {
-        (begun + usize::from(answer.has_begun), all + 1)
-    })
-}
-
 /// Checks that at least `percent` of the requests with each sound part are answered from a time on.
 fn check_parts(parts: &[&str], answers: &[Answer], start: Duration, percent: usize) {
     for part in parts {
@@ -214,26 +51,6 @@
     }
 }
 
-/// Checks that requests with a part that every gateway must know are refused at once, except the
-/// few that may reach targets.
-fn check_refusals(answers: &[Answer], known_from: Duration) {
-    let unsound = answers
-        .iter()
-        .filter(|it| !it.is_sound && it.sent > known_from);
-    let late = unsound.filter(|it| !it.is_whole || it.elapsed > REFUSAL_LIMIT);
-    let late: Vec<&Answer> = late.collect();
-    assert!(late.len() <= ALLOWED, "{late:?}");
-}
-
-fn options(seed: u64, gateways_per_zone: u8) -> Options {
-    Options {
-        seed,
-        gateways_per_zone,
-        targets_per_zone: 2,
-        ..Options::default()
-    }
-}
-
 /// Guards against requests with one part that crash one target after another, because each gateway
 /// sees few of the crashes, and against the loss of the sound requests beside them.
 #[tokio::test(flavor = "multi_thread")]
@@ -244,7 +61,7 @@
     let checker = scenario.deployment.checker();
     let answers = scenario.finish(LONG_CRASHING_TIME).await;
     for summary in checker.crashes.summary().values() {
-        check_refusals(&answers, summary.known_from.unwrap_or(Duration::MAX));
+        check_refusals(answers.iter(), summary.known_from.unwrap_or(Duration::MAX));
     }
 }
 
