--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -1,7 +1,7 @@
 //! Answers clients' requests.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use azurelug_core::gateway::fleet::Weights;
@@ -174,6 +174,7 @@
         body,
         arrived,
         deadline,
+        digest: OnceLock::new(),
         is_probe: false,
         crashes: AtomicU32::new(0),
         route,
