core: the model of the quarantine plays whole requests that crash targets

The model knew only deadly prompt parts. It now gives requests a key of their own, plays deadly ones that clients repeat at any gateway, with and without parts, and a sound one that is pending at several targets of a failing rack. The draws of runs without own keys, and so these runs, are as before.

--- a/crates/azurelug-core/tests/gateway_quarantine.rs
+++ b/crates/azurelug-core/tests/gateway_quarantine.rs
@@ -3,6 +3,8 @@
 
 #[path = "support/quarantine_daemons.rs"]
 mod quarantine_daemons;
+#[path = "support/quarantine_keys.rs"]
+mod quarantine_keys;
 #[path = "support/quarantine_model.rs"]
 mod quarantine_model;
 #[path = "support/quarantine_totals.rs"]
--- a/crates/azurelug-core/tests/support/quarantine_model.rs
+++ b/crates/azurelug-core/tests/support/quarantine_model.rs
@@ -1,5 +1,5 @@
 //! A model of gateways, control daemons and targets, of which some crash under requests with a
-//! deadly prompt part. Messages arrive late, gateways restart and are cut off.
+//! deadly prompt part or under deadly requests. Messages arrive late, gateways restart and are cut off.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -33,21 +33,21 @@
 pub(crate) struct Model {
     pub(crate) now: Duration,
     pub(crate) totals: Totals,
-    size: Size,
+    pub(crate) size: Size,
     gateways: Vec<Gateway>,
     listed: Arc<[Peer]>,
     list_version: usize,
     controls: Vec<Control>,
     targets: Vec<Target>,
     requests: Vec<Request>,
-    deadly: Vec<Deadly>,
+    pub(crate) deadly: Vec<Deadly>,
     accused_since: HashMap<u64, Duration>,
     /// When the first request was refused for each false accusation.
     refused_since: HashMap<u64, Duration>,
     next_exchange: Duration,
-    next_id: u64,
+    pub(crate) next_id: u64,
     due: f64,
-    random: Pcg64,
+    pub(crate) random: Pcg64,
 }
 
 impl Model {
@@ -289,14 +289,7 @@
     fn arrive(&mut self) {
         let gateway = self.pick();
         let service = self.random.random_range(0..self.size.services);
-        let square: f64 = self.random.random_range(0.0_f64..1.0).powi(2);
-        let document = 1000 + (square * self.size.documents as f64) as u64;
-        let mut ids = vec![self.random.random_range(0..3), document];
-        for deadly in self.deadly.clone() {
-            if self.random.random_range(0.0..1.0) < deadly.share {
-                ids.push(deadly.id);
-            }
-        }
+        let ids = self.draw_ids();
         let key = |id: &u64| PartKey { service, id: *id };
         let is_sound = !ids.iter().any(|id| self.is_deadly(*id));
         let request = Request {
--- a/crates/azurelug-core/tests/support/quarantine_totals.rs
+++ b/crates/azurelug-core/tests/support/quarantine_totals.rs
@@ -6,7 +6,7 @@
 /// Time within which rules with a time bound begin to hold.
 pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
 
-/// A part that crashes targets.
+/// A part or a request that crashes targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Deadly {
     /// Its id.
@@ -29,6 +29,12 @@
     pub(crate) rate: f64,
     /// Distinct parts in the second position.
     pub(crate) documents: u64,
+    /// Whether requests have prompt parts.
+    pub(crate) has_parts: bool,
+    /// Whether requests have a key of their own.
+    pub(crate) has_own_keys: bool,
+    /// Id of the own key of a sound request that clients repeat, and its share of the requests.
+    pub(crate) hot: (u64, f64),
 }
 
 impl Size {
@@ -41,6 +47,9 @@
             services: 1,
             rate: targets as f64 * 4.0,
             documents: 200,
+            has_parts: true,
+            has_own_keys: false,
+            hot: (0, 0.0),
         }
     }
 }
@@ -67,11 +76,17 @@
 impl Totals {
     /// Sends by gateways in touch later than the contact time after the fifth crash.
     pub(crate) fn late_sends(&self, id: u64) -> usize {
-        let Some(fifth) = self.crashes.get(&id).and_then(|crashes| crashes.get(4)) else {
+        self.sends_after_crash(5, id)
+    }
+
+    /// Sends by gateways in touch later than the contact time after a crash, counted from 1.
+    pub(crate) fn sends_after_crash(&self, number: usize, id: u64) -> usize {
+        let crashes = self.crashes.get(&id);
+        let Some(crash) = crashes.and_then(|crashes| crashes.get(number - 1)) else {
             return 0;
         };
         let sends = self.sends.get(&id).into_iter().flatten();
-        sends.filter(|at| **at > *fifth + CONTACT_TIME).count()
+        sends.filter(|at| **at > *crash + CONTACT_TIME).count()
     }
 
     /// Number of crashes of a part.
