system: failing tests of a request with two keys and of the parts beside one

What callers see: sound requests are refused because they were at the targets that another request crashed, and the parts of their prompts are accused.

Change: `parts_beside_a_request_that_crashes_targets_are_not_refused` and `a_request_with_two_keys_of_an_account_does_not_crash_one_target_after_another`, ignored and in KNOWN-RED.txt.

--- a/crates/azurelug-system/tests/crashing_requests.rs
+++ b/crates/azurelug-system/tests/crashing_requests.rs
@@ -9,7 +9,10 @@
 
 use azurelug_system::soak::crashes::Draft;
 use azurelug_system::soak::load::Answer;
+use azurelug_system::soak::operator::{configuration, send_order};
 use azurelug_system::soak::plan::Fault;
+use azurelug_testkit::crash::CONTACT;
+use bytes::Bytes;
 use crashing::{
     BASE, CRASHING, CRASHING_TIME, Crashing, END_TIME, SOUND, Scenario, check_refusals,
     count_begun, options, sound, talk,
@@ -153,18 +156,32 @@
     check_one(9205, plain("/chat/x"), sound).await;
 }
 
+/// Sends one request that crashes targets beside sound ones with shared parts, and checks that 95
+/// of 100 of these are answered at the end.
+async fn check_shared_parts(seed: u64, request: Draft, sound: fn(&mut Pcg64) -> Draft) {
+    let requests = [request];
+    let scenario = start(seed, &requests, sound).await;
+    let start = scenario.now() + CRASHING_TIME - END_TIME;
+    let answers = check(scenario, &requests).await;
+    let (begun, all) = count_begun(answers.iter().filter(|it| it.sent >= start));
+    assert!(all > 0 && begun * 100 >= all * 95, "{begun} of {all}");
+}
+
 /// Guards against sound requests that are refused because all their shared parts are those of a
 /// request that crashes targets.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "KNOWN-RED.txt: requests that crash targets are sent on and on"]
 async fn shared_parts_of_a_request_that_crashes_targets_are_not_refused() {
     let sound = |random: &mut Pcg64| post(random, "/talk/x", &[BASE, SOUND[0]]);
-    let requests = [fixed("/talk/x", &[BASE, SOUND[0]])];
-    let scenario = start(9206, &requests, sound).await;
-    let start = scenario.now() + CRASHING_TIME - END_TIME;
-    let answers = check(scenario, &requests).await;
-    let (begun, all) = count_begun(answers.iter().filter(|it| it.sent >= start));
-    assert!(all > 0 && begun * 100 >= all * 95, "{begun} of {all}");
+    check_shared_parts(9206, fixed("/talk/x", &[BASE, SOUND[0]]), sound).await;
+}
+
+/// Guards against parts that are blamed for a request without them, because requests with them
+/// were at the targets that it crashed.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt: requests that crash targets are sent on and on"]
+async fn parts_beside_a_request_that_crashes_targets_are_not_refused() {
+    check_shared_parts(9214, fixed("/talk/x", &[]), sound).await;
 }
 
 /// Guards against a decision on one request that hides another at the same service.
@@ -243,6 +260,26 @@
     scenario.finish(Duration::from_secs(12)).await;
 }
 
+/// Guards against an identity with the text of a key instead of the account.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt: requests that crash targets are sent on and on"]
+async fn a_request_with_two_keys_of_an_account_does_not_crash_one_target_after_another() {
+    let sound = |random: &mut Pcg64| post(random, "/book/x", &[]);
+    let request = plain("/book/x");
+    let with_other_key = Draft {
+        key: "key-3",
+        ..request.clone()
+    };
+    let requests = [request, with_other_key];
+    let scenario = start(9213, &requests, sound).await;
+    // Version 2 has a second key of the account.
+    let body = Bytes::from(configuration(2).to_string());
+    let controls = scenario.deployment.controls();
+    assert!(send_order(&controls, Method::PUT, "/configuration", body).await);
+    sleep(CONTACT).await;
+    check(scenario, &requests).await;
+}
+
 /// Guards against an identity without the account, the query, the method or the body.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "KNOWN-RED.txt: requests that crash targets are sent on and on"]
