system: an option of the soak for whole requests that crash targets

Cause: the soak drew parts of prompts that crash engines, and no whole request.

Change: `--crashing-requests` plans one or two whole requests from the seed, on all routes, with and without prompts, beside all other faults, which stay the same for the seed; the checks are those of `crash::Ledger`.

--- a/crates/azurelug-system/examples/soak.rs
+++ b/crates/azurelug-system/examples/soak.rs
@@ -30,6 +30,9 @@
     /// Let parts of prompts crash engines, of which each zone then has two
     #[bpaf(switch)]
     crashing_parts: bool,
+    /// Let whole requests crash targets, of which each zone then has two
+    #[bpaf(switch)]
+    crashing_requests: bool,
     /// Print one JSON object for each seed
     #[bpaf(switch)]
     json: bool,
@@ -45,8 +48,9 @@
             seed,
             fault_duration: Duration::from_secs(arguments.seconds),
             gateways_per_zone: arguments.size,
-            targets_per_zone: 1 + u8::from(arguments.crashing_parts),
+            targets_per_zone: 1 + u8::from(arguments.crashing_parts || arguments.crashing_requests),
             crashing_parts: arguments.crashing_parts,
+            crashing_requests: arguments.crashing_requests,
             ..Options::default()
         };
         let report = soak::run(&options).await;
--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -42,6 +42,8 @@
     pub targets_per_zone: u8,
     /// Whether parts of prompts crash engines.
     pub crashing_parts: bool,
+    /// Whether whole requests crash targets.
+    pub crashing_requests: bool,
     /// Number of concurrent callers; each sends one request at a time.
     pub callers: usize,
 }
@@ -54,11 +56,19 @@
             gateways_per_zone: 2,
             targets_per_zone: 1,
             crashing_parts: false,
+            crashing_requests: false,
             callers: 24,
         }
     }
 }
 
+impl Options {
+    /// Whether requests crash targets.
+    pub(crate) fn has_crashes(&self) -> bool {
+        self.crashing_parts || self.crashing_requests
+    }
+}
+
 /// Runs one seed.
 ///
 /// # Panics
@@ -67,8 +77,10 @@
     let plan = plan::plan(options);
     let checker = Arc::new(Checker::default());
     for scheduled in &plan {
-        if let Fault::Part(part, _) = &scheduled.fault {
-            checker.crashes.add_part("llm", part);
+        match &scheduled.fault {
+            Fault::Part(part, _) => checker.crashes.add_part("llm", part),
+            Fault::Request(draft, _) => checker.crashes.add_request(draft),
+            _ => {}
         }
     }
     let mut deployment = Deployment::start(options, Arc::clone(&checker)).await;
--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -29,10 +29,10 @@
 /// Maximum number of requests on one connection.
 const MAX_REQUESTS_PER_CONNECTION: u32 = 20;
 
-/// Kind of the requests with a part that crashes engines, whatever their path.
+/// Kind of the requests that crash targets, whatever their path.
 const CRASHING: &str = "crashing";
 
-/// Prompt of all requests in a run without such parts.
+/// Prompt of all requests in a run without such requests.
 const PROMPT: &str = "5c1e:800,91bd:410";
 
 /// The kinds of requests and their paths.
@@ -49,7 +49,7 @@
     gateway_faults: Arc<GatewayFaults>,
     checker: Arc<Checker>,
     random: Pcg64,
-    /// Whether prompts differ, and some have a part that crashes engines.
+    /// Whether prompts differ, as requests may crash targets.
     draws_prompts: bool,
 }
 
@@ -69,7 +69,7 @@
             gateway_faults: deployment.gateway_faults(),
             checker: deployment.checker(),
             random: Pcg64::seed_from_u64(options.seed * 1000 + number as u64),
-            draws_prompts: options.crashing_parts,
+            draws_prompts: options.has_crashes(),
         };
         tokio::spawn(caller.run())
     });
@@ -119,8 +119,11 @@
         }
     }
 
-    /// Draws the content of a request. Its body is its own.
+    /// Draws the content of a request. A sound one has a body of its own.
     fn draw(&mut self, path: &'static str, id: &str) -> Draft {
+        if let Some(draft) = self.checker.crashes.draw_request(&mut self.random) {
+            return draft;
+        }
         let prompt = if self.draws_prompts {
             self.checker.crashes.draw_prompt(&mut self.random)
         } else {
--- a/crates/azurelug-system/src/soak/crashes.rs
+++ b/crates/azurelug-system/src/soak/crashes.rs
@@ -92,6 +92,8 @@
     faulty: HashMap<usize, Duration>,
     /// Parts that callers use, with the share of their requests.
     used: Vec<(String, f64)>,
+    /// Requests that callers send, with the share of their requests.
+    requests: Vec<(Draft, f64)>,
 }
 
 /// Records the crashes that requests caused, and the requests.
@@ -129,6 +131,24 @@
         self.state().used.retain(|(used, _)| used != part);
     }
 
+    /// Has callers send a request as a share of theirs.
+    pub fn start_request(&self, draft: &Draft, share: f64) {
+        self.state().requests.push((draft.clone(), share));
+    }
+
+    /// Ends the use of a request.
+    pub fn end_request(&self, draft: &Draft) {
+        self.state().requests.retain(|(used, _)| used != draft);
+    }
+
+    /// Draws whether a caller sends a request that is in use.
+    pub fn draw_request(&self, random: &mut Pcg64) -> Option<Draft> {
+        let state = self.state();
+        let mut used = state.requests.iter();
+        let drawn = used.find(|(_, share)| random.random_bool(*share));
+        drawn.map(|(draft, _)| draft.clone())
+    }
+
     /// Draws the prompt of a caller's request, with a sound part or one that is in use.
     pub fn draw_prompt(&self, random: &mut Pcg64) -> String {
         let used = self.state().used.clone();
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -272,6 +272,10 @@
                 let share = f64::from(*share) / 1000.0;
                 self.checker.crashes.start_use(part, share);
             }
+            Fault::Request(draft, share) => {
+                let share = f64::from(*share) / 1000.0;
+                self.checker.crashes.start_request(draft, share);
+            }
             Fault::Drain(number) => self.drain(*number, true),
         }
     }
@@ -323,6 +327,7 @@
                 self.pool.set_state(name, "ready");
             }
             Fault::Part(part, _) => self.checker.crashes.end_use(part),
+            Fault::Request(draft, _) => self.checker.crashes.end_request(draft),
             Fault::Drain(number) => self.drain(*number, false),
         }
         if let Some(gateway) = fault.gateway() {
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use azurelug_types::rate::Rate;
+use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
 use super::Options;
+use super::crashes::Draft;
 use super::targets::{Behaviour, Manner};
 
 /// Number of control daemons, one in each zone.
@@ -50,6 +52,9 @@
     /// Engines crash when they begin to answer a request with a part, which comes in so many of a
     /// thousand requests.
     Part(String, u32),
+    /// Targets crash when they begin to answer a request, which comes in so many of a thousand
+    /// requests.
+    Request(Draft, u32),
     /// Operators drain a zone, and undo the drain at the end.
     Drain(u8),
 }
@@ -87,6 +92,12 @@
 /// Distinguishes the random numbers of parts that crash engines.
 const PART_SEED: u64 = 0x7061_7274_7300;
 
+/// Distinguishes the random numbers of whole requests that crash targets.
+const REQUEST_SEED: u64 = 0x7265_7175_6573;
+
+/// Requests with a cause of crashes, out of a thousand.
+const SHARES: [u32; 5] = [5, 20, 50, 100, 300];
+
 /// Distinguishes the random numbers of manners and reloads from those of the other faults.
 const MANNER_SEED: u64 = 0x6d61_6e6e_6572;
 
@@ -171,6 +182,9 @@
     if options.crashing_parts {
         faults.extend(plan_parts(options));
     }
+    if options.crashing_requests {
+        faults.extend(plan_requests(options));
+    }
     faults.sort_by_key(|fault| fault.start);
     faults
 }
@@ -209,8 +223,7 @@
     let count = random.random_range(1..=2);
     let parts = (1..=count).map(|number| {
         let start = (number * random.random_range(2500..4000)).min(end);
-        let shares = [5, 20, 50, 100, 300];
-        let share = shares[random.random_range(0..shares.len())];
+        let share = SHARES[random.random_range(0..SHARES.len())];
         ScheduledFault {
             start: Duration::from_millis(start),
             duration: Duration::from_millis(end - start),
@@ -220,6 +233,49 @@
     parts.collect()
 }
 
+/// Generates the requests that crash targets, as [`plan_parts`] does for parts.
+fn plan_requests(options: &Options) -> Vec<ScheduledFault> {
+    let mut random = Pcg64::seed_from_u64(options.seed ^ REQUEST_SEED);
+    let end = options.fault_duration.as_millis() as u64;
+    let count = random.random_range(1..=2);
+    let requests = (1..=count).map(|number| {
+        let start = (number * random.random_range(2500..4000)).min(end);
+        let share = SHARES[random.random_range(0..SHARES.len())];
+        ScheduledFault {
+            start: Duration::from_millis(start),
+            duration: Duration::from_millis(end - start),
+            fault: Fault::Request(draw_request(&mut random), share),
+        }
+    });
+    requests.collect()
+}
+
+/// Draws a request of any route, without a prompt, with a part of its own, or also with parts that
+/// other requests share.
+fn draw_request(random: &mut Pcg64) -> Draft {
+    let paths = ["/look/x?item=7", "/book/x", "/talk/x", "/chat/x"];
+    let path = paths[random.random_range(0..paths.len())];
+    let own = random.random::<u32>();
+    let prompts = [
+        String::new(),
+        format!("{own:x}:250"),
+        format!("5c1e:800,91bd:400,{own:x}:250"),
+    ];
+    let prompt = prompts[random.random_range(0..prompts.len())].clone();
+    let post = Draft {
+        body: format!("body {own:x}"),
+        ..Draft::post(path, prompt)
+    };
+    if path.starts_with("/look") && random.random() {
+        return Draft {
+            method: Method::GET,
+            body: String::new(),
+            ..post
+        };
+    }
+    post
+}
+
 /// Time after the end of a fault in which answers that began during the fault end.
 const ANSWER_TIME: Duration = Duration::from_millis(4000);
 
@@ -240,7 +296,7 @@
             let duration = random.random_range(2000..6000);
             let gateway = random.random_range(0..gateways);
             let until = Duration::from_millis(start + duration) + ANSWER_TIME;
-            let is_closed = options.crashing_parts
+            let is_closed = options.has_crashes()
                 || others.iter().any(|other| {
                     let link = Fault::Link(target.clone(), LinkFault::Reset);
                     let end = other.start + other.duration;
