control: a leader whose disk is full hands over

What callers saw: when the leader's disk had no room for a write, changes stayed unanswered for an election timeout or several. With disks that are full one after another, changes were without an acknowledgement for 4 s.

Cause: the member gave up its leadership without a message, so that the others waited 0.8 to 1.6 s, and again if the only other voter had just opened its folder and still withheld its vote.

With the message left out, a_leader_that_resigns_is_replaced_before_an_election_timeout fails: "a leader was elected" is not true after 10 ms.

Change: Event::Resign. The leader gives up its lease and sends TimeoutNow, which needs no write, to the voter with the most matching entries.

Why it works: the successor campaigns at once, and votes in a transfer are not withheld because the former leader has given up its lease before.

Remaining: if a member opens its folder at the moment at which the leader's disk becomes full, the successor's first request for a vote is lost and an election timeout follows.

--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -190,6 +190,11 @@
         log::error!("control: the disk is full; commands are refused until it has room");
         self.role = Role::Follower;
         self.leadership.send_replace(None);
+        for action in self.node.step(Event::Resign, self.started.elapsed()) {
+            if let Action::Send(message) = action {
+                self.send(&message);
+            }
+        }
         let appended = std::mem::take(&mut self.appended).into_values();
         let pending = std::mem::take(&mut self.pending).into_values();
         for reply in appended.map(|(_, reply)| reply).chain(pending) {
@@ -329,12 +334,8 @@
             block_in_place(|| self.disk.write(batch.writes))?;
             self.metrics.observe_sync(started.elapsed());
         }
-        for message in batch.sends {
-            let slot = message.to.slot;
-            match codec::encode(&message) {
-                Ok(message) => self.peers.send(slot, Frame::Raft { message }),
-                Err(error) => log::error!("control: message to member {slot}: {error}"),
-            }
+        for message in &batch.sends {
+            self.send(message);
         }
         for action in batch.rest {
             self.perform_action(action, &mut following)?;
@@ -342,6 +343,14 @@
         Ok(following)
     }
 
+    fn send(&self, message: &Message) {
+        let slot = message.to.slot;
+        match codec::encode(message) {
+            Ok(message) => self.peers.send(slot, Frame::Raft { message }),
+            Err(error) => log::error!("control: message to member {slot}: {error}"),
+        }
+    }
+
     fn perform_action(&mut self, action: Action, following: &mut Batch) -> Result<(), Error> {
         match action {
             Action::Persist(_) | Action::Send(_) => {}
--- a/crates/azurelug-control/tests/disk_full.rs
+++ b/crates/azurelug-control/tests/disk_full.rs
@@ -1,86 +1,47 @@
 //! Tests of a member of the replicated log whose disk is full for a while. The errors are injected.
 #![allow(clippy::unwrap_used)]
 
-use std::io;
-use std::path::Path;
+#[path = "support/fillable_disk.rs"]
+mod fillable_disk;
+
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use azurelug_control::cluster::Cluster;
-use azurelug_control::disk::{DataFolder, Disk};
+use azurelug_control::disk::Disk;
 use azurelug_control::peers::Peers;
 use azurelug_control::replica::Replica;
 use azurelug_control::replica::task::Task;
 use azurelug_coordination::raft;
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::machine::Command;
-use azurelug_storage::{Files, HookDecision, Op};
 use azurelug_types::id::{DaemonName, ZoneName};
 use azurelug_wire::codec;
 use azurelug_wire::handshake::Identity;
 use tokio::time::{Instant, sleep};
 
+use fillable_disk::{FillableDisk, Refusal};
+
 const SLOT: u32 = 1;
 
 /// Time limit for a commit.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A data folder on a disk that the test can make full.
-struct FillableDisk {
-    data_folder: DataFolder,
-    is_full: Arc<AtomicBool>,
-}
-
-impl FillableDisk {
-    fn new(folder: &Path) -> Self {
-        let is_full = Arc::new(AtomicBool::new(false));
-        let hooked = Arc::clone(&is_full);
-        let files = move || {
-            let is_full = Arc::clone(&hooked);
-            Files::with_hook(Box::new(move |op| {
-                let needs_space = matches!(op, Op::Create(_) | Op::Write { .. });
-                if needs_space && is_full.load(Ordering::SeqCst) {
-                    HookDecision::Fail(io::ErrorKind::StorageFull.into())
-                } else {
-                    HookDecision::Proceed
-                }
-            }))
-        };
-        let data_folder = DataFolder {
-            folder: folder.join("state"),
-            cluster: 7,
-            slot: SLOT,
-            founders: vec![SLOT],
-            storage: 3,
-            files: Arc::new(files),
-        };
-        Self {
-            data_folder,
-            is_full,
-        }
-    }
-
-    fn set_full(&self, is_full: bool) {
-        self.is_full.store(is_full, Ordering::SeqCst);
-    }
-
-    /// Starts the only member of a cluster.
-    fn start(&self) -> (Replica, tokio::task::JoinHandle<()>) {
-        let identity = Arc::new(Identity {
-            cluster: "test".to_owned(),
-            daemon: DaemonName("control".to_owned()),
-            zone: ZoneName::from("a"),
-            incarnation: 1,
-            key: vec![7; 32],
-        });
-        let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity);
-        let opened = Disk::open(&self.data_folder, true).unwrap();
-        let settings = raft::Settings::default();
-        let (task, replica) = Task::new(settings, self.data_folder.clone(), opened, peers).unwrap();
-        let running = tokio::spawn(async move { task.run().await.unwrap() });
-        (replica, running)
-    }
+/// Starts the only member of a cluster.
+fn start(disk: &FillableDisk) -> (Replica, tokio::task::JoinHandle<()>) {
+    let identity = Arc::new(Identity {
+        cluster: "test".to_owned(),
+        daemon: DaemonName("control".to_owned()),
+        zone: ZoneName::from("a"),
+        incarnation: 1,
+        key: vec![7; 32],
+    });
+    let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity);
+    let opened = Disk::open(&disk.data_folder, true).unwrap();
+    let settings = raft::Settings::default();
+    let (task, replica) = Task::new(settings, disk.data_folder.clone(), opened, peers).unwrap();
+    let running = tokio::spawn(async move { task.run().await.unwrap() });
+    (replica, running)
 }
 
 fn configure(version: u64) -> Command {
@@ -110,12 +71,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_disk_stops_acknowledgements_and_loses_nothing() {
     let folder = tempfile::tempdir().unwrap();
-    let disk = FillableDisk::new(folder.path());
-    let (replica, running) = disk.start();
+    let disk = FillableDisk::new(folder.path(), SLOT, &[SLOT]);
+    let (replica, running) = start(&disk);
     commit(&replica, 1).await;
     for round in 0..3 {
         let durable = version(&replica);
-        disk.set_full(true);
+        disk.set_full(Some(Refusal::WritesAndFiles), 0);
         for _ in 0..3 {
             let command = codec::encode(&configure(100 + round)).unwrap();
             let refused = replica.propose_locally(command).await;
@@ -139,7 +100,7 @@
             "the member leads while its disk is full"
         );
         assert!(replica.log_state().await.is_some());
-        disk.set_full(false);
+        disk.set_full(None, 0);
         commit(&replica, 200 + round).await;
         assert_eq!(version(&replica), Some(200 + round));
     }
@@ -152,7 +113,7 @@
     while !running.is_finished() {
         sleep(Duration::from_millis(10)).await;
     }
-    let (replica, running) = disk.start();
+    let (replica, running) = start(&disk);
     commit(&replica, 1).await;
     assert_eq!(
         version(&replica),
--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -186,6 +186,7 @@
             Event::Propose { token, command } => self.on_propose(token, command, now),
             Event::Change { token, change } => self.on_change(token, change, now),
             Event::Transfer { token, to } => self.on_transfer(token, to, now),
+            Event::Resign => self.on_resign(now),
             Event::SnapshotTaken { index, data } => self.on_snapshot_taken(index, data),
         }
         if before != (self.role, self.record.term, self.leader) {
--- a/crates/azurelug-coordination/src/raft/event.rs
+++ b/crates/azurelug-coordination/src/raft/event.rs
@@ -40,6 +40,10 @@
         /// Requested next leader.
         to: Option<Member>,
     },
+    /// A write failed. A leader gives up its lease and tells the voter with the most matching
+    /// entries to start an election, which needs no write here. The caller carries out the `Send`
+    /// actions of this step and discards the node.
+    Resign,
     /// The caller encoded its state machine as of the entry `index`, which it has applied.
     SnapshotTaken {
         /// Last entry included.
@@ -54,7 +58,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Write and sync before carrying out any later action. If a write or sync fails, the caller
-    /// carries out nothing further and discards the node.
+    /// carries out nothing further, may step `Event::Resign`, and discards the node.
     Persist(Write),
     /// Send, with no guarantee of delivery or order.
     Send(Message),
--- a/crates/azurelug-coordination/src/raft/leader.rs
+++ b/crates/azurelug-coordination/src/raft/leader.rs
@@ -33,6 +33,15 @@
         self.transfer.as_ref().map(|transfer| transfer.to)
     }
 
+    /// The follower with the most matching entries among those that `may_lead`.
+    fn successor(&self, may_lead: impl Fn(Member) -> bool) -> Option<Member> {
+        let followers = self.followers.iter();
+        let candidates = followers.filter(|(member, _)| may_lead(**member));
+        let successor =
+            candidates.max_by_key(|(_, progress)| (progress.matched, progress.answered));
+        successor.map(|(&member, _)| member)
+    }
+
     pub(super) fn follower_states(&self) -> Vec<FollowerState> {
         self.followers
             .iter()
@@ -131,11 +140,7 @@
             return;
         };
         let target = leadership
-            .followers
-            .iter()
-            .filter(|(member, _)| voters.contains(member) && to.is_none_or(|to| to == **member))
-            .max_by_key(|(_, progress)| (progress.matched, progress.answered))
-            .map(|(&member, _)| member);
+            .successor(|member| voters.contains(&member) && to.is_none_or(|to| to == member));
         let refusal = match target {
             _ if leadership.transfer.is_some() => Refusal::Transferring,
             None => Refusal::Impossible("leadership can only be transferred to another voter"),
@@ -153,6 +158,18 @@
         self.out.notices.push(Action::Refused { token, refusal });
     }
 
+    pub(super) fn on_resign(&mut self, now: Duration) {
+        let voters: Vec<Member> = self.history.latest().voters().collect();
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        let successor = leadership.successor(|member| voters.contains(&member));
+        self.become_follower(self.record.term, None, now);
+        if let Some(to) = successor {
+            self.send(to, Body::TimeoutNow);
+        }
+    }
+
     /// Tells the receiver to start an election once it holds the whole log.
     fn continue_transfer(&mut self) {
         let last = self.log.last().index;
--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -350,6 +350,18 @@
     assert_eq!(net.state(leader).role, Role::Follower);
 }
 
+/// Guards against an election timeout without a leader when the leader's disk is full.
+#[test]
+fn a_leader_that_resigns_is_replaced_before_an_election_timeout() {
+    let mut net = Net::started();
+    let leader = net.leader();
+    net.step(leader, Event::Resign);
+    assert_eq!(net.nodes[leader as usize].lease_until(), None);
+    assert_eq!(net.state(leader).role, Role::Follower);
+    net.run(10);
+    assert_ne!(net.leader(), leader);
+}
+
 /// A frame above the wire's limit of 1 MiB would close the connection of a healthy member.
 #[test]
 fn the_largest_messages_do_not_exceed_a_frame() {
--- a/crates/azurelug-coordination/tests/raft_schedules.rs
+++ b/crates/azurelug-coordination/tests/raft_schedules.rs
@@ -12,7 +12,9 @@
 
 #[test]
 fn no_schedule_of_the_fixed_set_diverges_from_the_model() {
-    for seed in (0..300).chain(MECHANISM_SEEDS) {
+    let resigning = schedule::FIRST_RESIGNING_SEED;
+    let resigning = resigning..resigning + 100;
+    for seed in (0..300).chain(MECHANISM_SEEDS).chain(resigning) {
         if let Err(failure) = schedule::run(seed) {
             panic!("{failure}");
         }
--- a/crates/azurelug-coordination/tests/support/schedule.rs
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -33,6 +33,9 @@
 /// More steps than any schedule needs; reached when two nodes answer each other in an endless loop.
 const MAX_STEPS: u64 = 200_000;
 
+/// From this seed on, leaders resign after a failed write. Earlier seeds keep their schedules.
+pub(crate) const FIRST_RESIGNING_SEED: u64 = 100_000;
+
 /// A scheduled event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ScheduledEvent {
@@ -64,6 +67,7 @@
     duplication: f64,
     delay: f64,
     faults_enabled: bool,
+    leaders_resign: bool,
     /// Clients propose nothing before this time.
     no_proposals_until: Time,
     /// Number of acknowledged commands when the faults ended.
@@ -127,6 +131,7 @@
             duplication: 0.0,
             delay: 0.0,
             faults_enabled: true,
+            leaders_resign: seed >= FIRST_RESIGNING_SEED,
             no_proposals_until: 0,
             acknowledged_before_recovery: 0,
             next_command: 0,
@@ -310,6 +315,7 @@
                     let entries = self.random.random_range(0..4);
                     self.hosts[host].disk.write_torn(write, entries);
                     self.counts.torn_writes += 1;
+                    self.resign(host);
                     self.kill(host);
                     return Ok(());
                 }
@@ -331,6 +337,22 @@
         Ok(())
     }
 
+    /// Sometimes gives up a leadership after a failed write.
+    fn resign(&mut self, host: usize) {
+        if !self.leaders_resign || self.random.random_bool(0.3) {
+            return;
+        }
+        let Some(process) = self.hosts[host].process.as_mut() else {
+            return;
+        };
+        let now = process.clock(self.time);
+        for action in process.node.step(Event::Resign, now) {
+            if let Action::Send(message) = action {
+                self.transmit(host, &message);
+            }
+        }
+    }
+
     /// Records memberships that some members may not have received yet.
     fn record_memberships(&mut self, write: &Write) {
         let Write::Append(entries) = write else {
