control: a member with a full disk refers changes to the leader

What callers saw: a change sent to the member whose disk was full was refused after 4 s ("no quorum: too many commands wait"), although the other members were leading and accepted changes.

Cause: while a member waited for room it answered every command with "busy" and dropped the messages from which it could learn of the leader.

Evidence: a_member_with_a_full_disk_passes_changes_on, each member's disk in turn, two changes to that member only. Before: NoQuorum { message: "too many commands wait" }.

Change: the waiting member notes the sender of the newest term's entries and refers commands to it, as a follower does.

Why it works: forwarding needs no write of its own, and a stale leader refuses or refers the command, after which it is sent again.

--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -9,8 +9,8 @@
 
 use azurelug_coordination::once;
 use azurelug_coordination::raft::{
-    self, Action, Entry, Event, Message, Node, NodeOptions, Payload, Position, RecoveredState,
-    Refusal, Role, Snapshot, StartError, Write,
+    self, Action, Body, Entry, Event, Message, Node, NodeOptions, Payload, Position,
+    RecoveredState, Refusal, Role, Snapshot, StartError, Write,
 };
 use azurelug_core::gateway::orders::Orders;
 use azurelug_core::machine::{Command, Machine, Outcome, SnapshotV1, SnapshotV2};
@@ -154,8 +154,8 @@
     }
 
     /// Runs until all handles are dropped or the disk fails. While the disk is full, commands are
-    /// refused and the durable state is still served. After a failed sync the data folder is set
-    /// aside, because reads from it may return data that is not on the disk.
+    /// referred to the leader and the durable state is still served. After a failed sync the data
+    /// folder is set aside, because reads from it may return data that is not on the disk.
     ///
     /// # Errors
     /// The member can't continue.
@@ -187,7 +187,7 @@
     /// Opens the data folder again once the disk has room, and continues from its content. No
     /// message that depends on the failed writes was sent.
     async fn wait_for_room(mut self) -> Result<Self, Error> {
-        log::error!("control: the disk is full; commands are refused until it has room");
+        log::error!("control: the disk is full; nothing is written until it has room");
         self.role = Role::Follower;
         self.leadership.send_replace(None);
         for action in self.node.step(Event::Resign, self.started.elapsed()) {
@@ -201,6 +201,10 @@
             // The caller may have given up.
             let _ = reply.send(Err(ProposeError::Lost));
         }
+        let mut leader = Leader {
+            term: self.node.term(),
+            slot: self.node.leader().map(|leader| leader.slot),
+        };
         // The folder can be opened again only after its lock is released.
         drop(self.disk);
         let (disk, recovered) = loop {
@@ -211,7 +215,7 @@
             }
             let until = Instant::now() + DISK_FULL_PAUSE;
             while let Ok(Some(request)) = timeout_at(until, self.requests.recv()).await {
-                refuse(request, &self.node);
+                refuse(request, &self.node, &mut leader);
             }
             sleep_until(until).await;
         };
@@ -220,7 +224,7 @@
             machine,
             has_snapshot,
         } = RecoveredMember::new(&self.settings, recovered, self.started.elapsed())?;
-        log::info!("control: the disk has room again; commands are accepted");
+        log::info!("control: the disk has room again");
         *self.machine.write().expect("no holder of the lock panics") = machine;
         Ok(Self {
             node,
@@ -505,18 +509,34 @@
     }
 }
 
-/// Answers a request while the disk is full.
-fn refuse(request: Request, node: &Node) {
+/// The leader as known to a member whose disk is full.
+struct Leader {
+    term: u64,
+    slot: Option<u32>,
+}
+
+/// Answers a request while the disk is full. Commands are referred to the leader.
+fn refuse(request: Request, node: &Node, leader: &mut Leader) {
     match request {
         Request::Propose { reply, .. } => {
             // The caller may have given up.
-            let _ = reply.send(Err(ProposeError::Busy));
+            let _ = reply.send(Err(ProposeError::NotLeader(leader.slot)));
         }
         Request::LogState(reply) => {
             let _ = reply.send(node.state());
         }
-        // The log sends missing messages again, and this member does not lead.
-        Request::Receive(_) | Request::Transfer => {}
+        // The log sends missing messages again.
+        Request::Receive(message) => {
+            let leads = matches!(message.body, Body::Append { .. } | Body::Chunk { .. });
+            if leads && message.term >= leader.term {
+                *leader = Leader {
+                    term: message.term,
+                    slot: Some(message.from.slot),
+                };
+            }
+        }
+        // This member does not lead.
+        Request::Transfer => {}
     }
 }
 
--- a/crates/azurelug-control/tests/full_disks_in_turn.rs
+++ b/crates/azurelug-control/tests/full_disks_in_turn.rs
@@ -433,3 +433,29 @@
     let failures: Vec<String> = runs.join_all().await.into_iter().flatten().collect();
     assert_eq!(failures, [] as [String; 0]);
 }
+
+/// Guards against changes that are refused because they are sent to the member whose disk is full.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_with_a_full_disk_passes_changes_on() {
+    let (_folders, disks) = create_disks(FOUNDERS.iter());
+    let members = start_cluster(disks).await;
+    let mut operator = Operator {
+        replicas: members.iter().map(|it| it.replica.clone()).collect(),
+        random: Pcg64::seed_from_u64(1),
+        version: 0,
+        acknowledged: Arc::default(),
+    };
+    operator.change(START_TIMEOUT).await.unwrap();
+    for member in members.iter().chain(&members) {
+        member.disk.set_full(Some(Refusal::WritesAndFiles), 0);
+        // The first change makes the member notice that its disk is full.
+        for _ in 0..2 {
+            let change = member.replica.propose(&operator.next_command()).await;
+            assert!(change.is_ok(), "{:?}", change.err());
+        }
+        member.disk.set_full(None, 0);
+        for other in &members {
+            assert!(other.replica.wait_fresh(ACK_TIMEOUT).await);
+        }
+    }
+}
