storage: opening a folder leaves other writers' temporary files

What callers saw: nothing yet. A member whose disk is full opens its folder again every 200 ms. If the daemon wrote the list of holders in that moment, either the store removed holders.tmp before its rename, after which new entry daemons get base shares until a restart, or the rename came first and the store failed with "cannot remove", which is no full disk, so that the daemon ended.

Cause: the store removed every *.tmp file in the folder.

Evidence: opening_leaves_the_temporary_files_of_other_writers. Before: "assertion failed: others.exists()".

Why it works: a name has one writer now. A leftover holders.tmp is replaced by the next write of the list.

--- a/crates/azurelug-control/src/holders.rs
+++ b/crates/azurelug-control/src/holders.rs
@@ -13,8 +13,8 @@
 use azurelug_wire::codec;
 use sha2::{Digest, Sha256};
 
-/// Name of the file. A [`TEMPORARY_NAME`] file that remains after a crash is removed by the store
-/// when it opens the folder.
+/// Name of the file. A [`TEMPORARY_NAME`] file that remains after a crash or a failed write is
+/// replaced by the next write.
 const FILE_NAME: &str = "holders";
 
 const TEMPORARY_NAME: &str = "holders.tmp";
--- a/crates/azurelug-storage/src/folder.rs
+++ b/crates/azurelug-storage/src/folder.rs
@@ -77,8 +77,10 @@
         for item in fs::read_dir(&self.path).map_err(fail)? {
             let name = item.map_err(fail)?.file_name();
             let Some(name) = name.to_str() else { continue };
-            if name.ends_with(TEMPORARY_SUFFIX) {
-                listing.temporary.push(name.to_owned());
+            if let Some(target) = name.strip_suffix(TEMPORARY_SUFFIX) {
+                if is_store_file(target) {
+                    listing.temporary.push(name.to_owned());
+                }
             } else if let Some(number) = parse_number(name, SEGMENT_PREFIX) {
                 listing.segments.push(number);
             } else if let Some(number) = parse_number(name, SNAPSHOT_PREFIX) {
@@ -90,7 +92,8 @@
         Ok(listing)
     }
 
-    /// Removes temporary files that remain after a crash.
+    /// Removes the store's temporary files that remain after a crash. Other writers may be using
+    /// theirs.
     pub(crate) fn remove_temporary(&mut self) -> Result<(), Error> {
         let listing = self.list()?;
         listing
@@ -273,6 +276,12 @@
     })
 }
 
+fn is_store_file(name: &str) -> bool {
+    name == HARD_STATE_FILE
+        || parse_number(name, SEGMENT_PREFIX).is_some()
+        || parse_number(name, SNAPSHOT_PREFIX).is_some()
+}
+
 fn parse_number(name: &str, prefix: &str) -> Option<u64> {
     name.strip_prefix(prefix)?.parse().ok()
 }
--- a/crates/azurelug-storage/tests/store.rs
+++ b/crates/azurelug-storage/tests/store.rs
@@ -112,6 +112,20 @@
     open(folder.path());
 }
 
+/// Guards against a member that opens its folder again, as after a full disk, while another part of
+/// the daemon writes a file there.
+#[test]
+fn opening_leaves_the_temporary_files_of_other_writers() {
+    let temporary = TempDir::new().unwrap();
+    let others = temporary.path().join("holders.tmp");
+    let own = temporary.path().join("hard-state.tmp");
+    std::fs::write(&others, "half").unwrap();
+    std::fs::write(&own, "half").unwrap();
+    open(temporary.path());
+    assert!(others.exists());
+    assert!(!own.exists());
+}
+
 #[test]
 fn a_folder_of_another_cluster_is_refused_and_left_unchanged() {
     let folder = TempDir::new().unwrap();
