gateway: a request accused between two attempts names the time of the next probe

Callers were told to come back after 1 s, although the next probe is due after 15 s; a request that is refused before its first attempt already names that time. One match, on the verdict that was at hand. No test of its own: an accusation between the check at arrival and the first attempt needs both to race.

--- a/crates/azurelug-gateway/src/quarantine.rs
+++ b/crates/azurelug-gateway/src/quarantine.rs
@@ -370,7 +370,11 @@
     }
     gateway.metrics.quarantined_requests.inc();
     if history.possible_runs == 0 {
-        Err(Failure::Refused(MIN_RETRY_AFTER, reason))
+        let retry_after = match verdict {
+            Verdict::Refused(after) => after.max(MIN_RETRY_AFTER),
+            _ => MIN_RETRY_AFTER,
+        };
+        Err(Failure::Refused(retry_after, reason))
     } else {
         Err(Failure::NoUsableAnswer(reason))
     }
