control: accused prompt parts outlive a restart of all daemons

What callers saw: if all gateways and all control daemons restarted at once, the records of a part that crashes targets were lost, and it crashed targets again.

Cause: the records were in memory only; a daemon that restarts gets them from others.

Evidence: daemons_that_all_restart_at_once_do_not_forget_the_part (real processes, all six killed after the part is accused).

Ages grow by the wall-clock time between the two, limited to 0 to 24 h. A file that is missing, damaged or of another release counts as empty; a full disk is logged once and delays only the file. It is not in the replicated log, which waits for the leader's disk. Records of parts that are not accused are left out: beside a clock that was set, two crashes that are known from the file and from a gateway would count as four.

Why it works: gateways merge the control daemon's records before their first configuration, so that they refuse requests with the part from the first one on.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -17,12 +17,14 @@
 use azurelug_wire::Frame;
 use azurelug_wire::frame::PART_LIMIT;
 use tokio::sync::mpsc;
+use tokio::task::spawn_blocking;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::cluster::Cluster;
+use crate::internal::wall_clock_ms;
 use crate::limits::Limits;
 use crate::peers::Peers;
-use crate::quarantine::Suspects;
+use crate::quarantine::{Archive, Suspects};
 use crate::replica::Replica;
 
 /// Interval at which the control daemons exchange the lists of gateways that poll them.
@@ -32,6 +34,9 @@
 /// polls and exchanges, so that one lost message does not move work to other gateways.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Interval at which changed records of accused parts are written to the disk.
+const ARCHIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum number of frames of a document that are queued for a slow gateway.
 const MAX_QUEUED_DOCUMENT_FRAMES: usize = 2;
 
@@ -228,6 +233,29 @@
         self.state().suspects.merge(reports);
     }
 
+    /// Writes the records of accused parts to the archive whenever they have changed. A slow disk
+    /// delays only this task.
+    pub async fn run_archive(self, mut archive: Archive) {
+        let mut ticks = interval(ARCHIVE_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let changes = self.state().suspects.accused_since(archive.revision());
+            let Some(changes) = changes else {
+                continue;
+            };
+            let written = spawn_blocking(move || {
+                archive.write(changes, wall_clock_ms());
+                archive
+            });
+            // An error means that the daemon stops.
+            let Ok(written) = written.await else {
+                return;
+            };
+            archive = written;
+        }
+    }
+
     /// Exchanges lists of gateways with the other control daemons until the log's task ends.
     pub async fn run_exchange(self) {
         let mut ticks = interval(EXCHANGE_INTERVAL);
--- a/crates/azurelug-control/src/quarantine.rs
+++ b/crates/azurelug-control/src/quarantine.rs
@@ -1,5 +1,10 @@
 //! The prompt parts that gateways suspect. They are not replicated in the log: a crash has to reach
-//! all gateways soon, and gateways report their records again to a daemon that has restarted.
+//! all gateways soon, and gateways report their records again to a daemon that has restarted. An
+//! [`Archive`] keeps the accused ones for a restart of all daemons.
+
+mod archive;
+
+pub use archive::Archive;
 
 use std::time::Duration;
 
@@ -43,6 +48,17 @@
         self.ledger.changes_since(revision, self.now())
     }
 
+    /// The records of the accused parts, if a record has changed since `revision`.
+    pub fn accused_since(&self, revision: u64) -> Option<Changes> {
+        let mut changes = self.ledger.changes_since(0, self.now());
+        if changes.revision == revision {
+            return None;
+        }
+        let is_accused = |report: &SuspectPart| self.ledger.is_conclusive(&report.part);
+        changes.reports.retain(is_accused);
+        Some(changes)
+    }
+
     /// Removes expired records and returns those for the other control daemons.
     pub fn next_broadcast(&mut self) -> Vec<SuspectPart> {
         let now = self.now();
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -26,11 +26,12 @@
 use crate::deployment::{handle, read_targets};
 use crate::disk::{self, Disk, Generation};
 use crate::gateways::Gateways;
-use crate::internal::FrameHandler;
+use crate::internal::{FrameHandler, wall_clock_ms};
 use crate::operators::OperatorApi;
 use crate::orders::Engines;
 use crate::peers::Peers;
 use crate::platform;
+use crate::quarantine::Archive;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
 use crate::settings::{Discovery, Options, Settings};
@@ -148,6 +149,9 @@
     if let Some(deployment) = settings.deployment {
         let listener = TcpListener::bind(deployment.operators).await;
         let listener = listener.map_err(|error| bind_error(path, "deployment.operators", error))?;
+        let archive = Archive::new(&settings.data, Files::new());
+        gateways.receive_suspects(&archive.read(wall_clock_ms()));
+        tokio::spawn(gateways.clone().run_archive(archive));
         tokio::spawn(gateways.clone().run_exchange());
         tokio::spawn(read_targets(gateways, deployment.targets));
         let (stage, stages) = watch::channel(ShutdownState::Serving);
--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Whether the crashes of a part accuse it unless other parts explain them.
+    #[must_use]
+    pub fn is_conclusive(&self, part: &PartKey) -> bool {
+        let entry = self.entries.get(part);
+        entry.is_some_and(|entry| is_conclusive(entry.evidence))
+    }
+
     /// Whether the same part is accused at another service.
     fn is_accused_elsewhere(&self, part: &PartKey) -> bool {
         let mut entries = self.entries.iter();
--- a/crates/azurelug-storage/src/folder.rs
+++ b/crates/azurelug-storage/src/folder.rs
@@ -221,6 +221,33 @@
     .set_aside()
 }
 
+/// Replaces a file that is not part of a store: writes it under a temporary name, syncs it, renames
+/// it, and syncs the folder. Each name must have one writer. If it fails, the file has its earlier
+/// or the new content, and can be replaced again.
+///
+/// # Errors
+/// A file operation failed.
+pub fn replace_file(
+    files: &mut Files,
+    folder: &Path,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), Error> {
+    let path = folder.join(name);
+    let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
+    let replaced = files.create(&temporary).and_then(|handle| {
+        files.write(&handle, 0, bytes)?;
+        files.sync(&handle)?;
+        files.rename(&temporary, &path)?;
+        files.sync_folder(folder)
+    });
+    replaced.map_err(|error| {
+        // It takes up space, and the next call replaces it if it stays.
+        let _ = files.remove(&temporary);
+        io_error("replace", &path, 0, error)
+    })
+}
+
 /// Exclusive lock on a folder, released on drop.
 struct Lock(File);
 
--- a/crates/azurelug-storage/src/lib.rs
+++ b/crates/azurelug-storage/src/lib.rs
@@ -13,5 +13,5 @@
 pub use azurelug_coordination::journal::{Entry, FormatError, HardState, Position, Snapshot};
 pub use error::Error;
 pub use files::{Files, Hook, HookDecision, Op};
-pub use folder::set_aside;
+pub use folder::{replace_file, set_aside};
 pub use store::{Recovered, Store};
--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -161,6 +161,12 @@
         self.deployment.checker().limits.now()
     }
 
+    /// Number of crashes that parts have caused.
+    fn crash_count(&self) -> usize {
+        let summary = self.deployment.checker().crashes.summary();
+        summary.values().map(|it| it.crashes).sum()
+    }
+
     /// Crashes targets at once without a cause in requests.
     fn crash(&self, targets: &[&str]) {
         for target in targets {
@@ -428,6 +434,32 @@
     scenario.finish(Duration::from_secs(11)).await;
 }
 
+/// Guards against a decision that is lost when all daemons restart at once, so that the part
+/// crashes targets again.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_all_restart_at_once_do_not_forget_the_part() {
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let crashing = Crashing::engines(0.15);
+    let mut scenario = Scenario::start(options(9115, 1), crashing, sound, unsound).await;
+    scenario.begin();
+    sleep(Duration::from_secs(8)).await;
+    let before = scenario.crash_count();
+    let gateways = (0..3).map(Fault::KillGateway);
+    let faults: Vec<Fault> = gateways.chain((0..3).map(Fault::KillControl)).collect();
+    for fault in &faults {
+        scenario.deployment.start_fault(fault);
+    }
+    sleep(Duration::from_millis(500)).await;
+    for fault in &faults {
+        scenario.deployment.end_fault(fault).await;
+    }
+    sleep(Duration::from_secs(11)).await;
+    let later = scenario.crash_count() - before;
+    println!("{later} more crashes, {before} before");
+    scenario.finish(Duration::ZERO).await;
+    assert!(later <= ALLOWED, "{later} more crashes, {before} before");
+}
+
 /// Guards against requests that are refused because their prompt has a single part or none, and
 /// against a first part that crashes targets.
 #[tokio::test(flavor = "multi_thread")]
