storage: a sync without room is a full disk, not a lost one

Cause: every failed sync set the data folder aside and ended the daemon, which came back under a new incarnation with an empty folder. If a second member's sync failed before the first had rejoined, a majority of the identities was gone for good.

With the same refusal in full_disks_in_turn_stop_no_change_and_lose_none, members end with "sync failed ... the content of the disk is unknown". a_sync_without_room_loses_nothing_acknowledged fails at its first sync.

Change: a sync that fails with StorageFull or QuotaExceeded counts as a failed write, so that the member opens its folder again when there is room. Opening writes the part of the newest segment after the recorded synced position again before it syncs. Other failed syncs, and those of a folder, set the folder aside as before.

Why it works: nothing after the last successful sync was acknowledged, and what was synced before does not depend on room. A sync covers only pages written since the last attempt, so that the rest must be written again to count.

--- a/crates/azurelug-control/tests/full_disks_in_turn.rs
+++ b/crates/azurelug-control/tests/full_disks_in_turn.rs
@@ -281,6 +281,7 @@
         Refusal::Writes,
         Refusal::WritesAndFiles,
         Refusal::HalfWrites,
+        Refusal::Syncs,
         Refusal::Changes,
     ];
     let mut trace = Vec::new();
--- a/crates/azurelug-control/tests/support/fillable_disk.rs
+++ b/crates/azurelug-control/tests/support/fillable_disk.rs
@@ -19,6 +19,8 @@
     WritesAndFiles,
     /// It stores the first half of each write.
     HalfWrites,
+    /// It accepts writes and fails to sync them, as file systems do that reserve space late.
+    Syncs,
     /// It refuses every change, as file systems do that need space for it.
     Changes,
 }
@@ -74,7 +76,8 @@
             return HookDecision::Proceed;
         };
         let is_refused = match (refusal, op) {
-            (_, Op::Sync(_) | Op::SyncFolder(_)) => false,
+            (Refusal::Syncs, Op::Sync(_)) => true,
+            (Refusal::Syncs, _) | (_, Op::Sync(_) | Op::SyncFolder(_)) => false,
             (_, Op::Write { .. }) | (Refusal::Changes, _) => true,
             (Refusal::WritesAndFiles, Op::Create(_)) => true,
             _ => false,
--- a/crates/azurelug-storage/src/error.rs
+++ b/crates/azurelug-storage/src/error.rs
@@ -6,6 +6,8 @@
 use azurelug_coordination::journal::FormatError;
 use thiserror::Error;
 
+use crate::folder::is_full;
+
 /// Error of a store operation. Each message names the file or folder and the remedy.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -22,7 +24,8 @@
     /// A file is damaged, belongs to another cluster or has another format version.
     #[error(transparent)]
     Format(#[from] FormatError),
-    /// A file operation other than a sync failed. The store rejects further operations.
+    /// A file operation failed, other than a sync on a disk with room. The store rejects further
+    /// operations.
     #[error(
         "{}: cannot {action} at byte {offset}: {source}; check free space and permissions, then \
          open the folder again",
@@ -38,7 +41,8 @@
         /// The error of the operating system.
         source: io::Error,
     },
-    /// A sync failed, so the content of the disk is unknown. The folder must not be used again.
+    /// A sync failed on a disk with room, so the content of the disk is unknown. The folder must not
+    /// be used again.
     #[error(
         "{}: sync failed after byte {offset}: {source}; the content of the disk is unknown: set \
          the data folder aside and rejoin under a new incarnation",
@@ -82,11 +86,10 @@
 }
 
 impl Error {
-    /// Whether a write failed because the disk is full. Data synced before is intact, and the
+    /// Whether a write or sync failed because the disk is full. Data synced before is intact, and the
     /// folder can be opened again once there is free space.
     #[must_use]
     pub fn is_full(&self) -> bool {
-        use io::ErrorKind::{QuotaExceeded, StorageFull};
-        matches!(self, Self::Io { source, .. } if matches!(source.kind(), StorageFull | QuotaExceeded))
+        matches!(self, Self::Io { source, .. } if is_full(source))
     }
 }
--- a/crates/azurelug-storage/src/folder.rs
+++ b/crates/azurelug-storage/src/folder.rs
@@ -137,10 +137,17 @@
             .map_err(|error| io_error("write", &to.path, offset, error))
     }
 
-    /// Syncs a file whose first `synced` bytes were synced before.
+    /// Syncs a file whose first `synced` bytes were synced before. If the disk has no room for the
+    /// rest, that part may be lost although it can be read, so it must be written again before it
+    /// counts as durable.
     pub(crate) fn sync(&mut self, handle: &Handle, synced: u64) -> Result<(), Error> {
         let result = self.files.sync(handle);
-        result.map_err(|source| self.record_sync_failure(&handle.path, synced, source))
+        result.map_err(|source| {
+            if is_full(&source) {
+                return io_error("sync", &handle.path, synced, source);
+            }
+            self.record_sync_failure(&handle.path, synced, source)
+        })
     }
 
     /// Syncs the directory entries of the folder.
@@ -303,6 +310,12 @@
     })
 }
 
+/// Whether an operation failed for lack of room.
+pub(crate) fn is_full(error: &io::Error) -> bool {
+    use io::ErrorKind::{QuotaExceeded, StorageFull};
+    matches!(error.kind(), StorageFull | QuotaExceeded)
+}
+
 fn is_store_file(name: &str) -> bool {
     name == HARD_STATE_FILE
         || parse_number(name, SEGMENT_PREFIX).is_some()
--- a/crates/azurelug-storage/src/store.rs
+++ b/crates/azurelug-storage/src/store.rs
@@ -106,7 +106,7 @@
         };
         let scan = journal::scan(&segments, &context)?;
         folder.remove_temporary()?;
-        repair_newest_segment(&mut folder, &scan)?;
+        repair_newest_segment(&mut folder, &scan, &segments, synced)?;
         let torn_bytes = scan.torn_tail.as_ref().map_or(0, |tail| tail.bytes);
         let last_snapshot = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let (segment, generation) = start_segment(&mut folder, cluster, scan.end, &scan.log_terms)?;
--- a/crates/azurelug-storage/src/store/recovery.rs
+++ b/crates/azurelug-storage/src/store/recovery.rs
@@ -16,9 +16,16 @@
     folder.write_atomically(HARD_STATE_FILE, &bytes).map(drop)
 }
 
-/// Removes the torn tail and syncs the newest segment. Without the sync, records that a stopped
-/// process wrote but never synced would be treated as durable.
-pub(super) fn repair_newest_segment(folder: &mut Folder, scan: &Scan) -> Result<(), Error> {
+/// Removes the torn tail, and writes and syncs the part of the newest segment that is not known to
+/// be `synced`. Without the sync, records that a stopped process wrote but never synced would be
+/// treated as durable. Without the write, the sync would not cover bytes whose earlier sync failed
+/// for lack of room, because the kernel has marked their pages as clean.
+pub(super) fn repair_newest_segment(
+    folder: &mut Folder,
+    scan: &Scan,
+    segments: &[Segment],
+    synced: Position,
+) -> Result<(), Error> {
     if scan.end.generation == 0 {
         return Ok(());
     }
@@ -39,7 +46,20 @@
             .set_len(&handle, tail.offset)
             .map_err(|error| io_error("truncate", &handle.path, tail.offset, error))?;
     }
-    folder.sync(&handle, 0)
+    let start = if synced.generation == scan.end.generation {
+        synced.offset
+    } else {
+        0
+    };
+    let bytes = segments.last().map_or(&[][..], |segment| &segment.bytes);
+    let unsynced = usize::try_from(start)
+        .ok()
+        .zip(usize::try_from(scan.end.offset).ok())
+        .and_then(|(start, end)| bytes.get(start..end));
+    if let Some(unsynced) = unsynced.filter(|it| !it.is_empty()) {
+        folder.write(&handle, start, unsynced)?;
+    }
+    folder.sync(&handle, start)
 }
 
 pub(super) fn start_segment(
--- a/crates/azurelug-storage/tests/crash.rs
+++ b/crates/azurelug-storage/tests/crash.rs
@@ -270,3 +270,40 @@
         check(&data, &model, &format!("seed {seed}"));
     }
 }
+
+/// Guards against a member that gives up its folder because a sync failed on a full disk, and
+/// against data that was read back after that sync and is not on the disk.
+#[test]
+fn a_sync_without_room_loses_nothing_acknowledged() {
+    let mut failures = 0;
+    for seed in 0..12 {
+        for syncs in 0.. {
+            let folder = TempDir::new().unwrap();
+            let data = folder.path().join("data");
+            std::fs::create_dir(&data).unwrap();
+            let disk = DiskModel::new(&data, None);
+            disk.fail_sync_after(syncs);
+            let mut model = empty_model();
+            let Err(error) = run_writer(&data, disk.files(), &mut model, seed) else {
+                break;
+            };
+            let context = format!("seed {seed} sync {syncs}");
+            assert!(error.is_full(), "{context}: {error}");
+            let opened = Store::open(&data, CLUSTER, disk.files());
+            let (store, found) = opened.unwrap_or_else(|error| panic!("{context}: {error}"));
+            assert!(model.is_possible(&found), "{context}: {found:?}");
+            drop(store);
+            let remaining = folder.path().join("remaining");
+            disk.write_after_crash(Loss::Unsynced, &remaining);
+            check(
+                &remaining,
+                &Model {
+                    possible: vec![found],
+                },
+                &context,
+            );
+            failures += 1;
+        }
+    }
+    assert!(failures > 100, "{failures} failed syncs");
+}
--- a/crates/azurelug-storage/tests/support/disk.rs
+++ b/crates/azurelug-storage/tests/support/disk.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
+use std::ops::Range;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
@@ -19,6 +20,8 @@
 struct Inode {
     durable: Vec<u8>,
     current: Vec<u8>,
+    /// Ranges written since the last sync, whether or not that sync succeeded.
+    dirty: Vec<Range<usize>>,
 }
 
 #[derive(Clone)]
@@ -39,6 +42,8 @@
     unsynced_names: Vec<NameChange>,
     operations: usize,
     fail_from: Option<usize>,
+    /// Number of syncs of files until one fails for lack of room.
+    syncs_until_full: Option<usize>,
 }
 
 /// Data loss caused by a crash.
@@ -72,6 +77,7 @@
             state.inodes.push(Inode {
                 durable: bytes.clone(),
                 current: bytes,
+                dirty: Vec::new(),
             });
             let (name, inode) = (name(&path), state.inodes.len() - 1);
             state.names.insert(name, inode);
@@ -87,6 +93,11 @@
         Files::with_hook(Box::new(move |op| state.lock().unwrap().operation(op)))
     }
 
+    /// Lets the sync of a file fail for lack of room, after `syncs` successful ones.
+    pub(crate) fn fail_sync_after(&self, syncs: usize) {
+        self.state.lock().unwrap().syncs_until_full = Some(syncs);
+    }
+
     /// Number of operations so far.
     pub(crate) fn operations(&self) -> usize {
         self.state.lock().unwrap().operations
@@ -139,14 +150,29 @@
                 offset,
                 bytes,
             } => {
-                let (current, start) = (&mut self.inode(file).current, offset as usize);
+                let inode = self.inode(file);
+                let (current, start) = (&mut inode.current, offset as usize);
                 current.resize(current.len().max(start + bytes.len()), 0);
                 current[start..start + bytes.len()].copy_from_slice(bytes);
+                inode.dirty.push(start..start + bytes.len());
             }
             Op::SetLen { file, len } => self.inode(file).current.resize(len as usize, 0),
             Op::Sync(file) => {
+                let is_full = self.syncs_until_full == Some(0);
+                self.syncs_until_full = self.syncs_until_full.and_then(|it| it.checked_sub(1));
                 let inode = self.inode(file);
-                inode.durable = inode.current.clone();
+                let dirty = std::mem::take(&mut inode.dirty);
+                // After a failed sync the kernel regards the pages as clean.
+                if is_full {
+                    return HookDecision::Fail(io::ErrorKind::StorageFull.into());
+                }
+                inode.durable.resize(inode.current.len(), 0);
+                for range in dirty {
+                    let range = range.start..range.end.min(inode.current.len());
+                    if !range.is_empty() {
+                        inode.durable[range.clone()].copy_from_slice(&inode.current[range]);
+                    }
+                }
             }
             Op::Rename { from, to } => {
                 let inode = self.names[&name(from)];
