Join the copy of accused parts at control daemons, and disks without room

The restart of all daemons at once is a test for whole requests as well: daemons_that_all_restart_at_once_do_not_forget_the_request, in support/crashing.rs for both files.

--- a/crates/azurelug-storage/src/folder.rs
+++ b/crates/azurelug-storage/src/folder.rs
@@ -137,10 +137,17 @@
             .map_err(|error| io_error("write", &to.path, offset, error))
     }
 
-    /// Syncs a file whose first `synced` bytes were synced before.
+    /// Syncs a file whose first `synced` bytes were synced before. If the disk has no room for the
+    /// rest, that part may be lost although it can be read, so it must be written again before it
+    /// counts as durable.
     pub(crate) fn sync(&mut self, handle: &Handle, synced: u64) -> Result<(), Error> {
         let result = self.files.sync(handle);
-        result.map_err(|source| self.record_sync_failure(&handle.path, synced, source))
+        result.map_err(|source| {
+            if is_full(&source) {
+                return io_error("sync", &handle.path, synced, source);
+            }
+            self.record_sync_failure(&handle.path, synced, source)
+        })
     }
 
     /// Syncs the directory entries of the folder.
@@ -221,6 +228,33 @@
     .set_aside()
 }
 
+/// Replaces a file that is not part of a store: writes it under a temporary name, syncs it, renames
+/// it, and syncs the folder. Each name must have one writer. If it fails, the file has its earlier
+/// or the new content, and can be replaced again.
+///
+/// # Errors
+/// A file operation failed.
+pub fn replace_file(
+    files: &mut Files,
+    folder: &Path,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), Error> {
+    let path = folder.join(name);
+    let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
+    let replaced = files.create(&temporary).and_then(|handle| {
+        files.write(&handle, 0, bytes)?;
+        files.sync(&handle)?;
+        files.rename(&temporary, &path)?;
+        files.sync_folder(folder)
+    });
+    replaced.map_err(|error| {
+        // It takes up space, and the next call replaces it if it stays.
+        let _ = files.remove(&temporary);
+        io_error("replace", &path, 0, error)
+    })
+}
+
 /// Exclusive lock on a folder, released on drop.
 struct Lock(File);
 
@@ -276,6 +310,12 @@
     })
 }
 
+/// Whether an operation failed for lack of room.
+pub(crate) fn is_full(error: &io::Error) -> bool {
+    use io::ErrorKind::{QuotaExceeded, StorageFull};
+    matches!(error.kind(), StorageFull | QuotaExceeded)
+}
+
 fn is_store_file(name: &str) -> bool {
     name == HARD_STATE_FILE
         || parse_number(name, SEGMENT_PREFIX).is_some()
--- a/crates/azurelug-system/tests/crashing_parts.rs
+++ b/crates/azurelug-system/tests/crashing_parts.rs
@@ -241,6 +241,18 @@
     scenario.finish(Duration::from_secs(11)).await;
 }
 
+/// Guards against a decision that is lost when all daemons restart at once, so that the part
+/// crashes targets again.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_all_restart_at_once_do_not_forget_the_part() {
+    let unsound = |random: &mut Pcg64| talk(random, &[BASE, CRASHING[0]]);
+    let crashing = Crashing::engines(0.15);
+    let scenario = Scenario::start(options(9115, 1), crashing, sound, unsound).await;
+    scenario.begin();
+    sleep(Duration::from_secs(8)).await;
+    scenario.restart_all(Duration::from_secs(11)).await;
+}
+
 /// Guards against requests that are refused because their prompt has a single part or none, and
 /// against a first part that crashes targets.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/azurelug-system/tests/crashing_requests.rs
+++ b/crates/azurelug-system/tests/crashing_requests.rs
@@ -267,6 +267,17 @@
     check(scenario, &requests).await;
 }
 
+/// Guards against a decision that is lost when all daemons restart at once, so that the request
+/// crashes targets again.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_all_restart_at_once_do_not_forget_the_request() {
+    let sound = |random: &mut Pcg64| post(random, "/book/x", &[]);
+    let scenario = start(9215, &[plain("/book/x")], sound).await;
+    scenario.begin();
+    sleep(Duration::from_secs(8)).await;
+    scenario.restart_all(Duration::from_secs(11)).await;
+}
+
 /// Guards against an identity without the account, the query, the method or the body.
 #[tokio::test(flavor = "multi_thread")]
 async fn sound_requests_that_differ_in_one_field_are_not_refused() {
--- a/crates/azurelug-system/tests/support/crashing.rs
+++ b/crates/azurelug-system/tests/support/crashing.rs
@@ -172,6 +172,12 @@
         self.deployment.checker().limits.now()
     }
 
+    /// Number of crashes that requests have caused.
+    fn crash_count(&self) -> usize {
+        let summary = self.deployment.checker().crashes.summary();
+        summary.values().map(|it| it.crashes).sum()
+    }
+
     /// Crashes targets at once without a cause in requests.
     pub(crate) fn crash(&self, targets: &[&str]) {
         for target in targets {
@@ -186,6 +192,26 @@
         self.deployment.end_fault(fault).await;
     }
 
+    /// Kills all gateways and control daemons at once, and starts them again. Checks that few
+    /// crashes follow.
+    pub(crate) async fn restart_all(mut self, time_left: Duration) {
+        let before = self.crash_count();
+        let gateways = (0..3).map(Fault::KillGateway);
+        let faults: Vec<Fault> = gateways.chain((0..3).map(Fault::KillControl)).collect();
+        for fault in &faults {
+            self.deployment.start_fault(fault);
+        }
+        sleep(Duration::from_millis(500)).await;
+        for fault in &faults {
+            self.deployment.end_fault(fault).await;
+        }
+        sleep(time_left).await;
+        let later = self.crash_count() - before;
+        println!("{later} more crashes, {before} before");
+        self.finish(Duration::ZERO).await;
+        assert!(later <= ALLOWED, "{later} more crashes, {before} before");
+    }
+
     /// Waits until the end, stops the requests and checks the rules.
     pub(crate) async fn finish(self, time_left: Duration) -> Vec<Answer> {
         sleep(time_left).await;
