core: crashes that a request's record does not hold accuse none of its parts

And a deadly part could stay clear through a later crash, if one of its requests had been repeated before.

Cause: a record holds at most 12 crashes. A request with a hundred seemed not to have those of its parts since their last progress. And one crash that the request does not share was tolerated at any time, also after the request was accused, when only another one can have caused it.

Change: a crash that may have been left out of the request's record counts as shared: between its first three and its last two, and larger than the sample. The one that need not be shared has to be earlier than the request's third.

--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -214,18 +214,19 @@
         }
     }
 
-    /// Whether one accused request shares almost all crashes of a part. If several requests are
-    /// needed, the part is what they have in common.
+    /// Whether one accused request shares the crashes of a part, except for some before it was
+    /// accused. If several requests are needed, the part is what they have in common.
     fn is_covered(&self, part: &PartKey) -> bool {
         let crashes = self.record(part).map_or(&[][..], Record::crashes);
         let requests = self.conclusive.iter().filter(|part| part.is_request());
         let mut requests = requests.filter_map(|part| self.record(part));
         crashes.len() >= SUSPECTED_CRASHES
             && requests.any(|request| {
-                let is_shared =
-                    |crash: &Crash| request.crashes().iter().any(|it| it.is_same(crash));
-                let unshared = crashes.iter().filter(|crash| !is_shared(crash));
-                unshared.take(UNSHARED_CRASHES + 1).count() <= UNSHARED_CRASHES
+                let accused_at = request.crashes().get(ACCUSED_CRASHES - 1);
+                let mut unshared = crashes.iter().filter(|crash| !request.may_contain(crash));
+                let is_early = |crash: &Crash| accused_at.is_some_and(|it| crash.at < it.at);
+                let is_tolerated = unshared.by_ref().take(UNSHARED_CRASHES).all(is_early);
+                is_tolerated && unshared.next().is_none()
             })
     }
 
--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -56,6 +56,11 @@
         self.target == other.target && self.at.abs_diff(other.at) < SAME_CRASH
     }
 
+    /// The target is a hash, so that the smallest crashes of a record are a random sample.
+    fn order(&self) -> (u64, Duration) {
+        (self.target, self.at)
+    }
+
     fn is_independent_of(&self, earlier: &Self) -> bool {
         self.at >= earlier.at + MASS_FAILURE
     }
@@ -115,6 +120,25 @@
         last.unwrap_or_default()
     }
 
+    /// Whether a crash is one of the record's, or may be one that was not kept.
+    #[must_use]
+    pub fn may_contain(&self, crash: &Crash) -> bool {
+        if self.crashes.iter().any(|it| it.is_same(crash)) {
+            return true;
+        }
+        let last = self.crashes.len().saturating_sub(LAST_CRASHES);
+        let edges = self
+            .crashes
+            .get(FIRST_CRASHES - 1)
+            .zip(self.crashes.get(last));
+        let is_between =
+            edges.is_some_and(|(first, last)| crash.at > first.at && crash.at < last.at);
+        is_between
+            && self
+                .largest_sampled()
+                .is_some_and(|largest| crash.order() > largest)
+    }
+
     /// Adds a crash. Returns whether the record has changed.
     pub fn add_crash(&mut self, crash: Crash) -> bool {
         if self.progress.is_some_and(|progress| progress >= crash.at) {
@@ -138,20 +162,23 @@
     /// Keeps the first and the last crashes and a sample of all. Which ones these are does not
     /// depend on the order in which daemons learn of the crashes.
     fn remove_excess(&mut self) {
-        // The target is a hash, so that the smallest ones are a random sample.
-        let order = |crash: &Crash| (crash.target, crash.at);
-        let mut ordered: Vec<(u64, Duration)> = self.crashes.iter().map(order).collect();
-        ordered.sort_unstable();
-        let largest = ordered.get(SAMPLED_CRASHES - 1).copied();
+        let largest = self.largest_sampled();
         let last = self.crashes.len().saturating_sub(LAST_CRASHES);
         let mut position = 0;
         self.crashes.retain(|crash| {
             let is_edge = position < FIRST_CRASHES || position >= last;
             position += 1;
-            is_edge || largest.is_none_or(|largest| order(crash) <= largest)
+            is_edge || largest.is_none_or(|largest| crash.order() <= largest)
         });
     }
 
+    /// The largest of the sampled crashes; none if all crashes are kept.
+    fn largest_sampled(&self) -> Option<(u64, Duration)> {
+        let mut ordered: Vec<(u64, Duration)> = self.crashes.iter().map(Crash::order).collect();
+        ordered.sort_unstable();
+        ordered.get(SAMPLED_CRASHES - 1).copied()
+    }
+
     /// Adds a probe that was sent. Returns whether the record has changed.
     pub fn add_probe(&mut self, at: Duration) -> bool {
         let is_old = self.progress.is_some_and(|progress| progress >= at);
--- a/crates/azurelug-core/tests/gateway_deadly_requests.rs
+++ b/crates/azurelug-core/tests/gateway_deadly_requests.rs
@@ -86,6 +86,28 @@
     assert_eq!(quarantine.status(&elsewhere, now), Status::Clear);
 }
 
+/// Guards against a part that is accused because a request has crashed more targets than its record
+/// holds, and against a deadly part that is cleared because of it.
+#[test]
+fn crashes_that_were_not_kept_do_not_accuse_a_part() {
+    let keys = [request(1), part(1)];
+    for other in 0..40 {
+        let mut quarantine = Quarantine::default();
+        for number in 0..40 {
+            if number == 20 {
+                quarantine.record_progress(&[part(1)], at(number));
+            }
+            let target = 1000 * (u64::from(number) * 7 % 40);
+            let crash = crash(target, SECOND * number);
+            quarantine.record_crash(&keys, crash, crash.at);
+        }
+        assert_eq!(quarantine.status(&part(1), at(40)), Status::Clear);
+        let later = crash(1000 * other + 1, 41 * SECOND);
+        quarantine.record_crash(&[request(2), part(1)], later, later.at);
+        assert_eq!(quarantine.status(&part(1), at(41)), Status::Accused);
+    }
+}
+
 /// Guards against a deadly request that is a probe of its own parts time after time, while they are
 /// refused to sound requests.
 #[test]
