gateway: a suspected request takes no repeat from the budget of others

Callers of sound requests could miss a repeat: while a target was silent under a suspected request, each timeout of its attempt took a token of the service's budget for repeats, and the slot that it had reserved was then refused. Found by a reviewer who read the code, not seen in a run. The status is now asked before a slot and a token are taken, while another attempt is pending; the check before the send stays. No test of its own: tests of the budget and of crashing requests run with it.

--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -233,8 +233,10 @@
         if let Some(slot) = self.params.slot.take() {
             return Step::Send(slot);
         }
-        let may_retry = self.may_retry(0);
         let exchange = self.exchange;
+        // A suspected request is at one target at a time, and takes no repeat from others.
+        let may_run_twice = self.pending.is_empty() || quarantine::may_repeat(exchange);
+        let may_retry = self.may_retry(0) && may_run_twice;
         if self.is_due {
             if !self.pending.is_empty() && !may_retry {
                 return Step::Stop(self.last.clone());
