control: a reopened member doesn't withhold its vote again

Evidence: a_reopened_member_withholds_its_vote_no_longer_than_a_lease_relies_on_it. Without the change: "reopened at 5s", false instead of true.

Change: Node::continue_from takes over from the earlier node of the same process until when votes are withheld.

The tests of azurelug-coordination and azurelug-control pass. The raft schedules restart whole processes and don't play this call.

Why it works: a lease relies on answers that the earlier node sent, and the earlier node's time covers these.

--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -220,10 +220,11 @@
             sleep_until(until).await;
         };
         let RecoveredMember {
-            node,
+            mut node,
             machine,
             has_snapshot,
         } = RecoveredMember::new(&self.settings, recovered, self.started.elapsed())?;
+        node.continue_from(&self.node);
         log::info!("control: the disk has room again");
         *self.machine.write().expect("no holder of the lock panics") = machine;
         Ok(Self {
--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -173,6 +173,13 @@
         Ok(node)
     }
 
+    /// Continues from an earlier node of the same process on the same data folder, which knows when
+    /// it last heard from a leader. Votes are withheld from that time on, not from the creation of
+    /// this node.
+    pub fn continue_from(&mut self, earlier: &Self) {
+        self.vote_withheld_until = self.vote_withheld_until.min(earlier.vote_withheld_until);
+    }
+
     /// Handles one event. `now` is the time since process start on a monotonic clock, read just
     /// before the call.
     #[must_use = "the actions are to be carried out in order"]
--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -6,7 +6,8 @@
 
 use azurelug_coordination::raft::{
     Action, Body, Change, Entry, Event, Fault, Member, Message, Node, NodeOptions, Outcome,
-    Payload, RecoveredState, Refusal, Role, Settings, Standing, StartError, State,
+    Payload, Position, RecoveredState, Refusal, Role, Settings, Standing, StartError, State,
+    VoteRecord,
 };
 use rand::SeedableRng;
 
@@ -362,6 +363,42 @@
     assert_ne!(net.leader(), leader);
 }
 
+/// Guards against an election that fails because a member opened its data folder again, and against
+/// a vote in the time of a lease that relies on the member.
+#[test]
+fn a_reopened_member_withholds_its_vote_no_longer_than_a_lease_relies_on_it() {
+    let mut recovered = RecoveredState::initialize(7, 0, &[0, 1, 2], 100);
+    recovered.vote = recovered.vote.map(|vote| VoteRecord { term: 1, ..vote });
+    let earlier = node(recovered.clone(), 1, Duration::ZERO);
+    for (reopened_at, expected) in [(100 * MS, false), (5000 * MS, true)] {
+        let mut reopened = node(recovered.clone(), 2, reopened_at);
+        reopened.continue_from(&earlier);
+        let member = |slot| Member {
+            slot,
+            incarnation: 1,
+        };
+        let message = Message {
+            cluster: 7,
+            from: member(1),
+            storage: 101,
+            to: member(0),
+            term: 1,
+            body: Body::PreVote {
+                next_term: 2,
+                last: Position::default(),
+            },
+        };
+        let actions = reopened.step(Event::Receive(message), reopened_at);
+        let is_granted = actions.iter().any(|action| {
+            let Action::Send(answer) = action else {
+                return false;
+            };
+            matches!(answer.body, Body::PreVoteAnswer { granted: true, .. })
+        });
+        assert_eq!(is_granted, expected, "reopened at {reopened_at:?}");
+    }
+}
+
 /// A frame above the wire's limit of 1 MiB would close the connection of a healthy member.
 #[test]
 fn the_largest_messages_do_not_exceed_a_frame() {
