core: crashes of a request at several services count together

What callers saw: a request that crashes targets went on to crash them when its route has several services, or when configurations move the route to another one. Sends later than 3 s after its third crash, one send each 0.5 s for an hour: 5 with two services in turn, 8 with three; 12 with three and a send each 5 s. A route that moves to a new service each 5 s had 1438, because each service has to be crashed once.

Cause: the key holds the service, so that each service had its own evidence, its own schedule of probes and, by rendezvous hashing, its own owner of the probes.

Evidence: gateway_deadly_services failed before: "2 services, each 500ms: 5 late sends", "3 services, each 500ms: 8 late sends", "a moved route, each 500ms: 1438 late sends"; progress_clears_a_request_at_its_own_service_only: "left: [Accused, Accused, Clear], right: [Accused, Accused, Accused]"; a_request_has_one_owner_at_all_services: "gw-2" for one service, "gw-7" for another.

Change: three crashes of a request in all, at two services at least, accuse it at every service, also without a record there, unless that service has answered it since. Probes are recorded for all services of a request and follow one schedule over their crashes, without the early probe. The rota and the grants leave the service out of a request's key; `Rota::owner` and `owns`, and the gateway's permits, take a key in place of any hashable value. Progress stays with its service. Records of a request at several services expire together, and count as accused for the control daemons' archive. Reports without crashes come last in a message, so that progress finds the crashes that it answers.

Result: the three tests pass: at most 3 late sends in each of the 12 cases. Nothing changes for parts.

Why it works: all gateways merge the same records, so that they find the same sum, and a probe that any of them sends is in each record that the schedule is made of.

--- a/crates/azurelug-core/src/gateway/limits/rota.rs
+++ b/crates/azurelug-core/src/gateway/limits/rota.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurelug_types::fleet::Peer;
+use azurelug_types::fleet::{PartKey, Peer};
 use azurelug_types::id::{DaemonName, TargetName, ZoneName};
 
+use crate::gateway::quarantine::probe_key;
 use crate::gateway::rendezvous;
 
 /// Time within which a change of the gateways reaches all of them: two polls of the control
@@ -105,23 +106,19 @@
         self.standing_by(own, rank, has_contact, now)
     }
 
-    /// The gateway that decides on a matter for all gateways.
+    /// The gateway that decides on the probes of a part, or of a request at all services.
     #[must_use]
-    pub fn owner<K: Hash>(&self, matter: &K) -> Option<Peer> {
+    pub fn owner(&self, part: &PartKey) -> Option<Peer> {
         let (_, peers) = self.lists.back()?;
-        first_two(matter, peers.iter()).first().copied().cloned()
+        let owners = first_two(&probe_key(part), peers.iter());
+        owners.first().copied().cloned()
     }
 
-    /// Whether a gateway decides on a matter alone: no other gateway can, even by an older list.
+    /// Whether a gateway decides on these probes alone: no other gateway can, even by an older list.
     #[must_use]
-    pub fn owns<K: Hash>(
-        &self,
-        own: &DaemonName,
-        matter: &K,
-        has_contact: bool,
-        now: Duration,
-    ) -> bool {
-        let rank = |peers| first_two(matter, <[Peer]>::iter(peers));
+    pub fn owns(&self, own: &DaemonName, part: &PartKey, has_contact: bool, now: Duration) -> bool {
+        let key = probe_key(part);
+        let rank = |peers| first_two(&key, <[Peer]>::iter(peers));
         let standing = self.standing_by(own, rank, has_contact, now);
         standing.is_some_and(|it| it.rank == 0 && it.is_settled && it.has_contact)
     }
--- a/crates/azurelug-core/src/gateway/quarantine.rs
+++ b/crates/azurelug-core/src/gateway/quarantine.rs
@@ -64,7 +64,8 @@
 pub struct Quarantine {
     ledger: Ledger,
     recent: Recent,
-    /// Parts of which this gateway has granted a probe, and until when it grants no other.
+    /// Parts of which this gateway has granted a probe, and until when it grants no other. Those of
+    /// requests are without their services.
     grants: HashMap<PartKey, Duration>,
 }
 
@@ -143,9 +144,10 @@
     pub fn grant_probe(&mut self, parts: &[PartKey], now: Duration) -> bool {
         self.grants.retain(|_, until| *until > now);
         let is_due = self.probe_due_at(parts).is_some_and(|due| due <= now);
-        let is_granted = is_due && !parts.iter().any(|part| self.grants.contains_key(part));
+        let mut probed = parts.iter().map(probe_key);
+        let is_granted = is_due && !probed.any(|key| self.grants.contains_key(&key));
         if is_granted {
-            let granted = parts.iter().map(|part| (*part, now + GRANT_TIME));
+            let granted = parts.iter().map(|part| (probe_key(part), now + GRANT_TIME));
             self.grants.extend(granted);
         }
         is_granted
@@ -237,16 +239,23 @@
     /// Several parts are probed together only if nothing distinguishes them: otherwise the guilty
     /// one would be probed, and the others blamed once more.
     fn probe_due_at(&self, accused: &[PartKey]) -> Option<Duration> {
-        let first = self.ledger.record(accused.first()?)?;
-        let mut latest = Duration::ZERO;
-        for part in accused {
-            let record = self.ledger.record(part)?;
-            if !record.has_same_crashes(first) {
+        let (first, others) = accused.split_first()?;
+        let mut latest = self.ledger.probe_due_at(first)?;
+        for part in others {
+            let own = self.ledger.record(part)?;
+            if !own.has_same_crashes(self.ledger.record(first)?) {
                 return None;
             }
-            latest = latest.max(record.probe_due_at(part)?);
+            latest = latest.max(self.ledger.probe_due_at(part)?);
         }
-        let others = u32::try_from(accused.len().saturating_sub(1)).unwrap_or(u32::MAX);
+        let others = u32::try_from(others.len()).unwrap_or(u32::MAX);
         Some(latest + SHARED_PROBE_DELAY.saturating_mul(others))
     }
 }
+
+/// What the probes of a part, or of a request at any service, have in common.
+#[must_use]
+pub fn probe_key(part: &PartKey) -> PartKey {
+    let service = if part.is_request() { 0 } else { part.service };
+    PartKey { service, ..*part }
+}
--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -1,6 +1,8 @@
 //! The records of all suspected parts and requests, in bounded memory, with a revision for each
 //! change so that daemons send each other only what has changed.
 
+mod services;
+
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -104,6 +106,8 @@
     entries: HashMap<PartKey, Entry>,
     /// The records whose crashes accuse a part or request, unless others explain them.
     conclusive: BTreeSet<PartKey>,
+    /// Id and service of the requests that have a record.
+    requests: BTreeSet<(u64, u64)>,
     revision: u64,
 }
 
@@ -113,21 +117,10 @@
         self.update(part, |record| record.add_crash(crash));
     }
 
-    /// Adds a probe of the part.
-    pub fn record_probe(&mut self, part: PartKey, now: Duration) {
-        self.update(part, |record| record.add_probe(now));
-    }
-
-    /// Removes a probe that was recorded at `at` and did not reach a target.
-    pub fn remove_probe(&mut self, part: PartKey, at: Duration) {
-        if self.entries.contains_key(&part) {
-            self.update(part, |record| record.remove_probe(at));
-        }
-    }
-
-    /// Adds progress of an answer to a request with the part; ignored without a record.
+    /// Adds progress of an answer to a request with the part; ignored without a record,
+    /// unless crashes at other services accuse the request.
     pub fn record_progress(&mut self, part: PartKey, at: Duration) {
-        if self.entries.contains_key(&part) {
+        if self.entries.contains_key(&part) || self.has_spread(&part) {
             self.update(part, |record| record.add_progress(at));
         }
     }
@@ -135,8 +128,9 @@
     /// Takes over a report of another daemon. Returns whether that changes anything.
     pub fn merge(&mut self, report: &SuspectPart, now: Duration) -> bool {
         let theirs = Record::of_report(report, now);
-        // A report without crashes only clears a record that exists.
-        if theirs.crashes().is_empty() && !self.entries.contains_key(&report.part) {
+        // A report without crashes only clears a record that exists, or an accusation by others.
+        let is_known = self.entries.contains_key(&report.part) || self.has_spread(&report.part);
+        if theirs.crashes().is_empty() && !is_known {
             return false;
         }
         self.update(report.part, |record| record.merge(&theirs))
@@ -169,6 +163,9 @@
             ..Entry::default()
         };
         self.entries.insert(part, entry);
+        if part.is_request() {
+            self.requests.insert((part.id, part.service));
+        }
         self.weigh(part);
         true
     }
@@ -244,28 +241,51 @@
         for weight in weights.into_iter().take(EVICTED_RECORDS) {
             self.entries.remove(&weight.part);
         }
-        self.forget_conclusive();
+        self.forget_removed();
     }
 
     /// Removes expired records.
     pub fn prune(&mut self, now: Duration) {
-        self.entries.retain(|part, entry| {
-            let retention = if entry.record.crashes().is_empty() {
-                PROGRESS_RETENTION
-            } else if is_conclusive(part, entry.evidence) {
-                ACCUSED_RETENTION
-            } else if part.is_request() && entry.evidence.total < SUSPECTED_CRASHES {
-                REQUEST_RETENTION
-            } else {
-                SUSPECT_RETENTION
-            };
-            entry.record.last_event() + retention > now
-        });
-        self.forget_conclusive();
+        let expires = |(part, entry): (&PartKey, &Entry)| {
+            (self.expires_at(part, entry) <= now).then_some(*part)
+        };
+        let expired: Vec<PartKey> = self.entries.iter().filter_map(expires).collect();
+        for part in expired {
+            self.entries.remove(&part);
+        }
+        self.forget_removed();
+    }
+
+    /// When a record expires. Those of a request at several services expire together.
+    fn expires_at(&self, part: &PartKey, entry: &Entry) -> Duration {
+        let (crashes, last_event) = if part.is_request() {
+            let services = self.crashed_services(part);
+            let last = services.map(|(_, entry)| entry.record.last_event()).max();
+            (self.count_crashes(part).0, last.unwrap_or_default())
+        } else {
+            (entry.evidence.total, entry.record.last_event())
+        };
+        let is_accused = is_conclusive(part, entry.evidence) || self.has_spread(part);
+        let has_crashes = !entry.record.crashes().is_empty();
+        if is_accused {
+            last_event + ACCUSED_RETENTION
+        } else if !has_crashes {
+            entry.record.last_event() + PROGRESS_RETENTION
+        } else if part.is_request() && crashes < SUSPECTED_CRASHES {
+            last_event + REQUEST_RETENTION
+        } else {
+            last_event + SUSPECT_RETENTION
+        }
     }
 
     /// Updates what depends on removed records.
-    fn forget_conclusive(&mut self) {
+    fn forget_removed(&mut self) {
+        self.requests.retain(|(id, service)| {
+            self.entries.contains_key(&PartKey {
+                service: *service,
+                id: *id,
+            })
+        });
         let count = self.conclusive.len();
         self.conclusive
             .retain(|part| self.entries.contains_key(part));
@@ -282,6 +302,8 @@
             let entries = self.entries.iter();
             let changed = entries.filter(|(_, entry)| entry.revision > revision);
             reports.extend(changed.map(|(part, entry)| entry.record.report(*part, now)));
+            // Progress without crashes is ignored by those that don't know of the crashes.
+            reports.sort_by_key(|report: &SuspectPart| report.crashes.is_empty());
         }
         Changes {
             reports,
@@ -298,6 +320,9 @@
         is_proven: impl Fn(&PartKey, &Record) -> bool,
         now: Duration,
     ) -> Status {
+        if self.is_accused_by_services(part, &is_proven) {
+            return Status::Accused;
+        }
         let Some(entry) = self.entries.get(part) else {
             return Status::Clear;
         };
@@ -331,7 +356,7 @@
     #[must_use]
     pub fn is_conclusive(&self, part: &PartKey) -> bool {
         let entry = self.entries.get(part);
-        entry.is_some_and(|entry| is_conclusive(part, entry.evidence))
+        entry.is_some_and(|entry| is_conclusive(part, entry.evidence)) || self.has_spread(part)
     }
 
     /// Whether the same part is accused at another service.
--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -253,10 +253,34 @@
         self.crashes.len() == other.crashes.len() && pairs.all(|(own, other)| own.is_same(other))
     }
 
-    /// When the next probe of the part or request may be sent; none if all have been sent.
+    /// The crashes and probes of all of these records; none without records.
     #[must_use]
-    pub fn probe_due_at(&self, part: &PartKey) -> Option<Duration> {
-        let is_first_omitted = part.is_request() && self.has_independent_crashes();
+    pub fn union(records: &[&Self]) -> Option<Self> {
+        let (first, others) = records.split_first()?;
+        let mut union = Self {
+            progress: None,
+            ..(*first).clone()
+        };
+        for other in others {
+            other.crashes.iter().for_each(|crash| {
+                union.add_crash(*crash);
+            });
+            other.probes.iter().for_each(|probe| {
+                union.add_probe(*probe);
+            });
+        }
+        Some(union)
+    }
+
+    /// Whether there was progress at `at` or later, and no crash since.
+    #[must_use]
+    pub fn is_sound_since(&self, at: Duration) -> bool {
+        self.crashes.is_empty() && self.progress.is_some_and(|progress| progress >= at)
+    }
+
+    /// When the next probe may be sent; none if all have been sent.
+    #[must_use]
+    pub fn probe_due_at(&self, is_first_omitted: bool) -> Option<Duration> {
         let pause = PROBE_PAUSES.get(self.probes.len() + usize::from(is_first_omitted))?;
         let last_crash = self.crashes.last().map(|crash| crash.at);
         let last_event = last_crash.max(self.probes.last().copied());
@@ -264,7 +288,8 @@
     }
 
     /// Whether [`INDEPENDENT_CRASHES`] came before the first probe.
-    fn has_independent_crashes(&self) -> bool {
+    #[must_use]
+    pub fn has_independent_crashes(&self) -> bool {
         let first_probe = self.probes.first();
         let is_before = |crash: &&Crash| first_probe.is_none_or(|probe| crash.at <= *probe);
         let crashes: Vec<&Crash> = self.crashes.iter().filter(is_before).collect();
--- a/crates/azurelug-gateway/src/permits.rs
+++ b/crates/azurelug-gateway/src/permits.rs
@@ -2,14 +2,13 @@
 //! them to other gateways.
 
 use std::collections::HashMap;
-use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use azurelug_core::gateway::limits::{Decision, Grantor, HANDOVER, Knowledge, Rota};
 use azurelug_types::deployment::Target;
-use azurelug_types::fleet::{Grant, Peer, PermitRequest, TargetLimit};
+use azurelug_types::fleet::{Grant, PartKey, Peer, PermitRequest, TargetLimit};
 use azurelug_types::id::{TargetName, ZoneName};
 use azurelug_wire::Frame;
 
@@ -66,15 +65,15 @@
         grantors.into_iter().find(|peer| !is_skipped(peer))
     }
 
-    /// The gateway that decides on a matter for all gateways.
-    pub fn owner<K: Hash>(&self, matter: &K) -> Option<Peer> {
-        self.rota().owner(matter)
+    /// The gateway that decides on the probes of a request or prompt part.
+    pub fn owner(&self, part: &PartKey) -> Option<Peer> {
+        self.rota().owner(part)
     }
 
-    /// Whether this gateway decides on a matter alone.
-    pub fn owns<K: Hash>(&self, gateway: &Gateway, matter: &K) -> bool {
+    /// Whether this gateway decides on these probes alone.
+    pub fn owns(&self, gateway: &Gateway, part: &PartKey) -> bool {
         let (has_contact, now) = (gateway.has_contact(), gateway.now());
-        self.rota().owns(&gateway.name, matter, has_contact, now)
+        self.rota().owns(&gateway.name, part, has_contact, now)
     }
 
     fn skip(&self, address: SocketAddr, now: Duration) {
