core: records of parts and of requests leave each other room

What callers saw: a deadly request that comes when the ledger is full of parts that had one crash, or of requests or parts that had two, was never recorded and crashed a target each time it was sent: 100 of 100 sends in five minutes. `may_repeat` took the missing record as proof that it is sound.

Cause: the first crash of a request displaced only records with less weight, and the crashes of a single failure of a zone stay for an hour.

Change: neither kind has more than 3/4 of the records. A newcomer without room displaces the lightest and oldest records, those of the other kind only while that has more than 1/4; accused ones last, and one at a time. Only a record with as many crashes as the lightest one and an older last event is refused. A part's only crash is kept for 10 min like a request's. A request's key without a record counts as nothing known in `may_repeat`, so that at most two targets crash under it.

Why it works: the records that a kind can have beyond 3/4 are the ones that locked the other out, and a newcomer of a full kind takes the place of the oldest of the lightest. Records with one crash go before those with two, so that a rack's requests displace each other.

--- a/crates/azurelug-core/src/gateway/quarantine.rs
+++ b/crates/azurelug-core/src/gateway/quarantine.rs
@@ -126,7 +126,8 @@
     pub fn may_repeat(&self, parts: &[PartKey], crashes: u32, now: Duration) -> bool {
         let may_repeat = |part: &PartKey| {
             let record = self.ledger.record(part);
-            let is_proven = record.is_none_or(|record| self.is_proven(part, record));
+            // No record of a request shows nothing: there may have been no room for it.
+            let is_proven = record.map_or(!part.is_request(), |it| self.is_proven(part, it));
             self.status(part, now) == Status::Clear && (crashes < MAX_OWN_CRASHES || is_proven)
         };
         parts.iter().all(may_repeat)
--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -1,6 +1,7 @@
 //! The records of all suspected parts and requests, in bounded memory, with a revision for each
 //! change so that daemons send each other only what has changed.
 
+mod room;
 mod services;
 
 use std::collections::{BTreeSet, HashMap};
@@ -13,9 +14,6 @@
 /// Most records. All of them fit into one message.
 pub const MAX_RECORDS: usize = 1024;
 
-/// Records that are removed at a time when there are too many.
-const EVICTED_RECORDS: usize = MAX_RECORDS / 16;
-
 /// Independent crashes after which a part is suspected: its requests are not repeated. For a
 /// request all crashes count, because it is at one target at a time.
 const SUSPECTED_CRASHES: usize = 2;
@@ -40,12 +38,12 @@
 /// Time for which progress is reported.
 const PROGRESS_RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which crashes of a part that is not accused are kept.
+/// Time for which several crashes of a part or request that is not accused are kept.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(3600);
 
-/// Time for which a request's only crash is kept. All requests that are pending at a failing rack
-/// have one.
-const REQUEST_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which the only crash of a part or request is kept. All requests that are pending at a
+/// failing rack have one.
+const FIRST_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time from the last crash or probe until an accusation expires.
 const ACCUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
@@ -71,26 +69,6 @@
     revision: u64,
 }
 
-/// The order in which records are removed when there are too many.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Weight {
-    crashes: usize,
-    is_part: bool,
-    last_event: Duration,
-    part: PartKey,
-}
-
-impl Weight {
-    fn new(part: PartKey, record: &Record, evidence: Evidence) -> Self {
-        Self {
-            crashes: counted_crashes(&part, evidence),
-            is_part: !part.is_request(),
-            last_event: record.last_event(),
-            part,
-        }
-    }
-}
-
 /// Records that have changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
@@ -152,10 +130,10 @@
         if !change(&mut record) {
             return false;
         }
-        if self.entries.len() >= MAX_RECORDS {
-            self.evict(Weight::new(part, &record, record.evidence(|_| false)));
+        if !self.has_room(&part) {
+            self.make_room(part, &record);
         }
-        if self.entries.len() >= MAX_RECORDS {
+        if !self.has_room(&part) {
             return false;
         }
         let entry = Entry {
@@ -227,23 +205,6 @@
             })
     }
 
-    /// Removes the records with the least evidence, of these those of requests and the oldest, to
-    /// make room for a new one. A request's first crash removes only records with less weight.
-    fn evict(&mut self, newcomer: Weight) {
-        let weigh =
-            |(part, entry): (&PartKey, &Entry)| Weight::new(*part, &entry.record, entry.evidence);
-        let is_weak = newcomer.part.is_request() && newcomer.crashes < SUSPECTED_CRASHES;
-        let weights = self.entries.iter().map(weigh);
-        let mut weights: Vec<Weight> = weights
-            .filter(|weight| !is_weak || *weight < newcomer)
-            .collect();
-        weights.sort_unstable();
-        for weight in weights.into_iter().take(EVICTED_RECORDS) {
-            self.entries.remove(&weight.part);
-        }
-        self.forget_removed();
-    }
-
     /// Removes expired records.
     pub fn prune(&mut self, now: Duration) {
         let expires = |(part, entry): (&PartKey, &Entry)| {
@@ -271,8 +232,8 @@
             last_event + ACCUSED_RETENTION
         } else if !has_crashes {
             entry.record.last_event() + PROGRESS_RETENTION
-        } else if part.is_request() && crashes < SUSPECTED_CRASHES {
-            last_event + REQUEST_RETENTION
+        } else if crashes < SUSPECTED_CRASHES {
+            last_event + FIRST_RETENTION
         } else {
             last_event + SUSPECT_RETENTION
         }
