core: a request that shares its crashes with another one has an early probe

What callers saw: a sound request that was pending at the three targets that a deadly one crashed was refused for 15 s, and so was one under which a single target crashed three times.

Cause: the probe after 2 s was left out whenever three crashes were 200 ms apart, even if another request explains them as well, or if all are of one target.

Evidence: a_request_that_may_be_sound_has_an_early_probe failed before: "left: [false, false, false, false], right: [true, true, true, false]" for a deadly request, a sound one beside it, one with crashes of one target, and one with crashes of its own.

Change: the early probe is left out only if the crashes before the first probe are at two targets at least, and no other request that its crashes accuse shares all of them.

Result: the first three have a probe after 2 s, and the last one after 15 s as before. The sound request is clear after its probe; the deadly one has at most three probes.

Why it works: crashes in common don't tell the two requests apart, and one probe of each does. No request has more than the three probes of `PROBE_PAUSES`.

--- a/crates/azurelug-core/src/gateway/quarantine/ledger/services.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger/services.rs
@@ -81,7 +81,21 @@
         let records: Vec<&Record> = services.map(|(_, entry)| &entry.record).collect();
         let is_spread = records.len() > 1;
         let all = Record::union(&records)?;
-        all.probe_due_at(is_spread || all.has_independent_crashes())
+        let is_unique = || all.has_independent_crashes() && !self.has_twin(part, &all);
+        all.probe_due_at(is_spread || is_unique())
+    }
+
+    /// Whether another request that its crashes accuse shares all early ones of this request, so
+    /// that either may be to blame.
+    fn has_twin(&self, request: &PartKey, record: &Record) -> bool {
+        let early = record.early_crashes();
+        let others = self.conclusive.iter();
+        let others = others.filter(|other| other.is_request() && other.id != request.id);
+        let mut others = others.filter_map(|other| self.record(other));
+        others.any(|other| {
+            let is_shared = |crash: &&Crash| other.crashes().iter().any(|it| it.is_same(crash));
+            early.iter().all(is_shared)
+        })
     }
 
     /// Adds a probe of the part, or of the request at all services.
--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -33,7 +33,7 @@
 
 /// Time from the last crash and the last probe until the next probe, by the number of probes sent.
 /// All gateways know of the last crash before the first one. The first one is left out for a
-/// request with [`INDEPENDENT_CRASHES`].
+/// request with [`INDEPENDENT_CRASHES`] that no other request explains.
 pub const PROBE_PAUSES: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(15),
@@ -287,13 +287,22 @@
         Some(last_event.unwrap_or_default() + *pause)
     }
 
-    /// Whether [`INDEPENDENT_CRASHES`] came before the first probe.
+    /// The crashes before the first probe.
     #[must_use]
-    pub fn has_independent_crashes(&self) -> bool {
+    pub fn early_crashes(&self) -> Vec<&Crash> {
         let first_probe = self.probes.first();
         let is_before = |crash: &&Crash| first_probe.is_none_or(|probe| crash.at <= *probe);
-        let crashes: Vec<&Crash> = self.crashes.iter().filter(is_before).collect();
-        independent(&crashes).len() >= INDEPENDENT_CRASHES
+        self.crashes.iter().filter(is_before).collect()
+    }
+
+    /// Whether [`INDEPENDENT_CRASHES`] of several targets came before the first probe.
+    #[must_use]
+    pub fn has_independent_crashes(&self) -> bool {
+        let early = self.early_crashes();
+        let mut targets = early.iter().map(|crash| crash.target);
+        let first = targets.next();
+        let has_several = targets.any(|target| Some(target) != first);
+        has_several && independent(&early).len() >= INDEPENDENT_CRASHES
     }
 
     /// A report for other daemons.
--- a/crates/azurelug-core/tests/gateway_deadly_services.rs
+++ b/crates/azurelug-core/tests/gateway_deadly_services.rs
@@ -145,3 +145,51 @@
         assert!(own, "service {service}");
     }
 }
+
+/// Guards against a sound request that is refused for long because it was pending at the targets
+/// that a deadly one crashed, or at a single target that crashes by itself.
+#[test]
+fn a_request_that_may_be_sound_has_an_early_probe() {
+    let key = |number| PartKey::request(1, number);
+    let record = |quarantine: &mut Quarantine, numbers: &[u64], target, second| {
+        let crash = Crash {
+            target,
+            at: at(second),
+        };
+        let keys: Vec<PartKey> = numbers.iter().map(|number| key(*number)).collect();
+        for key in keys {
+            quarantine.record_crash(&[key], crash, crash.at);
+        }
+    };
+    let mut quarantine = Quarantine::default();
+    for second in 0..3 {
+        record(&mut quarantine, &[1, 2], u64::from(second), second);
+        record(&mut quarantine, &[3], 50, second);
+        record(&mut quarantine, &[4], 60 + u64::from(second), second);
+    }
+    for number in 1..=4 {
+        let verdict = quarantine.check(&[key(number)], at(3));
+        assert!(matches!(verdict, Verdict::Refused(_)), "{verdict:?}");
+    }
+    let is_due = |quarantine: &Quarantine, number, second| {
+        quarantine.check(&[key(number)], at(second)) == Verdict::ProbeDue(vec![key(number)])
+    };
+    let due = [1, 2, 3, 4].map(|number| is_due(&quarantine, number, 4));
+    assert_eq!(due, [true, true, true, false]);
+    // Request 1 is deadly, and request 2 is not.
+    quarantine.record_probe(&[key(1)], at(4));
+    record(&mut quarantine, &[1], 70, 4);
+    quarantine.record_probe(&[key(2)], at(4));
+    quarantine.record_progress(&[key(2)], at(5));
+    assert_eq!(quarantine.check(&[key(2)], at(5)), Verdict::Allowed);
+    assert!(!is_due(&quarantine, 1, 18));
+    let mut probes = 1;
+    for second in 18..10_000 {
+        if is_due(&quarantine, 1, second) {
+            quarantine.record_probe(&[key(1)], at(second));
+            record(&mut quarantine, &[1], 100 + u64::from(second), second);
+            probes += 1;
+        }
+    }
+    assert!(probes <= MAX_LATE_SENDS, "{probes} probes");
+}
