--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -1,6 +1,9 @@
 //! The records of all suspected parts and requests, in bounded memory, with a revision for each
 //! change so that daemons send each other only what has changed.
 
+mod room;
+mod services;
+
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -11,9 +14,6 @@
 /// Most records. All of them fit into one message.
 pub const MAX_RECORDS: usize = 1024;
 
-/// Records that are removed at a time when there are too many.
-const EVICTED_RECORDS: usize = MAX_RECORDS / 16;
-
 /// Independent crashes after which a part is suspected: its requests are not repeated. For a
 /// request all crashes count, because it is at one target at a time.
 const SUSPECTED_CRASHES: usize = 2;
@@ -38,12 +38,12 @@
 /// Time for which progress is reported.
 const PROGRESS_RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which crashes of a part that is not accused are kept.
+/// Time for which several crashes of a part or request that is not accused are kept.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(3600);
 
-/// Time for which a request's only crash is kept. All requests that are pending at a failing rack
-/// have one.
-const REQUEST_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which the only crash of a part or request is kept. All requests that are pending at a
+/// failing rack have one.
+const FIRST_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time from the last crash or probe until an accusation expires.
 const ACCUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
@@ -69,26 +69,6 @@
     revision: u64,
 }
 
-/// The order in which records are removed when there are too many.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Weight {
-    crashes: usize,
-    is_part: bool,
-    last_event: Duration,
-    part: PartKey,
-}
-
-impl Weight {
-    fn new(part: PartKey, record: &Record, evidence: Evidence) -> Self {
-        Self {
-            crashes: counted_crashes(&part, evidence),
-            is_part: !part.is_request(),
-            last_event: record.last_event(),
-            part,
-        }
-    }
-}
-
 /// Records that have changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
@@ -104,6 +84,8 @@
     entries: HashMap<PartKey, Entry>,
     /// The records whose crashes accuse a part or request, unless others explain them.
     conclusive: BTreeSet<PartKey>,
+    /// Id and service of the requests that have a record.
+    requests: BTreeSet<(u64, u64)>,
     revision: u64,
 }
 
@@ -113,21 +95,10 @@
         self.update(part, |record| record.add_crash(crash));
     }
 
-    /// Adds a probe of the part.
-    pub fn record_probe(&mut self, part: PartKey, now: Duration) {
-        self.update(part, |record| record.add_probe(now));
-    }
-
-    /// Removes a probe that was recorded at `at` and did not reach a target.
-    pub fn remove_probe(&mut self, part: PartKey, at: Duration) {
-        if self.entries.contains_key(&part) {
-            self.update(part, |record| record.remove_probe(at));
-        }
-    }
-
-    /// Adds progress of an answer to a request with the part; ignored without a record.
+    /// Adds progress of an answer to a request with the part; ignored without a record,
+    /// unless crashes at other services accuse the request.
     pub fn record_progress(&mut self, part: PartKey, at: Duration) {
-        if self.entries.contains_key(&part) {
+        if self.entries.contains_key(&part) || self.has_spread(&part) {
             self.update(part, |record| record.add_progress(at));
         }
     }
@@ -135,8 +106,9 @@
     /// Takes over a report of another daemon. Returns whether that changes anything.
     pub fn merge(&mut self, report: &SuspectPart, now: Duration) -> bool {
         let theirs = Record::of_report(report, now);
-        // A report without crashes only clears a record that exists.
-        if theirs.crashes().is_empty() && !self.entries.contains_key(&report.part) {
+        // A report without crashes only clears a record that exists, or an accusation by others.
+        let is_known = self.entries.contains_key(&report.part) || self.has_spread(&report.part);
+        if theirs.crashes().is_empty() && !is_known {
             return false;
         }
         self.update(report.part, |record| record.merge(&theirs))
@@ -158,10 +130,10 @@
         if !change(&mut record) {
             return false;
         }
-        if self.entries.len() >= MAX_RECORDS {
-            self.evict(Weight::new(part, &record, record.evidence(|_| false)));
+        if !self.has_room(&part) {
+            self.make_room(part, &record);
         }
-        if self.entries.len() >= MAX_RECORDS {
+        if !self.has_room(&part) {
             return false;
         }
         let entry = Entry {
@@ -169,6 +141,9 @@
             ..Entry::default()
         };
         self.entries.insert(part, entry);
+        if part.is_request() {
+            self.requests.insert((part.id, part.service));
+        }
         self.weigh(part);
         true
     }
@@ -230,42 +205,48 @@
             })
     }
 
-    /// Removes the records with the least evidence, of these those of requests and the oldest, to
-    /// make room for a new one. A request's first crash removes only records with less weight.
-    fn evict(&mut self, newcomer: Weight) {
-        let weigh =
-            |(part, entry): (&PartKey, &Entry)| Weight::new(*part, &entry.record, entry.evidence);
-        let is_weak = newcomer.part.is_request() && newcomer.crashes < SUSPECTED_CRASHES;
-        let weights = self.entries.iter().map(weigh);
-        let mut weights: Vec<Weight> = weights
-            .filter(|weight| !is_weak || *weight < newcomer)
-            .collect();
-        weights.sort_unstable();
-        for weight in weights.into_iter().take(EVICTED_RECORDS) {
-            self.entries.remove(&weight.part);
+    /// Removes expired records.
+    pub fn prune(&mut self, now: Duration) {
+        let expires = |(part, entry): (&PartKey, &Entry)| {
+            (self.expires_at(part, entry) <= now).then_some(*part)
+        };
+        let expired: Vec<PartKey> = self.entries.iter().filter_map(expires).collect();
+        for part in expired {
+            self.entries.remove(&part);
         }
-        self.forget_conclusive();
+        self.forget_removed();
     }
 
-    /// Removes expired records.
-    pub fn prune(&mut self, now: Duration) {
-        self.entries.retain(|part, entry| {
-            let retention = if entry.record.crashes().is_empty() {
-                PROGRESS_RETENTION
-            } else if is_conclusive(part, entry.evidence) {
-                ACCUSED_RETENTION
-            } else if part.is_request() && entry.evidence.total < SUSPECTED_CRASHES {
-                REQUEST_RETENTION
-            } else {
-                SUSPECT_RETENTION
-            };
-            entry.record.last_event() + retention > now
-        });
-        self.forget_conclusive();
+    /// When a record expires. Those of a request at several services expire together.
+    fn expires_at(&self, part: &PartKey, entry: &Entry) -> Duration {
+        let (crashes, last_event) = if part.is_request() {
+            let services = self.crashed_services(part);
+            let last = services.map(|(_, entry)| entry.record.last_event()).max();
+            (self.count_crashes(part).0, last.unwrap_or_default())
+        } else {
+            (entry.evidence.total, entry.record.last_event())
+        };
+        let is_accused = is_conclusive(part, entry.evidence) || self.has_spread(part);
+        let has_crashes = !entry.record.crashes().is_empty();
+        if is_accused {
+            last_event + ACCUSED_RETENTION
+        } else if !has_crashes {
+            entry.record.last_event() + PROGRESS_RETENTION
+        } else if crashes < SUSPECTED_CRASHES {
+            last_event + FIRST_RETENTION
+        } else {
+            last_event + SUSPECT_RETENTION
+        }
     }
 
     /// Updates what depends on removed records.
-    fn forget_conclusive(&mut self) {
+    fn forget_removed(&mut self) {
+        self.requests.retain(|(id, service)| {
+            self.entries.contains_key(&PartKey {
+                service: *service,
+                id: *id,
+            })
+        });
         let count = self.conclusive.len();
         self.conclusive
             .retain(|part| self.entries.contains_key(part));
@@ -282,6 +263,8 @@
             let entries = self.entries.iter();
             let changed = entries.filter(|(_, entry)| entry.revision > revision);
             reports.extend(changed.map(|(part, entry)| entry.record.report(*part, now)));
+            // Progress without crashes is ignored by those that don't know of the crashes.
+            reports.sort_by_key(|report: &SuspectPart| report.crashes.is_empty());
         }
         Changes {
             reports,
@@ -298,6 +281,9 @@
         is_proven: impl Fn(&PartKey, &Record) -> bool,
         now: Duration,
     ) -> Status {
+        if self.is_accused_by_services(part, &is_proven) {
+            return Status::Accused;
+        }
         let Some(entry) = self.entries.get(part) else {
             return Status::Clear;
         };
@@ -331,7 +317,7 @@
     #[must_use]
     pub fn is_conclusive(&self, part: &PartKey) -> bool {
         let entry = self.entries.get(part);
-        entry.is_some_and(|entry| is_conclusive(part, entry.evidence))
+        entry.is_some_and(|entry| is_conclusive(part, entry.evidence)) || self.has_spread(part)
     }
 
     /// Whether the same part is accused at another service.
--- a/crates/azurelug-core/src/gateway/quarantine/record.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/record.rs
@@ -33,7 +33,7 @@
 
 /// Time from the last crash and the last probe until the next probe, by the number of probes sent.
 /// All gateways know of the last crash before the first one. The first one is left out for a
-/// request with [`INDEPENDENT_CRASHES`].
+/// request with [`INDEPENDENT_CRASHES`] that no other request explains.
 pub const PROBE_PAUSES: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(15),
@@ -253,22 +253,56 @@
         self.crashes.len() == other.crashes.len() && pairs.all(|(own, other)| own.is_same(other))
     }
 
-    /// When the next probe of the part or request may be sent; none if all have been sent.
+    /// The crashes and probes of all of these records; none without records.
     #[must_use]
-    pub fn probe_due_at(&self, part: &PartKey) -> Option<Duration> {
-        let is_first_omitted = part.is_request() && self.has_independent_crashes();
+    pub fn union(records: &[&Self]) -> Option<Self> {
+        let (first, others) = records.split_first()?;
+        let mut union = Self {
+            progress: None,
+            ..(*first).clone()
+        };
+        for other in others {
+            other.crashes.iter().for_each(|crash| {
+                union.add_crash(*crash);
+            });
+            other.probes.iter().for_each(|probe| {
+                union.add_probe(*probe);
+            });
+        }
+        Some(union)
+    }
+
+    /// Whether there was progress at `at` or later, and no crash since.
+    #[must_use]
+    pub fn is_sound_since(&self, at: Duration) -> bool {
+        self.crashes.is_empty() && self.progress.is_some_and(|progress| progress >= at)
+    }
+
+    /// When the next probe may be sent; none if all have been sent.
+    #[must_use]
+    pub fn probe_due_at(&self, is_first_omitted: bool) -> Option<Duration> {
         let pause = PROBE_PAUSES.get(self.probes.len() + usize::from(is_first_omitted))?;
         let last_crash = self.crashes.last().map(|crash| crash.at);
         let last_event = last_crash.max(self.probes.last().copied());
         Some(last_event.unwrap_or_default() + *pause)
     }
 
-    /// Whether [`INDEPENDENT_CRASHES`] came before the first probe.
-    fn has_independent_crashes(&self) -> bool {
+    /// The crashes before the first probe.
+    #[must_use]
+    pub fn early_crashes(&self) -> Vec<&Crash> {
         let first_probe = self.probes.first();
         let is_before = |crash: &&Crash| first_probe.is_none_or(|probe| crash.at <= *probe);
-        let crashes: Vec<&Crash> = self.crashes.iter().filter(is_before).collect();
-        independent(&crashes).len() >= INDEPENDENT_CRASHES
+        self.crashes.iter().filter(is_before).collect()
+    }
+
+    /// Whether [`INDEPENDENT_CRASHES`] of several targets came before the first probe.
+    #[must_use]
+    pub fn has_independent_crashes(&self) -> bool {
+        let early = self.early_crashes();
+        let mut targets = early.iter().map(|crash| crash.target);
+        let first = targets.next();
+        let has_several = targets.any(|target| Some(target) != first);
+        has_several && independent(&early).len() >= INDEPENDENT_CRASHES
     }
 
     /// A report for other daemons.
