settings: all daemons write their last log lines before they exit

What users saw: of an entry daemon that logs through the queue (`log.stdout`), the line "stopped with N requests in flight" was missing after some stops; of a control daemon that ended with an error, the lines before the error.

Cause: the log queue is written by a thread that pauses for 100 ms between two writes. Only the gateway ended its runtime and flushed the queue before it returned; the entry and control daemons returned at once.

Change: `settings::runtime::run_to_exit` runs the main task, ends the runtime, and flushes the log. The three daemons use it; the gateway's own copy is gone.

Why it works: the flush is queued behind all earlier lines, also those that tasks write while the runtime ends, and waits until they are written.

--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -11,6 +11,7 @@
 use azurelug_http::server::ShutdownHook;
 use azurelug_http::{Client, Server, h1};
 use azurelug_settings::read;
+use azurelug_settings::runtime::run_to_exit;
 use azurelug_storage::Files;
 use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
@@ -82,7 +83,7 @@
         .worker_threads(2)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, options))
+    run_to_exit(runtime, serve(settings, options))
 }
 
 async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -8,6 +8,7 @@
 use azurelug_http::Server;
 use azurelug_http::server::ShutdownHook;
 use azurelug_settings::read;
+use azurelug_settings::runtime::run_to_exit;
 use azurelug_wire::handshake::Identity;
 
 use crate::control_link::ControlLink;
@@ -51,7 +52,7 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, &options.settings))
+    run_to_exit(runtime, serve(settings, &options.settings))
 }
 
 async fn serve(settings: Settings, path: &Path) -> Result<(), Error> {
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -10,6 +10,7 @@
 use azurelug_core::gateway::shutdown::Shutdown;
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
 use azurelug_settings::read;
+use azurelug_settings::runtime::run_to_exit;
 use azurelug_types::fleet::Pieces;
 use azurelug_wire::frame::Hello;
 use azurelug_wire::handshake::Identity;
@@ -62,11 +63,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let result = runtime.block_on(run(settings, &options.settings));
-    // Ends the tasks that are still running, which log that they were cut off.
-    drop(runtime);
-    log::logger().flush();
-    result
+    run_to_exit(runtime, run(settings, &options.settings))
 }
 
 async fn run(settings: Settings, path: &Path) -> Result<(), Error> {
