--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -10,6 +10,7 @@
 use azurelug_core::gateway::shutdown::Shutdown;
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
 use azurelug_settings::read;
+use azurelug_settings::runtime::run_to_exit;
 use azurelug_types::fleet::Pieces;
 use azurelug_wire::frame::Hello;
 use azurelug_wire::handshake::Identity;
@@ -24,7 +25,7 @@
 use crate::settings::{Options, Settings};
 use crate::{admin, control, serve as clients};
 
-/// How often a stopping gateway checks whether all requests have ended.
+/// How often a stopping gateway checks whether all requests and orders have ended.
 const IN_FLIGHT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How often expired idle connections to targets are closed.
@@ -62,11 +63,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let result = runtime.block_on(run(settings, &options.settings));
-    // Ends the tasks that are still running, which log that they were cut off.
-    drop(runtime);
-    log::logger().flush();
-    result
+    run_to_exit(runtime, run(settings, &options.settings))
 }
 
 async fn run(settings: Settings, path: &Path) -> Result<(), Error> {
@@ -128,9 +125,11 @@
         // The server ends with its connections; a panic in it has been logged.
         let _ = (&mut client_server).await;
         // Requests that may run only once go on without their clients.
-        while gateway.metrics.in_flight.get() > 0 {
+        while gateway.metrics.in_flight.get() > 0 || !gateway.dispatch_workers.is_idle() {
             sleep(IN_FLIGHT_CHECK_INTERVAL).await;
         }
+        // The results of the last orders reach the gateways that sent them.
+        sleep(IN_FLIGHT_CHECK_INTERVAL).await;
     };
     let exits_at = gateway.at(shutdown.exits_at());
     let is_finished = timeout_at(exits_at, drained).await.is_ok();
@@ -152,7 +151,13 @@
 
 /// Answers a frame from another gateway.
 async fn handle_peer_frame(gateway: Arc<Gateway>, peer: Arc<Hello>, frame: Frame) -> Reply {
+    let is_stopping = gateway.shutdown().is_some();
     match frame {
+        // The next dispatcher takes what is refused. Only this one knows its own bookings.
+        Frame::Pieces(pieces) if is_stopping && !gateway.dispatch_workers.is_booked(&pieces) => {
+            refuse_as_stopping()
+        }
+        Frame::Book(_) if is_stopping => refuse_as_stopping(),
         Frame::Pieces(pieces) => {
             let (sender, frames) = mpsc::channel(2);
             tokio::spawn(run_pieces(gateway, pieces, sender));
@@ -184,6 +189,12 @@
     }
 }
 
+fn refuse_as_stopping() -> Reply {
+    Reply::One(Frame::Refused {
+        message: "the gateway is stopping".to_owned(),
+    })
+}
+
 /// Confirms pieces from another gateway and runs them; cancels them if it closes the stream.
 async fn run_pieces(gateway: Arc<Gateway>, pieces: Pieces, frames: mpsc::Sender<Frame>) {
     if frames.send(Frame::PiecesTaken).await.is_err() {
