gateway: a grace period of 0 is refused by the check of the settings

What operators saw: a gateway with `bounds.grace: 0ms` started, and at a stop signal dropped all requests at once.

Evidence: `settings::a_bound_of_zero_is_refused_with_field_and_remedy` failed before; the check went on to the next problem:

no 'bounds.grace: 0ms' in: .../gateway.yaml:5: key_file: /etc/azurelug/key: No such file or directory (os error 2); ...

Change: the check refuses it like the other bounds, with a remedy. The test covers the bounds that were checked already, too.

Result: the test passes.

--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -113,6 +113,10 @@
                 return problem(field, "0ms", help);
             }
         }
+        if bounds.grace.0.is_zero() {
+            let help = "set the time between the stop signal and the kill, for instance 8s";
+            return problem("bounds.grace", "0ms", help);
+        }
         if bounds.retry_window.0.is_zero() {
             let help = "set the window over which retries are counted, for instance 10s";
             return problem("bounds.retry_window", "0ms", help);
--- a/crates/azurelug-gateway/tests/settings.rs
+++ b/crates/azurelug-gateway/tests/settings.rs
@@ -49,6 +49,27 @@
     }
 }
 
+/// Guards against a gateway that starts with bounds that leave no time for what they limit, and
+/// against a message without the remedy.
+#[test]
+fn a_bound_of_zero_is_refused_with_field_and_remedy() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway.yaml");
+    let example = std::fs::read_to_string(file).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    for field in ["revocation", "apply", "drain", "grace", "retry_window"] {
+        let line = example
+            .lines()
+            .find(|it| it.trim().starts_with(&format!("{field}:")));
+        let text = example.replace(line.unwrap(), &format!("  {field}: 0ms"));
+        let file = folder.path().join("gateway.yaml");
+        std::fs::write(&file, text).unwrap();
+        let error = Settings::load(&file).unwrap_err().to_string();
+        for part in [&format!("bounds.{field}: 0ms"), "; set ", "for instance"] {
+            assert!(error.contains(part), "no '{part}' in: {error}");
+        }
+    }
+}
+
 fn span(millis: u32) -> azurelug_settings::span::SettingDuration {
     azurelug_settings::span::SettingDuration(Duration::from_millis(millis.into()))
 }
