gateway: an exchange that misses its deadline is cancelled before the exit

What callers would see: with a grace period below 1.6 s, no answer to a request whose own handling misses the deadline of a planned stop.

Cause: the fallback in `serve::answer` cancels an exchange 100 ms after its deadline. A short grace period shrinks the margins of `Shutdown`, and the 100 ms then end after the exit. Found by reading the code; no run has shown an exchange that needs the fallback.

Change: `Shutdown::cancels_at`, halfway between the last end and the exit, bounds the fallback.

With 8 s the fallback comes at 7.6 s, as before.

--- a/crates/azurelug-core/src/gateway/shutdown.rs
+++ b/crates/azurelug-core/src/gateway/shutdown.rs
@@ -56,6 +56,12 @@
         self.signalled_at + self.grace.saturating_sub(margins)
     }
 
+    /// When exchanges that should have ended are cancelled. The answers still reach their clients.
+    #[must_use]
+    pub fn cancels_at(&self) -> Duration {
+        self.latest_end() + self.margin(MAX_ANSWER_MARGIN) / 2
+    }
+
     /// When the process exits at the latest.
     #[must_use]
     pub fn exits_at(&self) -> Duration {
--- a/crates/azurelug-core/tests/gateway_shutdown.rs
+++ b/crates/azurelug-core/tests/gateway_shutdown.rs
@@ -19,6 +19,7 @@
             SIGNALLED_AT,
             stop.accepts_until(),
             stop.latest_end(),
+            stop.cancels_at(),
             stop.exits_at(),
             killed_at,
         ];
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -295,7 +295,8 @@
             .await
     }
 
-    /// As [`Gateway::run_until`], with `margin` after the limit or the stop.
+    /// As [`Gateway::run_until`], with `margin` after the limit. A stop shortens the margin, because
+    /// the answer must be sent before the process exits.
     pub async fn run_until_with_margin<F: Future>(
         &self,
         limit: Instant,
@@ -305,12 +306,14 @@
         let mut stops = self.shutdown.subscribe();
         let mut work = pin!(work);
         loop {
-            let stop = self.shutdown().map(|it| self.at(it.latest_end()));
-            let limit = stop.map_or(limit, |stop| limit.min(stop)) + margin;
+            let end = self.shutdown().map_or(limit + margin, |stop| {
+                let limit = limit.min(self.at(stop.latest_end()));
+                (limit + margin).min(self.at(stop.cancels_at()))
+            });
             tokio::select! {
                 biased;
                 output = &mut work => return Some(output),
-                () = sleep_until(limit) => return None,
+                () = sleep_until(end) => return None,
                 // The sender is a field of `self`, so this can't fail.
                 _ = stops.changed() => {}
             }
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -39,7 +39,7 @@
 
 /// Added to the deadline before an exchange is cancelled, so that its own handling of the deadline
 /// comes first.
-const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+pub const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
 /// Values for the log line at the end of a request.
 #[derive(Clone, Debug)]
