gateway: an exchange that misses its deadline is logged once, as failed

What operators saw: a request that was cancelled 0.1 s after its deadline and answered with 504 had two last lines, and was counted as abandoned, although its client was still there.

Cause: `serve::answer` logged the cancellation, and then dropped the guard that logs and counts requests whose task is dropped.

Change: the guard logs and counts the end that it is given; the cancellation is `failed`, with route and time.

--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -256,19 +256,27 @@
 }
 
 async fn answer(exchange: Exchange) -> Response<Body> {
-    let gateway = Arc::clone(&exchange.gateway);
-    let deadline = gateway.at(exchange.deadline);
-    let id = exchange.id.clone();
-    let mut guard = PendingGuard::new(&exchange);
-    let answered = gateway.run_until_with_margin(deadline, DEADLINE_GRACE, try_answer(exchange));
-    let answered = answered.await;
-    guard.is_ended = answered.is_some();
-    answered.unwrap_or_else(|| {
-        log::warn!("gateway: request {id} failed: cancelled after its deadline");
-        Refusal::TimedOut
-            .response(Some(&id), "no answer in time")
-            .map(Body::complete)
-    })
+    let guard = PendingGuard::new(&exchange);
+    let deadline = exchange.deadline;
+    answer_in_time(guard, deadline, try_answer(exchange)).await
+}
+
+/// Runs an exchange, which logs and counts its own end; cancels it if it misses its deadline.
+pub async fn answer_in_time(
+    mut guard: PendingGuard,
+    deadline: Duration,
+    answer: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    let gateway = Arc::clone(&guard.gateway);
+    let deadline = gateway.at(deadline);
+    let answered = gateway.run_until_with_margin(deadline, DEADLINE_GRACE, answer);
+    if let Some(answered) = answered.await {
+        guard.close();
+        return answered;
+    }
+    guard.end(End::Failed, "cancelled after its deadline");
+    let response = Refusal::TimedOut.response(Some(&guard.id), "no answer in time");
+    response.map(Body::complete)
 }
 
 /// Logs and counts a request whose task is dropped before its end: its client disconnected, or the
@@ -294,6 +302,21 @@
         }
     }
 
+    /// Logs and counts the end of the request.
+    fn end(&mut self, end: End, reason: &str) {
+        self.is_ended = true;
+        let elapsed = self.gateway.now().saturating_sub(self.arrived);
+        self.gateway.metrics.record_request(end, elapsed);
+        self.gateway.metrics.in_flight.dec();
+        log::info!(
+            "gateway: request {} {}: {reason}; route={} total_ms={}",
+            self.id,
+            end.as_str(),
+            self.route,
+            elapsed.as_millis()
+        );
+    }
+
     /// Ends the guard of a request whose end has been logged and counted.
     pub fn close(mut self) {
         self.is_ended = true;
@@ -305,21 +328,11 @@
         if self.is_ended {
             return;
         }
-        let elapsed = self.gateway.now().saturating_sub(self.arrived);
-        let (end, reason) = if self.gateway.is_exiting() {
-            (End::CutOff, "the process ends")
+        if self.gateway.is_exiting() {
+            self.end(End::CutOff, "the process ends");
         } else {
-            (End::Abandoned, "the client disconnected")
-        };
-        self.gateway.metrics.record_request(end, elapsed);
-        self.gateway.metrics.in_flight.dec();
-        log::info!(
-            "gateway: request {} {}: {reason}; route={} total_ms={}",
-            self.id,
-            end.as_str(),
-            self.route,
-            elapsed.as_millis()
-        );
+            self.end(End::Abandoned, "the client disconnected");
+        }
     }
 }
 
