Revert "gateway: a stopping dispatcher completes its orders and refuses new ones"

While the last orders of a stopping dispatcher run, its successor calls the same targets, and neither knows of the other's calls; that this is the cause is suspected, not traced. The fault itself stays open: a stopping gateway drops the orders of others that it runs, and they run again at the next dispatcher.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -232,12 +232,6 @@
         self.queue.remove(token);
     }
 
-    /// Whether every order has ended and no call runs.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.calls.is_empty() && self.queue.is_empty()
-    }
-
     /// Marks results as no longer needed. Targets are notified when a call needs the room; results
     /// also expire by themselves.
     pub fn release(&mut self, results: &[Released], now: Duration) -> Vec<Action> {
--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -68,13 +68,6 @@
         Ok(())
     }
 
-    /// Whether target time is reserved for an order.
-    #[must_use]
-    pub fn is_booked(&self, request: &str, stage: u8) -> bool {
-        let mut booked = self.bookings.iter();
-        booked.any(|booked| booked.request == request && booked.stage == stage)
-    }
-
     /// Cancels the bookings of a request.
     pub fn unbook(&mut self, request: &str) {
         self.bookings.retain(|booked| booked.request != request);
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -213,10 +213,6 @@
 }
 
 impl Queue {
-    pub(super) fn is_empty(&self) -> bool {
-        self.orders.is_empty()
-    }
-
     /// Returns the orders with queued pieces, in queue order.
     pub(super) fn waiting(&self) -> impl Iterator<Item = &QueuedOrder> {
         self.orders.iter().filter(|it| it.queued_count() > 0)
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -110,19 +110,6 @@
         }
     }
 
-    /// Whether target time is reserved here for an order.
-    pub fn is_booked(&self, order: &Pieces) -> bool {
-        let workers = self.workers();
-        let worker = workers.get(&(order.service.clone(), order.scope.clone()));
-        worker.is_some_and(|it| it.dispatcher().is_booked(&order.request, order.stage))
-    }
-
-    /// Whether every order has ended and no call runs.
-    pub fn is_idle(&self) -> bool {
-        let workers = self.workers();
-        workers.values().all(|worker| worker.dispatcher().is_idle())
-    }
-
     /// Cancels the bookings of a request.
     pub fn unbook(&self, request: &str) {
         for worker in self.workers().values() {
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::settings::Settings;
 
-/// Time for which a gateway that did not answer, or is stopping, gets no orders. The control daemons remove it
+/// Time for which a gateway that did not answer gets no requests. The control daemons remove it
 /// from the list after about the same time.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 
@@ -52,8 +52,6 @@
     digest: u64,
     connections: HashMap<SocketAddr, Connection>,
     suspects: HashMap<SocketAddr, Instant>,
-    /// Gateways that refused an order because they are stopping, and until when they get none.
-    stopping: HashMap<SocketAddr, Instant>,
     /// Queue delay that each dispatcher reported last, and when.
     delays: HashMap<(ServiceName, Scope), (Duration, Instant)>,
     /// Released handles that are still to be sent to dispatchers.
@@ -77,27 +75,6 @@
         peer.map(|peer| peer.zone.clone())
     }
 
-    /// All gateways by falling preference as dispatcher, also those that get no orders now.
-    fn ranked_dispatchers(&mut self, service: &ServiceName, scope: &Scope) -> Arc<[Peer]> {
-        let key = (service.clone(), scope.clone());
-        if let Some(ranked) = self.dispatchers.get(&key) {
-            return Arc::clone(ranked);
-        }
-        let ranked = rank_dispatchers(self, service, scope);
-        self.dispatchers.insert(key, Arc::clone(&ranked));
-        ranked
-    }
-
-    fn is_suspect(&self, peer: &Peer) -> bool {
-        let until = self.suspects.get(&peer.address);
-        until.is_some_and(|until| Instant::now() < *until)
-    }
-
-    fn is_stopping(&self, peer: &Peer) -> bool {
-        let until = self.stopping.get(&peer.address);
-        until.is_some_and(|until| Instant::now() < *until)
-    }
-
     fn record_answer(&mut self, address: SocketAddr) {
         self.suspects.remove(&address);
         if let Some(zone) = self.zone(address) {
@@ -247,25 +224,22 @@
     /// network partition.
     pub fn dispatchers(&self, service: &ServiceName, scope: &Scope) -> Vec<Peer> {
         let mut state = self.state();
-        let ranked = state.ranked_dispatchers(service, scope);
-        let healthy = ranked.iter().filter(|peer| !state.is_suspect(peer));
-        let taking = healthy.filter(|peer| !state.is_stopping(peer));
-        taking.take(MAX_DISPATCHERS).cloned().collect()
-    }
-
-    /// The gateways that must know of released results: the dispatcher of new orders, and stopping
-    /// ones, which need the room for the orders that they still run.
-    fn release_receivers(&self, service: &ServiceName, scope: &Scope) -> Vec<SocketAddr> {
-        let mut state = self.state();
-        let ranked = state.ranked_dispatchers(service, scope);
-        let mut receivers = Vec::new();
-        for peer in ranked.iter().filter(|peer| !state.is_suspect(peer)) {
-            receivers.push(peer.address);
-            if !state.is_stopping(peer) {
-                break;
+        let key = (service.clone(), scope.clone());
+        let ranked = match state.dispatchers.get(&key) {
+            Some(ranked) => Arc::clone(ranked),
+            None => {
+                let ranked = rank_dispatchers(&state, service, scope);
+                state.dispatchers.insert(key, Arc::clone(&ranked));
+                ranked
             }
-        }
-        receivers
+        };
+        let now = Instant::now();
+        let is_suspect = |peer: &Peer| {
+            let until = state.suspects.get(&peer.address);
+            until.is_some_and(|until| now < *until)
+        };
+        let healthy = ranked.iter().filter(|peer| !is_suspect(peer));
+        healthy.take(MAX_DISPATCHERS).cloned().collect()
     }
 
     /// Expected queue delay at a dispatcher of a service: the last reported delay less the time
@@ -318,8 +292,8 @@
                 continue;
             };
             let scope = gateway.scope(&service, &zone);
-            for address in self.release_receivers(&service, &scope) {
-                by_peer.entry(address).or_default().push(handle.clone());
+            if let Some(peer) = self.dispatchers(&service, &scope).into_iter().next() {
+                by_peer.entry(peer.address).or_default().push(handle);
             }
         }
         for (address, handles) in by_peer {
@@ -394,10 +368,7 @@
         let sent = sent.unwrap_or(Err(Error::Timeout {
             millis: CONFIRM_TIMEOUT.as_millis(),
         }));
-        let mut frames = sent.inspect_err(|error| match error {
-            Error::Refused { .. } => self.record_stopping(address),
-            error => self.suspect(address, error),
-        })?;
+        let mut frames = sent.inspect_err(|error| self.suspect(address, error))?;
         self.state().record_answer(address);
         match timeout(limit, frames.recv()).await {
             Ok(Some(Frame::PiecesEnd(end))) => Ok(end),
@@ -420,23 +391,23 @@
     /// If there is no time left: the time until a new request is likely to be served. A missing
     /// answer counts as success.
     pub async fn book(&self, gateway: &Arc<Gateway>, booking: Booking) -> Result<(), Duration> {
-        let mut answer = Frame::Done;
-        for peer in self.dispatchers(&booking.service, &booking.scope) {
-            if peer.name == self.own.name {
-                answer = gateway.dispatch_workers.book(gateway, &booking);
-                break;
-            }
+        let first = self
+            .dispatchers(&booking.service, &booking.scope)
+            .into_iter()
+            .next();
+        let Some(peer) = first else {
+            return Ok(());
+        };
+        let answer = if peer.name == self.own.name {
+            gateway.dispatch_workers.book(gateway, &booking)
+        } else {
             let frame = Frame::Book(booking.clone());
             match self.call(peer.address, frame, CONFIRM_TIMEOUT).await {
-                Ok(booked) => {
-                    answer = booked;
-                    break;
-                }
-                Err(Error::Refused { .. }) => {}
+                Ok(answer) => answer,
                 // Logged by the call.
                 Err(_) => return Ok(()),
             }
-        }
+        };
         let Frame::Booked {
             refused_ms,
             delay_ms,
@@ -482,25 +453,12 @@
         let mut frames = connection.subscribe(Frame::Pieces(order)).await?;
         match frames.recv().await {
             Some(Frame::PiecesTaken) => Ok(frames),
-            Some(Frame::Refused { message }) => Err(Error::Refused { message }),
             _ => Err(Error::Closed {
                 message: "the order was not confirmed".to_owned(),
             }),
         }
     }
 
-    /// Records that a gateway takes no more orders because it is stopping. Its running orders go on.
-    fn record_stopping(&self, address: SocketAddr) {
-        let mut state = self.state();
-        let until = Instant::now() + SUSPECT_TIME;
-        state.stopping.retain(|_, until| *until > Instant::now());
-        let known = state.stopping.insert(address, until);
-        drop(state);
-        if known.is_none() {
-            log::info!("gateway: peer {address} is stopping; gets no orders for 2 s");
-        }
-    }
-
     fn suspect(&self, address: SocketAddr, error: &Error) {
         if matches!(error, Error::Refused { .. }) {
             return;
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::settings::{Options, Settings};
 use crate::{admin, control, serve as clients};
 
-/// How often a stopping gateway checks whether all requests and orders have ended.
+/// How often a stopping gateway checks whether all requests have ended.
 const IN_FLIGHT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How often expired idle connections to targets are closed.
@@ -125,11 +125,9 @@
         // The server ends with its connections; a panic in it has been logged.
         let _ = (&mut client_server).await;
         // Requests that may run only once go on without their clients.
-        while gateway.metrics.in_flight.get() > 0 || !gateway.dispatch_workers.is_idle() {
+        while gateway.metrics.in_flight.get() > 0 {
             sleep(IN_FLIGHT_CHECK_INTERVAL).await;
         }
-        // The results of the last orders reach the gateways that sent them.
-        sleep(IN_FLIGHT_CHECK_INTERVAL).await;
     };
     let exits_at = gateway.at(shutdown.exits_at());
     let is_finished = timeout_at(exits_at, drained).await.is_ok();
@@ -151,13 +149,7 @@
 
 /// Answers a frame from another gateway.
 async fn handle_peer_frame(gateway: Arc<Gateway>, peer: Arc<Hello>, frame: Frame) -> Reply {
-    let is_stopping = gateway.shutdown().is_some();
     match frame {
-        // The next dispatcher takes what is refused. Only this one knows its own bookings.
-        Frame::Pieces(pieces) if is_stopping && !gateway.dispatch_workers.is_booked(&pieces) => {
-            refuse_as_stopping()
-        }
-        Frame::Book(_) if is_stopping => refuse_as_stopping(),
         Frame::Pieces(pieces) => {
             let (sender, frames) = mpsc::channel(2);
             tokio::spawn(run_pieces(gateway, pieces, sender));
@@ -189,12 +181,6 @@
     }
 }
 
-fn refuse_as_stopping() -> Reply {
-    Reply::One(Frame::Refused {
-        message: "the gateway is stopping".to_owned(),
-    })
-}
-
 /// Confirms pieces from another gateway and runs them; cancels them if it closes the stream.
 async fn run_pieces(gateway: Arc<Gateway>, pieces: Pieces, frames: mpsc::Sender<Frame>) {
     if frames.send(Frame::PiecesTaken).await.is_err() {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -8,7 +8,6 @@
 use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
-use azurelug_wire::Error;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use rand::RngExt;
 
@@ -442,42 +441,33 @@
     order: &Pieces,
 ) -> Option<Result<Vec<String>, PiecesError>> {
     let gateway = &exchange.gateway;
-    loop {
-        let mut is_refused = false;
-        for peer in gateway.peers.dispatchers(&order.service, &order.scope) {
-            match send_to_peer(exchange, &peer, order).await {
-                Ok(end) => {
-                    let delay = Duration::from_millis(end.delay_ms);
-                    gateway
-                        .peers
-                        .record_delay(&order.service, &order.scope, delay);
-                    return Some(end.result);
-                }
-                Err(Error::Refused { .. }) => is_refused = true,
-                // Logged by the call.
-                Err(_) => gateway.update_unreachable_zones(),
-            }
-        }
-        // Others have taken the place of the dispatchers that refused because they are stopping.
-        if !is_refused || exchange.time_left().is_zero() {
-            return None;
+    let dispatchers = gateway.peers.dispatchers(&order.service, &order.scope);
+    for peer in &dispatchers {
+        if let Some(end) = send_to_peer(exchange, peer, order).await {
+            let delay = Duration::from_millis(end.delay_ms);
+            gateway
+                .peers
+                .record_delay(&order.service, &order.scope, delay);
+            return Some(end.result);
         }
     }
+    None
 }
 
-async fn send_to_peer(
-    exchange: &Exchange,
-    peer: &Peer,
-    order: &Pieces,
-) -> Result<PiecesEnd, Error> {
+async fn send_to_peer(exchange: &Exchange, peer: &Peer, order: &Pieces) -> Option<PiecesEnd> {
     let gateway = &exchange.gateway;
     if peer.name == gateway.peers.own().name {
-        return Ok(gateway.dispatch_workers.run(gateway, order.clone()).await);
+        return Some(gateway.dispatch_workers.run(gateway, order.clone()).await);
     }
+    // Logged by the call.
     let ordered = gateway
         .peers
         .run_order(peer.address, order.clone(), exchange.time_left());
-    ordered.await
+    let ended = ordered.await.ok();
+    if ended.is_none() {
+        gateway.update_unreachable_zones();
+    }
+    ended
 }
 
 fn millis(time: Duration) -> u64 {
