core: look up a request's other services only where it matters

Cause: each record's expiry, at each poll, and each part's status looked up the services of a request.

Change: records that are recent are kept without a look at other services, nothing is rebuilt if no record has expired, and parts have no other services to look up.

Why it works: no kind of record expires earlier than progress does.

--- a/crates/azurelug-core/src/gateway/quarantine/ledger.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger.rs
@@ -208,9 +208,14 @@
     /// Removes expired records.
     pub fn prune(&mut self, now: Duration) {
         let expires = |(part, entry): (&PartKey, &Entry)| {
-            (self.expires_at(part, entry) <= now).then_some(*part)
+            // No record is kept for less than this.
+            let is_recent = entry.record.last_event() + PROGRESS_RETENTION > now;
+            (!is_recent && self.expires_at(part, entry) <= now).then_some(*part)
         };
         let expired: Vec<PartKey> = self.entries.iter().filter_map(expires).collect();
+        if expired.is_empty() {
+            return;
+        }
         for part in expired {
             self.entries.remove(&part);
         }
--- a/crates/azurelug-core/src/gateway/quarantine/ledger/services.rs
+++ b/crates/azurelug-core/src/gateway/quarantine/ledger/services.rs
@@ -34,8 +34,11 @@
 
     /// Whether the crashes at several services may accuse a request together.
     pub(super) fn has_spread(&self, request: &PartKey) -> bool {
+        if !request.is_request() {
+            return false;
+        }
         let (crashes, services) = self.count_crashes(request);
-        request.is_request() && crashes >= ACCUSED_CRASHES && services > 1
+        crashes >= ACCUSED_CRASHES && services > 1
     }
 
     /// Whether the crashes at several services accuse a request at the service of this key, which
