review: case 1, a disk lost after a planned replacement of a control VM

Seen: a control VM is replaced as planned, the new one first, then SIGTERM. 3.3 s after the old one's end another control VM loses its disk right after it has acknowledged version 2, and comes back empty. From then on three control VMs run and none can lead: no configuration can be read, no order is accepted, and every request with a key gets 503, for good.

Code: the successor has held the log for 10 s but gets its vote only after the removed voter has been silent for 5 s (`Settings::replace_after`, `Node::is_lost`, `Node::next_adjustment` in azurelug-coordination), longer than `catch_up_s`; a daemon that gets SIGTERM hands over its leadership but not its vote.

--- /dev/null
+++ b/review/stand/src/stand_ins.rs
@@ -0,0 +1,348 @@
+//! Stand-ins for the platform's list, targets, the operator and clients, as the users' pages
+//! describe them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurelug_http::h1::client::Connection;
+use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::record::Record;
+
+/// The key that the configuration gives to the only tenant.
+pub const KEY: &str = "key-of-the-shop-0001";
+
+/// Host and path of the only route.
+pub const HOST: &str = "desk.example";
+/// Path of the requests.
+pub const PATH: &str = "/look/1";
+
+/// Time limit of a request, as `X-Deadline-Milliseconds`: that of `cart-lookup`.
+pub const TIME_LIMIT: Duration = Duration::from_millis(600);
+
+/// An operator's call moves on to another daemon after this time.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Headers by lowercase name.
+    pub headers: HashMap<String, String>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Sends one request on a new connection.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, String)],
+    body: Bytes,
+    limit: Duration,
+) -> Result<Answer, String> {
+    let exchange = async {
+        let mut connection = Connection::open(address, limit, limit)
+            .await
+            .map_err(|error| error.to_string())?;
+        let mut request = Request::builder().method(method).uri(path);
+        for (name, value) in headers {
+            request = request.header(*name, value);
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        let text =
+            |value: &http::HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+        let headers = parts.headers.iter();
+        Ok(Answer {
+            status: parts.status.as_u16(),
+            headers: headers
+                .map(|(name, value)| (name.to_string(), text(value)))
+                .collect(),
+            body: body.to_bytes(),
+        })
+    };
+    timeout(limit, exchange)
+        .await
+        .unwrap_or_else(|_| Err(format!("no answer in {} ms", limit.as_millis())))
+}
+
+/// Starts a server on a free port of `ip`; it runs until the process ends.
+async fn start_server<F, R>(ip: std::net::IpAddr, handler: F) -> Result<SocketAddr, String>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let listener = TcpListener::bind((ip, 0))
+        .await
+        .map_err(|error| error.to_string())?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    tokio::spawn(async move {
+        let (_stage, stages) = watch::channel(ShutdownState::Serving);
+        serve(
+            listener,
+            || Limits::idle(Duration::from_secs(30)),
+            stages,
+            handler,
+        )
+        .await;
+    });
+    Ok(address)
+}
+
+/// Starts a replica that answers every request with its id, its signature and the request's id as
+/// the body.
+pub async fn start_target(
+    ip: std::net::IpAddr,
+    name: String,
+    record: Record,
+) -> Result<SocketAddr, String> {
+    start_server(ip, move |request: Request<Incoming>| {
+        let (name, record) = (name.clone(), record.clone());
+        async move {
+            let header = |key: &str| {
+                let value = request.headers().get(key);
+                value
+                    .and_then(|it| it.to_str().ok())
+                    .unwrap_or_default()
+                    .to_owned()
+            };
+            let id = header("x-request-attempt-id");
+            let expected = header("x-expected-instance");
+            let tenant = header("x-tenant");
+            if !expected.is_empty() && expected != name {
+                let mut response = Response::new(Full::default());
+                *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+                return response;
+            }
+            record.detail(format!("target {name} runs {id}, tenant {tenant}"));
+            let response = Response::builder()
+                .header("x-request-attempt-id", &id)
+                .header("x-response-signature", format!("signature-{id}"));
+            response
+                .body(Full::new(Bytes::from(id)))
+                .expect("ids are valid in headers")
+        }
+    })
+    .await
+}
+
+/// Starts the platform's list with fixed entries.
+pub async fn start_list(ip: std::net::IpAddr, entries: String) -> Result<SocketAddr, String> {
+    start_server(ip, move |_| {
+        let body = format!("{{\"instances\":[{entries}],\"next\":null}}");
+        async move {
+            let response = Response::builder().header("content-type", "application/json");
+            response
+                .body(Full::new(Bytes::from(body)))
+                .expect("a valid head")
+        }
+    })
+    .await
+}
+
+/// Sends an operator's order, in turn to the daemons, until one acknowledges it or `limit` has
+/// passed. Returns the position of the daemon that acknowledged.
+pub async fn order(
+    record: &Record,
+    daemons: &[SocketAddr],
+    version: u64,
+    body: &Bytes,
+    limit: Duration,
+) -> Option<usize> {
+    let started = Instant::now();
+    let mut pause = Duration::from_millis(100);
+    for position in (0..daemons.len()).cycle() {
+        let headers = [
+            ("content-type", "application/json".to_owned()),
+            ("host", "operator".to_owned()),
+        ];
+        let address = daemons[position];
+        let answer = call(
+            address,
+            Method::PUT,
+            "/configuration",
+            &headers,
+            body.clone(),
+            CALL_TIMEOUT,
+        )
+        .await;
+        match answer {
+            Ok(answer) if answer.status == 200 => {
+                record.line(format!(
+                    "operator: version {version} acknowledged by {address}"
+                ));
+                return Some(position);
+            }
+            Ok(answer) => record.detail(format!(
+                "operator: version {version} at {address}: {} {}",
+                answer.status,
+                String::from_utf8_lossy(&answer.body)
+            )),
+            Err(error) => {
+                record.detail(format!("operator: version {version} at {address}: {error}"))
+            }
+        }
+        if started.elapsed() >= limit {
+            break;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(Duration::from_secs(1));
+    }
+    record.line(format!(
+        "operator: version {version} not acknowledged in {} s",
+        limit.as_secs()
+    ));
+    None
+}
+
+/// Reads the configuration back, in turn at the daemons, until one answers with 200 or `limit` has
+/// passed. Returns the version that was read.
+pub async fn read_back(record: &Record, daemons: &[SocketAddr], limit: Duration) -> Option<u64> {
+    let started = Instant::now();
+    for address in daemons.iter().cycle() {
+        let headers = [("host", "operator".to_owned())];
+        let answer = call(
+            *address,
+            Method::GET,
+            "/configuration",
+            &headers,
+            Bytes::new(),
+            CALL_TIMEOUT,
+        )
+        .await;
+        match answer {
+            Ok(answer) if answer.status == 200 => {
+                let document: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
+                let version = document.and_then(|it| it["version"].as_u64());
+                record.line(format!("operator: read version {version:?} at {address}"));
+                return version;
+            }
+            Ok(answer) => record.detail(format!(
+                "operator: read at {address}: {} {}",
+                answer.status,
+                String::from_utf8_lossy(&answer.body)
+            )),
+            Err(error) => record.detail(format!("operator: read at {address}: {error}")),
+        }
+        if started.elapsed() >= limit {
+            break;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    record.line(format!(
+        "operator: no daemon returned a configuration in {} s",
+        limit.as_secs()
+    ));
+    None
+}
+
+/// What became of a request, with the time at which its first attempt was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Served {
+    /// Time since the start of the case.
+    pub sent: Duration,
+    /// Whether an attempt was answered with the whole body of a replica.
+    pub is_served: bool,
+}
+
+/// Clients' requests so far. Clones share them.
+#[derive(Clone, Default)]
+pub struct Requests(Arc<Mutex<Vec<Served>>>);
+
+impl Requests {
+    /// Number of the requests that were sent between two times, and how many of them were served.
+    pub fn count(&self, from: Duration, to: Duration) -> (usize, usize) {
+        let all = self.0.lock().expect("no holder of the lock panics");
+        let sent = all.iter().filter(|it| it.sent >= from && it.sent < to);
+        let sent: Vec<&Served> = sent.collect();
+        (sent.len(), sent.iter().filter(|it| it.is_served).count())
+    }
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// Sends a request, and a retry after a refusal within the time limit. Each attempt has its own id.
+async fn request(record: &Record, gateways: &[SocketAddr], first: usize) -> bool {
+    let started = Instant::now();
+    for attempt in 0..2 {
+        let left = TIME_LIMIT.saturating_sub(started.elapsed());
+        if left.is_zero() {
+            return false;
+        }
+        let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let gateway = gateways[(first + attempt) % gateways.len()];
+        let headers = [
+            ("host", HOST.to_owned()),
+            ("x-request-attempt-id", id.clone()),
+            ("x-deadline-milliseconds", left.as_millis().to_string()),
+            ("authorization", format!("Bearer {KEY}")),
+        ];
+        let answer = call(gateway, Method::GET, PATH, &headers, Bytes::new(), left).await;
+        let retry_after = match &answer {
+            Ok(answer) => {
+                let signature = answer.headers.get("x-response-signature");
+                record.detail(format!(
+                    "client: {id} at {gateway}: {} {}",
+                    answer.status,
+                    String::from_utf8_lossy(&answer.body)
+                ));
+                let is_whole = answer.body == id.as_bytes();
+                if answer.status == 200 && signature.is_some() && is_whole {
+                    return true;
+                }
+                let after = answer.headers.get("retry-after");
+                after.and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.05)
+            }
+            Err(error) => {
+                record.detail(format!("client: {id} at {gateway}: {error}"));
+                0.05
+            }
+        };
+        // Clients honour the time up to a third of what they have left.
+        let left = TIME_LIMIT.saturating_sub(started.elapsed());
+        sleep(Duration::from_secs_f64(retry_after.max(0.0)).min(left / 3)).await;
+    }
+    false
+}
+
+/// Starts clients that send 20 requests a second to the gateways in turn.
+pub fn start_clients(record: &Record, gateways: Vec<SocketAddr>) -> Requests {
+    let requests = Requests::default();
+    let (record, all) = (record.clone(), requests.clone());
+    tokio::spawn(async move {
+        for number in 0.. {
+            let (record, all, gateways) = (record.clone(), all.clone(), gateways.clone());
+            tokio::spawn(async move {
+                let sent = record.now();
+                let is_served = request(&record, &gateways, number).await;
+                let mut all = all.0.lock().expect("no holder of the lock panics");
+                all.push(Served { sent, is_served });
+            });
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    requests
+}
