--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -14,7 +14,7 @@
 use crate::Failure;
 use crate::process::Process;
 use crate::record::Record;
-use crate::stand_ins::{self, HOST, KEY, Requests};
+use crate::stand_ins::{self, HOST, KEY, Requests, Targets};
 
 const CONTROL: &str = "target/release/azurelug-control";
 const GATEWAY: &str = "target/release/azurelug-gateway";
@@ -22,8 +22,27 @@
 /// Zones of the deployment.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Gateways of the deployment.
-const GATEWAYS: u8 = 2;
+/// What differs between deployments.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Number of gateways.
+    pub gateways: u8,
+    /// `cold_start_s` and `cold_per_s` of the service.
+    pub cold: (f64, f64),
+    /// Time between two requests of the clients.
+    pub pause: Duration,
+}
+
+impl Default for Options {
+    /// Two gateways, a service without cold starts and 20 requests a second.
+    fn default() -> Self {
+        Self {
+            gateways: 2,
+            cold: (0.0, 0.0),
+            pause: Duration::from_millis(50),
+        }
+    }
+}
 
 /// Most control VMs that a case uses.
 const MAX_CONTROLS: u8 = 40;
@@ -54,6 +73,9 @@
     status: u16,
     operators: u16,
     list: SocketAddr,
+    options: Options,
+    /// The replicas and what they received.
+    pub targets: Targets,
     /// Control VMs; those that were removed for good stay here without a process.
     pub controls: Vec<Control>,
     gateways: Vec<Process>,
@@ -77,7 +99,7 @@
 }
 
 /// The configuration with a version: one safe route with a key.
-pub fn configuration(version: u64) -> Bytes {
+fn configuration(version: u64, (cold_start_s, cold_per_s): (f64, f64)) -> Bytes {
     let document = json!({
         "version": version,
         "routes": [{
@@ -87,7 +109,8 @@
         }],
         "services": [{
             "name": "depot-desk", "health_check_path": "/health", "max_connections": 100,
-            "protocol": "h1", "transport_security": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+            "protocol": "h1", "transport_security": false, "cold_start_s": cold_start_s,
+            "cold_per_s": cold_per_s,
         }],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
@@ -103,31 +126,25 @@
         address(self.network, group, number)
     }
 
-    /// Starts three control VMs, two gateways, three replicas and clients, and waits until requests
-    /// are served.
+    /// Starts three control VMs, gateways, three replicas and clients, and waits until requests are
+    /// served.
     ///
     /// # Errors
     /// Why it doesn't serve.
-    pub async fn start(record: &Record) -> Result<Self, Failure> {
+    pub async fn start(record: &Record, options: Options) -> Result<Self, Failure> {
         let network = u8::try_from(1 + std::process::id() % 250).expect("at most 250");
         let folder = std::env::temp_dir().join(format!("azurelug-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(io)?;
         let mut daemons: Vec<IpAddr> = (1..=MAX_CONTROLS)
             .map(|it| address(network, 1, it))
             .collect();
-        daemons.extend((1..=GATEWAYS).map(|it| address(network, 2, it)));
-        let mut entries = Vec::new();
+        daemons.extend((1..=options.gateways).map(|it| address(network, 2, it)));
+        let targets = Targets::new(record);
         for (number, zone) in (1..).zip(ZONES) {
-            let name = format!("i-desk-{zone}");
             let ip = address(network, 4, number);
-            let at = stand_ins::start_target(ip, name.clone(), record.clone()).await?;
-            let entry = json!({
-                "id": name, "service": "depot-desk", "address": at.to_string(), "zone": zone,
-                "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
-            });
-            entries.push(entry.to_string());
+            targets.start(ip, format!("i-desk-{zone}"), zone).await?;
         }
-        let list = stand_ins::start_list(address(network, 3, 1), entries.join(",")).await?;
+        let list = targets.start_list(address(network, 3, 1)).await?;
         let mut deployment = Self {
             record: record.clone(),
             folder,
@@ -136,6 +153,8 @@
             status: port::free(&daemons),
             operators: port::free(&daemons),
             list,
+            options,
+            targets,
             controls: Vec::new(),
             gateways: Vec::new(),
             requests: Requests::default(),
@@ -146,7 +165,7 @@
         let clients = port::free(&daemons);
         let ready = port::free(&daemons);
         let mut entries = Vec::new();
-        for number in 1..=GATEWAYS {
+        for number in 1..=options.gateways {
             let ip = deployment.ip(2, number);
             let settings = deployment.gateway_settings(number, (ip, clients), (ip, ready))?;
             let log = deployment.folder.join(format!("gateway-{number}.log"));
@@ -159,9 +178,15 @@
             ));
         }
         let controls = deployment.operators();
-        stand_ins::order(record, &controls, 1, &configuration(1), START_LIMIT)
-            .await
-            .ok_or("the first configuration was not acknowledged")?;
+        stand_ins::order(
+            record,
+            &controls,
+            1,
+            &deployment.configuration(1),
+            START_LIMIT,
+        )
+        .await
+        .ok_or("the first configuration was not acknowledged")?;
         let started = Instant::now();
         for (_, ready) in &entries {
             loop {
@@ -183,11 +208,19 @@
             deployment.control_settings(number, false)?;
         }
         let clients = entries.iter().map(|(clients, _)| *clients).collect();
-        deployment.requests = stand_ins::start_clients(record, clients);
-        record.line("the deployment serves: 3 control VMs, 2 gateways, 3 replicas".to_owned());
+        deployment.requests = stand_ins::start_clients(record, clients, options.pause);
+        let gateways = options.gateways;
+        record.line(format!(
+            "the deployment serves: 3 control VMs, {gateways} gateways, 3 replicas"
+        ));
         Ok(deployment)
     }
 
+    /// The configuration with a version.
+    pub fn configuration(&self, version: u64) -> Bytes {
+        configuration(version, self.options.cold)
+    }
+
     /// Addresses for operators of the control VMs that have not been removed.
     pub fn operators(&mut self) -> Vec<SocketAddr> {
         let running = self
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -2,6 +2,7 @@
 //! and exits with 0 if the rule held, 1 if it was broken and 2 if the case couldn't run. With
 //! `TROUBLE=0` the disruption is left out.
 
+mod cold;
 mod deployment;
 mod members;
 mod process;
@@ -30,6 +31,7 @@
     match case {
         "disk-loss-after-replacement" => members::disk_loss(record, with_trouble).await,
         "many-replacements" => members::many_replacements(record, with_trouble).await,
+        "core-kill-while-cold" => cold::core_kill(record, with_trouble).await,
         _ => Err(format!("no case named {case}")),
     }
 }
--- a/review/stand/src/members.rs
+++ b/review/stand/src/members.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::sleep;
 
-use crate::deployment::{Deployment, GRACE, configuration};
+use crate::deployment::{Deployment, GRACE, Options};
 use crate::record::Record;
 use crate::stand_ins;
 use crate::{Failure, Verdict};
@@ -76,7 +76,7 @@
 /// stable for longer than `contact_ms`, another control VM loses its disk right after it has
 /// acknowledged a configuration, and comes back empty.
 pub async fn disk_loss(record: &Record, with_trouble: bool) -> Result<Verdict, Failure> {
-    let mut deployment = Deployment::start(record).await?;
+    let mut deployment = Deployment::start(record, Options::default()).await?;
     sleep(Duration::from_secs(2)).await;
     deployment.add_control(false)?;
     sleep(CATCH_UP + CONTACT).await;
@@ -89,7 +89,7 @@
     ));
     sleep(CONTACT + Duration::from_millis(300)).await;
     let second = deployment.controls[1].operators;
-    let body = configuration(2);
+    let body = deployment.configuration(2);
     let limit = Duration::from_secs(4);
     let acknowledged = stand_ins::order(record, &[second], 2, &body, limit).await;
     acknowledged.ok_or("version 2 was not acknowledged before the disruption")?;
@@ -144,7 +144,7 @@
 /// Control VMs are removed for good one after the other, and each time an empty one comes at another
 /// address and gets the time that a new one needs. Then one control VM loses its disk.
 pub async fn many_replacements(record: &Record, with_trouble: bool) -> Result<Verdict, Failure> {
-    let mut deployment = Deployment::start(record).await?;
+    let mut deployment = Deployment::start(record, Options::default()).await?;
     sleep(Duration::from_secs(1)).await;
     check_before(record, &deployment)?;
     let mut newest = 2;
@@ -176,7 +176,8 @@
     sleep(CONTACT).await;
     let daemons = deployment.operators();
     let limit = Duration::from_secs(4);
-    let acknowledged = stand_ins::order(record, &daemons, 2, &configuration(2), limit).await;
+    let body = deployment.configuration(2);
+    let acknowledged = stand_ins::order(record, &daemons, 2, &body, limit).await;
     acknowledged.ok_or("version 2 was not acknowledged before the last disruption")?;
     if with_trouble {
         // The oldest that still runs; the newest has never held the log.
--- a/review/stand/src/stand_ins.rs
+++ b/review/stand/src/stand_ins.rs
@@ -2,7 +2,7 @@
 //! describe them.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::record::Record;
 
@@ -90,7 +90,7 @@
 }
 
 /// Starts a server on a free port of `ip`; it runs until the process ends.
-async fn start_server<F, R>(ip: std::net::IpAddr, handler: F) -> Result<SocketAddr, String>
+async fn start_server<F, R>(ip: IpAddr, handler: F) -> Result<SocketAddr, String>
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
@@ -112,55 +112,186 @@
     Ok(address)
 }
 
-/// Starts a replica that answers every request with its id, its signature and the request's id as
-/// the body.
-pub async fn start_target(
-    ip: std::net::IpAddr,
+/// A request that reached a replica.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Position of the replica.
+    pub target: usize,
+    /// Time since the start of the case.
+    pub at: Duration,
+    /// The request's id.
+    pub id: String,
+}
+
+/// An entry of the platform's list.
+#[derive(Clone, Debug)]
+struct Entry {
     name: String,
+    address: SocketAddr,
+    zone: &'static str,
+    /// Until when the replica is cold.
+    cold_until: Duration,
+}
+
+/// Requests that a replica runs at the same time, as the list says.
+const SLOTS: u32 = 16;
+
+/// Time of a request at a replica.
+const WORK: Duration = Duration::from_millis(15);
+
+/// Lag of the platform's list: `lag_ms` of the sites.
+const LIST_LAG: Duration = Duration::from_millis(800);
+
+/// The replicas, their list, and what they received. Clones share them.
+#[derive(Clone)]
+pub struct Targets {
     record: Record,
-) -> Result<SocketAddr, String> {
-    start_server(ip, move |request: Request<Incoming>| {
-        let (name, record) = (name.clone(), record.clone());
-        async move {
-            let header = |key: &str| {
-                let value = request.headers().get(key);
-                value
-                    .and_then(|it| it.to_str().ok())
-                    .unwrap_or_default()
-                    .to_owned()
-            };
-            let id = header("x-request-attempt-id");
-            let expected = header("x-expected-instance");
-            let tenant = header("x-tenant");
-            if !expected.is_empty() && expected != name {
-                let mut response = Response::new(Full::default());
-                *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
-                return response;
-            }
-            record.detail(format!("target {name} runs {id}, tenant {tenant}"));
-            let response = Response::builder()
-                .header("x-request-attempt-id", &id)
-                .header("x-response-signature", format!("signature-{id}"));
-            response
-                .body(Full::new(Bytes::from(id)))
-                .expect("ids are valid in headers")
-        }
-    })
-    .await
+    entries: Arc<Mutex<Vec<Entry>>>,
+    /// When the replicas became cold last.
+    cold_since: Arc<Mutex<Duration>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
 }
 
-/// Starts the platform's list with fixed entries.
-pub async fn start_list(ip: std::net::IpAddr, entries: String) -> Result<SocketAddr, String> {
-    start_server(ip, move |_| {
-        let body = format!("{{\"instances\":[{entries}],\"next\":null}}");
-        async move {
-            let response = Response::builder().header("content-type", "application/json");
-            response
-                .body(Full::new(Bytes::from(body)))
-                .expect("a valid head")
+impl Targets {
+    /// No replicas.
+    pub fn new(record: &Record) -> Self {
+        Self {
+            record: record.clone(),
+            entries: Arc::default(),
+            cold_since: Arc::default(),
+            arrivals: Arc::default(),
         }
-    })
-    .await
+    }
+
+    /// Starts a replica that answers every request with its signature and the request's id as the
+    /// body.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub async fn start(&self, ip: IpAddr, name: String, zone: &'static str) -> Result<(), String> {
+        let target = self
+            .entries
+            .lock()
+            .expect("no holder of the lock panics")
+            .len();
+        let (shared, own) = (self.clone(), name.clone());
+        let address = start_server(ip, move |request: Request<Incoming>| {
+            let (shared, own) = (shared.clone(), own.clone());
+            async move { shared.run(target, &own, &request).await }
+        })
+        .await?;
+        self.entries
+            .lock()
+            .expect("no holder of the lock panics")
+            .push(Entry {
+                name,
+                address,
+                zone,
+                cold_until: Duration::ZERO,
+            });
+        Ok(())
+    }
+
+    async fn run(
+        &self,
+        target: usize,
+        name: &str,
+        request: &Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let header = |key: &str| {
+            let value = request.headers().get(key);
+            let text = value.and_then(|it| it.to_str().ok());
+            text.unwrap_or_default().to_owned()
+        };
+        let id = header("x-request-attempt-id");
+        let expected = header("x-expected-instance");
+        if !expected.is_empty() && expected != name {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return response;
+        }
+        let at = self.record.now();
+        let tenant = header("x-tenant");
+        self.record
+            .detail(format!("target {name} runs {id}, tenant {tenant}"));
+        let arrival = Arrival { target, at, id };
+        let id = arrival.id.clone();
+        self.arrivals
+            .lock()
+            .expect("no holder of the lock panics")
+            .push(arrival);
+        sleep(WORK).await;
+        let response = Response::builder()
+            .header("x-request-attempt-id", &id)
+            .header("x-response-signature", format!("signature-{id}"));
+        response
+            .body(Full::new(Bytes::from(id)))
+            .expect("ids are valid in headers")
+    }
+
+    /// Makes all replicas cold from now on for `time`.
+    pub fn make_cold(&self, time: Duration) {
+        let now = self.record.now();
+        *self
+            .cold_since
+            .lock()
+            .expect("no holder of the lock panics") = now;
+        let mut entries = self.entries.lock().expect("no holder of the lock panics");
+        for entry in entries.iter_mut() {
+            entry.cold_until = now + time;
+        }
+    }
+
+    /// What the replicas received so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals
+            .lock()
+            .expect("no holder of the lock panics")
+            .clone()
+    }
+
+    fn list(&self) -> String {
+        let now = self.record.now();
+        let since = *self
+            .cold_since
+            .lock()
+            .expect("no holder of the lock panics");
+        let is_shown = since + LIST_LAG <= now;
+        let entries = self.entries.lock().expect("no holder of the lock panics");
+        let entries = entries.iter().map(|it| {
+            let left = it.cold_until.saturating_sub(now).as_millis();
+            let left = if is_shown {
+                u64::try_from(left).unwrap_or(0)
+            } else {
+                0
+            };
+            serde_json::json!({
+                "id": it.name, "service": "depot-desk", "address": it.address.to_string(),
+                "zone": it.zone, "version": "v1", "slots": SLOTS, "state": "ready",
+                "cold_remaining_ms": left,
+            })
+        });
+        let entries: Vec<serde_json::Value> = entries.collect();
+        serde_json::json!({ "instances": entries, "next": null }).to_string()
+    }
+
+    /// Starts the platform's list.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub async fn start_list(&self, ip: IpAddr) -> Result<SocketAddr, String> {
+        let shared = self.clone();
+        start_server(ip, move |_| {
+            let body = shared.list();
+            async move {
+                let response = Response::builder().header("content-type", "application/json");
+                response
+                    .body(Full::new(Bytes::from(body)))
+                    .expect("a valid head")
+            }
+        })
+        .await
+    }
 }
 
 /// Sends an operator's order, in turn to the daemons, until one acknowledges it or `limit` has
@@ -270,12 +401,22 @@
 
 /// Clients' requests so far. Clones share them.
 #[derive(Clone, Default)]
-pub struct Requests(Arc<Mutex<Vec<Served>>>);
+pub struct Requests {
+    ended: Arc<Mutex<Vec<Served>>>,
+    /// When each attempt was sent, by its id.
+    sent: Arc<Mutex<HashMap<String, Duration>>>,
+}
 
 impl Requests {
+    /// When the attempt with an id was sent.
+    pub fn sent_at(&self, id: &str) -> Option<Duration> {
+        let sent = self.sent.lock().expect("no holder of the lock panics");
+        sent.get(id).copied()
+    }
+
     /// Number of the requests that were sent between two times, and how many of them were served.
     pub fn count(&self, from: Duration, to: Duration) -> (usize, usize) {
-        let all = self.0.lock().expect("no holder of the lock panics");
+        let all = self.ended.lock().expect("no holder of the lock panics");
         let sent = all.iter().filter(|it| it.sent >= from && it.sent < to);
         let sent: Vec<&Served> = sent.collect();
         (sent.len(), sent.iter().filter(|it| it.is_served).count())
@@ -285,7 +426,7 @@
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// Sends a request, and a retry after a refusal within the time limit. Each attempt has its own id.
-async fn request(record: &Record, gateways: &[SocketAddr], first: usize) -> bool {
+async fn request(record: &Record, all: &Requests, gateways: &[SocketAddr], first: usize) -> bool {
     let started = Instant::now();
     for attempt in 0..2 {
         let left = TIME_LIMIT.saturating_sub(started.elapsed());
@@ -294,6 +435,11 @@
         }
         let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let gateway = gateways[(first + attempt) % gateways.len()];
+        let sent = record.now();
+        all.sent
+            .lock()
+            .expect("no holder of the lock panics")
+            .insert(id.clone(), sent);
         let headers = [
             ("host", HOST.to_owned()),
             ("x-request-attempt-id", id.clone()),
@@ -328,20 +474,21 @@
     false
 }
 
-/// Starts clients that send 20 requests a second to the gateways in turn.
-pub fn start_clients(record: &Record, gateways: Vec<SocketAddr>) -> Requests {
+/// Starts clients that send a request to the gateways in turn after each `pause`.
+pub fn start_clients(record: &Record, gateways: Vec<SocketAddr>, pause: Duration) -> Requests {
     let requests = Requests::default();
     let (record, all) = (record.clone(), requests.clone());
     tokio::spawn(async move {
+        let mut ticks = interval(pause);
         for number in 0.. {
+            ticks.tick().await;
             let (record, all, gateways) = (record.clone(), all.clone(), gateways.clone());
             tokio::spawn(async move {
                 let sent = record.now();
-                let is_served = request(&record, &gateways, number).await;
-                let mut all = all.0.lock().expect("no holder of the lock panics");
+                let is_served = request(&record, &all, &gateways, number).await;
+                let mut all = all.ended.lock().expect("no holder of the lock panics");
                 all.push(Served { sent, is_served });
             });
-            sleep(Duration::from_millis(50)).await;
         }
     });
     requests
