--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -16,6 +16,9 @@
 use crate::record::Record;
 use crate::stand_ins::{self, HOST, KEY, Requests, Targets};
 
+/// The only tenant.
+pub const TENANT: &str = "shop";
+
 const CONTROL: &str = "target/release/azurelug-control";
 const GATEWAY: &str = "target/release/azurelug-gateway";
 
@@ -79,6 +82,7 @@
     /// Control VMs; those that were removed for good stay here without a process.
     pub controls: Vec<Control>,
     gateways: Vec<Process>,
+    clients: Vec<SocketAddr>,
     /// The clients' requests.
     pub requests: Requests,
 }
@@ -99,7 +103,11 @@
 }
 
 /// The configuration with a version: one safe route with a key.
-fn configuration(version: u64, (cold_start_s, cold_per_s): (f64, f64)) -> Bytes {
+fn configuration(
+    version: u64,
+    (cold_start_s, cold_per_s): (f64, f64),
+    tenants: &serde_json::Value,
+) -> Bytes {
     let document = json!({
         "version": version,
         "routes": [{
@@ -116,7 +124,7 @@
             "max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [{ "name": "shop", "api_keys": [KEY], "priority": 1 }],
+        "tenants": tenants,
     });
     Bytes::from(document.to_string())
 }
@@ -157,6 +165,7 @@
             targets,
             controls: Vec::new(),
             gateways: Vec::new(),
+            clients: Vec::new(),
             requests: Requests::default(),
         };
         for _ in ZONES {
@@ -207,7 +216,8 @@
         for number in 1..=deployment.controls.len() {
             deployment.control_settings(number, false)?;
         }
-        let clients = entries.iter().map(|(clients, _)| *clients).collect();
+        let clients: Vec<SocketAddr> = entries.iter().map(|(clients, _)| *clients).collect();
+        deployment.clients.clone_from(&clients);
         deployment.requests = stand_ins::start_clients(record, clients, options.pause);
         let gateways = options.gateways;
         record.line(format!(
@@ -218,7 +228,18 @@
 
     /// The configuration with a version.
     pub fn configuration(&self, version: u64) -> Bytes {
-        configuration(version, self.options.cold)
+        let tenants = json!([{ "name": TENANT, "api_keys": [KEY], "priority": 1 }]);
+        self.configuration_of(version, &tenants)
+    }
+
+    /// The configuration with a version and other tenants.
+    pub fn configuration_of(&self, version: u64, tenants: &serde_json::Value) -> Bytes {
+        configuration(version, self.options.cold, tenants)
+    }
+
+    /// Addresses of the gateways for clients.
+    pub fn gateways(&self) -> &[SocketAddr] {
+        &self.clients
     }
 
     /// Addresses for operators of the control VMs that have not been removed.
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -4,6 +4,7 @@
 
 mod cold;
 mod deployment;
+mod keys;
 mod members;
 mod process;
 mod record;
@@ -32,6 +33,7 @@
         "disk-loss-after-replacement" => members::disk_loss(record, with_trouble).await,
         "many-replacements" => members::many_replacements(record, with_trouble).await,
         "core-kill-while-cold" => cold::core_kill(record, with_trouble).await,
+        "last-tenant" => keys::last_tenant(record, with_trouble).await,
         _ => Err(format!("no case named {case}")),
     }
 }
--- a/review/stand/src/stand_ins.rs
+++ b/review/stand/src/stand_ins.rs
@@ -36,6 +36,8 @@
 /// An answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
+    /// The id of the request, if it was a client's.
+    pub id: String,
     /// Status.
     pub status: u16,
     /// Headers by lowercase name.
@@ -77,6 +79,7 @@
             |value: &http::HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
         let headers = parts.headers.iter();
         Ok(Answer {
+            id: String::new(),
             status: parts.status.as_u16(),
             headers: headers
                 .map(|(name, value)| (name.to_string(), text(value)))
@@ -433,39 +436,23 @@
         if left.is_zero() {
             return false;
         }
-        let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let gateway = gateways[(first + attempt) % gateways.len()];
-        let sent = record.now();
-        all.sent
-            .lock()
-            .expect("no holder of the lock panics")
-            .insert(id.clone(), sent);
-        let headers = [
-            ("host", HOST.to_owned()),
-            ("x-request-attempt-id", id.clone()),
-            ("x-deadline-milliseconds", left.as_millis().to_string()),
-            ("authorization", format!("Bearer {KEY}")),
-        ];
-        let answer = call(gateway, Method::GET, PATH, &headers, Bytes::new(), left).await;
+        let answer = self::attempt(record, all, gateway, KEY, left).await;
         let retry_after = match &answer {
             Ok(answer) => {
                 let signature = answer.headers.get("x-response-signature");
-                record.detail(format!(
-                    "client: {id} at {gateway}: {} {}",
-                    answer.status,
-                    String::from_utf8_lossy(&answer.body)
-                ));
-                let is_whole = answer.body == id.as_bytes();
+                let is_whole = answer.body == answer.id.as_bytes();
                 if answer.status == 200 && signature.is_some() && is_whole {
                     return true;
                 }
+                // Clients don't retry after these.
+                if [400, 401, 404].contains(&answer.status) {
+                    return false;
+                }
                 let after = answer.headers.get("retry-after");
                 after.and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.05)
             }
-            Err(error) => {
-                record.detail(format!("client: {id} at {gateway}: {error}"));
-                0.05
-            }
+            Err(_) => 0.05,
         };
         // Clients honour the time up to a third of what they have left.
         let left = TIME_LIMIT.saturating_sub(started.elapsed());
@@ -474,6 +461,51 @@
     false
 }
 
+/// Sends one request with another key, without a retry.
+pub async fn request_with_key(
+    record: &Record,
+    all: &Requests,
+    gateway: SocketAddr,
+    key: &str,
+) -> Option<u16> {
+    attempt(record, all, gateway, key, TIME_LIMIT)
+        .await
+        .ok()
+        .map(|answer| answer.status)
+}
+
+/// Sends one attempt with an id of its own.
+async fn attempt(
+    record: &Record,
+    all: &Requests,
+    gateway: SocketAddr,
+    key: &str,
+    left: Duration,
+) -> Result<Answer, String> {
+    let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+    let sent = record.now();
+    all.sent
+        .lock()
+        .expect("no holder of the lock panics")
+        .insert(id.clone(), sent);
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-attempt-id", id.clone()),
+        ("x-deadline-milliseconds", left.as_millis().to_string()),
+        ("authorization", format!("Bearer {key}")),
+    ];
+    let answer = call(gateway, Method::GET, PATH, &headers, Bytes::new(), left).await;
+    match &answer {
+        Ok(answer) => record.detail(format!(
+            "client: {id} at {gateway}: {} {}",
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        )),
+        Err(error) => record.detail(format!("client: {id} at {gateway}: {error}")),
+    }
+    answer.map(|answer| Answer { id, ..answer })
+}
+
 /// Starts clients that send a request to the gateways in turn after each `pause`.
 pub fn start_clients(record: &Record, gateways: Vec<SocketAddr>, pause: Duration) -> Requests {
     let requests = Requests::default();
