--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -237,6 +237,22 @@
         configuration(version, self.options.cold, tenants)
     }
 
+    /// The configuration with a version and more routes, none of which is used.
+    pub fn configuration_with_routes(&self, version: u64, more: usize) -> Bytes {
+        let mut document: serde_json::Value =
+            serde_json::from_slice(&self.configuration(version)).expect("it is valid JSON");
+        let routes = document["routes"].as_array_mut().expect("it has routes");
+        for number in 0..more {
+            routes.push(json!({
+                "name": format!("r-{number:06}"), "host": format!("shop{}.example", number % 40),
+                "path_prefix": format!("/idle{number}/"), "kind": "safe", "timeout_ms": 600,
+                "target_latency_ms": 100, "priority": 2, "service": "depot-desk",
+                "max_attempts": 2, "allow_anonymous": false, "stages": [],
+            }));
+        }
+        Bytes::from(document.to_string())
+    }
+
     /// Addresses of the gateways for clients.
     pub fn gateways(&self) -> &[SocketAddr] {
         &self.clients
@@ -291,11 +307,12 @@
         Ok(())
     }
 
-    /// Starts a control VM again at its old address.
+    /// Starts a control VM again at its old address, with the seeds of this moment.
     ///
     /// # Errors
     /// It can't be started.
     pub fn restart_control(&mut self, position: usize) -> Result<(), Failure> {
+        self.control_settings(position + 1, false)?;
         self.controls[position].process.start().map_err(io)?;
         self.record
             .line(format!("control VM {} is back", position + 1));
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -4,6 +4,7 @@
 
 mod cold;
 mod deployment;
+mod growth;
 mod keys;
 mod members;
 mod process;
@@ -34,6 +35,7 @@
         "many-replacements" => members::many_replacements(record, with_trouble).await,
         "core-kill-while-cold" => cold::core_kill(record, with_trouble).await,
         "last-tenant" => keys::last_tenant(record, with_trouble).await,
+        "grown-configuration" => growth::changes(record, with_trouble).await,
         _ => Err(format!("no case named {case}")),
     }
 }
--- a/review/stand/src/stand_ins.rs
+++ b/review/stand/src/stand_ins.rs
@@ -307,6 +307,42 @@
     limit: Duration,
 ) -> Option<usize> {
     let started = Instant::now();
+    let what = format!("version {version}");
+    send_order(
+        record,
+        daemons,
+        (Method::PUT, "/configuration"),
+        body,
+        &what,
+        limit,
+        started,
+    )
+    .await
+}
+
+/// Asks for a zone to be evacuated, as [`order`] does.
+pub async fn evacuate(
+    record: &Record,
+    daemons: &[SocketAddr],
+    zone: &str,
+    limit: Duration,
+) -> Option<usize> {
+    let started = Instant::now();
+    let path = format!("/evacuation/{zone}");
+    let what = format!("evacuation of {zone}");
+    let call = (Method::POST, path.as_str());
+    send_order(record, daemons, call, &Bytes::new(), &what, limit, started).await
+}
+
+async fn send_order(
+    record: &Record,
+    daemons: &[SocketAddr],
+    (method, path): (Method, &str),
+    body: &Bytes,
+    what: &str,
+    limit: Duration,
+    started: Instant,
+) -> Option<usize> {
     let mut pause = Duration::from_millis(100);
     for position in (0..daemons.len()).cycle() {
         let headers = [
@@ -316,8 +352,8 @@
         let address = daemons[position];
         let answer = call(
             address,
-            Method::PUT,
-            "/configuration",
+            method.clone(),
+            path,
             &headers,
             body.clone(),
             CALL_TIMEOUT,
@@ -325,19 +361,15 @@
         .await;
         match answer {
             Ok(answer) if answer.status == 200 => {
-                record.line(format!(
-                    "operator: version {version} acknowledged by {address}"
-                ));
+                record.line(format!("operator: {what} acknowledged by {address}"));
                 return Some(position);
             }
             Ok(answer) => record.detail(format!(
-                "operator: version {version} at {address}: {} {}",
+                "operator: {what} at {address}: {} {}",
                 answer.status,
                 String::from_utf8_lossy(&answer.body)
             )),
-            Err(error) => {
-                record.detail(format!("operator: version {version} at {address}: {error}"))
-            }
+            Err(error) => record.detail(format!("operator: {what} at {address}: {error}")),
         }
         if started.elapsed() >= limit {
             break;
@@ -346,7 +378,7 @@
         pause = (pause * 2).min(Duration::from_secs(1));
     }
     record.line(format!(
-        "operator: version {version} not acknowledged in {} s",
+        "operator: {what} not acknowledged in {} s",
         limit.as_secs()
     ));
     None
