--- a/review/stand/src/cold.rs
+++ b/review/stand/src/cold.rs
@@ -25,7 +25,7 @@
     let options = Options {
         gateways: GATEWAYS,
         cold: COLD,
-        pause: Duration::from_micros(3450),
+        pause: Duration::from_micros(3700),
     };
     let mut deployment = Deployment::start(record, options).await?;
     sleep(Duration::from_secs(5)).await;
--- a/review/stand/src/stand_ins.rs
+++ b/review/stand/src/stand_ins.rs
@@ -33,6 +33,12 @@
 /// An operator's call moves on to another daemon after this time.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same for a large body.
+const LARGE_CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Length of a large body in bytes.
+const LARGE_BODY: usize = 100_000;
+
 /// An answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -344,6 +350,11 @@
     started: Instant,
 ) -> Option<usize> {
     let mut pause = Duration::from_millis(100);
+    let call_timeout = if body.len() < LARGE_BODY {
+        CALL_TIMEOUT
+    } else {
+        LARGE_CALL_TIMEOUT
+    };
     for position in (0..daemons.len()).cycle() {
         let headers = [
             ("content-type", "application/json".to_owned()),
@@ -356,7 +367,7 @@
             path,
             &headers,
             body.clone(),
-            CALL_TIMEOUT,
+            call_timeout,
         )
         .await;
         match answer {
