--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -79,8 +79,10 @@
     snapshot: Snapshot,
     /// Bytes applied since the last snapshot.
     applied_bytes: usize,
-    /// When the pending snapshot was last requested.
+    /// When a snapshot was last requested.
     snapshot_requested_at: Option<Duration>,
+    /// Whether that request is unanswered.
+    snapshot_pending: bool,
     incoming: Option<IncomingSnapshot>,
     /// End of the time in which this member votes for no other candidate, because a leader's lease
     /// may rely on it.
@@ -156,6 +158,7 @@
             granted: Vec::new(),
             commit: snapshot.position.index,
             snapshot_requested_at: None,
+            snapshot_pending: false,
             applied_bytes: 0,
             snapshot,
             log,
--- a/crates/azurelug-coordination/src/raft/follower.rs
+++ b/crates/azurelug-coordination/src/raft/follower.rs
@@ -230,6 +230,7 @@
         self.commit = position.index;
         self.applied_bytes = 0;
         self.snapshot_requested_at = None;
+        self.snapshot_pending = false;
         self.snapshot = snapshot.clone();
         self.out.applies.push(Action::Restore(snapshot));
         self.complete_probes();
--- a/crates/azurelug-coordination/src/raft/log.rs
+++ b/crates/azurelug-coordination/src/raft/log.rs
@@ -145,6 +145,20 @@
         }
     }
 
+    /// The lowest index such that the entries above it, up to `last`, have at most `bytes`.
+    pub(super) fn oldest_within(&self, last: u64, bytes: usize) -> u64 {
+        let mut index = last;
+        let mut size = 0;
+        while let Some(entry) = self.get(index) {
+            size += entry.size();
+            if size > bytes {
+                break;
+            }
+            index -= 1;
+        }
+        index
+    }
+
     /// Removes every entry at `through` and below.
     pub(super) fn compact(&mut self, through: u64) {
         while self.base.index < through {
--- a/crates/azurelug-coordination/src/raft/settings.rs
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -55,6 +55,9 @@
     pub snapshot_bytes: usize,
     /// Number of entries kept below a new snapshot, so that slow members can catch up without one.
     pub kept_entries: u64,
+    /// Largest size in bytes of those entries. Together with the entries since the last snapshot it
+    /// leaves room in the log.
+    pub kept_bytes: usize,
     /// Largest snapshot in bytes.
     pub max_snapshot_bytes: usize,
     /// Largest part of a snapshot in one message, in bytes; at most 256 KiB.
@@ -81,10 +84,11 @@
             max_in_flight: 8,
             max_uncommitted: 1024,
             max_log_entries: 8192,
-            max_log_bytes: 64 * 1024 * 1024,
+            max_log_bytes: 32 * 1024 * 1024,
             snapshot_entries: 512,
             snapshot_bytes: 4 * 1024 * 1024,
             kept_entries: 256,
+            kept_bytes: 8 * 1024 * 1024,
             max_snapshot_bytes: 64 * 1024 * 1024,
             chunk_bytes: 256 * 1024,
             max_waiting_probes: 8,
@@ -120,10 +124,13 @@
             self.chunk_bytes,
         ];
         // Compaction must be able to free space while all uncommitted entries are still in the log.
+        // Their bytes are bounded by the log's own limit, and make room once they are committed.
         let retained = self.snapshot_entries + self.kept_entries + self.max_uncommitted;
+        let retained_bytes = self.snapshot_bytes + self.kept_bytes + self.max_command_bytes;
         let sizes = self.chunk_bytes <= 256 * 1024
             && self.max_members >= self.max_voters
-            && self.max_log_entries as u64 >= retained;
+            && self.max_log_entries as u64 >= retained
+            && self.max_log_bytes > retained_bytes;
         if times && sizes && counts.iter().all(|&count| count > 0) {
             Ok(())
         } else {
--- a/crates/azurelug-coordination/src/raft/snapshot.rs
+++ b/crates/azurelug-coordination/src/raft/snapshot.rs
@@ -8,8 +8,9 @@
 use super::progress::Mode;
 use super::{Body, Member, Node, Write};
 
-/// Interval at which an unanswered snapshot request is repeated. Without repetition, a full log on
-/// one member could prevent a majority permanently.
+/// Interval at which an unanswered snapshot request is repeated, and shortest interval between
+/// snapshots of many small entries. Without repetition, a full log on one member could prevent a
+/// majority permanently.
 const REQUEST_REPEAT_INTERVAL: Duration = Duration::from_secs(5);
 
 impl Node {
@@ -17,14 +18,18 @@
     /// full.
     pub(super) fn request_snapshot(&mut self) {
         let entries = self.commit - self.snapshot.position.index;
-        let due = entries >= self.settings.snapshot_entries
-            || self.applied_bytes >= self.settings.snapshot_bytes
+        let is_large = self.applied_bytes >= self.settings.snapshot_bytes;
+        let due = is_large
+            || entries >= self.settings.snapshot_entries
             || (entries > 0 && self.is_log_full());
         let repeat = self
             .snapshot_requested_at
             .is_none_or(|requested_at| self.now >= requested_at + REQUEST_REPEAT_INTERVAL);
-        if due && repeat {
+        // Large commands can fill the log within the interval.
+        let is_next = is_large && !self.snapshot_pending;
+        if due && (repeat || is_next) {
             self.snapshot_requested_at = Some(self.now);
+            self.snapshot_pending = true;
             self.out.snapshot = true;
         }
     }
@@ -58,8 +63,10 @@
         };
         self.out.writes.push(Write::Snapshot(self.snapshot.clone()));
         self.applied_bytes = 0;
-        self.log
-            .compact(index.saturating_sub(self.settings.kept_entries));
+        self.snapshot_pending = false;
+        let kept = self.settings.kept_entries;
+        let oldest = self.log.oldest_within(index, self.settings.kept_bytes);
+        self.log.compact(oldest.max(index.saturating_sub(kept)));
         self.history.compact(self.log.base().index);
     }
 
