core, platform: no request is served once the last account is removed

Cause: Table::requires_key asked whether there are accounts now, and the decoder read an empty list like a missing one. Ruled out: the propagation of the version (all gateways had it) and the check of keys (401 while one account is left).

Change: Deployment::accounts is None only without the list. The entry daemon always requires a key and is unchanged.

--- a/crates/azurelug-coordination/tests/raft_members.rs
+++ b/crates/azurelug-coordination/tests/raft_members.rs
@@ -1,13 +1,11 @@
 //! Directed tests of cases that random schedules seldom reach: each guards one rule of elections,
 //! leases or membership, on a small simulated network whose links can be closed.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use azurelug_coordination::raft::{
-    Action, Body, Change, Entry, Event, Fault, Member, Message, Node, NodeOptions, Outcome,
-    Payload, Position, RecoveredState, Refusal, Role, Settings, Standing, StartError, State,
-    VoteRecord,
+    Action, Body, Change, Event, Fault, Member, Message, Node, NodeOptions, Outcome, Position,
+    RecoveredState, Refusal, Role, Settings, Standing, StartError, State, VoteRecord,
 };
 use rand::SeedableRng;
 
--- a/crates/azurelug-core/src/gateway/table.rs
+++ b/crates/azurelug-core/src/gateway/table.rs
@@ -13,8 +13,8 @@
     deployment: Arc<Deployment>,
     /// Positions of the routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<usize>>,
-    /// Position of the account of each key.
-    keys: HashMap<String, usize>,
+    /// Position of the account of each key; none if requests need no key.
+    keys: Option<HashMap<String, usize>>,
 }
 
 impl Table {
@@ -29,11 +29,7 @@
         for positions in hosts.values_mut() {
             positions.sort_by_key(|&it| std::cmp::Reverse(deployment.routes[it].prefix.len()));
         }
-        let keys = deployment.accounts.iter().enumerate();
-        let keys = keys.flat_map(|(position, account)| {
-            account.keys.iter().map(move |key| (key.clone(), position))
-        });
-        let keys = keys.collect();
+        let keys = deployment.accounts.as_deref().map(positions_by_key);
         Self {
             deployment,
             hosts,
@@ -64,14 +60,14 @@
     /// Returns the account of a key.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
-        let position = self.keys.get(key)?;
-        Some(&self.deployment.accounts[*position])
+        let position = self.keys.as_ref()?.get(key)?;
+        self.deployment.accounts.as_ref()?.get(*position)
     }
 
     /// Whether requests must have a key.
     #[must_use]
     pub fn requires_key(&self) -> bool {
-        !self.deployment.accounts.is_empty()
+        self.keys.is_some()
     }
 
     /// Selects a service of a traffic split by weight; `random` is uniform in 0..1.
@@ -96,3 +92,11 @@
         self.deployment.service(key)
     }
 }
+
+fn positions_by_key(accounts: &[Account]) -> HashMap<String, usize> {
+    let accounts = accounts.iter().enumerate();
+    let keys = accounts.flat_map(|(position, account)| {
+        account.keys.iter().map(move |key| (key.clone(), position))
+    });
+    keys.collect()
+}
--- a/crates/azurelug-core/tests/gateway_parts.rs
+++ b/crates/azurelug-core/tests/gateway_parts.rs
@@ -91,7 +91,7 @@
     };
     let table = |keys| {
         Table::new(Arc::new(Deployment {
-            accounts: vec![account(keys)],
+            accounts: Some(vec![account(keys)]),
             ..Deployment::default()
         }))
     };
@@ -100,6 +100,20 @@
     assert!(table(&["new"]).requires_key());
 }
 
+/// Guards against the removal of the last account, which would open every route.
+#[test]
+fn an_empty_list_of_accounts_still_requires_a_key() {
+    let table = |accounts| {
+        Table::new(Arc::new(Deployment {
+            accounts,
+            ..Deployment::default()
+        }))
+    };
+    assert!(table(Some(Vec::new())).requires_key());
+    assert!(table(Some(Vec::new())).account("old").is_none());
+    assert!(!table(None).requires_key());
+}
+
 /// Guards against requests to a service with a weight of 0.
 #[test]
 fn a_service_without_weight_gets_no_requests() {
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -20,6 +20,8 @@
 mod kept_connections;
 #[path = "gateway/planned_stops.rs"]
 mod planned_stops;
+#[path = "gateway/removed_accounts.rs"]
+mod removed_accounts;
 #[path = "gateway/silent_targets.rs"]
 mod silent_targets;
 #[path = "gateway/unframed_answers.rs"]
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -22,8 +22,9 @@
     pub routes: Vec<Route>,
     /// The services of the routes.
     pub services: Vec<Service>,
-    /// Accounts that may send requests. If there are none, requests need no key.
-    pub accounts: Vec<Account>,
+    /// Accounts that may send requests. `None` if the configuration doesn't use accounts, so that
+    /// requests need no key; an empty list admits only requests of anonymous routes.
+    pub accounts: Option<Vec<Account>>,
     /// Limits on client requests and connections.
     pub limits: Limits,
 }
