gateway: what clients don't read counts against the memory

Cause: bytes counted only while they arrived. The share of a whole answer was given back once it was read, events were queued by number, and partial events and request bodies did not count. Ruled out: endless heads, bodies and tails towards clients that read, which were bounded (57 to 68 MiB).

Change: memory::Budget counts what each exchange holds until it has been sent: request body, answer, partial and queued events, answers to calls. 64 KiB each are free, the rest shares an eighth of memory_mb. At the limit the exchange that holds the most is ended; smaller ones wait for its bytes. A stream stops reading from its target while 64 KiB of events wait for the client. A response can abort its connection (h1::server::Abort).

Why it works: every copy of the bytes carries its accounting, also into the server's write queue, so that nothing is held without being counted; what can be ended is ended in order of size.

--- a/crates/azurelug-core/src/gateway/events.rs
+++ b/crates/azurelug-core/src/gateway/events.rs
@@ -65,6 +65,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes that are buffered and not yet returned as an event.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the incomplete event, because another target resumes the stream.
     pub fn restart(&mut self) {
         self.buffer.clear();
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::{SendKind, Slot};
+use crate::memory::Held;
 use crate::quarantine;
 use reply::{Attempt, Reply};
 
@@ -75,6 +76,8 @@
     pub body: Incoming,
     /// Splits the body into events.
     pub splitter: Splitter,
+    /// Memory of the splitter's bytes.
+    pub held: Held,
     /// The first event; none if the stream is empty.
     pub first: Option<Event>,
     /// Whether the end of the body has been read.
@@ -588,6 +591,7 @@
                 headers: start.headers,
                 body: start.body,
                 splitter: start.splitter,
+                held: start.held,
                 first: start.first,
                 is_ended: start.is_ended,
                 is_framed: start.is_framed,
--- a/crates/azurelug-gateway/src/attempt/reply.rs
+++ b/crates/azurelug-gateway/src/attempt/reply.rs
@@ -17,6 +17,8 @@
 use super::BufferedAnswer;
 use crate::exchange::Exchange;
 use crate::gateway::SendKind;
+use crate::incoming;
+use crate::memory::Held;
 use crate::quarantine::{self, Progress};
 use crate::upstream::Acquired;
 
@@ -67,6 +69,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
     pub(super) splitter: Splitter,
+    pub(super) held: Held,
     pub(super) first: Option<Event>,
     pub(super) is_ended: bool,
     pub(super) is_framed: bool,
@@ -164,12 +167,7 @@
         }
         _ => {}
     }
-    let read = exchange
-        .gateway
-        .answer_reader
-        .read(body, MAX_ANSWER_BYTES)
-        .await;
-    let body = match read {
+    let body = match incoming::read(&exchange.memory, body, MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(error) => {
             let name = &attempt.target.name;
@@ -207,7 +205,11 @@
     // Without a length or chunks, an end before the first event can't be told from a failure.
     let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     let mut is_ended = false;
+    let mut held = Held::empty(&exchange.memory);
     let first = loop {
+        if held.grow_to(attempt.splitter.buffered()).await.is_err() {
+            return Reply::Unusable("no memory left for the stream");
+        }
         match attempt.splitter.next_event() {
             Ok(Some(event)) => break Some(event),
             Ok(None) if is_ended => break None,
@@ -242,6 +244,7 @@
         headers,
         body,
         splitter: attempt.splitter,
+        held,
         first,
         is_ended,
         is_framed,
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
-use crate::answers;
 use crate::gateway::{Gateway, SendKind};
+use crate::incoming;
 use crate::peers::Scope;
 
 /// Largest answer to a call. A handle has about 40 bytes.
@@ -469,11 +469,8 @@
         let (parts, body) = connection.send(request).await?.into_parts();
         let head = target::Head::read(parts.status, &parts.headers, "");
         gateway.apply_notice(name, head.notice.without_limit_end(), sent);
-        let body = self
-            .gateway
-            .answer_reader
-            .read(body, MAX_ANSWER_BYTES)
-            .await?;
+        let holder = self.gateway.memory.open();
+        let body = incoming::read(&holder, body, MAX_ANSWER_BYTES).await?;
         if pieces::is_not_run(head.status, &parts.headers) {
             let closed = head.notice.unavailable_for.unwrap_or_default();
             return Ok(CallEnd::NotRun { closed });
@@ -508,7 +505,7 @@
     #[error(transparent)]
     Connection(#[from] client::Error),
     #[error(transparent)]
-    Answer(#[from] answers::Error),
+    Answer(#[from] incoming::Error),
     #[error("the answer can't be decoded: {0}; check the target")]
     Unreadable(#[from] serde_json::Error),
     #[error("status {status}: {text}; check the target")]
@@ -560,7 +557,7 @@
                 target.name
             );
         }
-        let body = gateway.answer_reader.read(body, MAX_ANSWER_BYTES).await;
+        let body = incoming::read(&gateway.memory.open(), body, MAX_ANSWER_BYTES).await;
         if body.is_ok() && acquired.connection.wait_ready().await {
             gateway
                 .upstream
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use http::request::Parts;
 
 use crate::gateway::Gateway;
+use crate::memory::Holder;
 
 /// A request that has been read and admitted.
 pub struct Exchange {
@@ -39,6 +40,8 @@
     pub fields: Fields,
     /// Request body.
     pub body: Bytes,
+    /// The memory that the request and its answer take.
+    pub memory: Holder,
     /// Share of the route's requests for each zone.
     pub weights: Weights,
     /// Arrival time.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -20,8 +20,8 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until};
 
-use crate::answers::AnswerReader;
 use crate::dispatch_worker::DispatchWorkers;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, Scope};
 use crate::permits::Permits;
@@ -62,8 +62,8 @@
     pub zone: ZoneName,
     /// Connection pool for targets.
     pub upstream: Upstream,
-    /// Reads answers within a memory limit.
-    pub answer_reader: AnswerReader,
+    /// The bytes that exchanges may hold.
+    pub memory: memory::Budget,
     /// The other gateways.
     pub peers: Peers,
     /// Permits for requests to targets that name a limit.
@@ -96,7 +96,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             upstream: Upstream::default(),
-            answer_reader: AnswerReader::default(),
+            memory: memory::Budget::new(settings.memory_mb),
             quarantine: RequestQuarantine::new(&identity),
             peers: Peers::new(settings, identity),
             permits: Permits::default(),
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -4,13 +4,14 @@
 //! tasks around them, and the state about other daemons.
 
 pub mod admin;
-pub mod answers;
 pub mod attempt;
 pub mod body;
 pub mod control;
 pub mod dispatch_worker;
 pub mod exchange;
 pub mod gateway;
+pub mod incoming;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod permits;
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -25,6 +25,10 @@
 /// Events buffered for a slow client. A full buffer slows the target down by TCP flow control.
 const EVENT_BUFFER: usize = 32;
 
+/// Bytes of events that wait for a slow client before nothing more is read from the target. A single
+/// event may be longer.
+const QUEUED_BYTES: usize = 64 * 1024;
+
 /// Stall timeout as a multiple of the gap objective between events. After it another target is asked
 /// to resume the stream if one has a free slot.
 const STALL_FACTOR: f64 = 3.0;
@@ -65,6 +69,8 @@
     Stalled,
     ClientGone,
     OutOfTime,
+    /// The stream holds more memory than the others, and no more is left.
+    OutOfMemory,
 }
 
 /// Outcome of the attempt to resume a stalled stream at another target.
@@ -92,6 +98,9 @@
         // Only complete events reset the stall timeout, not mere bytes.
         let mut last_event = Instant::now();
         let mut returned = None;
+        let memory = self.exchange.memory.clone();
+        // Without the stream's own bytes.
+        let base_bytes = memory.bytes() - stream.held.bytes();
         loop {
             let read = match returned.take() {
                 Some(read) => read,
@@ -102,15 +111,23 @@
             };
             match read {
                 Read::Event(event) => {
-                    if events.send(Ok(event.bytes)).await.is_err() {
+                    let held = stream.held.split(event.bytes.len());
+                    stream.held.shrink_to(stream.splitter.buffered());
+                    if events.send(Ok(held.attach(event.bytes))).await.is_err() {
                         return self.abandon(*stream);
                     }
                     quarantine::record_event(&self.exchange, &stream.slot.progress);
+                    let queued = base_bytes + stream.held.bytes() + QUEUED_BYTES;
+                    self.wait_for_client(&events, queued).await;
                     last_event = Instant::now();
                 }
                 Read::Complete => return self.complete(*stream),
                 Read::ClientGone => return self.abandon(*stream),
                 Read::OutOfTime => return self.interrupt(&events, "out of time").await,
+                Read::OutOfMemory => {
+                    stream.slot.set_outcome(Outcome::Unknown);
+                    return self.interrupt(&events, "no memory left").await;
+                }
                 Read::Interrupted(reason) => {
                     let resumed = tokio::select! {
                         resumed = self.resume(*stream, reason) => Some(resumed),
@@ -165,7 +182,19 @@
     }
 
     fn close_abandoned(self) {
-        self.close(End::Abandoned, "the client disconnected");
+        if self.exchange.memory.is_evicted() {
+            self.close(End::Failed, "no memory left");
+        } else {
+            self.close(End::Abandoned, "the client disconnected");
+        }
+    }
+
+    /// Waits until the exchange holds at most `bytes`, or its client has disconnected.
+    async fn wait_for_client(&self, events: &EventSender, bytes: usize) {
+        tokio::select! {
+            () = self.exchange.memory.wait_until(bytes) => {}
+            () = events.closed() => {}
+        }
     }
 
     /// Ends the client's stream so that it does not look complete.
@@ -336,6 +365,14 @@
     let deadline = exchange.gateway.at(exchange.deadline);
     let limit = stalled_at.map_or(deadline, |stalled_at| stalled_at.min(deadline));
     loop {
+        // What was read counts before more is read; a cancelled wait is repeated by the next call.
+        let counted = tokio::select! {
+            counted = stream.held.grow_to(stream.splitter.buffered()) => counted,
+            () = events.closed() => return Read::ClientGone,
+        };
+        if counted.is_err() {
+            return Read::OutOfMemory;
+        }
         match stream.splitter.next_event() {
             Ok(Some(event)) => return Read::Event(event),
             Ok(None) if stream.is_ended => return Read::Complete,
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -6,7 +6,7 @@
 
 use azurelug_core::gateway::fleet::Weights;
 use azurelug_core::gateway::table::Table;
-use azurelug_http::h1::server::head_bytes;
+use azurelug_http::h1::server::{Abort, head_bytes};
 use azurelug_platform::answer::{self, Refusal};
 use azurelug_platform::client::Fields;
 use azurelug_types::deployment::{Account, RequestKind, Route};
@@ -15,7 +15,6 @@
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 
@@ -23,6 +22,8 @@
 use crate::body::Body;
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::Gateway;
+use crate::incoming;
+use crate::memory::Holder;
 use crate::metrics::End;
 use crate::quarantine;
 use crate::relay::Relay;
@@ -37,6 +38,10 @@
 /// seconds, and clients retry only once or twice.
 const STARTUP_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
 
+/// `Retry-After` of a request whose body found no memory. Slow clients take about as long to read
+/// what the gateway holds for them.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Added to the deadline before an exchange is cancelled, so that its own handling of the deadline
 /// comes first.
 pub const DEADLINE_GRACE: Duration = Duration::from_millis(100);
@@ -94,7 +99,11 @@
     match admit(&gateway, parts, fields, body).await {
         Ok(exchange) => {
             gateway.metrics.in_flight.inc();
-            serve(exchange).await
+            let memory = exchange.memory.clone();
+            let mut response = serve(exchange).await;
+            // From here on the client decides how long the answer is held.
+            response.extensions_mut().insert(Abort(memory.eviction()));
+            response
         }
         Err((refusal, reason)) => {
             let id = id.as_deref();
@@ -129,7 +138,8 @@
     if head_bytes(&parts) > limits.max_head_bytes {
         return Err((Refusal::HeadTooLarge, "the head is too long"));
     }
-    let body = read_body(body, limits.max_body_bytes).await?;
+    let memory = gateway.memory.open();
+    let body = read_body(&memory, body, limits.max_body_bytes).await?;
     let Some(table) = table else {
         let left = fields.time_left.unwrap_or_default();
         let spread = rand::rng().random_range(0.8..1.0);
@@ -172,6 +182,7 @@
         id,
         parts,
         body,
+        memory,
         arrived,
         deadline,
         digest: OnceLock::new(),
@@ -205,14 +216,16 @@
     times.sum()
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err((Refusal::TooLarge, "the body is too long"))
-        }
-        Err(_) => Err((Refusal::Malformed, "the body is not whole")),
-    }
+async fn read_body(memory: &Holder, body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
+    let read = incoming::read(memory, body, limit).await;
+    read.map_err(|error| match error {
+        incoming::Error::TooLong { .. } => (Refusal::TooLarge, "the body is too long"),
+        incoming::Error::Interrupted { .. } => (Refusal::Malformed, "the body is not whole"),
+        incoming::Error::Exhausted(_) => (
+            Refusal::Busy(MEMORY_RETRY_AFTER),
+            "no memory left for the body",
+        ),
+    })
 }
 
 /// The account of a request; none if the request needs no key.
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -44,6 +44,10 @@
     pub seeds: Vec<SocketAddr>,
     /// The operators' bounds.
     pub bounds: Bounds,
+    /// Memory of the process in megabytes. An eighth of it is for what requests hold beyond 64 KiB
+    /// each; without it 24 MiB are.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Log settings.
     #[serde(default)]
     pub log: Log,
--- a/crates/azurelug-gateway/tests/missed_deadline.rs
+++ b/crates/azurelug-gateway/tests/missed_deadline.rs
@@ -10,6 +10,7 @@
 
 use azurelug_gateway::exchange::Exchange;
 use azurelug_gateway::gateway::Gateway;
+use azurelug_gateway::memory::Budget;
 use azurelug_gateway::serve::{PendingGuard, answer_in_time};
 use azurelug_gateway::settings::Settings;
 use azurelug_settings::read;
@@ -67,6 +68,7 @@
         parts: http::Request::new(()).into_parts().0,
         fields: Default::default(),
         body: Default::default(),
+        memory: Budget::new(None).open(),
         weights: Default::default(),
         arrived,
         deadline: arrived + Duration::from_secs(4),
--- a/crates/azurelug-http/src/h1/server.rs
+++ b/crates/azurelug-http/src/h1/server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 connections and shuts down without aborting requests.
 
+mod abort;
 mod phase;
 
 use std::convert::Infallible;
@@ -20,6 +21,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
 
+pub use abort::Abort;
+use abort::{Aborted, LatestAbort};
 use phase::{HeadError, HeadLimitStream, Phase, PhaseTracker, TrackedBody};
 
 /// A connection is closed if its client acknowledges nothing for this long. Longer than the network
@@ -159,12 +162,16 @@
     let tracker = PhaseTracker::default();
     let request_tracker = tracker.clone();
     let response_stage = stage.clone();
+    let latest_abort = LatestAbort::default();
+    let mut aborted = Aborted::new(latest_abort.clone());
     let service = service_fn(move |request| {
         let exchange = request_tracker.begin_exchange();
         let answer = handler(request);
         let response_stage = response_stage.clone();
+        let latest_abort = latest_abort.clone();
         async move {
             let mut response = answer.await.map(|body| TrackedBody::new(body, exchange));
+            latest_abort.replace(response.extensions_mut().remove());
             if *response_stage.borrow() == ShutdownState::Closing {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -192,6 +199,7 @@
             close_at = Some(Instant::now() + wait);
         }
         tokio::select! {
+            biased;
             result = &mut serving => {
                 let Err(error) = result else { return };
                 log_end(&error, peer);
@@ -202,6 +210,11 @@
                 }
                 return;
             }
+            // After `serving`, which replaces the abort signal without a wake-up.
+            () = &mut aborted => {
+                log::info!("http: connection of {peer:?} closed: its answer was aborted");
+                return;
+            }
             _ = stage.changed(), if close_at.is_none() => {}
             () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() && !is_ending => {
                 Pin::new(&mut serving).graceful_shutdown();
--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -24,6 +24,8 @@
 mod removed_accounts;
 #[path = "gateway/silent_targets.rs"]
 mod silent_targets;
+#[path = "gateway/slow_readers.rs"]
+mod slow_readers;
 #[path = "gateway/unframed_answers.rs"]
 mod unframed_answers;
 
--- a/crates/azurelug-system/tests/gateway/faulty_targets.rs
+++ b/crates/azurelug-system/tests/gateway/faulty_targets.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Memory of the smallest VM type for gateways, in bytes.
-const VM_MEMORY: u64 = 160 * 1024 * 1024;
+pub(crate) const VM_MEMORY: u64 = 160 * 1024 * 1024;
 
 const STAGE_HEADERS: [(&str, &str); 2] = [("x-pieces", "2"), ("x-piece-key", "k")];
 
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -70,6 +70,10 @@
     Closed,
     /// Sends a body that does not end.
     EndlessBody,
+    /// Sends a complete body of 7 MiB.
+    LargeBody,
+    /// Sends complete events of 250 KB without end.
+    LargeEvents,
     /// Repeats the previous answer on the connection before each answer.
     DuplicatesAnswers,
     /// Sends a head that does not end.
@@ -599,6 +603,10 @@
         *response.body_mut() = Body::Stream(events);
         return response;
     }
+    if behaviour == Behaviour::LargeBody {
+        *response.body_mut() = Body::complete(Bytes::from(vec![b'x'; 7 * 1024 * 1024]));
+        return response;
+    }
     if behaviour == Behaviour::EndlessBody {
         *response.body_mut() = Body::Stream(endless_body());
         return response;
@@ -611,7 +619,12 @@
             .get("last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
-        *response.body_mut() = Body::Stream(events(behaviour, last));
+        let events = if behaviour == Behaviour::LargeEvents {
+            large_events()
+        } else {
+            events(behaviour, last)
+        };
+        *response.body_mut() = Body::Stream(events);
     }
     response
 }
@@ -635,6 +648,21 @@
     bytes
 }
 
+/// Returns a stream of large events without an end.
+fn large_events() -> mpsc::Receiver<Result<Bytes, BodyInterrupted>> {
+    let (sender, events) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let data = "x".repeat(250_000);
+        for id in 1u64.. {
+            let event = Bytes::from(format!("id: {id}\ndata: {data}\n\n"));
+            if sender.send(Ok(event)).await.is_err() {
+                return;
+            }
+        }
+    });
+    events
+}
+
 fn events(behaviour: Behaviour, last: u64) -> mpsc::Receiver<Result<Bytes, BodyInterrupted>> {
     let (sender, events) = mpsc::channel(1);
     tokio::spawn(async move {
