control: a daemon without others stops at once

What callers saw: nothing yet.

Cause: State::is_needed counted every leader as needed.

Change: a member without others is not needed by them. A hand-over that fails is logged with its remedy.

--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -242,9 +242,9 @@
         state.is_some_and(|state| state.is_needed(self.target_voters))
     }
 
-    /// Hands over the leadership, and the vote if another member can take it. Returns once the
-    /// cluster no longer counts on this member, or after `limit`.
-    pub async fn leave(&self, limit: Duration) {
+    /// Hands over the leadership, and the vote if another member can take it. Returns true once the
+    /// cluster no longer counts on this member, or false after `limit`.
+    pub async fn leave(&self, limit: Duration) -> bool {
         // The task may have ended already.
         let _ = self.requests.send(Request::Leave).await;
         let handed_over = async {
@@ -252,7 +252,6 @@
                 sleep(LEAVE_POLL_INTERVAL).await;
             }
         };
-        // Without a leader or a learner that holds the log, the vote can't be handed over.
-        let _ = timeout(limit, handed_over).await;
+        timeout(limit, handed_over).await.is_ok()
     }
 }
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -168,15 +168,14 @@
             result = stop_signal() => {
                 result?;
                 log::info!("control: stopping");
-                replica.leave(LEAVE_TIMEOUT).await;
+                leave(&replica).await;
                 stage.send_replace(ShutdownState::Closing);
                 sleep(HAND_OVER_PAUSE).await;
                 Ok(())
             }
         };
     }
-    let hand_over: ShutdownHook =
-        Box::new(move || Box::pin(async move { replica.leave(LEAVE_TIMEOUT).await }));
+    let hand_over: ShutdownHook = Box::new(move || Box::pin(async move { leave(&replica).await }));
     tokio::select! {
         result = task.run() => result?,
         result = server.serve(operator_api.router(), Some(hand_over)) => result?,
@@ -194,6 +193,16 @@
 /// that is a heartbeat behind, and two changes of the membership, each with a sync on a slow disk.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Hands over what the cluster needs of this daemon before it stops.
+async fn leave(replica: &Replica) {
+    if !replica.leave(LEAVE_TIMEOUT).await {
+        log::warn!(
+            "control: no other member has taken over in time; check that a majority of the voters \
+             and a caught-up learner run"
+        );
+    }
+}
+
 /// Time in which running calls are answered after the leadership was handed over.
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(500);
 
--- a/crates/azurelug-coordination/src/raft/state.rs
+++ b/crates/azurelug-coordination/src/raft/state.rs
@@ -62,18 +62,18 @@
 }
 
 impl State {
-    /// Whether a cluster that maintains `target_voters` still counts on this member: it leads, has a
-    /// vote that a learner may yet get, or the changes that hand the vote over are not complete.
+    /// Whether a cluster that maintains `target_voters` still counts on this member: it leads others,
+    /// has a vote that a learner may yet get, or the changes that hand the vote over are not complete.
+    /// A member without others is never needed by them.
     #[must_use]
     pub fn is_needed(&self, target_voters: Option<usize>) -> bool {
-        let seats = &self.membership.seats;
-        let is_other_learner =
-            |seat: &Seat| seat.member != self.member && seat.standing != Standing::Voter;
-        let has_learner = seats.iter().any(is_other_learner);
+        let seats = self.membership.seats.iter();
+        let others: Vec<&Seat> = seats.filter(|seat| seat.member != self.member).collect();
+        let has_learner = others.iter().any(|seat| seat.standing != Standing::Voter);
         let has_vote = self.membership.is_voter(self.member);
         let voters = self.membership.voters().count();
         let lacks_voters = target_voters.is_some_and(|target| voters < target);
-        self.role == Role::Leader
+        (self.role == Role::Leader && !others.is_empty())
             || (has_learner && (has_vote || lacks_voters))
             || self.membership_index > self.commit
     }
