control tests: a slow run doesn't change what a replaced file must hold

Cause: the test compared the lengths of two files with the same record. Ages in it are counted to the time of the write and encoded in 3 or 5 bytes; one of them is 65.0 s, so that 536 ms later it needs two bytes more. With a pause of 600 ms before the second write the test fails each time, 79 to 77; the archive is right.

Change: instead of its length, the new file's content is checked: it reads back as exactly this record, and neither with one byte less nor with one more, so that nothing of the damaged file may follow it. That is as strict, and independent of the time.

--- a/crates/azurelug-control/tests/quarantine.rs
+++ b/crates/azurelug-control/tests/quarantine.rs
@@ -119,8 +119,15 @@
         &mut Archive::new(folder.path(), Files::new()),
         &suspects
     ));
-    assert_eq!(std::fs::read(&path).unwrap().len(), whole.len());
-    assert_eq!(read(folder.path(), NOW_MS).len(), 1);
+    // Nothing of the damaged file follows the record, whose length depends on the ages in it.
+    let replaced = std::fs::read(&path).unwrap();
+    let records = read(folder.path(), NOW_MS);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].part, part(7, 3).part);
+    std::fs::write(&path, &replaced[..replaced.len() - 1]).unwrap();
+    assert!(read(folder.path(), NOW_MS).is_empty());
+    std::fs::write(&path, [&replaced[..], &[0]].concat()).unwrap();
+    assert!(read(folder.path(), NOW_MS).is_empty());
 }
 
 /// Guards against records that are given up, or a file that is spoilt, because the disk is full.
