--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -90,7 +90,13 @@
     pub fn set_targets(&self, targets: Vec<Target>) {
         let list = list_with_digest(targets, |target| {
             let is_cold = target.cold_ms > 0;
-            digest(&(&target.name, target.address, target.is_leaving, is_cold))
+            digest(&(
+                &target.name,
+                target.address,
+                target.is_leaving,
+                is_cold,
+                &target.version,
+            ))
         });
         let inventory = Inventory {
             targets: list.clone(),
--- a/crates/azurelug-core/tests/gateway_crash_recovery.rs
+++ b/crates/azurelug-core/tests/gateway_crash_recovery.rs
@@ -22,6 +22,7 @@
         slots: 16,
         is_leaving: false,
         cold_ms: 0,
+        version: String::new(),
     };
     let mut fleet = Fleet::default();
     fleet.list(&[target], Duration::ZERO);
--- a/crates/azurelug-core/tests/gateway_dispatch.rs
+++ b/crates/azurelug-core/tests/gateway_dispatch.rs
@@ -52,6 +52,8 @@
         worth: 0.5,
         due_ms,
         deadline_ms: 3500,
+        account: 0,
+        digest: 0,
     }
 }
 
@@ -244,6 +246,8 @@
             worth,
             due_ms: 1000,
             deadline_ms: 1100,
+            account: 0,
+            digest: 0,
         };
         dispatcher.book(&booking, MS).is_ok()
     };
@@ -276,6 +280,8 @@
         worth: 0.5,
         due_ms: 600,
         deadline_ms: 500,
+        account: 0,
+        digest: 0,
     };
     assert!(dispatcher.book(&booking("first"), MS).is_ok());
     assert!(dispatcher.book(&booking("second"), MS).is_err());
@@ -628,12 +634,16 @@
             worth: 1.0,
             due_ms: 2000,
             deadline_ms: 900,
+            account: 0,
+            digest: 0,
         };
         dispatcher.book(&booking, MS).is_ok()
     });
     assert!(booked.count() > 20);
     let late = Pieces {
         deadline_ms: 900,
+        account: 0,
+        digest: 0,
         ..order(1, 6, -1)
     };
     let first = Pieces {
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -25,6 +25,7 @@
         slots: 16,
         is_leaving: false,
         cold_ms: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/azurelug-core/tests/gateway_list.rs
+++ b/crates/azurelug-core/tests/gateway_list.rs
@@ -18,6 +18,7 @@
         slots: 16,
         is_leaving: false,
         cold_ms: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -405,6 +405,8 @@
                 worth: it.value_rank,
                 due_ms: due.saturating_sub(self.now).as_millis() as u64,
                 deadline_ms: 3000,
+                account: 0,
+                digest: 0,
             };
             let zone_dispatcher = self.dispatcher_of(request, stage);
             let booked = self.zone_dispatchers[zone_dispatcher]
@@ -502,6 +504,8 @@
             worth: it.value_rank,
             due_ms: due,
             deadline_ms: 3000,
+            account: 0,
+            digest: 0,
         };
         let zone_dispatcher = self.dispatcher_of(request, stage);
         let token = Token((request * 8 + stage) as u64);
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -329,6 +329,7 @@
             slots: 1,
             is_leaving: false,
             cold_ms: 0,
+            version: String::new(),
         }
     }
 }
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::fleet::Weights;
+use azurelug_core::gateway::rendezvous;
 use azurelug_core::gateway::table::Table;
 use azurelug_platform::answer::Refusal;
 use azurelug_platform::client::{Fields, PromptPart};
@@ -97,6 +98,13 @@
         self.arrived + self.route.latency_objective
     }
 
+    /// Hash of the account's name; 0 without an account.
+    #[must_use]
+    pub fn account_hash(&self) -> u64 {
+        let name = self.account.as_ref();
+        name.map_or(0, |name| rendezvous::weight("account", name))
+    }
+
     /// Hash of the shared prompt prefix, which one target should cache: all parts but the last.
     #[must_use]
     pub fn affinity(&self) -> Option<u64> {
@@ -106,7 +114,7 @@
             [shared @ .., _] => shared,
         };
         let ids: Vec<&str> = shared.iter().map(part_id).collect();
-        Some(azurelug_core::gateway::rendezvous::weight("prompt", &ids))
+        Some(rendezvous::weight("prompt", &ids))
     }
 }
 
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -401,7 +401,7 @@
         let answer = if peer.name == self.own.name {
             gateway.dispatch_workers.book(gateway, &booking)
         } else {
-            let frame = Frame::Book(booking.clone());
+            let frame = Frame::Book(Box::new(booking.clone()));
             match self.call(peer.address, frame, CONFIRM_TIMEOUT).await {
                 Ok(answer) => answer,
                 // Logged by the call.
@@ -450,7 +450,7 @@
         order: Pieces,
     ) -> Result<mpsc::Receiver<Frame>, Error> {
         let connection = self.connection(address).await?;
-        let mut frames = connection.subscribe(Frame::Pieces(order)).await?;
+        let mut frames = connection.subscribe(Frame::Pieces(Box::new(order))).await?;
         match frames.recv().await {
             Some(Frame::PiecesTaken) => Ok(frames),
             _ => Err(Error::Closed {
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -152,7 +152,7 @@
     match frame {
         Frame::Pieces(pieces) => {
             let (sender, frames) = mpsc::channel(2);
-            tokio::spawn(run_pieces(gateway, pieces, sender));
+            tokio::spawn(run_pieces(gateway, *pieces, sender));
             Reply::Stream(frames)
         }
         Frame::Book(booking) => Reply::One(gateway.dispatch_workers.book(&gateway, &booking)),
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -48,6 +48,9 @@
     /// each; without it 24 MiB are.
     #[serde(default)]
     pub memory_mb: Option<usize>,
+    /// Names of the rule sets that are in force for the deployment.
+    #[serde(default)]
+    pub contracts: Vec<String>,
     /// Log settings.
     #[serde(default)]
     pub log: Log,
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -214,6 +214,8 @@
                 worth: exchange.value_rank,
                 due_ms: millis(due - now),
                 deadline_ms: millis(stage_time_left(exchange, step.rest)),
+                account: exchange.account_hash(),
+                digest: 0,
             })
         });
         let bookings = bookings.collect();
@@ -321,6 +323,8 @@
         worth: exchange.value_rank,
         due_ms: signed_millis(due) - signed_millis(now),
         deadline_ms: millis(stage_time_left(exchange, rest)),
+        account: exchange.account_hash(),
+        digest: 0,
     };
     let mut scopes = scopes(exchange, &order.service, &home, bytes);
     if let Some(booked) = bookings.scope(order.stage) {
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -205,6 +205,8 @@
     pub is_leaving: bool,
     /// Remaining time of its cold start, in milliseconds.
     pub cold_ms: u64,
+    /// Version of its software.
+    pub version: String,
 }
 
 /// Status that a target reports along with its answer to a request.
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -212,6 +212,10 @@
         pub due_ms: i64,
         /// Time until the client's deadline, in milliseconds.
         pub deadline_ms: u64,
+        /// Hash of the client account's name; 0 for none.
+        pub account: u64,
+        /// Digest by which a repeat of the request is recognized; 0 if it was not computed.
+        pub digest: u64,
     }
 
     /// Reserves a dispatcher's capacity for pieces of a later stage of a request.
@@ -236,6 +240,10 @@
         pub due_ms: u64,
         /// Time until the client's deadline, in milliseconds.
         pub deadline_ms: u64,
+        /// Hash of the client account's name; 0 for none.
+        pub account: u64,
+        /// Digest by which a repeat of the request is recognized; 0 if it was not computed.
+        pub digest: u64,
     }
 
     /// Input of pieces.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The protocol version. Peers with another version are refused in the handshake.
-pub const PROTOCOL: u32 = 4;
+pub const PROTOCOL: u32 = 5;
 
 /// Maximum number of bytes of a configuration in one frame.
 pub const PART_LIMIT: usize = 256 * 1024;
@@ -142,13 +142,13 @@
     /// A control daemon reports to another which gateways poll it.
     Gateways(Vec<azurelug_types::fleet::Peer>),
     /// Asks a gateway to dispatch pieces of a stage.
-    Pieces(Pieces),
+    Pieces(Box<Pieces>),
     /// The first answer to `Pieces`, sent at once: the order has arrived and is being processed.
     PiecesTaken,
     /// The second answer to `Pieces`, sent when the order has ended.
     PiecesEnd(PiecesEnd),
     /// Asks a gateway to reserve capacity for pieces of a later stage.
-    Book(Booking),
+    Book(Box<Booking>),
     /// The answer to `Book`.
     Booked {
         /// Set if the booking is refused: when a new request is likely to be accepted, in
