gateway: book a later stage in the zone where its inputs will be

Each later stage was booked on its own, in the zone with the shortest queue, weighed against the size of its own results. But a stage fetches all results of the stage before it for each of its pieces (3.6 MB for results of 60 kB), and a stage runs where it is booked. Ruled out: the choice when a stage starts (`preferred_zone`) already follows the inputs, but the booked zone comes first.

Change: `Plan::expected_zone` follows the zones in which the earlier stages are booked, as `preferred_zone` does for results that exist.

--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use azurelug_types::deployment::{Deployment, Route, Service, Stage};
+use azurelug_types::id::ZoneName;
 
 /// The stages of one request.
 #[derive(Clone, Debug, PartialEq)]
@@ -112,6 +113,29 @@
         u64::from(self.steps[position].pieces) * route.stages[position].result_bytes
     }
 
+    /// Zone in which a stage that has not started is best run, and the bytes that cross zones if it
+    /// runs in another one: the zone that is expected to hold most of its inputs if they are larger
+    /// than its results, otherwise the zone of the engine. `zones` has the expected zones of the
+    /// stages before it.
+    #[must_use]
+    pub fn expected_zone<'a>(
+        &self,
+        position: usize,
+        route: &Route,
+        zones: &'a [ZoneName],
+        engine: &'a ZoneName,
+    ) -> (&'a ZoneName, u64) {
+        let fetched = self.input_bytes(position, route);
+        let produced = self.result_bytes(position, route);
+        let inputs = self.steps[position].after.iter();
+        let inputs = inputs.map(|&it| usize::from(it));
+        let largest = inputs.max_by_key(|&it| self.result_bytes(it, route));
+        match largest.and_then(|it| zones.get(it)) {
+            Some(zone) if fetched > produced => (zone, fetched),
+            _ => (engine, produced),
+        }
+    }
+
     /// Time at which the results of a stage are needed for an answer that is due at `due`.
     #[must_use]
     pub fn due(&self, position: usize, due: Duration) -> Duration {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -195,15 +195,21 @@
     /// Each is made at one group of targets only, because in a burst the others are as loaded.
     fn new(exchange: &'a Exchange, plan: &Plan, home: &ZoneName) -> Self {
         let now = exchange.gateway.now();
-        let steps = plan.steps.iter().enumerate();
-        let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
-        let bookings = later.filter_map(|(position, step)| {
-            let due = plan.due(position, exchange.due_at());
+        let mut zones: Vec<ZoneName> = Vec::with_capacity(plan.steps.len());
+        let mut bookings = Vec::new();
+        for (position, step) in plan.steps.iter().enumerate() {
+            let (near, bytes) = plan.expected_zone(position, &exchange.route, &zones, home);
             let stage = &exchange.route.stages[position];
             let service = &exchange.table.service(stage.service).name;
-            let bytes = plan.result_bytes(position, &exchange.route);
-            let scope = scopes(exchange, service, home, bytes).into_iter().next()?;
-            (due > now).then(|| Booking {
+            let scope = scopes(exchange, service, near, bytes).into_iter().next();
+            let zone = scope.clone().flatten().unwrap_or_else(|| near.clone());
+            zones.push(zone);
+            let due = plan.due(position, exchange.due_at());
+            let is_later = step.pieces > 0 && !step.after.is_empty();
+            let Some(scope) = scope.filter(|_| is_later && due > now) else {
+                continue;
+            };
+            bookings.push(Booking {
                 service: service.clone(),
                 scope,
                 request: exchange.id.clone(),
@@ -216,9 +222,8 @@
                 deadline_ms: millis(stage_time_left(exchange, step.rest)),
                 account: exchange.account_hash(),
                 digest: 0,
-            })
-        });
-        let bookings = bookings.collect();
+            });
+        }
         Self { exchange, bookings }
     }
 
