core: replay bursts beyond the capacity of staged services

The existing simulation of stages has requests that never time out, targets that run pieces after their deadline, exact knowledge of all queues, and clients that don't retry.

Change: the simulation models the gateway's stages: due times and give-up times, a new plan at each stage, queue delays as reported by dispatchers, bookings in parallel with the first stage, cancellation of orders and bookings, and one retry of a client after Retry-After. Its targets report late pieces and inputs that are gone. The computation of the give-up time moves from gateway::stages to core::gateway::plan without a change of behaviour, so that both use one copy. The three-zone load of gateway_pipeline.rs keeps bookings before the first stage; the time limit of its routes is 6 s instead of 5 s, because stages are now given up at half of it, and the earlier model allowed 3 s.

--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -38,6 +38,31 @@
 /// vary, so results without a margin would be late half of the time.
 const DUE_MARGIN: Duration = Duration::from_millis(80);
 
+/// Fraction of a request's time limit after which it is refused if its stages have not finished, so
+/// that the client has time to retry.
+const MAX_STAGES_FRACTION: f64 = 0.5;
+
+/// The times that bound a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Arrival.
+    pub arrived: Duration,
+    /// When the answer is due by the latency objective.
+    pub due: Duration,
+    /// When the client gives up.
+    pub deadline: Duration,
+}
+
+impl Bounds {
+    /// Time by which a stage must be done that is followed by steps that take `rest`.
+    #[must_use]
+    pub fn give_up_at(&self, rest: Duration) -> Duration {
+        let limit = self.deadline.saturating_sub(self.arrived);
+        let give_up = self.arrived + limit.mul_f64(MAX_STAGES_FRACTION);
+        self.deadline.saturating_sub(rest).min(give_up)
+    }
+}
+
 /// The request has a different number of stages than its route.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -1,22 +1,24 @@
 //! Discrete-event simulation of staged services: dispatchers, targets that run one call at a time,
 //! and requests with dependent stages.
+#![allow(dead_code, reason = "not every program uses all of it")]
 
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
 
 use azurelug_core::gateway::dispatch::{
     Action, CallEnd, CallKey, DispatchTarget, Dispatcher, Released, Token,
 };
-use azurelug_core::gateway::plan::Plan;
+use azurelug_core::gateway::plan::{Bounds, Plan};
 use azurelug_types::deployment::{
     Batch, Deployment, RequestKind, Route, Service, ServiceKey, Stage, WeightedService,
 };
-use azurelug_types::fleet::{Booking, ItemOutcome, Pieces, Source};
+use azurelug_types::fleet::{Booking, ItemOutcome, Pieces, PiecesError, Source, WorkItem};
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-const ZONES: [&str; 3] = ["a", "b", "c"];
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// One-way latency between two gateways, including the processing on a small VM.
 const HOP_LATENCY: Duration = Duration::from_millis(5);
@@ -30,12 +32,19 @@
 /// Time from the start of a call until its inputs are released.
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(115);
 
+/// Longest wait of a client before its retry, and the longest `Retry-After` of a gateway, as a
+/// fraction of the client's remaining time.
+const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
+
+/// Default `Retry-After` of a gateway.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Class {
     pub(crate) route: Route,
     /// Requests a second as a function of the time in seconds.
-    pub(crate) rate: fn(f64) -> f64,
+    pub(crate) rate: Rc<dyn Fn(f64) -> f64>,
     /// Minimum and maximum number of pieces of each stage.
     pub(crate) pieces: Vec<(u16, u16)>,
     /// Fraction of the requests that skip the first stage.
@@ -68,6 +77,45 @@
     }
 }
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    InTime,
+    Late,
+    Refused,
+    Abandoned,
+}
+
+/// The end of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Record {
+    request: usize,
+    pub(crate) class: usize,
+    pub(crate) account: u64,
+    pub(crate) end: End,
+    pub(crate) size: f64,
+    /// When the client sent its first attempt.
+    pub(crate) first_arrived: Duration,
+    /// When this attempt arrived.
+    pub(crate) arrived: Duration,
+    pub(crate) ended: Duration,
+    pub(crate) is_retry: bool,
+    /// Whether the client retries.
+    pub(crate) is_retried: bool,
+    /// Time of targets that the attempt used.
+    pub(crate) spent: Duration,
+}
+
+/// Time of targets that was used for nothing, and all that was used.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TargetTime {
+    pub(crate) total: Duration,
+    /// For pieces whose deadline had passed at their turn.
+    pub(crate) late: Duration,
+    pub(crate) late_pieces: u32,
+    pub(crate) missing_inputs: u32,
+}
+
 /// Statistics of the calls to a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Calls {
@@ -79,14 +127,31 @@
 #[derive(Debug)]
 enum Event {
     Arrival(usize),
+    Book {
+        request: usize,
+        stage: usize,
+    },
     Order {
         request: usize,
         stage: usize,
     },
+    Cancel {
+        request: usize,
+    },
+    Refused {
+        request: usize,
+        retry_after: Option<Duration>,
+    },
+    Retry {
+        request: usize,
+    },
+    Deadline {
+        request: usize,
+    },
     CallEnded {
         zone_dispatcher: usize,
         call: CallKey,
-        items: Vec<(u64, String)>,
+        ends: Vec<ItemOutcome>,
     },
     Release {
         zone_dispatcher: usize,
@@ -104,16 +169,27 @@
     },
 }
 
+#[derive(Clone)]
 struct Request {
     class: usize,
+    account: u64,
+    gateway: usize,
     home: usize,
+    pieces: Vec<u16>,
+    first_arrived: Duration,
     arrived: Duration,
+    is_retry: bool,
+    spent: Duration,
+    /// When the orders of the stages ended.
+    made: Vec<Duration>,
     value_rank: f64,
     size: f64,
     plan: Plan,
     done: Vec<bool>,
     started: Vec<bool>,
     handles: Vec<Vec<(usize, Released)>>,
+    /// Whether a refusal is on its way to the gateway.
+    is_refused: bool,
     is_over: bool,
     has_run: bool,
 }
@@ -139,6 +215,18 @@
     random: Pcg64,
     pub(crate) outcomes: Vec<Outcome>,
     pub(crate) calls: Vec<Calls>,
+    pub(crate) records: Vec<Record>,
+    pub(crate) target_time: TargetTime,
+    /// Whether bookings arrive together with the first stage's order, as those of a gateway do,
+    /// instead of before it.
+    pub(crate) books_in_parallel: bool,
+    /// Whether clients retry once.
+    pub(crate) has_retries: bool,
+    /// Number of gateways; each knows only the queue delays that it was told.
+    pub(crate) gateways: usize,
+    /// Draws the account of a request from its class, the time and a random number.
+    pub(crate) account: fn(usize, Duration, f64) -> u64,
+    delays: HashMap<(usize, usize), (Duration, Duration)>,
     until: Duration,
 }
 
@@ -178,7 +266,7 @@
         host: "h".to_owned(),
         prefix: "/".to_owned(),
         kind: RequestKind::Stream { resumable: true },
-        timeout: Duration::from_secs(5),
+        timeout: Duration::from_secs(6),
         latency_objective: Duration::from_millis(objective_ms),
         event_gap_objective: Duration::from_millis(250),
         priority,
@@ -237,6 +325,13 @@
             requests: Vec::new(),
             tokens: HashMap::new(),
             random: Pcg64::seed_from_u64(seed),
+            records: Vec::new(),
+            target_time: TargetTime::default(),
+            books_in_parallel: false,
+            has_retries: false,
+            gateways: 1,
+            account: |_, _, _| 0,
+            delays: HashMap::new(),
             until: Duration::ZERO,
         }
     }
@@ -256,21 +351,30 @@
             self.now = time;
             self.handle(event);
         }
+        // Calls may have run on after their requests ended.
+        for record in &mut self.records {
+            record.spent = self.requests[record.request].spent;
+        }
     }
 
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival(class) => self.arrive(class),
+            Event::Book { request, stage } => self.book(request, stage),
             Event::Order { request, stage } => self.submit_order(request, stage),
+            Event::Cancel { request } => self.cancel(request),
+            Event::Refused {
+                request,
+                retry_after,
+            } => self.refuse(request, retry_after),
+            Event::Retry { request } => self.retry(request),
+            Event::Deadline { request } => self.end(request, End::Abandoned),
             Event::CallEnded {
                 zone_dispatcher,
                 call,
-                items,
+                ends,
             } => {
-                let ends = items
-                    .iter()
-                    .map(|(_, handle)| ItemOutcome::Done(handle.clone()));
-                let end = CallEnd::Items(ends.collect());
+                let end = CallEnd::Items(ends);
                 let actions = self.zone_dispatchers[zone_dispatcher]
                     .dispatcher
                     .complete_call(call, end, self.now);
@@ -327,46 +431,106 @@
         // Sizes vary by more than a factor of ten, with a mean of 1.
         let rank = self.random.random::<f64>();
         let size = 0.2 + 2.4 * rank * rank;
-        let waits: Vec<Duration> = (0..self.deployment.services.len())
-            .map(|service| {
-                let zone_dispatcher = &self.zone_dispatchers[service * self.zones];
-                zone_dispatcher
-                    .dispatcher
-                    .delay(self.now)
-                    .unwrap_or_default()
-            })
-            .collect();
-        let names: Vec<ServiceName> = self
-            .deployment
-            .services
-            .iter()
-            .map(|it| it.name.clone())
-            .collect();
-        let plan = Plan::new(&self.deployment, &kind.route, &pieces, |service| {
-            waits[names.iter().position(|name| *name == service.name).unwrap()]
-        })
-        .unwrap();
-        let count = pieces.len();
-        let request = self.requests.len();
         self.outcomes[class].submitted += 1;
         self.outcomes[class].total_value += size;
-        self.requests.push(Request {
+        let gateway = self.random.random_range(0..self.gateways);
+        let account = (self.account)(class, self.now, self.random.random());
+        let home = self.random.random_range(0..self.zones);
+        self.admit(Request {
             class,
-            home: self.random.random_range(0..self.zones),
+            account,
+            gateway,
+            home,
+            first_arrived: self.now,
             arrived: self.now,
+            is_retry: false,
+            spent: Duration::ZERO,
             value_rank: rank,
             size,
-            plan,
-            done: pieces.iter().map(|it| *it == 0).collect(),
-            started: pieces.iter().map(|it| *it == 0).collect(),
-            handles: vec![Vec::new(); count],
+            plan: Plan { steps: Vec::new() },
+            done: Vec::new(),
+            started: Vec::new(),
+            handles: Vec::new(),
+            made: vec![Duration::ZERO; pieces.len()],
+            pieces,
+            is_refused: false,
             is_over: false,
             has_run: false,
         });
-        if !self.book(request) {
-            return;
+    }
+
+    /// A client sends a request for the second time.
+    fn retry(&mut self, request: usize) {
+        let gateway = self.random.random_range(0..self.gateways);
+        let home = self.random.random_range(0..self.zones);
+        let first = self.requests[request].clone();
+        self.admit(Request {
+            gateway,
+            home,
+            arrived: self.now,
+            is_retry: true,
+            spent: Duration::ZERO,
+            is_refused: false,
+            is_over: false,
+            has_run: false,
+            ..first
+        });
+    }
+
+    fn admit(&mut self, request: Request) {
+        let key = self.requests.len();
+        let is_skipped: Vec<bool> = request.pieces.iter().map(|it| *it == 0).collect();
+        self.requests.push(Request {
+            handles: vec![Vec::new(); is_skipped.len()],
+            done: is_skipped.clone(),
+            started: is_skipped,
+            ..request
+        });
+        let plan = self.plan(key);
+        let later = plan.steps.iter().enumerate();
+        let later = later.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
+        let later: Vec<usize> = later.map(|(stage, _)| stage).collect();
+        self.requests[key].plan = plan;
+        for stage in later {
+            let request = key;
+            if self.due(request, stage) <= self.now {
+                continue;
+            }
+            if self.books_in_parallel {
+                self.schedule(self.now + HOP_LATENCY, Event::Book { request, stage });
+            } else {
+                self.book(request, stage);
+            }
+        }
+        let deadline = self.bounds(key).deadline;
+        self.schedule(deadline, Event::Deadline { request: key });
+        if !self.requests[key].is_refused {
+            self.start_ready(key);
         }
-        self.start_ready(request);
+    }
+
+    /// Plans a request by the queue delays that its gateway knows.
+    fn plan(&self, request: usize) -> Plan {
+        let it = &self.requests[request];
+        let services = &self.deployment.services;
+        let wait = |service: &Service| {
+            let position = services.iter().position(|other| other.name == service.name);
+            let zone_dispatcher = position.unwrap() * self.zones + it.home;
+            let known = self.delays.get(&(it.gateway, zone_dispatcher));
+            known.map_or(Duration::ZERO, |(delay, at)| {
+                delay.saturating_sub(self.now - *at)
+            })
+        };
+        let route = &self.classes[it.class].route;
+        Plan::new(&self.deployment, route, &it.pieces, wait).unwrap()
+    }
+
+    fn record_delay(&mut self, request: usize, zone_dispatcher: usize) {
+        let dispatcher = &self.zone_dispatchers[zone_dispatcher].dispatcher;
+        let delay = dispatcher.delay(self.now).unwrap_or_default();
+        let gateway = self.requests[request].gateway;
+        self.delays
+            .insert((gateway, zone_dispatcher), (delay, self.now));
     }
 
     fn dispatcher_of(&self, request: usize, stage: usize) -> usize {
@@ -375,60 +539,131 @@
         usize::from(service.0) * self.zones + it.home
     }
 
+    fn bounds(&self, request: usize) -> Bounds {
+        let it = &self.requests[request];
+        let route = &self.classes[it.class].route;
+        Bounds {
+            arrived: it.arrived,
+            due: it.arrived + route.latency_objective,
+            deadline: it.first_arrived + route.timeout,
+        }
+    }
+
     fn due(&self, request: usize, stage: usize) -> Duration {
+        let bounds = self.bounds(request);
+        self.requests[request].plan.due(stage, bounds.due)
+    }
+
+    /// Time left until a stage is given up, in milliseconds.
+    fn stage_time_left(&self, request: usize, stage: usize) -> u64 {
+        let rest = self.requests[request].plan.steps[stage].rest;
+        let give_up = self.bounds(request).give_up_at(rest);
+        give_up.saturating_sub(self.now).as_millis() as u64
+    }
+
+    fn book(&mut self, request: usize, stage: usize) {
         let it = &self.requests[request];
-        let objective = self.classes[it.class].route.latency_objective;
-        it.plan.due(stage, it.arrived + objective)
+        if it.is_over {
+            return;
+        }
+        let route = &self.classes[it.class].route;
+        let due = self.due(request, stage);
+        let service = self.deployment.service(route.stages[stage].service);
+        let booking = Booking {
+            service: service.name.clone(),
+            scope: None,
+            request: format!("r{request}"),
+            stage: u8::try_from(stage).unwrap(),
+            kind: (it.class * 8 + stage) as u64,
+            pieces: it.plan.steps[stage].pieces,
+            rank: u16::from(route.priority),
+            worth: it.value_rank,
+            due_ms: due.saturating_sub(self.now).as_millis() as u64,
+            deadline_ms: self.stage_time_left(request, stage),
+            account: it.account,
+            digest: 0,
+        };
+        let zone_dispatcher = self.dispatcher_of(request, stage);
+        let dispatcher = &mut self.zone_dispatchers[zone_dispatcher].dispatcher;
+        let booked = dispatcher.book(&booking, self.now);
+        self.record_delay(request, zone_dispatcher);
+        if let Err(error) = booked {
+            self.refused(request, &error);
+        }
     }
 
-    fn book(&mut self, request: usize) -> bool {
-        for stage in 0..self.requests[request].plan.steps.len() {
-            let it = &self.requests[request];
-            let step = &it.plan.steps[stage];
-            let route = &self.classes[it.class].route;
-            if step.pieces == 0 || step.after.is_empty() {
-                continue;
-            }
-            let due = self.due(request, stage);
-            let booking = Booking {
-                service: self
-                    .deployment
-                    .service(route.stages[stage].service)
-                    .name
-                    .clone(),
-                scope: None,
-                request: format!("r{request}"),
-                stage: u8::try_from(stage).unwrap(),
-                kind: (it.class * 8 + stage) as u64,
-                pieces: step.pieces,
-                rank: u16::from(route.priority),
-                worth: it.value_rank,
-                due_ms: due.saturating_sub(self.now).as_millis() as u64,
-                deadline_ms: 3000,
-                account: 0,
-                digest: 0,
-            };
+    fn refused(&mut self, request: usize, error: &PiecesError) {
+        let retry_after = match error {
+            PiecesError::Late { retry_after_ms } => Some(Duration::from_millis(*retry_after_ms)),
+            _ => None,
+        };
+        let refused = Event::Refused {
+            request,
+            retry_after,
+        };
+        self.schedule(self.now + HOP_LATENCY, refused);
+        self.requests[request].is_refused = true;
+    }
+
+    /// Ends an attempt; the client retries after a third of its time at most.
+    fn refuse(&mut self, request: usize, backlog: Option<Duration>) {
+        if self.requests[request].is_over {
+            return;
+        }
+        let left = self.bounds(request).deadline.saturating_sub(self.now);
+        let longest = left.mul_f64(MAX_RETRY_AFTER_FRACTION);
+        let spread = self.random.random_range(0.7..1.0);
+        let after = backlog.map_or(RETRY_AFTER, |it| it.max(longest.mul_f64(spread)));
+        if self.has_retries && !self.requests[request].is_retry {
+            let at = self.now + HOP_LATENCY + after.min(longest);
+            self.schedule(at, Event::Retry { request });
+        }
+        self.end(request, End::Refused);
+    }
+
+    fn cancel(&mut self, request: usize) {
+        for stage in 0..self.requests[request].pieces.len() {
             let zone_dispatcher = self.dispatcher_of(request, stage);
-            let booked = self.zone_dispatchers[zone_dispatcher]
-                .dispatcher
-                .book(&booking, self.now);
-            if booked.is_err() {
-                self.refuse(request);
-                return false;
-            }
+            let dispatcher = &mut self.zone_dispatchers[zone_dispatcher].dispatcher;
+            dispatcher.unbook(&format!("r{request}"));
+            dispatcher.cancel(Token((request * 8 + stage) as u64));
         }
-        true
     }
 
-    fn refuse(&mut self, request: usize) {
+    /// Records the end of an attempt and frees what it holds.
+    fn end(&mut self, request: usize, end: End) {
         let it = &mut self.requests[request];
-        it.is_over = true;
-        let has_run = it.has_run;
+        if std::mem::replace(&mut it.is_over, true) {
+            return;
+        }
+        let is_retried = end == End::Refused && self.has_retries && !it.is_retry;
+        self.records.push(Record {
+            request,
+            class: it.class,
+            account: it.account,
+            end,
+            size: it.size,
+            first_arrived: it.first_arrived,
+            arrived: it.arrived,
+            ended: self.now,
+            is_retry: it.is_retry,
+            is_retried,
+            spent: it.spent,
+        });
         let outcome = &mut self.outcomes[it.class];
-        outcome.refused += 1;
-        outcome.wasted += u32::from(has_run);
-        for zone_dispatcher in &mut self.zone_dispatchers {
-            zone_dispatcher.dispatcher.unbook(&format!("r{request}"));
+        match end {
+            End::InTime => {
+                outcome.in_time += 1;
+                outcome.value_in_time += it.size;
+            }
+            End::Late | End::Abandoned => outcome.late += 1,
+            End::Refused => {
+                outcome.refused += u32::from(!is_retried);
+                outcome.wasted += u32::from(it.has_run);
+            }
+        }
+        if matches!(end, End::Refused | End::Abandoned) {
+            self.schedule(self.now + HOP_LATENCY, Event::Cancel { request });
         }
         self.release(request, |_| true);
     }
@@ -478,7 +713,10 @@
         if self.requests[request].is_over {
             return;
         }
+        // Queue delays have changed since the first stage.
+        self.requests[request].plan = self.plan(request);
         let due = self.due(request, stage).as_millis() as i64 - self.now.as_millis() as i64;
+        let deadline_ms = self.stage_time_left(request, stage);
         let it = &self.requests[request];
         let route = &self.classes[it.class].route;
         let order = Pieces {
@@ -503,8 +741,8 @@
             rank: u16::from(route.priority),
             worth: it.value_rank,
             due_ms: due,
-            deadline_ms: 3000,
-            account: 0,
+            deadline_ms,
+            account: it.account,
             digest: 0,
         };
         let zone_dispatcher = self.dispatcher_of(request, stage);
@@ -526,43 +764,11 @@
                     items,
                     ..
                 } => {
-                    let service = self.zone_dispatchers[zone_dispatcher].service;
-                    let batch = self.deployment.services[service].batch.unwrap();
-                    let mut time = batch.call_time + CALL_OVERHEAD;
-                    let mut ended = Vec::new();
-                    for item in &items {
-                        let request: usize = item.request[1..].parse().unwrap();
-                        let stage = usize::from(item.stage);
-                        self.requests[request].has_run = true;
-                        let class = &self.classes[self.requests[request].class];
-                        time += batch.piece_time.mul_f64(class.work[stage]);
-                        let handle =
-                            format!("{}/{}-{stage}-{}", target.address, request, item.piece);
-                        ended.push((request as u64, handle));
-                    }
-                    let free = self.zone_dispatchers[zone_dispatcher]
-                        .free_at
-                        .entry(target.name)
-                        .or_default();
-                    let start = (*free).max(self.now);
-                    let end = start + time;
-                    *free = end;
-                    let most = batch.max_pieces;
-                    self.calls[service].calls += 1;
-                    self.calls[service].pieces += items.len() as u32;
-                    self.calls[service].small += u32::from(items.len() * 4 < most);
-                    self.release_inputs(&items, start + INPUT_FETCH_TIME);
-                    self.schedule(
-                        end + HOP_LATENCY,
-                        Event::CallEnded {
-                            zone_dispatcher,
-                            call,
-                            items: ended,
-                        },
-                    );
+                    self.call(zone_dispatcher, call, &target, &items);
                 }
                 Action::End { token, result } => {
                     let (request, stage) = self.tokens[&(zone_dispatcher, token)];
+                    self.record_delay(request, zone_dispatcher);
                     match result {
                         Ok(handles) => {
                             let results = handles.into_iter().map(|handle| {
@@ -570,10 +776,10 @@
                                 (zone_dispatcher, Released { handle, maker })
                             });
                             self.requests[request].handles[stage] = results.collect();
+                            self.requests[request].made[stage] = self.now;
                             self.schedule(self.now + HOP_LATENCY, Event::Ended { request, stage });
                         }
-                        Err(_) if self.requests[request].is_over => {}
-                        Err(_) => self.refuse(request),
+                        Err(error) => self.refused(request, &error),
                     }
                 }
                 Action::Release { .. } => {}
@@ -593,8 +799,66 @@
         }
     }
 
+    /// Runs a call on a target that runs one at a time. Pieces whose deadline has passed at their
+    /// turn are late; the others fetch their inputs.
+    fn call(
+        &mut self,
+        zone_dispatcher: usize,
+        call: CallKey,
+        target: &DispatchTarget,
+        items: &[WorkItem],
+    ) {
+        let service = self.zone_dispatchers[zone_dispatcher].service;
+        let batch = self.deployment.services[service].batch.unwrap();
+        let free_at = &mut self.zone_dispatchers[zone_dispatcher].free_at;
+        let start = free_at
+            .get(&target.name)
+            .map_or(self.now, |free| (*free).max(self.now));
+        let fixed = batch.call_time + CALL_OVERHEAD;
+        let share = fixed / u32::try_from(items.len()).unwrap();
+        let mut time = fixed;
+        let mut ends = Vec::new();
+        for item in items {
+            let request: usize = item.request[1..].parse().unwrap();
+            let stage = usize::from(item.stage);
+            let it = &mut self.requests[request];
+            if self.now + item.time_left <= start + CALL_OVERHEAD {
+                self.target_time.late += share;
+                self.target_time.late_pieces += 1;
+                ends.push(ItemOutcome::Late);
+                continue;
+            }
+            let gone = |before: &u8| it.made[usize::from(*before)] + batch.result_lifetime < start;
+            if it.plan.steps[stage].after.iter().any(gone) {
+                self.target_time.missing_inputs += 1;
+                it.spent += share;
+                ends.push(ItemOutcome::InputMissing);
+                continue;
+            }
+            it.has_run = true;
+            let piece_time = batch.piece_time.mul_f64(self.classes[it.class].work[stage]);
+            time += piece_time;
+            it.spent += share + piece_time;
+            let handle = format!("{}/{request}-{stage}-{}", target.address, item.piece);
+            ends.push(ItemOutcome::Done(handle));
+        }
+        let end = start + time;
+        free_at.insert(target.name.clone(), end);
+        self.target_time.total += time;
+        self.calls[service].calls += 1;
+        self.calls[service].pieces += items.len() as u32;
+        self.calls[service].small += u32::from(items.len() * 4 < batch.max_pieces);
+        self.release_inputs(items, start + INPUT_FETCH_TIME);
+        let ended = Event::CallEnded {
+            zone_dispatcher,
+            call,
+            ends,
+        };
+        self.schedule(end + HOP_LATENCY, ended);
+    }
+
     /// Releases the inputs of orders that are completely in one call, soon after its start.
-    fn release_inputs(&mut self, items: &[azurelug_types::fleet::WorkItem], at: Duration) {
+    fn release_inputs(&mut self, items: &[WorkItem], at: Duration) {
         let mut by_dispatcher: HashMap<usize, Vec<Released>> = HashMap::new();
         for item in items
             .iter()
@@ -632,22 +896,10 @@
     }
 
     fn answered(&mut self, request: usize) {
-        let it = &mut self.requests[request];
-        if it.is_over {
-            return;
-        }
-        it.is_over = true;
-        let taken = self.now - it.arrived;
+        let it = &self.requests[request];
+        let taken = self.now - it.first_arrived;
         let is_late = taken > self.classes[it.class].route.latency_objective;
-        let size = it.size;
-        let outcome = &mut self.outcomes[it.class];
-        if is_late {
-            outcome.late += 1;
-        } else {
-            outcome.in_time += 1;
-            outcome.value_in_time += size;
-        }
-        self.release(request, |_| true);
+        self.end(request, if is_late { End::Late } else { End::InTime });
     }
 }
 
@@ -656,7 +908,7 @@
     vec![
         Class {
             route: route("digest", 790, 1, &[(0, &[], 1_500_000)]),
-            rate: digest,
+            rate: Rc::new(digest),
             pieces: vec![(1, 4)],
             skip_rate: 0.3,
             work: vec![1.0],
@@ -668,7 +920,7 @@
                 0,
                 &[(0, &[], 8000), (1, &[0], 60_000), (2, &[1], 6000)],
             ),
-            rate: brief,
+            rate: Rc::new(brief),
             pieces: vec![(1, 1), (6, 6), (4, 16)],
             skip_rate: 0.0,
             work: vec![0.3, 1.03, 1.25],
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurelug_core::gateway::plan::Plan;
+use azurelug_core::gateway::plan::{Bounds, Plan};
 use azurelug_core::gateway::rendezvous;
 use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
@@ -25,9 +25,6 @@
 /// Longest `Retry-After` as a fraction of the request's remaining time; clients don't wait longer.
 const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
 
-/// Fraction of a request's time after which it is refused if its stages have not finished.
-const MAX_STAGES_FRACTION: f64 = 0.5;
-
 /// Handles of the results that a request holds. Dropping this releases them, also when the client
 /// has disconnected.
 pub struct HeldResults {
@@ -362,14 +359,17 @@
     }
 }
 
-/// Time within which a stage must finish: the later steps need `rest`, and a request that can't be
-/// served is refused early enough for the client to retry.
+/// Time within which a stage must finish that is followed by steps that take `rest`.
 fn stage_time_left(exchange: &Exchange, rest: Duration) -> Duration {
-    let limit = exchange.deadline.saturating_sub(exchange.arrived);
-    let give_up = limit
-        .mul_f64(MAX_STAGES_FRACTION)
-        .saturating_sub(exchange.elapsed());
-    exchange.time_left().saturating_sub(rest).min(give_up)
+    let bounds = Bounds {
+        arrived: exchange.arrived,
+        due: exchange.due_at(),
+        deadline: exchange.deadline,
+    };
+    // A planned stop can end the request before its deadline.
+    let left = exchange.time_left().saturating_sub(rest);
+    let give_up = bounds.give_up_at(rest);
+    left.min(give_up.saturating_sub(exchange.gateway.now()))
 }
 
 /// Runs the order at the first group of targets that accepts it.
