gateways are dropped on evidence only, not by a list that is still filling

A daemon that has just started lists the few gateways that have polled it since, and gateways divided their bounds by that number at once. Ruled out: a slower exchange of lists, which only lengthens the time.

Change: core::gateway::roster decides which gateways are in service. A poll's answer says for how long the daemon has received polls; until that is 2 s its list removes no gateway. A gateway that ends as planned announces it. A gateway that has just started, or whose zone was cut off, divides by four times the number for 1.5 s, because the others don't count it yet. A gateway that changes its control daemon is no longer missing between the end of its old record and the next exchange.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -4,13 +4,14 @@
 //! A gateway polls one control daemon. The control daemons exchange the lists of the gateways that
 //! poll them, so that every gateway learns about all others.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use azurelug_core::gateway::read_rotation;
+use azurelug_core::gateway::roster::Register;
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit};
 use azurelug_types::id::{DaemonName, TargetName};
@@ -30,27 +31,15 @@
 /// Interval at which the control daemons exchange the lists of gateways that poll them.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A gateway that has polled no control daemon for this long is not listed. The time covers several
-/// polls and exchanges, so that one lost message does not move work to other gateways.
-const GATEWAY_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Interval at which changed records of accused parts are written to the disk.
 const ARCHIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of frames of a document that are queued for a slow gateway.
 const MAX_QUEUED_DOCUMENT_FRAMES: usize = 2;
 
-#[derive(Debug)]
-struct GatewayRecord {
-    peer: Peer,
-    last_seen: Instant,
-    /// Whether it polls this daemon and not another one.
-    is_local: bool,
-}
-
 #[derive(Debug, Default)]
 struct State {
-    gateways: HashMap<DaemonName, GatewayRecord>,
+    gateways: Register,
     targets: Option<(Arc<List<Target>>, Instant)>,
     limits: Limits,
     suspects: Suspects,
@@ -66,6 +55,7 @@
     peers: Peers,
     cluster: Cluster,
     own_slot: u32,
+    started: Instant,
     state: Arc<Mutex<State>>,
 }
 
@@ -77,6 +67,7 @@
             peers,
             cluster,
             own_slot,
+            started: Instant::now(),
             state: Arc::default(),
         }
     }
@@ -149,6 +140,9 @@
 
     /// Answers a gateway's poll.
     pub fn answer_poll(&self, poll: Poll) -> Frame {
+        if poll.is_leaving {
+            return self.remove_leaving(&poll.peer.name);
+        }
         // The age is read before the orders: if an order commits in between, the state is newer
         // than the reported age.
         let Some(age) = self.replica.freshness_age() else {
@@ -158,16 +152,12 @@
         };
         let orders = self.replica.orders();
         let mut state = self.state();
-        let record = GatewayRecord {
-            peer: poll.peer.clone(),
-            last_seen: Instant::now(),
-            is_local: true,
-        };
-        state.gateways.insert(poll.peer.name, record);
+        let now = self.started.elapsed();
+        state.gateways.record_poll(poll.peer, now);
         state.limits.merge(poll.observed_limits);
         state.suspects.merge(&poll.suspects);
         let suspects = state.suspects.changes_since(poll.suspects_revision);
-        let peers = state.peers();
+        let peers = list_with_digest(state.gateways.listed(now), digest);
         let limits = list_with_digest(state.limits.reports(), |limit| {
             digest(&(&limit.target, limit.rate, limit.is_ended))
         });
@@ -186,9 +176,29 @@
             suspects_revision: suspects.revision,
             suspects: suspects.reports,
             controls: state.controls.clone(),
+            known_for_ms: millis(state.gateways.known_for(now)),
         }))
     }
 
+    /// Removes a gateway that stops as planned from the lists of all control daemons.
+    fn remove_leaving(&self, name: &DaemonName) -> Frame {
+        log::info!("control: gateway {name} leaves");
+        let slots = {
+            let mut state = self.state();
+            state.gateways.remove(name, true);
+            state.control_slots.clone()
+        };
+        for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
+            self.peers.send(slot, Frame::GatewayLeft(name.clone()));
+        }
+        Frame::Done
+    }
+
+    /// Removes a gateway that has told another control daemon that it stops.
+    pub fn receive_leave(&self, name: &DaemonName) {
+        self.state().gateways.remove(name, false);
+    }
+
     /// Streams the document in force in parts.
     pub fn document(&self) -> mpsc::Receiver<Frame> {
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_DOCUMENT_FRAMES);
@@ -211,22 +221,8 @@
 
     /// Stores the gateways that poll another control daemon.
     pub fn receive_gateways(&self, peers: Vec<Peer>) {
-        let mut state = self.state();
-        let last_seen = Instant::now();
-        for peer in peers {
-            let known = state.gateways.get(&peer.name);
-            if known.is_some_and(|record| {
-                record.is_local && record.last_seen.elapsed() < GATEWAY_TIMEOUT
-            }) {
-                continue;
-            }
-            let record = GatewayRecord {
-                peer: peer.clone(),
-                last_seen,
-                is_local: false,
-            };
-            state.gateways.insert(peer.name, record);
-        }
+        let now = self.started.elapsed();
+        self.state().gateways.record_remote(peers, now);
     }
 
     /// Takes over the limits of targets that another control daemon knows.
@@ -284,9 +280,9 @@
                 let addresses = slots.iter().filter_map(|slot| self.cluster.address(*slot));
                 state.controls = addresses.collect();
                 state.control_slots.clone_from(&slots);
-                state.remove_expired();
+                state.remove_expired(self.started.elapsed());
                 let suspects = state.suspects.next_broadcast();
-                (state.local_gateways(), state.limits.reports(), suspects)
+                (state.gateways.local(), state.limits.reports(), suspects)
             };
             for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
                 if !local.is_empty() {
@@ -304,25 +300,13 @@
 }
 
 impl State {
-    fn remove_expired(&mut self) {
-        self.gateways
-            .retain(|_, record| record.last_seen.elapsed() < GATEWAY_TIMEOUT);
+    fn remove_expired(&mut self, now: Duration) {
+        self.gateways.work(now);
         let targets = self.targets.as_ref().map(|(list, _)| &list.entries);
         let targets = targets.into_iter().flatten();
         let listed: HashSet<&TargetName> = targets.map(|target| &target.name).collect();
         self.limits.prune(|target| listed.contains(target));
     }
-
-    fn local_gateways(&self) -> Vec<Peer> {
-        let records = self.gateways.values().filter(|record| record.is_local);
-        records.map(|record| record.peer.clone()).collect()
-    }
-
-    fn peers(&self) -> List<Peer> {
-        let live = self.gateways.values();
-        let live = live.filter(|record| record.last_seen.elapsed() < GATEWAY_TIMEOUT);
-        list_with_digest(live.map(|record| record.peer.clone()).collect(), digest)
-    }
 }
 
 /// Creates a list whose digest does not depend on the order of the entries.
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -80,6 +80,10 @@
                 self.gateways.receive_gateways(peers);
                 Reply::None
             }
+            Frame::GatewayLeft(name) => {
+                self.gateways.receive_leave(&name);
+                Reply::None
+            }
             Frame::Inventory(inventory) => {
                 self.gateways.receive_inventory(inventory);
                 Reply::None
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -52,6 +52,10 @@
 /// Age of the target list at which the gateway switches to another control daemon.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
+/// Timeout for the announcement of a planned stop: a few round trips between zones. The process ends
+/// after it at the latest.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Pause after all known control daemons have failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -96,7 +100,6 @@
         reported_limits: HashMap::new(),
         suspects_received: 0,
         suspects_sent: 0,
-        has_gateway_list: false,
     };
     loop {
         // The order differs by gateway, which spreads the polls over the control daemons.
@@ -112,6 +115,33 @@
     }
 }
 
+/// Tells the control daemons that this gateway stops now, so that the others divide by one less at
+/// once. Without an answer they notice it by its silence.
+pub async fn announce_leave(gateway: &Gateway, identity: Arc<Identity>) {
+    let Some(address) = gateway.peers.control() else {
+        return;
+    };
+    let poll = Poll {
+        peer: gateway.peers.own().clone(),
+        targets: 0,
+        peers: 0,
+        limits: 0,
+        observed_limits: Vec::new(),
+        suspects_revision: 0,
+        suspects: Vec::new(),
+        is_leaving: true,
+    };
+    let sent = timeout(LEAVE_TIMEOUT, async {
+        let connection = Connection::open(address, identity).await?;
+        connection.call(Frame::Poll(poll), LEAVE_TIMEOUT).await
+    });
+    match sent.await {
+        Ok(Ok(_)) => log::info!("gateway: control {address} knows that this gateway stops"),
+        Ok(Err(error)) => log::warn!("gateway: control {address}: {error}; leaves unannounced"),
+        Err(_) => log::warn!("gateway: control {address} is silent; leaves unannounced"),
+    }
+}
+
 struct ControlPoller {
     timing: PollTiming,
     gateway: Arc<Gateway>,
@@ -128,7 +158,6 @@
     suspects_received: u64,
     /// Own revision that the control daemon has received on this connection.
     suspects_sent: u64,
-    has_gateway_list: bool,
 }
 
 impl ControlPoller {
@@ -152,6 +181,11 @@
                 log::warn!("gateway: leaves control {address}: {reason}");
                 return;
             }
+            self.gateway.peers.set_control(address);
+            if self.gateway.is_exiting() {
+                // Another poll would list this gateway again.
+                std::future::pending::<()>().await;
+            }
             let jitter = rand::rng().random_range(0.85..1.15);
             sleep(self.timing.interval.mul_f64(jitter)).await;
         }
@@ -167,6 +201,7 @@
             observed_limits: self.gateway.unreported_limits(&self.reported_limits),
             suspects_revision: self.suspects_received,
             suspects: suspects.reports,
+            is_leaving: false,
         };
         let sent = Instant::now();
         let answer = connection.call(Frame::Poll(poll), POLL_TIMEOUT).await;
@@ -203,10 +238,12 @@
             self.controls = polled.controls;
         }
         if let Some(peers) = polled.peers {
-            self.gateway.peers.set_peers(peers);
-            let (peers, now) = (self.gateway.peers.list(), self.gateway.now());
-            self.gateway.permits.set_peers(peers, now);
-            self.has_gateway_list = true;
+            let known_for = Duration::from_millis(polled.known_for_ms);
+            let now = self.gateway.now();
+            if self.gateway.peers.set_peers(&peers, known_for, now) {
+                let peers = self.gateway.peers.list();
+                self.gateway.permits.set_peers(peers, now);
+            }
         }
         let list_age = polled.targets_age_ms.map(Duration::from_millis);
         {
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -353,9 +353,10 @@
         self.view().is_exiting
     }
 
-    /// Number of serving gateways, this one included.
+    /// The number by which bounds for all gateways together are divided: cold rates, the retry
+    /// budget, limits of concurrent requests and idle connections.
     pub fn gateway_count(&self) -> usize {
-        self.peers.count()
+        self.peers.count(self.now())
     }
 
     /// Limits this gateway's idle connections so that all gateways together use at most half of the
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 use azurelug_core::gateway::reachability::Reachability;
 use azurelug_core::gateway::rendezvous;
+use azurelug_core::gateway::roster::Roster;
 use azurelug_types::fleet::{Booking, List, Peer, Pieces, PiecesEnd};
 use azurelug_types::id::{ServiceName, ZoneName};
 use azurelug_wire::handshake::Identity;
@@ -46,10 +47,14 @@
 /// Gateways that are tried as dispatcher of one order; the third covers two that have just stopped.
 const MAX_DISPATCHERS: usize = 3;
 
-#[derive(Default)]
 struct State {
+    roster: Roster,
+    /// The gateways of the roster.
     peers: Arc<[Peer]>,
+    /// Digest of the last list; 0 if it was not complete.
     digest: u64,
+    /// The control daemon that answered last.
+    control: Option<SocketAddr>,
     connections: HashMap<SocketAddr, Connection>,
     suspects: HashMap<SocketAddr, Instant>,
     /// Queue delay that each dispatcher reported last, and when.
@@ -70,6 +75,24 @@
 }
 
 impl State {
+    fn new(own: &Peer) -> Self {
+        Self {
+            roster: Roster::new(own.clone()),
+            peers: Arc::from([own.clone()]),
+            digest: 0,
+            control: None,
+            connections: HashMap::new(),
+            suspects: HashMap::new(),
+            delays: HashMap::new(),
+            pending_releases: Vec::new(),
+            recent_releases: HashMap::new(),
+            resends: Vec::new(),
+            reachability: Reachability::default(),
+            staged: Vec::new(),
+            dispatchers: HashMap::new(),
+        }
+    }
+
     fn zone(&self, address: SocketAddr) -> Option<ZoneName> {
         let peer = self.peers.iter().find(|peer| peer.address == address);
         peer.map(|peer| peer.zone.clone())
@@ -123,14 +146,11 @@
             zone: settings.zone.clone(),
             address: settings.internal,
         };
-        let state = State {
-            peers: Arc::from([own.clone()]),
-            ..State::default()
-        };
+        let state = Mutex::new(State::new(&own));
         Self {
             own,
             identity,
-            state: Mutex::new(state),
+            state,
         }
     }
 
@@ -143,20 +163,28 @@
         &self.own
     }
 
-    /// Digest of the current list; 0 before the first one.
+    /// Digest of the current list; 0 before the first one, and if gateways may be missing in it.
     pub fn digest(&self) -> u64 {
         self.state().digest
     }
 
-    /// Number of serving gateways, this one included.
-    pub fn count(&self) -> usize {
-        self.state().peers.len().max(1)
+    /// The number by which bounds for all gateways together are divided.
+    pub fn count(&self, now: Duration) -> usize {
+        self.state().roster.count(now)
     }
 
-    /// Replaces the list by a newer one.
-    pub fn set_peers(&self, list: List<Peer>) {
+    /// Takes over a list of a control daemon that has received polls for `known_for`. Returns
+    /// whether the gateways have changed.
+    pub fn set_peers(&self, list: &List<Peer>, known_for: Duration, now: Duration) -> bool {
         let mut state = self.state();
-        let addresses: Vec<SocketAddr> = list.entries.iter().map(|peer| peer.address).collect();
+        let is_changed = state.roster.replace(&list.entries, known_for, now);
+        let is_complete = state.roster.is_complete();
+        state.digest = if is_complete { list.digest } else { 0 };
+        if !is_changed {
+            return false;
+        }
+        let peers: Arc<[Peer]> = state.roster.peers().cloned().collect();
+        let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
         let gone = |address: &&SocketAddr| !addresses.contains(*address);
         let gone: Vec<SocketAddr> = state.recent_releases.keys().filter(gone).copied().collect();
         for address in gone {
@@ -165,15 +193,31 @@
         state
             .connections
             .retain(|address, _| addresses.contains(address));
-        state.digest = list.digest;
-        state.peers = list.entries.into();
-        let peers = Arc::clone(&state.peers);
+        state.peers = Arc::clone(&peers);
         let others = peers.iter().map(|peer| &peer.zone);
         state
             .reachability
             .list(others.filter(|zone| **zone != self.own.zone));
         state.dispatchers.clear();
-        log::info!("gateway: {} gateways in service", state.peers.len());
+        log::info!(
+            "gateway: {} gateways in service, bounds divided by {}; {} listed by a control daemon \
+             that has received polls for {} ms",
+            peers.len(),
+            state.roster.count(now),
+            list.entries.len(),
+            known_for.as_millis()
+        );
+        true
+    }
+
+    /// Records the control daemon that has answered a poll.
+    pub fn set_control(&self, address: SocketAddr) {
+        self.state().control = Some(address);
+    }
+
+    /// The control daemon that answered last.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.state().control
     }
 
     /// The zones that can't be reached.
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -87,6 +87,7 @@
         settings.clients
     );
     let grace_period = settings.bounds.grace.0;
+    let leaver = Arc::clone(&identity);
     tokio::spawn(control::run(Arc::clone(&gateway), settings, identity));
     tokio::spawn(prune_idle_connections(Arc::clone(&gateway)));
     let peer_gateway = Arc::clone(&gateway);
@@ -132,6 +133,7 @@
     let exits_at = gateway.at(shutdown.exits_at());
     let is_finished = timeout_at(exits_at, drained).await.is_ok();
     gateway.set_exiting();
+    control::announce_leave(&gateway, leaver).await;
     let in_flight = gateway.metrics.in_flight.get();
     log::info!("gateway: stopped; finished={is_finished} in_flight={in_flight}");
     Ok(())
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -79,6 +79,8 @@
         pub suspects_revision: u64,
         /// Suspected parts that have changed at the gateway since its last poll on this connection.
         pub suspects: Vec<SuspectPart>,
+        /// Whether the gateway stops now and is to be removed from the list.
+        pub is_leaving: bool,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -105,6 +107,10 @@
         pub suspects: Vec<SuspectPart>,
         /// Internal addresses of the control daemons.
         pub controls: Vec<SocketAddr>,
+        /// How long this control daemon has received polls, in milliseconds. Until that is longer
+        /// than the time after which silent gateways are removed, gateways may be missing in
+        /// `peers`.
+        pub known_for_ms: u64,
     }
 
     /// A target's limit for the requests from all gateways together.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -185,4 +185,6 @@
         /// Whether the request may be sent.
         is_granted: bool,
     },
+    /// Between control daemons: a gateway that stops as planned.
+    GatewayLeft(DaemonName),
 }
