cli: check of a configuration document before it is sent

Cause: a document that is valid but contradicts itself, or whose version is not above the one in force, is acknowledged with 200 and does not do what its author wants. Nothing said so before it was sent.

Change: azurelug check FILE [--against ADDRESS] [--targets SERVICE=COUNT]. core::gateway::lint finds entries that never match and limits that contradict each other, without I/O; platform::document names the fields; the tool prints file, field, problem and remedy, and the differences from the version in force by name of the entries. Errors exit with 3, warnings with 0.

The number of targets isn't in the document and has to be named.

--- a/crates/azurelug-cli/src/command.rs
+++ b/crates/azurelug-cli/src/command.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod check;
 mod config;
 mod diff;
 mod dump;
@@ -72,6 +73,12 @@
         footer("Example: azurelug --control 10.0.0.1:7101 zone --author ana drain zone-a")
     )]
     Zone(#[bpaf(external(zone::arguments))] zone::Arguments),
+    /// Check a configuration document before it is sent
+    #[bpaf(
+        command,
+        footer("Example: azurelug check deployment.json --against 10.0.0.1:8080")
+    )]
+    Check(#[bpaf(external(check::arguments))] check::Arguments),
     /// Print the state of any daemon
     #[bpaf(
         command,
@@ -91,6 +98,7 @@
             Command::Patch(arguments) => patch::run(&control, arguments, self.json).await,
             Command::Targets(arguments) => targets::run(&control, &arguments, self.json).await,
             Command::Zone(arguments) => zone::run(&control, arguments).await,
+            Command::Check(arguments) => check::run(&control, &arguments, self.json).await,
             Command::Dump(arguments) => dump::run(&control, &arguments).await,
         }
     }
--- a/crates/azurelug-cli/src/difference.rs
+++ b/crates/azurelug-cli/src/difference.rs
@@ -28,13 +28,13 @@
         }
         tree
     };
+    between_values(&tree(before), &tree(after))
+}
+
+/// All differences between two documents in the order of their paths.
+pub(crate) fn between_values(before: &Value, after: &Value) -> Vec<Difference> {
     let mut differences = Vec::new();
-    compare_values(
-        Some(&tree(before)),
-        Some(&tree(after)),
-        &mut Vec::new(),
-        &mut differences,
-    );
+    compare_values(Some(before), Some(after), &mut Vec::new(), &mut differences);
     differences
 }
 
--- a/crates/azurelug-cli/src/error.rs
+++ b/crates/azurelug-cli/src/error.rs
@@ -29,6 +29,8 @@
     },
     #[error("version {current} is in force now; look at `azurelug config`, then send a new patch")]
     Conflict { current: Version },
+    #[error("{}: {message}", path.display())]
+    Document { path: PathBuf, message: String },
     #[error("{field}: {help}")]
     Invalid { field: String, help: String },
     #[error("{address} sent a malformed answer: {message}; check that the releases are compatible")]
@@ -49,7 +51,7 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Conflict { .. } => 2,
-            Self::Invalid { .. } | Self::File { .. } => 3,
+            Self::Invalid { .. } | Self::File { .. } | Self::Document { .. } => 3,
             Self::Unreachable { .. } => 4,
             Self::NotInForce { .. } => 5,
             Self::Runtime { .. }
--- a/crates/azurelug-cli/tests/commands.rs
+++ b/crates/azurelug-cli/tests/commands.rs
@@ -268,7 +268,7 @@
 fn the_help_of_each_command_has_an_example() {
     let program = env!("CARGO_BIN_EXE_azurelug");
     let commands = [
-        "status", "config", "diff", "history", "patch", "targets", "zone", "dump",
+        "status", "config", "diff", "history", "patch", "targets", "zone", "check", "dump",
     ];
     for command in commands {
         let output = Command::new(program)
--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod fleet;
 pub mod limits;
+pub mod lint;
 pub mod orders;
 pub mod plan;
 pub mod quarantine;
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -253,3 +253,35 @@
         &self.services[usize::from(key.0)]
     }
 }
+
+/// A part of a configuration, for messages about it. The adapter of the document knows its name
+/// there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    /// The version of the document.
+    Version,
+    /// The list of routes.
+    Routes,
+    /// The list of services.
+    Services,
+    /// The list of client accounts.
+    Accounts,
+    /// The name of an entry.
+    Name,
+    /// [`Route::host`].
+    Host,
+    /// [`Route::prefix`].
+    Prefix,
+    /// [`Route::timeout`].
+    TimeLimit,
+    /// [`Route::latency_objective`].
+    LatencyObjective,
+    /// [`Route::services`].
+    Split,
+    /// [`Route::max_attempts`].
+    MaxAttempts,
+    /// [`Route::stages`].
+    Stages,
+    /// [`Account::keys`].
+    Keys,
+}
