--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -122,6 +122,7 @@
     clients: SocketAddr,
     admin: SocketAddr,
     operators: SocketAddr,
+    control_internal: SocketAddr,
     folder: PathBuf,
     _stage: watch::Sender<ShutdownState>,
 }
@@ -241,6 +242,7 @@
             clients,
             admin,
             operators,
+            control_internal: address(2, internal),
             folder,
             _stage: stage,
         };
@@ -363,6 +365,29 @@
         }
     }
 
+    /// Sends an operator's call once; an error if there is no complete answer.
+    #[allow(dead_code, reason = "not all test binaries use it")]
+    pub(crate) async fn try_order(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Answer, String> {
+        call(self.operators, method, path, &[], body).await
+    }
+
+    /// The control daemon's address for operators' documents.
+    #[allow(dead_code, reason = "not all test binaries use it")]
+    pub(crate) fn operators_address(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// The control daemon's address for other processes.
+    #[allow(dead_code, reason = "not all test binaries use it")]
+    pub(crate) fn control_internal(&self) -> SocketAddr {
+        self.control_internal
+    }
+
     /// Sends a client's request with a valid key and returns the complete answer. `headers` replace
     /// or extend the default headers.
     pub(crate) async fn request(&self, id: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
