Bound what clients hold in sum, in time and in connections

Cause: a gateway bounded each exchange beyond 64 KiB, but not the first 64 KiB, the connections or their buffers; every idle connection of a gateway kept room for the whole state of a request (71 KB in a debug build). A body buffer was reserved at its announced size, and what given-up bodies had touched of it stayed resident. The entry daemon and the control daemon bounded each body only, the entry daemon neither connections nor the time of a head. That single bodies exceed their limit was ruled out: those far over it are refused at it.

Change: `memory::Budget` and `incoming` move from the gateway to azurelug-http, and all three daemons use them through `clients::Clients`. The first 64 KiB of all exchanges share a limit of their own. When memory is short, bodies without a byte for 2 s are ended first, then the largest. Bodies are collected in blocks of 16 KiB and joined when they are whole. A body that stops for 10 s, or stays under 16 KiB a second, gets 408. `h1::server::Connections` bounds connections: a new one takes the place of the one that has waited longest for a complete request, or is refused with 503. Reads are capped, so that hyper's buffers stay at 16 KiB, and the state of a request is boxed. The entry daemon and a control daemon without `deployment` use the same server as the others. Handshakes between processes that are not complete are bounded to 512. New settings: `file_descriptors`, `client_limits`, and `memory_mb` for the entry daemon and the control daemon. Metrics: `held_bytes`, `client_connections`, `clients_cut_off`. A document over the limit is now refused with 413, at once if it is announced (400 before); `body_late` is a new reason of the entry daemon. `missed_deadline.rs` names its budget's limit, because `Budget::new` takes all limits now.

Conclusion: sums, times and connections are bounded in all three daemons.

--- a/crates/azurelug-control/src/deployment.rs
+++ b/crates/azurelug-control/src/deployment.rs
@@ -10,13 +10,14 @@
 
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::machine::Command;
+use azurelug_http::clients::Clients;
 use azurelug_platform::document;
 use azurelug_platform::operators::Operation;
 use azurelug_types::id::ZoneName;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::replica::{Error, Replica};
@@ -29,22 +30,28 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Handles one call of an operator.
-pub async fn handle(replica: Replica, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn handle(
+    replica: Replica,
+    clients: Clients,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let operation = Operation::read(request.method(), request.uri().path());
     match operation {
-        Some(Operation::Configure) => configure(&replica, request.into_body()).await,
+        Some(Operation::Configure) => configure(&replica, &clients, request.into_body()).await,
         Some(Operation::ReadConfiguration) => read(&replica).await,
         Some(Operation::Drain { zone, drained }) => drain(&replica, zone, drained).await,
         None => error_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
-async fn configure(replica: &Replica, body: Incoming) -> Response<Full<Bytes>> {
-    let body = match Limited::new(body, MAX_DOCUMENT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+async fn configure(replica: &Replica, clients: &Clients, body: Incoming) -> Response<Full<Bytes>> {
+    let body = match clients.read(body, MAX_DOCUMENT_BYTES).await {
+        Ok(body) => body,
         Err(error) => {
             log::warn!("control: configuration refused: {error}");
-            return error_response(StatusCode::BAD_REQUEST, "the body is not whole");
+            let mut response = error_response(error.status(), &error.to_string());
+            error.close(response.headers_mut());
+            return response;
         }
     };
     let version = match document::read(&body) {
@@ -65,6 +72,8 @@
         document: Arc::from(&body[..]),
     };
     let subject = format!("configuration {version}, {} bytes", body.len());
+    // The order has a copy.
+    drop(body);
     commit(replica, order, &subject).await
 }
 
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -7,6 +7,7 @@
 use azurelug_core::configuration;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_http::answer::{self, BODY_LIMIT};
+use azurelug_http::clients::Clients;
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use azurelug_types::patch::{Answer, Patch};
 use serde::Serialize;
@@ -44,6 +45,8 @@
     pub shares: Shares,
     /// The engines and the orders to them.
     pub engines: Engines,
+    /// Bounds on what is held for operators.
+    pub clients: Clients,
 }
 
 #[derive(Serialize)]
@@ -160,7 +163,8 @@
             share_limit,
             share_granted,
         };
-        let text = self.replica.metrics().encode_text(&values);
+        let mut text = self.replica.metrics().encode_text(&values);
+        self.clients.append_metrics("azurelug_control", &mut text);
         answer::text(200, answer::OPEN_METRICS, text)
     }
 
@@ -225,9 +229,13 @@
 
     async fn patch(&self, request: Request) -> Response {
         let is_dry_run = request.uri().query() == Some("dry_run=true");
-        let body = match answer::read_body(request.into_body(), BODY_LIMIT).await {
+        let body = match self.clients.read(request.into_body(), BODY_LIMIT).await {
             Ok(body) => body,
-            Err(error) => return error_response(413, error.to_string()),
+            Err(error) => {
+                let mut response = error_response(error.status().as_u16(), error.to_string());
+                error.close(response.headers_mut());
+                return response;
+            }
         };
         let patch: Patch = match serde_json::from_slice(&body) {
             Ok(patch) => patch,
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::clients;
 use crate::cluster::Cluster;
 use crate::daemons::{self, Registry};
 use crate::deployment::{handle, read_targets};
@@ -132,7 +133,11 @@
         cluster,
         gateways: gateways.clone(),
     };
+    let clients = clients::bounds(&settings);
+    let operator_limits = h1::server::Limits::idle(OPERATORS_IDLE_TIMEOUT);
+    let operator_bounds = (clients.connections.clone(), operator_limits);
     let operator_api = OperatorApi {
+        clients: clients.clone(),
         name: settings.name.clone(),
         zone: settings.zone,
         replica: replica.clone(),
@@ -157,12 +162,13 @@
         tokio::spawn(read_targets(gateways, deployment.targets));
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let call_replica = replica.clone();
-        let limits = || h1::server::Limits::idle(OPERATORS_IDLE_TIMEOUT);
-        let calls = h1::server::serve(listener, limits, stages.clone(), move |request| {
-            handle(call_replica.clone(), request)
-        });
+        let connections = clients.connections.clone();
+        let limits = move || operator_limits;
+        let handler = move |request| handle(call_replica.clone(), clients.clone(), request);
+        let calls =
+            h1::server::serve_bounded(listener, connections, limits, stages.clone(), handler);
         tokio::spawn(calls);
-        tokio::spawn(server.serve_until(operator_api.router(), OPERATORS_IDLE_TIMEOUT, stages));
+        tokio::spawn(server.serve_until(operator_api.router(), operator_bounds, stages));
         return tokio::select! {
             result = task.run() => Ok(result?),
             result = stop_signal() => {
@@ -178,7 +184,7 @@
     let hand_over: ShutdownHook = Box::new(move || Box::pin(async move { leave(&replica).await }));
     tokio::select! {
         result = task.run() => result?,
-        result = server.serve(operator_api.router(), Some(hand_over)) => result?,
+        result = server.serve_bounded(operator_api.router(), hand_over, operator_bounds) => result?,
     }
     Ok(())
 }
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use azurelug_coordination::orders::StoreLimit;
+use azurelug_settings::clients::Machine;
 use azurelug_settings::log_setup::Log;
 use azurelug_settings::span::SettingDuration;
-use azurelug_settings::{Error, read};
+use azurelug_settings::{ClientLimits, Error, read};
 use azurelug_types::id::{DaemonName, ZoneName};
 use bpaf::Bpaf;
 use serde::Deserialize;
@@ -63,6 +64,16 @@
     /// The platform's list of live and leaving VMs.
     #[serde(default)]
     pub platform: Option<SocketAddr>,
+    /// Memory of the process in megabytes; 256 MB are assumed without it. Parts of it are for
+    /// what clients send.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
+    /// Descriptors that the process may open. Half of them are for clients.
+    #[serde(default)]
+    pub file_descriptors: Option<usize>,
+    /// Limits on what is held for clients.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -180,6 +191,15 @@
 }
 
 impl Settings {
+    /// What the VM has.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        Machine {
+            memory_mb: self.memory_mb,
+            file_descriptors: self.file_descriptors,
+        }
+    }
+
     /// Reads and checks the file.
     ///
     /// # Errors
@@ -237,6 +257,7 @@
             let message = deployment.targets.calls_per_second.to_string();
             return problem("deployment.targets.calls_per_second", message, help);
         }
+        self.client_limits.check(path, &self.machine())?;
         self.log.check(path)?;
         read::shared_key(path, &self.key_file).map(|_| ())
     }
--- a/crates/azurelug-entry/src/admin.rs
+++ b/crates/azurelug-entry/src/admin.rs
@@ -42,7 +42,11 @@
         .route(
             "/metrics",
             get(move || async move {
-                answer::text(200, answer::OPEN_METRICS, metrics.metrics.encode_text())
+                {
+                    let mut text = metrics.metrics.encode_text();
+                    metrics.clients.append_metrics("azurelug_entry", &mut text);
+                    answer::text(200, answer::OPEN_METRICS, text)
+                }
             }),
         )
         .route(
--- a/crates/azurelug-entry/src/api.rs
+++ b/crates/azurelug-entry/src/api.rs
@@ -5,6 +5,7 @@
 
 use azurelug_coordination::once::Key;
 use azurelug_http::answer::{self, BODY_LIMIT};
+use azurelug_http::incoming;
 use azurelug_types::config::Account;
 use azurelug_types::id::{AccountName, OperationName, PipelineName, RequestId, ServiceName};
 use azurelug_types::outcome::{Execution, Reason, Refusal};
@@ -44,6 +45,9 @@
 /// Retry time while the daemon has no configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry time of a request whose body found no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Retry time for an account at its limit of calls in flight.
 const ACCOUNT_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -161,7 +165,10 @@
         },
         Err(refusal) => Err(refusal),
     };
+    // After a body that was not read whole, nothing more can be read from the connection.
+    let mut is_body_unread = false;
     let mut response = result.unwrap_or_else(|refusal| {
+        is_body_unread = matches!(refusal.reason, Reason::TooLarge | Reason::BodyLate);
         let route = configured_route(&entry_state, route, &path_params);
         entry_state.metrics.record_refusal(&refusal);
         entry_state
@@ -172,7 +179,7 @@
     if let Ok(id) = HeaderValue::from_str(&id.0) {
         response.headers_mut().insert(REQUEST_ID.clone(), id);
     }
-    if entry_state.shutdown.is_closing() {
+    if is_body_unread || entry_state.shutdown.is_closing() {
         let close = HeaderValue::from_static("close");
         response
             .headers_mut()
@@ -239,16 +246,21 @@
     (1..=MAX_DEADLINE_MS).contains(&millis).then_some(millis)
 }
 
-async fn read_body(id: &RequestId, request: Request) -> Result<Bytes, Refusal> {
-    answer::read_body(request.into_body(), BODY_LIMIT)
-        .await
-        .map_err(|error| {
-            let reason = match error {
-                azurelug_http::Error::TooLarge { .. } => Reason::TooLarge,
-                _ => Reason::BadRequest,
-            };
-            refusal::new_refusal(&id.0, reason, Execution::NotRun, None)
-        })
+async fn read_body(
+    entry_state: &EntryState,
+    id: &RequestId,
+    request: Request,
+) -> Result<Bytes, Refusal> {
+    let read = entry_state.clients.read(request.into_body(), BODY_LIMIT);
+    read.await.map_err(|error| {
+        let (reason, after) = match error {
+            incoming::Error::TooLong { .. } => (Reason::TooLarge, None),
+            incoming::Error::Late => (Reason::BodyLate, None),
+            incoming::Error::Exhausted(_) => (Reason::Overloaded, Some(MEMORY_RETRY_AFTER)),
+            incoming::Error::Interrupted { .. } => (Reason::BadRequest, None),
+        };
+        refusal::new_refusal(&id.0, reason, Execution::NotRun, after)
+    })
 }
 
 async fn handle_pipeline(
@@ -270,7 +282,7 @@
     let Some(pipeline) = view.config.pipelines.get(&name).cloned() else {
         return Err(not_run(Reason::UnknownPipeline));
     };
-    let body = read_body(&id, request).await?;
+    let body = read_body(&entry_state, &id, request).await?;
     let body = parse_pipeline_body(&body).map_err(|error| {
         let mut refusal = not_run(Reason::BadRequest);
         refusal.help = format!("{error}; {}", refusal.help);
@@ -455,7 +467,7 @@
         refusal.help = help;
         refusal
     })?;
-    let body = read_body(&id, request).await?;
+    let body = read_body(&entry_state, &id, request).await?;
     let mut end_recorder = EndRecorder {
         route: service.0.clone(),
         started: Instant::now(),
--- a/crates/azurelug-entry/src/entry_state.rs
+++ b/crates/azurelug-entry/src/entry_state.rs
@@ -7,12 +7,16 @@
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::routing::{CallKey, Choice, Completion, NoTarget, Outcome, Query, Router};
 use azurelug_http::Client;
+use azurelug_http::clients::Clients;
+use azurelug_settings::ClientLimits;
+use azurelug_settings::clients::Machine;
 use azurelug_types::config::Config;
 use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
 use rand::SeedableRng;
 use tokio::time::Instant;
 
 use crate::admission::AdmissionController;
+use crate::clients;
 use crate::control_link::ControlLink;
 use crate::estimates::Estimates;
 use crate::metrics::Metrics;
@@ -45,6 +49,8 @@
     pub unpooled: Client,
     /// The daemon's metrics.
     pub metrics: Metrics,
+    /// Bounds on what is held for callers.
+    pub clients: Clients,
     /// The most recent routing decisions.
     pub recent_decisions: RecentDecisions,
     /// Logs refused and failed requests, under a rate limit.
@@ -86,6 +92,7 @@
             pooled: Client::pooled()?,
             unpooled: Client::unpooled()?,
             metrics: Metrics::new(),
+            clients: clients::bounds(Machine::default(), &ClientLimits::default()),
             recent_decisions: RecentDecisions::default(),
             refusal_log: RefusalLog::default(),
             shutdown: Shutdown::default(),
@@ -100,6 +107,13 @@
         })
     }
 
+    /// Replaces the bounds on what is held for callers, which are the default ones at first.
+    #[must_use]
+    pub fn with_clients(mut self, clients: Clients) -> Self {
+        self.clients = clients;
+        self
+    }
+
     /// Time since the daemon started, by the monotonic clock.
     pub fn now(&self) -> Duration {
         self.started.elapsed()
--- a/crates/azurelug-entry/src/lib.rs
+++ b/crates/azurelug-entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod api;
 pub mod cache_events;
+pub mod clients;
 pub mod control_link;
 pub mod engine;
 pub mod entry_state;
--- a/crates/azurelug-entry/src/run.rs
+++ b/crates/azurelug-entry/src/run.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 
 use azurelug_http::Server;
+use azurelug_http::clients::ADMIN_CONNECTIONS;
+use azurelug_http::h1::server::Connections;
 use azurelug_http::server::ShutdownHook;
 use azurelug_settings::read;
 use azurelug_settings::runtime::run_to_exit;
@@ -15,7 +17,7 @@
 use crate::entry_state::EntryState;
 use crate::settings::{Options, Settings};
 use crate::shares::Shares;
-use crate::{admin, admission, api, cache_events, polling, shutdown};
+use crate::{admin, admission, api, cache_events, clients, polling, shutdown};
 
 /// The daemon could not start, or had to stop.
 #[derive(Debug, thiserror::Error)]
@@ -57,7 +59,7 @@
 
 async fn serve(settings: Settings, path: &Path) -> Result<(), Error> {
     let identity = Identity {
-        cluster: settings.cluster,
+        cluster: settings.cluster.clone(),
         daemon: settings.name.clone(),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
@@ -76,15 +78,17 @@
     let link = ControlLink::new(addresses, Arc::clone(&identity));
     let controls = settings
         .control
-        .into_iter()
-        .map(|control| (control.zone, control.address));
+        .iter()
+        .map(|control| (control.zone.clone(), control.address));
     let shares = Shares::new(
         settings.name.clone(),
         settings.zone.clone(),
         identity.incarnation,
         controls.collect(),
     );
-    let entry_state = Arc::new(EntryState::new(settings.name, settings.zone, link, shares)?);
+    let bounds = clients::bounds(settings.machine(), &settings.client_limits);
+    let (name, zone) = (settings.name.clone(), settings.zone.clone());
+    let entry_state = Arc::new(EntryState::new(name, zone, link, shares)?.with_clients(bounds));
     tokio::spawn(
         entry_state
             .control_link
@@ -118,9 +122,15 @@
     let waiting = Arc::clone(&entry_state);
     let wait: ShutdownHook =
         Box::new(move || Box::pin(async move { waiting.shutdown.wait_done().await }));
+    let connections = entry_state.clients.connections.clone();
+    let caller_bounds = (connections, clients::CONNECTION_LIMITS);
+    let admin_bounds = (
+        Connections::new(ADMIN_CONNECTIONS),
+        clients::CONNECTION_LIMITS,
+    );
     let (callers, admin) = tokio::join!(
-        callers.serve(api::router(&entry_state), Some(stop)),
-        admin.serve(admin::router(&entry_state), Some(wait)),
+        callers.serve_bounded(api::router(&entry_state), stop, caller_bounds),
+        admin.serve_bounded(admin::router(&entry_state), wait, admin_bounds),
     );
     callers?;
     admin?;
--- a/crates/azurelug-entry/src/settings.rs
+++ b/crates/azurelug-entry/src/settings.rs
@@ -4,8 +4,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use azurelug_settings::clients::Machine;
 use azurelug_settings::log_setup::Log;
-use azurelug_settings::{Error, SettingDuration, read};
+use azurelug_settings::{ClientLimits, Error, SettingDuration, read};
 use azurelug_types::id::{DaemonName, ZoneName};
 use bpaf::Bpaf;
 use serde::Deserialize;
@@ -56,6 +57,16 @@
     /// How long a stopping daemon then waits for running requests to end.
     #[serde(default = "default_finish_wait")]
     pub finish_wait: SettingDuration,
+    /// Memory of the process in megabytes; 120 MB are assumed without it. Parts of it are for
+    /// what clients send.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
+    /// Descriptors that the process may open. Half of them are for clients.
+    #[serde(default)]
+    pub file_descriptors: Option<usize>,
+    /// Limits on what is held for clients.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -86,6 +97,15 @@
 }
 
 impl Settings {
+    /// What the VM has.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        Machine {
+            memory_mb: self.memory_mb,
+            file_descriptors: self.file_descriptors,
+        }
+    }
+
     /// Reads and validates the settings file.
     ///
     /// # Errors
@@ -96,6 +116,7 @@
             let help = "list zone and internal address of at least one control daemon";
             return Err(Error::value(path, "control", "empty", help));
         }
+        settings.client_limits.check(path, &settings.machine())?;
         settings.log.check(path)?;
         read::shared_key(path, &settings.key_file)?;
         Ok(settings)
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -50,7 +50,7 @@
     match request.uri().path() {
         READY if gateway.is_ready() => text(StatusCode::OK, "ready\n".to_owned()),
         READY => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        "/metrics" => text(StatusCode::OK, gateway.metrics.text()),
+        "/metrics" => text(StatusCode::OK, metrics(&gateway)),
         "/debug/state" => match serde_json::to_string(&dump(&gateway)) {
             Ok(dump) => text(StatusCode::OK, dump),
             Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
@@ -92,6 +92,13 @@
     }
 }
 
+fn metrics(gateway: &Gateway) -> String {
+    let mut text = gateway.metrics.text();
+    let clients = &gateway.clients;
+    clients.append_metrics("azurelug_gateway", &mut text);
+    text
+}
+
 fn text(status: StatusCode, text: String) -> Response<Body> {
     let mut response = Response::new(Body::complete(Bytes::from(text)));
     *response.status_mut() = status;
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use azurelug_core::gateway::shutdown::{Durations, Shutdown};
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::value_rank::ValueRanking;
+use azurelug_http::clients::Clients;
 use azurelug_types::deployment::{LimitNotice, Limits, Service, Target, TargetNotice};
 use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use azurelug_wire::handshake::Identity;
@@ -21,13 +22,13 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::dispatch_worker::DispatchWorkers;
-use crate::memory;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, Scope};
 use crate::permits::Permits;
 use crate::quarantine::{Progress, RequestQuarantine};
 use crate::settings::{Bounds, Settings};
 use crate::upstream::Upstream;
+use crate::{clients, memory};
 
 /// Fraction of the revocation bound after which the gateway stops accepting keys by its
 /// configuration. The rest covers the transfer of a request to a target and the error of both
@@ -64,6 +65,8 @@
     pub upstream: Upstream,
     /// The bytes that exchanges may hold.
     pub memory: memory::Budget,
+    /// Bounds on what is held for clients.
+    pub clients: Clients,
     /// The other gateways.
     pub peers: Peers,
     /// Permits for requests to targets that name a limit.
@@ -92,11 +95,13 @@
 impl Gateway {
     /// Creates a gateway without configuration or targets.
     pub fn new(settings: &Settings, identity: Arc<Identity>) -> Self {
+        let clients = clients::bounds(settings);
         Self {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             upstream: Upstream::default(),
-            memory: memory::Budget::new(settings.memory_mb),
+            memory: clients.memory.clone(),
+            clients,
             quarantine: RequestQuarantine::new(&identity),
             peers: Peers::new(settings, identity),
             permits: Permits::default(),
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -6,12 +6,11 @@
 pub mod admin;
 pub mod attempt;
 pub mod body;
+pub mod clients;
 pub mod control;
 pub mod dispatch_worker;
 pub mod exchange;
 pub mod gateway;
-pub mod incoming;
-pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod permits;
@@ -22,3 +21,5 @@
 pub mod settings;
 pub mod stages;
 pub mod upstream;
+
+pub use azurelug_http::{incoming, memory};
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::shutdown::Shutdown;
-use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use azurelug_http::clients::ADMIN_CONNECTIONS;
+use azurelug_http::h1::server::{Connections, Limits, ShutdownState, serve_bounded};
 use azurelug_settings::read;
 use azurelug_settings::runtime::run_to_exit;
 use azurelug_types::fleet::Pieces;
@@ -99,8 +100,9 @@
     let (_admin_shutdown, admin_shutdown_receiver) = watch::channel(ShutdownState::Serving);
     let admin_gateway = Arc::clone(&gateway);
     let admin_handler = move |request| admin::handle(Arc::clone(&admin_gateway), request);
-    tokio::spawn(serve(
+    tokio::spawn(serve_bounded(
         admin_listener,
+        Connections::new(ADMIN_CONNECTIONS),
         Limits::default,
         admin_shutdown_receiver,
         admin_handler,
@@ -109,8 +111,9 @@
     let limits = move || client_limits(&limits_gateway);
     let client_gateway = Arc::clone(&gateway);
     let client_handler = move |request| clients::handle(Arc::clone(&client_gateway), request);
-    let mut client_server = tokio::spawn(serve(
+    let mut client_server = tokio::spawn(serve_bounded(
         client_listener,
+        gateway.clients.connections.clone(),
         limits,
         client_shutdown_receiver,
         client_handler,
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -100,7 +100,8 @@
         Ok(exchange) => {
             gateway.metrics.in_flight.inc();
             let memory = exchange.memory.clone();
-            let mut response = serve(exchange).await;
+            // Boxed, so that a request whose body arrives doesn't take the room of its later states.
+            let mut response = Box::pin(serve(exchange)).await;
             // From here on the client decides how long the answer is held.
             response.extensions_mut().insert(Abort(memory.eviction()));
             response
@@ -113,8 +114,10 @@
                 id.unwrap_or("-")
             );
             let mut response = refusal.response(id, reason).map(Body::complete);
-            if gateway.shutdown().is_some() {
-                // The retry on a new connection reaches another gateway.
+            // After a body that was not read whole, nothing more can be read from the connection.
+            let is_body_unread = UNREAD.contains(&reason);
+            // The retry on a new connection reaches another gateway.
+            if is_body_unread || gateway.shutdown().is_some() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -139,7 +142,7 @@
         return Err((Refusal::HeadTooLarge, "the head is too long"));
     }
     let memory = gateway.memory.open();
-    let body = read_body(&memory, body, limits.max_body_bytes).await?;
+    let body = read_body(gateway, &memory, body).await?;
     let Some(table) = table else {
         let left = fields.time_left.unwrap_or_default();
         let spread = rand::rng().random_range(0.8..1.0);
@@ -216,15 +219,21 @@
     times.sum()
 }
 
-async fn read_body(memory: &Holder, body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
-    let read = incoming::read(memory, body, limit).await;
+const TOO_LONG: &str = "the body is too long";
+const LATE: &str = "the body did not arrive in time";
+const NO_MEMORY: &str = "no memory left for the body";
+
+/// Reasons of refusals before the body was read whole.
+const UNREAD: [&str; 3] = [TOO_LONG, LATE, NO_MEMORY];
+
+async fn read_body(gateway: &Gateway, memory: &Holder, body: Incoming) -> Result<Bytes, Rejection> {
+    let limit = gateway.client_limits().max_body_bytes;
+    let read = incoming::read_request(memory, body, limit, gateway.clients.pace).await;
     read.map_err(|error| match error {
-        incoming::Error::TooLong { .. } => (Refusal::TooLarge, "the body is too long"),
+        incoming::Error::TooLong { .. } => (Refusal::TooLarge, TOO_LONG),
         incoming::Error::Interrupted { .. } => (Refusal::Malformed, "the body is not whole"),
-        incoming::Error::Exhausted(_) => (
-            Refusal::Busy(MEMORY_RETRY_AFTER),
-            "no memory left for the body",
-        ),
+        incoming::Error::Late => (Refusal::BodyLate, LATE),
+        incoming::Error::Exhausted(_) => (Refusal::Busy(MEMORY_RETRY_AFTER), NO_MEMORY),
     })
 }
 
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use azurelug_settings::clients::Machine;
 use azurelug_settings::log_setup::Log;
 use azurelug_settings::span::SettingDuration;
-use azurelug_settings::{Error, read};
+use azurelug_settings::{ClientLimits, Error, read};
 use azurelug_types::id::{DaemonName, ZoneName};
 use bpaf::Bpaf;
 use serde::Deserialize;
@@ -44,10 +45,17 @@
     pub seeds: Vec<SocketAddr>,
     /// The operators' bounds.
     pub bounds: Bounds,
-    /// Memory of the process in megabytes. An eighth of it is for what requests hold beyond 64 KiB
-    /// each; without it 24 MiB are.
+    /// Memory of the process in megabytes; 192 MiB are assumed without it. An eighth of it is for
+    /// what requests hold beyond 64 KiB each, a sixteenth for the rest of what they hold, and a
+    /// quarter for connections.
     #[serde(default)]
     pub memory_mb: Option<usize>,
+    /// Descriptors that the process may open. Half of them are for clients.
+    #[serde(default)]
+    pub file_descriptors: Option<usize>,
+    /// Limits on what is held for clients.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// Names of the rule sets that are in force for the deployment.
     #[serde(default)]
     pub contracts: Vec<String>,
@@ -92,6 +100,15 @@
         Ok(settings)
     }
 
+    /// What the VM has.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        Machine {
+            memory_mb: self.memory_mb,
+            file_descriptors: self.file_descriptors,
+        }
+    }
+
     fn check(&self, path: &Path) -> Result<(), Error> {
         let problem =
             |field: &str, message: &str, help: &str| Err(Error::value(path, field, message, help));
@@ -139,6 +156,7 @@
                 return problem(field, &number.to_string(), "set a number of 0 or more");
             }
         }
+        self.client_limits.check(path, &self.machine())?;
         self.log.check(path)?;
         read::shared_key(path, &self.key_file).map(|_| ())
     }
--- a/crates/azurelug-gateway/tests/missed_deadline.rs
+++ b/crates/azurelug-gateway/tests/missed_deadline.rs
@@ -68,7 +68,7 @@
         parts: http::Request::new(()).into_parts().0,
         fields: Default::default(),
         body: Default::default(),
-        memory: Budget::new(None).open(),
+        memory: Budget::with_limit(24 * 1024 * 1024).open(),
         weights: Default::default(),
         arrived,
         deadline: arrived + Duration::from_secs(4),
--- a/crates/azurelug-http/src/h1/server.rs
+++ b/crates/azurelug-http/src/h1/server.rs
@@ -1,6 +1,7 @@
 //! Serves HTTP/1.1 connections and shuts down without aborting requests.
 
 mod abort;
+mod connections;
 mod phase;
 
 use std::convert::Infallible;
@@ -23,6 +24,8 @@
 
 pub use abort::Abort;
 use abort::{Aborted, LatestAbort};
+use connections::Admission;
+pub use connections::{Connections, Counts};
 use phase::{HeadError, HeadLimitStream, Phase, PhaseTracker, TrackedBody};
 
 /// A connection is closed if its client acknowledges nothing for this long. Longer than the network
@@ -93,9 +96,7 @@
     Closing,
 }
 
-/// Serves `listener` until `stage` is [`ShutdownState::Closing`] and every connection has ended. The future
-/// of a request is dropped when its client closes the connection. `limits` returns the limits in
-/// force, which also apply to open connections.
+/// As [`serve_bounded`], with any number of connections.
 pub async fn serve<L, H, F, B>(
     listener: TcpListener,
     limits: L,
@@ -108,16 +109,43 @@
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_bounded(listener, Connections::default(), limits, stage, handler).await;
+}
+
+/// Serves `listener` until `stage` is [`ShutdownState::Closing`] and every connection has ended. The
+/// future of a request is dropped when its client closes the connection. `limits` returns the limits
+/// in force, which also apply to open connections.
+pub async fn serve_bounded<L, H, F, B>(
+    listener: TcpListener,
+    bound: Connections,
+    limits: L,
+    stage: watch::Receiver<ShutdownState>,
+    handler: H,
+) where
+    L: Fn() -> Limits + Clone + Send + Unpin + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut connections = JoinSet::new();
-    let open = |stream| serve_connection(stream, limits.clone(), stage.clone(), handler.clone());
+    let open = |connections: &mut JoinSet<()>, stream: TcpStream| {
+        let tracker = PhaseTracker::default();
+        let Some(admission) = bound.admit(&tracker) else {
+            connections::refuse(&stream);
+            return;
+        };
+        let place = (admission, tracker);
+        let (limits, stage, handler) = (limits.clone(), stage.clone(), handler.clone());
+        connections.spawn(serve_connection(stream, place, limits, stage, handler));
+    };
     let mut stage_changes = stage.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(open(stream));
-                }
+                Ok((stream, _)) => open(&mut connections, stream),
                 Err(error) => {
                     log::warn!("http: accept failed: {error}; retrying in 50 ms");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -135,7 +163,7 @@
     // The kernel may have established connections that are not accepted yet. Closing the listener
     // would reset them, with the requests that were already sent on them.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        connections.spawn(open(stream));
+        open(&mut connections, stream);
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -143,6 +171,7 @@
 
 async fn serve_connection<L, H, F, B>(
     stream: TcpStream,
+    (admission, tracker): (Admission, PhaseTracker),
     limits: L,
     mut stage: watch::Receiver<ShutdownState>,
     handler: H,
@@ -159,14 +188,15 @@
         return;
     }
     let peer = stream.peer_addr().ok();
-    let tracker = PhaseTracker::default();
     let request_tracker = tracker.clone();
     let response_stage = stage.clone();
     let latest_abort = LatestAbort::default();
     let mut aborted = Aborted::new(latest_abort.clone());
     let service = service_fn(move |request| {
         let exchange = request_tracker.begin_exchange();
-        let answer = handler(request);
+        // The state of a request is much larger than that of a connection, and an idle connection
+        // would keep room for it.
+        let answer = Box::pin(handler(request));
         let response_stage = response_stage.clone();
         let latest_abort = latest_abort.clone();
         async move {
@@ -215,6 +245,13 @@
                 log::info!("http: connection of {peer:?} closed: its answer was aborted");
                 return;
             }
+            () = admission.wait_replaced(), if close_at.is_none() => {
+                if tracker.phase() != Phase::Answering {
+                    return;
+                }
+                // A request has arrived in the meantime.
+                close_at = Some(Instant::now());
+            }
             _ = stage.changed(), if close_at.is_none() => {}
             () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() && !is_ending => {
                 Pin::new(&mut serving).graceful_shutdown();
--- a/crates/azurelug-http/src/h1/server/phase.rs
+++ b/crates/azurelug-http/src/h1/server/phase.rs
@@ -12,12 +12,19 @@
 use http::StatusCode;
 use http_body::{Body, Frame, SizeHint};
 use pin_project_lite::pin_project;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::Limits;
 
+/// Most bytes of one read of a head. hyper doubles the size of its reads from 8 KiB after each that is
+/// filled, and its buffer with them; a read that is never filled keeps both small.
+const MAX_HEAD_READ_BYTES: u64 = 8 * 1024 - 1;
+
+/// The same for bodies, whose reads are doubled once.
+const MAX_BODY_READ_BYTES: u64 = 16 * 1024 - 1;
+
 /// The phase of a connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -51,6 +58,11 @@
         self.lock().0
     }
 
+    /// The phase and its beginning.
+    pub(super) fn state(&self) -> (Phase, Instant) {
+        *self.lock()
+    }
+
     fn enter(&self, phase: Phase) {
         *self.lock() = (phase, Instant::now());
     }
@@ -153,12 +165,18 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // What has arrived so far was not a complete head.
-        let is_in_head = self.tracker.phase() == Phase::ReadingHead;
+        let phase = self.tracker.phase();
+        let is_in_head = phase == Phase::ReadingHead;
         if is_in_head && self.head_bytes > (self.limits)().head_bytes {
             return Poll::Ready(Err(io::Error::other(HeadError::TooLong)));
         }
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let limit = match phase {
+            Phase::Answering => MAX_BODY_READ_BYTES,
+            Phase::New | Phase::ReadingHead | Phase::Idle => MAX_HEAD_READ_BYTES,
+        };
+        let mut limited = (&mut self.stream).take(limit);
+        let read = Pin::new(&mut limited).poll_read(context, buffer);
         let received = buffer.filled().len() - before;
         if received > 0 {
             if !is_in_head {
--- a/crates/azurelug-http/src/lib.rs
+++ b/crates/azurelug-http/src/lib.rs
@@ -5,9 +5,14 @@
 
 pub mod answer;
 pub mod client;
+pub mod clients;
 pub mod error;
 pub mod h1;
+pub mod incoming;
+pub mod memory;
+pub mod pace;
 pub mod server;
+pub mod throttle;
 
 pub use client::Client;
 pub use error::Error;
--- a/crates/azurelug-http/src/server.rs
+++ b/crates/azurelug-http/src/server.rs
@@ -11,7 +11,9 @@
 use http::Request;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::sleep;
 use volo::Service;
 use volo::net::MakeIncoming;
 use volo::net::incoming::DefaultIncoming;
@@ -21,7 +23,10 @@
 use volo_http::server::route::Router;
 
 use crate::Error;
-use crate::h1::server::{Limits, ShutdownState, serve};
+use crate::h1::server::{Connections, Limits, ShutdownState, serve_bounded};
+
+/// How long connections may go on after the shutdown hook.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A server whose listener is bound but does not accept connections yet.
 pub struct Server {
@@ -60,23 +65,63 @@
             .await
     }
 
-    /// Serves until `stage` is [`ShutdownState::Closing`]. The caller handles signals: `run` of `volo-http`
-    /// would end the process on SIGHUP.
+    /// Serves until `stage` is [`ShutdownState::Closing`], with a bound on connections. The caller
+    /// handles signals: `run` of `volo-http` would end the process on SIGHUP.
     pub async fn serve_until(
         self,
         router: Router,
-        idle: Duration,
+        (connections, limits): (Connections, Limits),
         stage: watch::Receiver<ShutdownState>,
     ) {
         let router = Arc::new(router);
         let address = self.address;
-        let limits = move || Limits::idle(idle);
-        serve(self.listener, limits, stage, move |request| {
+        let limits = move || limits;
+        serve_bounded(self.listener, connections, limits, stage, move |request| {
             call(Arc::clone(&router), address, request)
         })
         .await;
     }
 
+    /// As [`Server::serve`], with a bound on connections: until the process gets SIGINT, SIGTERM or
+    /// SIGHUP and the hook has completed, and connections have had 2 s more.
+    ///
+    /// # Errors
+    /// `Serve` if the signals can't be received.
+    pub async fn serve_bounded(
+        self,
+        router: Router,
+        hook: ShutdownHook,
+        bounds: (Connections, Limits),
+    ) -> Result<(), Error> {
+        let address = self.address;
+        let failed = |error: std::io::Error| Error::Serve {
+            address,
+            message: error.to_string(),
+        };
+        let mut signals = Vec::new();
+        for kind in [
+            SignalKind::interrupt(),
+            SignalKind::hangup(),
+            SignalKind::terminate(),
+        ] {
+            signals.push(signal(kind).map_err(failed)?);
+        }
+        let (stage, stages) = watch::channel(ShutdownState::Serving);
+        let serving = self.serve_until(router, bounds, stages);
+        let stopping = async {
+            let received = signals.iter_mut().map(|signal| Box::pin(signal.recv()));
+            futures_util::future::select_all(received).await;
+            hook().await;
+            stage.send_replace(ShutdownState::Closing);
+            sleep(CLOSE_TIMEOUT).await;
+        };
+        tokio::select! {
+            () = serving => {}
+            () = stopping => {}
+        }
+        Ok(())
+    }
+
     /// Like [`Server::serve`], with a source of connections that `make` creates from the bound
     /// listener. Test doubles use it to close connections from outside.
     ///
--- a/crates/azurelug-settings/src/lib.rs
+++ b/crates/azurelug-settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! single line with file, line, field and remedy, sets up the logs, and writes their last lines before
 //! the process exits.
 
+pub mod clients;
 pub mod error;
 pub mod log_setup;
 pub mod queue;
@@ -11,5 +12,6 @@
 pub mod runtime;
 pub mod span;
 
+pub use clients::ClientLimits;
 pub use error::Error;
 pub use span::SettingDuration;
--- a/crates/azurelug-system/tests/support/crowd.rs
+++ b/crates/azurelug-system/tests/support/crowd.rs
@@ -109,7 +109,7 @@
         }
         Kind::AnnouncedFarOver => {
             stream.write_all(&announced(bytes * 64)).await?;
-            write_pieces(stream, bytes * 8, |piece| piece.to_vec()).await
+            write_pieces(stream, bytes * 8, <[u8]>::to_vec).await
         }
         Kind::EndlessChunks => {
             stream
@@ -129,7 +129,7 @@
         }
         Kind::Piecewise => {
             stream.write_all(&announced(bytes)).await?;
-            write_pieces(stream, bytes, |piece| piece.to_vec()).await
+            write_pieces(stream, bytes, <[u8]>::to_vec).await
         }
         Kind::Stalled => {
             stream.write_all(&announced(bytes)).await?;
--- a/crates/azurelug-types/src/outcome.rs
+++ b/crates/azurelug-types/src/outcome.rs
@@ -54,6 +54,8 @@
         StageFailed,
         /// The daemon is shutting down.
         ShuttingDown,
+        /// The body did not arrive in time.
+        BodyLate,
     }
 }
 
@@ -75,7 +77,7 @@
 
 impl Reason {
     /// All reasons, for documentation tests.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::UnknownPipeline,
@@ -94,6 +96,7 @@
         Self::UnknownOutcome,
         Self::StageFailed,
         Self::ShuttingDown,
+        Self::BodyLate,
     ];
 
     /// The HTTP status code of the answer.
@@ -102,6 +105,7 @@
             Self::BadRequest | Self::DeadlinePassed => 400,
             Self::Unauthorized => 401,
             Self::UnknownPipeline | Self::UnknownService => 404,
+            Self::BodyLate => 408,
             Self::InProgress | Self::KeyExpired => 409,
             Self::TooLarge => 413,
             Self::KeyConflict => 422,
@@ -139,6 +143,7 @@
             Self::KeyConflict => "use a new UUIDv7 key for a different body",
             Self::UnknownOutcome => "check the effect at the service before sending a new key",
             Self::StageFailed => "retry after the stated time",
+            Self::BodyLate => "send the body without pauses",
             Self::ShuttingDown => "retry at once on a new connection",
         }
     }
--- a/crates/azurelug-wire/src/lib.rs
+++ b/crates/azurelug-wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod frame;
 pub mod handshake;
+mod handshakes;
 pub mod server;
 
 pub use client::Connection;
--- a/crates/azurelug-wire/src/server.rs
+++ b/crates/azurelug-wire/src/server.rs
@@ -14,6 +14,7 @@
 use crate::codec::{self, Reader};
 use crate::frame::Hello;
 use crate::handshake::Identity;
+use crate::handshakes::{Handshake, Handshakes};
 use crate::{Error, Frame};
 
 /// Timeout of each handshake step of a new connection. A round trip within a region takes a few
@@ -76,13 +77,15 @@
         H: Fn(Arc<Hello>, Frame) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Reply> + Send + 'static,
     {
+        let handshakes = Handshakes::default();
         loop {
             match self.listener.accept().await {
                 Ok((stream, peer)) => {
                     let identity = Arc::clone(&self.identity);
                     let handler = handler.clone();
-                    tokio::spawn(async move {
-                        if let Err(error) = serve_connection(stream, identity, handler).await {
+                    handshakes.spawn(|handshake| async move {
+                        let served = serve_connection(stream, identity, handshake, handler).await;
+                        if let Err(error) = served {
                             log::debug!("wire: connection from {peer} ended: {error}");
                         }
                     });
@@ -99,6 +102,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     identity: Arc<Identity>,
+    pending: Handshake,
     handler: H,
 ) -> Result<(), Error>
 where
@@ -138,7 +142,11 @@
     });
 
     let mut peer: Option<Arc<Hello>> = None;
+    let mut pending = Some(pending);
     loop {
+        if peer.is_some() {
+            drop(pending.take());
+        }
         tokio::select! {
             result = &mut verified, if peer.is_none() => {
                 let result = result.map_err(|_| Error::closed("handshake task ended"))?;
