--- a/crates/azurelug-gateway/tests/settings.rs
+++ b/crates/azurelug-gateway/tests/settings.rs
@@ -6,7 +6,8 @@
 
 use azurelug_gateway::control::PollTiming;
 use azurelug_gateway::settings::{Bounds, Settings};
-use azurelug_settings::read;
+use azurelug_settings::clients::Machine;
+use azurelug_settings::{ClientLimits, read};
 use azurelug_testkit::settings_page;
 use serde_json::Value;
 
@@ -21,6 +22,8 @@
     let page = std::fs::read_to_string(repository.join("docs/settings.md")).unwrap();
     settings_page::assert_matches_struct::<Settings>(&page, "azurelug-gateway", &example);
     settings_page::assert_matches_struct::<Bounds>(&page, "bounds", &example["bounds"]);
+    let limits = serde_json::json!({});
+    settings_page::assert_matches_struct::<ClientLimits>(&page, "client_limits", &limits);
 }
 
 /// Guards against poll timing that fits the bounds of one deployment only: an accepted change and a
@@ -73,3 +76,69 @@
 fn span(millis: u32) -> azurelug_settings::span::SettingDuration {
     azurelug_settings::span::SettingDuration(Duration::from_millis(millis.into()))
 }
+
+/// Guards against a gateway that starts with limits with which it can serve no client.
+#[test]
+fn a_client_limit_of_zero_is_refused_with_field_and_remedy() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway.yaml");
+    let machine = Machine::default();
+    let limits = ClientLimits::default();
+    limits.check(&file, &machine).unwrap();
+    let cases = [
+        (
+            "connections",
+            ClientLimits {
+                connections: Some(0),
+                ..limits
+            },
+            machine,
+        ),
+        (
+            "bodies",
+            ClientLimits {
+                bodies: Some(0),
+                ..limits
+            },
+            machine,
+        ),
+        (
+            "body_stall",
+            ClientLimits {
+                body_stall: span(999),
+                ..limits
+            },
+            machine,
+        ),
+        (
+            "body_bytes",
+            ClientLimits {
+                body_bytes_per_second: 0,
+                ..limits
+            },
+            machine,
+        ),
+        (
+            "memory_mb",
+            limits,
+            Machine {
+                memory_mb: Some(31),
+                ..machine
+            },
+        ),
+        (
+            "file_descriptors",
+            limits,
+            Machine {
+                file_descriptors: Some(63),
+                ..machine
+            },
+        ),
+    ];
+    for (field, limits, machine) in cases {
+        let error = limits.check(&file, &machine).unwrap_err().to_string();
+        assert!(
+            error.contains(field) && error.contains("or more"),
+            "{error}"
+        );
+    }
+}
