Test unread answers on a small VM, and the operators' orders at once

Cause: the crowds lacked clients that don't read on a VM of 40 MB, and a test that the bound on a control daemon's documents leaves room for eight orders.

Change: three tests in uncontrolled_clients.rs: 100 clients that don't read streams or whole answers, and eight documents of 8 MiB at once, each of which must be acknowledged.

--- a/crates/azurelug-system/tests/uncontrolled_clients.rs
+++ b/crates/azurelug-system/tests/uncontrolled_clients.rs
@@ -22,6 +22,7 @@
 use deployment::{Behaviour, Deployment, RAW, configuration};
 use http::Method;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
@@ -53,6 +54,9 @@
 /// Clients that hold connections without a complete head.
 const CONNECTIONS: usize = 3000;
 
+/// Clients that don't read their answers.
+const UNREAD: usize = 100;
+
 /// Bound on open descriptors. A VM of the smallest size has 3,075; the rest is for connections to
 /// targets and files.
 const DESCRIPTORS: usize = 2500;
@@ -216,6 +220,93 @@
     drop(crowd);
 }
 
+/// Guards against a bound that refuses the operators' orders at once, each of the largest size.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_control_daemon_reads_eight_documents_of_the_largest_size_at_once() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let mut deployment = Deployment::start().await;
+    let process = deployment.control.id().unwrap();
+    // Unknown fields are ignored, and the version is in force, so that it is acknowledged.
+    let mut document = configuration(1);
+    document["padding"] = json!("x".repeat(8 * 1024 * 1024 - 20_000));
+    let body = Bytes::from(document.to_string());
+    let orders = (0..8).map(|_| deployment.try_order(Method::PUT, "/configuration", body.clone()));
+    let answers = futures_util::future::join_all(orders).await;
+    for answer in answers {
+        assert_eq!(answer.unwrap().status, 200, "{}", deployment.control.log());
+    }
+    check(
+        Kind::Whole,
+        &mut deployment.control,
+        process,
+        (CONTROL_MB, 0),
+    );
+}
+
+/// Opens connections to a gateway whose clients don't read their answers, which `behaviour` makes
+/// large.
+async fn crowd_unread(path: &str, targets: [&str; 2], behaviour: Behaviour, ordinary: &str) {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let mut deployment = Deployment::start_with("8s", &format!("memory_mb: {GATEWAY_MB}\n")).await;
+    let process = deployment.gateway.id().unwrap();
+    for target in targets {
+        deployment.set_behaviour(target, behaviour);
+    }
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: carts.example\r\nauthorization: Bearer key-1\r\n\
+         x-request-attempt-id: unread-NUMBER\r\nx-deadline-milliseconds: 4000\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    let mut unread = Vec::new();
+    for number in 0..UNREAD {
+        let mut stream = deployment.connect().await.unwrap();
+        let request = request.replace("NUMBER", &number.to_string());
+        stream.write_all(request.as_bytes()).await.unwrap();
+        unread.push(stream);
+    }
+    let open = peak_descriptors(process).await;
+    wait_answered(Kind::Idle, |number| {
+        let deployment = &deployment;
+        async move {
+            let id = format!("ordinary-{number}");
+            let answer = deployment.try_request(&id, ordinary, &[]).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        }
+    })
+    .await;
+    check(
+        Kind::Idle,
+        &mut deployment.gateway,
+        process,
+        (GATEWAY_MB, open),
+    );
+    drop(unread);
+}
+
+/// Guards against streams that take the memory while their clients don't read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_survives_unread_streams() {
+    crowd_unread(
+        "/talk/x",
+        ["llm-a", "llm-b"],
+        Behaviour::LargeEvents,
+        "/book/x",
+    )
+    .await;
+}
+
+/// Guards against whole answers that take the memory while their clients don't read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_survives_unread_answers() {
+    crowd_unread(
+        "/book/x",
+        ["desk-a", "desk-b"],
+        Behaviour::LargeBody,
+        "/talk/x",
+    )
+    .await;
+}
+
 macro_rules! crowds {
     ($($(#[$doc:meta])* $name:ident: $run:ident($kind:expr, $count:expr);)*) => {
         $($(#[$doc])* #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
