Show what is held for clients in the state dumps

Cause: metrics show what is held for clients; a state dump, which operators read first, did not.

Change: `clients` in the state dumps of the gateway, the control daemon and the entry daemon: bytes and bodies, connections by state, clients cut off.

Conclusion: one look at a process tells for whom it holds memory.

--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -7,7 +7,7 @@
 use azurelug_core::configuration;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_http::answer::{self, BODY_LIMIT};
-use azurelug_http::clients::Clients;
+use azurelug_http::clients::{Clients, Held};
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use azurelug_types::patch::{Answer, Patch};
 use serde::Serialize;
@@ -76,6 +76,7 @@
     holders: shares::HoldersState,
     log: Option<State>,
     entry_daemons: Vec<DaemonRow>,
+    clients: Held,
 }
 
 /// The size of the at-most-once records.
@@ -194,6 +195,7 @@
             holders: self.shares.holders(),
             log,
             entry_daemons: self.registry.rows(),
+            clients: self.clients.held(),
         };
         answer::json(200, &dump)
     }
--- a/crates/azurelug-entry/src/admin.rs
+++ b/crates/azurelug-entry/src/admin.rs
@@ -5,6 +5,7 @@
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::routing::TargetState;
 use azurelug_http::answer;
+use azurelug_http::clients::Held;
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::Serialize;
 use volo_http::request::Request;
@@ -26,6 +27,7 @@
     base_shares_open: bool,
     targets: Vec<TargetState>,
     recent_decisions: Vec<Decision>,
+    clients: Held,
 }
 
 /// Builds the router of the admin listener.
@@ -42,11 +44,9 @@
         .route(
             "/metrics",
             get(move || async move {
-                {
-                    let mut text = metrics.metrics.encode_text();
-                    metrics.clients.append_metrics("azurelug_entry", &mut text);
-                    answer::text(200, answer::OPEN_METRICS, text)
-                }
+                let mut text = metrics.metrics.encode_text();
+                metrics.clients.append_metrics("azurelug_entry", &mut text);
+                answer::text(200, answer::OPEN_METRICS, text)
             }),
         )
         .route(
@@ -86,6 +86,7 @@
         base_shares_open: entry_state.shares.is_base_open(),
         targets: entry_state.with_router(|router, now| router.dump(now)),
         recent_decisions: entry_state.recent_decisions.all(),
+        clients: entry_state.clients.held(),
     }
 }
 
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use azurelug_http::clients::Held;
 use azurelug_platform::operators::READY;
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
@@ -25,6 +26,7 @@
     targets: Vec<TargetRow>,
     stage_targets: Vec<StageRow>,
     suspects: Vec<SuspectRow>,
+    clients: Held,
 }
 
 #[derive(Serialize)]
@@ -89,6 +91,7 @@
             })
             .collect(),
         suspects: gateway.suspect_rows(),
+        clients: gateway.clients.held(),
     }
 }
 
--- a/crates/azurelug-http/src/clients.rs
+++ b/crates/azurelug-http/src/clients.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http_body::Body;
 
-use crate::h1::server::Connections;
+use crate::h1::server::{Connections, Counts};
 use crate::incoming::{self, Error};
-use crate::memory::Budget;
+use crate::memory::{Budget, Usage};
 use crate::pace::Pace;
 
 /// Last line of metrics in the OpenMetrics format.
@@ -33,7 +33,25 @@
     pub pace: Pace,
 }
 
+/// What is held for clients, for state dumps.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct Held {
+    /// The bytes of bodies and answers.
+    pub memory: Usage,
+    /// The connections by state.
+    pub connections: Counts,
+}
+
 impl Clients {
+    /// What is held now.
+    #[must_use]
+    pub fn held(&self) -> Held {
+        Held {
+            memory: self.memory.usage(),
+            connections: self.connections.counts(),
+        }
+    }
+
     /// Reads the body of a request of at most `limit` bytes, which counts until the result is dropped.
     ///
     /// # Errors
@@ -48,7 +66,10 @@
 
     /// Adds what is held to metrics in the OpenMetrics format, which end with `# EOF`.
     pub fn append_metrics(&self, prefix: &str, text: &mut String) {
-        let (usage, counts) = (self.memory.usage(), self.connections.counts());
+        let Held {
+            memory: usage,
+            connections: counts,
+        } = self.held();
         let active = counts.reading + counts.answering;
         let buffers = active * READ_BUFFER_BYTES + counts.idle * IDLE_BUFFER_BYTES;
         if text.ends_with(END) {
--- a/crates/azurelug-http/src/h1/server/connections.rs
+++ b/crates/azurelug-http/src/h1/server/connections.rs
@@ -44,7 +44,7 @@
 }
 
 /// The connections of a server by their state, and those that the bound has ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Counts {
     /// Connections on which nothing has arrived.
     pub new: usize,
--- a/crates/azurelug-http/src/memory.rs
+++ b/crates/azurelug-http/src/memory.rs
@@ -121,7 +121,7 @@
 }
 
 /// What a process holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Usage {
     /// Bytes of request bodies.
     pub requests: usize,
