--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use azurelug_http::clients::Held;
 use azurelug_platform::operators::READY;
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
@@ -25,6 +26,7 @@
     targets: Vec<TargetRow>,
     stage_targets: Vec<StageRow>,
     suspects: Vec<SuspectRow>,
+    clients: Held,
 }
 
 #[derive(Serialize)]
@@ -50,7 +52,7 @@
     match request.uri().path() {
         READY if gateway.is_ready() => text(StatusCode::OK, "ready\n".to_owned()),
         READY => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        "/metrics" => text(StatusCode::OK, gateway.metrics.text()),
+        "/metrics" => text(StatusCode::OK, metrics(&gateway)),
         "/debug/state" => match serde_json::to_string(&dump(&gateway)) {
             Ok(dump) => text(StatusCode::OK, dump),
             Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
@@ -89,9 +91,17 @@
             })
             .collect(),
         suspects: gateway.suspect_rows(),
+        clients: gateway.clients.held(),
     }
 }
 
+fn metrics(gateway: &Gateway) -> String {
+    let mut text = gateway.metrics.text();
+    let clients = &gateway.clients;
+    clients.append_metrics("azurelug_gateway", &mut text);
+    text
+}
+
 fn text(status: StatusCode, text: String) -> Response<Body> {
     let mut response = Response::new(Body::complete(Bytes::from(text)));
     *response.status_mut() = status;
