--- a/crates/azurelug-cli/src/command.rs
+++ b/crates/azurelug-cli/src/command.rs
@@ -5,6 +5,7 @@
 mod dump;
 mod history;
 mod patch;
+mod rollout;
 mod status;
 mod targets;
 mod zone;
@@ -72,6 +73,12 @@
         footer("Example: azurelug --control 10.0.0.1:7101 zone --author ana drain zone-a")
     )]
     Zone(#[bpaf(external(zone::arguments))] zone::Arguments),
+    /// Start, show or end a roll-out of a service to another version
+    #[bpaf(
+        command,
+        footer("Example: azurelug --control 10.0.0.1:7101 rollout start orders v2 --within 60")
+    )]
+    Rollout(#[bpaf(external(rollout::arguments))] rollout::Arguments),
     /// Print the state of any daemon
     #[bpaf(
         command,
@@ -91,6 +98,7 @@
             Command::Patch(arguments) => patch::run(&control, arguments, self.json).await,
             Command::Targets(arguments) => targets::run(&control, &arguments, self.json).await,
             Command::Zone(arguments) => zone::run(&control, arguments).await,
+            Command::Rollout(arguments) => rollout::run(&control, arguments, self.json).await,
             Command::Dump(arguments) => dump::run(&control, &arguments).await,
         }
     }
--- a/crates/azurelug-cli/src/control.rs
+++ b/crates/azurelug-cli/src/control.rs
@@ -124,6 +124,35 @@
         Err(Error::Unreachable { message })
     }
 
+    /// Sends an order that may be repeated: if the answer is lost, it is sent again to the next
+    /// daemon.
+    pub(crate) async fn order<T: Serialize>(&self, path: &str, order: &T) -> Result<(), Error> {
+        let mut last_error = Error::NoControl;
+        for address in &self.addresses {
+            let call = Call::post_json(*address, path, order, CALL_TIMEOUT);
+            match self.client.send_whole(call, MAX_ANSWER_BYTES).await {
+                Ok((200, _)) => return Ok(()),
+                Ok((503, body)) => {
+                    let message = String::from_utf8_lossy(&body).into_owned();
+                    last_error = Error::Unreachable { message };
+                }
+                Ok((status, body)) => {
+                    let message = String::from_utf8_lossy(&body).into_owned();
+                    return Err(Error::Refused {
+                        address: *address,
+                        status,
+                        message,
+                    });
+                }
+                Err(error) => {
+                    let message = error.to_string();
+                    last_error = Error::Unreachable { message };
+                }
+            }
+        }
+        Err(last_error)
+    }
+
     /// Reads a JSON document from one daemon.
     pub(crate) async fn get<T: DeserializeOwned>(
         &self,
--- a/crates/azurelug-cli/tests/commands.rs
+++ b/crates/azurelug-cli/tests/commands.rs
@@ -125,7 +125,9 @@
                 at_ms: ACCEPTED_AT_MS,
             }) {
                 Outcome::Patch(answer) => answer,
-                Outcome::Once(_) | Outcome::Deployment => unreachable!("a patch was applied"),
+                Outcome::Once(_) | Outcome::Deployment | Outcome::Rollout(_) => {
+                    unreachable!("a patch was applied")
+                }
             }
         };
         let status = match decided {
--- a/crates/azurelug-control/src/deployment.rs
+++ b/crates/azurelug-control/src/deployment.rs
@@ -12,7 +12,8 @@
 use azurelug_core::machine::Command;
 use azurelug_platform::document;
 use azurelug_platform::operators::Operation;
-use azurelug_types::id::ZoneName;
+use azurelug_platform::rollout;
+use azurelug_types::id::{ServiceName, ZoneName};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -20,6 +21,7 @@
 use hyper::body::Incoming;
 
 use crate::replica::{Error, Replica};
+use crate::rollouts::{Refusal, Rollouts};
 
 /// Size limit of a configuration document in bytes.
 const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
@@ -29,13 +31,71 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Handles one call of an operator.
-pub async fn handle(replica: Replica, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn handle(
+    replica: Replica,
+    rollouts: Option<Rollouts>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let operation = Operation::read(request.method(), request.uri().path());
+    match (operation, rollouts) {
+        (Some(Operation::StartRollout), Some(rollouts)) => {
+            start_rollout(&rollouts, request.into_body()).await
+        }
+        (Some(Operation::ReadRollout(service)), Some(rollouts)) => {
+            read_rollout(&rollouts, &service).await
+        }
+        (Some(Operation::EndRollout(service)), Some(rollouts)) => {
+            rollout_answer(rollouts.end(&service).await)
+        }
+        (operation, _) => handle_deployment(&replica, operation, request).await,
+    }
+}
+
+async fn handle_deployment(
+    replica: &Replica,
+    operation: Option<Operation>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match operation {
-        Some(Operation::Configure) => configure(&replica, request.into_body()).await,
-        Some(Operation::ReadConfiguration) => read(&replica).await,
-        Some(Operation::Drain { zone, drained }) => drain(&replica, zone, drained).await,
-        None => error_response(StatusCode::NOT_FOUND, "no such call"),
+        Some(Operation::Configure) => configure(replica, request.into_body()).await,
+        Some(Operation::ReadConfiguration) => read(replica).await,
+        Some(Operation::Drain { zone, drained }) => drain(replica, zone, drained).await,
+        _ => error_response(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+/// Size limit of an order for a roll-out in bytes; it has three short fields.
+const MAX_ORDER_BYTES: usize = 16 * 1024;
+
+async fn start_rollout(rollouts: &Rollouts, body: Incoming) -> Response<Full<Bytes>> {
+    let Ok(body) = Limited::new(body, MAX_ORDER_BYTES).collect().await else {
+        return error_response(StatusCode::BAD_REQUEST, "the body is not whole or too long");
+    };
+    let order = match rollout::Order::read(&body.to_bytes()) {
+        Ok(order) => order,
+        Err(error) => {
+            log::warn!("control: roll-out refused: {error}");
+            return error_response(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+    };
+    let started = rollouts.start(order.service, order.target, order.duration);
+    rollout_answer(started.await)
+}
+
+async fn read_rollout(rollouts: &Rollouts, service: &ServiceName) -> Response<Full<Bytes>> {
+    match rollouts.read(service, READ_TIMEOUT).await {
+        Ok(rollout) => {
+            let state = rollout::state(rollout.step, &rollout.target);
+            json_response(StatusCode::OK, Bytes::from(state))
+        }
+        Err(refusal) => rollout_answer(Err(refusal)),
+    }
+}
+
+fn rollout_answer(result: Result<(), Refusal>) -> Response<Full<Bytes>> {
+    match result {
+        Ok(()) => success(),
+        Err(refusal) => error_response(refusal.status(), &refusal.to_string()),
     }
 }
 
--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -11,9 +11,12 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::read_rotation;
+use azurelug_core::gateway::rollout::evidence::{Evidence, Summary};
+use azurelug_core::gateway::rollout::state::Rollouts;
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit};
-use azurelug_types::id::{DaemonName, TargetName};
+use azurelug_types::id::{DaemonName, ServiceName, TargetName};
+use azurelug_types::rollout::{GatewayReports, Policy};
 use azurelug_wire::Frame;
 use azurelug_wire::frame::PART_LIMIT;
 use tokio::sync::mpsc;
@@ -54,6 +57,8 @@
     targets: Option<(Arc<List<Target>>, Instant)>,
     limits: Limits,
     suspects: Suspects,
+    /// What gateways have seen of the roll-outs in progress.
+    evidence: Evidence,
     controls: Vec<SocketAddr>,
     /// Slots of the control daemons in ascending order.
     control_slots: Vec<u32>,
@@ -66,9 +71,16 @@
     peers: Peers,
     cluster: Cluster,
     own_slot: u32,
+    /// Whether the deployment has roll-outs, so that gateways need policies for versions.
+    has_rollouts: bool,
+    started: Instant,
     state: Arc<Mutex<State>>,
 }
 
+/// Reports of gateways in one frame to another control daemon: 64 of 6 KB, for 8 roll-outs, are less
+/// than half of a frame.
+const MAX_REPORTS_PER_FRAME: usize = 64;
+
 impl Gateways {
     /// Creates the state without gateways and targets.
     pub fn new(replica: Replica, peers: Peers, cluster: Cluster, own_slot: u32) -> Self {
@@ -77,10 +89,70 @@
             peers,
             cluster,
             own_slot,
+            has_rollouts: false,
+            started: Instant::now(),
             state: Arc::default(),
         }
     }
 
+    /// Sends policies for versions to gateways.
+    #[must_use]
+    pub fn with_rollouts(mut self) -> Self {
+        self.has_rollouts = true;
+        self
+    }
+
+    /// The time since the start, by which reports on roll-outs are dated.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The platform's list and when it was read, if there is one.
+    pub fn targets(&self) -> Option<(Arc<List<Target>>, Instant)> {
+        self.state().targets.clone()
+    }
+
+    /// Takes over what gateways that poll another control daemon have seen of roll-outs.
+    pub fn receive_rollouts(&self, reports: Vec<GatewayReports>) {
+        let now = self.now();
+        let mut state = self.state();
+        for report in reports {
+            state.evidence.receive(report, false, now);
+        }
+    }
+
+    /// Sums up what gateways have seen of a roll-out. All listed gateways must have reported for it
+    /// to be complete, so that one that has not counts as silent.
+    pub fn rollout_summary(&self, service: &ServiceName, number: u64) -> Summary {
+        let now = self.now();
+        let state = self.state();
+        let mut summary = state
+            .evidence
+            .summary(service, number, GATEWAY_TIMEOUT, now);
+        let live = state.peers().entries.len();
+        summary.silent += live.saturating_sub(summary.gateways);
+        summary
+    }
+
+    fn send_rollouts(&self, slots: &[u32]) {
+        let orders = self.replica.orders();
+        let now = self.now();
+        let reports = {
+            let mut state = self.state();
+            state.evidence.prune(|service, number| {
+                let known = orders.rollouts().service(service);
+                let running = known.and_then(|it| it.running());
+                running.is_some_and(|rollout| rollout.number <= number)
+            });
+            state.evidence.local(now)
+        };
+        for chunk in reports.chunks(MAX_REPORTS_PER_FRAME) {
+            for slot in slots.iter().filter(|slot| **slot != self.own_slot) {
+                self.peers.send(*slot, Frame::Rollouts(chunk.to_vec()));
+            }
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
@@ -163,6 +235,14 @@
             last_seen: Instant::now(),
             is_local: true,
         };
+        let reports = GatewayReports {
+            gateway: poll.peer.name.clone(),
+            incarnation: poll.incarnation,
+            poll: poll.number,
+            age_ms: 0,
+            reports: poll.rollouts,
+        };
+        state.evidence.receive(reports, true, self.now());
         state.gateways.insert(poll.peer.name, record);
         state.limits.merge(poll.observed_limits);
         state.suspects.merge(&poll.suspects);
@@ -186,9 +266,20 @@
             suspects_revision: suspects.revision,
             suspects: suspects.reports,
             controls: state.controls.clone(),
+            policies: self.policies(orders.rollouts(), orders.sequence(), poll.policies),
         }))
     }
 
+    /// The policies for versions, if the gateway's may be older.
+    fn policies(
+        &self,
+        rollouts: &Rollouts,
+        sequence: u64,
+        known: Option<u64>,
+    ) -> Option<Vec<Policy>> {
+        (self.has_rollouts && known != Some(sequence)).then(|| rollouts.policies())
+    }
+
     /// Streams the document in force in parts.
     pub fn document(&self) -> mpsc::Receiver<Frame> {
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_DOCUMENT_FRAMES);
@@ -288,6 +379,9 @@
                 let suspects = state.suspects.next_broadcast();
                 (state.local_gateways(), state.limits.reports(), suspects)
             };
+            if self.has_rollouts {
+                self.send_rollouts(&slots);
+            }
             for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
                 if !local.is_empty() {
                     self.peers.send(slot, Frame::Gateways(local.clone()));
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -74,7 +74,7 @@
                 Reply::None
             }
             Frame::Forward { command } => Reply::One(self.commit_forwarded(&peer, command).await),
-            Frame::Poll(poll) => Reply::One(self.gateways.answer_poll(poll)),
+            Frame::Poll(poll) => Reply::One(self.gateways.answer_poll(*poll)),
             Frame::FetchDocument => Reply::Stream(self.gateways.document()),
             Frame::Gateways(peers) => {
                 self.gateways.receive_gateways(peers);
@@ -88,6 +88,10 @@
                 self.gateways.receive_limits(limits);
                 Reply::None
             }
+            Frame::Rollouts(reports) => {
+                self.gateways.receive_rollouts(reports);
+                Reply::None
+            }
             Frame::Suspects(reports) => {
                 self.gateways.receive_suspects(&reports);
                 Reply::None
@@ -206,12 +210,12 @@
                 log::info!("control: {subject}: claim {} granted", claim.number);
             }
             Ok(Outcome::Once(outcome)) => log::info!("control: {subject}: {}", outcome.as_str()),
-            Ok(Outcome::Patch(_) | Outcome::Deployment) => {}
+            Ok(Outcome::Patch(_) | Outcome::Deployment | Outcome::Rollout(_)) => {}
             Err(error) => log::warn!("control: {subject}: {error}"),
         }
         match proposed {
             Ok(Outcome::Once(outcome)) => Frame::OnceOutcome(outcome),
-            Ok(Outcome::Patch(_) | Outcome::Deployment) => Frame::Refused {
+            Ok(Outcome::Patch(_) | Outcome::Deployment | Outcome::Rollout(_)) => Frame::Refused {
                 message: "wrong outcome".to_owned(),
             },
             Err(error) => Frame::Refused {
@@ -239,9 +243,8 @@
     match proposed {
         Ok(Outcome::Once(outcome)) => outcome.as_str(),
         // After an unexpected outcome the result is unknown, as without a quorum.
-        Ok(Outcome::Patch(_) | Outcome::Deployment) | Err(replica::Error::NoQuorum { .. }) => {
-            metrics::NO_QUORUM
-        }
+        Ok(Outcome::Patch(_) | Outcome::Deployment | Outcome::Rollout(_))
+        | Err(replica::Error::NoQuorum { .. }) => metrics::NO_QUORUM,
         Err(replica::Error::Malformed { .. }) => metrics::TOO_LONG,
     }
 }
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod replica;
+pub mod rollouts;
 pub mod run;
 pub mod settings;
 pub mod shares;
--- a/crates/azurelug-control/src/metrics.rs
+++ b/crates/azurelug-control/src/metrics.rs
@@ -78,6 +78,7 @@
     once_record_bytes: Gauge,
     lease_renewals: Family<ResultLabel, Counter>,
     share_renewals: Family<ResultLabel, Counter>,
+    rollout_steps: Family<ResultLabel, Counter>,
     share_limit: Gauge,
     share_granted: Gauge,
 }
@@ -105,6 +106,7 @@
             once_record_bytes: Gauge::default(),
             lease_renewals: Family::default(),
             share_renewals: Family::default(),
+            rollout_steps: Family::default(),
             share_limit: Gauge::default(),
             share_granted: Gauge::default(),
         };
@@ -154,6 +156,8 @@
         );
         let help = "Size of the at-most-once records";
         registry.register("once_record_bytes", help, self.once_record_bytes.clone());
+        let help = "Steps of roll-outs that this leader began";
+        registry.register("rollout_steps", help, self.rollout_steps.clone());
         let help = "Renewals of configuration leases by result";
         registry.register("lease_renewals", help, self.lease_renewals.clone());
         let help = "Renewals of shares by result";
@@ -197,6 +201,13 @@
             .inc();
     }
 
+    /// Counts a transition of a roll-out that this leader committed.
+    pub fn count_rollout_step(&self, result: &'static str) {
+        self.rollout_steps
+            .get_or_create(&ResultLabel { result })
+            .inc();
+    }
+
     /// Counts a renewal of a configuration lease.
     pub fn count_lease_renewal(&self, is_granted: bool) {
         let result = if is_granted { "granted" } else { "refused" };
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -7,9 +7,11 @@
 use azurelug_core::configuration;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_http::answer::{self, BODY_LIMIT};
-use azurelug_types::id::{DaemonName, Version, ZoneName};
+use azurelug_platform::rollout;
+use azurelug_types::id::{DaemonName, ServiceName, Version, ZoneName};
 use azurelug_types::patch::{Answer, Patch};
-use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::route::{Router, get, post};
@@ -19,6 +21,7 @@
 use crate::metrics::{self, GaugeValues};
 use crate::orders::{self, Engines};
 use crate::replica::{self, Replica};
+use crate::rollouts::{Refusal, RolloutRow, Rollouts};
 use crate::shares::{self, Shares};
 
 /// A member is ready while its state is at most this old. A configuration lease lasts 2 s from the
@@ -29,6 +32,9 @@
 /// How long the answer to a patch is delayed until this member has applied the version.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The error where the settings hold no bounds for roll-outs.
+const NO_ROLLOUTS: &str = "no roll-outs here; set `bounds` in the settings of all control daemons";
+
 /// The state that the handlers share.
 #[derive(Clone)]
 pub struct OperatorApi {
@@ -44,6 +50,8 @@
     pub shares: Shares,
     /// The engines and the orders to them.
     pub engines: Engines,
+    /// Roll-outs, if the deployment has any.
+    pub rollouts: Option<Rollouts>,
 }
 
 #[derive(Serialize)]
@@ -73,6 +81,8 @@
     holders: shares::HoldersState,
     log: Option<State>,
     entry_daemons: Vec<DaemonRow>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    rollouts: Vec<RolloutRow>,
 }
 
 /// The size of the at-most-once records.
@@ -102,8 +112,25 @@
             (self.clone(), self.clone(), self.clone(), self.clone());
         let (ready, metrics) = (self.clone(), self.clone());
         let engines = self.engines.clone();
+        let (rollouts, starts, ends) = (self.clone(), self.clone(), self.clone());
         let patches = self;
         Router::new()
+            .route(
+                "/v1/rollouts",
+                get(move || async move { rollouts.rollout_rows() }).post(
+                    move |request: Request| {
+                        let api = starts.clone();
+                        async move { api.start_rollout(request).await }
+                    },
+                ),
+            )
+            .route(
+                "/v1/rollouts/end",
+                post(move |request: Request| {
+                    let api = ends.clone();
+                    async move { api.end_rollout(request).await }
+                }),
+            )
             .route("/healthz", get(|| async { "ok" }))
             .route("/readyz", get(move || async move { ready.readiness() }))
             .route(
@@ -190,6 +217,7 @@
             holders: self.shares.holders(),
             log,
             entry_daemons: self.registry.rows(),
+            rollouts: self.rollouts.as_ref().map_or_else(Vec::new, Rollouts::rows),
         };
         answer::json(200, &dump)
     }
@@ -251,7 +279,7 @@
                 self.catch_up(&answer).await;
                 patch_answer(&answer)
             }
-            Ok(Outcome::Once(_) | Outcome::Deployment) => {
+            Ok(Outcome::Once(_) | Outcome::Deployment | Outcome::Rollout(_)) => {
                 error_response(500, "wrong outcome; report this".to_owned())
             }
             Err(error @ replica::Error::Malformed { .. }) => {
@@ -268,6 +296,84 @@
     }
 }
 
+/// An order for a roll-out from the operators' tool.
+#[derive(Deserialize)]
+struct RolloutOrder {
+    service: ServiceName,
+    version: String,
+    within_ms: u64,
+}
+
+/// An order to end a roll-out from the operators' tool.
+#[derive(Deserialize)]
+struct RolloutEnd {
+    service: ServiceName,
+}
+
+/// The answer to an order that is in force.
+#[derive(Serialize)]
+struct Accepted {
+    service: ServiceName,
+}
+
+impl OperatorApi {
+    fn rollout_rows(&self) -> Response {
+        match &self.rollouts {
+            Some(rollouts) => answer::json(200, &rollouts.rows()),
+            None => error_response(404, NO_ROLLOUTS.to_owned()),
+        }
+    }
+
+    async fn start_rollout(&self, request: Request) -> Response {
+        let order: RolloutOrder = match read_json(request).await {
+            Ok(order) => order,
+            Err(response) => return response,
+        };
+        let Some(rollouts) = &self.rollouts else {
+            return error_response(404, NO_ROLLOUTS.to_owned());
+        };
+        if let Err(error) = rollout::check_version(&order.version) {
+            return error_response(400, error.to_string());
+        }
+        if order.within_ms == 0 {
+            return error_response(
+                400,
+                "within_ms is 0; write the time in milliseconds".to_owned(),
+            );
+        }
+        let duration = Duration::from_millis(order.within_ms);
+        let service = order.service.clone();
+        let started = rollouts.start(order.service, order.version, duration);
+        rollout_answer(started.await, service)
+    }
+
+    async fn end_rollout(&self, request: Request) -> Response {
+        let end: RolloutEnd = match read_json(request).await {
+            Ok(end) => end,
+            Err(response) => return response,
+        };
+        match &self.rollouts {
+            Some(rollouts) => rollout_answer(rollouts.end(&end.service).await, end.service),
+            None => error_response(404, NO_ROLLOUTS.to_owned()),
+        }
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(request: Request) -> Result<T, Response> {
+    let body = answer::read_body(request.into_body(), BODY_LIMIT).await;
+    let body = body.map_err(|error| error_response(413, error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| {
+        error_response(400, format!("not an order: {error}; see docs/operators.md"))
+    })
+}
+
+fn rollout_answer(result: Result<(), Refusal>, service: ServiceName) -> Response {
+    match result {
+        Ok(()) => answer::json(200, &Accepted { service }),
+        Err(refusal) => error_response(refusal.status().as_u16(), refusal.to_string()),
+    }
+}
+
 impl OperatorApi {
     /// Waits until this member has applied an accepted version, so that the operator's next read
     /// from the same daemon shows it and a patch based on it causes no conflict. A follower learns
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -13,7 +13,7 @@
     RecoveredState, Refusal, Role, Snapshot, Standing, StartError, Write,
 };
 use azurelug_core::gateway::orders::Orders;
-use azurelug_core::machine::{Command, Machine, Outcome, SnapshotV1, SnapshotV2};
+use azurelug_core::machine::{Command, Machine, Outcome, SnapshotV1, SnapshotV2, SnapshotV3};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use rand::SeedableRng;
@@ -570,9 +570,11 @@
     }
     // The fallbacks decode snapshots on disk or of a leader that an earlier release wrote.
     let state = codec::decode_unlimited(data).or_else(|error| {
-        let second = codec::decode_unlimited::<SnapshotV2>(data).map(Into::into);
+        let third = codec::decode_unlimited::<SnapshotV3>(data).map(Into::into);
+        let second = || codec::decode_unlimited::<SnapshotV2>(data).map(Into::into);
         let first = || codec::decode_unlimited::<SnapshotV1>(data).map(Into::into);
-        second.or_else(|_| first()).map_err(|_| decode_error(error))
+        let earlier = third.or_else(|_| second()).or_else(|_| first());
+        earlier.map_err(|_| decode_error(error))
     })?;
     Machine::restore(state).map_err(decode_error)
 }
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -35,6 +35,7 @@
 use crate::quarantine::Archive;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
+use crate::rollouts::Rollouts;
 use crate::settings::{Discovery, Options, Settings};
 use crate::shares::Shares;
 use crate::updates::Updates;
@@ -106,6 +107,13 @@
         prepare_member(&settings, options.initialize, &cluster, &peers).await?;
     let own_slot = cluster.own_slot(&settings);
     let gateways = Gateways::new(replica.clone(), peers, cluster.clone(), own_slot);
+    let gateways = match settings.bounds {
+        Some(_) => gateways.with_rollouts(),
+        None => gateways,
+    };
+    let rollouts = settings
+        .bounds
+        .map(|bounds| Rollouts::new(replica.clone(), gateways.clone(), bounds));
     let shares = Shares::new(
         settings.zone.clone(),
         generation.number,
@@ -139,6 +147,7 @@
         registry,
         shares,
         engines,
+        rollouts: rollouts.clone(),
     };
     log::info!(
         "control: {} serves operators on {} and daemons on {}",
@@ -158,8 +167,11 @@
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let call_replica = replica.clone();
         let limits = || h1::server::Limits::idle(OPERATORS_IDLE_TIMEOUT);
+        if let Some(rollouts) = &rollouts {
+            tokio::spawn(rollouts.clone().run());
+        }
         let calls = h1::server::serve(listener, limits, stages.clone(), move |request| {
-            handle(call_replica.clone(), request)
+            handle(call_replica.clone(), rollouts.clone(), request)
         });
         tokio::spawn(calls);
         tokio::spawn(server.serve_until(operator_api.router(), OPERATORS_IDLE_TIMEOUT, stages));
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -57,6 +57,9 @@
     /// Operators' whole configurations, for gateways.
     #[serde(default)]
     pub deployment: Option<Deployment>,
+    /// The operators' bounds for roll-outs; without them none can be ordered.
+    #[serde(default)]
+    pub bounds: Option<RolloutBounds>,
     /// Orders to engines.
     #[serde(default)]
     pub orders: Orders,
@@ -128,6 +131,20 @@
     pub calls_per_second: f64,
 }
 
+/// Bounds for roll-outs. All control daemons must have the same values, because any may lead.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutBounds {
+    /// Largest part of a service's requests that a version gets before it is judged.
+    pub exposure_share: f64,
+    /// Requests that are allowed in addition.
+    pub exposure_slack: f64,
+    /// Time after which a bad version must get nothing.
+    pub rollback: SettingDuration,
+    /// Time within which an order is acknowledged, and in which it may be sent again.
+    pub ack_timeout: SettingDuration,
+}
+
 /// Orders to engines. All control daemons must have the same values, because any may lead.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -237,6 +254,18 @@
             let message = deployment.targets.calls_per_second.to_string();
             return problem("deployment.targets.calls_per_second", message, help);
         }
+        if let Some(bounds) = &self.bounds {
+            let is_share = bounds.exposure_share > 0.0 && bounds.exposure_share <= 1.0;
+            if !is_share || !bounds.exposure_slack.is_finite() || bounds.exposure_slack < 0.0 {
+                let message = format!("{} and {}", bounds.exposure_share, bounds.exposure_slack);
+                let help = "set exposure_share above 0, up to 1, and exposure_slack of 0 or more";
+                return problem("bounds", message, help);
+            }
+            if bounds.rollback.0.is_zero() || bounds.ack_timeout.0.is_zero() {
+                let help = "set rollback and ack_timeout above 0ms, for instance 5s";
+                return problem("bounds", "0ms".to_owned(), help);
+            }
+        }
         self.log.check(path)?;
         read::shared_key(path, &self.key_file).map(|_| ())
     }
--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod reachability;
 pub mod read_rotation;
 pub mod rendezvous;
+pub mod rollout;
 pub mod shutdown;
 pub mod table;
 pub mod value_rank;
--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -476,6 +476,17 @@
         }
     }
 
+    /// Sets the targets that get no call now, because a roll-out allows none to their version.
+    pub fn hold_back(&mut self, names: &[TargetName]) {
+        self.workers.hold_back(names);
+    }
+
+    /// Returns what is pending at each target: running calls, and results that are still needed.
+    pub fn pending(&self) -> impl Iterator<Item = (&TargetName, u64)> {
+        let workers = self.workers.all();
+        workers.map(|worker| (&worker.target.name, worker.pending()))
+    }
+
     /// Returns the running calls and held bytes of each target, for a state dump.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetName, u32, u64)> {
         self.workers.iter().map(target_load)
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -70,6 +70,8 @@
 pub(super) struct Worker {
     pub(super) target: DispatchTarget,
     is_listed: bool,
+    /// Whether a roll-out allows no call to its version now.
+    is_held_back: bool,
     /// Calls in progress.
     pub(super) running: u32,
     /// Expected end of the call in progress.
@@ -90,6 +92,7 @@
         Self {
             target,
             is_listed: true,
+            is_held_back: false,
             running: 0,
             expected_end: Duration::ZERO,
             held_bytes: 0,
@@ -103,7 +106,13 @@
     }
 
     fn is_usable(&self, now: Duration) -> bool {
-        self.is_listed && now >= self.excluded_until
+        self.is_listed && !self.is_held_back && now >= self.excluded_until
+    }
+
+    /// Running calls, and 1 if results are stored that are still needed.
+    pub(super) fn pending(&self) -> u64 {
+        let has_results = self.held_bytes > self.released_bytes;
+        u64::from(self.running) + u64::from(has_results)
     }
 
     /// Whether a call can be sent to the target: now if it is free, or, with `sends_ahead`, shortly
@@ -219,6 +228,18 @@
         }
     }
 
+    /// Sets the targets that get no call now.
+    pub(super) fn hold_back(&mut self, names: &[TargetName]) {
+        for worker in &mut self.workers {
+            worker.is_held_back = names.contains(&worker.target.name);
+        }
+    }
+
+    /// All targets, including those that are not listed any more.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.iter()
+    }
+
     /// Adds a target to the arena, in the place of a removed one if possible.
     fn insert(&mut self, worker: Worker) {
         let results = &self.results;
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod permits;
 mod rate_limit;
+mod versions;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use azurelug_types::deployment::Target;
 use azurelug_types::id::{ServiceName, TargetName, ZoneName};
 
+use super::rollout::gate::{Gate, Side};
 use super::{limits, rendezvous};
 use health::Health;
 pub use health::Outcome;
@@ -163,6 +165,10 @@
     pools: HashMap<ServiceName, Vec<Key>>,
     drained: BTreeSet<ZoneName>,
     unreachable: BTreeSet<ZoneName>,
+    /// Which versions of services may get requests.
+    gates: HashMap<ServiceName, Gate>,
+    /// Until when the gates may be followed without newer information.
+    policies_until: Duration,
     /// Differs between gateways; the seed for the selection of the gateways that may send.
     seed: u64,
 }
@@ -273,6 +279,7 @@
         let mut usable: Vec<Key> = keys
             .filter(|key| self.may_use(&self.records[key.0 as usize]))
             .collect();
+        self.retain_allowed(service, &mut usable);
         let is_reachable = |key: &Key| !self.unreachable.contains(&self.target(*key).zone);
         if !self.unreachable.is_empty() && usable.iter().any(is_reachable) {
             usable.retain(is_reachable);
@@ -326,7 +333,25 @@
         random: f64,
         now: Duration,
     ) -> Result<Key, SelectionError> {
-        let candidates = self.candidates(wanted);
+        let key = self.select_version(wanted, random, now)?;
+        let record = &mut self.records[key.0 as usize];
+        record.in_flight += 1;
+        record.rate_limit.record_send(now);
+        record.health.record_send(now);
+        self.record_send(key);
+        Ok(key)
+    }
+
+    /// Selects a target of a side of the roll-out in progress, or of any if none is given.
+    fn select_among(
+        &self,
+        wanted: &TargetQuery<'_>,
+        side: Option<Side>,
+        random: f64,
+        now: Duration,
+    ) -> Result<Key, SelectionError> {
+        let mut candidates = self.candidates(wanted);
+        candidates.retain(|key| side.is_none_or(|side| self.is_of(*key, side)));
         if candidates.is_empty() {
             return Err(SelectionError::None);
         }
@@ -358,10 +383,6 @@
                 _ => SelectionError::Full { opens_in },
             });
         };
-        let record = &mut self.records[key.0 as usize];
-        record.in_flight += 1;
-        record.rate_limit.record_send(now);
-        record.health.record_send(now);
         Ok(key)
     }
 
@@ -447,6 +468,7 @@
     pub fn cancelled(&mut self, key: Key, now: Duration) {
         self.finished(key, Outcome::Unknown, now);
         self.records[key.0 as usize].rate_limit.cancel_send();
+        self.cancel_send(key);
     }
 
     /// Returns the key of a target by its name.
--- a/crates/azurelug-core/src/gateway/orders.rs
+++ b/crates/azurelug-core/src/gateway/orders.rs
@@ -9,6 +9,8 @@
 use azurelug_types::id::ZoneName;
 use serde::{Deserialize, Serialize};
 
+use super::rollout::state::{self, Rollouts};
+
 /// One operator command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
@@ -26,6 +28,8 @@
         /// Whether the zone is drained: its targets get no new work.
         drained: bool,
     },
+    /// Changes a roll-out, or the versions that may get requests.
+    Rollout(state::Command),
 }
 
 /// A document and its version.
@@ -43,12 +47,39 @@
     sequence: u64,
     document: Option<Document>,
     drained: BTreeSet<ZoneName>,
+    /// Shared, because the state is copied for each answer to a gateway.
+    rollouts: Arc<Rollouts>,
+}
+
+/// The state in the releases that had no roll-outs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrdersV1 {
+    sequence: u64,
+    document: Option<Document>,
+    drained: BTreeSet<ZoneName>,
+}
+
+impl From<OrdersV1> for Orders {
+    fn from(first: OrdersV1) -> Self {
+        Self {
+            sequence: first.sequence,
+            document: first.document,
+            drained: first.drained,
+            rollouts: Arc::default(),
+        }
+    }
 }
 
 impl Orders {
-    /// Applies a committed command.
-    pub fn apply(&mut self, order: Order) {
+    /// Applies a committed command. Returns the outcome of one on roll-outs.
+    pub fn apply(&mut self, order: Order) -> Option<state::Outcome> {
+        let mut outcome = None;
         let has_changed = match order {
+            Order::Rollout(command) => {
+                let (applied, has_changed) = Arc::make_mut(&mut self.rollouts).apply(command);
+                outcome = Some(applied);
+                has_changed
+            }
             Order::Configure { version, document } => self.configure(version, document),
             Order::Drain {
                 zone,
@@ -60,6 +91,7 @@
             } => self.drained.remove(&zone),
         };
         self.sequence += u64::from(has_changed);
+        outcome
     }
 
     fn configure(&mut self, version: u64, bytes: Arc<[u8]>) -> bool {
@@ -90,4 +122,10 @@
     pub fn drained(&self) -> &BTreeSet<ZoneName> {
         &self.drained
     }
+
+    /// The roll-outs and the versions of services.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
 }
--- a/crates/azurelug-core/src/machine.rs
+++ b/crates/azurelug-core/src/machine.rs
@@ -13,7 +13,8 @@
 
 use crate::configuration::Store;
 use crate::configuration::past::ReplacedValues;
-use crate::gateway::orders::{Order, Orders};
+use crate::gateway::orders::{Order, Orders, OrdersV1};
+use crate::gateway::rollout::state as rollout;
 
 /// A committed command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -42,6 +43,8 @@
     Once(once::Outcome),
     /// The deployment order, or a newer one, is in force.
     Deployment,
+    /// The outcome of a command on roll-outs.
+    Rollout(rollout::Outcome),
 }
 
 /// The replicated state machine.
@@ -63,6 +66,26 @@
     orders: Orders,
 }
 
+/// A snapshot of the releases that had no roll-outs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotV3 {
+    store: Store,
+    once: Vec<u8>,
+    past: ReplacedValues,
+    orders: OrdersV1,
+}
+
+impl From<SnapshotV3> for Snapshot {
+    fn from(third: SnapshotV3) -> Self {
+        Self {
+            store: third.store,
+            once: third.once,
+            past: third.past,
+            orders: third.orders.into(),
+        }
+    }
+}
+
 /// A snapshot of the second release, which had no deployment orders.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SnapshotV2 {
@@ -122,8 +145,8 @@
             } => Outcome::Patch(self.patch(&patch, digest, at_ms)),
             Command::Once(command) => Outcome::Once(self.once.apply(command)),
             Command::Deployment(order) => {
-                self.orders.apply(order);
-                Outcome::Deployment
+                let outcome = self.orders.apply(order);
+                outcome.map_or(Outcome::Deployment, Outcome::Rollout)
             }
         }
     }
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -12,6 +12,7 @@
 use crate::body::Body;
 use crate::gateway::Gateway;
 use crate::quarantine::SuspectRow;
+use crate::rollouts::RolloutRow;
 
 #[derive(Serialize)]
 struct Dump {
@@ -25,6 +26,7 @@
     targets: Vec<TargetRow>,
     stage_targets: Vec<StageRow>,
     suspects: Vec<SuspectRow>,
+    rollouts: Vec<RolloutRow>,
 }
 
 #[derive(Serialize)]
@@ -32,6 +34,7 @@
     name: String,
     service: String,
     zone: String,
+    version: String,
     is_leaving: bool,
     /// Limit that the target has named, in requests a second from all gateways.
     limit: Option<f64>,
@@ -65,6 +68,7 @@
         name: target.name.to_string(),
         service: target.service.to_string(),
         zone: target.zone.to_string(),
+        version: target.version.clone(),
         is_leaving: target.is_leaving,
         limit: fleet.limit(&target.name).map(Rate::per_second),
         in_flight,
@@ -89,6 +93,7 @@
             })
             .collect(),
         suspects: gateway.suspect_rows(),
+        rollouts: gateway.rollout_rows(),
     }
 }
 
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::gateway::{SendKind, Slot};
 use crate::memory::Held;
 use crate::quarantine;
+use crate::rollouts;
 use reply::{Attempt, Reply};
 
 /// Attempts that may be refused or fail to connect before the request fails. With a quarter of a
@@ -283,8 +284,13 @@
         may_run && self.history.refusals < MAX_REFUSALS && !self.history.inputs_gone
     }
 
-    fn send(&mut self, slot: Slot) {
+    fn send(&mut self, mut slot: Slot) {
         let exchange = self.exchange;
+        slot.subject = rollouts::subject(exchange);
+        if self.history.tried.is_empty() {
+            let service = &exchange.service.name;
+            exchange.gateway.fleet().record_request(service);
+        }
         if let Some(silent) = self.pending.last() {
             let name = &silent.slot.target.name;
             log::info!(
@@ -583,7 +589,7 @@
             Outcome::Answered(first),
         ),
         Reply::Stream(start) => {
-            slot.set_outcome(Outcome::Answered(first));
+            slot.set_started(first);
             let stream = Stream {
                 slot,
                 connection: start.connection,
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -97,6 +97,8 @@
         suspects_received: 0,
         suspects_sent: 0,
         has_gateway_list: false,
+        polls: 0,
+        policies: None,
     };
     loop {
         // The order differs by gateway, which spreads the polls over the control daemons.
@@ -129,6 +131,10 @@
     /// Own revision that the control daemon has received on this connection.
     suspects_sent: u64,
     has_gateway_list: bool,
+    /// Number of polls so far.
+    polls: u64,
+    /// Sequence number of the orders from which the policies for versions are.
+    policies: Option<u64>,
 }
 
 impl ControlPoller {
@@ -159,6 +165,7 @@
 
     async fn poll(&mut self, connection: &Connection) -> Result<(), String> {
         let suspects = self.gateway.suspect_changes(self.suspects_sent);
+        self.polls += 1;
         let poll = Poll {
             peer: self.gateway.peers.own().clone(),
             targets: self.targets_digest,
@@ -167,9 +174,15 @@
             observed_limits: self.gateway.unreported_limits(&self.reported_limits),
             suspects_revision: self.suspects_received,
             suspects: suspects.reports,
+            incarnation: self.identity.incarnation,
+            number: self.polls,
+            policies: self.policies,
+            rollouts: self.gateway.rollout_reports(),
         };
         let sent = Instant::now();
-        let answer = connection.call(Frame::Poll(poll), POLL_TIMEOUT).await;
+        let answer = connection
+            .call(Frame::Poll(Box::new(poll)), POLL_TIMEOUT)
+            .await;
         let polled = match answer.map_err(|error| error.to_string())? {
             Frame::Polled(polled) => *polled,
             _ => return Err("unexpected answer to a poll".to_owned()),
@@ -196,6 +209,13 @@
         if polled.version.is_some() && !self.gateway.record_freshness(polled.sequence, as_of) {
             return Err("its state is older than this gateway's".to_owned());
         }
+        // Before the targets, so that a new version is held until its policy is known.
+        if polled.version.is_some() {
+            if polled.policies.is_some() {
+                self.policies = Some(polled.sequence);
+            }
+            self.gateway.follow_policies(polled.policies, as_of);
+        }
         if !had_contact {
             self.gateway.permits.regain_contact(self.gateway.now());
         }
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -76,7 +76,7 @@
             token,
         };
         let now = gateway.now();
-        let actions = worker.dispatcher().submit(token, order, now);
+        let actions = worker.ready(gateway).submit(token, order, now);
         worker.perform_and_notify(gateway, actions);
         receiver.await.unwrap_or(no_target)
     }
@@ -165,11 +165,23 @@
         let results: Vec<Released> = results.collect();
         let workers: Vec<Arc<DispatchWorker>> = self.workers().values().cloned().collect();
         for worker in workers {
-            let actions = worker.dispatcher().release(&results, gateway.now());
+            let actions = worker.ready(gateway).release(&results, gateway.now());
             worker.perform_and_notify(gateway, actions);
         }
     }
 
+    /// What is pending at each target: running calls, and results that are still needed.
+    pub fn pending(&self) -> HashMap<TargetName, u64> {
+        let mut pending = HashMap::new();
+        for worker in self.workers().values() {
+            let dispatcher = worker.dispatcher();
+            for (name, count) in dispatcher.pending() {
+                *pending.entry(name.clone()).or_default() += count;
+            }
+        }
+        pending
+    }
+
     /// The dispatchers' targets with their running calls and held bytes, for the state dump.
     pub fn dump(&self) -> Vec<(String, u32, u64)> {
         let workers = self.workers();
@@ -204,6 +216,14 @@
             .expect("no holder of the lock panics")
     }
 
+    /// The dispatcher, which sends calls only to targets whose version may get one now.
+    fn ready(&self, gateway: &Gateway) -> MutexGuard<'_, Dispatcher> {
+        let held_back = gateway.fleet().held_back(&self.service, gateway.now());
+        let mut dispatcher = self.dispatcher();
+        dispatcher.hold_back(&held_back);
+        dispatcher
+    }
+
     fn waiting(&self) -> MutexGuard<'_, HashMap<Token, oneshot::Sender<PiecesEnd>>> {
         self.waiting.lock().expect("no holder of the lock panics")
     }
@@ -235,7 +255,7 @@
                 |target: &&Target| self.scope.as_ref().is_none_or(|zone| target.zone == *zone);
             targets.filter(is_own).map(listed).collect()
         };
-        let actions = self.dispatcher().list(&listed, gateway.now());
+        let actions = self.ready(gateway).list(&listed, gateway.now());
         self.perform_and_notify(gateway, actions);
     }
 
@@ -253,7 +273,7 @@
                 }
                 None => changed.await,
             }
-            let actions = self.dispatcher().advance(gateway.now());
+            let actions = self.ready(&gateway).advance(gateway.now());
             self.perform(&gateway, actions);
         }
     }
@@ -276,6 +296,7 @@
                     waiting,
                     limit,
                 } => {
+                    gateway.record_call(&self.service, &target.name);
                     let running = RunningCall {
                         worker: Arc::clone(self),
                         gateway: Arc::clone(gateway),
@@ -381,7 +402,8 @@
             call.await
         });
         let called = called.await;
-        let elapsed_ms = self.gateway.now().saturating_sub(started).as_millis();
+        let elapsed = self.gateway.now().saturating_sub(started);
+        let elapsed_ms = elapsed.as_millis();
         let name = &self.target.name;
         let end = match called {
             Ok(Ok(end)) => end,
@@ -401,6 +423,7 @@
             self.waiting,
             self.worker.held_bytes(name)
         );
+        self.record_outcome(&end, count, elapsed);
         if let CallEnd::Items(ends) = &end {
             let refused = ends
                 .iter()
@@ -414,12 +437,29 @@
             }
         }
         let actions = {
-            let mut dispatcher = self.worker.dispatcher();
+            let mut dispatcher = self.worker.ready(&self.gateway);
             dispatcher.complete_call(self.call, end, self.gateway.now())
         };
         self.worker.perform_and_notify(&self.gateway, actions);
     }
 
+    /// Counts the outcome for the version of the target. A call that did not run does not count.
+    fn record_outcome(&self, end: &CallEnd, count: usize, elapsed: Duration) {
+        let elapsed = match end {
+            CallEnd::Items(ends) if ends.contains(&ItemOutcome::Failed) => None,
+            CallEnd::Items(_) => Some(elapsed.saturating_sub(self.starts_in)),
+            CallEnd::Failed => None,
+            CallEnd::NotRun { .. } | CallEnd::Unreached => return,
+        };
+        let table = self.gateway.table();
+        let batch = table.and_then(|table| {
+            let mut services = table.deployment().services.iter();
+            services.find(|it| it.name == self.worker.service)?.batch
+        });
+        self.gateway
+            .record_call_outcome(&self.target.name, batch, count, elapsed);
+    }
+
     async fn call(&self, items: &[WorkItem]) -> Result<CallEnd, String> {
         let closed = self.gateway.target_retry_after(&self.target.name);
         if !closed.is_zero() {
@@ -445,6 +485,7 @@
                     Ok(acquired) => acquired,
                     Err(error) => return Ok(self.connect_failed(&error)),
                 };
+                self.gateway.record_extra_send(&self.target.name);
                 let called = self.call_on(acquired.connection, items).await;
                 called.map_err(|error| error.to_string())
             }
@@ -539,9 +580,13 @@
 /// Tells a target that results are no longer needed. After a failure the results only occupy
 /// memory until they expire.
 async fn release(gateway: &Arc<Gateway>, target: &Target, handles: Vec<String>) {
-    if !gateway.may_call(&target.name) || gateway.acquire_permit(&target.name).await.is_err() {
+    if !gateway.may_call(&target.name) || !gateway.may_release(&target.name) {
+        return;
+    }
+    if gateway.acquire_permit(&target.name).await.is_err() {
         return;
     }
+    gateway.record_extra_send(&target.name);
     let request = pieces::release(target, &handles);
     let released = async {
         let mut acquired = gateway.upstream.acquire(target, false).await?;
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -26,7 +26,8 @@
 use crate::peers::{Peers, Scope};
 use crate::permits::Permits;
 use crate::quarantine::{Progress, RequestQuarantine};
-use crate::settings::{Bounds, Settings};
+use crate::rollouts;
+use crate::settings::{Bounds, RolloutBounds, Settings};
 use crate::upstream::Upstream;
 
 /// Fraction of the revocation bound after which the gateway stops accepting keys by its
@@ -124,6 +125,11 @@
         self.started + time.saturating_sub(CLOCK_START)
     }
 
+    /// The bounds for roll-outs, if the deployment has any.
+    pub fn rollout_bounds(&self) -> Option<RolloutBounds> {
+        self.bounds.rollouts()
+    }
+
     fn view(&self) -> MutexGuard<'_, View> {
         self.view.lock().expect("no holder of the lock panics")
     }
@@ -408,6 +414,8 @@
             sent: now,
             outcome: Outcome::Unknown,
             is_cancelled: false,
+            subject: 0,
+            is_started: false,
             progress: Arc::default(),
         })
     }
@@ -538,6 +546,10 @@
     sent: Duration,
     outcome: Outcome,
     is_cancelled: bool,
+    /// Identifies the route and the kind of the request.
+    pub subject: u64,
+    /// Whether the start of an answer has been counted.
+    is_started: bool,
     /// Evidence about the request's prompt parts.
     pub progress: Arc<Progress>,
 }
@@ -558,6 +570,21 @@
         self.outcome = outcome;
     }
 
+    /// Sets that a stream has started, and counts its response time.
+    pub fn set_started(&mut self, first: Duration) {
+        self.set_outcome(Outcome::Answered(first));
+        self.count(self.outcome);
+        self.is_started = true;
+    }
+
+    /// Counts an outcome for the version of the target.
+    fn count(&self, outcome: Outcome) {
+        if let Some(observation) = rollouts::observation(outcome, self.is_started) {
+            self.gateway
+                .record_attempt_outcome(self.key, self.subject, observation);
+        }
+    }
+
     /// Releases the slot.
     pub fn release(self) {}
 
@@ -574,6 +601,7 @@
             self.gateway.fleet().cancelled(self.key, now);
         } else {
             let outcome = self.gateway.close_attempt(&self.progress, self.outcome);
+            self.count(outcome);
             self.gateway.fleet().finished(self.key, outcome, now);
         }
         self.gateway.slot_freed.notify_one();
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod permits;
 pub mod quarantine;
 pub mod relay;
+pub mod rollouts;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -66,6 +66,8 @@
     retries: Family<ServiceLabels, Counter>,
     stage_calls: Family<ServiceLabels, Counter>,
     stage_pieces: Family<ServiceLabels, Counter>,
+    rollout_sends: Family<ServiceLabels, Gauge>,
+    rollout_requests: Family<ServiceLabels, Gauge>,
     dropped_log_lines: Gauge,
     /// Requests whose response is not complete.
     pub in_flight: Gauge,
@@ -107,6 +109,12 @@
             "Pieces in these calls",
             stage_pieces.clone(),
         );
+        let rollout_sends = Family::<ServiceLabels, Gauge>::default();
+        let help = "Sends to the new version in the last roll-out";
+        registry.register("rollout_sends", help, rollout_sends.clone());
+        let rollout_requests = Family::<ServiceLabels, Gauge>::default();
+        let help = "Requests to the service in the last roll-out";
+        registry.register("rollout_requests", help, rollout_requests.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests without an answer", in_flight.clone());
         let config_version = Gauge::default();
@@ -148,6 +156,8 @@
             retries,
             stage_calls,
             stage_pieces,
+            rollout_sends,
+            rollout_requests,
             dropped_log_lines,
             in_flight,
             config_version,
@@ -165,6 +175,18 @@
         histogram.observe(latency.as_secs_f64());
     }
 
+    /// Shows the exposure of a roll-out at this gateway.
+    pub fn set_rollout(&self, service: &str, new_sends: u64, requests: u64) {
+        let labels = service_labels(service);
+        let signed = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.rollout_sends
+            .get_or_create(&labels)
+            .set(signed(new_sends));
+        self.rollout_requests
+            .get_or_create(&labels)
+            .set(signed(requests));
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self, service: &str) {
         self.retries.get_or_create(&service_labels(service)).inc();
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -2,6 +2,10 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use azurelug_core::gateway::rollout::gate;
+use azurelug_core::gateway::rollout::ledger::Exposure;
 
 use azurelug_settings::log_setup::Log;
 use azurelug_settings::span::SettingDuration;
@@ -79,6 +83,39 @@
     pub cold_factor: f64,
     /// Requests that are allowed in addition.
     pub cold_extra: f64,
+    /// Largest part of a service's requests that a version gets before it is judged, over all
+    /// gateways. Roll-outs are possible only with this and the next two.
+    #[serde(default)]
+    pub exposure_share: Option<f64>,
+    /// Requests that are allowed in addition.
+    #[serde(default)]
+    pub exposure_slack: Option<f64>,
+    /// Time after which a bad version must get nothing.
+    #[serde(default)]
+    pub rollback: Option<SettingDuration>,
+}
+
+/// Bounds for roll-outs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutBounds {
+    /// How much a version gets before it is judged.
+    pub exposure: Exposure,
+    /// How long policies for versions are followed without newer information.
+    pub freshness: Duration,
+}
+
+impl Bounds {
+    /// The bounds for roll-outs, if the deployment has any.
+    #[must_use]
+    pub fn rollouts(&self) -> Option<RolloutBounds> {
+        Some(RolloutBounds {
+            exposure: Exposure {
+                share: self.exposure_share?,
+                slack: self.exposure_slack?,
+            },
+            freshness: gate::freshness(self.rollback?.0),
+        })
+    }
 }
 
 impl Settings {
@@ -139,7 +176,47 @@
                 return problem(field, &number.to_string(), "set a number of 0 or more");
             }
         }
+        self.check_rollouts(path)?;
         self.log.check(path)?;
         read::shared_key(path, &self.key_file).map(|_| ())
     }
+
+    fn check_rollouts(&self, path: &Path) -> Result<(), Error> {
+        let problem = |field: &str, message: String, help: &str| {
+            Err(Error::value(path, field, message, help))
+        };
+        let bounds = &self.bounds;
+        let set = [
+            bounds.exposure_share.is_some(),
+            bounds.exposure_slack.is_some(),
+            bounds.rollback.is_some(),
+        ];
+        if set.contains(&true) && set.contains(&false) {
+            let help = "set exposure_share, exposure_slack and rollback, or none of them";
+            return problem("bounds", "only some bounds for roll-outs".to_owned(), help);
+        }
+        if let Some(share) = bounds.exposure_share
+            && !(share > 0.0 && share <= 1.0)
+        {
+            return problem(
+                "bounds.exposure_share",
+                share.to_string(),
+                "set a number above 0, up to 1",
+            );
+        }
+        if let Some(slack) = bounds.exposure_slack
+            && !(slack >= 0.0 && slack.is_finite())
+        {
+            return problem(
+                "bounds.exposure_slack",
+                slack.to_string(),
+                "set a number of 0 or more",
+            );
+        }
+        if bounds.rollback.is_some_and(|span| span.0.is_zero()) {
+            let help = "set the time after which a bad version must get nothing, for instance 5s";
+            return problem("bounds.rollback", "0ms".to_owned(), help);
+        }
+        Ok(())
+    }
 }
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::deployment::Target;
 use crate::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use crate::rate::Rate;
+use crate::rollout::{Policy, Report};
 use crate::{data, key};
 
 key! {
@@ -79,6 +80,15 @@
         pub suspects_revision: u64,
         /// Suspected parts that have changed at the gateway since its last poll on this connection.
         pub suspects: Vec<SuspectPart>,
+        /// Random number of the gateway's process.
+        pub incarnation: u64,
+        /// Number of this poll, which increases while the process runs.
+        pub number: u64,
+        /// Sequence number of the operator orders from which the gateway has its policies for
+        /// versions; none if it has none.
+        pub policies: Option<u64>,
+        /// What the gateway has seen of the roll-outs in progress.
+        pub rollouts: Vec<Report>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -105,6 +115,8 @@
         pub suspects: Vec<SuspectPart>,
         /// Internal addresses of the control daemons.
         pub controls: Vec<SocketAddr>,
+        /// Which versions of services may get requests, if the gateway's policies may be older.
+        pub policies: Option<Vec<Policy>>,
     }
 
     /// A target's limit for the requests from all gateways together.
--- a/crates/azurelug-types/src/lib.rs
+++ b/crates/azurelug-types/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod outcome;
 pub mod patch;
 pub mod rate;
+pub mod rollout;
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -134,7 +134,7 @@
         outcome: Vec<u8>,
     },
     /// A gateway asks a control daemon for the operator orders in force and the state of the fleet.
-    Poll(Poll),
+    Poll(Box<Poll>),
     /// The answer to `Poll`.
     Polled(Box<Polled>),
     /// Requests the deployment document in force, as a stream of `ConfigurationPart` frames.
@@ -185,4 +185,6 @@
         /// Whether the request may be sent.
         is_granted: bool,
     },
+    /// A control daemon sends another what gateways have seen of the roll-outs in progress.
+    Rollouts(Vec<azurelug_types::rollout::GatewayReports>),
 }
