--- a/crates/azurelug-control/tests/settings.rs
+++ b/crates/azurelug-control/tests/settings.rs
@@ -3,7 +3,9 @@
 
 use std::path::Path;
 
-use azurelug_control::settings::{Deployment, Discovery, Member, Orders, Settings, TargetList};
+use azurelug_control::settings::{
+    Deployment, Discovery, Member, Orders, RolloutBounds, Settings, TargetList,
+};
 use azurelug_settings::read;
 use azurelug_testkit::settings_page;
 use serde_json::Value;
@@ -27,4 +29,7 @@
     settings_page::assert_matches_struct::<TargetList>(&page, "deployment.targets", &targets);
     let deployment = serde_json::json!({"operators": "10.0.1.20:7200", "targets": targets});
     settings_page::assert_matches_struct::<Deployment>(&page, "deployment", &deployment);
+    let bounds = serde_json::json!({"exposure_share": 0.1, "exposure_slack": 50.0,
+        "rollback": "5s", "ack_timeout": "5s"});
+    settings_page::assert_matches_struct::<RolloutBounds>(&page, "bounds of roll-outs", &bounds);
 }
--- a/crates/azurelug-control/tests/snapshots_of_releases.rs
+++ b/crates/azurelug-control/tests/snapshots_of_releases.rs
@@ -1,8 +1,13 @@
 //! Tests that snapshots can be read by another release than the one that wrote them.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use azurelug_control::replica::task::decode_machine;
+use azurelug_core::configuration::past::ReplacedValues;
 use azurelug_core::configuration::{Store, digest};
+use azurelug_core::gateway::orders::{Document, Order};
 use azurelug_core::machine::{Command, Machine, SnapshotV1};
 use azurelug_types::config::{OnPartition, State, Zone};
 use azurelug_types::id::{Version, ZoneName};
@@ -55,3 +60,43 @@
     let restored = Machine::restore(first.into()).unwrap();
     assert_eq!(restored.store(), machine.store());
 }
+
+/// Guards against drained zones and a configuration that are lost by the upgrade to the release with
+/// roll-outs.
+#[test]
+fn a_snapshot_without_rollouts_is_read() {
+    let mut machine = Machine::default();
+    let zone = ZoneName::from("zone-a");
+    let document: Arc<[u8]> = Arc::from(&b"{}"[..]);
+    for order in [
+        Order::Configure {
+            version: 4,
+            document: Arc::clone(&document),
+        },
+        Order::Drain {
+            zone: zone.clone(),
+            drained: true,
+        },
+    ] {
+        machine.apply(Command::Deployment(order));
+    }
+    let drained: BTreeSet<ZoneName> = [zone].into();
+    let held = Some(Document {
+        version: 4,
+        bytes: document,
+    });
+    // The orders of the third release had these three fields.
+    let orders = (2_u64, held, drained);
+    let store = Store::default();
+    let past = ReplacedValues::default();
+    let once = Machine::default().once().snapshot();
+    let data = codec::encode_unlimited(&(store, once, past, orders)).unwrap();
+    let restored = decode_machine(&data).unwrap();
+    assert_eq!(restored.orders(), machine.orders());
+    let newest = codec::encode_unlimited(&restored.snapshot()).unwrap();
+    assert_eq!(
+        &newest[..data.len()],
+        &data[..],
+        "the earlier release reads it"
+    );
+}
--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -178,7 +178,12 @@
 
     /// The reports on the roll-outs in progress. `pending` returns what else is pending at a target:
     /// calls for pieces and results that are still needed.
-    pub fn rollout_reports(&self, pending: impl Fn(&TargetName) -> u64) -> Vec<Report> {
+    pub fn rollout_reports(
+        &self,
+        pending: impl Fn(&TargetName) -> u64,
+        now: Duration,
+    ) -> Vec<Report> {
+        let is_fresh = now < self.policies_until;
         let running = self.gates.values().filter(|gate| gate.is_running());
         let reports = running.filter_map(|gate| {
             let records = self.records.iter().filter(|record| {
@@ -188,7 +193,7 @@
             let pending_old = records
                 .map(|record| u64::from(record.in_flight) + pending(&record.target.name))
                 .sum();
-            gate.report(pending_old)
+            gate.report(pending_old, is_fresh)
         });
         reports.collect()
     }
--- a/crates/azurelug-core/src/gateway/rollout/gate.rs
+++ b/crates/azurelug-core/src/gateway/rollout/gate.rs
@@ -229,14 +229,19 @@
         }
     }
 
-    /// The gateway's report on the roll-out in progress.
+    /// The gateway's report on the roll-out in progress. One that has no recent policy sends to the old
+    /// version, so that it does not count as one that follows the last step.
     #[must_use]
-    pub fn report(&self, pending_old: u64) -> Option<Report> {
+    pub fn report(&self, pending_old: u64, is_fresh: bool) -> Option<Report> {
         let (running, progress) = (self.policy.running.as_ref()?, self.progress.as_ref()?);
         Some(Report {
             service: self.policy.service.clone(),
             number: running.number,
-            step: running.step,
+            step: if is_fresh {
+                running.step
+            } else {
+                running.step.min(Step::Majority)
+            },
             pending_old,
             new_sends: progress.ledger.sends(),
             requests: progress.ledger.requests(),
--- a/crates/azurelug-core/src/gateway/rollout/plan.rs
+++ b/crates/azurelug-core/src/gateway/rollout/plan.rs
@@ -16,6 +16,14 @@
 /// Shortest step: gateways learn of a step and report their first outcomes.
 const MIN_STEP: Duration = Duration::from_millis(800);
 
+/// Shortest step after the time limit, for instance after all control daemons were down: a bad version
+/// is seen in it.
+const OVERDUE_STEP: Duration = Duration::from_millis(2500);
+
+/// Time beyond the limit for which the end waits for gateways that do not follow the last step yet,
+/// for instance because of an election.
+const MAX_WAIT: Duration = Duration::from_secs(6);
+
 /// Time after the start of a leadership before a version goes on: all gateways have reported by then.
 const MIN_LEADERSHIP: Duration = Duration::from_millis(1500);
 
@@ -153,7 +161,9 @@
             );
             return passed(part::TARGETS).then(|| roll_back(reason)).flatten();
         }
-        if observed.in_step < MIN_STEP.min(duration.mul_f64(part::PROBE)) {
+        let is_overdue = observed.elapsed >= duration;
+        let least = if is_overdue { OVERDUE_STEP } else { MIN_STEP };
+        if observed.in_step < least.min(duration.mul_f64(part::PROBE)) {
             return None;
         }
         let (answers, failures) = observed.summary.counts.total(true);
@@ -181,6 +191,8 @@
                 let is_due = passed(part::MAJORITY) && !is_suspect;
                 (is_due || passed(part::MAJORITY_LATE)).then_some(Step::Full)
             }
+            // The fault is confirmed within a short time, or it is none.
+            Step::Full if self.is_unconfirmed(now) => None,
             Step::Full => {
                 let is_due = is_complete(observed, is_suspect, duration);
                 is_due.then_some(Step::Completed)
@@ -191,6 +203,12 @@
         Some(Transition { to, reason })
     }
 
+    /// Whether a fault without a control group has begun that may still be confirmed.
+    fn is_unconfirmed(&self, now: Duration) -> bool {
+        self.against_since
+            .is_some_and(|since| now.saturating_sub(since) < PERSISTENCE + BRIEF)
+    }
+
     /// Whether a fault without a control group has lasted long enough.
     fn lasts(&mut self, counts: &Counts, now: Duration) -> bool {
         let is_before = |(at, _): &&(Duration, Counts)| now.saturating_sub(*at) >= BRIEF;
@@ -240,17 +258,17 @@
     })
 }
 
-/// Whether the old targets may stop: all gateways follow the step and nothing is pending there, or
-/// no time is left to wait.
+/// Whether the old targets may stop: all gateways in contact follow the step, and nothing is pending
+/// there or no time is left to wait.
 fn is_complete(observed: &Observed, is_suspect: bool, duration: Duration) -> bool {
     let commit_time = duration.mul_f64(part::COMMIT).min(MAX_COMMIT_TIME);
+    let summary = &observed.summary;
+    if summary.followed != Some(Step::Full) {
+        return observed.elapsed >= duration + MAX_WAIT;
+    }
     if observed.elapsed + commit_time >= duration {
         return true;
     }
-    let summary = &observed.summary;
-    let is_idle = summary.followed == Some(Step::Full) && summary.pending_old == 0;
-    is_idle
-        && summary.silent == 0
-        && !is_suspect
-        && observed.in_step >= duration.mul_f64(part::FULL)
+    let is_idle = summary.pending_old == 0 && summary.silent == 0;
+    is_idle && !is_suspect && observed.in_step >= duration.mul_f64(part::FULL)
 }
--- a/crates/azurelug-core/tests/support/rollout_model.rs
+++ b/crates/azurelug-core/tests/support/rollout_model.rs
@@ -313,7 +313,7 @@
                     incarnation: gateway.incarnation,
                     poll: gateway.polls,
                     age_ms: 0,
-                    reports: gateway.gate.report(0).into_iter().collect(),
+                    reports: gateway.gate.report(0, true).into_iter().collect(),
                 };
                 self.sent.push((tick + REPORT_DELAY_TICKS, reports));
             }
--- a/crates/azurelug-gateway/src/rollouts.rs
+++ b/crates/azurelug-gateway/src/rollouts.rs
@@ -82,7 +82,8 @@
         }
         let pending = self.dispatch_workers.pending();
         let of = |name: &TargetName| pending.get(name).copied().unwrap_or(0);
-        let reports = self.fleet().rollout_reports(of);
+        let now = self.now();
+        let reports = self.fleet().rollout_reports(of, now);
         for report in &reports {
             let service = report.service.as_str();
             let (sends, requests) = (report.new_sends, report.requests);
@@ -149,7 +150,7 @@
     pub fn rollout_rows(&self) -> Vec<RolloutRow> {
         let fleet = self.fleet();
         let rows = fleet.gates().map(|gate| {
-            let (policy, report) = (gate.policy(), gate.report(0));
+            let (policy, report) = (gate.policy(), gate.report(0, true));
             let new = report.iter().flat_map(|it| &it.rows);
             let new = new.filter(|row| row.is_new);
             let (answers, failures) = new.fold((0, 0), |(answers, failures), row| {
