--- a/crates/azurelug-core/src/gateway/rollout/plan.rs
+++ b/crates/azurelug-core/src/gateway/rollout/plan.rs
@@ -47,7 +47,7 @@
     /// The step with a control group.
     pub(super) const MAJORITY: f64 = 0.65;
     /// The same, of a suspect version.
-    pub(super) const MAJORITY_LATE: f64 = 0.72;
+    pub(super) const MAJORITY_LATE: f64 = 0.8;
     /// The wait for targets of the new version.
     pub(super) const TARGETS: f64 = 0.75;
     /// Shortest time in which everything goes to the new version while the old one can still take
--- a/crates/azurelug-core/src/gateway/rollout/verdict.rs
+++ b/crates/azurelug-core/src/gateway/rollout/verdict.rs
@@ -30,8 +30,9 @@
 /// Part of the needed log odds that is enough for a verdict that can't wait any longer.
 const LIKELY_FRACTION: f64 = 0.7;
 
-/// Part of the needed log odds that is enough for the counts of a short time.
-const BRIEF_FRACTION: f64 = 0.33;
+/// Log odds that are enough for the counts of a short time, of a version that is bad by all counts:
+/// a burst that has ended leaves none.
+const BRIEF_LOG_ODDS: f64 = 2.0;
 
 /// Smallest difference between the failure rates that counts. Bad versions fail in a third of their
 /// answers; a crash of one target of many causes less.
@@ -118,7 +119,7 @@
     /// Whether the counts of a short time speak against the version.
     #[must_use]
     pub fn is_against(&self) -> bool {
-        self.log_odds >= self.needed * BRIEF_FRACTION
+        self.log_odds >= BRIEF_LOG_ODDS
     }
 }
 
@@ -142,10 +143,12 @@
     let steps: BTreeSet<Step> = counts.iter().map(|(key, _)| key.step).collect();
     let samples: Vec<Compared> = steps
         .into_iter()
-        .flat_map(|step| of_step(counts, step))
+        .flat_map(|step| of_step(counts, step, step < Step::Full))
         .collect();
     let findings = samples.iter().filter_map(Compared::finding);
-    let findings = findings.chain(combined(&samples));
+    let findings = findings
+        .chain(combined(&samples))
+        .chain(backed(&samples, counts));
     findings.max_by(|a, b| (a.log_odds - a.needed).total_cmp(&(b.log_odds - b.needed)))
 }
 
@@ -162,7 +165,7 @@
     for (key, count) in counts.iter().filter(|(key, _)| !key.is_new) {
         compared.add(*key, count);
     }
-    let findings = of_step(&compared, Step::Full).into_iter();
+    let findings = of_step(&compared, Step::Full, false).into_iter();
     let findings = findings.filter_map(|compared| compared.finding());
     findings.max_by(|a, b| a.log_odds.total_cmp(&b.log_odds))
 }
@@ -173,14 +176,33 @@
     fault: Fault,
     step: Step,
     subject: Option<u64>,
+    /// Whether the old version's outcomes are of the same step.
+    is_controlled: bool,
     sample: Sample,
 }
 
+/// Compares the new version, while most requests go there, with the old one in all steps, as far as
+/// the small control group of the step speaks against the version, too.
+fn backed(samples: &[Compared], counts: &Counts) -> Vec<Finding> {
+    let speaks_against = |of: &Compared| {
+        let mut own = samples.iter().filter(|it| it.step == of.step);
+        let own = own.find(|it| it.fault == of.fault && it.subject == of.subject);
+        let finding = own.and_then(Compared::finding);
+        finding.is_some_and(|finding| finding.is_suspect())
+    };
+    if !samples.iter().any(|it| it.step == Step::Majority) {
+        return Vec::new();
+    }
+    let all = of_step(counts, Step::Majority, false).into_iter();
+    let backed = all.filter(speaks_against);
+    backed.filter_map(|compared| compared.finding()).collect()
+}
+
 /// Compares the versions over all steps with a control group: the product of the Bayes factors of
 /// the steps, in which a step that speaks for the new version counts against the finding.
 fn combined(samples: &[Compared]) -> Vec<Finding> {
     let mut sums: BTreeMap<(bool, Option<u64>), (Compared, f64)> = BTreeMap::new();
-    for compared in samples.iter().filter(|it| it.step < Step::Full) {
+    for compared in samples.iter().filter(|it| it.is_controlled) {
         let (sample, rate) = (compared.sample, |it: (f64, f64)| it.1 / it.0.max(1.0));
         let odds = log_odds(sample.new, sample.old);
         let is_worse = rate(sample.new) > rate(sample.old);
@@ -207,8 +229,7 @@
     findings.collect()
 }
 
-fn of_step(counts: &Counts, step: Step) -> Vec<Compared> {
-    let is_controlled = step < Step::Full;
+fn of_step(counts: &Counts, step: Step, is_controlled: bool) -> Vec<Compared> {
     let mut kinds: BTreeMap<u64, Kind> = BTreeMap::new();
     for (key, count) in counts.iter() {
         let kind = kinds.entry(key.subject).or_default();
@@ -231,6 +252,7 @@
             fault,
             step,
             subject,
+            is_controlled,
             sample,
         };
         compared.extend(samples.iter().map(|(subject, it)| of(Some(*subject), *it)));
@@ -335,7 +357,7 @@
 impl Compared {
     fn finding(&self) -> Option<Finding> {
         let (fault, step, subject) = (self.fault, self.step, self.subject);
-        let is_controlled = step < Step::Full;
+        let is_controlled = self.is_controlled;
         let excess = match (fault, is_controlled) {
             (Fault::Failures, true) => MIN_FAILURE_EXCESS,
             (Fault::Failures, false) => MIN_UNCONTROLLED_FAILURE_EXCESS,
