Join roll-outs

Change: joined with the register of gateways (the evidence of a roll-out counts the gateways that the register lists), the bounds on clients (the body of an order is read within them), and the check of a document.

--- a/crates/azurelug-cli/src/command.rs
+++ b/crates/azurelug-cli/src/command.rs
@@ -6,6 +6,7 @@
 mod dump;
 mod history;
 mod patch;
+mod rollout;
 mod status;
 mod targets;
 mod zone;
@@ -79,6 +80,12 @@
         footer("Example: azurelug check deployment.json --against 10.0.0.1:8080")
     )]
     Check(#[bpaf(external(check::arguments))] check::Arguments),
+    /// Start, show or end a roll-out of a service to another version
+    #[bpaf(
+        command,
+        footer("Example: azurelug --control 10.0.0.1:7101 rollout start orders v2 --within 60")
+    )]
+    Rollout(#[bpaf(external(rollout::arguments))] rollout::Arguments),
     /// Print the state of any daemon
     #[bpaf(
         command,
@@ -99,6 +106,7 @@
             Command::Targets(arguments) => targets::run(&control, &arguments, self.json).await,
             Command::Zone(arguments) => zone::run(&control, arguments).await,
             Command::Check(arguments) => check::run(&control, &arguments, self.json).await,
+            Command::Rollout(arguments) => rollout::run(&control, arguments, self.json).await,
             Command::Dump(arguments) => dump::run(&control, &arguments).await,
         }
     }
--- a/crates/azurelug-control/src/deployment.rs
+++ b/crates/azurelug-control/src/deployment.rs
@@ -11,9 +11,11 @@
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::machine::Command;
 use azurelug_http::clients::Clients;
+use azurelug_http::incoming;
 use azurelug_platform::document;
 use azurelug_platform::operators::Operation;
-use azurelug_types::id::ZoneName;
+use azurelug_platform::rollout;
+use azurelug_types::id::{ServiceName, ZoneName};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -21,6 +23,7 @@
 use hyper::body::Incoming;
 
 use crate::replica::{Error, Replica};
+use crate::rollouts::{Refusal, Rollouts};
 
 /// Size limit of a configuration document in bytes.
 const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
@@ -33,25 +36,91 @@
 pub async fn handle(
     replica: Replica,
     clients: Clients,
+    rollouts: Option<Rollouts>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let operation = Operation::read(request.method(), request.uri().path());
+    match (operation, rollouts) {
+        (Some(Operation::StartRollout), Some(rollouts)) => {
+            start_rollout(&rollouts, &clients, request.into_body()).await
+        }
+        (Some(Operation::ReadRollout(service)), Some(rollouts)) => {
+            read_rollout(&rollouts, &service).await
+        }
+        (Some(Operation::EndRollout(service)), Some(rollouts)) => {
+            rollout_answer(rollouts.end(&service).await)
+        }
+        (operation, _) => handle_deployment(&replica, &clients, operation, request).await,
+    }
+}
+
+async fn handle_deployment(
+    replica: &Replica,
+    clients: &Clients,
+    operation: Option<Operation>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match operation {
-        Some(Operation::Configure) => configure(&replica, &clients, request.into_body()).await,
-        Some(Operation::ReadConfiguration) => read(&replica).await,
-        Some(Operation::Drain { zone, drained }) => drain(&replica, zone, drained).await,
-        None => error_response(StatusCode::NOT_FOUND, "no such call"),
+        Some(Operation::Configure) => configure(replica, clients, request.into_body()).await,
+        Some(Operation::ReadConfiguration) => read(replica).await,
+        Some(Operation::Drain { zone, drained }) => drain(replica, zone, drained).await,
+        _ => error_response(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+/// Size limit of an order for a roll-out in bytes; it has three short fields.
+const MAX_ORDER_BYTES: usize = 16 * 1024;
+
+async fn start_rollout(
+    rollouts: &Rollouts,
+    clients: &Clients,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
+    let body = match clients.read(body, MAX_ORDER_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return unread(&error),
+    };
+    let order = match rollout::Order::read(&body) {
+        Ok(order) => order,
+        Err(error) => {
+            log::warn!("control: roll-out refused: {error}");
+            return error_response(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+    };
+    let started = rollouts.start(order.service, order.target, order.duration);
+    rollout_answer(started.await)
+}
+
+async fn read_rollout(rollouts: &Rollouts, service: &ServiceName) -> Response<Full<Bytes>> {
+    match rollouts.read(service, READ_TIMEOUT).await {
+        Ok(rollout) => {
+            let state = rollout::state(rollout.step, &rollout.target);
+            json_response(StatusCode::OK, Bytes::from(state))
+        }
+        Err(refusal) => rollout_answer(Err(refusal)),
+    }
+}
+
+fn rollout_answer(result: Result<(), Refusal>) -> Response<Full<Bytes>> {
+    match result {
+        Ok(()) => success(),
+        Err(refusal) => error_response(refusal.status(), &refusal.to_string()),
     }
 }
 
+/// The answer to a call whose body was not read whole.
+fn unread(error: &incoming::Error) -> Response<Full<Bytes>> {
+    let mut response = error_response(error.status(), &error.to_string());
+    error.close(response.headers_mut());
+    response
+}
+
 async fn configure(replica: &Replica, clients: &Clients, body: Incoming) -> Response<Full<Bytes>> {
     let body = match clients.read(body, MAX_DOCUMENT_BYTES).await {
         Ok(body) => body,
         Err(error) => {
             log::warn!("control: configuration refused: {error}");
-            let mut response = error_response(error.status(), &error.to_string());
-            error.close(response.headers_mut());
-            return response;
+            return unread(&error);
         }
     };
     let version = match document::read(&body) {
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -36,6 +36,7 @@
 use crate::quarantine::Archive;
 use crate::replica::Replica;
 use crate::replica::task::{self, Task};
+use crate::rollouts::Rollouts;
 use crate::settings::{Discovery, Options, Settings};
 use crate::shares::Shares;
 use crate::updates::Updates;
@@ -107,6 +108,13 @@
         prepare_member(&settings, options.initialize, &cluster, &peers).await?;
     let own_slot = cluster.own_slot(&settings);
     let gateways = Gateways::new(replica.clone(), peers, cluster.clone(), own_slot);
+    let gateways = match settings.bounds {
+        Some(_) => gateways.with_rollouts(),
+        None => gateways,
+    };
+    let rollouts = settings
+        .bounds
+        .map(|bounds| Rollouts::new(replica.clone(), gateways.clone(), bounds));
     let shares = Shares::new(
         settings.zone.clone(),
         generation.number,
@@ -144,6 +152,7 @@
         registry,
         shares,
         engines,
+        rollouts: rollouts.clone(),
     };
     log::info!(
         "control: {} serves operators on {} and daemons on {}",
@@ -164,7 +173,17 @@
         let call_replica = replica.clone();
         let connections = clients.connections.clone();
         let limits = move || operator_limits;
-        let handler = move |request| handle(call_replica.clone(), clients.clone(), request);
+        if let Some(rollouts) = &rollouts {
+            tokio::spawn(rollouts.clone().run());
+        }
+        let handler = move |request| {
+            handle(
+                call_replica.clone(),
+                clients.clone(),
+                rollouts.clone(),
+                request,
+            )
+        };
         let calls =
             h1::server::serve_bounded(listener, connections, limits, stages.clone(), handler);
         tokio::spawn(calls);
--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod reachability;
 pub mod read_rotation;
 pub mod rendezvous;
+pub mod rollout;
 pub mod roster;
 pub mod shutdown;
 pub mod table;
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -13,6 +13,7 @@
 use crate::body::Body;
 use crate::gateway::Gateway;
 use crate::quarantine::SuspectRow;
+use crate::rollouts::RolloutRow;
 
 #[derive(Serialize)]
 struct Dump {
@@ -27,6 +28,7 @@
     stage_targets: Vec<StageRow>,
     suspects: Vec<SuspectRow>,
     clients: Held,
+    rollouts: Vec<RolloutRow>,
 }
 
 #[derive(Serialize)]
@@ -34,6 +36,7 @@
     name: String,
     service: String,
     zone: String,
+    version: String,
     is_leaving: bool,
     /// Limit that the target has named, in requests a second from all gateways.
     limit: Option<f64>,
@@ -67,6 +70,7 @@
         name: target.name.to_string(),
         service: target.service.to_string(),
         zone: target.zone.to_string(),
+        version: target.version.clone(),
         is_leaving: target.is_leaving,
         limit: fleet.limit(&target.name).map(Rate::per_second),
         in_flight,
@@ -92,6 +96,7 @@
             .collect(),
         suspects: gateway.suspect_rows(),
         clients: gateway.clients.held(),
+        rollouts: gateway.rollout_rows(),
     }
 }
 
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::deployment::Target;
 use crate::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use crate::rate::Rate;
+use crate::rollout::{Policy, Report};
 use crate::{data, key};
 
 key! {
@@ -81,6 +82,15 @@
         pub suspects: Vec<SuspectPart>,
         /// Whether the gateway stops now and is to be removed from the list.
         pub is_leaving: bool,
+        /// Random number of the gateway's process.
+        pub incarnation: u64,
+        /// Number of this poll, which increases while the process runs.
+        pub number: u64,
+        /// Sequence number of the operator orders from which the gateway has its policies for
+        /// versions; none if it has none.
+        pub policies: Option<u64>,
+        /// What the gateway has seen of the roll-outs in progress.
+        pub rollouts: Vec<Report>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -111,6 +121,8 @@
         /// than the time after which silent gateways are removed, gateways may be missing in
         /// `peers`.
         pub known_for_ms: u64,
+        /// Which versions of services may get requests, if the gateway's policies may be older.
+        pub policies: Option<Vec<Policy>>,
     }
 
     /// A target's limit for the requests from all gateways together.
