core: admit stages by the time in which they can be served

Ruled out: bookings that stay after a refusal; they are cancelled, and those that were seen belonged to requests that waited for an earlier stage.

Change: the give-up time is never before the due time that the objective allows. If a refused client can return and still be in time, requests are admitted only if they can be served in 0.8 of the time that a returning client has left, at all stages alike; other routes keep their due times. If orders wait for longer than a call in front of a later stage of such a route, its booking is confirmed before the first stage starts. The dispatcher leaves pieces out of a call whose deadline passes before their turn, refuses orders whose deadline is too close for a call, and releases the results of cancelled orders.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -24,7 +24,7 @@
 
 use admission::Reservation;
 use capacity::Utilization;
-use queue::Queue;
+use queue::{Queue, QueuedOrder};
 use times::{Load, PieceTimes};
 pub use workers::DispatchTarget;
 use workers::{Worker, WorkerKey, Workers};
@@ -227,9 +227,13 @@
         times.into_iter().flatten().min()
     }
 
-    /// Removes an order whose client has disconnected. Pieces in a running call are not cancelled.
-    pub fn cancel(&mut self, token: Token) {
-        self.queue.remove(token);
+    /// Removes an order whose client has disconnected or was refused elsewhere, and releases the
+    /// results that it already has. Pieces in a running call are not cancelled.
+    pub fn cancel(&mut self, token: Token, now: Duration) -> Vec<Action> {
+        let Some(waiting) = self.queue.remove(token) else {
+            return Vec::new();
+        };
+        self.release_produced(waiting, now)
     }
 
     /// Marks results as no longer needed. Targets are notified when a call needs the room; results
@@ -388,19 +392,22 @@
         let Some(waiting) = self.queue.remove(token) else {
             return Vec::new();
         };
-        let produced = waiting.into_results();
-        let produced: Vec<Released> = produced
-            .into_iter()
-            .map(|(worker, handle)| Released {
-                handle,
-                maker: self.workers.get(worker).target.address,
-            })
-            .collect();
-        let mut actions = self.release(&produced, now);
+        let mut actions = self.release_produced(waiting, now);
         actions.push(end_action(token, Err(error)));
         actions
     }
 
+    /// Releases the results of an order that has ended without needing them.
+    fn release_produced(&mut self, waiting: QueuedOrder, now: Duration) -> Vec<Action> {
+        let produced = waiting.into_results().into_iter();
+        let produced = produced.map(|(worker, handle)| Released {
+            handle,
+            maker: self.workers.get(worker).target.address,
+        });
+        let produced: Vec<Released> = produced.collect();
+        self.release(&produced, now)
+    }
+
     /// Hedges overdue pieces, refuses orders that can't be completed any more, and starts calls on
     /// free targets.
     pub fn advance(&mut self, now: Duration) -> Vec<Action> {
--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -168,13 +168,15 @@
             .collect()
     }
 
-    /// Refuses orders that can't be in time and whose deadline is too close to wait for lower load.
+    /// Refuses orders that can't be in time and whose deadline is too close to wait for lower load,
+    /// and those whose deadline is too close for a call.
     pub(super) fn refuse_infeasible(&mut self, now: Duration) -> Vec<Action> {
         let soonest = now + self.batch.call_time;
-        let in_time = self.queue.waiting().filter(|it| it.due >= soonest);
+        let is_in_time = |it: &&QueuedOrder| it.due >= soonest && it.deadline >= soonest;
+        let in_time = self.queue.waiting().filter(is_in_time);
         let mut ahead: Load = in_time.map(QueuedOrder::load).sum();
         let mut infeasible = Vec::new();
-        for waiting in self.queue.waiting().filter(|it| it.due < soonest) {
+        for waiting in self.queue.waiting().filter(|it| !is_in_time(it)) {
             if waiting.is_running() {
                 continue;
             }
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -202,10 +202,16 @@
     pub(super) pieces: usize,
     /// None if it is unlimited.
     pub(super) bytes: Option<u64>,
+    /// When the target starts the call, at the earliest.
+    pub(super) start: Duration,
     /// Earliest end of the call.
     pub(super) end: Duration,
 }
 
+/// Time between the start of a call and the moment at which its target checks the deadlines of the
+/// pieces: the transfer of a call on a slow link.
+const CHECK_DELAY: Duration = Duration::from_millis(20);
+
 /// All orders that have not ended.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -251,13 +257,15 @@
         Some(self.orders.remove(position))
     }
 
-    /// Returns the earliest deadline of an order with queued pieces.
+    /// Returns the earliest deadline of an order that has only queued pieces.
     pub(super) fn first_deadline(&self) -> Option<Duration> {
-        self.waiting().map(|it| it.deadline).min()
+        let idle = self.waiting().filter(|it| !it.is_running());
+        idle.map(|it| it.deadline).min()
     }
 
     /// Selects pieces for one call: first those that can be in time, in queue order, then the
-    /// others. An order is split only if it doesn't fit into any call.
+    /// others. An order is split only if it doesn't fit into any call. Pieces whose deadline passes
+    /// before their turn are left out: the target would not run them.
     pub(super) fn pick(
         &self,
         room: CallCapacity,
@@ -268,7 +276,9 @@
         let mut bytes = 0;
         let in_time = self.waiting().filter(|it| it.due >= room.end);
         let late = self.waiting().filter(|it| it.due < room.end);
-        for waiting in in_time.chain(late).filter(|it| is_eligible(it)) {
+        let has_turn = |it: &&QueuedOrder| it.deadline > room.start + CHECK_DELAY;
+        let eligible = in_time.chain(late).filter(has_turn);
+        for waiting in eligible.filter(|it| is_eligible(it)) {
             let free = room.pieces - picked.len();
             if free == 0 {
                 break;
--- a/crates/azurelug-core/src/gateway/dispatch/start.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -78,6 +78,7 @@
         let room = CallCapacity {
             pieces: self.batch.max_pieces,
             bytes: worker.free_room(self.batch.result_capacity),
+            start,
             end: start + self.call_time(self.queue.load()).mul_f64(slowness),
         };
         let zone = worker.target.zone.clone();
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -9,6 +9,10 @@
 pub struct Plan {
     /// The stages, in the order of the route.
     pub steps: Vec<Step>,
+    /// Typical time from the arrival to the first event of the answer when no stage is overloaded.
+    pub usual: Duration,
+    /// Whether orders wait for longer than a call in front of a stage that follows another one.
+    pub is_queued: bool,
 }
 
 /// One stage of one request.
@@ -42,6 +46,17 @@
 /// that the client has time to retry.
 const MAX_STAGES_FRACTION: f64 = 0.5;
 
+/// Longest `Retry-After` that clients honour, as a fraction of their remaining time.
+pub const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
+
+/// Shortest time for which a request may be admitted, as a multiple of the usual time of its path:
+/// shorter queues would not fill calls.
+const USUAL_FACTOR: f64 = 1.2;
+
+/// Fraction of the time that a returning client has left for which requests are admitted. The rest
+/// covers the work of the highest value, which may exceed the targets' time, and transfers.
+const PLANNED_FRACTION: f64 = 0.8;
+
 /// The times that bound a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -51,15 +66,28 @@
     pub due: Duration,
     /// When the client gives up.
     pub deadline: Duration,
+    /// Time limit of the route.
+    pub limit: Duration,
 }
 
 impl Bounds {
-    /// Time by which a stage must be done that is followed by steps that take `rest`.
+    /// Part of the objective that has to be left to a refused client for its return, or that the
+    /// client has already lost by an earlier attempt.
+    fn reserve(&self) -> Duration {
+        let left = self.deadline.saturating_sub(self.arrived);
+        let lost = self.limit.saturating_sub(left);
+        lost.max(self.limit.mul_f64(MAX_RETRY_AFTER_FRACTION))
+    }
+
+    /// Time by which a stage must be done that is followed by steps that take `rest`. It is never
+    /// before the time at which the stage is due by the objective: orders are admitted by their due
+    /// times, so an earlier end would make targets run pieces whose request is given up.
     #[must_use]
     pub fn give_up_at(&self, rest: Duration) -> Duration {
         let limit = self.deadline.saturating_sub(self.arrived);
         let give_up = self.arrived + limit.mul_f64(MAX_STAGES_FRACTION);
-        self.deadline.saturating_sub(rest).min(give_up)
+        let due = self.due.saturating_sub(rest);
+        self.deadline.saturating_sub(rest).min(give_up.max(due))
     }
 }
 
@@ -109,6 +137,7 @@
                 _ => typical_time(deployment.service(route.stages[position].service), &wait),
             })
             .collect();
+        let usual = longest_path(deployment, route, pieces);
         // One pass for each stage is enough for the longest path, whatever the order of stages.
         for position in (0..steps.len())
             .rev()
@@ -119,7 +148,45 @@
             let rest = rest.map(|dependent| steps[dependent].rest + times[dependent]);
             steps[position].rest = rest.max().unwrap_or(ENGINE_FIRST_EVENT_TIME);
         }
-        Ok(Self { steps })
+        let is_queued = steps.iter().enumerate().any(|(position, step)| {
+            let service = deployment.service(route.stages[position].service);
+            let call = service.batch.map_or(Duration::ZERO, |it| it.call_time);
+            step.pieces > 0 && !step.after.is_empty() && wait(service) > call
+        });
+        Ok(Self {
+            steps,
+            usual,
+            is_queued,
+        })
+    }
+
+    /// Time at which a stage has to be done for its request to be admitted. If a refused client can
+    /// return and still be in time, it is earlier than the time at which the stage is due: a longer
+    /// queue in front of a stage does not serve more requests, and makes returning clients late.
+    #[must_use]
+    pub fn admission_due(&self, position: usize, bounds: &Bounds) -> Duration {
+        let due = self.due(position, bounds.due);
+        let planned = self.early_objective(bounds);
+        planned.map_or(due, |planned| {
+            due.min(self.due(position, bounds.arrived + planned))
+        })
+    }
+
+    /// Whether the bookings of later stages have to be confirmed before the first stages start.
+    /// Load pattern: in a burst most bookings are refused, and the first stages of the refused
+    /// requests would have run for nothing.
+    #[must_use]
+    pub fn books_first(&self, bounds: &Bounds) -> bool {
+        self.is_queued && self.early_objective(bounds).is_some()
+    }
+
+    /// Time within which a request must be served to be admitted, if a refused client has the time
+    /// to return.
+    fn early_objective(&self, bounds: &Bounds) -> Option<Duration> {
+        let objective = bounds.due.saturating_sub(bounds.arrived);
+        let returned = objective.saturating_sub(bounds.reserve());
+        let shortest = self.usual.mul_f64(USUAL_FACTOR);
+        (returned >= shortest).then(|| returned.mul_f64(PLANNED_FRACTION).max(shortest))
     }
 
     /// Bytes that the targets of a stage fetch. Every piece fetches all results the stage needs.
@@ -144,6 +211,22 @@
     }
 }
 
+/// Time of the longest path through the stages without queues.
+fn longest_path(deployment: &Deployment, route: &Route, pieces: &[u16]) -> Duration {
+    let mut ends = vec![Duration::ZERO; pieces.len()];
+    for _ in 0..pieces.len() {
+        for (position, stage) in route.stages.iter().enumerate() {
+            let before = stage.after.iter().map(|&it| ends[usize::from(it)]).max();
+            let own = match pieces[position] {
+                0 => Duration::ZERO,
+                _ => typical_time(deployment.service(stage.service), |_| Duration::ZERO),
+            };
+            ends[position] = before.unwrap_or_default() + own;
+        }
+    }
+    ends.into_iter().max().unwrap_or_default() + ENGINE_FIRST_EVENT_TIME
+}
+
 fn needed_stages(stage: &Stage, pieces: &[u16]) -> Vec<u8> {
     let needed = stage.after.iter().copied();
     needed.filter(|&it| pieces[usize::from(it)] > 0).collect()
--- /dev/null
+++ b/crates/azurelug-core/tests/gateway_overload.rs
@@ -0,0 +1,54 @@
+//! Simulates bursts beyond the capacity of a pipeline whose clients allow queues of seconds.
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/overload.rs"]
+mod overload;
+#[path = "support/staged.rs"]
+mod staged;
+
+use std::time::Duration;
+
+use overload::{QUOTE, USUAL, best_level, burst, deployment, interval, wasted};
+
+const SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against goodput that collapses in a burst and stays low after it: orders admitted against
+/// due times that they can't reach, targets that are sent pieces too late to run them, and refusals
+/// after stages have run.
+#[test]
+fn in_a_burst_goodput_stays_at_the_best_level_and_is_back_after_it() {
+    let count = SEEDS.len() as f64;
+    let best = SEEDS.map(best_level).iter().sum::<f64>() / count;
+    for times in [2.0, 3.0, 5.0] {
+        let mut in_time = [0.0; 3];
+        for seed in SEEDS {
+            let mut simulation = deployment(burst(times, 4.0, 10.0), seed);
+            simulation.run(Duration::from_secs(14));
+            let context = format!("burst of {times}, seed {seed}");
+            for (sum, from) in in_time.iter_mut().zip([6.0, 8.0, 11.0]) {
+                let ended = interval(&simulation, (from, from + 2.0), |it| it.class == QUOTE);
+                *sum += f64::from(ended.in_time) / count;
+                assert_eq!(
+                    ended.refused_late, 0,
+                    "refused late: {context}, from {from}"
+                );
+            }
+            let wasted = wasted(&simulation);
+            assert!(wasted < 0.02, "{wasted} of the time wasted: {context}");
+            let late = simulation.target_time.late_pieces;
+            assert_eq!(late, 0, "pieces whose deadline had passed: {context}");
+        }
+        let [first, second, after] = in_time;
+        for level in [first, second] {
+            assert!(
+                level >= 0.95 * best,
+                "burst of {times}: {level} in time in 2 s, best {best}"
+            );
+        }
+        let usual = 2.0 * USUAL[QUOTE];
+        assert!(
+            after >= 0.95 * usual,
+            "1 s after a burst of {times}: {after} in time in 2 s, usually {usual}"
+        );
+    }
+}
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -72,6 +72,7 @@
         let (sender, receiver) = oneshot::channel();
         let token = worker.register(sender);
         let _guard = CancelGuard {
+            gateway,
             worker: &worker,
             token,
         };
@@ -185,14 +186,17 @@
 
 /// Cancels an order whose requester has gone away.
 struct CancelGuard<'a> {
-    worker: &'a DispatchWorker,
+    gateway: &'a Arc<Gateway>,
+    worker: &'a Arc<DispatchWorker>,
     token: Token,
 }
 
 impl Drop for CancelGuard<'_> {
     fn drop(&mut self) {
         if self.worker.waiting().remove(&self.token).is_some() {
-            self.worker.dispatcher().cancel(self.token);
+            let now = self.gateway.now();
+            let actions = self.worker.dispatcher().cancel(self.token, now);
+            self.worker.perform_and_notify(self.gateway, actions);
         }
     }
 }
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurelug_core::gateway::plan::{Bounds, Plan};
+use azurelug_core::gateway::plan::{Bounds, MAX_RETRY_AFTER_FRACTION, Plan};
 use azurelug_core::gateway::rendezvous;
 use azurelug_types::deployment::Service;
 use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
@@ -22,9 +22,6 @@
 /// Fixed part of the cost of using another zone.
 const ZONE_CROSSING_COST: Duration = Duration::from_millis(40);
 
-/// Longest `Retry-After` as a fraction of the request's remaining time; clients don't wait longer.
-const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
-
 /// Handles of the results that a request holds. Dropping this releases them, also when the client
 /// has disconnected.
 pub struct HeldResults {
@@ -111,7 +108,11 @@
     let plan = plan(exchange)?;
     let bookings = Bookings::new(exchange, &plan, home);
     let mut held = HeldResults::new(exchange);
-    let inputs = run_steps(exchange, &plan, home, &bookings, &mut held).await?;
+    let books_first = plan.books_first(&bounds(exchange));
+    if books_first {
+        bookings.book().await?;
+    }
+    let inputs = run_steps(exchange, &plan, home, &bookings, books_first, &mut held).await?;
     bookings.close();
     Ok(Results { inputs, held })
 }
@@ -122,6 +123,7 @@
     plan: &Plan,
     home: &ZoneName,
     bookings: &Bookings<'_>,
+    mut is_booked: bool,
     held: &mut HeldResults,
 ) -> Result<Vec<String>, Failure> {
     let mut handles: Vec<Option<Vec<String>>> = vec![None; plan.steps.len()];
@@ -134,7 +136,6 @@
     }
     let mut running = FuturesUnordered::new();
     let mut booking = std::pin::pin!(bookings.book());
-    let mut is_booked = false;
     loop {
         for (position, step) in plan.steps.iter().enumerate() {
             let is_ready = step
@@ -195,12 +196,13 @@
         let steps = plan.steps.iter().enumerate();
         let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
         let bookings = later.filter_map(|(position, step)| {
-            let due = plan.due(position, exchange.due_at());
+            let is_late = plan.due(position, exchange.due_at()) <= now;
+            let due = plan.admission_due(position, &bounds(exchange));
             let stage = &exchange.route.stages[position];
             let service = &exchange.table.service(stage.service).name;
             let bytes = plan.result_bytes(position, &exchange.route);
             let scope = scopes(exchange, service, home, bytes).into_iter().next()?;
-            (due > now).then(|| Booking {
+            (!is_late).then(|| Booking {
                 service: service.clone(),
                 scope,
                 request: exchange.id.clone(),
@@ -209,7 +211,7 @@
                 pieces: step.pieces,
                 rank: exchange.rank,
                 worth: exchange.value_rank,
-                due_ms: millis(due - now),
+                due_ms: millis(due.saturating_sub(now)),
                 deadline_ms: millis(stage_time_left(exchange, step.rest)),
                 account: exchange.account_hash(),
                 digest: 0,
@@ -304,7 +306,11 @@
         Source::Results(inputs)
     };
     let now = gateway.now();
-    let due = plan.due(position, exchange.due_at());
+    let due = if step.after.is_empty() {
+        plan.admission_due(position, &bounds(exchange))
+    } else {
+        plan.due(position, exchange.due_at())
+    };
     let order = Pieces {
         service: service.name.clone(),
         scope: None,
@@ -359,16 +365,21 @@
     }
 }
 
-/// Time within which a stage must finish that is followed by steps that take `rest`.
-fn stage_time_left(exchange: &Exchange, rest: Duration) -> Duration {
-    let bounds = Bounds {
+/// The times that bound a request.
+fn bounds(exchange: &Exchange) -> Bounds {
+    Bounds {
         arrived: exchange.arrived,
         due: exchange.due_at(),
         deadline: exchange.deadline,
-    };
+        limit: exchange.route.timeout,
+    }
+}
+
+/// Time within which a stage must finish that is followed by steps that take `rest`.
+fn stage_time_left(exchange: &Exchange, rest: Duration) -> Duration {
     // A planned stop can end the request before its deadline.
     let left = exchange.time_left().saturating_sub(rest);
-    let give_up = bounds.give_up_at(rest);
+    let give_up = bounds(exchange).give_up_at(rest);
     left.min(give_up.saturating_sub(exchange.gateway.now()))
 }
 
