core: less urgent work leaves its place in one call to urgent work

Cause: urgent requests with three stages, of which less urgent ones with a single stage share the first, are served worse in a burst of the less urgent ones. Both are due there at about the same time, so urgent requests spend their slack in the first queue and are late after two more stages.

Change: the offset of the due time for each step of a rank is 200 ms, the fixed time of a call, instead of 60 ms. It orders the queue only. The replay draws additional times of calls and engines.

Conclusion: in the replay a burst of less urgent work costs urgent work less than 5 in 100.

--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -8,9 +8,10 @@
 use super::times::Load;
 use super::workers::WorkerKey;
 
-/// Offset of the due time for each step of an order's rank. Work of a less urgent rank runs after
-/// more urgent work that is due at about the same time, but isn't starved by it.
-const RANK_STEP: Duration = Duration::from_millis(60);
+/// Offset of the due time for each step of an order's rank: the fixed time of a call, so that less
+/// urgent work leaves its place in one call to more urgent work that is due at about the same time,
+/// but isn't starved by it. A shorter offset makes urgent requests with further stages late.
+const RANK_STEP: Duration = Duration::from_millis(200);
 
 /// Ranks are capped at this value.
 const MAX_RANK: u32 = 8;
--- a/crates/azurelug-core/tests/gateway_overload.rs
+++ b/crates/azurelug-core/tests/gateway_overload.rs
@@ -8,7 +8,9 @@
 
 use std::time::Duration;
 
-use overload::{QUOTE, USUAL, best_level, burst, deployment, interval, wasted};
+use overload::{
+    BRIEF, DIGEST, QUOTE, USUAL, best_level, burst, deployment, interval, shared_stage, wasted,
+};
 
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -52,3 +54,37 @@
         );
     }
 }
+
+/// Guards against a priority inversion: urgent requests with three stages, of which the first one
+/// is shared with a burst of less urgent requests that need only this stage, lose their slack there
+/// and are served worse than the less urgent ones.
+#[test]
+fn urgent_requests_are_served_no_worse_than_others_through_the_same_stage() {
+    let jitter = Duration::from_millis(50);
+    let count = SEEDS.len() as f64;
+    let served = |digest: f64| {
+        let mut sums = [[0.0; 2]; 2];
+        for seed in SEEDS {
+            let mut simulation = shared_stage(digest, 2.0, jitter, seed);
+            simulation.run(Duration::from_secs(12));
+            for (sum, class) in sums.iter_mut().zip([BRIEF, DIGEST]) {
+                sum[0] += simulation.outcomes[class].fraction_in_time() / count;
+                sum[1] += simulation.outcomes[class].value_fraction() / count;
+            }
+        }
+        sums
+    };
+    let [alone, _] = served(1.0);
+    for times in [3.0, 4.0] {
+        let [urgent, other] = served(times);
+        let context = format!("{times} times the less urgent requests, seeds {SEEDS:?}");
+        assert!(
+            urgent[0] >= alone[0] - 0.05,
+            "{urgent:?} with a burst, {alone:?} without: {context}"
+        );
+        assert!(
+            urgent[0] >= other[0] - 0.05 && urgent[1] >= other[1] - 0.15,
+            "{urgent:?} urgent, {other:?} less urgent: {context}"
+        );
+    }
+}
--- a/crates/azurelug-core/tests/support/overload.rs
+++ b/crates/azurelug-core/tests/support/overload.rs
@@ -133,3 +133,55 @@
     };
     [1.0, 1.2, 1.5].map(level).into_iter().fold(0.0, f64::max)
 }
+
+/// Class of urgent requests with three stages in [`shared_stage`].
+pub(crate) const BRIEF: usize = 1;
+
+/// Class of less urgent requests with one stage in [`shared_stage`].
+pub(crate) const DIGEST: usize = 0;
+
+/// Creates a deployment in which urgent requests with three stages share the first one with less
+/// urgent requests that have only this stage. The rates are multiples of the usual ones from 4 to
+/// 10 s. `jitter` is the longest additional time of a call and of an engine.
+pub(crate) fn shared_stage(digest: f64, brief: f64, jitter: Duration, seed: u64) -> Simulation {
+    let services = vec![
+        service("intake", 20, 8600, 45_000_000),
+        service("routes", 48, 3600, 8_100_000),
+        service("roster", 66, 2600, 1_100_000),
+    ];
+    let rate = |usual: f64, times: f64| -> Rc<dyn Fn(f64) -> f64> {
+        Rc::new(move |at| match at {
+            4.0..10.0 => usual * times,
+            _ => usual,
+        })
+    };
+    let mut first = route("digest", 1000, 1, &[(0, &[], 1_500_000)]);
+    first.timeout = Duration::from_secs(5);
+    let classes = vec![
+        Class {
+            route: first,
+            rate: rate(181.0, digest),
+            pieces: vec![(1, 4)],
+            skip_rate: 0.3,
+            work: vec![1.0],
+        },
+        Class {
+            route: route(
+                "brief",
+                1800,
+                0,
+                &[(0, &[], 8000), (1, &[0], 60_000), (2, &[1], 6000)],
+            ),
+            rate: rate(111.0, brief),
+            pieces: vec![(1, 1), (6, 6), (4, 16)],
+            skip_rate: 0.0,
+            work: vec![0.3, 1.0, 1.0],
+        },
+    ];
+    let mut simulation = Simulation::new(services, classes, &[6, 5, 6], 3, seed);
+    simulation.books_in_parallel = true;
+    simulation.has_retries = true;
+    simulation.gateways = 62;
+    simulation.jitter = jitter;
+    simulation
+}
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -220,6 +220,8 @@
     /// Whether bookings arrive together with the first stage's order, as those of a gateway do,
     /// instead of before it.
     pub(crate) books_in_parallel: bool,
+    /// Longest additional time of a call and of an engine to its first event, beyond the usual.
+    pub(crate) jitter: Duration,
     /// Whether clients retry once.
     pub(crate) has_retries: bool,
     /// Number of gateways; each knows only the queue delays that it was told.
@@ -328,6 +330,7 @@
             records: Vec::new(),
             target_time: TargetTime::default(),
             books_in_parallel: false,
+            jitter: Duration::ZERO,
             has_retries: false,
             gateways: 1,
             account: |_, _, _| 0,
@@ -718,7 +721,8 @@
         }
         let it = &self.requests[request];
         if it.done.iter().all(|done| *done) {
-            self.schedule(self.now + ENGINE_TIME, Event::Answered { request });
+            let more = self.jitter.mul_f64(self.random.random::<f64>());
+            self.schedule(self.now + ENGINE_TIME + more, Event::Answered { request });
         }
     }
 
@@ -860,6 +864,7 @@
             let handle = format!("{}/{request}-{stage}-{}", target.address, item.piece);
             ends.push(ItemOutcome::Done(handle));
         }
+        time += self.jitter.mul_f64(self.random.random::<f64>());
         let end = start + time;
         free_at.insert(target.name.clone(), end);
         self.target_time.total += time;
