core: share stage targets fairly between accounts where they are short

Change: each dispatcher keeps the target time that accounts ask for and get, averaged over 2 s, for at most 256 accounts. If they ask for more than the targets' time, it is divided by max-min fairness: accounts that ask for less than an equal part compete with the highest value, and an account beyond its part is refused, its work of low value first. What is cancelled is given back. The log line of a refusal shows the share; a new metric counts refusals because of stages by reason.

Conclusion: shares of stage targets are whole; slots of engines and plain services are not shared yet.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod capacity;
 mod queue;
+mod shares;
 mod start;
 mod times;
 mod workers;
@@ -25,6 +26,7 @@
 use admission::Reservation;
 use capacity::Utilization;
 use queue::{Queue, QueuedOrder};
+use shares::Shares;
 use times::{Load, PieceTimes};
 pub use workers::DispatchTarget;
 use workers::{Worker, WorkerKey, Workers};
@@ -135,6 +137,9 @@
     pub busy: Duration,
     /// Capacity of the usable targets, in targets of usual speed.
     pub targets: f64,
+    /// Target time that each account may use in the averaging window; none if there is enough for
+    /// all, or if accounts don't share.
+    pub share: Option<Duration>,
 }
 
 /// A piece in a call.
@@ -177,6 +182,7 @@
     bookings: Vec<Reservation>,
     /// Utilization of the targets by work that can be in time.
     utilization: Utilization,
+    shares: Shares,
 }
 
 impl Dispatcher {
@@ -193,9 +199,17 @@
             last_start: None,
             bookings: Vec::new(),
             utilization: Utilization::default(),
+            shares: Shares::default(),
         }
     }
 
+    /// Shares the targets fairly between client accounts where capacity is short.
+    #[must_use]
+    pub fn with_fair_shares(mut self) -> Self {
+        self.shares.enable();
+        self
+    }
+
     /// Applies the settings of a newer configuration.
     pub fn configure(&mut self, batch: Batch) {
         self.batch = batch;
@@ -472,14 +486,17 @@
 
     /// Returns the inputs of the admission decision, for logs.
     #[must_use]
-    pub fn pressure(&self, now: Duration) -> Pressure {
+    pub fn pressure(&mut self, now: Duration) -> Pressure {
+        let targets = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
+        let share = self.shares.share(targets, now);
         let booked = self.bookings.iter().filter(|it| it.commitment.due > now);
         let waiting = self.queue.load();
         Pressure {
             waiting: waiting.pieces,
             booked: booked.map(|it| it.load.pieces).sum(),
             busy: self.workers.busy_time(now),
-            targets: self.workers.capacity(now).map_or(0.0, |(_, rate)| rate),
+            targets,
+            share: share.map(Duration::from_secs_f64),
         }
     }
 
--- a/crates/azurelug-core/src/gateway/dispatch/admission.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/admission.rs
@@ -9,11 +9,18 @@
 use super::times::Load;
 use super::{Action, Dispatcher, MIN_RETRY_DELAY, Token, end_action, millis};
 
+/// Priority of work that is admitted only where there is room.
+const LOWEST: Priority = Priority {
+    rank: u16::MAX,
+    value: 0.0,
+};
+
 /// Capacity that is reserved for pieces of a later stage.
 #[derive(Debug)]
 pub(super) struct Reservation {
     request: String,
     stage: u8,
+    account: u64,
     pub(super) commitment: Commitment,
     pub(super) load: Load,
 }
@@ -27,15 +34,47 @@
             return vec![end_action(token, Err(PiecesError::NoTarget))];
         }
         let is_booked = self.remove_booking(&waiting.order.request, waiting.order.stage);
-        if !is_booked && self.fits_in_time(&waiting, now) {
-            self.utilization.add(self.target_time(waiting.load()), now);
-        } else if !is_booked && !self.may_wait(&waiting, now) {
+        if !is_booked && !self.admit(&waiting, now) {
             return vec![end_action(token, Err(self.refusal(now)))];
         }
         self.queue.push(waiting);
         self.advance(now)
     }
 
+    /// Decides on an order without a booking.
+    fn admit(&mut self, waiting: &QueuedOrder, now: Duration) -> bool {
+        let work = self.target_time(waiting.load());
+        let priority = Priority {
+            rank: waiting.order.rank,
+            value: waiting.order.worth,
+        };
+        let account = waiting.order.account;
+        let priority = self.ask(account, work, priority, now);
+        // A refusal would waste the work of earlier stages.
+        let Some(priority) = priority.or(waiting.has_inputs().then_some(LOWEST)) else {
+            return false;
+        };
+        if self.fits_in_time(waiting, priority, now) {
+            self.utilization.add(work, now);
+            self.shares.admit(account, work, now);
+            return true;
+        }
+        self.may_wait(waiting, now)
+    }
+
+    /// Asks for target time on behalf of an account; returns the priority, or none if the account
+    /// has its share.
+    fn ask(
+        &mut self,
+        account: u64,
+        work: Duration,
+        priority: Priority,
+        now: Duration,
+    ) -> Option<Priority> {
+        let rate = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
+        self.shares.ask(account, work, priority, rate, now)
+    }
+
     /// Reserves capacity for pieces of a later stage, so that a request whose later stages can't be
     /// in time is refused before its first ones run.
     ///
@@ -53,15 +92,21 @@
             rank: booking.rank,
             value: booking.worth,
         };
+        let account = booking.account;
+        let Some(priority) = self.ask(account, commitment.work, priority, now) else {
+            return Err(self.refusal(now));
+        };
         if !self.fits(commitment, priority, now) {
             let deadline = now + Duration::from_millis(booking.deadline_ms);
             let has_time = self.has_time(load, deadline, now);
             return has_time.then_some(()).ok_or_else(|| self.refusal(now));
         }
         self.utilization.add(commitment.work, now);
+        self.shares.admit(account, commitment.work, now);
         self.bookings.push(Reservation {
             request: booking.request.clone(),
             stage: booking.stage,
+            account,
             commitment,
             load,
         });
@@ -70,7 +115,14 @@
 
     /// Cancels the bookings of a request.
     pub fn unbook(&mut self, request: &str) {
-        self.bookings.retain(|booked| booked.request != request);
+        let shares = &mut self.shares;
+        self.bookings.retain(|booked| {
+            let is_kept = booked.request != request;
+            if !is_kept {
+                shares.refund(booked.account, booked.commitment.work);
+            }
+            is_kept
+        });
     }
 
     /// Removes the booking of an order; returns whether there was one.
@@ -81,7 +133,7 @@
     }
 
     /// Whether an order can be in time without delaying others beyond their due time.
-    fn fits_in_time(&self, waiting: &QueuedOrder, now: Duration) -> bool {
+    fn fits_in_time(&self, waiting: &QueuedOrder, priority: Priority, now: Duration) -> bool {
         let ahead = self.queue.load_before(waiting);
         let wait = self.wait_behind(ahead, now).unwrap_or_default();
         let mut shared = ahead;
@@ -91,10 +143,6 @@
             due: waiting.due,
             work: self.target_time(waiting.load()),
         };
-        let priority = Priority {
-            rank: waiting.order.rank,
-            value: waiting.order.worth,
-        };
         done <= waiting.due && self.fits(commitment, priority, now)
     }
 
--- a/crates/azurelug-core/tests/gateway_overload.rs
+++ b/crates/azurelug-core/tests/gateway_overload.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use overload::{
-    BRIEF, DIGEST, QUOTE, USUAL, best_level, burst, deployment, interval, shared_stage, wasted,
+    ACCOUNTS, BRIEF, DIGEST, QUOTE, USUAL, best_level, burst, deployment, greedy_account, interval,
+    served, shared_stage, wasted,
 };
 
 const SEEDS: [u64; 2] = [1, 2];
@@ -88,3 +89,34 @@
         );
     }
 }
+
+/// Guards against one account that takes the capacity of the others: it sends ten times its usual
+/// load, and no other account may lose more than a twentieth. With enough capacity for all, no
+/// account is limited.
+#[test]
+fn an_account_with_ten_times_its_load_costs_no_other_account_more_than_a_twentieth() {
+    for seed in SEEDS {
+        for times in [1.0, 1.5] {
+            let run = |is_greedy: bool| {
+                let mut simulation = greedy_account(times, is_greedy, seed);
+                simulation.share_fairly();
+                simulation.run(Duration::from_secs(16));
+                simulation
+            };
+            let (usual, greedy) = (run(false), run(true));
+            for account in 1..ACCOUNTS {
+                let (before, after) = (served(&usual, account), served(&greedy, account));
+                assert!(
+                    after >= 0.95 * before,
+                    "account {account}: {after} in time, otherwise {before}; {times} times the \
+                     usual load, seed {seed}"
+                );
+            }
+            let large = served(&usual, 0);
+            assert!(
+                large >= 0.98,
+                "{large} in time of the large account, seed {seed}"
+            );
+        }
+    }
+}
--- a/crates/azurelug-core/tests/support/overload.rs
+++ b/crates/azurelug-core/tests/support/overload.rs
@@ -185,3 +185,54 @@
     simulation.jitter = jitter;
     simulation
 }
+
+/// Number of accounts in [`greedy_account`].
+pub(crate) const ACCOUNTS: u64 = 16;
+
+/// Part of the usual load that account 0 sends; the others send equal parts of the rest.
+const LARGE_PART: f64 = 0.2;
+
+/// Part of the load that account 0 sends when it sends ten times as much as usually.
+const GREEDY_PART: f64 = 10.0 * LARGE_PART / (1.0 + 9.0 * LARGE_PART);
+
+/// Creates the deployment with 16 accounts at `times` the usual load, of which account 0 sends ten
+/// times its usual load from 4 s on.
+pub(crate) fn greedy_account(times: f64, is_greedy: bool, seed: u64) -> Simulation {
+    let rate = move |at: f64| {
+        let usual = times * USUAL[QUOTE];
+        if is_greedy && at >= 4.0 {
+            usual * (1.0 + 9.0 * LARGE_PART)
+        } else {
+            usual
+        }
+    };
+    let mut simulation = deployment(rate, seed);
+    simulation.account = if is_greedy {
+        |class, now, random| {
+            let is_usual = class != QUOTE || now < Duration::from_secs(4);
+            draw(if is_usual { LARGE_PART } else { GREEDY_PART }, random)
+        }
+    } else {
+        |_, _, random| draw(LARGE_PART, random)
+    };
+    simulation
+}
+
+fn draw(part: f64, random: f64) -> u64 {
+    if random < part {
+        return 0;
+    }
+    1 + ((random - part) / (1.0 - part) * (ACCOUNTS - 1) as f64) as u64
+}
+
+/// Fraction of the requests of an account from 4 s on that were in time.
+pub(crate) fn served(simulation: &Simulation, account: u64) -> f64 {
+    let own = simulation.records.iter().filter(|it| {
+        let is_counted = it.class == QUOTE && !it.is_retried;
+        is_counted && it.account == account && it.first_arrived >= Duration::from_secs(4)
+    });
+    let (in_time, all) = own.fold((0, 0), |(in_time, all), it| {
+        (in_time + u32::from(it.end == End::InTime), all + 1)
+    });
+    f64::from(in_time) / f64::from(all.max(1))
+}
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -339,6 +339,15 @@
         }
     }
 
+    /// Shares the targets fairly between accounts.
+    pub(crate) fn share_fairly(&mut self) {
+        for it in &mut self.zone_dispatchers {
+            let batch = self.deployment.services[it.service].batch.unwrap();
+            let dispatcher = std::mem::replace(&mut it.dispatcher, Dispatcher::new(batch));
+            it.dispatcher = dispatcher.with_fair_shares();
+        }
+    }
+
     fn schedule(&mut self, time: Duration, event: Event) {
         self.sequence += 1;
         self.events.insert((time, self.sequence), event);
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -8,6 +8,7 @@
     Action, CallEnd, CallKey, DispatchTarget, Dispatcher, Released, Token,
 };
 use azurelug_http::h1::client::{self, Connection};
+use azurelug_platform::contracts::Features;
 use azurelug_platform::{pieces, target};
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{
@@ -39,8 +40,9 @@
 type WorkerKey = (ServiceName, Scope);
 
 /// The dispatchers of this gateway, created on first use.
-#[derive(Default)]
 pub struct DispatchWorkers {
+    /// Whether accounts share the targets fairly.
+    has_fair_shares: bool,
     workers: Mutex<HashMap<WorkerKey, Arc<DispatchWorker>>>,
 }
 
@@ -56,6 +58,14 @@
 }
 
 impl DispatchWorkers {
+    /// Creates a set without dispatchers.
+    pub fn new(features: &Features) -> Self {
+        Self {
+            has_fair_shares: features.fair_shares,
+            workers: Mutex::default(),
+        }
+    }
+
     fn workers(&self) -> MutexGuard<'_, HashMap<WorkerKey, Arc<DispatchWorker>>> {
         self.workers.lock().expect("no holder of the lock panics")
     }
@@ -134,10 +144,14 @@
             worker.dispatcher().configure(batch);
             return Some(Arc::clone(worker));
         }
+        let mut dispatcher = Dispatcher::new(batch);
+        if self.has_fair_shares {
+            dispatcher = dispatcher.with_fair_shares();
+        }
         let worker = Arc::new(DispatchWorker {
             service: service.clone(),
             scope: scope.clone(),
-            dispatcher: Mutex::new(Dispatcher::new(batch)),
+            dispatcher: Mutex::new(dispatcher),
             waiting: Mutex::default(),
             next_token: Mutex::default(),
             changed: Notify::new(),
@@ -315,12 +329,15 @@
     fn log_refusal(&self, gateway: &Gateway, what: &str) {
         let pressure = self.dispatcher().pressure(gateway.now());
         log::info!(
-            "gateway: {what} refused; service={} waiting={} booked={} busy_ms={} targets={:.1}",
+            "gateway: {what} refused; service={} waiting={} booked={} busy_ms={} targets={:.1} share_ms={}",
             self.service,
             pressure.waiting,
             pressure.booked,
             pressure.busy.as_millis(),
-            pressure.targets
+            pressure.targets,
+            pressure
+                .share
+                .map_or_else(|| "none".to_owned(), |share| share.as_millis().to_string())
         );
     }
 
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use azurelug_core::gateway::shutdown::{Durations, Shutdown};
 use azurelug_core::gateway::table::Table;
 use azurelug_core::gateway::value_rank::ValueRanking;
+use azurelug_platform::contracts::Features;
 use azurelug_types::deployment::{LimitNotice, Limits, Service, Target, TargetNotice};
 use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use azurelug_wire::handshake::Identity;
@@ -100,7 +101,7 @@
             quarantine: RequestQuarantine::new(&identity),
             peers: Peers::new(settings, identity),
             permits: Permits::default(),
-            dispatch_workers: DispatchWorkers::default(),
+            dispatch_workers: DispatchWorkers::new(&Features::read(&settings.contracts)),
             metrics: Metrics::default(),
             bounds: settings.bounds,
             started: Instant::now(),
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -58,12 +58,33 @@
     service: String,
 }
 
+/// Why the stages of a request ended without results, used as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StageEnd {
+    /// A stage could not be done in time.
+    Overloaded,
+    /// The booking of a later stage was refused.
+    LaterStageOverloaded,
+    /// An earlier stage's result no longer exists.
+    InputGone,
+    /// The targets failed.
+    Failed,
+    /// No target or no dispatcher was available.
+    NoTarget,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageEndLabels {
+    reason: StageEnd,
+}
+
 /// All metrics of the daemon.
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<RequestLabels, Histogram>,
     retries: Family<ServiceLabels, Counter>,
+    stage_refusals: Family<StageEndLabels, Counter>,
     stage_calls: Family<ServiceLabels, Counter>,
     stage_pieces: Family<ServiceLabels, Counter>,
     dropped_log_lines: Gauge,
@@ -99,6 +120,9 @@
         registry.register("latency_seconds", help, latency.clone());
         let retries = Family::<ServiceLabels, Counter>::default();
         registry.register("repeats", "Requests sent once more", retries.clone());
+        let stage_refusals = Family::<StageEndLabels, Counter>::default();
+        let help = "Requests refused because of their stages, by reason";
+        registry.register("stage_refusals", help, stage_refusals.clone());
         let stage_calls = Family::<ServiceLabels, Counter>::default();
         registry.register("stage_calls", "Calls that run pieces", stage_calls.clone());
         let stage_pieces = Family::<ServiceLabels, Counter>::default();
@@ -146,6 +170,7 @@
             requests,
             latency,
             retries,
+            stage_refusals,
             stage_calls,
             stage_pieces,
             dropped_log_lines,
@@ -170,6 +195,12 @@
         self.retries.get_or_create(&service_labels(service)).inc();
     }
 
+    /// Counts a request that was refused because of its stages.
+    pub fn record_stage_refusal(&self, reason: StageEnd) {
+        let labels = StageEndLabels { reason };
+        self.stage_refusals.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to a target and the pieces that it runs.
     pub fn record_stage_call(&self, service: &str, pieces: usize) {
         self.stage_calls
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -13,6 +13,7 @@
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::Gateway;
+use crate::metrics::StageEnd;
 use crate::peers::Scope;
 
 /// Cost of using another zone, as a delay per megabyte of results: transfers between zones are
@@ -235,7 +236,8 @@
         while let Some(booked) = pending.next().await {
             booked.map_err(|after| {
                 let after = overload_retry_after(self.exchange, after);
-                Failure::Refused(after, "a later stage is overloaded")
+                let reason = StageEnd::LaterStageOverloaded;
+                refusal(self.exchange, reason, after)
             })?;
         }
         Ok(())
@@ -389,20 +391,19 @@
     mut order: Pieces,
     scopes: &[Scope],
 ) -> Result<Vec<String>, Failure> {
-    let failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
     for scope in scopes {
         order.scope.clone_from(scope);
         match send_to_dispatcher(exchange, &order).await {
             Some(Ok(handles)) => return Ok(handles),
             Some(Err(PiecesError::Late { retry_after_ms })) => {
                 let after = overload_retry_after(exchange, Duration::from_millis(retry_after_ms));
-                return Err(Failure::Refused(after, "a stage is overloaded"));
+                return Err(refusal(exchange, StageEnd::Overloaded, after));
             }
             Some(Err(PiecesError::ResultsGone)) => {
-                return Err(Failure::Refused(RETRY_AFTER, "a stage's input is gone"));
+                return Err(refusal(exchange, StageEnd::InputGone, RETRY_AFTER));
             }
             Some(Err(PiecesError::Failed)) => {
-                return Err(Failure::Refused(RETRY_AFTER, "a stage failed"));
+                return Err(refusal(exchange, StageEnd::Failed, RETRY_AFTER));
             }
             Some(Err(PiecesError::NoTarget)) | None => {}
         }
@@ -410,7 +411,20 @@
             break;
         }
     }
-    Err(failure)
+    Err(refusal(exchange, StageEnd::NoTarget, RETRY_AFTER))
+}
+
+/// Counts a request that is refused because of its stages.
+fn refusal(exchange: &Exchange, reason: StageEnd, after: Duration) -> Failure {
+    exchange.gateway.metrics.record_stage_refusal(reason);
+    let reason = match reason {
+        StageEnd::Overloaded => "a stage is overloaded",
+        StageEnd::LaterStageOverloaded => "a later stage is overloaded",
+        StageEnd::InputGone => "a stage's input is gone",
+        StageEnd::Failed => "a stage failed",
+        StageEnd::NoTarget => "no target for a stage",
+    };
+    Failure::Refused(after, reason)
 }
 
 /// Default `Retry-After`: about the time of two calls.
