--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -10,6 +10,7 @@
 
 mod admission;
 mod capacity;
+mod pressure;
 mod queue;
 mod shares;
 mod start;
@@ -21,15 +22,15 @@
 
 use azurelug_types::deployment::Batch;
 use azurelug_types::fleet::{ItemOutcome, PiecesError, WorkItem};
-use azurelug_types::id::TargetName;
 
 use admission::Reservation;
 use capacity::Utilization;
+pub use pressure::Pressure;
 use queue::{Queue, QueuedOrder};
 use shares::Shares;
 use times::{Load, PieceTimes};
 pub use workers::DispatchTarget;
-use workers::{Worker, WorkerKey, Workers};
+use workers::{WorkerKey, Workers};
 
 /// Identifier of a `Pieces` order at its dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -126,22 +127,6 @@
     },
 }
 
-/// Load of a dispatcher and capacity of its targets.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pressure {
-    /// Pieces in the queue.
-    pub waiting: usize,
-    /// Pieces of later stages with a booking.
-    pub booked: usize,
-    /// Remaining time of the calls in progress, summed over the targets.
-    pub busy: Duration,
-    /// Capacity of the usable targets, in targets of usual speed.
-    pub targets: f64,
-    /// Target time that each account may use in the averaging window; none if there is enough for
-    /// all, or if accounts don't share.
-    pub share: Option<Duration>,
-}
-
 /// A piece in a call.
 #[derive(Clone, Copy, Debug)]
 struct CallItem {
@@ -483,31 +468,6 @@
         };
         Some(first_free + self.full_calls_time(load).div_f64(rate))
     }
-
-    /// Returns the inputs of the admission decision, for logs.
-    #[must_use]
-    pub fn pressure(&mut self, now: Duration) -> Pressure {
-        let targets = self.workers.capacity(now).map_or(0.0, |(_, rate)| rate);
-        let share = self.shares.share(targets, now);
-        let booked = self.bookings.iter().filter(|it| it.commitment.due > now);
-        let waiting = self.queue.load();
-        Pressure {
-            waiting: waiting.pieces,
-            booked: booked.map(|it| it.load.pieces).sum(),
-            busy: self.workers.busy_time(now),
-            targets,
-            share: share.map(Duration::from_secs_f64),
-        }
-    }
-
-    /// Returns the running calls and held bytes of each target, for a state dump.
-    pub fn targets(&self) -> impl Iterator<Item = (&TargetName, u32, u64)> {
-        self.workers.iter().map(target_load)
-    }
-}
-
-fn target_load(worker: &Worker) -> (&TargetName, u32, u64) {
-    (&worker.target.name, worker.running, worker.held_bytes)
 }
 
 fn end_action(token: Token, result: Result<Vec<String>, PiecesError>) -> Action {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -1,13 +1,16 @@
 //! Runs the stages of a request in the order of its plan.
 
+mod bookings;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_core::gateway::plan::{Bounds, MAX_RETRY_AFTER_FRACTION, Plan};
 use azurelug_core::gateway::rendezvous;
 use azurelug_types::deployment::Service;
-use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
+use azurelug_types::fleet::{Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
+use bookings::Bookings;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use rand::RngExt;
 
@@ -182,86 +185,6 @@
         .collect())
 }
 
-/// Target time that dispatchers have reserved for a request's later stages. It is cancelled if this
-/// is dropped before the stages have finished.
-struct Bookings<'a> {
-    exchange: &'a Exchange,
-    bookings: Vec<Booking>,
-}
-
-impl<'a> Bookings<'a> {
-    /// Creates bookings for all stages that follow another one, unless the request is already late.
-    /// Each is made at one group of targets only, because in a burst the others are as loaded.
-    fn new(exchange: &'a Exchange, plan: &Plan, home: &ZoneName) -> Self {
-        let now = exchange.gateway.now();
-        let steps = plan.steps.iter().enumerate();
-        let later = steps.filter(|(_, step)| step.pieces > 0 && !step.after.is_empty());
-        let bookings = later.filter_map(|(position, step)| {
-            let is_late = plan.due(position, exchange.due_at()) <= now;
-            let due = plan.admission_due(position, &bounds(exchange));
-            let stage = &exchange.route.stages[position];
-            let service = &exchange.table.service(stage.service).name;
-            let bytes = plan.result_bytes(position, &exchange.route);
-            let scope = scopes(exchange, service, home, bytes).into_iter().next()?;
-            (!is_late).then(|| Booking {
-                service: service.clone(),
-                scope,
-                request: exchange.id.clone(),
-                stage: u8::try_from(position).unwrap_or(u8::MAX),
-                kind: rendezvous::weight(&exchange.route.name, &position),
-                pieces: step.pieces,
-                rank: exchange.rank,
-                worth: exchange.value_rank,
-                due_ms: millis(due.saturating_sub(now)),
-                deadline_ms: millis(stage_time_left(exchange, step.rest)),
-                account: exchange.account_hash(),
-                digest: 0,
-            })
-        });
-        let bookings = bookings.collect();
-        Self { exchange, bookings }
-    }
-
-    /// The group of targets at which a stage is booked.
-    fn scope(&self, stage: u8) -> Option<&Scope> {
-        let booking = self.bookings.iter().find(|it| it.stage == stage);
-        booking.map(|it| &it.scope)
-    }
-
-    async fn book(&self) -> Result<(), Failure> {
-        let gateway = &self.exchange.gateway;
-        let pending = self.bookings.iter();
-        let pending = pending.map(|booking| gateway.peers.book(gateway, booking.clone()));
-        let mut pending: FuturesUnordered<_> = pending.collect();
-        while let Some(booked) = pending.next().await {
-            booked.map_err(|after| {
-                let after = overload_retry_after(self.exchange, after);
-                let reason = StageEnd::LaterStageOverloaded;
-                refusal(self.exchange, reason, after)
-            })?;
-        }
-        Ok(())
-    }
-
-    /// Ends the bookings without cancelling them: the finished stages' orders have used them.
-    fn close(mut self) {
-        self.bookings.clear();
-    }
-}
-
-impl Drop for Bookings<'_> {
-    fn drop(&mut self) {
-        if self.bookings.is_empty() {
-            return;
-        }
-        let gateway = Arc::clone(&self.exchange.gateway);
-        let bookings = std::mem::take(&mut self.bookings);
-        tokio::spawn(async move {
-            gateway.peers.unbook(&gateway, &bookings).await;
-        });
-    }
-}
-
 /// Removes and returns the results that neither a remaining stage nor the engine needs. They are
 /// released early because targets have little memory for results.
 fn take_consumed(plan: &Plan, handles: &mut [Option<Vec<String>>]) -> Vec<String> {
