Join priorities and fair shares at dispatchers

Change: joined with the zones of booked stages (bookings have a module of their own now) and with the targets that a roll-out holds back. Measured: gateway_dispatch, gateway_pipeline, gateway_overload and gateway_plan pass.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -10,7 +10,9 @@
 
 mod admission;
 mod capacity;
+mod pressure;
 mod queue;
+mod shares;
 mod start;
 mod times;
 mod workers;
@@ -24,10 +26,12 @@
 
 use admission::Reservation;
 use capacity::Utilization;
+pub use pressure::Pressure;
 use queue::{Queue, QueuedOrder};
+use shares::Shares;
 use times::{Load, PieceTimes};
 pub use workers::DispatchTarget;
-use workers::{Worker, WorkerKey, Workers};
+use workers::{WorkerKey, Workers};
 
 /// Identifier of a `Pieces` order at its dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -124,19 +128,6 @@
     },
 }
 
-/// Load of a dispatcher and capacity of its targets.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pressure {
-    /// Pieces in the queue.
-    pub waiting: usize,
-    /// Pieces of later stages with a booking.
-    pub booked: usize,
-    /// Remaining time of the calls in progress, summed over the targets.
-    pub busy: Duration,
-    /// Capacity of the usable targets, in targets of usual speed.
-    pub targets: f64,
-}
-
 /// A piece in a call.
 #[derive(Clone, Copy, Debug)]
 struct CallItem {
@@ -177,6 +168,7 @@
     bookings: Vec<Reservation>,
     /// Utilization of the targets by work that can be in time.
     utilization: Utilization,
+    shares: Shares,
 }
 
 impl Dispatcher {
@@ -193,9 +185,17 @@
             last_start: None,
             bookings: Vec::new(),
             utilization: Utilization::default(),
+            shares: Shares::default(),
         }
     }
 
+    /// Shares the targets fairly between client accounts where capacity is short.
+    #[must_use]
+    pub fn with_fair_shares(mut self) -> Self {
+        self.shares.enable();
+        self
+    }
+
     /// Applies the settings of a newer configuration.
     pub fn configure(&mut self, batch: Batch) {
         self.batch = batch;
@@ -470,19 +470,6 @@
         Some(first_free + self.full_calls_time(load).div_f64(rate))
     }
 
-    /// Returns the inputs of the admission decision, for logs.
-    #[must_use]
-    pub fn pressure(&self, now: Duration) -> Pressure {
-        let booked = self.bookings.iter().filter(|it| it.commitment.due > now);
-        let waiting = self.queue.load();
-        Pressure {
-            waiting: waiting.pieces,
-            booked: booked.map(|it| it.load.pieces).sum(),
-            busy: self.workers.busy_time(now),
-            targets: self.workers.capacity(now).map_or(0.0, |(_, rate)| rate),
-        }
-    }
-
     /// Sets the targets that get no call now, because a roll-out allows none to their version.
     pub fn hold_back(&mut self, names: &[TargetName]) {
         self.workers.hold_back(names);
@@ -493,15 +480,6 @@
         let workers = self.workers.all();
         workers.map(|worker| (&worker.target.name, worker.pending()))
     }
-
-    /// Returns the running calls and held bytes of each target, for a state dump.
-    pub fn targets(&self) -> impl Iterator<Item = (&TargetName, u32, u64)> {
-        self.workers.iter().map(target_load)
-    }
-}
-
-fn target_load(worker: &Worker) -> (&TargetName, u32, u64) {
-    (&worker.target.name, worker.running, worker.held_bytes)
 }
 
 fn end_action(token: Token, result: Result<Vec<String>, PiecesError>) -> Action {
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -1,18 +1,22 @@
 //! Runs the stages of a request in the order of its plan.
 
+mod bookings;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_core::gateway::plan::{Bounds, MAX_RETRY_AFTER_FRACTION, Plan};
 use azurelug_core::gateway::rendezvous;
 use azurelug_types::deployment::Service;
-use azurelug_types::fleet::{Booking, Peer, Pieces, PiecesEnd, PiecesError, Source};
+use azurelug_types::fleet::{Peer, Pieces, PiecesEnd, PiecesError, Source};
 use azurelug_types::id::{ServiceName, ZoneName};
+use bookings::Bookings;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use rand::RngExt;
 
 use crate::exchange::{Exchange, Failure};
 use crate::gateway::Gateway;
+use crate::metrics::StageEnd;
 use crate::peers::Scope;
 
 /// Cost of using another zone, as a delay per megabyte of results: transfers between zones are
@@ -181,90 +185,6 @@
         .collect())
 }
 
-/// Target time that dispatchers have reserved for a request's later stages. It is cancelled if this
-/// is dropped before the stages have finished.
-struct Bookings<'a> {
-    exchange: &'a Exchange,
-    bookings: Vec<Booking>,
-}
-
-impl<'a> Bookings<'a> {
-    /// Creates bookings for all stages that follow another one, unless the request is already late.
-    /// Each is made at one group of targets only, because in a burst the others are as loaded.
-    fn new(exchange: &'a Exchange, plan: &Plan, home: &ZoneName) -> Self {
-        let now = exchange.gateway.now();
-        let mut zones: Vec<ZoneName> = Vec::with_capacity(plan.steps.len());
-        let mut bookings = Vec::new();
-        for (position, step) in plan.steps.iter().enumerate() {
-            let (near, bytes) = plan.expected_zone(position, &exchange.route, &zones, home);
-            let stage = &exchange.route.stages[position];
-            let service = &exchange.table.service(stage.service).name;
-            let scope = scopes(exchange, service, near, bytes).into_iter().next();
-            let zone = scope.clone().flatten().unwrap_or_else(|| near.clone());
-            zones.push(zone);
-            let is_late = plan.due(position, exchange.due_at()) <= now;
-            let is_later = step.pieces > 0 && !step.after.is_empty();
-            let Some(scope) = scope.filter(|_| is_later && !is_late) else {
-                continue;
-            };
-            let due = plan.admission_due(position, &bounds(exchange));
-            bookings.push(Booking {
-                service: service.clone(),
-                scope,
-                request: exchange.id.clone(),
-                stage: u8::try_from(position).unwrap_or(u8::MAX),
-                kind: rendezvous::weight(&exchange.route.name, &position),
-                pieces: step.pieces,
-                rank: exchange.rank,
-                worth: exchange.value_rank,
-                due_ms: millis(due.saturating_sub(now)),
-                deadline_ms: millis(stage_time_left(exchange, step.rest)),
-                account: exchange.account_hash(),
-                digest: 0,
-            });
-        }
-        Self { exchange, bookings }
-    }
-
-    /// The group of targets at which a stage is booked.
-    fn scope(&self, stage: u8) -> Option<&Scope> {
-        let booking = self.bookings.iter().find(|it| it.stage == stage);
-        booking.map(|it| &it.scope)
-    }
-
-    async fn book(&self) -> Result<(), Failure> {
-        let gateway = &self.exchange.gateway;
-        let pending = self.bookings.iter();
-        let pending = pending.map(|booking| gateway.peers.book(gateway, booking.clone()));
-        let mut pending: FuturesUnordered<_> = pending.collect();
-        while let Some(booked) = pending.next().await {
-            booked.map_err(|after| {
-                let after = overload_retry_after(self.exchange, after);
-                Failure::Refused(after, "a later stage is overloaded")
-            })?;
-        }
-        Ok(())
-    }
-
-    /// Ends the bookings without cancelling them: the finished stages' orders have used them.
-    fn close(mut self) {
-        self.bookings.clear();
-    }
-}
-
-impl Drop for Bookings<'_> {
-    fn drop(&mut self) {
-        if self.bookings.is_empty() {
-            return;
-        }
-        let gateway = Arc::clone(&self.exchange.gateway);
-        let bookings = std::mem::take(&mut self.bookings);
-        tokio::spawn(async move {
-            gateway.peers.unbook(&gateway, &bookings).await;
-        });
-    }
-}
-
 /// Removes and returns the results that neither a remaining stage nor the engine needs. They are
 /// released early because targets have little memory for results.
 fn take_consumed(plan: &Plan, handles: &mut [Option<Vec<String>>]) -> Vec<String> {
@@ -394,20 +314,19 @@
     mut order: Pieces,
     scopes: &[Scope],
 ) -> Result<Vec<String>, Failure> {
-    let failure = Failure::Refused(RETRY_AFTER, "no target for a stage");
     for scope in scopes {
         order.scope.clone_from(scope);
         match send_to_dispatcher(exchange, &order).await {
             Some(Ok(handles)) => return Ok(handles),
             Some(Err(PiecesError::Late { retry_after_ms })) => {
                 let after = overload_retry_after(exchange, Duration::from_millis(retry_after_ms));
-                return Err(Failure::Refused(after, "a stage is overloaded"));
+                return Err(refusal(exchange, StageEnd::Overloaded, after));
             }
             Some(Err(PiecesError::ResultsGone)) => {
-                return Err(Failure::Refused(RETRY_AFTER, "a stage's input is gone"));
+                return Err(refusal(exchange, StageEnd::InputGone, RETRY_AFTER));
             }
             Some(Err(PiecesError::Failed)) => {
-                return Err(Failure::Refused(RETRY_AFTER, "a stage failed"));
+                return Err(refusal(exchange, StageEnd::Failed, RETRY_AFTER));
             }
             Some(Err(PiecesError::NoTarget)) | None => {}
         }
@@ -415,7 +334,20 @@
             break;
         }
     }
-    Err(failure)
+    Err(refusal(exchange, StageEnd::NoTarget, RETRY_AFTER))
+}
+
+/// Counts a request that is refused because of its stages.
+fn refusal(exchange: &Exchange, reason: StageEnd, after: Duration) -> Failure {
+    exchange.gateway.metrics.record_stage_refusal(reason);
+    let reason = match reason {
+        StageEnd::Overloaded => "a stage is overloaded",
+        StageEnd::LaterStageOverloaded => "a later stage is overloaded",
+        StageEnd::InputGone => "a stage's input is gone",
+        StageEnd::Failed => "a stage failed",
+        StageEnd::NoTarget => "no target for a stage",
+    };
+    Failure::Refused(after, reason)
 }
 
 /// Default `Retry-After`: about the time of two calls.
