Answer requests that outlast the shutdown of an entry daemon

Cause: entry_stops failed: the server with bounds gave connections 2 s after the shutdown hook. `volo-http`, which served callers before, waits 28 s more after its 2 s.

Change: 30 s, and the server ends as soon as all connections have ended.

--- a/crates/azurelug-http/src/server.rs
+++ b/crates/azurelug-http/src/server.rs
@@ -25,8 +25,9 @@
 use crate::Error;
 use crate::h1::server::{Connections, Limits, ShutdownState, serve_bounded};
 
-/// How long connections may go on after the shutdown hook.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long requests that still run after the shutdown hook may take. Longer than the longest deadline of
+/// 12 s twice, and as long as `volo-http` waits.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A server whose listener is bound but does not accept connections yet.
 pub struct Server {
@@ -83,7 +84,7 @@
     }
 
     /// As [`Server::serve`], with a bound on connections: until the process gets SIGINT, SIGTERM or
-    /// SIGHUP and the hook has completed, and connections have had 2 s more.
+    /// SIGHUP, the hook has completed, and every connection has ended or 30 s have passed.
     ///
     /// # Errors
     /// `Serve` if the signals can't be received.
