gateway: show the waits of stage orders and late pieces

Cause: operators can't see how long orders wait for a call, nor whether targets refuse pieces as late.

Change: the log line of a call names the longest wait of its orders; new metrics stage_wait_seconds and stage_pieces_late by service.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -108,6 +108,8 @@
         expected: Duration,
         /// Pieces that remain in the queue.
         waiting: usize,
+        /// Longest time that an order of the call has waited.
+        longest_wait: Duration,
         /// Timeout of the call.
         limit: Duration,
     },
--- a/crates/azurelug-core/src/gateway/dispatch/queue.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/queue.rs
@@ -36,6 +36,8 @@
     pub(super) due: Duration,
     /// Time at which the client times out.
     pub(super) deadline: Duration,
+    /// When the order arrived.
+    pub(super) queued_at: Duration,
     /// Time that one piece adds to a call.
     piece_time: Duration,
     pieces: Vec<Piece>,
@@ -58,6 +60,7 @@
             token,
             due,
             deadline: now + Duration::from_millis(order.deadline_ms),
+            queued_at: now,
             piece_time,
             queued_count: order.pieces.len(),
             pieces: vec![piece; order.pieces.len()],
--- a/crates/azurelug-core/src/gateway/dispatch/start.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/start.rs
@@ -127,8 +127,10 @@
         let mut items = Vec::with_capacity(picked.len());
         let mut call_items = Vec::with_capacity(picked.len());
         let mut bytes = 0;
+        let mut longest_wait = Duration::ZERO;
         for &(token, index) in picked {
             let waiting = self.queue.get_mut(token).expect("it was just picked");
+            longest_wait = longest_wait.max(now.saturating_sub(waiting.queued_at));
             waiting.record_start(index);
             bytes += waiting.order.result_bytes;
             call_items.push(CallItem {
@@ -166,6 +168,7 @@
             starts_in: started - now,
             expected,
             waiting: self.queue.load().pieces,
+            longest_wait,
             limit: expected.mul_f64(CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_MARGIN,
         }
     }
--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -181,9 +181,13 @@
     }
 
     /// Time within which a request must be served to be admitted, if a refused client has the time
-    /// to return.
+    /// to return. None for routes whose objective is below the time at which stages are given up:
+    /// no queue forms there that is longer than their requests can wait.
     fn early_objective(&self, bounds: &Bounds) -> Option<Duration> {
         let objective = bounds.due.saturating_sub(bounds.arrived);
+        if objective <= bounds.limit.mul_f64(MAX_STAGES_FRACTION) {
+            return None;
+        }
         let returned = objective.saturating_sub(bounds.reserve());
         let shortest = self.usual.mul_f64(USUAL_FACTOR);
         (returned >= shortest).then(|| returned.mul_f64(PLANNED_FRACTION).max(shortest))
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -292,6 +292,7 @@
                     starts_in,
                     expected,
                     waiting,
+                    longest_wait,
                     limit,
                 } => {
                     let running = RunningCall {
@@ -302,6 +303,7 @@
                         starts_in,
                         expected,
                         waiting,
+                        longest_wait,
                     };
                     tokio::spawn(running.run(items, release, limit));
                 }
@@ -373,14 +375,18 @@
     expected: Duration,
     /// Pieces that were waiting when the call started.
     waiting: usize,
+    /// Longest time that an order of the call has waited.
+    longest_wait: Duration,
 }
 
 impl RunningCall {
     async fn run(self, items: Vec<WorkItem>, release: Vec<String>, limit: Duration) {
         let count = items.len();
-        self.gateway
-            .metrics
-            .record_stage_call(self.worker.service.as_str(), count);
+        self.gateway.metrics.record_stage_call(
+            self.worker.service.as_str(),
+            count,
+            self.longest_wait,
+        );
         let started = self.gateway.now();
         let fetched = inputs(&items);
         if !release.is_empty() {
@@ -416,13 +422,17 @@
             }
         };
         log::info!(
-            "gateway: call to {name}, {count} pieces, {elapsed_ms} ms; service={} expected_ms={} waiting={} held={}",
+            "gateway: call to {name}, {count} pieces, {elapsed_ms} ms; service={} expected_ms={} waiting={} waited_ms={} held={}",
             self.worker.service,
             self.expected.as_millis(),
             self.waiting,
+            self.longest_wait.as_millis(),
             self.worker.held_bytes(name)
         );
         if let CallEnd::Items(ends) = &end {
+            let late = ends.iter().filter(|end| **end == ItemOutcome::Late).count();
+            let service = self.worker.service.as_str();
+            self.gateway.metrics.record_late_pieces(service, late);
             let refused = ends
                 .iter()
                 .filter(|end| **end == ItemOutcome::ResultMemoryFull)
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -87,6 +87,8 @@
     stage_refusals: Family<StageEndLabels, Counter>,
     stage_calls: Family<ServiceLabels, Counter>,
     stage_pieces: Family<ServiceLabels, Counter>,
+    late_pieces: Family<ServiceLabels, Counter>,
+    stage_waits: Family<ServiceLabels, Histogram>,
     dropped_log_lines: Gauge,
     /// Requests whose response is not complete.
     pub in_flight: Gauge,
@@ -131,6 +133,12 @@
             "Pieces in these calls",
             stage_pieces.clone(),
         );
+        let late_pieces = Family::<ServiceLabels, Counter>::default();
+        let help = "Pieces that targets did not run because their deadline had passed";
+        registry.register("stage_pieces_late", help, late_pieces.clone());
+        let stage_waits = Family::<ServiceLabels, Histogram>::new_with_constructor(histogram);
+        let help = "Longest wait of an order of each call, in seconds";
+        registry.register("stage_wait_seconds", help, stage_waits.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests without an answer", in_flight.clone());
         let config_version = Gauge::default();
@@ -173,6 +181,8 @@
             stage_refusals,
             stage_calls,
             stage_pieces,
+            late_pieces,
+            stage_waits,
             dropped_log_lines,
             in_flight,
             config_version,
@@ -201,8 +211,19 @@
         self.stage_refusals.get_or_create(&labels).inc();
     }
 
-    /// Counts a call to a target and the pieces that it runs.
-    pub fn record_stage_call(&self, service: &str, pieces: usize) {
+    /// Counts pieces that a target did not run because their deadline had passed.
+    pub fn record_late_pieces(&self, service: &str, pieces: usize) {
+        if pieces > 0 {
+            let counter = self.late_pieces.get_or_create(&service_labels(service));
+            counter.inc_by(pieces as u64);
+        }
+    }
+
+    /// Counts a call to a target and the pieces that it runs. `wait` is the longest wait of one of
+    /// its orders.
+    pub fn record_stage_call(&self, service: &str, pieces: usize, wait: Duration) {
+        let waits = self.stage_waits.get_or_create(&service_labels(service));
+        waits.observe(wait.as_secs_f64());
         self.stage_calls
             .get_or_create(&service_labels(service))
             .inc();
