Roll-outs: keep the dispatchers of a stage service while both versions run

Cause: a service with more than 8 targets is dispatched by zone. The targets of both versions together could exceed 8 for the time of a roll-out and move all calls to other dispatchers twice, which know nothing of stored results. Found by reading; ruled out for services above 8 targets before.

Change: during a roll-out the larger version's targets count. A test covers the calls for pieces: the bound, the last step, and a policy that is not recent.

Conclusion: stage services keep their dispatchers. No test plays a roll-out of a stage service with real processes yet.

--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -51,6 +51,20 @@
         }
     }
 
+    /// Returns the number of targets of a service that may get new work; during a roll-out those of the
+    /// version that has more, because the targets of both are there only for its time.
+    #[must_use]
+    pub fn pool_size(&self, service: &ServiceName) -> usize {
+        let keys = self.usable_keys(service);
+        match self.gates.get(service) {
+            Some(gate) if gate.is_running() => {
+                let of = |side| keys.iter().filter(|key| self.is_of(**key, side)).count();
+                of(Side::Old).max(of(Side::New))
+            }
+            _ => keys.len(),
+        }
+    }
+
     /// Whether a target is one of a side of the roll-out in progress.
     pub(super) fn is_of(&self, key: Key, side: Side) -> bool {
         let target = self.target(key);
--- a/crates/azurelug-core/tests/gateway_rollout_state.rs
+++ b/crates/azurelug-core/tests/gateway_rollout_state.rs
@@ -154,6 +154,42 @@
     assert_eq!(select(&mut fleet, now), Err(SelectionError::None));
 }
 
+/// Guards against a stage service whose calls move to other dispatchers because the targets of both
+/// versions are counted, and against calls for pieces beyond the exposure bound.
+#[test]
+fn calls_for_pieces_keep_their_dispatcher_and_the_bound() {
+    let mut rollouts = Rollouts::default();
+    rollouts.apply(start("v2", 0));
+    rollouts.apply(advance(1, Step::Probe, Step::Canary));
+    let mut fleet = Fleet::new(1);
+    let now = Duration::from_secs(1);
+    fleet.set_policies(rollouts.policies(), EXPOSURE);
+    fleet.confirm_policies(now + Duration::from_secs(1));
+    let (old, new) = (["a", "b", "c"], ["d", "e", "f"]);
+    let targets = old.map(|it| target(it, "v1")).into_iter();
+    let targets: Vec<Target> = targets.chain(new.map(|it| target(it, "v2"))).collect();
+    fleet.list(&targets, now);
+    assert_eq!(fleet.pool_size(&service()), 3);
+    let mut sent = [0, 0];
+    for _ in 0..1000 {
+        let held_back = fleet.held_back(&service(), now);
+        let is_free = |name: &&&str| !held_back.contains(&TargetName::from(**name));
+        // The dispatcher prefers the new targets.
+        let name = new.iter().chain(&old).find(is_free).unwrap();
+        sent[usize::from(new.contains(name))] += 1;
+        let key = fleet.key(&TargetName::from(*name)).unwrap();
+        fleet.record_request(&service());
+        fleet.record_send(key);
+    }
+    assert!((60..=100).contains(&sent[1]), "{sent:?}");
+    rollouts.apply(advance(1, Step::Canary, Step::Full));
+    fleet.set_policies(rollouts.policies(), EXPOSURE);
+    let held_back = fleet.held_back(&service(), now);
+    assert_eq!(held_back, old.map(TargetName::from));
+    let stale = fleet.held_back(&service(), now + Duration::from_secs(2));
+    assert_eq!(stale, new.map(TargetName::from));
+}
+
 /// Guards against a version that gets traffic while an order for it may be on its way, and against a
 /// release without an order that is never served.
 #[test]
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -201,7 +201,7 @@
     /// form one pool, because a free one is found sooner in a larger pool. Many are split by zone,
     /// because one gateway could not dispatch them all.
     pub fn scope(&self, service: &ServiceName, zone: &ZoneName) -> Scope {
-        let count = self.fleet().usable(service).count();
+        let count = self.fleet().pool_size(service);
         (count > MAX_POOLED_TARGETS).then(|| zone.clone())
     }
 
