Use the momentary slowness that stage targets report

Cause: a stage target slows down to less than half of its speed for half a second at a time. The dispatcher learns that from finished calls, always late.

The dispatcher uses it for the expected time of the target's next call, with a half-life of 250 ms towards the learned slowness. Targets that don't send it are treated as before. A call that takes as long as expected leaves the learned slowness as it was.

Conclusion: works on the next call of the dispatcher that saw the answer.

--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod capacity;
 mod queue;
+mod reported;
 mod start;
 mod times;
 mod workers;
--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -8,6 +8,7 @@
 use azurelug_types::id::{TargetName, ZoneName};
 
 use super::Released;
+use super::reported::Reported;
 
 /// Index into the arena of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -81,6 +82,7 @@
     released_bytes: u64,
     slowness: f64,
     measured_at: Duration,
+    reported: Option<Reported>,
     excluded_until: Duration,
     failures: u32,
 }
@@ -97,6 +99,7 @@
             released_bytes: 0,
             slowness: 1.0,
             measured_at: Duration::ZERO,
+            reported: None,
             excluded_until: Duration::ZERO,
             failures: 0,
         }
@@ -141,6 +144,11 @@
 
     /// Duration of calls relative to the usual one, with decay.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
+        let learned = self.learned_slowness(now);
+        self.reported.map_or(learned, |it| it.at(learned, now))
+    }
+
+    fn learned_slowness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.measured_at).as_secs_f64();
         let decay = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
         1.0 + (self.slowness - 1.0) * decay
@@ -178,7 +186,8 @@
     }
 
     fn update_slowness(&mut self, elapsed: Duration, expected: Duration, now: Duration) {
-        let known = self.slowness(now);
+        let known = self.learned_slowness(now);
+        // Without a report this is the usual time. A call as slow as reported leaves what is known.
         let usual = expected.as_secs_f64() / known;
         let newest = (elapsed.as_secs_f64() / usual.max(0.001)).clamp(1.0, MAX_SLOWNESS);
         self.slowness = known + (newest - known) * NEWEST_WEIGHT;
@@ -232,6 +241,13 @@
         }
     }
 
+    pub(super) fn report_slowness(&mut self, name: &TargetName, percent: u16, now: Duration) {
+        let listed = self.workers.iter_mut().filter(|worker| worker.is_listed);
+        for worker in listed.filter(|worker| worker.target.name == *name) {
+            worker.reported = Some(Reported::new(percent, now));
+        }
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().filter(|worker| worker.is_listed)
     }
--- a/crates/azurelug-gateway/src/dispatch_worker.rs
+++ b/crates/azurelug-gateway/src/dispatch_worker.rs
@@ -470,6 +470,11 @@
         let (parts, body) = connection.send(request).await?.into_parts();
         let head = target::Head::read(parts.status, &parts.headers, "");
         gateway.apply_notice(name, head.notice.without_limit_end(), sent);
+        if let Some(percent) = head.notice.slowness_percent {
+            let now = gateway.now();
+            let mut dispatcher = self.worker.dispatcher();
+            dispatcher.record_reported_slowness(name, percent, now);
+        }
         let holder = self.gateway.memory.open();
         let body = incoming::read(&holder, body, MAX_ANSWER_BYTES).await?;
         if pieces::is_not_run(head.status, &parts.headers) {
--- a/crates/azurelug-types/src/deployment.rs
+++ b/crates/azurelug-types/src/deployment.rs
@@ -220,6 +220,8 @@
     pub unavailable_for: Option<Duration>,
     /// The limit for requests from all daemons together.
     pub limit: LimitNotice,
+    /// How long work takes on the target's VM at this moment, in percent of the usual time.
+    pub slowness_percent: Option<u16>,
 }
 
 /// What an answer says about the target's limit for requests from all daemons together.
