Exchange speeds of targets between gateways, and weigh dispatchers by their VMs

Dispatchers are placed on VMs of 0.09 cores as often as on those of 0.3.

Change: a gateway reports outcomes with its poll (ratios to the expected time, without names of requests); control daemons sum them up and exchange the sums every 500 ms, each daemon's newest replaces the earlier one, so that none counts twice; the answer to the poll has the sum of all, for at most 512 targets. A slot reports its outcome to the fleet once, at the first event or the end. New metrics speed_ratio, uneven and left_preferred by service, a log line when a service becomes uneven or even, and service_costs and target_costs in the state dump. Settings cpu_share and link_bandwidth_mbps give, with memory_mb, the capacity of a VM; rendezvous::spread_weighted chooses dispatchers in proportion to it, with equal capacities exactly as before.

Conclusion: not yet run with real targets of different speeds.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -12,7 +12,9 @@
 
 use azurelug_core::gateway::read_rotation;
 use azurelug_types::deployment::Target;
-use azurelug_types::fleet::{Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit};
+use azurelug_types::fleet::{
+    Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit, TargetSpeed,
+};
 use azurelug_types::id::{DaemonName, TargetName};
 use azurelug_wire::Frame;
 use azurelug_wire::frame::PART_LIMIT;
@@ -26,6 +28,7 @@
 use crate::peers::Peers;
 use crate::quarantine::{Archive, Suspects};
 use crate::replica::Replica;
+use crate::speeds::Speeds;
 
 /// Interval at which the control daemons exchange the lists of gateways that poll them.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
@@ -54,6 +57,7 @@
     targets: Option<(Arc<List<Target>>, Instant)>,
     limits: Limits,
     suspects: Suspects,
+    speeds: Speeds,
     controls: Vec<SocketAddr>,
     /// Slots of the control daemons in ascending order.
     control_slots: Vec<u32>,
@@ -166,11 +170,13 @@
         state.gateways.insert(poll.peer.name, record);
         state.limits.merge(poll.observed_limits);
         state.suspects.merge(&poll.suspects);
+        state.speeds.record(&poll.speeds);
         let suspects = state.suspects.changes_since(poll.suspects_revision);
         let peers = state.peers();
         let limits = list_with_digest(state.limits.reports(), |limit| {
             digest(&(&limit.target, limit.rate, limit.is_ended))
         });
+        let speeds = state.speeds.merged();
         let targets = state.targets.as_ref();
         let targets_age = targets.map(|(_, read)| millis(read.elapsed()));
         let targets = targets.filter(|(list, _)| list.digest != poll.targets);
@@ -186,6 +192,7 @@
             suspects_revision: suspects.revision,
             suspects: suspects.reports,
             controls: state.controls.clone(),
+            speeds,
         }))
     }
 
@@ -239,6 +246,11 @@
         self.state().suspects.merge(reports);
     }
 
+    /// Takes over the outcomes that the gateways of another control daemon have seen.
+    pub fn receive_speeds(&self, daemon: DaemonName, reports: &[TargetSpeed]) {
+        self.state().speeds.replace(daemon, reports);
+    }
+
     /// Writes the records of accused parts to the archive whenever they have changed. A slow disk
     /// delays only this task.
     pub async fn run_archive(self, mut archive: Archive) {
@@ -279,14 +291,15 @@
                 .collect();
             slots.sort_unstable();
             slots.dedup();
-            let (local, limits, suspects) = {
+            let (local, limits, suspects, speeds) = {
                 let mut state = self.state();
                 let addresses = slots.iter().filter_map(|slot| self.cluster.address(*slot));
                 state.controls = addresses.collect();
                 state.control_slots.clone_from(&slots);
                 state.remove_expired();
                 let suspects = state.suspects.next_broadcast();
-                (state.local_gateways(), state.limits.reports(), suspects)
+                let (limits, speeds) = (state.limits.reports(), state.speeds.own());
+                (state.local_gateways(), limits, suspects, speeds)
             };
             for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
                 if !local.is_empty() {
@@ -298,6 +311,9 @@
                 if !suspects.is_empty() {
                     self.peers.send(slot, Frame::Suspects(suspects.clone()));
                 }
+                if !speeds.is_empty() {
+                    self.peers.send(slot, Frame::Speeds(speeds.clone()));
+                }
             }
         }
     }
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -88,6 +88,10 @@
                 self.gateways.receive_limits(limits);
                 Reply::None
             }
+            Frame::Speeds(reports) => {
+                self.gateways.receive_speeds(peer.sender.clone(), &reports);
+                Reply::None
+            }
             Frame::Suspects(reports) => {
                 self.gateways.receive_suspects(&reports);
                 Reply::None
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod run;
 pub mod settings;
 pub mod shares;
+pub mod speeds;
 pub mod updates;
--- a/crates/azurelug-core/src/gateway/cost/board.rs
+++ b/crates/azurelug-core/src/gateway/cost/board.rs
@@ -17,8 +17,9 @@
 /// Age after which what another control daemon has sent is dropped; it has failed or is cut off.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(30);
 
-/// Most targets that are kept, so that memory is bounded whatever gateways send.
-const MAX_TARGETS: usize = 2048;
+/// Most targets that are kept. A report of so many to a gateway has 25 kB; several a second are a
+/// tenth of the slowest link of 7.5 Mbit/s.
+const MAX_TARGETS: usize = 512;
 
 /// Outcomes that gateways have sent to this control daemon, and those that other control daemons
 /// got. Each outcome is sent to one control daemon, so the sum counts none twice.
--- a/crates/azurelug-core/src/gateway/rendezvous.rs
+++ b/crates/azurelug-core/src/gateway/rendezvous.rs
@@ -40,6 +40,35 @@
 /// Load pattern: the dispatchers of several services need most of a small VM's CPU. Two of them on
 /// one VM delay every call of both by tens of milliseconds.
 pub fn spread<'a, K: Hash, E: Hash>(keys: &[K], position: usize, entries: &'a [E]) -> Vec<&'a E> {
+    spread_by(keys, position, entries, weight)
+}
+
+/// As [`spread`]; an entry is chosen in proportion to its share. With equal shares the result is the
+/// same.
+///
+/// Load pattern: gateways whose VMs differ by a factor of three in processor time, memory and link.
+pub fn spread_weighted<'a, K: Hash, E: Hash>(
+    keys: &[K],
+    position: usize,
+    entries: &'a [E],
+    share: impl Fn(&E) -> f64,
+) -> Vec<&'a E> {
+    let mut shares = entries.iter().map(&share);
+    let first = shares.next();
+    if shares.all(|share| Some(share) == first) {
+        return spread(keys, position, entries);
+    }
+    // Positive floats are ordered like their bits.
+    let weight = |key: &K, entry: &E| weighted(key, entry, share(entry)).to_bits();
+    spread_by(keys, position, entries, weight)
+}
+
+fn spread_by<'a, K, E>(
+    keys: &[K],
+    position: usize,
+    entries: &'a [E],
+    weight: impl Fn(&K, &E) -> u64,
+) -> Vec<&'a E> {
     let mut is_first_choice: Vec<bool> = vec![false; entries.len()];
     let mut ranking: Vec<usize> = Vec::new();
     for (count, key) in keys.iter().take(position + 1).enumerate() {
--- a/crates/azurelug-core/tests/gateway_deadly_services.rs
+++ b/crates/azurelug-core/tests/gateway_deadly_services.rs
@@ -134,6 +134,7 @@
         name: DaemonName(format!("gw-{number}")),
         zone: ZoneName("a".to_owned()),
         address: "127.0.0.1:1".parse().unwrap(),
+        capacity: 100,
     };
     let mut rota = Rota::default();
     let peers: Arc<[Peer]> = (0..9).map(peer).collect();
--- a/crates/azurelug-core/tests/gateway_limits.rs
+++ b/crates/azurelug-core/tests/gateway_limits.rs
@@ -198,6 +198,7 @@
         name: DaemonName::from(format!("gateway-{number}").as_str()),
         zone: ZoneName::from(if number.is_multiple_of(2) { "a" } else { "b" }),
         address: ([10, 0, 0, number], 7700).into(),
+        capacity: 100,
     };
     (0..count).map(peer).collect()
 }
--- a/crates/azurelug-core/tests/gateway_placement.rs
+++ b/crates/azurelug-core/tests/gateway_placement.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::cost::Work;
+use azurelug_core::gateway::cost::board::Board;
 use azurelug_core::gateway::cost::model::Model;
 use azurelug_core::gateway::fleet::{Bounds, Fleet, Outcome, Placement, TargetQuery, Weights};
 use azurelug_core::gateway::rendezvous;
 use azurelug_types::deployment::Target;
-use azurelug_types::id::{ServiceName, TargetName, ZoneName};
+use azurelug_types::fleet::TargetSpeed;
+use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
 use placement_model::{Choice, Load, run};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -346,3 +348,69 @@
         assert!((0.8..1.3).contains(&ratio), "{own_tokens}: {ratio}");
     }
 }
+
+fn report(target: &str, outcomes: f32, mean_log: f32) -> TargetSpeed {
+    TargetSpeed {
+        target: TargetName(target.to_owned()),
+        outcomes,
+        mean_log,
+        squares: 0.1,
+        deviations: 1.0,
+        age_ms: 0,
+        delay_ms: 0,
+    }
+}
+
+/// Guards against outcomes that count twice because control daemons send each other all that they
+/// know again and again, and against those of a daemon that failed long ago.
+#[test]
+fn outcomes_of_all_control_daemons_are_summed_up_once() {
+    let mut board = Board::default();
+    board.record(&[report("t1", 2.0, 0.5)], SECOND);
+    let other = DaemonName::from("c2");
+    for _ in 0..5 {
+        board.replace(other.clone(), &[report("t1", 6.0, 0.1)], SECOND);
+    }
+    let merged = board.merged(SECOND);
+    assert_eq!(merged.len(), 1);
+    assert!((merged[0].outcomes - 8.0).abs() < 0.01, "{merged:?}");
+    assert!((merged[0].mean_log - 0.2).abs() < 0.01, "{merged:?}");
+    assert!((merged[0].deviations - 2.0).abs() < 0.01, "{merged:?}");
+    assert!((board.own(SECOND)[0].outcomes - 2.0).abs() < 0.01);
+    let later = board.merged(40 * SECOND);
+    assert!(later[0].outcomes < 2.0, "{later:?}");
+}
+
+/// Guards against messages with impossible numbers, which must not spoil the speeds of targets.
+#[test]
+fn impossible_reports_of_speeds_are_ignored() {
+    let mut board = Board::default();
+    for outcomes in [f32::NAN, f32::INFINITY, -1.0, 0.0] {
+        board.record(&[report("t1", outcomes, 0.1)], SECOND);
+        board.record(&[report("t1", 1.0, outcomes / 0.0)], SECOND);
+    }
+    for merged in board.merged(SECOND) {
+        assert!(merged.outcomes.is_finite() && merged.mean_log.is_finite());
+    }
+}
+
+/// Guards against small VMs that dispatch as often as large ones, and against another placement
+/// where all VMs are of the same size.
+#[test]
+fn large_gateways_dispatch_more_often_and_equal_ones_as_before() {
+    let gateways: Vec<u32> = (0..30).collect();
+    let share = |gateway: &u32| if *gateway < 10 { 3.0 } else { 1.0 };
+    let services: Vec<u64> = (0..3).collect();
+    let mut on_large = 0;
+    for seed in 0..1000_u64 {
+        let keys: Vec<u64> = services.iter().map(|it| it + 100 * seed).collect();
+        for position in 0..3 {
+            let chosen = rendezvous::spread_weighted(&keys, position, &gateways, share);
+            on_large += u32::from(*chosen[0] < 10);
+            let equal = rendezvous::spread_weighted(&keys, position, &gateways, |_| 0.75);
+            assert_eq!(equal, rendezvous::spread(&keys, position, &gateways));
+        }
+    }
+    // A third of the gateways has three fifths of the capacity.
+    assert!((1650..1950).contains(&on_large), "{on_large} of 3000");
+}
--- a/crates/azurelug-core/tests/support/limit_model.rs
+++ b/crates/azurelug-core/tests/support/limit_model.rs
@@ -115,6 +115,7 @@
             name: format!("gateway-{number}").as_str().into(),
             zone: ZONES[number % ZONES.len()].into(),
             address: ([10, 0, (number / 256) as u8, (number % 256) as u8], 7700).into(),
+            capacity: 100,
         };
         let mut model = Self {
             ledger: Ledger::default(),
--- a/crates/azurelug-core/tests/support/quarantine_model.rs
+++ b/crates/azurelug-core/tests/support/quarantine_model.rs
@@ -57,6 +57,7 @@
             name: format!("gateway-{number}").as_str().into(),
             zone: "a".into(),
             address: ([10, 0, (number / 256) as u8, (number % 256) as u8], 7700).into(),
+            capacity: 100,
         };
         let gateways = (0..size.gateways).map(|number| {
             let late = random.random_range(0..10) == 0;
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -11,6 +11,7 @@
 
 use crate::body::Body;
 use crate::gateway::Gateway;
+use crate::placement::{ServiceCostRow, TargetCostRow};
 use crate::quarantine::SuspectRow;
 
 #[derive(Serialize)]
@@ -25,6 +26,8 @@
     targets: Vec<TargetRow>,
     stage_targets: Vec<StageRow>,
     suspects: Vec<SuspectRow>,
+    service_costs: Vec<ServiceCostRow>,
+    target_costs: Vec<TargetCostRow>,
 }
 
 #[derive(Serialize)]
@@ -71,6 +74,7 @@
     });
     let targets = rows.collect();
     drop(fleet);
+    let (service_costs, target_costs) = gateway.cost_rows();
     let stage_targets = gateway.dispatch_workers.dump().into_iter();
     Dump {
         name: gateway.name.to_string(),
@@ -89,6 +93,8 @@
             })
             .collect(),
         suspects: gateway.suspect_rows(),
+        service_costs,
+        target_costs,
     }
 }
 
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -460,8 +460,8 @@
     let gateway = &exchange.gateway;
     let affinity = exchange.affinity();
     let weights = &exchange.weights;
-    let (service, tried) = (&exchange.service, &history.tried);
-    let slot = gateway.reserve_permitted_slot(service, affinity, zone, weights, tried);
+    let (service, tried, work) = (&exchange.service, &history.tried, exchange.work());
+    let slot = gateway.reserve_permitted_slot(service, affinity, zone, weights, tried, work);
     let slot = slot.await.ok()?;
     if !gateway.take_retry_token(&exchange.service.name) {
         slot.cancel();
@@ -519,8 +519,9 @@
     loop {
         let affinity = exchange.affinity();
         let weights = &exchange.weights;
-        let (service, tried) = (&exchange.service, &history.tried);
-        let reserved = gateway.reserve_permitted_slot(service, affinity, zone, weights, tried);
+        let (service, tried, work) = (&exchange.service, &history.tried, exchange.work());
+        let reserved =
+            gateway.reserve_permitted_slot(service, affinity, zone, weights, tried, work);
         let unavailable = match reserved.await {
             Ok(slot) => return Ok(slot),
             Err(unavailable) => unavailable,
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -167,6 +167,7 @@
             observed_limits: self.gateway.unreported_limits(&self.reported_limits),
             suspects_revision: self.suspects_received,
             suspects: suspects.reports,
+            speeds: self.gateway.take_speed_reports(),
         };
         let sent = Instant::now();
         let answer = connection.call(Frame::Poll(poll), POLL_TIMEOUT).await;
@@ -229,6 +230,7 @@
             let reported = reports.map(|it| (it.target.clone(), self.gateway.knowledge(&it)));
             self.reported_limits = reported.collect();
         }
+        self.gateway.learn_speeds(&polled.speeds);
         self.gateway.dispatch_workers.relist(&self.gateway);
         self.gateway.update_idle_limit();
         if age > self.timing.max_state_age {
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use azurelug_core::gateway::cost::Work;
 use azurelug_core::gateway::fleet::Weights;
 use azurelug_core::gateway::rendezvous;
 use azurelug_core::gateway::table::Table;
@@ -105,6 +106,26 @@
         name.map_or(0, |name| rendezvous::weight("account", name))
     }
 
+    /// What the request declares about its work.
+    #[must_use]
+    pub fn work(&self) -> Work {
+        let prompt = self.fields.prompt.as_slice();
+        let (own, shared) = prompt
+            .split_last()
+            .map_or((0, 0), |(own, shared)| (own.tokens, tokens(shared)));
+        let (declared, most) = self.fields.tokens.unwrap_or_default();
+        let written = self.fields.length_hint.unwrap_or(most);
+        Work {
+            shared_tokens: shared,
+            own_tokens: own.max(declared.saturating_sub(shared)),
+            output_tokens: if self.route.kind.is_stream() {
+                0
+            } else {
+                written.min(most.max(1))
+            },
+        }
+    }
+
     /// Hash of the shared prompt prefix, which one target should cache: all parts but the last.
     #[must_use]
     pub fn affinity(&self) -> Option<u64> {
@@ -118,6 +139,12 @@
     }
 }
 
+fn tokens(parts: &[PromptPart]) -> u64 {
+    parts
+        .iter()
+        .fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
+
 fn part_id(part: &PromptPart) -> &str {
     &part.id
 }
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use azurelug_core::gateway::budget::{Allowance, Budget};
 use azurelug_core::gateway::cost::Work;
 use azurelug_core::gateway::fleet::{
-    self, Fleet, Key, Outcome, SelectionError, TargetQuery, Weights,
+    self, Fleet, Key, Outcome, Placement, SelectionError, TargetQuery, Weights,
 };
 use azurelug_core::gateway::limits::CLOCK_START;
 use azurelug_core::gateway::shutdown::{Durations, Shutdown};
@@ -389,6 +389,7 @@
         zone: &ZoneName,
         weights: &Weights,
         tried: &[Key],
+        work: Work,
     ) -> Result<Slot, SelectionError> {
         let wanted = TargetQuery {
             service: &service.name,
@@ -397,15 +398,21 @@
             weights,
             tried,
             bounds: self.fleet_bounds(service),
-            work: Work::default(),
+            work,
         };
         let now = self.now();
         let mut fleet = self.fleet();
-        let key = fleet.select(&wanted, rand::random(), now)?;
-        let target = fleet.target(key).clone();
+        let placement = fleet.place(&wanted, rand::random(), now)?;
+        let target = fleet.target(placement.key).clone();
+        drop(fleet);
+        if placement.has_left_preferred {
+            self.record_left(&target);
+        }
         Ok(Slot {
             gateway: Arc::clone(self),
-            key,
+            key: placement.key,
+            placement,
+            is_settled: false,
             target,
             sent: now,
             outcome: Outcome::Unknown,
@@ -426,10 +433,11 @@
         zone: &ZoneName,
         weights: &Weights,
         tried: &[Key],
+        work: Work,
     ) -> Result<Slot, SelectionError> {
         let mut shortest_wait = Duration::MAX;
         for _ in 0..MAX_PERMIT_REQUESTS {
-            let slot = self.reserve_slot(service, affinity, zone, weights, tried)?;
+            let slot = self.reserve_slot(service, affinity, zone, weights, tried, work)?;
             match self.acquire_permit(&slot.target.name).await {
                 Ok(()) => return Ok(slot),
                 Err(wait) => shortest_wait = shortest_wait.min(wait),
@@ -538,6 +546,9 @@
     /// The target that the slot belongs to.
     pub target: Target,
     sent: Duration,
+    placement: Placement,
+    /// Whether the fleet knows the time until the answer began, or that there was none.
+    is_settled: bool,
     outcome: Outcome,
     is_cancelled: bool,
     /// Evidence about the request's prompt parts.
@@ -558,6 +569,17 @@
     /// Sets the outcome that is reported to the target's health record on release.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
+        match outcome {
+            Outcome::Answered(first) => self.settle(Some(first)),
+            _ => self.settle(None),
+        }
+    }
+
+    fn settle(&mut self, answered: Option<Duration>) {
+        if !std::mem::replace(&mut self.is_settled, true) {
+            let now = self.gateway.now();
+            self.gateway.fleet().settle(&self.placement, answered, now);
+        }
     }
 
     /// Releases the slot.
@@ -571,6 +593,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        self.settle(None);
         let now = self.gateway.now();
         if self.is_cancelled {
             self.gateway.fleet().cancelled(self.key, now);
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod permits;
+pub mod placement;
 pub mod quarantine;
 pub mod relay;
 pub mod run;
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics in the OpenMetrics format. Label values come only from the configuration and from
 //! enums, so the number of time series is bounded.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -66,6 +67,9 @@
     retries: Family<ServiceLabels, Counter>,
     stage_calls: Family<ServiceLabels, Counter>,
     stage_pieces: Family<ServiceLabels, Counter>,
+    speed_ratios: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    uneven_services: Family<ServiceLabels, Gauge>,
+    left_preferred: Family<ServiceLabels, Counter>,
     dropped_log_lines: Gauge,
     /// Requests whose response is not complete.
     pub in_flight: Gauge,
@@ -107,6 +111,15 @@
             "Pieces in these calls",
             stage_pieces.clone(),
         );
+        let speed_ratios = Family::<ServiceLabels, Gauge<f64, AtomicU64>>::default();
+        let help = "Ratio of the upper to the lower decile of the targets' slowness";
+        registry.register("speed_ratio", help, speed_ratios.clone());
+        let uneven_services = Family::<ServiceLabels, Gauge>::default();
+        let help = "1 if the choice of a target takes costs into account";
+        registry.register("uneven", help, uneven_services.clone());
+        let left_preferred = Family::<ServiceLabels, Counter>::default();
+        let help = "Requests that left their preferred targets because of costs";
+        registry.register("left_preferred", help, left_preferred.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests without an answer", in_flight.clone());
         let config_version = Gauge::default();
@@ -148,6 +161,9 @@
             retries,
             stage_calls,
             stage_pieces,
+            speed_ratios,
+            uneven_services,
+            left_preferred,
             dropped_log_lines,
             in_flight,
             config_version,
@@ -170,6 +186,20 @@
         self.retries.get_or_create(&service_labels(service)).inc();
     }
 
+    /// Sets how much the speeds of a service's targets differ. Returns whether the mode has changed.
+    pub fn set_speed_ratio(&self, service: &str, ratio: f64, is_uneven: bool) -> bool {
+        let labels = service_labels(service);
+        self.speed_ratios.get_or_create(&labels).set(ratio);
+        let mode = self.uneven_services.get_or_create(&labels);
+        mode.set(i64::from(is_uneven)) != i64::from(is_uneven)
+    }
+
+    /// Counts a request that has left its preferred target because of costs.
+    pub fn record_left(&self, service: &str) {
+        let counter = self.left_preferred.get_or_create(&service_labels(service));
+        counter.inc();
+    }
+
     /// Counts a call to a target and the pieces that it runs.
     pub fn record_stage_call(&self, service: &str, pieces: usize) {
         self.stage_calls
--- a/crates/azurelug-gateway/src/peers.rs
+++ b/crates/azurelug-gateway/src/peers.rs
@@ -122,6 +122,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             address: settings.internal,
+            capacity: settings.capacity(),
         };
         let state = State {
             peers: Arc::from([own.clone()]),
@@ -495,7 +496,10 @@
     let far: Vec<&Peer> = state.peers.iter().filter(|peer| !is_near(peer)).collect();
     let position = state.staged.iter().position(|name| name == service);
     let near = match position {
-        Some(position) => rendezvous::spread(&state.staged, position, &near),
+        Some(position) => {
+            let share = |peer: &&Peer| f64::from(peer.capacity);
+            rendezvous::spread_weighted(&state.staged, position, &near, share)
+        }
         None => rendezvous::ranked(service, &near),
     };
     let ranked = near.into_iter().chain(rendezvous::ranked(service, &far));
--- a/crates/azurelug-gateway/src/settings.rs
+++ b/crates/azurelug-gateway/src/settings.rs
@@ -48,6 +48,12 @@
     /// each; without it 24 MiB are.
     #[serde(default)]
     pub memory_mb: Option<usize>,
+    /// Processor time of the VM in cores.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Link of the VM in megabits a second.
+    #[serde(default)]
+    pub link_bandwidth_mbps: Option<f64>,
     /// Names of the rule sets that are in force for the deployment.
     #[serde(default)]
     pub contracts: Vec<String>,
@@ -56,6 +62,13 @@
     pub log: Log,
 }
 
+/// Capacity of a usual VM, to which the settings of a VM are compared. Only ratios between gateways
+/// count; these are the VMs of the middle size.
+const USUAL_CAPACITY: u16 = 100;
+const USUAL_CORES: f64 = 0.12;
+const USUAL_MEMORY_MB: f64 = 160.0;
+const USUAL_LINK_MBPS: f64 = 10.0;
+
 /// Bounds that the operators set.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,6 +105,23 @@
         Ok(settings)
     }
 
+    /// What the VM can do, in hundredths of a usual VM: by the scarcest of processor time, memory
+    /// and link. A VM without these settings is a usual one.
+    #[must_use]
+    pub fn capacity(&self) -> u16 {
+        let memory = self.memory_mb.map(|megabytes| megabytes as f64);
+        let (Some(cores), Some(link)) = (self.cpu_share, self.link_bandwidth_mbps) else {
+            return USUAL_CAPACITY;
+        };
+        let shares = [
+            cores / USUAL_CORES,
+            link / USUAL_LINK_MBPS,
+            memory.map_or(1.0, |memory| memory / USUAL_MEMORY_MB),
+        ];
+        let scarcest = shares.into_iter().fold(f64::INFINITY, f64::min);
+        ((scarcest * f64::from(USUAL_CAPACITY)) as u16).max(1)
+    }
+
     fn check(&self, path: &Path) -> Result<(), Error> {
         let problem =
             |field: &str, message: &str, help: &str| Err(Error::value(path, field, message, help));
@@ -106,6 +136,14 @@
             let help = "set the address at which other gateways reach this one";
             return problem("internal", "not an address of this VM", help);
         }
+        for (field, share) in [
+            ("cpu_share", self.cpu_share),
+            ("link_bandwidth_mbps", self.link_bandwidth_mbps),
+        ] {
+            if let Some(share) = share.filter(|it| !(*it > 0.0 && it.is_finite())) {
+                return problem(field, &share.to_string(), "set a number above 0");
+            }
+        }
         let bounds = &self.bounds;
         if bounds.revocation.0.is_zero() {
             let help = "set how long a removed key may still be accepted, for instance 5s";
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -61,6 +61,8 @@
         pub zone: ZoneName,
         /// Address for connections from other gateways.
         pub address: SocketAddr,
+        /// What its VM can do, in hundredths of a usual VM.
+        pub capacity: u16,
     }
 
     /// A gateway's request for changes, sent to a control daemon several times a second.
@@ -79,6 +81,8 @@
         pub suspects_revision: u64,
         /// Suspected parts that have changed at the gateway since its last poll on this connection.
         pub suspects: Vec<SuspectPart>,
+        /// Outcomes of requests that the gateway has seen since its last poll.
+        pub speeds: Vec<TargetSpeed>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -105,6 +109,8 @@
         pub suspects: Vec<SuspectPart>,
         /// Internal addresses of the control daemons.
         pub controls: Vec<SocketAddr>,
+        /// Outcomes of requests that all gateways have seen.
+        pub speeds: Vec<TargetSpeed>,
     }
 
     /// A target's limit for the requests from all gateways together.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -3,7 +3,7 @@
 use azurelug_coordination::{once, share};
 use azurelug_types::fleet::{
     Booking, Grant, Inventory, PartKey, PermitRequest, Pieces, PiecesEnd, Poll, Polled,
-    SuspectPart, TargetLimit,
+    SuspectPart, TargetLimit, TargetSpeed,
 };
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -185,4 +185,6 @@
         /// Whether the request may be sent.
         is_granted: bool,
     },
+    /// A control daemon sends another the outcomes that its gateways have seen.
+    Speeds(Vec<TargetSpeed>),
 }
