--- a/crates/azurelug-core/examples/decision_cost.rs
+++ b/crates/azurelug-core/examples/decision_cost.rs
@@ -4,13 +4,15 @@
 //!
 //! Run with `cargo run --release -p azurelug-core --example decision_cost [rounds] [seed]`.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 use azurelug_core::admission::{
     Action, Admission, AdmissionRequest, Admitted, Settings as AdmissionSettings, Ticket,
 };
+use azurelug_core::gateway::cost::Work;
+use azurelug_core::gateway::fleet::{self, Bounds, Fleet, TargetQuery, Weights};
 use azurelug_core::latency::Latencies;
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::naive;
@@ -21,7 +23,10 @@
 use azurelug_types::config::{
     Account, Config, ModelRef, OnPartition, Role, StageKind, State, Target, Zone,
 };
-use azurelug_types::id::{AccountKey, AccountName, ModelName, TargetName, Version, ZoneName};
+use azurelug_types::deployment;
+use azurelug_types::id::{
+    AccountKey, AccountName, ModelName, ServiceName, TargetName, Version, ZoneName,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -55,6 +60,9 @@
         variants.push(routing(targets, seed, &prefix));
         variants.push(naive_routing(targets, seed));
     }
+    for learned in [Learned::Nothing, Learned::Even, Learned::Uneven] {
+        variants.push(placement(learned, seed));
+    }
     for accounts in [5, 50_000] {
         variants.push(admission(accounts, seed));
     }
@@ -237,6 +245,89 @@
     }
 }
 
+/// What the gateway has learned of the speeds of its targets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Learned {
+    Nothing,
+    Even,
+    Uneven,
+}
+
+/// Each decision places one request with a prompt prefix at one of 112 targets, and ends an earlier
+/// one. The outcome is recorded, unless nothing is learned.
+fn placement(learned: Learned, seed: u64) -> Variant {
+    let service = ServiceName::from("llm");
+    let zones = ["a", "b", "c"].map(ZoneName::from);
+    let targets: Vec<deployment::Target> = (0..112_usize)
+        .map(|number| deployment::Target {
+            name: TargetName(format!("engine{number:04}")),
+            service: service.clone(),
+            address: ([127, 0, 0, 1], number as u16 + 1).into(),
+            zone: zones[number % zones.len()].clone(),
+            slots: 12,
+            is_leaving: false,
+            cold_ms: 0,
+            version: String::new(),
+        })
+        .collect();
+    let mut known = Fleet::new(seed);
+    known.list(&targets, Duration::ZERO);
+    let slow: HashMap<fleet::Key, bool> = targets
+        .iter()
+        .filter_map(|target| known.key(&target.name))
+        .enumerate()
+        .map(|(number, key)| (key, number.is_multiple_of(3)))
+        .collect();
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut now = Duration::from_secs(1);
+    let mut running: VecDeque<fleet::Placement> = VecDeque::new();
+    let run = move || {
+        for _ in 0..DECISIONS_PER_BLOCK {
+            // A VM of 0.09 cores gets about five requests a second.
+            now += Duration::from_millis(200);
+            let wanted = TargetQuery {
+                service: &service,
+                affinity: Some(random.random()),
+                zone: &zones[0],
+                weights: &Weights::default(),
+                tried: &[],
+                bounds: Bounds {
+                    gateways: 62,
+                    cold_rate: 15.0,
+                    cold_limit: 27.5,
+                    slots: Some(12),
+                },
+                work: Work {
+                    shared_tokens: random.random_range(2000..20_000),
+                    own_tokens: random.random_range(600..6000),
+                    output_tokens: 0,
+                },
+            };
+            running.extend(black_box(known.place(&wanted, random.random(), now)));
+            if running.len() > 5
+                && let Some(placed) = running.pop_front()
+            {
+                let factor = if learned == Learned::Uneven && slow[&placed.key] {
+                    3.0
+                } else {
+                    1.0
+                };
+                let time = Duration::from_millis(60).mul_f64(factor);
+                let answered = (learned != Learned::Nothing).then_some(time);
+                known.settle(&placed, answered, now);
+                known.finished(placed.key, fleet::Outcome::Answered(time), now);
+            }
+        }
+        let uneven = known.costs().any(|(_, costs)| costs.is_uneven());
+        assert_eq!(uneven, learned == Learned::Uneven);
+    };
+    Variant {
+        name: format!("placement, 112 targets, learned: {learned:?}"),
+        run: Box::new(run),
+        nanoseconds: Vec::new(),
+    }
+}
+
 /// Each decision offers one request. Two of three are followed by the end of a running request,
 /// which may start waiting ones, so that queues are in use and some requests are refused.
 fn admission(accounts: u32, seed: u64) -> Variant {
--- a/crates/azurelug-core/src/gateway/cost/board.rs
+++ b/crates/azurelug-core/src/gateway/cost/board.rs
@@ -21,12 +21,15 @@
 /// tenth of the slowest link of 7.5 Mbit/s.
 const MAX_TARGETS: usize = 512;
 
+/// Name of a target and hash of its address, so that a restart on another VM begins anew.
+type Start = (TargetName, u64);
+
 /// Outcomes that gateways have sent to this control daemon, and those that other control daemons
 /// got. Each outcome is sent to one control daemon, so the sum counts none twice.
 #[derive(Debug, Default)]
 pub struct Board {
-    own: HashMap<TargetName, Speed>,
-    others: HashMap<DaemonName, (Duration, HashMap<TargetName, Speed>)>,
+    own: HashMap<Start, Speed>,
+    others: HashMap<DaemonName, (Duration, HashMap<Start, Speed>)>,
 }
 
 impl Board {
@@ -37,8 +40,9 @@
             self.own.retain(|_, speed| is_recent(speed));
         }
         for report in reports {
-            if self.own.len() < MAX_TARGETS || self.own.contains_key(&report.target) {
-                let speed = self.own.entry(report.target.clone()).or_default();
+            let start = (report.target.clone(), report.address);
+            if self.own.len() < MAX_TARGETS || self.own.contains_key(&start) {
+                let speed = self.own.entry(start).or_default();
                 speed.add(&Speed::from_report(report, now), now);
             }
         }
@@ -47,7 +51,8 @@
     /// Replaces what another control daemon has sent before.
     pub fn replace(&mut self, daemon: DaemonName, reports: &[TargetSpeed], now: Duration) {
         let speeds = reports.iter().take(MAX_TARGETS);
-        let speeds = speeds.map(|it| (it.target.clone(), Speed::from_report(it, now)));
+        let speeds =
+            speeds.map(|it| ((it.target.clone(), it.address), Speed::from_report(it, now)));
         self.others.insert(daemon, (now, speeds.collect()));
     }
 
@@ -65,17 +70,17 @@
             if now.saturating_sub(*received_at) > MAX_REPORT_AGE {
                 continue;
             }
-            for (target, speed) in speeds {
-                merged.entry(target.clone()).or_default().add(speed, now);
+            for (start, speed) in speeds {
+                merged.entry(start.clone()).or_default().add(speed, now);
             }
         }
         reports(&merged, now)
     }
 }
 
-fn reports(speeds: &HashMap<TargetName, Speed>, now: Duration) -> Vec<TargetSpeed> {
+fn reports(speeds: &HashMap<Start, Speed>, now: Duration) -> Vec<TargetSpeed> {
     let known = speeds.iter();
     known
-        .map(|(target, speed)| speed.report(target, now))
+        .map(|((target, address), speed)| speed.report(target, *address, now))
         .collect()
 }
--- a/crates/azurelug-core/src/gateway/cost/speed.rs
+++ b/crates/azurelug-core/src/gateway/cost/speed.rs
@@ -190,12 +190,13 @@
 
     /// Converts to a message to another process.
     #[must_use]
-    pub fn report(&self, target: &TargetName, now: Duration) -> TargetSpeed {
+    pub fn report(&self, target: &TargetName, address: u64, now: Duration) -> TargetSpeed {
         let (count, mean) = self.mean(now);
         let (squares, deviations) = self.deviations(now);
         let age = self.age(now).unwrap_or_default();
         TargetSpeed {
             target: target.clone(),
+            address,
             outcomes: count as f32,
             mean_log: mean as f32,
             squares: squares as f32,
--- a/crates/azurelug-core/src/gateway/fleet/placement.rs
+++ b/crates/azurelug-core/src/gateway/fleet/placement.rs
@@ -15,6 +15,7 @@
 use crate::gateway::cost::Features;
 use crate::gateway::cost::model::Model;
 use crate::gateway::cost::speed::{self, Speed, Spread};
+use crate::gateway::rendezvous;
 
 /// Interval between estimates of the spread of speeds. They change over many seconds, and an
 /// estimate looks at all targets.
@@ -294,7 +295,8 @@
         let unreported = listed.filter_map(|record| {
             let outcomes = std::mem::take(&mut record.unreported);
             outcomes.age(now)?;
-            Some(outcomes.report(&record.target.name, now))
+            let target = &record.target;
+            Some(outcomes.report(&target.name, address_hash(target), now))
         });
         unreported.collect()
     }
@@ -303,7 +305,9 @@
     pub fn learn_speeds(&mut self, reports: &[TargetSpeed], now: Duration) {
         self.reported_at = now;
         for report in reports {
-            if let Some(key) = self.key(&report.target) {
+            let key = self.key(&report.target);
+            let is_same = |key: &Key| address_hash(self.target(*key)) == report.address;
+            if let Some(key) = key.filter(is_same) {
                 self.records[key.0 as usize].reported = Speed::from_report(report, now);
             }
         }
@@ -327,3 +331,7 @@
         })
     }
 }
+
+fn address_hash(target: &Target) -> u64 {
+    rendezvous::weight("address", &target.address)
+}
--- a/crates/azurelug-core/tests/gateway_placement.rs
+++ b/crates/azurelug-core/tests/gateway_placement.rs
@@ -5,6 +5,7 @@
 #[path = "support/placement_model.rs"]
 mod placement_model;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use azurelug_core::gateway::cost::Work;
@@ -309,17 +310,28 @@
     }
 }
 
-/// Guards against the speed of a target that outlives it: after a restart its speed is unknown.
+/// Guards against the speed of a target that outlives it: after a restart its speed is unknown, and
+/// reports of outcomes before it don't count.
 #[test]
 fn a_restarted_target_has_the_usual_speed() {
     let mut caller = uneven_caller();
+    let mut board = Board::default();
+    board.record(&caller.fleet.take_speed_reports(8 * SECOND), 8 * SECOND);
     let mut listed = targets(12);
     listed[0].address = "10.0.9.9:80".parse().unwrap();
-    caller.fleet.list(&listed, SECOND * 8);
-    let costs = caller.fleet.target_costs(SECOND * 8);
-    let known = |(target, cost): (&Target, _)| (target.name.as_str() == "t0").then_some(cost);
-    let cost = costs.filter_map(known).next().unwrap();
-    assert_eq!((cost.slowness, cost.age), (1.0, None));
+    caller.fleet.list(&listed, 8 * SECOND);
+    for now in [8 * SECOND, 10 * SECOND] {
+        caller.fleet.learn_speeds(&board.merged(now), now);
+        let placed = caller.place(Some(1), 0.5, now);
+        caller.fleet.settle(&placed, None, now);
+        caller.fleet.finished(placed.key, Outcome::Unknown, now);
+        let costs = caller.fleet.target_costs(now);
+        let slowness: HashMap<&str, f64> = costs
+            .map(|(target, cost)| (target.name.as_str(), cost.slowness))
+            .collect();
+        assert_eq!(slowness["t0"], 1.0, "{now:?}: {slowness:?}");
+        assert!(slowness["t3"] > 1.5, "{now:?}: {slowness:?}");
+    }
 }
 
 /// Guards against a fit that a stalled target distorts, and against one that grows without end
@@ -352,6 +364,7 @@
 fn report(target: &str, outcomes: f32, mean_log: f32) -> TargetSpeed {
     TargetSpeed {
         target: TargetName(target.to_owned()),
+        address: 1,
         outcomes,
         mean_log,
         squares: 0.1,
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -129,6 +129,8 @@
     pub struct TargetSpeed {
         /// The target.
         pub target: TargetName,
+        /// Hash of its address, which differs after a restart on another VM.
+        pub address: u64,
         /// Number of outcomes, with decay.
         pub outcomes: f32,
         /// Mean of the logarithms of observed to usual times.
