Ignore answers of cold targets when speeds are learned

Cause: answers of a cold target would count as low speed with a half-life of 60 s, so that a service with many restarts looks uneven.

Change: Fleet::settle learns nothing while the target is cold.

The two new tests were not run without the change.

Conclusion: cold starts are left to cold_until and the penalty for cold targets.

--- a/crates/azurelug-core/src/gateway/fleet/placement.rs
+++ b/crates/azurelug-core/src/gateway/fleet/placement.rs
@@ -249,7 +249,10 @@
     pub fn settle(&mut self, placed: &Placement, answered: Option<Duration>, now: Duration) {
         let record = &mut self.records[placed.key.0 as usize];
         record.pending_s = (record.pending_s - placed.expected_s).max(0.0);
-        let Some(answered) = answered else { return };
+        // A cold start says nothing of the target's speed when it is warm.
+        let Some(answered) = answered.filter(|_| record.cold_until <= now) else {
+            return;
+        };
         let service = record.target.service.clone();
         let costs = self.costs.entry(service).or_default();
         let seconds = answered.as_secs_f64();
--- a/crates/azurelug-core/tests/gateway_placement.rs
+++ b/crates/azurelug-core/tests/gateway_placement.rs
@@ -334,6 +334,27 @@
     }
 }
 
+/// Guards against targets that count as slow for a minute because they were cold.
+#[test]
+fn answers_of_cold_targets_say_nothing_of_their_speed() {
+    let mut caller = Caller {
+        fleet: Fleet::default(),
+        work: Work::default(),
+    };
+    let mut listed = targets(12);
+    for target in &mut listed {
+        target.cold_ms = 60_000;
+    }
+    caller.fleet.list(&listed, Duration::ZERO);
+    for step in 0..100_u32 {
+        let now = SECOND + 10 * MS * step;
+        let placed = caller.place(Some(u64::from(step)), 0.5, now);
+        caller.answer(&placed, 500 * MS, now);
+    }
+    assert_eq!(caller.fleet.take_speed_reports(3 * SECOND), []);
+    assert_eq!(caller.fleet.costs().count(), 0);
+}
+
 /// Guards against a fit that a stalled target distorts, and against one that grows without end
 /// because a quantity is always 0.
 #[test]
--- a/crates/azurelug-gateway/tests/settings.rs
+++ b/crates/azurelug-gateway/tests/settings.rs
@@ -70,6 +70,39 @@
     }
 }
 
+/// Guards against gateways that dispatch by one resource of their VMs only, and against settings
+/// without a value, which the template leaves where the platform names none.
+#[test]
+fn the_scarcest_resource_of_a_vm_decides_its_capacity() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway.yaml");
+    let example = std::fs::read_to_string(file).unwrap();
+    let lines = example.lines().filter(|it| !it.starts_with("memory_mb:"));
+    let example = lines.collect::<Vec<_>>().join("\n");
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("gateway.yaml");
+    for (resources, capacity) in [
+        ("", 100),
+        ("cpu_share:\nlink_bandwidth_mbps:\n", 100),
+        ("memory_mb: 400\n", 100),
+        (
+            "cpu_share: 0.09\nmemory_mb: 120\nlink_bandwidth_mbps: 7.5\n",
+            75,
+        ),
+        (
+            "cpu_share: 0.3\nmemory_mb: 400\nlink_bandwidth_mbps: 25\n",
+            250,
+        ),
+        (
+            "cpu_share: 0.3\nmemory_mb: 80\nlink_bandwidth_mbps: 25\n",
+            50,
+        ),
+    ] {
+        std::fs::write(&file, format!("{example}\n{resources}")).unwrap();
+        let settings: Settings = read::file(&file).unwrap();
+        assert_eq!(settings.capacity(), capacity, "{resources}");
+    }
+}
+
 fn span(millis: u32) -> azurelug_settings::span::SettingDuration {
     azurelug_settings::span::SettingDuration(Duration::from_millis(millis.into()))
 }
