Join the choice of targets by cost, and the weights of dispatchers

Change: joined with the versions of a roll-out (`Fleet::place` selects a version first, and within it by cost), the register of gateways, and the metrics. Measured: gateway_fleet, gateway_placement, gateway_rollout_state, gateway_roster, gateway_list, gateway_crash_recovery and gateway_dispatch pass.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -15,7 +15,9 @@
 use azurelug_core::gateway::rollout::state::Rollouts;
 use azurelug_core::gateway::roster::{GATEWAY_TIMEOUT, Register};
 use azurelug_types::deployment::Target;
-use azurelug_types::fleet::{Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit};
+use azurelug_types::fleet::{
+    Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit, TargetSpeed,
+};
 use azurelug_types::id::{DaemonName, ServiceName, TargetName};
 use azurelug_types::rollout::{GatewayReports, Policy};
 use azurelug_wire::Frame;
@@ -30,6 +32,7 @@
 use crate::peers::Peers;
 use crate::quarantine::{Archive, Suspects};
 use crate::replica::Replica;
+use crate::speeds::Speeds;
 
 /// Interval at which the control daemons exchange the lists of gateways that poll them.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
@@ -48,6 +51,7 @@
     suspects: Suspects,
     /// What gateways have seen of the roll-outs in progress.
     evidence: Evidence,
+    speeds: Speeds,
     controls: Vec<SocketAddr>,
     /// Slots of the control daemons in ascending order.
     control_slots: Vec<u32>,
@@ -234,11 +238,13 @@
         state.gateways.record_poll(poll.peer, now);
         state.limits.merge(poll.observed_limits);
         state.suspects.merge(&poll.suspects);
+        state.speeds.record(&poll.speeds);
         let suspects = state.suspects.changes_since(poll.suspects_revision);
         let peers = list_with_digest(state.gateways.listed(now), digest);
         let limits = list_with_digest(state.limits.reports(), |limit| {
             digest(&(&limit.target, limit.rate, limit.is_ended))
         });
+        let speeds = state.speeds.merged();
         let targets = state.targets.as_ref();
         let targets_age = targets.map(|(_, read)| millis(read.elapsed()));
         let targets = targets.filter(|(list, _)| list.digest != poll.targets);
@@ -256,6 +262,7 @@
             controls: state.controls.clone(),
             known_for_ms: millis(state.gateways.known_for(now)),
             policies: self.policies(orders.rollouts(), orders.sequence(), poll.policies),
+            speeds,
         }))
     }
 
@@ -324,6 +331,11 @@
         self.state().suspects.merge(reports);
     }
 
+    /// Takes over the outcomes that the gateways of another control daemon have seen.
+    pub fn receive_speeds(&self, daemon: DaemonName, reports: &[TargetSpeed]) {
+        self.state().speeds.replace(daemon, reports);
+    }
+
     /// Writes the records of accused parts to the archive whenever they have changed. A slow disk
     /// delays only this task.
     pub async fn run_archive(self, mut archive: Archive) {
@@ -364,14 +376,15 @@
                 .collect();
             slots.sort_unstable();
             slots.dedup();
-            let (local, limits, suspects) = {
+            let (local, limits, suspects, speeds) = {
                 let mut state = self.state();
                 let addresses = slots.iter().filter_map(|slot| self.cluster.address(*slot));
                 state.controls = addresses.collect();
                 state.control_slots.clone_from(&slots);
                 state.remove_expired(self.started.elapsed());
                 let suspects = state.suspects.next_broadcast();
-                (state.gateways.local(), state.limits.reports(), suspects)
+                let (limits, speeds) = (state.limits.reports(), state.speeds.own());
+                (state.gateways.local(), limits, suspects, speeds)
             };
             if self.has_rollouts {
                 self.send_rollouts(&slots);
@@ -386,6 +399,9 @@
                 if !suspects.is_empty() {
                     self.peers.send(slot, Frame::Suspects(suspects.clone()));
                 }
+                if !speeds.is_empty() {
+                    self.peers.send(slot, Frame::Speeds(speeds.clone()));
+                }
             }
         }
     }
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -96,6 +96,10 @@
                 self.gateways.receive_rollouts(reports);
                 Reply::None
             }
+            Frame::Speeds(reports) => {
+                self.gateways.receive_speeds(peer.sender.clone(), &reports);
+                Reply::None
+            }
             Frame::Suspects(reports) => {
                 self.gateways.receive_suspects(&reports);
                 Reply::None
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod run;
 pub mod settings;
 pub mod shares;
+pub mod speeds;
 pub mod updates;
--- a/crates/azurelug-core/src/gateway/dispatch.rs
+++ b/crates/azurelug-core/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 mod capacity;
 mod pressure;
 mod queue;
+mod reported;
 mod shares;
 mod start;
 mod times;
--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -5,7 +5,7 @@
 use azurelug_types::id::{ServiceName, TargetName};
 use azurelug_types::rollout::{Policy, Report};
 
-use super::{Fleet, Key, SelectionError, TargetQuery};
+use super::{Fleet, Key, Placement, SelectionError, TargetQuery};
 use crate::gateway::rollout::evidence::Observation;
 use crate::gateway::rollout::gate::{Choice, Gate, Side};
 use crate::gateway::rollout::ledger::Exposure;
@@ -79,11 +79,11 @@
 
     /// Selects a target of the version that is due, or of the other one if that may replace it.
     pub(super) fn select_version(
-        &self,
+        &mut self,
         wanted: &TargetQuery<'_>,
         random: f64,
         now: Duration,
-    ) -> Result<Key, SelectionError> {
+    ) -> Result<Placement, SelectionError> {
         let Some(choice) = self.choice(wanted.service, now) else {
             return self.select_among(wanted, None, random, now);
         };
--- a/crates/azurelug-core/tests/gateway_rollout_state.rs
+++ b/crates/azurelug-core/tests/gateway_rollout_state.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use azurelug_core::gateway::cost::Work;
 use azurelug_core::gateway::fleet::{Bounds, Fleet, SelectionError, TargetQuery, Weights};
 use azurelug_core::gateway::rollout::evidence::Evidence;
 use azurelug_core::gateway::rollout::ledger::Exposure;
@@ -108,6 +109,7 @@
         zone: &zone,
         weights: &weights,
         tried: &[],
+        work: Work::default(),
         bounds: Bounds {
             gateways: 1,
             cold_rate: 0.0,
--- a/crates/azurelug-core/tests/gateway_roster.rs
+++ b/crates/azurelug-core/tests/gateway_roster.rs
@@ -87,6 +87,7 @@
                 name: DaemonName(format!("gateway-{index}")),
                 zone: ZoneName(format!("zone-{zone}")),
                 address: ([127, 0, (index / 250) as u8, (index % 250) as u8], 80).into(),
+                capacity: 100,
             };
             self.gateways.push(Gateway {
                 roster: Roster::new(peer.clone()),
@@ -317,6 +318,7 @@
         name: DaemonName(format!("gateway-{index}")),
         zone: ZoneName("zone-0".to_owned()),
         address: ([127, 0, 0, index], 80).into(),
+        capacity: 100,
     };
     let mut register = Register::default();
     for at in (0..5000).step_by(100) {
@@ -343,6 +345,7 @@
         name: DaemonName("gateway-0".to_owned()),
         zone: ZoneName("zone-0".to_owned()),
         address: ([127, 0, 0, 1], 80).into(),
+        capacity: 100,
     };
     let (mut first, mut second) = (Register::default(), Register::default());
     first.record_poll(peer.clone(), time(0));
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Body;
 use crate::gateway::Gateway;
+use crate::placement::{ServiceCostRow, TargetCostRow};
 use crate::quarantine::SuspectRow;
 use crate::rollouts::RolloutRow;
 
@@ -29,6 +30,8 @@
     suspects: Vec<SuspectRow>,
     clients: Held,
     rollouts: Vec<RolloutRow>,
+    service_costs: Vec<ServiceCostRow>,
+    target_costs: Vec<TargetCostRow>,
 }
 
 #[derive(Serialize)]
@@ -77,6 +80,7 @@
     });
     let targets = rows.collect();
     drop(fleet);
+    let (service_costs, target_costs) = gateway.cost_rows();
     let stage_targets = gateway.dispatch_workers.dump().into_iter();
     Dump {
         name: gateway.name.to_string(),
@@ -97,6 +101,8 @@
         suspects: gateway.suspect_rows(),
         clients: gateway.clients.held(),
         rollouts: gateway.rollout_rows(),
+        service_costs,
+        target_costs,
     }
 }
 
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -136,6 +136,7 @@
         number: u64::MAX,
         policies: None,
         rollouts: Vec::new(),
+        speeds: Vec::new(),
     };
     let sent = timeout(LEAVE_TIMEOUT, async {
         let connection = Connection::open(address, identity).await?;
@@ -218,6 +219,7 @@
             number: self.polls,
             policies: self.policies,
             rollouts: self.gateway.rollout_reports(),
+            speeds: self.gateway.take_speed_reports(),
         };
         let sent = Instant::now();
         let answer = connection
@@ -291,6 +293,7 @@
             let reported = reports.map(|it| (it.target.clone(), self.gateway.knowledge(&it)));
             self.reported_limits = reported.collect();
         }
+        self.gateway.learn_speeds(&polled.speeds);
         self.gateway.dispatch_workers.relist(&self.gateway);
         self.gateway.update_idle_limit();
         if age > self.timing.max_state_age {
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod permits;
+pub mod placement;
 pub mod quarantine;
 pub mod relay;
 pub mod rollouts;
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics in the OpenMetrics format. Label values come only from the configuration and from
 //! enums, so the number of time series is bounded.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -91,6 +92,9 @@
     rollout_requests: Family<ServiceLabels, Gauge>,
     late_pieces: Family<ServiceLabels, Counter>,
     stage_waits: Family<ServiceLabels, Histogram>,
+    speed_ratios: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    uneven_services: Family<ServiceLabels, Gauge>,
+    left_preferred: Family<ServiceLabels, Counter>,
     dropped_log_lines: Gauge,
     /// Requests whose response is not complete.
     pub in_flight: Gauge,
@@ -147,6 +151,15 @@
         let stage_waits = Family::<ServiceLabels, Histogram>::new_with_constructor(histogram);
         let help = "Longest wait of an order of each call, in seconds";
         registry.register("stage_wait_seconds", help, stage_waits.clone());
+        let speed_ratios = Family::<ServiceLabels, Gauge<f64, AtomicU64>>::default();
+        let help = "Ratio of the upper to the lower decile of the targets' slowness";
+        registry.register("speed_ratio", help, speed_ratios.clone());
+        let uneven_services = Family::<ServiceLabels, Gauge>::default();
+        let help = "1 if the choice of a target takes costs into account";
+        registry.register("uneven", help, uneven_services.clone());
+        let left_preferred = Family::<ServiceLabels, Counter>::default();
+        let help = "Requests that left their preferred targets because of costs";
+        registry.register("left_preferred", help, left_preferred.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests without an answer", in_flight.clone());
         let config_version = Gauge::default();
@@ -193,6 +206,9 @@
             rollout_requests,
             late_pieces,
             stage_waits,
+            speed_ratios,
+            uneven_services,
+            left_preferred,
             dropped_log_lines,
             in_flight,
             config_version,
@@ -241,6 +257,20 @@
         }
     }
 
+    /// Sets how much the speeds of a service's targets differ. Returns whether the mode has changed.
+    pub fn set_speed_ratio(&self, service: &str, ratio: f64, is_uneven: bool) -> bool {
+        let labels = service_labels(service);
+        self.speed_ratios.get_or_create(&labels).set(ratio);
+        let mode = self.uneven_services.get_or_create(&labels);
+        mode.set(i64::from(is_uneven)) != i64::from(is_uneven)
+    }
+
+    /// Counts a request that has left its preferred target because of costs.
+    pub fn record_left(&self, service: &str) {
+        let counter = self.left_preferred.get_or_create(&service_labels(service));
+        counter.inc();
+    }
+
     /// Counts a call to a target and the pieces that it runs. `wait` is the longest wait of one of
     /// its orders.
     pub fn record_stage_call(&self, service: &str, pieces: usize, wait: Duration) {
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -62,6 +62,8 @@
         pub zone: ZoneName,
         /// Address for connections from other gateways.
         pub address: SocketAddr,
+        /// What its VM can do, in hundredths of a usual VM.
+        pub capacity: u16,
     }
 
     /// A gateway's request for changes, sent to a control daemon several times a second.
@@ -91,6 +93,8 @@
         pub policies: Option<u64>,
         /// What the gateway has seen of the roll-outs in progress.
         pub rollouts: Vec<Report>,
+        /// Outcomes of requests that the gateway has seen since its last poll.
+        pub speeds: Vec<TargetSpeed>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -123,6 +127,8 @@
         pub known_for_ms: u64,
         /// Which versions of services may get requests, if the gateway's policies may be older.
         pub policies: Option<Vec<Policy>>,
+        /// Outcomes of requests that all gateways have seen.
+        pub speeds: Vec<TargetSpeed>,
     }
 
     /// A target's limit for the requests from all gateways together.
@@ -137,6 +143,26 @@
         pub age_ms: u64,
     }
 
+    /// Outcomes of requests at one target, relative to the usual time of their service.
+    pub struct TargetSpeed {
+        /// The target.
+        pub target: TargetName,
+        /// Hash of its address, which differs after a restart on another VM.
+        pub address: u64,
+        /// Number of outcomes, with decay.
+        pub outcomes: f32,
+        /// Mean of the logarithms of observed to usual times.
+        pub mean_log: f32,
+        /// Sum of the squared deviations of outcomes from the mean of earlier ones, with decay.
+        pub squares: f32,
+        /// Number of these deviations, with decay.
+        pub deviations: f32,
+        /// Age of the newest outcome in milliseconds.
+        pub age_ms: u64,
+        /// Time that its request waited beyond the expected time, in milliseconds.
+        pub delay_ms: u32,
+    }
+
     /// A gateway's request for permits to send requests to a target that has a limit.
     pub struct PermitRequest {
         /// What the asking gateway knows of the limit.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -3,7 +3,7 @@
 use azurelug_coordination::{once, share};
 use azurelug_types::fleet::{
     Booking, Grant, Inventory, PartKey, PermitRequest, Pieces, PiecesEnd, Poll, Polled,
-    SuspectPart, TargetLimit,
+    SuspectPart, TargetLimit, TargetSpeed,
 };
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -189,4 +189,6 @@
     GatewayLeft(DaemonName),
     /// A control daemon sends another what gateways have seen of the roll-outs in progress.
     Rollouts(Vec<azurelug_types::rollout::GatewayReports>),
+    /// A control daemon sends another the outcomes that its gateways have seen.
+    Speeds(Vec<TargetSpeed>),
 }
