Roll-outs: acknowledge a repeated order of a service that was removed

Cause: an accepted order is never refused when it is repeated, but a newer configuration without the service made a repeat a 400. Found by reading.

Change: an order that names the target of the service's last roll-out passes the check of the service.

No test of its own.

Conclusion: a repeat is acknowledged whatever the configuration is.

--- a/crates/azurelug-control/src/rollouts.rs
+++ b/crates/azurelug-control/src/rollouts.rs
@@ -142,7 +142,11 @@
         let orders = self.replica.orders();
         let document = orders.document().ok_or(Refusal::NoConfiguration)?;
         let deployment = document::read(&document.bytes).map_err(|_| Refusal::NoConfiguration)?;
-        if !deployment.services.iter().any(|it| it.name == service) {
+        // An accepted order may be repeated although a newer configuration has removed the service.
+        let known = orders.rollouts().service(&service);
+        let last = known.and_then(|it| it.rollout.as_ref());
+        let is_accepted = last.is_some_and(|it| it.target == target);
+        if !is_accepted && !deployment.services.iter().any(|it| it.name == service) {
             let refusal = Refusal::UnknownService(service.to_string());
             log::warn!("control: roll-out refused: {refusal}");
             return Err(refusal);
