rollout: half of the requests after the canary, not three quarters

Cause: a version that fails only under load passes the canary. Ruled out: a longer canary, which such a version passes as well.

Change: the step has half of the requests (`Step::Half`), which also gives a control group of the same size.

Conclusion: better, not mended: the bound needs a step that is paid from saved exposure (docs/design/rollouts.md, known limits).

--- a/crates/azurelug-core/src/gateway/rollout/gate.rs
+++ b/crates/azurelug-core/src/gateway/rollout/gate.rs
@@ -12,9 +12,9 @@
 /// the exposure until its first answers have been seen.
 const PROBE_FRACTION: f64 = 0.25;
 
-/// Part of the requests that go to the old version in the step with most requests at the new one.
-/// They show whether trouble affects both versions.
-const CONTROL_SHARE: f64 = 0.25;
+/// Part of the requests that go to the old version in the step after the canary. They show whether
+/// trouble affects both versions, and what a version that fails only under load costs.
+const CONTROL_SHARE: f64 = 0.5;
 
 /// Number of groups of targets whose outcomes are counted separately, so that the worst group can be
 /// left out. More of them would make the reports longer.
@@ -151,8 +151,8 @@
         Some(match running.step {
             Step::Probe if progress.ledger.may_send(PROBE_FRACTION) => both(Side::New, Side::Old),
             Step::Canary if progress.ledger.may_send(1.0) => both(Side::New, Side::Old),
-            Step::Majority if progress.control.may_send(1.0) => both(Side::Old, Side::New),
-            Step::Majority => both(Side::New, Side::Old),
+            Step::Half if progress.control.may_send(1.0) => both(Side::Old, Side::New),
+            Step::Half => both(Side::New, Side::Old),
             Step::Full => Choice {
                 only_without_target: true,
                 ..both(Side::New, Side::Old)
@@ -169,7 +169,7 @@
             _ if !is_fresh => (u64::MAX, 0),
             Step::Probe => (u64::MAX, progress.ledger.room(PROBE_FRACTION)),
             Step::Canary => (u64::MAX, progress.ledger.room(1.0)),
-            Step::Majority => (progress.control.room(1.0), u64::MAX),
+            Step::Half => (progress.control.room(1.0), u64::MAX),
             Step::Full => (0, u64::MAX),
             Step::Completed | Step::RolledBack => (u64::MAX, 0),
         })
@@ -177,10 +177,10 @@
 
     /// Counts a request that reaches the service. Repeats of it do not count.
     pub fn record_request(&mut self) {
-        let is_majority = self.step() == Some(Step::Majority);
+        let is_half = self.step() == Some(Step::Half);
         if let Some(progress) = &mut self.progress {
             progress.ledger.record_request();
-            if is_majority {
+            if is_half {
                 progress.control.record_request();
             }
         }
@@ -193,10 +193,10 @@
     /// Counts a send of any kind to a version.
     pub fn record_send(&mut self, version: &str) {
         let side = self.side(version);
-        let is_majority = self.step() == Some(Step::Majority);
+        let is_half = self.step() == Some(Step::Half);
         match (&mut self.progress, side) {
             (Some(progress), Some(Side::New)) => progress.ledger.record_send(),
-            (Some(progress), Some(Side::Old)) if is_majority => progress.control.record_send(),
+            (Some(progress), Some(Side::Old)) if is_half => progress.control.record_send(),
             _ => {}
         }
     }
@@ -204,10 +204,10 @@
     /// Takes back a send that was not made.
     pub fn cancel_send(&mut self, version: &str) {
         let side = self.side(version);
-        let is_majority = self.step() == Some(Step::Majority);
+        let is_half = self.step() == Some(Step::Half);
         match (&mut self.progress, side) {
             (Some(progress), Some(Side::New)) => progress.ledger.cancel_send(),
-            (Some(progress), Some(Side::Old)) if is_majority => progress.control.cancel_send(),
+            (Some(progress), Some(Side::Old)) if is_half => progress.control.cancel_send(),
             _ => {}
         }
     }
@@ -240,7 +240,7 @@
             step: if is_fresh {
                 running.step
             } else {
-                running.step.min(Step::Majority)
+                running.step.min(Step::Half)
             },
             pending_old,
             new_sends: progress.ledger.sends(),
--- a/crates/azurelug-core/src/gateway/rollout/plan.rs
+++ b/crates/azurelug-core/src/gateway/rollout/plan.rs
@@ -45,9 +45,9 @@
     /// The canary, of a suspect version.
     pub(super) const CANARY_LATE: f64 = 0.55;
     /// The step with a control group.
-    pub(super) const MAJORITY: f64 = 0.65;
+    pub(super) const HALF: f64 = 0.65;
     /// The same, of a suspect version.
-    pub(super) const MAJORITY_LATE: f64 = 0.8;
+    pub(super) const HALF_LATE: f64 = 0.8;
     /// The wait for targets of the new version.
     pub(super) const TARGETS: f64 = 0.75;
     /// Shortest time in which everything goes to the new version while the old one can still take
@@ -182,14 +182,14 @@
             Step::Canary => {
                 let is_early = answers >= CANARY_ANSWERS && passed(part::CANARY_EARLY);
                 let is_due = (is_early || passed(part::CANARY)) && !is_suspect;
-                (is_due || passed(part::CANARY_LATE)).then_some(Step::Majority)
+                (is_due || passed(part::CANARY_LATE)).then_some(Step::Half)
             }
-            Step::Majority if is_likely && passed(part::MAJORITY_LATE) => {
+            Step::Half if is_likely && passed(part::HALF_LATE) => {
                 return roll_back(format!("the version is likely to be bad: {}", evidence()));
             }
-            Step::Majority => {
-                let is_due = passed(part::MAJORITY) && !is_suspect;
-                (is_due || passed(part::MAJORITY_LATE)).then_some(Step::Full)
+            Step::Half => {
+                let is_due = passed(part::HALF) && !is_suspect;
+                (is_due || passed(part::HALF_LATE)).then_some(Step::Full)
             }
             // The fault is confirmed within a short time, or it is none.
             Step::Full if self.is_unconfirmed(now) => None,
--- a/crates/azurelug-core/src/gateway/rollout/verdict.rs
+++ b/crates/azurelug-core/src/gateway/rollout/verdict.rs
@@ -190,10 +190,10 @@
         let finding = own.and_then(Compared::finding);
         finding.is_some_and(|finding| finding.is_suspect())
     };
-    if !samples.iter().any(|it| it.step == Step::Majority) {
+    if !samples.iter().any(|it| it.step == Step::Half) {
         return Vec::new();
     }
-    let all = of_step(counts, Step::Majority, false).into_iter();
+    let all = of_step(counts, Step::Half, false).into_iter();
     let backed = all.filter(speaks_against);
     backed.filter_map(|compared| compared.finding()).collect()
 }
--- a/crates/azurelug-types/src/rollout.rs
+++ b/crates/azurelug-types/src/rollout.rs
@@ -10,8 +10,8 @@
         Probe,
         /// The exposure bound is used.
         Canary,
-        /// Nearly all requests go to the new version; the others serve as a control group.
-        Majority,
+        /// Half of the requests go to the new version; the others serve as a control group.
+        Half,
         /// All requests go to the new version; the old targets finish theirs.
         Full,
         /// The service runs the new version; the old targets are stopped.
@@ -34,7 +34,7 @@
         match self {
             Self::Probe => "probe",
             Self::Canary => "canary",
-            Self::Majority => "majority",
+            Self::Half => "half",
             Self::Full => "full",
             Self::Completed => "completed",
             Self::RolledBack => "rolled_back",
