core tests: one attribute for unused support code

Cause: clippy refused gateway_plan.rs, which allowed dead code a second time. Change: the attribute in the support file is enough. Conclusion: none.

--- a/crates/azurelug-core/tests/gateway_plan.rs
+++ b/crates/azurelug-core/tests/gateway_plan.rs
@@ -2,7 +2,6 @@
 #![allow(clippy::unwrap_used)]
 
 #[path = "support/staged.rs"]
-#[allow(dead_code)]
 mod staged;
 
 use std::time::Duration;
