--- a/crates/azurelug-core/tests/gateway_placement.rs
+++ b/crates/azurelug-core/tests/gateway_placement.rs
@@ -16,51 +16,13 @@
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::TargetSpeed;
 use azurelug_types::id::{DaemonName, ServiceName, TargetName, ZoneName};
-use placement_model::{Choice, Load, run};
+use placement_model::{Choice, Load, load, run};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 
-fn load(gateways: usize, seconds: f64) -> Load {
-    Load {
-        gateways,
-        requests_per_s: 325.0,
-        seconds,
-        seed: 1,
-        is_even: false,
-    }
-}
-
-/// Prints the comparison that docs/design/placement.md quotes.
-#[test]
-#[ignore = "a measurement, not a check"]
-fn compare_choices() {
-    println!("gateways choice median p90 p99 in_time read_again left uneven");
-    let choices = [
-        Choice::InFlight,
-        Choice::TwoRandom,
-        Choice::Own,
-        Choice::Shared,
-    ];
-    for gateways in [9, 66, 295] {
-        for choice in choices {
-            let report = run(&load(gateways, 60.0), choice);
-            println!(
-                "{gateways} {choice:?} {:.0} {:.0} {:.0} {:.4} {} {} {}",
-                report.quantile(0.5),
-                report.quantile(0.9),
-                report.quantile(0.99),
-                report.share_in_time(),
-                report.tokens_read_again,
-                report.left_preferred,
-                report.uneven,
-            );
-        }
-    }
-}
-
 /// Guards against requests that wait at slow or busy targets while others are free: the choice by
 /// costs must be better than both the choice by requests in flight and two random choices.
 #[test]
--- a/crates/azurelug-core/tests/support/placement_model.rs
+++ b/crates/azurelug-core/tests/support/placement_model.rs
@@ -1,5 +1,6 @@
 //! Replays requests of many gateways against engines of different speeds, without a network. Each
 //! gateway has a real [`Fleet`]; the engines are modelled.
+#![allow(dead_code, reason = "not every program uses all of it")]
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -57,6 +58,17 @@
     pub(crate) is_even: bool,
 }
 
+/// The load of the comparison of choices.
+pub(crate) fn load(gateways: usize, seconds: f64) -> Load {
+    Load {
+        gateways,
+        requests_per_s: 325.0,
+        seconds,
+        seed: 1,
+        is_even: false,
+    }
+}
+
 /// What came of the requests.
 #[derive(Debug, Default)]
 pub(crate) struct Report {
