clock, gateway, control: log suspensions and the age by which a key was accepted

Cause: the record of the requests with removed keys can't tell which version of the configuration accepted a key, how old it was, nor whether the machine stood still meanwhile. Gateways and control daemons log a suspension and count it (suspended_ms). The line of a served request names key_age_ms, that of a refused one the version and its age. No decision reads the new clock. Conclusion: the hypotheses can be told apart in a log.

--- a/crates/azurelug-control/src/metrics.rs
+++ b/crates/azurelug-control/src/metrics.rs
@@ -81,6 +81,7 @@
     rollout_steps: Family<ResultLabel, Counter>,
     share_limit: Gauge,
     share_granted: Gauge,
+    suspended_ms: Counter,
 }
 
 impl Default for Metrics {
@@ -109,6 +110,7 @@
             rollout_steps: Family::default(),
             share_limit: Gauge::default(),
             share_granted: Gauge::default(),
+            suspended_ms: Counter::default(),
         };
         metrics.register_log();
         metrics.register_grants();
@@ -143,6 +145,8 @@
         );
         let help = "Patches received here by result";
         registry.register("patches", help, self.patches.clone());
+        let help = "Milliseconds in which the machine was suspended";
+        registry.register("suspended_ms", help, self.suspended_ms.clone());
     }
 
     fn register_grants(&mut self) {
@@ -173,6 +177,11 @@
         self.commit_seconds.observe(after.as_secs_f64());
     }
 
+    /// Counts a suspension of the machine.
+    pub fn count_suspension(&self, millis: u64) {
+        self.suspended_ms.inc_by(millis);
+    }
+
     /// Records the time to write and sync a batch.
     pub fn observe_sync(&self, after: Duration) {
         self.journal_sync_seconds.observe(after.as_secs_f64());
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
+use azurelug_clock::Watch;
 use azurelug_coordination::once;
 use azurelug_coordination::raft::{
     self, Action, Body, Entry, Event, Membership, Message, Node, NodeOptions, Payload, Position,
@@ -86,6 +87,7 @@
     expire_due: Instant,
     has_snapshot: bool,
     refusals: Refusals,
+    suspensions: Watch,
     metrics: Arc<Metrics>,
 }
 
@@ -152,6 +154,7 @@
             expire_due: started,
             has_snapshot,
             refusals: Refusals::default(),
+            suspensions: Watch::start(),
             metrics,
         };
         Ok((task, replica))
@@ -253,6 +256,9 @@
                 }
                 () = sleep_until(next) => {}
             }
+            if let Some(suspended) = self.suspensions.take() {
+                self.log_suspension(suspended);
+            }
             for request in received.drain(..) {
                 self.handle_request(request, &mut batch);
             }
@@ -270,6 +276,13 @@
         }
     }
 
+    fn log_suspension(&self, suspended: Duration) {
+        let millis = u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX);
+        self.metrics.count_suspension(millis);
+        let (role, term) = (self.role, self.node.term());
+        log::warn!("control: the machine was suspended for {millis} ms; {role:?} in term {term}");
+    }
+
     fn handle_request(&mut self, request: Request, batch: &mut Batch) {
         match request {
             Request::Propose { command, reply } => self.propose(command, reply, batch),
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurelug_clock::Watch;
 use azurelug_core::gateway::limits::Knowledge;
 use azurelug_core::gateway::rendezvous;
 use azurelug_core::gateway::table::Table;
@@ -102,6 +103,7 @@
         suspects_sent: 0,
         polls: 0,
         policies: None,
+        suspensions: Watch::start(),
     };
     loop {
         // The order differs by gateway, which spreads the polls over the control daemons.
@@ -170,6 +172,7 @@
     polls: u64,
     /// Sequence number of the orders from which the policies for versions are.
     policies: Option<u64>,
+    suspensions: Watch,
 }
 
 impl ControlPoller {
@@ -186,6 +189,9 @@
         // Another daemon, or one that has restarted, has other records.
         (self.suspects_received, self.suspects_sent) = (0, 0);
         loop {
+            if let Some(suspended) = self.suspensions.take() {
+                self.gateway.record_suspension(suspended);
+            }
             self.gateway.peers.probe_suspects(&self.gateway);
             self.gateway.update_unreachable_zones();
             if let Err(reason) = self.poll(&connection).await {
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -30,6 +30,8 @@
     pub service: Service,
     /// The account that the API key belongs to.
     pub account: Option<AccountName>,
+    /// Age of the configuration by which the key was accepted; none if the request needs no key.
+    pub key_age: Option<Duration>,
     /// Rank among waiting requests; 0 is the most urgent.
     pub rank: u16,
     /// Rank among requests of the same route by value per unit of work, from 0 (lowest) to 1.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -268,6 +268,18 @@
         self.view().fresh_as_of.map(|as_of| as_of.elapsed())
     }
 
+    /// Logs and counts that the machine was suspended.
+    pub fn record_suspension(&self, suspended: Duration) {
+        let millis = u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX);
+        self.metrics.suspended_ms.inc_by(millis);
+        let (age, may_check_keys) = (self.staleness().unwrap_or_default(), self.may_check_keys());
+        log::warn!(
+            "gateway: the machine was suspended for {millis} ms; version_age_ms={} \
+             may_check_keys={may_check_keys}",
+            age.as_millis()
+        );
+    }
+
     /// Whether keys can be checked, i.e. whether every removal of a key older than the revocation
     /// bound is known.
     pub fn may_check_keys(&self) -> bool {
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -102,6 +102,8 @@
     pub config_version: Gauge,
     /// Number of lost connections to control daemons.
     pub control_disconnects: Counter,
+    /// Milliseconds in which the machine was suspended.
+    pub suspended_ms: Counter,
     /// Streams to clients that ended early.
     pub interrupted_streams: Counter,
     /// Permits that this gateway received for requests to targets that have a limit.
@@ -170,6 +172,9 @@
         let control_disconnects = Counter::default();
         let help = "Lost connections to control daemons";
         registry.register("control_losses", help, control_disconnects.clone());
+        let suspended_ms = Counter::default();
+        let help = "Milliseconds in which the machine was suspended";
+        registry.register("suspended_ms", help, suspended_ms.clone());
         let interrupted_streams = Counter::default();
         let help = "Streams to clients that ended early";
         registry.register("interrupted_streams", help, interrupted_streams.clone());
@@ -190,6 +195,7 @@
         registry.register("accused_parts", help, accused_parts.clone());
         Self {
             registry,
+            suspended_ms,
             interrupted_streams,
             quarantined_requests,
             accused_requests,
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -76,7 +76,7 @@
         let staleness = exchange.gateway.staleness().unwrap_or_default();
         log::info!(
             "gateway: request {} {}: {reason}; route={} account={} staged_ms={} first_ms={} \
-             total_ms={} targets={} version={} version_age_ms={}",
+             total_ms={} targets={} version={} key_age_ms={} version_age_ms={}",
             exchange.id,
             end.as_str(),
             exchange.route.name,
@@ -86,11 +86,17 @@
             exchange.elapsed().as_millis(),
             self.targets,
             exchange.table.deployment().version,
+            optional_millis(exchange.key_age),
             staleness.as_millis(),
         );
     }
 }
 
+/// Milliseconds for a log line.
+fn optional_millis(time: Option<Duration>) -> String {
+    time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
+}
+
 /// Answers one request.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let (parts, body) = request.into_parts();
@@ -109,9 +115,12 @@
         Err((refusal, reason)) => {
             let id = id.as_deref();
             let status = refusal.status().as_u16();
+            let version = gateway.table().map(|table| table.deployment().version);
             log::info!(
-                "gateway: request {} refused: {reason}; status={status}",
-                id.unwrap_or("-")
+                "gateway: request {} refused: {reason}; status={status} version={} version_age_ms={}",
+                id.unwrap_or("-"),
+                version.unwrap_or_default(),
+                optional_millis(gateway.staleness()),
             );
             let mut response = refusal.response(id, reason).map(Body::complete);
             // After a body that was not read whole, nothing more can be read from the connection.
@@ -158,6 +167,7 @@
         return Err((Refusal::NoRoute, "no route"));
     };
     let account = authenticate(gateway, &table, &route, &fields)?;
+    let key_age = account.and_then(|_| gateway.staleness());
     let (account, account_rank) = match account {
         Some(account) => (Some(account.name.clone()), account.priority),
         None => (None, 0),
@@ -182,6 +192,7 @@
         value_rank,
         service,
         account,
+        key_age,
         id,
         parts,
         body,
--- a/crates/azurelug-gateway/tests/missed_deadline.rs
+++ b/crates/azurelug-gateway/tests/missed_deadline.rs
@@ -62,6 +62,7 @@
             batch: None,
         },
         account: None,
+        key_age: None,
         rank: 0,
         value_rank: 0.0,
         id: "id-1".to_owned(),
