test: a suspended gateway accepts keys that were removed meanwhile (red)

Cause: callers' requests ran with keys that a confirmed change had taken away, on real machines only. The record shows a control daemon that went on as leader after 6 s of silence: its steady clock had not counted that time. Change: a test with a control daemon as a real process and a gateway on a thread of its own, which blocks with the runtime's clock stopped: for the gateway that is a suspension with its machine, while the kernel accepts connections for it.

--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -22,10 +22,14 @@
 mod planned_stops;
 #[path = "gateway/removed_accounts.rs"]
 mod removed_accounts;
+#[path = "gateway/removed_keys.rs"]
+mod removed_keys;
 #[path = "gateway/silent_targets.rs"]
 mod silent_targets;
 #[path = "gateway/slow_readers.rs"]
 mod slow_readers;
+#[path = "support/suspendable.rs"]
+mod suspendable;
 #[path = "gateway/unframed_answers.rs"]
 mod unframed_answers;
 
--- a/crates/azurelug-system/tests/support/deployment.rs
+++ b/crates/azurelug-system/tests/support/deployment.rs
@@ -140,9 +140,9 @@
     (IpAddr::V4(Ipv4Addr::new(127, 0, 0, last)), port).into()
 }
 
-/// Finds a port that is free on the addresses of both daemons.
+/// Finds a port that is free on the addresses of all daemons.
 fn free_port() -> u16 {
-    port::free(&[address(2, 0).ip(), address(3, 0).ip()])
+    port::free(&[2, 3, 4].map(|last| address(last, 0).ip()))
 }
 
 impl Deployment {
@@ -452,6 +452,18 @@
             * 1024
     }
 
+    /// Writes the settings of another gateway, with the address 127.0.0.4.
+    #[allow(dead_code, reason = "not all test binaries use it")]
+    pub(crate) fn settings_of_another_gateway(&self) -> PathBuf {
+        let first = std::fs::read_to_string(self.folder.join("gateway.yaml"));
+        let settings = first.expect("the gateway's settings");
+        let settings = settings.replace("name: gateway", "name: gateway-2");
+        let settings = settings.replace(&address(3, 0).ip().to_string(), "127.0.0.4");
+        let file = self.folder.join("gateway-2.yaml");
+        std::fs::write(&file, settings).expect("write a settings file");
+        file
+    }
+
     /// The gateway's address for clients.
     pub(crate) fn client_address(&self) -> SocketAddr {
         self.clients
