test: a key is looked up in an older configuration than vouches for it (red)

Cause: serve::admit takes the table before the body has arrived and asks for the freshness after it, which may be that of a newer table. Change: a test with real processes: a gateway is stopped by SIGSTOP while a key is removed, and half of the bodies arrive before it has contact again. Listed in KNOWN-RED.txt until its fix.

--- a/crates/azurelug-system/tests/gateway/removed_keys.rs
+++ b/crates/azurelug-system/tests/gateway/removed_keys.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -73,3 +74,47 @@
         "{statuses:?}"
     );
 }
+
+/// Guards against a key that is looked up in the configuration from before the body of its request
+/// arrived, while the newer one vouches for its age.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known fault, KNOWN-RED.txt: the table and its age are read at different moments"]
+async fn a_key_that_was_removed_before_the_body_arrived_is_refused() {
+    let deployment = Deployment::start().await;
+    deployment.gateway.signal(Signal::SIGSTOP);
+    deployment.put_configuration(&without_key(2), 200).await;
+    sleep(REVOCATION).await;
+    let mut streams = Vec::new();
+    for number in 0..10 {
+        let mut stream = deployment.connect().await.unwrap();
+        let head = format!(
+            "POST /look/x HTTP/1.1\r\nHost: carts.example\r\nAuthorization: Bearer key-1\r\n\
+             X-Request-Attempt-Id: late-{number}\r\nX-Deadline-Milliseconds: 4000\r\n\
+             Content-Length: 10\r\n\r\n12345"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    deployment.gateway.signal(Signal::SIGCONT);
+    wait_for_version(&deployment, 2).await;
+    for stream in &mut streams {
+        stream.write_all(b"67890").await.unwrap();
+    }
+    let statuses = join_all(streams.iter_mut().map(read_status)).await;
+    let ids = (0..streams.len()).map(|number| format!("late-{number}"));
+    let ran = ids.filter(|id| !deployment.received(id).is_empty()).count();
+    assert_eq!(ran, 0, "requests ran with a removed key: {statuses:?}");
+    assert!(statuses.iter().all(|it| *it == 401), "{statuses:?}");
+}
+
+async fn wait_for_version(deployment: &Deployment, version: u64) {
+    let line = format!("configuration {version} in force");
+    let in_force = async {
+        while !deployment.log().contains(&line) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(ANSWER_TIMEOUT, in_force)
+        .await
+        .expect("the version is in force in time");
+}
