test: a removed key passes on a route that also serves requests without one (red)

Cause: serve::authenticate takes a key that belongs to no account for no key if the route needs none. Change: a test with real processes sends removed, unknown, valid and no keys to such a route. Listed in KNOWN-RED.txt until its fix.

--- a/crates/azurelug-system/tests/gateway/removed_keys.rs
+++ b/crates/azurelug-system/tests/gateway/removed_keys.rs
@@ -118,3 +118,34 @@
         .await
         .expect("the version is in force in time");
 }
+
+/// Guards against requests with a removed key, or with one that never existed, that run on a route
+/// which serves requests without a key.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known fault, KNOWN-RED.txt: an unknown key counts as no key"]
+async fn a_removed_key_is_refused_on_a_route_that_needs_none() {
+    let deployment = Deployment::start().await;
+    let mut open = without_key(2);
+    for route in open["routes"].as_array_mut().unwrap() {
+        route["allow_anonymous"] = json!(true);
+    }
+    deployment.put_configuration(&open, 200).await;
+    wait_for_version(&deployment, 2).await;
+    for (id, key, expected) in [
+        ("removed", "Bearer key-1", 401),
+        ("unknown", "Bearer none", 401),
+        ("valid", "Bearer key-2", 200),
+    ] {
+        let answer = deployment
+            .request(id, "/look/x", &[("authorization", key)])
+            .await;
+        assert_eq!(answer.status, expected, "{id}");
+        let ran = !deployment.received(id).is_empty();
+        assert_eq!(ran, expected == 200, "{id}");
+    }
+    let mut stream = deployment.connect().await.unwrap();
+    let keyless = get("keyless").replace("Authorization: Bearer key-1\r\n", "");
+    stream.write_all(keyless.as_bytes()).await.unwrap();
+    assert_eq!(read_status(&mut stream).await, 200);
+    assert_eq!(deployment.received("keyless").len(), 1);
+}
