control: leases, ages and the log's time include suspensions of the machine

A leader whose machine was suspended believed in its lease until it heard of the next term, which the users' record shows: it went on in term 1 after 6 s. Until then it answered probes of freshness, reads of the configuration and gateways' polls, and told an age without the suspension. Change: the task of the log steps its member by azurelug_clock::Clock; the lease, the freshness, the grantors of shares, holders of leases, orders to engines, the age of the platform's list and the reports of limits, speeds and accused parts are times on such clocks. A lease's end is read as the time that is left of it. No run shows the fault at a control daemon: its task needs a runtime of several threads, whose clock tests can't stop. Conclusion: suspected from the record and the sources, not reproduced here.

--- a/crates/azurelug-control/src/daemons.rs
+++ b/crates/azurelug-control/src/daemons.rs
@@ -8,12 +8,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_coordination::lease::Identity;
 use azurelug_coordination::membership::{Answer, Change, Members, Renewal, Settings, State};
 use azurelug_core::lease_mode::LEASE;
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::Serialize;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Maximum number of daemons in the registry, and of starts of daemons in [`Members`].
 const MAX_DAEMONS: usize = 4096;
@@ -85,7 +86,7 @@
 /// The entry daemons that are known here.
 #[derive(Debug)]
 pub struct Registry {
-    started: Instant,
+    started: Clock,
     daemons: Mutex<Daemons>,
 }
 
@@ -121,7 +122,7 @@
             last_id: 0,
         };
         Self {
-            started: Instant::now(),
+            started: Clock::start(),
             daemons: Mutex::new(daemons),
         }
     }
--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -10,6 +10,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
+use azurelug_core::gateway::limits::CLOCK_START;
 use azurelug_core::gateway::read_rotation;
 use azurelug_core::gateway::rollout::evidence::{Evidence, Summary};
 use azurelug_core::gateway::rollout::state::Rollouts;
@@ -24,7 +26,7 @@
 use azurelug_wire::frame::PART_LIMIT;
 use tokio::sync::mpsc;
 use tokio::task::spawn_blocking;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::cluster::Cluster;
 use crate::internal::wall_clock_ms;
@@ -46,7 +48,8 @@
 #[derive(Debug, Default)]
 struct State {
     gateways: Register,
-    targets: Option<(Arc<List<Target>>, Instant)>,
+    /// The platform's list, and when it was read.
+    targets: Option<(Arc<List<Target>>, Duration)>,
     limits: Limits,
     suspects: Suspects,
     /// What gateways have seen of the roll-outs in progress.
@@ -66,7 +69,7 @@
     own_slot: u32,
     /// Whether the deployment has roll-outs, so that gateways need policies for versions.
     has_rollouts: bool,
-    started: Instant,
+    started: Clock,
     state: Arc<Mutex<State>>,
 }
 
@@ -83,7 +86,7 @@
             cluster,
             own_slot,
             has_rollouts: false,
-            started: Instant::now(),
+            started: Clock::start(),
             state: Arc::default(),
         }
     }
@@ -100,9 +103,15 @@
         self.started.elapsed()
     }
 
-    /// The platform's list and when it was read, if there is one.
-    pub fn targets(&self) -> Option<(Arc<List<Target>>, Instant)> {
-        self.state().targets.clone()
+    /// The platform's list, if there is one.
+    pub fn targets(&self) -> Option<Arc<List<Target>>> {
+        let state = self.state();
+        state.targets.as_ref().map(|(list, _)| Arc::clone(list))
+    }
+
+    /// The time by which reads of the platform's list are dated.
+    fn list_clock(&self) -> Duration {
+        CLOCK_START + self.started.elapsed()
     }
 
     /// Takes over what gateways that poll another control daemon have seen of roll-outs.
@@ -169,7 +178,7 @@
         };
         let slots = {
             let mut state = self.state();
-            state.targets = Some((Arc::new(list), Instant::now()));
+            state.targets = Some((Arc::new(list), self.list_clock()));
             state.control_slots.clone()
         };
         for slot in slots.into_iter().filter(|slot| *slot != self.own_slot) {
@@ -182,7 +191,7 @@
     /// here.
     pub fn receive_inventory(&self, inventory: Inventory) {
         let age = Duration::from_millis(inventory.age_ms);
-        let Some(read) = Instant::now().checked_sub(age) else {
+        let Some(read) = self.list_clock().checked_sub(age) else {
             return;
         };
         let mut state = self.state();
@@ -194,7 +203,11 @@
     /// The time until this daemon itself is due to read the platform's list.
     pub fn time_until_read(&self) -> Duration {
         let state = self.state();
-        let age = state.targets.as_ref().map(|(_, read)| read.elapsed());
+        let now = self.list_clock();
+        let age = state
+            .targets
+            .as_ref()
+            .map(|(_, read)| now.saturating_sub(*read));
         let rank = state
             .control_slots
             .iter()
@@ -246,7 +259,7 @@
         });
         let speeds = state.speeds.merged();
         let targets = state.targets.as_ref();
-        let targets_age = targets.map(|(_, read)| millis(read.elapsed()));
+        let targets_age = targets.map(|(_, read)| millis(self.list_clock().saturating_sub(*read)));
         let targets = targets.filter(|(list, _)| list.digest != poll.targets);
         Frame::Polled(Box::new(Polled {
             age_ms: millis(age).saturating_add(1),
--- a/crates/azurelug-control/src/limits.rs
+++ b/crates/azurelug-control/src/limits.rs
@@ -4,10 +4,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use azurelug_clock::Clock;
+use azurelug_core::gateway::limits::CLOCK_START;
 use azurelug_types::fleet::TargetLimit;
 use azurelug_types::id::TargetName;
 use azurelug_types::rate::Rate;
-use tokio::time::Instant;
 
 /// Time for which the end of a limit is reported, and a limit of a target that is not listed. All
 /// gateways learn of it within a few polls.
@@ -24,19 +25,25 @@
 struct Known {
     rate: Rate,
     is_ended: bool,
-    as_of: Instant,
+    /// Time on the clock of [`Limits`].
+    as_of: Duration,
 }
 
 /// The limits by target.
 #[derive(Debug, Default)]
 pub struct Limits {
+    clock: Clock,
     entries: HashMap<TargetName, Known>,
 }
 
 impl Limits {
+    fn now(&self) -> Duration {
+        CLOCK_START + self.clock.elapsed()
+    }
+
     /// Takes over reports that are newer than what is known here.
     pub fn merge(&mut self, reports: Vec<TargetLimit>) {
-        let now = Instant::now();
+        let now = self.now();
         for report in reports {
             let age = Duration::from_millis(report.age_ms);
             let Some(as_of) = now.checked_sub(age) else {
@@ -64,20 +71,22 @@
 
     /// Removes old entries of targets for which `is_listed` is false, and of limits that ended.
     pub fn prune(&mut self, is_listed: impl Fn(&TargetName) -> bool) {
+        let now = self.now();
         self.entries.retain(|target, known| {
             let is_in_force = !known.is_ended && is_listed(target);
-            is_in_force || known.as_of.elapsed() < RETENTION
+            is_in_force || now.saturating_sub(known.as_of) < RETENTION
         });
     }
 
     /// The limits in force and those that have ended, with their ages.
     pub fn reports(&self) -> Vec<TargetLimit> {
+        let now = self.now();
         let entries = self.entries.iter();
         let reports = entries.map(|(target, known)| TargetLimit {
             target: target.clone(),
             rate: known.rate,
             is_ended: known.is_ended,
-            age_ms: u64::try_from(known.as_of.elapsed().as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(now.saturating_sub(known.as_of).as_millis()).unwrap_or(u64::MAX),
         });
         reports.collect()
     }
--- a/crates/azurelug-control/src/orders.rs
+++ b/crates/azurelug-control/src/orders.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_coordination::orders::{
     self, Action, Catalog, Event, Limits, Order, OrderResult, Orders, State,
 };
@@ -21,7 +22,7 @@
 use azurelug_types::config::{Config, Role, Target};
 use azurelug_types::id::TargetName;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::replica::Replica;
 use crate::settings;
@@ -57,7 +58,7 @@
 #[derive(Clone)]
 pub struct Engines {
     settings: orders::Settings,
-    started: Instant,
+    started: Clock,
     replica: Replica,
     client: Client,
     inner: Arc<Mutex<Inner>>,
@@ -114,7 +115,7 @@
         };
         Ok(Self {
             settings,
-            started: Instant::now(),
+            started: Clock::start(),
             replica,
             // The interval between reads of an engine is longer than servers keep idle connections,
             // and an order should not be sent on a dead connection.
@@ -292,10 +293,10 @@
 
     /// End of the leader lease of `term` as a time since `started`; zero if there is no lease.
     fn leads_until(&self, term: u64) -> Duration {
+        // Read before the rest of the lease, so that the end is not later than it is.
+        let now = self.started.elapsed();
         let leadership = self.replica.leadership().filter(|it| it.term == term);
-        leadership.map_or(Duration::ZERO, |it| {
-            it.until.saturating_duration_since(self.started)
-        })
+        leadership.map_or(Duration::ZERO, |it| now + self.replica.lease_left(it))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/azurelug-control/src/quarantine.rs
+++ b/crates/azurelug-control/src/quarantine.rs
@@ -8,16 +8,16 @@
 
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_core::gateway::quarantine::{Broadcast, CLOCK_START, Changes, Ledger};
 use azurelug_types::fleet::SuspectPart;
-use tokio::time::Instant;
 
 /// The records of all gateways.
 #[derive(Debug)]
 pub struct Suspects {
     ledger: Ledger,
     broadcast: Broadcast,
-    started: Instant,
+    started: Clock,
 }
 
 impl Default for Suspects {
@@ -25,7 +25,7 @@
         Self {
             ledger: Ledger::default(),
             broadcast: Broadcast::default(),
-            started: Instant::now(),
+            started: Clock::start(),
         }
     }
 }
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_coordination::raft::{Message, State};
 use azurelug_core::gateway::orders::Orders;
 use azurelug_core::machine::{Command, Machine, Outcome};
@@ -85,8 +86,8 @@
 pub struct Leadership {
     /// The term, which is also the fencing number of orders.
     pub term: u64,
-    /// End of the leader lease.
-    pub until: Instant,
+    /// End of the leader lease, see [`Replica::lease_left`].
+    pub(crate) until: Duration,
 }
 
 /// A handle to the task. Clones share it.
@@ -96,7 +97,9 @@
     machine: Arc<RwLock<Machine>>,
     config: watch::Receiver<Arc<Config>>,
     orders: watch::Receiver<Orders>,
-    fresh_as_of: watch::Receiver<Option<Instant>>,
+    /// Measures the lease and the freshness.
+    clock: Clock,
+    fresh_as_of: watch::Receiver<Option<Duration>>,
     leadership: watch::Receiver<Option<Leadership>>,
     peers: Peers,
     /// Number of voting members that the leader maintains, if any.
@@ -214,23 +217,30 @@
     /// Waits until the state applied here is known to include everything that was acknowledged
     /// before this call. Returns false if this is not known within `limit`.
     pub async fn wait_fresh(&self, limit: Duration) -> bool {
-        let asked = Instant::now();
+        let asked = self.clock.elapsed();
         let mut fresh = self.fresh_as_of.clone();
-        let is_fresh = |as_of: &Option<Instant>| as_of.is_some_and(|as_of| as_of >= asked);
+        let is_fresh = |as_of: &Option<Duration>| as_of.is_some_and(|as_of| as_of >= asked);
         matches!(timeout(limit, fresh.wait_for(is_fresh)).await, Ok(Ok(_)))
     }
 
     /// Time since the state applied here was last known to be the newest; none if it never was.
     pub fn freshness_age(&self) -> Option<Duration> {
-        self.fresh_as_of.borrow().map(|as_of| as_of.elapsed())
+        let as_of = *self.fresh_as_of.borrow();
+        as_of.map(|as_of| self.clock.elapsed().saturating_sub(as_of))
     }
 
-    /// The latest leader lease of this member, if it leads. It may have ended already, so compare
-    /// its end with the current time.
+    /// The latest leader lease of this member, if it leads. It may have ended already, see
+    /// [`Replica::lease_left`].
     pub fn leadership(&self) -> Option<Leadership> {
         *self.leadership.borrow()
     }
 
+    /// The time until a leader lease ends, also if the machine was suspended since it began; zero
+    /// after its end.
+    pub fn lease_left(&self, leadership: Leadership) -> Duration {
+        leadership.until.saturating_sub(self.clock.elapsed())
+    }
+
     /// The log's state; none if the task has ended.
     pub async fn log_state(&self) -> Option<State> {
         let (reply, state) = oneshot::channel();
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
-use azurelug_clock::Watch;
+use azurelug_clock::{Clock, Watch};
 use azurelug_coordination::once;
 use azurelug_coordination::raft::{
     self, Action, Body, Entry, Event, Membership, Message, Node, NodeOptions, Payload, Position,
@@ -71,12 +71,13 @@
     data_folder: disk::DataFolder,
     disk: Disk,
     peers: Peers,
-    started: Instant,
+    /// The log's clock.
+    clock: Clock,
     requests: mpsc::Receiver<Request>,
     machine: Arc<RwLock<Machine>>,
     config: watch::Sender<Arc<Config>>,
     orders: watch::Sender<Orders>,
-    fresh_as_of: watch::Sender<Option<Instant>>,
+    fresh_as_of: watch::Sender<Option<Duration>>,
     leadership: watch::Sender<Option<Leadership>>,
     next_token: u64,
     /// Proposals that are not in the log yet, by token.
@@ -120,6 +121,7 @@
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
         let orders = watch::Sender::new(machine.orders().clone());
         let machine = Arc::new(RwLock::new(machine));
+        let clock = Clock::start();
         let fresh_as_of = watch::Sender::new(None);
         let leadership = watch::Sender::new(None);
         let replica = Replica {
@@ -127,20 +129,20 @@
             machine: Arc::clone(&machine),
             config: config.subscribe(),
             orders: orders.subscribe(),
+            clock,
             fresh_as_of: fresh_as_of.subscribe(),
             leadership: leadership.subscribe(),
             peers: peers.clone(),
             target_voters: settings.target_voters,
             metrics: Arc::clone(&metrics),
         };
-        let started = Instant::now();
         let task = Self {
             settings,
             node,
             data_folder,
             disk,
             peers,
-            started,
+            clock,
             requests,
             machine,
             config,
@@ -151,7 +153,7 @@
             pending: HashMap::new(),
             appended: BTreeMap::new(),
             role: Role::Follower,
-            expire_due: started,
+            expire_due: Instant::now(),
             has_snapshot,
             refusals: Refusals::default(),
             suspensions: Watch::start(),
@@ -197,7 +199,7 @@
         log::error!("control: the disk is full; nothing is written until it has room");
         self.role = Role::Follower;
         self.leadership.send_replace(None);
-        for action in self.node.step(Event::Resign, self.started.elapsed()) {
+        for action in self.node.step(Event::Resign, self.clock.elapsed()) {
             if let Action::Send(message) = action {
                 self.send(&message);
             }
@@ -230,7 +232,7 @@
             mut node,
             machine,
             has_snapshot,
-        } = RecoveredMember::new(&self.settings, recovered, self.started.elapsed())?;
+        } = RecoveredMember::new(&self.settings, recovered, self.clock.elapsed())?;
         node.continue_from(&self.node);
         log::info!("control: the disk has room again");
         *self.machine.write().expect("no holder of the lock panics") = machine;
@@ -245,8 +247,8 @@
     async fn process_requests(&mut self) -> Result<(), Error> {
         let mut received = Vec::with_capacity(MAX_BATCH_REQUESTS);
         loop {
-            let tick = self.started + self.node.next_deadline();
-            let next = tick.min(self.expire_due);
+            let tick = self.node.next_deadline();
+            let next = self.clock.instant(tick).min(self.expire_due);
             let mut batch = Batch::default();
             tokio::select! {
                 count = self.requests.recv_many(&mut received, MAX_BATCH_REQUESTS) => {
@@ -262,10 +264,10 @@
             for request in received.drain(..) {
                 self.handle_request(request, &mut batch);
             }
-            let now = Instant::now();
-            if now >= tick {
+            if self.clock.elapsed() >= tick {
                 self.step(Event::Tick, &mut batch);
             }
+            let now = Instant::now();
             if now >= self.expire_due {
                 self.expire_due = now + EXPIRE_INTERVAL;
                 self.expire(&mut batch);
@@ -330,13 +332,13 @@
     }
 
     fn step(&mut self, event: Event, batch: &mut Batch) {
-        let now = self.started.elapsed();
+        let now = self.clock.elapsed();
         let actions = self.node.step(event, now);
         // Published before any message is sent: a leader gives up its lease before it hands over.
         let until = self.node.lease_until();
         let leadership = until.map(|until| Leadership {
             term: self.node.term(),
-            until: self.started + until,
+            until,
         });
         self.leadership.send_replace(leadership);
         for action in actions {
@@ -392,7 +394,7 @@
             Action::Restore(snapshot) => self.restore(&snapshot)?,
             Action::TakeSnapshot { index } => self.take_snapshot(index, following)?,
             Action::Fresh { as_of } => {
-                self.fresh_as_of.send_replace(Some(self.started + as_of));
+                self.fresh_as_of.send_replace(Some(as_of));
             }
             Action::JoinRefused(refused) => {
                 if self.refusals.is_due(refused, Instant::now()) {
--- a/crates/azurelug-control/src/rollouts.rs
+++ b/crates/azurelug-control/src/rollouts.rs
@@ -16,7 +16,7 @@
 use azurelug_wire::codec;
 use http::StatusCode;
 use serde::Serialize;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::gateways::Gateways;
 use crate::internal::wall_clock_ms;
@@ -217,7 +217,7 @@
 
     /// The listed versions of a service other than `target`.
     fn other_versions(&self, service: &ServiceName, target: &str) -> Vec<String> {
-        let Some((list, _)) = self.gateways.targets() else {
+        let Some(list) = self.gateways.targets() else {
             return Vec::new();
         };
         let own = list.entries.iter().filter(|it| it.service == *service);
@@ -235,7 +235,8 @@
         loop {
             ticks.tick().await;
             let leadership = self.replica.leadership();
-            let Some(leadership) = leadership.filter(|it| it.until > Instant::now()) else {
+            let Some(leadership) = leadership.filter(|it| !self.replica.lease_left(*it).is_zero())
+            else {
                 continue;
             };
             for command in self.decide(leadership.term) {
@@ -259,7 +260,7 @@
             watch.monitors.retain(|number, _| running.contains(number));
         }
         let list = self.gateways.targets();
-        let targets = list.as_ref().map_or(&[][..], |(list, _)| &list.entries);
+        let targets = list.as_ref().map_or(&[][..], |list| &list.entries);
         let mut commands = Vec::new();
         for (service, rollout) in orders.rollouts().running() {
             let observed = self.observe(&orders, service, rollout, targets);
--- a/crates/azurelug-control/src/shares.rs
+++ b/crates/azurelug-control/src/shares.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_coordination::lease::Identity;
 use azurelug_coordination::share::{Answer, Capacity, Grantor, Limits, Request, Timing};
 use azurelug_core::base_share;
@@ -15,7 +16,7 @@
 use azurelug_types::id::ZoneName;
 use serde::Serialize;
 use tokio::sync::watch;
-use tokio::time::{Instant, interval};
+use tokio::time::interval;
 
 use crate::holders::Holders;
 
@@ -47,7 +48,7 @@
 #[derive(Clone)]
 pub struct Shares {
     zone: ZoneName,
-    started: Instant,
+    started: Clock,
     state: Arc<Mutex<State>>,
     /// The durable list. Locked while a new list is determined and written, so that an older one
     /// can't replace it.
@@ -98,7 +99,7 @@
         };
         Self {
             zone,
-            started: Instant::now(),
+            started: Clock::start(),
             state: Arc::new(Mutex::new(state)),
             holders: Arc::new(Mutex::new(holders)),
         }
--- a/crates/azurelug-control/src/speeds.rs
+++ b/crates/azurelug-control/src/speeds.rs
@@ -3,10 +3,10 @@
 
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_core::gateway::cost::board::Board;
 use azurelug_types::fleet::TargetSpeed;
 use azurelug_types::id::DaemonName;
-use tokio::time::Instant;
 
 /// Time for which the sum of all outcomes is reused: most of a poll interval. Hundreds of gateways
 /// poll several times a second, and each sum looks at all targets.
@@ -15,7 +15,7 @@
 /// The outcomes that this control daemon knows.
 #[derive(Debug)]
 pub struct Speeds {
-    started: Instant,
+    started: Clock,
     board: Board,
     merged: Vec<TargetSpeed>,
     merged_at: Option<Duration>,
@@ -24,7 +24,7 @@
 impl Default for Speeds {
     fn default() -> Self {
         Self {
-            started: Instant::now(),
+            started: Clock::start(),
             board: Board::default(),
             merged: Vec::new(),
             merged_at: None,
--- a/crates/azurelug-control/tests/full_disks_in_turn.rs
+++ b/crates/azurelug-control/tests/full_disks_in_turn.rs
@@ -288,7 +288,7 @@
     for round in 0..FULL_DISKS {
         let leader = members.iter().position(|member| {
             let lease = member.replica.leadership();
-            lease.is_some_and(|lease| lease.until > Instant::now())
+            lease.is_some_and(|lease| !member.replica.lease_left(lease).is_zero())
         });
         let any = random.random_range(0..members.len());
         let next = match (choice, leader) {
