entry: leases, shares and guards of calls include suspensions of the machine

Cause: the same one as in the gateway: the entry daemon measured its configuration lease, its shares of slots and the guards of calls that must not repeat by the steady clock. Change: these are times on azurelug_clock::Clock. The admission's queue keeps the runtime's clock, by which its callers' deadlines are measured. Measured: the workspace builds and the linter passes. Conclusion: found by looking for the cause elsewhere; not reproduced.

--- a/crates/azurelug-entry/src/entry_state.rs
+++ b/crates/azurelug-entry/src/entry_state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_core::lease_mode::Mode;
 use azurelug_core::routing::{CallKey, Choice, Completion, NoTarget, Outcome, Query, Router};
 use azurelug_http::Client;
@@ -13,7 +14,6 @@
 use azurelug_types::config::Config;
 use azurelug_types::id::{AccountName, DaemonName, TargetName, Version, ZoneName};
 use rand::SeedableRng;
-use tokio::time::Instant;
 
 use crate::admission::AdmissionController;
 use crate::clients;
@@ -63,7 +63,7 @@
     pub admission: Arc<AdmissionController>,
     /// The queues of calls that wait for a free slot.
     pub slot_queues: SlotQueues,
-    started: Instant,
+    started: Clock,
     view: RwLock<Option<Arc<View>>>,
     router: Mutex<Router>,
     renewed_at: Mutex<Option<Duration>>,
@@ -99,7 +99,7 @@
             admission: Arc::new(AdmissionController::new(Arc::clone(&estimates))),
             estimates,
             slot_queues: SlotQueues::default(),
-            started: Instant::now(),
+            started: Clock::start(),
             view: RwLock::new(None),
             router: Mutex::new(Router::new(settings, random)),
             renewed_at: Mutex::new(None),
@@ -114,7 +114,7 @@
         self
     }
 
-    /// Time since the daemon started, by the monotonic clock.
+    /// Time since the daemon started, including suspensions of the machine.
     pub fn now(&self) -> Duration {
         self.started.elapsed()
     }
--- a/crates/azurelug-entry/src/shares.rs
+++ b/crates/azurelug-entry/src/shares.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
+use azurelug_clock::Clock;
 use azurelug_coordination::lease::Identity;
 use azurelug_coordination::share::{Holder, Refusal, Slot, Timing};
 use azurelug_core::base_share;
@@ -18,7 +19,7 @@
 use azurelug_wire::{Connection, Error, Frame, handshake};
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::entry_state::EntryState;
 
@@ -101,7 +102,7 @@
 pub struct Shares {
     daemon: DaemonName,
     zone: ZoneName,
-    started: Instant,
+    started: Clock,
     controls: Vec<(ZoneName, SocketAddr)>,
     state: Mutex<State>,
     /// Triggers a renewal ahead of its interval when the count changes.
@@ -139,7 +140,7 @@
         Self {
             daemon,
             zone: own_zone,
-            started: Instant::now(),
+            started: Clock::start(),
             controls,
             state,
             early_renewals: watch::Sender::new(0),
