gateway: log the version at which a stream goes on, and the attempt that it resumes

Cause: streams held events of two software versions. The logs named neither the version of the target that began or continued a stream nor the client's attempt that a try takes up. No decision changes. Conclusion: none yet.

--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -341,7 +341,18 @@
             slot,
         };
         match attempt::run(&self.exchange, params, &mut self.history).await {
-            Ok(Answer::Stream(stream)) => Some(stream),
+            Ok(Answer::Stream(stream)) => {
+                let target = &stream.slot.target;
+                log::info!(
+                    "gateway: request {} goes on at {} after event {last:?}; version={} previous_version={}",
+                    self.exchange.id,
+                    target.name,
+                    target.version,
+                    self.record.target_version.as_deref().unwrap_or("-"),
+                );
+                self.record.target_version = Some(target.version.clone());
+                Some(stream)
+            }
             Ok(Answer::Whole(_)) => None,
             Err(failure) => {
                 let id = &self.exchange.id;
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -55,6 +55,8 @@
     pub staged: Duration,
     /// Number of targets that were tried.
     pub targets: usize,
+    /// Software version of the target whose stream was forwarded last.
+    pub target_version: Option<String>,
 }
 
 impl RequestRecord {
@@ -76,7 +78,8 @@
         let staleness = exchange.gateway.staleness().unwrap_or_default();
         log::info!(
             "gateway: request {} {}: {reason}; route={} account={} staged_ms={} first_ms={} \
-             total_ms={} targets={} version={} key_age_ms={} version_age_ms={}",
+             total_ms={} targets={} version={} key_age_ms={} version_age_ms={} resumes={} last_event={} \
+             target_version={}",
             exchange.id,
             end.as_str(),
             exchange.route.name,
@@ -88,6 +91,9 @@
             exchange.table.deployment().version,
             optional_millis(exchange.key_age),
             staleness.as_millis(),
+            exchange.fields.resumes.as_deref().unwrap_or("-"),
+            exchange.fields.last_event.unwrap_or_default(),
+            self.target_version.as_deref().unwrap_or("-"),
         );
     }
 }
@@ -374,6 +380,7 @@
         first: Duration::ZERO,
         staged: Duration::ZERO,
         targets: 0,
+        target_version: None,
     };
     if let Err(failure) = quarantine::admit(&mut exchange).await {
         return refuse(&exchange, record, &failure);
@@ -409,6 +416,7 @@
         }
         Ok(Answer::Stream(mut stream)) => {
             let headers = std::mem::take(&mut stream.headers);
+            record.target_version = Some(stream.slot.target.version.clone());
             let relay = Relay {
                 guard: PendingGuard::new(&exchange),
                 exchange: Arc::new(exchange),
