test: an interrupted stream goes on at another software version (red)

Cause: streams of callers held events from two versions of a back end, in one answer. Change: a test with real processes: two targets of one service and two versions, both of which break off; the gateway must end the stream.

--- a/crates/azurelug-system/tests/gateway.rs
+++ b/crates/azurelug-system/tests/gateway.rs
@@ -28,6 +28,8 @@
 mod silent_targets;
 #[path = "gateway/slow_readers.rs"]
 mod slow_readers;
+#[path = "gateway/stream_versions.rs"]
+mod stream_versions;
 #[path = "support/suspendable.rs"]
 mod suspendable;
 #[path = "gateway/unframed_answers.rs"]
