gateway: a stream goes on only at targets of the version that began it

After an interruption or a stall the relay resumed at any sound target of the service; nothing compared the versions of the list's entries. Change: a query for a target names the versions that are eligible. Once the first event of a stream has arrived, further attempts go to targets of its version; if none is left, the stream ends at once and doesn't look complete.

--- a/crates/azurelug-core/examples/decision_cost.rs
+++ b/crates/azurelug-core/examples/decision_cost.rs
@@ -286,6 +286,7 @@
             // A VM of 0.09 cores gets about five requests a second.
             now += Duration::from_millis(200);
             let wanted = TargetQuery {
+                versions: azurelug_core::gateway::fleet::Versions::Any,
                 service: &service,
                 affinity: Some(random.random()),
                 zone: &zones[0],
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -70,6 +70,17 @@
     pub bounds: Bounds,
     /// What is known of the request's work.
     pub work: Work,
+    /// The software versions whose targets are eligible.
+    pub versions: Versions<'a>,
+}
+
+/// The software versions that may get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions<'a> {
+    /// All: the answer comes from one target.
+    Any,
+    /// The version at which the stream began.
+    Only(&'a str),
 }
 
 /// Weights of zones; the default is 1.
@@ -417,6 +428,7 @@
     fn candidates(&self, wanted: &TargetQuery<'_>) -> Vec<Key> {
         let mut candidates = self.usable_keys(wanted.service);
         candidates.retain(|key| !wanted.tried.contains(key));
+        self.retain_versions(wanted, &mut candidates);
         if let Some(affinity) = wanted.affinity {
             let mut weighed: Vec<(f64, Key)> = candidates
                 .into_iter()
--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -5,12 +5,19 @@
 use azurelug_types::id::{ServiceName, TargetName};
 use azurelug_types::rollout::{Policy, Report};
 
-use super::{Fleet, Key, Placement, SelectionError, TargetQuery};
+use super::{Fleet, Key, Placement, SelectionError, TargetQuery, Versions};
 use crate::gateway::rollout::evidence::Observation;
 use crate::gateway::rollout::gate::{Choice, Gate, Side};
 use crate::gateway::rollout::ledger::Exposure;
 
 impl Fleet {
+    /// Removes the targets whose versions are not wanted.
+    pub(super) fn retain_versions(&self, wanted: &TargetQuery<'_>, keys: &mut Vec<Key>) {
+        if let Versions::Only(version) = wanted.versions {
+            keys.retain(|key| self.target(*key).version == version);
+        }
+    }
+
     /// Follows the newest policies. A service without one has no restriction.
     pub fn set_policies(&mut self, policies: Vec<Policy>, exposure: Exposure) {
         self.gates
--- a/crates/azurelug-core/tests/gateway_crash_recovery.rs
+++ b/crates/azurelug-core/tests/gateway_crash_recovery.rs
@@ -29,6 +29,7 @@
     fleet.list(&[target], Duration::ZERO);
     let weights = Weights::default();
     let query = TargetQuery {
+        versions: azurelug_core::gateway::fleet::Versions::Any,
         service: &service,
         affinity: None,
         zone: &zone,
--- a/crates/azurelug-core/tests/gateway_fleet.rs
+++ b/crates/azurelug-core/tests/gateway_fleet.rs
@@ -68,6 +68,7 @@
         now: Duration,
     ) -> Result<Key, SelectionError> {
         let wanted = TargetQuery {
+            versions: azurelug_core::gateway::fleet::Versions::Any,
             service: &self.service,
             affinity: self.affinity,
             zone: &self.zone,
--- a/crates/azurelug-core/tests/gateway_list.rs
+++ b/crates/azurelug-core/tests/gateway_list.rs
@@ -25,6 +25,7 @@
 
 fn place(fleet: &mut Fleet) -> Key {
     let query = TargetQuery {
+        versions: azurelug_core::gateway::fleet::Versions::Any,
         service: &ServiceName::from("llm"),
         affinity: None,
         zone: &ZoneName::from("a"),
--- a/crates/azurelug-core/tests/gateway_placement.rs
+++ b/crates/azurelug-core/tests/gateway_placement.rs
@@ -97,6 +97,7 @@
 impl Caller {
     fn place(&mut self, affinity: Option<u64>, random: f64, now: Duration) -> Placement {
         let wanted = TargetQuery {
+            versions: azurelug_core::gateway::fleet::Versions::Any,
             service: &ServiceName::from("llm"),
             affinity,
             zone: &ZoneName::from("a"),
--- a/crates/azurelug-core/tests/gateway_rollout_state.rs
+++ b/crates/azurelug-core/tests/gateway_rollout_state.rs
@@ -104,6 +104,7 @@
     let zone = ZoneName::from("a");
     let weights = Weights::default();
     let query = TargetQuery {
+        versions: azurelug_core::gateway::fleet::Versions::Any,
         service: &service,
         affinity: None,
         zone: &zone,
--- a/crates/azurelug-core/tests/support/placement_model.rs
+++ b/crates/azurelug-core/tests/support/placement_model.rs
@@ -347,6 +347,7 @@
     fn choose(&mut self, number: usize, now: f64) -> Option<(usize, Option<Placement>)> {
         let request = &self.requests[number];
         let wanted = TargetQuery {
+            versions: azurelug_core::gateway::fleet::Versions::Any,
             service: &ServiceName::from("llm"),
             affinity: Some(request.prefix as u64),
             zone: &ZoneName::from(ZONES[request.gateway % ZONES.len()]),
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::events::{Event, Splitter};
-use azurelug_core::gateway::fleet::{Key, Outcome, SelectionError};
+use azurelug_core::gateway::fleet::{Key, Outcome, SelectionError, Versions};
 use azurelug_http::h1::client::Connection;
 use azurelug_types::id::ZoneName;
 use bytes::Bytes;
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::exchange::{Exchange, Failure};
-use crate::gateway::{SendKind, Slot};
+use crate::gateway::{SendKind, Slot, Wanted};
 use crate::memory::Held;
 use crate::quarantine;
 use crate::rollouts;
@@ -129,6 +129,8 @@
     refused: Vec<Key>,
     /// Whether the client has received a part of the stream.
     pub is_resumed: bool,
+    /// The software version at which the stream began; none before its first event.
+    pub version: Option<String>,
 }
 
 /// Parameters of the attempts of a request.
@@ -454,6 +456,27 @@
     })
 }
 
+/// Criteria for the target of the next attempt.
+fn wanted<'a>(
+    exchange: &'a Exchange,
+    zone: &'a ZoneName,
+    history: &'a AttemptHistory,
+) -> Wanted<'a> {
+    let versions = match &history.version {
+        Some(version) => Versions::Only(version),
+        None => Versions::Any,
+    };
+    Wanted {
+        service: &exchange.service,
+        affinity: exchange.affinity(),
+        zone,
+        weights: &exchange.weights,
+        tried: &history.tried,
+        work: exchange.work(),
+        versions,
+    }
+}
+
 /// Reserves a slot for a retry if one is free now and the retry budget allows it.
 pub async fn reserve_retry_slot(
     exchange: &Exchange,
@@ -464,11 +487,8 @@
         return None;
     }
     let gateway = &exchange.gateway;
-    let affinity = exchange.affinity();
-    let weights = &exchange.weights;
-    let (service, tried, work) = (&exchange.service, &history.tried, exchange.work());
-    let slot = gateway.reserve_permitted_slot(service, affinity, zone, weights, tried, work);
-    let slot = slot.await.ok()?;
+    let wanted = wanted(exchange, zone, history);
+    let slot = gateway.reserve_permitted_slot(&wanted).await.ok()?;
     if !gateway.take_retry_token(&exchange.service.name) {
         slot.cancel();
         return None;
@@ -523,12 +543,8 @@
     let wait = exchange.route.latency_objective.mul_f64(SLOT_WAIT_FRACTION);
     let limit = gateway.now() + wait;
     loop {
-        let affinity = exchange.affinity();
-        let weights = &exchange.weights;
-        let (service, tried, work) = (&exchange.service, &history.tried, exchange.work());
-        let reserved =
-            gateway.reserve_permitted_slot(service, affinity, zone, weights, tried, work);
-        let unavailable = match reserved.await {
+        let wanted = wanted(exchange, zone, history);
+        let unavailable = match gateway.reserve_permitted_slot(&wanted).await {
             Ok(slot) => return Ok(slot),
             Err(unavailable) => unavailable,
         };
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use azurelug_core::gateway::budget::{Allowance, Budget};
 use azurelug_core::gateway::cost::Work;
 use azurelug_core::gateway::fleet::{
-    self, Fleet, Key, Outcome, Placement, SelectionError, TargetQuery, Weights,
+    self, Fleet, Key, Outcome, Placement, SelectionError, TargetQuery, Versions, Weights,
 };
 use azurelug_core::gateway::limits::CLOCK_START;
 use azurelug_core::gateway::shutdown::{Durations, Shutdown};
@@ -70,6 +70,24 @@
     pub age: Option<Duration>,
 }
 
+/// Criteria for the target of a request.
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// Hash of the shared prompt prefix.
+    pub affinity: Option<u64>,
+    /// The preferred zone.
+    pub zone: &'a ZoneName,
+    /// Share of the route's requests for each zone.
+    pub weights: &'a Weights,
+    /// Targets that are not eligible.
+    pub tried: &'a [Key],
+    /// What is known of the request's work.
+    pub work: Work,
+    /// The eligible software versions.
+    pub versions: Versions<'a>,
+}
+
 /// The gateway.
 pub struct Gateway {
     /// Daemon name.
@@ -434,23 +452,16 @@
     ///
     /// # Errors
     /// Why no target is available.
-    fn reserve_slot(
-        self: &Arc<Self>,
-        service: &Service,
-        affinity: Option<u64>,
-        zone: &ZoneName,
-        weights: &Weights,
-        tried: &[Key],
-        work: Work,
-    ) -> Result<Slot, SelectionError> {
+    fn reserve_slot(self: &Arc<Self>, wanted: &Wanted<'_>) -> Result<Slot, SelectionError> {
         let wanted = TargetQuery {
-            service: &service.name,
-            affinity,
-            zone,
-            weights,
-            tried,
-            bounds: self.fleet_bounds(service),
-            work,
+            service: &wanted.service.name,
+            affinity: wanted.affinity,
+            zone: wanted.zone,
+            weights: wanted.weights,
+            tried: wanted.tried,
+            bounds: self.fleet_bounds(wanted.service),
+            work: wanted.work,
+            versions: wanted.versions,
         };
         let now = self.now();
         let mut fleet = self.fleet();
@@ -482,16 +493,11 @@
     /// Why no target is available.
     pub async fn reserve_permitted_slot(
         self: &Arc<Self>,
-        service: &Service,
-        affinity: Option<u64>,
-        zone: &ZoneName,
-        weights: &Weights,
-        tried: &[Key],
-        work: Work,
+        wanted: &Wanted<'_>,
     ) -> Result<Slot, SelectionError> {
         let mut shortest_wait = Duration::MAX;
         for _ in 0..MAX_PERMIT_REQUESTS {
-            let slot = self.reserve_slot(service, affinity, zone, weights, tried, work)?;
+            let slot = self.reserve_slot(wanted)?;
             match self.acquire_permit(&slot.target.name).await {
                 Ok(()) => return Ok(slot),
                 Err(wait) => shortest_wait = shortest_wait.min(wait),
--- a/crates/azurelug-gateway/src/relay.rs
+++ b/crates/azurelug-gateway/src/relay.rs
@@ -350,7 +350,6 @@
                     target.version,
                     self.record.target_version.as_deref().unwrap_or("-"),
                 );
-                self.record.target_version = Some(target.version.clone());
                 Some(stream)
             }
             Ok(Answer::Whole(_)) => None,
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -416,7 +416,9 @@
         }
         Ok(Answer::Stream(mut stream)) => {
             let headers = std::mem::take(&mut stream.headers);
-            record.target_version = Some(stream.slot.target.version.clone());
+            let target = &stream.slot.target;
+            record.target_version = Some(target.version.clone());
+            history.version = Some(target.version.clone());
             let relay = Relay {
                 guard: PendingGuard::new(&exchange),
                 exchange: Arc::new(exchange),
