gateway, control: a stream that a client takes up goes on at the version that began it

Cause: callers' streams held events of two software versions over their tries: a gateway sent the rest to any target, because no process knew where a stream began. Change: the replicated log registers the versions of each service, and gateways begin streams only at registered ones. While a service has several, gateways report each stream's version to the control daemons, which outlive them. A gateway that is asked for the rest uses its own record, a report, or the only version that a state confirmed as the newest has; otherwise it refuses at once, truly, and nothing has run.

--- a/crates/azurelug-control/src/gateways.rs
+++ b/crates/azurelug-control/src/gateways.rs
@@ -16,6 +16,7 @@
 use azurelug_core::gateway::rollout::evidence::{Evidence, Summary};
 use azurelug_core::gateway::rollout::state::Rollouts;
 use azurelug_core::gateway::roster::{GATEWAY_TIMEOUT, Register};
+use azurelug_core::gateway::streams::Book;
 use azurelug_types::deployment::Target;
 use azurelug_types::fleet::{
     Inventory, List, Peer, Poll, Polled, SuspectPart, TargetLimit, TargetSpeed,
@@ -55,6 +56,8 @@
     /// What gateways have seen of the roll-outs in progress.
     evidence: Evidence,
     speeds: Speeds,
+    /// The versions at which streams began.
+    streams: Book,
     controls: Vec<SocketAddr>,
     /// Slots of the control daemons in ascending order.
     control_slots: Vec<u32>,
@@ -114,6 +117,28 @@
         CLOCK_START + self.started.elapsed()
     }
 
+    /// The member of the replicated log.
+    pub(crate) fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// The other control daemons.
+    pub(crate) fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// The slots of the other control daemons.
+    pub(crate) fn other_slots(&self) -> Vec<u32> {
+        let slots = self.state().control_slots.clone();
+        let others = slots.into_iter().filter(|slot| *slot != self.own_slot);
+        others.collect()
+    }
+
+    /// Reads or changes the records of streams.
+    pub(crate) fn with_streams<R>(&self, work: impl FnOnce(&mut Book) -> R) -> R {
+        work(&mut self.state().streams)
+    }
+
     /// Takes over what gateways that poll another control daemon have seen of roll-outs.
     pub fn receive_rollouts(&self, reports: Vec<GatewayReports>) {
         let now = self.now();
@@ -276,6 +301,7 @@
             known_for_ms: millis(state.gateways.known_for(now)),
             policies: self.policies(orders.rollouts(), orders.sequence(), poll.policies),
             speeds,
+            versions: (poll.versions != Some(orders.sequence())).then(|| orders.versions().list()),
         }))
     }
 
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -104,6 +104,18 @@
                 self.gateways.receive_suspects(&reports);
                 Reply::None
             }
+            Frame::Streams(groups) => {
+                self.gateways.receive_streams(&groups, true);
+                Reply::One(Frame::Done)
+            }
+            Frame::StreamsReported(groups) => {
+                self.gateways.receive_streams(&groups, false);
+                Reply::None
+            }
+            Frame::FindStream(query) => {
+                let origin = self.gateways.find_stream(query).await;
+                Reply::One(Frame::StreamFound(origin))
+            }
             _ => Reply::One(Frame::Refused {
                 message: "not a request".to_owned(),
             }),
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -22,4 +22,6 @@
 pub mod settings;
 pub mod shares;
 pub mod speeds;
+pub mod streams;
 pub mod updates;
+pub mod versions;
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -14,7 +14,9 @@
     RecoveredState, Refusal, Role, Snapshot, Standing, StartError, Write,
 };
 use azurelug_core::gateway::orders::Orders;
-use azurelug_core::machine::{Command, Machine, Outcome, SnapshotV1, SnapshotV2, SnapshotV3};
+use azurelug_core::machine::{
+    Command, Machine, Outcome, SnapshotV1, SnapshotV2, SnapshotV3, SnapshotV4,
+};
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use rand::SeedableRng;
@@ -605,10 +607,12 @@
     }
     // The fallbacks decode snapshots on disk or of a leader that an earlier release wrote.
     let state = codec::decode_unlimited(data).or_else(|error| {
-        let third = codec::decode_unlimited::<SnapshotV3>(data).map(Into::into);
+        let fourth = codec::decode_unlimited::<SnapshotV4>(data).map(Into::into);
+        let third = || codec::decode_unlimited::<SnapshotV3>(data).map(Into::into);
         let second = || codec::decode_unlimited::<SnapshotV2>(data).map(Into::into);
         let first = || codec::decode_unlimited::<SnapshotV1>(data).map(Into::into);
-        let earlier = third.or_else(|_| second()).or_else(|_| first());
+        let earlier = fourth.or_else(|_| third()).or_else(|_| second());
+        let earlier = earlier.or_else(|_| first());
         earlier.map_err(|_| decode_error(error))
     })?;
     Machine::restore(state).map_err(decode_error)
--- a/crates/azurelug-control/src/run.rs
+++ b/crates/azurelug-control/src/run.rs
@@ -40,6 +40,7 @@
 use crate::settings::{Discovery, Options, Settings};
 use crate::shares::Shares;
 use crate::updates::Updates;
+use crate::versions;
 
 /// Why the daemon could not start or had to stop.
 #[derive(Debug, thiserror::Error)]
@@ -168,6 +169,7 @@
         gateways.receive_suspects(&archive.read(wall_clock_ms()));
         tokio::spawn(gateways.clone().run_archive(archive));
         tokio::spawn(gateways.clone().run_exchange());
+        tokio::spawn(versions::run(replica.clone(), gateways.clone()));
         tokio::spawn(read_targets(gateways, deployment.targets));
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let call_replica = replica.clone();
--- a/crates/azurelug-control/tests/snapshots_of_releases.rs
+++ b/crates/azurelug-control/tests/snapshots_of_releases.rs
@@ -100,3 +100,37 @@
         "the earlier release reads it"
     );
 }
+
+/// Guards against a configuration that is lost by the upgrade to the release with versions of streams.
+#[test]
+fn a_snapshot_without_versions_of_streams_is_read() {
+    let mut machine = Machine::default();
+    let document: Arc<[u8]> = Arc::from(&b"{}"[..]);
+    machine.apply(Command::Deployment(Order::Configure {
+        version: 4,
+        document: Arc::clone(&document),
+    }));
+    let held = Some(Document {
+        version: 4,
+        bytes: document,
+    });
+    // The orders of the fourth release had these four fields.
+    let orders = (
+        1_u64,
+        held,
+        BTreeSet::<ZoneName>::new(),
+        machine.orders().rollouts().clone(),
+    );
+    let store = Store::default();
+    let past = ReplacedValues::default();
+    let once = Machine::default().once().snapshot();
+    let data = codec::encode_unlimited(&(store, once, past, orders)).unwrap();
+    let restored = decode_machine(&data).unwrap();
+    assert_eq!(restored.orders(), machine.orders());
+    let newest = codec::encode_unlimited(&restored.snapshot()).unwrap();
+    assert_eq!(
+        &newest[..data.len()],
+        &data[..],
+        "the earlier release reads it"
+    );
+}
--- a/crates/azurelug-core/src/gateway.rs
+++ b/crates/azurelug-core/src/gateway.rs
@@ -18,5 +18,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod shutdown;
+pub mod streams;
 pub mod table;
 pub mod value_rank;
+pub mod versions;
--- a/crates/azurelug-core/src/gateway/fleet.rs
+++ b/crates/azurelug-core/src/gateway/fleet.rs
@@ -79,6 +79,8 @@
 pub enum Versions<'a> {
     /// All: the answer comes from one target.
     Any,
+    /// Those at which a stream may begin.
+    Registered,
     /// The version at which the stream began.
     Only(&'a str),
 }
@@ -193,6 +195,8 @@
     unreachable: BTreeSet<ZoneName>,
     /// Which versions of services may get requests.
     gates: HashMap<ServiceName, Gate>,
+    /// The versions of services at which streams may begin.
+    registered: HashMap<ServiceName, Vec<String>>,
     /// Until when the gates may be followed without newer information.
     policies_until: Duration,
     /// Differs between gateways; the seed for the selection of the gateways that may send.
--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azurelug_types::fleet::ServiceVersions;
 use azurelug_types::id::{ServiceName, TargetName};
 use azurelug_types::rollout::{Policy, Report};
 
@@ -11,10 +12,41 @@
 use crate::gateway::rollout::ledger::Exposure;
 
 impl Fleet {
-    /// Removes the targets whose versions are not wanted.
+    /// Sets the versions at which streams may begin.
+    pub fn set_versions(&mut self, versions: Vec<ServiceVersions>) {
+        let versions = versions.into_iter();
+        self.registered = versions.map(|it| (it.service, it.versions)).collect();
+    }
+
+    /// Whether streams of a service may have begun at more than one version.
+    #[must_use]
+    pub fn has_several_versions(&self, service: &ServiceName) -> bool {
+        self.registered.get(service).is_some_and(|it| it.len() > 1)
+    }
+
+    /// Whether a target of a version of a service may get new work.
+    #[must_use]
+    pub fn has_version(&self, service: &ServiceName, version: &str) -> bool {
+        self.usable(service).any(|target| target.version == version)
+    }
+
+    /// Removes the targets whose versions are not wanted. Streams begin at versions that are not
+    /// registered only if no target of a registered one is listed: then no other gateway finds a
+    /// target at which it could continue them at a wrong version.
     pub(super) fn retain_versions(&self, wanted: &TargetQuery<'_>, keys: &mut Vec<Key>) {
-        if let Versions::Only(version) = wanted.versions {
-            keys.retain(|key| self.target(*key).version == version);
+        match wanted.versions {
+            Versions::Any => {}
+            Versions::Only(version) => keys.retain(|key| self.target(*key).version == version),
+            Versions::Registered => {
+                let registered = self.registered.get(wanted.service);
+                let registered = registered.map_or(&[][..], Vec::as_slice);
+                let is_registered = |key: &Key| registered.contains(&self.target(*key).version);
+                let pool = self.pools.get(wanted.service);
+                let is_any_listed = pool.is_some_and(|pool| pool.iter().any(is_registered));
+                if registered.is_empty() || is_any_listed {
+                    keys.retain(is_registered);
+                }
+            }
         }
     }
 
--- a/crates/azurelug-core/src/gateway/orders.rs
+++ b/crates/azurelug-core/src/gateway/orders.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rollout::state::{self, Rollouts};
+use super::versions::{self, Registry};
 
 /// One operator command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +31,8 @@
     },
     /// Changes a roll-out, or the versions that may get requests.
     Rollout(state::Command),
+    /// Changes the versions at which streams may begin.
+    Versions(versions::Change),
 }
 
 /// A document and its version.
@@ -49,6 +52,29 @@
     drained: BTreeSet<ZoneName>,
     /// Shared, because the state is copied for each answer to a gateway.
     rollouts: Arc<Rollouts>,
+    /// Shared for the same reason.
+    versions: Arc<Registry>,
+}
+
+/// The state in the releases that had no versions of streams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrdersV2 {
+    sequence: u64,
+    document: Option<Document>,
+    drained: BTreeSet<ZoneName>,
+    rollouts: Arc<Rollouts>,
+}
+
+impl From<OrdersV2> for Orders {
+    fn from(second: OrdersV2) -> Self {
+        Self {
+            sequence: second.sequence,
+            document: second.document,
+            drained: second.drained,
+            rollouts: second.rollouts,
+            versions: Arc::default(),
+        }
+    }
 }
 
 /// The state in the releases that had no roll-outs.
@@ -66,6 +92,7 @@
             document: first.document,
             drained: first.drained,
             rollouts: Arc::default(),
+            versions: Arc::default(),
         }
     }
 }
@@ -80,6 +107,7 @@
                 outcome = Some(applied);
                 has_changed
             }
+            Order::Versions(change) => Arc::make_mut(&mut self.versions).apply(change),
             Order::Configure { version, document } => self.configure(version, document),
             Order::Drain {
                 zone,
@@ -128,4 +156,10 @@
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
     }
+
+    /// The versions at which streams may begin.
+    #[must_use]
+    pub fn versions(&self) -> &Registry {
+        &self.versions
+    }
 }
--- a/crates/azurelug-core/src/machine.rs
+++ b/crates/azurelug-core/src/machine.rs
@@ -13,7 +13,7 @@
 
 use crate::configuration::Store;
 use crate::configuration::past::ReplacedValues;
-use crate::gateway::orders::{Order, Orders, OrdersV1};
+use crate::gateway::orders::{Order, Orders, OrdersV1, OrdersV2};
 use crate::gateway::rollout::state as rollout;
 
 /// A committed command.
@@ -66,6 +66,26 @@
     orders: Orders,
 }
 
+/// A snapshot of the releases that had no versions of streams.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotV4 {
+    store: Store,
+    once: Vec<u8>,
+    past: ReplacedValues,
+    orders: OrdersV2,
+}
+
+impl From<SnapshotV4> for Snapshot {
+    fn from(fourth: SnapshotV4) -> Self {
+        Self {
+            store: fourth.store,
+            once: fourth.once,
+            past: fourth.past,
+            orders: fourth.orders.into(),
+        }
+    }
+}
+
 /// A snapshot of the releases that had no roll-outs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SnapshotV3 {
--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -464,6 +464,7 @@
 ) -> Wanted<'a> {
     let versions = match &history.version {
         Some(version) => Versions::Only(version),
+        None if exchange.route.kind.is_stream() => Versions::Registered,
         None => Versions::Any,
     };
     Wanted {
--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -103,6 +103,7 @@
         suspects_sent: 0,
         polls: 0,
         policies: None,
+        versions: None,
         suspensions: Watch::start(),
     };
     loop {
@@ -139,6 +140,7 @@
         policies: None,
         rollouts: Vec::new(),
         speeds: Vec::new(),
+        versions: None,
     };
     let sent = timeout(LEAVE_TIMEOUT, async {
         let connection = Connection::open(address, identity).await?;
@@ -172,6 +174,8 @@
     polls: u64,
     /// Sequence number of the orders from which the policies for versions are.
     policies: Option<u64>,
+    /// Sequence number of the orders from which the versions of services are.
+    versions: Option<u64>,
     suspensions: Watch,
 }
 
@@ -226,6 +230,7 @@
             policies: self.policies,
             rollouts: self.gateway.rollout_reports(),
             speeds: self.gateway.take_speed_reports(),
+            versions: self.versions,
         };
         let sent = self.gateway.now();
         let answer = connection
@@ -263,6 +268,10 @@
                 self.policies = Some(polled.sequence);
             }
             self.gateway.follow_policies(polled.policies, as_of);
+            if let Some(versions) = polled.versions {
+                self.gateway.set_versions(versions);
+                self.versions = Some(polled.sequence);
+            }
         }
         if !had_contact {
             self.gateway.permits.regain_contact(self.gateway.now());
--- a/crates/azurelug-gateway/src/exchange.rs
+++ b/crates/azurelug-gateway/src/exchange.rs
@@ -101,6 +101,12 @@
         self.arrived + self.route.latency_objective
     }
 
+    /// Whether the client has a part of the stream and asks for the rest.
+    #[must_use]
+    pub fn is_resumed(&self) -> bool {
+        self.route.kind.is_stream() && self.fields.last_event.is_some()
+    }
+
     /// Hash of the account's name; 0 without an account.
     #[must_use]
     pub fn account_hash(&self) -> u64 {
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::quarantine::{Progress, RequestQuarantine};
 use crate::rollouts;
 use crate::settings::{Bounds, RolloutBounds, Settings};
+use crate::streams::Streams;
 use crate::upstream::Upstream;
 use crate::{clients, memory};
 
@@ -106,6 +107,8 @@
     pub permits: Permits,
     /// Requests and prompt parts that crash targets.
     pub quarantine: RequestQuarantine,
+    /// The versions at which streams began.
+    pub streams: Streams,
     /// Dispatchers of staged services that run in this gateway.
     pub dispatch_workers: DispatchWorkers,
     /// Metrics of this daemon.
@@ -136,6 +139,7 @@
             memory: clients.memory.clone(),
             clients,
             quarantine: RequestQuarantine::new(&identity),
+            streams: Streams::new(Arc::clone(&identity)),
             peers: Peers::new(settings, identity),
             permits: Permits::default(),
             dispatch_workers: DispatchWorkers::new(&Features::read(&settings.contracts)),
--- a/crates/azurelug-gateway/src/lib.rs
+++ b/crates/azurelug-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod serve;
 pub mod settings;
 pub mod stages;
+pub mod streams;
 pub mod upstream;
 
 pub use azurelug_http::{incoming, memory};
--- a/crates/azurelug-gateway/src/run.rs
+++ b/crates/azurelug-gateway/src/run.rs
@@ -90,6 +90,7 @@
     let grace_period = settings.bounds.grace.0;
     let leaver = Arc::clone(&identity);
     tokio::spawn(control::run(Arc::clone(&gateway), settings, identity));
+    tokio::spawn(Arc::clone(&gateway).report_streams());
     tokio::spawn(prune_idle_connections(Arc::clone(&gateway)));
     let peer_gateway = Arc::clone(&gateway);
     tokio::spawn(
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::quarantine;
 use crate::relay::Relay;
 use crate::stages::{self, Results};
+use crate::streams;
 
 /// `Retry-After` while this gateway has no current configuration. Other gateways have one, and a
 /// retry reaches another gateway.
@@ -385,13 +386,19 @@
     if let Err(failure) = quarantine::admit(&mut exchange).await {
         return refuse(&exchange, record, &failure);
     }
+    let mut history = AttemptHistory::default();
+    if exchange.is_resumed() {
+        match streams::resumed_version(&exchange).await {
+            Ok(version) => history.version = Some(version),
+            Err(failure) => return refuse(&exchange, record, &failure),
+        }
+    }
     let zone = home_zone(&exchange);
     let results = match run_stages(&exchange, &zone).await {
         Ok(results) => results,
         Err(failure) => return refuse(&exchange, record, &failure),
     };
     record.staged = exchange.elapsed();
-    let mut history = AttemptHistory::default();
     let params = AttemptParams {
         inputs: &results.inputs,
         last_event: exchange.fields.last_event,
@@ -417,6 +424,7 @@
         Ok(Answer::Stream(mut stream)) => {
             let headers = std::mem::take(&mut stream.headers);
             let target = &stream.slot.target;
+            exchange.gateway.record_stream(&exchange, target);
             record.target_version = Some(target.version.clone());
             history.version = Some(target.version.clone());
             let relay = Relay {
--- a/crates/azurelug-system/tests/gateway/stream_versions.rs
+++ b/crates/azurelug-system/tests/gateway/stream_versions.rs
@@ -113,7 +113,6 @@
 /// Guards against a stream that goes on at another version, or is refused, after the gateway that began
 /// it was killed.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known fault, KNOWN-RED.txt: the version that began a stream is not known"]
 async fn a_stream_goes_on_at_its_version_after_all_gateways_were_killed() {
     let mut deployment = Deployment::start().await;
     set_version(&deployment, "llm-b", "v2");
@@ -143,7 +142,6 @@
 
 /// Guards against a guess where nothing is known of a stream that a client takes up.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known fault, KNOWN-RED.txt: the version that began a stream is not known"]
 async fn a_stream_of_an_unknown_version_is_refused_and_a_new_one_is_served() {
     let deployment = Deployment::start().await;
     set_version(&deployment, "llm-b", "v2");
@@ -166,7 +164,6 @@
 
 /// Guards against a stream that goes on at another version because no target of its own is left.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known fault, KNOWN-RED.txt: the version that began a stream is not known"]
 async fn a_stream_whose_version_is_gone_is_refused_at_once() {
     let mut deployment = Deployment::start().await;
     for target in ["llm-a", "llm-b"] {
--- a/crates/azurelug-types/src/fleet.rs
+++ b/crates/azurelug-types/src/fleet.rs
@@ -95,6 +95,9 @@
         pub rollouts: Vec<Report>,
         /// Outcomes of requests that the gateway has seen since its last poll.
         pub speeds: Vec<TargetSpeed>,
+        /// Sequence number of the operator orders from which the gateway has the versions of
+        /// services; none if it has none.
+        pub versions: Option<u64>,
     }
 
     /// The control daemon's answer to [`Poll`].
@@ -129,6 +132,52 @@
         pub policies: Option<Vec<Policy>>,
         /// Outcomes of requests that all gateways have seen.
         pub speeds: Vec<TargetSpeed>,
+        /// The versions of services at which streams may begin, if the gateway's may be older.
+        pub versions: Option<Vec<ServiceVersions>>,
+    }
+
+    /// The software versions of a service at which streams may begin.
+    #[derive(Eq)]
+    pub struct ServiceVersions {
+        /// The service.
+        pub service: ServiceName,
+        /// Its versions.
+        pub versions: Vec<String>,
+    }
+
+    /// Streams that began at one version of a service.
+    #[derive(Eq)]
+    pub struct StreamGroup {
+        /// The service.
+        pub service: ServiceName,
+        /// The software version of their targets.
+        pub version: String,
+        /// Hashes of the ids of the clients' attempts that brought their first events.
+        pub streams: Vec<u64>,
+    }
+
+    /// Asks a control daemon for the version at which a stream began.
+    #[derive(Eq)]
+    pub struct StreamQuery {
+        /// The service.
+        pub service: ServiceName,
+        /// As in [`StreamGroup::streams`]; none if the client names no attempt.
+        pub stream: Option<u64>,
+        /// Whether a control daemon asks, which has no record of the stream.
+        pub is_relayed: bool,
+    }
+
+    /// The answer to [`StreamQuery`].
+    #[derive(Eq)]
+    pub enum StreamOrigin {
+        /// A gateway has reported the version.
+        Recorded(String),
+        /// Streams of the service can have begun at this version only.
+        Only(String),
+        /// Streams have begun at several versions, and there is no record of this one.
+        Unrecorded,
+        /// The versions that are known here may not be all.
+        NotCurrent,
     }
 
     /// A target's limit for the requests from all gateways together.
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -3,13 +3,13 @@
 use azurelug_coordination::{once, share};
 use azurelug_types::fleet::{
     Booking, Grant, Inventory, PartKey, PermitRequest, Pieces, PiecesEnd, Poll, Polled,
-    SuspectPart, TargetLimit, TargetSpeed,
+    StreamGroup, StreamOrigin, StreamQuery, SuspectPart, TargetLimit, TargetSpeed,
 };
 use azurelug_types::id::{DaemonName, Version, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The protocol version. Peers with another version are refused in the handshake.
-pub const PROTOCOL: u32 = 5;
+pub const PROTOCOL: u32 = 6;
 
 /// Maximum number of bytes of a configuration in one frame.
 pub const PART_LIMIT: usize = 256 * 1024;
@@ -191,4 +191,12 @@
     Rollouts(Vec<azurelug_types::rollout::GatewayReports>),
     /// A control daemon sends another the outcomes that its gateways have seen.
     Speeds(Vec<TargetSpeed>),
+    /// A gateway reports at which versions streams have begun. The answer is `Done`.
+    Streams(Vec<StreamGroup>),
+    /// A control daemon passes such a report on to another.
+    StreamsReported(Vec<StreamGroup>),
+    /// Asks for the version at which a stream began.
+    FindStream(StreamQuery),
+    /// The answer to `FindStream`.
+    StreamFound(StreamOrigin),
 }
