gateway: stages serve streams that clients take up before new ones

They had less time left than new requests, of which stages were to take half at most, so that a client can return; theirs can't. Change: the stages of a resumed stream may take all of its time, and its pieces count as those of the most valuable request of the most urgent route of its account. Conclusion: what a client has of a stream isn't lost for want of a place.

--- a/crates/azurelug-core/src/gateway/plan.rs
+++ b/crates/azurelug-core/src/gateway/plan.rs
@@ -69,6 +69,9 @@
     pub deadline: Duration,
     /// Time limit of the route.
     pub limit: Duration,
+    /// Whether the client has a part of the answer already. It has waited for longer than others, and
+    /// a refusal leaves it too little time to return.
+    pub is_resumed: bool,
 }
 
 impl Bounds {
@@ -86,7 +89,12 @@
     #[must_use]
     pub fn give_up_at(&self, rest: Duration) -> Duration {
         let limit = self.deadline.saturating_sub(self.arrived);
-        let give_up = self.arrived + limit.mul_f64(MAX_STAGES_FRACTION);
+        let fraction = if self.is_resumed {
+            1.0
+        } else {
+            MAX_STAGES_FRACTION
+        };
+        let give_up = self.arrived + limit.mul_f64(fraction);
         let due = self.due.saturating_sub(rest);
         self.deadline.saturating_sub(rest).min(give_up.max(due))
     }
--- a/crates/azurelug-core/tests/gateway_plan.rs
+++ b/crates/azurelug-core/tests/gateway_plan.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use azurelug_core::gateway::plan::Plan;
+use azurelug_core::gateway::plan::{Bounds, Plan};
 use azurelug_types::deployment::Deployment;
 use azurelug_types::id::ZoneName;
 use staged::{route, service};
@@ -49,3 +49,23 @@
     let (zone, bytes) = plan.expected_zone(0, &route, &[], &a);
     assert_eq!((zone, bytes), (&a, 8000));
 }
+
+/// Guards against streams that clients take up and that are refused because their stages would take
+/// more than half of the little time that is left.
+#[test]
+fn the_stages_of_a_resumed_stream_may_take_its_whole_time() {
+    let rest = Duration::from_millis(200);
+    let bounds = |is_resumed| Bounds {
+        arrived: Duration::from_secs(100),
+        due: Duration::from_millis(100_700),
+        deadline: Duration::from_secs(102),
+        limit: Duration::from_secs(5),
+        is_resumed,
+    };
+    let new = bounds(false).give_up_at(rest);
+    assert_eq!(new, Duration::from_secs(101));
+    assert_eq!(
+        bounds(true).give_up_at(rest),
+        Duration::from_millis(101_800)
+    );
+}
--- a/crates/azurelug-core/tests/support/staged.rs
+++ b/crates/azurelug-core/tests/support/staged.rs
@@ -564,6 +564,7 @@
             due: it.arrived + route.latency_objective,
             deadline: it.first_arrived + route.timeout,
             limit: route.timeout,
+            is_resumed: false,
         }
     }
 
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -193,10 +193,17 @@
     let service = table.service(key).clone();
     let work = stage_work(&table, &route, &fields.pieces);
     let value_rank = gateway.rank_by_value(&route.name, fields.tokens, work);
+    // What its client has of a stream is lost if the rest doesn't come.
+    let is_resumed = route.kind.is_stream() && fields.last_event.is_some();
+    let (value_rank, route_rank) = if is_resumed {
+        (1.0, 0)
+    } else {
+        (value_rank, route.priority)
+    };
     Ok(Exchange {
         gateway: Arc::clone(gateway),
         weights: zone_weights(gateway, &table, &route),
-        rank: Exchange::rank(account_rank, route.priority),
+        rank: Exchange::rank(account_rank, route_rank),
         value_rank,
         service,
         account,
--- a/crates/azurelug-gateway/src/stages.rs
+++ b/crates/azurelug-gateway/src/stages.rs
@@ -297,6 +297,7 @@
         due: exchange.due_at(),
         deadline: exchange.deadline,
         limit: exchange.route.timeout,
+        is_resumed: exchange.is_resumed(),
     }
 }
 
