--- a/crates/azurelug-clock/src/lib.rs
+++ b/crates/azurelug-clock/src/lib.rs
@@ -43,9 +43,10 @@
     /// The part of the time since the start in which the machine was suspended.
     #[must_use]
     pub fn suspended(&self) -> Duration {
-        // Read first, so that a suspension between the two readings is not missed for good.
-        let steady = self.steady.elapsed();
-        self.elapsed_since_boot().saturating_sub(steady)
+        // Read in this order, so that a pause of the process between the readings is not taken for a
+        // suspension.
+        let since_boot = self.elapsed_since_boot();
+        since_boot.saturating_sub(self.steady.elapsed())
     }
 
     /// Converts a time on this clock to the time at which a timer reaches it, if the machine is not
--- a/crates/azurelug-gateway/src/serve.rs
+++ b/crates/azurelug-gateway/src/serve.rs
@@ -115,12 +115,13 @@
         Err((refusal, reason)) => {
             let id = id.as_deref();
             let status = refusal.status().as_u16();
-            let version = gateway.table().map(|table| table.deployment().version);
+            let snapshot = gateway.snapshot();
+            let version = snapshot.table.map(|table| table.deployment().version);
             log::info!(
                 "gateway: request {} refused: {reason}; status={status} version={} version_age_ms={}",
                 id.unwrap_or("-"),
                 version.unwrap_or_default(),
-                optional_millis(gateway.staleness()),
+                optional_millis(snapshot.age),
             );
             let mut response = refusal.response(id, reason).map(Body::complete);
             // After a body that was not read whole, nothing more can be read from the connection.
