gateway: ready once the versions are known at which streams may begin

Cause: two tests that send a stream right after the gateway became ready got 503 ('the service has no target'): the first registration of versions takes a check of the list, a commit and a poll after the first list. Change: readiness asks for registered versions besides a configuration and targets. Conclusion: the balancer sends no client to a gateway that can't begin streams yet.

--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -18,10 +18,10 @@
         self.registered = versions.map(|it| (it.service, it.versions)).collect();
     }
 
-    /// Whether streams of a service may have begun at more than one version.
+    /// Whether the versions are known at which streams may begin.
     #[must_use]
-    pub fn has_several_versions(&self, service: &ServiceName) -> bool {
-        self.registered.get(service).is_some_and(|it| it.len() > 1)
+    pub fn knows_versions(&self) -> bool {
+        !self.registered.is_empty()
     }
 
     /// Whether a target of a version of a service may get new work.
--- a/crates/azurelug-gateway/src/gateway.rs
+++ b/crates/azurelug-gateway/src/gateway.rs
@@ -337,7 +337,10 @@
 
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        let has_targets = || self.fleet().loads().next().is_some();
+        let has_targets = || {
+            let fleet = self.fleet();
+            fleet.loads().next().is_some() && fleet.knows_versions()
+        };
         let snapshot = self.snapshot();
         self.shutdown().is_none()
             && snapshot.table.is_some()
