soak: removed keys are probed at every gateway

Change: each configuration adds a key and, from the eighth on, removes one, which never returns. The operator records each acknowledgement with its time. One prober for each gateway sends requests with removed, unknown and valid keys and without any, on kept and new connections, whole or with bodies in two halves, with the time at which they began to be sent; two routes serve requests without a key, one of them in some versions. A target that runs such a request sent later than the bound after the acknowledgement is a violation, and so is a 401 that no version which may be in force demands.

--- a/crates/azurelug-system/examples/soak.rs
+++ b/crates/azurelug-system/examples/soak.rs
@@ -66,8 +66,8 @@
             "FAILED"
         };
         println!(
-            "seed {seed}: {verdict}; requests {}; faults {}",
-            report.summary["requests"], report.summary["faults"]
+            "seed {seed}: {verdict}; requests {}; faults {}; probes {}",
+            report.summary["requests"], report.summary["faults"], report.summary["probes"]
         );
         for violation in &report.violations {
             println!("  {violation}");
--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -8,10 +8,12 @@
 pub mod checker;
 pub mod crashes;
 pub mod deployment;
+pub mod keys;
 pub mod limits;
 pub mod load;
 pub mod operator;
 pub mod plan;
+pub mod probes;
 pub mod targets;
 
 use std::sync::Arc;
@@ -84,7 +86,8 @@
         }
     }
     let mut deployment = Deployment::start(options, Arc::clone(&checker)).await;
-    let callers = callers::start(&deployment, options);
+    let mut callers = callers::start(&deployment, options);
+    callers.extend(probes::start(&deployment, options));
     let operator = operator::start(&deployment, options.seed);
     let started = Instant::now();
     let mut pending_ends: Vec<(Duration, Fault)> = Vec::new();
--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -215,6 +215,11 @@
         if is_refusal {
             return Outcome::Refused;
         }
+        if status == StatusCode::UNAUTHORIZED {
+            self.checker.record_violation(format!(
+                "{id} ({kind}) got 401 although every version holds its key"
+            ));
+        }
         if !status.is_success() {
             return Outcome::Failed;
         }
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::crashes::Crashes;
+use super::keys::Keys;
 use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
 
@@ -70,6 +71,8 @@
     pub limits: Limits,
     /// The requests that crash targets.
     pub crashes: Crashes,
+    /// The keys of the configurations.
+    pub keys: Keys,
 }
 
 /// The result of a run.
@@ -108,7 +111,8 @@
     }
 
     /// Records that a target has run a request.
-    pub fn record_run(&self, id: &str) {
+    pub fn record_run(&self, id: &str, target: &str) {
+        self.keys.check_run(id, target, self.limits.now());
         *self.state().runs.entry(id.to_owned()).or_default() += 1;
     }
 
@@ -161,7 +165,8 @@
     }
 
     /// Records a piece of a request, and checks that its inputs belong to the same request.
-    pub fn check_inputs(&self, id: &str, inputs: &[Value]) {
+    pub fn check_inputs(&self, id: &str, target: &str, inputs: &[Value]) {
+        self.keys.check_run(id, target, self.limits.now());
         self.state().with_pieces.insert(id.to_owned());
         let is_own = |input: &Value| {
             let handle = input.as_str().unwrap_or_default();
@@ -263,7 +268,8 @@
         }
         self.check_given_up();
         let found = self.limits.violations().into_iter();
-        for violation in found.chain(self.crashes.violations()) {
+        let found = found.chain(self.crashes.violations());
+        for violation in found.chain(self.keys.violations()) {
             self.record_violation(violation);
         }
         let mut state = self.state();
@@ -284,7 +290,8 @@
             })
             .collect();
         let summary = json!({"seed": seed, "violations": violations, "requests": outcomes,
-            "faults": state.faults, "reads": state.reads, "plan": plan});
+            "faults": state.faults, "reads": state.reads, "probes": self.keys.summary(),
+            "plan": plan});
         Report {
             seed,
             violations,
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -245,7 +245,7 @@
             }
             Fault::FreezeGateway(it) => {
                 self.gateway_faults
-                    .update(*it, |history| history.is_suspended = true);
+                    .update(*it, |history| history.suspended = Some(Instant::now()));
                 self.gateway(*it).signal(Signal::SIGSTOP);
             }
             Fault::KillControl(it) => self.control(*it).kill(),
@@ -304,7 +304,7 @@
             Fault::FreezeGateway(it) => {
                 self.gateway(*it).signal(Signal::SIGCONT);
                 self.gateway_faults.update(*it, |history| {
-                    history.is_suspended = false;
+                    history.suspended = None;
                     history.resumed = Some(Instant::now());
                 });
             }
--- a/crates/azurelug-system/src/soak/deployment/layout.rs
+++ b/crates/azurelug-system/src/soak/deployment/layout.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use super::super::keys::REVOCATION;
 use super::super::plan::zone_name;
 use azurelug_testkit::port;
 
@@ -68,13 +69,14 @@
         let admin = at(port::free(&[at(0).ip()]));
         let settings = format!(
             "name: {name}\nzone: {}\n{}internal: \"{}\"\nclients: \"{clients}\"\n\
-             admin: \"{admin}\"\nseeds: [{}]\nbounds:\n  revocation: 5s\n  apply: 2s\n  \
+             admin: \"{admin}\"\nseeds: [{}]\nbounds:\n  revocation: {}s\n  apply: 2s\n  \
              drain: 3s\n  grace: 8s\n  retry_ratio: 0.2\n  retry_window: 10s\n  \
              retry_extra: 200\n  cold_factor: 1.5\n  cold_extra: 5\n",
             zone_name(number),
             self.common(),
             at(self.internal),
             self.seeds,
+            REVOCATION.as_secs(),
         );
         let (process, _) = self.process("azurelug-gateway", &name, &settings);
         Gateway {
--- a/crates/azurelug-system/src/soak/deployment/recent_faults.rs
+++ b/crates/azurelug-system/src/soak/deployment/recent_faults.rs
@@ -19,7 +19,8 @@
     pub(super) is_down: bool,
     /// When it was last restarted after a kill.
     pub(super) restarted: Option<Instant>,
-    pub(super) is_suspended: bool,
+    /// Since when it is suspended.
+    pub(super) suspended: Option<Instant>,
     pub(super) resumed: Option<Instant>,
     /// When it received SIGTERM, and when it exited.
     pub(super) stopped: Option<Instant>,
@@ -44,11 +45,18 @@
                 .is_none_or(|at| sent < at + STALE_CONNECTION_TIME);
         !history.is_down
             && !since(history.restarted)
-            && !history.is_suspended
+            && history.suspended.is_none()
             && !since(history.resumed)
             && !is_closing
     }
 
+    /// For how long a gateway has been suspended; none unless it is.
+    pub fn suspended_for(&self, gateway: usize) -> Option<Duration> {
+        let histories = self.0.lock().expect("the lock is not poisoned");
+        let suspended = histories.get(&gateway)?.suspended;
+        suspended.map(|at| at.elapsed())
+    }
+
     /// Whether a gateway is down or was started less than `time` ago.
     pub(super) fn has_restarted_within(&self, gateway: u8, time: Duration) -> bool {
         let histories = self.0.lock().expect("the lock is not poisoned");
--- a/crates/azurelug-system/src/soak/operator.rs
+++ b/crates/azurelug-system/src/soak/operator.rs
@@ -16,6 +16,7 @@
 
 use super::checker::Checker;
 use super::deployment::Deployment;
+use super::keys::{PERMANENT_KEY, Rotated, rotated};
 
 /// Time after which an order is no longer retried.
 const ORDER_LIMIT: Duration = Duration::from_secs(20);
@@ -34,10 +35,14 @@
 
 async fn run_operator(controls: Vec<SocketAddr>, checker: Arc<Checker>, mut random: Pcg64) {
     let mut acknowledged = 1;
+    checker.keys.record_acknowledged(1, checker.limits.now());
     for version in 2_u64.. {
         let body = Bytes::from(configuration(version).to_string());
+        checker.keys.record_sent(version);
         if send_order(&controls, Method::PUT, "/configuration", body).await {
             acknowledged = version;
+            let now = checker.limits.now();
+            checker.keys.record_acknowledged(version, now);
         }
         for _ in 0..random.random_range(1..4) {
             let control = controls[random.random_range(0..controls.len())];
@@ -107,9 +112,10 @@
     called.await.ok()?
 }
 
-/// A configuration with an idempotent route, one that is not idempotent, and two streaming routes,
-/// one of them with stages. All settings that leave the answers as they are depend on the version;
-/// a spare service with a route comes and goes.
+/// A configuration with an idempotent route, one that is not idempotent, two streaming routes, one of
+/// them with stages, and two routes that serve requests without a key, always or in some versions.
+/// All settings that leave the answers as they are depend on the version; a spare service with a
+/// route comes and goes. Keys come and go, but none returns.
 #[must_use]
 pub fn configuration(version: u64) -> Value {
     // Version 1 has the first values.
@@ -135,11 +141,18 @@
         look["traffic_split"] = json!([{"service": "desk", "weight": pick(1, &[1, 90])},
             {"service": "encode", "weight": 0}]);
     }
+    let open = |name: &str, is_open: bool| {
+        let mut route = route(name, "safe", "desk", attempts);
+        route["allow_anonymous"] = json!(is_open);
+        route
+    };
     let mut routes = vec![
         chat,
         look,
         route("book", "unsafe", "desk", 1),
         route("talk", "streaming", "llm", attempts),
+        open("open", true),
+        open("half", pick(2, &[0, 1]) == 1),
     ];
     let pieces = json!({"slots": pick(2, &[1, 2]), "queue": 2, "batch": pick(3, &[8, 4]),
         "call_ms": pick(2, &[20, 40]), "item_ms": 1, "room_mb": 10, "handle_s": pick(4, &[4, 8])});
@@ -149,11 +162,11 @@
         json!({"name": "desk"}),
         json!({"name": "encode", "pieces": pieces}),
     ];
-    let mut keys = vec!["key-1"];
+    let keys = std::iter::once(PERMANENT_KEY.to_owned());
+    let keys: Vec<String> = keys.chain(rotated(version).map(Rotated::text)).collect();
     if version.is_multiple_of(2) {
         routes.push(route("spare", "safe", "spare", 2));
         services.push(json!({"name": "spare"}));
-        keys.push("key-3");
     }
     json!({"version": version, "routes": routes, "services": services,
         "tenants": [{"name": "carts", "api_keys": keys, "priority": pick(3, &[0, 1])},
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -89,6 +89,17 @@
 /// Distinguishes the random numbers of limits from those of the other faults.
 const LIMIT_SEED: u64 = 0x6c69_6d69_7400;
 
+/// Distinguishes the random numbers of long suspensions.
+const SUSPENSION_SEED: u64 = 0x7375_7370_656e;
+
+/// Range of the length of long suspensions, in milliseconds: the revocation bound, and time for one
+/// to three removals before it.
+const SUSPENSION_MS: std::ops::Range<u64> = 6500..8500;
+
+/// Time between a long suspension and another fault of the gateway, in milliseconds: a gateway that
+/// stops may end 8 s after the start of its fault, 4.5 s after the planned end.
+const SUSPENSION_MARGIN_MS: u64 = 5000;
+
 /// Distinguishes the random numbers of parts that crash engines.
 const PART_SEED: u64 = 0x7061_7274_7300;
 
@@ -176,6 +187,8 @@
             (Fault::Leave(target), random.random_range(4000..7000))
         }
     });
+    let suspensions = plan_suspensions(options, &faults);
+    faults.extend(suspensions);
     faults.extend(plan_limits(options));
     let manners = plan_manners(options, &faults);
     faults.extend(manners);
@@ -189,6 +202,39 @@
     faults
 }
 
+/// Generates suspensions of gateways that are longer than the revocation bound, so that keys are
+/// removed and the bound passes during them. They have a generator of their own, so that the other
+/// faults of a seed remain the same, and concern gateways without another fault at the time.
+fn plan_suspensions(options: &Options, others: &[ScheduledFault]) -> Vec<ScheduledFault> {
+    let mut random = Pcg64::seed_from_u64(options.seed ^ SUSPENSION_SEED);
+    let end = options.fault_duration.as_millis() as u64;
+    let gateways = options.gateways_per_zone * CONTROL_COUNT;
+    let mut faults = Vec::new();
+    let mut start = random.random_range(0..1500);
+    while start < end {
+        let duration = random.random_range(SUSPENSION_MS);
+        let first = random.random_range(0..gateways);
+        let from = Duration::from_millis(start.saturating_sub(SUSPENSION_MARGIN_MS));
+        let until = Duration::from_millis(start + duration + SUSPENSION_MARGIN_MS);
+        let is_free = |gateway: &u8| {
+            let number = Some(usize::from(*gateway));
+            let mut of_gateway = others.iter().filter(|it| it.fault.gateway() == number);
+            of_gateway.all(|other| other.start > until || other.start + other.duration < from)
+        };
+        let mut candidates = (0..gateways).map(|offset| (first + offset) % gateways);
+        if let Some(gateway) = candidates.find(is_free) {
+            faults.push(ScheduledFault {
+                start: Duration::from_millis(start),
+                duration: Duration::from_millis(duration),
+                fault: Fault::FreezeGateway(gateway),
+            });
+            start += duration;
+        }
+        start += random.random_range(500..2500);
+    }
+    faults
+}
+
 /// Generates the limits of targets. They have a generator of their own, so that the other faults
 /// of a seed remain the same.
 fn plan_limits(options: &Options) -> Vec<ScheduledFault> {
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -385,7 +385,7 @@
         let results = items.iter().map(|item| {
             let id = item["id"].as_str().unwrap_or_default();
             let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
-            self.checker.check_inputs(id, &inputs);
+            self.checker.check_inputs(id, &self.name, &inputs);
             let nonce = rand::random::<u32>();
             let handle = format!("{address}/{id}.{}.{nonce}", item["piece"]);
             json!({ "handle": handle })
@@ -404,7 +404,7 @@
     }
 
     fn run(&self, id: &str, last: u64, behaviour: Behaviour, mut run: Run) -> Response<Body> {
-        self.checker.record_run(id);
+        self.checker.record_run(id, &self.name);
         let mut response = Response::new(Body::complete(Bytes::from(format!("answer to {id}"))));
         let headers = response.headers_mut();
         if let Ok(id) = id.parse() {
--- a/crates/azurelug-system/src/soak/targets/crash.rs
+++ b/crates/azurelug-system/src/soak/targets/crash.rs
@@ -91,7 +91,7 @@
     ) -> Response<Body> {
         let choice = rand::rng().random_range(0..WRITTEN.len());
         let Some(bytes) = WRITTEN[choice] else {
-            self.checker.record_run(id);
+            self.checker.record_run(id, &self.name);
             self.crash(cause.as_ref());
             return std::future::pending().await;
         };
