soak: targets of several versions, and clients that resume streams

Every event names the version that made it. Clients resume interrupted streams at another gateway, on a new connection with a new id, Last-Event-Id and Resumes, and start anew after a refusal. A stream of two versions, or with a missing or repeated event, is a violation, and so is a share of resumed streams that go on, beside two targets of their version that are up, below half of the share of new streams that begin.

The gateway that keeps to versions has not been run with it.

--- a/crates/azurelug-system/examples/soak.rs
+++ b/crates/azurelug-system/examples/soak.rs
@@ -33,6 +33,10 @@
     /// Let whole requests crash targets, of which each zone then has two
     #[bpaf(switch)]
     crashing_requests: bool,
+    /// Let targets of streams of new software versions replace the old ones, and clients resume
+    /// streams
+    #[bpaf(switch)]
+    versions: bool,
     /// Print one JSON object for each seed
     #[bpaf(switch)]
     json: bool,
@@ -51,6 +55,7 @@
             targets_per_zone: 1 + u8::from(arguments.crashing_parts || arguments.crashing_requests),
             crashing_parts: arguments.crashing_parts,
             crashing_requests: arguments.crashing_requests,
+            versions: arguments.versions,
             ..Options::default()
         };
         let report = soak::run(&options).await;
@@ -69,6 +74,9 @@
             "seed {seed}: {verdict}; requests {}; faults {}; probes {}",
             report.summary["requests"], report.summary["faults"], report.summary["probes"]
         );
+        if arguments.versions {
+            println!("  streams {}", report.summary["streams"]);
+        }
         for violation in &report.violations {
             println!("  {violation}");
         }
--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -14,6 +14,8 @@
 pub mod operator;
 pub mod plan;
 pub mod probes;
+pub mod resumers;
+pub mod streams;
 pub mod targets;
 
 use std::sync::Arc;
@@ -46,6 +48,9 @@
     pub crashing_parts: bool,
     /// Whether whole requests crash targets.
     pub crashing_requests: bool,
+    /// Whether targets of streams of further software versions come beside the old ones, which leave,
+    /// and clients resume streams.
+    pub versions: bool,
     /// Number of concurrent callers; each sends one request at a time.
     pub callers: usize,
 }
@@ -59,6 +64,7 @@
             targets_per_zone: 1,
             crashing_parts: false,
             crashing_requests: false,
+            versions: false,
             callers: 24,
         }
     }
@@ -88,6 +94,9 @@
     let mut deployment = Deployment::start(options, Arc::clone(&checker)).await;
     let mut callers = callers::start(&deployment, options);
     callers.extend(probes::start(&deployment, options));
+    if options.versions {
+        callers.extend(resumers::start(&deployment, options));
+    }
     let operator = operator::start(&deployment, options.seed);
     let started = Instant::now();
     let mut pending_ends: Vec<(Duration, Fault)> = Vec::new();
--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -18,6 +18,7 @@
 use super::crashes::Draft;
 use super::deployment::{Deployment, GatewayFaults};
 use super::load::{DEADLINE, request};
+use super::streams::{Event, events};
 use super::targets::EVENT_COUNT;
 
 /// A request that ends before this was not ended by its deadline.
@@ -231,7 +232,9 @@
             ));
         }
         let is_whole = if matches!(kind, "talk" | "chat" | CRASHING) {
-            event_ids(body) == (1..=EVENT_COUNT).collect::<Vec<u64>>()
+            let events = events(&String::from_utf8_lossy(body));
+            self.checker.streams.check(id, &events);
+            ids(&events) == (1..=EVENT_COUNT).collect::<Vec<u64>>()
         } else {
             *body == format!("answer to {id}")
         };
@@ -245,9 +248,7 @@
     }
 }
 
-/// The ids of the events in a body, in order.
-fn event_ids(body: &Bytes) -> Vec<u64> {
-    let text = String::from_utf8_lossy(body).into_owned();
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.filter_map(|id| id.parse().ok()).collect()
+/// The ids of events, in order.
+fn ids(events: &[Event]) -> Vec<u64> {
+    events.iter().map(|event| event.id).collect()
 }
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -12,6 +12,7 @@
 use super::keys::Keys;
 use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
+use super::streams::Streams;
 
 /// Time after which a drained zone or a leaving target must get no requests: the guaranteed bound
 /// of 3 s, and 1 s for requests in transit and for processes that share one machine.
@@ -73,6 +74,8 @@
     pub crashes: Crashes,
     /// The keys of the configurations.
     pub keys: Keys,
+    /// The streams that clients resume.
+    pub streams: Streams,
 }
 
 /// The result of a run.
@@ -147,6 +150,11 @@
         self.state().at_most_once.push(id.to_owned());
     }
 
+    /// Records a request that was refused as not run.
+    pub fn expect_not_run(&self, id: &str) {
+        self.state().refused.push(id.to_owned());
+    }
+
     /// Records the outcome of a request.
     pub fn record_outcome(&self, id: &str, kind: &str, outcome: Outcome) {
         let mut state = self.state();
@@ -269,7 +277,8 @@
         self.check_given_up();
         let found = self.limits.violations().into_iter();
         let found = found.chain(self.crashes.violations());
-        for violation in found.chain(self.keys.violations()) {
+        let found = found.chain(self.keys.violations());
+        for violation in found.chain(self.streams.violations()) {
             self.record_violation(violation);
         }
         let mut state = self.state();
@@ -291,7 +300,7 @@
             .collect();
         let summary = json!({"seed": seed, "violations": violations, "requests": outcomes,
             "faults": state.faults, "reads": state.reads, "probes": self.keys.summary(),
-            "plan": plan});
+            "streams": self.streams.summary(), "plan": plan});
         Report {
             seed,
             violations,
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -2,6 +2,7 @@
 
 mod layout;
 mod recent_faults;
+mod releases;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -60,7 +61,7 @@
     gateway_faults: Arc<GatewayFaults>,
     drain_orders: Vec<JoinHandle<()>>,
     targets_per_zone: u8,
-    _stage: watch::Sender<ShutdownState>,
+    stage: watch::Sender<ShutdownState>,
 }
 
 /// The second number of a run's loopback addresses. Runs of one process have different ones, so
@@ -138,7 +139,7 @@
             gateway_faults: Arc::default(),
             drain_orders: Vec::new(),
             targets_per_zone: options.targets_per_zone,
-            _stage: stage,
+            stage,
         };
         let body = Bytes::from(configuration(1).to_string());
         let is_configured =
@@ -276,6 +277,7 @@
                 let share = f64::from(*share) / 1000.0;
                 self.checker.crashes.start_request(draft, share);
             }
+            Fault::Release(version, _) => self.start_release(*version),
             Fault::Drain(number) => self.drain(*number, true),
         }
     }
@@ -328,6 +330,7 @@
             }
             Fault::Part(part, _) => self.checker.crashes.end_use(part),
             Fault::Request(draft, _) => self.checker.crashes.end_request(draft),
+            Fault::Release(version, crashes) => self.end_release(*version, *crashes),
             Fault::Drain(number) => self.drain(*number, false),
         }
         if let Some(gateway) = fault.gateway() {
--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -55,6 +55,9 @@
     /// Targets crash when they begin to answer a request, which comes in so many of a thousand
     /// requests.
     Request(Draft, u32),
+    /// Targets of streams of a new version start beside those of the one before, which leave at the
+    /// end. A bit for each zone says whether they crash or drain.
+    Release(u8, u8),
     /// Operators drain a zone, and undo the drain at the end.
     Drain(u8),
 }
@@ -100,6 +103,9 @@
 /// stops may end 8 s after the start of its fault, 4.5 s after the planned end.
 const SUSPENSION_MARGIN_MS: u64 = 5000;
 
+/// Distinguishes the random numbers of releases.
+const RELEASE_SEED: u64 = 0x7265_6c65_6173;
+
 /// Distinguishes the random numbers of parts that crash engines.
 const PART_SEED: u64 = 0x7061_7274_7300;
 
@@ -192,6 +198,9 @@
     faults.extend(plan_limits(options));
     let manners = plan_manners(options, &faults);
     faults.extend(manners);
+    if options.versions {
+        add_releases(options, &mut faults);
+    }
     if options.crashing_parts {
         faults.extend(plan_parts(options));
     }
@@ -261,6 +270,41 @@
     faults
 }
 
+/// Adds releases of new versions, and during each a kill of all gateways at once, in place of the
+/// faults that gateways have at the time.
+fn add_releases(options: &Options, faults: &mut Vec<ScheduledFault>) {
+    let mut random = Pcg64::seed_from_u64(options.seed ^ RELEASE_SEED);
+    let end = options.fault_duration.as_millis() as u64;
+    let gateways = options.gateways_per_zone * CONTROL_COUNT;
+    let mut start = random.random_range(1500..3000);
+    for version in 2..=u8::MAX {
+        let duration = random.random_range(3000..5000);
+        let crashes = random.random_range(0..8);
+        let kill = start + random.random_range(1000..duration);
+        let down = random.random_range(200..800);
+        if kill + down > end {
+            break;
+        }
+        let from = Duration::from_millis(kill.saturating_sub(SUSPENSION_MARGIN_MS));
+        let until = Duration::from_millis(kill + down);
+        faults.retain(|it| {
+            let is_apart = it.start > until || it.start + it.duration < from;
+            it.fault.gateway().is_none() || is_apart
+        });
+        faults.push(ScheduledFault {
+            start: Duration::from_millis(start),
+            duration: Duration::from_millis(duration),
+            fault: Fault::Release(version, crashes),
+        });
+        faults.extend((0..gateways).map(|gateway| ScheduledFault {
+            start: Duration::from_millis(kill),
+            duration: Duration::from_millis(down),
+            fault: Fault::KillGateway(gateway),
+        }));
+        start += duration + random.random_range(5000..7000);
+    }
+}
+
 /// Generates the parts that crash engines. They begin one after the other, after a time without
 /// any, and end with the faults.
 fn plan_parts(options: &Options) -> Vec<ScheduledFault> {
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -3,8 +3,9 @@
 
 mod crash;
 mod manner;
+pub mod versions;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -96,6 +97,8 @@
     cold: Mutex<HashMap<String, Instant>>,
     /// The proxies in front of the targets that run.
     proxies: Mutex<HashMap<String, Proxy>>,
+    /// Targets that have left or will, whose state doesn't change any more.
+    retired: Mutex<HashSet<String>>,
 }
 
 impl TargetPool {
@@ -170,6 +173,10 @@
         self.proxies.lock().expect("the lock is not poisoned")
     }
 
+    fn retired(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.retired.lock().expect("the lock is not poisoned")
+    }
+
     /// The name of a target on the platform's list.
     fn id(&self, name: &str) -> String {
         let id = self.ids().get(name).cloned();
@@ -197,7 +204,7 @@
         self.proxies().insert(name.to_owned(), proxy);
         self.list()
             .push(json!({"id": name, "service": service, "address": address,
-            "zone": zone, "version": "v1", "slots": 8, "state": "ready",
+            "zone": zone, "version": versions::version(name), "slots": 8, "state": "ready",
             "cold_remaining_ms": 0}));
     }
 
@@ -212,6 +219,9 @@
 
     /// Sets the state of a target on the platform's list.
     pub fn set_state(&self, name: &str, state: &str) {
+        if self.retired().contains(name) {
+            return;
+        }
         let id = self.id(name);
         for entry in self.list().iter_mut().filter(|entry| entry["id"] == id) {
             entry["state"] = Value::from(state);
--- a/crates/azurelug-system/src/soak/targets/crash.rs
+++ b/crates/azurelug-system/src/soak/targets/crash.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::manner::Run;
+use super::versions::version;
 use super::{Behaviour, Target, TargetPool, proxy_settings};
 
 /// Time that bytes need to the gateway before the target ends.
@@ -29,11 +30,11 @@
 const BIND_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a target has written of an answer when it crashes.
-const WRITTEN: [Option<&[u8]>; 4] = [
+const WRITTEN: [Option<&str>; 4] = [
     None,
-    Some(b""),
-    Some(b"id: 1\nda"),
-    Some(b"id: 1\ndata: 1\n\n"),
+    Some(""),
+    Some("id: 1\nda"),
+    Some("id: 1\ndata: VERSION\n\n"),
 ];
 
 impl TargetPool {
@@ -90,7 +91,7 @@
         run: Run,
     ) -> Response<Body> {
         let choice = rand::rng().random_range(0..WRITTEN.len());
-        let Some(bytes) = WRITTEN[choice] else {
+        let Some(text) = WRITTEN[choice] else {
             self.checker.record_run(id, &self.name);
             self.crash(cause.as_ref());
             return std::future::pending().await;
@@ -100,8 +101,9 @@
         *response.body_mut() = Body::Stream(body);
         let target = self.clone();
         tokio::spawn(async move {
-            if !bytes.is_empty() {
-                let _ = sender.send(Ok(Bytes::from_static(bytes))).await;
+            if !text.is_empty() {
+                let text = text.replace("VERSION", version(&target.name));
+                let _ = sender.send(Ok(Bytes::from(text))).await;
             }
             sleep(WRITE_TIME).await;
             target.crash(cause.as_ref());
--- a/crates/azurelug-system/src/soak/targets/manner.rs
+++ b/crates/azurelug-system/src/soak/targets/manner.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
+use super::versions::version;
 use super::{Behaviour, EVENT_COUNT, EVENT_INTERVAL, Target, TargetPool};
 use crate::soak::checker::Checker;
 
@@ -112,7 +113,7 @@
             run.pause_at(id).await;
         }
         sleep(EVENT_INTERVAL).await;
-        let event = format!("id: {id}\ndata: {id}\n\n");
+        let event = format!("id: {id}\ndata: {}\n\n", version(&run.target));
         let (start, rest) = event.split_at(event.len() / 2);
         if sender
             .send(Ok(Bytes::copy_from_slice(start.as_bytes())))
