--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -9,8 +9,10 @@
 use tokio::time::Instant;
 
 use super::crashes::Crashes;
+use super::keys::Keys;
 use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
+use super::streams::Streams;
 
 /// Time after which a drained zone or a leaving target must get no requests: the guaranteed bound
 /// of 3 s, and 1 s for requests in transit and for processes that share one machine.
@@ -70,6 +72,10 @@
     pub limits: Limits,
     /// The requests that crash targets.
     pub crashes: Crashes,
+    /// The keys of the configurations.
+    pub keys: Keys,
+    /// The streams that clients resume.
+    pub streams: Streams,
 }
 
 /// The result of a run.
@@ -108,7 +114,8 @@
     }
 
     /// Records that a target has run a request.
-    pub fn record_run(&self, id: &str) {
+    pub fn record_run(&self, id: &str, target: &str) {
+        self.keys.check_run(id, target, self.limits.now());
         *self.state().runs.entry(id.to_owned()).or_default() += 1;
     }
 
@@ -143,6 +150,11 @@
         self.state().at_most_once.push(id.to_owned());
     }
 
+    /// Records a request that was refused as not run.
+    pub fn expect_not_run(&self, id: &str) {
+        self.state().refused.push(id.to_owned());
+    }
+
     /// Records the outcome of a request.
     pub fn record_outcome(&self, id: &str, kind: &str, outcome: Outcome) {
         let mut state = self.state();
@@ -161,7 +173,8 @@
     }
 
     /// Records a piece of a request, and checks that its inputs belong to the same request.
-    pub fn check_inputs(&self, id: &str, inputs: &[Value]) {
+    pub fn check_inputs(&self, id: &str, target: &str, inputs: &[Value]) {
+        self.keys.check_run(id, target, self.limits.now());
         self.state().with_pieces.insert(id.to_owned());
         let is_own = |input: &Value| {
             let handle = input.as_str().unwrap_or_default();
@@ -263,7 +276,9 @@
         }
         self.check_given_up();
         let found = self.limits.violations().into_iter();
-        for violation in found.chain(self.crashes.violations()) {
+        let found = found.chain(self.crashes.violations());
+        let found = found.chain(self.keys.violations());
+        for violation in found.chain(self.streams.violations()) {
             self.record_violation(violation);
         }
         let mut state = self.state();
@@ -284,7 +299,8 @@
             })
             .collect();
         let summary = json!({"seed": seed, "violations": violations, "requests": outcomes,
-            "faults": state.faults, "reads": state.reads, "plan": plan});
+            "faults": state.faults, "reads": state.reads, "probes": self.keys.summary(),
+            "streams": self.streams.summary(), "plan": plan});
         Report {
             seed,
             violations,
