--- a/crates/azurelug-core/src/gateway/fleet/versions.rs
+++ b/crates/azurelug-core/src/gateway/fleet/versions.rs
@@ -18,6 +18,12 @@
         self.registered = versions.map(|it| (it.service, it.versions)).collect();
     }
 
+    /// The versions of services at which streams may begin, for a state dump.
+    pub fn registered_versions(&self) -> impl Iterator<Item = (&ServiceName, &[String])> {
+        let registered = self.registered.iter();
+        registered.map(|(service, versions)| (service, versions.as_slice()))
+    }
+
     /// Whether the versions are known at which streams may begin.
     #[must_use]
     pub fn knows_versions(&self) -> bool {
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -32,6 +32,15 @@
     rollouts: Vec<RolloutRow>,
     service_costs: Vec<ServiceCostRow>,
     target_costs: Vec<TargetCostRow>,
+    stream_versions: Vec<VersionsRow>,
+    stream_records: usize,
+}
+
+/// The software versions of a service at which streams may begin.
+#[derive(Serialize)]
+struct VersionsRow {
+    service: String,
+    versions: Vec<String>,
 }
 
 #[derive(Serialize)]
@@ -79,6 +88,12 @@
         in_flight,
     });
     let targets = rows.collect();
+    let registered = fleet.registered_versions();
+    let stream_versions = registered.map(|(service, versions)| VersionsRow {
+        service: service.to_string(),
+        versions: versions.to_vec(),
+    });
+    let stream_versions = stream_versions.collect();
     drop(fleet);
     let (service_costs, target_costs) = gateway.cost_rows();
     let stage_targets = gateway.dispatch_workers.dump().into_iter();
@@ -103,6 +118,8 @@
         rollouts: gateway.rollout_rows(),
         service_costs,
         target_costs,
+        stream_versions,
+        stream_records: gateway.streams.count(),
     }
 }
 
--- a/crates/azurelug-gateway/src/metrics.rs
+++ b/crates/azurelug-gateway/src/metrics.rs
@@ -74,6 +74,20 @@
     NoTarget,
 }
 
+/// Whether a stream that a client took up may go on, used as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum Resumed {
+    /// Its version is known, and a target of it is left.
+    Admitted,
+    /// It is refused.
+    Refused,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResumedLabels {
+    end: Resumed,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageEndLabels {
     reason: StageEnd,
@@ -102,6 +116,7 @@
     pub config_version: Gauge,
     /// Number of lost connections to control daemons.
     pub control_disconnects: Counter,
+    resumed_streams: Family<ResumedLabels, Counter>,
     /// Milliseconds in which the machine was suspended.
     pub suspended_ms: Counter,
     /// Streams to clients that ended early.
@@ -172,6 +187,9 @@
         let control_disconnects = Counter::default();
         let help = "Lost connections to control daemons";
         registry.register("control_losses", help, control_disconnects.clone());
+        let resumed_streams = Family::<ResumedLabels, Counter>::default();
+        let help = "Streams that clients took up, by whether their version was known and served";
+        registry.register("resumed_streams", help, resumed_streams.clone());
         let suspended_ms = Counter::default();
         let help = "Milliseconds in which the machine was suspended";
         registry.register("suspended_ms", help, suspended_ms.clone());
@@ -195,6 +213,7 @@
         registry.register("accused_parts", help, accused_parts.clone());
         Self {
             registry,
+            resumed_streams,
             suspended_ms,
             interrupted_streams,
             quarantined_requests,
@@ -224,6 +243,18 @@
 }
 
 impl Metrics {
+    /// Counts a stream that a client took up.
+    pub fn record_resumed(&self, is_admitted: bool) {
+        let end = if is_admitted {
+            Resumed::Admitted
+        } else {
+            Resumed::Refused
+        };
+        self.resumed_streams
+            .get_or_create(&ResumedLabels { end })
+            .inc();
+    }
+
     /// Records the outcome and the latency of a request.
     pub fn record_request(&self, end: End, latency: Duration) {
         let labels = RequestLabels { end };
--- a/crates/azurelug-gateway/src/streams.rs
+++ b/crates/azurelug-gateway/src/streams.rs
@@ -78,6 +78,11 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// The number of streams whose versions are recorded here.
+    pub fn count(&self) -> usize {
+        self.state().book.len()
+    }
+
     /// A connection to a control daemon, which is kept for further calls.
     async fn connection(&self, address: SocketAddr) -> Result<Connection, Error> {
         let known = self.state().connection.clone();
@@ -212,6 +217,7 @@
         exchange.fields.last_event.unwrap_or_default(),
         version.as_deref().unwrap_or("-"),
     );
+    gateway.metrics.record_resumed(version.is_ok());
     version.map_err(|reason| Failure::Refused(RETRY_AFTER, reason))
 }
 
