gateway: streams are reported again to a control daemon that was restarted

Cause: control daemons keep the versions of streams in memory. After a restart of all of them the streams of gateways that were killed later were refused. Change: after the first poll of another daemon, or of one that was restarted, a gateway reports the streams of all services with several versions. Conclusion: only records of gateways that are gone are lost with all control daemons.

--- a/crates/azurelug-gateway/src/control.rs
+++ b/crates/azurelug-gateway/src/control.rs
@@ -192,6 +192,7 @@
         log::info!("gateway: polling control {address}");
         // Another daemon, or one that has restarted, has other records.
         (self.suspects_received, self.suspects_sent) = (0, 0);
+        let mut is_first = true;
         loop {
             if let Some(suspended) = self.suspensions.take() {
                 self.gateway.record_suspension(suspended);
@@ -204,6 +205,9 @@
                 return;
             }
             self.gateway.peers.set_control(address);
+            if std::mem::take(&mut is_first) {
+                self.gateway.report_all_streams();
+            }
             if self.gateway.is_exiting() {
                 // Another poll would list this gateway again.
                 std::future::pending::<()>().await;
--- a/crates/azurelug-gateway/src/streams.rs
+++ b/crates/azurelug-gateway/src/streams.rs
@@ -137,6 +137,18 @@
         self.fleet().set_versions(versions);
     }
 
+    /// Reports the streams of all services with several versions: the control daemon that the gateway
+    /// polls from now on may have been restarted, and all others as well.
+    pub fn report_all_streams(&self) {
+        {
+            let mut state = self.streams.state();
+            let mixed = state.mixed.iter();
+            let records: Vec<_> = mixed.flat_map(|it| state.book.of_service(it)).collect();
+            state.queue(records);
+        }
+        self.streams.queued.notify_one();
+    }
+
     /// Records that a client's stream begins, or goes on, at a target.
     pub fn record_stream(&self, exchange: &Exchange, target: &Target) {
         if exchange.route.kind != (RequestKind::Stream { resumable: true }) {
--- a/crates/azurelug-system/tests/gateway/stream_versions.rs
+++ b/crates/azurelug-system/tests/gateway/stream_versions.rs
@@ -16,6 +16,9 @@
 /// Longest wait for a part of a stream.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time until a restarted control daemon leads.
+const RESTART_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Changes the version of the listed targets whose names start with `prefix`.
 fn set_version(deployment: &Deployment, prefix: &str, version: &str) {
     let start = format!("\"id\":\"{prefix}");
@@ -74,9 +77,12 @@
     assert!(cut >= 2, "{cut} streams began");
 }
 
-/// Starts streams at targets of two versions, kills the gateway, and takes the streams up at the one
+/// Starts streams at targets of two versions, kills the gateway, after `before_kill`, and takes the streams up at the one
 /// that is started in its place. Returns the targets of each stream: the first, and that of the rest.
-async fn resume_after_kill(deployment: &mut Deployment) -> Vec<(String, Option<String>)> {
+async fn resume_after_kill(
+    deployment: &mut Deployment,
+    before_kill: impl AsyncFnOnce(&mut Deployment),
+) -> Vec<(String, Option<String>)> {
     for target in ["llm-a", "llm-b"] {
         deployment.set_behaviour(target, Behaviour::Slow);
     }
@@ -84,6 +90,7 @@
     let begun = join_all(ids.iter().map(|id| begin(deployment, id))).await;
     // The gateway tells of new streams in batches.
     sleep(Duration::from_millis(200)).await;
+    before_kill(deployment).await;
     deployment.gateway.kill();
     drop(begun);
     deployment.gateway.start();
@@ -117,7 +124,7 @@
     let mut deployment = Deployment::start().await;
     set_version(&deployment, "llm-b", "v2");
     sleep(LISTED).await;
-    let targets = resume_after_kill(&mut deployment).await;
+    let targets = resume_after_kill(&mut deployment, async |_| ()).await;
     let joined = targets.iter().filter(|(first, rest)| {
         let rest = rest.as_ref();
         rest.is_some_and(|rest| rest != first)
@@ -129,11 +136,37 @@
     assert_eq!(gone_on, targets.len(), "refused: {targets:?}");
 }
 
+/// Guards against streams whose versions are forgotten because the control daemons were restarted
+/// before the gateway was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_control_does_not_forget_the_versions_of_streams() {
+    let mut deployment = Deployment::start().await;
+    set_version(&deployment, "llm-b", "v2");
+    sleep(LISTED).await;
+    let restart = async |deployment: &mut Deployment| {
+        let leads = "control: Leader in term";
+        let before = deployment.control.log().matches(leads).count();
+        deployment.control.kill();
+        deployment.control.start();
+        let is_leader = async {
+            while deployment.control.log().matches(leads).count() == before {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(RESTART_TIMEOUT, is_leader).await.expect("a leader");
+        // A poll and a report.
+        sleep(LISTED).await;
+    };
+    let targets = resume_after_kill(&mut deployment, restart).await;
+    let is_own = |(first, rest): &(String, Option<String>)| rest.as_ref() == Some(first);
+    assert!(targets.iter().all(is_own), "{targets:?}");
+}
+
 /// Guards against streams that are refused although only one version was ever in service.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_goes_on_after_a_kill_if_there_is_one_version() {
     let mut deployment = Deployment::start().await;
-    let targets = resume_after_kill(&mut deployment).await;
+    let targets = resume_after_kill(&mut deployment, async |_| ()).await;
     assert!(
         targets.iter().all(|(_, rest)| rest.is_some()),
         "{targets:?}"
