soak: the end of an old target doesn't look like the end of a stream

Both ended at the moment at which the old target llm-a crashed (6.7 s): its answers had neither length nor chunks, and the proxy's close marks the end of such an answer. The gateway was right.

--- a/crates/azurelug-system/src/soak/plan.rs
+++ b/crates/azurelug-system/src/soak/plan.rs
@@ -9,7 +9,7 @@
 
 use super::Options;
 use super::crashes::Draft;
-use super::targets::{Behaviour, Manner};
+use super::targets::{Behaviour, Manner, versions};
 
 /// Number of control daemons, one in each zone.
 pub const CONTROL_COUNT: u8 = 3;
@@ -387,6 +387,7 @@
             let gateway = random.random_range(0..gateways);
             let until = Duration::from_millis(start + duration) + ANSWER_TIME;
             let is_closed = options.has_crashes()
+                || (options.versions && service == versions::SERVICE)
                 || others.iter().any(|other| {
                     let link = Fault::Link(target.clone(), LinkFault::Reset);
                     let end = other.start + other.duration;
@@ -395,7 +396,8 @@
                         && end >= Duration::from_millis(start)
                 });
             if is_closed {
-                // The proxy's close, also at a crash, would mark the end of an unframed answer.
+                // The proxy's close, also at a crash or the end of an old version, would mark the end
+                // of an unframed answer.
                 manner = Manner::Pauses;
             }
             let fault = Fault::Manner(target, manner);
