http: a closing listener resets no established connection

Such a client can't tell whether a request that may run once was run.

Cause: before the listener closed, the server asked the runtime for further connections until it had none. The runtime only knows connections that its driver has reported, so that all others were reset; and connections that were established between the last accept and the close were reset as well.

Change: a packet filter on the listener drops segments that open a connection, handshakes that have begun get 20 ms to end, and the remaining connections are taken from the kernel itself. Clients that open a connection in these 20 ms are refused when they send the segment again, a second later; they were reset or refused before.

--- a/crates/azurelug-http/src/h1/server.rs
+++ b/crates/azurelug-http/src/h1/server.rs
@@ -2,13 +2,13 @@
 
 mod abort;
 mod connections;
+mod listener;
 mod phase;
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 pub use abort::Abort;
 use abort::{Aborted, LatestAbort};
@@ -160,12 +160,27 @@
             }
         }
     }
-    // The kernel may have established connections that are not accepted yet. Closing the listener
-    // would reset them, with the requests that were already sent on them.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        open(&mut connections, stream);
+    if let Err(error) = listener::stop_handshakes(&listener) {
+        log::warn!("http: connections may be reset when the listener closes: {error}");
+    }
+    let handshakes_end = Instant::now() + listener::HANDSHAKE_TIME;
+    while let Ok(accepted) = timeout_at(handshakes_end, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => open(&mut connections, stream),
+            Err(error) => {
+                log::warn!("http: accept failed while the listener closes: {error}");
+                break;
+            }
+        }
+    }
+    match listener::close(listener) {
+        Ok(streams) => {
+            for stream in streams {
+                open(&mut connections, stream);
+            }
+        }
+        Err(error) => log::warn!("http: connections were reset with the listener: {error}"),
     }
-    drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
