raft: bounds that don't hold together are refused by name

Which bounds, their values and the remedy were left to the reader.

Change: counts and intervals of zero, times and sizes are compared one after the other. The error names the bound that is too low, the bound or sum that it must reach, both values, and what to raise or lower. The same settings are accepted and refused as before.

Conclusion: what is compared is the same; the message is enough to correct the settings.

--- a/crates/azurelug-coordination/src/raft/settings.rs
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -106,6 +106,9 @@
 /// lease of the system does.
 const LEASE_MARGIN: Duration = Duration::from_millis(50);
 
+/// Largest part of a snapshot in one message, in bytes, so that a message fits a frame of 1 MiB.
+const MAX_CHUNK_BYTES: u64 = 256 * 1024;
+
 impl Settings {
     /// Length of the leader lease, counted from the sending of an acknowledged message. Voters vote
     /// for no other candidate during the election timeout, on clocks that may run 1% faster.
@@ -115,34 +118,106 @@
     }
 
     pub(super) fn check(&self) -> Result<(), StartError> {
-        let times = self.heartbeat * 4 <= self.election_timeout
-            && !self.heartbeat.is_zero()
-            && !self.probe_interval.is_zero()
-            && !self.join_interval.is_zero()
-            && self.election_timeout > LEASE_MARGIN * 2
-            && self.replace_after >= self.election_timeout
-            && self.remove_after >= self.replace_after;
+        self.check_counts()?;
+        self.check_times()?;
+        self.check_sizes()
+    }
+
+    fn check_counts(&self) -> Result<(), StartError> {
         let counts = [
-            self.max_voters,
-            self.max_batch_entries,
-            self.max_in_flight,
-            self.max_log_entries,
-            self.max_waiting_probes,
-            self.chunk_bytes,
+            ("max_voters", self.max_voters),
+            ("max_batch_entries", self.max_batch_entries),
+            ("max_in_flight", self.max_in_flight),
+            ("max_log_entries", self.max_log_entries),
+            ("max_waiting_probes", self.max_waiting_probes),
+            ("chunk_bytes", self.chunk_bytes),
+        ];
+        let times = [
+            ("heartbeat", self.heartbeat),
+            ("probe_interval", self.probe_interval),
+            ("join_interval", self.join_interval),
+        ];
+        let counts = counts.iter().filter(|(_, count)| *count == 0);
+        let times = times.iter().filter(|(_, time)| time.is_zero());
+        let mut zeros = counts.map(|it| it.0).chain(times.map(|it| it.0));
+        match zeros.next() {
+            Some(setting) => Err(StartError::Zero { setting }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_times(&self) -> Result<(), StartError> {
+        let election = ("election_timeout in ms", self.election_timeout);
+        let replace = ("replace_after in ms", self.replace_after);
+        let remove = ("remove_after in ms", self.remove_after);
+        let heartbeats = ("4 x heartbeat in ms", self.heartbeat * 4);
+        let margin = (
+            "the lease margin, twice and 1 ms",
+            LEASE_MARGIN * 2 + Duration::from_millis(1),
+        );
+        let pairs = [
+            (election, heartbeats),
+            (election, margin),
+            (replace, election),
+            (remove, replace),
         ];
+        pairs
+            .iter()
+            .try_for_each(|((larger, value), (smaller, least))| {
+                let millis = |time: &Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                if value >= least {
+                    return Ok(());
+                }
+                Err(StartError::Bounds {
+                    larger,
+                    value: millis(value),
+                    smaller,
+                    least: millis(least),
+                })
+            })
+    }
+
+    fn check_sizes(&self) -> Result<(), StartError> {
         // Compaction must be able to free space while all uncommitted entries are still in the log.
         // Their bytes are bounded by the log's own limit, and make room once they are committed.
-        let retained = self.snapshot_entries + self.kept_entries + self.max_uncommitted;
-        let retained_bytes = self.snapshot_bytes + self.kept_bytes + self.max_command_bytes;
-        let sizes = self.chunk_bytes <= 256 * 1024
-            && self.max_members >= self.max_voters
-            && self.max_log_entries as u64 >= retained
-            && self.max_log_bytes > retained_bytes;
-        if times && sizes && counts.iter().all(|&count| count > 0) {
-            Ok(())
-        } else {
-            Err(StartError::Settings)
-        }
+        let entries = self.snapshot_entries + self.kept_entries + self.max_uncommitted;
+        let retained = self.snapshot_bytes + self.kept_bytes + self.max_command_bytes;
+        let log_entries = ("max_log_entries", self.max_log_entries as u64);
+        let log_bytes = ("max_log_bytes", self.max_log_bytes as u64);
+        let pairs = [
+            (
+                ("max_members", self.max_members as u64),
+                ("max_voters", self.max_voters as u64),
+            ),
+            (
+                log_entries,
+                ("snapshot_entries + kept_entries + max_uncommitted", entries),
+            ),
+            (
+                log_bytes,
+                (
+                    "snapshot_bytes + kept_bytes + max_command_bytes + 1",
+                    retained as u64 + 1,
+                ),
+            ),
+            (
+                ("the largest chunk of a snapshot", MAX_CHUNK_BYTES),
+                ("chunk_bytes", self.chunk_bytes as u64),
+            ),
+        ];
+        pairs
+            .iter()
+            .try_for_each(|&((larger, value), (smaller, least))| {
+                if value >= least {
+                    return Ok(());
+                }
+                Err(StartError::Bounds {
+                    larger,
+                    value,
+                    smaller,
+                    least,
+                })
+            })
     }
 }
 
@@ -218,9 +293,27 @@
 /// Why a node cannot start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum StartError {
-    /// A time or limit is out of range.
-    #[error("a raft timeout or limit is out of range; compare the settings with the defaults")]
-    Settings,
+    /// A count or interval is zero.
+    #[error("the setting {setting} of the replicated log is 0; set 1 or more")]
+    Zero {
+        /// Name of the setting.
+        setting: &'static str,
+    },
+    /// Two bounds don't hold together.
+    #[error(
+        "two bounds of the replicated log don't hold together: {larger} is {value}, but {smaller} is \
+         {least}; raise the first or lower the second"
+    )]
+    Bounds {
+        /// The bound that is too low.
+        larger: &'static str,
+        /// Its value.
+        value: u64,
+        /// The bound, or the sum of bounds, that it must reach.
+        smaller: &'static str,
+        /// The value of that.
+        least: u64,
+    },
     /// The data folder belongs to another cluster or slot.
     #[error(
         "the data folder belongs to cluster {cluster:032x}, member {member}; use the folder of this slot"
