--- a/crates/azurelug-control/src/deployment.rs
+++ b/crates/azurelug-control/src/deployment.rs
@@ -166,6 +166,10 @@
             log::warn!("control: {subject}: {error}");
             error_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
         }
+        Err(error @ Error::StateFull { .. }) => {
+            log::warn!("control: {subject}: {error}");
+            error_response(StatusCode::INSUFFICIENT_STORAGE, &error.to_string())
+        }
     }
 }
 
--- a/crates/azurelug-control/src/internal.rs
+++ b/crates/azurelug-control/src/internal.rs
@@ -185,6 +185,9 @@
             Ok(Err(error)) => Frame::Refused {
                 message: error.to_string(),
             },
+            Err(replica::ProposeError::StateFull { size, limit }) => {
+                Frame::StateFull { size, limit }
+            }
             Err(error) => Frame::Refused {
                 message: format!("not committed here: {error:?}"),
             },
@@ -267,6 +270,7 @@
         Ok(Outcome::Patch(_) | Outcome::Deployment | Outcome::Rollout(_))
         | Err(replica::Error::NoQuorum { .. }) => metrics::NO_QUORUM,
         Err(replica::Error::Malformed { .. }) => metrics::TOO_LONG,
+        Err(replica::Error::StateFull { .. }) => metrics::STATE_FULL,
     }
 }
 
--- a/crates/azurelug-control/src/metrics.rs
+++ b/crates/azurelug-control/src/metrics.rs
@@ -29,7 +29,9 @@
 ];
 
 /// Results of patches. Dry runs are not counted.
-const PATCH_RESULTS: [&str; 5] = ["accepted", "conflict", "invalid", "too_long", "no_quorum"];
+const PATCH_RESULTS: [&str; 6] = [
+    "accepted", "conflict", "invalid", TOO_LONG, NO_QUORUM, STATE_FULL,
+];
 
 /// The result of a command for which no quorum was reached.
 pub const NO_QUORUM: &str = "no_quorum";
@@ -37,6 +39,9 @@
 /// The result of a command that is too long for the log.
 pub const TOO_LONG: &str = "too_long";
 
+/// The result of a command for which the replicated state has no room.
+pub const STATE_FULL: &str = "state_full";
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RoleLabel {
     role: &'static str,
@@ -82,6 +87,8 @@
     share_limit: Gauge,
     share_granted: Gauge,
     suspended_ms: Counter,
+    state_bytes: Gauge,
+    state_full: Counter,
 }
 
 impl Default for Metrics {
@@ -111,15 +118,18 @@
             share_limit: Gauge::default(),
             share_granted: Gauge::default(),
             suspended_ms: Counter::default(),
+            state_bytes: Gauge::default(),
+            state_full: Counter::default(),
         };
         metrics.register_log();
+        metrics.register_state();
         metrics.register_grants();
         for role in ROLES {
             drop(metrics.role.get_or_create(&RoleLabel { role }));
         }
         let once = once::Outcome::NAMES
             .into_iter()
-            .chain([NO_QUORUM, TOO_LONG]);
+            .chain([NO_QUORUM, TOO_LONG, STATE_FULL]);
         create_series(&metrics.once_commands, once);
         create_series(&metrics.patches, PATCH_RESULTS);
         create_series(&metrics.lease_renewals, ["granted", "refused"]);
@@ -149,6 +159,14 @@
         registry.register("suspended_ms", help, self.suspended_ms.clone());
     }
 
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        let help = "Size of the replicated state in the last snapshot";
+        registry.register("state_bytes", help, self.state_bytes.clone());
+        let help = "Commands that this leader refused because the state has no room";
+        registry.register("state_full", help, self.state_full.clone());
+    }
+
     fn register_grants(&mut self) {
         let registry = &mut self.registry;
         let help = "At-most-once commands received here by outcome";
@@ -177,6 +195,16 @@
         self.commit_seconds.observe(after.as_secs_f64());
     }
 
+    /// Sets the size of the replicated state, as encoded for a snapshot.
+    pub fn set_state_bytes(&self, bytes: usize) {
+        self.state_bytes.set(signed(bytes));
+    }
+
+    /// Counts a command for which the replicated state has no room.
+    pub fn count_state_full(&self) {
+        self.state_full.inc();
+    }
+
     /// Counts a suspension of the machine.
     pub fn count_suspension(&self, millis: u64) {
         self.suspended_ms.inc_by(millis);
@@ -197,13 +225,13 @@
         self.patches.get_or_create(&ResultLabel { result }).inc();
     }
 
-    /// Counts a patch without an answer: `result` is [`NO_QUORUM`] or [`TOO_LONG`].
+    /// Counts a patch without an answer: `result` is [`NO_QUORUM`], [`TOO_LONG`] or [`STATE_FULL`].
     pub fn count_failed_patch(&self, result: &'static str) {
         self.patches.get_or_create(&ResultLabel { result }).inc();
     }
 
-    /// Counts an at-most-once command. `result` is an outcome's name, [`NO_QUORUM`] or
-    /// [`TOO_LONG`].
+    /// Counts an at-most-once command. `result` is an outcome's name, [`NO_QUORUM`],
+    /// [`TOO_LONG`] or [`STATE_FULL`].
     pub fn count_once(&self, result: &'static str) {
         self.once_commands
             .get_or_create(&ResultLabel { result })
--- a/crates/azurelug-control/src/operators.rs
+++ b/crates/azurelug-control/src/operators.rs
@@ -308,6 +308,12 @@
                     .count_failed_patch(metrics::NO_QUORUM);
                 error_response(503, error.to_string())
             }
+            Err(error @ replica::Error::StateFull { .. }) => {
+                self.replica
+                    .metrics()
+                    .count_failed_patch(metrics::STATE_FULL);
+                error_response(507, error.to_string())
+            }
         }
     }
 }
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -3,6 +3,7 @@
 //! [`Replica`] is the handle for the rest of the daemon. Its task owns the log, the disk and the
 //! connections; see [`task`].
 
+mod growth;
 mod refusals;
 pub mod task;
 
@@ -51,6 +52,18 @@
         /// Why the last attempt failed.
         message: String,
     },
+    /// A snapshot could not hold the replicated state with this command.
+    #[error(
+        "the replicated state would have {size} bytes, the limit is {limit}; remove what is not \
+         needed (drains of zones that no longer exist, accounts, targets, parts of the document), \
+         then send the command again"
+    )]
+    StateFull {
+        /// Size of the state with the command, estimated, in bytes.
+        size: u64,
+        /// Limit in bytes.
+        limit: u64,
+    },
 }
 
 /// A request to the task.
@@ -79,6 +92,13 @@
     Lost,
     /// A queue is full.
     Busy,
+    /// A snapshot could not hold the replicated state with this command.
+    StateFull {
+        /// Size of the state with the command, estimated, in bytes.
+        size: u64,
+        /// Limit in bytes.
+        limit: u64,
+    },
 }
 
 /// A leader lease: until it ends, no other member can act as the leader.
@@ -113,7 +133,7 @@
     /// patch by its id, a claim by its claimant, a record and a release by the claim's number.
     ///
     /// # Errors
-    /// `NoQuorum` if the outcome is not known within 4 s.
+    /// `NoQuorum` if the outcome is not known within 4 s; at once `Malformed` or `StateFull`.
     pub async fn propose(&self, command: &Command) -> Result<Outcome, Error> {
         let malformed = |error: azurelug_wire::Error| Error::Malformed {
             message: error.to_string(),
@@ -132,10 +152,14 @@
                 Ok(outcome) => return Ok(outcome),
                 Err(ProposeError::NotLeader(Some(slot))) => {
                     match self.forward(slot, command.clone()).await {
-                        Ok(outcome) => return Ok(outcome),
+                        Ok(Ok(outcome)) => return Ok(outcome),
+                        Ok(Err(refusal)) => return Err(refusal),
                         Err(error) => error.to_string(),
                     }
                 }
+                Err(ProposeError::StateFull { size, limit }) => {
+                    return Err(Error::StateFull { size, limit });
+                }
                 Err(ProposeError::NotLeader(None)) => "no leader is known".to_owned(),
                 Err(ProposeError::Lost) => "the leadership changed".to_owned(),
                 Err(ProposeError::Busy) => "too many commands wait".to_owned(),
@@ -169,14 +193,21 @@
         }
     }
 
-    async fn forward(&self, slot: u32, command: Vec<u8>) -> Result<Outcome, azurelug_wire::Error> {
+    /// Passes a command on to the leader; returns its outcome, or a refusal that sending it again
+    /// would not change.
+    async fn forward(
+        &self,
+        slot: u32,
+        command: Vec<u8>,
+    ) -> Result<Result<Outcome, Error>, azurelug_wire::Error> {
         let limit = ATTEMPT_TIMEOUT + RETRY_PAUSE;
         match self
             .peers
             .call(slot, Frame::Forward { command }, limit)
             .await?
         {
-            Frame::Forwarded { outcome } => codec::decode(&outcome),
+            Frame::Forwarded { outcome } => codec::decode(&outcome).map(Ok),
+            Frame::StateFull { size, limit } => Ok(Err(Error::StateFull { size, limit })),
             _ => Err(azurelug_wire::Error::Malformed {
                 message: "not an outcome".to_owned(),
             }),
--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -25,6 +25,7 @@
 use tokio::task::block_in_place;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::growth;
 use super::refusals::Refusals;
 use super::{Leadership, ProposeError, Replica, Request};
 use crate::disk::{self, Disk};
@@ -90,6 +91,7 @@
     expire_due: Instant,
     has_snapshot: bool,
     refusals: Refusals,
+    growth_lines: growth::Lines,
     suspensions: Watch,
     metrics: Arc<Metrics>,
 }
@@ -117,8 +119,10 @@
             node,
             machine,
             has_snapshot,
+            state_bytes,
         } = RecoveredMember::new(&settings, recovered, Duration::ZERO)?;
         let metrics = Arc::new(Metrics::new());
+        metrics.set_state_bytes(state_bytes);
         let (sender, requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let config = watch::Sender::new(Arc::clone(machine.store().config()));
         let orders = watch::Sender::new(machine.orders().clone());
@@ -158,6 +162,7 @@
             expire_due: Instant::now(),
             has_snapshot,
             refusals: Refusals::default(),
+            growth_lines: growth::Lines::default(),
             suspensions: Watch::start(),
             metrics,
         };
@@ -234,8 +239,10 @@
             mut node,
             machine,
             has_snapshot,
+            state_bytes,
         } = RecoveredMember::new(&self.settings, recovered, self.clock.elapsed())?;
         node.continue_from(&self.node);
+        self.metrics.set_state_bytes(state_bytes);
         log::info!("control: the disk has room again");
         *self.machine.write().expect("no holder of the lock panics") = machine;
         Ok(Self {
@@ -303,7 +310,21 @@
         self.next_token += 1;
         let token = self.next_token;
         self.pending.insert(token, reply);
-        self.step(Event::Propose { token, command }, batch);
+        let event = if self.is_reduction(&command) {
+            Event::Reduce { token, command }
+        } else {
+            Event::Propose { token, command }
+        };
+        self.step(event, batch);
+    }
+
+    /// Whether a command is accepted although the state leaves no room for a larger one.
+    fn is_reduction(&self, command: &[u8]) -> bool {
+        if self.role != Role::Leader || !self.node.is_state_full(command.len()) {
+            return false;
+        }
+        let machine = self.machine.read().expect("no holder of the lock panics");
+        !growth::is_enlarged_by(&machine, command)
     }
 
     /// If this member leads, proposes a command that marks overdue claims as unknown and advances
@@ -386,6 +407,12 @@
                 }
             }
             Action::Refused { token, refusal } => {
+                if matches!(refusal, Refusal::StateFull { .. }) {
+                    self.metrics.count_state_full();
+                    if self.growth_lines.is_due(Instant::now()) {
+                        log::error!("control: command refused: {refusal}");
+                    }
+                }
                 if let Some(reply) = self.pending.remove(&token) {
                     // The caller may have given up.
                     let _ = reply.send(Err(propose_error(refusal)));
@@ -498,6 +525,7 @@
             .snapshot();
         let data = codec::encode_unlimited(&state).map_err(decode_error)?;
         self.has_snapshot = true;
+        self.metrics.set_state_bytes(data.len());
         self.step(
             Event::SnapshotTaken {
                 index,
@@ -514,6 +542,7 @@
         self.publish(restored.orders());
         *self.machine.write().expect("no holder of the lock panics") = restored;
         self.has_snapshot = true;
+        self.metrics.set_state_bytes(snapshot.data.len());
         if config.version > self.config.borrow().version {
             self.config.send_replace(config);
         }
@@ -532,6 +561,8 @@
     node: Node,
     machine: Machine,
     has_snapshot: bool,
+    /// Size of the state in the snapshot.
+    state_bytes: usize,
 }
 
 impl RecoveredMember {
@@ -545,6 +576,7 @@
             Some(snapshot) => decode_machine(&snapshot.data)?,
             None => Machine::default(),
         };
+        let state_bytes = snapshot.map_or(0, |it| it.data.len());
         let has_snapshot = snapshot.is_some_and(|it| it.position.index > 0);
         let start = NodeOptions {
             settings: settings.clone(),
@@ -555,6 +587,7 @@
             node: Node::new(start, now)?,
             machine,
             has_snapshot,
+            state_bytes,
         })
     }
 }
@@ -593,6 +626,10 @@
 fn propose_error(refusal: Refusal) -> ProposeError {
     match refusal {
         Refusal::NotLeader { leader } => ProposeError::NotLeader(leader.map(|leader| leader.slot)),
+        Refusal::StateFull { size, limit } => ProposeError::StateFull {
+            size: size as u64,
+            limit: limit as u64,
+        },
         _ => ProposeError::Busy,
     }
 }
--- a/crates/azurelug-control/src/rollouts.rs
+++ b/crates/azurelug-control/src/rollouts.rs
@@ -338,7 +338,9 @@
             Err(error @ (replica::ProposeError::NotLeader(_) | replica::ProposeError::Lost)) => {
                 log::info!("control: decision on a roll-out not committed here: {error:?}");
             }
-            Err(error @ replica::ProposeError::Busy) => {
+            Err(
+                error @ (replica::ProposeError::Busy | replica::ProposeError::StateFull { .. }),
+            ) => {
                 log::warn!("control: decision on a roll-out not committed: {error:?}");
             }
         }
--- a/crates/azurelug-control/src/versions.rs
+++ b/crates/azurelug-control/src/versions.rs
@@ -7,15 +7,18 @@
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::gateway::versions::{Change, Watch};
 use azurelug_core::machine::Command;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::gateways::Gateways;
-use crate::replica::Replica;
+use crate::replica::{Error, Replica};
 
 /// Interval between two comparisons of the list with the registry. A version gets its first streams
 /// after it, a commit and a poll of the gateways.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Pause after a refusal that only operators can end, so that the log isn't flooded.
+const STATE_FULL_PAUSE: Duration = Duration::from_secs(5);
+
 /// Registers versions while this daemon leads, until the process ends.
 pub async fn run(replica: Replica, gateways: Gateways) {
     let clock = Clock::start();
@@ -52,6 +55,11 @@
         .await
     {
         Ok(_) => log::info!("control: {subject}"),
-        Err(error) => log::warn!("control: {subject}: {error}"),
+        Err(error) => {
+            log::warn!("control: {subject}: {error}");
+            if matches!(error, Error::StateFull { .. }) {
+                sleep(STATE_FULL_PAUSE).await;
+            }
+        }
     }
 }
--- a/crates/azurelug-coordination/src/once/table.rs
+++ b/crates/azurelug-coordination/src/once/table.rs
@@ -174,6 +174,11 @@
         self.records.is_empty()
     }
 
+    /// Whether there is a record of this key of an account. A claim of it adds no record.
+    pub fn holds(&self, key: Key, account: u64) -> bool {
+        self.records.contains_key(&(key, account))
+    }
+
     /// Bytes counted against [`Limits::bytes`].
     pub fn bytes(&self) -> u64 {
         self.bytes
--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -204,7 +204,11 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Receive(message) => self.receive(message, now),
-            Event::Propose { token, command } => self.on_propose(token, command, now),
+            Event::Propose { token, command } => {
+                let refusal = self.state_refusal(command.len());
+                self.on_propose(token, command, refusal, now);
+            }
+            Event::Reduce { token, command } => self.on_propose(token, command, None, now),
             Event::Change { token, change } => self.on_change(token, change, now),
             Event::Transfer { token, to } => self.on_transfer(token, to, now),
             Event::Leave => self.leave(now),
--- a/crates/azurelug-coordination/src/raft/event.rs
+++ b/crates/azurelug-coordination/src/raft/event.rs
@@ -25,6 +25,14 @@
         /// Opaque command.
         command: Vec<u8>,
     },
+    /// As `Propose`, for a command that doesn't enlarge the state. It is accepted although the state
+    /// leaves no room for larger ones.
+    Reduce {
+        /// Chosen by the caller and returned in the answer.
+        token: u64,
+        /// Opaque command.
+        command: Vec<u8>,
+    },
     /// Changes the membership by one step. Answered by `Action::Proposed` or `Action::Refused`.
     Change {
         /// Chosen by the caller and returned in the answer.
@@ -231,6 +239,17 @@
     /// The change or transfer is not possible.
     #[error("the change or transfer is not possible: {0}")]
     Impossible(#[serde(skip)] &'static str),
+    /// A snapshot could not hold the state with this command and the reserve.
+    #[error(
+        "the replicated state would have {size} bytes, the limit is {limit} (max_snapshot_bytes \
+         without state_reserve_bytes); remove what is not needed, then send the command again"
+    )]
+    StateFull {
+        /// Size of the state with the command, estimated, in bytes.
+        size: usize,
+        /// Limit in bytes.
+        limit: usize,
+    },
 }
 
 /// Why a message was rejected.
--- a/crates/azurelug-coordination/src/raft/leader.rs
+++ b/crates/azurelug-coordination/src/raft/leader.rs
@@ -110,7 +110,15 @@
         position
     }
 
-    pub(super) fn on_propose(&mut self, token: u64, command: Vec<u8>, now: Duration) {
+    /// Appends a command unless there is a reason to refuse it. `state` is the reason of a state
+    /// that leaves no room for the command.
+    pub(super) fn on_propose(
+        &mut self,
+        token: u64,
+        command: Vec<u8>,
+        state: Option<Refusal>,
+        now: Duration,
+    ) {
         let refusal = match &self.leadership {
             None => Some(Refusal::NotLeader {
                 leader: self.leader,
@@ -121,7 +129,7 @@
                 limit: self.settings.max_command_bytes,
             }),
             Some(_) if self.is_full() => Some(Refusal::Busy),
-            Some(_) => None,
+            Some(_) => state,
         };
         if let Some(refusal) = refusal {
             self.out.notices.push(Action::Refused { token, refusal });
--- a/crates/azurelug-coordination/src/raft/log.rs
+++ b/crates/azurelug-coordination/src/raft/log.rs
@@ -159,6 +159,13 @@
         index
     }
 
+    /// Size of the entries above `index`.
+    pub(super) fn bytes_above(&self, index: u64) -> usize {
+        let newest = self.entries.iter().rev();
+        let above = newest.take_while(|entry| entry.position.index > index);
+        above.map(Entry::size).sum()
+    }
+
     /// Removes every entry at `through` and below.
     pub(super) fn compact(&mut self, through: u64) {
         while self.base.index < through {
--- a/crates/azurelug-coordination/src/raft/settings.rs
+++ b/crates/azurelug-coordination/src/raft/settings.rs
@@ -64,6 +64,10 @@
     pub kept_bytes: usize,
     /// Largest snapshot in bytes.
     pub max_snapshot_bytes: usize,
+    /// Part of `max_snapshot_bytes` that commands which enlarge the state leave free. It holds what
+    /// a state grows beyond the sizes of the commands since the last snapshot, and commands that end
+    /// what earlier ones began; at least `snapshot_bytes` and one command.
+    pub state_reserve_bytes: usize,
     /// Largest part of a snapshot in one message, in bytes; at most 256 KiB.
     pub chunk_bytes: usize,
     /// Largest number of probe answers that wait for entries to be applied.
@@ -95,7 +99,8 @@
             snapshot_bytes: 4 * 1024 * 1024,
             kept_entries: 256,
             kept_bytes: 8 * 1024 * 1024,
-            max_snapshot_bytes: 64 * 1024 * 1024,
+            max_snapshot_bytes: 72 * 1024 * 1024,
+            state_reserve_bytes: 8 * 1024 * 1024,
             chunk_bytes: 256 * 1024,
             max_waiting_probes: 8,
         }
@@ -182,6 +187,7 @@
         // Their bytes are bounded by the log's own limit, and make room once they are committed.
         let entries = self.snapshot_entries + self.kept_entries + self.max_uncommitted;
         let retained = self.snapshot_bytes + self.kept_bytes + self.max_command_bytes;
+        let growth = self.snapshot_bytes + self.max_command_bytes;
         let log_entries = ("max_log_entries", self.max_log_entries as u64);
         let log_bytes = ("max_log_bytes", self.max_log_bytes as u64);
         let pairs = [
@@ -200,6 +206,17 @@
                     retained as u64 + 1,
                 ),
             ),
+            (
+                ("state_reserve_bytes", self.state_reserve_bytes as u64),
+                ("snapshot_bytes + max_command_bytes", growth as u64),
+            ),
+            (
+                ("max_snapshot_bytes", self.max_snapshot_bytes as u64),
+                (
+                    "state_reserve_bytes + 1",
+                    self.state_reserve_bytes as u64 + 1,
+                ),
+            ),
             (
                 ("the largest chunk of a snapshot", MAX_CHUNK_BYTES),
                 ("chunk_bytes", self.chunk_bytes as u64),
--- a/crates/azurelug-coordination/src/raft/snapshot.rs
+++ b/crates/azurelug-coordination/src/raft/snapshot.rs
@@ -6,7 +6,7 @@
 use super::event::Snapshot;
 use super::log::Position;
 use super::progress::Mode;
-use super::{Body, Member, Node, Write};
+use super::{Body, Member, Node, Refusal, Role, Write};
 
 /// Interval at which an unanswered snapshot request is repeated, and shortest interval between
 /// snapshots of many small entries. Without repetition, a full log on one member could prevent a
@@ -21,7 +21,7 @@
         let is_large = self.applied_bytes >= self.settings.snapshot_bytes;
         let due = is_large
             || entries >= self.settings.snapshot_entries
-            || (entries > 0 && self.is_log_full());
+            || (entries > 0 && (self.is_log_full() || self.measures_state()));
         let repeat = self
             .snapshot_requested_at
             .is_none_or(|requested_at| self.now >= requested_at + REQUEST_REPEAT_INTERVAL);
@@ -34,6 +34,34 @@
         }
     }
 
+    /// Why a state that a command of `bytes` enlarges could not be held by a snapshot, if so. Its
+    /// size is that of the last snapshot and of the entries above it.
+    pub(super) fn state_refusal(&self, bytes: usize) -> Option<Refusal> {
+        let limit = self.settings.max_snapshot_bytes - self.settings.state_reserve_bytes;
+        let known = self.snapshot.data.len() + bytes;
+        // The log's size is at hand; the part above the snapshot has to be summed up.
+        if known + self.log.bytes() <= limit {
+            return None;
+        }
+        let size = known + self.log.bytes_above(self.snapshot.position.index);
+        (size > limit).then_some(Refusal::StateFull { size, limit })
+    }
+
+    /// Whether a command of `bytes` that enlarges the state is refused now, because a snapshot could
+    /// not hold the state. The caller then proposes those that don't as [`Event::Reduce`].
+    ///
+    /// [`Event::Reduce`]: super::Event::Reduce
+    #[must_use]
+    pub fn is_state_full(&self, bytes: usize) -> bool {
+        self.state_refusal(bytes).is_some()
+    }
+
+    /// Whether this leader needs the size of the state, because its estimate leaves no room for the
+    /// largest command. Commands that shrink the state show only in the next snapshot.
+    fn measures_state(&self) -> bool {
+        self.role == Role::Leader && self.is_state_full(self.settings.max_command_bytes)
+    }
+
     /// Whether a leader refuses commands until the log is compacted.
     pub(super) fn is_log_full(&self) -> bool {
         self.log.len() >= self.settings.max_log_entries
--- a/crates/azurelug-core/src/machine.rs
+++ b/crates/azurelug-core/src/machine.rs
@@ -206,6 +206,17 @@
         &self.once
     }
 
+    /// A copy without at-most-once records, to find out what a command on the rest would change.
+    #[must_use]
+    pub fn without_once(&self) -> Self {
+        Self {
+            store: self.store.clone(),
+            once: once::Table::new(once::Limits::default()),
+            past: self.past.clone(),
+            orders: self.orders.clone(),
+        }
+    }
+
     /// Creates a snapshot of the whole state.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
--- a/crates/azurelug-wire/src/frame.rs
+++ b/crates/azurelug-wire/src/frame.rs
@@ -199,4 +199,12 @@
     FindStream(StreamQuery),
     /// The answer to `FindStream`.
     StreamFound(StreamOrigin),
+    /// The answer to `Forward` for a command that the leader refuses, because a snapshot could not
+    /// hold the replicated state with it. It was not committed.
+    StateFull {
+        /// Size of the state with the command, estimated, in bytes.
+        size: u64,
+        /// Limit in bytes.
+        limit: u64,
+    },
 }
