--- a/crates/azurelug-control/src/clients.rs
+++ b/crates/azurelug-control/src/clients.rs
@@ -8,7 +8,7 @@
 use crate::settings::Settings;
 
 /// Memory that is assumed if it is not set, in bytes.
-const DEFAULT_MEMORY: usize = 256_000_000;
+pub const DEFAULT_MEMORY: usize = 256_000_000;
 
 /// The part of the memory for documents and patches that arrive: with 256 MB eight documents of 8 MiB,
 /// the operators' orders at once.
--- a/crates/azurelug-control/src/lib.rs
+++ b/crates/azurelug-control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control daemon: keeps the replicated state and serves it to entry daemons, gateways and
 //! operators.
 
+pub mod bounds;
 pub mod clients;
 pub mod cluster;
 pub mod daemons;
--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -29,7 +29,7 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Size limit of an encoded command in bytes, as in the log.
-const MAX_COMMAND_BYTES: usize = 512 * 1024;
+pub const MAX_COMMAND_BYTES: usize = 512 * 1024;
 
 /// Interval at which a member that leaves checks whether its vote has been handed over.
 const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/azurelug-control/src/settings.rs
+++ b/crates/azurelug-control/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azurelug_coordination::orders::StoreLimit;
+use azurelug_coordination::{once, raft};
 use azurelug_settings::clients::Machine;
 use azurelug_settings::log_setup::Log;
 use azurelug_settings::span::SettingDuration;
@@ -13,6 +14,8 @@
 use bpaf::Bpaf;
 use serde::Deserialize;
 
+use crate::{bounds, clients};
+
 /// Upper limit of `disk_losses`; more than 2 would need more than five voters.
 const MAX_DISK_LOSSES: usize = 2;
 
@@ -275,6 +278,13 @@
             return problem("deployment.targets.calls_per_second", message, help);
         }
         self.client_limits.check(path, &self.machine())?;
+        let memory = self.machine().memory(clients::DEFAULT_MEMORY);
+        if let Err(conflict) =
+            bounds::check(&raft::Settings::default(), &once::Limits::default(), memory)
+        {
+            let help = "set the megabytes of the VM, 143 or more, or leave it out";
+            return problem("memory_mb", conflict.to_string(), help);
+        }
         if let Some(bounds) = &self.bounds {
             let is_share = bounds.exposure_share > 0.0 && bounds.exposure_share <= 1.0;
             if !is_share || !bounds.exposure_slack.is_finite() || bounds.exposure_slack < 0.0 {
