control: test of a full state's refusal through a follower

Change: a cluster of two members is filled through its follower, which must return the leader's StateFull.

Conclusion: the refusal reaches the caller at every member. The HTTP answers (507) are not run.

--- a/crates/azurelug-control/tests/state_full.rs
+++ b/crates/azurelug-control/tests/state_full.rs
@@ -1,16 +1,23 @@
 //! A member of the replicated log whose state has reached the largest size of a snapshot.
 #![allow(clippy::unwrap_used)]
 
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_control::cluster::Cluster;
+use azurelug_control::daemons::Registry;
 use azurelug_control::disk::{DataFolder, Disk};
-use azurelug_control::internal::wall_clock_ms;
+use azurelug_control::gateways::Gateways;
+use azurelug_control::internal::{FrameHandler, wall_clock_ms};
 use azurelug_control::metrics::GaugeValues;
 use azurelug_control::peers::Peers;
 use azurelug_control::replica::task::Task;
 use azurelug_control::replica::{Error, Replica};
+use azurelug_control::settings;
+use azurelug_control::shares::Shares;
+use azurelug_control::updates::Updates;
 use azurelug_coordination::once::{self, Answer, Claim, Key};
 use azurelug_coordination::raft;
 use azurelug_core::gateway::orders::Order;
@@ -18,7 +25,9 @@
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_storage::Files;
 use azurelug_types::id::{DaemonName, ZoneName};
+use azurelug_wire::Listener;
 use azurelug_wire::handshake::Identity;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 const SLOT: u32 = 1;
@@ -28,10 +37,13 @@
 
 const SERVICE: &str = "answers";
 
+/// Time for a first leader.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Length of a zone's name in bytes.
 const NAME_BYTES: usize = 1000;
 
-fn settings() -> raft::Settings {
+fn log_settings() -> raft::Settings {
     raft::Settings {
         max_command_bytes: 4096,
         max_log_bytes: 64 * 1024,
@@ -43,22 +55,59 @@
     }
 }
 
-/// Starts the only member of a cluster.
-fn start(folder: &DataFolder) -> (Replica, tokio::task::JoinHandle<()>) {
-    let identity = Arc::new(Identity {
+fn identity(slot: u32) -> Arc<Identity> {
+    Arc::new(Identity {
         cluster: "test".to_owned(),
-        daemon: DaemonName("control".to_owned()),
+        daemon: name(slot),
         zone: ZoneName::from("a"),
         incarnation: 1,
         key: vec![7; 32],
-    });
-    let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity);
+    })
+}
+
+fn name(slot: u32) -> DaemonName {
+    DaemonName(format!("control-{slot}"))
+}
+
+fn data_folder(folder: &Path, slot: u32, founders: &[u32]) -> DataFolder {
+    DataFolder {
+        folder: folder.join(format!("state-{slot}")),
+        cluster: 7,
+        slot,
+        founders: founders.to_vec(),
+        storage: u64::from(slot) + 1,
+        files: Arc::new(Files::new),
+    }
+}
+
+/// Starts the only member of a cluster.
+fn start(folder: &DataFolder) -> (Replica, JoinHandle<()>) {
+    let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity(SLOT));
     let opened = Disk::open(folder, true).unwrap();
-    let (task, replica) = Task::new(settings(), folder.clone(), opened, peers).unwrap();
+    let (task, replica) = Task::new(log_settings(), folder.clone(), opened, peers).unwrap();
     let running = tokio::spawn(async move { task.run().await.unwrap() });
     (replica, running)
 }
 
+/// Starts a member of a cluster that serves the others.
+fn start_connected(folder: &DataFolder, cluster: &Cluster, listener: Listener) -> Replica {
+    let slot = folder.slot;
+    let peers = Peers::new(cluster.clone(), &identity(slot));
+    let opened = Disk::open(folder, true).unwrap();
+    let (task, replica) = Task::new(log_settings(), folder.clone(), opened, peers.clone()).unwrap();
+    let handler = FrameHandler {
+        replica: replica.clone(),
+        registry: Arc::new(Registry::new()),
+        updates: Updates::new(replica.clone()),
+        shares: Shares::new(ZoneName::from("a"), 1, true, &folder.folder),
+        cluster: cluster.clone(),
+        gateways: Gateways::new(replica.clone(), peers, cluster.clone(), slot),
+    };
+    tokio::spawn(listener.serve(move |peer, frame| handler.clone().handle(peer, frame)));
+    tokio::spawn(async move { task.run().await.unwrap() });
+    replica
+}
+
 async fn drain(replica: &Replica, zone: usize, drained: bool) -> Result<(), Error> {
     let zone = ZoneName(format!("{zone:0NAME_BYTES$}"));
     let order = Order::Drain { zone, drained };
@@ -126,14 +175,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_state_refuses_growth_with_its_reason_and_recovers_by_removals() {
     let folder = tempfile::tempdir().unwrap();
-    let disk = DataFolder {
-        folder: folder.path().join("state"),
-        cluster: 7,
-        slot: SLOT,
-        founders: vec![SLOT],
-        storage: 2,
-        files: Arc::new(Files::new),
-    };
+    let disk = data_folder(folder.path(), SLOT, &[SLOT]);
     let (replica, running) = start(&disk);
     let claimed = propose_claim(&replica, 1).await.unwrap();
     let Outcome::Once(once::Outcome::Claimed { claim }) = claimed else {
@@ -186,3 +228,35 @@
     }
     running.abort();
 }
+
+/// Guards against a follower that repeats a refused command for 4 s and then names no quorum as the
+/// reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_follower_passes_the_refusal_of_a_full_state_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let slots = [1, 2];
+    let (mut listeners, mut listed) = (Vec::new(), Vec::new());
+    for slot in slots {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listener = Listener::bind(address, identity(slot)).await.unwrap();
+        listed.push(settings::Member {
+            slot,
+            name: name(slot),
+            address: listener.address(),
+        });
+        listeners.push(listener);
+    }
+    let cluster = Cluster::Listed(listed.into());
+    let started = slots.into_iter().zip(listeners).map(|(slot, listener)| {
+        let disk = data_folder(folder.path(), slot, &slots);
+        start_connected(&disk, &cluster, listener)
+    });
+    let members: Vec<Replica> = started.collect();
+    let begun = Instant::now();
+    while drain(&members[0], 0, true).await.is_err() {
+        assert!(begun.elapsed() < START_TIMEOUT, "no leader was elected");
+    }
+    let follower = members.iter().find(|it| it.leadership().is_none()).unwrap();
+    let (_, error) = fill(follower, 1).await;
+    assert!(matches!(error, Error::StateFull { .. }), "{error}");
+}
