raft: a member's own slow writes are not the silence of others

Cause: three control daemons had no leader for 4 to 9 s beside builds. A candidate whose vote takes an election timeout to store starts the next election before it has asked for a vote; the vote record alone costs two syncs. A leader takes the wait for its own disk, and for a follower's, for a lost quorum. The task also chose at random between a due timer and messages that had arrived before it. No check deposes the only member of a cluster: its own answer is always as of now.

Change: the caller reports the time of its writes (`Event::Written`) and how late it was run (`Event::Stalled`). This time moves the election deadline and does not count towards the silence of others. The slowest write of the last 10 s extends the election timeout, by at most twice the timeout, and a voter that supports a candidate waits for it. Leases and withheld votes are as before. The task handles messages before timers, and logs writes from 500 ms on and why a leader gave up (`Action::LostQuorum`).

The first sync that is longer than an election timeout may still cost one election, because a leader sends no heartbeats while it writes.

--- a/crates/azurelug-control/src/replica/task.rs
+++ b/crates/azurelug-control/src/replica/task.rs
@@ -44,6 +44,9 @@
 /// Maximum lag of the watermark of expired keys. Each advance of it costs one log entry.
 const WATERMARK_LAG_MS: u64 = 60_000;
 
+/// Duration of a write from which on it is logged. Elections and commits wait for it.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
+
 /// Pause before the data folder is opened again while the disk is full.
 const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -252,7 +255,11 @@
             let tick = self.node.next_deadline();
             let next = self.clock.instant(tick).min(self.expire_due);
             let mut batch = Batch::default();
+            let due = tick.max(self.clock.elapsed());
             tokio::select! {
+                // What has arrived is handled before the timer: a heartbeat that waited during a
+                // slow write shows that the leader is there.
+                biased;
                 count = self.requests.recv_many(&mut received, MAX_BATCH_REQUESTS) => {
                     if count == 0 {
                         return Ok(());
@@ -263,6 +270,7 @@
             if let Some(suspended) = self.suspensions.take() {
                 self.log_suspension(suspended);
             }
+            self.report_lateness(due, &mut batch);
             for request in received.drain(..) {
                 self.handle_request(request, &mut batch);
             }
@@ -280,6 +288,15 @@
         }
     }
 
+    /// Tells the log how long after its next deadline this task was run, on a busy or suspended
+    /// machine.
+    fn report_lateness(&mut self, due: Duration, batch: &mut Batch) {
+        let duration = self.clock.elapsed().saturating_sub(due);
+        if !duration.is_zero() {
+            self.step(Event::Stalled { duration }, batch);
+        }
+    }
+
     fn log_suspension(&self, suspended: Duration) {
         let millis = u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX);
         self.metrics.count_suspension(millis);
@@ -356,9 +373,18 @@
     fn perform_batch(&mut self, batch: Batch) -> Result<Batch, Error> {
         let mut following = Batch::default();
         if !batch.writes.is_empty() {
-            let started = Instant::now();
+            let started = self.clock.elapsed();
             block_in_place(|| self.disk.write(batch.writes))?;
-            self.metrics.observe_sync(started.elapsed());
+            let duration = self.clock.elapsed().saturating_sub(started);
+            self.metrics.observe_sync(duration);
+            if duration >= SLOW_WRITE {
+                let (millis, term) = (duration.as_millis(), self.node.term());
+                log::warn!(
+                    "control: a write to the data folder took {millis} ms; {:?} in term {term}",
+                    self.role
+                );
+            }
+            self.step(Event::Written { duration }, &mut following);
         }
         for message in &batch.sends {
             self.send(message);
@@ -395,6 +421,17 @@
             Action::Apply(entry) => self.apply(&entry, following)?,
             Action::Restore(snapshot) => self.restore(&snapshot)?,
             Action::TakeSnapshot { index } => self.take_snapshot(index, following)?,
+            Action::LostQuorum {
+                silence,
+                stalled,
+                limit,
+            } => log::warn!(
+                "control: no majority answered for {} ms (limit {} ms; in {} ms of them this member \
+                 did not run or waited for its disk)",
+                silence.as_millis(),
+                limit.as_millis(),
+                stalled.as_millis()
+            ),
             Action::Fresh { as_of } => {
                 self.fresh_as_of.send_replace(Some(as_of));
             }
--- a/crates/azurelug-coordination/examples/replicated_counter.rs
+++ b/crates/azurelug-coordination/examples/replicated_counter.rs
@@ -101,6 +101,7 @@
                     Action::Proposed { .. }
                     | Action::Refused { .. }
                     | Action::RoleChanged { .. }
+                    | Action::LostQuorum { .. }
                     | Action::Fresh { .. }
                     | Action::JoinRefused(_)
                     | Action::Removed { .. }
--- a/crates/azurelug-coordination/src/raft.rs
+++ b/crates/azurelug-coordination/src/raft.rs
@@ -17,6 +17,7 @@
 mod progress;
 mod settings;
 mod snapshot;
+mod stall;
 mod state;
 
 use std::collections::VecDeque;
@@ -38,6 +39,7 @@
 use leader::Leadership;
 use log::Log;
 use member::MembershipHistory;
+use stall::Stalls;
 
 /// One member of a replicated log.
 ///
@@ -91,6 +93,7 @@
     /// may rely on it.
     vote_withheld_until: Duration,
     election_deadline: Duration,
+    stalls: Stalls,
     probe_due: Duration,
     join_due: Duration,
     waiting_probes: VecDeque<(Duration, u64)>,
@@ -170,6 +173,7 @@
             incoming: None,
             vote_withheld_until,
             election_deadline: now,
+            stalls: Stalls::default(),
             probe_due: now,
             join_due: now,
             waiting_probes: VecDeque::new(),
@@ -209,6 +213,8 @@
             Event::Transfer { token, to } => self.on_transfer(token, to, now),
             Event::Leave => self.leave(now),
             Event::Resign => self.on_resign(now),
+            Event::Stalled { duration } => self.on_stalled(duration, false, now),
+            Event::Written { duration } => self.on_stalled(duration, true, now),
             Event::SnapshotTaken { index, data } => self.on_snapshot_taken(index, data),
         }
         if before != (self.role, self.record.term, self.leader) {
--- a/crates/azurelug-coordination/src/raft/change.rs
+++ b/crates/azurelug-coordination/src/raft/change.rs
@@ -167,7 +167,7 @@
 
     pub(super) fn is_silent_for(&self, member: Member, limit: Duration, now: Duration) -> bool {
         let last_contact = self.last_contact(member);
-        last_contact.is_some_and(|at| now >= at + limit)
+        last_contact.is_some_and(|at| self.running_time(at, now) >= limit)
     }
 
     /// When another member was last known to run; `None` for this one, and without a leadership.
--- a/crates/azurelug-coordination/src/raft/election.rs
+++ b/crates/azurelug-coordination/src/raft/election.rs
@@ -9,7 +9,7 @@
 
 impl Node {
     pub(super) fn reset_election_deadline(&mut self, now: Duration) {
-        let base = self.settings.election_timeout;
+        let base = self.shortest_election_timeout(now);
         self.election_deadline = now + base + base.mul_f64(self.random.random_range(0.0..1.0));
     }
 
@@ -172,6 +172,9 @@
     ) {
         let granted =
             !self.withholds_vote(now) && next_term > self.record.term && last >= self.log.last();
+        if granted && self.history.latest().is_voter(from) {
+            self.wait_for_candidate(now);
+        }
         self.send(from, Body::PreVoteAnswer { next_term, granted });
     }
 
--- a/crates/azurelug-coordination/src/raft/event.rs
+++ b/crates/azurelug-coordination/src/raft/event.rs
@@ -47,6 +47,19 @@
     /// entries to start an election, which needs no write here. The caller carries out the `Send`
     /// actions of this step and discards the node.
     Resign,
+    /// The caller handled no events for `duration` until now, for instance because its host did not
+    /// run it. Messages of other members may have waited, so this time does not count as their
+    /// silence. Leases and withheld votes are not affected.
+    Stalled {
+        /// Time until now.
+        duration: Duration,
+    },
+    /// As `Stalled`, because the caller carried out `Persist` actions. The election timeout is
+    /// extended for a while, as the disks of other members may be as slow.
+    Written {
+        /// Time until now.
+        duration: Duration,
+    },
     /// The caller encoded its state machine as of the entry `index`, which it has applied.
     SnapshotTaken {
         /// Last entry included.
@@ -89,6 +102,16 @@
         /// Leader of that term, if known.
         leader: Option<Member>,
     },
+    /// This leader gave up the leadership, because a majority did not answer. The caller may log
+    /// this.
+    LostQuorum {
+        /// Time since a majority last answered.
+        silence: Duration,
+        /// Part of it in which this member handled no events.
+        stalled: Duration,
+        /// Time without answers that was allowed.
+        limit: Duration,
+    },
     /// Apply a committed entry to the state machine. Entries without a command are included, so
     /// that indexes are consecutive.
     Apply(Entry),
--- a/crates/azurelug-coordination/src/raft/leader.rs
+++ b/crates/azurelug-coordination/src/raft/leader.rs
@@ -199,7 +199,7 @@
     }
 
     pub(super) fn tick_leader(&mut self, now: Duration) {
-        let limit = self.settings.election_timeout;
+        let limit = self.shortest_election_timeout(now);
         let Some(leadership) = &mut self.leadership else {
             return;
         };
@@ -213,7 +213,15 @@
             leadership.transfer = None;
         }
         let last_contact = self.quorum_time(now).unwrap_or_default().max(started);
-        if transfer_over == Some(true) || now >= last_contact + limit {
+        let lost_quorum = self.running_time(last_contact, now) >= limit;
+        if lost_quorum {
+            self.out.notices.push(Action::LostQuorum {
+                silence: now.saturating_sub(last_contact),
+                stalled: self.stalls.between(last_contact, now),
+                limit,
+            });
+        }
+        if transfer_over == Some(true) || lost_quorum {
             self.become_follower(self.record.term, None, now);
             return;
         }
--- a/crates/azurelug-coordination/tests/raft_schedules.rs
+++ b/crates/azurelug-coordination/tests/raft_schedules.rs
@@ -78,6 +78,18 @@
     );
 }
 
+/// Guards against reports of stalls that prolong a lease, let two leaders act in a term, or end in a
+/// cluster that does not recover.
+#[test]
+fn reported_stalls_do_not_diverge_from_the_model() {
+    let first = schedule::FIRST_STALLING_SEED;
+    for seed in first..first + 300 {
+        if let Err(failure) = schedule::run(seed) {
+            panic!("{failure}");
+        }
+    }
+}
+
 /// Guards against removals and rejoins that lose entries, let an old identity vote, or end in a
 /// cluster that does not recover. More seeds are a command of their own (docs/proofs.md).
 #[test]
--- a/crates/azurelug-coordination/tests/support/faults.rs
+++ b/crates/azurelug-coordination/tests/support/faults.rs
@@ -1,8 +1,11 @@
 //! The faults of a schedule, and the recovery expected after the last one.
 
+use std::time::Duration;
+
 use azurelug_coordination::raft::{
     Body, Change, Event, Member, Membership, Message, Role, Standing,
 };
+
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
@@ -200,6 +203,9 @@
     fn freeze(&mut self, host: usize, span: u64) {
         if self.hosts[host].process.is_some() {
             self.counts.freezes += 1;
+            if self.hosts[host].frozen_until <= self.time {
+                self.hosts[host].frozen_since = self.time;
+            }
             self.hosts[host].frozen_until = self.time + span;
             self.push(self.time + span, ScheduledEvent::Unfreeze(host));
         }
@@ -209,6 +215,13 @@
         if self.hosts[host].frozen_until > self.time {
             return Ok(());
         }
+        if self.reports_stalls {
+            let duration = Duration::from_micros(self.time - self.hosts[host].frozen_since);
+            let is_write = self.random.random_bool(0.5);
+            let stalled = Event::Stalled { duration };
+            let written = Event::Written { duration };
+            self.step(host, if is_write { written } else { stalled })?;
+        }
         let mut events: Vec<Event> = self.hosts[host]
             .backlog
             .drain(..)
--- a/crates/azurelug-coordination/tests/support/host.rs
+++ b/crates/azurelug-coordination/tests/support/host.rs
@@ -16,6 +16,7 @@
     /// Number of process starts so far.
     pub(crate) runs: u64,
     pub(crate) tick_at: Time,
+    pub(crate) frozen_since: Time,
     pub(crate) frozen_until: Time,
     /// Messages that arrived while the process was frozen.
     pub(crate) backlog: Vec<Message>,
--- a/crates/azurelug-coordination/tests/support/schedule.rs
+++ b/crates/azurelug-coordination/tests/support/schedule.rs
@@ -46,6 +46,10 @@
 /// short time until members that are gone are removed.
 pub(crate) const FIRST_REMOVING_SEED: u64 = 300_000;
 
+/// From this seed on, processes tell their node how long they were frozen, half of the times as a
+/// slow write.
+pub(crate) const FIRST_STALLING_SEED: u64 = 400_000;
+
 /// A scheduled event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ScheduledEvent {
@@ -78,6 +82,7 @@
     delay: f64,
     faults_enabled: bool,
     leaders_resign: bool,
+    reports_stalls: bool,
     /// Clients propose nothing before this time.
     no_proposals_until: Time,
     /// Number of acknowledged commands when the faults ended.
@@ -92,7 +97,10 @@
 /// Runs the schedule of `seed` with 3 or 5 voters and, in some schedules, one learner.
 pub(crate) fn run(seed: u64) -> Result<Counts, String> {
     let (mut world, result);
-    if seed >= FIRST_REMOVING_SEED {
+    if seed >= FIRST_STALLING_SEED {
+        world = World::new(seed);
+        result = world.run();
+    } else if seed >= FIRST_REMOVING_SEED {
         world = World::with_few_seats(seed);
         result = world.run();
     } else if seed >= FIRST_REPLACING_SEED {
@@ -161,6 +169,7 @@
             delay: 0.0,
             faults_enabled: true,
             leaders_resign: seed >= FIRST_RESIGNING_SEED,
+            reports_stalls: seed >= FIRST_STALLING_SEED,
             no_proposals_until: 0,
             acknowledged_before_recovery: 0,
             next_command: 0,
