control: a command is waited for as long as its member leads

Cause: tests saw the only control daemon refuse commands for 25 s with "no quorum: the leadership changed". By reading, no check deposes an only member. The same message stood for an attempt that took longer than 1.5 s, which was dropped and sent to the same log again. Each attempt costs another entry and sync, so with commits of more than 1.5 s all commands are committed and none is acknowledged. Commands forwarded to the leader were dropped in the same way.

Change: a member that leads waits for a command's entry until the command's own limit of 4 s; a lost leadership still ends the wait at once. A forwarded command is sent again after 1.5 s as before, and the first answer to any of the calls counts. A commit that takes too long is named so ("the command was not committed in time").

Conclusion: the message did not show a change of leadership. What made commits slow in those runs is not known. A lone member acknowledges commands as long as a commit takes less than 4 s.

--- a/crates/azurelug-control/src/replica.rs
+++ b/crates/azurelug-control/src/replica.rs
@@ -6,6 +6,7 @@
 mod refusals;
 pub mod task;
 
+use std::future::pending;
 use std::sync::{Arc, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 use azurelug_types::config::Config;
 use azurelug_wire::{Frame, codec};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -24,8 +26,9 @@
 /// Time limit for a command, including the wait for a leader. An election takes up to 2 s.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time limit for one attempt to commit a command.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a command is sent again if the leader has not answered. It may have lost its
+/// leadership without being able to say so.
+const FORWARD_RETRY_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// Size limit of an encoded command in bytes, as in the log.
 const MAX_COMMAND_BYTES: usize = 512 * 1024;
@@ -75,8 +78,10 @@
 pub enum ProposeError {
     /// It does not lead; the leader's slot, if known.
     NotLeader(Option<u32>),
-    /// The leadership changed or the time ran out, so that the outcome is unknown.
+    /// The leadership changed, so that the outcome is unknown.
     Lost,
+    /// The time ran out, so that the outcome is unknown. The disk or the other members are slow.
+    TimedOut,
     /// A queue is full.
     Busy,
 }
@@ -90,6 +95,20 @@
     pub(crate) until: Duration,
 }
 
+/// The next answer to a command that was forwarded, also to an earlier call.
+async fn next_answer(
+    forwarded: &mut JoinSet<Result<Outcome, azurelug_wire::Error>>,
+) -> Result<Outcome, azurelug_wire::Error> {
+    loop {
+        match forwarded.join_next().await {
+            Some(Ok(answer)) => return answer,
+            // The calls do not panic, and are cancelled only with the set.
+            Some(Err(_)) => {}
+            None => return pending().await,
+        }
+    }
+}
+
 /// A handle to the task. Clones share it.
 #[derive(Clone)]
 pub struct Replica {
@@ -127,17 +146,26 @@
             return Err(Error::Malformed { message });
         }
         let limit = Instant::now() + PROPOSE_TIMEOUT;
+        // An unanswered call goes on while the command is sent again: on slow disks each commit may
+        // take longer than the interval, so that none would be waited for.
+        let mut forwarded = JoinSet::new();
         loop {
-            let message = match self.propose_locally(command.clone()).await {
+            let message = match self.propose_until(command.clone(), limit).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(ProposeError::NotLeader(Some(slot))) => {
-                    match self.forward(slot, command.clone()).await {
-                        Ok(outcome) => return Ok(outcome),
-                        Err(error) => error.to_string(),
+                    let replica = self.clone();
+                    let command = command.clone();
+                    forwarded.spawn(async move { replica.forward(slot, command, limit).await });
+                    let retry_at = limit.min(Instant::now() + FORWARD_RETRY_INTERVAL);
+                    match timeout_at(retry_at, next_answer(&mut forwarded)).await {
+                        Ok(Ok(outcome)) => return Ok(outcome),
+                        Ok(Err(error)) => error.to_string(),
+                        Err(_) => "the leader did not answer in time".to_owned(),
                     }
                 }
                 Err(ProposeError::NotLeader(None)) => "no leader is known".to_owned(),
                 Err(ProposeError::Lost) => "the leadership changed".to_owned(),
+                Err(ProposeError::TimedOut) => "the command was not committed in time".to_owned(),
                 Err(ProposeError::Busy) => "too many commands wait".to_owned(),
             };
             if Instant::now() + RETRY_PAUSE >= limit {
@@ -147,33 +175,49 @@
         }
     }
 
-    /// Commits an encoded command if this member leads.
+    /// Commits an encoded command if this member leads. As long as it leads, the command is in the
+    /// log once, and is waited for until the time limit of a command.
     ///
     /// # Errors
     /// Why it did not commit the command.
     pub async fn propose_locally(&self, command: Vec<u8>) -> Result<Outcome, ProposeError> {
+        let limit = Instant::now() + PROPOSE_TIMEOUT;
+        self.propose_until(command, limit).await
+    }
+
+    async fn propose_until(
+        &self,
+        command: Vec<u8>,
+        limit: Instant,
+    ) -> Result<Outcome, ProposeError> {
         let proposed = Instant::now();
         let (reply, outcome) = oneshot::channel();
         let request = Request::Propose { command, reply };
         self.requests
             .try_send(request)
             .map_err(|_| ProposeError::Busy)?;
-        match timeout(ATTEMPT_TIMEOUT, outcome).await {
+        match timeout_at(limit, outcome).await {
             Ok(Ok(result)) => {
                 if result.is_ok() {
                     self.metrics.observe_commit(proposed.elapsed());
                 }
                 result
             }
-            Ok(Err(_)) | Err(_) => Err(ProposeError::Lost),
+            Ok(Err(_)) => Err(ProposeError::Lost),
+            Err(_) => Err(ProposeError::TimedOut),
         }
     }
 
-    async fn forward(&self, slot: u32, command: Vec<u8>) -> Result<Outcome, azurelug_wire::Error> {
-        let limit = ATTEMPT_TIMEOUT + RETRY_PAUSE;
+    async fn forward(
+        &self,
+        slot: u32,
+        command: Vec<u8>,
+        limit: Instant,
+    ) -> Result<Outcome, azurelug_wire::Error> {
+        let time_left = limit.saturating_duration_since(Instant::now());
         match self
             .peers
-            .call(slot, Frame::Forward { command }, limit)
+            .call(slot, Frame::Forward { command }, time_left)
             .await?
         {
             Frame::Forwarded { outcome } => codec::decode(&outcome),
--- a/crates/azurelug-control/src/rollouts.rs
+++ b/crates/azurelug-control/src/rollouts.rs
@@ -335,7 +335,11 @@
                     self.replica.metrics().count_rollout_step(to.as_str());
                 }
             }
-            Err(error @ (replica::ProposeError::NotLeader(_) | replica::ProposeError::Lost)) => {
+            Err(
+                error @ (replica::ProposeError::NotLeader(_)
+                | replica::ProposeError::Lost
+                | replica::ProposeError::TimedOut),
+            ) => {
                 log::info!("control: decision on a roll-out not committed here: {error:?}");
             }
             Err(error @ replica::ProposeError::Busy) => {
