rollouts: tests of a stage's roll-out with real processes

Cause: roll-outs of services that run pieces of stages were tested in the core only. Calls and releases go through the dispatcher, which holds the ledger and holds targets back; no test with processes saw either.

Change: the support's deployment can have a stage service, whose targets run pieces and whose results are large, so that calls release earlier ones. The targets are in a file of their own.

--- a/crates/azurelug-system/tests/support/rollout_deployment.rs
+++ b/crates/azurelug-system/tests/support/rollout_deployment.rs
@@ -1,6 +1,9 @@
 //! Three control daemons and two gateways as real processes, with targets of two versions that record
 //! what they receive, and clients that send requests all the time.
 
+#[path = "rollout_targets.rs"]
+mod rollout_targets;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,9 +16,10 @@
 use azurelug_system::process::Process;
 use azurelug_testkit::port;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+pub(crate) use rollout_targets::{ANSWER_TIME, Fault, Received};
+use rollout_targets::{Shared, Target};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -35,28 +39,19 @@
 
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
 
-/// What is wrong with the new version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
-    None,
-    /// Every second answer is a failure after this number of answers.
-    After(usize),
-    /// Every second answer to requests of this path is a failure.
-    OnPath(&'static str),
-    /// Answers take six times as long.
-    Slow,
-}
+/// A service whose targets run pieces of stages.
+pub(crate) const STAGE: &str = "encode";
 
-struct Shared {
-    list: Vec<Value>,
-    fault: Fault,
-    /// Requests that targets received: version and whether the answer was a failure.
-    received: Vec<(&'static str, bool)>,
-    /// Statuses of the clients' answers.
-    statuses: Vec<u16>,
-}
+/// The service that answers requests.
+const PLAIN: &str = "desk";
+
+/// Bytes of each result of a piece. The targets have little memory for results, so that released ones
+/// are freed by calls.
+const RESULT_BYTES: u64 = 200_000;
 
 pub(crate) struct Deployment {
+    /// The service with roll-outs.
+    service: &'static str,
     shared: Arc<Mutex<Shared>>,
     pub(crate) controls: Vec<Process>,
     gateways: Vec<Process>,
@@ -93,21 +88,38 @@
 
 const GATEWAY_BOUNDS: &str = "  exposure_share: 0.1\n  exposure_slack: 50\n  rollback: 5s\n";
 
-fn configuration() -> Value {
+fn configuration(has_stages: bool) -> Value {
+    let (mut stages, mut services) = (Vec::new(), vec![json!({"name": PLAIN})]);
+    if has_stages {
+        let pieces = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1,
+            "room_mb": 10, "handle_s": 4});
+        stages.push(json!({"service": STAGE, "after": [], "bytes": RESULT_BYTES}));
+        services.push(json!({"name": STAGE, "pieces": pieces}));
+    }
     let route = |name: &str| {
         json!({"name": name, "host": "carts.example", "path_prefix": format!("/{name}/"),
             "kind": "safe", "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 0,
-            "service": "desk", "max_attempts": 2, "resume_streams": true, "gap_aim_ms": 400,
-            "stages": []})
+            "service": PLAIN, "max_attempts": 2, "resume_streams": true, "gap_aim_ms": 400,
+            "stages": stages})
     };
     json!({"version": 1, "routes": [route("look"), route("find")],
-        "services": [{"name": "desk"}],
+        "services": services,
         "tenants": [{"name": "carts", "api_keys": ["key-1"], "priority": 0}]})
 }
 
 impl Deployment {
     /// Starts the processes with targets of the version `v1`, and waits until the gateways are ready.
     pub(crate) async fn start(has_bounds: bool) -> Self {
+        Self::start_for(PLAIN, has_bounds).await
+    }
+
+    /// As [`Deployment::start`], with roll-outs of the service [`STAGE`], of which each request needs
+    /// pieces.
+    pub(crate) async fn start_stages() -> Self {
+        Self::start_for(STAGE, true).await
+    }
+
+    async fn start_for(service: &'static str, has_bounds: bool) -> Self {
         let (stage, stages) = watch::channel(ShutdownState::Serving);
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir();
@@ -117,12 +129,8 @@
         let ports: Vec<u16> = (0..3).map(|_| port::free(&ips)).collect();
         let of = |lasts: std::ops::Range<usize>, port| lasts.map(|it| address(it, port)).collect();
         let mut deployment = Self {
-            shared: Arc::new(Mutex::new(Shared {
-                list: Vec::new(),
-                fault: Fault::None,
-                received: Vec::new(),
-                statuses: Vec::new(),
-            })),
+            service,
+            shared: Arc::default(),
             controls: Vec::new(),
             gateways: Vec::new(),
             operators: of(11..14, ports[1]),
@@ -135,9 +143,12 @@
             stages,
         };
         deployment.add_targets("v1").await;
+        if service != PLAIN {
+            deployment.add_targets_of(PLAIN, "v1").await;
+        }
         let list = deployment.serve_list().await;
         deployment.start_daemons(ports[0], list, has_bounds);
-        let body = Bytes::from(configuration().to_string());
+        let body = Bytes::from(configuration(service == STAGE).to_string());
         let first = deployment.operators[0];
         deployment
             .until("the configuration is accepted", async || {
@@ -204,13 +215,22 @@
 
     /// Starts targets of a version and adds them to the platform's list.
     pub(crate) async fn add_targets(&self, version: &'static str) {
+        self.add_targets_of(self.service, version).await;
+    }
+
+    async fn add_targets_of(&self, service: &'static str, version: &'static str) {
         for number in 0..TARGETS {
             let listener = TcpListener::bind(address(1, 0)).await.unwrap();
             let at = listener.local_addr().unwrap();
             let shared = Arc::clone(&self.shared);
-            let answer = move |request| answer(Arc::clone(&shared), version, request);
+            let target = Target {
+                service,
+                version,
+                at,
+            };
+            let answer = move |request| target.answer(Arc::clone(&shared), request);
             tokio::spawn(serve(listener, limits, self.stages.clone(), answer));
-            let entry = json!({"id": format!("{version}-{number}"), "service": "desk",
+            let entry = json!({"id": format!("{service}-{version}-{number}"), "service": service,
                 "address": at, "zone": "a", "version": version, "slots": 64, "state": "ready",
                 "cold_remaining_ms": 0});
             self.shared.lock().unwrap().list.push(entry);
@@ -236,9 +256,10 @@
             let path = ["/look/x", "/find/x"][number / 2 % 2];
             let (at, shared) = (*at, Arc::clone(&self.shared));
             let is_loading = Arc::clone(&self.is_loading);
+            let has_stages = self.service == STAGE;
             tokio::spawn(async move {
                 while is_loading.load(Ordering::Relaxed) {
-                    let answer = request(at, path).await;
+                    let answer = request(at, path, has_stages).await;
                     shared.lock().unwrap().statuses.push(answer);
                     sleep(CLIENT_PAUSE).await;
                 }
@@ -250,14 +271,20 @@
         self.shared.lock().unwrap().fault = fault;
     }
 
+    /// What targets of the service with roll-outs received, in the order of arrival.
+    pub(crate) fn arrivals(&self) -> Vec<Received> {
+        let shared = self.shared.lock().unwrap();
+        let own = shared.received.iter();
+        own.filter(|it| it.service == self.service)
+            .copied()
+            .collect()
+    }
+
     /// Number of requests that targets of a version received, and of failures among its answers.
     pub(crate) fn received(&self, version: &str) -> (usize, usize) {
-        let shared = self.shared.lock().unwrap();
-        let own = shared.received.iter().filter(|(it, _)| *it == version);
-        (
-            own.clone().count(),
-            own.filter(|(_, failed)| *failed).count(),
-        )
+        let mut own = self.arrivals();
+        own.retain(|it| it.version == version);
+        (own.len(), own.iter().filter(|it| it.is_failed).count())
     }
 
     /// Statuses of the answers that clients got.
@@ -267,7 +294,7 @@
 
     /// Orders a roll-out at a control daemon; returns the status, if it answers within a second.
     pub(crate) async fn order(&self, control: usize, target: &str, duration_s: f64) -> Option<u16> {
-        let order = json!({"service": "desk", "target": target, "duration_s": duration_s});
+        let order = json!({"service": self.service, "target": target, "duration_s": duration_s});
         let body = Bytes::from(order.to_string());
         status(self.operators[control], Method::POST, "/rollouts", &body).await
     }
@@ -281,7 +308,8 @@
     /// The state and the target of the roll-out at a control daemon, if it knows the newest.
     pub(crate) async fn state(&self, control: usize) -> Option<(String, String)> {
         let at = self.operators[control];
-        let (status, body) = call(at, Method::GET, "/rollouts/desk", &Bytes::new()).await?;
+        let path = format!("/rollouts/{}", self.service);
+        let (status, body) = call(at, Method::GET, &path, &Bytes::new()).await?;
         let state: Value = serde_json::from_slice(&body).ok()?;
         let text = |field: &str| state[field].as_str().map(str::to_owned);
         (status == 200).then_some((text("state")?, text("target")?))
@@ -297,14 +325,29 @@
     pub(crate) async fn wait_gateways(&self, what: &str, holds: impl Fn(&Value) -> bool) {
         for at in &self.admin {
             self.until(what, async || {
-                let dump = call(*at, Method::GET, "/debug/state", &Bytes::new()).await;
-                let dump: Option<Value> = dump.and_then(|it| serde_json::from_slice(&it.1).ok());
-                dump.is_some_and(|dump| holds(&dump["rollouts"][0]))
+                let policy = self.policy(*at).await;
+                policy.is_some_and(|policy| holds(&policy))
             })
             .await;
         }
     }
 
+    /// The policies that all gateways follow; none if one doesn't answer or has none.
+    pub(crate) async fn policies(&self) -> Option<Vec<Value>> {
+        let mut policies = Vec::new();
+        for at in &self.admin {
+            policies.push(self.policy(*at).await?);
+        }
+        Some(policies)
+    }
+
+    async fn policy(&self, admin: SocketAddr) -> Option<Value> {
+        let (_, dump) = call(admin, Method::GET, "/debug/state", &Bytes::new()).await?;
+        let dump: Value = serde_json::from_slice(&dump).ok()?;
+        let mut rows = dump["rollouts"].as_array()?.iter();
+        rows.find(|row| row["service"] == self.service).cloned()
+    }
+
     /// Waits until clients have got this many further answers.
     pub(crate) async fn wait_answers(&self, count: usize) {
         let before = self.statuses().len();
@@ -350,50 +393,18 @@
     }
 }
 
-async fn answer(
-    shared: Arc<Mutex<Shared>>,
-    version: &'static str,
-    request: Request<Incoming>,
-) -> Response<Body> {
-    let (parts, body) = request.into_parts();
-    // The clients' bodies are empty or complete.
-    let _ = body.collect().await;
-    let (fails, is_slow) = {
-        let mut shared = shared.lock().unwrap();
-        let answers = shared.received.iter().filter(|it| it.0 == version).count();
-        let is_faulty = version == "v2"
-            && match shared.fault {
-                Fault::After(count) => answers >= count,
-                Fault::OnPath(path) => parts.uri.path() == path,
-                Fault::None | Fault::Slow => false,
-            };
-        let fails = is_faulty && answers % 2 == 0;
-        shared.received.push((version, fails));
-        (fails, version == "v2" && shared.fault == Fault::Slow)
-    };
-    let time = if is_slow { 120 } else { 20 };
-    sleep(Duration::from_millis(time)).await;
-    let mut response = Response::new(Body::complete(Bytes::from_static(b"answer")));
-    if fails {
-        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-    }
-    let headers = response.headers_mut();
-    if let Some(id) = parts.headers.get("x-request-attempt-id") {
-        headers.insert("x-request-attempt-id", id.clone());
-    }
-    headers.insert("x-response-signature", "signed".parse().unwrap());
-    response
-}
-
 /// Sends a client's request; returns the status, 0 without an answer.
-async fn request(at: SocketAddr, path: &str) -> u16 {
+async fn request(at: SocketAddr, path: &str, has_stages: bool) -> u16 {
     let id = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed).to_string();
-    let headers = [
+    let mut headers = vec![
         ("host", "carts.example"),
         ("x-request-attempt-id", &id),
         ("x-deadline-milliseconds", "4000"),
         ("authorization", "Bearer key-1"),
     ];
+    if has_stages {
+        headers.extend([("x-pieces", "2"), ("x-piece-key", &id)]);
+    }
     let answer = send(at, Method::POST, path, &headers, &Bytes::new()).await;
     answer.map_or(0, |it| it.0)
 }
