rollouts: a version rejected while listed stays rejected until it returns

Cause: callers got answers of a version again that had been rolled back. A version that appears more than 10 s after the start of a leadership was noted as one that returns after an absence, and the note was kept when an order named it. 6 s after its first appearance, if it was still listed, the leader allowed it like a plain release. Versions that a later order replaced were allowed again the same way. Ruled out: a late or outdated policy at the gateway, which had followed the roll-back within 0.2 s.

Change: the note counts only while the version is rejected in every observation since it appeared. A version that is ordered, in force or not yet rejected loses it, and gets it back only by 10 s of absence.

Conclusion: a rolled-back or replaced version gets nothing while it stays listed, as docs/design/rollouts.md says. Targets that drain within 6 s of their first appearance had hidden the fault.

--- a/crates/azurelug-core/src/gateway/rollout/sightings.rs
+++ b/crates/azurelug-core/src/gateway/rollout/sightings.rs
@@ -22,8 +22,9 @@
     /// Since when it has been listed.
     since: Duration,
     last: Duration,
-    /// Whether it had been absent before.
-    is_new: bool,
+    /// Whether it was rejected when it appeared, after an absence, and has been rejected since. A version
+    /// that was rejected while it was listed stays so.
+    is_back: bool,
 }
 
 /// The versions in the list, as seen during one leadership.
@@ -56,18 +57,19 @@
             let sighting = self.versions.entry(key.clone()).or_insert(Sighting {
                 since: now,
                 last: now,
-                is_new: now.saturating_sub(began) >= ABSENCE,
+                is_back: now.saturating_sub(began) >= ABSENCE,
             });
             sighting.last = now;
             let (service, version) = key;
             let known = rollouts.service(&service);
+            sighting.is_back &= known.is_some_and(|it| it.rejected.contains(&version));
             let is_held = now.saturating_sub(sighting.since) < hold;
             let is_due = match known {
                 None => true,
                 Some(known) if known.running().is_some() => false,
                 Some(known) if known.allowed.is_empty() => true,
                 Some(known) if known.allowed.contains(&version) => false,
-                Some(known) if known.rejected.contains(&version) => sighting.is_new && !is_held,
+                Some(known) if known.rejected.contains(&version) => sighting.is_back && !is_held,
                 Some(_) => !is_held,
             };
             if is_due {
--- a/crates/azurelug-core/tests/gateway_rollout_state.rs
+++ b/crates/azurelug-core/tests/gateway_rollout_state.rs
@@ -233,6 +233,54 @@
     }
 }
 
+/// Guards against a version that appears long after the start of the leadership, is rolled back or
+/// replaced, and is then allowed like one that returns; it still is allowed when it does return.
+#[test]
+fn a_version_that_was_rejected_while_listed_is_not_allowed_before_it_returns() {
+    for end in [Step::RolledBack, Step::Completed] {
+        let mut rollouts = Rollouts::default();
+        let mut sightings = Sightings::default();
+        let hold = Duration::from_secs(6);
+        let (first, second) = (target("a", "v1"), target("b", "v2"));
+        let mut observe = |rollouts: &mut Rollouts, targets: &[Target], second| {
+            let now = Duration::from_secs(second);
+            let commands = sightings.observe(targets, rollouts, hold, now);
+            commands
+                .iter()
+                .for_each(|it| drop(rollouts.apply(it.clone())));
+            commands.len()
+        };
+        let both = [first.clone(), second.clone()];
+        assert_eq!(observe(&mut rollouts, std::slice::from_ref(&first), 0), 1);
+        observe(&mut rollouts, std::slice::from_ref(&first), 19);
+        assert_eq!(observe(&mut rollouts, &both, 20), 0, "held");
+        rollouts.apply(start("v2", 0));
+        assert_eq!(observe(&mut rollouts, &both, 22), 0, "running");
+        rollouts.apply(advance(1, Step::Probe, end));
+        if end == Step::Completed {
+            rollouts.apply(start("v3", 100_000));
+            rollouts.apply(advance(2, Step::Probe, Step::Completed));
+        }
+        let state = rollouts.service(&service()).unwrap();
+        assert!(state.rejected.iter().any(|it| it == "v2"));
+        let mut others = vec![first];
+        if end == Step::Completed {
+            others.push(target("c", "v3"));
+        }
+        let all = [others.clone(), vec![second]].concat();
+        for second in 23..60 {
+            let count = observe(&mut rollouts, &all, second);
+            assert_eq!(count, 0, "{end:?}, after {second} s");
+        }
+        for second in 60..75 {
+            assert_eq!(observe(&mut rollouts, &others, second), 0);
+        }
+        assert_eq!(observe(&mut rollouts, &all, 75), 0, "held");
+        assert_eq!(observe(&mut rollouts, &all, 80), 0, "held");
+        assert_eq!(observe(&mut rollouts, &all, 81), 1, "returned");
+    }
+}
+
 /// Guards against counts that are added twice when a gateway polls another control daemon, and
 /// against counts that are lost when it restarts.
 #[test]
