soak: roll-outs of plain targets, good and bad

Cause: roll-outs had tests without faults only. Nothing checked what targets and operators see of them while gateways and control daemons are killed, stopped, frozen and wiped.

Checked: nothing reaches a version before an order names it; nothing reaches a bad version long after its 50th bad answer, nor a rolled-back or replaced version 3 s after its end was read; sends to a bad version stay within exposure_share and exposure_slack during its whole roll-out; reads are never older than what was acknowledged or read before.

--- a/crates/azurelug-system/examples/soak.rs
+++ b/crates/azurelug-system/examples/soak.rs
@@ -37,6 +37,10 @@
     /// streams
     #[bpaf(switch)]
     versions: bool,
+    /// Let an operator order roll-outs of plain targets to new versions, good and bad ones; not
+    /// together with --versions
+    #[bpaf(switch)]
+    rollouts: bool,
     /// Print one JSON object for each seed
     #[bpaf(switch)]
     json: bool,
@@ -45,6 +49,10 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = arguments().run();
+    if arguments.versions && arguments.rollouts {
+        eprintln!("--versions and --rollouts exclude each other; give one of them");
+        return ExitCode::FAILURE;
+    }
     let mut failed = 0;
     let mut count = 0;
     for seed in seeds(&arguments) {
@@ -56,6 +64,7 @@
             crashing_parts: arguments.crashing_parts,
             crashing_requests: arguments.crashing_requests,
             versions: arguments.versions,
+            rollouts: arguments.rollouts,
             ..Options::default()
         };
         let report = soak::run(&options).await;
@@ -77,6 +86,9 @@
         if arguments.versions {
             println!("  streams {}", report.summary["streams"]);
         }
+        if arguments.rollouts {
+            println!("  roll-outs {}", report.summary["rollouts"]);
+        }
         for violation in &report.violations {
             println!("  {violation}");
         }
--- a/crates/azurelug-system/src/soak.rs
+++ b/crates/azurelug-system/src/soak.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod probes;
 pub mod resumers;
+pub mod rollouts;
 pub mod streams;
 pub mod targets;
 
@@ -51,6 +52,9 @@
     /// Whether targets of streams of further software versions come beside the old ones, which leave,
     /// and clients resume streams.
     pub versions: bool,
+    /// Whether an operator orders roll-outs of plain targets to new versions, good and bad ones. Not
+    /// together with `versions`: the bounds of roll-outs hold back versions that no order names.
+    pub rollouts: bool,
     /// Number of concurrent callers; each sends one request at a time.
     pub callers: usize,
 }
@@ -65,6 +69,7 @@
             crashing_parts: false,
             crashing_requests: false,
             versions: false,
+            rollouts: false,
             callers: 24,
         }
     }
@@ -97,6 +102,9 @@
     if options.versions {
         callers.extend(resumers::start(&deployment, options));
     }
+    if options.rollouts {
+        callers.push(rollouts::orders::start(&deployment, options));
+    }
     let operator = operator::start(&deployment, options.seed);
     let started = Instant::now();
     let mut pending_ends: Vec<(Duration, Fault)> = Vec::new();
--- a/crates/azurelug-system/src/soak/checker.rs
+++ b/crates/azurelug-system/src/soak/checker.rs
@@ -12,7 +12,9 @@
 use super::keys::Keys;
 use super::limits::Limits;
 use super::plan::{Fault, ScheduledFault};
+use super::rollouts::{self, Rollouts};
 use super::streams::Streams;
+use super::targets::versions;
 
 /// Time after which a drained zone or a leaving target must get no requests: the guaranteed bound
 /// of 3 s, and 1 s for requests in transit and for processes that share one machine.
@@ -76,6 +78,8 @@
     pub keys: Keys,
     /// The streams that clients resume.
     pub streams: Streams,
+    /// The roll-outs.
+    pub rollouts: Rollouts,
 }
 
 /// The result of a run.
@@ -204,12 +208,21 @@
     pub fn start_fault(&self, gateway: usize) {
         self.limits.start_fault(gateway);
         self.crashes.start_fault(gateway, self.limits.now());
+        self.rollouts.start_fault(gateway, self.limits.now());
     }
 
     /// Records the end of a gateway's fault.
     pub fn end_fault(&self, gateway: usize) {
         self.limits.end_fault(gateway);
         self.crashes.end_fault(gateway, self.limits.now());
+        self.rollouts.end_fault(gateway, self.limits.now());
+    }
+
+    /// Records the start or the end of a control daemon's fault.
+    pub fn record_control_fault(&self, is_start: bool) {
+        let now = self.limits.now();
+        self.crashes.record_control_fault(now);
+        self.rollouts.record_control_fault(is_start, now);
     }
 
     /// Records that the gateways' target state may be outdated for a while.
@@ -220,6 +233,14 @@
     /// Checks, when a request arrives at a target, that the target may get requests.
     pub fn check_arrival(&self, target: &str, id: &str) {
         self.limits.record_arrival(target, id);
+        if versions::service(target) == rollouts::SERVICE {
+            self.rollouts.record_arrival(rollouts::Arrival {
+                version: versions::number(target),
+                id: id.to_owned(),
+                gateway: self.limits.gateway(id),
+                at: self.limits.now(),
+            });
+        }
         let late = {
             let state = self.state();
             let is_undisrupted = state
@@ -278,6 +299,7 @@
         let found = self.limits.violations().into_iter();
         let found = found.chain(self.crashes.violations());
         let found = found.chain(self.keys.violations());
+        let found = found.chain(self.rollouts.violations());
         for violation in found.chain(self.streams.violations()) {
             self.record_violation(violation);
         }
@@ -300,7 +322,7 @@
             .collect();
         let summary = json!({"seed": seed, "violations": violations, "requests": outcomes,
             "faults": state.faults, "reads": state.reads, "probes": self.keys.summary(),
-            "streams": self.streams.summary(), "plan": plan});
+            "streams": self.streams.summary(), "rollouts": self.rollouts.summary(), "plan": plan});
         Report {
             seed,
             violations,
--- a/crates/azurelug-system/src/soak/deployment.rs
+++ b/crates/azurelug-system/src/soak/deployment.rs
@@ -28,6 +28,7 @@
 use crate::process::Process;
 use layout::Layout;
 pub use recent_faults::GatewayFaults;
+pub use releases::Starter;
 
 /// Longest time until all gateways report ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -129,6 +130,7 @@
             seeds: seeds.join(", "),
             internal,
             list,
+            has_rollouts: options.rollouts,
         };
         let deployment = Self {
             controls: (0..CONTROL_COUNT).map(|it| layout.control(it)).collect(),
@@ -355,8 +357,7 @@
             self.checker.record_disruption();
         }
         if is_disruption && fault.gateway().is_none() {
-            let crashes = &self.checker.crashes;
-            crashes.record_control_fault(self.checker.limits.now());
+            self.checker.record_control_fault(is_start);
         }
     }
 
--- a/crates/azurelug-system/src/soak/deployment/layout.rs
+++ b/crates/azurelug-system/src/soak/deployment/layout.rs
@@ -5,6 +5,7 @@
 
 use super::super::keys::REVOCATION;
 use super::super::plan::zone_name;
+use super::super::rollouts;
 use azurelug_testkit::port;
 
 use super::{Control, Gateway, address};
@@ -17,6 +18,8 @@
     pub(super) seeds: String,
     pub(super) internal: u16,
     pub(super) list: SocketAddr,
+    /// Whether the settings hold the bounds of roll-outs.
+    pub(super) has_rollouts: bool,
 }
 
 impl Layout {
@@ -35,6 +38,27 @@
         format!("cluster: soak\nkey_file: {}\n", key.display())
     }
 
+    /// The bounds of roll-outs, which gateways and control daemons need.
+    fn rollout_bounds(&self) -> String {
+        let rollback = rollouts::ROLLBACK.as_millis();
+        let (share, slack) = (rollouts::EXPOSURE_SHARE, rollouts::EXPOSURE_SLACK);
+        if !self.has_rollouts {
+            return String::new();
+        }
+        format!("  exposure_share: {share}\n  exposure_slack: {slack}\n  rollback: {rollback}ms\n")
+    }
+
+    fn control_bounds(&self) -> String {
+        if !self.has_rollouts {
+            return String::new();
+        }
+        let timeout = rollouts::ACK_TIMEOUT.as_millis();
+        format!(
+            "bounds:\n{}  ack_timeout: {timeout}ms\n",
+            self.rollout_bounds()
+        )
+    }
+
     pub(super) fn control(&self, number: u8) -> Control {
         let name = format!("control-{}", zone_name(number));
         let at = |port| address(self.network, 2, number + 1, port);
@@ -45,13 +69,14 @@
             "name: {name}\nzone: {}\n{}internal: \"{}\"\noperators: \"{status}\"\ndata: {}\n\
              discovery:\n  seeds: [{}]\n  first_start: true\n  disk_losses: 1\ndeployment:\n  \
              operators: \"{operators}\"\n  targets:\n    address: \"{}\"\n    \
-             calls_per_second: 50\n",
+             calls_per_second: 50\n{}",
             zone_name(number),
             self.common(),
             at(self.internal),
             data.display(),
             self.seeds,
             self.list,
+            self.control_bounds(),
         );
         let (process, file) = self.process("azurelug-control", &name, &settings);
         Control {
@@ -71,12 +96,13 @@
             "name: {name}\nzone: {}\n{}internal: \"{}\"\nclients: \"{clients}\"\n\
              admin: \"{admin}\"\nseeds: [{}]\nbounds:\n  revocation: {}s\n  apply: 2s\n  \
              drain: 3s\n  grace: 8s\n  retry_ratio: 0.2\n  retry_window: 10s\n  \
-             retry_extra: 200\n  cold_factor: 1.5\n  cold_extra: 5\n",
+             retry_extra: 200\n  cold_factor: 1.5\n  cold_extra: 5\n{}",
             zone_name(number),
             self.common(),
             at(self.internal),
             self.seeds,
             REVOCATION.as_secs(),
+            self.rollout_bounds(),
         );
         let (process, _) = self.process("azurelug-gateway", &name, &settings);
         Gateway {
--- a/crates/azurelug-system/src/soak/operator.rs
+++ b/crates/azurelug-system/src/soak/operator.rs
@@ -89,7 +89,8 @@
     false
 }
 
-async fn call(
+/// Sends one call; none without an answer.
+pub(super) async fn call(
     address: SocketAddr,
     method: Method,
     path: &str,
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -373,7 +373,7 @@
     }
 
     fn service(&self) -> &str {
-        self.name.split('-').next().unwrap_or_default()
+        versions::service(&self.name)
     }
 
     /// Waits until an answer begins.
@@ -425,6 +425,8 @@
             "signed".parse().expect("a valid header value"),
         );
         if behaviour == Behaviour::Fails && rand::random() {
+            let (version, now) = (versions::number(&self.name), self.checker.limits.now());
+            self.checker.rollouts.record_bad_answer(version, now);
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
             run.end();
             return response;
--- a/crates/azurelug-system/src/soak/targets/versions.rs
+++ b/crates/azurelug-system/src/soak/targets/versions.rs
@@ -1,4 +1,4 @@
-//! Targets of several software versions of the service of streams, which come and go.
+//! Targets of several software versions of a service, which come and go.
 
 use serde_json::Value;
 
@@ -9,13 +9,26 @@
 
 /// Name of a target of a version in a zone.
 #[must_use]
-pub fn target_name(version: u8, zone: &str) -> String {
+pub fn target_name(service: &str, version: u8, zone: &str) -> String {
     match version {
-        1 => format!("{SERVICE}-{zone}"),
-        _ => format!("{SERVICE}-v{version}-{zone}"),
+        1 => format!("{service}-{zone}"),
+        _ => format!("{service}-v{version}-{zone}"),
     }
 }
 
+/// The service of a target.
+#[must_use]
+pub fn service(name: &str) -> &str {
+    name.split('-').next().unwrap_or_default()
+}
+
+/// The number of a target's software version.
+#[must_use]
+pub fn number(name: &str) -> u8 {
+    let number = version(name).strip_prefix('v');
+    number.and_then(|it| it.parse().ok()).unwrap_or(1)
+}
+
 /// The software version of a target.
 #[must_use]
 pub fn version(name: &str) -> &str {
