dispatch: a short pause of all targets refuses no order that can wait

Cause: a target that refuses a call without a time, or for up to 60 ms, pauses for 60 ms. While all targets of a dispatcher paused, admission counted no target: if orders of more than about 10 ms of target time had come within the last second, every new one was refused as if the service were overloaded, although it was due long after the pause. With less, all were admitted without a bound.

Change: if no target is usable, admission counts those whose pause ends within 60 ms, with the rest of the pause as their busy time. Longer exclusions are as before.

--- a/crates/azurelug-core/src/gateway/dispatch/workers.rs
+++ b/crates/azurelug-core/src/gateway/dispatch/workers.rs
@@ -335,13 +335,29 @@
         zones
     }
 
+    /// The targets that admission counts, with the time until each can start a call: the usable
+    /// ones. If there are none, those whose pause is so short that orders wait for its end, since a
+    /// service that is at capacity for a moment has not lost its targets.
+    fn available(&self, now: Duration) -> impl Iterator<Item = (&Worker, Duration)> {
+        let is_any_usable = self.workers.iter().any(|it| it.is_usable(now));
+        let latest = now
+            + if is_any_usable {
+                Duration::ZERO
+            } else {
+                FULL_PAUSE
+            };
+        let available = self.workers.iter().filter(move |it| it.is_usable(latest));
+        available.map(move |worker| {
+            let pause = worker.excluded_until.saturating_sub(now);
+            (worker, worker.time_until_free(now).max(pause))
+        })
+    }
+
     /// Time until the first target is free, and the total capacity in targets of usual speed.
     pub(super) fn capacity(&self, now: Duration) -> Option<(Duration, f64)> {
-        let usable = self.workers.iter().filter(|it| it.is_usable(now));
         let mut first_free = None;
         let mut rate = 0.0;
-        for worker in usable {
-            let free = worker.time_until_free(now);
+        for (worker, free) in self.available(now) {
             first_free = Some(first_free.map_or(free, |first: Duration| first.min(free)));
             rate += 1.0 / worker.slowness(now);
         }
@@ -355,10 +371,9 @@
         !self.workers.iter().any(usable_soon)
     }
 
-    /// Remaining time of the calls in progress, summed over the targets.
+    /// Remaining time of the calls in progress and of short pauses, summed over the targets.
     pub(super) fn busy_time(&self, now: Duration) -> Duration {
-        let usable = self.workers.iter().filter(|it| it.is_usable(now));
-        usable.map(|worker| worker.time_until_free(now)).sum()
+        self.available(now).map(|(_, free)| free).sum()
     }
 
     /// Fraction of the usable targets that have a call in progress.
