--- a/crates/azurelug-system/src/soak/rollouts.rs
+++ b/crates/azurelug-system/src/soak/rollouts.rs
@@ -19,8 +19,8 @@
 /// Largest part of the requests that a version gets before it is judged, as in the daemons' settings.
 pub const EXPOSURE_SHARE: f64 = 0.1;
 
-/// Requests beyond it. A bad version may go on to half of the requests for want of answers: with 20, one
-/// run of seed 3 at a load of 200 exceeded the bound by one send.
+/// Requests beyond it. A bad version with few answers may go on to half of the requests before it is
+/// judged.
 pub const EXPOSURE_SLACK: f64 = 50.0;
 
 /// Time from the 50th bad answer of a version until it must get nothing.
