http: the steps of closing a listener stand in one place

Cause: serve_bounded held half of the close and its order, and an error on one connection would have dropped those accepted before it.

Change: listener::close does all of it and passes each connection on as it is accepted. No change of behaviour otherwise.

--- a/crates/azurelug-http/src/h1/server.rs
+++ b/crates/azurelug-http/src/h1/server.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 pub use abort::Abort;
 use abort::{Aborted, LatestAbort};
@@ -160,27 +160,7 @@
             }
         }
     }
-    if let Err(error) = listener::stop_handshakes(&listener) {
-        log::warn!("http: connections may be reset when the listener closes: {error}");
-    }
-    let handshakes_end = Instant::now() + listener::HANDSHAKE_TIME;
-    while let Ok(accepted) = timeout_at(handshakes_end, listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => open(&mut connections, stream),
-            Err(error) => {
-                log::warn!("http: accept failed while the listener closes: {error}");
-                break;
-            }
-        }
-    }
-    match listener::close(listener) {
-        Ok(streams) => {
-            for stream in streams {
-                open(&mut connections, stream);
-            }
-        }
-        Err(error) => log::warn!("http: connections were reset with the listener: {error}"),
-    }
+    listener::close(listener, |stream| open(&mut connections, stream)).await;
     while connections.join_next().await.is_some() {}
 }
 
--- a/crates/azurelug-http/src/h1/server/listener.rs
+++ b/crates/azurelug-http/src/h1/server/listener.rs
@@ -9,9 +9,10 @@
 
 use socket2::{SockFilter, SockRef};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout_at};
 
 /// Time for handshakes that have begun. A round trip within a region takes a few milliseconds.
-pub(super) const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 
 /// Offset of the flags in the header of a TCP segment, in bytes.
 const FLAGS_OFFSET: u32 = 13;
@@ -27,7 +28,7 @@
 
 /// Lets the kernel drop segments that open a connection. Clients send them again after a second, and
 /// are refused once the listener is closed. Handshakes that have begun can end.
-pub(super) fn stop_handshakes(listener: &TcpListener) -> io::Result<()> {
+fn stop_handshakes(listener: &TcpListener) -> io::Result<()> {
     let filter = [
         SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
         SockFilter::new(AND, 0, 0, SYN | ACK),
@@ -38,24 +39,40 @@
     SockRef::from(listener).attach_filter(&filter)
 }
 
-/// Closes the listener and returns the connections that the kernel has established. Asks the kernel
-/// itself, because the runtime reports new connections later.
-pub(super) fn close(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+/// Closes the listener. `open` gets the connections that are established until then.
+pub(super) async fn close(listener: TcpListener, mut open: impl FnMut(TcpStream)) {
+    if let Err(error) = stop_handshakes(&listener) {
+        log::warn!("http: connections may be reset when the listener closes: {error}");
+    }
+    let handshakes_end = Instant::now() + HANDSHAKE_TIME;
+    while let Ok(accepted) = timeout_at(handshakes_end, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => open(stream),
+            Err(error) => {
+                log::warn!("http: accept failed while the listener closes: {error}");
+                break;
+            }
+        }
+    }
+    if let Err(error) = accept_established(listener, open) {
+        log::warn!("http: connections were reset with the listener: {error}");
+    }
+}
+
+/// Accepts the connections that the kernel has established. Asks the kernel itself, because the
+/// runtime reports new connections later.
+fn accept_established(listener: TcpListener, mut open: impl FnMut(TcpStream)) -> io::Result<()> {
     let listener = listener.into_std()?;
-    let mut streams = Vec::new();
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                streams.push(TcpStream::from_std(stream)?);
+                open(TcpStream::from_std(stream)?);
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
             // The client has left before it was accepted.
             Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
-            Err(error) => {
-                log::warn!("http: accept failed while the listener closes: {error}");
-                return Ok(streams);
-            }
+            Err(error) => return Err(error),
         }
     }
 }
