raft: the bound on commits on slow disks follows from the limits

Change: one election may take ELECTION_LIMIT (12 s), and commands of the last 4 s, the time limit of a command, may be open: at least 147 of 200 have to be committed.

--- a/crates/azurelug-coordination/tests/raft_slow_disks.rs
+++ b/crates/azurelug-coordination/tests/raft_slow_disks.rs
@@ -171,6 +171,13 @@
 /// Time within which three members on slow disks have a leader that commits.
 const ELECTION_LIMIT: Duration = Duration::from_secs(12);
 
+/// Time within which a command is committed, or its sender gives up.
+const COMMIT_LIMIT: Duration = Duration::from_secs(4);
+
+/// Commands that are proposed on slow disks, and the time between two of them.
+const COMMANDS: u32 = 200;
+const COMMAND_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Guards against elections that are repeated without end because the votes take longer to store
 /// than an election timeout.
 #[test]
@@ -201,9 +208,9 @@
         cluster.run(Duration::from_secs(10));
         let before = cluster.led.len();
         cluster.sync = 300..1400;
-        for _ in 0..200 {
+        for _ in 0..COMMANDS {
             cluster.propose();
-            cluster.run(300 * MS);
+            cluster.run(COMMAND_INTERVAL);
         }
         changes.push(cluster.led.len() - before);
         committed.push(cluster.committed);
@@ -211,10 +218,12 @@
     let (most, fewest) = (changes.iter().max(), committed.iter().min());
     let total: usize = changes.iter().sum();
     println!(
-        "{total} changes of leaders, at most {most:?} a seed; at least {fewest:?} of 200 committed"
+        "{total} changes of leaders, at most {most:?} a seed; at least {fewest:?} of {COMMANDS} committed"
     );
-    // The first slow sync may be longer than the members expect; an election on such disks takes
-    // about 10 s.
+    // The first slow sync may be longer than the members expect and cost one election. The last
+    // commands may not be committed yet.
+    let excused = (ELECTION_LIMIT + COMMIT_LIMIT).as_millis() / COMMAND_INTERVAL.as_millis();
+    let wanted = u64::from(COMMANDS) - excused as u64;
     assert!(most <= Some(&1), "{changes:?}");
-    assert!(fewest >= Some(&130), "{committed:?}");
+    assert!(fewest >= Some(&wanted), "{committed:?}");
 }
