soak: names of the platform's headers come from platform/

Cause: callers, load, probes and targets of the soak repeated header names of the users' pages as text, beside the names in platform/.

The heads on the wire are the same.

--- a/crates/azurelug-system/src/soak/callers.rs
+++ b/crates/azurelug-system/src/soak/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azurelug_http::h1::client::{Connection, Error};
+use azurelug_platform::names;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
@@ -196,9 +197,9 @@
     }
 
     fn record_limit(&self, headers: &HeaderMap, gateway: usize) {
-        let target = headers.get("x-instance-id").and_then(|it| it.to_str().ok());
+        let target = headers.get(names::TARGET).and_then(|it| it.to_str().ok());
         if let Some(target) = target
-            && headers.contains_key("server-limit")
+            && headers.contains_key(names::RATE_LIMIT)
         {
             self.checker.limits.record_told(target, gateway);
         }
@@ -224,8 +225,8 @@
         if !status.is_success() {
             return Outcome::Failed;
         }
-        let answered_id = headers.get("x-request-attempt-id");
-        let is_signed = headers.contains_key("x-response-signature");
+        let answered_id = headers.get(names::REQUEST_ID);
+        let is_signed = headers.contains_key(names::SIGNATURE);
         if answered_id.is_none_or(|it| it != id) || !is_signed {
             self.checker.record_violation(format!(
                 "{id} ({kind}) got the success answer of another request"
--- a/crates/azurelug-system/src/soak/load.rs
+++ b/crates/azurelug-system/src/soak/load.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use azurelug_http::h1::client::Connection;
+use azurelug_platform::names;
 use bytes::Bytes;
-use http::Request;
+use http::header::RETRY_AFTER;
+use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Full};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -237,13 +239,13 @@
         let mut connection = Connection::open(address, limit, limit).await.ok()?;
         let response = connection.send(request).await.ok()?;
         let (parts, mut body) = response.into_parts();
-        let text = |name: &str| parts.headers.get(name).and_then(|it| it.to_str().ok());
+        let text = |name: HeaderName| parts.headers.get(name).and_then(|it| it.to_str().ok());
         answer.status = Some(parts.status.as_u16());
-        answer.target = text("x-instance-id").map(str::to_owned);
-        answer.retry_after = text("retry-after").and_then(|it| it.parse().ok());
+        answer.target = text(names::TARGET).map(str::to_owned);
+        answer.retry_after = text(RETRY_AFTER).and_then(|it| it.parse().ok());
         answer.elapsed = started.elapsed();
         if let Some(target) = &answer.target
-            && parts.headers.contains_key("server-limit")
+            && parts.headers.contains_key(names::RATE_LIMIT)
         {
             self.checker.limits.record_told(target, answer.gateway);
         }
@@ -263,12 +265,12 @@
         .uri(draft.path)
         .header("host", "carts.example")
         .header("authorization", format!("Bearer {}", draft.key))
-        .header("x-request-attempt-id", id)
-        .header("x-deadline-milliseconds", DEADLINE.as_millis().to_string())
-        .header("x-pieces", "2,3")
-        .header("x-piece-key", "k");
+        .header(names::REQUEST_ID, id)
+        .header(names::TIME_LEFT, DEADLINE.as_millis().to_string())
+        .header(names::PIECES, "2,3")
+        .header(names::PIECE_KEY, "k");
     if !draft.prompt.is_empty() {
-        request = request.header("x-prompt-prefix", &draft.prompt);
+        request = request.header(names::PROMPT_PARTS, &draft.prompt);
     }
     let body = Full::new(Bytes::from(draft.body.clone()));
     request.body(body).expect("build a request")
--- a/crates/azurelug-system/src/soak/probes.rs
+++ b/crates/azurelug-system/src/soak/probes.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use azurelug_platform::names::{PIECE_KEY, PIECES, PROMPT_PARTS, REQUEST_ID, TIME_LEFT};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -230,9 +231,9 @@
         let key = key.unwrap_or_default();
         let deadline = DEADLINE.as_millis();
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: carts.example\r\n{key}X-Request-Attempt-Id: {id}\r\n\
-             X-Deadline-Milliseconds: {deadline}\r\nX-Pieces: 2,3\r\nX-Piece-Key: k\r\n\
-             X-Prompt-Prefix: 5c1e:800,91bd:410\r\n"
+            "{method} {path} HTTP/1.1\r\nHost: carts.example\r\n{key}{REQUEST_ID}: {id}\r\n\
+             {TIME_LEFT}: {deadline}\r\n{PIECES}: 2,3\r\n{PIECE_KEY}: k\r\n\
+             {PROMPT_PARTS}: 5c1e:800,91bd:410\r\n"
         );
         match self.pauses {
             Some(_) => (head + "Content-Length: 10\r\n\r\n12345", "67890"),
--- a/crates/azurelug-system/src/soak/targets.rs
+++ b/crates/azurelug-system/src/soak/targets.rs
@@ -12,11 +12,12 @@
 
 use azurelug_gateway::body::{Body, BodyInterrupted};
 use azurelug_http::h1::server::{Limits, ShutdownState, serve};
+use azurelug_platform::names;
 use azurelug_testkit::crash::Identity;
 use azurelug_testkit::proxy::{Link, Proxy, Settings};
 use azurelug_types::rate::Rate;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderName, Request, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -304,10 +305,13 @@
         let mut response = self.answer(request).await;
         let headers = response.headers_mut();
         let id = self.pool.id(&self.name);
-        headers.insert("x-instance-id", id.parse().expect("a valid header value"));
+        headers.insert(names::TARGET, id.parse().expect("a valid header value"));
         if let Some(rate) = self.pool.limits().get(&self.name) {
             let text = rate.per_second().to_string();
-            headers.insert("server-limit", text.parse().expect("a valid header value"));
+            headers.insert(
+                names::RATE_LIMIT,
+                text.parse().expect("a valid header value"),
+            );
         }
         response
     }
@@ -318,11 +322,11 @@
         let Ok(body) = body.collect().await else {
             return Response::new(Body::complete(Bytes::new()));
         };
-        let header = |name: &str| {
+        let header = |name: HeaderName| {
             let value = parts.headers.get(name).and_then(|it| it.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
-        let id = header("x-request-attempt-id");
+        let id = header(names::REQUEST_ID);
         let behaviour = self.pool.behaviours().get(&self.name).copied();
         let behaviour = behaviour.unwrap_or_default();
         self.checker.check_arrival(&self.name, &id);
@@ -331,16 +335,16 @@
             identity: Identity {
                 method: parts.method.to_string(),
                 path: parts.uri.to_string(),
-                account: header("x-tenant"),
+                account: header(names::ACCOUNT),
                 body: body.to_vec(),
             },
-            prompt: &header("x-prompt-prefix"),
+            prompt: &header(names::PROMPT_PARTS),
             gateway: self.checker.limits.gateway(&id),
         };
         let now = self.checker.limits.now();
         let crashes = &self.checker.crashes;
         let cause = crashes.record_arrival(self.service(), &arrival, now);
-        let expected = header("x-expected-instance");
+        let expected = header(names::EXPECTED_TARGET);
         if !expected.is_empty() && expected != self.pool.id(&self.name) {
             return not_run(&id, StatusCode::MISDIRECTED_REQUEST);
         }
@@ -366,7 +370,7 @@
                     run.end();
                     return self.crash_on(&id, cause, run).await;
                 }
-                let last = header("last-event-id").parse().unwrap_or(0);
+                let last = header(names::LAST_EVENT).parse().unwrap_or(0);
                 self.run(&id, last, behaviour, run)
             }
         }
@@ -418,10 +422,10 @@
         let mut response = Response::new(Body::complete(Bytes::from(format!("answer to {id}"))));
         let headers = response.headers_mut();
         if let Ok(id) = id.parse() {
-            headers.insert("x-request-attempt-id", id);
+            headers.insert(names::REQUEST_ID, id);
         }
         headers.insert(
-            "x-response-signature",
+            names::SIGNATURE,
             "signed".parse().expect("a valid header value"),
         );
         if behaviour == Behaviour::Fails && rand::random() {
@@ -478,9 +482,9 @@
     let mut response = Response::new(Body::complete(Bytes::new()));
     *response.status_mut() = status;
     let headers = response.headers_mut();
-    headers.insert("x-not-executed", "1".parse().expect("a valid header value"));
+    headers.insert(names::NOT_RUN, "1".parse().expect("a valid header value"));
     if let Ok(id) = id.parse() {
-        headers.insert("x-request-attempt-id", id);
+        headers.insert(names::REQUEST_ID, id);
     }
     response
 }
