--- a/crates/azurelug-control/src/metrics.rs
+++ b/crates/azurelug-control/src/metrics.rs
@@ -53,6 +53,7 @@
 }
 
 /// Values of the daemon's state for one scrape.
+#[derive(Default)]
 pub struct GaugeValues {
     /// State of the replicated log; none while the member stops.
     pub log: Option<State>,
--- a/crates/azurelug-control/tests/full_disks_in_turn.rs
+++ b/crates/azurelug-control/tests/full_disks_in_turn.rs
@@ -4,30 +4,20 @@
 
 #[path = "support/fillable_disk.rs"]
 mod fillable_disk;
+#[path = "support/members.rs"]
+mod members;
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use azurelug_control::cluster::Cluster;
-use azurelug_control::daemons::Registry;
-use azurelug_control::disk::Disk;
-use azurelug_control::gateways::Gateways;
-use azurelug_control::internal::FrameHandler;
-use azurelug_control::peers::Peers;
 use azurelug_control::replica::Replica;
-use azurelug_control::replica::task::Task;
-use azurelug_control::settings;
-use azurelug_control::shares::Shares;
-use azurelug_control::updates::Updates;
 use azurelug_coordination::raft;
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::machine::Command;
-use azurelug_types::id::{DaemonName, ZoneName};
 use azurelug_wire::Listener;
-use azurelug_wire::handshake::Identity;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tempfile::TempDir;
@@ -85,11 +75,6 @@
 
 impl Member {
     async fn start(disk: Arc<FillableDisk>, cluster: Cluster, listener: Listener) -> Self {
-        let slot = disk.data_folder.slot;
-        let peers = Peers::new(cluster.clone(), &identity(slot));
-        let is_founder = FOUNDERS.contains(&slot);
-        let opened = Disk::open(&disk.data_folder, is_founder).unwrap();
-        let generation = opened.0.generation();
         // Small, so that snapshots and their transfer fall into the times of full disks.
         let settings = raft::Settings {
             snapshot_entries: 6,
@@ -99,23 +84,7 @@
             replace_after: Duration::from_millis(1200),
             ..raft::Settings::default()
         };
-        let folder = disk.data_folder.clone();
-        let (task, replica) = Task::new(settings, folder, opened, peers.clone()).unwrap();
-        let zone = ZoneName::from("a");
-        let folder = &disk.data_folder.folder;
-        let handler = FrameHandler {
-            replica: replica.clone(),
-            registry: Arc::new(Registry::new()),
-            updates: Updates::new(replica.clone()),
-            shares: Shares::new(zone, generation.number, generation.is_first, folder),
-            cluster: cluster.clone(),
-            gateways: Gateways::new(replica.clone(), peers, cluster, slot),
-        };
-        let serving = listener.serve(move |peer, frame| handler.clone().handle(peer, frame));
-        let tasks = vec![
-            tokio::spawn(async move { task.run().await.unwrap() }),
-            tokio::spawn(serving),
-        ];
+        let (replica, tasks) = members::start(&disk.data_folder, settings, &cluster, listener);
         Self {
             replica,
             disk,
@@ -144,20 +113,6 @@
     orders.document().map_or(0, |document| document.version)
 }
 
-fn name(slot: u32) -> DaemonName {
-    DaemonName(format!("control-{slot}"))
-}
-
-fn identity(slot: u32) -> Arc<Identity> {
-    Arc::new(Identity {
-        cluster: "test".to_owned(),
-        daemon: name(slot),
-        zone: ZoneName::from("a"),
-        incarnation: 1,
-        key: vec![7; 32],
-    })
-}
-
 fn create_disks<'a>(
     slots: impl Iterator<Item = &'a u32>,
 ) -> (Vec<TempDir>, Vec<Arc<FillableDisk>>) {
@@ -170,19 +125,8 @@
 }
 
 async fn start_cluster(disks: Vec<Arc<FillableDisk>>) -> Vec<Member> {
-    let mut listeners = Vec::new();
-    let mut listed = Vec::new();
-    for slot in disks.iter().map(|disk| disk.data_folder.slot) {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listener = Listener::bind(address, identity(slot)).await.unwrap();
-        listed.push(settings::Member {
-            slot,
-            name: name(slot),
-            address: listener.address(),
-        });
-        listeners.push(listener);
-    }
-    let cluster = Cluster::Listed(listed.into());
+    let slots: Vec<u32> = disks.iter().map(|disk| disk.data_folder.slot).collect();
+    let (listeners, cluster) = members::listen(&slots).await;
     let mut members = Vec::new();
     for (disk, listener) in disks.into_iter().zip(listeners) {
         members.push(Member::start(disk, cluster.clone(), listener).await);
--- a/crates/azurelug-control/tests/metrics.rs
+++ b/crates/azurelug-control/tests/metrics.rs
@@ -7,14 +7,7 @@
 /// Guards against a metric that is not documented, and a documented one that no longer exists.
 #[test]
 fn the_page_documents_exactly_the_exported_metrics_with_their_labels() {
-    let values = GaugeValues {
-        log: None,
-        version: 0,
-        once_records: 0,
-        once_record_bytes: 0,
-        share_limit: 0,
-        share_granted: 0,
-    };
+    let values = GaugeValues::default();
     let text = Metrics::new().encode_text(&values);
     let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators.md");
     let page = std::fs::read_to_string(page).unwrap();
--- a/crates/azurelug-control/tests/slow_disks.rs
+++ b/crates/azurelug-control/tests/slow_disks.rs
@@ -1,29 +1,19 @@
 //! Tests of members of the replicated log whose disks take long to sync. The delays are injected.
 #![allow(clippy::unwrap_used)]
 
-use std::net::{Ipv4Addr, SocketAddr};
+#[path = "support/members.rs"]
+mod members;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use azurelug_control::cluster::Cluster;
-use azurelug_control::daemons::Registry;
-use azurelug_control::disk::{DataFolder, Disk};
-use azurelug_control::gateways::Gateways;
-use azurelug_control::internal::FrameHandler;
-use azurelug_control::peers::Peers;
+use azurelug_control::disk::DataFolder;
 use azurelug_control::replica::Replica;
-use azurelug_control::replica::task::Task;
-use azurelug_control::settings;
-use azurelug_control::shares::Shares;
-use azurelug_control::updates::Updates;
 use azurelug_coordination::raft::{self, Role};
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::machine::Command;
 use azurelug_storage::{Files, HookDecision, Op};
-use azurelug_types::id::{DaemonName, ZoneName};
-use azurelug_wire::Listener;
-use azurelug_wire::handshake::Identity;
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
@@ -41,16 +31,6 @@
     _folders: Vec<TempDir>,
 }
 
-fn identity(slot: u32) -> Arc<Identity> {
-    Arc::new(Identity {
-        cluster: "test".to_owned(),
-        daemon: DaemonName(format!("control-{slot}")),
-        zone: ZoneName::from("a"),
-        incarnation: 1,
-        key: vec![7; 32],
-    })
-}
-
 fn data_folder(folder: &TempDir, slot: u32, slots: &[u32], delay: &Arc<AtomicU64>) -> DataFolder {
     let delay = Arc::clone(delay);
     let files = move || {
@@ -73,49 +53,16 @@
     }
 }
 
-fn start(data_folder: DataFolder, cluster: &Cluster, listener: Listener) -> Replica {
-    let slot = data_folder.slot;
-    let peers = Peers::new(cluster.clone(), &identity(slot));
-    let opened = Disk::open(&data_folder, true).unwrap();
-    let generation = opened.0.generation();
-    let settings = raft::Settings::default();
-    let folder = data_folder.folder.clone();
-    let (task, replica) = Task::new(settings, data_folder, opened, peers.clone()).unwrap();
-    let (zone, number) = (ZoneName::from("a"), generation.number);
-    let handler = FrameHandler {
-        replica: replica.clone(),
-        registry: Arc::new(Registry::new()),
-        updates: Updates::new(replica.clone()),
-        shares: Shares::new(zone, number, generation.is_first, &folder),
-        cluster: cluster.clone(),
-        gateways: Gateways::new(replica.clone(), peers, cluster.clone(), slot),
-    };
-    tokio::spawn(listener.serve(move |peer, frame| handler.clone().handle(peer, frame)));
-    tokio::spawn(async move { task.run().await.unwrap() });
-    replica
-}
-
 impl Members {
     /// Starts members on fast disks and commits version 1.
     async fn start(slots: &[u32]) -> Self {
         let sync_delay_ms = Arc::new(AtomicU64::new(0));
-        let (mut listeners, mut listed) = (Vec::new(), Vec::new());
-        for &slot in slots {
-            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-            let listener = Listener::bind(address, identity(slot)).await.unwrap();
-            listed.push(settings::Member {
-                slot,
-                name: DaemonName(format!("control-{slot}")),
-                address: listener.address(),
-            });
-            listeners.push(listener);
-        }
-        let cluster = Cluster::Listed(listed.into());
+        let (listeners, cluster) = members::listen(slots).await;
         let folders: Vec<_> = slots.iter().map(|_| TempDir::new().unwrap()).collect();
         let members = slots.iter().zip(&folders).zip(listeners);
         let replicas = members.map(|((&slot, folder), listener)| {
             let data_folder = data_folder(folder, slot, slots, &sync_delay_ms);
-            start(data_folder, &cluster, listener)
+            members::start(&data_folder, raft::Settings::default(), &cluster, listener).0
         });
         let members = Self {
             replicas: replicas.collect(),
--- a/crates/azurelug-control/tests/snapshots_of_releases.rs
+++ b/crates/azurelug-control/tests/snapshots_of_releases.rs
@@ -13,6 +13,7 @@
 use azurelug_types::id::{Version, ZoneName};
 use azurelug_types::patch::{Change, Patch};
 use azurelug_wire::codec;
+use serde::Serialize;
 
 fn patch() -> Patch {
     let state = State::Active;
@@ -31,6 +32,23 @@
     }
 }
 
+/// Checks that a snapshot with the orders of an earlier release is read, and that the release reads a
+/// newer one.
+fn check_both_ways(orders: &impl Serialize, machine: &Machine) {
+    let store = Store::default();
+    let past = ReplacedValues::default();
+    let once = Machine::default().once().snapshot();
+    let data = codec::encode_unlimited(&(store, once, past, orders)).unwrap();
+    let restored = decode_machine(&data).unwrap();
+    assert_eq!(restored.orders(), machine.orders());
+    let newest = codec::encode_unlimited(&restored.snapshot()).unwrap();
+    assert_eq!(
+        &newest[..data.len()],
+        &data[..],
+        "the earlier release reads it"
+    );
+}
+
 /// Guards against a member that can't start from its data folder after an upgrade.
 #[test]
 fn a_snapshot_of_the_first_release_is_read() {
@@ -87,18 +105,7 @@
     });
     // The orders of the third release had these three fields.
     let orders = (2_u64, held, drained);
-    let store = Store::default();
-    let past = ReplacedValues::default();
-    let once = Machine::default().once().snapshot();
-    let data = codec::encode_unlimited(&(store, once, past, orders)).unwrap();
-    let restored = decode_machine(&data).unwrap();
-    assert_eq!(restored.orders(), machine.orders());
-    let newest = codec::encode_unlimited(&restored.snapshot()).unwrap();
-    assert_eq!(
-        &newest[..data.len()],
-        &data[..],
-        "the earlier release reads it"
-    );
+    check_both_ways(&orders, &machine);
 }
 
 /// Guards against a configuration that is lost by the upgrade to the release with versions of streams.
@@ -121,16 +128,5 @@
         BTreeSet::<ZoneName>::new(),
         machine.orders().rollouts().clone(),
     );
-    let store = Store::default();
-    let past = ReplacedValues::default();
-    let once = Machine::default().once().snapshot();
-    let data = codec::encode_unlimited(&(store, once, past, orders)).unwrap();
-    let restored = decode_machine(&data).unwrap();
-    assert_eq!(restored.orders(), machine.orders());
-    let newest = codec::encode_unlimited(&restored.snapshot()).unwrap();
-    assert_eq!(
-        &newest[..data.len()],
-        &data[..],
-        "the earlier release reads it"
-    );
+    check_both_ways(&orders, &machine);
 }
--- a/crates/azurelug-control/tests/state_full.rs
+++ b/crates/azurelug-control/tests/state_full.rs
@@ -1,32 +1,27 @@
 //! A member of the replicated log whose state has reached the largest size of a snapshot.
 #![allow(clippy::unwrap_used)]
 
-use std::net::{Ipv4Addr, SocketAddr};
+#[path = "support/members.rs"]
+mod members;
+
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use azurelug_control::cluster::Cluster;
-use azurelug_control::daemons::Registry;
 use azurelug_control::disk::{DataFolder, Disk};
-use azurelug_control::gateways::Gateways;
-use azurelug_control::internal::{FrameHandler, wall_clock_ms};
+use azurelug_control::internal::wall_clock_ms;
 use azurelug_control::metrics::GaugeValues;
 use azurelug_control::peers::Peers;
 use azurelug_control::replica::task::Task;
 use azurelug_control::replica::{Error, Replica};
-use azurelug_control::settings;
-use azurelug_control::shares::Shares;
-use azurelug_control::updates::Updates;
 use azurelug_coordination::once::{self, Answer, Claim, Key};
 use azurelug_coordination::raft;
 use azurelug_core::gateway::orders::Order;
 use azurelug_core::gateway::rollout::state as rollout;
 use azurelug_core::machine::{Command, Outcome};
 use azurelug_storage::Files;
-use azurelug_types::id::{DaemonName, ZoneName};
-use azurelug_wire::Listener;
-use azurelug_wire::handshake::Identity;
+use azurelug_types::id::ZoneName;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
@@ -55,20 +50,6 @@
     }
 }
 
-fn identity(slot: u32) -> Arc<Identity> {
-    Arc::new(Identity {
-        cluster: "test".to_owned(),
-        daemon: name(slot),
-        zone: ZoneName::from("a"),
-        incarnation: 1,
-        key: vec![7; 32],
-    })
-}
-
-fn name(slot: u32) -> DaemonName {
-    DaemonName(format!("control-{slot}"))
-}
-
 fn data_folder(folder: &Path, slot: u32, founders: &[u32]) -> DataFolder {
     DataFolder {
         folder: folder.join(format!("state-{slot}")),
@@ -82,32 +63,13 @@
 
 /// Starts the only member of a cluster.
 fn start(folder: &DataFolder) -> (Replica, JoinHandle<()>) {
-    let peers = Peers::new(Cluster::Listed(Arc::from([])), &identity(SLOT));
+    let peers = Peers::new(Cluster::Listed(Arc::from([])), &members::identity(SLOT));
     let opened = Disk::open(folder, true).unwrap();
     let (task, replica) = Task::new(log_settings(), folder.clone(), opened, peers).unwrap();
     let running = tokio::spawn(async move { task.run().await.unwrap() });
     (replica, running)
 }
 
-/// Starts a member of a cluster that serves the others.
-fn start_connected(folder: &DataFolder, cluster: &Cluster, listener: Listener) -> Replica {
-    let slot = folder.slot;
-    let peers = Peers::new(cluster.clone(), &identity(slot));
-    let opened = Disk::open(folder, true).unwrap();
-    let (task, replica) = Task::new(log_settings(), folder.clone(), opened, peers.clone()).unwrap();
-    let handler = FrameHandler {
-        replica: replica.clone(),
-        registry: Arc::new(Registry::new()),
-        updates: Updates::new(replica.clone()),
-        shares: Shares::new(ZoneName::from("a"), 1, true, &folder.folder),
-        cluster: cluster.clone(),
-        gateways: Gateways::new(replica.clone(), peers, cluster.clone(), slot),
-    };
-    tokio::spawn(listener.serve(move |peer, frame| handler.clone().handle(peer, frame)));
-    tokio::spawn(async move { task.run().await.unwrap() });
-    replica
-}
-
 async fn drain(replica: &Replica, zone: usize, drained: bool) -> Result<(), Error> {
     let zone = ZoneName(format!("{zone:0NAME_BYTES$}"));
     let order = Order::Drain { zone, drained };
@@ -197,14 +159,7 @@
     };
     assert!(size > limit, "{size} is within {limit}");
     assert!(error.to_string().contains("remove"), "{error}");
-    let values = GaugeValues {
-        log: None,
-        version: 0,
-        once_records: 0,
-        once_record_bytes: 0,
-        share_limit: 0,
-        share_granted: 0,
-    };
+    let values = GaugeValues::default();
     let metrics = replica.metrics().encode_text(&values);
     assert!(metrics.contains("azurelug_control_state_full_total 1\n"));
     end_what_has_begun(&replica, claim).await;
@@ -235,21 +190,10 @@
 async fn a_follower_passes_the_refusal_of_a_full_state_on() {
     let folder = tempfile::tempdir().unwrap();
     let slots = [1, 2];
-    let (mut listeners, mut listed) = (Vec::new(), Vec::new());
-    for slot in slots {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listener = Listener::bind(address, identity(slot)).await.unwrap();
-        listed.push(settings::Member {
-            slot,
-            name: name(slot),
-            address: listener.address(),
-        });
-        listeners.push(listener);
-    }
-    let cluster = Cluster::Listed(listed.into());
+    let (listeners, cluster) = members::listen(&slots).await;
     let started = slots.into_iter().zip(listeners).map(|(slot, listener)| {
         let disk = data_folder(folder.path(), slot, &slots);
-        start_connected(&disk, &cluster, listener)
+        members::start(&disk, log_settings(), &cluster, listener).0
     });
     let members: Vec<Replica> = started.collect();
     let begun = Instant::now();
--- a/crates/azurelug-system/tests/entry_removed_keys.rs
+++ b/crates/azurelug-system/tests/entry_removed_keys.rs
@@ -1,6 +1,9 @@
 //! Tests of calls with an account's key that the operators have replaced, against real processes.
 #![allow(clippy::unwrap_used)]
 
+#[path = "support/status.rs"]
+mod status;
+
 use std::time::Duration;
 
 use azurelug_system::operator::{self, Operator};
@@ -9,9 +12,10 @@
 use azurelug_types::id::ZoneName;
 use azurelug_types::patch::Change;
 use futures_util::future::join_all;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use status::read_status;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Longer than the time after which an accepted version is in force everywhere (7 s) and a lease (2 s).
 const SILENCE: Duration = Duration::from_millis(9500);
@@ -24,15 +28,6 @@
 
 const BODY: &str = r#"{"input": "how was the season?", "max_tokens": 4}"#;
 
-async fn read_status(stream: &mut TcpStream) -> u16 {
-    let mut buffer = [0; 1024];
-    let read = timeout(ANSWER_TIMEOUT, stream.read(&mut buffer)).await;
-    let count = read.expect("an answer in time").expect("an answer");
-    let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
-    let status = text.split(' ').nth(1).and_then(|it| it.parse().ok());
-    status.unwrap_or_else(|| panic!("not an answer: {text}"))
-}
-
 /// Guards against a key that is looked up in the configuration from before the body of its call
 /// arrived, while the lease that is checked after the body is that of a newer configuration. The zone
 /// refuses calls without a lease, so that the older configuration alone permits none.
@@ -86,7 +81,7 @@
     for stream in &mut streams {
         stream.write_all(second.as_bytes()).await.unwrap();
     }
-    let statuses = join_all(streams.iter_mut().map(read_status)).await;
+    let statuses = join_all(streams.iter_mut().map(|it| read_status(it, ANSWER_TIMEOUT))).await;
     assert!(
         statuses.iter().all(|status| [401, 503].contains(status)),
         "calls ran with a key that was replaced {SILENCE:?} before they were sent: {statuses:?}"
--- a/crates/azurelug-system/tests/gateway/removed_keys.rs
+++ b/crates/azurelug-system/tests/gateway/removed_keys.rs
@@ -1,16 +1,20 @@
 //! Tests of requests with a key that the operators have removed.
 
+#[path = "../support/status.rs"]
+mod status;
+
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use crate::deployment::{Deployment, configuration};
 use crate::suspendable::SuspendableGateway;
+use status::read_status;
 
 /// Time after which no request with a removed key may run (`revocation` of the settings), and a
 /// margin for the time between the acknowledgement and the next step of a test.
@@ -33,16 +37,6 @@
     )
 }
 
-/// Reads until the first bytes of an answer have arrived; its status.
-async fn read_status(stream: &mut TcpStream) -> u16 {
-    let mut buffer = [0; 1024];
-    let read = timeout(ANSWER_TIMEOUT, stream.read(&mut buffer)).await;
-    let count = read.expect("an answer in time").expect("an answer");
-    let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
-    let status = text.split(' ').nth(1).and_then(|it| it.parse().ok());
-    status.unwrap_or_else(|| panic!("not an answer: {text}"))
-}
-
 /// Guards against keys that are accepted by the configuration from before a suspension of the
 /// machine, whose age by the steady clock doesn't include the suspension.
 #[tokio::test(flavor = "multi_thread")]
@@ -51,7 +45,7 @@
     let gateway = SuspendableGateway::start(&deployment).await;
     let mut before = TcpStream::connect(gateway.clients()).await.unwrap();
     before.write_all(get("before").as_bytes()).await.unwrap();
-    assert_eq!(read_status(&mut before).await, 200);
+    assert_eq!(read_status(&mut before, ANSWER_TIMEOUT).await, 200);
     let suspension = gateway.suspend();
     deployment.put_configuration(&without_key(2), 200).await;
     sleep(REVOCATION).await;
@@ -64,7 +58,7 @@
         stream.write_all(request.as_bytes()).await.unwrap();
     }
     drop(suspension);
-    let statuses = join_all(waiting.iter_mut().map(read_status)).await;
+    let statuses = join_all(waiting.iter_mut().map(|it| read_status(it, ANSWER_TIMEOUT))).await;
     let ids = (0..waiting.len()).map(|number| format!("late-{number}"));
     let ran = ids.filter(|id| !deployment.received(id).is_empty()).count();
     assert_eq!(ran, 0, "requests ran with a removed key: {statuses:?}");
@@ -98,7 +92,7 @@
     for stream in &mut streams {
         stream.write_all(b"67890").await.unwrap();
     }
-    let statuses = join_all(streams.iter_mut().map(read_status)).await;
+    let statuses = join_all(streams.iter_mut().map(|it| read_status(it, ANSWER_TIMEOUT))).await;
     let ids = (0..streams.len()).map(|number| format!("late-{number}"));
     let ran = ids.filter(|id| !deployment.received(id).is_empty()).count();
     assert_eq!(ran, 0, "requests ran with a removed key: {statuses:?}");
@@ -143,7 +137,7 @@
     let mut stream = deployment.connect().await.unwrap();
     let keyless = get("keyless").replace("Authorization: Bearer key-1\r\n", "");
     stream.write_all(keyless.as_bytes()).await.unwrap();
-    assert_eq!(read_status(&mut stream).await, 200);
+    assert_eq!(read_status(&mut stream, ANSWER_TIMEOUT).await, 200);
     assert_eq!(deployment.received("keyless").len(), 1);
 }
 
@@ -168,7 +162,7 @@
         streams.push(stream);
     }
     deployment.gateway.signal(Signal::SIGCONT);
-    let statuses = join_all(streams.iter_mut().map(read_status)).await;
+    let statuses = join_all(streams.iter_mut().map(|it| read_status(it, ANSWER_TIMEOUT))).await;
     let ids = (0..streams.len()).map(|number| format!("late-{number}"));
     let ran = ids.filter(|id| !deployment.received(id).is_empty()).count();
     assert_eq!(ran, 0, "requests ran with a removed key: {statuses:?}");
