--- a/crates/azurelug-gateway/src/attempt.rs
+++ b/crates/azurelug-gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 //! goes on beside the next one. The first answer ends all other attempts.
 
 mod reply;
+mod slot;
 
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::events::{Event, Splitter};
-use azurelug_core::gateway::fleet::{Key, Outcome, SelectionError, Versions};
+use azurelug_core::gateway::fleet::{Key, Outcome};
 use azurelug_http::h1::client::Connection;
 use azurelug_types::id::ZoneName;
 use bytes::Bytes;
@@ -21,23 +22,18 @@
 use tokio::time::Instant;
 
 use crate::exchange::{Exchange, Failure};
-use crate::gateway::{SendKind, Slot, Wanted};
+use crate::gateway::{SendKind, Slot};
 use crate::memory::Held;
 use crate::quarantine;
 use crate::rollouts;
-use crate::slots;
-use reply::{Attempt, Reply};
+use reply::{Attempt, AttemptOutcome, Reply, outcome};
+use slot::next_slot;
+pub use slot::reserve_retry_slot;
 
 /// Attempts that may be refused or fail to connect before the request fails. With a quarter of a
 /// pool down, one request in four thousand reaches this limit.
 const MAX_REFUSALS: u32 = 6;
 
-/// Longest wait for a free slot at a target, as a fraction of the latency objective.
-const SLOT_WAIT_FRACTION: f64 = 0.35;
-
-/// Shortest pause until a slot is searched for again.
-const MIN_SLOT_PAUSE: Duration = Duration::from_millis(5);
-
 /// Fraction of the latency objective after which a retryable request is sent to another target, too.
 const ATTEMPT_TIMEOUT_FRACTION: f64 = 0.6;
 
@@ -53,10 +49,6 @@
 /// Shortest `Retry-After` of a refusal: about as long as a request occupies a slot.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// `Retry-After` of a request beyond the share of its account. An earlier one would only add to what
-/// the account asks for.
-const SHARE_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// An answer that was buffered in full.
 #[derive(Debug)]
 pub struct BufferedAnswer {
@@ -100,21 +92,6 @@
     Stream(Box<Stream>),
 }
 
-/// Outcome of one attempt.
-enum AttemptOutcome {
-    Answered(Answer),
-    /// The target answered with a server error, which may be forwarded to the client.
-    Failed(BufferedAnswer),
-    /// The target did not run the request.
-    NotRun,
-    /// Stage results are no longer available; the target did not run the request.
-    InputsGone,
-    /// The request did not reach the target.
-    Unreachable,
-    /// No usable answer; the request may have run.
-    OutcomeUnknown(&'static str),
-}
-
 /// The attempts of a request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -431,86 +408,6 @@
     (pending.remove(position).slot, reply)
 }
 
-/// Reserves a slot for the next attempt.
-async fn next_slot(
-    exchange: &Exchange,
-    params: &AttemptParams<'_>,
-    history: &mut AttemptHistory,
-    last: &Failure,
-) -> Result<Slot, Failure> {
-    if is_out_of_time(exchange) {
-        return Err(deadline_failure(history));
-    }
-    if history.has_arrived && !exchange.gateway.take_retry_token(&exchange.service.name) {
-        log::info!(
-            "gateway: request {}: no repeat left in the budget",
-            exchange.id
-        );
-        return Err(last.clone());
-    }
-    // What earlier stages or targets have done for a request would be wasted by a refusal.
-    let has_work_done = !params.inputs.is_empty() || exchange.is_resumed() || history.is_counted;
-    if !history.is_admitted && !has_work_done && !slots::admit(exchange) {
-        let reason = "its account has its share of the slots";
-        return Err(Failure::Refused(SHARE_RETRY_AFTER, reason));
-    }
-    history.is_admitted = true;
-    let reserved = wait_for_slot(exchange, params.zone, history).await;
-    if !history.is_counted && reserved.is_ok() {
-        exchange.gateway.credit_retry_budget(&exchange.service.name);
-        history.is_counted = true;
-    }
-    reserved.map_err(|failure| match (last, failure) {
-        (_, failure) if !history.is_counted => failure,
-        (Failure::Refused(after, reason), Failure::Refused(open, _)) => {
-            Failure::Refused(open.max(*after), reason)
-        }
-        // The earlier failure tells more than the lack of another target.
-        _ => last.clone(),
-    })
-}
-
-/// Criteria for the target of the next attempt.
-fn wanted<'a>(
-    exchange: &'a Exchange,
-    zone: &'a ZoneName,
-    history: &'a AttemptHistory,
-) -> Wanted<'a> {
-    let versions = match &history.version {
-        Some(version) => Versions::Only(version),
-        None if exchange.route.kind.is_stream() => Versions::Registered,
-        None => Versions::Any,
-    };
-    Wanted {
-        service: &exchange.service,
-        affinity: exchange.affinity(),
-        zone,
-        weights: &exchange.weights,
-        tried: &history.tried,
-        work: exchange.work(),
-        versions,
-    }
-}
-
-/// Reserves a slot for a retry if one is free now and the retry budget allows it.
-pub async fn reserve_retry_slot(
-    exchange: &Exchange,
-    zone: &ZoneName,
-    history: &AttemptHistory,
-) -> Option<Slot> {
-    if is_out_of_time(exchange) {
-        return None;
-    }
-    let gateway = &exchange.gateway;
-    let wanted = wanted(exchange, zone, history);
-    let slot = gateway.reserve_permitted_slot(&wanted).await.ok()?;
-    if !gateway.take_retry_token(&exchange.service.name) {
-        slot.cancel();
-        return None;
-    }
-    Some(slot)
-}
-
 impl AttemptHistory {
     /// The kind of the attempt at the last target in `tried`.
     fn send_kind(&self) -> SendKind {
@@ -540,59 +437,6 @@
     }
 }
 
-fn deadline_failure(history: &AttemptHistory) -> Failure {
-    if history.possible_runs == 0 {
-        Failure::Refused(RETRY_AFTER, "the time is over")
-    } else {
-        Failure::TimedOut
-    }
-}
-
-/// Reserves a slot at a target; waits for a short time if none is free.
-async fn wait_for_slot(
-    exchange: &Exchange,
-    zone: &ZoneName,
-    history: &AttemptHistory,
-) -> Result<Slot, Failure> {
-    let gateway = &exchange.gateway;
-    let wait = exchange.route.latency_objective.mul_f64(SLOT_WAIT_FRACTION);
-    let limit = gateway.now() + wait;
-    loop {
-        let wanted = wanted(exchange, zone, history);
-        let unavailable = match gateway.reserve_permitted_slot(&wanted).await {
-            Ok(slot) => return Ok(slot),
-            Err(unavailable) => unavailable,
-        };
-        if matches!(unavailable, SelectionError::Full { .. }) {
-            let service = &exchange.service.name;
-            gateway.slots.record_shortage(service, gateway.now());
-        }
-        let left = limit.saturating_sub(gateway.now());
-        let left = left.min(exchange.time_left());
-        let pause = match unavailable {
-            SelectionError::None => {
-                return Err(Failure::Refused(
-                    RETRY_AFTER * 2,
-                    "the service has no target",
-                ));
-            }
-            SelectionError::Blocked(pause) if pause > left => {
-                let after = pause.max(RETRY_AFTER);
-                return Err(Failure::Refused(after, "targets are held back"));
-            }
-            SelectionError::Full { .. } if left.is_zero() => {
-                return Err(Failure::Refused(RETRY_AFTER, "targets are full"));
-            }
-            SelectionError::Blocked(pause) => pause,
-            SelectionError::Full { opens_in } => opens_in.unwrap_or(left).min(left),
-        };
-        // Wakes when a slot becomes free or the pause ends.
-        let pause = pause.max(MIN_SLOT_PAUSE);
-        let limit = Instant::now() + pause;
-        gateway.run_until(limit, gateway.wait_slot_freed()).await;
-    }
-}
-
 /// Timeout of one attempt.
 fn attempt_timeout(exchange: &Exchange, may_retry: bool) -> Duration {
     let left = exchange.time_left();
@@ -611,45 +455,3 @@
         .max(minimum);
     attempt_timeout.min(left)
 }
-
-/// Records the outcome of an attempt in the target's health and releases the slot, unless the
-/// answer is a stream, which keeps it.
-fn outcome(mut slot: Slot, reply: Reply) -> AttemptOutcome {
-    let first = slot.elapsed();
-    let (sent, outcome) = match reply {
-        Reply::Whole(whole) if whole.status.is_server_error() => {
-            (AttemptOutcome::Failed(whole), Outcome::Error)
-        }
-        Reply::Whole(whole) => (
-            AttemptOutcome::Answered(Answer::Whole(whole)),
-            Outcome::Answered(first),
-        ),
-        Reply::Stream(start) => {
-            slot.set_started(first);
-            let stream = Stream {
-                slot,
-                connection: start.connection,
-                idle: start.idle,
-                headers: start.headers,
-                body: start.body,
-                splitter: start.splitter,
-                held: start.held,
-                first: start.first,
-                is_ended: start.is_ended,
-                is_framed: start.is_framed,
-            };
-            return AttemptOutcome::Answered(Answer::Stream(Box::new(stream)));
-        }
-        Reply::NotRun(StatusCode::CONFLICT) => (AttemptOutcome::InputsGone, Outcome::Unknown),
-        Reply::NotRun(_) => (AttemptOutcome::NotRun, Outcome::Full),
-        Reply::WrongTarget => (AttemptOutcome::NotRun, Outcome::Gone),
-        Reply::Unreachable => (AttemptOutcome::Unreachable, Outcome::Unconnected),
-        Reply::ConnectionFailed(reason) => {
-            (AttemptOutcome::OutcomeUnknown(reason), Outcome::Unreachable)
-        }
-        Reply::Unusable(reason) => (AttemptOutcome::OutcomeUnknown(reason), Outcome::Error),
-    };
-    slot.set_outcome(outcome);
-    slot.release();
-    sent
-}
--- a/crates/azurelug-gateway/src/attempt/reply.rs
+++ b/crates/azurelug-gateway/src/attempt/reply.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurelug_core::gateway::events::{Event, Splitter};
+use azurelug_core::gateway::fleet::Outcome;
 use azurelug_http::h1::client::{self, Connection};
 use azurelug_platform::target::{self, Head, SystemHeaders, Verdict};
 use azurelug_types::deployment::{RequestKind, Target};
@@ -14,9 +15,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use super::BufferedAnswer;
+use super::{Answer, BufferedAnswer, Stream};
 use crate::exchange::Exchange;
-use crate::gateway::SendKind;
+use crate::gateway::{SendKind, Slot};
 use crate::incoming;
 use crate::memory::Held;
 use crate::quarantine::{self, Progress};
@@ -250,3 +251,60 @@
         is_framed,
     }))
 }
+
+/// Outcome of one attempt.
+pub(super) enum AttemptOutcome {
+    Answered(Answer),
+    /// The target answered with a server error, which may be forwarded to the client.
+    Failed(BufferedAnswer),
+    /// The target did not run the request.
+    NotRun,
+    /// Stage results are no longer available; the target did not run the request.
+    InputsGone,
+    /// The request did not reach the target.
+    Unreachable,
+    /// No usable answer; the request may have run.
+    OutcomeUnknown(&'static str),
+}
+
+/// Records the outcome of an attempt in the target's health and releases the slot, unless the
+/// answer is a stream, which keeps it.
+pub(super) fn outcome(mut slot: Slot, reply: Reply) -> AttemptOutcome {
+    let first = slot.elapsed();
+    let (sent, outcome) = match reply {
+        Reply::Whole(whole) if whole.status.is_server_error() => {
+            (AttemptOutcome::Failed(whole), Outcome::Error)
+        }
+        Reply::Whole(whole) => (
+            AttemptOutcome::Answered(Answer::Whole(whole)),
+            Outcome::Answered(first),
+        ),
+        Reply::Stream(start) => {
+            slot.set_started(first);
+            let stream = Stream {
+                slot,
+                connection: start.connection,
+                idle: start.idle,
+                headers: start.headers,
+                body: start.body,
+                splitter: start.splitter,
+                held: start.held,
+                first: start.first,
+                is_ended: start.is_ended,
+                is_framed: start.is_framed,
+            };
+            return AttemptOutcome::Answered(Answer::Stream(Box::new(stream)));
+        }
+        Reply::NotRun(StatusCode::CONFLICT) => (AttemptOutcome::InputsGone, Outcome::Unknown),
+        Reply::NotRun(_) => (AttemptOutcome::NotRun, Outcome::Full),
+        Reply::WrongTarget => (AttemptOutcome::NotRun, Outcome::Gone),
+        Reply::Unreachable => (AttemptOutcome::Unreachable, Outcome::Unconnected),
+        Reply::ConnectionFailed(reason) => {
+            (AttemptOutcome::OutcomeUnknown(reason), Outcome::Unreachable)
+        }
+        Reply::Unusable(reason) => (AttemptOutcome::OutcomeUnknown(reason), Outcome::Error),
+    };
+    slot.set_outcome(outcome);
+    slot.release();
+    sent
+}
