--- a/crates/azurelug-core/src/gateway/slots.rs
+++ b/crates/azurelug-core/src/gateway/slots.rs
@@ -47,6 +47,22 @@
     pub slots: f64,
 }
 
+/// A request beyond the share of its account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refused {
+    /// Part of the account's requests that get a slot, from 0 to 1.
+    pub part: f64,
+}
+
+/// What is known of the slots of a service, for a state dump.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    /// Average time for which a request takes a slot.
+    pub duration: Duration,
+    /// Time for which the slots still count as short; zero if they don't.
+    pub remaining: Duration,
+}
+
 #[derive(Debug)]
 struct Service {
     shares: Shares,
@@ -93,20 +109,42 @@
         }
     }
 
-    /// Records that a request wants a slot. Returns false if slots are short and the request is
-    /// beyond the share of its account.
-    pub fn admit(&mut self, service: &ServiceName, request: Request, now: Duration) -> bool {
+    /// Records that a request wants a slot.
+    ///
+    /// # Errors
+    /// Slots are short, and the request is beyond the share of its account.
+    pub fn admit(
+        &mut self,
+        service: &ServiceName,
+        request: Request,
+        now: Duration,
+    ) -> Result<(), Refused> {
         if !self.is_enabled {
-            return true;
+            return Ok(());
         }
         let service = self.service(service, now);
         let work = service.duration;
         if work.is_zero() {
-            return true;
+            return Ok(());
         }
         let available = service.available(request.slots, now);
         let part = service.shares.part(request.account, work, available, now);
-        request.draw < part || service.short_until <= now
+        if request.draw < part || service.short_until <= now {
+            Ok(())
+        } else {
+            Err(Refused { part })
+        }
+    }
+
+    /// Returns the services whose slots were used, for a state dump.
+    pub fn shortages(&self, now: Duration) -> impl Iterator<Item = (&ServiceName, Shortage)> {
+        self.services.iter().map(move |(name, service)| {
+            let shortage = Shortage {
+                duration: service.duration,
+                remaining: service.short_until.saturating_sub(now),
+            };
+            (name, shortage)
+        })
     }
 
     /// Records that a request found no free slot.
--- a/crates/azurelug-core/tests/gateway_slots.rs
+++ b/crates/azurelug-core/tests/gateway_slots.rs
@@ -79,7 +79,7 @@
             draw: random.random(),
             slots: slots / load.gateways as f64,
         };
-        if !ledger.admit(&service, request, now) {
+        if ledger.admit(&service, request, now).is_err() {
             continue;
         }
         let duration = Duration::from_secs_f64(DURATION * random.random_range(0.5..1.5));
--- a/crates/azurelug-gateway/src/admin.rs
+++ b/crates/azurelug-gateway/src/admin.rs
@@ -34,6 +34,16 @@
     target_costs: Vec<TargetCostRow>,
     stream_versions: Vec<VersionsRow>,
     stream_records: usize,
+    /// Empty unless accounts share slots.
+    slots: Vec<SlotRow>,
+}
+
+/// How long requests take the slots of a service, and for how long they still count as short.
+#[derive(Serialize)]
+struct SlotRow {
+    service: String,
+    duration_ms: u128,
+    short_ms: u128,
 }
 
 /// The software versions of a service at which streams may begin.
@@ -97,6 +107,13 @@
     drop(fleet);
     let (service_costs, target_costs) = gateway.cost_rows();
     let stage_targets = gateway.dispatch_workers.dump().into_iter();
+    let shortages = gateway.slots.shortages(gateway.now()).into_iter();
+    let slots = shortages.map(|(service, shortage)| SlotRow {
+        service: service.to_string(),
+        duration_ms: shortage.duration.as_millis(),
+        short_ms: shortage.remaining.as_millis(),
+    });
+    let slots = slots.collect();
     Dump {
         name: gateway.name.to_string(),
         zone: gateway.zone.to_string(),
@@ -120,6 +137,7 @@
         target_costs,
         stream_versions,
         stream_records: gateway.streams.count(),
+        slots,
     }
 }
 
--- a/crates/azurelug-gateway/src/slots.rs
+++ b/crates/azurelug-gateway/src/slots.rs
@@ -3,9 +3,9 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use azurelug_core::gateway::slots::{Ledger, Request};
+use azurelug_core::gateway::slots::{Ledger, Request, Shortage};
 use azurelug_platform::contracts::Features;
-use azurelug_types::id::ServiceName;
+use azurelug_types::id::{AccountName, ServiceName};
 
 use crate::exchange::Exchange;
 
@@ -30,6 +30,13 @@
         self.ledger.lock().expect("no holder of the lock panics")
     }
 
+    /// The services whose slots were used, for the state dump; empty if slots are not shared.
+    pub fn shortages(&self, now: Duration) -> Vec<(ServiceName, Shortage)> {
+        let ledger = self.ledger();
+        let shortages = ledger.shortages(now);
+        shortages.map(|(name, it)| (name.clone(), it)).collect()
+    }
+
     /// Records that a request found no free slot at a target of the service.
     pub fn record_shortage(&self, service: &ServiceName, now: Duration) {
         self.ledger().record_shortage(service, now);
@@ -54,18 +61,19 @@
         draw: rand::random(),
         slots: gateway.slots_of(service),
     };
-    let is_admitted = gateway
-        .slots
-        .ledger()
-        .admit(&service.name, request, gateway.now());
-    if !is_admitted {
+    let now = gateway.now();
+    let admitted = gateway.slots.ledger().admit(&service.name, request, now);
+    if let Err(refused) = admitted {
         gateway.metrics.record_share_refusal(service.name.as_str());
         log::info!(
-            "gateway: request {}: beyond the share of its account; service={} slots={:.2}",
+            "gateway: request {}: beyond the share of its account; account={} service={} slots={:.2} \
+             part={:.2}",
             exchange.id,
+            exchange.account.as_ref().map_or("-", AccountName::as_str),
             service.name,
             request.slots,
+            refused.part,
         );
     }
-    is_admitted
+    admitted.is_ok()
 }
