--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A message: its first line, its headers and its body.
 #[derive(Clone, Debug, Default)]
@@ -169,6 +169,8 @@
     pub last: Vec<u8>,
     /// Number of items of that answer.
     pub last_count: usize,
+    /// When it was sent.
+    pub last_at: Instant,
 }
 
 /// Serves a listener for the rest of the process. `handle` writes the answer and returns whether the
@@ -189,6 +191,7 @@
                     stream,
                     last: Vec::new(),
                     last_count: 0,
+                    last_at: Instant::now(),
                 };
                 while let Ok(Some(request)) = reader.message(false) {
                     if !handle(&request, &mut channel).unwrap_or(false) {
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `azurelug-review-2 NAME FOLDER`, in the root of the repository. Exits
 //! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod failback;
 mod http;
 mod mixed;
 mod targets;
@@ -8,6 +9,7 @@
 
 use std::path::Path;
 
+use mixed::Manner;
 use world::World;
 
 fn main() {
@@ -19,7 +21,9 @@
     let root = std::env::current_dir().expect("the current folder exists");
     let world = World::new(&root, Path::new(folder));
     let code = match name.as_str() {
-        "mixed" => mixed::run(world),
+        "mixed" => mixed::run(world, Manner::Quiet),
+        "mixed-evacuation" => mixed::run(world, Manner::Evacuation),
+        "failback" => failback::run(world),
         _ => {
             eprintln!("no such case: {name}");
             2
--- a/review/stand-2/src/mixed.rs
+++ b/review/stand-2/src/mixed.rs
@@ -1,5 +1,6 @@
 //! A request gets the stage results of another one: a stage target sends the answer to a call once
-//! more, when the next call arrives on the connection, after a zone was evacuated.
+//! more, when the next call arrives on the connection. Either there were no calls for six seconds, or a
+//! zone was evacuated in between.
 
 use std::collections::HashMap;
 use std::io::Write;
@@ -10,14 +11,53 @@
 
 use serde_json::{Value, json};
 
-use crate::http;
+use crate::http::{self, Channel};
 use crate::targets::{Results, StageTarget, inputs, random, refuse_other};
 use crate::world::{World, ZONES};
 
-const TARGETS_PER_ZONE: usize = 3;
+/// What happens between an answer and its second copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// No client sends anything for a while.
+    Quiet,
+    /// A zone is evacuated.
+    Evacuation,
+}
+
+impl Manner {
+    /// Number of stage targets.
+    fn targets(self) -> usize {
+        match self {
+            Self::Quiet => 5,
+            Self::Evacuation => 9,
+        }
+    }
+
+    /// Whether a stage target sends copies: 3 of them in both manners.
+    fn is_garbling(self, number: usize) -> bool {
+        match self {
+            Self::Quiet => number < 3,
+            // The gateway of this zone dispatches the calls of all targets, if it does so for all
+            // zones together.
+            Self::Evacuation => ZONES[number % ZONES.len()] == "z-b",
+        }
+    }
+
+    /// Time between two requests.
+    fn pause(self) -> Duration {
+        match self {
+            Self::Quiet => Duration::from_millis(62),
+            Self::Evacuation => Duration::from_millis(42),
+        }
+    }
+}
 
-/// Time between two requests.
-const PAUSE: Duration = Duration::from_millis(42);
+/// Requests that come close together when clients begin again, and the time between them.
+const FIRST_REQUESTS: usize = 12;
+const FIRST_PAUSE: Duration = Duration::from_millis(25);
+
+/// Age of an answer from which on it is sent again after a quiet time: results are kept for 4 s.
+const OLD_ANSWER: Duration = Duration::from_millis(4500);
 
 /// Parts that prompts share.
 const SHARED_PARTS: usize = 12;
@@ -31,10 +71,6 @@
 /// Largest share of answers that are sent twice.
 const COPY_SHARE: f64 = 0.03;
 
-/// Zone whose targets, 3 of 9, send copies. Its gateway dispatches the calls of all targets, if it does
-/// so for all zones together.
-const GARBLING_ZONE: &str = "z-b";
-
 fn document() -> Value {
     json!({
         "version": 3,
@@ -73,20 +109,31 @@
 }
 
 impl Copies {
-    /// Whether the last answer on a connection is sent once more: an order was given just now, and only
-    /// a small share of the answers is copied.
-    fn take(&mut self, is_like_last: bool) -> bool {
+    /// Whether the last answer on a connection is sent once more; only a small share of the answers is.
+    fn take(&mut self, manner: Manner, channel: &Channel, count: usize) -> bool {
         self.answers += 1;
-        let ordered = self.ordered.filter(|_| is_like_last);
-        let is_due = ordered.is_some_and(|ordered| ordered.elapsed() < COPIES_UNTIL);
-        let is_copied = is_due && (self.copies + 1) as f64 <= self.answers as f64 * COPY_SHARE;
+        let is_due = match manner {
+            Manner::Quiet => channel.last_at.elapsed() > OLD_ANSWER,
+            Manner::Evacuation => {
+                let ordered = self.ordered;
+                ordered.is_some_and(|ordered| ordered.elapsed() < COPIES_UNTIL)
+            }
+        };
+        let is_copied = is_due
+            && channel.last_count == count
+            && (self.copies + 1) as f64 <= self.answers as f64 * COPY_SHARE;
         self.copies += u64::from(is_copied);
         is_copied
     }
 }
 
-fn start_stage_targets(world: &World, results: &Results, copies: &Arc<Mutex<Copies>>) {
-    for number in 0..ZONES.len() * TARGETS_PER_ZONE {
+fn start_stage_targets(
+    world: &World,
+    manner: Manner,
+    results: &Results,
+    copies: &Arc<Mutex<Copies>>,
+) {
+    for number in 0..manner.targets() {
         let zone = ZONES[number % ZONES.len()];
         let listener = world.listen(number);
         let address = listener.local_addr().expect("a bound listener");
@@ -102,12 +149,11 @@
             turn: Mutex::new(()),
             record: world.record.clone(),
         };
-        let is_garbling = world.has_trouble && zone == GARBLING_ZONE;
+        let is_garbling = world.has_trouble && manner.is_garbling(number);
         let copies = Arc::clone(copies);
         http::serve(listener, move |request, channel| {
             target.handle(request, channel, |channel, count| {
-                let is_like_last = channel.last_count == count;
-                is_garbling && copies.lock().unwrap().take(is_like_last)
+                is_garbling && copies.lock().unwrap().take(manner, channel, count)
             })
         });
     }
@@ -171,13 +217,24 @@
 }
 
 /// Sends requests until `is_over`; returns the number of answers that are made of another request.
-fn start_clients(world: &World, is_over: &Arc<AtomicBool>) -> thread::JoinHandle<(u64, u64)> {
+fn start_clients(
+    world: &World,
+    manner: Manner,
+    is_over: &Arc<AtomicBool>,
+    is_quiet: &Arc<AtomicBool>,
+) -> thread::JoinHandle<(u64, u64)> {
     let fronts: Vec<_> = world.gateways.iter().map(|it| it.front).collect();
     let (record, is_over) = (world.record.clone(), Arc::clone(is_over));
+    let is_quiet = Arc::clone(is_quiet);
     thread::spawn(move || {
         let totals = Arc::new(Mutex::new((0, 0)));
         let mut calls = Vec::new();
+        let mut first = 0;
         for number in 0.. {
+            while is_quiet.load(Ordering::Relaxed) && !is_over.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(5));
+                first = FIRST_REQUESTS;
+            }
             if is_over.load(Ordering::Relaxed) {
                 break;
             }
@@ -220,7 +277,12 @@
                 };
                 record.line(&format!("client: {id} answered {}{note}", answer.status()));
             }));
-            thread::sleep(PAUSE);
+            if first > 0 {
+                first -= 1;
+                thread::sleep(FIRST_PAUSE);
+            } else {
+                thread::sleep(manner.pause());
+            }
         }
         for call in calls {
             let _ = call.join();
@@ -231,32 +293,47 @@
 }
 
 /// Runs the case; returns the exit code.
-pub fn run(mut world: World) -> i32 {
+pub fn run(mut world: World, manner: Manner) -> i32 {
     let results: Results = Arc::new(Mutex::new(HashMap::new()));
     let seen = Arc::new(Mutex::new(Seen::default()));
     let copies = Arc::new(Mutex::new(Copies::default()));
-    start_stage_targets(&world, &results, &copies);
+    start_stage_targets(&world, manner, &results, &copies);
     start_engines(&world, &results, &seen);
     if !world.start(&ZONES, &document()) {
         eprintln!("could not start:\n{}", world.last_lines());
         return 2;
     }
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(&world, &is_over);
+    let is_quiet = Arc::new(AtomicBool::new(false));
+    let clients = start_clients(&world, manner, &is_over, &is_quiet);
     let started = Instant::now();
     let wait_until = |seconds: u64| {
         let left = Duration::from_secs(seconds).saturating_sub(started.elapsed());
         thread::sleep(left);
     };
     let mut is_obeyed = true;
-    for at in [20, 30, 40, 50, 60] {
+    let times = match manner {
+        Manner::Quiet => vec![14, 23, 32, 41, 50, 59, 68, 77],
+        Manner::Evacuation => vec![20, 30, 40, 50, 60],
+    };
+    let end = times[times.len() - 1] + 9;
+    for at in times {
         wait_until(at);
-        copies.lock().unwrap().ordered = Some(Instant::now());
-        is_obeyed &= world.evacuate("z-c", true);
-        wait_until(at + 5);
-        is_obeyed &= world.evacuate("z-c", false);
+        match manner {
+            Manner::Quiet => {
+                is_quiet.store(true, Ordering::Relaxed);
+                wait_until(at + 6);
+                is_quiet.store(false, Ordering::Relaxed);
+            }
+            Manner::Evacuation => {
+                copies.lock().unwrap().ordered = Some(Instant::now());
+                is_obeyed &= world.evacuate("z-c", true);
+                wait_until(at + 5);
+                is_obeyed &= world.evacuate("z-c", false);
+            }
+        }
     }
-    wait_until(67);
+    wait_until(end);
     is_over.store(true, Ordering::Relaxed);
     let (answered, foreign_answers) = clients.join().unwrap_or_default();
     let seen = seen.lock().unwrap();
--- a/review/stand-2/src/targets.rs
+++ b/review/stand-2/src/targets.rs
@@ -151,6 +151,7 @@
         let answer = http::answer("200 OK", &JSON, &json!({ "items": ends }).to_string());
         channel.last.clone_from(&answer);
         channel.last_count = items.len();
+        channel.last_at = Instant::now();
         channel.stream.write_all(&answer)?;
         Ok(true)
     }
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -142,6 +142,8 @@
     pub slots: u32,
     /// `ready` or `draining`.
     pub state: String,
+    /// From when the list shows that the target is cold, and until when it is.
+    pub cold: Option<(Instant, Instant)>,
 }
 
 /// All processes and stand-ins of a run. Dropping it ends the processes.
@@ -223,6 +225,7 @@
             zone: zone.to_owned(),
             slots,
             state: "ready".to_owned(),
+            cold: None,
         });
     }
 
@@ -245,6 +248,11 @@
     /// Starts the platform's list, three control daemons and a gateway for each name of `zones`, and
     /// puts `document` in force. Returns whether all gateways are ready in time.
     pub fn start(&mut self, zones: &[&str], document: &Value) -> bool {
+        self.start_some(zones, zones.len(), document)
+    }
+
+    /// As [`World::start`], but only the first `count` gateways are started; the others are spare.
+    pub fn start_some(&mut self, zones: &[&str], count: usize, document: &Value) -> bool {
         let platform = self.start_platform();
         let control_ips: Vec<IpAddr> = (0..3).map(|it| self.ip(2, it)).collect();
         let gateway_ips: Vec<IpAddr> = (0..zones.len()).map(|it| self.ip(3, it)).collect();
@@ -292,7 +300,8 @@
             self.gateways.push(daemon);
         }
         let root = self.root.clone();
-        for daemon in self.controls.iter_mut().chain(&mut self.gateways) {
+        let gateways = self.gateways.iter_mut().take(count);
+        for daemon in self.controls.iter_mut().chain(gateways) {
             daemon.start(&root);
         }
         self.configure(document) && self.wait_ready(Duration::from_secs(20))
@@ -318,7 +327,7 @@
         }
     }
 
-    /// Whether all gateways report ready within `limit`.
+    /// Whether all gateways that were started report ready within `limit`.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let started = Instant::now();
         let ready = http::request("GET", "/ready", "platform", &[], "");
@@ -326,7 +335,8 @@
             let answer = http::call(daemon.admin, &ready, Duration::from_secs(1));
             answer.is_ok_and(|it| it.status() == 200)
         };
-        while !self.gateways.iter().all(is_ready) {
+        let started_gateways = self.gateways.iter().filter(|it| it.child.is_some());
+        while !started_gateways.clone().all(is_ready) {
             if started.elapsed() > limit {
                 return false;
             }
@@ -396,6 +406,11 @@
 }
 
 fn entry(listed: &Listed) -> Value {
+    let now = Instant::now();
+    let cold = listed.cold.filter(|(shown_from, _)| *shown_from <= now);
+    let cold_ms = cold.map_or(0, |(_, until)| {
+        until.saturating_duration_since(now).as_millis() as u64
+    });
     json!({
         "id": listed.id,
         "service": listed.service,
@@ -404,6 +419,6 @@
         "version": "v1",
         "slots": listed.slots,
         "state": listed.state,
-        "cold_remaining_ms": 0,
+        "cold_remaining_ms": cold_ms,
     })
 }
