review: the stand-ins keep the dose for 5 s, and gateways are added during traffic

Case 6 counted its copies over the whole run: two times of 5 s had 3 copies in 39 answers and 2 in 31, above 3 in 100. Now one copy at most in each 5 s, and the run counts as not run if a time exceeds the dose. Case 8 adds its two gateways after the clients have begun. The stage targets refuse what is above their sheet or expired, and idle connections are closed after the time they announce.

--- a/review/stand-2/src/failback.rs
+++ b/review/stand-2/src/failback.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -136,14 +136,11 @@
 fn start_clients(
     world: &World,
     started: Instant,
+    in_rotation: &Arc<AtomicUsize>,
     is_over: &Arc<AtomicBool>,
 ) -> thread::JoinHandle<u64> {
-    let count = if world.has_trouble {
-        GATEWAYS + ADDED_GATEWAYS
-    } else {
-        GATEWAYS
-    };
-    let fronts: Vec<_> = world.gateways[..count].iter().map(|it| it.front).collect();
+    let fronts: Vec<_> = world.gateways.iter().map(|it| it.front).collect();
+    let in_rotation = Arc::clone(in_rotation);
     let (record, is_over) = (world.record.clone(), Arc::clone(is_over));
     thread::spawn(move || {
         let served = Arc::new(Mutex::new(0));
@@ -154,7 +151,7 @@
             if is_over.load(Ordering::Relaxed) {
                 break;
             }
-            let front = fronts[number as usize % fronts.len()];
+            let front = fronts[number as usize % in_rotation.load(Ordering::Relaxed)];
             let (record, served) = (record.clone(), Arc::clone(&served));
             calls.push(thread::spawn(move || {
                 let id = format!("{:016x}", random());
@@ -202,21 +199,23 @@
         eprintln!("could not start:\n{}", world.last_lines());
         return 2;
     }
+    let is_over = Arc::new(AtomicBool::new(false));
+    thread::sleep(Duration::from_secs(4));
+    let in_rotation = Arc::new(AtomicUsize::new(GATEWAYS));
+    let clients = start_clients(&world, begun, &in_rotation, &is_over);
+    let started = Instant::now();
     if world.has_trouble {
         world.record.line("trouble: two gateways are added");
         let root = world.root.clone();
         for added in &mut world.gateways[GATEWAYS..] {
             added.start(&root);
         }
-        if !world.wait_ready(Duration::from_secs(20)) {
+        if !world.wait_ready(Duration::from_secs(3)) {
             eprintln!("the added gateways are not ready:\n{}", world.last_lines());
             return 2;
         }
+        in_rotation.store(GATEWAYS + ADDED_GATEWAYS, Ordering::Relaxed);
     }
-    let is_over = Arc::new(AtomicBool::new(false));
-    thread::sleep(Duration::from_secs(4));
-    let clients = start_clients(&world, begun, &is_over);
-    let started = Instant::now();
     let wait_until = |millis: u64| {
         let left = Duration::from_millis(millis).saturating_sub(started.elapsed());
         thread::sleep(left);
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -6,6 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Time after which a server closes an idle connection, as its `Keep-Alive` header says.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
 /// A message: its first line, its headers and its body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -185,6 +188,7 @@
             let handle = Arc::clone(&handle);
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
+                let _ = stream.set_read_timeout(Some(IDLE_TIME));
                 let Ok(copy) = stream.try_clone() else { return };
                 let mut reader = Reader::new(copy);
                 let mut channel = Channel {
--- a/review/stand-2/src/mixed.rs
+++ b/review/stand-2/src/mixed.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -98,33 +98,64 @@
     })
 }
 
+/// Length of a time in which copies are sent, as on the sites.
+const COPY_TIME: Duration = Duration::from_secs(5);
+
+/// A time in which copies are sent.
+struct Window {
+    begun: Instant,
+    answers: u64,
+    copies: u64,
+}
+
 /// What decides on second copies of answers.
 #[derive(Default)]
 struct Copies {
-    /// When the last order to evacuate a zone was acknowledged.
-    ordered: Option<Instant>,
-    /// Answers of the targets that send copies.
-    answers: u64,
-    copies: u64,
+    windows: Vec<Window>,
 }
 
 impl Copies {
-    /// Whether the last answer on a connection is sent once more; only a small share of the answers is.
+    /// Begins a time in which copies are sent.
+    fn begin(&mut self) {
+        self.windows.push(Window {
+            begun: Instant::now(),
+            answers: 0,
+            copies: 0,
+        });
+    }
+
+    /// Whether the last answer on a connection is sent once more: one in each time.
     fn take(&mut self, manner: Manner, channel: &Channel, count: usize) -> bool {
-        self.answers += 1;
+        let Some(window) = self.windows.last_mut() else {
+            return false;
+        };
+        if window.begun.elapsed() >= COPY_TIME {
+            return false;
+        }
+        window.answers += 1;
         let is_due = match manner {
             Manner::Quiet => channel.last_at.elapsed() > OLD_ANSWER,
-            Manner::Evacuation => {
-                let ordered = self.ordered;
-                ordered.is_some_and(|ordered| ordered.elapsed() < COPIES_UNTIL)
-            }
+            Manner::Evacuation => window.begun.elapsed() < COPIES_UNTIL,
         };
-        let is_copied = is_due
-            && channel.last_count == count
-            && (self.copies + 1) as f64 <= self.answers as f64 * COPY_SHARE;
-        self.copies += u64::from(is_copied);
+        let is_copied = is_due && channel.last_count == count && window.copies == 0;
+        window.copies += u64::from(is_copied);
         is_copied
     }
+
+    /// Whether no time had more copies than the sites allow.
+    fn is_within_dose(&self) -> bool {
+        let mut windows = self.windows.iter();
+        windows.all(|it| it.copies as f64 <= it.answers as f64 * COPY_SHARE)
+    }
+
+    /// Copies and answers of each time, for the record.
+    fn counts(&self) -> String {
+        let windows = self.windows.iter();
+        let counts: Vec<String> = windows
+            .map(|it| format!("{}/{}", it.copies, it.answers))
+            .collect();
+        counts.join(" ")
+    }
 }
 
 fn start_stage_targets(
@@ -147,6 +178,7 @@
             handle_time: Duration::from_secs(4),
             results: Arc::clone(results),
             turn: Mutex::new(()),
+            calls: AtomicUsize::new(0),
             record: world.record.clone(),
         };
         let is_garbling = world.has_trouble && manner.is_garbling(number);
@@ -313,20 +345,21 @@
     };
     let mut is_obeyed = true;
     let times = match manner {
-        Manner::Quiet => vec![14, 23, 32, 41, 50, 59, 68, 77],
+        Manner::Quiet => vec![8, 20, 32, 44, 56, 68, 80],
         Manner::Evacuation => vec![20, 30, 40, 50, 60],
     };
-    let end = times[times.len() - 1] + 9;
+    let end = times[times.len() - 1] + 12;
     for at in times {
         wait_until(at);
         match manner {
             Manner::Quiet => {
                 is_quiet.store(true, Ordering::Relaxed);
                 wait_until(at + 6);
+                copies.lock().unwrap().begin();
                 is_quiet.store(false, Ordering::Relaxed);
             }
             Manner::Evacuation => {
-                copies.lock().unwrap().ordered = Some(Instant::now());
+                copies.lock().unwrap().begin();
                 is_obeyed &= world.evacuate("z-c", true);
                 wait_until(at + 5);
                 is_obeyed &= world.evacuate("z-c", false);
@@ -337,6 +370,10 @@
     is_over.store(true, Ordering::Relaxed);
     let (answered, foreign_answers) = clients.join().unwrap_or_default();
     let seen = seen.lock().unwrap();
+    let copies = copies.lock().unwrap();
+    world
+        .record
+        .line(&format!("copies/answers in each time: {}", copies.counts()));
     let summary = format!(
         "{answered} requests answered with 200, {} runs at engines; {} runs were given results of \
          another request, {foreign_answers} clients got an answer that was made of another request",
@@ -344,7 +381,7 @@
     );
     world.record.line(&summary);
     println!("{summary}");
-    if !is_obeyed || answered < 100 || world.has_lost_daemon() {
+    if !is_obeyed || answered < 100 || !copies.is_within_dose() || world.has_lost_daemon() {
         return 2;
     }
     i32::from(seen.foreign > 0)
--- a/review/stand-2/src/targets.rs
+++ b/review/stand-2/src/targets.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,6 +33,8 @@
     request: String,
     stage: u64,
     piece: u64,
+    /// When it is of no use any more.
+    until: Instant,
 }
 
 fn items(body: &[u8]) -> Vec<Item> {
@@ -41,6 +44,8 @@
         request: item["id"].as_str().unwrap_or_default().to_owned(),
         stage: item["stage"].as_u64().unwrap_or_default(),
         piece: item["piece"].as_u64().unwrap_or_default(),
+        until: Instant::now()
+            + Duration::from_millis(item["remaining_ms"].as_u64().unwrap_or(3_600_000)),
     });
     items.collect()
 }
@@ -61,10 +66,15 @@
     pub results: Results,
     /// Makes its calls one after the other.
     pub turn: Mutex<()>,
+    /// Calls that are in progress or wait.
+    pub calls: AtomicUsize,
     /// The record.
     pub record: Record,
 }
 
+/// Calls that one target takes: 1 in progress and 2 that wait.
+const MAX_CALLS: usize = 3;
+
 /// Headers of each answer to a call.
 const JSON: [(&str, &str); 3] = [
     ("Content-Type", "application/json"),
@@ -78,8 +88,9 @@
     if expected.is_none_or(|expected| expected == id) {
         return Ok(false);
     }
-    let echoed = request.header("x-request-attempt-id").unwrap_or("-");
-    let headers = [("X-Not-Executed", "1"), ("X-Request-Attempt-Id", echoed)];
+    let mut headers = vec![("X-Not-Executed", "1")];
+    let echoed = request.header("x-request-attempt-id");
+    headers.extend(echoed.map(|id| ("X-Request-Attempt-Id", id)));
     let refused = http::answer("421 Misdirected Request", &headers, "");
     channel.stream.write_all(&refused)?;
     Ok(true)
@@ -129,10 +140,25 @@
             let copy = channel.last.clone();
             channel.stream.write_all(&copy)?;
         }
+        if self.calls.fetch_add(1, Ordering::Relaxed) >= MAX_CALLS {
+            self.calls.fetch_sub(1, Ordering::Relaxed);
+            let full = http::answer("503 Service Unavailable", &[("X-Not-Executed", "1")], "");
+            channel.stream.write_all(&full)?;
+            return Ok(true);
+        }
         let turn = self.turn.lock().unwrap();
+        if is_closed(&channel.stream) {
+            self.calls.fetch_sub(1, Ordering::Relaxed);
+            return Ok(false);
+        }
+        let turn_began = Instant::now();
         thread::sleep(self.call_time + self.item_time * items.len() as u32);
         let mut ends = Vec::new();
         for item in &items {
+            if item.until < turn_began {
+                ends.push(json!({ "reason": "late" }));
+                continue;
+            }
             let handle = format!("{}/{:016x}", self.address, random());
             let made = Made {
                 request: item.request.clone(),
@@ -148,6 +174,7 @@
             ends.push(json!({ "handle": handle }));
         }
         drop(turn);
+        self.calls.fetch_sub(1, Ordering::Relaxed);
         let answer = http::answer("200 OK", &JSON, &json!({ "items": ends }).to_string());
         channel.last.clone_from(&answer);
         channel.last_count = items.len();
@@ -157,6 +184,15 @@
     }
 }
 
+/// Whether the other side has closed a connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut byte);
+    let _ = stream.set_nonblocking(false);
+    matches!(peeked, Ok(0))
+}
+
 /// A number that differs between calls and processes.
 pub fn random() -> u64 {
     use std::hash::{BuildHasher, Hasher, RandomState};
